Lay the skeleton: errors, settings, messages, streams, contracts

The package layout, the exception tree, INI settings, shared data classes and the authenticated msgpack streams come first, so that the areas built beside each other fit. docs/INTERNALS.md states the contracts.

--- /dev/null
+++ b/amaranthring/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds, one command each."""
--- /dev/null
+++ b/amaranthring/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: HTTP for chats and plain services."""
--- /dev/null
+++ b/amaranthring/core/__init__.py
@@ -0,0 +1,1 @@
+"""What every package shares: streams, identifiers, clocks, metrics, logs."""
--- /dev/null
+++ b/amaranthring/core/wire.py
@@ -0,0 +1,160 @@
+"""Typed messages and their msgpack frames.
+
+A message is a data class registered under a short tag with
+:func:`message`. A frame is one msgpack array ``[kind, call_id, tag, body]``;
+msgpack delimits itself, so a stream needs no length prefix. Bodies are maps
+of field names, so that a newer peer may add fields with defaults. What comes
+in is validated once, here, against the data class.
+"""
+
+import dataclasses
+import typing as t
+
+import msgpack
+import pydantic
+
+from amaranthring import errors
+
+VERSION = 1
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+
+ONE_WAY = 0
+REQUEST = 1
+REPLY = 2
+ERROR = 3
+
+_ADAPTERS: dict[str, pydantic.TypeAdapter] = {}
+_TAGS: dict[type, str] = {}
+
+C = t.TypeVar("C", bound=type)
+
+
+@dataclasses.dataclass
+class Frame:
+    """One decoded frame.
+
+    Attributes
+    ----------
+    kind : int
+        ``ONE_WAY``, ``REQUEST``, ``REPLY`` or ``ERROR``.
+    call_id : int
+        Ties a reply to its request; 0 for one-way messages.
+    message : object
+        The validated message, or the error of an ``ERROR`` frame.
+    """
+
+    kind: int
+    call_id: int
+    message: t.Any
+
+
+def message(tag: str) -> t.Callable[[C], C]:
+    """Register the decorated class as a message under `tag`."""
+
+    def register(cls: C) -> C:
+        made = dataclasses.dataclass(cls)
+        if tag in _ADAPTERS:
+            raise ValueError(f"message tag {tag!r} is taken")
+        _ADAPTERS[tag] = pydantic.TypeAdapter(made)
+        _TAGS[made] = tag
+        return made
+
+    return register
+
+
+def tag_of(kind: type) -> str:
+    """Return the tag under which message class `kind` is registered."""
+    return _TAGS[kind]
+
+
+def _plain(value: t.Any) -> t.Any:
+    if dataclasses.is_dataclass(value):
+        return vars(value)
+    if isinstance(value, set | frozenset):
+        return sorted(value)
+    raise TypeError(f"cannot encode {type(value).__name__}")
+
+
+def encode_value(value: t.Any) -> bytes:
+    """Return msgpack bytes of a message, data class or plain value."""
+    return msgpack.packb(value, default=_plain)
+
+
+def decode_value(data: bytes) -> t.Any:
+    """Return the plain value in `data`.
+
+    Raises
+    ------
+    errors.FrameError
+        If `data` is not exactly one msgpack value.
+    """
+    try:
+        return msgpack.unpackb(data, strict_map_key=False)
+    except Exception as error:
+        raise errors.FrameError("malformed msgpack") from error
+
+
+def encode(kind: int, call_id: int, body: t.Any) -> bytes:
+    """Return the bytes of one frame."""
+    if kind == ERROR:
+        return encode_value((kind, call_id, "", body.to_record()))
+    tag = "" if body is None else _TAGS[type(body)]
+    return encode_value((kind, call_id, tag, body))
+
+
+def decode_message(tag: str, body: t.Any) -> t.Any:
+    """Return the validated message of `tag` made from `body`.
+
+    Raises
+    ------
+    errors.FrameError
+        If the tag is unknown or the body does not fit its class.
+    """
+    adapter = _ADAPTERS.get(tag)
+    if adapter is None:
+        raise errors.FrameError(
+            "unknown message", given=tag, expected="a known message tag"
+        )
+    try:
+        return adapter.validate_python(body)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        raise errors.FrameError(
+            f"message {tag} does not fit",
+            given=f"{first['loc']}: {str(first['input'])[:80]}",
+            expected=first["msg"],
+        ) from error
+
+
+def encode_message(body: t.Any) -> tuple[str, dict[str, t.Any]]:
+    """Return tag and plain fields of message `body`."""
+    return _TAGS[type(body)], decode_value(encode_value(body))
+
+
+def decode(parts: t.Any) -> Frame:
+    """Return the frame made from the unpacked array `parts`."""
+    if not isinstance(parts, list) or len(parts) != 4:
+        raise errors.FrameError(
+            "malformed frame",
+            given=type(parts).__name__,
+            expected="[kind, call_id, tag, body]",
+        )
+    kind, call_id, tag, body = parts
+    if not isinstance(call_id, int) or kind not in (0, 1, 2, 3):
+        raise errors.FrameError(
+            "malformed frame", given=f"{kind!r}, {call_id!r}", expected="ints"
+        )
+    if kind == ERROR:
+        if not isinstance(body, dict):
+            raise errors.FrameError("malformed error record")
+        return Frame(kind, call_id, errors.from_record(body))
+    if tag == "":
+        return Frame(kind, call_id, None)
+    return Frame(kind, call_id, decode_message(tag, body))
+
+
+def unpacker() -> msgpack.Unpacker:
+    """Return a streaming unpacker whose buffer is bounded."""
+    return msgpack.Unpacker(
+        max_buffer_size=MAX_FRAME_BYTES, strict_map_key=False
+    )
--- /dev/null
+++ b/amaranthring/keepers/__init__.py
@@ -0,0 +1,1 @@
+"""Keepers: consensus, durable log, presets, claims, orders."""
--- /dev/null
+++ b/amaranthring/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: the HTTP interface behind the command line."""
--- /dev/null
+++ b/amaranthring/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform: the balancer's health check and statsd."""
--- /dev/null
+++ b/amaranthring/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: plain functions over data classes, clock passed in."""
--- /dev/null
+++ b/amaranthring/routers/__init__.py
@@ -0,0 +1,1 @@
+"""Other routers: membership, admission owners, directory, revisions."""
--- /dev/null
+++ b/amaranthring/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: announcements, leases, and the requests we send them."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module a subject."""
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,107 @@
+"""Streams between our processes: calls, errors, handshake, bad frames."""
+
+import asyncio
+import unittest
+
+import tornado.testing
+
+from amaranthring import errors
+from amaranthring.core import links
+from amaranthring.core import wire
+
+KEYS = links.Keys({"a": b"k" * 32})
+
+
+@wire.message("test-echo")
+class Echo:
+    """A message for these tests."""
+
+    text: str
+    number: int = 0
+
+
+def identity(name):
+    return links.Identity(name, "router", "dc1")
+
+
+class TestLink(unittest.IsolatedAsyncioTestCase):
+    """One client and one server over loopback."""
+
+    async def asyncSetUp(self):
+        self.handlers = links.Handlers()
+        self.server = links.LinkServer(identity("s"), KEYS, self.handlers)
+        sock, port = tornado.testing.bind_unused_port()
+        self.server.add_sockets([sock])
+        self.address = f"127.0.0.1:{port}"
+        self.dialler = None
+
+    async def asyncTearDown(self):
+        if self.dialler:
+            self.dialler.stop()
+        self.server.close_all()
+        await asyncio.sleep(0)
+
+    async def dial(self, keys=KEYS):
+        self.dialler = links.Dialler(
+            self.address, identity("c"), keys, links.Handlers()
+        )
+        self.dialler.start()
+        for _ in range(100):
+            if self.dialler.link:
+                return self.dialler
+            await asyncio.sleep(0.01)
+        return self.dialler
+
+    async def test_call_returns_the_reply(self):
+        self.handlers.add(Echo, lambda link, m: Echo(m.text + "!", 2))
+        dialler = await self.dial()
+        reply = await dialler.call(Echo("a"), timeout=1)
+        self.assertEqual(reply, Echo("a!", 2))
+
+    async def test_error_of_the_peer_keeps_its_type(self):
+        async def refuse(link, message):
+            raise errors.QueueFullError("full", retry_after=2.0)
+
+        self.handlers.add(Echo, refuse)
+        dialler = await self.dial()
+        with self.assertRaises(errors.QueueFullError) as caught:
+            await dialler.call(Echo("a"), timeout=1)
+        self.assertEqual(caught.exception.retry_after, 2.0)
+        self.assertEqual(caught.exception.outcome, errors.Outcome.NOT_RUN)
+
+    async def test_wrong_key_is_refused_by_both_ends(self):
+        dialler = await self.dial(links.Keys({"a": b"x" * 32}))
+        self.assertIsNone(dialler.link)
+        self.assertEqual(self.server.links, set())
+
+    async def test_second_key_is_accepted_while_keys_rotate(self):
+        self.server.keys = links.Keys({"b": b"n" * 32, "a": b"k" * 32})
+        self.handlers.add(Echo, lambda link, m: m)
+        rotated = links.Keys({"a": b"k" * 32, "b": b"n" * 32})
+        dialler = await self.dial(rotated)
+        reply = await dialler.call(Echo("a"), timeout=1)
+        self.assertEqual(reply, Echo("a"))
+
+    async def test_message_that_does_not_fit_closes_the_link(self):
+        dialler = await self.dial()
+        first = dialler.link
+        bad = wire.encode_value((wire.ONE_WAY, 0, "test-echo", {"text": 5}))
+        first.stream.write(bad)
+        for _ in range(100):
+            if first.closed:
+                break
+            await asyncio.sleep(0.01)
+        self.assertTrue(first.closed)
+
+    async def test_call_in_flight_fails_when_the_peer_goes(self):
+        async def never(link, message):
+            await asyncio.sleep(30)
+
+        self.handlers.add(Echo, never)
+        dialler = await self.dial()
+        call = asyncio.ensure_future(dialler.call(Echo("a"), timeout=5))
+        await asyncio.sleep(0.05)
+        self.server.close_all()
+        with self.assertRaises(errors.LinkClosedError) as caught:
+            await call
+        self.assertEqual(caught.exception.outcome, errors.Outcome.UNKNOWN)
