--- a/amaranthring/core/logs.py
+++ b/amaranthring/core/logs.py
@@ -4,26 +4,58 @@
 counted in :mod:`amaranthring.core.metrics`.
 """
 
+import json
 import sys
 import typing as t
 
 import logbook
 
 
-def event(log: logbook.Logger, name: str, **fields: t.Any) -> None:
+def event(log: logbook.Logger, name: str, /, **fields: t.Any) -> None:
     """Log a change of state under the stable event `name`."""
     pairs = " ".join(f"{key}={value}" for key, value in fields.items())
     log.info(f"{name} {pairs}".rstrip(), extra={"fields": fields})
 
 
-def setup(process: str, level: str = "INFO") -> None:
-    """Send log lines of this process to standard error."""
-    form = (
-        "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} "
-        + process.replace("{", "{{")
-        + " {record.channel} {record.message}"
-    )
-    handler = logbook.StreamHandler(
-        sys.stderr, level=level, format_string=form
-    )
+def setup(process: str, level: str = "INFO", form: str = "text") -> None:
+    """Send log lines of this process to standard error.
+
+    Parameters
+    ----------
+    process : str
+        Name of the process, on every line.
+    level : str
+        Lowest level written.
+    form : str
+        ``text`` or ``json``.
+    """
+    handler = logbook.StreamHandler(sys.stderr, level=level)
+    make = _json_line if form == "json" else _text_line
+    handler.formatter = lambda record, _: make(process, record)
     handler.push_application()
+
+
+def _text_line(process: str, record: logbook.LogRecord) -> str:
+    line = f"{record.time.isoformat()} {record.level_name} {process} "
+    line += f"{record.channel} {record.message}"
+    if record.formatted_exception:
+        line += "\n" + record.formatted_exception
+    return line
+
+
+def _json_line(process: str, record: logbook.LogRecord) -> str:
+    name, _, rest = record.message.partition(" ")
+    fields = record.extra["fields"] or {}
+    line = {
+        "time": record.time.isoformat(),
+        "level": record.level_name,
+        "process": process,
+        "channel": record.channel,
+        "event": name,
+        **{key: str(value) for key, value in fields.items()},
+    }
+    if not fields:
+        line["message"] = rest
+    if record.formatted_exception:
+        line["exception"] = record.formatted_exception
+    return json.dumps(line)
