--- /dev/null
+++ b/amaranthring/cli/output.py
@@ -0,0 +1,56 @@
+"""What the command line prints: tables for people, JSON for programs."""
+
+import collections.abc
+import json
+import typing as t
+
+
+def shown(value: t.Any, as_json: bool, table: t.Callable[[t.Any], str]) -> str:
+    """Return `value` as JSON, or as what `table` makes of it."""
+    if as_json:
+        return json.dumps(value, indent=2, sort_keys=True)
+    return table(value)
+
+
+def table(
+    rows: collections.abc.Sequence[collections.abc.Mapping[str, t.Any]],
+    columns: collections.abc.Sequence[str],
+) -> str:
+    """Return `rows` as aligned columns under a heading."""
+    cells = [[name.replace("_", " ") for name in columns]]
+    cells += [[_cell(row.get(name)) for name in columns] for row in rows]
+    widths = [max(len(line[i]) for line in cells) for i in range(len(columns))]
+    lines = []
+    for line in cells:
+        padded = [
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ]
+        lines.append("  ".join(padded).rstrip())
+    if not rows:
+        lines.append("(none)")
+    return "\n".join(lines)
+
+
+def pairs(value: collections.abc.Mapping[str, t.Any], indent: int = 0) -> str:
+    """Return a mapping as indented ``name: value`` lines."""
+    lines = []
+    margin = "  " * indent
+    for key, inner in value.items():
+        if isinstance(inner, collections.abc.Mapping) and inner:
+            lines.append(f"{margin}{key}:")
+            lines.append(pairs(inner, indent + 1))
+        else:
+            lines.append(f"{margin}{key}: {_cell(inner)}")
+    return "\n".join(lines)
+
+
+def _cell(value: t.Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.4g}"
+    if isinstance(value, list | tuple):
+        return ", ".join(_cell(item) for item in value) or "-"
+    return str(value)
--- /dev/null
+++ b/amaranthring/cli/remote.py
@@ -0,0 +1,107 @@
+"""Asking the fleet: operators' HTTP, through whichever router answers."""
+
+import json
+import ssl
+import typing as t
+import urllib.parse
+
+import tornado.httpclient
+
+from amaranthring import errors
+from amaranthring import settings
+
+COMMAND_HEADER = "Amaranthring-Command-Id"
+
+
+class Remote:
+    """Requests to the routers' internal listeners, tried in order.
+
+    Parameters
+    ----------
+    operator : settings.OperatorSettings
+        Addresses, token file and timeout.
+
+    Notes
+    -----
+    A change carries a command id, so asking the next router after a lost
+    answer cannot make it happen twice.
+    """
+
+    def __init__(self, operator: settings.OperatorSettings):
+        section = operator.operator
+        self.routers = section.routers.split()
+        tokens = settings.secret_lines(section.token_file)
+        self.token = next(iter(tokens.values()))
+        self.timeout = section.timeout_seconds
+        self.authority = section.certificate_file
+        self.client = tornado.httpclient.HTTPClient()
+
+    def get(self, path: str) -> t.Any:
+        """Return the decoded answer to a read."""
+        return self._ask("GET", path, None, {})
+
+    def change(
+        self,
+        method: str,
+        path: str,
+        body: t.Any,
+        command_id: str,
+        revision: int | None = None,
+    ) -> t.Any:
+        """Return the decoded answer to a change."""
+        headers = {COMMAND_HEADER: command_id}
+        if revision is not None:
+            headers["If-Match"] = f'"{revision}"'
+        return self._ask(method, path, body, headers)
+
+    def _ask(self, method, path, body, headers) -> t.Any:
+        unreachable = []
+        for router in self.routers:
+            try:
+                answer = self._ask_one(router, method, path, body, headers)
+            except (OSError, tornado.httpclient.HTTPError) as error:
+                unreachable.append(f"{router}: {error}")
+                continue
+            return _decoded(answer)
+        raise errors.LinkError(
+            "no router answered",
+            given="; ".join(unreachable),
+            expected="a running router in [operator] routers",
+        )
+
+    def _ask_one(self, router, method, path, body, headers):
+        context = None
+        if router.startswith("https"):
+            context = ssl.create_default_context(cafile=self.authority or None)
+        request = tornado.httpclient.HTTPRequest(
+            urllib.parse.urljoin(router, path),
+            method=method,
+            headers={"Authorization": f"Bearer {self.token}", **headers},
+            body=None if body is None else json.dumps(body),
+            allow_nonstandard_methods=True,
+            connect_timeout=self.timeout,
+            request_timeout=self.timeout,
+            ssl_options=context,
+        )
+        answer = self.client.fetch(request, raise_error=False)
+        # tornado reports a refused or timed out connection as code 599.
+        if answer.code == 599 and answer.error is not None:
+            raise answer.error
+        return answer
+
+
+def _decoded(answer) -> t.Any:
+    try:
+        body = json.loads(answer.body or b"null")
+    except ValueError as error:
+        raise errors.LinkError(
+            "answer is not JSON",
+            given=answer.body[:60],
+            expected="the answer of a router's internal listener",
+        ) from error
+    if answer.code < 400:
+        return body
+    record = body.get("error", {}) if isinstance(body, dict) else {}
+    record.setdefault("detail", f"HTTP status {answer.code}")
+    record.setdefault("detail", record.get("message", ""))
+    raise errors.from_record(record)
--- /dev/null
+++ b/amaranthring/settings/__init__.py
@@ -0,0 +1,25 @@
+"""Settings of one process: INI files, validated whole at the border."""
+
+from amaranthring.settings.ini import read
+from amaranthring.settings.models import OperatorSettings
+from amaranthring.settings.models import PeerAddress
+from amaranthring.settings.models import peers
+from amaranthring.settings.models import Settings
+from amaranthring.settings.reference import example
+from amaranthring.settings.reference import reference
+from amaranthring.settings.secrets import check_private
+from amaranthring.settings.secrets import keys
+from amaranthring.settings.secrets import secret_lines
+
+__all__ = [
+    "OperatorSettings",
+    "PeerAddress",
+    "Settings",
+    "check_private",
+    "example",
+    "keys",
+    "peers",
+    "read",
+    "reference",
+    "secret_lines",
+]
--- /dev/null
+++ b/amaranthring/settings/models.py
@@ -0,0 +1,251 @@
+"""Models of the settings: the one place of names, bounds and defaults.
+
+The example files and ``docs/CONFIGURATION.md`` are made from these models.
+"""
+
+import typing as t
+
+import pydantic
+
+Seconds = t.Annotated[float, pydantic.Field(gt=0, le=86400)]
+Bytes = t.Annotated[int, pydantic.Field(ge=1, le=1 << 30)]
+ADDRESS_PATTERN = r"^([0-9a-zA-Z_.\-]+|\[[0-9a-fA-F:]+\]):\d{1,5}$"
+Address = t.Annotated[str, pydantic.Field(pattern=ADDRESS_PATTERN)]
+
+
+def described(default: t.Any, text: str, **bounds: t.Any) -> t.Any:
+    """Return a field with a default and the sentence that documents it."""
+    return pydantic.Field(default, description=text, **bounds)
+
+
+class Section(pydantic.BaseModel):
+    """Base of all sections: unknown keys are faults."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+
+class ProcessSection(Section):
+    """Who and where this process is."""
+
+    name: str = described(
+        ..., "Unique name in the fleet.", min_length=1, max_length=64
+    )
+    data_centre: str = described(
+        ..., "Data centre of this VM.", min_length=1, max_length=64
+    )
+    region: str = described("default", "Region of the data centre.")
+    data_folder: str = described(
+        "",
+        "Folder for durable state; required for a keeper. A router keeps "
+        "its last revision there.",
+    )
+    log_level: t.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = described(
+        "INFO", "Lowest level of log lines."
+    )
+    log_format: t.Literal["text", "json"] = described(
+        "text", "Form of log lines."
+    )
+
+
+class ListenSection(Section):
+    """Addresses of this process, and TLS for them."""
+
+    callers: Address = described(
+        "127.0.0.1:8080", "Chats, plain services and the health check."
+    )
+    internal: Address = described(
+        "127.0.0.1:8081", "Targets, operators and figures."
+    )
+    fleet: Address = described(
+        "127.0.0.1:8082", "Streams of our own processes."
+    )
+    certificate_file: str = described(
+        "", "Certificate chain for callers; empty serves plain HTTP."
+    )
+    certificate_key_file: str = described(
+        "", "Private key of that certificate; readable by its owner only."
+    )
+    internal_certificate_file: str = described(
+        "", "Certificate chain for targets and operators."
+    )
+    internal_certificate_key_file: str = described(
+        "", "Private key of that certificate; readable by its owner only."
+    )
+
+
+class FleetSection(Section):
+    """The other processes, and the keys shared with them."""
+
+    routers: str = described(
+        "", "All routers, one 'name data_centre host:port' a line."
+    )
+    keepers: str = described(
+        "", "All keepers, one 'name data_centre host:port' a line."
+    )
+    group: str = described("fleet", "Name of the keepers' group.")
+    keys_file: str = described(
+        ...,
+        "Keys of the fleet, one 'id hex' a line; the first signs, all are "
+        "accepted.",
+    )
+    targets_key_file: str = described(
+        "", "Keys shared with targets, in the same form."
+    )
+    operators_file: str = described(
+        "", "Operators, one 'name sha256-of-token' a line."
+    )
+    resume_key_file: str = described(
+        "",
+        "Keys that sign resume tokens, in the same form; empty uses those "
+        "of the fleet.",
+    )
+
+    @pydantic.field_validator("routers", "keepers")
+    @classmethod
+    def _lines_are_well_formed(cls, text: str) -> str:
+        peers(text)
+        return text
+
+
+class CallersSection(Section):
+    """Bounds towards callers."""
+
+    header_bytes_most: Bytes = described(16 * 1024, "Bytes of all headers.")
+    body_bytes_most: Bytes = described(
+        4 * 1024 * 1024, "Bytes of a request body."
+    )
+    header_seconds: Seconds = described(5.0, "Time for all headers.")
+    body_seconds: Seconds = described(20.0, "Time for the whole body.")
+    idle_seconds: Seconds = described(
+        60.0, "Time a kept connection may be idle."
+    )
+    write_buffer_bytes: Bytes = described(
+        256 * 1024, "Bytes held for a slow reader before its target waits."
+    )
+    shutdown_seconds: Seconds = described(
+        30.0, "Time that requests in progress have at a shutdown."
+    )
+    health_grace_seconds: float = described(
+        1.0,
+        "Time between the failing health check and the closing of the "
+        "listener.",
+        ge=0,
+        le=60,
+    )
+
+
+class StatsdSection(Section):
+    """Where figures go."""
+
+    host: str = described("", "Host of statsd; empty sends nothing.")
+    port: int = described(8125, "UDP port of statsd.", ge=1, le=65535)
+    prefix: str = described("amaranthring", "First part of every name.")
+    every_seconds: Seconds = described(10.0, "Time between sendings.")
+
+
+class KeeperSection(Section):
+    """Timing and bounds of the durable log."""
+
+    initial_file: str = described(
+        "",
+        "Fleet configuration taken when the group starts with no state.",
+    )
+    heartbeat_seconds: Seconds = described(
+        0.1, "Time between a leader's heartbeats."
+    )
+    election_seconds: Seconds = described(
+        0.6, "Least time without a leader before an election."
+    )
+    snapshot_entries: int = described(
+        5000, "Entries of the log between snapshots.", ge=10, le=1_000_000
+    )
+    answer_bytes_most: Bytes = described(
+        16 * 1024, "Bytes of a stored answer of a non-idempotent call."
+    )
+    claim_hours: float = described(
+        72.0, "Hours that a settled claim is kept.", gt=0, le=24 * 365
+    )
+
+
+class PeerAddress(pydantic.BaseModel):
+    """One configured process of the fleet."""
+
+    name: str
+    data_centre: str
+    address: Address
+
+
+class Settings(pydantic.BaseModel):
+    """All settings of a router or keeper."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    process: ProcessSection
+    listen: ListenSection = ListenSection()
+    fleet: FleetSection
+    callers: CallersSection = CallersSection()
+    statsd: StatsdSection = StatsdSection()
+    keeper: KeeperSection = KeeperSection()
+
+    def routers(self) -> list[PeerAddress]:
+        """Return every configured router, this one included."""
+        return peers(self.fleet.routers)
+
+    def keepers(self) -> list[PeerAddress]:
+        """Return every configured keeper."""
+        return peers(self.fleet.keepers)
+
+
+class OperatorSection(Section):
+    """How the command line reaches the fleet."""
+
+    routers: str = described(
+        "http://127.0.0.1:8081",
+        "Internal addresses of routers, separated by blanks; the next is "
+        "tried when one does not answer.",
+        min_length=1,
+    )
+    token_file: str = described(
+        ..., "File with one line 'name token', readable by its owner only."
+    )
+    certificate_file: str = described(
+        "", "Certificate authority that signs the routers' certificates."
+    )
+    timeout_seconds: Seconds = described(10.0, "Time for one answer.")
+
+
+class OperatorSettings(pydantic.BaseModel):
+    """Settings of the command line."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    operator: OperatorSection
+
+
+ROLES: dict[str, type[pydantic.BaseModel]] = {
+    "router": Settings,
+    "keeper": Settings,
+    "operator": OperatorSettings,
+}
+
+
+def peers(text: str) -> list[PeerAddress]:
+    """Return the processes named in `text`, one a line.
+
+    Raises
+    ------
+    ValueError
+        If a line has another form or a name stands twice.
+    """
+    found: dict[str, PeerAddress] = {}
+    for line in text.strip().splitlines():
+        parts = line.split()
+        if len(parts) != 3:
+            raise ValueError(f"{line!r} is not 'name data_centre host:port'")
+        name, data_centre, address = parts
+        if name in found:
+            raise ValueError(f"{name!r} stands twice")
+        found[name] = PeerAddress(
+            name=name, data_centre=data_centre, address=address
+        )
+    return list(found.values())
