--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -152,6 +152,16 @@
         """
         self._write(wire.encode(wire.ONE_WAY, 0, message))
 
+    def send_encoded(self, frame: bytes) -> None:
+        """Send the bytes of a one-way frame, encoded once for many links.
+
+        Raises
+        ------
+        errors.LinkClosedError, errors.LinkOverloadedError
+            As :meth:`send`.
+        """
+        self._write(frame)
+
     async def call(self, message: t.Any, timeout: float) -> t.Any:
         """Send a request and return its reply.
 
@@ -411,16 +421,20 @@
     ----------
     address : str
         ``host:port`` of the peer's fleet listener.
-    on_link : callable, optional
-        Called with each new link, before any other use of it.
+    on_link, on_gone : callable, optional
+        Called with each new link, before any other use of it, and after
+        its end.
     """
 
-    def __init__(self, address, identity, keys, handlers, on_link=None):
+    def __init__(
+        self, address, identity, keys, handlers, on_link=None, on_gone=None
+    ):
         self.address = address
         self.identity = identity
         self.keys = keys
         self.handlers = handlers
         self.on_link = on_link
+        self.on_gone = on_gone
         self.link: Link | None = None
         self.client = tornado.tcpclient.TCPClient()
         self.task: asyncio.Task | None = None
@@ -452,8 +466,12 @@
             self.link = link
             if self.on_link:
                 self.on_link(link)
-            await link.serve(unpacker)
-            self.link = None
+            try:
+                await link.serve(unpacker)
+            finally:
+                self.link = None
+                if self.on_gone:
+                    self.on_gone(link)
             if time.monotonic() - began > STABLE_SECONDS:
                 wait = BACKOFF_FIRST_SECONDS
             # A peer that accepts and closes at once must not be dialled in
--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -204,6 +204,36 @@
     code = "shutting-down"
 
 
+# -- announcements of targets ------------------------------------------------
+
+
+class StaleIncarnationError(RefusedError):
+    """A newer incarnation of the target is known, or this one has left."""
+
+    code = "stale-incarnation"
+    status = 409
+
+
+class NameTakenError(RefusedError):
+    """A live target elsewhere holds the name."""
+
+    code = "name-taken"
+    status = 409
+
+
+class AddressTakenError(RefusedError):
+    """A live target of another name holds the address."""
+
+    code = "address-taken"
+    status = 409
+
+
+class TableFullError(RefusedError):
+    """The table of targets is at its bound."""
+
+    code = "table-full"
+
+
 # -- requests that reached a target ---------------------------------------
 
 
--- /dev/null
+++ b/amaranthring/routers/member_messages.py
@@ -0,0 +1,111 @@
+"""Messages by which routers spread what they know of targets."""
+
+import typing as t
+
+from amaranthring.core import wire
+from amaranthring.targets import table as table_module
+
+
+class Beat(t.NamedTuple):
+    """Evidence that a target lives, with its last report.
+
+    Attributes
+    ----------
+    age_ms : int
+        Milliseconds from the evidence to the sending of the message.
+    sequence : int
+        Of the report; 0 if there is none.
+    kv_permille : int
+        KV memory in use, in thousandths.
+    """
+
+    name: str
+    incarnation: int
+    age_ms: int
+    sequence: int = 0
+    running: int = 0
+    waiting: int = 0
+    kv_permille: int = 0
+
+
+class Known(t.NamedTuple):
+    """Name and version of a record that the asker has."""
+
+    name: str
+    incarnation: int
+    leaving: bool
+    revision: int
+    fingerprint: int
+
+
+@wire.message("spread-batch")
+class Batch:
+    """One router's news for its data centre, once a second.
+
+    Attributes
+    ----------
+    clock_ms : int
+        Sender's monotonic clock, which shows the lateness of the message.
+    mark : int
+        Digest of the sender's records of the data centre.
+    beats : list of Beat
+        Targets that renewed at the sender since its last batch.
+    records : list of Record
+        Records that changed of late.
+    """
+
+    clock_ms: int
+    mark: int
+    beats: list[Beat]
+    records: list[table_module.Record]
+
+
+@wire.message("spread-digest")
+class Digest:
+    """A data centre's word for its targets and routers, through relays.
+
+    Attributes
+    ----------
+    clock_ms : int
+        Sender's monotonic clock.
+    age_ms : int
+        Milliseconds since the relay of `data_centre` said it.
+    mark : int
+        Digest of the records of `data_centre`.
+    routers_mark : int
+        Digest of its list of live routers.
+    stale : list of str
+        Targets that have not been heard there for a while.
+    """
+
+    data_centre: str
+    clock_ms: int
+    age_ms: int
+    mark: int
+    routers_mark: int
+    stale: list[str]
+
+
+@wire.message("spread-pull")
+class Pull:
+    """Asks for every record of `data_centre` that is newer than `known`."""
+
+    data_centre: str
+    known: list[Known]
+
+
+@wire.message("spread-pulled")
+class Pulled:
+    """Answer to a pull: newer records, ages of the rest, live routers.
+
+    Attributes
+    ----------
+    age_ms : int
+        Milliseconds since the data centre asked for vouched for them.
+    """
+
+    clock_ms: int
+    age_ms: int
+    records: list[table_module.Record]
+    beats: list[Beat]
+    routers: list[str]
--- /dev/null
+++ b/amaranthring/routers/mesh.py
@@ -0,0 +1,542 @@
+"""Links between routers, and the list of routers that live.
+
+Inside a data centre every pair of routers keeps one link, dialled by the
+lower name. Between data centres only a few relays on either side keep links;
+any other link across is dialled when something is to be sent and closed when
+it is idle. A router lives while frames come from it; any frame counts, and
+heartbeats are sent only on a link that would be silent.
+
+Lists on different routers may differ for seconds. Nothing here promises
+otherwise: whoever places by this list must stay safe when two routers place
+differently.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import time
+import typing as t
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import hashing
+from amaranthring.core import links
+from amaranthring.core import logs
+from amaranthring.core import metrics as metrics_module
+from amaranthring.core import wire
+
+log = logbook.Logger(__name__)
+
+TICK_SECONDS = 0.5
+HEARTBEAT_SECONDS = 1.0
+DEAD_SECONDS = 3.0
+PAUSE_SECONDS = 1.5
+IDLE_SECONDS = 30.0
+RELAYS = 2
+REDIAL_SKIP_SECONDS = 5.0
+
+
+@wire.message("mesh-heartbeat")
+class Heartbeat:
+    """Sent on a link on which nothing else went out."""
+
+
+@wire.message("mesh-leaving")
+class RouterLeaving:
+    """Says that the sender ends soon; place nothing new on it."""
+
+    incarnation: int
+
+
+@dataclasses.dataclass
+class Peer:
+    """Another configured router.
+
+    Attributes
+    ----------
+    address : str
+        Its fleet listener.
+    link : Link, optional
+        The link in use, dialled by either end.
+    dialler : Dialler, optional
+        Set while this end keeps or wants the link.
+    heard : float
+        When a frame last came, in monotonic seconds.
+    used : float
+        When something was last sent or called across data centres.
+    incarnation : int
+        Highest seen.
+    left : int
+        Incarnation that said it leaves; -1 if none did.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    link: links.Link | None = None
+    dialler: links.Dialler | None = None
+    heard: float = 0.0
+    used: float = 0.0
+    dialled: float = 0.0
+    incarnation: int = 0
+    left: int = -1
+    received: int = 0
+    sent: int = 0
+    linked: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+class SelfLink:
+    """What a handler gets as its link when this router calls itself."""
+
+    def __init__(self, identity: links.Identity):
+        self.peer = identity
+
+
+class Mesh:
+    """Links to the other routers.
+
+    Parameters
+    ----------
+    identity : links.Identity
+        This router.
+    peers : list of settings.PeerAddress
+        Every configured router; this one is left out.
+    keys : links.Keys
+        Fleet keys.
+    handlers : links.Handlers
+        What answers messages of other routers; calls to this router
+        itself go to them directly.
+    metrics : Metrics, optional
+        Counters.
+    clock : callable, optional
+        Monotonic seconds.
+
+    Notes
+    -----
+    The composition root makes the ``links.LinkServer`` with
+    ``on_link=mesh.accept`` and ``on_gone=mesh.gone``.
+    """
+
+    def __init__(
+        self,
+        identity: links.Identity,
+        peers: collections.abc.Iterable,
+        keys: links.Keys,
+        handlers: links.Handlers,
+        metrics: metrics_module.Metrics | None = None,
+        clock: t.Callable[[], float] = time.monotonic,
+    ):
+        self.identity = identity
+        self.keys = keys
+        self.handlers = handlers
+        self.metrics = metrics or metrics_module.Metrics()
+        self.clock = clock
+        self.leaving = False
+        self.peers = {
+            peer.name: Peer(peer.name, peer.data_centre, peer.address)
+            for peer in peers
+            if peer.name != identity.name
+        }
+        self.foreign: dict[str, list[str]] = {}
+        self.task: asyncio.Task | None = None
+        self.ticked_at = clock()
+        self._callbacks: list[t.Callable[[], None]] = []
+        self._link_callbacks: list[t.Callable[[Peer], None]] = []
+        self._live: dict[str | None, list[str]] = {}
+        self._self_link = SelfLink(identity)
+        handlers.add(Heartbeat, self._take_heartbeat)
+        handlers.add(RouterLeaving, self._take_leaving)
+
+    # -- what others ask ---------------------------------------------------
+
+    def live(self, data_centre: str | None = None) -> list[str]:
+        """Return sorted names of live routers, this one included.
+
+        Parameters
+        ----------
+        data_centre : str, optional
+            Only routers there; otherwise of every data centre.
+        """
+        found = self._live.get(data_centre)
+        if found is None:
+            found = sorted(self._find_live(data_centre))
+            self._live[data_centre] = found
+        return list(found)
+
+    def data_centre_of(self, name: str) -> str:
+        """Return the data centre of the configured router `name`.
+
+        Raises
+        ------
+        errors.NotFoundError
+            If no such router is configured.
+        """
+        if name == self.identity.name:
+            return self.identity.data_centre
+        return self._peer(name).data_centre
+
+    def data_centres(self) -> list[str]:
+        """Return every data centre with a configured router, sorted."""
+        found = {peer.data_centre for peer in self.peers.values()}
+        return sorted(found | {self.identity.data_centre})
+
+    def send(self, name: str, message: t.Any) -> bool:
+        """Send one-way; return whether the message was handed to a link."""
+        if name == self.identity.name:
+            self._deliver(message)
+            return True
+        peer = self._peer(name)
+        peer.used = self.clock()
+        if peer.link is None:
+            self._dial(peer)
+            return False
+        try:
+            peer.link.send(message)
+        except errors.LinkError:
+            self.metrics.count("mesh.sends_dropped")
+            return False
+        return True
+
+    async def call(self, name: str, message: t.Any, timeout: float) -> t.Any:
+        """Call router `name` and return its reply.
+
+        Raises
+        ------
+        errors.LinkClosedError
+            With outcome ``not-run`` if there is no link to it in time.
+        errors.AmaranthringError
+            As ``links.Link.call``.
+        """
+        if name == self.identity.name:
+            return await self._call_self(message, timeout)
+        peer = self._peer(name)
+        peer.used = self.clock()
+        if peer.link is None and peer.data_centre != self.data_centre:
+            began = self.clock()
+            await self._wait_for_link(peer, timeout)
+            timeout -= self.clock() - began
+        if peer.link is None:
+            raise errors.LinkClosedError(
+                f"no link to {name}", outcome=errors.Outcome.NOT_RUN
+            )
+        return await peer.link.call(message, timeout)
+
+    def broadcast(self, message: t.Any) -> int:
+        """Send one-way to every linked router of this data centre.
+
+        A router that takes nothing is skipped; it holds up no other.
+
+        Returns
+        -------
+        int
+            How many links took the message.
+        """
+        data = wire.encode(wire.ONE_WAY, 0, message)
+        taken = 0
+        for peer in self.neighbours():
+            if peer.link is not None:
+                taken += self._write(peer.link, data)
+        return taken
+
+    def relays(self, data_centre: str) -> list[str]:
+        """Return the routers of `data_centre` that link it with others.
+
+        For this data centre: those that are relays to any other. Chosen by
+        rendezvous among the live routers, so that all agree while their
+        lists agree; a relay that dies is replaced by the next in order.
+        """
+        if data_centre != self.data_centre:
+            return self._relays(data_centre, self.data_centre)
+        found = set()
+        for other in self.data_centres():
+            if other != data_centre:
+                found.update(self._relays(data_centre, other))
+        return sorted(found)
+
+    def is_relay_to(self, data_centre: str) -> bool:
+        """Return whether this router relays to `data_centre`."""
+        return self.identity.name in self.ordered_relays(data_centre)
+
+    def ordered_relays(self, data_centre: str) -> list[str]:
+        """Return this data centre's relays to another, the first ahead."""
+        return self._relays(self.data_centre, data_centre)
+
+    def subscribe(self, callback: t.Callable[[], None]) -> None:
+        """Call `callback()` after each change of the live list."""
+        self._callbacks.append(callback)
+
+    def on_link(self, callback: t.Callable[[Peer], None]) -> None:
+        """Call `callback(peer)` with each new link's peer."""
+        self._link_callbacks.append(callback)
+
+    @property
+    def data_centre(self) -> str:
+        """Return the data centre of this router."""
+        return self.identity.data_centre
+
+    def neighbours(self) -> list[Peer]:
+        """Return the other routers of this data centre."""
+        place = self.data_centre
+        return [p for p in self.peers.values() if p.data_centre == place]
+
+    # -- links ---------------------------------------------------------------
+
+    def accept(self, link: links.Link) -> None:
+        """Take a link that a peer dialled; close one of a stranger."""
+        if link.peer.role == "router":
+            self._take_link(link)
+
+    def gone(self, link: links.Link) -> None:
+        """Forget a link that ended."""
+        peer = self.peers.get(link.peer.name)
+        if peer is not None and peer.link is link:
+            peer.link = None
+            peer.linked.clear()
+            self._changed()
+
+    def set_foreign(self, data_centre: str, names: list[str]) -> None:
+        """Take the live list of another data centre from its relay."""
+        known = [
+            name
+            for name in sorted(names)
+            if name in self.peers
+            and self.peers[name].data_centre == data_centre
+        ]
+        if self.foreign.get(data_centre, []) != known:
+            self.foreign[data_centre] = known
+            self._changed()
+
+    def start(self) -> None:
+        """Start dialling and watching."""
+        for peer in self.neighbours():
+            if self.identity.name < peer.name:
+                self._dial(peer)
+        self.task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        """End every task and link."""
+        if self.task:
+            self.task.cancel()
+        for peer in self.peers.values():
+            if peer.dialler:
+                peer.dialler.stop()
+            if peer.link:
+                peer.link.close()
+
+    def leave(self) -> None:
+        """Tell every linked router that this one goes.
+
+        It stops being placed on at once, here and there, while its links
+        stay up for what is still running.
+        """
+        self.leaving = True
+        message = RouterLeaving(self.identity.incarnation)
+        for peer in self.peers.values():
+            if peer.link is not None:
+                self.send(peer.name, message)
+        self._changed()
+
+    # -- inside -------------------------------------------------------------
+
+    def _find_live(self, data_centre: str | None) -> list[str]:
+        if data_centre is None:
+            return [
+                name
+                for place in self.data_centres()
+                for name in self._find_live(place)
+            ]
+        if data_centre != self.data_centre:
+            return self.foreign.get(data_centre, [])
+        found = [peer.name for peer in self.neighbours() if _lives(peer)]
+        if not self.leaving:
+            found.append(self.identity.name)
+        return found
+
+    def _relays(self, data_centre: str, other: str) -> list[str]:
+        names = self.live(data_centre)
+        if not names:
+            names = self._reachable(data_centre)
+        key = "relay " + " ".join(sorted((data_centre, other)))
+        return hashing.order(key, names)[:RELAYS]
+
+    def _reachable(self, data_centre: str) -> list[str]:
+        """Return configured routers there, those that failed us last."""
+        now = self.clock()
+        peers = [
+            p for p in self.peers.values() if p.data_centre == data_centre
+        ]
+        fine = [
+            p.name
+            for p in peers
+            if p.link is not None
+            or (
+                p.dialler is not None and now - p.dialled < REDIAL_SKIP_SECONDS
+            )
+            or now - p.dialled > 2 * REDIAL_SKIP_SECONDS
+        ]
+        return fine or [p.name for p in peers]
+
+    def _peer(self, name: str) -> Peer:
+        peer = self.peers.get(name)
+        if peer is None:
+            raise errors.NotFoundError(
+                "no such router", given=name, expected="a configured router"
+            )
+        return peer
+
+    def _dial(self, peer: Peer) -> None:
+        if peer.dialler is not None:
+            return
+        peer.dialled = self.clock()
+        peer.dialler = links.Dialler(
+            peer.address,
+            self.identity,
+            self.keys,
+            self.handlers,
+            on_link=self._take_link,
+            on_gone=self.gone,
+        )
+        peer.dialler.start()
+
+    def _hang_up(self, peer: Peer) -> None:
+        dialler, peer.dialler = peer.dialler, None
+        if dialler is not None:
+            dialler.stop()
+
+    async def _wait_for_link(self, peer: Peer, timeout: float) -> None:
+        self._dial(peer)
+        try:
+            await asyncio.wait_for(peer.linked.wait(), timeout)
+        except TimeoutError:
+            self.metrics.count("mesh.dials_late")
+
+    def _take_link(self, link: links.Link) -> None:
+        peer = self.peers.get(link.peer.name)
+        if peer is None or peer.data_centre != link.peer.data_centre:
+            log.warning("mesh.stranger peer={}", link.peer)
+            link.close()
+            return
+        if link.peer.incarnation < peer.incarnation:
+            # A process that was replaced but still runs must not take the
+            # place of its successor.
+            link.close()
+            return
+        peer.incarnation = link.peer.incarnation
+        old, peer.link = peer.link, link
+        peer.linked.set()
+        peer.heard = self.clock()
+        peer.received = 0
+        peer.sent = 0
+        if old is not None:
+            old.close()
+        logs.event(log, "router.linked", name=peer.name)
+        self._changed()
+        if self.leaving:
+            self.send(peer.name, RouterLeaving(self.identity.incarnation))
+        for callback in self._link_callbacks:
+            callback(peer)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self.tick()
+
+    def tick(self) -> None:
+        """Drop silent links, keep ours from silence, close idle ones."""
+        now = self.clock()
+        paused = now - self.ticked_at > PAUSE_SECONDS
+        self.ticked_at = now
+        for peer in self.peers.values():
+            if peer.link is not None:
+                self._watch(peer, now, paused)
+            elif peer.data_centre != self.data_centre:
+                self._drop_idle(peer, now)
+        self._keep_relays(now)
+
+    def _watch(self, peer: Peer, now: float, paused: bool) -> None:
+        link = peer.link
+        if link.received_bytes != peer.received or paused:
+            # After an own pause what the peers sent still waits in the
+            # sockets; they must not be taken for dead by that.
+            peer.received = link.received_bytes
+            peer.heard = now
+        if now - peer.heard > DEAD_SECONDS:
+            self.metrics.count("mesh.peers_silent")
+            logs.event(log, "router.silent", name=peer.name)
+            link.close()
+            self.gone(link)
+            return
+        if link.sent_bytes == peer.sent:
+            self._write(link, _HEARTBEAT)
+        peer.sent = link.sent_bytes
+        self._drop_idle(peer, now)
+
+    def _drop_idle(self, peer: Peer, now: float) -> None:
+        if peer.data_centre == self.data_centre or peer.dialler is None:
+            return
+        if now - peer.used > IDLE_SECONDS:
+            self._hang_up(peer)
+
+    def _keep_relays(self, now: float) -> None:
+        for place in self.data_centres():
+            if place == self.data_centre or not self.is_relay_to(place):
+                continue
+            if self.data_centre > place:
+                continue
+            for name in self._relays(place, self.data_centre):
+                peer = self.peers[name]
+                peer.used = now
+                self._dial(peer)
+
+    def _write(self, link: links.Link, data: bytes) -> bool:
+        try:
+            link.send_encoded(data)
+        except errors.LinkError:
+            self.metrics.count("mesh.sends_dropped")
+            return False
+        return True
+
+    def _deliver(self, message: t.Any) -> t.Any:
+        handler = self.handlers.by_class.get(type(message))
+        if handler is None:
+            raise errors.FrameError(
+                "no handler here",
+                given=type(message).__name__,
+                expected="a message for this role",
+            )
+        return handler(self._self_link, message)
+
+    async def _call_self(self, message: t.Any, timeout: float) -> t.Any:
+        result = self._deliver(message)
+        if not asyncio.iscoroutine(result) and not asyncio.isfuture(result):
+            return result
+        try:
+            return await asyncio.wait_for(result, timeout)
+        except TimeoutError as error:
+            raise errors.LinkTimeoutError(
+                f"no reply from {self.identity.name} in {timeout} s"
+            ) from error
+
+    def _take_heartbeat(self, _link, _message) -> None:
+        pass
+
+    def _take_leaving(self, link, message: RouterLeaving) -> None:
+        peer = self.peers.get(link.peer.name)
+        if peer is None or peer.left >= message.incarnation:
+            return
+        peer.left = message.incarnation
+        logs.event(log, "router.leaving", name=peer.name)
+        self._changed()
+
+    def _changed(self) -> None:
+        self._live.clear()
+        for callback in self._callbacks:
+            callback()
+
+
+def _lives(peer: Peer) -> bool:
+    return peer.link is not None and peer.left < peer.incarnation
+
+
+_HEARTBEAT = wire.encode(wire.ONE_WAY, 0, Heartbeat())
--- /dev/null
+++ b/amaranthring/routers/spread.py
@@ -0,0 +1,382 @@
+"""Spread of target changes between routers.
+
+Inside a data centre each router sends one batch a second to every other:
+which targets renewed at it, with their reports, and what changed. A change
+goes at once as well, is repeated in the next batches, and is repaired by
+comparing digests of the records. Between data centres the relays exchange
+digests and changed records, and pass them on to their own data centre.
+
+A message that is lost, late, doubled or out of order does no harm: records
+merge by version, evidence of life by its age (see
+:mod:`amaranthring.targets.table`).
+"""
+
+import asyncio
+import time
+import typing as t
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import hashing
+from amaranthring.core import metrics as metrics_module
+from amaranthring.core import records
+from amaranthring.routers import lateness
+from amaranthring.routers import member_messages as messages
+from amaranthring.routers import mesh as mesh_module
+from amaranthring.targets import table as table_module
+
+log = logbook.Logger(__name__)
+
+BATCH_SECONDS = 1.0
+FLUSH_SECONDS = 0.01
+REPEATS = 3
+PULL_AFTER_SECONDS = 0.3
+PULL_EVERY_SECONDS = 0.5
+PULL_TIMEOUT_SECONDS = 1.0
+DIGEST_STALE_SECONDS = 1.5
+NEWS_MISSED_SECONDS = 1.3
+CUT_OFF_SECONDS = 3.0
+
+
+def mark_of(names: t.Iterable[str]) -> int:
+    """Return the digest of a list of routers."""
+    return int(hashing.digest(*sorted(names))[:16], 16)
+
+
+class Spread:
+    """Sends what this router's table learns and merges what others send.
+
+    Parameters
+    ----------
+    mesh : mesh.Mesh
+        Links; its handlers get those of this class.
+    table : table.TargetTable
+        What is spread.
+
+    Attributes
+    ----------
+    marks : dict
+        Router to the digest that its last batch held.
+    heard_of : dict
+        Data centre to when its digest last came, on this router's clock.
+    """
+
+    def __init__(
+        self,
+        mesh: mesh_module.Mesh,
+        table: table_module.TargetTable,
+        metrics: metrics_module.Metrics | None = None,
+        clock: t.Callable[[], float] = time.monotonic,
+    ):
+        self.mesh = mesh
+        self.table = table
+        self.metrics = metrics or metrics_module.Metrics()
+        self.clock = clock
+        self.marks: dict[str, int] = {}
+        self.heard_of: dict[str, float] = {}
+        self.task: asyncio.Task | None = None
+        self._near: set[str] = set()
+        self._beyond: set[str] = set()
+        self._repeat: dict[str, int] = {}
+        self._source = ""
+        self._flushing = False
+        self._lateness: dict[str, lateness.Lateness] = {}
+        self._far: dict[str, float] = {}
+        self._near_news: dict[str, float] = {}
+        self._pulled_at: dict[str, float] = {}
+        self._pulls: dict[str, asyncio.Task] = {}
+        handlers = mesh.handlers
+        handlers.add(messages.Batch, self._take_batch)
+        handlers.add(messages.Digest, self._take_digest)
+        handlers.add(messages.Pull, self._answer_pull)
+        table.on_change(self._changed)
+        table.on_wake(self._wake)
+        mesh.on_link(self._greet)
+
+    def start(self) -> None:
+        """Start the task that sends the batches."""
+        self.task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        """End every task."""
+        for task in [self.task, *self._pulls.values()]:
+            if task:
+                task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(BATCH_SECONDS)
+            self.tick()
+
+    def tick(self) -> None:
+        """Send this second's batch and, from a relay, the digests."""
+        now = self.clock()
+        self.mesh.broadcast(self._batch(now))
+        for place in self.mesh.data_centres():
+            if place == self.mesh.data_centre:
+                continue
+            self._send_digest(place, now)
+            if now - self.heard_of.get(place, now) > CUT_OFF_SECONDS:
+                self.mesh.set_foreign(place, [])
+
+    # -- sending -----------------------------------------------------------
+
+    def _batch(self, now: float) -> messages.Batch:
+        beats = [self._beat(name, now) for name in sorted(self.table.beats)]
+        self.table.beats.clear()
+        records_ = self._records(self._repeat, now)
+        self._repeat = {
+            n: left - 1 for n, left in self._repeat.items() if left
+        }
+        return self._message(now, [b for b in beats if b], records_)
+
+    def _message(self, now, beats, changed) -> messages.Batch:
+        mark = self.table.digests.get(self.mesh.data_centre, 0)
+        return messages.Batch(int(now * 1000), mark, beats, changed)
+
+    def _records(self, names: t.Iterable[str], now: float):
+        entries = self.table.entries
+        return [entries[n].record(now) for n in names if n in entries]
+
+    def _beat(self, name: str, now: float) -> messages.Beat | None:
+        entry = self.table.entries.get(name)
+        if entry is None:
+            return None
+        age_ms = max(0, int((now - entry.heard) * 1000))
+        incarnation = entry.target.incarnation
+        report = entry.report
+        if report is None:
+            return messages.Beat(name, incarnation, age_ms)
+        return messages.Beat(
+            name,
+            incarnation,
+            age_ms,
+            report.sequence,
+            report.running,
+            report.waiting,
+            int(report.kv_used * 1000),
+        )
+
+    def _changed(self, entry: table_module.Entry) -> None:
+        """Send a changed record at once to those who need it from here."""
+        name = entry.target.name
+        here = entry.target.data_centre == self.mesh.data_centre
+        source = self._source and self.mesh.data_centre_of(self._source)
+        if not source:
+            self._repeat[name] = REPEATS
+        if source != self.mesh.data_centre:
+            self._near.add(name)
+        if here:
+            self._beyond.add(name)
+        if not self._flushing:
+            self._flushing = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(FLUSH_SECONDS, self._flush)
+
+    def _flush(self) -> None:
+        self._flushing = False
+        now = self.clock()
+        near = self._records(self._near, now)
+        beyond = self._records(self._beyond, now)
+        self._near.clear()
+        self._beyond.clear()
+        if near:
+            self.mesh.broadcast(self._message(now, [], near))
+        if beyond:
+            for name in self._far_links():
+                self.mesh.send(name, self._message(now, [], beyond))
+
+    def _far_links(self) -> list[str]:
+        """Return routers elsewhere that exchange digests with this one."""
+        now = self.clock()
+        found = {
+            n for n, at in self._far.items() if now - at < CUT_OFF_SECONDS
+        }
+        for place in self.mesh.data_centres():
+            if place != self.mesh.data_centre and self.mesh.is_relay_to(place):
+                found.update(self.mesh.relays(place))
+        peers = self.mesh.peers
+        return sorted(n for n in found if n in peers and peers[n].link)
+
+    def _send_digest(self, place: str, now: float) -> None:
+        peers = self.mesh.peers
+        names = [n for n in self._far_links() if peers[n].data_centre == place]
+        if not names:
+            return
+        here = self.mesh.data_centre
+        stale = [
+            entry.target.name
+            for entry in self.table.of(here)
+            if now - entry.heard > DIGEST_STALE_SECONDS
+        ]
+        digest = messages.Digest(
+            here,
+            int(now * 1000),
+            0,
+            self.table.digests.get(here, 0),
+            mark_of(self.mesh.live(here)),
+            stale,
+        )
+        for name in names:
+            self.mesh.send(name, digest)
+
+    def _greet(self, peer: mesh_module.Peer) -> None:
+        self._lateness.pop(peer.name, None)
+        if peer.data_centre == self.mesh.data_centre:
+            now = self.clock()
+            self.mesh.send(peer.name, self._message(now, [], []))
+
+    # -- merging -----------------------------------------------------------
+
+    def _sent_at(self, name: str, clock_ms: int, now: float) -> float:
+        """Return when `name` sent a message, on this router's clock."""
+        known = self._lateness.setdefault(name, lateness.Lateness())
+        return now - known.of(clock_ms / 1000, now)
+
+    def _merge(self, source: str, sent: float, beats, changed) -> None:
+        self._source = source
+        try:
+            for record in changed:
+                self.table.adopt(record, sent - record.age)
+        finally:
+            self._source = ""
+        for beat in beats:
+            self.table.beat(
+                beat.name,
+                beat.incarnation,
+                sent - beat.age_ms / 1000,
+                _report(beat),
+            )
+
+    def _take_batch(self, link, batch: messages.Batch) -> None:
+        now = self.clock()
+        name = link.peer.name
+        sent = self._sent_at(name, batch.clock_ms, now)
+        self._merge(name, sent, batch.beats, batch.records)
+        here = self.mesh.data_centre
+        if link.peer.data_centre != here:
+            return
+        self.marks[name] = batch.mark
+        if batch.mark != self.table.digests.get(here, 0):
+            self._later(here, name)
+
+    def _take_digest(self, link, digest: messages.Digest) -> None:
+        now = self.clock()
+        name = link.peer.name
+        place = digest.data_centre
+        if place == self.mesh.data_centre:
+            return
+        sent = self._sent_at(name, digest.clock_ms, now)
+        heard = sent - digest.age_ms / 1000
+        self.heard_of[place] = max(heard, self.heard_of.get(place, heard))
+        if digest.mark == self.table.digests.get(place, 0):
+            self.table.vouch(place, heard, digest.stale)
+        else:
+            self._later(place, name)
+        routers = self.mesh.foreign.get(place, [])
+        if mark_of(routers) != digest.routers_mark:
+            self._later(place, name)
+        if link.peer.data_centre == place:
+            self._far[name] = now
+            self._pass_on(digest, heard, now)
+        else:
+            self._near_news[place] = now
+
+    def _pass_on(self, digest, heard: float, now: float) -> None:
+        """Send a digest from elsewhere on to this data centre.
+
+        The first relay does; another one only if the first has been
+        silent, so that a relay which lost its link holds nobody up.
+        """
+        place = digest.data_centre
+        ours = self.mesh.ordered_relays(place)
+        news_at = self._near_news.get(place, 0.0)
+        first = ours and ours[0] == self.mesh.identity.name
+        if not first and now - news_at < NEWS_MISSED_SECONDS:
+            return
+        self.mesh.broadcast(
+            messages.Digest(
+                place,
+                int(now * 1000),
+                max(0, int((now - heard) * 1000)),
+                digest.mark,
+                digest.routers_mark,
+                digest.stale,
+            )
+        )
+
+    # -- repair --------------------------------------------------------------
+
+    def _later(self, place: str, name: str) -> None:
+        """Pull from router `name` unless the difference ends by itself."""
+        if place in self._pulls:
+            return
+        task = asyncio.ensure_future(self._pull(place, name))
+        self._pulls[place] = task
+        task.add_done_callback(lambda _: self._pulls.pop(place, None))
+
+    def _wake(self) -> None:
+        here = self.mesh.data_centre
+        for name in self.mesh.live(here):
+            if name != self.mesh.identity.name:
+                self._later(here, name)
+
+    async def _pull(self, place: str, name: str) -> None:
+        since = self.clock() - self._pulled_at.get(place, 0.0)
+        wait = max(PULL_AFTER_SECONDS, PULL_EVERY_SECONDS - since)
+        await asyncio.sleep(wait)
+        here = place == self.mesh.data_centre
+        if here and self.marks.get(name) == self.table.digests.get(place, 0):
+            return
+        self._pulled_at[place] = self.clock()
+        self.metrics.count("spread.pulls")
+        known = [
+            messages.Known(entry.target.name, *entry.version)
+            for entry in self.table.of(place)
+        ]
+        try:
+            answer = await self.mesh.call(
+                name, messages.Pull(place, known), PULL_TIMEOUT_SECONDS
+            )
+        except errors.AmaranthringError:
+            self.metrics.count("spread.pulls_failed")
+            return
+        now = self.clock()
+        sent = self._sent_at(name, answer.clock_ms, now)
+        self._merge(name, sent, answer.beats, answer.records)
+        if place != self.mesh.data_centre:
+            self.mesh.set_foreign(place, answer.routers)
+            self.table.vouched[place] = sent - answer.age_ms / 1000
+
+    def _answer_pull(self, _link, pull: messages.Pull) -> messages.Pulled:
+        now = self.clock()
+        known = {
+            one.name: table_module.Version(*one[1:]) for one in pull.known
+        }
+        newer = []
+        beats = []
+        for entry in self.table.of(pull.data_centre):
+            name = entry.target.name
+            if name not in known or known[name] < entry.version:
+                newer.append(entry.record(now))
+            beats.append(self._beat(name, now))
+        routers = self.mesh.live(pull.data_centre)
+        age = 0.0
+        if pull.data_centre != self.mesh.data_centre:
+            age = now - self.table.vouched.get(pull.data_centre, 0.0)
+        age_ms = int(age * 1000)
+        return messages.Pulled(int(now * 1000), age_ms, newer, beats, routers)
+
+
+def _report(beat: messages.Beat) -> records.Report | None:
+    if not beat.sequence:
+        return None
+    return records.Report(
+        beat.name,
+        beat.incarnation,
+        beat.sequence,
+        beat.running,
+        beat.waiting,
+        beat.kv_permille / 1000,
+    )
--- /dev/null
+++ b/amaranthring/targets/announce.py
@@ -0,0 +1,101 @@
+"""HTTP handlers on the internal listener by which targets announce.
+
+``POST /targets/announce``, ``renew``, ``report`` and ``leave``; see
+``docs/targets-announcing.md``.
+"""
+
+import json
+import typing as t
+
+import tornado.web
+
+from amaranthring import errors
+from amaranthring.core import metrics as metrics_module
+from amaranthring.targets import conventions
+from amaranthring.targets import table as table_module
+
+RENEW_SHARE_OF_LEASE = 1 / 3
+
+
+class AnnounceHandler(tornado.web.RequestHandler):
+    """One message of a target; `act` tells the table."""
+
+    def initialize(self, table, keys, metrics, model, act):
+        """Take what :func:`routes` hands on."""
+        self.table = table
+        self.keys = keys
+        self.metrics = metrics
+        self.model = model
+        self.act = act
+
+    def post(self):
+        """Check, decode and act; answer with the lease or a typed error."""
+        try:
+            header = self.request.headers.get(conventions.KEY_HEADER, "")
+            conventions.verify(self.keys, header, self.request.body)
+            self.act(conventions.decode(self.model, self.request.body))
+        except errors.AmaranthringError as error:
+            self.refuse(error)
+            return
+        lease = self.table.config().preset.lease_seconds
+        answer = {
+            "lease_seconds": lease,
+            "renew_seconds": lease * RENEW_SHARE_OF_LEASE,
+        }
+        self.finish(answer)
+
+    def refuse(self, error: errors.AmaranthringError) -> None:
+        """Answer with `error` in its JSON form."""
+        self.metrics.count(f"targets.refused.{error.code}")
+        self.set_status(error.status)
+        if error.retry_after is not None:
+            self.set_header("Retry-After", str(max(1, int(error.retry_after))))
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps({"error": error.to_record()}))
+
+
+def routes(
+    table: table_module.TargetTable,
+    keys: dict[str, bytes],
+    metrics: metrics_module.Metrics,
+) -> list[tuple[str, type, dict[str, t.Any]]]:
+    """Return the routes for a ``tornado.web.Application``.
+
+    Parameters
+    ----------
+    keys : dict
+        Shared keys by id; each is accepted.
+    """
+
+    def announce(body):
+        table.announce(body.target())
+
+    def renew(body):
+        table.renew(body.name, body.incarnation)
+
+    def report(body):
+        table.take_report(body.report())
+
+    def leave(body):
+        table.leave(body.name, body.incarnation)
+
+    acts = {
+        "announce": (conventions.Announcement, announce),
+        "renew": (conventions.Renewal, renew),
+        "report": (conventions.LoadReport, report),
+        "leave": (conventions.Renewal, leave),
+    }
+    return [
+        (
+            f"/targets/{name}",
+            AnnounceHandler,
+            {
+                "table": table,
+                "keys": keys,
+                "metrics": metrics,
+                "model": model,
+                "act": act,
+            },
+        )
+        for name, (model, act) in acts.items()
+    ]
--- /dev/null
+++ b/amaranthring/targets/conventions.py
@@ -0,0 +1,152 @@
+"""Border towards targets: what they announce, decoded and checked once.
+
+Each message is a JSON object with the header ``Amaranthring-Key: ID MAC``,
+where MAC is the hex HMAC-SHA256 of the raw body under the shared key ID.
+Keys rotate by accepting two at once.
+"""
+
+import hashlib
+import hmac
+import typing as t
+
+import pydantic
+
+from amaranthring import errors
+from amaranthring.core import records
+
+KEY_HEADER = "Amaranthring-Key"
+BODY_BYTES_MOST = 16 * 1024
+SERVES_MOST = 64
+NAME_MOST = 64
+CAPACITY_MOST = 100_000
+NUMBER_MOST = 2**63 - 1
+
+Name = t.Annotated[
+    str,
+    pydantic.Field(
+        pattern=r"^[0-9A-Za-z][0-9A-Za-z_.\-]*$", max_length=NAME_MOST
+    ),
+]
+Served = t.Annotated[str, pydantic.Field(min_length=1, max_length=128)]
+Address = t.Annotated[
+    str,
+    pydantic.Field(pattern=r"^[0-9A-Za-z_.\-\[\]:]+:\d{1,5}$", max_length=128),
+]
+Number = t.Annotated[int, pydantic.Field(ge=0, le=NUMBER_MOST)]
+
+
+class Body(pydantic.BaseModel):
+    """Base of all bodies: unknown keys are faults, types are strict.
+
+    Attributes
+    ----------
+    name : str
+        The target that speaks.
+    incarnation : int
+        Its incarnation.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    name: Name
+    incarnation: Number
+
+
+class Renewal(Body):
+    """Body of ``/targets/renew`` and ``/targets/leave``."""
+
+
+class Announcement(Body):
+    """Body of ``/targets/announce``: the fields of ``records.Target``."""
+
+    kind: records.TargetKind
+    address: Address
+    data_centre: Name
+    region: Name = "default"
+    serves: list[Served] = pydantic.Field(min_length=1, max_length=SERVES_MOST)
+    capacity: int = pydantic.Field(64, ge=1, le=CAPACITY_MOST)
+    fencing: bool = False
+    honours_keys: bool = False
+    role: t.Literal["mixed", "prefill", "decode"] = "mixed"
+
+    def target(self) -> records.Target:
+        """Return the target that announces itself."""
+        fields = dict(self)
+        fields["serves"] = tuple(self.serves)
+        return records.Target(**fields)
+
+
+class LoadReport(pydantic.BaseModel):
+    """Body of ``/targets/report``: the fields of ``records.Report``."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    target: Name
+    incarnation: Number
+    sequence: Number
+    running: int = pydantic.Field(ge=0, le=CAPACITY_MOST)
+    waiting: int = pydantic.Field(0, ge=0, le=CAPACITY_MOST)
+    kv_used: float = pydantic.Field(0.0, ge=0.0, le=1.0)
+
+    def report(self) -> records.Report:
+        """Return the report."""
+        return records.Report(**dict(self))
+
+
+Model = t.TypeVar("Model", bound=pydantic.BaseModel)
+
+
+def sign(key_id: str, key: bytes, body: bytes) -> str:
+    """Return the value of the key header for `body`."""
+    return f"{key_id} {hmac.new(key, body, hashlib.sha256).hexdigest()}"
+
+
+def verify(keys: dict[str, bytes], header: str, body: bytes) -> None:
+    """Check the key header of `body`.
+
+    Raises
+    ------
+    errors.UnauthenticatedError
+        If the header is missing, names no known key, or does not match.
+    """
+    key_id, _, given = header.partition(" ")
+    key = keys.get(key_id)
+    if key is None:
+        raise errors.UnauthenticatedError(
+            "announcement under no known key",
+            given=key_id[:NAME_MOST] or "no key header",
+            expected=f"{KEY_HEADER}: ID MAC, ID one of {sorted(keys)}",
+        )
+    expected = sign(key_id, key, body).partition(" ")[2]
+    if not hmac.compare_digest(expected.encode(), given.strip().encode()):
+        raise errors.UnauthenticatedError(
+            "announcement whose MAC does not match its body",
+            given=f"key {key_id}",
+            expected="hex HMAC-SHA256 of the raw body",
+        )
+
+
+def decode(model: type[Model], body: bytes) -> Model:
+    """Return the validated `model` in the JSON of `body`.
+
+    Raises
+    ------
+    errors.TooLargeError, errors.BadRequestError
+        If the body is above the bound, not JSON, or does not fit.
+    """
+    if len(body) > BODY_BYTES_MOST:
+        raise errors.TooLargeError(
+            "announcement",
+            given=f"{len(body)} bytes",
+            expected=f"at most {BODY_BYTES_MOST} bytes",
+        )
+    try:
+        return model.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        where = ".".join(str(part) for part in first["loc"]) or "body"
+        raise errors.BadRequestError(
+            f"announcement: {where}",
+            given=str(first["input"])[:80],
+            expected=first["msg"],
+        ) from error
--- /dev/null
+++ b/amaranthring/targets/table.py
@@ -0,0 +1,589 @@
+"""Table of targets with leases: who may be given work, as this router knows.
+
+Every router holds one table. It learns of targets from their own
+announcements (:mod:`amaranthring.targets.announce`) and from other routers
+(:mod:`amaranthring.routers.spread`). Two kinds of knowledge are merged, both
+by rules that do not depend on order, number or lateness of messages:
+
+* the *record* of a target has a version (incarnation, leaving, revision,
+  fingerprint) and the highest version wins;
+* the *evidence of life* is a point on this router's monotonic clock and the
+  latest point wins. No wall clock is compared with another.
+
+A target without evidence for :data:`STALE_SECONDS` gets no new work; one
+without evidence for the lease is lost.
+"""
+
+import asyncio
+import dataclasses
+import time
+import typing as t
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import fleet
+from amaranthring.core import hashing
+from amaranthring.core import logs
+from amaranthring.core import metrics as metrics_module
+from amaranthring.core import records
+from amaranthring.core import wire
+from amaranthring.policy import flapping
+
+log = logbook.Logger(__name__)
+
+TARGETS_MOST = 4096
+TOMBSTONE_SECONDS = 600.0
+STALE_SECONDS = 2.5
+STALE_SHARE_OF_LEASE = 5 / 6
+EXPIRE_EVERY_SECONDS = 0.25
+PAUSE_SECONDS = 1.0
+
+
+class Version(t.NamedTuple):
+    """Version of a record; the highest wins on every router.
+
+    Attributes
+    ----------
+    incarnation : int
+        Start of the target that the record belongs to.
+    leaving : bool
+        Final within an incarnation, so it outranks every revision.
+    revision : int
+        Grows when the same incarnation announces other facts.
+    fingerprint : int
+        Of the facts; decides between equal revisions made at two routers.
+    """
+
+    incarnation: int
+    leaving: bool
+    revision: int
+    fingerprint: int
+
+
+@dataclasses.dataclass
+class Record:
+    """What routers tell each other of one target.
+
+    Attributes
+    ----------
+    target : Target
+        As it announced itself.
+    revision : int
+        Number of the announcement within the incarnation.
+    leaving : bool
+        Whether it has left or is leaving.
+    age : float
+        Seconds since the last evidence of life when the record was sent.
+    """
+
+    target: records.Target
+    revision: int
+    leaving: bool
+    age: float = 0.0
+
+    @property
+    def version(self) -> Version:
+        """Return the version of this record."""
+        data = wire.encode_value(self.target)
+        fingerprint = int(hashing.digest(data)[:15], 16)
+        return Version(
+            self.target.incarnation, self.leaving, self.revision, fingerprint
+        )
+
+
+@dataclasses.dataclass
+class Entry:
+    """One target in the table.
+
+    Attributes
+    ----------
+    heard : float
+        Last evidence of life, on this router's monotonic clock.
+    lost : bool
+        Whether the lease ran out; the entry then is a tombstone.
+    ready_at : float
+        When flap damping lets it have work again.
+    """
+
+    target: records.Target
+    version: Version
+    heard: float
+    lost: bool = False
+    ready_at: float = 0.0
+    history: flapping.History = dataclasses.field(
+        default_factory=flapping.History
+    )
+    report: records.Report | None = None
+
+    def record(self, now: float) -> Record:
+        """Return what other routers are told at time `now`."""
+        return Record(
+            self.target,
+            self.version.revision,
+            self.version.leaving,
+            max(0.0, now - self.heard),
+        )
+
+
+def _mark(name: str, version: Version) -> int:
+    return int(hashing.digest(name, repr(tuple(version)))[:16], 16)
+
+
+class TargetTable:
+    """All targets that this router knows.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of this router; targets elsewhere announce themselves
+        to routers there.
+    config : callable
+        Returns the ``fleet.FleetConfig`` in force.
+    metrics : Metrics, optional
+        Counters.
+    clock : callable, optional
+        Monotonic seconds.
+
+    Attributes
+    ----------
+    entries : dict
+        Entry by target name, tombstones included.
+    digests : dict
+        Data centre to the digest of its records.
+    beats : set of str
+        Targets heard directly since the last batch took them.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        config: t.Callable[[], fleet.FleetConfig] = fleet.FleetConfig,
+        metrics: metrics_module.Metrics | None = None,
+        clock: t.Callable[[], float] = time.monotonic,
+    ):
+        self.data_centre = data_centre
+        self.config = config
+        self.metrics = metrics or metrics_module.Metrics()
+        self.clock = clock
+        self.entries: dict[str, Entry] = {}
+        self.digests: dict[str, int] = {}
+        self.beats: set[str] = set()
+        self.vouched: dict[str, float] = {}
+        self.expired_at = clock()
+        self.keep_until = 0.0
+        self.task: asyncio.Task | None = None
+        self._callbacks: list[t.Callable[[str], None]] = []
+        self._changes: list[t.Callable[[Entry], None]] = []
+        self._wakes: list[t.Callable[[], None]] = []
+        self._lost: dict[str, asyncio.Future] = {}
+
+    # -- what the request's way and the admission owners ask ----------------
+
+    def eligible(
+        self, kind: records.TargetKind, serves: str
+    ) -> list[records.Target]:
+        """Return targets that may be given new work, in order of name.
+
+        Targets held back by flap damping are returned only if there is no
+        other: a slow start is better than no answer.
+        """
+        now = self.clock()
+        drained = self.config().drained
+        ready = []
+        damped = []
+        for name in sorted(self.entries):
+            entry = self.entries[name]
+            target = entry.target
+            if target.kind != kind or serves not in target.serves:
+                continue
+            if name in drained or not self._may_work(entry, now):
+                continue
+            (ready if entry.ready_at <= now else damped).append(target)
+        return ready or damped
+
+    def get(self, name: str) -> records.Target | None:
+        """Return target `name` unless it is unknown or lost."""
+        entry = self.entries.get(name)
+        return None if entry is None or entry.lost else entry.target
+
+    def report(self, name: str) -> records.Report | None:
+        """Return the last report of target `name`, if any."""
+        entry = self.entries.get(name)
+        return None if entry is None or entry.lost else entry.report
+
+    def state(self, name: str) -> records.TargetState:
+        """Return what may be done with target `name`."""
+        entry = self.entries.get(name)
+        now = self.clock()
+        if entry is None or entry.lost:
+            return records.TargetState.LOST
+        if entry.version.leaving:
+            return records.TargetState.LEAVING
+        if self._may_work(entry, now) and entry.ready_at <= now:
+            return records.TargetState.READY
+        return records.TargetState.SUSPENDED
+
+    def targets(self) -> list[records.Target]:
+        """Return every target that is not lost, in order of name."""
+        names = sorted(self.entries)
+        found = [self.entries[name] for name in names]
+        return [entry.target for entry in found if not entry.lost]
+
+    def when_lost(self, name: str) -> asyncio.Future:
+        """Return a future that resolves when `name` is given up.
+
+        It belongs to the incarnation known now and resolves also when a
+        newer one takes its place. Shared by its waiters: await it through
+        ``asyncio.wait`` or ``asyncio.shield``.
+        """
+        entry = self.entries.get(name)
+        future = self._lost.get(name)
+        if future is None or future.done():
+            future = asyncio.get_running_loop().create_future()
+            if entry is None or entry.lost:
+                future.set_result(name)
+                return future
+            self._lost[name] = future
+        return future
+
+    def subscribe(self, callback: t.Callable[[str], None]) -> None:
+        """Call `callback(name)` when the state of a target changes."""
+        self._callbacks.append(callback)
+
+    def on_change(self, callback: t.Callable[[Entry], None]) -> None:
+        """Call `callback(entry)` when a record gets a higher version."""
+        self._changes.append(callback)
+
+    def on_wake(self, callback: t.Callable[[], None]) -> None:
+        """Call `callback()` after this process itself stood still."""
+        self._wakes.append(callback)
+
+    # -- what targets say ----------------------------------------------------
+
+    def announce(self, target: records.Target) -> None:
+        """Take a target's announcement of itself.
+
+        Raises
+        ------
+        errors.StaleIncarnationError, errors.NameTakenError,
+        errors.AddressTakenError, errors.TableFullError,
+        errors.BadRequestError
+            If the announcement contradicts what is known; nothing changes.
+        """
+        now = self.clock()
+        self._check_claims(target, now)
+        entry = self.entries.get(target.name)
+        revision = 1
+        if entry and entry.target.incarnation == target.incarnation:
+            same = entry.target == target
+            revision = entry.version.revision + (0 if same else 1)
+        self.adopt(Record(target, revision, False), now)
+        self.beats.add(target.name)
+
+    def renew(self, name: str, incarnation: int) -> None:
+        """Take a target's word that it lives.
+
+        Raises
+        ------
+        errors.NotFoundError
+            If it is unknown or lost here and must announce itself.
+        errors.StaleIncarnationError
+            If a newer incarnation is known.
+        """
+        entry = self._known(name, incarnation)
+        self._evidence(entry, self.clock())
+        self.beats.add(name)
+
+    def take_report(self, report: records.Report) -> None:
+        """Take a target's report of its load, which also renews its lease.
+
+        A report that came late or again, by its sequence, changes nothing.
+
+        Raises
+        ------
+        errors.NotFoundError, errors.StaleIncarnationError
+            As :meth:`renew`.
+        """
+        entry = self._known(report.target, report.incarnation)
+        last = entry.report
+        if last is not None and report.sequence <= last.sequence:
+            self.metrics.count("targets.reports_late")
+            return
+        entry.report = report
+        self._evidence(entry, self.clock())
+        self.beats.add(report.target)
+
+    def leave(self, name: str, incarnation: int) -> None:
+        """Take a target's word that it goes: no new work from now on.
+
+        Leaving is final for the incarnation, so a leave that comes again
+        or late harms nothing: it cannot touch a later incarnation.
+
+        Raises
+        ------
+        errors.NotFoundError, errors.StaleIncarnationError
+            As :meth:`renew`.
+        """
+        entry = self._known(name, incarnation)
+        self._evidence(entry, self.clock())
+        revision = entry.version.revision
+        self.adopt(Record(entry.target, revision, True), self.clock())
+        self.beats.add(name)
+
+    # -- what other routers say ----------------------------------------------
+
+    def adopt(self, record: Record, heard: float) -> bool:
+        """Merge `record` with evidence of life at `heard`; True if newer."""
+        name = record.target.name
+        version = record.version
+        entry = self.entries.get(name)
+        if entry is not None and version <= entry.version:
+            if version.incarnation == entry.version.incarnation:
+                self._evidence(entry, heard)
+            return False
+        now = self.clock()
+        if now - heard > TOMBSTONE_SECONDS or not self._room(name):
+            return False
+        if entry is None or entry.version.incarnation < version.incarnation:
+            entry = self._replace(entry, record, version, heard)
+        else:
+            self._mark_out(entry)
+            entry.target = record.target
+            entry.version = version
+        self._mark_out(entry)
+        self._evidence(entry, heard)
+        if version.leaving:
+            logs.event(log, "target.leaving", name=name)
+        for callback in self._changes:
+            callback(entry)
+        self._tell(name)
+        return True
+
+    def beat(
+        self,
+        name: str,
+        incarnation: int,
+        heard: float,
+        report: records.Report | None = None,
+    ) -> bool:
+        """Merge evidence of life; False if the target is not known."""
+        entry = self.entries.get(name)
+        if entry is None or entry.target.incarnation < incarnation:
+            return False
+        if entry.target.incarnation > incarnation:
+            return True
+        last = entry.report
+        if report and (last is None or report.sequence > last.sequence):
+            entry.report = report
+        self._evidence(entry, heard)
+        return True
+
+    def vouch(
+        self, data_centre: str, heard: float, stale: t.Collection[str]
+    ) -> None:
+        """Take another data centre's word for all of its targets.
+
+        Parameters
+        ----------
+        heard : float
+            When its relay said so, on this router's clock.
+        stale : collection of str
+            Targets that the relay itself has not heard for a while.
+        """
+        at = max(heard, self.vouched.get(data_centre, 0.0))
+        self.vouched[data_centre] = at
+        for entry in self.of(data_centre):
+            if entry.target.name not in stale:
+                self._evidence(entry, heard)
+
+    def of(self, data_centre: str) -> list[Entry]:
+        """Return entries of `data_centre`, tombstones included."""
+        return [
+            entry
+            for entry in self.entries.values()
+            if entry.target.data_centre == data_centre
+        ]
+
+    # -- passing of time ---------------------------------------------------
+
+    def expire(self) -> None:
+        """Give up targets whose lease ran out, and old tombstones."""
+        now = self.clock()
+        lease = self.config().preset.lease_seconds
+        if now - self.expired_at > PAUSE_SECONDS:
+            # This process was frozen. Without this guard every lease would
+            # have run out on waking, though the targets went on renewing
+            # at other routers. No target is lost before it had one more
+            # lease to be heard; until then stale ones get no new work.
+            self.keep_until = now + lease
+            self.metrics.count("targets.own_pauses")
+            logs.event(log, "router.paused", seconds=now - self.expired_at)
+            for callback in self._wakes:
+                callback()
+        self.expired_at = now
+        for entry in list(self.entries.values()):
+            if entry.lost:
+                if now - entry.heard > TOMBSTONE_SECONDS:
+                    self._mark_out(entry)
+                    del self.entries[entry.target.name]
+            elif now >= self.keep_until and self._ran_out(entry, now, lease):
+                self._lose(entry, now)
+
+    def start(self) -> None:
+        """Start the task that watches the leases."""
+        self.task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        """End the task."""
+        if self.task:
+            self.task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_EVERY_SECONDS)
+            self.expire()
+
+    # -- inside -------------------------------------------------------------
+
+    def stale_seconds(self) -> float:
+        """Return the age of evidence from which on no new work is given."""
+        lease = self.config().preset.lease_seconds
+        return min(STALE_SECONDS, lease * STALE_SHARE_OF_LEASE)
+
+    def _may_work(self, entry: Entry, now: float) -> bool:
+        if entry.lost or entry.version.leaving:
+            return False
+        return now - entry.heard <= self.stale_seconds()
+
+    def _ran_out(self, entry: Entry, now: float, lease: float) -> bool:
+        place = entry.target.data_centre
+        if place != self.data_centre:
+            # A data centre that is cut off from here cannot vouch for its
+            # targets; they are stale, but they are not given up.
+            now = min(now, self.vouched.get(place, 0.0))
+        return now - entry.heard > lease
+
+    def _known(self, name: str, incarnation: int) -> Entry:
+        entry = self.entries.get(name)
+        if entry is not None and incarnation < entry.target.incarnation:
+            raise errors.StaleIncarnationError(
+                f"target {name} has started again since",
+                given=incarnation,
+                expected=entry.target.incarnation,
+            )
+        if entry is None or incarnation > entry.target.incarnation:
+            raise errors.NotFoundError(
+                "target is not known here",
+                given=f"{name} incarnation {incarnation}",
+                expected="an announcement first",
+            )
+        return entry
+
+    def _check_claims(self, target: records.Target, now: float) -> None:
+        if target.data_centre != self.data_centre:
+            raise errors.BadRequestError(
+                "target announced to another data centre's router",
+                given=target.data_centre,
+                expected=self.data_centre,
+            )
+        entry = self.entries.get(target.name)
+        if entry is not None:
+            self._check_successor(entry, target, now)
+        for other in self.entries.values():
+            if (
+                other.target.address == target.address
+                and other.target.name != target.name
+                and self._may_work(other, now)
+            ):
+                raise errors.AddressTakenError(
+                    f"address of live target {other.target.name}",
+                    given=target.address,
+                    expected="an address of its own",
+                    retry_after=self.config().preset.lease_seconds,
+                )
+        if not self._room(target.name):
+            raise errors.TableFullError(
+                "table of targets is full",
+                given=len(self.entries),
+                expected=f"fewer than {TARGETS_MOST}",
+            )
+
+    def _check_successor(self, entry, target, now) -> None:
+        known = entry.target
+        older = target.incarnation < known.incarnation
+        same = target.incarnation == known.incarnation
+        if older or (same and entry.version.leaving):
+            raise errors.StaleIncarnationError(
+                f"target {target.name}: incarnation is past",
+                given=target.incarnation,
+                expected=f"above {known.incarnation - older}",
+            )
+        if target.address != known.address and self._may_work(entry, now):
+            raise errors.NameTakenError(
+                f"target {target.name} lives at {known.address}",
+                given=target.address,
+                expected="another name, or the end of the other's lease",
+                retry_after=self.config().preset.lease_seconds,
+            )
+
+    def _room(self, name: str) -> bool:
+        if name in self.entries or len(self.entries) < TARGETS_MOST:
+            return True
+        self.metrics.count("targets.table_full")
+        return False
+
+    def _replace(self, old, record, version, heard) -> Entry:
+        now = self.clock()
+        name = record.target.name
+        entry = Entry(record.target, version, heard)
+        if old is not None:
+            self._mark_out(old)
+            if not old.lost:
+                self._departed(old, now)
+            entry.history = old.history
+            entry.ready_at = now + flapping.wait(entry.history, now)
+        # A record whose evidence is already old comes from another router's
+        # memory of a lost target: it is kept as a tombstone only.
+        entry.lost = now - heard > self.config().preset.lease_seconds
+        self.entries[name] = entry
+        logs.event(
+            log, "target.known", name=name, incarnation=version.incarnation
+        )
+        return entry
+
+    def _evidence(self, entry: Entry, heard: float) -> None:
+        entry.heard = max(entry.heard, heard)
+        now = self.clock()
+        if not entry.lost or entry.version.leaving:
+            return
+        if now - heard <= self.stale_seconds():
+            entry.lost = False
+            entry.ready_at = now + flapping.wait(entry.history, now)
+            self.metrics.count("targets.returned")
+            logs.event(log, "target.returned", name=entry.target.name)
+            self._tell(entry.target.name)
+
+    def _lose(self, entry: Entry, now: float) -> None:
+        entry.lost = True
+        self.metrics.count("targets.lost")
+        logs.event(log, "target.lost", name=entry.target.name)
+        self._departed(entry, now)
+        self._tell(entry.target.name)
+
+    def _departed(self, entry: Entry, now: float) -> None:
+        orderly = entry.version.leaving
+        entry.history = flapping.departed(entry.history, now, orderly)
+        future = self._lost.pop(entry.target.name, None)
+        if future is not None and not future.done():
+            future.set_result(entry.target.name)
+
+    def _mark_out(self, entry: Entry) -> None:
+        """Add the entry's mark to its digest, or take it out again."""
+        place = entry.target.data_centre
+        mark = _mark(entry.target.name, entry.version)
+        self.digests[place] = self.digests.get(place, 0) ^ mark
+
+    def _tell(self, name: str) -> None:
+        for callback in self._callbacks:
+            callback(name)
