--- /dev/null
+++ b/amaranthring/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The ``amaranthring`` command."""
+
+from amaranthring.cli.program import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/amaranthring/cli/commands.py
@@ -0,0 +1,78 @@
+"""Commands as fire sees them: each a method, its help the doc comment."""
+
+import importlib
+import pkgutil
+import sys
+
+from amaranthring import bench as bench_package
+from amaranthring import errors
+from amaranthring import settings as settings_module
+from amaranthring.cli import fleet_commands
+from amaranthring.cli import output
+
+
+class SettingsCommands:
+    """Check settings files and print examples."""
+
+    def check(self, file: str, role: str = "router") -> str:
+        """Check FILE as settings of a router, keeper or operator."""
+        model = settings_module.MODELS.get(role)
+        if model is None:
+            raise errors.UsageError(
+                "no such role",
+                given=role,
+                expected=", ".join(settings_module.MODELS),
+            )
+        made = settings_module.read(str(file), model)
+        if isinstance(made, settings_module.Settings):
+            settings_module.check_files(made, role)
+        return f"{file}: good settings of a {role}"
+
+    def example(self, role: str = "router") -> str:
+        """Print every key of ROLE with its meaning and default."""
+        return settings_module.example(role)
+
+    def reference(self) -> str:
+        """Print the reference page in Markdown."""
+        return settings_module.reference()
+
+
+class Commands(fleet_commands.FleetCommands):
+    """Run and operate a router fleet for very many returning chats.
+
+    router and keeper run the daemons; settings checks their files; bench
+    measures. All else asks a running fleet, as --operator FILE or the
+    environment's AMARANTHRING_OPERATOR says. Exit codes: 0 done, 1 refused
+    or unreachable, 2 usage or settings.
+    """
+
+    def __init__(self, operator: str = ""):
+        super().__init__(operator)
+        self.settings = SettingsCommands()
+
+    def router(self, settings: str) -> None:
+        """Run a router with the settings file SETTINGS until it is stopped."""
+        app = importlib.import_module("amaranthring.app")
+        app.run("router", settings_module.read(str(settings)))
+
+    def bench(self, name: str = "", json: bool = False, **parameters) -> None:
+        """Run benchmark NAME; exit 1 if a figure is out of its bounds."""
+        known = sorted(
+            module.name
+            for module in pkgutil.iter_modules(bench_package.__path__)
+            if module.name != "report"
+        )
+        if name not in known:
+            raise errors.UsageError(
+                "no such benchmark", given=name, expected=", ".join(known)
+            )
+        module = importlib.import_module(f"amaranthring.bench.{name}")
+        report = module.run(**parameters)
+        print(report.as_json() if json else report.table())
+        if not report.ok:
+            sys.exit(1)
+
+    def version(self) -> str:
+        """Print the version."""
+        package = importlib.import_module("amaranthring")
+        return output.pairs({"amaranthring": package.__version__})
--- /dev/null
+++ b/amaranthring/cli/program.py
@@ -0,0 +1,67 @@
+"""Entry point: commands, exit codes, and one line for every error.
+
+Exit codes: 0 done, 1 refused or unreachable, 2 usage or settings.
+"""
+
+import sys
+import typing as t
+
+import fire
+
+from amaranthring import errors
+from amaranthring.cli import commands
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+USAGE_ERRORS = (errors.SettingsError, errors.UsageError)
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run the command line and exit with its code."""
+    words = list(sys.argv[1:] if arguments is None else arguments)
+    # fire would page its help; an operator's terminal or log wants it plain.
+    fire.core.Display = _display
+    try:
+        operator = _taken(words, "--operator")
+        made = commands.Commands(operator)
+        fire.Fire(made, command=words, name="amaranthring")
+    except errors.AmaranthringError as error:
+        _complain(error)
+        usage = isinstance(error, USAGE_ERRORS)
+        sys.exit(EXIT_USAGE if usage else EXIT_REFUSED)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_REFUSED)
+    except BrokenPipeError:
+        sys.stderr.close()
+        sys.exit(EXIT_REFUSED)
+
+
+def _taken(words: list[str], flag: str) -> str:
+    """Take `flag` and its value out of `words` and return the value."""
+    for position, word in enumerate(words):
+        if word.startswith(flag + "="):
+            del words[position]
+            return word.partition("=")[2]
+        if word == flag:
+            if position + 1 == len(words):
+                raise errors.UsageError(
+                    f"{flag} has no value", given="", expected="a file"
+                )
+            value = words[position + 1]
+            del words[position : position + 2]
+            return value
+    return ""
+
+
+def _complain(error: errors.AmaranthringError) -> None:
+    for line in str(error).splitlines():
+        print(f"amaranthring: {line}", file=sys.stderr)
+    if error.retry_after is not None:
+        print(
+            f"amaranthring: come back in {error.retry_after:g} s",
+            file=sys.stderr,
+        )
+
+
+def _display(lines: t.Iterable[str], out: t.TextIO) -> None:
+    out.write("\n".join(lines) + "\n")
--- a/amaranthring/core/logs.py
+++ b/amaranthring/core/logs.py
@@ -30,12 +30,13 @@
         ``text`` or ``json``.
     """
     handler = logbook.StreamHandler(sys.stderr, level=level)
-    make = _json_line if form == "json" else _text_line
+    make = json_line if form == "json" else text_line
     handler.formatter = lambda record, _: make(process, record)
     handler.push_application()
 
 
-def _text_line(process: str, record: logbook.LogRecord) -> str:
+def text_line(process: str, record: logbook.LogRecord) -> str:
+    """Return `record` as one line for people."""
     line = f"{record.time.isoformat()} {record.level_name} {process} "
     line += f"{record.channel} {record.message}"
     if record.formatted_exception:
@@ -43,7 +44,8 @@
     return line
 
 
-def _json_line(process: str, record: logbook.LogRecord) -> str:
+def json_line(process: str, record: logbook.LogRecord) -> str:
+    """Return `record` as one JSON object."""
     name, _, rest = record.message.partition(" ")
     fields = record.extra["fields"] or {}
     line = {
--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -119,6 +119,13 @@
     code = "usage"
 
 
+class ListenError(AmaranthringError):
+    """An address to listen on is taken or not of this VM."""
+
+    code = "listen"
+    outcome = Outcome.NOT_RUN
+
+
 # -- requests refused before anything ran --------------------------------
 
 
