--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -76,6 +76,10 @@
         ) from error
 
 
+def _unlogged(_handler: tornado.web.RequestHandler) -> None:
+    """Write no line per request: requests are counted, not logged."""
+
+
 def listen_internal(
     settings: settings_module.Settings, routes: list
 ) -> tornado.httpserver.HTTPServer:
@@ -83,7 +87,7 @@
     listen = settings.listen
     bounds = settings.callers
     server = tornado.httpserver.HTTPServer(
-        tornado.web.Application(routes, log_function=lambda handler: None),
+        tornado.web.Application(routes, log_function=_unlogged),
         ssl_options=files.tls_context(
             listen.internal_certificate_file,
             listen.internal_certificate_key_file,
