Take file names on the command line as text

Cause: fire evaluates arguments, so router-1.ini drew a SyntaxWarning on standard error. The test now holds every error line to our own form.

--- a/amaranthring/cli/fleet_commands.py
+++ b/amaranthring/cli/fleet_commands.py
@@ -191,10 +191,11 @@
 class KeeperCommands(Group):
     """Run a keeper with --settings FILE; see and change the group."""
 
+    @as_text(settings=str)
     def __call__(self, settings: str) -> None:
         """Run a keeper with the file SETTINGS until it is stopped."""
         app = importlib.import_module("amaranthring.app")
-        app.run("keeper", settings_module.read(str(settings)))
+        app.run("keeper", settings_module.read(settings))
 
     def status(self, json: bool = False) -> str:
         """Show leader, members and how many more losses are safe."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -45,6 +45,8 @@
         self.assertEqual(ended[0], code, ended)
         self.assertIn(text, ended[2])
         self.assertNotIn("Traceback", ended[2])
+        for line in ended[2].splitlines():
+            self.assertTrue(line.startswith("amaranthring: "), line)
 
     def test_help_names_every_group(self):
         code, out, err = run("--help")
@@ -53,7 +55,8 @@
             self.assertIn(group, out + err)
 
     def test_broken_settings_file(self):
-        path = self.folder / "bad.ini"
+        # A name that reads like a number once drew a warning of fire's.
+        path = self.folder / "router-1.ini"
         path.write_text("[process]\nnam = r1\n")
         ended = run("router", "--settings", str(path))
         self.assert_says(ended, 2, "[process] nam is not known")
