Make membership hold under cuts, freezes, losses and replays

Change: evidence of life is dated by the lateness of its message; a process that stood still gives up nobody on waking and dates what it then reads before the freeze; a silent leaver keeps drain_seconds; pulls go both ways; targets may number their messages; the lower name's link stays when two routers dial each other; a second relay speaks when the first is silent; links say what differs as soon as they are up. Found on the way: the same records in another order left one router with a tombstone and another with a leaving target, so their digests differed for ever (TestMerge, 200 seeded orders); mended by one rule for lost and returned.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -235,6 +235,13 @@
     status = 409
 
 
+class ReplayedError(RefusedError):
+    """A numbered message of a target came again or late."""
+
+    code = "replayed"
+    status = 409
+
+
 class TableFullError(RefusedError):
     """The table of targets is at its bound."""
 
--- a/amaranthring/routers/member_messages.py
+++ b/amaranthring/routers/member_messages.py
@@ -3,7 +3,7 @@
 import typing as t
 
 from amaranthring.core import wire
-from amaranthring.targets import table as table_module
+from amaranthring.targets import entries
 
 
 class Beat(t.NamedTuple):
@@ -13,6 +13,8 @@
     ----------
     age_ms : int
         Milliseconds from the evidence to the sending of the message.
+    spoken : int
+        Highest sequence of the target's own messages.
     sequence : int
         Of the report; 0 if there is none.
     kv_permille : int
@@ -22,6 +24,7 @@
     name: str
     incarnation: int
     age_ms: int
+    spoken: int = 0
     sequence: int = 0
     running: int = 0
     waiting: int = 0
@@ -57,7 +60,7 @@
     clock_ms: int
     mark: int
     beats: list[Beat]
-    records: list[table_module.Record]
+    records: list[entries.Record]
 
 
 @wire.message("spread-digest")
@@ -106,6 +109,6 @@
 
     clock_ms: int
     age_ms: int
-    records: list[table_module.Record]
+    records: list[entries.Record]
     beats: list[Beat]
     routers: list[str]
--- a/amaranthring/routers/mesh.py
+++ b/amaranthring/routers/mesh.py
@@ -13,18 +13,19 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import time
 import typing as t
 
 import logbook
 
 from amaranthring import errors
-from amaranthring.core import hashing
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
+from amaranthring.core import pauses
 from amaranthring.core import wire
+from amaranthring.routers import peers as peers_module
+from amaranthring.routers import relays
 
 log = logbook.Logger(__name__)
 
@@ -33,57 +34,6 @@
 DEAD_SECONDS = 3.0
 PAUSE_SECONDS = 1.5
 IDLE_SECONDS = 30.0
-RELAYS = 2
-REDIAL_SKIP_SECONDS = 5.0
-
-
-@wire.message("mesh-heartbeat")
-class Heartbeat:
-    """Sent on a link on which nothing else went out."""
-
-
-@wire.message("mesh-leaving")
-class RouterLeaving:
-    """Says that the sender ends soon; place nothing new on it."""
-
-    incarnation: int
-
-
-@dataclasses.dataclass
-class Peer:
-    """Another configured router.
-
-    Attributes
-    ----------
-    address : str
-        Its fleet listener.
-    link : Link, optional
-        The link in use, dialled by either end.
-    dialler : Dialler, optional
-        Set while this end keeps or wants the link.
-    heard : float
-        When a frame last came, in monotonic seconds.
-    used : float
-        When something was last sent or called across data centres.
-    incarnation : int
-        Highest seen.
-    left : int
-        Incarnation that said it leaves; -1 if none did.
-    """
-
-    name: str
-    data_centre: str
-    address: str
-    link: links.Link | None = None
-    dialler: links.Dialler | None = None
-    heard: float = 0.0
-    used: float = 0.0
-    dialled: float = 0.0
-    incarnation: int = 0
-    left: int = -1
-    received: int = 0
-    sent: int = 0
-    linked: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
 class SelfLink:
@@ -134,19 +84,21 @@
         self.clock = clock
         self.leaving = False
         self.peers = {
-            peer.name: Peer(peer.name, peer.data_centre, peer.address)
+            peer.name: peers_module.Peer(
+                peer.name, peer.data_centre, peer.address
+            )
             for peer in peers
             if peer.name != identity.name
         }
         self.foreign: dict[str, list[str]] = {}
         self.task: asyncio.Task | None = None
-        self.ticked_at = clock()
+        self.pauses = pauses.Pauses(clock, PAUSE_SECONDS)
         self._callbacks: list[t.Callable[[], None]] = []
-        self._link_callbacks: list[t.Callable[[Peer], None]] = []
+        self._link_callbacks: list[t.Callable[[peers_module.Peer], None]] = []
         self._live: dict[str | None, list[str]] = {}
         self._self_link = SelfLink(identity)
-        handlers.add(Heartbeat, self._take_heartbeat)
-        handlers.add(RouterLeaving, self._take_leaving)
+        handlers.add(peers_module.Heartbeat, self._take_heartbeat)
+        handlers.add(peers_module.RouterLeaving, self._take_leaving)
 
     # -- what others ask ---------------------------------------------------
 
@@ -266,7 +218,7 @@
         """Call `callback()` after each change of the live list."""
         self._callbacks.append(callback)
 
-    def on_link(self, callback: t.Callable[[Peer], None]) -> None:
+    def on_link(self, callback: t.Callable[[peers_module.Peer], None]) -> None:
         """Call `callback(peer)` with each new link's peer."""
         self._link_callbacks.append(callback)
 
@@ -275,7 +227,7 @@
         """Return the data centre of this router."""
         return self.identity.data_centre
 
-    def neighbours(self) -> list[Peer]:
+    def neighbours(self) -> list[peers_module.Peer]:
         """Return the other routers of this data centre."""
         place = self.data_centre
         return [p for p in self.peers.values() if p.data_centre == place]
@@ -284,8 +236,17 @@
 
     def accept(self, link: links.Link) -> None:
         """Take a link that a peer dialled; close one of a stranger."""
-        if link.peer.role == "router":
-            self._take_link(link)
+        if link.peer.role != "router":
+            return
+        peer = self.peers.get(link.peer.name)
+        if peer is not None and peer.name < self.identity.name:
+            # Two routers that dial each other at once would close each
+            # other's link for ever; the lower name's link stays.
+            self._hang_up(peer)
+        elif peer is not None and self._holds(peer, link):
+            link.close()
+            return
+        self._take_link(link, ours=False)
 
     def gone(self, link: links.Link) -> None:
         """Forget a link that ended."""
@@ -312,6 +273,7 @@
         for peer in self.neighbours():
             if self.identity.name < peer.name:
                 self._dial(peer)
+        self._keep_relays(self.clock())
         self.task = asyncio.ensure_future(self._run())
 
     def stop(self) -> None:
@@ -331,7 +293,7 @@
         stay up for what is still running.
         """
         self.leaving = True
-        message = RouterLeaving(self.identity.incarnation)
+        message = peers_module.RouterLeaving(self.identity.incarnation)
         for peer in self.peers.values():
             if peer.link is not None:
                 self.send(peer.name, message)
@@ -348,7 +310,7 @@
             ]
         if data_centre != self.data_centre:
             return self.foreign.get(data_centre, [])
-        found = [peer.name for peer in self.neighbours() if _lives(peer)]
+        found = [peer.name for peer in self.neighbours() if peer.lives]
         if not self.leaving:
             found.append(self.identity.name)
         return found
@@ -356,28 +318,15 @@
     def _relays(self, data_centre: str, other: str) -> list[str]:
         names = self.live(data_centre)
         if not names:
-            names = self._reachable(data_centre)
-        key = "relay " + " ".join(sorted((data_centre, other)))
-        return hashing.order(key, names)[:RELAYS]
-
-    def _reachable(self, data_centre: str) -> list[str]:
-        """Return configured routers there, those that failed us last."""
-        now = self.clock()
-        peers = [
-            p for p in self.peers.values() if p.data_centre == data_centre
-        ]
-        fine = [
-            p.name
-            for p in peers
-            if p.link is not None
-            or (
-                p.dialler is not None and now - p.dialled < REDIAL_SKIP_SECONDS
-            )
-            or now - p.dialled > 2 * REDIAL_SKIP_SECONDS
-        ]
-        return fine or [p.name for p in peers]
+            there = [
+                peer
+                for peer in self.peers.values()
+                if peer.data_centre == data_centre
+            ]
+            names = relays.worth_dialling(there, self.clock())
+        return relays.choose(names, data_centre, other)
 
-    def _peer(self, name: str) -> Peer:
+    def _peer(self, name: str) -> peers_module.Peer:
         peer = self.peers.get(name)
         if peer is None:
             raise errors.NotFoundError(
@@ -385,7 +334,7 @@
             )
         return peer
 
-    def _dial(self, peer: Peer) -> None:
+    def _dial(self, peer: peers_module.Peer) -> None:
         if peer.dialler is not None:
             return
         peer.dialled = self.clock()
@@ -399,31 +348,35 @@
         )
         peer.dialler.start()
 
-    def _hang_up(self, peer: Peer) -> None:
+    def _hang_up(self, peer: peers_module.Peer) -> None:
         dialler, peer.dialler = peer.dialler, None
         if dialler is not None:
             dialler.stop()
 
-    async def _wait_for_link(self, peer: Peer, timeout: float) -> None:
+    async def _wait_for_link(
+        self, peer: peers_module.Peer, timeout: float
+    ) -> None:
         self._dial(peer)
         try:
             await asyncio.wait_for(peer.linked.wait(), timeout)
         except TimeoutError:
             self.metrics.count("mesh.dials_late")
 
-    def _take_link(self, link: links.Link) -> None:
+    def _take_link(self, link: links.Link, ours: bool = True) -> None:
         peer = self.peers.get(link.peer.name)
         if peer is None or peer.data_centre != link.peer.data_centre:
             log.warning("mesh.stranger peer={}", link.peer)
             link.close()
             return
-        if link.peer.incarnation < peer.incarnation:
+        if peer.link is not None and link.peer.incarnation < peer.incarnation:
             # A process that was replaced but still runs must not take the
-            # place of its successor.
+            # place of its live successor. Once that is gone an older number
+            # is taken: the VM's clock may have been set back.
             link.close()
             return
         peer.incarnation = link.peer.incarnation
         old, peer.link = peer.link, link
+        peer.ours = ours
         peer.linked.set()
         peer.heard = self.clock()
         peer.received = 0
@@ -433,7 +386,10 @@
         logs.event(log, "router.linked", name=peer.name)
         self._changed()
         if self.leaving:
-            self.send(peer.name, RouterLeaving(self.identity.incarnation))
+            self.send(
+                peer.name,
+                peers_module.RouterLeaving(self.identity.incarnation),
+            )
         for callback in self._link_callbacks:
             callback(peer)
 
@@ -445,8 +401,7 @@
     def tick(self) -> None:
         """Drop silent links, keep ours from silence, close idle ones."""
         now = self.clock()
-        paused = now - self.ticked_at > PAUSE_SECONDS
-        self.ticked_at = now
+        paused = self.pauses.notice()
         for peer in self.peers.values():
             if peer.link is not None:
                 self._watch(peer, now, paused)
@@ -454,7 +409,9 @@
                 self._drop_idle(peer, now)
         self._keep_relays(now)
 
-    def _watch(self, peer: Peer, now: float, paused: bool) -> None:
+    def _watch(
+        self, peer: peers_module.Peer, now: float, paused: bool
+    ) -> None:
         link = peer.link
         if link.received_bytes != peer.received or paused:
             # After an own pause what the peers sent still waits in the
@@ -472,7 +429,7 @@
         peer.sent = link.sent_bytes
         self._drop_idle(peer, now)
 
-    def _drop_idle(self, peer: Peer, now: float) -> None:
+    def _drop_idle(self, peer: peers_module.Peer, now: float) -> None:
         if peer.data_centre == self.data_centre or peer.dialler is None:
             return
         if now - peer.used > IDLE_SECONDS:
@@ -487,6 +444,8 @@
             for name in self._relays(place, self.data_centre):
                 peer = self.peers[name]
                 peer.used = now
+                if relays.tried_enough(peer, now):
+                    self._hang_up(peer)
                 self._dial(peer)
 
     def _write(self, link: links.Link, data: bytes) -> bool:
@@ -521,9 +480,9 @@
     def _take_heartbeat(self, _link, _message) -> None:
         pass
 
-    def _take_leaving(self, link, message: RouterLeaving) -> None:
+    def _take_leaving(self, link, message: peers_module.RouterLeaving) -> None:
         peer = self.peers.get(link.peer.name)
-        if peer is None or peer.left >= message.incarnation:
+        if peer is None or peer.incarnation != message.incarnation:
             return
         peer.left = message.incarnation
         logs.event(log, "router.leaving", name=peer.name)
@@ -535,8 +494,4 @@
             callback()
 
 
-def _lives(peer: Peer) -> bool:
-    return peer.link is not None and peer.left < peer.incarnation
-
-
-_HEARTBEAT = wire.encode(wire.ONE_WAY, 0, Heartbeat())
+_HEARTBEAT = wire.encode(wire.ONE_WAY, 0, peers_module.Heartbeat())
--- a/amaranthring/routers/spread.py
+++ b/amaranthring/routers/spread.py
@@ -24,6 +24,8 @@
 from amaranthring.routers import lateness
 from amaranthring.routers import member_messages as messages
 from amaranthring.routers import mesh as mesh_module
+from amaranthring.routers import peers
+from amaranthring.targets import entries
 from amaranthring.targets import table as table_module
 
 log = logbook.Logger(__name__)
@@ -136,8 +138,8 @@
         return messages.Batch(int(now * 1000), mark, beats, changed)
 
     def _records(self, names: t.Iterable[str], now: float):
-        entries = self.table.entries
-        return [entries[n].record(now) for n in names if n in entries]
+        known = self.table.entries
+        return [known[n].record(now) for n in names if n in known]
 
     def _beat(self, name: str, now: float) -> messages.Beat | None:
         entry = self.table.entries.get(name)
@@ -147,18 +149,19 @@
         incarnation = entry.target.incarnation
         report = entry.report
         if report is None:
-            return messages.Beat(name, incarnation, age_ms)
+            return messages.Beat(name, incarnation, age_ms, entry.spoken)
         return messages.Beat(
             name,
             incarnation,
             age_ms,
+            entry.spoken,
             report.sequence,
             report.running,
             report.waiting,
             int(report.kv_used * 1000),
         )
 
-    def _changed(self, entry: table_module.Entry) -> None:
+    def _changed(self, entry: entries.Entry) -> None:
         """Send a changed record at once to those who need it from here."""
         name = entry.target.name
         here = entry.target.data_centre == self.mesh.data_centre
@@ -196,12 +199,12 @@
         for place in self.mesh.data_centres():
             if place != self.mesh.data_centre and self.mesh.is_relay_to(place):
                 found.update(self.mesh.relays(place))
-        peers = self.mesh.peers
-        return sorted(n for n in found if n in peers and peers[n].link)
+        known = self.mesh.peers
+        return sorted(n for n in found if n in known and known[n].link)
 
     def _send_digest(self, place: str, now: float) -> None:
-        peers = self.mesh.peers
-        names = [n for n in self._far_links() if peers[n].data_centre == place]
+        known = self.mesh.peers
+        names = [n for n in self._far_links() if known[n].data_centre == place]
         if not names:
             return
         here = self.mesh.data_centre
@@ -221,11 +224,14 @@
         for name in names:
             self.mesh.send(name, digest)
 
-    def _greet(self, peer: mesh_module.Peer) -> None:
+    def _greet(self, peer: peers.Peer) -> None:
+        """Let a new link show at once where the records differ."""
         self._lateness.pop(peer.name, None)
+        now = self.clock()
         if peer.data_centre == self.mesh.data_centre:
-            now = self.clock()
             self.mesh.send(peer.name, self._message(now, [], []))
+        else:
+            self._send_digest(peer.data_centre, now)
 
     # -- merging -----------------------------------------------------------
 
@@ -246,6 +252,7 @@
                 beat.name,
                 beat.incarnation,
                 sent - beat.age_ms / 1000,
+                beat.spoken,
                 _report(beat),
             )
 
@@ -308,11 +315,15 @@
 
     # -- repair --------------------------------------------------------------
 
-    def _later(self, place: str, name: str) -> None:
-        """Pull from router `name` unless the difference ends by itself."""
+    def _later(self, place: str, name: str, sure: bool = False) -> None:
+        """Pull from router `name` soon.
+
+        Unless it is `sure` that it knows more, nothing is pulled if the
+        digests agree by then: most differences are changes under way.
+        """
         if place in self._pulls:
             return
-        task = asyncio.ensure_future(self._pull(place, name))
+        task = asyncio.ensure_future(self._pull(place, name, sure))
         self._pulls[place] = task
         task.add_done_callback(lambda _: self._pulls.pop(place, None))
 
@@ -320,14 +331,14 @@
         here = self.mesh.data_centre
         for name in self.mesh.live(here):
             if name != self.mesh.identity.name:
-                self._later(here, name)
+                self._later(here, name, sure=True)
 
-    async def _pull(self, place: str, name: str) -> None:
+    async def _pull(self, place: str, name: str, sure: bool) -> None:
         since = self.clock() - self._pulled_at.get(place, 0.0)
-        wait = max(PULL_AFTER_SECONDS, PULL_EVERY_SECONDS - since)
+        first = 0.0 if sure else PULL_AFTER_SECONDS
+        wait = max(first, PULL_EVERY_SECONDS - since)
         await asyncio.sleep(wait)
-        here = place == self.mesh.data_centre
-        if here and self.marks.get(name) == self.table.digests.get(place, 0):
+        if not sure and self._ended(place, name):
             return
         self._pulled_at[place] = self.clock()
         self.metrics.count("spread.pulls")
@@ -349,24 +360,44 @@
             self.mesh.set_foreign(place, answer.routers)
             self.table.vouched[place] = sent - answer.age_ms / 1000
 
-    def _answer_pull(self, _link, pull: messages.Pull) -> messages.Pulled:
+    def _ended(self, place: str, name: str) -> bool:
+        """Return whether the difference to `name` is gone by now."""
+        if place != self.mesh.data_centre:
+            return False
+        return self.marks.get(name) == self.table.digests.get(place, 0)
+
+    def _answer_pull(self, link, pull: messages.Pull) -> messages.Pulled:
         now = self.clock()
-        known = {
-            one.name: table_module.Version(*one[1:]) for one in pull.known
-        }
+        place = pull.data_centre
+        known = {one.name: entries.Version(*one[1:]) for one in pull.known}
         newer = []
         beats = []
-        for entry in self.table.of(pull.data_centre):
+        for entry in self.table.of(place):
             name = entry.target.name
             if name not in known or known[name] < entry.version:
                 newer.append(entry.record(now))
             beats.append(self._beat(name, now))
-        routers = self.mesh.live(pull.data_centre)
         age = 0.0
-        if pull.data_centre != self.mesh.data_centre:
-            age = now - self.table.vouched.get(pull.data_centre, 0.0)
-        age_ms = int(age * 1000)
-        return messages.Pulled(int(now * 1000), age_ms, newer, beats, routers)
+        if place != self.mesh.data_centre:
+            age = now - self.table.vouched.get(place, 0.0)
+        if self._behind(known):
+            # The asker knows what every message to this router lost.
+            self._later(place, link.peer.name, sure=True)
+        return messages.Pulled(
+            int(now * 1000),
+            int(age * 1000),
+            newer,
+            beats,
+            self.mesh.live(place),
+        )
+
+    def _behind(self, known: dict[str, entries.Version]) -> bool:
+        """Return whether another router has a record that is newer."""
+        for name, version in known.items():
+            entry = self.table.entries.get(name)
+            if entry is None or entry.version < version:
+                return True
+        return False
 
 
 def _report(beat: messages.Beat) -> records.Report | None:
--- a/amaranthring/targets/announce.py
+++ b/amaranthring/targets/announce.py
@@ -14,7 +14,7 @@
 from amaranthring.targets import conventions
 from amaranthring.targets import table as table_module
 
-RENEW_SHARE_OF_LEASE = 1 / 3
+RENEW_SHARE_OF_LEASE = 1 / 6
 
 
 class AnnounceHandler(tornado.web.RequestHandler):
@@ -68,16 +68,16 @@
     """
 
     def announce(body):
-        table.announce(body.target())
+        table.announce(body.target(), body.sequence)
 
     def renew(body):
-        table.renew(body.name, body.incarnation)
+        table.renew(body.name, body.incarnation, body.sequence)
 
     def report(body):
         table.take_report(body.report())
 
     def leave(body):
-        table.leave(body.name, body.incarnation)
+        table.leave(body.name, body.incarnation, body.sequence)
 
     acts = {
         "announce": (conventions.Announcement, announce),
--- a/amaranthring/targets/conventions.py
+++ b/amaranthring/targets/conventions.py
@@ -44,12 +44,16 @@
         The target that speaks.
     incarnation : int
         Its incarnation.
+    sequence : int
+        Grows with every announcement, renewal and leave of the
+        incarnation; 0 for a target that numbers none of them.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid")
 
     name: Name
     incarnation: Number
+    sequence: Number = 0
 
 
 class Renewal(Body):
@@ -72,6 +76,7 @@
     def target(self) -> records.Target:
         """Return the target that announces itself."""
         fields = dict(self)
+        del fields["sequence"]
         fields["serves"] = tuple(self.serves)
         return records.Target(**fields)
 
--- a/amaranthring/targets/table.py
+++ b/amaranthring/targets/table.py
@@ -15,7 +15,6 @@
 """
 
 import asyncio
-import dataclasses
 import time
 import typing as t
 
@@ -23,12 +22,13 @@
 
 from amaranthring import errors
 from amaranthring.core import fleet
-from amaranthring.core import hashing
 from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
+from amaranthring.core import pauses
 from amaranthring.core import records
-from amaranthring.core import wire
 from amaranthring.policy import flapping
+from amaranthring.targets import claims
+from amaranthring.targets import entries
 
 log = logbook.Logger(__name__)
 
@@ -40,96 +40,6 @@
 PAUSE_SECONDS = 1.0
 
 
-class Version(t.NamedTuple):
-    """Version of a record; the highest wins on every router.
-
-    Attributes
-    ----------
-    incarnation : int
-        Start of the target that the record belongs to.
-    leaving : bool
-        Final within an incarnation, so it outranks every revision.
-    revision : int
-        Grows when the same incarnation announces other facts.
-    fingerprint : int
-        Of the facts; decides between equal revisions made at two routers.
-    """
-
-    incarnation: int
-    leaving: bool
-    revision: int
-    fingerprint: int
-
-
-@dataclasses.dataclass
-class Record:
-    """What routers tell each other of one target.
-
-    Attributes
-    ----------
-    target : Target
-        As it announced itself.
-    revision : int
-        Number of the announcement within the incarnation.
-    leaving : bool
-        Whether it has left or is leaving.
-    age : float
-        Seconds since the last evidence of life when the record was sent.
-    """
-
-    target: records.Target
-    revision: int
-    leaving: bool
-    age: float = 0.0
-
-    @property
-    def version(self) -> Version:
-        """Return the version of this record."""
-        data = wire.encode_value(self.target)
-        fingerprint = int(hashing.digest(data)[:15], 16)
-        return Version(
-            self.target.incarnation, self.leaving, self.revision, fingerprint
-        )
-
-
-@dataclasses.dataclass
-class Entry:
-    """One target in the table.
-
-    Attributes
-    ----------
-    heard : float
-        Last evidence of life, on this router's monotonic clock.
-    lost : bool
-        Whether the lease ran out; the entry then is a tombstone.
-    ready_at : float
-        When flap damping lets it have work again.
-    """
-
-    target: records.Target
-    version: Version
-    heard: float
-    lost: bool = False
-    ready_at: float = 0.0
-    history: flapping.History = dataclasses.field(
-        default_factory=flapping.History
-    )
-    report: records.Report | None = None
-
-    def record(self, now: float) -> Record:
-        """Return what other routers are told at time `now`."""
-        return Record(
-            self.target,
-            self.version.revision,
-            self.version.leaving,
-            max(0.0, now - self.heard),
-        )
-
-
-def _mark(name: str, version: Version) -> int:
-    return int(hashing.digest(name, repr(tuple(version)))[:16], 16)
-
-
 class TargetTable:
     """All targets that this router knows.
 
@@ -166,15 +76,15 @@
         self.config = config
         self.metrics = metrics or metrics_module.Metrics()
         self.clock = clock
-        self.entries: dict[str, Entry] = {}
+        self.entries: dict[str, entries.Entry] = {}
         self.digests: dict[str, int] = {}
         self.beats: set[str] = set()
         self.vouched: dict[str, float] = {}
-        self.expired_at = clock()
+        self.pauses = pauses.Pauses(clock, PAUSE_SECONDS)
         self.keep_until = 0.0
         self.task: asyncio.Task | None = None
         self._callbacks: list[t.Callable[[str], None]] = []
-        self._changes: list[t.Callable[[Entry], None]] = []
+        self._changes: list[t.Callable[[entries.Entry], None]] = []
         self._wakes: list[t.Callable[[], None]] = []
         self._lost: dict[str, asyncio.Future] = {}
 
@@ -251,7 +161,7 @@
         """Call `callback(name)` when the state of a target changes."""
         self._callbacks.append(callback)
 
-    def on_change(self, callback: t.Callable[[Entry], None]) -> None:
+    def on_change(self, callback: t.Callable[[entries.Entry], None]) -> None:
         """Call `callback(entry)` when a record gets a higher version."""
         self._changes.append(callback)
 
@@ -261,38 +171,41 @@
 
     # -- what targets say ----------------------------------------------------
 
-    def announce(self, target: records.Target) -> None:
+    def announce(self, target: records.Target, sequence: int = 0) -> None:
         """Take a target's announcement of itself.
 
         Raises
         ------
         errors.StaleIncarnationError, errors.NameTakenError,
-        errors.AddressTakenError, errors.TableFullError,
-        errors.BadRequestError
+        errors.AddressTakenError, errors.ReplayedError,
+        errors.TableFullError, errors.BadRequestError
             If the announcement contradicts what is known; nothing changes.
         """
-        now = self.clock()
-        self._check_claims(target, now)
+        heard = self.pauses.arrived()
+        self._check_claims(target, sequence)
         entry = self.entries.get(target.name)
         revision = 1
         if entry and entry.target.incarnation == target.incarnation:
-            same = entry.target == target
+            same = entry.target == target and not entry.lost
             revision = entry.version.revision + (0 if same else 1)
-        self.adopt(Record(target, revision, False), now)
+        made = entries.Record(target, revision, False, spoken=sequence)
+        self.adopt(made, heard)
         self.beats.add(target.name)
 
-    def renew(self, name: str, incarnation: int) -> None:
+    def renew(self, name: str, incarnation: int, sequence: int = 0) -> None:
         """Take a target's word that it lives.
 
         Raises
         ------
         errors.NotFoundError
             If it is unknown or lost here and must announce itself.
-        errors.StaleIncarnationError
-            If a newer incarnation is known.
+        errors.StaleIncarnationError, errors.ReplayedError
+            If a newer incarnation, or a later message, is known.
         """
         entry = self._known(name, incarnation)
-        self._evidence(entry, self.clock())
+        claims.check_sequence(entry, incarnation, sequence)
+        entry.spoken = sequence
+        self._evidence(entry, self.pauses.arrived())
         self.beats.add(name)
 
     def take_report(self, report: records.Report) -> None:
@@ -311,14 +224,16 @@
             self.metrics.count("targets.reports_late")
             return
         entry.report = report
-        self._evidence(entry, self.clock())
+        self._evidence(entry, self.pauses.arrived())
         self.beats.add(report.target)
 
-    def leave(self, name: str, incarnation: int) -> None:
+    def leave(self, name: str, incarnation: int, sequence: int = 0) -> None:
         """Take a target's word that it goes: no new work from now on.
 
         Leaving is final for the incarnation, so a leave that comes again
-        or late harms nothing: it cannot touch a later incarnation.
+        or late harms nothing: it cannot touch a later incarnation. For
+        that reason its sequence is not checked; a lost answer may be
+        followed by the same leave again.
 
         Raises
         ------
@@ -326,35 +241,39 @@
             As :meth:`renew`.
         """
         entry = self._known(name, incarnation)
-        self._evidence(entry, self.clock())
+        spoken = max(sequence, entry.spoken)
         revision = entry.version.revision
-        self.adopt(Record(entry.target, revision, True), self.clock())
+        made = entries.Record(entry.target, revision, True, spoken=spoken)
+        self.adopt(made, self.pauses.arrived())
         self.beats.add(name)
 
     # -- what other routers say ----------------------------------------------
 
-    def adopt(self, record: Record, heard: float) -> bool:
+    def adopt(self, record: entries.Record, heard: float) -> bool:
         """Merge `record` with evidence of life at `heard`; True if newer."""
         name = record.target.name
         version = record.version
         entry = self.entries.get(name)
         if entry is not None and version <= entry.version:
             if version.incarnation == entry.version.incarnation:
+                entry.spoken = max(entry.spoken, record.spoken)
                 self._evidence(entry, heard)
             return False
         now = self.clock()
         if now - heard > TOMBSTONE_SECONDS or not self._room(name):
             return False
         if entry is None or entry.version.incarnation < version.incarnation:
-            entry = self._replace(entry, record, version, heard)
+            entry = self._replace(entry, record, heard)
         else:
-            self._mark_out(entry)
+            self._toggle(entry)
             entry.target = record.target
             entry.version = version
-        self._mark_out(entry)
-        self._evidence(entry, heard)
+            self._toggle(entry)
         if version.leaving:
+            entry.left = heard
             logs.event(log, "target.leaving", name=name)
+        entry.spoken = max(entry.spoken, record.spoken)
+        self._evidence(entry, heard)
         for callback in self._changes:
             callback(entry)
         self._tell(name)
@@ -365,6 +284,7 @@
         name: str,
         incarnation: int,
         heard: float,
+        spoken: int = 0,
         report: records.Report | None = None,
     ) -> bool:
         """Merge evidence of life; False if the target is not known."""
@@ -373,6 +293,7 @@
             return False
         if entry.target.incarnation > incarnation:
             return True
+        entry.spoken = max(entry.spoken, spoken)
         last = entry.report
         if report and (last is None or report.sequence > last.sequence):
             entry.report = report
@@ -394,10 +315,10 @@
         at = max(heard, self.vouched.get(data_centre, 0.0))
         self.vouched[data_centre] = at
         for entry in self.of(data_centre):
-            if entry.target.name not in stale:
+            if not entry.lost and entry.target.name not in stale:
                 self._evidence(entry, heard)
 
-    def of(self, data_centre: str) -> list[Entry]:
+    def of(self, data_centre: str) -> list[entries.Entry]:
         """Return entries of `data_centre`, tombstones included."""
         return [
             entry
@@ -410,24 +331,13 @@
     def expire(self) -> None:
         """Give up targets whose lease ran out, and old tombstones."""
         now = self.clock()
-        lease = self.config().preset.lease_seconds
-        if now - self.expired_at > PAUSE_SECONDS:
-            # This process was frozen. Without this guard every lease would
-            # have run out on waking, though the targets went on renewing
-            # at other routers. No target is lost before it had one more
-            # lease to be heard; until then stale ones get no new work.
-            self.keep_until = now + lease
-            self.metrics.count("targets.own_pauses")
-            logs.event(log, "router.paused", seconds=now - self.expired_at)
-            for callback in self._wakes:
-                callback()
-        self.expired_at = now
+        self._notice_pause(self.config().preset.lease_seconds)
         for entry in list(self.entries.values()):
             if entry.lost:
                 if now - entry.heard > TOMBSTONE_SECONDS:
-                    self._mark_out(entry)
                     del self.entries[entry.target.name]
-            elif now >= self.keep_until and self._ran_out(entry, now, lease):
+                continue
+            if now >= self.keep_until and self._ran_out(entry, now):
                 self._lose(entry, now)
 
     def start(self) -> None:
@@ -451,12 +361,14 @@
         lease = self.config().preset.lease_seconds
         return min(STALE_SECONDS, lease * STALE_SHARE_OF_LEASE)
 
-    def _may_work(self, entry: Entry, now: float) -> bool:
+    def _may_work(self, entry: entries.Entry, now: float) -> bool:
         if entry.lost or entry.version.leaving:
             return False
         return now - entry.heard <= self.stale_seconds()
 
-    def _ran_out(self, entry: Entry, now: float, lease: float) -> bool:
+    def _ran_out(self, entry: entries.Entry, now: float) -> bool:
+        preset = self.config().preset
+        lease = entry.lease(preset.lease_seconds, preset.drain_seconds)
         place = entry.target.data_centre
         if place != self.data_centre:
             # A data centre that is cut off from here cannot vouch for its
@@ -464,7 +376,25 @@
             now = min(now, self.vouched.get(place, 0.0))
         return now - entry.heard > lease
 
-    def _known(self, name: str, incarnation: int) -> Entry:
+    def _notice_pause(self, lease: float) -> None:
+        """Keep the table if this very process stood still.
+
+        After a freeze every lease seems to have run out, though the
+        targets went on renewing at other routers: without this guard the
+        router would give up all of them on waking. No target is lost before
+        it had one more lease to be heard. Meanwhile stale ones get no new
+        work, for they may have left during the freeze.
+        """
+        if not self.pauses.notice():
+            return
+        self.keep_until = self.pauses.woke_at + lease
+        self.metrics.count("targets.own_pauses")
+        seconds = round(self.pauses.woke_at - self.pauses.began_at, 1)
+        logs.event(log, "router.paused", seconds=seconds)
+        for callback in self._wakes:
+            callback()
+
+    def _known(self, name: str, incarnation: int) -> entries.Entry:
         entry = self.entries.get(name)
         if entry is not None and incarnation < entry.target.incarnation:
             raise errors.StaleIncarnationError(
@@ -472,7 +402,8 @@
                 given=incarnation,
                 expected=entry.target.incarnation,
             )
-        if entry is None or incarnation > entry.target.incarnation:
+        newer = entry is None or incarnation > entry.target.incarnation
+        if newer or (entry.lost and not entry.version.leaving):
             raise errors.NotFoundError(
                 "target is not known here",
                 given=f"{name} incarnation {incarnation}",
@@ -480,28 +411,21 @@
             )
         return entry
 
-    def _check_claims(self, target: records.Target, now: float) -> None:
+    def _check_claims(self, target: records.Target, sequence: int) -> None:
         if target.data_centre != self.data_centre:
             raise errors.BadRequestError(
                 "target announced to another data centre's router",
                 given=target.data_centre,
                 expected=self.data_centre,
             )
+        now = self.clock()
         entry = self.entries.get(target.name)
         if entry is not None:
-            self._check_successor(entry, target, now)
-        for other in self.entries.values():
-            if (
-                other.target.address == target.address
-                and other.target.name != target.name
-                and self._may_work(other, now)
-            ):
-                raise errors.AddressTakenError(
-                    f"address of live target {other.target.name}",
-                    given=target.address,
-                    expected="an address of its own",
-                    retry_after=self.config().preset.lease_seconds,
-                )
+            lives = self._may_work(entry, now)
+            claims.check_incarnation(entry, target, lives)
+            claims.check_sequence(entry, target.incarnation, sequence)
+        live = [e for e in self.entries.values() if self._may_work(e, now)]
+        claims.check_address(target, live)
         if not self._room(target.name):
             raise errors.TableFullError(
                 "table of targets is full",
@@ -509,80 +433,64 @@
                 expected=f"fewer than {TARGETS_MOST}",
             )
 
-    def _check_successor(self, entry, target, now) -> None:
-        known = entry.target
-        older = target.incarnation < known.incarnation
-        same = target.incarnation == known.incarnation
-        if older or (same and entry.version.leaving):
-            raise errors.StaleIncarnationError(
-                f"target {target.name}: incarnation is past",
-                given=target.incarnation,
-                expected=f"above {known.incarnation - older}",
-            )
-        if target.address != known.address and self._may_work(entry, now):
-            raise errors.NameTakenError(
-                f"target {target.name} lives at {known.address}",
-                given=target.address,
-                expected="another name, or the end of the other's lease",
-                retry_after=self.config().preset.lease_seconds,
-            )
-
     def _room(self, name: str) -> bool:
         if name in self.entries or len(self.entries) < TARGETS_MOST:
             return True
         self.metrics.count("targets.table_full")
         return False
 
-    def _replace(self, old, record, version, heard) -> Entry:
+    def _replace(self, old, record, heard) -> entries.Entry:
         now = self.clock()
         name = record.target.name
-        entry = Entry(record.target, version, heard)
+        entry = entries.Entry(record.target, record.version, heard)
         if old is not None:
-            self._mark_out(old)
+            self._toggle(old)
             if not old.lost:
                 self._departed(old, now)
             entry.history = old.history
             entry.ready_at = now + flapping.wait(entry.history, now)
+        if record.leaving:
+            entry.left = heard
         # A record whose evidence is already old comes from another router's
         # memory of a lost target: it is kept as a tombstone only.
-        entry.lost = now - heard > self.config().preset.lease_seconds
+        entry.lost = self._ran_out(entry, now)
         self.entries[name] = entry
-        logs.event(
-            log, "target.known", name=name, incarnation=version.incarnation
-        )
+        self._toggle(entry)
+        incarnation = record.target.incarnation
+        logs.event(log, "target.known", name=name, incarnation=incarnation)
         return entry
 
-    def _evidence(self, entry: Entry, heard: float) -> None:
-        entry.heard = max(entry.heard, heard)
+    def _evidence(self, entry: entries.Entry, heard: float) -> None:
         now = self.clock()
-        if not entry.lost or entry.version.leaving:
-            return
-        if now - heard <= self.stale_seconds():
+        heard = min(heard, now)
+        entry.heard = max(entry.heard, heard)
+        if entry.lost and not self._ran_out(entry, now):
             entry.lost = False
+            self._toggle(entry)
             entry.ready_at = now + flapping.wait(entry.history, now)
             self.metrics.count("targets.returned")
             logs.event(log, "target.returned", name=entry.target.name)
             self._tell(entry.target.name)
 
-    def _lose(self, entry: Entry, now: float) -> None:
+    def _lose(self, entry: entries.Entry, now: float) -> None:
+        self._toggle(entry)
         entry.lost = True
         self.metrics.count("targets.lost")
         logs.event(log, "target.lost", name=entry.target.name)
         self._departed(entry, now)
         self._tell(entry.target.name)
 
-    def _departed(self, entry: Entry, now: float) -> None:
+    def _departed(self, entry: entries.Entry, now: float) -> None:
         orderly = entry.version.leaving
         entry.history = flapping.departed(entry.history, now, orderly)
         future = self._lost.pop(entry.target.name, None)
         if future is not None and not future.done():
             future.set_result(entry.target.name)
 
-    def _mark_out(self, entry: Entry) -> None:
-        """Add the entry's mark to its digest, or take it out again."""
+    def _toggle(self, entry: entries.Entry) -> None:
+        """Take the entry's mark into its digest, or out of it."""
         place = entry.target.data_centre
-        mark = _mark(entry.target.name, entry.version)
-        self.digests[place] = self.digests.get(place, 0) ^ mark
+        self.digests[place] = self.digests.get(place, 0) ^ entry.mark
 
     def _tell(self, name: str) -> None:
         for callback in self._callbacks:
--- a/tests/test_targets_table.py
+++ b/tests/test_targets_table.py
@@ -1,10 +1,13 @@
 """Table of targets: leases, incarnations, claims of names and addresses."""
 
 import dataclasses
+import random
 import unittest
+import unittest.mock
 
 from amaranthring import errors
 from amaranthring.core import records
+from amaranthring.targets import entries
 from amaranthring.targets import table
 
 ENGINE = records.TargetKind.ENGINE
@@ -103,7 +106,7 @@
         self.table.leave("e1", 1)
         with self.assertRaises(errors.StaleIncarnationError):
             self.table.announce(engine())
-        late = table.Record(engine(), 1, False)
+        late = entries.Record(engine(), 1, False)
         self.table.adopt(late, self.clock.now)
         self.assertEqual(self.names(), [])
         self.assertEqual(self.table.state("e1"), "leaving")
@@ -113,3 +116,153 @@
         more = dataclasses.replace(engine(), serves=("m", "n"))
         self.table.announce(more)
         self.assertEqual(self.table.get("e1"), more)
+
+
+class TestFrozenRouter(TableCase):
+    """The router itself stood still."""
+
+    def test_waking_router_gives_up_no_target(self):
+        """All running requests of a router fail at once.
+
+        It was frozen for ten seconds; on waking every lease seems to have
+        run out, though the targets renew at other routers.
+        """
+        self.table.announce(engine())
+        lost = []
+        self.table.subscribe(lost.append)
+        self.clock.now += 10.0
+        self.table.expire()
+        self.assertEqual(lost, [])
+        self.assertEqual(self.names(), [])
+        self.table.beat("e1", 1, self.clock.now)
+        self.assertEqual(self.names(), ["e1"])
+        self.pass_time(4.0)
+        self.assertEqual(self.table.state("e1"), "lost")
+
+    def test_renewal_read_on_waking_is_as_old_as_the_freeze(self):
+        """A waking router gives work to an engine that left meanwhile.
+
+        The engine's last renewal waited in the socket during the freeze.
+        """
+        self.table.announce(engine())
+        self.clock.now += 10.0
+        self.table.renew("e1", 1)
+        self.assertEqual(self.names(), [])
+        self.table.expire()
+        self.table.renew("e1", 1)
+        self.assertEqual(self.names(), [])
+        self.pass_time(0.5)
+        self.table.renew("e1", 1)
+        self.assertEqual(self.names(), ["e1"])
+
+
+class TestLeaving(TableCase):
+    """A target that leaves ends what it runs."""
+
+    def test_silent_leaver_is_not_given_up_while_it_drains(self):
+        """Requests are cut off though their engine was ending them.
+
+        The engine said that it leaves and stopped renewing.
+        """
+        self.table.announce(engine())
+        self.table.leave("e1", 1)
+        self.pass_time(10.0)
+        self.assertEqual(self.table.state("e1"), "leaving")
+        self.pass_time(25.0)
+        self.assertEqual(self.table.state("e1"), "lost")
+
+    def test_leaver_that_renews_has_the_ordinary_lease(self):
+        self.table.announce(engine())
+        self.table.leave("e1", 1)
+        for _ in range(4):
+            self.pass_time(0.5)
+            self.table.renew("e1", 1)
+        self.assertEqual(self.table.state("e1"), "leaving")
+        self.pass_time(4.0)
+        self.assertEqual(self.table.state("e1"), "lost")
+
+
+class TestFlap(TableCase):
+    """A target that comes and goes."""
+
+    def restart(self, incarnation):
+        self.table.announce(engine(incarnation=incarnation))
+
+    def test_flapping_target_waits_while_another_serves(self):
+        self.table.announce(engine("e2", port=9002))
+        for incarnation in range(1, 6):
+            self.restart(incarnation)
+            self.table.renew("e2", 1)
+        self.assertEqual(self.names(), ["e2"])
+        self.assertEqual(self.table.state("e1"), "suspended")
+
+    def test_damping_never_takes_the_last_one(self):
+        for incarnation in range(1, 6):
+            self.restart(incarnation)
+        self.assertEqual(self.names(), ["e1"])
+
+
+class TestMerge(unittest.TestCase):
+    """Records and evidence from other routers, in any order."""
+
+    def messages(self):
+        """Return what happened to two targets, each with its moment."""
+        made = []
+
+        def record(at, target, revision, leaving):
+            made.append((at, entries.Record(target, revision, leaving)))
+
+        record(0, engine(incarnation=1), 1, False)
+        record(1, engine(incarnation=1, capacity=8), 2, False)
+        record(2, engine(incarnation=1, capacity=8), 2, True)
+        record(3, engine(incarnation=2), 1, False)
+        record(3.1, engine(incarnation=2, capacity=9), 2, False)
+        record(3.1, engine(incarnation=2, capacity=7), 2, False)
+        record(0, engine("e2", port=9002), 1, False)
+        record(3.5, engine("e2", port=9002), 1, True)
+        return made
+
+    def test_any_order_and_any_number_give_the_same_table(self):
+        """Routers disagree for ever, or an engine that left comes back.
+
+        Batches come late, twice and out of order through two relays.
+        """
+        seen = set()
+        for seed in range(200):
+            rng = random.Random(seed)
+            clock = Clock()
+            merged = table.TargetTable("dc1", clock=clock)
+            sent = self.messages() + rng.choices(self.messages(), k=6)
+            rng.shuffle(sent)
+            for at, record in sent:
+                merged.adopt(record, clock.now - 4.0 + at)
+            versions = [merged.entries[n].version for n in ("e1", "e2")]
+            seen.add((*versions, merged.digests["dc1"]))
+            self.assertEqual(merged.state("e2"), "leaving")
+        self.assertEqual(len(seen), 1)
+
+    def test_late_evidence_does_not_bring_a_lost_target_back(self):
+        clock = Clock()
+        merged = table.TargetTable("dc1", clock=clock)
+        merged.announce(engine())
+        for _ in range(16):
+            clock.now += 0.25
+            merged.expire()
+        self.assertEqual(merged.state("e1"), "lost")
+        merged.beat("e1", 1, clock.now - 3.5)
+        late = entries.Record(engine(), 1, False)
+        merged.adopt(late, clock.now - 3.5)
+        self.assertEqual(merged.state("e1"), "lost")
+
+    def test_tombstones_are_bounded(self):
+        clock = Clock()
+        merged = table.TargetTable("dc1", clock=clock)
+        with unittest.mock.patch.object(table, "TARGETS_MOST", 32):
+            for number in range(32):
+                merged.announce(engine(f"e{number}", port=number))
+            with self.assertRaises(errors.TableFullError):
+                merged.announce(engine("more", port=60000))
+        for _ in range(2600):
+            clock.now += 0.25
+            merged.expire()
+        self.assertEqual(merged.entries, {})
