Add the request's way thin, with stand-ins of engine and service

Chats (JSON and SSE) and plain services go through one task: account, border, limits, quarantine, admission, dispatch, stream, release; keyed calls are claimed and settled. What it needs of other packages is way.Needs, which app.py fills. Engine and booking stand-ins run as processes and announce themselves over HTTP.

--- /dev/null
+++ b/amaranthring/callers/chats.py
@@ -0,0 +1,412 @@
+"""Chats: one attempt of a chat completion, streamed or whole.
+
+A stream that breaks is resumed at its engine where it stood. If that engine
+is gone, the request is run again elsewhere only while the caller has seen
+nothing of it; after that another engine must continue the very text that
+was sent, and say so, or the stream ends with a typed error. See
+``docs/design/way.md``.
+"""
+
+import asyncio
+import dataclasses
+import json
+import time
+import typing as t
+
+from amaranthring import errors
+from amaranthring.callers import tokens
+from amaranthring.callers import way
+from amaranthring.core import records
+from amaranthring.targets import sse
+from amaranthring.targets import upstream
+
+RESUMES_MOST = 2
+CANCEL_SECONDS = 1.0
+CONTINUED_HEADER = "Amaranthring-Continued-From"
+EVENT_STREAM = "text/event-stream"
+JSON = "application/json"
+
+
+@dataclasses.dataclass
+class Sink:
+    """Where a streamed answer goes.
+
+    Attributes
+    ----------
+    begin : callable
+        Called once, before the first bytes.
+    send : callable
+        Takes bytes; returns an awaitable while the caller reads slowly,
+        else None.
+    """
+
+    begin: t.Callable[[], None]
+    send: t.Callable[[bytes], t.Awaitable[None] | None]
+
+
+@dataclasses.dataclass
+class Delivery:
+    """How far a streamed answer has come.
+
+    Attributes
+    ----------
+    events : sse.Events or None
+        None until an attempt got as far as its engine.
+    begun : bool
+        Whether the caller has seen anything.
+    started, last : float
+        Monotonic time of arrival, and of the last bytes sent on.
+    worst_gap : float
+        Longest time between two reads that brought tokens, in seconds.
+    """
+
+    sink: Sink
+    started: float
+    events: sse.Events | None = None
+    begun: bool = False
+    last: float = 0.0
+    worst_gap: float = 0.0
+
+
+async def stream(
+    needs: way.Needs, request: records.Request, sink: Sink
+) -> None:
+    """Stream the answer of `request` into `sink`.
+
+    Raises
+    ------
+    errors.AmaranthringError
+        If it could not be brought to its end.
+    """
+    await way.check(needs, request)
+    delivery = Delivery(sink, time.monotonic())
+
+    async def once(attempt: way.Attempt) -> None:
+        await _attempt(needs, request, attempt, delivery)
+
+    await way.run(needs, request, once)
+    _record(needs, request, delivery)
+
+
+async def _attempt(needs, request, attempt, delivery) -> None:
+    name = f"{request.request_id}.{attempt.number}"
+    shown = _token(needs, request, attempt.target, name)
+    headers = way.call_headers(request, attempt.grant, name)
+    headers["Content-Type"] = JSON
+    body = request.body
+    if delivery.begun:
+        body = continued_body(request.body, delivery.events)
+    if delivery.events is None:
+        delivery.events = sse.Events(name, shown)
+    else:
+        delivery.events.follow(name, shown)
+    call = upstream.Call("POST", request.path, headers, body)
+    preset = needs.config().preset
+    left = max(0.001, request.deadline - time.monotonic())
+    allowed = preset.first_token_seconds
+    if not delivery.begun:
+        allowed = min(allowed, left)
+    exchange = upstream.Exchange(attempt.target)
+    try:
+        with way.Breaker(needs, exchange):
+            try:
+                await _open_stream(exchange, call, allowed, name, delivery)
+                await _relay(exchange, delivery, preset)
+                return
+            finally:
+                attempt.sent = attempt.sent or exchange.sent
+    except errors.UpstreamError as error:
+        await _after_break(needs, request, attempt, delivery, name, error)
+
+
+async def _after_break(needs, request, attempt, delivery, name, error):
+    """Bring a broken stream to its end at its own engine, or raise."""
+    if not attempt.sent:
+        raise error
+    timed_out = isinstance(error, errors.UpstreamTimeoutError)
+    refused = error.outcome is errors.Outcome.NOT_RUN
+    if not attempt.lost and not timed_out and not refused:
+        for _ in range(RESUMES_MOST):
+            try:
+                await _resume(needs, attempt.target, name, delivery)
+                needs.metrics.count("way.resumed")
+                return
+            except errors.UpstreamError as again:
+                if again.outcome is errors.Outcome.NOT_RUN:
+                    break
+    if not attempt.lost:
+        await way.note_death(attempt)
+    if not attempt.lost:
+        await cancel(attempt.target, name)
+    if delivery.begun:
+        attempt.repeatable = (
+            continued_body(request.body, delivery.events) is not None
+        )
+    raise error
+
+
+async def _resume(needs, target, name, delivery) -> None:
+    """Go on with stream `name` at `target` at the event expected next."""
+    events = delivery.events
+    events.follow(name, events.shown.decode()[4:-1])
+    body = json.dumps({"offset": events.expected}).encode()
+    path = f"/v1/streams/{name}/resume"
+    headers = {
+        upstream.REQUEST_ID_HEADER: name,
+        "Content-Type": JSON,
+    }
+    call = upstream.Call("POST", path, headers, body)
+    preset = needs.config().preset
+    exchange = upstream.Exchange(target)
+    with way.Breaker(needs, exchange):
+        await _open_stream(
+            exchange, call, preset.first_token_seconds, name, delivery
+        )
+        await _relay(exchange, delivery, preset)
+
+
+async def _open_stream(exchange, call, allowed, name, delivery) -> None:
+    await exchange.open(call, allowed)
+    check_head(exchange, name)
+    kind = exchange.headers.get("Content-Type", "")
+    if not kind.startswith(EVENT_STREAM):
+        raise errors.UpstreamError(
+            "the answer is no event stream", given=kind, expected=EVENT_STREAM
+        )
+    if delivery.begun and call.path.endswith("/completions"):
+        _check_continued(exchange, delivery.events.expected)
+
+
+def check_head(exchange: upstream.Exchange, name: str) -> None:
+    """Refuse an answer that is an error or another request's.
+
+    Raises
+    ------
+    errors.UpstreamError, errors.BadRequestError
+        With outcome ``not-run`` only if the engine says so.
+    """
+    told = exchange.headers.get(upstream.OUTCOME_HEADER, "")
+    not_run = told == errors.Outcome.NOT_RUN
+    outcome = errors.Outcome.NOT_RUN if not_run else errors.Outcome.UNKNOWN
+    if exchange.status in (400, 413, 422):
+        raise errors.BadRequestError(
+            "the engine refused the request",
+            given=f"status {exchange.status}",
+            expected="a request that the model takes",
+            outcome=outcome,
+        )
+    if exchange.status != 200:
+        raise errors.UpstreamError(
+            "the engine answered an error",
+            given=f"status {exchange.status}",
+            expected="status 200",
+            retry_after=1.0,
+            outcome=outcome,
+        )
+    given = exchange.headers.get(upstream.REQUEST_ID_HEADER, "")
+    if given != name:
+        raise errors.UpstreamError(
+            "the answer of another request", given=given[:64], expected=name
+        )
+
+
+def _check_continued(exchange, expected: int) -> None:
+    """Refuse an engine that started anew instead of continuing.
+
+    It would send other words under numbers that the caller has not seen;
+    the numbers alone would not show it.
+    """
+    given = exchange.headers.get(CONTINUED_HEADER, "")
+    if given != str(expected):
+        raise errors.UpstreamError(
+            "the engine does not continue a text",
+            given=given[:64],
+            expected=f"{CONTINUED_HEADER}: {expected}",
+        )
+
+
+async def _relay(exchange, delivery: Delivery, preset) -> None:
+    """Pass events on until the end mark; one write for each read."""
+    events = delivery.events
+    send = delivery.sink.send
+    first = True
+    while True:
+        data = await exchange.read()
+        if not data:
+            raise errors.TruncatedAnswerError(
+                "the stream ended without its end mark",
+                given=f"{events.expected} events",
+                expected="data: [DONE]",
+            )
+        ready = events.take(data)
+        if ready:
+            if first:
+                first = False
+                exchange.allow(preset.between_tokens_seconds)
+            _note_time(delivery)
+            waits = send(ready)
+            if waits is not None:
+                exchange.paused = True
+                await waits
+                exchange.paused = False
+        if events.ended:
+            return
+        if events.fault:
+            raise events.fault
+
+
+def _note_time(delivery: Delivery) -> None:
+    now = time.monotonic()
+    if not delivery.begun:
+        delivery.begun = True
+        delivery.sink.begin()
+        delivery.first_token = now - delivery.started
+    elif now - delivery.last > delivery.worst_gap:
+        delivery.worst_gap = now - delivery.last
+    delivery.last = now
+
+
+def _record(needs, request, delivery: Delivery) -> None:
+    record = needs.metrics.record
+    account, cls = request.account, request.cls
+    record("first-token", delivery.first_token, account, cls)
+    record("between-tokens-worst", delivery.worst_gap, account, cls)
+    record("whole", time.monotonic() - delivery.started, account, cls)
+    needs.metrics.count("way.streamed")
+    if delivery.events.dropped:
+        needs.metrics.count("way.repeated-events", delivery.events.dropped)
+
+
+def _token(needs, request, target: records.Target, name: str) -> str:
+    place = tokens.Place(
+        request.account,
+        target.name,
+        target.incarnation,
+        name,
+        request.serves,
+        time.time() + tokens.LIFE_SECONDS,
+    )
+    return tokens.sign(place, needs.keys)
+
+
+def continued_body(body: bytes, events: sse.Events) -> bytes | None:
+    """Return the body that asks to continue what was sent, or None."""
+    text = events.text()
+    if text is None:
+        return None
+    asked = json.loads(body)
+    asked["continue_from"] = {"text": text, "tokens": events.expected}
+    return json.dumps(asked).encode()
+
+
+async def cancel(target: records.Target, name: str) -> None:
+    """Tell an engine to stop a stream; best effort, the end is the same."""
+    headers = {upstream.REQUEST_ID_HEADER: name}
+    call = upstream.Call("POST", f"/v1/streams/{name}/cancel", headers)
+    exchange = upstream.Exchange(target)
+    try:
+        await exchange.open(call, CANCEL_SECONDS)
+    except errors.AmaranthringError:
+        pass
+    finally:
+        exchange.close()
+
+
+async def resume(
+    needs: way.Needs,
+    request: records.Request,
+    place: tokens.Place,
+    number: int,
+    sink: Sink,
+) -> None:
+    """Stream what a caller that came back has not seen yet.
+
+    Parameters
+    ----------
+    place : tokens.Place
+        From the checked token.
+    number : int
+        Event to begin with.
+
+    Raises
+    ------
+    errors.ResumeError
+        If the engine that held the stream is gone or has forgotten it.
+    """
+    await needs.check_limits(request)
+    target = needs.target(place.target)
+    if target is None or target.incarnation != place.incarnation:
+        raise _stream_gone(place, "an engine that is gone")
+    shown = _token(needs, request, target, place.stream)
+    delivery = Delivery(sink, time.monotonic())
+    delivery.events = sse.Events(place.stream, shown, number)
+    try:
+        for _ in range(RESUMES_MOST):
+            try:
+                await _resume(needs, target, place.stream, delivery)
+                break
+            except errors.UpstreamError as error:
+                failed = error
+        else:
+            raise failed
+    except errors.UpstreamError as error:
+        if delivery.begun:
+            raise
+        raise _stream_gone(place, str(error)) from error
+    needs.metrics.count("way.came-back")
+    _record(needs, request, delivery)
+
+
+def _stream_gone(place: tokens.Place, given: str) -> errors.ResumeError:
+    return errors.ResumeError(
+        "the stream is gone; send the whole request again",
+        given=given,
+        expected=f"stream {place.stream} at {place.target}",
+        outcome=errors.Outcome.UNKNOWN,
+    )
+
+
+async def whole(needs: way.Needs, request: records.Request) -> way.Answer:
+    """Return the whole answer of a chat that is not streamed.
+
+    Raises
+    ------
+    errors.AmaranthringError
+        If no attempt brought one.
+    """
+    await way.check(needs, request)
+    started = time.monotonic()
+
+    async def once(attempt: way.Attempt) -> way.Answer:
+        return await _whole_attempt(needs, request, attempt)
+
+    answer = await way.run(needs, request, once)
+    seconds = time.monotonic() - started
+    needs.metrics.record("whole", seconds, request.account, request.cls)
+    needs.metrics.count("way.answered")
+    return answer
+
+
+async def _whole_attempt(needs, request, attempt) -> way.Answer:
+    name = f"{request.request_id}.{attempt.number}"
+    headers = way.call_headers(request, attempt.grant, name)
+    headers["Content-Type"] = JSON
+    call = upstream.Call("POST", request.path, headers, request.body)
+    exchange = upstream.Exchange(attempt.target)
+    left = max(0.001, request.deadline - time.monotonic())
+    try:
+        with way.Breaker(needs, exchange):
+            try:
+                await exchange.open(call, left)
+                check_head(exchange, name)
+                body = await exchange.whole(way.ANSWER_BYTES_MOST)
+            finally:
+                attempt.sent = exchange.sent
+    except errors.TruncatedAnswerError:
+        await way.note_death(attempt)
+        raise
+    except asyncio.CancelledError:
+        exchange.close()
+        raise
+    kind = exchange.headers.get("Content-Type", JSON)
+    return way.Answer(200, kind, body)
--- /dev/null
+++ b/amaranthring/callers/services.py
@@ -0,0 +1,221 @@
+"""Plain services: one attempt of a call, and calls that run at most once.
+
+A non-idempotent call with an ``Idempotency-Key`` is claimed in the keepers'
+ledger before any byte goes to a target, and its answer is stored there
+before the caller hears it. A claim is granted to one attempt, ever: whoever
+holds it may send, and nobody else, so a router that froze and wakes late is
+still the only one that can run it.
+"""
+
+import asyncio
+import time
+
+from amaranthring import errors
+from amaranthring.callers import way
+from amaranthring.core import records
+from amaranthring.targets import upstream
+
+SETTLE_TRIES = 3
+SETTLE_SECONDS = 2.0
+SETTLE_PAUSE_SECONDS = 0.2
+IN_PROGRESS_SECONDS = 1.0
+PASSED_HEADERS = ("Content-Type", "Accept", "Accept-Language")
+
+
+async def call(
+    needs: way.Needs, request: records.Request, headers: dict[str, str]
+) -> way.Answer:
+    """Return the answer of a plain service.
+
+    Parameters
+    ----------
+    headers : dict
+        Those of the caller that go on to the target.
+
+    Raises
+    ------
+    errors.AmaranthringError
+        Its outcome says what is known about the call.
+    """
+    await way.check(needs, request)
+    started = time.monotonic()
+    claimed = bool(request.key) and not request.idempotent
+
+    async def once(attempt: way.Attempt) -> way.Answer:
+        if claimed:
+            return await _claimed(needs, request, attempt, headers)
+        return await _send(needs, request, attempt, headers)
+
+    answer = await way.run(needs, request, once)
+    seconds = time.monotonic() - started
+    needs.metrics.record("whole", seconds, request.account, request.cls)
+    needs.metrics.count("way.called")
+    return answer
+
+
+async def _send(needs, request, attempt, headers, name="") -> way.Answer:
+    """Send the call to the attempt's target and return its whole answer."""
+    name = name or f"{request.request_id}.{attempt.number}"
+    told = headers | way.call_headers(request, attempt.grant, name)
+    if request.key:
+        told["Idempotency-Key"] = request.key
+    sent = upstream.Call(request.method, request.path, told, request.body)
+    exchange = upstream.Exchange(attempt.target)
+    left = max(0.001, request.deadline - time.monotonic())
+    try:
+        with way.Breaker(needs, exchange):
+            try:
+                await exchange.open(sent, left)
+                body = await exchange.whole(way.ANSWER_BYTES_MOST)
+            finally:
+                attempt.sent = attempt.sent or exchange.sent
+    except errors.TruncatedAnswerError:
+        await way.note_death(attempt)
+        raise
+    _check_own(exchange, name)
+    if exchange.headers.get(upstream.OUTCOME_HEADER) == "not-run":
+        raise errors.UpstreamError(
+            "the service refused the call before running it",
+            given=f"status {exchange.status}",
+            expected="a service that takes calls",
+            retry_after=1.0,
+            outcome=errors.Outcome.NOT_RUN,
+        )
+    kind = exchange.headers.get("Content-Type", "application/octet-stream")
+    return way.Answer(exchange.status, kind, body)
+
+
+def _check_own(exchange: upstream.Exchange, name: str) -> None:
+    """Refuse an answer that names another request; naming is optional."""
+    given = exchange.headers.get(upstream.REQUEST_ID_HEADER, name)
+    if given != name:
+        raise errors.UpstreamError(
+            "the answer of another request", given=given[:64], expected=name
+        )
+
+
+async def _claimed(needs, request, attempt, headers) -> way.Answer:
+    """Claim, send, settle; or answer from an earlier claim."""
+    name = f"{request.request_id}.{attempt.number}"
+    attempt.repeatable = False
+    claim = await needs.claim(request, name, attempt.target.name)
+    needs.metrics.count(f"way.claim.{claim.state}")
+    if claim.state is not records.ClaimState.GRANTED:
+        return await _earlier(needs, request, attempt, headers, claim)
+    return await _run_claimed(needs, request, attempt, headers, name)
+
+
+async def _run_claimed(needs, request, attempt, headers, name):
+    """Run a call whose claim this attempt holds."""
+    try:
+        answer = await _send(needs, request, attempt, headers, name)
+    except errors.AmaranthringError as error:
+        never_ran = not attempt.sent or error.outcome is errors.Outcome.NOT_RUN
+        outcome = errors.Outcome.NOT_RUN if never_ran else error.outcome
+        settled = await _settle(needs, request, name, outcome, None)
+        # Another target needs a claim of its own, because a claim names the
+        # one target that may be asked again; so this one must be closed.
+        attempt.repeatable = never_ran and settled
+        raise
+    except asyncio.CancelledError:
+        # The caller left. Before a byte left nothing can run any more.
+        outcome = (
+            errors.Outcome.UNKNOWN if attempt.sent else errors.Outcome.NOT_RUN
+        )
+        await _settle(needs, request, name, outcome, None)
+        raise
+    stored = records.StoredAnswer(
+        answer.status, answer.content_type, answer.body
+    )
+    await _settle(needs, request, name, errors.Outcome.RAN, stored)
+    return answer
+
+
+async def _settle(needs, request, name, outcome, stored) -> bool:
+    """Commit how a claim ended; return whether that is certain.
+
+    A claim that cannot be settled stays held, and every resend is told
+    ``unknown``: nothing runs twice. The caller of this call still hears
+    what is known here.
+    """
+    for _ in range(SETTLE_TRIES):
+        try:
+            await asyncio.wait_for(
+                needs.settle(request, name, outcome, stored), SETTLE_SECONDS
+            )
+            return True
+        except (errors.AmaranthringError, TimeoutError):
+            await asyncio.sleep(SETTLE_PAUSE_SECONDS)
+    needs.metrics.count("way.unsettled")
+    return False
+
+
+async def _earlier(needs, request, attempt, headers, claim) -> way.Answer:
+    """Answer a resend from what the ledger knows of its key."""
+    state = claim.state
+    if state is records.ClaimState.KEY_REUSED:
+        raise errors.KeyReusedError(
+            "this idempotency key was used with another request",
+            given=request.key,
+            expected="a new key, or the first request again",
+        )
+    if state is records.ClaimState.IN_PROGRESS:
+        raise errors.ClaimInProgressError(
+            "the first call under this key is still running",
+            given=request.key,
+            expected="its end",
+            retry_after=IN_PROGRESS_SECONDS,
+        )
+    if state is records.ClaimState.SETTLED:
+        return _stored(request, claim)
+    return await _ask_again(needs, request, attempt, headers, claim)
+
+
+def _stored(request: records.Request, claim: records.Claim) -> way.Answer:
+    """Return the answer that the ledger kept."""
+    if claim.outcome is not errors.Outcome.RAN or claim.answer is None:
+        raise _unknown(request)
+    if not claim.answer.kept:
+        raise errors.AnswerNotKeptError(
+            "the call ran; its answer was too large to be kept",
+            given=request.key,
+            expected="a look at the service itself",
+        )
+    kept = claim.answer
+    return way.Answer(kept.status, kept.content_type, kept.body)
+
+
+async def _ask_again(needs, request, attempt, headers, claim) -> way.Answer:
+    """Ask the holder's target again if it deduplicates keys itself.
+
+    Any other target, or one that restarted under another incarnation and
+    may have forgotten the key, could run the call a second time.
+    """
+    target = needs.target(claim.target) if claim.target else None
+    if target is None or not target.honours_keys:
+        raise _unknown(request)
+    again = way.Attempt(
+        attempt.number,
+        records.Grant(attempt.grant.grant_id, "", target),
+        repeatable=False,
+    )
+    name = f"{request.request_id}.{attempt.number}"
+    try:
+        answer = await _send(needs, request, again, headers, name)
+    except errors.AmaranthringError as error:
+        # The first call under the key may have run: never "not-run" here.
+        raise _unknown(request) from error
+    stored = records.StoredAnswer(
+        answer.status, answer.content_type, answer.body
+    )
+    await _settle(needs, request, claim.attempt, errors.Outcome.RAN, stored)
+    return answer
+
+
+def _unknown(request: records.Request) -> errors.ClaimUnknownError:
+    return errors.ClaimUnknownError(
+        "a call under this key was begun and its end is not known; "
+        "it is not run again",
+        given=request.key,
+        expected="a look at the service itself",
+    )
--- /dev/null
+++ b/amaranthring/callers/way.py
@@ -0,0 +1,334 @@
+"""The way of a request through a router, as far as all kinds share it.
+
+Limits, quarantine, then attempts: place and admit, run, release, and perhaps
+again. :mod:`amaranthring.callers.chats` and
+:mod:`amaranthring.callers.services` hold what one attempt does.
+"""
+
+import asyncio
+import dataclasses
+import time
+import typing as t
+
+from amaranthring import errors
+from amaranthring.callers import drain as drains
+from amaranthring.core import fleet
+from amaranthring.core import links
+from amaranthring.core import metrics as figures
+from amaranthring.core import records
+from amaranthring.targets import upstream
+
+ATTEMPTS_MOST = 3
+ANSWER_BYTES_MOST = 8 * 1024 * 1024
+T = t.TypeVar("T")
+
+
+@dataclasses.dataclass
+class Needs:
+    """What the way needs from other packages, filled by ``app.py``.
+
+    The callables are those of ``docs/INTERNALS.md``; beside them:
+
+    Attributes
+    ----------
+    router : str
+        Name of this router; request ids begin with it.
+    keys : links.Keys
+        Fleet keys; they sign resume tokens.
+    target : callable
+        Target by name, or None.
+    serves : callable
+        Names of models or services that announced targets serve, by kind.
+    metrics : Metrics
+        Counters and histograms of this process.
+    drain : Drain
+        Requests in progress.
+    """
+
+    router: str
+    keys: links.Keys
+    config: t.Callable[[], fleet.FleetConfig]
+    check_limits: t.Callable[[records.Request], t.Awaitable[None]]
+    admit: t.Callable[[records.Request, set[str]], t.Awaitable[records.Grant]]
+    release: t.Callable[[records.Grant, records.End], None]
+    claim: t.Callable[[records.Request, str, str], t.Awaitable[records.Claim]]
+    settle: t.Callable[
+        [records.Request, str, errors.Outcome, records.StoredAnswer | None],
+        t.Awaitable[None],
+    ]
+    is_quarantined: t.Callable[[str], bool]
+    report_crash: t.Callable[[records.Request, str], t.Awaitable[None]]
+    may_retry: t.Callable[[str], bool]
+    succeeded: t.Callable[[str], None]
+    when_lost: t.Callable[[str], asyncio.Future]
+    note: t.Callable[..., None]
+    target: t.Callable[[str], records.Target | None]
+    serves: t.Callable[[records.TargetKind], t.Collection[str]]
+    metrics: figures.Metrics = dataclasses.field(
+        default_factory=figures.Metrics
+    )
+    drain: drains.Drain = dataclasses.field(default_factory=drains.Drain)
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One try of a request at one target.
+
+    Attributes
+    ----------
+    number : int
+        From 0.
+    sent : bool
+        Whether a byte may have left for the target.
+    lost : bool
+        Whether the target died, or membership gave it up, meanwhile.
+    repeatable : bool
+        Whether another attempt may follow.
+    """
+
+    number: int
+    grant: records.Grant
+    sent: bool = False
+    lost: bool = False
+    repeatable: bool = True
+
+    @property
+    def target(self) -> records.Target:
+        """Return the target of the attempt."""
+        return self.grant.target
+
+
+@dataclasses.dataclass
+class Answer:
+    """A whole answer to a caller.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    content_type : str
+        Of the body.
+    outcome : Outcome
+        What is known about the call.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    outcome: errors.Outcome = errors.Outcome.RAN
+
+
+Run = t.Callable[[Attempt], t.Awaitable[T]]
+
+
+async def check(needs: Needs, request: records.Request) -> None:
+    """Refuse what is quarantined or above its limits.
+
+    Raises
+    ------
+    errors.QuarantinedError, errors.RateLimitedError
+        Nothing ran.
+    """
+    refuse_quarantined(needs, request)
+    await needs.check_limits(request)
+
+
+def refuse_quarantined(needs: Needs, request: records.Request) -> None:
+    """Refuse a request that crashed two different targets."""
+    if needs.is_quarantined(request.body_digest):
+        raise errors.QuarantinedError(
+            "this request crashed two targets; it is not run again",
+            given=request.body_digest,
+            expected="another request",
+        )
+
+
+def check_known(needs: Needs, request: records.Request) -> None:
+    """Refuse a model or service that nothing of the fleet serves.
+
+    Raises
+    ------
+    errors.NotFoundError
+        If neither an announced target nor the preset names it.
+    """
+    preset = needs.config().preset
+    if request.kind is records.TargetKind.ENGINE:
+        planned = preset.desired_models
+    else:
+        planned = preset.services
+    if request.serves in planned:
+        return
+    known = needs.serves(request.kind)
+    if request.serves not in known:
+        raise errors.NotFoundError(
+            f"unknown {request.kind} name",
+            given=request.serves[:128],
+            expected=", ".join(sorted(known)[:20]) or "none is announced",
+        )
+
+
+async def run(needs: Needs, request: records.Request, once: Run[T]) -> T:
+    """Return what `once` returns, in as many attempts as are allowed.
+
+    A failure that no target can have seen may always go elsewhere; one that
+    a target may have run goes elsewhere only if the request is idempotent.
+    Every attempt after the first is paid from the retry budget.
+
+    Raises
+    ------
+    errors.AmaranthringError
+        Of the last attempt; its outcome is ``not-run`` only if no attempt
+        can have run.
+    """
+    excluded: set[str] = set()
+    failed: errors.AmaranthringError | None = None
+    maybe_ran = False
+    for number in range(ATTEMPTS_MOST):
+        try:
+            grant = await needs.admit(request, excluded)
+        except errors.AmaranthringError as error:
+            # No other place: the failure that led here says more.
+            raise failed or error from error
+        attempt = Attempt(number, grant)
+        _note_grant(needs, request, attempt)
+        try:
+            made = await _released(needs, request, attempt, once)
+            needs.succeeded(request.account)
+            return made
+        except errors.AmaranthringError as error:
+            ran = attempt.sent and error.outcome is not errors.Outcome.NOT_RUN
+            maybe_ran = maybe_ran or ran
+            if maybe_ran and error.outcome is errors.Outcome.NOT_RUN:
+                error.outcome = errors.Outcome.UNKNOWN
+            failed = error
+        excluded.add(attempt.target.name)
+        needs.metrics.count(f"way.failed.{failed.code}")
+        if attempt.lost:
+            await needs.report_crash(request, attempt.target.name)
+            if needs.is_quarantined(request.body_digest):
+                attempt.repeatable = False
+        if not _may_repeat(needs, request, attempt, failed, maybe_ran):
+            break
+    raise failed
+
+
+async def _released(needs, request, attempt, once):
+    """Run one attempt and give its grant back, however it ends."""
+    end = records.End.FAILED
+    broken = needs.when_lost(attempt.target.name)
+
+    def note_lost(_) -> None:
+        attempt.lost = True
+
+    broken.add_done_callback(note_lost)
+    try:
+        made = await once(attempt)
+        end = records.End.DONE
+        return made
+    except asyncio.CancelledError:
+        end = records.End.CANCELLED
+        raise
+    except errors.AmaranthringError:
+        if attempt.lost:
+            end = records.End.TARGET_LOST
+        elif not attempt.sent:
+            end = records.End.NOT_SENT
+        raise
+    finally:
+        broken.remove_done_callback(note_lost)
+        needs.release(attempt.grant, end)
+        needs.note(
+            request.request_id,
+            "attempt-ended",
+            target=attempt.target.name,
+            end=str(end),
+            lost=attempt.lost,
+        )
+
+
+def _may_repeat(needs, request, attempt, failed, maybe_ran) -> bool:
+    if not attempt.repeatable or attempt.number + 1 >= ATTEMPTS_MOST:
+        return False
+    if isinstance(failed, errors.BadRequestError):
+        return False
+    if maybe_ran and not request.idempotent:
+        return False
+    if time.monotonic() >= request.deadline:
+        return False
+    if not needs.may_retry(request.account):
+        needs.metrics.count("way.retry-refused")
+        return False
+    needs.metrics.count("way.retried")
+    return True
+
+
+def _note_grant(needs, request, attempt) -> None:
+    grant = attempt.grant
+    needs.metrics.record(
+        "queueing", grant.queued_seconds, request.account, request.cls
+    )
+    needs.note(
+        request.request_id,
+        "granted",
+        target=grant.target.name,
+        owner=grant.owner,
+        remembered=grant.remembered,
+        queued=round(grant.queued_seconds, 4),
+    )
+
+
+class Breaker:
+    """Breaks an exchange off when membership gives its target up.
+
+    Without it a request at a target that froze would wait for the token
+    timeout, while membership knows already that nothing will come.
+    """
+
+    def __init__(self, needs: Needs, exchange: upstream.Exchange):
+        self.future = needs.when_lost(exchange.target.name)
+        self.exchange = exchange
+        self.future.add_done_callback(self._break)
+
+    def __enter__(self) -> upstream.Exchange:
+        return self.exchange
+
+    def __exit__(self, *_) -> None:
+        self.future.remove_done_callback(self._break)
+        self.exchange.close()
+
+    def _break(self, _) -> None:
+        self.exchange.break_off(
+            errors.UpstreamError(
+                "the target was lost",
+                given=self.exchange.target.name,
+                expected="a target that renews its lease",
+                retry_after=1.0,
+            )
+        )
+
+
+def call_headers(
+    request: records.Request, grant: records.Grant, attempt_name: str
+) -> dict[str, str]:
+    """Return what every target is told about a request."""
+    headers = {
+        upstream.REQUEST_ID_HEADER: attempt_name,
+        "Amaranthring-Account": request.account,
+        "Amaranthring-Class": request.cls,
+        "Amaranthring-Priority": str(request.priority),
+    }
+    if request.chat:
+        headers["Amaranthring-Chat"] = request.chat
+    if grant.import_from:
+        headers["Amaranthring-Import-From"] = grant.import_from.address
+    return headers
+
+
+async def note_death(attempt: Attempt) -> None:
+    """Mark the attempt if its target can no longer be reached.
+
+    A broken connection alone is no death: a process that crashed refuses
+    the next connection, one that only dropped this one does not.
+    """
+    if not attempt.lost and not await upstream.reachable(attempt.target):
+        attempt.lost = True
--- /dev/null
+++ b/amaranthring/targets/chunks.py
@@ -0,0 +1,164 @@
+"""The body of an HTTP answer, from raw bytes of its connection.
+
+tornado's own reading of a chunked body makes three futures for each chunk;
+this takes all chunks of one read at once. Figures are in
+``docs/design/way.md``.
+
+Source: RFC 9112, section 7.1.
+"""
+
+import typing as t
+
+from amaranthring import errors
+
+SIZE_LINE_BYTES_MOST = 64
+CHUNK_BYTES_MOST = 16 * 1024 * 1024
+
+
+class Body(t.Protocol):
+    """Decodes one body.
+
+    Attributes
+    ----------
+    ended : bool
+        Whether the body is whole.
+    ends_by_close : bool
+        Whether a close is its proper end.
+    """
+
+    ended: bool
+    ends_by_close: bool
+
+    def take(self, data: bytes) -> bytes:
+        """Return the part of the body in `data`."""
+
+
+class Fixed:
+    """A body of known length."""
+
+    ends_by_close = False
+
+    def __init__(self, length: int):
+        self.left = length
+        self.ended = length == 0
+
+    def take(self, data: bytes) -> bytes:
+        """Return the part of the body in `data`."""
+        data = data[: self.left]
+        self.left -= len(data)
+        self.ended = self.left == 0
+        return data
+
+
+class UntilClose:
+    """A body that ends when the target closes."""
+
+    ends_by_close = True
+    ended = False
+
+    def take(self, data: bytes) -> bytes:
+        """Return `data`."""
+        return data
+
+
+class Chunked:
+    """A body in chunks; a close before the last one is no proper end."""
+
+    ends_by_close = False
+
+    def __init__(self):
+        self.ended = False
+        self.rest = b""
+        self.left = 0
+
+    def take(self, data: bytes) -> bytes:
+        """Return the part of the body in `data`.
+
+        Raises
+        ------
+        errors.UpstreamError
+            If the framing is malformed.
+        """
+        if self.rest:
+            data = self.rest + data
+            self.rest = b""
+        parts = []
+        at = 0
+        while at < len(data):
+            if self.left > 2:
+                part = data[at : at + self.left - 2]
+                parts.append(part)
+                at += len(part)
+                self.left -= len(part)
+            elif self.left:
+                at = self._line_end(data, at)
+            else:
+                found = data.find(b"\r\n", at)
+                if found < 0:
+                    self._keep(data[at:])
+                    break
+                size = _size(data[at:found])
+                at = found + 2
+                if size == 0:
+                    self.ended = True
+                    break
+                self.left = size + 2
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    def _line_end(self, data: bytes, at: int) -> int:
+        """Pass over what is left of the CRLF after a chunk."""
+        part = data[at : at + self.left]
+        if part != b"\r\n"[2 - self.left :][: len(part)]:
+            raise _malformed(part)
+        self.left -= len(part)
+        return at + len(part)
+
+    def _keep(self, rest: bytes) -> None:
+        if len(rest) > SIZE_LINE_BYTES_MOST:
+            raise _malformed(rest)
+        self.rest = rest
+
+
+def _size(line: bytes) -> int:
+    digits = line.split(b";")[0].strip()
+    if (
+        not digits
+        or len(digits) > 8
+        or digits.strip(b"0123456789abcdefABCDEF")
+    ):
+        raise _malformed(line)
+    size = int(digits, 16)
+    if size > CHUNK_BYTES_MOST:
+        raise _malformed(line)
+    return size
+
+
+def _malformed(found: bytes) -> errors.UpstreamError:
+    return errors.UpstreamError(
+        "malformed chunked body",
+        given=repr(found[:SIZE_LINE_BYTES_MOST]),
+        expected="RFC 9112 chunks",
+    )
+
+
+def body_of(headers, status: int, method: str) -> Body:
+    """Return the decoder that the head of an answer asks for.
+
+    Raises
+    ------
+    errors.UpstreamError
+        If the length is given wrongly or twice.
+    """
+    if method == "HEAD" or status in (204, 304):
+        return Fixed(0)
+    coding = headers.get("Transfer-Encoding", "").strip().lower()
+    length = headers.get("Content-Length")
+    if coding == "chunked" and length is None:
+        return Chunked()
+    if coding:
+        raise _malformed(f"Transfer-Encoding: {coding}".encode())
+    if length is None:
+        return UntilClose()
+    if not length.isdigit():
+        raise _malformed(f"Content-Length: {length}".encode())
+    return Fixed(int(length))
--- /dev/null
+++ b/amaranthring/testing/announcing.py
@@ -0,0 +1,144 @@
+"""How a stand-in announces itself to the routers.
+
+One task announces, renews and reports over HTTP. When a router does not
+answer, the next configured one is tried. Every body is signed with the
+targets' shared key.
+"""
+
+import asyncio
+import dataclasses
+import hashlib
+import hmac
+import json
+import time
+import typing as t
+
+import tornado.httpclient
+
+from amaranthring.core import records
+
+RENEW_SECONDS = 0.5
+TRY_SECONDS = 2.0
+KEY_HEADER = "Amaranthring-Key"
+
+
+def signature(key_id: str, key: bytes, body: bytes) -> str:
+    """Return the value of ``Amaranthring-Key`` for `body`."""
+    mac = hmac.new(key, body, hashlib.sha256).hexdigest()
+    return f"{key_id} {mac}"
+
+
+class Announcer:
+    """Keeps one target announced, with one task.
+
+    Parameters
+    ----------
+    target : records.Target
+        What to announce.
+    routers : list of str
+        Base URLs of the routers' internal listeners.
+    key_id, key
+        Key of the targets.
+    load : callable
+        Returns ``(running, waiting, kv_used)``.
+    report_seconds : float
+        Time between reports; a report tells the load as it was at the
+        report before, so that it lags.
+    """
+
+    def __init__(
+        self,
+        target: records.Target,
+        routers: list[str],
+        key_id: str,
+        key: bytes,
+        load: t.Callable[[], tuple[int, int, float]],
+        report_seconds: float = 1.0,
+    ):
+        self.target = target
+        self.routers = list(routers)
+        self.key_id = key_id
+        self.key = key
+        self.load = load
+        self.report_seconds = report_seconds
+        self.sequence = 0
+        self.client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+        self.task: asyncio.Task | None = None
+
+    async def post(self, path: str, record: dict[str, t.Any]) -> int:
+        """Post `record` to the first router that answers; return its status.
+
+        The status is 599 when none answers.
+        """
+        body = json.dumps(record).encode()
+        headers = {
+            "Content-Type": "application/json",
+            KEY_HEADER: signature(self.key_id, self.key, body),
+        }
+        status = 599
+        for _ in range(len(self.routers)):
+            try:
+                answer = await self.client.fetch(
+                    self.routers[0] + path,
+                    method="POST",
+                    body=body,
+                    headers=headers,
+                    request_timeout=TRY_SECONDS,
+                    connect_timeout=TRY_SECONDS,
+                    raise_error=False,
+                )
+                status = answer.code
+            except (OSError, tornado.httpclient.HTTPError):
+                status = 599
+            if status < 500:
+                break
+            self.routers.append(self.routers.pop(0))
+        return status
+
+    async def announce(self) -> bool:
+        """Announce the target; return whether a router took it."""
+        record = dataclasses.asdict(self.target)
+        return await self.post("/targets/announce", record) == 200
+
+    async def leave(self) -> None:
+        """Tell that the target leaves; renewals stop."""
+        if self.task:
+            self.task.cancel()
+        await self.post("/targets/leave", self._named())
+
+    def start(self) -> None:
+        """Start the task that announces, renews and reports."""
+        self.task = asyncio.ensure_future(self._run())
+
+    def _named(self) -> dict[str, t.Any]:
+        name, incarnation = self.target.name, self.target.incarnation
+        return {"name": name, "incarnation": incarnation}
+
+    async def _run(self) -> None:
+        announced = False
+        reported = time.monotonic()
+        lagging = self.load()
+        while True:
+            if not announced:
+                announced = await self.announce()
+            else:
+                status = await self.post("/targets/renew", self._named())
+                announced = status == 200
+            if time.monotonic() - reported >= self.report_seconds:
+                reported = time.monotonic()
+                await self._report(lagging)
+                lagging = self.load()
+            await asyncio.sleep(RENEW_SECONDS)
+
+    async def _report(self, load: tuple[int, int, float]) -> None:
+        self.sequence += 1
+        running, waiting, kv_used = load
+        report = records.Report(
+            self.target.name,
+            self.target.incarnation,
+            self.sequence,
+            running,
+            waiting,
+            kv_used,
+        )
+        await self.post("/targets/report", dataclasses.asdict(report))
--- /dev/null
+++ b/amaranthring/testing/needs.py
@@ -0,0 +1,192 @@
+"""Small stand-ins of what the request's way needs from other packages."""
+
+import asyncio
+import collections
+import itertools
+
+from amaranthring import errors
+from amaranthring.callers import way
+from amaranthring.core import fleet
+from amaranthring.core import hashing
+from amaranthring.core import links
+from amaranthring.core import records
+
+TOKEN = "secret-of-acme"
+OTHER_TOKEN = "secret-of-beta"
+
+
+class Ledger:
+    """A ledger of claims in memory, shared by several routers.
+
+    Attributes
+    ----------
+    claims : dict
+        By account and key: body digest, claim, and who may settle it.
+    fail : AmaranthringError or None
+        Raised by every call while it is set.
+    fail_settle : AmaranthringError or None
+        Raised by ``settle`` only.
+    """
+
+    def __init__(self):
+        self.claims: dict[tuple[str, str], tuple[str, records.Claim]] = {}
+        self.fail: errors.AmaranthringError | None = None
+        self.fail_settle: errors.AmaranthringError | None = None
+
+    async def claim(self, request, attempt, target) -> records.Claim:
+        """Grant once; say what is known to everyone else."""
+        await asyncio.sleep(0)
+        if self.fail:
+            raise self.fail
+        name = (request.account, request.key)
+        digest, held = self.claims.get(name, ("", None))
+        if held and digest != request.body_digest:
+            return records.Claim(records.ClaimState.KEY_REUSED, held.attempt)
+        if held and held.outcome is not errors.Outcome.NOT_RUN:
+            return held
+        state = records.ClaimState
+        kept = records.Claim(state.IN_PROGRESS, attempt, target)
+        self.claims[name] = (request.body_digest, kept)
+        return records.Claim(state.GRANTED, attempt, target)
+
+    async def settle(self, request, attempt, outcome, answer) -> None:
+        """Settle for the holder only."""
+        await asyncio.sleep(0)
+        if self.fail or self.fail_settle:
+            raise self.fail or self.fail_settle
+        _, held = self.claims[request.account, request.key]
+        if held.attempt != attempt:
+            raise errors.ForbiddenError("another attempt holds the claim")
+        unknown = outcome is errors.Outcome.UNKNOWN
+        state = records.ClaimState
+        held.state = state.UNKNOWN if unknown else state.SETTLED
+        held.outcome = outcome
+        held.answer = answer
+
+    def lose_holder(self, account: str, key: str) -> None:
+        """Do as the keepers do when the holder of a claim is lost."""
+        _, held = self.claims[account, key]
+        held.state = records.ClaimState.UNKNOWN
+
+
+class Fakes:
+    """Fakes behind one :class:`way.Needs`, with the knobs of the tests.
+
+    Attributes
+    ----------
+    targets : dict
+        Announced targets by name.
+    ledger : Ledger
+        May be shared between routers.
+    retries_left : int
+        Retries that the budget still allows.
+    """
+
+    def __init__(self, *targets: records.Target, ledger: Ledger | None = None):
+        self.targets = {target.name: target for target in targets}
+        self.ledger = ledger or Ledger()
+        self.retries_left = 100
+        self.quarantined: set[str] = set()
+        self.crashes: list[tuple[str, str]] = []
+        self.lost: dict[str, asyncio.Future] = {}
+        self.released: list[records.End] = []
+        self.notes: list[tuple[str, str, dict]] = []
+        self.admit_error: errors.AmaranthringError | None = None
+        self.limit_error: errors.AmaranthringError | None = None
+        self.running: collections.Counter[str] = collections.Counter()
+        self._ids = itertools.count()
+        self.config = fleet.FleetConfig(
+            revision=1,
+            presets={"ordinary": fleet.Preset("ordinary")},
+            accounts={
+                name: fleet.Account(name, [hashing.token_hash(token)])
+                for name, token in (("acme", TOKEN), ("beta", OTHER_TOKEN))
+            },
+        )
+        self.needs = way.Needs(
+            router="r1",
+            keys=links.Keys({"k1": b"f" * 32}),
+            config=lambda: self.config,
+            check_limits=self.check_limits,
+            admit=self.admit,
+            release=self.release,
+            claim=self.ledger.claim,
+            settle=self.ledger.settle,
+            is_quarantined=self.quarantined.__contains__,
+            report_crash=self.report_crash,
+            may_retry=self.may_retry,
+            succeeded=lambda _: None,
+            when_lost=self.when_lost,
+            note=lambda name, event, **more: self.notes.append(
+                (name, event, more)
+            ),
+            target=self.targets.get,
+            serves=self.serves,
+        )
+
+    @property
+    def preset(self) -> fleet.Preset:
+        """Return the preset in force."""
+        return self.config.preset
+
+    def serves(self, kind) -> set[str]:
+        """Return the names that announced targets serve."""
+        return {
+            name
+            for target in self.targets.values()
+            if target.kind is kind
+            for name in target.serves
+        }
+
+    async def check_limits(self, _) -> None:
+        """Refuse with the planned error."""
+        if self.limit_error:
+            raise self.limit_error
+
+    async def admit(self, request, excluded) -> records.Grant:
+        """Grant the first target that serves the request."""
+        await asyncio.sleep(0)
+        if self.admit_error:
+            raise self.admit_error
+        for target in self.targets.values():
+            if target.name in excluded or request.serves not in target.serves:
+                continue
+            self.running[target.name] += 1
+            return records.Grant(f"g{next(self._ids)}", "r1", target)
+        raise errors.NoTargetError(
+            "no target",
+            given=request.serves,
+            expected="an announced target",
+            retry_after=1.0,
+        )
+
+    def release(self, grant, end) -> None:
+        """Count the grant back."""
+        self.running[grant.target.name] -= 1
+        self.released.append(end)
+
+    async def report_crash(self, request, target) -> None:
+        """Note a coincidence; two targets quarantine the request."""
+        self.crashes.append((request.body_digest, target))
+        seen = {
+            t for digest, t in self.crashes if digest == request.body_digest
+        }
+        if len(seen) >= 2:
+            self.quarantined.add(request.body_digest)
+
+    def may_retry(self, _) -> bool:
+        """Pay one retry."""
+        self.retries_left -= 1
+        return self.retries_left >= 0
+
+    def when_lost(self, name) -> asyncio.Future:
+        """Return the future that :meth:`lose` resolves."""
+        if name not in self.lost:
+            future = asyncio.get_running_loop().create_future()
+            self.lost[name] = future
+        return self.lost[name]
+
+    def lose(self, name) -> None:
+        """Let membership give a target up."""
+        self.targets.pop(name, None)
+        self.when_lost(name).set_result(None)
