--- /dev/null
+++ b/amaranthring/testing/demo.py
@@ -0,0 +1,262 @@
+"""``make demo``: a whole fleet on loopback, with failures, in a minute.
+
+Three keepers, six routers in three data centres, five engine stand-ins and
+three booking replicas run as separate processes. Callers hold returning
+chats and book through all routers while a router and an engine are killed,
+another engine is drained and the preset is switched. Every answer is
+checked; the demo exits 0 only if everything that it shows held.
+"""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import shutil
+import sys
+import time
+import uuid
+
+from amaranthring import errors
+from amaranthring.testing import load
+from amaranthring.testing import local_fleet
+
+SETTINGS = pathlib.Path("examples/fleet")
+FOLDER = pathlib.Path("run/demo")
+ENGINES = 5
+REPLICAS = 3
+IN_FORCE_SECONDS = 3.0
+
+
+@dataclasses.dataclass
+class Check:
+    """One line of the closing table."""
+
+    what: str
+    shown: str
+    held: bool
+
+
+class Demo:
+    """The fleet, its callers, and what was seen."""
+
+    def __init__(self):
+        shutil.rmtree(FOLDER, ignore_errors=True)
+        local_fleet.write_secrets(FOLDER)
+        self.fleet = local_fleet.LocalFleet(SETTINGS, FOLDER / "logs")
+        self.routers = self.fleet.names("router")
+        urls = [self.fleet.callers(name) for name in self.routers]
+        token = local_fleet.ACCOUNTS["agenda"]
+        self.callers = load.Callers(urls, token)
+        text = (FOLDER / "operator.token").read_text()
+        self.operator = text.split()[1]
+        self.checks: list[Check] = []
+
+    def check(self, what: str, shown: object, held: bool) -> None:
+        """Add a line to the table."""
+        self.checks.append(Check(what, str(shown), held))
+
+    def start(self) -> None:
+        """Start every process and wait until requests can be served."""
+        began = time.monotonic()
+        for name in [*self.fleet.names("keeper"), *self.routers]:
+            self.fleet.start(name)
+        self.fleet.wait_ready(self.routers)
+        places = local_fleet.DATA_CENTRES
+        for number in range(ENGINES):
+            place = places[number % len(places)]
+            self._target("engine", number, place, "--token-seconds", "0.01")
+        for number in range(REPLICAS):
+            self._target("booking", number, places[number])
+        self.fleet.wait_targets(ENGINES + REPLICAS, self.routers)
+        seconds = time.monotonic() - began
+        self.check("fleet ready", f"{seconds:.1f} s", True)
+
+    def _target(self, kind, number, place, *options) -> None:
+        name = f"{kind}-{number + 1}"
+        self.fleet.start_target(kind, name, "--data-centre", place, *options)
+
+    async def run(self) -> None:
+        """Show each promise in turn."""
+        await self.calm()
+        await self.bookings()
+        await self.engine_killed()
+        await self.router_killed()
+        await self.engine_drained()
+        await self.preset_switched()
+
+    async def calm(self) -> None:
+        """Hold returning chats through all routers."""
+        chats = [self.callers.chat() for _ in range(30)]
+        await load.together(*chats)
+        tally = self.callers.tally
+        good = tally.whole == 90 and not tally.refused
+        self.check("whole answers, calm", f"{tally.whole} of 90", good)
+        through = len(tally.routers)
+        self.check("routers that served", through, through == 6)
+
+    async def bookings(self) -> None:
+        """Book under a key, and send each again through another router."""
+        keys = [uuid.uuid4().hex for _ in range(20)]
+        first = [self.callers.book(f"slot {key}", key) for key in keys]
+        answers = await asyncio.gather(*first)
+        again = [self.callers.book(f"slot {key}", key) for key in keys]
+        answers += await asyncio.gather(*again)
+        ran = self.ran_keys()
+        once = all(ran.count(key) == 1 for key in keys)
+        told = all(outcome == "ran" for outcome, _ in answers)
+        self.check("bookings run once", f"{len(ran)} of 20", once and told)
+        same = all(
+            a[1] == b[1]
+            for a, b in zip(answers[:20], answers[20:], strict=True)
+        )
+        self.check("resent bookings: same answer", same, same)
+
+    def ran_keys(self) -> list[str]:
+        """Return the key of every run that the replicas recorded."""
+        keys = []
+        for address in self.addresses("booking"):
+            _, body = local_fleet.get(f"http://{address}/control/ran")
+            keys += [run["key"] for run in json.loads(body)["runs"]]
+        return keys
+
+    def addresses(self, kind: str) -> list[str]:
+        """Return addresses of running stand-ins."""
+        found = []
+        for name, process in self.fleet.processes.items():
+            if name.startswith(kind):
+                first = process.log.read_text().splitlines()[0]
+                found.append(first.split()[1])
+        return found
+
+    async def engine_killed(self) -> None:
+        """Kill an engine under load."""
+        await self._under_load(
+            "engine killed under load",
+            lambda: self.fleet.processes.pop("engine-5").kill(),
+        )
+
+    async def router_killed(self) -> None:
+        """Kill a router under load; the balancer leaves it out."""
+
+        def kill():
+            self.callers.drop(self.fleet.callers("router-6"))
+            self.fleet.processes.pop("router-6").kill()
+            self.routers.remove("router-6")
+
+        await self._under_load("router killed under load", kill, lost=True)
+
+    async def engine_drained(self) -> None:
+        """Drain an engine by command; it gets no new work."""
+        path = "/operators/targets/engine-4/drain"
+        await self._under_load(
+            "engine drained under load",
+            lambda: self.operate("POST", path, {"reason": "demo"}),
+        )
+        before = self.started("engine-4")
+        await load.together(*[self.callers.chat(1) for _ in range(20)])
+        after = self.started("engine-4")
+        self.check("new work after the drain", after - before, after == before)
+
+    def started(self, engine: str) -> int:
+        """Return how many runs `engine` recorded."""
+        process = self.fleet.processes[engine]
+        address = process.log.read_text().split()[1]
+        _, body = local_fleet.get(f"http://{address}/control/ran")
+        return len(json.loads(body)["ran"])
+
+    async def preset_switched(self) -> None:
+        """Switch the preset under load; it is in force everywhere."""
+        seen: list[float] = []
+
+        def switch():
+            began = time.monotonic()
+            body = {"preset": "peak"}
+            revision = self.operate("POST", "/operators/switch", body)
+            while time.monotonic() < began + IN_FORCE_SECONDS:
+                if all(self.runs(name, revision) for name in self.routers):
+                    seen.append(time.monotonic() - began)
+                    return
+                time.sleep(0.02)
+
+        await self._under_load("preset switched under load", switch)
+        shown = f"{seen[0] * 1e3:.0f} ms" if seen else "not in time"
+        self.check("in force on all routers", shown, bool(seen))
+
+    def runs(self, router: str, revision: int) -> bool:
+        """Return whether `router` runs at least `revision`."""
+        _, body = local_fleet.get(self.fleet.internal(router) + "/metrics")
+        gauges = json.loads(body or b'{"gauges": {}}')["gauges"]
+        return gauges.get("revision", 0) >= revision
+
+    def operate(self, method: str, path: str, body: dict) -> int:
+        """Send an operator's change and return its revision."""
+        headers = {"Authorization": f"Bearer {self.operator}"}
+        base = self.fleet.internal("router-1")
+        _, status = local_fleet.get(base + "/operators/status", headers)
+        revision = json.loads(status)["revision"]
+        headers["If-Match"] = f'"{revision}"'
+        headers["Amaranthring-Command-Id"] = uuid.uuid4().hex
+        code, answer = local_fleet.ask(
+            method, base + path, headers, json.dumps(body).encode()
+        )
+        if code != 200:
+            raise errors.InternalError(f"{path}: {code} {answer!r}")
+        return json.loads(answer)["revision"]
+
+    async def _under_load(self, what, act, lost=False) -> None:
+        tally = self.callers.tally
+        before = tally.whole
+        chats = [self.callers.chat() for _ in range(20)]
+        running = asyncio.ensure_future(load.together(*chats))
+        await asyncio.sleep(0.15)
+        await asyncio.get_running_loop().run_in_executor(None, act)
+        await running
+        whole = tally.whole - before
+        bad = tally.wrong + tally.cut
+        refused = dict(tally.refused)
+        # A caller whose own router dies loses its connection and asks
+        # again elsewhere; that one loss is the platform's, not an answer.
+        if lost:
+            refused.pop("connection-lost", None)
+        shown = f"{whole} whole, {bad} bad, refused {refused}"
+        self.check(what, shown, not bad and not refused)
+        tally.refused.clear()
+        tally.wrong = 0
+        tally.cut = 0
+
+    def finish(self) -> None:
+        """End what was started, by pid, and check the exit codes."""
+        codes = self.fleet.end()
+        clean = all(
+            code == 0
+            for name, code in codes.items()
+            if name.startswith(("router", "keeper"))
+        )
+        self.check("processes ended with 0", len(codes), clean)
+
+    def table(self) -> str:
+        """Return the closing table."""
+        width = max(len(check.what) for check in self.checks)
+        lines = []
+        for check in self.checks:
+            mark = "held" if check.held else "FAILED"
+            lines.append(f"{check.what:<{width}}  {mark:<6}  {check.shown}")
+        return "\n".join(lines)
+
+
+def main() -> int:
+    """Run the demo and return its exit code."""
+    demo = Demo()
+    try:
+        demo.start()
+        asyncio.run(demo.run())
+    except errors.AmaranthringError as error:
+        demo.check("demo", error, False)
+    finally:
+        demo.finish()
+    print(demo.table())
+    return 0 if all(check.held for check in demo.checks) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/amaranthring/testing/local_fleet.py
@@ -0,0 +1,348 @@
+"""A whole fleet as separate processes on loopback, for demo and tests.
+
+:func:`write_settings` makes a folder of INI files with free ports; the
+folder ``examples/fleet`` is such a folder with fixed ones. A
+:class:`LocalFleet` starts the processes of a folder and ends them by pid.
+"""
+
+import contextlib
+import json
+import os
+import pathlib
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+from amaranthring import errors
+from amaranthring import settings as settings_module
+from amaranthring.core import hashing
+
+START_SECONDS = 20.0
+STOP_SECONDS = 20.0
+POLL_SECONDS = 0.05
+DATA_CENTRES = ("porto", "braga", "viana")
+REGION = "north"
+ACCOUNTS = {"agenda": "demo-agenda", "vanua": "demo-vanua"}
+OPERATOR = "operator"
+
+
+class StartError(errors.AmaranthringError):
+    """A process of the local fleet did not become ready."""
+
+    code = "start"
+
+
+class Process:
+    """One started process, ended by its pid.
+
+    Attributes
+    ----------
+    log : pathlib.Path
+        Its error output.
+    """
+
+    def __init__(self, name: str, command: list[str], log: pathlib.Path):
+        self.name = name
+        self.command = command
+        self.log = log
+        with open(log, "ab") as file:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", *command], stdout=file, stderr=file
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process abruptly."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait(STOP_SECONDS)
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        self.signal(signal.SIGCONT)
+
+    def stop(self, seconds: float = STOP_SECONDS) -> int:
+        """Ask the process to end and return its exit code."""
+        self.signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise StartError(
+                f"{self.name} did not end", outcome=None
+            ) from None
+
+
+def free_ports(count: int) -> list[int]:
+    """Return `count` ports that are free now.
+
+    They are chosen below the range of outgoing connections, so that none is
+    taken by a connection between the choice and the listening.
+    """
+    found: list[int] = []
+    with contextlib.ExitStack() as held:
+        while len(found) < count:
+            port = 10_000 + secrets.randbelow(22_000)
+            sock = held.enter_context(socket.socket())
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            found.append(port)
+    return found
+
+
+def write_secrets(folder: pathlib.Path) -> None:
+    """Write keys of the fleet and of targets, and one operator's token."""
+    folder.mkdir(parents=True, exist_ok=True)
+    token = secrets.token_hex(16)
+    texts = {
+        "fleet.keys": f"k1 {secrets.token_hex(32)}\n",
+        "targets.keys": f"t1 {secrets.token_hex(32)}\n",
+        "operators": f"{OPERATOR} {hashing.token_hash(token)}\n",
+        "operator.token": f"{OPERATOR} {token}\n",
+    }
+    for name, text in texts.items():
+        path = folder / name
+        path.touch(mode=0o600)
+        path.write_text(text)
+
+
+def write_settings(
+    folder: pathlib.Path,
+    routers: int = 6,
+    keepers: int = 3,
+    extra: str = "",
+    initial: dict | None = None,
+) -> None:
+    """Write INI files of a fleet over three data centres into `folder`.
+
+    Parameters
+    ----------
+    extra : str
+        Lines added to every router's and keeper's file, such as a
+        ``[callers]`` section.
+    initial : dict, optional
+        First configuration; that of ``examples/fleet`` by default.
+    """
+    write_secrets(folder)
+    if initial is None:
+        example = pathlib.Path("examples/fleet/initial.json")
+        initial = json.loads(example.read_text())
+    (folder / "initial.json").write_text(json.dumps(initial))
+    ports = iter(free_ports(2 * keepers + 3 * routers))
+    keeper_lines = [
+        (f"keeper-{i + 1}", DATA_CENTRES[i % 3], f"127.0.0.1:{next(ports)}")
+        for i in range(keepers)
+    ]
+    router_lines = [
+        (
+            f"router-{i + 1}",
+            DATA_CENTRES[i * 3 // max(routers, 3)],
+            f"127.0.0.1:{next(ports)}",
+        )
+        for i in range(routers)
+    ]
+    fleet = _fleet_section(folder, keeper_lines, router_lines)
+    internal = []
+    for role, lines in (("keeper", keeper_lines), ("router", router_lines)):
+        for name, data_centre, address in lines:
+            text = _process_section(folder, name, data_centre)
+            text += f"[listen]\nfleet = {address}\n"
+            text += f"internal = 127.0.0.1:{next(ports)}\n"
+            if role == "router":
+                internal.append(text.rsplit(" ", 1)[1].strip())
+                text += f"callers = 127.0.0.1:{next(ports)}\n"
+            text += fleet
+            if role == "keeper":
+                text += f"[keeper]\ninitial_file = {folder}/initial.json\n"
+            (folder / f"{name}.ini").write_text(text + extra)
+    addresses = " ".join(f"http://{address}" for address in internal)
+    (folder / "operator.ini").write_text(
+        f"[operator]\nrouters = {addresses}\n"
+        f"token_file = {folder}/operator.token\n"
+    )
+
+
+def _process_section(folder, name: str, data_centre: str) -> str:
+    return (
+        f"[process]\nname = {name}\ndata_centre = {data_centre}\n"
+        f"region = {REGION}\ndata_folder = {folder}/{name}\n"
+    )
+
+
+def _fleet_section(folder, keeper_lines, router_lines) -> str:
+    def listed(lines):
+        return "".join("\n    " + " ".join(line) for line in lines)
+
+    return (
+        f"[fleet]\nkeepers ={listed(keeper_lines)}\n"
+        f"routers ={listed(router_lines)}\n"
+        f"keys_file = {folder}/fleet.keys\n"
+        f"targets_key_file = {folder}/targets.keys\n"
+        f"operators_file = {folder}/operators\n"
+    )
+
+
+class LocalFleet:
+    """Processes of the INI files in a folder, with stand-ins beside them.
+
+    Attributes
+    ----------
+    settings : dict
+        Settings of each router and keeper, by name.
+    processes : dict
+        Started processes, by name.
+    """
+
+    def __init__(self, folder: pathlib.Path, logs: pathlib.Path):
+        self.folder = folder
+        self.logs = logs
+        self.logs.mkdir(parents=True, exist_ok=True)
+        self.settings = {}
+        for path in sorted(folder.glob("*-*.ini")):
+            made = settings_module.read(str(path))
+            self.settings[made.process.name] = made
+        self.processes: dict[str, Process] = {}
+
+    def names(self, role: str) -> list[str]:
+        """Return names of all routers or keepers."""
+        return [name for name in self.settings if name.startswith(role)]
+
+    def start(self, name: str) -> Process:
+        """Start one router or keeper."""
+        role = name.split("-")[0]
+        path = str(self.folder / f"{name}.ini")
+        return self._started(name, ["amaranthring", role, "--settings", path])
+
+    def start_target(self, kind: str, name: str, *options: str) -> Process:
+        """Start a stand-in ``engine`` or ``booking`` that announces itself.
+
+        It knows the routers of its own data centre, as targets do.
+        """
+        place = options[options.index("--data-centre") + 1]
+        command = [f"amaranthring.testing.{kind}", "--name", name]
+        for router in self.names("router"):
+            if self.settings[router].process.data_centre == place:
+                command += ["--announce", self.internal(router)]
+        any_settings = next(iter(self.settings.values()))
+        key_file = any_settings.fleet.targets_key_file
+        command += ["--key-file", key_file, "--region", REGION, *options]
+        return self._started(name, command)
+
+    def callers(self, router: str) -> str:
+        """Return the base URL for callers of a router."""
+        return f"http://{self.settings[router].listen.callers}"
+
+    def internal(self, router: str) -> str:
+        """Return the base URL of a router's internal listener."""
+        return f"http://{self.settings[router].listen.internal}"
+
+    def wait_ready(self, routers: list[str], seconds=START_SECONDS) -> None:
+        """Wait until `routers` pass the balancer's health check.
+
+        Raises
+        ------
+        StartError
+            If one does not in time; names its log.
+        """
+        for name in routers:
+            process = self.processes[name]
+            url = self.callers(name) + "/health"
+            self.wait(lambda u=url: get(u)[0] == 200, name, seconds, process)
+
+    def wait(self, condition, what, seconds=START_SECONDS, process=None):
+        """Wait until `condition()` holds.
+
+        Raises
+        ------
+        StartError
+            If it does not in time, or `process` ended meanwhile.
+        """
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            if condition():
+                return
+            if process and process.popen.poll() is not None:
+                raise StartError(f"{what} ended, see {process.log}")
+            time.sleep(POLL_SECONDS)
+        log = f", see {process.log}" if process else ""
+        raise StartError(f"{what} not within {seconds} s{log}")
+
+    def wait_targets(self, count: int, routers: list[str]) -> None:
+        """Wait until every one of `routers` knows `count` ready targets."""
+        for name in routers:
+            url = self.internal(name) + "/metrics"
+
+            def known(url=url):
+                status, body = get(url)
+                if status != 200:
+                    return False
+                gauges = json.loads(body)["gauges"]
+                return gauges.get("targets.ready", 0) >= count
+
+            self.wait(known, f"{count} targets at {name}")
+
+    def end(self) -> dict[str, int]:
+        """End everything that was started; return the exit codes."""
+        order = ("engine", "booking", "router", "keeper")
+        codes = {}
+        for kind in order:
+            ending = [n for n in self.processes if n.startswith(kind)]
+            for name in ending:
+                self.processes[name].signal(signal.SIGCONT)
+                self.processes[name].signal(signal.SIGTERM)
+            for name in ending:
+                codes[name] = self.processes.pop(name).stop()
+        return codes
+
+    def _started(self, name: str, command: list[str]) -> Process:
+        process = Process(name, command, self.logs / f"{name}.log")
+        self.processes[name] = process
+        return process
+
+
+def get(url: str, headers: dict | None = None) -> tuple[int, bytes]:
+    """Return status and body of a GET; status 0 when nothing answers."""
+    return ask("GET", url, headers)
+
+
+def ask(
+    method: str,
+    url: str,
+    headers: dict | None = None,
+    body: bytes | None = None,
+    seconds: float = 10.0,
+) -> tuple[int, bytes]:
+    """Return status and body of a request; status 0 when nothing answers."""
+    request = urllib.request.Request(
+        url, data=body, headers=headers or {}, method=method
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=seconds) as answer:
+            return answer.status, answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+    except (OSError, urllib.error.URLError):
+        return 0, b""
+
+
+def alive(pid: int) -> bool:
+    """Return whether process `pid` exists."""
+    try:
+        os.kill(pid, 0)
+    except OSError:
+        return False
+    return True
