Place and admit requests through one owner per cell

Cause: every router sees a sliver of the load, so none can keep the bound ceil(c * mean) by what it sees alone.

Ruled out: one owner per engine. It cannot know the mean but by lagging digests, so a fleet of 5 engines with 3 requests each could not keep the bound, and work would wait for one engine while another is free.

Change: targets of one region that serve the same set form a cell of up to 16, split by data centre above that. Its owner, by rendezvous over live routers near its targets, counts grants with leases, keeps the bound and one fair queue. Entry routers look up the remembered place, ask the owner, then its deputy, then decide from local estimates under a tighter bound.

--- /dev/null
+++ b/amaranthring/routers/admission.py
@@ -0,0 +1,402 @@
+"""Owner side of admission: the cells whose load this router counts.
+
+Grants are answered in the handler itself, with no task per request; what
+has to wait is answered by a one-way message when its turn comes. One task
+per router does what time alone brings about.
+"""
+
+import asyncio
+import collections.abc
+import time
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import fleet
+from amaranthring.core import logs
+from amaranthring.core import metrics as counters
+from amaranthring.policy import admission
+from amaranthring.policy import cells
+from amaranthring.routers import admission_messages as messages
+
+log = logbook.Logger(__name__)
+
+TICK_SECONDS = 0.1
+DIGEST_SECONDS = 0.5
+IDLE_SECONDS = 30.0
+CELLS_MOST = 4096
+
+
+class Owners:
+    """All cells that this router owns.
+
+    Parameters
+    ----------
+    name : str
+        This router.
+    table : object
+        Target table, as in ``docs/INTERNALS.md``.
+    mesh : object
+        Links to the other routers, as there.
+    config : callable
+        Returns the revision in force.
+    metrics : Metrics, optional
+        Counters of this process.
+    clock : callable
+        Seconds on a monotonic clock.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        table,
+        mesh,
+        config: collections.abc.Callable[[], fleet.FleetConfig],
+        metrics: counters.Metrics | None = None,
+        clock: collections.abc.Callable[[], float] = time.monotonic,
+    ):
+        self.name = name
+        self.table = table
+        self.mesh = mesh
+        self.config = config
+        self.metrics = metrics or counters.Metrics()
+        self.clock = clock
+        self.cells: dict[str, admission.Cell] = {}
+        self.used: dict[str, float] = {}
+        self.orders: dict[str, str] = {}
+        self.known_live: set[str] = set()
+        self.closing = False
+        table.subscribe(self.target_changed)
+        mesh.subscribe(self.routers_changed)
+
+    def add_handlers(self, handlers) -> None:
+        """Answer this module's messages from `handlers`."""
+        handlers.add(messages.Admit, self.on_admit)
+        handlers.add(messages.Release, self.on_release)
+        handlers.add(messages.Holdings, self.on_holdings)
+        handlers.add(messages.CellDigest, self.on_digest)
+        handlers.add(messages.DescribeTarget, self.on_describe)
+
+    # -- messages --
+
+    def on_admit(self, _link, ask: messages.Admit):
+        """Answer `Granted`, `Queued` or `NotOwner`, or raise the refusal."""
+        scope = _scope(ask.cell)
+        owner = self._other_owner(ask.cell, scope)
+        if owner and not ask.forced:
+            return messages.NotOwner(ask.cell, owner)
+        cell = self._cell(ask.cell)
+        wanted = admission.Ask(
+            (ask.router, ask.serial),
+            ask.account,
+            ask.priority,
+            ask.chat,
+            ask.wait_seconds,
+            ask.remembered,
+            frozenset(ask.excluded),
+            ask.suspect,
+            ask.at_once,
+        )
+        try:
+            placed = cell.ask(wanted, self._policy(ask), self.clock())
+        except errors.RefusedError as error:
+            self.metrics.count(f"admission.refused.{error.code}")
+            raise
+        finally:
+            self._tell(cell)
+        if placed is not None:
+            self.metrics.count("admission.granted")
+            return messages.Granted(ask.cell, ask.serial, placed.target)
+        self.metrics.count("admission.queued")
+        return messages.Queued(self._elsewhere(cell))
+
+    def on_release(self, _link, message: messages.Release) -> None:
+        """Take a grant back or withdraw a waiting request."""
+        cell = self.cells.get(message.cell)
+        if cell is None:
+            return
+        cell.release((message.router, message.serial), self.clock())
+        self._tell(cell)
+
+    def on_holdings(self, _link, message: messages.Holdings) -> None:
+        """Renew leases, take up grants, and heal what was lost."""
+        scope = _scope(message.cell)
+        owner = self._other_owner(message.cell, scope)
+        if owner and not message.forced:
+            answer = messages.NotOwner(message.cell, owner)
+            self._send(message.router, answer)
+            return
+        cell = self._cell(message.cell)
+        now = self.clock()
+        held = _held(message)
+        waiting = {message.next_serial - back for back in message.waiting}
+        cell.hold(message.router, held, now)
+        if not message.partial:
+            known = waiting | set(held)
+            cell.forget_others(message.router, message.next_serial, known)
+            self._remind(cell, message.router, waiting)
+        cell.serve(now)
+        self._tell(cell)
+
+    def _remind(self, cell, router: str, waiting: set[int]) -> None:
+        # The answer to a waiting request may have been lost, or the queue
+        # that it waits in went with its owner.
+        for serial in waiting:
+            key = (router, serial)
+            held = cell.held.get(key)
+            if held is not None:
+                answer = messages.Granted(cell.name, serial, held.target)
+                self._send(router, answer)
+            elif key not in cell.queue.waiters:
+                self._send(router, messages.Dropped(serial, moved=True))
+
+    def on_digest(self, _link, message: messages.CellDigest) -> None:
+        """Note how a sibling cell is loaded."""
+        scope = _scope(message.cell)
+        heard = admission.Sibling(
+            message.in_flight,
+            message.targets,
+            message.room,
+            message.waiting,
+            self.clock(),
+        )
+        for name, cell in self.cells.items():
+            if name != message.cell and _siblings(_scope(name), scope):
+                cell.heard(message.cell, heard)
+
+    def on_describe(self, _link, message: messages.DescribeTarget):
+        """Tell an entry router about a target that it has not heard of."""
+        return messages.TargetDescribed(self.table.get(message.name))
+
+    # -- changes --
+
+    def target_changed(self, name: str) -> None:
+        """Take the members of the cells of target `name` anew."""
+        now = self.clock()
+        target = self.table.get(name)
+        self.orders.clear()
+        for cell in self.cells.values():
+            inside = target is not None and _scope(cell.name).holds(target)
+            if inside or name in cell.targets:
+                self._refresh(cell)
+                cell.serve(now)
+                self._tell(cell)
+
+    def routers_changed(self) -> None:
+        """Shorten leases of lost routers; hand on cells owned elsewhere."""
+        live = set(self.mesh.live())
+        now = self.clock()
+        self.orders.clear()
+        for router in self.known_live - live:
+            for cell in self.cells.values():
+                cell.lost_router(router, now)
+        self.known_live = live
+        for name in list(self.cells):
+            owner = self._other_owner(name, _scope(name))
+            if owner:
+                self._move(self.cells.pop(name), owner)
+
+    async def run(self) -> None:
+        """Do what time brings: leases, deadlines, digests. Runs for ever."""
+        told = self.clock()
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = self.clock()
+            self.tick(now)
+            if now - told >= DIGEST_SECONDS:
+                told = now
+                self.tell_siblings(now)
+
+    def tick(self, now: float) -> None:
+        """End leases and waiting that ran out; forget idle cells."""
+        for name, cell in list(self.cells.items()):
+            for waiter in cell.expire(now):
+                error = errors.DeadlineError(
+                    "the deadline passed while waiting",
+                    retry_after=cell.full().retry_after,
+                )
+                self.metrics.count("admission.expired")
+                self._drop(waiter.key, error)
+            cell.serve(now)
+            self._tell(cell)
+            if cell.held or len(cell.queue):
+                self.used[name] = now
+            elif now - self.used.get(name, now) > IDLE_SECONDS:
+                del self.cells[name]
+                self.used.pop(name, None)
+
+    def tell_siblings(self, now: float) -> None:
+        """Send the digest of each cell to the owners of its siblings."""
+        for name, cell in self.cells.items():
+            digest = cell.digest(now)
+            message = messages.CellDigest(
+                name,
+                digest.in_flight,
+                digest.targets,
+                digest.room,
+                digest.waiting,
+            )
+            for owner in self._sibling_owners(name):
+                self._send(owner, message)
+
+    def hand_over(self) -> None:
+        """Give every cell to its next owner; waiting requests ask again.
+
+        Called on a graceful stop. Entry routers repeat their holdings to
+        the new owner; this only spares it the gap.
+        """
+        self.closing = True
+        self.orders.clear()
+        for name in list(self.cells):
+            owner = self._other_owner(name, _scope(name))
+            if owner:
+                self._move(self.cells.pop(name), owner)
+        logs.event(log, "admission.handed-over")
+
+    # -- inside --
+
+    def _move(self, cell: admission.Cell, owner: str) -> None:
+        self._bequeath(cell, owner)
+        for router, serial in list(cell.queue.waiters):
+            self._send(router, messages.Dropped(serial, moved=True))
+
+    def _bequeath(self, cell: admission.Cell, heir: str) -> None:
+        by_router: dict[str, dict[str, list[int]]] = {}
+        newest: dict[str, int] = {}
+        for router, serial in cell.held:
+            newest[router] = max(newest.get(router, 0), serial + 1)
+        suspects: dict[str, list[int]] = {}
+        for (router, serial), held in cell.held.items():
+            back = newest[router] - serial
+            targets = by_router.setdefault(router, {})
+            targets.setdefault(held.target, []).append(back)
+            if held.suspect:
+                suspects.setdefault(router, []).append(back)
+        for router, targets in by_router.items():
+            message = messages.Holdings(
+                cell.name,
+                router,
+                newest[router],
+                targets,
+                suspects=suspects.get(router, []),
+                partial=True,
+                forced=True,
+            )
+            self._send(heir, message)
+
+    def _cell(self, name: str) -> admission.Cell:
+        cell = self.cells.get(name)
+        if cell is None:
+            if len(self.cells) >= CELLS_MOST:
+                raise errors.QueueFullError(
+                    "too many cells", retry_after=IDLE_SECONDS
+                )
+            cell = admission.Cell(name, self.clock(), self._reported)
+            self.cells[name] = cell
+            self.used[name] = self.clock()
+            self._refresh(cell)
+        return cell
+
+    def _refresh(self, cell: admission.Cell) -> None:
+        cell.set_targets(self._members(_scope(cell.name)))
+
+    def _members(self, scope: cells.Scope):
+        found = self.table.eligible(scope.kind, scope.serves[0])
+        drained = self.config().drained
+        return [
+            target
+            for target in found
+            if scope.holds(target) and target.name not in drained
+        ]
+
+    def _reported(self, target: str) -> int:
+        report = self.table.report(target)
+        return 0 if report is None else report.running + report.waiting
+
+    def _policy(self, ask: messages.Admit) -> admission.Policy:
+        preset = self.config().preset
+        return admission.Policy(
+            preset.load_bound,
+            preset.account_policy(ask.account).weight,
+            preset.class_policy(ask.cls).queue_most,
+        )
+
+    def _other_owner(self, name: str, scope: cells.Scope) -> str:
+        owner = self.orders.get(name)
+        if owner is None:
+            members = self._members(scope)
+            order = cells.owners(name, members, self.mesh.live)
+            if self.closing:
+                order = [router for router in order if router != self.name]
+            owner = order[0] if order else ""
+            if len(self.orders) >= CELLS_MOST:
+                self.orders.clear()
+            self.orders[name] = owner
+        return "" if owner == self.name else owner
+
+    def _elsewhere(self, cell: admission.Cell) -> list[str]:
+        now = self.clock()
+        roomy = [
+            (-sibling.room / max(sibling.targets, 1), name)
+            for name, sibling in cell.siblings.items()
+            if sibling.room > 0
+            and now - sibling.heard < admission.SIBLING_SECONDS
+        ]
+        return [name for _, name in sorted(roomy)]
+
+    def _sibling_owners(self, name: str) -> set[str]:
+        scope = _scope(name)
+        near = self.table.eligible(scope.kind, scope.serves[0])
+        found = set()
+        for other, members in cells.group(near).items():
+            if other != name and _siblings(_scope(other), scope):
+                order = cells.owners(other, members, self.mesh.live)
+                found.update(order[:1])
+        return found
+
+    def _tell(self, cell: admission.Cell) -> None:
+        for placed in cell.placed:
+            router, serial = placed.key
+            self.metrics.count("admission.granted")
+            answer = messages.Granted(
+                cell.name, serial, placed.target, placed.queued_seconds
+            )
+            self._send(router, answer)
+        cell.placed.clear()
+        for waiter in cell.evicted:
+            self.metrics.count("admission.evicted")
+            self._drop(waiter.key, cell.full())
+        cell.evicted.clear()
+
+    def _drop(self, key: admission.Key, error) -> None:
+        self._send(key[0], messages.Dropped(key[1], error.to_record()))
+
+    def _send(self, router: str, message) -> None:
+        if not self.mesh.send(router, message):
+            # The entry router repeats its holdings; what it should have
+            # heard now, it learns then.
+            self.metrics.count("admission.unsent")
+
+
+def _scope(name: str) -> cells.Scope:
+    try:
+        return cells.parse(name)
+    except ValueError as error:
+        raise errors.FrameError(
+            "malformed cell", given=name, expected="the name of a cell"
+        ) from error
+
+
+def _held(message: messages.Holdings) -> dict[int, tuple[str, bool]]:
+    suspects = set(message.suspects)
+    return {
+        message.next_serial - back: (target, back in suspects)
+        for target, serials in message.held.items()
+        for back in serials
+    }
+
+
+def _siblings(one: cells.Scope, other: cells.Scope) -> bool:
+    return (one.kind, one.region) == (other.kind, other.region) and bool(
+        set(one.serves) & set(other.serves)
+    )
--- /dev/null
+++ b/amaranthring/routers/admission_messages.py
@@ -0,0 +1,224 @@
+"""Messages between entry routers, admission owners and directory shards.
+
+Serial numbers are chosen by the entry router and grow over its restarts; a
+grant is named by its router and serial.
+"""
+
+import dataclasses
+import typing as t
+
+from amaranthring.core import records
+from amaranthring.core import wire
+
+
+@wire.message("admit")
+class Admit:
+    """Asks the owner of `cell` for a grant.
+
+    Attributes
+    ----------
+    wait_seconds : float
+        How long the request may still wait.
+    suspect : bool
+        It ran at a target that died; it must run apart from other suspects.
+    at_once : bool
+        Do not queue it here.
+    forced : bool
+        Decide even if another router seems to be the owner.
+    """
+
+    cell: str
+    router: str
+    serial: int
+    account: str
+    cls: str
+    priority: int
+    chat: str
+    wait_seconds: float
+    remembered: str = ""
+    excluded: list[str] = dataclasses.field(default_factory=list)
+    suspect: bool = False
+    at_once: bool = False
+    forced: bool = False
+
+
+@wire.message("granted")
+class Granted:
+    """Leave to send request `serial` to `target`."""
+
+    cell: str
+    serial: int
+    target: str
+    queued_seconds: float = 0.0
+
+
+@wire.message("queued")
+class Queued:
+    """The request waits; `Granted` or `Dropped` follows by itself.
+
+    `elsewhere` names cells that lately had room.
+    """
+
+    elsewhere: list[str] = dataclasses.field(default_factory=list)
+
+
+@wire.message("not-owner")
+class NotOwner:
+    """The asked router sees `owner` as the live owner of `cell`."""
+
+    cell: str
+    owner: str
+
+
+@wire.message("dropped")
+class Dropped:
+    """A waiting request is given up; `error` says why.
+
+    `moved` tells that the owner goes away and the request should be asked
+    for again.
+    """
+
+    serial: int
+    error: dict[str, t.Any] = dataclasses.field(default_factory=dict)
+    moved: bool = False
+
+
+@wire.message("release")
+class Release:
+    """Gives back a grant or withdraws a waiting request."""
+
+    cell: str
+    router: str
+    serial: int
+    end: str
+
+
+@wire.message("holdings")
+class Holdings:
+    """Everything that `router` holds in `cell`: renews leases, heals losses.
+
+    Attributes
+    ----------
+    next_serial : int
+        Serials from here on are younger than this message.
+    held : dict
+        Target to the serials running there, each as distance below
+        `next_serial`, which packs small.
+    waiting : list of int
+        Serials that wait, as distances too.
+    suspects : list of int
+        Those of `held` that are suspects.
+    partial : bool
+        Told by an earlier owner: ends nothing that it leaves out.
+    forced : bool
+        To be taken even if another router seems to be the owner.
+    """
+
+    cell: str
+    router: str
+    next_serial: int
+    held: dict[str, list[int]]
+    waiting: list[int] = dataclasses.field(default_factory=list)
+    suspects: list[int] = dataclasses.field(default_factory=list)
+    partial: bool = False
+    forced: bool = False
+
+
+@wire.message("cell-digest")
+class CellDigest:
+    """What one owner tells owners of sibling cells about its own."""
+
+    cell: str
+    in_flight: int
+    targets: int
+    room: int
+    waiting: int
+
+
+@wire.message("describe-target")
+class DescribeTarget:
+    """Asks an owner about a target that the entry router has not heard of."""
+
+    name: str
+
+
+@wire.message("target-described")
+class TargetDescribed:
+    """What the owner knows about the target."""
+
+    target: records.Target | None
+
+
+@wire.message("place-find")
+class FindPlace:
+    """Asks a directory shard where `chat` ran last."""
+
+    chat: str
+    fingerprint: str = ""
+
+
+@wire.message("place-found")
+class PlaceFound:
+    """The remembered target, or empty, and what is known of the request.
+
+    `deaths` names the targets that died while this very request ran there.
+    """
+
+    target: str = ""
+    deaths: list[str] = dataclasses.field(default_factory=list)
+
+
+@wire.message("place-remember")
+class RememberPlaces:
+    """Tells a directory shard where chats ran last."""
+
+    places: dict[str, str]
+
+
+@wire.message("crashed")
+class Crashed:
+    """The run of request `fingerprint` coincided with a target's death."""
+
+    key: str
+    fingerprint: str
+    target: str
+
+
+@wire.message("crash-noted")
+class CrashNoted:
+    """Targets whose deaths coincided with the request, this one included."""
+
+    deaths: list[str]
+
+
+@wire.message("cleared")
+class Cleared:
+    """A suspect request ran to its end; its target lives."""
+
+    key: str
+    fingerprint: str
+
+
+@wire.message("suspects")
+class Suspects:
+    """Suspects that move to another shard: key, fingerprint, targets."""
+
+    entries: list[tuple[str, str, list[str]]]
+
+
+@wire.message("rate-ask")
+class AskTokens:
+    """Asks the account's owner for request tokens."""
+
+    account: str
+    router: str
+    wanted: int
+
+
+@wire.message("rate-given")
+class TokensGiven:
+    """Tokens granted for `seconds`, or none until `retry_after`."""
+
+    tokens: int
+    seconds: float
+    retry_after: float = 0.0
--- /dev/null
+++ b/amaranthring/routers/directory.py
@@ -0,0 +1,198 @@
+"""Directory of remembered places: where each chat's prefix was computed last.
+
+The directory is soft and sharded by chat over the live routers of the
+region. Losing a shard costs cache hits, never an answer: everyone falls back
+to the same rendezvous order. A shard is bounded by bytes and forgets what
+was asked for least lately.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import functools
+
+from amaranthring import errors
+from amaranthring.core import hashing
+from amaranthring.core import metrics as counters
+from amaranthring.routers import admission_messages as messages
+
+FIND_SECONDS = 0.1
+ENTRY_BYTES = 320
+SHARD_BYTES = 32 * 1024 * 1024
+BUCKETS = 1024
+BATCH_ENTRIES = 500
+FLUSH_SECONDS = 0.05
+UNSENT_MOST = 2000
+
+
+@functools.lru_cache(maxsize=16384)
+def bucket(key: str) -> int:
+    """Return the bucket that `key` falls into."""
+    return hashing.weight(key, "bucket") % BUCKETS
+
+
+class Shards:
+    """Which live router holds which bucket.
+
+    Parameters
+    ----------
+    live : callable
+        Returns the routers that hold shards.
+    """
+
+    def __init__(self, live: collections.abc.Callable[[], list[str]]):
+        self.live = live
+        self.holders: dict[int, list[str]] = {}
+
+    def changed(self) -> None:
+        """Forget what was worked out from an older list of routers."""
+        self.holders.clear()
+
+    def of(self, key: str) -> list[str]:
+        """Return the holder of `key` and its deputy."""
+        number = bucket(key)
+        found = self.holders.get(number)
+        if found is None:
+            found = hashing.order(f"shard {number}", self.live())[:2]
+            self.holders[number] = found
+        return found
+
+
+class Directory:
+    """The shard of this router, and its way to the others.
+
+    Parameters
+    ----------
+    name : str
+        This router.
+    mesh : object
+        Links to the other routers.
+    live : callable
+        Returns the live routers of this region.
+    suspects : object, optional
+        Shard of suspects; its answer travels with the place's.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        mesh,
+        live: collections.abc.Callable[[], list[str]],
+        suspects=None,
+        metrics: counters.Metrics | None = None,
+        bytes_most: int = SHARD_BYTES,
+    ):
+        self.name = name
+        self.mesh = mesh
+        self.suspects = suspects
+        self.metrics = metrics or counters.Metrics()
+        self.entries_most = bytes_most // ENTRY_BYTES
+        self.shards = Shards(live)
+        self.places: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+        self.unsent: dict[str, dict[str, str]] = {}
+        self.moving: list[str] = []
+        mesh.subscribe(self.routers_changed)
+
+    def add_handlers(self, handlers) -> None:
+        """Answer this module's messages from `handlers`."""
+        handlers.add(messages.FindPlace, self.on_find)
+        handlers.add(messages.RememberPlaces, self.on_remember)
+
+    # -- towards other shards --
+
+    async def find(
+        self, key: str, fingerprint: str = ""
+    ) -> messages.PlaceFound:
+        """Return where `key` ran last; nothing if its shard is silent."""
+        holders = self.shards.of(key)
+        ask = messages.FindPlace(key, fingerprint)
+        for holder in holders[:1]:
+            if holder == self.name:
+                return self.on_find(None, ask)
+            try:
+                return await self.mesh.call(holder, ask, FIND_SECONDS)
+            except errors.AmaranthringError:
+                self.metrics.count("directory.silent")
+        return messages.PlaceFound()
+
+    def remember(self, key: str, target: str) -> None:
+        """Tell the shard of `key` where it ran; never blocks or fails."""
+        for holder in self.shards.of(key)[:1]:
+            if holder == self.name:
+                self._store(key, target)
+                return
+            batch = self.unsent.setdefault(holder, {})
+            if len(batch) < UNSENT_MOST:
+                batch[key] = target
+
+    async def run(self) -> None:
+        """Send in batches what was remembered. Runs for ever."""
+        while True:
+            await asyncio.sleep(FLUSH_SECONDS)
+            self.flush()
+            self.move_some()
+
+    def flush(self) -> None:
+        """Send every batch."""
+        batches, self.unsent = self.unsent, {}
+        for holder, places in batches.items():
+            if not self.mesh.send(holder, messages.RememberPlaces(places)):
+                self.metrics.count("directory.unsent", len(places))
+
+    # -- this shard --
+
+    def on_find(self, _link, ask: messages.FindPlace) -> messages.PlaceFound:
+        """Answer from this shard."""
+        target = self.places.get(ask.chat, "")
+        if target:
+            self.places.move_to_end(ask.chat)
+        self.metrics.count("directory.hit" if target else "directory.miss")
+        deaths = []
+        if self.suspects is not None and ask.fingerprint:
+            deaths = self.suspects.deaths(ask.fingerprint)
+        return messages.PlaceFound(target, deaths)
+
+    def on_remember(self, _link, message: messages.RememberPlaces) -> None:
+        """Store places in this shard."""
+        for key, target in message.places.items():
+            self._store(key, target)
+
+    def _store(self, key: str, target: str) -> None:
+        self.places[key] = target
+        self.places.move_to_end(key)
+        while len(self.places) > self.entries_most:
+            self.places.popitem(last=False)
+
+    # -- changes of the router list --
+
+    def routers_changed(self) -> None:
+        """Begin to move entries whose shard is another router now."""
+        self.shards.changed()
+        self.moving = list(self.places)
+
+    def move_some(self) -> int:
+        """Move one batch of entries to their new shards; return its size.
+
+        Works in small batches, so that a change of the router list does not
+        hold up requests.
+        """
+        batch = self.moving[-BATCH_ENTRIES:]
+        del self.moving[-BATCH_ENTRIES:]
+        for key in batch:
+            holder = next(iter(self.shards.of(key)), self.name)
+            if holder == self.name or key not in self.places:
+                continue
+            places = self.unsent.setdefault(holder, {})
+            places.setdefault(key, self.places.pop(key))
+        return len(batch)
+
+    def hand_over(self) -> None:
+        """Move everything at once, on a graceful stop."""
+        live = self.shards.live
+        self.shards.live = lambda: [r for r in live() if r != self.name]
+        self.shards.changed()
+        self.moving = list(self.places)
+        while self.move_some():
+            self.flush()
--- a/amaranthring/routers/mesh.py
+++ b/amaranthring/routers/mesh.py
@@ -148,7 +148,7 @@
         handlers.add(Heartbeat, self._take_heartbeat)
         handlers.add(RouterLeaving, self._take_leaving)
 
-    # -- what others ask ---------------------------------------------------
+    # -- what others ask --
 
     def live(self, data_centre: str | None = None) -> list[str]:
         """Return sorted names of live routers, this one included.
@@ -280,7 +280,7 @@
         place = self.data_centre
         return [p for p in self.peers.values() if p.data_centre == place]
 
-    # -- links ---------------------------------------------------------------
+    # -- links --
 
     def accept(self, link: links.Link) -> None:
         """Take a link that a peer dialled; close one of a stranger."""
@@ -337,7 +337,7 @@
                 self.send(peer.name, message)
         self._changed()
 
-    # -- inside -------------------------------------------------------------
+    # -- inside --
 
     def _find_live(self, data_centre: str | None) -> list[str]:
         if data_centre is None:
--- a/amaranthring/routers/spread.py
+++ b/amaranthring/routers/spread.py
@@ -120,7 +120,7 @@
             if now - self.heard_of.get(place, now) > CUT_OFF_SECONDS:
                 self.mesh.set_foreign(place, [])
 
-    # -- sending -----------------------------------------------------------
+    # -- sending --
 
     def _batch(self, now: float) -> messages.Batch:
         beats = [self._beat(name, now) for name in sorted(self.table.beats)]
@@ -227,7 +227,7 @@
             now = self.clock()
             self.mesh.send(peer.name, self._message(now, [], []))
 
-    # -- merging -----------------------------------------------------------
+    # -- merging --
 
     def _sent_at(self, name: str, clock_ms: int, now: float) -> float:
         """Return when `name` sent a message, on this router's clock."""
@@ -306,7 +306,7 @@
             )
         )
 
-    # -- repair --------------------------------------------------------------
+    # -- repair --
 
     def _later(self, place: str, name: str) -> None:
         """Pull from router `name` unless the difference ends by itself."""
--- /dev/null
+++ b/amaranthring/testing/assembled.py
@@ -0,0 +1,130 @@
+"""Several routers' decision parts in one process, joined by fakes."""
+
+import collections
+import dataclasses
+
+from amaranthring.core import fleet
+from amaranthring.core import records
+from amaranthring.routers import admission
+from amaranthring.routers import directory
+from amaranthring.routers import placing
+from amaranthring.testing import routers as fakes
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        """Return the time."""
+        return self.now
+
+
+@dataclasses.dataclass
+class Router:
+    """Decision parts of one router."""
+
+    name: str
+    mesh: fakes.Mesh
+    table: fakes.Table
+    owners: admission.Owners
+    directory: directory.Directory
+    placer: placing.Placer
+
+
+class Routers:
+    """Routers ``r0``, ``r1``, ... over engines ``e0``, ``e1``, ...
+
+    Parameters
+    ----------
+    routers, engines : int
+        How many; spread over `data_centres` in turn.
+    """
+
+    def __init__(self, routers=3, engines=5, data_centres=("dc1",), **fields):
+        self.clock = Clock()
+        self.config = fleet.FleetConfig(
+            presets={"ordinary": fleet.Preset("ordinary")}
+        )
+        centres = data_centres
+        self.net = fakes.Net(
+            {f"r{i}": centres[i % len(centres)] for i in range(routers)}
+        )
+        self.targets = [
+            fakes.target(f"e{i}", centres[i % len(centres)], **fields)
+            for i in range(engines)
+        ]
+        self.routers = [self._router(name) for name in self.net.meshes]
+        self.by_name = {router.name: router for router in self.routers}
+        self.grants = {}
+
+    def _router(self, name):
+        mesh = self.net.meshes[name]
+        table = fakes.Table(self.targets)
+        owners = admission.Owners(
+            name, table, mesh, lambda: self.config, clock=self.clock
+        )
+        places = directory.Directory(name, mesh, mesh.live)
+        placer = placing.Placer(
+            name,
+            mesh.data_centre_of(name),
+            "north",
+            table,
+            mesh,
+            places,
+            lambda: self.config,
+            clock=self.clock,
+        )
+        for part in (owners, places, placer):
+            part.add_handlers(mesh.handlers)
+        return Router(name, mesh, table, owners, places, placer)
+
+    def live(self):
+        """Return the routers that were not stopped."""
+        return [each for each in self.routers if each.name in self.net.meshes]
+
+    async def admit(self, number, router=None, excluded=(), **fields):
+        """Admit request `number` at the router in turn, or at `router`."""
+        live = self.live()
+        at = self.by_name[router] if router else live[number % len(live)]
+        request = fakes.request(number, **fields)
+        grant = await at.placer.admit(request, set(excluded))
+        self.grants[grant.grant_id] = (at, grant)
+        return grant
+
+    def release(self, grant, end=records.End.DONE):
+        """End `grant` and send what was remembered."""
+        at, _ = self.grants.pop(grant.grant_id)
+        at.placer.release(grant, end)
+        at.directory.flush()
+
+    def running(self):
+        """Return requests in flight by target, as they really are."""
+        return collections.Counter(
+            grant.target.name for _, grant in self.grants.values()
+        )
+
+    def counted(self):
+        """Return requests in flight as all owners count them."""
+        return sum(
+            len(cell.held)
+            for router in self.live()
+            for cell in router.owners.cells.values()
+        )
+
+    def owner(self):
+        """Return the router that owns the only cell."""
+        return next(each for each in self.live() if each.owners.cells)
+
+    def set_state(self, name, state):
+        """Change the state of a target at every router."""
+        for router in self.live():
+            router.table.set_state(name, state)
+
+    def tick(self, seconds):
+        """Move the clock and do what time brings."""
+        self.clock.now += seconds
+        for router in self.live():
+            router.owners.tick(self.clock())
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,35 @@
+"""A request's place: entry router, owner and directory together."""
+
+import unittest
+
+from amaranthring.core import records
+from amaranthring.testing import assembled
+
+
+class TestPlacing(unittest.IsolatedAsyncioTestCase):
+    """Three routers in one data centre and their engines."""
+
+    def setUp(self):
+        self.fleet = assembled.Routers(routers=3, engines=5)
+
+    async def test_bound_is_kept_over_all_routers(self):
+        grants = [await self.fleet.admit(n, chat="one") for n in range(15)]
+        self.assertEqual(max(self.fleet.running().values()), 4)
+        for grant in grants:
+            self.fleet.release(grant)
+        self.assertEqual(self.fleet.counted(), 0)
+
+    async def test_chat_returns_to_its_place_through_another_router(self):
+        first = await self.fleet.admit(0, chat="c")
+        self.fleet.release(first)
+        again = await self.fleet.admit(1, chat="c")
+        self.assertTrue(again.remembered)
+        self.assertEqual(again.target, first.target)
+
+    async def test_leaving_target_gets_nothing_and_gives_its_cache(self):
+        first = await self.fleet.admit(0, chat="c")
+        self.fleet.release(first)
+        self.fleet.set_state(first.target.name, records.TargetState.LEAVING)
+        again = await self.fleet.admit(1, chat="c")
+        self.assertNotEqual(again.target, first.target)
+        self.assertEqual(again.import_from, first.target)
