--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -136,6 +136,7 @@
     def __init__(self, name: str, now: float, load_of=None):
         self.name = name
         self.began = now
+        self.refreshed = now
         self.load_of = load_of or (lambda _: 0)
         self.targets: dict[str, records.Target] = {}
         self.held: dict[Key, Held] = {}
--- a/amaranthring/routers/admission.py
+++ b/amaranthring/routers/admission.py
@@ -23,6 +23,7 @@
 
 TICK_SECONDS = 0.1
 DIGEST_SECONDS = 0.5
+REFRESH_SECONDS = 0.5
 IDLE_SECONDS = 30.0
 CELLS_MOST = 4096
 
@@ -182,6 +183,14 @@
                 cell.serve(now)
                 self._tell(cell)
 
+    def config_changed(self) -> None:
+        """Take the members of all cells anew: drains changed, perhaps."""
+        self.orders.clear()
+        for cell in self.cells.values():
+            self._refresh(cell)
+            cell.serve(self.clock())
+            self._tell(cell)
+
     def routers_changed(self) -> None:
         """Shorten leases of lost routers; hand on cells owned elsewhere."""
         live = set(self.mesh.live())
@@ -217,6 +226,9 @@
                 )
                 self.metrics.count("admission.expired")
                 self._drop(waiter.key, error)
+            if now - cell.refreshed >= REFRESH_SECONDS:
+                # Damped and silent targets change by time alone.
+                self._refresh(cell)
             cell.serve(now)
             self._tell(cell)
             if cell.held or len(cell.queue):
@@ -299,6 +311,7 @@
 
     def _refresh(self, cell: admission.Cell) -> None:
         cell.set_targets(self._members(_scope(cell.name)))
+        cell.refreshed = self.clock()
 
     def _members(self, scope: cells.Scope):
         found = self.table.eligible(scope.kind, scope.serves[0])
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -161,11 +161,13 @@
 class PlaceFound:
     """The remembered target, or empty, and what is known of the request.
 
-    `deaths` names the targets that died while this very request ran there.
+    `deaths` names the targets that died while this very request ran there;
+    a condemned one is not run again.
     """
 
     target: str = ""
     deaths: list[str] = dataclasses.field(default_factory=list)
+    condemned: bool = False
 
 
 @wire.message("place-remember")
@@ -177,18 +179,15 @@
 
 @wire.message("crashed")
 class Crashed:
-    """The run of request `fingerprint` coincided with a target's death."""
+    """The run of request `fingerprint` coincided with a target's death.
+
+    `apart` tells that it ran as a suspect, apart from others.
+    """
 
     key: str
     fingerprint: str
     target: str
-
-
-@wire.message("crash-noted")
-class CrashNoted:
-    """Targets whose deaths coincided with the request, this one included."""
-
-    deaths: list[str]
+    apart: bool = False
 
 
 @wire.message("cleared")
@@ -199,11 +198,21 @@
     fingerprint: str
 
 
+@dataclasses.dataclass
+class SuspectEntry:
+    """What one shard tells another about a suspect."""
+
+    key: str
+    fingerprint: str
+    deaths: list[str]
+    condemned: bool = False
+
+
 @wire.message("suspects")
 class Suspects:
-    """Suspects that move to another shard: key, fingerprint, targets."""
+    """Suspects whose shard is the receiver now."""
 
-    entries: list[tuple[str, str, list[str]]]
+    entries: list[SuspectEntry]
 
 
 @wire.message("rate-ask")
--- a/amaranthring/routers/directory.py
+++ b/amaranthring/routers/directory.py
@@ -10,6 +10,7 @@
 import collections
 import collections.abc
 import functools
+import time
 
 from amaranthring import errors
 from amaranthring.core import hashing
@@ -17,6 +18,7 @@
 from amaranthring.routers import admission_messages as messages
 
 FIND_SECONDS = 0.1
+SILENT_SECONDS = 1.0
 ENTRY_BYTES = 320
 SHARD_BYTES = 32 * 1024 * 1024
 BUCKETS = 1024
@@ -69,7 +71,7 @@
         Links to the other routers.
     live : callable
         Returns the live routers of this region.
-    suspects : object, optional
+    suspicion : Suspicion, optional
         Shard of suspects; its answer travels with the place's.
     """
 
@@ -78,19 +80,22 @@
         name: str,
         mesh,
         live: collections.abc.Callable[[], list[str]],
-        suspects=None,
+        suspicion=None,
         metrics: counters.Metrics | None = None,
         bytes_most: int = SHARD_BYTES,
+        clock: collections.abc.Callable[[], float] = time.monotonic,
     ):
         self.name = name
+        self.clock = clock
         self.mesh = mesh
-        self.suspects = suspects
+        self.suspicion = suspicion
         self.metrics = metrics or counters.Metrics()
         self.entries_most = bytes_most // ENTRY_BYTES
         self.shards = Shards(live)
         self.places: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
+        self.silent: dict[str, float] = {}
         self.unsent: dict[str, dict[str, str]] = {}
         self.moving: list[str] = []
         mesh.subscribe(self.routers_changed)
@@ -106,15 +111,17 @@
         self, key: str, fingerprint: str = ""
     ) -> messages.PlaceFound:
         """Return where `key` ran last; nothing if its shard is silent."""
-        holders = self.shards.of(key)
         ask = messages.FindPlace(key, fingerprint)
-        for holder in holders[:1]:
+        for holder in self.shards.of(key):
             if holder == self.name:
                 return self.on_find(None, ask)
+            if self.silent.get(holder, 0.0) > self.clock():
+                continue
             try:
                 return await self.mesh.call(holder, ask, FIND_SECONDS)
             except errors.AmaranthringError:
                 self.metrics.count("directory.silent")
+                self.silent[holder] = self.clock() + SILENT_SECONDS
         return messages.PlaceFound()
 
     def remember(self, key: str, target: str) -> None:
@@ -149,10 +156,13 @@
         if target:
             self.places.move_to_end(ask.chat)
         self.metrics.count("directory.hit" if target else "directory.miss")
-        deaths = []
-        if self.suspects is not None and ask.fingerprint:
-            deaths = self.suspects.deaths(ask.fingerprint)
-        return messages.PlaceFound(target, deaths)
+        found = messages.PlaceFound(target)
+        if self.suspicion is not None and ask.fingerprint:
+            suspect = self.suspicion.of(ask.fingerprint)
+            if suspect is not None:
+                found.deaths = suspect.deaths
+                found.condemned = suspect.condemned
+        return found
 
     def on_remember(self, _link, message: messages.RememberPlaces) -> None:
         """Store places in this shard."""
@@ -170,6 +180,7 @@
     def routers_changed(self) -> None:
         """Begin to move entries whose shard is another router now."""
         self.shards.changed()
+        self.silent.clear()
         self.moving = list(self.places)
 
     def move_some(self) -> int:
--- a/amaranthring/routers/placing.py
+++ b/amaranthring/routers/placing.py
@@ -108,6 +108,8 @@
         Links to the other routers, as there.
     directory : Directory
         Remembered places.
+    suspicion : Suspicion
+        Requests that may crash their targets.
     config : callable
         Returns the revision in force.
     metrics : Metrics, optional
@@ -124,6 +126,7 @@
         table,
         mesh,
         directory,
+        suspicion,
         config: collections.abc.Callable[[], fleet.FleetConfig],
         metrics: counters.Metrics | None = None,
         clock: collections.abc.Callable[[], float] = time.monotonic,
@@ -134,6 +137,7 @@
         self.table = table
         self.mesh = mesh
         self.directory = directory
+        self.suspicion = suspicion
         self.config = config
         self.metrics = metrics or counters.Metrics()
         self.clock = clock
@@ -180,7 +184,7 @@
         found = await self.directory.find(
             request.chat or request.body_digest, request.body_digest
         )
-        if len(found.deaths) > 1:
+        if found.condemned:
             raise errors.QuarantinedError(
                 "targets crashed while this request ran there"
             )
@@ -207,6 +211,8 @@
             self._release(holding.owner, holding.cell, serial, end)
         request = holding.request
         ran = end in (records.End.DONE, records.End.CANCELLED)
+        if holding.suspect and end == records.End.DONE:
+            self.suspicion.ended(request)
         if ran and request.chat and not grant.remembered:
             self.directory.remember(request.chat, grant.target.name)
 
@@ -444,9 +450,13 @@
         waiting = self.waiting[serial]
         granted = False
         try:
-            usable = set(self._cells(search))
+            usable = self._cells(search)
             others = [each for each in queued.elsewhere if each in usable]
-            for other in others[:ELSEWHERE_MOST]:
+            if search.suspect:
+                # It waits for a target without a suspect, which says
+                # nothing about load: any cell may have one.
+                others = usable
+            for other in [c for c in others if c != cell][:ELSEWHERE_MOST]:
                 if waiting.answer.done():
                     break
                 grant = await self._at_once(search, other)
@@ -508,6 +518,8 @@
             cell, owner, grant, search.request, search.suspect
         )
         self.running[target.name] += 1
+        if search.suspect:
+            self.suspicion.began(search.request, target.name)
         return grant
 
     def _import_from(self, search, target) -> records.Target | None:
--- a/amaranthring/testing/assembled.py
+++ b/amaranthring/testing/assembled.py
@@ -7,7 +7,10 @@
 from amaranthring.core import records
 from amaranthring.routers import admission
 from amaranthring.routers import directory
+from amaranthring.routers import limits
 from amaranthring.routers import placing
+from amaranthring.routers import regions
+from amaranthring.routers import suspicion
 from amaranthring.testing import routers as fakes
 
 
@@ -32,6 +35,8 @@
     owners: admission.Owners
     directory: directory.Directory
     placer: placing.Placer
+    suspicion: suspicion.Suspicion
+    limits: limits.AccountLimits
 
 
 class Routers:
@@ -56,6 +61,8 @@
             fakes.target(f"e{i}", centres[i % len(centres)], **fields)
             for i in range(engines)
         ]
+        self.configured = routers
+        self.quarantined = []
         self.routers = [self._router(name) for name in self.net.meshes]
         self.by_name = {router.name: router for router in self.routers}
         self.grants = {}
@@ -66,7 +73,26 @@
         owners = admission.Owners(
             name, table, mesh, lambda: self.config, clock=self.clock
         )
-        places = directory.Directory(name, mesh, mesh.live)
+        near = regions.Regions("north", mesh, table.all)
+        held = suspicion.Suspicion(
+            name,
+            mesh,
+            near,
+            self._quarantine,
+            lambda: self.config,
+            clock=self.clock,
+        )
+        held.confirm_seconds = 0.0
+        places = directory.Directory(
+            name, mesh, near.own, held, clock=self.clock
+        )
+        rates = limits.AccountLimits(
+            name,
+            mesh,
+            lambda: self.config,
+            lambda: self.configured,
+            clock=self.clock,
+        )
         placer = placing.Placer(
             name,
             mesh.data_centre_of(name),
@@ -74,12 +100,16 @@
             table,
             mesh,
             places,
+            held,
             lambda: self.config,
             clock=self.clock,
         )
-        for part in (owners, places, placer):
+        for part in (owners, places, placer, held, rates):
             part.add_handlers(mesh.handlers)
-        return Router(name, mesh, table, owners, places, placer)
+        return Router(name, mesh, table, owners, places, placer, held, rates)
+
+    async def _quarantine(self, fingerprint):
+        self.quarantined.append(fingerprint)
 
     def live(self):
         """Return the routers that were not stopped."""
--- a/amaranthring/testing/routers.py
+++ b/amaranthring/testing/routers.py
@@ -80,6 +80,10 @@
             and self.states[name] == records.TargetState.READY
         ]
 
+    def all(self):
+        """Return every target."""
+        return list(self.targets.values())
+
     def get(self, name):
         """Return the target or None."""
         return self.targets.get(name)
