--- /dev/null
+++ b/amaranthring/keepers/client.py
@@ -0,0 +1,162 @@
+"""A router's client of a group of keepers: finds the leader, repeats safely.
+
+A call is repeated only where nothing was accepted, or where the command
+carries an id that makes the repeat harmless: such a command class has the
+class variable ``repeatable = True``.
+"""
+
+import asyncio
+import random
+import typing as t
+
+from amaranthring import errors
+from amaranthring.core import links
+from amaranthring.core import wire
+from amaranthring.keepers import messages
+
+TRY_SECONDS = 1.0
+PAUSE_SECONDS = 0.05
+
+NOT_ACCEPTED = (errors.NotLeaderError, errors.NoQuorumError)
+FATE_UNKNOWN = (
+    errors.CommitUnknownError,
+    errors.LinkClosedError,
+    errors.LinkTimeoutError,
+)
+
+
+class KeeperClient:
+    """Calls to one group of keepers.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    keepers : list of settings.PeerAddress
+        Every keeper of the settings.
+    identity, keys, handlers
+        For the streams; `handlers` answers what keepers send.
+    on_link : callable, optional
+        Called with each new link to a keeper.
+    """
+
+    def __init__(
+        self, group, keepers, identity, keys, handlers=None, on_link=None
+    ):
+        self.group = group
+        self.leader = ""
+        handlers = handlers or links.Handlers()
+        self.diallers = {
+            keeper.name: links.Dialler(
+                keeper.address, identity, keys, handlers, on_link
+            )
+            for keeper in keepers
+        }
+
+    def start(self) -> None:
+        """Dial every keeper."""
+        for dialler in self.diallers.values():
+            dialler.start()
+
+    def stop(self) -> None:
+        """Close every link."""
+        for dialler in self.diallers.values():
+            dialler.stop()
+
+    async def propose(self, command: t.Any, timeout: float = 5.0) -> t.Any:
+        """Commit `command` and return its result.
+
+        Raises
+        ------
+        errors.NoQuorumError
+            Nothing was accepted.
+        errors.CommitUnknownError
+            The command may be committed; only for one that may not be
+            repeated, or if no keeper answered until the end.
+        errors.AmaranthringError
+            The result of the command.
+        """
+        repeatable = getattr(command, "repeatable", False)
+        tag = wire.tag_of(type(command))
+
+        def make(seconds: float) -> messages.Propose:
+            return messages.Propose(self.group, tag, command, seconds)
+
+        return await self._call(make, timeout, repeatable)
+
+    async def query(self, message: t.Any, timeout: float = 5.0) -> t.Any:
+        """Send `message`, which changes nothing, to the leader.
+
+        Raises
+        ------
+        errors.NoQuorumError
+            No leader answered in time.
+        errors.AmaranthringError
+            What the handler of the message raised.
+        """
+        try:
+            return await self._call(lambda _: message, timeout, True)
+        except errors.CommitUnknownError as error:
+            raise errors.NoQuorumError(
+                "no leader of the keepers answers", retry_after=1.0
+            ) from error
+
+    async def change_members(self, message: messages.Change) -> t.Any:
+        """Add or remove a keeper; see ``membership.change``."""
+        return await self._call(lambda _: message, message.timeout, False)
+
+    async def status(self, name: str, timeout: float = 1.0):
+        """Return the :class:`messages.Status` of keeper `name`."""
+        query = messages.StatusQuery(self.group)
+        return await self.diallers[name].call(query, timeout)
+
+    async def _call(self, make, timeout: float, repeatable: bool) -> t.Any:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        unknown: errors.AmaranthringError | None = None
+        tried: set[str] = set()
+        while (left := deadline - loop.time()) > 0:
+            name = self._choose(tried)
+            seconds = min(left, TRY_SECONDS) if repeatable else left
+            try:
+                reply = await self.diallers[name].call(make(seconds), seconds)
+            except NOT_ACCEPTED as error:
+                self._learn(name, error)
+            except FATE_UNKNOWN as error:
+                if error.outcome != errors.Outcome.NOT_RUN:
+                    unknown = error
+                    if not repeatable:
+                        break
+                self._forget(name)
+            except errors.LinkOverloadedError:
+                self._forget(name)
+            else:
+                self.leader = name
+                return reply
+            tried.add(name)
+            if not self.leader:
+                await asyncio.sleep(PAUSE_SECONDS * random.uniform(0.5, 1.5))
+        if unknown is not None:
+            raise errors.CommitUnknownError(
+                f"no answer in {timeout} s", retry_after=1.0
+            ) from unknown
+        raise errors.NoQuorumError(
+            "no leader of the keepers answers", retry_after=1.0
+        )
+
+    def _choose(self, tried: set[str]) -> str:
+        if self.leader in self.diallers:
+            return self.leader
+        if tried >= set(self.diallers):
+            tried.clear()
+        fresh = [name for name in self.diallers if name not in tried]
+        linked = [name for name in fresh if self.diallers[name].link]
+        return random.choice(linked or fresh)
+
+    def _learn(self, name: str, error: errors.AmaranthringError) -> None:
+        hinted = error.expected if error.expected != name else ""
+        self.leader = hinted if hinted in self.diallers else ""
+
+    def _forget(self, name: str) -> None:
+        if self.leader == name:
+            self.leader = ""
--- /dev/null
+++ b/amaranthring/keepers/election.py
@@ -0,0 +1,182 @@
+"""Leader election with pre-vote, and the leader's quorum lease.
+
+Sources: D. Ongaro and J. Ousterhout, "In Search of an Understandable
+Consensus Algorithm", USENIX ATC 2014; D. Ongaro, "Consensus: Bridging Theory
+and Practice", 2014, sections 4.2.3 (voters that hear a leader refuse), 6.4
+(leases and reads) and 9.6 (pre-vote); L. Lamport, "The Part-Time
+Parliament", ACM TOCS 16(2), 1998.
+"""
+
+import asyncio
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import logs
+from amaranthring.keepers import membership
+from amaranthring.keepers import messages
+
+log = logbook.Logger(__name__)
+
+LEASE_SHARE = 0.9
+RETRY_SHARE = 0.3
+
+
+async def watch(group) -> None:
+    """Campaign when no leader is heard; step down when no quorum is."""
+    options = group.options
+    while True:
+        await asyncio.sleep(options.heartbeat_seconds / 2)
+        now = group.clocks.monotonic()
+        if group.leading:
+            # Without this a leader behind a cut would go on taking
+            # proposals that nobody can ever commit.
+            if now > quorum_heard(group) + options.election_seconds:
+                group.step_down("lost its quorum")
+        elif now >= group.campaign_at and may_campaign(group):
+            await _campaign(group)
+
+
+def may_campaign(group) -> bool:
+    """Return whether this keeper may ask for votes."""
+    if group.fault is not None:
+        return False
+    return membership.is_voter(group.members, group.disk_id)
+
+
+def delay_campaign(group) -> None:
+    """Put the next campaign off by a whole random election time."""
+    wait = group.options.election_seconds * group.random.uniform(1, 2)
+    group.campaign_at = group.clocks.monotonic() + wait
+
+
+def quorum_heard(group) -> float:
+    """Return when the last message left that a quorum has answered."""
+    times = [group.acked_at(member) for member in group.members.voters]
+    times.sort(reverse=True)
+    needed = membership.quorum(group.members)
+    return times[needed - 1] if times else 0.0
+
+
+def lease_until(group) -> float:
+    """Return the monotonic time up to which no other leader can exist.
+
+    Every follower that answered refuses its vote for an election time after
+    it heard the leader, which is not before the message left; a keeper that
+    restarts refuses as long from its start. The share below one covers
+    clocks that run at different rates; wall clocks play no part.
+    """
+    share = group.options.election_seconds * LEASE_SHARE
+    return quorum_heard(group) + share
+
+
+async def _campaign(group) -> None:
+    short = group.options.election_seconds * RETRY_SHARE
+    wait = short * group.random.uniform(0.3, 1)
+    group.campaign_at = group.clocks.monotonic() + wait
+    # A keeper that was cut off finds no majority here and does not raise
+    # its term, so its return deposes nobody.
+    if not await _ballot(group, group.term + 1, pre=True):
+        return
+    if group.leading or _hears_leader(group):
+        return
+    group.set_term(group.term + 1, group.disk_id)
+    term = group.term
+    delay_campaign(group)
+    try:
+        await group.writer.flush()
+    except errors.StorageError:
+        return
+    won = await _ballot(group, term, pre=False)
+    if won and group.term == term and not group.leading:
+        group.lead()
+
+
+async def _ballot(group, term: int, pre: bool) -> bool:
+    needed = membership.quorum(group.members)
+    voters = [m for m in group.members.voters if m.disk != group.disk_id]
+    votes = 1
+    waiting = {
+        asyncio.ensure_future(_ask(group, voter, term, pre))
+        for voter in voters
+    }
+    try:
+        while waiting and votes < needed:
+            done, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            votes += sum(task.result() for task in done)
+        return votes >= needed
+    finally:
+        for task in waiting:
+            task.cancel()
+
+
+async def _ask(group, voter, term: int, pre: bool) -> bool:
+    peer = group.peers.get(voter.name)
+    if peer is None:
+        return False
+    message = messages.Vote(
+        group.name,
+        term,
+        group.disk_id,
+        voter.disk,
+        group.log.last_index,
+        group.log.last_term,
+        pre,
+    )
+    try:
+        reply = await peer.dialler.call(
+            message, group.options.election_seconds * 0.5
+        )
+    except errors.AmaranthringError:
+        return False
+    if reply.term > group.term:
+        group.set_term(reply.term)
+    return reply.granted and reply.disk == voter.disk
+
+
+def _hears_leader(group) -> bool:
+    since = group.clocks.monotonic() - group.heard_at
+    return since < group.options.election_seconds
+
+
+def _refuses(group, message: messages.Vote) -> bool:
+    if message.to_disk != group.disk_id:
+        # The candidate counts on a disk that is no longer here: this one
+        # does not know what that one voted.
+        return True
+    if group.leading and group.clocks.monotonic() < lease_until(group):
+        return True
+    if not group.leading and _hears_leader(group):
+        return True
+    ours = (group.log.last_term, group.log.last_index)
+    return (message.last_term, message.last_index) < ours
+
+
+async def on_vote(group, message: messages.Vote) -> messages.Voted:
+    """Answer a candidate; a granted vote is synced before the answer."""
+    if group.fault is not None:
+        raise group.fault
+    no = messages.Voted(group.term, False, group.disk_id)
+    if _refuses(group, message):
+        return no
+    if message.pre:
+        granted = message.term > group.term
+        return messages.Voted(group.term, granted, group.disk_id)
+    if message.term > group.term:
+        group.set_term(message.term)
+    taken = group.vote not in ("", message.disk)
+    if message.term < group.term or taken:
+        return messages.Voted(group.term, False, group.disk_id)
+    group.set_term(message.term, message.disk)
+    delay_campaign(group)
+    logs.event(
+        log,
+        "keeper.voted",
+        group=group.name,
+        term=message.term,
+        candidate=message.disk,
+    )
+    await group.writer.flush()
+    return messages.Voted(message.term, True, group.disk_id)
--- /dev/null
+++ b/amaranthring/keepers/genesis.py
@@ -0,0 +1,80 @@
+"""How a group begins, and how an empty disk finds the group that exists.
+
+A group begins once, when every keeper of the settings is up with an empty
+disk: the first by name then writes down all their disks as voters, and the
+others take that over. As soon as one keeper knows a group, an empty disk
+that isn't among its voters stays without a vote until the leader brings it
+in as a learner. So a keeper that lost its disk cannot begin a second group
+beside the first, nor vote a second time under its old name.
+"""
+
+import asyncio
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import logs
+from amaranthring.keepers import membership
+from amaranthring.keepers import messages
+
+log = logbook.Logger(__name__)
+
+GREET_SECONDS = 0.5
+RETRY_SECONDS = 0.1
+
+
+async def join(group) -> None:
+    """Begin the group or find it; return once this disk knows its members."""
+    while not group.members.voters:
+        replies = await _greet_all(group)
+        known = [reply.members for reply in replies.values() if reply.members]
+        listed = [m for m in known if membership.is_voter(m, group.disk_id)]
+        if listed:
+            await group.save_genesis(listed[0])
+            return
+        if not known and _may_begin(group, replies):
+            await _begin(group, replies)
+            return
+        await asyncio.sleep(RETRY_SECONDS)
+
+
+def _may_begin(group, replies) -> bool:
+    everyone = {peer.name for peer in group.configured}
+    first = min(everyone | {group.keeper.name})
+    return set(replies) == everyone and first == group.keeper.name
+
+
+async def _begin(group, replies) -> None:
+    keeper = group.keeper
+    disks = {name: reply.disk for name, reply in replies.items()}
+    disks[keeper.name] = group.disk_id
+    voters = [
+        messages.Member(
+            disks[peer.name], peer.name, peer.address, peer.data_centre
+        )
+        for peer in [keeper, *group.configured]
+    ]
+    await group.save_genesis(messages.Members(voters, []))
+    logs.event(log, "keeper.genesis", group=group.name, voters=len(voters))
+
+
+async def _greet_all(group) -> dict[str, messages.Greeted]:
+    names = [peer.name for peer in group.configured]
+    answers = await asyncio.gather(*(_greet(group, name) for name in names))
+    pairs = zip(names, answers, strict=True)
+    return {name: reply for name, reply in pairs if reply is not None}
+
+
+async def _greet(group, name: str) -> messages.Greeted | None:
+    message = messages.Greet(group.name, group.disk_id)
+    try:
+        return await group.peers[name].dialler.call(message, GREET_SECONDS)
+    except errors.AmaranthringError:
+        return None
+
+
+def on_greet(group, message: messages.Greet) -> messages.Greeted:
+    """Answer with this disk and the group that it knows."""
+    del message
+    known = group.members if group.members.voters else None
+    return messages.Greeted(group.disk_id, known)
--- /dev/null
+++ b/amaranthring/keepers/log.py
@@ -0,0 +1,348 @@
+"""The replicated log: entries in memory and segment files on disk.
+
+A record is ``length, checksum of the payload, checksum of both`` (4 bytes
+each, big-endian) and the payload. A crash can only leave the last record of
+the last file short or zero-filled: that torn tail was never acknowledged
+and is cut. Everything else that does not fit is damage to what may have
+been acknowledged, and the keeper refuses to start.
+"""
+
+import bisect
+import dataclasses
+import os
+import pathlib
+import struct
+import zlib
+
+import msgpack
+
+from amaranthring import errors
+from amaranthring.keepers import disk
+
+HEADER = struct.Struct(">III")
+PREFIX = "log-"
+SECTOR_BYTES = 512
+MAX_ENTRY_BYTES = 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """One entry of the log.
+
+    Attributes
+    ----------
+    index, term : int
+        Place in the log and term of the leader that made it.
+    stamp : float
+        Fleet time in seconds, never below an earlier entry's.
+    tag : str
+        Message tag of the command.
+    body : bytes
+        The command's encoded fields.
+    payload : bytes
+        All of the above, as stored and sent.
+    """
+
+    index: int
+    term: int
+    stamp: float
+    tag: str
+    body: bytes
+    payload: bytes = b""
+
+
+def make(index: int, term: int, stamp: float, tag: str, body: bytes) -> Entry:
+    """Return a new entry with its payload."""
+    payload = msgpack.packb((index, term, stamp, tag, body))
+    return Entry(index, term, stamp, tag, body, payload)
+
+
+def parse(payload: bytes) -> Entry:
+    """Return the entry in `payload`.
+
+    Raises
+    ------
+    errors.FrameError
+        If it is no entry.
+    """
+    try:
+        index, term, stamp, tag, body = msgpack.unpackb(payload)
+    except Exception as error:
+        raise errors.FrameError("malformed log entry") from error
+    types = (int, int, float, str, bytes)
+    fields = (index, term, stamp, tag, body)
+    if not all(map(isinstance, fields, types)):
+        raise errors.FrameError("malformed log entry")
+    return Entry(index, term, stamp, tag, body, payload)
+
+
+class Log:
+    """Entries in memory after a base, which a snapshot covers."""
+
+    def __init__(self, base_index=0, base_term=0, base_stamp=0.0):
+        self.reset(base_index, base_term, base_stamp)
+
+    def reset(self, index: int, term: int, stamp: float) -> None:
+        """Forget all entries; the next one is `index` + 1."""
+        self.base_index = index
+        self.base_term = term
+        self.base_stamp = stamp
+        self.entries: list[Entry] = []
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def last_stamp(self) -> float:
+        """Return the stamp of the last entry."""
+        return self.entries[-1].stamp if self.entries else self.base_stamp
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of entry `index`, or None if it isn't held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.get(index).term
+        return None
+
+    def get(self, index: int) -> Entry:
+        """Return entry `index`, which must be held."""
+        return self.entries[index - self.base_index - 1]
+
+    def batch(self, index: int, bytes_most: int) -> list[bytes]:
+        """Return payloads from `index` on, at least one if there is one."""
+        found = []
+        size = 0
+        for at in range(index - self.base_index - 1, len(self.entries)):
+            payload = self.entries[at].payload
+            size += len(payload)
+            if found and size > bytes_most:
+                break
+            found.append(payload)
+        return found
+
+    def append(self, entries: list[Entry]) -> None:
+        """Add `entries`, which follow the last one."""
+        self.entries.extend(entries)
+
+    def truncate(self, index: int) -> None:
+        """Drop entry `index` and all after it."""
+        del self.entries[index - self.base_index - 1 :]
+
+    def compact(self, index: int) -> None:
+        """Drop entries up to `index`, which becomes the base."""
+        if not self.base_index < index <= self.last_index:
+            return
+        entry = self.get(index)
+        del self.entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = entry.term
+        self.base_stamp = entry.stamp
+
+
+@dataclasses.dataclass
+class Segment:
+    """One file of consecutive records.
+
+    Attributes
+    ----------
+    first : int
+        Index of its first record.
+    offsets : list of int
+        Where each record begins.
+    size : int
+        Bytes in the file.
+    """
+
+    path: pathlib.Path
+    first: int
+    offsets: list[int] = dataclasses.field(default_factory=list)
+    size: int = 0
+
+    @property
+    def last(self) -> int:
+        """Return the index of its last record."""
+        return self.first + len(self.offsets) - 1
+
+
+class Segments:
+    """The log's files; used by the disk thread only, after loading."""
+
+    def __init__(self, folder: pathlib.Path, files: disk.Files):
+        self.folder = folder
+        self.files = files
+        self.segments: list[Segment] = []
+        self.fd = -1
+        self.dirty = False
+
+    def load(self) -> list[Entry]:
+        """Return all entries on disk; cut a torn tail.
+
+        Raises
+        ------
+        errors.StorageError
+            If a record other than a torn last one does not fit.
+        """
+        entries: list[Entry] = []
+        paths = sorted(self.folder.glob(PREFIX + "*"))
+        for path in paths:
+            segment, found = _read(path, torn_allowed=path == paths[-1])
+            if entries and found and found[0].index != entries[-1].index + 1:
+                raise disk.damaged(path, "does not follow the file before it")
+            entries.extend(found)
+            self.segments.append(segment)
+        if self.segments:
+            self._open(self.segments[-1])
+            os.ftruncate(self.fd, self.segments[-1].size)
+            os.fsync(self.fd)
+        return entries
+
+    def begin(self, first: int) -> None:
+        """Start a new file whose first record is `first`."""
+        if self.segments and self.segments[-1].first == first:
+            return
+        segment = Segment(self.folder / f"{PREFIX}{first:020d}", first)
+        self._open(segment)
+        os.ftruncate(self.fd, 0)
+        self.segments.append(segment)
+        disk.sync_folder(self.folder)
+
+    def append(self, payloads: list[bytes]) -> None:
+        """Write records; they last after :meth:`sync`."""
+        segment = self.segments[-1]
+        records = []
+        for payload in payloads:
+            segment.offsets.append(segment.size)
+            record = frame(payload)
+            segment.size += len(record)
+            records.append(record)
+        self.dirty = True
+        disk.write_all(self.fd, b"".join(records), self.files)
+
+    def sync(self) -> None:
+        """Make everything written so far last."""
+        if self.dirty:
+            self.files.sync(self.fd)
+            self.dirty = False
+
+    def truncate(self, index: int) -> None:
+        """Drop record `index` and all after it, durably."""
+        while self.segments[-1].first > index and len(self.segments) > 1:
+            self.segments.pop().path.unlink()
+            self._open(self.segments[-1])
+        segment = self.segments[-1]
+        keep = index - segment.first
+        if keep < len(segment.offsets):
+            segment.size = segment.offsets[keep]
+            del segment.offsets[keep:]
+            os.ftruncate(self.fd, segment.size)
+        os.fsync(self.fd)
+        disk.sync_folder(self.folder)
+
+    def compact(self, upto: int, last_index: int) -> None:
+        """Begin a new file and remove files with nothing above `upto`."""
+        self.sync()
+        self.begin(last_index + 1)
+        ends = [segment.last for segment in self.segments]
+        gone = min(bisect.bisect_right(ends, upto), len(ends) - 1)
+        for segment in self.segments[:gone]:
+            segment.path.unlink()
+        del self.segments[:gone]
+
+    def reset(self, first: int) -> None:
+        """Remove every record; the next one is `first`."""
+        old = self.segments
+        self.segments = []
+        for segment in reversed(old):
+            segment.path.unlink()
+        self.begin(first)
+
+    def bytes(self) -> int:
+        """Return the size of all files."""
+        return sum(segment.size for segment in self.segments)
+
+    def close(self) -> None:
+        """Close the open file."""
+        if self.fd >= 0:
+            os.close(self.fd)
+            self.fd = -1
+
+    def _open(self, segment: Segment) -> None:
+        self.sync()
+        self.close()
+        flags = os.O_CREAT | os.O_WRONLY | os.O_APPEND
+        self.fd = os.open(segment.path, flags, 0o600)
+
+
+def frame(payload: bytes) -> bytes:
+    """Return `payload` as a record."""
+    length = len(payload)
+    checksum = zlib.crc32(payload)
+    both = zlib.crc32(struct.pack(">II", length, checksum))
+    return HEADER.pack(length, checksum, both) + payload
+
+
+def _read(path, torn_allowed: bool) -> tuple[Segment, list[Entry]]:
+    data = path.read_bytes()
+    segment = Segment(path, int(path.name.removeprefix(PREFIX)))
+    entries: list[Entry] = []
+    at = 0
+    while at < len(data):
+        payload = _payload(data, at)
+        if payload is None:
+            if not torn_allowed or not _torn(data, at):
+                raise disk.damaged(path, f"bad record at byte {at}")
+            break
+        entry = parse(payload)
+        if entry.index != segment.first + len(entries):
+            raise disk.damaged(path, f"entry out of order at byte {at}")
+        segment.offsets.append(at)
+        entries.append(entry)
+        at += HEADER.size + len(payload)
+    segment.size = at
+    return segment, entries
+
+
+def _header(data: bytes, at: int) -> tuple[int, int] | None:
+    length, checksum, both = HEADER.unpack_from(data, at)
+    if zlib.crc32(data[at : at + 8]) != both or length > MAX_ENTRY_BYTES * 2:
+        return None
+    return length, checksum
+
+
+def _payload(data: bytes, at: int) -> bytes | None:
+    begin = at + HEADER.size
+    if begin > len(data):
+        return None
+    header = _header(data, at)
+    if header is None:
+        return None
+    payload = data[begin : begin + header[0]]
+    if len(payload) < header[0] or zlib.crc32(payload) != header[1]:
+        return None
+    return payload
+
+
+def _torn(data: bytes, at: int) -> bool:
+    """Return whether the bad record at `at` is what a crash leaves.
+
+    Short: the file ends inside the record. Zero-filled: the file grew but
+    its last sectors were never written. A record that is there in full and
+    still does not fit was changed after it was written.
+    """
+    begin = at + HEADER.size
+    if begin > len(data):
+        return True
+    header = _header(data, at)
+    if header is not None and begin + header[0] > len(data):
+        return True
+    written = len(data.rstrip(b"\0"))
+    boundary = -(-written // SECTOR_BYTES) * SECTOR_BYTES
+    return boundary < len(data)
--- /dev/null
+++ b/amaranthring/keepers/membership.py
@@ -0,0 +1,218 @@
+"""Who takes part in a group, and how that changes one disk at a time.
+
+Source: D. Ongaro, "Consensus: Bridging Theory and Practice", 2014, chapter 4
+(single-server changes; the change of a leader only after an entry of its own
+term is committed).
+
+A member is a disk, not a name. A keeper whose disk was lost comes back under
+its name with another disk: the leader adds that as a learner, lets it catch
+up, removes the lost disk, and only then makes the new one a voter.
+"""
+
+import asyncio
+import dataclasses
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import logs
+from amaranthring.keepers import messages
+
+log = logbook.Logger(__name__)
+
+REPAIR_SECONDS = 0.2
+CAUGHT_UP_ENTRIES = 64
+NO_QUORUM = -1
+NOT_KNOWN = -2
+
+
+def quorum(members: messages.Members) -> int:
+    """Return how many voters decide."""
+    return len(members.voters) // 2 + 1
+
+
+def find(members: messages.Members, disk: str) -> messages.Member | None:
+    """Return the member with `disk`, or None."""
+    for member in members.voters + members.learners:
+        if member.disk == disk:
+            return member
+    return None
+
+
+def is_voter(members: messages.Members, disk: str) -> bool:
+    """Return whether `disk` votes."""
+    return any(member.disk == disk for member in members.voters)
+
+
+def names(members: messages.Members) -> set[str]:
+    """Return the names of all members."""
+    return {member.name for member in members.voters + members.learners}
+
+
+def disk_of(members: messages.Members, name: str) -> str:
+    """Return the disk expected at keeper `name`, a voter's first."""
+    for member in members.voters + members.learners:
+        if member.name == name:
+            return member.disk
+    return ""
+
+
+def with_learner(members, member) -> messages.Members:
+    """Return `members` with `member` as the one learner of its name."""
+    others = [m for m in members.learners if m.name != member.name]
+    return messages.Members(list(members.voters), [*others, member])
+
+
+def without(members, disk: str) -> messages.Members:
+    """Return `members` without `disk`."""
+    return messages.Members(
+        [m for m in members.voters if m.disk != disk],
+        [m for m in members.learners if m.disk != disk],
+    )
+
+
+def promoted(members, disk: str) -> messages.Members:
+    """Return `members` with learner `disk` as a voter."""
+    learner = find(members, disk)
+    rest = without(members, disk)
+    return dataclasses.replace(rest, voters=[*rest.voters, learner])
+
+
+def next_step(group) -> messages.Members | None:
+    """Return the configuration after the next repairing step, or None."""
+    members = group.members
+    for peer in group.peers.values():
+        known = find(members, peer.disk)
+        if known is None and peer.disk and peer.name in names(members):
+            member = messages.Member(
+                peer.disk, peer.name, peer.address, peer.data_centre
+            )
+            return with_learner(members, member)
+    for learner in members.learners:
+        if not _caught_up(group, learner):
+            continue
+        for voter in members.voters:
+            if voter.name == learner.name:
+                return _without_lost(group, voter)
+        return promoted(members, learner.disk)
+    return None
+
+
+def _without_lost(group, voter) -> messages.Members | None:
+    # The lost disk goes before the new one votes. Both at once would let
+    # two majorities exist that share no disk.
+    smaller = without(group.members, voter.disk)
+    live = sum(group.is_live(member) for member in smaller.voters)
+    return smaller if live >= quorum(smaller) else None
+
+
+def _caught_up(group, member) -> bool:
+    peer = group.peers.get(member.name)
+    if peer is None or peer.disk != member.disk:
+        return False
+    lag = group.log.last_index - peer.match_index
+    return group.is_live(member) and lag <= CAUGHT_UP_ENTRIES
+
+
+def safe_losses(group) -> int:
+    """Return how many more voters may be lost, as the leader knows it.
+
+    Learners do not count: right after a repair, while the new disk is still
+    catching up, one more loss may end the quorum.
+    """
+    live = sum(group.is_live(member) for member in group.members.voters)
+    return max(NO_QUORUM, live - quorum(group.members))
+
+
+async def repair(group) -> None:
+    """While leading, bring replaced disks back as voters, step by step."""
+    while True:
+        await asyncio.sleep(REPAIR_SECONDS)
+        if not group.may_change_members():
+            continue
+        members = next_step(group)
+        if members is None:
+            continue
+        logs.event(
+            log,
+            "keeper.members",
+            group=group.name,
+            voters=",".join(m.name for m in members.voters),
+            learners=",".join(m.name for m in members.learners),
+        )
+        try:
+            await group.propose(members, group.options.election_seconds * 4)
+        except errors.AmaranthringError as error:
+            log.warning("keeper.members-failed fault={}", error)
+
+
+async def change(group, message: messages.Change) -> messages.Members:
+    """Add a keeper as a learner to be voted in, or remove one.
+
+    Raises
+    ------
+    errors.NotLeaderError, errors.NoQuorumError, errors.CommitUnknownError
+        As ``propose``.
+    errors.BadRequestError
+        If the change makes no sense for the present members.
+    """
+    await group.read_barrier(message.timeout)
+    if not group.may_change_members():
+        raise errors.RefusedError(
+            "another change of members is not committed", retry_after=1.0
+        )
+    known = message.name in names(group.members)
+    if known == message.add:
+        raise errors.BadRequestError(
+            "change of members",
+            given=message.name,
+            expected="a new keeper" if message.add else "a member",
+        )
+    if message.add:
+        return await _add(group, message)
+    return await _remove(group, message)
+
+
+async def _add(group, message) -> messages.Members:
+    if not message.address:
+        raise errors.BadRequestError(
+            "change of members", given="no address", expected="host:port"
+        )
+    peer = group.add_peer(message.name, message.address, message.data_centre)
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + message.timeout
+    while not peer.disk:
+        if loop.time() > deadline:
+            group.drop_strangers()
+            raise errors.RefusedError(
+                "new keeper does not answer",
+                given=message.address,
+                expected="a keeper that runs with an empty disk",
+            )
+        await asyncio.sleep(REPAIR_SECONDS / 4)
+    member = messages.Member(
+        peer.disk, peer.name, peer.address, peer.data_centre
+    )
+    members = with_learner(group.members, member)
+    await group.propose(members, message.timeout)
+    return members
+
+
+async def _remove(group, message) -> messages.Members:
+    members = group.members
+    voters = [m for m in members.voters if m.name == message.name]
+    if voters:
+        smaller = without(members, voters[0].disk)
+        live = sum(group.is_live(member) for member in smaller.voters)
+        if live < quorum(smaller):
+            raise errors.BadRequestError(
+                "the rest would have no quorum",
+                given=f"{live} live of {len(smaller.voters)}",
+                expected=f"{quorum(smaller)} live voters",
+            )
+        members = smaller
+    else:
+        gone = [m for m in members.learners if m.name == message.name]
+        members = without(members, gone[0].disk)
+    await group.propose(members, message.timeout)
+    return members
--- /dev/null
+++ b/amaranthring/keepers/replication.py
@@ -0,0 +1,395 @@
+"""Replication of the leader's log: one task per peer, bounded pipelining.
+
+Sources as in :mod:`amaranthring.keepers.election`; pipelining and writing
+the leader's disk in parallel are described in Ongaro 2014, section 10.2.
+"""
+
+import asyncio
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import links
+from amaranthring.core import logs
+from amaranthring.keepers import election
+from amaranthring.keepers import log as logfile
+from amaranthring.keepers import membership
+from amaranthring.keepers import messages
+from amaranthring.keepers import snapshots
+
+log = logbook.Logger(__name__)
+
+BATCH_BYTES = 256 * 1024
+WINDOW_MESSAGES = 8
+WINDOW_BYTES = 2 * 1024 * 1024
+REPLY_SECONDS = 30.0
+GREET_SECONDS = 0.25
+
+
+class Peer:
+    """What this keeper knows of another one; progress while it leads.
+
+    Attributes
+    ----------
+    disk : str
+        Disk last seen there, or expected there; empty if unknown.
+    next_index : int
+        Next entry to send.
+    match_index : int
+        Highest entry known to be on its disk.
+    in_flight, in_flight_bytes : int
+        Messages sent and not yet answered; bounded, so that a straggler
+        fills neither memory nor the stream.
+    epoch : int
+        Raised whenever `next_index` goes back; older replies are dropped.
+    acked_at : float
+        Monotonic time at which the last message that it answered left.
+    replied_at : float
+        Monotonic time of its last reply.
+    wall_offset : float
+        Its wall clock minus our monotonic clock, in seconds.
+    """
+
+    def __init__(self, name, address, data_centre, dialler):
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+        self.dialler: links.Dialler = dialler
+        self.disk = ""
+        self.wake = asyncio.Event()
+        self.tasks: set[asyncio.Task] = set()
+        self.main: asyncio.Task | None = None
+        self.epoch = 0
+        self.wall_offset: float | None = None
+        self.reset(1, 0.0)
+
+    def reset(self, next_index: int, now: float) -> None:
+        """Begin anew, as a new leader does."""
+        self.match_index = 0
+        self.acked_at = 0.0
+        self.replied_at = now
+        self.sent_at = 0.0
+        self.rewind(next_index)
+
+    def rewind(self, next_index: int) -> None:
+        """Go back to `next_index` and forget what is in flight."""
+        self.epoch += 1
+        self.next_index = max(1, next_index)
+        self.in_flight = 0
+        self.in_flight_bytes = 0
+        self.probing = True
+
+    def stop(self) -> None:
+        """End its tasks and its link."""
+        for task in [self.main, *self.tasks]:
+            if task:
+                task.cancel()
+        self.dialler.stop()
+
+
+async def feed(group, peer: Peer) -> None:
+    """Send `peer` what it lacks for as long as this keeper leads."""
+    heartbeat = group.options.heartbeat_seconds
+    while True:
+        peer.wake.clear()
+        if not group.leading:
+            await peer.wake.wait()
+            continue
+        if peer.dialler.link is not None:
+            await _send_due(group, peer)
+        try:
+            await asyncio.wait_for(peer.wake.wait(), heartbeat)
+        except TimeoutError:
+            pass
+
+
+async def _send_due(group, peer: Peer) -> None:
+    now = group.clocks.monotonic()
+    if peer.in_flight and now - peer.replied_at > group.options.silent_seconds:
+        # Packets are being dropped without the connection breaking; TCP
+        # would go on waiting for minutes after the cut has healed.
+        peer.dialler.link.close()
+        peer.rewind(peer.match_index + 1)
+        return
+    if membership.find(group.members, peer.disk) is None:
+        await _greet(group, peer)
+        return
+    if group.log.term_at(peer.next_index - 1) is None:
+        await _send_snapshot(group, peer)
+        return
+    while _may_send(group, peer):
+        _send(group, peer, BATCH_BYTES)
+    if now - peer.sent_at >= group.options.heartbeat_seconds * 0.9:
+        _send(group, peer, 0)
+
+
+def _may_send(group, peer: Peer) -> bool:
+    window = 1 if peer.probing else WINDOW_MESSAGES
+    return (
+        peer.next_index <= group.log.last_index
+        and peer.in_flight < window
+        and peer.in_flight_bytes < WINDOW_BYTES
+    )
+
+
+def _send(group, peer: Peer, bytes_most: int) -> None:
+    previous = peer.next_index - 1
+    entries = []
+    if bytes_most:
+        entries = group.log.batch(peer.next_index, bytes_most)
+    message = messages.Append(
+        group.name,
+        group.term,
+        group.disk_id,
+        peer.disk,
+        previous,
+        group.log.term_at(previous),
+        group.commit_index,
+        entries,
+    )
+    size = sum(map(len, entries))
+    peer.next_index += len(entries)
+    peer.in_flight += 1
+    peer.in_flight_bytes += size
+    peer.sent_at = group.clocks.monotonic()
+    task = asyncio.ensure_future(
+        _exchange(group, peer, message, size, peer.epoch)
+    )
+    peer.tasks.add(task)
+    task.add_done_callback(peer.tasks.discard)
+
+
+async def _exchange(group, peer, message, size: int, epoch: int) -> None:
+    sent_at = group.clocks.monotonic()
+    try:
+        reply = await peer.dialler.call(message, REPLY_SECONDS)
+    except errors.AmaranthringError:
+        if epoch == peer.epoch:
+            peer.rewind(peer.match_index + 1)
+        return
+    now = group.clocks.monotonic()
+    peer.replied_at = now
+    if reply.term > group.term:
+        group.set_term(reply.term)
+    if epoch != peer.epoch or message.term != group.term:
+        return
+    peer.in_flight -= 1
+    peer.in_flight_bytes -= size
+    if reply.disk != peer.disk:
+        _disk_changed(group, peer, reply.disk)
+        return
+    peer.acked_at = max(peer.acked_at, sent_at)
+    peer.wall_offset = reply.wall - now
+    if reply.ok:
+        peer.probing = False
+        peer.match_index = max(peer.match_index, reply.match)
+        advance(group)
+    else:
+        _back_up(peer, reply)
+    peer.wake.set()
+    group.lease_changed.set()
+
+
+def _back_up(peer: Peer, reply: messages.Appended) -> None:
+    if reply.hint <= peer.match_index:
+        # It no longer has what it once synced: an old copy of its disk.
+        log.warning("keeper.rolled-back peer={}", peer.name)
+        peer.match_index = 0
+    peer.rewind(max(reply.hint, peer.match_index + 1))
+
+
+def _disk_changed(group, peer: Peer, disk: str) -> None:
+    logs.event(log, "keeper.other-disk", peer=peer.name, disk=disk)
+    peer.reset(group.log.last_index + 1, group.clocks.monotonic())
+    peer.disk = disk
+
+
+async def _greet(group, peer: Peer) -> None:
+    message = messages.Greet(group.name, group.disk_id)
+    try:
+        reply = await peer.dialler.call(message, GREET_SECONDS)
+    except errors.AmaranthringError:
+        return
+    peer.replied_at = group.clocks.monotonic()
+    peer.disk = reply.disk
+    await asyncio.sleep(group.options.heartbeat_seconds)
+
+
+def advance(group) -> None:
+    """Raise the commit index to what a quorum of voters has synced."""
+    if not group.leading:
+        return
+    matches = [match_of(group, member) for member in group.members.voters]
+    matches.sort(reverse=True)
+    index = matches[membership.quorum(group.members) - 1]
+    # An entry of an earlier term may be on a quorum and still be lost to
+    # another leader; it commits with the first entry of this term.
+    if index > group.commit_index and group.log.term_at(index) == group.term:
+        group.commit(index)
+
+
+def match_of(group, member: messages.Member) -> int:
+    """Return the highest entry known to be synced on `member`'s disk."""
+    if member.disk == group.disk_id:
+        return group.durable_index
+    peer = group.peers.get(member.name)
+    return peer.match_index if peer and peer.disk == member.disk else 0
+
+
+async def on_append(group, message: messages.Append) -> messages.Appended:
+    """Take entries from the leader; answer once they are synced."""
+    if group.fault is not None:
+        raise group.fault
+    if message.to_disk != group.disk_id or message.term < group.term:
+        return _appended(group, False)
+    group.follow(message.term, message.disk)
+    held = group.log.term_at(message.prev_index)
+    if held != message.prev_term and message.prev_index > group.commit_index:
+        return _appended(group, False, hint=_conflict(group, message))
+    entries = [logfile.parse(payload) for payload in message.entries]
+    last = message.prev_index + len(entries)
+    _merge(group, message.prev_index, entries)
+    group.commit(min(message.commit, last))
+    if entries or group.hard_dirty:
+        await group.writer.flush()
+    match = min(last, group.durable_index)
+    if group.term != message.term:
+        return _appended(group, False, hint=group.durable_index + 1)
+    return _appended(group, True, match=match)
+
+
+def _appended(group, ok: bool, match: int = 0, hint: int = 0):
+    return messages.Appended(
+        group.term, ok, group.disk_id, match, hint, group.clocks.wall()
+    )
+
+
+def _conflict(group, message: messages.Append) -> int:
+    """Return where the leader should go on: the start of a foreign term."""
+    index = min(message.prev_index, group.log.last_index + 1)
+    term = group.log.term_at(index)
+    while (
+        term is not None
+        and index > group.log.base_index + 1
+        and group.log.term_at(index - 1) == term
+    ):
+        index -= 1
+    return max(index, group.commit_index + 1)
+
+
+def _merge(group, previous: int, entries: list[logfile.Entry]) -> None:
+    """Add `entries` after `previous`, replacing what conflicts."""
+    for at, entry in enumerate(entries):
+        if entry.index != previous + at + 1:
+            raise errors.FrameError(
+                "entries of an append",
+                given=entry.index,
+                expected=previous + at + 1,
+            )
+    new = [e for e in entries if e.index > group.commit_index]
+    for at, entry in enumerate(new):
+        held = group.log.term_at(entry.index)
+        if held == entry.term:
+            continue
+        if held is not None:
+            group.truncate(entry.index)
+        group.append(new[at:])
+        return
+
+
+async def _send_snapshot(group, peer: Peer) -> None:
+    """Send the newest snapshot file in pieces, one at a time."""
+    if group.snapshot_index == 0:
+        return
+    epoch = peer.epoch
+    loop = asyncio.get_running_loop()
+    reader = snapshots.Reader(group.folder, group.snapshot_index)
+    logs.event(log, "keeper.snapshot-sent", peer=peer.name, index=reader.index)
+    offset = 0
+    try:
+        while offset < reader.total and group.leading:
+            data = await loop.run_in_executor(
+                group.snapshot_thread, reader.read, offset
+            )
+            offset = await _send_chunk(group, peer, reader, offset, data)
+            if offset is None or epoch != peer.epoch:
+                return
+    finally:
+        reader.close()
+    peer.match_index = reader.index
+    peer.rewind(reader.index + 1)
+    advance(group)
+
+
+async def _send_chunk(group, peer, reader, offset, data) -> int | None:
+    message = messages.Chunk(
+        group.name,
+        group.term,
+        group.disk_id,
+        peer.disk,
+        reader.index,
+        offset,
+        reader.total,
+        data,
+    )
+    sent_at = group.clocks.monotonic()
+    try:
+        reply = await peer.dialler.call(message, REPLY_SECONDS)
+    except errors.AmaranthringError:
+        return None
+    peer.replied_at = group.clocks.monotonic()
+    if reply.term > group.term:
+        group.set_term(reply.term)
+    if reply.disk != peer.disk:
+        _disk_changed(group, peer, reply.disk)
+        return None
+    if not reply.ok or message.term != group.term:
+        return None
+    peer.acked_at = max(peer.acked_at, sent_at)
+    return reply.offset
+
+
+async def on_chunk(group, message: messages.Chunk) -> messages.Chunked:
+    """Take one piece of a snapshot; install it after the last."""
+    if group.fault is not None:
+        raise group.fault
+    no = messages.Chunked(group.term, False, group.disk_id)
+    if message.to_disk != group.disk_id or message.term < group.term:
+        return no
+    group.follow(message.term, message.disk)
+    done = messages.Chunked(group.term, True, group.disk_id, message.total)
+    if message.index <= group.commit_index:
+        return done
+    loop = asyncio.get_running_loop()
+    incoming = group.incoming
+    if message.offset == 0:
+        if incoming is not None:
+            incoming.close()
+        incoming = group.incoming = snapshots.Incoming(
+            group.folder, message.index, group.files
+        )
+    if incoming is None or (incoming.index, incoming.offset) != (
+        message.index,
+        message.offset,
+    ):
+        return no
+    try:
+        await loop.run_in_executor(
+            group.snapshot_thread, incoming.write, message.data
+        )
+        if incoming.offset >= message.total:
+            group.incoming = None
+            await group.install(incoming)
+    except (OSError, errors.StorageError) as error:
+        group.fail(error)
+        raise group.fault from error
+    if group.term != message.term:
+        return no
+    done.offset = incoming.offset
+    return done
+
+
+def keep_election_off(group) -> None:
+    """Note that a leader was heard just now."""
+    group.heard_at = group.clocks.monotonic()
+    election.delay_campaign(group)
--- /dev/null
+++ b/amaranthring/keepers/server.py
@@ -0,0 +1,118 @@
+"""A keeper process from its settings; ``app.py`` passes the machine in."""
+
+import pathlib
+import time
+
+import tornado.netutil
+
+from amaranthring import errors
+from amaranthring import settings as settings_module
+from amaranthring.core import links
+from amaranthring.core import metrics as metrics_module
+from amaranthring.keepers import consensus
+from amaranthring.keepers import disk
+from amaranthring.keepers import dispatch
+
+FOLDER = "keepers"
+
+
+class Keeper:
+    """One keeper process: its listener and its groups.
+
+    Parameters
+    ----------
+    settings : settings.Settings
+        Of this process.
+    machine : consensus.Machine
+        Machine of the group of the settings.
+    clocks, files : optional
+        Seams for tests.
+
+    Attributes
+    ----------
+    handlers : links.Handlers
+        Shared by all groups; others add their messages before `start`.
+    group : consensus.Group
+        The group of the settings.
+
+    Raises
+    ------
+    errors.SettingsError
+        If this process is not among the keepers of the settings.
+    errors.StorageError
+        If the data folder cannot be used.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        machine: consensus.Machine,
+        clocks: consensus.Clocks | None = None,
+        files: disk.Files | None = None,
+        metrics: metrics_module.Metrics | None = None,
+    ):
+        self.settings = settings
+        self.metrics = metrics or metrics_module.Metrics()
+        process = settings.process
+        self.identity = links.Identity(
+            process.name,
+            dispatch.KEEPER_ROLE,
+            process.data_centre,
+            time.time_ns(),
+        )
+        self.keys = links.Keys(settings_module.keys(settings.fleet.keys_file))
+        self.handlers = links.Handlers()
+        self.groups: dict[str, consensus.Group] = {}
+        dispatch.register(self.handlers, self.groups)
+        self.server = links.LinkServer(self.identity, self.keys, self.handlers)
+        self.clocks = clocks
+        self.files = files
+        self.group = self.add_group(settings.fleet.group, machine)
+
+    def add_group(self, name: str, machine) -> consensus.Group:
+        """Return a new group `name` with its own folder."""
+        settings = self.settings
+        peers = settings.keepers()
+        own = [p for p in peers if p.name == settings.process.name]
+        if not own:
+            raise errors.SettingsError(
+                "[fleet] keepers",
+                given=", ".join(peer.name for peer in peers) or "nobody",
+                expected=f"also {settings.process.name}",
+            )
+        keeper = settings.keeper
+        group = consensus.Group(
+            name,
+            own[0],
+            peers,
+            pathlib.Path(settings.process.data_folder) / FOLDER / name,
+            machine,
+            self.identity,
+            self.keys,
+            self.handlers,
+            consensus.Options(
+                keeper.heartbeat_seconds,
+                keeper.election_seconds,
+                keeper.snapshot_entries,
+            ),
+            self.clocks,
+            self.files,
+            self.metrics,
+        )
+        self.groups[name] = group
+        return group
+
+    def start(self) -> None:
+        """Listen on the fleet's address and start every group."""
+        host, port = self.settings.listen.fleet.rsplit(":", 1)
+        sockets = tornado.netutil.bind_sockets(int(port), host)
+        self.port = sockets[0].getsockname()[1]
+        self.server.add_sockets(sockets)
+        for group in self.groups.values():
+            group.start()
+
+    async def stop(self) -> None:
+        """Step down in every group and close everything."""
+        for group in self.groups.values():
+            await group.stop()
+        self.server.close_all()
--- /dev/null
+++ b/amaranthring/keepers/snapshots.py
@@ -0,0 +1,150 @@
+"""Snapshot files: the machine's state up to one index, whole or not at all.
+
+A file is a checksum, then one msgpack array of what the snapshot covers and
+the machine's bytes. It is written beside its place, synced and renamed.
+"""
+
+import dataclasses
+import os
+import pathlib
+
+import pydantic
+
+from amaranthring import errors
+from amaranthring.core import wire
+from amaranthring.keepers import disk
+from amaranthring.keepers import messages
+
+PREFIX = "snapshot-"
+INCOMING_FILE = "incoming-snapshot.tmp"
+CHUNK_BYTES = 256 * 1024
+
+
+@dataclasses.dataclass
+class Snapshot:
+    """State of the machine after entry `index`.
+
+    Attributes
+    ----------
+    index, term, stamp : int, int, float
+        Of the last entry that it covers.
+    members : Members
+        Configuration at that entry.
+    data : bytes
+        What the machine's ``snapshot`` returned.
+    """
+
+    index: int
+    term: int
+    stamp: float
+    members: messages.Members
+    data: bytes
+
+
+_SNAPSHOT = pydantic.TypeAdapter(Snapshot)
+
+
+def path_of(folder: pathlib.Path, index: int) -> pathlib.Path:
+    """Return the place of the snapshot at `index`."""
+    return folder / f"{PREFIX}{index:020d}"
+
+
+def save(folder: pathlib.Path, snapshot: Snapshot, files: disk.Files) -> None:
+    """Write `snapshot` durably, then remove older ones."""
+    data = disk.with_checksum(wire.encode_value(snapshot))
+    path = path_of(folder, snapshot.index)
+    disk.replace_file(path, data, files)
+    remove_older(folder, path)
+
+
+def remove_older(folder: pathlib.Path, newest: pathlib.Path) -> None:
+    """Remove every snapshot below `newest`."""
+    for path in folder.glob(PREFIX + "*"):
+        if path.name < newest.name:
+            path.unlink()
+
+
+def load(path: pathlib.Path) -> Snapshot:
+    """Return the snapshot in the file at `path`.
+
+    Raises
+    ------
+    errors.StorageError
+        If it is damaged.
+    """
+    body = disk.checked(path.read_bytes(), path)
+    try:
+        return _SNAPSHOT.validate_python(wire.decode_value(body))
+    except (errors.FrameError, pydantic.ValidationError) as error:
+        raise disk.damaged(path, "not a snapshot") from error
+
+
+def newest(folder: pathlib.Path) -> Snapshot | None:
+    """Return the newest snapshot in `folder`, or None.
+
+    An older one is no substitute for a damaged newest: the log before it is
+    gone, so the keeper refuses to start.
+    """
+    paths = sorted(folder.glob(PREFIX + "*"))
+    return load(paths[-1]) if paths else None
+
+
+class Reader:
+    """An open snapshot file, sent piece by piece.
+
+    It stays readable when a newer snapshot replaces it meanwhile.
+    """
+
+    def __init__(self, folder: pathlib.Path, index: int):
+        self.index = index
+        self.fd = os.open(path_of(folder, index), os.O_RDONLY)
+        self.total = os.fstat(self.fd).st_size
+
+    def read(self, offset: int) -> bytes:
+        """Return the piece at `offset`."""
+        return os.pread(self.fd, CHUNK_BYTES, offset)
+
+    def close(self) -> None:
+        """Close the file."""
+        os.close(self.fd)
+
+
+class Incoming:
+    """A snapshot file that is being received, in order."""
+
+    def __init__(self, folder: pathlib.Path, index: int, files: disk.Files):
+        self.folder = folder
+        self.index = index
+        self.files = files
+        self.offset = 0
+        self.path = folder / INCOMING_FILE
+        flags = os.O_CREAT | os.O_TRUNC | os.O_WRONLY
+        self.fd = os.open(self.path, flags, 0o600)
+
+    def write(self, data: bytes) -> None:
+        """Add the next piece."""
+        disk.write_all(self.fd, data, self.files)
+        self.offset += len(data)
+
+    def finish(self) -> Snapshot:
+        """Check the whole file, put it in its place and return it.
+
+        Raises
+        ------
+        errors.StorageError
+            If what arrived is not an intact snapshot.
+        """
+        self.files.sync(self.fd)
+        self.close()
+        snapshot = load(self.path)
+        path = path_of(self.folder, snapshot.index)
+        self.files.replace(self.path, path)
+        disk.sync_folder(self.folder)
+        remove_older(self.folder, path)
+        return snapshot
+
+    def close(self) -> None:
+        """Close the file."""
+        if self.fd >= 0:
+            os.close(self.fd)
+            self.fd = -1
--- /dev/null
+++ b/amaranthring/testing/keeper.py
@@ -0,0 +1,158 @@
+"""A keeper process with a tiny machine, for failure tests and benchmarks.
+
+Run as ``python -m amaranthring.testing.keeper SETTINGS CONTROL``. It writes
+the port that it listens on into ``CONTROL/port``. A file ``CONTROL/clock``
+holds seconds by which its wall clock is wrong; while ``CONTROL/full``
+exists, every write fails as on a full disk.
+"""
+
+import asyncio
+import errno
+import os
+import pathlib
+import signal
+import sys
+import time
+import typing as t
+
+from amaranthring import errors
+from amaranthring import settings
+from amaranthring.core import links
+from amaranthring.core import logs
+from amaranthring.core import wire
+from amaranthring.keepers import consensus
+from amaranthring.keepers import disk
+from amaranthring.keepers import server
+
+
+@wire.message("test-set")
+class Set:
+    """Sets a register, if it holds `expected` or `expected` is None."""
+
+    key: str
+    value: str
+    expected: str | None = None
+
+
+@wire.message("test-add")
+class Add:
+    """Adds to a counter once for each `command_id`."""
+
+    repeatable: t.ClassVar[bool] = True
+
+    command_id: str
+    pad: str = ""
+
+
+@wire.message("test-get")
+class Get:
+    """Reads a register or, with an empty key, everything."""
+
+    key: str = ""
+
+
+@wire.message("test-value")
+class Value:
+    """What a register holds, and the entry that wrote or read it."""
+
+    value: str
+    index: int = 0
+    stamp: float = 0.0
+
+
+@wire.message("test-dump")
+class Dump:
+    """The whole state."""
+
+    registers: dict[str, str]
+    seen: dict[str, int]
+
+
+class RegisterMachine:
+    """Registers with compare-and-set, and a counter without doubles."""
+
+    def __init__(self):
+        self.registers: dict[str, str] = {}
+        self.seen: dict[str, int] = {}
+        self.last_stamp = 0.0
+
+    def apply(self, index: int, stamp: float, command) -> Value:
+        """Apply a :class:`Set` or :class:`Add`."""
+        assert stamp >= self.last_stamp, "stamps went back"
+        self.last_stamp = stamp
+        if isinstance(command, Add):
+            number = self.seen.setdefault(command.command_id, len(self.seen))
+            return Value(str(number), index, stamp)
+        held = self.registers.get(command.key, "")
+        if command.expected is not None and command.expected != held:
+            raise errors.RevisionConflictError(
+                "register", given=command.expected, expected=held
+            )
+        self.registers[command.key] = command.value
+        return Value(command.value, index, stamp)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return wire.encode_value((self.registers, self.seen, self.last_stamp))
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state."""
+        self.registers, self.seen, self.last_stamp = wire.decode_value(data)
+
+
+def add_reads(handlers: links.Handlers, group, machine) -> None:
+    """Answer :class:`Get` from the leader, linearizably."""
+
+    async def get(link, message):
+        del link
+        await group.read_barrier()
+        if not message.key:
+            return Dump(machine.registers, machine.seen)
+        return Value(machine.registers.get(message.key, ""))
+
+    handlers.add(Get, get)
+
+
+def _controlled(control: pathlib.Path):
+    def wall() -> float:
+        try:
+            return time.time() + float((control / "clock").read_text())
+        except (OSError, ValueError):
+            return time.time()
+
+    def write(fd: int, data: bytes) -> int:
+        if (control / "full").exists():
+            raise OSError(errno.ENOSPC, "No space left on device")
+        return os.write(fd, data)
+
+    return consensus.Clocks(wall=wall), disk.Files(write=write)
+
+
+async def run(path: str, control: pathlib.Path) -> None:
+    """Run until SIGTERM."""
+    machine = RegisterMachine()
+    clocks, files = _controlled(control)
+    keeper = server.Keeper(settings.read(path), machine, clocks, files)
+    add_reads(keeper.handlers, keeper.group, machine)
+    ended = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, ended.set)
+    keeper.start()
+    temporary = control / "port.tmp"
+    temporary.write_text(str(keeper.port))
+    temporary.replace(control / "port")
+    await ended.wait()
+    await keeper.stop()
+
+
+def main() -> None:
+    """Run from the command line."""
+    logs.setup("keeper", "INFO")
+    try:
+        asyncio.run(run(sys.argv[1], pathlib.Path(sys.argv[2])))
+    except errors.AmaranthringError as error:
+        print(f"{error.code}: {error}", file=sys.stderr)
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/amaranthring/testing/processes.py
@@ -0,0 +1,248 @@
+"""Keeper processes on loopback, with a relay for each link between two."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import time
+
+from amaranthring import errors
+from amaranthring import settings
+from amaranthring.core import links
+from amaranthring.keepers import client
+from amaranthring.testing import cuts
+from amaranthring.testing import keeper as keeper_process
+
+KEY_TEXT = "a " + "6b" * 32
+KEYS = links.Keys({"a": b"k" * 32})
+MODULE = "amaranthring.testing.keeper"
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+
+
+async def until(condition, seconds: float = 20.0, what: str = "condition"):
+    """Return the first true value of `condition`, awaited if need be.
+
+    Raises
+    ------
+    AssertionError
+        If it stays false for `seconds`.
+    """
+    end = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if asyncio.iscoroutine(value):
+            value = await value
+        if value:
+            return value
+        if time.monotonic() > end:
+            raise AssertionError(f"{what} did not come in {seconds} s")
+        await asyncio.sleep(0.02)
+
+
+class KeeperProcess:
+    """One keeper process that is started, stopped, frozen and killed."""
+
+    def __init__(self, name: str, folder: pathlib.Path):
+        self.name = name
+        self.folder = folder
+        self.control = folder / "control"
+        self.data = folder / "data"
+        self.control.mkdir(parents=True, exist_ok=True)
+        self.process: subprocess.Popen | None = None
+
+    @property
+    def settings_file(self) -> pathlib.Path:
+        """Return the place of its settings."""
+        return self.folder / "keeper.ini"
+
+    @property
+    def errors(self) -> str:
+        """Return what it wrote to standard error."""
+        return (self.folder / "stderr").read_text()
+
+    def start(self) -> None:
+        """Start it."""
+        (self.control / "port").unlink(missing_ok=True)
+        with open(self.folder / "stderr", "ab") as out:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    MODULE,
+                    str(self.settings_file),
+                    str(self.control),
+                ],
+                stderr=out,
+                cwd=ROOT,
+            )
+
+    def port(self) -> int:
+        """Return the port that it listens on, or 0."""
+        with contextlib.suppress(OSError):
+            return int((self.control / "port").read_text())
+        return 0
+
+    def send(self, number: int) -> None:
+        """Send it a signal if it runs."""
+        if self.process and self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    def kill(self) -> None:
+        """Kill it at once and wait for its end."""
+        self.send(signal.SIGKILL)
+        if self.process:
+            self.process.wait()
+
+    def freeze(self) -> None:
+        """Stop it where it is."""
+        self.send(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let it go on."""
+        self.send(signal.SIGCONT)
+
+    def lose_disk(self) -> None:
+        """Remove its data folder."""
+        shutil.rmtree(self.data)
+
+
+class KeeperFleet:
+    """A group of keeper processes and one client.
+
+    Parameters
+    ----------
+    folder : path
+        For settings and data.
+    count : int
+        Number of keepers, named k1, k2, ...
+    options : dict, optional
+        Keys of the ``[keeper]`` section.
+    """
+
+    def __init__(self, folder, count: int = 3, options: dict | None = None):
+        self.folder = pathlib.Path(folder)
+        self.options = options or {}
+        self.names = [f"k{number + 1}" for number in range(count)]
+        self.keepers: dict[str, KeeperProcess] = {}
+        self.between: dict[tuple[str, str], cuts.Cut] = {}
+        self.clients: list[client.KeeperClient] = []
+
+    async def start(self) -> None:
+        """Start relays, processes and the client."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        keys = self.folder / "keys"
+        keys.write_text(KEY_TEXT + "\n")
+        keys.chmod(0o600)
+        for name in self.names:
+            self.keepers[name] = KeeperProcess(name, self.folder / name)
+        for name in ["client", *self.names]:
+            for other in self.names:
+                if name != other:
+                    relay = self.between[name, other] = cuts.Cut()
+                    await relay.start()
+        for name in self.names:
+            self.write_settings(name)
+            self.keepers[name].start()
+        for name in self.names:
+            await self.listening(name)
+        self.client = self.new_client()
+
+    def write_settings(self, name: str, names: list[str] | None = None):
+        """Write the settings of keeper `name`."""
+        keeper = self.keepers[name]
+        lines = []
+        for other in names or self.names:
+            address = "127.0.0.1:1"
+            if other != name:
+                address = self.between[name, other].address
+            lines.append(f"    {other} dc-{other} {address}")
+        options = "\n".join(f"{k} = {v}" for k, v in self.options.items())
+        text = (
+            f"[process]\nname = {name}\ndata_centre = dc-{name}\n"
+            f"data_folder = {keeper.data}\n"
+            "[listen]\nfleet = 127.0.0.1:0\n"
+            f"[fleet]\nkeys_file = {self.folder / 'keys'}\n"
+            "keepers =\n" + "\n".join(lines) + f"\n[keeper]\n{options}\n"
+        )
+        keeper.settings_file.write_text(text)
+
+    async def listening(self, name: str) -> None:
+        """Wait until keeper `name` listens; point its relays there."""
+        port = await until(self.keepers[name].port, what=f"port of {name}")
+        for (_, other), relay in self.between.items():
+            if other == name:
+                relay.target = f"127.0.0.1:{port}"
+
+    async def restart(self, name: str) -> None:
+        """Start keeper `name` again after its end."""
+        self.keepers[name].start()
+        await self.listening(name)
+
+    def new_client(self) -> client.KeeperClient:
+        """Return a started client of the group."""
+        peers = [
+            settings.PeerAddress(
+                name=name,
+                data_centre=f"dc-{name}",
+                address=self.between["client", name].address,
+            )
+            for name in self.names
+        ]
+        identity = links.Identity("r1", "router", "dc1")
+        made = client.KeeperClient("fleet", peers, identity, KEYS)
+        made.start()
+        self.clients.append(made)
+        return made
+
+    def isolate(self, name: str, inwards=True, outwards=True) -> None:
+        """Cut every link between keeper `name` and the other keepers."""
+        for (one, other), relay in self.between.items():
+            if one == "client":
+                continue
+            if other == name:
+                relay.cut(to_target=inwards, to_client=outwards)
+            if one == name:
+                relay.cut(to_target=outwards, to_client=inwards)
+
+    def heal(self) -> None:
+        """End every cut."""
+        for relay in self.between.values():
+            relay.heal()
+
+    async def status(self, name: str):
+        """Return the status of keeper `name`, or None."""
+        try:
+            return await self.client.status(name)
+        except errors.AmaranthringError:
+            return None
+
+    async def leader(self, but: str = "") -> str:
+        """Return the keeper that leads with the highest term, or nothing."""
+        found = []
+        for name in self.names:
+            status = await self.status(name) if name != but else None
+            if status and status.role == "leader":
+                found.append((status.term, name))
+        return max(found)[1] if found else ""
+
+    async def wait_leader(self, but: str = "") -> str:
+        """Return the leader once there is one other than `but`."""
+        return await until(lambda: self.leader(but), what="leader")
+
+    async def dump(self) -> keeper_process.Dump:
+        """Return the whole state, read from the leader."""
+        return await self.client.query(keeper_process.Get(), 15)
+
+    async def stop(self) -> None:
+        """Kill every process and stop the relays."""
+        for made in self.clients:
+            made.stop()
+        for keeper in self.keepers.values():
+            keeper.wake()
+            keeper.kill()
+        for relay in self.between.values():
+            await relay.stop()
