--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -302,6 +302,13 @@
     status = 412
 
 
+class PreconditionMissingError(RefusedError):
+    """An operator's command names no revision in ``If-Match``."""
+
+    code = "precondition-missing"
+    status = 428
+
+
 class CommandReusedError(RefusedError):
     """A command id came back with another content."""
 
--- /dev/null
+++ b/amaranthring/keepers/commands.py
@@ -0,0 +1,229 @@
+"""Messages to the keepers: commands of the log, queries and results.
+
+A command changes the state and goes through the log. Commands of operators
+carry an id, under which a resend gets the first answer, and the revision
+that the operator saw.
+"""
+
+import dataclasses
+import typing as t
+
+from amaranthring.core import fleet
+from amaranthring.core import records
+from amaranthring.core import wire
+
+
+@dataclasses.dataclass(kw_only=True)
+class Operated:
+    """What every command of an operator carries.
+
+    Attributes
+    ----------
+    command_id : str
+        A resend under the same id gets the first answer.
+    operator : str
+        Who sent it.
+    if_match : int
+        Revision that the operator saw.
+    """
+
+    command_id: str
+    operator: str
+    if_match: int
+
+
+@wire.message("bootstrap")
+class Bootstrap:
+    """First configuration; applied only to an empty state."""
+
+    in_force: str
+    presets: list[fleet.Preset]
+    accounts: list[fleet.Account]
+
+
+@wire.message("preset-put")
+class PutPreset(Operated):
+    """Create a preset or replace its content."""
+
+    preset: fleet.Preset
+
+
+@wire.message("preset-switch")
+class SwitchPreset(Operated):
+    """Put the preset `name` in force."""
+
+    name: str
+
+
+@wire.message("preset-remove")
+class RemovePreset(Operated):
+    """Remove a preset that is not in force."""
+
+    name: str
+
+
+@wire.message("preset-restore")
+class RestorePreset(Operated):
+    """Give preset `name` the content it had at `revision`, as a new one."""
+
+    name: str
+    revision: int
+
+
+@wire.message("account-put")
+class PutAccount(Operated):
+    """Create a client account or replace its content."""
+
+    account: fleet.Account
+
+
+@wire.message("account-remove")
+class RemoveAccount(Operated):
+    """Remove a client account."""
+
+    name: str
+
+
+@wire.message("target-drain")
+class DrainTarget(Operated):
+    """Give `target` no new work."""
+
+    target: str
+    reason: str = ""
+
+
+@wire.message("target-undrain")
+class UndrainTarget(Operated):
+    """Give `target` work again."""
+
+    target: str
+
+
+@wire.message("quarantine-add")
+class AddQuarantine:
+    """Refuse the request with `fingerprint` for `seconds`."""
+
+    fingerprint: str
+    seconds: float
+
+
+@wire.message("quarantine-lift")
+class LiftQuarantine(Operated):
+    """Take `fingerprint` off the quarantine list."""
+
+    fingerprint: str
+
+
+@wire.message("accepted")
+class Accepted:
+    """Answer to a change of the configuration."""
+
+    revision: int
+    in_force: str
+
+
+@wire.message("claim")
+class Claim:
+    """Claim the right to run a non-idempotent call once.
+
+    Attributes
+    ----------
+    account, key : str
+        Client account and its idempotency key.
+    body_digest : str
+        32 hex digits; a resend must have the same.
+    attempt : str
+        Names this attempt among all, ever.
+    target : str
+        Where the attempt will send the call.
+    hold_seconds : float
+        After this time without a settlement the call counts as unknown.
+    """
+
+    account: str
+    key: str
+    body_digest: str
+    attempt: str
+    target: str
+    hold_seconds: float
+
+
+@wire.message("settle")
+class Settle:
+    """State what became of a claim; only its holder may.
+
+    `outcome` is ``not-run``, ``ran`` or ``unknown``.
+    """
+
+    account: str
+    key: str
+    attempt: str
+    outcome: str
+    answer: records.StoredAnswer | None = None
+
+
+@wire.message("claim-result")
+class ClaimResult:
+    """What the ledger says of a claim after the command."""
+
+    claim: records.Claim
+
+
+# -- queries: they change nothing ------------------------------------------
+
+
+@wire.message("config-since")
+class ConfigSince:
+    """Ask for the parts that changed after `revision`.
+
+    The answer waits up to `wait_seconds` for a higher revision.
+    """
+
+    revision: int
+    wait_seconds: float = 0.0
+
+
+@wire.message("confirm")
+class Confirm:
+    """One router tells a relay which revision it runs."""
+
+    router: str
+    revision: int
+
+
+@wire.message("confirmed")
+class Confirmed:
+    """Revisions of the routers of one data centre.
+
+    Attributes
+    ----------
+    data_centre : str
+        Their data centre.
+    routers : dict
+        Router to its revision.
+    ages : dict
+        Router to the seconds since it was heard.
+    """
+
+    data_centre: str
+    routers: dict[str, int]
+    ages: dict[str, float]
+
+
+@wire.message("state-query")
+class StateQuery:
+    """Ask for one view of the state: ``what`` names it.
+
+    Views are ``status``, ``config``, ``history``, ``quarantine`` and
+    ``orders``; `name` narrows it where that makes sense.
+    """
+
+    what: str
+    name: str = ""
+
+
+@wire.message("state-view")
+class StateView:
+    """Plain data that answers a :class:`StateQuery`."""
+
+    view: t.Any
--- /dev/null
+++ b/amaranthring/keepers/ledger.py
@@ -0,0 +1,250 @@
+"""The ledger of claims: a non-idempotent call runs at most once.
+
+A claim is granted to one attempt. Only that attempt settles it: as run, with
+the answer kept for resends; as not run, which frees the key; or as unknown.
+A claim that its holder leaves unsettled past its time counts as unknown: it
+is never granted again, and what the true holder says later still counts.
+
+Claims lie in buckets by the time of their grant, packed into bytes; a bucket
+older than the retention is dropped whole, so keeping time costs nothing for
+each claim. All times are stamps of the log.
+"""
+
+import hashlib
+import struct
+import typing as t
+
+from amaranthring import errors
+from amaranthring.core import records
+
+RETENTION_SECONDS = 72 * 3600.0
+BUCKETS = 24
+ANSWER_BYTES_MOST = 16 * 1024
+HOLD_SECONDS_MOST = 3600.0
+CLAIMS_MOST = 5_000_000
+
+HELD = 0
+UNKNOWN = 1
+RAN = 2
+RAN_NOT_KEPT = 3
+RELEASED = 4
+_HEAD = struct.Struct("<BdH16s16sBB")
+# Fields of the head: state, stamp until which the claim is held, HTTP
+# status, digest of the body, digest of the attempt, lengths of the target
+# and of the content type.
+
+
+class Kept(t.NamedTuple):
+    """One claim, unpacked; the fields are those of the head."""
+
+    state: int
+    until: float
+    status: int
+    body_digest: bytes
+    attempt: bytes
+    target: str = ""
+    content_type: str = ""
+    body: bytes = b""
+
+
+def pack(kept: Kept) -> bytes:
+    """Return the compact form of `kept`."""
+    target = kept.target.encode()[:255]
+    content_type = kept.content_type.encode()[:255]
+    head = _HEAD.pack(
+        *kept[:5],
+        len(target),
+        len(content_type),
+    )
+    return head + target + content_type + kept.body
+
+
+def unpack(data: bytes) -> Kept:
+    """Return the claim in `data`."""
+    *head, target_size, type_size = _HEAD.unpack_from(data)
+    middle = _HEAD.size + target_size
+    end = middle + type_size
+    target = data[_HEAD.size : middle].decode(errors="replace")
+    content_type = data[middle:end].decode(errors="replace")
+    return Kept(*head, target, content_type, data[end:])
+
+
+def short(*texts: str) -> bytes:
+    """Return a 128-bit digest of `texts`."""
+    made = hashlib.blake2b(digest_size=16)
+    for text in texts:
+        data = text.encode()
+        made.update(len(data).to_bytes(8, "big"))
+        made.update(data)
+    return made.digest()
+
+
+class Ledger:
+    """All claims within the retention.
+
+    Parameters
+    ----------
+    retention : float
+        Seconds after its grant that a claim is kept at least.
+    answer_bytes_most : int
+        Larger answers are not kept; a resend then learns that it ran.
+    """
+
+    def __init__(
+        self,
+        retention: float = RETENTION_SECONDS,
+        answer_bytes_most: int = ANSWER_BYTES_MOST,
+    ):
+        self.retention = retention
+        self.answer_bytes_most = answer_bytes_most
+        self.span = retention / BUCKETS
+        self.buckets: dict[int, dict[bytes, bytes]] = {}
+
+    def __len__(self) -> int:
+        return sum(len(bucket) for bucket in self.buckets.values())
+
+    def claim(self, stamp: float, command) -> records.Claim:
+        """Grant the claim or say what became of it.
+
+        The same attempt asking again, because its first answer was lost, is
+        granted again: it is still the one holder. An attempt that released
+        its claim is not: a late copy of its first command must not hold the
+        key with nobody behind it.
+        """
+        self.expire(stamp)
+        key = short(command.account, command.key)
+        attempt = short(command.attempt)
+        bucket, kept = self._find(key)
+        if kept is None:
+            self._full()
+        elif kept.body_digest != digest_bytes(command.body_digest):
+            return records.Claim(records.ClaimState.KEY_REUSED, "")
+        elif kept.state != RELEASED or kept.attempt == attempt:
+            return self._told(stamp, kept, attempt, command.attempt)
+        # A freed key starts its retention anew, in the bucket of now.
+        bucket.pop(key, None)
+        bucket = self.buckets.setdefault(int(stamp // self.span), {})
+        until = stamp + min(command.hold_seconds, HOLD_SECONDS_MOST)
+        made = Kept(
+            HELD,
+            until,
+            0,
+            digest_bytes(command.body_digest),
+            attempt,
+            command.target,
+        )
+        bucket[key] = pack(made)
+        return records.Claim(
+            records.ClaimState.GRANTED, command.attempt, command.target
+        )
+
+    def settle(self, stamp: float, command) -> records.Claim:
+        """Take down what the holder of a claim says of it.
+
+        Raises
+        ------
+        errors.NotFoundError
+            If there is no such claim within the retention.
+        errors.ForbiddenError
+            If another attempt holds it, or it was settled otherwise.
+        """
+        key = short(command.account, command.key)
+        attempt = short(command.attempt)
+        bucket, kept = self._find(key)
+        if kept is None:
+            raise errors.NotFoundError(
+                "no such claim", given=command.key, expected="a claimed key"
+            )
+        if kept.attempt != attempt:
+            raise errors.ForbiddenError(
+                "only the holder settles a claim",
+                given=command.attempt,
+                expected="the attempt that was granted",
+            )
+        made = self._settled(kept, command)
+        if kept.state in (RAN, RAN_NOT_KEPT, RELEASED):
+            # A repeat of the same word is harmless; another word is not.
+            if (made.state == RELEASED) != (kept.state == RELEASED):
+                raise errors.ForbiddenError(
+                    "the claim was settled otherwise",
+                    given=command.outcome,
+                    expected="the first settlement",
+                )
+            made = kept
+        bucket[key] = pack(made)
+        return self._told(stamp, made, attempt, command.attempt)
+
+    def expire(self, stamp: float) -> None:
+        """Drop the buckets whose claims are all past the retention."""
+        oldest = int((stamp - self.retention) // self.span)
+        for number in [n for n in self.buckets if n < oldest]:
+            del self.buckets[number]
+
+    def dump(self) -> list[t.Any]:
+        """Return the plain form that :meth:`load` reads."""
+        return [[number, held] for number, held in self.buckets.items()]
+
+    def load(self, values: list[t.Any]) -> None:
+        """Take over the claims that :meth:`dump` wrote."""
+        self.buckets = dict(values)
+
+    def _find(self, key: bytes) -> tuple[dict[bytes, bytes], Kept | None]:
+        for bucket in self.buckets.values():
+            data = bucket.get(key)
+            if data is not None:
+                return bucket, unpack(data)
+        return {}, None
+
+    def _full(self) -> None:
+        if len(self) >= CLAIMS_MOST:
+            raise errors.QueueFullError(
+                "the ledger of claims is full",
+                given=CLAIMS_MOST + 1,
+                expected=f"at most {CLAIMS_MOST}",
+                retry_after=60.0,
+            )
+
+    def _settled(self, kept: Kept, command) -> Kept:
+        if command.outcome == errors.Outcome.NOT_RUN:
+            return kept._replace(state=RELEASED)
+        if command.outcome == errors.Outcome.UNKNOWN:
+            return kept._replace(state=UNKNOWN)
+        answer = command.answer
+        if answer is None or not answer.kept:
+            return kept._replace(state=RAN_NOT_KEPT)
+        if len(answer.body) > self.answer_bytes_most:
+            return kept._replace(state=RAN_NOT_KEPT, status=answer.status)
+        return kept._replace(
+            state=RAN,
+            status=answer.status,
+            content_type=answer.content_type,
+            body=answer.body,
+        )
+
+    def _told(self, stamp, kept, attempt, name) -> records.Claim:
+        states = records.ClaimState
+        if kept.state in (RAN, RAN_NOT_KEPT):
+            answer = records.StoredAnswer(
+                kept.status, kept.content_type, kept.body, kept.state == RAN
+            )
+            return records.Claim(
+                states.SETTLED, "", kept.target, errors.Outcome.RAN, answer
+            )
+        if kept.state == RELEASED:
+            return records.Claim(
+                states.SETTLED, "", kept.target, errors.Outcome.NOT_RUN
+            )
+        if kept.attempt == attempt and kept.state == HELD:
+            return records.Claim(states.GRANTED, name, kept.target)
+        if kept.state == UNKNOWN or stamp > kept.until:
+            return records.Claim(states.UNKNOWN, "", kept.target)
+        return records.Claim(states.IN_PROGRESS, "", kept.target)
+
+
+def digest_bytes(text: str) -> bytes:
+    """Return the 16 bytes kept of a body digest given in any form."""
+    try:
+        data = bytes.fromhex(text)
+    except ValueError:
+        data = b""
+    return data if len(data) == 16 else short(text)
--- /dev/null
+++ b/amaranthring/keepers/machine.py
@@ -0,0 +1,194 @@
+"""The replicated state: what every keeper computes from the log.
+
+Deterministic: the result of a command depends on the state, the command and
+the stamp of its entry only, so that every keeper and every replay agree.
+"""
+
+import collections
+import typing as t
+
+from amaranthring import errors
+from amaranthring.core import hashing
+from amaranthring.core import parts
+from amaranthring.core import wire
+from amaranthring.keepers import commands
+from amaranthring.keepers import ledger
+from amaranthring.keepers import presets
+from amaranthring.keepers import quarantine
+
+SNAPSHOT_VERSION = 1
+ANSWERS_MOST = 5000
+ANSWER_SECONDS = 24 * 3600.0
+
+
+class Machine:
+    """State of one group of keepers.
+
+    Parameters
+    ----------
+    claim_seconds : float
+        Retention of claims.
+    answer_bytes_most : int
+        Bound on a stored answer.
+
+    Attributes
+    ----------
+    book : presets.Book
+        Configuration and history.
+    ledger : ledger.Ledger
+        Claims.
+    answers : dict
+        First answers to operators' commands, by command id, oldest first.
+    stamp : float
+        Highest stamp applied, in seconds.
+    index : int
+        Last entry applied.
+    on_revision : list of callable
+        Called without arguments after the revision moved.
+    """
+
+    def __init__(
+        self,
+        claim_seconds: float = ledger.RETENTION_SECONDS,
+        answer_bytes_most: int = ledger.ANSWER_BYTES_MOST,
+    ):
+        self.claim_seconds = claim_seconds
+        self.answer_bytes_most = answer_bytes_most
+        self.book = presets.Book()
+        self.ledger = ledger.Ledger(claim_seconds, answer_bytes_most)
+        self.answers: collections.OrderedDict[str, list[t.Any]]
+        self.answers = collections.OrderedDict()
+        self.stamp = 0.0
+        self.index = 0
+        self.on_revision: list[t.Callable[[], None]] = []
+
+    def apply(self, index: int, stamp: float, command: t.Any) -> t.Any:
+        """Apply the command of log entry `index`; return its result.
+
+        Parameters
+        ----------
+        index : int
+            Position in the log.
+        stamp : float
+            Wall time of the leader at the proposal, in seconds.
+        command : object
+            A message of :mod:`amaranthring.keepers.commands`.
+
+        Raises
+        ------
+        errors.AmaranthringError
+            Which is the result of this command; nothing changed.
+        """
+        # A clock that was set back must not bring expired things to life.
+        self.stamp = max(self.stamp, stamp)
+        self.index = index
+        revision = self.book.parts.revision
+        try:
+            return self._applied(command)
+        finally:
+            if self.book.parts.revision != revision:
+                self._tell()
+
+    def _applied(self, command: t.Any) -> t.Any:
+        if isinstance(command, commands.Claim):
+            claim = self.ledger.claim(self.stamp, command)
+            return commands.ClaimResult(claim)
+        if isinstance(command, commands.Settle):
+            claim = self.ledger.settle(self.stamp, command)
+            return commands.ClaimResult(claim)
+        if isinstance(command, commands.Operated):
+            return self._once(command)
+        if isinstance(command, commands.AddQuarantine):
+            quarantine.add(self.book, self.stamp, command)
+            return self.book.accepted()
+        if isinstance(command, commands.Bootstrap):
+            return self.book.bootstrap(self.stamp, command)
+        raise errors.BadRequestError(
+            "not a command of the log",
+            given=type(command).__name__,
+            expected="a command",
+        )
+
+    def _once(self, command: commands.Operated) -> t.Any:
+        """Apply an operator's command, or give its first answer again."""
+        content = hashing.digest(
+            wire.tag_of(type(command)), wire.encode_value(command)
+        )
+        known = self.answers.get(command.command_id)
+        if known is not None:
+            return self._again(known, content)
+        try:
+            result = self.book.operate(self.stamp, command)
+        except errors.AmaranthringError as error:
+            self._keep(command, content, "", error.to_record())
+            raise
+        self._keep(command, content, *wire.encode_message(result))
+        return result
+
+    def _again(self, known: list[t.Any], content: str) -> t.Any:
+        _, first, tag, body = known
+        if first != content:
+            raise errors.CommandReusedError(
+                "the command id was used for another command",
+                given="another content",
+                expected="the first content or a new command id",
+            )
+        if tag == "":
+            raise errors.from_record(body)
+        return wire.decode_message(tag, body)
+
+    def _keep(self, command, content, tag, body) -> None:
+        self.answers[command.command_id] = [self.stamp, content, tag, body]
+        while len(self.answers) > ANSWERS_MOST or self._oldest_expired():
+            self.answers.popitem(last=False)
+
+    def _oldest_expired(self) -> bool:
+        stamp = next(iter(self.answers.values()))[0]
+        return stamp < self.stamp - ANSWER_SECONDS
+
+    def _tell(self) -> None:
+        for callback in self.on_revision:
+            callback()
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return wire.encode_value(
+            {
+                "version": SNAPSHOT_VERSION,
+                "stamp": self.stamp,
+                "index": self.index,
+                "book": self.book.dump(),
+                "ledger": self.ledger.dump(),
+                "answers": list(self.answers.items()),
+            }
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Take over the state in `data`, or change nothing.
+
+        Raises
+        ------
+        errors.StorageError
+            If `data` is not a snapshot that this version reads.
+        """
+        try:
+            values = wire.decode_value(data)
+            version = values["version"]
+        except (errors.FrameError, KeyError, TypeError) as error:
+            raise errors.StorageError("not a snapshot") from error
+        if version != SNAPSHOT_VERSION:
+            raise errors.StorageError(
+                "version of the snapshot",
+                given=version,
+                expected=SNAPSHOT_VERSION,
+            )
+        self.book = presets.Book.load(values["book"])
+        self.ledger.load(values["ledger"])
+        self.answers = collections.OrderedDict(values["answers"])
+        self.stamp = values["stamp"]
+        self.index = values["index"]
+        self._tell()
+
+    def config_since(self, revision: int) -> parts.Delta:
+        """Return what a holder of `revision` lacks."""
+        return self.book.parts.since(revision)
--- /dev/null
+++ b/amaranthring/operators/conventions.py
@@ -0,0 +1,284 @@
+"""Border of operators: what they send is decoded and validated once, here.
+
+Every fault of a body is reported at once, with its place, what was given
+and what was expected.
+"""
+
+import json
+import re
+import typing as t
+
+import pydantic
+
+from amaranthring import errors
+from amaranthring.core import fleet
+from amaranthring.core import hashing
+from amaranthring.keepers import commands
+
+COMMAND_ID_HEADER = "Amaranthring-Command-Id"
+FAULTS_MOST = 50
+
+Name = t.Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:\-]{0,63}$")
+]
+# A model's name may hold slashes, as in "organisation/model".
+ModelName = t.Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:/\-]{0,127}$")
+]
+Hash = t.Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+Seconds = t.Annotated[float, pydantic.Field(gt=0, le=3600)]
+Method = t.Literal["GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"]
+Role = t.Literal["mixed", "prefill", "decode"]
+COMMAND_ID = re.compile(r"^[A-Za-z0-9._:\-]{8,64}$")
+
+
+class Model(pydantic.BaseModel):
+    """Base of the models: unknown keys are faults."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", allow_inf_nan=False)
+
+
+class ClassModel(Model):
+    """See :class:`fleet.ClassPolicy`."""
+
+    priority: int = pydantic.Field(1, ge=0, le=9)
+    deadline_seconds: Seconds = 30.0
+    queue_most: int = pydantic.Field(256, ge=0, le=100_000)
+
+
+class AccountPolicyModel(Model):
+    """See :class:`fleet.AccountPolicy`."""
+
+    weight: float = pydantic.Field(1.0, gt=0, le=1000)
+    rate_per_second: float = pydantic.Field(0.0, ge=0, le=1_000_000)
+    burst: float = pydantic.Field(50.0, ge=1, le=1_000_000)
+
+
+class ServiceModel(Model):
+    """See :class:`fleet.ServicePolicy`."""
+
+    idempotent_methods: list[Method] = ["GET", "HEAD", "OPTIONS"]
+    timeout_seconds: Seconds = 10.0
+
+
+class PresetModel(Model):
+    """See :class:`fleet.Preset`."""
+
+    load_bound: float = pydantic.Field(1.25, gt=1, le=10)
+    retry_budget: float = pydantic.Field(0.1, ge=0, le=1)
+    first_token_seconds: Seconds = 10.0
+    between_tokens_seconds: Seconds = 5.0
+    drain_seconds: Seconds = 30.0
+    probe_per_second: float = pydantic.Field(1.0, ge=0, le=100)
+    lease_seconds: float = pydantic.Field(3.0, ge=0.5, le=60)
+    classes: dict[Name, ClassModel] = pydantic.Field({}, max_length=64)
+    accounts: dict[Name, AccountPolicyModel] = pydantic.Field(
+        {}, max_length=10_000
+    )
+    services: dict[Name, ServiceModel] = pydantic.Field({}, max_length=256)
+    desired_models: dict[
+        ModelName, t.Annotated[int, pydantic.Field(ge=0, le=10_000)]
+    ] = pydantic.Field({}, max_length=256)
+    desired_roles: dict[Name, Role] = pydantic.Field({}, max_length=10_000)
+
+
+class AccountModel(Model):
+    """See :class:`fleet.Account`."""
+
+    token_hashes: list[Hash] = pydantic.Field([], max_length=2)
+    default_class: Name = "interactive"
+
+
+class BootstrapModel(Model):
+    """The first configuration."""
+
+    in_force: Name = "ordinary"
+    presets: dict[Name, PresetModel]
+    accounts: dict[Name, AccountModel] = {}
+
+    @pydantic.model_validator(mode="after")
+    def names_in_force(self):
+        """Refuse a preset in force that is not given."""
+        if self.in_force not in self.presets:
+            raise ValueError(
+                f"in_force names one of the presets {sorted(self.presets)}"
+            )
+        return self
+
+
+class SwitchModel(Model):
+    """Body of a switch."""
+
+    preset: Name
+
+
+class RestoreModel(Model):
+    """Body of a restore."""
+
+    revision: int = pydantic.Field(ge=1)
+
+
+class DrainModel(Model):
+    """Body of a drain."""
+
+    reason: str = pydantic.Field("", max_length=200)
+
+
+NAME = pydantic.TypeAdapter(Name)
+
+
+def _validated(validate: t.Callable[[], t.Any]) -> t.Any:
+    try:
+        return validate()
+    except pydantic.ValidationError as error:
+        faults = [fault_line(fault) for fault in error.errors()]
+        more = len(faults) - FAULTS_MOST
+        if more > 0:
+            faults = [*faults[:FAULTS_MOST], f"and {more} more"]
+        raise errors.BadRequestError("\n".join(faults)) from error
+
+
+def fault_line(fault: t.Any) -> str:
+    """Return one line for a fault found by pydantic."""
+    place = ".".join(str(part) for part in fault["loc"]) or "body"
+    if fault["type"] == "missing":
+        return f"{place}: missing"
+    given = str(fault["input"])[:80]
+    return f"{place}: given {given!r}, expected: {fault['msg']}"
+
+
+def json_body(body: bytes) -> t.Any:
+    """Return the JSON object in `body`; an empty body is an empty object.
+
+    Raises
+    ------
+    errors.BadRequestError
+        If it is not a JSON object.
+    """
+    try:
+        made = json.loads(body or b"{}")
+    except (ValueError, RecursionError) as error:
+        raise errors.BadRequestError(
+            "body is not JSON", given=str(error), expected="a JSON object"
+        ) from error
+    if not isinstance(made, dict):
+        raise errors.BadRequestError(
+            "body", given=type(made).__name__, expected="a JSON object"
+        )
+    return made
+
+
+def model(kind: type[Model], raw: t.Any) -> t.Any:
+    """Return `raw` validated as `kind`.
+
+    Raises
+    ------
+    errors.BadRequestError
+        With every fault, one a line.
+    """
+    return _validated(lambda: kind.model_validate(raw))
+
+
+def name(text: str) -> str:
+    """Return `text` if it may name a preset, account or target.
+
+    Raises
+    ------
+    errors.BadRequestError
+        If it may not.
+    """
+    return _validated(lambda: NAME.validate_python(text))
+
+
+def preset(preset_name: str, raw: t.Any) -> fleet.Preset:
+    """Return the preset that `raw` describes."""
+    made = model(PresetModel, raw)
+    return _preset(name(preset_name), made)
+
+
+def account(account_name: str, raw: t.Any) -> fleet.Account:
+    """Return the client account that `raw` describes.
+
+    ``tokens`` may be given in place of ``token_hashes``; they are hashed
+    here, so that no token reaches the log.
+    """
+    if "tokens" in raw and "token_hashes" not in raw:
+        raw = dict(raw)
+        tokens = raw.pop("tokens")
+        if not isinstance(tokens, list) or not all(
+            isinstance(token, str) and len(token) >= 16 for token in tokens
+        ):
+            raise errors.BadRequestError(
+                "tokens", given="other", expected="16 characters or more each"
+            )
+        raw["token_hashes"] = [hashing.token_hash(token) for token in tokens]
+    made = model(AccountModel, raw)
+    return fleet.Account(name(account_name), **made.model_dump())
+
+
+def bootstrap(raw: t.Any) -> commands.Bootstrap:
+    """Return the first configuration that `raw` describes."""
+    made = model(BootstrapModel, raw)
+    return commands.Bootstrap(
+        made.in_force,
+        [_preset(n, preset) for n, preset in made.presets.items()],
+        [
+            fleet.Account(n, **account.model_dump())
+            for n, account in made.accounts.items()
+        ],
+    )
+
+
+def _preset(preset_name: str, made: PresetModel) -> fleet.Preset:
+    own = made.model_dump(
+        exclude={"classes", "accounts", "services"},
+    )
+    found = fleet.Preset(preset_name, **own)
+    for n, policy in made.classes.items():
+        found.classes[n] = fleet.ClassPolicy(**policy.model_dump())
+    for n, policy in made.accounts.items():
+        found.accounts[n] = fleet.AccountPolicy(**policy.model_dump())
+    for n, policy in made.services.items():
+        found.services[n] = fleet.ServicePolicy(**policy.model_dump())
+    return found
+
+
+def if_match(header: str | None) -> int:
+    """Return the revision in an ``If-Match`` header.
+
+    Raises
+    ------
+    errors.PreconditionMissingError
+        If the header is missing.
+    errors.BadRequestError
+        If it is not one revision.
+    """
+    if header is None:
+        raise errors.PreconditionMissingError(
+            "If-Match is missing",
+            given="no If-Match",
+            expected="the revision that you saw",
+        )
+    text = header.strip().strip('"')
+    if not text.isascii() or not text.isdigit() or len(text) > 15:
+        raise errors.BadRequestError(
+            "If-Match", given=header[:80], expected="one revision number"
+        )
+    return int(text)
+
+
+def command_id(header: str | None) -> str:
+    """Return the id in an ``Amaranthring-Command-Id`` header.
+
+    Raises
+    ------
+    errors.BadRequestError
+        If it is missing or malformed.
+    """
+    if header is None or not COMMAND_ID.match(header):
+        raise errors.BadRequestError(
+            COMMAND_ID_HEADER,
+            given=None if header is None else header[:80],
+            expected="8 to 64 of A-Z a-z 0-9 . _ : -",
+        )
+    return header
--- /dev/null
+++ b/amaranthring/routers/revision_file.py
@@ -0,0 +1,113 @@
+"""The last revision on this router's disk, where there is one.
+
+Written whole to another name, synced and renamed, under a checksum. A file
+that was damaged is as good as none: the keepers and the other routers have
+the content.
+"""
+
+import asyncio
+import hashlib
+import os
+import typing as t
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import logs
+from amaranthring.core import parts
+from amaranthring.core import wire
+
+log = logbook.Logger(__name__)
+
+MAGIC = b"amaranthring-revision-1\n"
+DIGEST_BYTES = 16
+
+
+def _checksum(data: bytes) -> bytes:
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+def write(path: str, data: bytes) -> None:
+    """Replace the file at `path` so that a crash leaves old or new.
+
+    Raises
+    ------
+    OSError
+        If the disk does not take it.
+    """
+    trial = f"{path}.new"
+    with open(trial, "wb") as file:
+        file.write(MAGIC + _checksum(data) + data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(trial, path)
+    folder = os.open(os.path.dirname(path) or ".", os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+class RevisionFile:
+    """Saves and loads a map of parts; an empty path does neither.
+
+    Saving runs in a thread, since a sync may take long; of several changes
+    that come while it runs only the last is written.
+    """
+
+    def __init__(self, path: str, metrics: t.Any):
+        self.path = path
+        self.metrics = metrics
+        self.wanted: dict[str, t.Any] | None = None
+        self.task: asyncio.Task | None = None
+
+    def load(self) -> parts.Parts | None:
+        """Return the map on disk, or None if there is none that is whole."""
+        if not self.path or not os.path.exists(self.path):
+            return None
+        try:
+            with open(self.path, "rb") as file:
+                return self._parse(file.read())
+        except (OSError, errors.AmaranthringError) as error:
+            self.metrics.count("revisions.file-damaged")
+            logs.event(
+                log, "revision-file.ignored", path=self.path, fault=error
+            )
+            return None
+
+    def save(self, held: parts.Parts) -> None:
+        """Write `held` soon."""
+        if not self.path:
+            return
+        self.wanted = held.dump()
+        if self.task is None or self.task.done():
+            self.task = asyncio.ensure_future(self._write())
+
+    async def flush(self) -> None:
+        """Wait until what was saved is on disk."""
+        if self.task is not None:
+            await self.task
+
+    def _parse(self, data: bytes) -> parts.Parts:
+        start = len(MAGIC) + DIGEST_BYTES
+        body = data[start:]
+        if data[:start] != MAGIC + _checksum(body):
+            raise errors.StorageError(
+                "checksum of the revision file",
+                given="another",
+                expected="that of its content",
+            )
+        return parts.Parts.load(wire.decode_value(body))
+
+    async def _write(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self.wanted is not None:
+            data = wire.encode_value(self.wanted)
+            self.wanted = None
+            try:
+                await loop.run_in_executor(None, write, self.path, data)
+            except OSError as error:
+                self.metrics.count("revisions.file-failed")
+                logs.event(
+                    log, "revision-file.failed", path=self.path, fault=error
+                )
--- /dev/null
+++ b/tests/test_machine.py
@@ -0,0 +1,207 @@
+"""The replicated state: commands, resends, conflicts, snapshots."""
+
+import unittest
+
+from amaranthring import errors
+from amaranthring.core import fleet
+from amaranthring.core import parts
+from amaranthring.keepers import commands
+from amaranthring.keepers import machine
+from amaranthring.testing import state
+
+
+def head(command_id, if_match, operator="ana"):
+    return {
+        "command_id": command_id,
+        "operator": operator,
+        "if_match": if_match,
+    }
+
+
+class TestMachine(unittest.TestCase):
+    """Operators' commands."""
+
+    def setUp(self):
+        self.machine = machine.Machine()
+        self.stamp = 1000.0
+        self.apply(state.bootstrap())
+
+    def apply(self, command):
+        self.stamp += 1
+        return self.machine.apply(0, self.stamp, state.copied(command))
+
+    def switch(self, name, command_id, if_match, operator="ana"):
+        return self.apply(
+            commands.SwitchPreset(name, **head(command_id, if_match, operator))
+        )
+
+    def restart(self):
+        data = self.machine.snapshot()
+        self.machine = machine.Machine()
+        self.machine.restore(data)
+
+    def in_force(self):
+        return self.machine.book.parts.config().in_force
+
+    def test_bootstrap_is_applied_to_an_empty_state_only(self):
+        other = commands.Bootstrap("late", [fleet.Preset("late")], [])
+        self.assertEqual(self.apply(other).revision, 1)
+        self.assertEqual(self.in_force(), "ordinary")
+
+    def test_two_operators_with_the_same_revision(self):
+        # Ana and Rui both saw revision 1. Ana's switch is accepted; Rui's,
+        # with the same number, must not undo it: he is told what holds.
+        self.assertEqual(self.switch("peak", "command-1", 1).revision, 2)
+        with self.assertRaises(errors.RevisionConflictError) as caught:
+            self.switch("ordinary", "command-2", 1, "rui")
+        self.assertIn("preset peak", caught.exception.detail)
+        self.assertEqual(caught.exception.expected, 2)
+        self.assertEqual(self.in_force(), "peak")
+
+    def test_resend_gets_the_first_answer_after_a_restart(self):
+        # An operator loses the answer to a switch, another operator
+        # switches back, the keepers restart, and the resend arrives. It
+        # must neither switch again nor fail.
+        self.switch("peak", "command-1", 1)
+        self.switch("ordinary", "command-2", 2)
+        self.restart()
+        self.assertEqual(self.switch("peak", "command-1", 1).revision, 2)
+        self.assertEqual(self.in_force(), "ordinary")
+
+    def test_refusal_is_resent_as_it_was(self):
+        self.switch("peak", "command-1", 1)
+        for _ in range(2):
+            with self.assertRaises(errors.RevisionConflictError) as caught:
+                self.switch("ordinary", "command-2", 1)
+            self.assertEqual(caught.exception.status, 412)
+            self.restart()
+
+    def test_command_id_with_another_content_is_refused(self):
+        self.switch("peak", "command-1", 1)
+        with self.assertRaises(errors.CommandReusedError):
+            self.switch("ordinary", "command-1", 1)
+        self.assertEqual(self.in_force(), "peak")
+
+    def test_resend_past_the_retention_does_nothing(self):
+        # The answer is gone after a day. The resend still names the
+        # revision that its first copy was sent under, so it conflicts.
+        self.switch("peak", "command-1", 1)
+        self.stamp += machine.ANSWER_SECONDS
+        self.switch("ordinary", "command-2", 2)
+        self.assertNotIn("command-1", self.machine.answers)
+        with self.assertRaises(errors.RevisionConflictError):
+            self.switch("peak", "command-1", 1)
+
+    def test_answers_kept_are_bounded(self):
+        for number in range(machine.ANSWERS_MOST + 5):
+            name = "peak" if number % 2 else "ordinary"
+            self.switch(name, f"command-{number}", number + 1)
+        self.assertEqual(len(self.machine.answers), machine.ANSWERS_MOST)
+
+    def test_clock_set_back_does_not_set_the_state_back(self):
+        self.machine.apply(0, 5.0, commands.AddQuarantine("f", 60.0))
+        until = self.machine.book.parts.config().quarantined["f"]
+        self.assertGreater(until, 1000.0)
+
+    def test_roll_forward_to_an_earlier_content(self):
+        for revision, bound in ((1, 1.6), (2, 1.7)):
+            preset = fleet.Preset("peak", bound)
+            preset.accounts["big"] = fleet.AccountPolicy(weight=bound)
+            put = commands.PutPreset(preset, **head(f"put-{bound}", revision))
+            self.apply(put)
+        back = commands.RestorePreset("peak", 1, **head("back-0001", 3))
+        self.assertEqual(self.apply(back).revision, 4)
+        restored = self.machine.book.parts.config().presets["peak"]
+        self.assertEqual(restored, fleet.Preset("peak", 1.5))
+
+    def test_unknown_names_are_refused(self):
+        refused = (
+            commands.SwitchPreset("none", **head("command-1", 1)),
+            commands.RemovePreset("none", **head("command-2", 1)),
+            commands.RemoveAccount("none", **head("command-3", 1)),
+            commands.UndrainTarget("none", **head("command-4", 1)),
+            commands.RestorePreset("none", 1, **head("command-5", 1)),
+        )
+        for command in refused:
+            with self.assertRaises(errors.NotFoundError):
+                self.apply(command)
+        with self.assertRaises(errors.BadRequestError):
+            remove = commands.RemovePreset("ordinary", **head("command-6", 1))
+            self.apply(remove)
+        self.assertEqual(self.machine.book.parts.revision, 1)
+
+    def test_quarantine_does_not_make_operators_conflict(self):
+        self.apply(commands.AddQuarantine("f" * 32, 60.0))
+        self.assertEqual(self.switch("peak", "command-1", 1).revision, 3)
+
+    def test_quarantine_expires_and_is_bounded(self):
+        self.apply(commands.AddQuarantine("old", 10.0))
+        self.stamp += 20
+        for number in range(1005):
+            self.apply(commands.AddQuarantine(f"f{number}", 5000.0 + number))
+        held = self.machine.book.parts.config().quarantined
+        self.assertEqual(len(held), 1000)
+        self.assertNotIn("old", held)
+        self.assertIn("f1004", held)
+
+    def test_snapshot_of_another_version_changes_nothing(self):
+        for data in (b"", b"\xc1", b"\x80", b"\x81\xa7version\x63"):
+            with self.assertRaises(errors.StorageError):
+                self.machine.restore(data)
+        self.assertEqual(self.in_force(), "ordinary")
+
+    def test_revision_goes_on_when_the_history_is_full(self):
+        book = self.machine.book
+        for number in range(1200):
+            name = "peak" if number % 2 else "ordinary"
+            self.switch(name, f"command-{number}", number + 1)
+        self.restart()
+        self.assertEqual(len(book.history), 1000)
+        self.assertEqual(self.machine.book.parts.revision, 1201)
+
+
+class TestParts(unittest.TestCase):
+    """Deltas between two holders of the configuration."""
+
+    def setUp(self):
+        self.machine = machine.Machine()
+        self.machine.apply(1, 1.0, state.bootstrap(20, True))
+        self.held = parts.Parts()
+        self.held.apply(state.copied(self.machine.config_since(0)))
+
+    def change(self, revision):
+        policy = fleet.AccountPolicy(weight=float(revision))
+        preset = fleet.Preset("peak", 1.5, accounts={"a": policy})
+        put = commands.PutPreset(preset, **head(f"put-{revision}", revision))
+        self.machine.apply(2, 2.0, put)
+
+    def test_delta_makes_the_maps_equal(self):
+        self.change(1)
+        self.change(2)
+        delta = state.copied(self.machine.config_since(1))
+        self.assertTrue(self.held.apply(delta))
+        self.assertEqual(self.held.items, self.machine.book.parts.items)
+        self.assertEqual(self.held.config(), self.machine.book.parts.config())
+
+    def test_damaged_delta_changes_nothing(self):
+        self.change(1)
+        delta = self.machine.config_since(1)
+        delta.changed["preset/peak/accounts/a"] = {"weight": 9.0}
+        with self.assertRaises(errors.FrameError):
+            self.held.apply(delta)
+        self.assertEqual(self.held.revision, 1)
+
+    def test_older_revision_is_ignored(self):
+        whole = self.machine.config_since(-1)
+        self.change(1)
+        self.held.apply(self.machine.config_since(1))
+        self.assertFalse(self.held.apply(whole))
+        self.assertEqual(self.held.revision, 2)
+
+    def test_holder_older_than_the_journal_gets_the_whole(self):
+        for revision in range(1, parts.JOURNAL_MOST + 2):
+            self.change(revision)
+        delta = self.machine.config_since(1)
+        self.assertTrue(delta.whole)
+        self.held.apply(delta)
+        self.assertEqual(self.held.items, self.machine.book.parts.items)
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,184 @@
+"""HTTP for operators: tokens, validation, conflicts, lost answers."""
+
+import json
+
+import tornado.testing
+import tornado.web
+
+from amaranthring.core import hashing
+from amaranthring.operators import handlers
+from amaranthring.testing import state
+
+TOKEN = "operators-token-of-ana"
+
+
+class TestOperators(tornado.testing.AsyncHTTPTestCase):
+    """Two routers before one group of keepers."""
+
+    def get_app(self):
+        self.group = state.FakeGroup()
+        self.group.apply(state.bootstrap())
+        routes = []
+        for name in ("r1", "r2"):
+            made, _ = state.make_revisions(name, "dc1", self.group, {})
+            made.parts.apply(self.group.machine.config_since(0))
+            made.current = made.parts.config()
+            operators = handlers.Operators(
+                {"ana": hashing.token_hash(TOKEN)},
+                self.propose,
+                self.query,
+                made,
+                {"r1": "dc1", "r2": "dc1"},
+                lambda: [{"name": "e1", "state": "ready"}],
+            )
+            routes += [
+                (f"/{name}{path}", handler, given)
+                for path, handler, given in handlers.routes(operators)
+            ]
+        return tornado.web.Application(routes, log_function=lambda _: None)
+
+    async def propose(self, command, timeout):
+        return await self.group.propose(command, timeout)
+
+    async def query(self, message, timeout):
+        return await self.group.query(message, timeout)
+
+    def send(self, method, path, body=None, **headers):
+        sent = {"Authorization": f"Bearer {TOKEN}"}
+        names = {"id": "Amaranthring-Command-Id", "match": "If-Match"}
+        sent |= {names.get(k, k): v for k, v in headers.items()}
+        data = None if body is None else json.dumps(body)
+        response = self.fetch(
+            path,
+            method=method,
+            body=data,
+            headers=sent,
+            allow_nonstandard_methods=True,
+            follow_redirects=False,
+        )
+        return response, json.loads(response.body)
+
+    def switch(self, name, command_id, match, router="r1"):
+        return self.send(
+            "POST",
+            f"/{router}/operators/switch",
+            {"preset": name},
+            id=command_id,
+            match=match,
+        )
+
+    def test_without_a_token_nothing_is_told(self):
+        for token in ("", "Bearer wrong", "Basic x", "Bearer "):
+            for path in ("/r1/operators/status", "/r1/operators/none"):
+                response, body = self.send("GET", path, Authorization=token)
+                self.assertEqual(response.code, 401)
+                self.assertEqual(body["error"]["code"], "unauthenticated")
+
+    def test_status_lists_routers_that_have_not_confirmed(self):
+        _, body = self.send("GET", "/r1/operators/status")
+        self.assertEqual(body["not_confirmed"], ["r1", "r2"])
+        self.assertEqual(body["revision"], 1)
+
+    def test_put_and_show_a_preset(self):
+        response, body = self.send(
+            "PUT",
+            "/r1/operators/presets/sale",
+            {"load_bound": 1.4, "accounts": {"big": {"weight": 3}}},
+            id="command-1",
+            match='"1"',
+        )
+        self.assertEqual((response.code, body["revision"]), (200, 2))
+        response, body = self.send("GET", "/r2/operators/presets/sale")
+        self.assertEqual(response.headers["ETag"], '"2"')
+        self.assertEqual(body["preset"]["accounts"]["big"]["weight"], 3.0)
+
+    def test_every_fault_of_a_preset_is_told_at_once(self):
+        preset = {"load_bound": 0.5, "retry": 1, "classes": {"a b": {}}}
+        response, body = self.send(
+            "PUT", "/r1/operators/presets/x", preset, id="command-1", match="1"
+        )
+        self.assertEqual(response.code, 400)
+        for word in ("load_bound: given '0.5'", "retry", "classes"):
+            self.assertIn(word, body["error"]["detail"])
+        self.assertEqual(self.group.machine.book.parts.revision, 1)
+
+    def test_missing_and_malformed_headers(self):
+        cases = (
+            ({"id": "command-1"}, 428),
+            ({"id": "command-1", "match": "*"}, 400),
+            ({"match": "1"}, 400),
+            ({"match": "1", "id": "short"}, 400),
+        )
+        for headers, code in cases:
+            response, body = self.send(
+                "POST", "/r1/operators/switch", {"preset": "peak"}, **headers
+            )
+            self.assertEqual(response.code, code, headers)
+            self.assertEqual(body["error"]["outcome"], "not-run")
+
+    def test_two_operators_with_the_same_revision(self):
+        # Both saw revision 1; the second learns what is in force instead.
+        self.assertEqual(self.switch("peak", "command-1", "1")[0].code, 200)
+        response, body = self.switch("ordinary", "command-2", "1", "r2")
+        self.assertEqual(response.code, 412)
+        self.assertEqual(response.headers["ETag"], '"2"')
+        self.assertIn("preset peak", body["error"]["detail"])
+
+    def test_lost_answer_is_unknown_and_resent_through_another_router(self):
+        # The command took hold but its answer was lost. Saying that it was
+        # refused would be a lie; the resend through r2 gets the answer.
+        self.group.lose_answers = 1
+        response, body = self.switch("peak", "command-1", "1")
+        self.assertEqual(response.code, 503)
+        self.assertEqual(body["error"]["outcome"], "unknown")
+        self.assertIn("Retry-After", response.headers)
+        self.group.restart()
+        response, body = self.switch("peak", "command-1", "1", "r2")
+        self.assertEqual((response.code, body["revision"]), (200, 2))
+        response, _ = self.switch("ordinary", "command-1", "1", "r2")
+        self.assertEqual(response.code, 422)
+
+    def test_without_keepers_nothing_is_accepted_and_status_says_so(self):
+        self.group.cut = True
+        response, body = self.switch("peak", "command-1", "1")
+        self.assertEqual(
+            (response.code, body["error"]["outcome"]), (503, "not-run")
+        )
+        _, body = self.send("GET", "/r1/operators/status")
+        self.assertEqual((body["source"], body["revision"]), ("router", 1))
+        response, _ = self.send("GET", "/r1/operators/presets/peak")
+        self.assertEqual(response.headers["Amaranthring-Source"], "router")
+
+    def test_account_tokens_change_and_are_never_shown(self):
+        token = "a-token-of-the-account"
+        for revision, body in ((1, {"tokens": [token]}), (2, {})):
+            response, _ = self.send(
+                "PUT",
+                "/r1/operators/accounts/shop",
+                body,
+                id=f"command-{revision}",
+                match=str(revision),
+            )
+            self.assertEqual(response.code, 200)
+            response, shown = self.send("GET", "/r1/operators/accounts/shop")
+            self.assertNotIn(hashing.token_hash(token), str(shown))
+            self.assertEqual(len(shown["tokens"]), len(body))
+
+    def test_drain_and_undrain(self):
+        path = "/r1/operators/targets/e1/drain"
+        self.send("POST", path, {"reason": "disk"}, id="command-1", match="1")
+        config = self.group.machine.book.parts.config()
+        self.assertEqual(config.drained, {"e1": "disk"})
+        self.send("DELETE", path, id="command-2", match="2")
+        config = self.group.machine.book.parts.config()
+        self.assertEqual(config.drained, {})
+
+    def test_views_and_unknown_names(self):
+        self.switch("peak", "command-1", "1")
+        _, body = self.send("GET", "/r1/operators/history?name=peak")
+        actions = [row["action"] for row in body["history"]]
+        self.assertEqual(actions, ["preset-put", "preset-switch"])
+        for path in ("presets/none", "accounts/none", "targets/none", "x"):
+            response, body = self.send("GET", f"/r1/operators/{path}")
+            self.assertEqual(response.code, 404)
+            self.assertEqual(body["error"]["code"], "not-found")
--- /dev/null
+++ b/tests/test_revisions.py
@@ -0,0 +1,233 @@
+"""Spread of revisions over routers of a fake fleet."""
+
+import os
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+from amaranthring.core import fleet
+from amaranthring.keepers import commands
+from amaranthring.routers import revisions
+from amaranthring.testing import state
+
+
+class Fleet:
+    """Keepers and routers of two data centres, with links that can be cut."""
+
+    def __init__(self, names=("a1", "a2", "a3", "b1", "b2", "b3")):
+        self.group = state.FakeGroup()
+        self.group.apply(state.bootstrap())
+        self.routers = {}
+        self.names = names
+        self.made = {}
+        self.seen = {}
+        self.cuts = set()
+
+    def allowed(self, one, other):
+        return not {one, other} & self.cuts
+
+    def start(self, name, **more):
+        neighbours = [n for n in self.names if n[0] == name[0]]
+        more.setdefault("neighbours", neighbours)
+        made, mesh = state.make_revisions(
+            name,
+            name[0],
+            more.pop("group", self.group),
+            self.routers,
+            allowed=self.allowed,
+            **more,
+        )
+        self.made[name] = made
+        seen = self.seen.setdefault(name, [])
+        made.subscribe(lambda c: seen.append((c.revision, c.in_force)))
+        made.start()
+        return made, mesh
+
+    def change(self, number):
+        held = self.group.machine.book
+        name = "ordinary" if held.in_force == "peak" else "peak"
+        command = commands.SwitchPreset(
+            name,
+            command_id=f"command-{number}",
+            operator="ana",
+            if_match=held.parts.revision,
+        )
+        return self.group.apply(command).revision
+
+    def all_at(self, revision):
+        return all(m.current.revision == revision for m in self.made.values())
+
+    async def stop(self):
+        for made in self.made.values():
+            await made.stop()
+
+
+def flipped(data):
+    middle = len(data) // 2
+    return data[:middle] + bytes([data[middle] ^ 1]) + data[middle + 1 :]
+
+
+def rewrite(path, damage):
+    file = pathlib.Path(path)
+    file.write_bytes(damage(file.read_bytes()))
+
+
+class TestRevisions(unittest.IsolatedAsyncioTestCase):
+    """Routers beside keepers that answer, or not."""
+
+    async def asyncSetUp(self):
+        self.fleet = Fleet()
+        for name, value in (
+            ("COMPARE_SECONDS", 0.05),
+            ("WATCH_SECONDS", 0.2),
+            ("CUT_OFF_SECONDS", 0.3),
+        ):
+            patch = mock.patch.object(revisions, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.path = os.path.join(self.folder.name, "revision")
+
+    async def asyncTearDown(self):
+        await self.fleet.stop()
+
+    async def test_every_change_is_in_force_everywhere_and_only_upward(self):
+        for name in self.fleet.names:
+            self.fleet.start(name)
+        await state.until(lambda: all(m.ready for m in self.made()))
+        for number in range(30):
+            revision = self.fleet.change(number)
+            if number % 5 == 0:
+                await state.until(lambda r=revision: self.fleet.all_at(r))
+        await state.until(lambda: self.fleet.all_at(31))
+        for seen in self.fleet.seen.values():
+            numbers = [revision for revision, _ in seen]
+            self.assertEqual(numbers, sorted(set(numbers)))
+            for revision, in_force in seen:
+                expected = "peak" if revision % 2 == 0 else "ordinary"
+                self.assertEqual(in_force, expected)
+
+    def made(self):
+        return self.fleet.made.values()
+
+    async def test_lost_message_is_made_good(self):
+        # A relay's message to its data centre is lost. The router that
+        # missed it compares numbers within a second and asks for the rest.
+        meshes = [self.fleet.start(name)[1] for name in self.fleet.names]
+        await state.until(lambda: all(m.ready for m in self.made()))
+        for mesh in meshes:
+            mesh.drop = 5
+        revision = self.fleet.change(1)
+        await state.until(lambda: self.fleet.all_at(revision))
+        pulled = sum(
+            m.metrics.counters["revisions.pulled"] for m in self.made()
+        )
+        self.assertGreater(pulled, 0)
+
+    async def test_cut_off_start_takes_the_highest_of_its_data_centre(self):
+        # a2 lost the keepers at revision 1 and a3 at revision 2. Then a1
+        # starts, cut off too, with revision 1 on its disk. Taking its own
+        # file or the first answer would put an older preset in force.
+        await self.write_file()
+        group = state.FakeGroup(self.fleet.group.machine)
+        self.fleet.start("a2", group=group)
+        await state.until(lambda: self.fleet.all_at(1))
+        group.cut = True
+        self.fleet.cuts.add("a2")
+        self.fleet.change(1)
+        made, _ = self.fleet.start("a3")
+        await state.until(lambda: made.ready)
+        self.fleet.group.cut = True
+        with mock.patch.object(revisions, "COMPARE_SECONDS", 60.0):
+            self.fleet.cuts.clear()
+            made, _ = self.fleet.start("a1", path=self.path)
+            await state.until(lambda: made.ready)
+        self.assertEqual(made.current.revision, 2)
+
+    async def test_cut_off_start_without_any_revision_is_not_ready(self):
+        self.fleet.group.cut = True
+        self.fleet.start("a1")
+        self.fleet.start("a2")
+        await state.until(lambda: self.counted("a1") >= 4)
+        self.assertFalse(any(m.ready for m in self.made()))
+        self.fleet.group.cut = False
+        await state.until(lambda: all(m.ready for m in self.made()))
+
+    def counted(self, name):
+        metrics = self.fleet.made[name].metrics
+        return metrics.counters["revisions.keepers-unreachable"]
+
+    async def test_own_file_alone_does_not_make_ready_beside_neighbours(self):
+        # The router was down while its neighbours took a change. Cut off
+        # from all of them it must not serve under what its disk holds.
+        await self.write_file()
+        self.fleet.group.cut = True
+        made, _ = self.fleet.start("a1", path=self.path)
+        await state.until(lambda: self.counted("a1") >= 4)
+        self.assertEqual(made.current.revision, 1)
+        self.assertFalse(made.ready)
+
+    async def test_file_makes_the_only_router_of_a_data_centre_ready(self):
+        await self.write_file()
+        self.fleet.group.cut = True
+        made, _ = self.fleet.start("a1", path=self.path, neighbours=[])
+        await state.until(lambda: made.ready)
+        self.assertEqual(made.current.revision, 1)
+
+    async def write_file(self):
+        made, _ = self.fleet.start("a1", path=self.path)
+        await state.until(lambda: made.ready)
+        await made.stop()
+        self.fleet.routers.clear()
+        self.fleet.made.clear()
+
+    async def test_damaged_file_is_ignored(self):
+        await self.write_file()
+        for damage in (flipped, lambda data: data[:50], lambda data: b""):
+            rewrite(self.path, damage)
+            self.fleet.group.cut = True
+            made, _ = self.fleet.start("a1", path=self.path, neighbours=[])
+            self.assertEqual(made.current.revision, 0)
+            counters = made.metrics.counters
+            self.assertEqual(counters["revisions.file-damaged"], 1)
+            await made.stop()
+
+    async def test_keepers_that_lost_their_state_pull_nobody_back(self):
+        made, _ = self.fleet.start("a1")
+        self.fleet.change(1)
+        await state.until(lambda: made.current.revision == 2)
+        empty = state.FakeGroup()
+        empty.apply(state.bootstrap())
+        made.query = empty.query
+        counters = made.metrics.counters
+        await state.until(lambda: counters["revisions.keepers-behind"] > 0)
+        self.assertEqual(made.current.revision, 2)
+
+    async def test_status_shows_every_router_at_the_keepers(self):
+        for name in self.fleet.names:
+            self.fleet.start(name)
+        ask = commands.StateQuery("status")
+
+        def revisions_shown():
+            view = self.fleet.group.queries.routers
+            return {name: seen.revision for name, seen in view.items()}
+
+        await state.until(lambda: len(revisions_shown()) == 6)
+        revision = self.fleet.change(1)
+        await state.until(
+            lambda: set(revisions_shown().values()) == {revision}
+        )
+        view = (await self.fleet.group.query(ask)).view
+        self.assertEqual(sorted(view["routers"]), list(self.fleet.names))
+
+    async def test_change_reaches_a_data_centre_cut_from_the_keepers(self):
+        self.fleet.start("a1")
+        cut = state.FakeGroup()
+        cut.cut = True
+        made, _ = self.fleet.start("b1", group=cut)
+        await state.until(lambda: made.current.revision == 1)
+        revision = self.fleet.change(1)
+        await state.until(lambda: made.current.revision == revision)
+        self.assertIsInstance(made.current, fleet.FleetConfig)
