--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -1,12 +1,13 @@
-"""Composition root: the one place that wires the parts of a process.
+"""Composition root: starts, serves and stops a process.
 
-``run`` is what the command line calls for a daemon. Everything that varies
-is handed to the parts as plain functions here.
+``run`` is what the command line calls for a daemon. The parts of a router
+and of a keeper are wired in :mod:`amaranthring.router_parts` and
+:mod:`amaranthring.keeper_parts`, which belong to this root; nothing else
+wires parts together.
 """
 
 import asyncio
 import signal
-import ssl
 import time
 
 import logbook
@@ -15,11 +16,12 @@
 import tornado.web
 
 from amaranthring import errors
+from amaranthring import keeper_parts
+from amaranthring import router_parts
 from amaranthring import settings as settings_module
-from amaranthring.core import decisions
+from amaranthring.callers import server
 from amaranthring.core import links
 from amaranthring.core import logs
-from amaranthring.core import metrics
 from amaranthring.platform import figures
 from amaranthring.platform import health
 from amaranthring.settings import files
@@ -101,16 +103,6 @@
     return server
 
 
-def callers_context(
-    settings: settings_module.Settings,
-) -> ssl.SSLContext | None:
-    """Return the TLS context towards callers, or None."""
-    listen = settings.listen
-    return files.tls_context(
-        listen.certificate_file, listen.certificate_key_file
-    )
-
-
 def identity_of(
     role: str, settings: settings_module.Settings
 ) -> links.Identity:
@@ -121,22 +113,53 @@
 
 
 async def run_router(settings: settings_module.Settings) -> None:
-    """Wire and run a router."""
+    """Run a router until it is told to stop, then end it gracefully."""
     stop = stop_event()
-    measured = metrics.Metrics()
-    ring = decisions.Decisions()
-    routes = [
-        ("/metrics", figures.FiguresHandler, {"figures": measured}),
-        ("/health", health.HealthHandler, {"ready": lambda: "starting"}),
-    ]
-    server = listen_internal(settings, routes)
-    logs.event(log, "router.started", requests_kept=ring.requests_most)
+    router = router_parts.Router(settings, identity_of("router", settings))
+    internal = listen_internal(settings, router.internal_routes())
+    callers = listen_callers(settings, router)
+    router.start(bind(settings.listen.fleet))
+    logs.event(log, "router.started", callers=settings.listen.callers)
     await stop.wait()
-    server.stop()
+    await router.shut_down(callers)
+    internal.stop()
+    logs.event(log, "router.stopped", running=router.drain.running)
+
+
+def listen_callers(
+    settings: settings_module.Settings, router: router_parts.Router
+) -> tornado.httpserver.HTTPServer:
+    """Serve callers and the balancer's health check."""
+    given = {"ready": router.not_ready_because}
+    routes = [("/health", health.HealthHandler, given)]
+    app = server.make_app(router.needs, settings.callers, routes)
+    listen = settings.listen
+    context = files.tls_context(
+        listen.certificate_file, listen.certificate_key_file
+    )
+    try:
+        return server.listen(app, listen.callers, settings.callers, context)[0]
+    except OSError as error:
+        raise errors.ListenError(
+            f"cannot listen on {listen.callers}",
+            given=error.strerror,
+            expected="a free address of this VM",
+        ) from error
 
 
 async def run_keeper(settings: settings_module.Settings) -> None:
-    """Wire and run a keeper."""
+    """Run a keeper until it is told to stop."""
     stop = stop_event()
+    keeper = keeper_parts.make(settings)
+    routes = [
+        ("/metrics", figures.FiguresHandler, {"figures": keeper.metrics})
+    ]
+    internal = listen_internal(settings, routes)
+    keeper.start()
+    bootstrapping = keeper_parts.start_bootstrap(keeper)
     logs.event(log, "keeper.started", folder=settings.process.data_folder)
     await stop.wait()
+    bootstrapping.cancel()
+    internal.stop()
+    await keeper.stop()
+    logs.event(log, "keeper.stopped")
--- a/amaranthring/callers/way.py
+++ b/amaranthring/callers/way.py
@@ -57,7 +57,9 @@
         t.Awaitable[None],
     ]
     is_quarantined: t.Callable[[str], bool]
-    report_crash: t.Callable[[records.Request, str], t.Awaitable[None]]
+    report_crash: t.Callable[
+        [records.Request, records.Target], t.Awaitable[None]
+    ]
     may_retry: t.Callable[[str], bool]
     succeeded: t.Callable[[str], None]
     when_lost: t.Callable[[str], asyncio.Future]
@@ -204,7 +206,7 @@
         excluded.add(attempt.target.name)
         needs.metrics.count(f"way.failed.{failed.code}")
         if attempt.lost:
-            await needs.report_crash(request, attempt.target.name)
+            await needs.report_crash(request, attempt.target)
             if needs.is_quarantined(request.body_digest):
                 attempt.repeatable = False
         if not _may_repeat(needs, request, attempt, failed, maybe_ran):
--- /dev/null
+++ b/amaranthring/router_parts.py
@@ -0,0 +1,357 @@
+"""Wiring of a router, part of the composition root."""
+
+import asyncio
+import dataclasses
+import os
+import time
+import typing as t
+
+from amaranthring import errors
+from amaranthring import settings as settings_module
+from amaranthring.callers import drain as drains
+from amaranthring.callers import way
+from amaranthring.core import decisions
+from amaranthring.core import links
+from amaranthring.core import metrics
+from amaranthring.core import records
+from amaranthring.keepers import client as keeper_client
+from amaranthring.keepers import commands
+from amaranthring.operators import handlers as operators
+from amaranthring.platform import figures
+from amaranthring.policy import retries
+from amaranthring.routers import admission
+from amaranthring.routers import directory
+from amaranthring.routers import explaining
+from amaranthring.routers import limits
+from amaranthring.routers import mesh
+from amaranthring.routers import placing
+from amaranthring.routers import regions
+from amaranthring.routers import revisions
+from amaranthring.routers import spread
+from amaranthring.routers import suspicion
+from amaranthring.targets import announce
+from amaranthring.targets import table
+
+CLAIM_SECONDS = 5.0
+# A claim is held past the caller's deadline by what settling may take.
+CLAIM_GRACE_SECONDS = 15.0
+QUARANTINE_SECONDS = 24 * 3600.0
+REVISION_FILE = "revision"
+
+
+class Router:
+    """All parts of one router.
+
+    Attributes
+    ----------
+    needs : way.Needs
+        What the request's way was given.
+    drain : drain.Drain
+        Requests in progress.
+    stopping : bool
+        Whether the health check fails for a shutdown.
+    """
+
+    def __init__(
+        self, settings: settings_module.Settings, identity: links.Identity
+    ):
+        self.settings = settings
+        self.identity = identity
+        self.name = identity.name
+        self.metrics = metrics.Metrics()
+        self.ring = decisions.Decisions()
+        self.drain = drains.Drain()
+        self.stopping = False
+        self.tasks: list[asyncio.Task] = []
+        section = settings.fleet
+        self.keys = links.Keys(settings_module.keys(section.keys_file))
+        self.handlers = links.Handlers()
+        self._make_mesh()
+        self._make_decisions()
+        self.needs = self._needs()
+
+    # -- wiring --
+
+    def _make_mesh(self) -> None:
+        settings = self.settings
+        self.mesh = mesh.Mesh(
+            self.identity,
+            settings.routers(),
+            self.keys,
+            self.handlers,
+            self.metrics,
+        )
+        self.server = links.LinkServer(
+            self.identity,
+            self.keys,
+            self.handlers,
+            on_link=self.mesh.accept,
+            on_gone=self.mesh.gone,
+        )
+        self.keepers = keeper_client.KeeperClient(
+            settings.fleet.group, settings.keepers(), self.identity, self.keys
+        )
+        place = settings.process.data_centre
+        folder = settings.process.data_folder
+        self.revisions = revisions.Revisions(
+            self.name,
+            place,
+            self.keepers.query,
+            self.mesh,
+            self.handlers,
+            self.metrics,
+            [
+                peer.name
+                for peer in settings.routers()
+                if peer.data_centre == place and peer.name != self.name
+            ],
+            os.path.join(folder, REVISION_FILE) if folder else "",
+        )
+        self.table = table.TargetTable(place, self.config, self.metrics)
+        self.spread = spread.Spread(self.mesh, self.table, self.metrics)
+        self.revisions.subscribe(self._revision_changed)
+        self.table.subscribe(self._target_changed)
+
+    def _make_decisions(self) -> None:
+        process = self.settings.process
+        self.regions = regions.Regions(
+            process.region, self.mesh, self.table.targets
+        )
+        self.suspicion = suspicion.Suspicion(
+            self.name,
+            self.mesh,
+            self.regions,
+            self._quarantine,
+            self.config,
+            self.metrics,
+        )
+        self.directory = directory.Directory(
+            self.name,
+            self.mesh,
+            self.regions.own,
+            self.suspicion,
+            self.metrics,
+        )
+        self.owners = admission.Owners(
+            self.name, self.table, self.mesh, self.config, self.metrics
+        )
+        self.placer = placing.Placer(
+            self.name,
+            process.data_centre,
+            process.region,
+            self.table,
+            self.mesh,
+            self.directory,
+            self.suspicion,
+            self.config,
+            self.metrics,
+        )
+        self.limits = limits.AccountLimits(
+            self.name,
+            self.mesh,
+            self.config,
+            lambda: len(self.settings.routers()),
+            self.metrics,
+        )
+        self.budget = retries.RetryBudget(
+            lambda: self.config().preset.retry_budget, time.monotonic
+        )
+        self.explaining = explaining.Explaining(
+            self.name, self.mesh, self.ring
+        )
+        for part in (
+            self.suspicion,
+            self.directory,
+            self.owners,
+            self.placer,
+            self.limits,
+            self.explaining,
+        ):
+            part.add_handlers(self.handlers)
+
+    def _needs(self) -> way.Needs:
+        return way.Needs(
+            router=self.name,
+            keys=self._resume_keys(),
+            config=self.config,
+            check_limits=self.limits.check_limits,
+            admit=self.placer.admit,
+            release=self.placer.release,
+            claim=self._claim,
+            settle=self._settle,
+            is_quarantined=self.suspicion.is_quarantined,
+            report_crash=self.suspicion.report_crash,
+            may_retry=self.budget.may_retry,
+            succeeded=self.budget.succeeded,
+            when_lost=self.table.when_lost,
+            note=self.ring.note,
+            target=self.table.get,
+            serves=self._serves,
+            metrics=self.metrics,
+            drain=self.drain,
+        )
+
+    def _resume_keys(self) -> links.Keys:
+        path = self.settings.fleet.resume_key_file
+        return links.Keys(settings_module.keys(path)) if path else self.keys
+
+    def config(self):
+        """Return the revision in force on this router."""
+        return self.revisions.current
+
+    # -- what the parts are handed --
+
+    async def _claim(
+        self, request: records.Request, attempt: str, target: str
+    ) -> records.Claim:
+        left = max(0.0, request.deadline - time.monotonic())
+        command = commands.Claim(
+            request.account,
+            request.key,
+            request.body_digest,
+            attempt,
+            target,
+            left + CLAIM_GRACE_SECONDS,
+        )
+        return (await self.keepers.propose(command, CLAIM_SECONDS)).claim
+
+    async def _settle(
+        self,
+        request: records.Request,
+        attempt: str,
+        outcome: errors.Outcome,
+        answer: records.StoredAnswer | None,
+    ) -> None:
+        command = commands.Settle(
+            request.account, request.key, attempt, str(outcome), answer
+        )
+        await self.keepers.propose(command, CLAIM_SECONDS)
+
+    async def _quarantine(self, fingerprint: str) -> None:
+        command = commands.AddQuarantine(fingerprint, QUARANTINE_SECONDS)
+        await self.keepers.propose(command, CLAIM_SECONDS)
+
+    def _serves(self, kind: records.TargetKind) -> set[str]:
+        found: set[str] = set()
+        for target in self.table.targets():
+            if target.kind is kind:
+                found.update(target.serves)
+        return found
+
+    def _revision_changed(self, config) -> None:
+        self.metrics.gauge("revision", config.revision)
+
+    def _target_changed(self, _name: str) -> None:
+        ready = [
+            target
+            for target in self.table.targets()
+            if self.table.state(target.name) is records.TargetState.READY
+        ]
+        self.metrics.gauge("targets.ready", len(ready))
+
+    # -- HTTP --
+
+    def internal_routes(self) -> list:
+        """Return the routes of the internal listener."""
+        fleet = self.settings.fleet
+        routes = [
+            ("/metrics", figures.FiguresHandler, {"figures": self.metrics})
+        ]
+        if fleet.targets_key_file:
+            keys = settings_module.keys(fleet.targets_key_file)
+            routes += announce.routes(self.table, keys, self.metrics)
+        if fleet.operators_file:
+            tokens = settings_module.secret_lines(fleet.operators_file)
+            routes += operators.routes(self._operators(tokens))
+        return routes
+
+    def _operators(self, tokens: dict[str, str]) -> operators.Operators:
+        return operators.Operators(
+            tokens=tokens,
+            propose=self.keepers.propose,
+            query=self.keepers.query,
+            revisions=self.revisions,
+            routers={
+                peer.name: peer.data_centre for peer in self.settings.routers()
+            },
+            targets=self._target_rows,
+            explain=self.explaining.explain,
+            keepers=self._keepers_status,
+        )
+
+    def _target_rows(self) -> list[dict[str, t.Any]]:
+        rows = []
+        for target in self.table.targets():
+            row = dataclasses.asdict(target)
+            row["state"] = str(self.table.state(target.name))
+            report = self.table.report(target.name)
+            row["running"] = report.running if report else None
+            row["waiting"] = report.waiting if report else None
+            rows.append(row)
+        return rows
+
+    async def _keepers_status(self) -> dict[str, t.Any]:
+        names = [keeper.name for keeper in self.settings.keepers()]
+        asked = [self.keepers.status(name) for name in names]
+        answers = await asyncio.gather(*asked, return_exceptions=True)
+        found: dict[str, t.Any] = {}
+        for name, answer in zip(names, answers, strict=True):
+            if isinstance(answer, errors.AmaranthringError):
+                found[name] = {"unreachable": str(answer)}
+            elif isinstance(answer, BaseException):
+                raise answer
+            else:
+                found[name] = answer
+        return {"keepers": found}
+
+    def not_ready_because(self) -> str:
+        """Return why the balancer should leave this router out, or empty."""
+        if self.stopping:
+            return "stopping"
+        if not self.revisions.ready:
+            return "no revision confirmed yet"
+        return ""
+
+    # -- life --
+
+    def start(self, sockets: list) -> None:
+        """Serve the fleet's streams on `sockets` and start every task."""
+        self.server.add_sockets(sockets)
+        self.mesh.start()
+        self.table.start()
+        self.spread.start()
+        self.keepers.start()
+        self.revisions.start()
+        runs = [self.owners.run, self.placer.run, self.directory.run]
+        if self.settings.statsd.host:
+            sender = figures.StatsdSender(self.metrics, self.settings.statsd)
+            runs.append(sender.run)
+        self.tasks = [asyncio.ensure_future(run()) for run in runs]
+
+    async def shut_down(self, listener) -> None:
+        """End gracefully: no request in progress is cut off.
+
+        The health check fails first, so that the balancer leaves this
+        router out; then owners and shards move to other routers; then what
+        runs ends; then the process may.
+        """
+        self.stopping = True
+        bounds = self.settings.callers
+        await asyncio.sleep(bounds.health_grace_seconds)
+        listener.stop()
+        self.drain.close()
+        self.mesh.leave()
+        self.owners.hand_over()
+        self.directory.hand_over()
+        await self.drain.wait_idle(bounds.shutdown_seconds)
+        await self._stop_parts()
+
+    async def _stop_parts(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        self.spread.stop()
+        self.table.stop()
+        await self.revisions.stop()
+        self.keepers.stop()
+        self.mesh.stop()
+        self.server.close_all()
--- a/amaranthring/settings/__init__.py
+++ b/amaranthring/settings/__init__.py
@@ -2,6 +2,8 @@
 
 from amaranthring.settings.files import check_files
 from amaranthring.settings.ini import read
+from amaranthring.settings.models import CallersSection
+from amaranthring.settings.models import KeeperSection
 from amaranthring.settings.models import OperatorSettings
 from amaranthring.settings.models import PeerAddress
 from amaranthring.settings.models import peers
@@ -15,6 +17,8 @@
 
 __all__ = [
     "MODELS",
+    "CallersSection",
+    "KeeperSection",
     "OperatorSettings",
     "PeerAddress",
     "Settings",
