Bring broken streams to their end, or say so

Cause: a stream that breaks, repeats, leaves out or mixes events reaches the caller as a wrong answer, and a run on another engine from the start says other words than the part already sent.

A broken stream is resumed at its engine at the event expected next. If that engine is gone, the chat runs again elsewhere only while the caller has seen nothing; else the other engine must continue the very text sent and say from which event. Ruled out: joining a second run behind the first by numbers.

Borders: typed answers for headers and bodies that are too large or too slow. A call that holds a claim runs on when its caller leaves, so that the resend gets the stored answer.

--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -21,6 +21,7 @@
 from amaranthring.targets import upstream
 
 RESUMES_MOST = 2
+RESUME = "/resume"
 CANCEL_SECONDS = 1.0
 CONTINUED_HEADER = "Amaranthring-Continued-From"
 EVENT_STREAM = "text/event-stream"
@@ -54,8 +55,13 @@
         None until an attempt got as far as its engine.
     begun : bool
         Whether the caller has seen anything.
+    opened : bool
+        Whether the engine of now accepted the request under its terms, so
+        that its stream may be resumed.
     started, last : float
         Monotonic time of arrival, and of the last bytes sent on.
+    first_token : float
+        Seconds from arrival to the first bytes sent on.
     worst_gap : float
         Longest time between two reads that brought tokens, in seconds.
     """
@@ -64,6 +70,8 @@
     started: float
     events: sse.Events | None = None
     begun: bool = False
+    opened: bool = False
+    first_token: float = 0.0
     last: float = 0.0
     worst_gap: float = 0.0
 
@@ -110,7 +118,9 @@
     try:
         with way.Breaker(needs, exchange):
             try:
+                delivery.opened = False
                 await _open_stream(exchange, call, allowed, name, delivery)
+                delivery.opened = True
                 await _relay(exchange, delivery, preset)
                 return
             finally:
@@ -124,13 +134,16 @@
     if not attempt.sent:
         raise error
     timed_out = isinstance(error, errors.UpstreamTimeoutError)
-    refused = error.outcome is errors.Outcome.NOT_RUN
-    if not attempt.lost and not timed_out and not refused:
+    if delivery.opened and not attempt.lost and not timed_out:
         for _ in range(RESUMES_MOST):
             try:
                 await _resume(needs, attempt.target, name, delivery)
                 needs.metrics.count("way.resumed")
                 return
+            except errors.NotFoundError:
+                # The process that ran it is gone; another took its port.
+                attempt.lost = True
+                break
             except errors.UpstreamError as again:
                 if again.outcome is errors.Outcome.NOT_RUN:
                     break
@@ -150,7 +163,7 @@
     events = delivery.events
     events.follow(name, events.shown.decode()[4:-1])
     body = json.dumps({"offset": events.expected}).encode()
-    path = f"/v1/streams/{name}/resume"
+    path = f"/v1/streams/{name}{RESUME}"
     headers = {
         upstream.REQUEST_ID_HEADER: name,
         "Content-Type": JSON,
@@ -167,6 +180,10 @@
 
 async def _open_stream(exchange, call, allowed, name, delivery) -> None:
     await exchange.open(call, allowed)
+    if exchange.status == 404 and call.path.endswith(RESUME):
+        raise errors.NotFoundError(
+            "the engine does not know the stream", given=name
+        )
     check_head(exchange, name)
     kind = exchange.headers.get("Content-Type", "")
     if not kind.startswith(EVENT_STREAM):
@@ -340,19 +357,19 @@
     shown = _token(needs, request, target, place.stream)
     delivery = Delivery(sink, time.monotonic())
     delivery.events = sse.Events(place.stream, shown, number)
-    try:
-        for _ in range(RESUMES_MOST):
-            try:
-                await _resume(needs, target, place.stream, delivery)
-                break
-            except errors.UpstreamError as error:
-                failed = error
-        else:
-            raise failed
-    except errors.UpstreamError as error:
+    failed = None
+    for _ in range(RESUMES_MOST):
+        try:
+            await _resume(needs, target, place.stream, delivery)
+            break
+        except errors.NotFoundError as error:
+            raise _stream_gone(place, str(error)) from error
+        except errors.UpstreamError as error:
+            failed = error
+    else:
         if delivery.begun:
-            raise
-        raise _stream_gone(place, str(error)) from error
+            raise failed
+        raise _stream_gone(place, str(failed)) from failed
     needs.metrics.count("way.came-back")
     _record(needs, request, delivery)
 
--- a/amaranthring/callers/conventions.py
+++ b/amaranthring/callers/conventions.py
@@ -10,7 +10,6 @@
 import re
 import time
 import typing as t
-import uuid
 
 import pydantic
 
@@ -28,11 +27,9 @@
 RESUME_HEADER = "Last-Event-ID"
 
 KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,255}")
-NAME_PATTERN = re.compile(r"[A-Za-z0-9._:/-]{1,128}")
 RETRY_SECONDS = 1.0
 RETRY_STATUSES = (429, 503, 504)
 CLASSES = ("interactive", "batch")
-ID_CHARACTERS = 16
 
 
 class Message(pydantic.BaseModel):
@@ -77,12 +74,6 @@
     deadline_seconds: float
 
 
-def new_request_id(router: str) -> str:
-    """Return a unique id that names the router it began on."""
-    named = re.sub(r"[^A-Za-z0-9_-]", "-", router)
-    return f"{named}.{uuid.uuid4().hex[:ID_CHARACTERS]}"
-
-
 class Accounts:
     """Client accounts by token hash, made once for each revision."""
 
@@ -282,7 +273,9 @@
 
 
 def error_record(
-    error: errors.AmaranthringError, request_id: str
+    error: errors.AmaranthringError,
+    outcome: errors.Outcome,
+    request_id: str,
 ) -> dict[str, t.Any]:
     """Return the one JSON form of every error."""
     record = error.to_record()
@@ -295,7 +288,7 @@
             "given": record["given"],
             "expected": record["expected"],
             "retry_after": retry_after(error),
-            "outcome": record["outcome"],
+            "outcome": str(outcome),
             "request_id": request_id,
         }
     }
--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -16,12 +16,18 @@
 from amaranthring.targets import upstream
 
 SETTLE_TRIES = 3
+CLAIM_TRIES = 3
 SETTLE_SECONDS = 2.0
 SETTLE_PAUSE_SECONDS = 0.2
 IN_PROGRESS_SECONDS = 1.0
 PASSED_HEADERS = ("Content-Type", "Accept", "Accept-Language")
 
 
+def is_claimed(request: records.Request) -> bool:
+    """Return whether the call runs under a claim."""
+    return bool(request.key) and not request.idempotent
+
+
 async def call(
     needs: way.Needs, request: records.Request, headers: dict[str, str]
 ) -> way.Answer:
@@ -39,7 +45,7 @@
     """
     await way.check(needs, request)
     started = time.monotonic()
-    claimed = bool(request.key) and not request.idempotent
+    claimed = is_claimed(request)
 
     async def once(attempt: way.Attempt) -> way.Answer:
         if claimed:
@@ -98,13 +104,35 @@
     """Claim, send, settle; or answer from an earlier claim."""
     name = f"{request.request_id}.{attempt.number}"
     attempt.repeatable = False
-    claim = await needs.claim(request, name, attempt.target.name)
+    claim = await _claim(needs, request, name, attempt.target.name)
     needs.metrics.count(f"way.claim.{claim.state}")
     if claim.state is not records.ClaimState.GRANTED:
         return await _earlier(needs, request, attempt, headers, claim)
     return await _run_claimed(needs, request, attempt, headers, name)
 
 
+async def _claim(needs, request, name, target) -> records.Claim:
+    """Ask the ledger, again under the same attempt if the reply was lost.
+
+    A claim that was granted with its reply lost would bar the key for good,
+    though nothing was sent. Asked again, the ledger knows the attempt.
+    """
+    lost = (errors.CommitUnknownError, errors.LinkError)
+    for _ in range(CLAIM_TRIES - 1):
+        try:
+            return await needs.claim(request, name, target)
+        except lost:
+            if time.monotonic() >= request.deadline:
+                break
+            await asyncio.sleep(SETTLE_PAUSE_SECONDS)
+    try:
+        return await needs.claim(request, name, target)
+    except lost as error:
+        await _settle(needs, request, name, errors.Outcome.NOT_RUN, None)
+        error.retry_after = error.retry_after or IN_PROGRESS_SECONDS
+        raise
+
+
 async def _run_claimed(needs, request, attempt, headers, name):
     """Run a call whose claim this attempt holds."""
     try:
@@ -116,13 +144,9 @@
         # Another target needs a claim of its own, because a claim names the
         # one target that may be asked again; so this one must be closed.
         attempt.repeatable = never_ran and settled
-        raise
-    except asyncio.CancelledError:
-        # The caller left. Before a byte left nothing can run any more.
-        outcome = (
-            errors.Outcome.UNKNOWN if attempt.sent else errors.Outcome.NOT_RUN
-        )
-        await _settle(needs, request, name, outcome, None)
+        # The ledger granted the claim to this attempt, so what is said here
+        # holds for the key and not for this call alone.
+        error.claimed = never_ran
         raise
     stored = records.StoredAnswer(
         answer.status, answer.content_type, answer.body
--- a/amaranthring/callers/way.py
+++ b/amaranthring/callers/way.py
@@ -122,15 +122,15 @@
 
 
 async def check(needs: Needs, request: records.Request) -> None:
-    """Refuse what is quarantined or above its limits.
+    """Refuse what is above its limits or quarantined.
 
     Raises
     ------
     errors.QuarantinedError, errors.RateLimitedError
         Nothing ran.
     """
-    refuse_quarantined(needs, request)
     await needs.check_limits(request)
+    refuse_quarantined(needs, request)
 
 
 def refuse_quarantined(needs: Needs, request: records.Request) -> None:
@@ -204,14 +204,27 @@
         excluded.add(attempt.target.name)
         needs.metrics.count(f"way.failed.{failed.code}")
         if attempt.lost:
-            await needs.report_crash(request, attempt.target.name)
-            if needs.is_quarantined(request.body_digest):
-                attempt.repeatable = False
+            await _report_crash(needs, request, attempt)
         if not _may_repeat(needs, request, attempt, failed, maybe_ran):
             break
     raise failed
 
 
+async def _report_crash(needs, request, attempt) -> None:
+    """Report that the run coincided with its target's death.
+
+    ``report_crash`` may hold a suspect until its turn, so that suspects are
+    run again apart from one another, and may refuse it for good.
+    """
+    needs.metrics.count("way.target-lost")
+    try:
+        await needs.report_crash(request, attempt.target.name)
+    except errors.AmaranthringError:
+        attempt.repeatable = False
+    if needs.is_quarantined(request.body_digest):
+        attempt.repeatable = False
+
+
 async def _released(needs, request, attempt, once):
     """Run one attempt and give its grant back, however it ends."""
     end = records.End.FAILED
--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -151,6 +151,34 @@
     status = 413
 
 
+class HeadersTooLargeError(TooLargeError):
+    """Headers above the bound."""
+
+    code = "headers-too-large"
+    status = 431
+
+
+class HeadersLateError(BadRequestError):
+    """The headers were begun and did not end in time."""
+
+    code = "headers-late"
+    status = 408
+
+
+class BodyLateError(BadRequestError):
+    """The body did not come in time."""
+
+    code = "body-late"
+    status = 408
+
+
+class MethodError(BadRequestError):
+    """The path is known, but not with this method."""
+
+    code = "method"
+    status = 405
+
+
 class UnauthenticatedError(RefusedError):
     """No token, or a token that names no client account or operator."""
 
--- a/amaranthring/testing/engine.py
+++ b/amaranthring/testing/engine.py
@@ -130,6 +130,10 @@
         Chats whose prefix is cached, least recently used first.
     exits : bool
         Whether a crash ends the process; else it drops the connection.
+    continues : bool
+        Whether it can continue a given text.
+    on_crash : callable
+        Called by a crash that does not end the process.
     """
 
     def __init__(
@@ -141,6 +145,7 @@
         cache_chats: int = 500,
         fencing: bool = False,
         exits: bool = False,
+        continues: bool = True,
     ):
         self.name = name
         self.models = models
@@ -149,6 +154,8 @@
         self.cache_chats = cache_chats
         self.fencing = fencing
         self.exits = exits
+        self.continues = continues
+        self.on_crash: t.Callable[[], None] = lambda: None
         self.ran: list[dict[str, t.Any]] = []
         self.streams: collections.OrderedDict[str, Stream] = (
             collections.OrderedDict()
@@ -220,7 +227,7 @@
 
     def begin(self, body: dict, headers, name: str) -> Stream:
         """Note a run and return its stream."""
-        follows = body.get("continue_from") or {}
+        follows = body.get("continue_from", {}) if self.continues else {}
         stream = Stream(
             name=name,
             body=body,
@@ -259,6 +266,7 @@
         """Die as a process, or drop the connection."""
         if self.engine.exits:
             os._exit(1)
+        self.engine.on_crash()
         self.detach().close()
 
     async def wait(self, seconds: float) -> None:
@@ -287,6 +295,7 @@
     async def _whole(self, stream: Stream, fault: dict) -> None:
         kind = fault.get("fault", "")
         if kind == "crash":
+            self.engine.streams.pop(stream.name, None)
             return self.crash()
         if kind == "drop":
             return self.detach().close()
--- a/amaranthring/testing/local.py
+++ b/amaranthring/testing/local.py
@@ -10,9 +10,9 @@
 import tornado.iostream
 import tornado.tcpclient
 
-from amaranthring import settings
 from amaranthring.callers import server
 from amaranthring.core import records
+from amaranthring.settings import models as settings_models
 from amaranthring.testing import booking
 from amaranthring.testing import engine
 from amaranthring.testing import needs as fakes
@@ -83,7 +83,7 @@
     """
 
     def __init__(self, **bounds: t.Any):
-        self.bounds = settings.CallersSection(**bounds)
+        self.bounds = settings_models.CallersSection(**bounds)
         self.ledger = fakes.Ledger()
         self.engines: dict[str, engine.Engine] = {}
         self.bookings: dict[str, booking.Booking] = {}
@@ -97,6 +97,7 @@
         self.engines[name] = made
         kind = records.TargetKind.ENGINE
         self._listen(name, made.app(), kind, ("m1",))
+        made.on_crash = self.servers[name].stop
         return made
 
     def add_booking(self, name: str = "b1", **given: t.Any) -> booking.Booking:
