Close a target at its owner when entry routers cannot reach it

Cause: an engine that was killed stayed eligible until its lease ended, 3 s later. Each chat remembered there was granted to it, failed to connect and spent a retry; the budget (a tenth of recent successes) was gone after a few, and the rest was refused. Ruled out: a shorter lease (a frozen router or a lost message would then drop live engines) and a larger budget (it feeds storms).

Change: entry routers say how each grant ended; the owner closes an unreachable target for 0.3 s, doubling to 3 s, lets one request try it and opens it on the first success. A router that fails at more than half of the cell is not believed alone.

--- a/amaranthring/callers/way.py
+++ b/amaranthring/callers/way.py
@@ -243,9 +243,11 @@
     except asyncio.CancelledError:
         end = records.End.CANCELLED
         raise
-    except errors.AmaranthringError:
+    except errors.AmaranthringError as error:
         if attempt.lost:
             end = records.End.TARGET_LOST
+        elif not attempt.sent and isinstance(error, errors.UpstreamError):
+            end = records.End.UNREACHABLE
         elif not attempt.sent:
             end = records.End.NOT_SENT
         raise
--- a/amaranthring/core/records.py
+++ b/amaranthring/core/records.py
@@ -172,6 +172,7 @@
     TARGET_LOST = "target-lost"
     CANCELLED = "cancelled"
     NOT_SENT = "not-sent"
+    UNREACHABLE = "unreachable"
 
 
 class ClaimState(enum.StrEnum):
--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -16,6 +16,7 @@
 from amaranthring.core import hashing
 from amaranthring.core import records
 from amaranthring.policy import bounds
+from amaranthring.policy import outages
 from amaranthring.policy import queues
 
 LEASE_SECONDS = 6.0
@@ -144,6 +145,7 @@
         self.suspects: dict[str, Key] = {}
         self.siblings: dict[str, Sibling] = {}
         self.queue = queues.FairQueue()
+        self.outages = outages.Outages()
         self.bound = 1.25
         self.released = 0.0
         self.released_at = now
@@ -157,7 +159,12 @@
         self, targets: collections.abc.Iterable[records.Target]
     ) -> None:
         """Take `targets` as those that may be granted from now on."""
+        before = self.targets
         self.targets = {target.name: target for target in targets}
+        for name, old in before.items():
+            new = self.targets.get(name)
+            if new is None or new.incarnation != old.incarnation:
+                self.outages.forget(name)
 
     def in_flight(self, now: float) -> int:
         """Return requests running at targets that may be granted."""
@@ -237,7 +244,8 @@
                 return 0
             if ask.suspect and name in self.suspects:
                 return 0
-            return min(most, self.targets[name].capacity)
+            capacity = min(most, self.targets[name].capacity)
+            return self.outages.room(name, now, capacity)
 
         def load(name: str) -> int:
             return self.loaded(name, now)
@@ -247,10 +255,15 @@
         order = hashing.order(ask.chat or str(ask.key), self.targets)
         return bounds.first_with_room(order, load, room)
 
-    def release(self, key: Key, now: float) -> None:
+    def release(
+        self, key: Key, now: float, end: records.End = records.End.DONE
+    ) -> None:
         """End the grant or the waiting of `key` and serve who waits."""
         if self.queue.remove(key) is not None:
             return
+        held = self.held.get(key)
+        if held is not None:
+            self._judge(held.target, key[0], now, end)
         if self._drop(key):
             self._count_release(now)
             self.serve(now)
@@ -350,6 +363,12 @@
 
     # -- inside --
 
+    def _judge(self, target, router, now, end: records.End) -> None:
+        if end is records.End.DONE:
+            self.outages.succeeded(target, router)
+        if end in (records.End.UNREACHABLE, records.End.TARGET_LOST):
+            self.outages.failed(target, router, self.targets, now)
+
     def _population(self, now: float) -> tuple[int, int]:
         total = self.in_flight(now)
         count = len(self.targets)
--- a/amaranthring/routers/admission.py
+++ b/amaranthring/routers/admission.py
@@ -116,7 +116,8 @@
         cell = self.cells.get(message.cell)
         if cell is None:
             return
-        cell.release((message.router, message.serial), self.clock())
+        key = (message.router, message.serial)
+        cell.release(key, self.clock(), message.end)
         self._tell(cell)
 
     def on_holdings(self, _link, message: messages.Holdings) -> None:
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -90,7 +90,7 @@
     cell: str
     router: str
     serial: int
-    end: str
+    end: records.End
 
 
 @wire.message("holdings")
--- a/amaranthring/routers/placing.py
+++ b/amaranthring/routers/placing.py
@@ -617,7 +617,7 @@
         self.pointed[cell] = (owner, self.clock() + REDIRECT_SECONDS)
 
     def _release(self, owner, cell, serial, end) -> None:
-        message = messages.Release(cell, self.name, serial, str(end))
+        message = messages.Release(cell, self.name, serial, end)
         if not self.mesh.send(owner, message):
             # The next holdings message leaves it out, which ends it.
             self.metrics.count("placing.release-unsent")
--- a/amaranthring/testing/needs.py
+++ b/amaranthring/testing/needs.py
@@ -167,7 +167,7 @@
 
     async def report_crash(self, request, target) -> None:
         """Note a coincidence; two targets quarantine the request."""
-        self.crashes.append((request.body_digest, target))
+        self.crashes.append((request.body_digest, target.name))
         seen = {
             t for digest, t in self.crashes if digest == request.body_digest
         }
