--- a/amaranthring/testing/assembled.py
+++ b/amaranthring/testing/assembled.py
@@ -48,14 +48,22 @@
         How many; spread over `data_centres` in turn.
     """
 
-    def __init__(self, routers=3, engines=5, data_centres=("dc1",), **fields):
+    def __init__(
+        self,
+        routers=3,
+        engines=5,
+        data_centres=("dc1",),
+        plain=False,
+        **fields,
+    ):
         self.clock = Clock()
         self.config = fleet.FleetConfig(
             presets={"ordinary": fleet.Preset("ordinary")}
         )
         centres = data_centres
         self.net = fakes.Net(
-            {f"r{i}": centres[i % len(centres)] for i in range(routers)}
+            {f"r{i}": centres[i % len(centres)] for i in range(routers)},
+            plain,
         )
         self.targets = [
             fakes.target(f"e{i}", centres[i % len(centres)], **fields)
@@ -63,6 +71,7 @@
         ]
         self.configured = routers
         self.quarantined = []
+        self.states = {}
         self.routers = [self._router(name) for name in self.net.meshes]
         self.by_name = {router.name: router for router in self.routers}
         self.grants = {}
@@ -112,12 +121,17 @@
         self.quarantined.append(fingerprint)
 
     def live(self):
-        """Return the routers that were not stopped."""
+        """Return the routers that run, those that leave included."""
         return [each for each in self.routers if each.name in self.net.meshes]
 
+    def entries(self):
+        """Return the routers that take new requests."""
+        leaving = self.net.leaving
+        return [each for each in self.live() if each.name not in leaving]
+
     async def admit(self, number, router=None, excluded=(), **fields):
         """Admit request `number` at the router in turn, or at `router`."""
-        live = self.live()
+        live = self.entries()
         at = self.by_name[router] if router else live[number % len(live)]
         request = fakes.request(number, **fields)
         grant = await at.placer.admit(request, set(excluded))
@@ -146,10 +160,30 @@
 
     def owner(self):
         """Return the router that owns the only cell."""
-        return next(each for each in self.live() if each.owners.cells)
+        return next(each for each in self.entries() if each.owners.cells)
+
+    def truth_of(self, name):
+        """Return the state that the target is in, whoever knows it."""
+        return self.states.get(name, records.TargetState.READY)
+
+    def stop(self, name):
+        """Kill router `name`; return the grants that it ran."""
+        lost = [grant for at, grant in self.grants.values() if at.name == name]
+        for grant in lost:
+            del self.grants[grant.grant_id]
+        self.net.frozen.discard(name)
+        self.net.stop(name)
+        return lost
+
+    def leave(self, name):
+        """Let router `name` hand over and leave."""
+        self.by_name[name].owners.hand_over()
+        self.by_name[name].directory.hand_over()
+        self.net.leave(name)
 
     def set_state(self, name, state):
         """Change the state of a target at every router."""
+        self.states[name] = state
         for router in self.live():
             router.table.set_state(name, state)
 
--- a/amaranthring/testing/routers.py
+++ b/amaranthring/testing/routers.py
@@ -85,7 +85,9 @@
         return list(self.targets.values())
 
     def get(self, name):
-        """Return the target or None."""
+        """Return the target unless it is unknown or lost."""
+        if self.state(name) == records.TargetState.LOST:
+            return None
         return self.targets.get(name)
 
     def report(self, name):
@@ -117,14 +119,23 @@
         Router to its data centre.
     frozen : set
         Routers that answer nothing.
+    leaving : set
+        Routers that said that they leave; they still answer.
     lose : callable
         Returns whether a one-way message from, to is lost.
+    plain : bool
+        Hand messages over as they are, for speed.
+    pause : callable
+        Awaitable; passes the time of a call that is not answered.
     """
 
-    def __init__(self, data_centres):
+    def __init__(self, data_centres, plain=False):
+        self.plain = plain
+        self.pause = asyncio.sleep
         self.data_centres = dict(data_centres)
         self.meshes = {}
         self.frozen = set()
+        self.leaving = set()
         self.cut = set()
         self.lose = lambda *_: False
         self.counts = {}
@@ -144,6 +155,11 @@
         del self.data_centres[name]
         self.changed()
 
+    def leave(self, name):
+        """Let router `name` leave gracefully; it goes on answering."""
+        self.leaving.add(name)
+        self.changed()
+
     def changed(self):
         """Tell every router that the live list changed."""
         for mesh in list(self.meshes.values()):
@@ -151,6 +167,8 @@
 
     def count(self, message):
         """Count a message that crosses the net; return it decoded."""
+        if self.plain:
+            return message
         tag, body = wire.encode_message(message)
         self.counts[tag] = self.counts.get(tag, 0) + 1
         self.sent_bytes += len(wire.encode(wire.ONE_WAY, 0, message))
@@ -172,7 +190,9 @@
         return sorted(
             name
             for name, centre in self.net.data_centres.items()
-            if name not in self.hidden and data_centre in (None, centre)
+            if name not in self.hidden
+            and name not in self.net.leaving
+            and data_centre in (None, centre)
         )
 
     def data_centre_of(self, name):
@@ -211,7 +231,7 @@
                 f"no link to {name}", outcome=errors.Outcome.NOT_RUN
             )
         if name in self.net.frozen:
-            await asyncio.sleep(timeout)
+            await self.net.pause(timeout)
             raise errors.LinkTimeoutError(f"no reply from {name}")
         there = self.net.meshes[name]
         answer = await there._result(self.name, self.net.count(message))
