Add the ledger's memory, orders to targets and the keeper's service

Cause: a resend past the retention of answers would have been granted anew and booked twice; desired models had nobody to bring them about.

--- a/amaranthring/keepers/commands.py
+++ b/amaranthring/keepers/commands.py
@@ -2,10 +2,12 @@
 
 A command changes the state and goes through the log. Commands of operators
 carry an id, under which a resend gets the first answer, and the revision
-that the operator saw.
+that the operator saw. A command whose repeat is harmless says so with the
+class variable ``repeatable``; the router's client then repeats it by itself.
 """
 
 import dataclasses
+import enum
 import typing as t
 
 from amaranthring.core import fleet
@@ -27,6 +29,8 @@
         Revision that the operator saw.
     """
 
+    repeatable: t.ClassVar[bool] = True
+
     command_id: str
     operator: str
     if_match: int
@@ -36,6 +40,8 @@
 class Bootstrap:
     """First configuration; applied only to an empty state."""
 
+    repeatable: t.ClassVar[bool] = True
+
     in_force: str
     presets: list[fleet.Preset]
     accounts: list[fleet.Account]
@@ -63,11 +69,15 @@
 
 
 @wire.message("preset-restore")
-class RestorePreset(Operated):
-    """Give preset `name` the content it had at `revision`, as a new one."""
+class RestorePresets(Operated):
+    """Take what the presets held at `revision` again, as a new revision.
+
+    With `name` only that preset, else all of them and which is in force.
+    Accounts and drains stay: a changed token must not come back.
+    """
 
-    name: str
     revision: int
+    name: str = ""
 
 
 @wire.message("account-put")
@@ -103,6 +113,8 @@
 class AddQuarantine:
     """Refuse the request with `fingerprint` for `seconds`."""
 
+    repeatable: t.ClassVar[bool] = True
+
     fingerprint: str
     seconds: float
 
@@ -140,6 +152,8 @@
         After this time without a settlement the call counts as unknown.
     """
 
+    repeatable: t.ClassVar[bool] = True
+
     account: str
     key: str
     body_digest: str
@@ -155,6 +169,8 @@
     `outcome` is ``not-run``, ``ran`` or ``unknown``.
     """
 
+    repeatable: t.ClassVar[bool] = True
+
     account: str
     key: str
     attempt: str
@@ -227,3 +243,97 @@
     """Plain data that answers a :class:`StateQuery`."""
 
     view: t.Any
+
+
+# -- orders to targets -------------------------------------------------------
+
+
+class OrderKind(enum.StrEnum):
+    """What a target is ordered to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    ROLE = "role"
+
+
+class OrderState(enum.StrEnum):
+    """How far an order is."""
+
+    OPEN = "open"
+    DONE = "done"
+    FAILED = "failed"
+    SUPERSEDED = "superseded"
+
+
+@wire.message("order-begin")
+class BeginOrder:
+    """Take an order down before it is sent.
+
+    Attributes
+    ----------
+    target, incarnation : str, int
+        Whom the order is for.
+    kind : OrderKind
+        What it is to do.
+    wanted : str
+        ``MODEL[@VERSION][+ADAPTER]``, or the role.
+    supersedes : int
+        Number of the order that is still open for this target, or 0.
+    loads_at_once, loads_per_minute : int
+        Limits of the weight store.
+    """
+
+    target: str
+    incarnation: int
+    kind: OrderKind
+    wanted: str
+    supersedes: int = 0
+    loads_at_once: int = 4
+    loads_per_minute: int = 30
+
+
+@wire.message("order-begun")
+class OrderBegun:
+    """The order may be sent under this fencing number."""
+
+    fencing: int
+
+
+@wire.message("order-end")
+class EndOrder:
+    """Take down how an order ended.
+
+    Attributes
+    ----------
+    fencing : int
+        Number of the order.
+    done : bool
+        Whether the target did it.
+    detail : str
+        What the target or the connection said.
+    unknown : bool
+        Whether the target may still be at it.
+    seen : int
+        Higher fencing number that the target named, or 0.
+    """
+
+    fencing: int
+    done: bool
+    detail: str = ""
+    unknown: bool = False
+    seen: int = 0
+
+
+@wire.message("order-ended")
+class OrderEnded:
+    """Answer to :class:`EndOrder`."""
+
+    state: OrderState
+
+
+@wire.message("targets-seen")
+class TargetsSeen:
+    """All ready targets of one data centre, as a router of it sees them."""
+
+    data_centre: str
+    targets: list[records.Target]
--- a/amaranthring/keepers/ledger.py
+++ b/amaranthring/keepers/ledger.py
@@ -7,9 +7,13 @@
 
 Claims lie in buckets by the time of their grant, packed into bytes; a bucket
 older than the retention is dropped whole, so keeping time costs nothing for
-each claim. All times are stamps of the log.
+each claim. What is left of a dropped bucket are 8 bytes for each claim that
+ran or may have run: a resend that comes days later is told so and never run
+again, although its answer is gone. All times are stamps of the log.
 """
 
+import array
+import bisect
 import hashlib
 import struct
 import typing as t
@@ -21,7 +25,12 @@
 BUCKETS = 24
 ANSWER_BYTES_MOST = 16 * 1024
 HOLD_SECONDS_MOST = 3600.0
-CLAIMS_MOST = 5_000_000
+MEMORY_SECONDS = 7 * 86400.0
+BYTES_MOST = 128 * 1024 * 1024
+# What a claim takes in memory beside its packed form, by measurement in
+# bench claims_memory.
+OVERHEAD_BYTES = 140
+MARK_BYTES = 8
 
 HELD = 0
 UNKNOWN = 1
@@ -79,8 +88,53 @@
     return made.digest()
 
 
+class Marks:
+    """What is remembered of the claims of one dropped bucket.
+
+    Two sorted arrays of 64-bit digests. Two keys with one digest would make
+    a call that never ran look like one that did; among 10 million marks the
+    chance is below one in a million million for each new key.
+
+    Attributes
+    ----------
+    ran, unknown : array.array
+        Digests of keys whose calls ran, and of those that may have.
+    """
+
+    def __init__(self, ran: bytes = b"", unknown: bytes = b""):
+        self.ran = array.array("Q", ran)
+        self.unknown = array.array("Q", unknown)
+
+    @classmethod
+    def of(cls, bucket: dict[bytes, bytes]) -> "Marks":
+        """Return the marks of `bucket`."""
+        made = cls()
+        ran = []
+        unknown = []
+        for key, data in bucket.items():
+            if data[0] in (RAN, RAN_NOT_KEPT):
+                ran.append(_mark(key))
+            elif data[0] != RELEASED:
+                unknown.append(_mark(key))
+        made.ran.extend(sorted(ran))
+        made.unknown.extend(sorted(unknown))
+        return made
+
+    def __len__(self) -> int:
+        return len(self.ran) + len(self.unknown)
+
+
+def _mark(key: bytes) -> int:
+    return int.from_bytes(key[:8], "big")
+
+
+def _holds(marks: array.array, mark: int) -> bool:
+    place = bisect.bisect_left(marks, mark)
+    return place < len(marks) and marks[place] == mark
+
+
 class Ledger:
-    """All claims within the retention.
+    """All claims within the retention, and marks of earlier ones.
 
     Parameters
     ----------
@@ -88,13 +142,28 @@
         Seconds after its grant that a claim is kept at least.
     answer_bytes_most : int
         Larger answers are not kept; a resend then learns that it ran.
+    bytes_most : int
+        Memory above which no new claim is granted.
+
+    Attributes
+    ----------
+    buckets : dict
+        Number of a span of time to its claims by digest of their keys.
+    marks : dict
+        Number of a span of time to the marks of its claims.
+    bytes : int
+        Memory in use, estimated.
     """
 
     def __init__(
         self,
         retention: float = RETENTION_SECONDS,
         answer_bytes_most: int = ANSWER_BYTES_MOST,
+        bytes_most: int = BYTES_MOST,
     ):
+        self.bytes_most = bytes_most
+        self.bytes = 0
+        self.marks: dict[int, Marks] = {}
         self.retention = retention
         self.answer_bytes_most = answer_bytes_most
         self.span = retention / BUCKETS
@@ -116,13 +185,16 @@
         attempt = short(command.attempt)
         bucket, kept = self._find(key)
         if kept is None:
-            self._full()
+            marked = self._marked(key)
+            if marked is not None:
+                return marked
+            self._check_room()
         elif kept.body_digest != digest_bytes(command.body_digest):
             return records.Claim(records.ClaimState.KEY_REUSED, "")
         elif kept.state != RELEASED or kept.attempt == attempt:
             return self._told(stamp, kept, attempt, command.attempt)
         # A freed key starts its retention anew, in the bucket of now.
-        bucket.pop(key, None)
+        self._drop(bucket, key)
         bucket = self.buckets.setdefault(int(stamp // self.span), {})
         until = stamp + min(command.hold_seconds, HOLD_SECONDS_MOST)
         made = Kept(
@@ -133,7 +205,7 @@
             attempt,
             command.target,
         )
-        bucket[key] = pack(made)
+        self._put(bucket, key, made)
         return records.Claim(
             records.ClaimState.GRANTED, command.attempt, command.target
         )
@@ -171,22 +243,67 @@
                     expected="the first settlement",
                 )
             made = kept
-        bucket[key] = pack(made)
+        self._drop(bucket, key)
+        self._put(bucket, key, made)
         return self._told(stamp, made, attempt, command.attempt)
 
     def expire(self, stamp: float) -> None:
-        """Drop the buckets whose claims are all past the retention."""
+        """Make marks of buckets past the retention; drop old marks."""
         oldest = int((stamp - self.retention) // self.span)
         for number in [n for n in self.buckets if n < oldest]:
-            del self.buckets[number]
-
-    def dump(self) -> list[t.Any]:
+            bucket = self.buckets.pop(number)
+            marks = Marks.of(bucket)
+            self.marks[number] = marks
+            self.bytes -= sum(map(_size, bucket.values()))
+            self.bytes += MARK_BYTES * len(marks)
+        oldest -= int(MEMORY_SECONDS // self.span)
+        for number in [n for n in self.marks if n < oldest]:
+            self.bytes -= MARK_BYTES * len(self.marks.pop(number))
+
+    def dump(self) -> dict[str, t.Any]:
         """Return the plain form that :meth:`load` reads."""
-        return [[number, held] for number, held in self.buckets.items()]
-
-    def load(self, values: list[t.Any]) -> None:
+        return {
+            "buckets": list(self.buckets.items()),
+            "marks": [
+                [number, marks.ran.tobytes(), marks.unknown.tobytes()]
+                for number, marks in self.marks.items()
+            ],
+        }
+
+    def load(self, values: dict[str, t.Any]) -> None:
         """Take over the claims that :meth:`dump` wrote."""
-        self.buckets = dict(values)
+        self.buckets = dict(values["buckets"])
+        self.marks = {
+            number: Marks(ran, unknown)
+            for number, ran, unknown in values["marks"]
+        }
+        self.bytes = MARK_BYTES * sum(map(len, self.marks.values()))
+        for bucket in self.buckets.values():
+            self.bytes += sum(map(_size, bucket.values()))
+
+    def _put(self, bucket: dict[bytes, bytes], key: bytes, kept: Kept):
+        bucket[key] = pack(kept)
+        self.bytes += _size(bucket[key])
+
+    def _drop(self, bucket: dict[bytes, bytes], key: bytes) -> None:
+        data = bucket.pop(key, None)
+        if data is not None:
+            self.bytes -= _size(data)
+
+    def _marked(self, key: bytes) -> records.Claim | None:
+        """Return what is known of a call whose claim was dropped."""
+        mark = _mark(key)
+        for marks in self.marks.values():
+            if _holds(marks.ran, mark):
+                return records.Claim(
+                    records.ClaimState.SETTLED,
+                    "",
+                    outcome=errors.Outcome.RAN,
+                    answer=records.StoredAnswer(0, "", b"", False),
+                )
+            if _holds(marks.unknown, mark):
+                return records.Claim(records.ClaimState.UNKNOWN, "")
+        return None
 
     def _find(self, key: bytes) -> tuple[dict[bytes, bytes], Kept | None]:
         for bucket in self.buckets.values():
@@ -195,12 +312,12 @@
                 return bucket, unpack(data)
         return {}, None
 
-    def _full(self) -> None:
-        if len(self) >= CLAIMS_MOST:
+    def _check_room(self) -> None:
+        if self.bytes >= self.bytes_most:
             raise errors.QueueFullError(
                 "the ledger of claims is full",
-                given=CLAIMS_MOST + 1,
-                expected=f"at most {CLAIMS_MOST}",
+                given=f"{self.bytes} bytes",
+                expected=f"at most {self.bytes_most}",
                 retry_after=60.0,
             )
 
@@ -241,6 +358,10 @@
         return records.Claim(states.IN_PROGRESS, "", kept.target)
 
 
+def _size(data: bytes) -> int:
+    return len(data) + OVERHEAD_BYTES
+
+
 def digest_bytes(text: str) -> bytes:
     """Return the 16 bytes kept of a body digest given in any form."""
     try:
--- a/amaranthring/keepers/machine.py
+++ b/amaranthring/keepers/machine.py
@@ -13,6 +13,7 @@
 from amaranthring.core import wire
 from amaranthring.keepers import commands
 from amaranthring.keepers import ledger
+from amaranthring.keepers import orders
 from amaranthring.keepers import presets
 from amaranthring.keepers import quarantine
 
@@ -37,6 +38,8 @@
         Configuration and history.
     ledger : ledger.Ledger
         Claims.
+    orders : orders.Orders
+        Orders to targets and the fencing number.
     answers : dict
         First answers to operators' commands, by command id, oldest first.
     stamp : float
@@ -56,6 +59,7 @@
         self.answer_bytes_most = answer_bytes_most
         self.book = presets.Book()
         self.ledger = ledger.Ledger(claim_seconds, answer_bytes_most)
+        self.orders = orders.Orders()
         self.answers: collections.OrderedDict[str, list[t.Any]]
         self.answers = collections.OrderedDict()
         self.stamp = 0.0
@@ -87,6 +91,7 @@
             return self._applied(command)
         finally:
             if self.book.parts.revision != revision:
+                self.orders.want(self._desired())
                 self._tell()
 
     def _applied(self, command: t.Any) -> t.Any:
@@ -101,6 +106,10 @@
         if isinstance(command, commands.AddQuarantine):
             quarantine.add(self.book, self.stamp, command)
             return self.book.accepted()
+        if isinstance(command, commands.BeginOrder):
+            return self.orders.begin(self.stamp, command)
+        if isinstance(command, commands.EndOrder):
+            return self.orders.end(self.stamp, command)
         if isinstance(command, commands.Bootstrap):
             return self.book.bootstrap(self.stamp, command)
         raise errors.BadRequestError(
@@ -109,6 +118,13 @@
             expected="a command",
         )
 
+    def _desired(self) -> str:
+        """Return a digest of the desired models and roles in force."""
+        base = f"preset/{self.book.in_force}/desired_"
+        items = self.book.parts.items.items()
+        found = sorted(i for i in items if i[0].startswith(base))
+        return hashing.digest(wire.encode_value(found))
+
     def _once(self, command: commands.Operated) -> t.Any:
         """Apply an operator's command, or give its first answer again."""
         content = hashing.digest(
@@ -159,6 +175,7 @@
                 "index": self.index,
                 "book": self.book.dump(),
                 "ledger": self.ledger.dump(),
+                "orders": self.orders.dump(),
                 "answers": list(self.answers.items()),
             }
         )
@@ -184,6 +201,7 @@
             )
         self.book = presets.Book.load(values["book"])
         self.ledger.load(values["ledger"])
+        self.orders.load(values["orders"])
         self.answers = collections.OrderedDict(values["answers"])
         self.stamp = values["stamp"]
         self.index = values["index"]
--- a/amaranthring/keepers/presets.py
+++ b/amaranthring/keepers/presets.py
@@ -11,7 +11,6 @@
 import typing as t
 
 from amaranthring import errors
-from amaranthring.core import fleet
 from amaranthring.core import parts
 from amaranthring.core import wire
 from amaranthring.keepers import commands
@@ -21,6 +20,8 @@
 PRESETS_MOST = 64
 ACCOUNTS_MOST = 10_000
 DRAINS_MOST = 10_000
+PRESET_ACTIONS = ("preset-put", "preset-restore", "preset-remove")
+SWITCHES = ("bootstrap", "preset-switch")
 
 
 @dataclasses.dataclass
@@ -54,6 +55,8 @@
     ----------
     parts : parts.Parts
         The configuration in force.
+    base : dict
+        Contents of presets before the oldest entry of the history.
     operated : int
         Revision of the last change made by an operator. The quarantine
         list moves the revision on its own and must not make operators'
@@ -65,11 +68,13 @@
         self.operated = 0
         self.history: collections.deque[Entry] = collections.deque()
         self.history_bytes = 0
+        self.base: dict[str, bytes] = {}
+        self.base_in_force = ""
         self.actions = {
             commands.PutPreset: self.put_preset,
             commands.SwitchPreset: self.switch_preset,
             commands.RemovePreset: self.remove_preset,
-            commands.RestorePreset: self.restore_preset,
+            commands.RestorePresets: self.restore,
             commands.PutAccount: self.put_account,
             commands.RemoveAccount: self.remove_account,
             commands.DrainTarget: self.drain,
@@ -90,7 +95,14 @@
                 changed |= parts.of_preset(preset)
             for account in command.accounts:
                 changed |= parts.of_account(account)
-            self.commit(stamp, "initial", "bootstrap", "", changed, [])
+            self.commit(
+                stamp,
+                "initial",
+                "bootstrap",
+                command.in_force,
+                changed,
+                [],
+            )
             for preset in command.presets:
                 self._note(stamp, "initial", "preset-put", preset)
         return self.accepted()
@@ -141,22 +153,82 @@
         removed = self._parts_of(command.name)
         self._operated(stamp, command, command.name, {}, removed)
 
-    def restore_preset(self, stamp, command) -> None:
-        """Give a preset an earlier content, as a new revision."""
-        best = None
-        for entry in self.history:
-            if entry.subject == command.name and entry.content:
-                if entry.revision > command.revision:
-                    break
-                best = entry
-        if best is None:
+    def restore(self, stamp, command) -> None:
+        """Take an earlier content of presets again, as a new revision."""
+        wanted = self._presets_at(command.revision)
+        name = command.name
+        if name:
+            if wanted.get(name) is None:
+                raise errors.NotFoundError(
+                    f"no preset {name} at revision {command.revision}",
+                    given=name,
+                    expected=f"one of {sorted(wanted)}",
+                )
+            wanted = {name: wanted[name]}
+        changed = {}
+        removed = []
+        for preset, content in wanted.items():
+            held = self._parts_of(preset)
+            new = {} if content is None else of_content(content)
+            removed += sorted(set(held) - new.keys())
+            changed |= self._differing(new)
+        if not name:
+            changed[parts.IN_FORCE] = self._in_force_at(command.revision)
+        self.commit(stamp, "", "", "", changed, removed)
+        self.operated = self.parts.revision
+        for preset, content in wanted.items():
+            self._append(
+                Entry(
+                    self.parts.revision,
+                    stamp,
+                    command.operator,
+                    "preset-restore" if content else "preset-remove",
+                    preset,
+                    content or b"",
+                )
+            )
+        if not name:
+            self._append(
+                Entry(
+                    self.parts.revision,
+                    stamp,
+                    command.operator,
+                    "preset-switch",
+                    self.in_force,
+                )
+            )
+
+    def _presets_at(self, revision: int) -> dict[str, bytes | None]:
+        """Return contents of presets at `revision`; None where absent.
+
+        Raises
+        ------
+        errors.NotFoundError
+            If the history does not reach back to `revision`.
+        """
+        oldest = self.history[0].revision if self.history else 0
+        if not oldest <= revision <= self.parts.revision:
             raise errors.NotFoundError(
-                f"history holds no content of preset {command.name}",
-                given=command.revision,
-                expected=f"one of {self._revisions_of(command.name)}",
+                "the history does not hold this revision",
+                given=revision,
+                expected=f"{oldest} to {self.parts.revision}",
             )
-        preset = preset_of(best.content)
-        self._put_preset(stamp, command.operator, "preset-restore", preset)
+        found: dict[str, bytes | None] = dict(self.base)
+        for entry in self.history:
+            if entry.action not in PRESET_ACTIONS:
+                continue
+            if entry.revision <= revision:
+                found[entry.subject] = entry.content or None
+            else:
+                found.setdefault(entry.subject, None)
+        return found
+
+    def _in_force_at(self, revision: int) -> str:
+        found = self.base_in_force
+        for entry in self.history:
+            if entry.revision <= revision and entry.action in SWITCHES:
+                found = entry.subject
+        return found
 
     def put_account(self, stamp, command) -> None:
         """Create or replace an account."""
@@ -197,16 +269,16 @@
         own = f"preset/{preset.name}"
         self._bound("preset/", own, PRESETS_MOST)
         removed = set(self._parts_of(preset.name)) - changed.keys()
-        # Only what differs travels to the routers.
-        changed = {
-            part: value
-            for part, value in changed.items()
-            if self.parts.items.get(part) != value
-        }
+        changed = self._differing(changed)
         self.commit(stamp, operator, "", "", changed, sorted(removed))
         self.operated = self.parts.revision
         self._note(stamp, operator, action, preset)
 
+    def _differing(self, changed: dict[str, t.Any]) -> dict[str, t.Any]:
+        """Return what differs from what is held; only that travels."""
+        held = self.parts.items
+        return {p: v for p, v in changed.items() if held.get(p) != v}
+
     def _need(self, part: str, kind: str, name: str) -> None:
         if part not in self.parts.items:
             raise errors.NotFoundError(
@@ -253,16 +325,26 @@
             len(self.history) > HISTORY_MOST
             or self.history_bytes > HISTORY_BYTES_MOST
         ):
-            self.history_bytes -= len(self.history.popleft().content)
-
-    def _revisions_of(self, name: str) -> list[int]:
-        return [e.revision for e in self.history if e.subject == name]
+            self._forget(self.history.popleft())
+
+    def _forget(self, entry: Entry) -> None:
+        self.history_bytes -= len(entry.content)
+        # What held before the oldest entry is still asked for when an
+        # operator goes back to a revision of the history.
+        if entry.action in SWITCHES:
+            self.base_in_force = entry.subject
+        elif entry.content:
+            self.base[entry.subject] = entry.content
+        elif entry.action in PRESET_ACTIONS:
+            self.base.pop(entry.subject, None)
 
     def dump(self) -> dict[str, t.Any]:
         """Return the plain form that :meth:`load` reads."""
         return {
             "parts": self.parts.dump(),
             "operated": self.operated,
+            "base": self.base,
+            "base_in_force": self.base_in_force,
             "history": [dataclasses.astuple(e) for e in self.history],
         }
 
@@ -272,14 +354,13 @@
         made = cls()
         made.parts = parts.Parts.load(values["parts"])
         made.operated = values["operated"]
+        made.base = values["base"]
+        made.base_in_force = values["base_in_force"]
         for entry in values["history"]:
             made._append(Entry(*entry))
         return made
 
 
-def preset_of(content: bytes) -> fleet.Preset:
-    """Return the preset kept as `content` in the history."""
-    values = wire.decode_value(content)
-    name = values["name"]
-    found = parts.compose(0, parts.of_plain_preset(values))
-    return found.presets[name]
+def of_content(content: bytes) -> dict[str, t.Any]:
+    """Return the parts of a preset kept as `content` in the history."""
+    return parts.of_plain_preset(wire.decode_value(content))
--- a/amaranthring/keepers/queries.py
+++ b/amaranthring/keepers/queries.py
@@ -52,6 +52,7 @@
             "status": self._status,
             "history": self._history,
             "quarantine": self._quarantine,
+            "orders": self._orders,
         }
         self.by_class: dict[type, t.Callable[[t.Any], t.Any]] = {
             commands.StateQuery: self._view,
@@ -146,14 +147,16 @@
         return [
             {
                 "revision": entry.revision,
-                "time": entry.stamp,
+                "at": entry.stamp,
                 "operator": entry.operator,
-                "action": entry.action,
-                "subject": entry.subject,
-                "restorable": bool(entry.content),
+                "change": f"{entry.action} {entry.subject}".rstrip(),
             }
             for entry in entries[-HISTORY_SHOWN:]
         ]
 
     def _quarantine(self, _: str) -> t.Any:
         return quarantine.held(self.machine.book)
+
+    def _orders(self, name: str) -> t.Any:
+        rows = self.machine.orders.view()
+        return [row for row in rows if name in ("", row["order"])]
--- a/amaranthring/operators/conventions.py
+++ b/amaranthring/operators/conventions.py
@@ -21,9 +21,9 @@
 Name = t.Annotated[
     str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:\-]{0,63}$")
 ]
-# A model's name may hold slashes, as in "organisation/model".
+# As in "organisation/model@version+adapter".
 ModelName = t.Annotated[
-    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:/\-]{0,127}$")
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:/@+\-]{0,127}$")
 ]
 Hash = t.Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
 Seconds = t.Annotated[float, pydantic.Field(gt=0, le=3600)]
@@ -116,6 +116,7 @@
     """Body of a restore."""
 
     revision: int = pydantic.Field(ge=1)
+    preset: Name | t.Literal[""] = ""
 
 
 class DrainModel(Model):
--- a/amaranthring/operators/handlers.py
+++ b/amaranthring/operators/handlers.py
@@ -22,6 +22,7 @@
 COMMAND_SECONDS = 5.0
 QUERY_SECONDS = 3.0
 RETRY_AFTER_SECONDS = 1.0
+NAMES_SHOWN = 50
 
 
 @dataclasses.dataclass
@@ -137,7 +138,7 @@
         """Propose `command` and answer with what was accepted."""
         try:
             done = await self.operators.propose(command, COMMAND_SECONDS)
-        except errors.LinkError as error:
+        except (errors.LinkError, errors.CommitUnknownError) as error:
             if error.outcome == errors.Outcome.NOT_RUN:
                 raise
             # The answer was lost, not the command: it may be in force.
@@ -189,7 +190,9 @@
     """
     if name not in found:
         raise errors.NotFoundError(
-            f"no such {kind}", given=name, expected=f"one of {sorted(found)}"
+            f"no such {kind}",
+            given=name,
+            expected=f"one of {sorted(found)[:NAMES_SHOWN]}",
         )
     return found[name]
 
@@ -231,6 +234,11 @@
         )
 
 
+def _figures(preset: fleet.Preset) -> dict[str, t.Any]:
+    """Return the plain figures of `preset`, without what it nests."""
+    return parts.of_preset(preset)[f"preset/{preset.name}"]
+
+
 class Presets(Handler):
     """``/operators/presets``."""
 
@@ -240,7 +248,10 @@
         body = {
             "revision": config.revision,
             "in_force": config.in_force,
-            "presets": sorted(config.presets),
+            "presets": {
+                name: _figures(preset)
+                for name, preset in sorted(config.presets.items())
+            },
         }
         self.answer(body, config.revision)
 
@@ -271,13 +282,13 @@
 
 
 class Restore(Handler):
-    """``/operators/presets/NAME/restore``."""
+    """``/operators/restore``."""
 
-    async def post(self, name: str) -> None:
-        """Roll forward to the content of an earlier revision."""
+    async def post(self) -> None:
+        """Take what presets held at an earlier revision again."""
         made = conventions.model(conventions.RestoreModel, self.body())
-        command = commands.RestorePreset(
-            name, made.revision, **self.operated()
+        command = commands.RestorePresets(
+            made.revision, made.preset, **self.operated()
         )
         await self.propose(command)
 
@@ -300,7 +311,11 @@
         config = await self.config()
         body = {
             "revision": config.revision,
-            "accounts": sorted(config.accounts),
+            "accounts": [
+                {"name": name}
+                | parts.plain(config.preset.account_policy(name))
+                for name in sorted(config.accounts)
+            ],
         }
         self.answer(body, config.revision)
 
@@ -366,7 +381,11 @@
         )
         await self.propose(command)
 
-    async def delete(self, name: str) -> None:
+
+class Undrain(Handler):
+    """``/operators/targets/NAME/undrain``."""
+
+    async def post(self, name: str) -> None:
         """Give the target work again."""
         await self.propose(commands.UndrainTarget(name, **self.operated()))
 
@@ -394,6 +413,15 @@
         await self.propose(command)
 
 
+class Order(Handler):
+    """``/operators/orders/NUMBER``."""
+
+    async def get(self, number: str) -> None:
+        """Show one order."""
+        rows = {row["order"]: row for row in await self.view("orders")}
+        self.answer(named(rows, "order", number))
+
+
 class Keepers(Handler):
     """``/operators/keepers``."""
 
@@ -436,16 +464,18 @@
         (f"{base}/status", Status, shared),
         (f"{base}/presets", Presets, shared),
         (f"{base}/presets/{name}", Preset, shared),
-        (f"{base}/presets/{name}/restore", Restore, shared),
+        (f"{base}/restore", Restore, shared),
         (f"{base}/switch", Switch, shared),
         (f"{base}/accounts", Accounts, shared),
         (f"{base}/accounts/{name}", Account, shared),
         (f"{base}/targets", Targets, shared),
         (f"{base}/targets/{name}", Target, shared),
         (f"{base}/targets/{name}/drain", Drain, shared),
+        (f"{base}/targets/{name}/undrain", Undrain, shared),
         view("history"),
         view("quarantine"),
         view("orders"),
+        (f"{base}/orders/{name}", Order, shared),
         (f"{base}/quarantine/{name}", Quarantined, shared),
         (f"{base}/keepers", Keepers, shared),
         (f"{base}/explain/{name}", Explain, shared),
--- a/amaranthring/routers/revisions.py
+++ b/amaranthring/routers/revisions.py
@@ -20,6 +20,7 @@
 
 from amaranthring import errors
 from amaranthring.core import fleet
+from amaranthring.core import hashing
 from amaranthring.core import logs
 from amaranthring.core import parts
 from amaranthring.keepers import commands
@@ -28,14 +29,17 @@
 
 log = logbook.Logger(__name__)
 
-WATCH_SECONDS = 1.0
+# Below the time that KeeperClient gives one keeper for one try.
+WATCH_SECONDS = 0.7
 PULL_SECONDS = 2.0
 COMPARE_SECONDS = 1.0
 REPORT_SECONDS = 10.0
 RETRY_SECONDS = 0.2
 CUT_OFF_SECONDS = 3.0
 FORGET_SECONDS = 3600.0
+RELAYS = 2
 
+RELAY_KEY = "revisions "
 Query = t.Callable[[t.Any, float], t.Awaitable[t.Any]]
 Callback = t.Callable[[fleet.FleetConfig], None]
 
@@ -67,7 +71,8 @@
     ready : bool
         Whether `current` may be served under.
     confirmed_at : float
-        Monotonic time at which `current` was last known to be the highest.
+        Monotonic time at which the keepers last said that no higher
+        revision was accepted; only relays ask them.
     """
 
     def __init__(
@@ -125,7 +130,17 @@
     @property
     def is_relay(self) -> bool:
         """Return whether this router is a relay of its data centre."""
-        return self.name in self.mesh.relays(self.data_centre)
+        return self.name in self.relays()
+
+    def relays(self) -> list[str]:
+        """Return the routers of this data centre that ask the keepers.
+
+        Two by rendezvous among the live ones: while one that died is still
+        listed, the other goes on. Lists that differ make a third relay for
+        a while, which does no harm.
+        """
+        live = self.mesh.live(self.data_centre)
+        return hashing.order(RELAY_KEY + self.data_centre, live)[:RELAYS]
 
     def take(self, delta: parts.Delta, source: str) -> bool:
         """Apply `delta` if it leads upward; return whether it did."""
@@ -217,35 +232,28 @@
                     self.metrics.count("revisions.compare-failed")
 
     def _compared(self) -> list[str]:
-        """Return whom to compare with: a relay; as a relay, one abroad too.
+        """Return whom to compare with: a relay, and one abroad if cut off.
 
-        A data centre whose keepers are cut off still hears of changes from
-        any other data centre that it reaches.
+        A data centre that lost the keepers still hears of changes from any
+        other that it reaches; one that did not lose them need not ask.
         """
-        relays = [
-            name
-            for name in self.mesh.relays(self.data_centre)
-            if name != self.name
-        ]
-        found = (
-            relays[:1] if self.is_relay else [random.choice(relays or [""])]
-        )
-        if self.is_relay:
+        relays = [name for name in self.relays() if name != self.name]
+        found = random.sample(relays, min(1, len(relays)))
+        silent = time.monotonic() - self.confirmed_at
+        if self.is_relay and silent > CUT_OFF_SECONDS:
             abroad = [
                 name
                 for name in self.mesh.live()
                 if self.mesh.data_centre_of(name) != self.data_centre
             ]
             found += random.sample(abroad, min(1, len(abroad)))
-        return [name for name in found if name]
+        return found
 
     async def _compare_with(self, name: str) -> None:
         ours = revision_messages.Number(self.name, self.parts.revision)
         theirs = await self.mesh.call(name, ours, PULL_SECONDS)
         if theirs.revision > self.parts.revision:
             self._pull(name, self.parts.revision)
-        elif theirs.revision == self.parts.revision:
-            self.confirmed_at = max(self.confirmed_at, time.monotonic())
 
     def _on_number(self, _link, message):
         if message.router in self.neighbours:
--- a/amaranthring/testing/state.py
+++ b/amaranthring/testing/state.py
@@ -106,10 +106,6 @@
             and (name == self.name or self.allowed(self.name, name))
         )
 
-    def relays(self, data_centre) -> list[str]:
-        """Return the first two live routers of `data_centre`."""
-        return self.live(data_centre)[:2]
-
     def data_centre_of(self, name) -> str:
         """Return the data centre of router `name`."""
         return self.routers[name].data_centre
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -109,18 +109,54 @@
             preset.accounts["big"] = fleet.AccountPolicy(weight=bound)
             put = commands.PutPreset(preset, **head(f"put-{bound}", revision))
             self.apply(put)
-        back = commands.RestorePreset("peak", 1, **head("back-0001", 3))
+        back = commands.RestorePresets(1, "peak", **head("back-0001", 3))
         self.assertEqual(self.apply(back).revision, 4)
         restored = self.machine.book.parts.config().presets["peak"]
         self.assertEqual(restored, fleet.Preset("peak", 1.5))
 
+    def test_whole_presets_of_an_earlier_revision(self):
+        before = self.machine.book.parts.config()
+        steps = (
+            commands.PutPreset(fleet.Preset("sale"), **head("step-0001", 1)),
+            commands.SwitchPreset("sale", **head("step-0002", 2)),
+            commands.PutPreset(fleet.Preset("peak", 3), **head("step-03", 3)),
+            commands.PutAccount(fleet.Account("new"), **head("step-0004", 4)),
+            commands.RemovePreset("ordinary", **head("step-0005", 5)),
+        )
+        for command in steps:
+            self.apply(command)
+        self.restart()
+        back = commands.RestorePresets(1, **head("back-0001", 6))
+        self.assertEqual(self.apply(back).in_force, "ordinary")
+        after = self.machine.book.parts.config()
+        self.assertEqual(after.presets, before.presets)
+        self.assertIn("new", after.accounts)
+        forth = commands.RestorePresets(4, **head("forth-001", 7))
+        self.assertEqual(self.apply(forth).in_force, "sale")
+
+    def test_restore_finds_contents_older_than_the_history(self):
+        for number in range(1100):
+            name = "peak" if number % 2 else "ordinary"
+            self.switch(name, f"command-{number}", number + 1)
+        put = commands.PutPreset(
+            fleet.Preset("peak", 9), **head("p" * 8, 1101)
+        )
+        self.apply(put)
+        back = commands.RestorePresets(1101, **head("back-0001", 1102))
+        self.apply(back)
+        held = self.machine.book.parts.config()
+        self.assertEqual(held.presets["peak"].load_bound, 1.5)
+        early = commands.RestorePresets(1, **head("back-0002", 1103))
+        with self.assertRaises(errors.NotFoundError):
+            self.apply(early)
+
     def test_unknown_names_are_refused(self):
         refused = (
             commands.SwitchPreset("none", **head("command-1", 1)),
             commands.RemovePreset("none", **head("command-2", 1)),
             commands.RemoveAccount("none", **head("command-3", 1)),
             commands.UndrainTarget("none", **head("command-4", 1)),
-            commands.RestorePreset("none", 1, **head("command-5", 1)),
+            commands.RestorePresets(1, "none", **head("command-5", 1)),
         )
         for command in refused:
             with self.assertRaises(errors.NotFoundError):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -132,6 +132,7 @@
         self.assertEqual(response.code, 503)
         self.assertEqual(body["error"]["outcome"], "unknown")
         self.assertIn("Retry-After", response.headers)
+        self.assertIn("command-1", body["error"]["detail"])
         self.group.restart()
         response, body = self.switch("peak", "command-1", "1", "r2")
         self.assertEqual((response.code, body["revision"]), (200, 2))
@@ -169,15 +170,16 @@
         self.send("POST", path, {"reason": "disk"}, id="command-1", match="1")
         config = self.group.machine.book.parts.config()
         self.assertEqual(config.drained, {"e1": "disk"})
-        self.send("DELETE", path, id="command-2", match="2")
+        path = "/r2/operators/targets/e1/undrain"
+        self.send("POST", path, {}, id="command-2", match="2")
         config = self.group.machine.book.parts.config()
         self.assertEqual(config.drained, {})
 
     def test_views_and_unknown_names(self):
         self.switch("peak", "command-1", "1")
         _, body = self.send("GET", "/r1/operators/history?name=peak")
-        actions = [row["action"] for row in body["history"]]
-        self.assertEqual(actions, ["preset-put", "preset-switch"])
+        changes = [row["change"] for row in body["history"]]
+        self.assertEqual(changes, ["preset-put peak", "preset-switch peak"])
         for path in ("presets/none", "accounts/none", "targets/none", "x"):
             response, body = self.send("GET", f"/r1/operators/{path}")
             self.assertEqual(response.code, 404)
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,378 @@
+"""Orders to targets: plan, numbers, limits, leaders that change."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import unittest
+
+import tornado.httpserver
+import tornado.testing
+import tornado.web
+
+from amaranthring import errors
+from amaranthring.core import fleet
+from amaranthring.core import records
+from amaranthring.keepers import commands
+from amaranthring.keepers import machine
+from amaranthring.keepers import orders
+from amaranthring.keepers import planner
+from amaranthring.keepers import reconciler
+from amaranthring.targets import orders as target_orders
+from amaranthring.testing import state
+
+KINDS = commands.OrderKind
+
+
+def engine(name, *serves, data_centre="a", role="mixed", **more):
+    return records.Target(
+        name,
+        more.pop("incarnation", 1),
+        records.TargetKind.ENGINE,
+        more.pop("address", "127.0.0.1:1"),
+        data_centre,
+        "north",
+        serves,
+        role=role,
+        **more,
+    )
+
+
+def never(*_):
+    return ""
+
+
+def planned(preset, targets, drained=(), busy=None, blocked=never):
+    steps = planner.plan(preset, targets, drained, busy or {}, blocked)
+    return [(step.target.name, str(step.kind), step.wanted) for step in steps]
+
+
+class TestPlan(unittest.TestCase):
+    """Which orders follow from the desired state."""
+
+    def want(self, **models):
+        return fleet.Preset("p", desired_models=models)
+
+    def test_missing_replicas_are_spread_over_data_centres(self):
+        targets = [
+            engine("e1", "m", data_centre="a"),
+            engine("e2", data_centre="a"),
+            engine("e3", data_centre="b"),
+            engine("e4", data_centre="b"),
+        ]
+        steps = planned(self.want(m=3), targets)
+        self.assertEqual(len(steps), 2)
+        self.assertIn("e2", [name for name, _, _ in steps])
+
+    def test_nothing_to_do_gives_no_order(self):
+        targets = [engine("e1", "m"), engine("e2", "other")]
+        self.assertEqual(planned(self.want(m=1), targets), [])
+        self.assertEqual(planned(fleet.Preset("p"), targets), [])
+
+    def test_surplus_goes_only_when_no_load_is_under_way(self):
+        targets = [engine(f"e{n}", "m") for n in range(3)]
+        steps = planned(self.want(m=1), targets)
+        self.assertEqual([kind for _, kind, _ in steps], ["unload"] * 2)
+        self.assertEqual(planned(self.want(m=1), targets, busy={"x": "m"}), [])
+
+    def test_drained_busy_and_blocked_targets_get_no_model(self):
+        targets = [engine("e1"), engine("e2"), engine("e3")]
+        steps = planned(
+            self.want(m=3),
+            targets,
+            {"e1"},
+            {"e2": ""},
+            lambda target, *_: "failed" if target.name == "e3" else "",
+        )
+        self.assertEqual(steps, [])
+
+    def test_roles(self):
+        preset = fleet.Preset("p", desired_roles={"e1": "prefill"})
+        self.assertEqual(
+            planned(preset, [engine("e1"), engine("e2")]),
+            [("e1", "role", "prefill")],
+        )
+
+
+class TestOrders(unittest.TestCase):
+    """The log's side: numbers, weight store, tries."""
+
+    def setUp(self):
+        self.machine = machine.Machine()
+        self.stamp = 1000.0
+
+    def apply(self, command):
+        return self.machine.apply(1, self.stamp, state.copied(command))
+
+    def begin(self, target, wanted="m", supersedes=0, **more):
+        begin = commands.BeginOrder(
+            target, 1, KINDS.LOAD, wanted, supersedes, **more
+        )
+        return self.apply(begin).fencing
+
+    def end(self, fencing, done=False, **more):
+        self.apply(commands.EndOrder(fencing, done, **more))
+
+    def test_numbers_grow_through_snapshots_and_supersession(self):
+        self.assertEqual(self.begin("e1"), 1)
+        data = self.machine.snapshot()
+        self.machine = machine.Machine()
+        self.machine.restore(data)
+        with self.assertRaises(errors.RefusedError):
+            self.begin("e1")
+        self.assertEqual(self.begin("e1", supersedes=1), 2)
+        with self.assertRaises(errors.NotFoundError):
+            self.end(1, True)
+        self.end(2, True, seen=40)
+        self.stamp += 3600
+        self.assertEqual(self.begin("e1"), 41)
+
+    def test_weight_store_limits(self):
+        for number in range(4):
+            self.begin(f"e{number}")
+        with self.assertRaises(errors.RateLimitedError):
+            self.begin("e5")
+        for number in range(4):
+            self.end(number + 1, True)
+        self.begin("e5", loads_per_minute=5)
+        with self.assertRaises(errors.RateLimitedError):
+            self.begin("e6", loads_per_minute=5)
+        self.stamp += 61
+        self.begin("e6", loads_per_minute=5)
+
+    def test_failed_load_does_not_flap(self):
+        # A model's weights are broken. Its load fails on one target after
+        # the other; without a bound the fleet would load it for ever and
+        # keep the weight store from models that do load.
+        begun = 0
+        for second in range(4 * 3600):
+            self.stamp += 1
+            if second % 10:
+                continue
+            for target in ("e1", "e2", "e3", "e4"):
+                with contextlib.suppress(errors.RefusedError):
+                    self.end(self.begin(target), detail="broken")
+                    begun += 1
+        self.assertEqual(begun, orders.TRIES_OF_MODEL_MOST)
+        self.apply(state.bootstrap())
+        preset = fleet.Preset("ordinary", desired_models={"m": 1})
+        self.apply(
+            commands.PutPreset(
+                preset, command_id="c" * 8, operator="ana", if_match=1
+            )
+        )
+        self.begin("e1")
+
+    def test_same_pair_waits_longer_each_time(self):
+        times = []
+        while len(times) < orders.TRIES_MOST:
+            self.stamp += 1
+            with contextlib.suppress(errors.RefusedError):
+                self.end(self.begin("e1"))
+                times.append(self.stamp)
+        pauses = [b - a for a, b in itertools.pairwise(times)]
+        self.assertEqual(pauses, [30.0, 60.0])
+        self.stamp += 7200
+        with self.assertRaises(errors.RefusedError):
+            self.begin("e1")
+
+
+class OrdersHandler(tornado.web.RequestHandler):
+    """A target that follows orders, or a fault that a test sets."""
+
+    def initialize(self, target):
+        self.target = target
+
+    async def post(self):
+        order = json.loads(self.request.body)
+        if self.target.checks and order["fencing"] < self.target.highest:
+            self.set_status(409)
+            self.finish({"fencing": self.target.highest})
+            return
+        self.target.highest = max(self.target.highest, order["fencing"])
+        self.target.orders.append(order)
+        await asyncio.sleep(self.target.seconds)
+        self.set_status(self.target.status)
+        self.finish({})
+
+
+class FakeTarget:
+    """An engine on loopback that takes orders."""
+
+    def __init__(self, checks=True):
+        self.checks = checks
+        self.highest = 0
+        self.orders = []
+        self.status = 200
+        self.seconds = 0.0
+        app = tornado.web.Application(
+            [("/v1/orders", OrdersHandler, {"target": self})],
+            log_function=lambda _: None,
+        )
+        self.server = tornado.httpserver.HTTPServer(app)
+        sock, port = tornado.testing.bind_unused_port()
+        self.server.add_sockets([sock])
+        self.address = f"127.0.0.1:{port}"
+
+    def record(self, name, *serves):
+        return engine(name, *serves, address=self.address, fencing=self.checks)
+
+
+class TestReconciler(unittest.IsolatedAsyncioTestCase):
+    """Leaders that give orders over HTTP."""
+
+    async def asyncSetUp(self):
+        self.group = state.FakeGroup()
+        self.group.apply(state.bootstrap())
+        self.leaders = []
+        self.want({"m": 1})
+
+    def want(self, models):
+        book = self.group.machine.book
+        self.group.apply(
+            commands.PutPreset(
+                fleet.Preset("ordinary", desired_models=models),
+                command_id=f"command-{book.parts.revision}",
+                operator="ana",
+                if_match=book.parts.revision,
+            )
+        )
+
+    async def asyncTearDown(self):
+        for leader in self.leaders:
+            leader.stop()
+
+    def lead(self, targets, **more):
+        lease = more.pop("lease", lambda: True)
+        send = more.pop("send", target_orders.send)
+        options = reconciler.Options(
+            0.02, 0.0, more.pop("order_seconds", 5.0), 0.1, 0.0, **more
+        )
+        made = reconciler.Reconciler(
+            self.group.machine, self.group.propose, lease, send, options
+        )
+        made.take_targets(commands.TargetsSeen("a", targets))
+        made.start()
+        self.leaders.append(made)
+        return made
+
+    def states(self):
+        rows = self.group.machine.orders.view()
+        return [(row["fencing"], row["state"]) for row in rows]
+
+    async def test_model_is_loaded_once_and_progress_is_shown(self):
+        target = FakeTarget()
+        self.want({"org/m@2+adapter": 1})
+        self.lead([target.record("e1")])
+        await state.until(lambda: self.states() == [(1, "done")])
+        self.assertEqual(
+            target.orders,
+            [
+                {
+                    "order": "1",
+                    "kind": "load",
+                    "fencing": 1,
+                    "model": "org/m",
+                    "version": "2",
+                    "adapter": "adapter",
+                }
+            ],
+        )
+
+    async def test_number_that_lags_the_target_is_raised(self):
+        # After a disaster the keepers' numbers restart below what a target
+        # has seen. It refuses; the next order must be above.
+        target = FakeTarget()
+        target.highest = 500
+        self.lead([target.record("e1")])
+        await state.until(lambda: self.group.machine.orders.fencing == 500)
+        self.assertEqual(self.states(), [(1, "failed")])
+        self.assertEqual(target.orders, [])
+
+    async def test_checking_target_gets_a_higher_number_at_once(self):
+        # A leader is cut off while its order is under way. The new leader
+        # does not know whether it was sent, orders again under a higher
+        # number, and the late copy of the old order is refused.
+        target = FakeTarget()
+        record = target.record("e1")
+        begin = commands.BeginOrder("e1", 1, KINDS.LOAD, "m")
+        old = self.group.apply(begin).fencing
+        self.lead([record], order_seconds=60.0)
+        await state.until(lambda: (old + 1, "done") in self.states())
+        body = target_orders.order_body("load", "m", old)
+        late = await target_orders.send(record, body, lambda: None, 5.0)
+        self.assertEqual((late.done, late.seen), (False, old + 1))
+        self.assertEqual([o["fencing"] for o in target.orders], [old + 1])
+
+    async def test_new_leader_waits_out_an_order_to_a_target_that_checks_not(
+        self,
+    ):
+        # The target ignores numbers. If the new leader ordered at once, the
+        # old leader's order, still under way, could take hold after it.
+        target = FakeTarget(checks=False)
+        begin = commands.BeginOrder("e1", 1, KINDS.LOAD, "m")
+        old = self.group.apply(begin).fencing
+        leader = self.lead([target.record("e1")], order_seconds=0.5)
+        self.assertFalse(
+            leader._has_ended(self.group.machine.orders.open["e1"])
+        )
+        await state.until(lambda: (old + 1, "done") in self.states())
+        self.assertGreaterEqual(leader.clock() - leader.led_at, 0.6)
+
+    async def test_frozen_old_leader_sends_nothing_after_its_lease(self):
+        # The old leader is frozen after its order was committed, and wakes
+        # when another one leads. The target ignores numbers, so only the
+        # old leader's own lease can hold the order back.
+        target = FakeTarget(checks=False)
+        lease = [True]
+        connecting = asyncio.Event()
+
+        async def freeze(record, body, check, seconds):
+            connecting.set()
+            lease[0] = False
+            return await target_orders.send(record, body, check, seconds)
+
+        self.lead([target.record("e1")], lease=lambda: lease[0], send=freeze)
+        await connecting.wait()
+        await state.until(lambda: self.states() == [(1, "failed")])
+        self.assertEqual(target.orders, [])
+        detail = self.group.machine.orders.view()[0]["detail"]
+        self.assertIn("not sent", detail)
+
+    async def test_failed_load_is_shown_and_left(self):
+        target = FakeTarget()
+        target.status = 500
+        self.lead([target.record("e1")])
+        await state.until(lambda: self.states() == [(1, "failed")])
+        await asyncio.sleep(0.2)
+        self.assertEqual(len(target.orders), 1)
+        self.assertIn("500", self.group.machine.orders.view()[0]["detail"])
+
+    async def test_order_without_an_end_keeps_the_target_quiet(self):
+        # The target took the order and never answered. It may be loading
+        # still, so nothing else is ordered from it until that has ended.
+        target = FakeTarget(checks=False)
+        target.seconds = 60.0
+        self.lead([target.record("e1")], order_seconds=0.2)
+        await state.until(lambda: self.states() == [(1, "failed")])
+        self.want({"m": 1, "n": 1})
+        await asyncio.sleep(0.2)
+        self.assertEqual(len(target.orders), 1)
+
+    async def test_end_that_the_log_did_not_take_is_taken_down_later(self):
+        target = FakeTarget()
+        target.seconds = 0.2
+        self.lead([target.record("e1", "x")])
+        await state.until(lambda: len(target.orders) == 1)
+        self.group.cut = True
+        await asyncio.sleep(0.4)
+        self.assertEqual(self.states(), [(1, "open")])
+        self.group.cut = False
+        await state.until(lambda: self.states() == [(1, "done")])
+        self.assertEqual(len(target.orders), 1)
+
+    async def test_target_that_is_gone_ends_its_order(self):
+        begin = commands.BeginOrder("e1", 1, KINDS.LOAD, "m")
+        self.group.apply(begin)
+        self.lead([], order_seconds=0.1)
+        await state.until(lambda: self.states() == [(1, "failed")])
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -63,14 +63,21 @@
             await made.stop()
 
 
-def flipped(data):
-    middle = len(data) // 2
-    return data[:middle] + bytes([data[middle] ^ 1]) + data[middle + 1 :]
+def flipped(data, place=0.5):
+    at = int(len(data) * place)
+    return data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :]
 
 
-def rewrite(path, damage):
-    file = pathlib.Path(path)
-    file.write_bytes(damage(file.read_bytes()))
+def flipped_in_the_journal(data):
+    return flipped(data, 0.99)
+
+
+def read(path):
+    return pathlib.Path(path).read_bytes()
+
+
+def write(path, data):
+    pathlib.Path(path).write_bytes(data)
 
 
 class TestRevisions(unittest.IsolatedAsyncioTestCase):
@@ -185,8 +192,14 @@
 
     async def test_damaged_file_is_ignored(self):
         await self.write_file()
-        for damage in (flipped, lambda data: data[:50], lambda data: b""):
-            rewrite(self.path, damage)
+        whole = read(self.path)
+        for damage in (
+            flipped,
+            flipped_in_the_journal,
+            lambda data: data[:50],
+            lambda data: b"",
+        ):
+            write(self.path, damage(whole))
             self.fleet.group.cut = True
             made, _ = self.fleet.start("a1", path=self.path, neighbours=[])
             self.assertEqual(made.current.revision, 0)
