--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import signal
 import time
 
 import logbook
@@ -22,6 +21,7 @@
 from amaranthring.callers import server
 from amaranthring.core import links
 from amaranthring.core import logs
+from amaranthring.core import signals
 from amaranthring.platform import figures
 from amaranthring.platform import health
 from amaranthring.settings import files
@@ -46,19 +46,6 @@
     asyncio.run(mains[role](settings))
 
 
-def stop_event() -> asyncio.Event:
-    """Return an event that SIGTERM and SIGINT set.
-
-    A second signal finds the event set and changes nothing, so an impatient
-    operator does not cut off what the first one lets end.
-    """
-    event = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, event.set)
-    return event
-
-
 def bind(address: str) -> list:
     """Return listening sockets on ``host:port``.
 
@@ -114,7 +101,7 @@
 
 async def run_router(settings: settings_module.Settings) -> None:
     """Run a router until it is told to stop, then end it gracefully."""
-    stop = stop_event()
+    stop = signals.stop_event()
     router = router_parts.Router(settings, identity_of("router", settings))
     internal = listen_internal(settings, router.internal_routes())
     callers = listen_callers(settings, router)
@@ -149,7 +136,7 @@
 
 async def run_keeper(settings: settings_module.Settings) -> None:
     """Run a keeper until it is told to stop."""
-    stop = stop_event()
+    stop = signals.stop_event()
     keeper = keeper_parts.make(settings)
     routes = [
         ("/metrics", figures.FiguresHandler, {"figures": keeper.metrics})
--- a/amaranthring/testing/demo.py
+++ b/amaranthring/testing/demo.py
@@ -25,6 +25,7 @@
 ENGINES = 5
 REPLICAS = 3
 IN_FORCE_SECONDS = 3.0
+POLL_SECONDS = 0.02
 
 
 @dataclasses.dataclass
@@ -148,9 +149,8 @@
     async def engine_drained(self) -> None:
         """Drain an engine by command; it gets no new work."""
         path = "/operators/targets/engine-4/drain"
-        await self._under_load(
-            "engine drained under load",
-            lambda: self.operate("POST", path, {"reason": "demo"}),
+        await self._changed_under_load(
+            "engine drained under load", path, {"reason": "demo"}
         )
         before = self.started("engine-4")
         await load.together(*[self.callers.chat(1) for _ in range(20)])
@@ -166,21 +166,27 @@
 
     async def preset_switched(self) -> None:
         """Switch the preset under load; it is in force everywhere."""
+        await self._changed_under_load(
+            "preset switched under load",
+            "/operators/switch",
+            {"preset": "peak"},
+        )
+
+    async def _changed_under_load(self, what, path, body) -> None:
         seen: list[float] = []
 
-        def switch():
+        def change():
             began = time.monotonic()
-            body = {"preset": "peak"}
-            revision = self.operate("POST", "/operators/switch", body)
+            revision = self.operate("POST", path, body)
             while time.monotonic() < began + IN_FORCE_SECONDS:
                 if all(self.runs(name, revision) for name in self.routers):
                     seen.append(time.monotonic() - began)
                     return
-                time.sleep(0.02)
+                time.sleep(POLL_SECONDS)
 
-        await self._under_load("preset switched under load", switch)
+        await self._under_load(what, change)
         shown = f"{seen[0] * 1e3:.0f} ms" if seen else "not in time"
-        self.check("in force on all routers", shown, bool(seen))
+        self.check("  in force on all routers", shown, bool(seen))
 
     def runs(self, router: str, revision: int) -> bool:
         """Return whether `router` runs at least `revision`."""
--- a/amaranthring/testing/standin.py
+++ b/amaranthring/testing/standin.py
@@ -2,7 +2,6 @@
 
 import argparse
 import asyncio
-import signal
 import time
 import typing as t
 
@@ -12,6 +11,7 @@
 
 from amaranthring import settings
 from amaranthring.core import records
+from amaranthring.core import signals
 from amaranthring.testing import announcing
 
 END_SECONDS = 10.0
@@ -70,10 +70,7 @@
 ) -> None:
     """Announce until SIGTERM or SIGINT, leave, and end what still runs."""
     print(f"listening {announced.address}", flush=True)
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+    stopped = signals.stop_event()
     announcer = None
     if given.announce:
         key_id, key = next(iter(settings.keys(given.key_file).items()))
