Keep one link when two routers dial each other

Behind it, a dialler cancelled in the step in which its handshake ended went on dialling for ever, as asyncio.wait_for swallows that cancellation.

--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -398,11 +398,12 @@
             log.warning("link.refused address={} fault={}", address, error)
             return
         self.links.add(link)
-        if self.on_link:
-            self.on_link(link)
         try:
+            if self.on_link:
+                self.on_link(link)
             await link.serve(unpacker)
         finally:
+            link.close()
             self.links.discard(link)
             if self.on_gone:
                 self.on_gone(link)
@@ -438,6 +439,7 @@
         self.link: Link | None = None
         self.client = tornado.tcpclient.TCPClient()
         self.task: asyncio.Task | None = None
+        self.stopped = False
 
     def start(self) -> None:
         """Start the task that keeps the link up."""
@@ -445,6 +447,9 @@
 
     def stop(self) -> None:
         """End the task and the link."""
+        # A cancellation that comes in the very step in which the handshake
+        # ends is swallowed by wait_for; the task would dial for ever.
+        self.stopped = True
         if self.task:
             self.task.cancel()
         if self.link:
@@ -453,7 +458,7 @@
     async def run(self) -> None:
         """Connect, serve, and connect again until stopped."""
         wait = BACKOFF_FIRST_SECONDS
-        while True:
+        while not self.stopped:
             try:
                 link, unpacker = await self._connect()
             except (errors.HandshakeError, *STREAM_FAULTS):
@@ -462,6 +467,9 @@
                 await asyncio.sleep(wait * random.uniform(0.5, 1.0))
                 wait = min(wait * 2, BACKOFF_MOST_SECONDS)
                 continue
+            if self.stopped:
+                link.close()
+                return
             began = time.monotonic()
             self.link = link
             if self.on_link:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,6 +5,7 @@
 
 from amaranthring import errors
 from amaranthring.routers import member_messages
+from amaranthring.routers import peers
 from amaranthring.testing import members
 
 
@@ -257,6 +258,34 @@
             answer = await self.all[0].mesh.call(name, pull, 5)
             self.assertEqual(answer.routers, ["r3", "r4", "r5"])
 
+    async def test_routers_that_dial_each_other_keep_one_link(self):
+        """Links across flap for ever and calls over them fail at random.
+
+        Two routers of different data centres call each other at the same
+        moment; each then has a link that it dialled and one that it took.
+        """
+        pairs = [(a, b) for a in (0, 1, 2) for b in (3, 4, 5)]
+        for low, high in pairs:
+            self.all[low].mesh.send(f"r{high}", peers.Heartbeat())
+            self.all[high].mesh.send(f"r{low}", peers.Heartbeat())
+
+        def linked():
+            links = []
+            for low, high in pairs:
+                one = self.all[low].mesh.peers[f"r{high}"].link
+                other = self.all[high].mesh.peers[f"r{low}"].link
+                if one is None or other is None or one.closed:
+                    return None
+                links += [one, other]
+            return links
+
+        await members.until(linked)
+        await asyncio.sleep(1.0)
+        before = linked()
+        await asyncio.sleep(1.0)
+        self.assertIsNotNone(before)
+        self.assertEqual(linked(), before)
+
 
 def _deaf(member):
     """Return a handler that loses digests from other data centres."""
