Let one message a second do for a target, just before the batch

Cause: a target sent three posts a second (two renewals and a report), each on a connection of its own; that was the largest part of a small router's processor time. Change: a report renews as well; the answer says when to renew next, so that the renewal comes 0.15 s before the router's batch and its evidence is fresh elsewhere; a target that moves to another router is told of at once. The stand-ins' announcer follows, and numbers its messages.

--- a/amaranthring/routers/spread.py
+++ b/amaranthring/routers/spread.py
@@ -31,6 +31,8 @@
 log = logbook.Logger(__name__)
 
 BATCH_SECONDS = 1.0
+SLACK_SECONDS = 0.1
+AHEAD_SECONDS = 0.15
 FLUSH_SECONDS = 0.01
 REPEATS = 3
 PULL_AFTER_SECONDS = 0.3
@@ -78,6 +80,8 @@
         self.marks: dict[str, int] = {}
         self.heard_of: dict[str, float] = {}
         self.task: asyncio.Task | None = None
+        self.next_at = clock() + BATCH_SECONDS
+        self._moved_here: set[str] = set()
         self._near: set[str] = set()
         self._beyond: set[str] = set()
         self._repeat: dict[str, int] = {}
@@ -94,6 +98,8 @@
         handlers.add(messages.Pull, self._answer_pull)
         table.on_change(self._changed)
         table.on_wake(self._wake)
+        table.on_move(self._moved)
+        table.renew_in = self.renew_in
         mesh.on_link(self._greet)
 
     def start(self) -> None:
@@ -108,9 +114,21 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(BATCH_SECONDS)
+            await asyncio.sleep(max(0.0, self.next_at - self.clock()))
+            # A late tick shifts the next ones: none is made up for.
+            self.next_at = max(self.next_at, self.clock() - SLACK_SECONDS)
+            self.next_at += BATCH_SECONDS
             self.tick()
 
+    def renew_in(self) -> float:
+        """Return when a target that just renewed should do so again.
+
+        Just before the batch after the next one, once a second: its
+        evidence then is fresh when it reaches the other routers.
+        """
+        left = self.next_at - self.clock()
+        return max(0.0, left) % BATCH_SECONDS + BATCH_SECONDS - AHEAD_SECONDS
+
     def tick(self) -> None:
         """Send this second's batch and, from a relay, the digests."""
         now = self.clock()
@@ -172,6 +190,18 @@
             self._near.add(name)
         if here:
             self._beyond.add(name)
+        self._flush_soon()
+
+    def _moved(self, name: str) -> None:
+        """Tell at once that a target renews here now.
+
+        Its former router may have died with its last renewals; waiting for
+        the batch as well would make the target stale elsewhere.
+        """
+        self._moved_here.add(name)
+        self._flush_soon()
+
+    def _flush_soon(self) -> None:
         if not self._flushing:
             self._flushing = True
             loop = asyncio.get_running_loop()
@@ -182,10 +212,14 @@
         now = self.clock()
         near = self._records(self._near, now)
         beyond = self._records(self._beyond, now)
+        # A record tells its age itself.
+        beats = [self._beat(n, now) for n in self._moved_here - self._near]
         self._near.clear()
         self._beyond.clear()
-        if near:
-            self.mesh.broadcast(self._message(now, [], near))
+        self._moved_here.clear()
+        if near or beats:
+            found = [beat for beat in beats if beat]
+            self.mesh.broadcast(self._message(now, found, near))
         if beyond:
             for name in self._far_links():
                 self.mesh.send(name, self._message(now, [], beyond))
--- a/amaranthring/targets/announce.py
+++ b/amaranthring/targets/announce.py
@@ -14,8 +14,6 @@
 from amaranthring.targets import conventions
 from amaranthring.targets import table as table_module
 
-RENEW_SHARE_OF_LEASE = 1 / 6
-
 
 class AnnounceHandler(tornado.web.RequestHandler):
     """One message of a target; `act` tells the table."""
@@ -40,7 +38,7 @@
         lease = self.table.config().preset.lease_seconds
         answer = {
             "lease_seconds": lease,
-            "renew_seconds": lease * RENEW_SHARE_OF_LEASE,
+            "renew_seconds": round(self.table.renew_in(), 3),
         }
         self.finish(answer)
 
--- a/amaranthring/targets/entries.py
+++ b/amaranthring/targets/entries.py
@@ -83,6 +83,8 @@
         When flap damping lets it have work again.
     spoken : int
         Highest sequence of its own messages.
+    here : float
+        When it last spoke to this very router.
     """
 
     target: records.Target
@@ -92,6 +94,7 @@
     lost: bool = False
     ready_at: float = 0.0
     spoken: int = 0
+    here: float = 0.0
     history: flapping.History = dataclasses.field(
         default_factory=flapping.History
     )
--- a/amaranthring/targets/table.py
+++ b/amaranthring/targets/table.py
@@ -38,6 +38,8 @@
 STALE_SHARE_OF_LEASE = 5 / 6
 EXPIRE_EVERY_SECONDS = 0.25
 PAUSE_SECONDS = 1.0
+MOVED_SECONDS = 2.5
+RENEW_SHARE_OF_LEASE = 1 / 6
 
 
 class TargetTable:
@@ -63,6 +65,9 @@
         Data centre to the digest of its records.
     beats : set of str
         Targets heard directly since the last batch took them.
+    renew_in : callable
+        Returns after how many seconds a target should renew again; the
+        spread sets it so that a renewal comes just before its batch.
     """
 
     def __init__(
@@ -86,6 +91,8 @@
         self._callbacks: list[t.Callable[[str], None]] = []
         self._changes: list[t.Callable[[entries.Entry], None]] = []
         self._wakes: list[t.Callable[[], None]] = []
+        self._moves: list[t.Callable[[str], None]] = []
+        self.renew_in: t.Callable[[], float] = self._renew_in
         self._lost: dict[str, asyncio.Future] = {}
 
     # -- what the request's way and the admission owners ask ----------------
@@ -165,6 +172,10 @@
         """Call `callback(entry)` when a record gets a higher version."""
         self._changes.append(callback)
 
+    def on_move(self, callback: t.Callable[[str], None]) -> None:
+        """Call `callback(name)` when a target begins to renew here."""
+        self._moves.append(callback)
+
     def on_wake(self, callback: t.Callable[[], None]) -> None:
         """Call `callback()` after this process itself stood still."""
         self._wakes.append(callback)
@@ -190,7 +201,7 @@
             revision = entry.version.revision + (0 if same else 1)
         made = entries.Record(target, revision, False, spoken=sequence)
         self.adopt(made, heard)
-        self.beats.add(target.name)
+        self._spoke(self.entries[target.name], heard)
 
     def renew(self, name: str, incarnation: int, sequence: int = 0) -> None:
         """Take a target's word that it lives.
@@ -205,8 +216,7 @@
         entry = self._known(name, incarnation)
         claims.check_sequence(entry, incarnation, sequence)
         entry.spoken = sequence
-        self._evidence(entry, self.pauses.arrived())
-        self.beats.add(name)
+        self._spoke(entry, self.pauses.arrived())
 
     def take_report(self, report: records.Report) -> None:
         """Take a target's report of its load, which also renews its lease.
@@ -224,8 +234,7 @@
             self.metrics.count("targets.reports_late")
             return
         entry.report = report
-        self._evidence(entry, self.pauses.arrived())
-        self.beats.add(report.target)
+        self._spoke(entry, self.pauses.arrived())
 
     def leave(self, name: str, incarnation: int, sequence: int = 0) -> None:
         """Take a target's word that it goes: no new work from now on.
@@ -244,8 +253,9 @@
         spoken = max(sequence, entry.spoken)
         revision = entry.version.revision
         made = entries.Record(entry.target, revision, True, spoken=spoken)
-        self.adopt(made, self.pauses.arrived())
-        self.beats.add(name)
+        heard = self.pauses.arrived()
+        self.adopt(made, heard)
+        self._spoke(entry, heard)
 
     # -- what other routers say ----------------------------------------------
 
@@ -460,6 +470,20 @@
         logs.event(log, "target.known", name=name, incarnation=incarnation)
         return entry
 
+    def _renew_in(self) -> float:
+        return self.config().preset.lease_seconds * RENEW_SHARE_OF_LEASE
+
+    def _spoke(self, entry: entries.Entry, heard: float) -> None:
+        """Note that a target itself spoke to this router."""
+        name = entry.target.name
+        self._evidence(entry, heard)
+        self.beats.add(name)
+        moved = heard - entry.here > MOVED_SECONDS
+        entry.here = max(entry.here, heard)
+        if moved:
+            for callback in self._moves:
+                callback(name)
+
     def _evidence(self, entry: entries.Entry, heard: float) -> None:
         now = self.clock()
         heard = min(heard, now)
--- a/amaranthring/testing/announcing.py
+++ b/amaranthring/testing/announcing.py
@@ -17,8 +17,9 @@
 
 from amaranthring.core import records
 
-RENEW_SECONDS = 0.5
-TRY_SECONDS = 2.0
+FIRST_RENEW_SECONDS = 0.5
+TRY_SECONDS = 1.0
+REPORT_SLACK_SECONDS = 0.25
 KEY_HEADER = "Amaranthring-Key"
 
 
@@ -62,6 +63,8 @@
         self.load = load
         self.report_seconds = report_seconds
         self.sequence = 0
+        self.spoken = 0
+        self.renew_seconds = FIRST_RENEW_SECONDS
         self.client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
         self.task: asyncio.Task | None = None
 
@@ -88,6 +91,9 @@
                     raise_error=False,
                 )
                 status = answer.code
+                if status == 200:
+                    said = json.loads(answer.body)
+                    self.renew_seconds = said["renew_seconds"]
             except (OSError, tornado.httpclient.HTTPError):
                 status = 599
             if status < 500:
@@ -97,7 +103,7 @@
 
     async def announce(self) -> bool:
         """Announce the target; return whether a router took it."""
-        record = dataclasses.asdict(self.target)
+        record = dataclasses.asdict(self.target) | self._named()
         return await self.post("/targets/announce", record) == 200
 
     async def leave(self) -> None:
@@ -111,26 +117,31 @@
         self.task = asyncio.ensure_future(self._run())
 
     def _named(self) -> dict[str, t.Any]:
-        name, incarnation = self.target.name, self.target.incarnation
-        return {"name": name, "incarnation": incarnation}
+        self.spoken += 1
+        return {
+            "name": self.target.name,
+            "incarnation": self.target.incarnation,
+            "sequence": self.spoken,
+        }
 
     async def _run(self) -> None:
-        announced = False
+        status = 0
         reported = time.monotonic()
         lagging = self.load()
+        due = self.report_seconds - REPORT_SLACK_SECONDS
         while True:
-            if not announced:
-                announced = await self.announce()
-            else:
-                status = await self.post("/targets/renew", self._named())
-                announced = status == 200
-            if time.monotonic() - reported >= self.report_seconds:
+            if status != 200:
+                status = 200 if await self.announce() else 0
+            elif time.monotonic() - reported >= due:
+                # A report renews as well; one message does for both.
                 reported = time.monotonic()
-                await self._report(lagging)
+                status = await self._report(lagging)
                 lagging = self.load()
-            await asyncio.sleep(RENEW_SECONDS)
+            else:
+                status = await self.post("/targets/renew", self._named())
+            await asyncio.sleep(self.renew_seconds)
 
-    async def _report(self, load: tuple[int, int, float]) -> None:
+    async def _report(self, load: tuple[int, int, float]) -> int:
         self.sequence += 1
         running, waiting, kv_used = load
         report = records.Report(
@@ -141,4 +152,4 @@
             waiting,
             kv_used,
         )
-        await self.post("/targets/report", dataclasses.asdict(report))
+        return await self.post("/targets/report", dataclasses.asdict(report))
