Measure the spread of changes; run the keeper's service and reports

Cause: nobody told the keepers which targets are ready, and the goal of 0.5 s from accepted to in force was unmeasured.

Change: keepers run the service (queries under the barrier, first configuration, orders); relays report ready targets; bench revisions times 24 router processes from their own log lines.

--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -150,16 +150,15 @@
 async def run_keeper(settings: settings_module.Settings) -> None:
     """Run a keeper until it is told to stop."""
     stop = stop_event()
-    keeper = keeper_parts.make(settings)
+    keeper, served = keeper_parts.make(settings)
     routes = [
         ("/metrics", figures.FiguresHandler, {"figures": keeper.metrics})
     ]
     internal = listen_internal(settings, routes)
     keeper.start()
-    bootstrapping = keeper_parts.start_bootstrap(keeper)
     logs.event(log, "keeper.started", folder=settings.process.data_folder)
     await stop.wait()
-    bootstrapping.cancel()
+    served.stop()
     internal.stop()
     await keeper.stop()
     logs.event(log, "keeper.stopped")
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -29,6 +29,7 @@
 from amaranthring.routers import revisions
 from amaranthring.routers import spread
 from amaranthring.routers import suspicion
+from amaranthring.routers import target_reports
 from amaranthring.targets import announce
 from amaranthring.targets import table
 
@@ -111,6 +112,13 @@
         self.spread = spread.Spread(self.mesh, self.table, self.metrics)
         self.revisions.subscribe(self._revision_changed)
         self.table.subscribe(self._target_changed)
+        self.target_reports = target_reports.TargetReports(
+            place,
+            self.keepers.query,
+            lambda: self.revisions.is_relay,
+            self._ready_targets,
+            self.metrics,
+        )
 
     def _make_decisions(self) -> None:
         process = self.settings.process
@@ -241,13 +249,15 @@
     def _revision_changed(self, config) -> None:
         self.metrics.gauge("revision", config.revision)
 
-    def _target_changed(self, _name: str) -> None:
-        ready = [
+    def _ready_targets(self) -> list[records.Target]:
+        return [
             target
             for target in self.table.targets()
             if self.table.state(target.name) is records.TargetState.READY
         ]
-        self.metrics.gauge("targets.ready", len(ready))
+
+    def _target_changed(self, _name: str) -> None:
+        self.metrics.gauge("targets.ready", len(self._ready_targets()))
 
     # -- HTTP --
 
@@ -322,7 +332,12 @@
         self.spread.start()
         self.keepers.start()
         self.revisions.start()
-        runs = [self.owners.run, self.placer.run, self.directory.run]
+        runs = [
+            self.owners.run,
+            self.placer.run,
+            self.directory.run,
+            self.target_reports.run,
+        ]
         if self.settings.statsd.host:
             sender = figures.StatsdSender(self.metrics, self.settings.statsd)
             runs.append(sender.run)
--- /dev/null
+++ b/tests/test_bench_revisions.py
@@ -0,0 +1,17 @@
+"""The exact part of the benchmark of revisions, small."""
+
+import unittest
+
+from amaranthring.bench import revisions
+
+
+class TestSizes(unittest.TestCase):
+    """Encoded bytes: a change travels as what changed."""
+
+    def test_deltas_do_not_grow_with_the_accounts(self):
+        few = revisions.sizes(60)
+        many = revisions.sizes(240)
+        self.assertGreater(many["whole"], 3 * few["whole"])
+        for name in ("switch", "adjust", "burst"):
+            self.assertLess(many[name], few[name] + 20)
+        self.assertLess(many["adjust"], 400)
--- /dev/null
+++ b/tests/test_target_reports.py
@@ -0,0 +1,46 @@
+"""Reports of ready targets to the keepers."""
+
+import unittest
+
+from amaranthring.core import metrics
+from amaranthring.core import records
+from amaranthring.routers import target_reports
+
+
+def engine(name, place):
+    kind = records.TargetKind.ENGINE
+    return records.Target(name, 1, kind, "127.0.0.1:1", place, "r", ("m",))
+
+
+class TestTargetReports(unittest.IsolatedAsyncioTestCase):
+    """One relay with a clock of its own."""
+
+    async def test_reports_on_change_and_now_and_then(self):
+        sent = []
+        now = [100.0]
+        known = [engine("e1", "a"), engine("e2", "b")]
+        relay = [True]
+
+        async def query(message, timeout):
+            sent.append([target.name for target in message.targets])
+
+        reports = target_reports.TargetReports(
+            "a",
+            query,
+            lambda: relay[0],
+            lambda: known,
+            metrics.Metrics(),
+            lambda: now[0],
+        )
+        await reports.report()
+        await reports.report()
+        self.assertEqual(sent, [["e1"]])
+        known.append(engine("e0", "a"))
+        await reports.report()
+        now[0] += target_reports.REPORT_SECONDS
+        await reports.report()
+        self.assertEqual(sent[1:], [["e0", "e1"]] * 2)
+        relay[0] = False
+        now[0] += target_reports.REPORT_SECONDS
+        await reports.report()
+        self.assertEqual(len(sent), 3)
