Advance the configuration by what changed

Cause: each change made each router compose 910 accounts and 2,730 policies anew, 22 ms of its event loop; 24 routers did so at once.

Ruled out: writing the revision file (3 ms, once for several changes) and digests of the delta (0.1 ms); the profile names composing alone.

Change: a configuration is advanced by a delta; presets, accounts and policies that did not change are shared with the one before, which stays as it was. A seeded test compares it with the composed one over 300 revisions.

--- a/amaranthring/core/parts.py
+++ b/amaranthring/core/parts.py
@@ -25,6 +25,11 @@
     "desired_models": None,
     "desired_roles": None,
 }
+_FIELDS = {
+    "account": "accounts",
+    "drained": "drained",
+    "quarantined": "quarantined",
+}
 IN_FORCE = "in_force"
 
 
@@ -97,26 +102,83 @@
 
 def compose(revision: int, items: dict[str, t.Any]) -> fleet.FleetConfig:
     """Return the configuration that the parts in `items` describe."""
-    config = fleet.FleetConfig(revision, items.get(IN_FORCE, "ordinary"))
-    policies = []
-    for part, value in items.items():
-        head, _, rest = part.partition("/")
-        if head == "preset" and "/" in rest:
-            policies.append((rest, value))
-        elif head == "preset":
-            config.presets[rest] = _made(fleet.Preset, value)
-        elif head == "account":
-            config.accounts[rest] = _made(fleet.Account, value)
-        elif head == "drained":
-            config.drained[rest] = value
-        elif head == "quarantined":
-            config.quarantined[rest] = value
-    for rest, value in policies:
-        preset, group, name = rest.split("/", 2)
+    empty = fleet.FleetConfig()
+    return advance(empty, revision, items, [])
+
+
+def advance(
+    config: fleet.FleetConfig,
+    revision: int,
+    changed: dict[str, t.Any],
+    removed: list[str],
+) -> fleet.FleetConfig:
+    """Return `config` with some parts changed; `config` itself stays.
+
+    What did not change is shared between both, so the time that it takes
+    follows the change and not the number of accounts and policies.
+    """
+    made = dataclasses.replace(
+        config,
+        revision=revision,
+        presets=dict(config.presets),
+        accounts=dict(config.accounts),
+        drained=dict(config.drained),
+        quarantined=dict(config.quarantined),
+    )
+    copied: set[str] = set()
+    for part in removed:
+        _remove(made, part, copied)
+    # A preset's own figures sort before its policies.
+    for part in sorted(changed):
+        _set(made, part, changed[part], copied)
+    return made
+
+
+def _remove(config: fleet.FleetConfig, part: str, copied: set[str]) -> None:
+    head, _, rest = part.partition("/")
+    if head != "preset":
+        getattr(config, _FIELDS[head]).pop(rest, None)
+    elif "/" not in rest:
+        config.presets.pop(rest, None)
+    else:
+        name, group, policy = rest.split("/", 2)
+        if name in config.presets:
+            preset = _own(config, name, copied)
+            getattr(preset, group).pop(policy, None)
+
+
+def _set(config, part: str, value: t.Any, copied: set[str]) -> None:
+    head, _, rest = part.partition("/")
+    if part == IN_FORCE:
+        config.in_force = value
+    elif head == "account":
+        config.accounts[rest] = _made(fleet.Account, value)
+    elif head in _FIELDS:
+        getattr(config, _FIELDS[head])[rest] = value
+    elif head == "preset" and "/" not in rest:
+        made = _made(fleet.Preset, value)
+        if rest in config.presets:
+            old = _own(config, rest, copied)
+            for group in _POLICIES:
+                setattr(made, group, getattr(old, group))
+        copied.add(rest)
+        config.presets[rest] = made
+    elif head == "preset":
+        name, group, policy = rest.split("/", 2)
         kind = _POLICIES[group]
         made = value if kind is None else _made(kind, value)
-        getattr(config.presets[preset], group)[name] = made
-    return config
+        getattr(_own(config, name, copied), group)[policy] = made
+
+
+def _own(config: fleet.FleetConfig, name: str, copied: set[str]):
+    """Return preset `name`, first copied if `config` shares it."""
+    preset = config.presets[name]
+    if name not in copied:
+        groups = {group: dict(getattr(preset, group)) for group in _POLICIES}
+        preset = dataclasses.replace(preset, **groups)
+        config.presets[name] = preset
+        copied.add(name)
+    return preset
 
 
 def _digest(part: str, value: t.Any) -> int:
--- a/amaranthring/routers/revisions.py
+++ b/amaranthring/routers/revisions.py
@@ -117,7 +117,7 @@
         loaded = self.file.load()
         if loaded is not None:
             self.parts = loaded
-            self._take_hold()
+            self._take_hold(loaded.config())
         for run in (self._become_ready, self._watch, self._compare):
             self.tasks.append(asyncio.ensure_future(run()))
 
@@ -153,12 +153,17 @@
             return False
         if moved:
             self.metrics.count("revisions.applied")
-            self._take_hold()
+            base = fleet.FleetConfig() if delta.whole else self.current
+            self._take_hold(
+                parts.advance(
+                    base, delta.revision, delta.changed, delta.removed
+                )
+            )
             self.file.save(self.parts)
         return moved
 
-    def _take_hold(self) -> None:
-        self.current = self.parts.config()
+    def _take_hold(self, config: fleet.FleetConfig) -> None:
+        self.current = config
         self.metrics.gauge("revisions.revision", self.parts.revision)
         logs.event(
             log,
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -1,5 +1,7 @@
 """The replicated state: commands, resends, conflicts, snapshots."""
 
+import copy
+import random
 import unittest
 
 from amaranthring import errors
@@ -219,6 +221,49 @@
         self.assertEqual(self.held.items, self.machine.book.parts.items)
         self.assertEqual(self.held.config(), self.machine.book.parts.config())
 
+    def test_config_advanced_by_deltas_is_the_one_composed(self):
+        # Routers advance what they run by deltas, sharing what stays. A
+        # share that is changed in place would alter a revision in force.
+        rng = random.Random(7)
+        config = self.held.config()
+        for revision in range(1, 300):
+            self.any_change(rng, revision)
+            if rng.random() < 0.4:
+                continue
+            before = copy.deepcopy(config)
+            known = self.machine.config_since(config.revision)
+            delta = state.copied(known)
+            new = parts.advance(
+                config, delta.revision, delta.changed, delta.removed
+            )
+            self.assertEqual(new, self.machine.book.parts.config())
+            self.assertEqual(config, before)
+            config = new
+
+    def any_change(self, rng, revision):
+        given = head(f"any-{revision:05}", revision)
+        name = rng.choice(("peak", "sale"))
+        names = rng.sample("abcdef", 3)
+        preset = fleet.Preset(
+            name,
+            rng.choice((1.2, 1.3)),
+            classes={n: fleet.ClassPolicy(rng.randrange(3)) for n in names},
+            desired_models={n: rng.randrange(3) for n in names},
+        )
+        kinds = (
+            lambda: commands.PutPreset(preset, **given),
+            lambda: commands.SwitchPreset(name, **given),
+            lambda: commands.RemovePreset(name, **given),
+            lambda: commands.PutAccount(fleet.Account(names[0]), **given),
+            lambda: commands.RemoveAccount(names[0], **given),
+            lambda: commands.DrainTarget(names[0], "r", **given),
+        )
+        try:
+            self.machine.apply(2, 2.0, rng.choice(kinds)())
+        except errors.RefusedError:
+            quarantine = commands.AddQuarantine(f"f{revision}", revision)
+            self.machine.apply(2, 2.0, quarantine)
+
     def test_damaged_delta_changes_nothing(self):
         self.change(1)
         delta = self.machine.config_since(1)
