Prove that accepted changes stay while keepers are killed and frozen

Three keepers and three routers as processes; 24 switches through random routers, the leader killed four times and frozen four times, unanswered commands resent elsewhere. Each accepted revision keeps its preset on every router, no router goes back, every resend gets its first answer.

--- /dev/null
+++ b/tests/test_state_processes.py
@@ -0,0 +1,131 @@
+"""Operators' changes on a fleet of processes whose keepers fail."""
+
+import json
+import pathlib
+import random
+import re
+import signal
+import tempfile
+import time
+import unittest
+
+from amaranthring.testing import local_fleet
+
+IN_FORCE = re.compile(r"revision\.in-force revision=(\d+) preset=(\S+)")
+CHANGES = 24
+SECONDS = 30.0
+PRESETS = ("ordinary", "peak", "maintenance")
+
+
+class TestKeepersFail(unittest.TestCase):
+    """Three keepers, three routers, one in each data centre."""
+
+    def setUp(self):
+        held = tempfile.TemporaryDirectory()
+        self.addCleanup(held.cleanup)
+        folder = pathlib.Path(held.name)
+        local_fleet.write_settings(folder, routers=3)
+        self.fleet = local_fleet.LocalFleet(folder, folder / "logs")
+        self.addCleanup(self.fleet.end)
+        self.keepers = self.fleet.names("keeper")
+        self.routers = self.fleet.names("router")
+        for name in [*self.keepers, *self.routers]:
+            self.fleet.start(name)
+        self.fleet.wait_ready(self.routers)
+        token = (folder / "operator.token").read_text().split()[1]
+        self.headers = {"Authorization": f"Bearer {token}"}
+        self.rng = random.Random(11)
+
+    def ask(self, method, path, headers=None, body=None):
+        router = self.rng.choice(self.routers)
+        url = f"{self.fleet.internal(router)}/operators/{path}"
+        sent = self.headers | (headers or {})
+        data = None if body is None else json.dumps(body).encode()
+        status, answer = local_fleet.ask(method, url, sent, data)
+        return status, json.loads(answer or b"{}")
+
+    def switch(self, name, revision, command_id):
+        """Switch, resending through any router until it is answered."""
+        headers = {
+            "If-Match": str(revision),
+            "Amaranthring-Command-Id": command_id,
+        }
+        ends = time.monotonic() + SECONDS
+        while time.monotonic() < ends:
+            status, answer = self.ask(
+                "POST", "switch", headers, {"preset": name}
+            )
+            if status not in (0, 503):
+                return status, answer
+        raise AssertionError("no answer to a command")
+
+    def leader(self):
+        status, answer = self.ask("GET", "keepers")
+        for row in answer.get("keepers", {}).values():
+            if status == 200 and row.get("role") == "leader":
+                return row["keeper"]
+        return self.rng.choice(self.keepers)
+
+    def test_accepted_changes_stay_through_kills_and_freezes(self):
+        # Operators switch presets while the leading keeper is killed or
+        # frozen, and resend through other routers whatever got no answer.
+        # A change lost with its leader, applied twice by a resend, or put
+        # back by a leader that wakes late would show as a revision with
+        # another preset or as a router that goes back.
+        accepted = {}
+        frozen = ""
+        revision = 1
+        for number in range(CHANGES):
+            if number % 6 == 2:
+                self.fleet.processes[self.leader()].kill()
+            if number % 6 == 4:
+                frozen = self.leader()
+                self.fleet.processes[frozen].pause()
+            name = PRESETS[number % 3]
+            status, answer = self.switch(name, revision, f"command-{number}")
+            self.assertEqual(status, 200, answer)
+            self.assertEqual(answer["in_force"], name)
+            revision = answer["revision"]
+            self.assertNotIn(revision, accepted)
+            accepted[revision] = name
+            if number % 6 == 3:
+                self.restart_killed()
+            if frozen:
+                self.fleet.processes[frozen].signal(signal.SIGCONT)
+                frozen = ""
+        self.check_routers(accepted)
+        self.check_resends(accepted)
+
+    def restart_killed(self):
+        for name in self.keepers:
+            if self.fleet.processes[name].popen.poll() is not None:
+                self.fleet.start(name)
+
+    def check_routers(self, accepted):
+        last = max(accepted)
+        self.fleet.wait(
+            lambda: all(
+                last in dict(self.seen(name)) for name in self.routers
+            ),
+            "last revision on every router",
+        )
+        for name in self.routers:
+            seen = self.seen(name)
+            self.assertEqual(seen, sorted(set(seen)), name)
+            for revision, preset in seen:
+                if revision in accepted:
+                    self.assertEqual(preset, accepted[revision], name)
+
+    def seen(self, router):
+        text = (self.fleet.logs / f"{router}.log").read_text()
+        return [(int(r), preset) for r, preset in IN_FORCE.findall(text)]
+
+    def check_resends(self, accepted):
+        """Every command, sent again, gets its first answer."""
+        revision = 1
+        for number, (then, name) in enumerate(accepted.items()):
+            status, answer = self.switch(name, revision, f"command-{number}")
+            self.assertEqual((status, answer["revision"]), (200, then))
+            revision = then
+        _, answer = self.ask("GET", "status")
+        self.assertEqual(answer["revision"], max(accepted))
