--- a/amaranthring/testing/local_fleet.py
+++ b/amaranthring/testing/local_fleet.py
@@ -5,6 +5,7 @@
 :class:`LocalFleet` starts the processes of a folder and ends them by pid.
 """
 
+import collections.abc
 import contextlib
 import json
 import os
@@ -31,6 +32,10 @@
 OPERATOR = "operator"
 
 
+# Data centre that asks, data centre and address of the process asked.
+Through = collections.abc.Callable[[str, str, str], str]
+
+
 class StartError(errors.AmaranthringError):
     """A process of the local fleet did not become ready."""
 
@@ -126,6 +131,7 @@
     keepers: int = 3,
     extra: str = "",
     initial: dict | None = None,
+    through: Through | None = None,
 ) -> None:
     """Write INI files of a fleet over three data centres into `folder`.
 
@@ -136,6 +142,10 @@
         ``[callers]`` section.
     initial : dict, optional
         First configuration; that of ``examples/fleet`` by default.
+    through : callable, optional
+        Returns the address at which the processes of one data centre reach
+        a process of another, given that data centre, the process's own and
+        its address; such as a relay that can be cut.
     """
     write_secrets(folder)
     if initial is None:
@@ -155,7 +165,6 @@
         )
         for i in range(routers)
     ]
-    fleet = _fleet_section(folder, keeper_lines, router_lines)
     internal = []
     for role, lines in (("keeper", keeper_lines), ("router", router_lines)):
         for name, data_centre, address in lines:
@@ -165,7 +174,11 @@
             if role == "router":
                 internal.append(text.rsplit(" ", 1)[1].strip())
                 text += f"callers = 127.0.0.1:{next(ports)}\n"
-            text += fleet
+            seen = [
+                _seen(lines, data_centre, through)
+                for lines in (keeper_lines, router_lines)
+            ]
+            text += _fleet_section(folder, *seen)
             if role == "keeper":
                 text += f"[keeper]\ninitial_file = {folder}/initial.json\n"
             (folder / f"{name}.ini").write_text(text + extra)
@@ -176,6 +189,20 @@
     )
 
 
+def _seen(lines, place: str, through: Through | None) -> list:
+    """Return `lines` with the addresses at which `place` reaches them."""
+    if through is None:
+        return lines
+    return [
+        (
+            name,
+            other,
+            address if other == place else through(place, other, address),
+        )
+        for name, other, address in lines
+    ]
+
+
 def _process_section(folder, name: str, data_centre: str) -> str:
     return (
         f"[process]\nname = {name}\ndata_centre = {data_centre}\n"
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,248 @@
+"""The whole fleet as separate processes, under failure.
+
+What callers were told is compared with what the stand-ins really ran.
+"""
+
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import tempfile
+import unittest
+
+from amaranthring.testing import cuts
+from amaranthring.testing import load
+from amaranthring.testing import local_fleet
+
+SEED = 20261202
+
+
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """Three keepers, six routers, three engines, two booking replicas."""
+
+    routers = 6
+    through = None
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name)
+        local_fleet.write_settings(
+            path, self.routers, through=self.through and self.reach
+        )
+        self.fleet = local_fleet.LocalFleet(path, path / "logs")
+        self.addCleanup(self.fleet.end)
+        self.names = self.fleet.names("router")
+        await self.blocking(self.bring_up)
+        urls = [self.fleet.callers(name) for name in self.names]
+        self.callers = load.Callers(urls, local_fleet.ACCOUNTS["vanua"])
+        self.tally = self.callers.tally
+
+    async def blocking(self, call, *arguments):
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(None, call, *arguments)
+
+    def bring_up(self):
+        for name in [*self.fleet.names("keeper"), *self.names]:
+            self.fleet.start(name)
+        self.fleet.wait_ready(self.names)
+        places = local_fleet.DATA_CENTRES
+        self.targets = []
+        for kind, count in (("engine", 3), ("booking", 2)):
+            for number in range(count):
+                self.start_target(kind, number, places[number])
+        self.fleet.wait_targets(5, self.names)
+
+    def start_target(self, kind, number, place):
+        options = ["--data-centre", place]
+        if kind == "engine":
+            options += ["--token-seconds", "0.01"]
+        name = f"{kind}-{number + 1}"
+        self.fleet.start_target(kind, name, *options)
+        self.targets.append(name)
+
+    def ran(self, kind):
+        """Return the records of every run of the stand-ins of a kind."""
+        found = []
+        for name, process in self.fleet.processes.items():
+            if not name.startswith(kind):
+                continue
+            address = process.log.read_text().split()[1]
+            _, body = local_fleet.get(f"http://{address}/control/ran")
+            answer = json.loads(body)
+            found += answer["runs" if kind == "booking" else "ran"]
+        return found
+
+    def assert_run_at_most_once(self, told):
+        """Compare outcomes told last, by key, with what really ran."""
+        keys = [run["key"] for run in self.ran("booking")]
+        for key, outcome in told.items():
+            count = keys.count(key)
+            self.assertLessEqual(count, 1, f"{key} ran {count} times")
+            if outcome == "ran":
+                self.assertEqual(count, 1, f"{key} was told ran")
+            if outcome == "not-run":
+                self.assertEqual(count, 0, f"{key} was told not-run")
+
+
+class TestRollingRestart(FleetCase):
+    """A planned stop of every router, one after the other."""
+
+    async def test_nothing_is_lost_or_cut(self):
+        """Operators replace all routers under load.
+
+        A learner whose chat runs through a router that stops would see its
+        answer end in the middle. The health check fails first, requests in
+        progress end whole, then the process ends with 0; a second SIGTERM
+        changes nothing.
+        """
+        balancer = asyncio.ensure_future(self.callers.balance())
+        chats = asyncio.ensure_future(self.keep_chatting())
+        codes = []
+        for name in self.names:
+            process = self.fleet.processes.pop(name)
+            process.signal(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            codes.append(await self.blocking(process.stop))
+            await self.blocking(self.fleet.start, name)
+            await self.blocking(self.fleet.wait_ready, [name])
+            await asyncio.sleep(2 * load.HEALTH_SECONDS)
+        self.chatting = False
+        await chats
+        balancer.cancel()
+        self.assertEqual(codes, [0] * self.routers)
+        self.assertEqual(self.tally.refused, {})
+        self.assertEqual((self.tally.cut, self.tally.wrong), (0, 0))
+        self.assertGreater(self.tally.whole, 100)
+
+    async def keep_chatting(self):
+        self.chatting = True
+
+        async def one():
+            while self.chatting:
+                await self.callers.chat(turns=2, max_tokens=20)
+
+        await load.together(*[one() for _ in range(8)])
+
+
+class TestBookingsUnderFailure(FleetCase):
+    """Routers and keepers die and freeze while callers book."""
+
+    async def test_no_booking_is_lost_or_doubled(self):
+        """Callers resend through other routers while processes fail.
+
+        A learner books; the router dies, freezes or loses the keepers'
+        leader before, between or after claim, call and settlement. The
+        resend goes through another router. Two learners would sit in one
+        car if the frozen router woke and sent its call again.
+        """
+        chance = random.Random(SEED)
+        balancer = asyncio.ensure_future(self.callers.balance())
+        faults = asyncio.ensure_future(self.fail(chance))
+        told = {}
+
+        async def book(number):
+            await asyncio.sleep(number * 0.02)
+            key = f"key-{number}-of-{SEED}"
+            outcome, _ = await self.callers.book_until_told("s", key)
+            told[key] = outcome
+
+        await load.together(*[book(number) for number in range(200)])
+        await faults
+        balancer.cancel()
+        self.assertEqual(len(told), 200)
+        await self.blocking(self.assert_run_at_most_once, told)
+        outcomes = list(told.values())
+        self.assertGreater(outcomes.count("ran"), 150, outcomes)
+        self.assertEqual(outcomes.count("not-run"), 0)
+
+    async def fail(self, chance):
+        frozen = []
+        for _ in range(6):
+            await asyncio.sleep(0.5)
+            name = chance.choice([*self.names, "keeper-1", "keeper-2"])
+            process = self.fleet.processes[name]
+            if chance.random() < 0.5:
+                process.pause()
+                frozen.append(process)
+            else:
+                await self.blocking(process.kill)
+                await self.blocking(self.fleet.start, name)
+            if len(frozen) > 1:
+                frozen.pop(0).resume()
+        for process in frozen:
+            process.resume()
+
+
+class TestDataCentreCut(FleetCase):
+    """One data centre is cut off from the other two."""
+
+    through = True
+
+    async def asyncSetUp(self):
+        self.cuts = {}
+        self.waiting = []
+        await super().asyncSetUp()
+
+    def reach(self, place, other, address):
+        """Return a relay's address for one way between data centres."""
+        key = (place, other, address)
+        if key not in self.cuts:
+            cut = cuts.Cut(address)
+            cut.port = local_fleet.free_ports(1)[0]
+            self.cuts[key] = cut
+        return self.cuts[key].address
+
+    def bring_up(self):
+        loop_calls = [self.listen(cut) for cut in self.cuts.values()]
+        for call in loop_calls:
+            asyncio.run_coroutine_threadsafe(call, self.loop).result(5)
+        super().bring_up()
+
+    async def listen(self, cut):
+        await cut.start()
+        self.addAsyncCleanup(cut.stop)
+
+    async def blocking(self, call, *arguments):
+        self.loop = asyncio.get_running_loop()
+        return await super().blocking(call, *arguments)
+
+    async def test_each_side_serves_what_it_can(self):
+        """The network between viana and the others fails, then heals.
+
+        Chats go on on both sides, each with its own engines. Bookings on
+        the side without a quorum are refused as not run, with when to come
+        back; the other side books on. After the healing an operator's
+        change made meanwhile is in force on every router.
+        """
+        for (place, other, _), cut in self.cuts.items():
+            if "viana" in (place, other):
+                cut.cut()
+        await asyncio.sleep(5.0)
+        inside = self.side("viana")
+        outside = self.side("porto", "braga")
+        for callers in (inside, outside):
+            await load.together(*[callers.chat(2) for _ in range(5)])
+            self.assertEqual(callers.tally.refused, {})
+            self.assertEqual(callers.tally.whole, 10)
+        told, body = await inside.book("s", "cut-off")
+        self.assertEqual(
+            (told, json.loads(body)["error"]["code"]), ("not-run", "no-quorum")
+        )
+        told, _ = await outside.book_until_told("s", "with-quorum")
+        self.assertEqual(told, "ran")
+        for cut in self.cuts.values():
+            cut.heal()
+        told, _ = await inside.book_until_told("s", "cut-off")
+        self.assertEqual(told, "ran")
+        keys = {"cut-off": "ran", "with-quorum": "ran"}
+        await self.blocking(self.assert_run_at_most_once, keys)
+
+    def side(self, *places):
+        urls = [
+            self.fleet.callers(name)
+            for name in self.names
+            if self.fleet.settings[name].process.data_centre in places
+        ]
+        return load.Callers(urls, local_fleet.ACCOUNTS["vanua"])
