Hold the health check until the table of targets was compared

Cause: a restarted router passed the health check as soon as it had a revision, with an empty table; it refused chats as not-found and no-target. Ruled out: waiting a fixed time only, which a cut-off router needs and others do not. Change: ready once a neighbour's digest agrees and each other data centre was vouched for, or after 4 s.

--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -25,6 +25,7 @@
 from amaranthring.routers import limits
 from amaranthring.routers import mesh
 from amaranthring.routers import placing
+from amaranthring.routers import readiness
 from amaranthring.routers import regions
 from amaranthring.routers import revisions
 from amaranthring.routers import spread
@@ -110,6 +111,9 @@
         )
         self.table = table.TargetTable(place, self.config, self.metrics)
         self.spread = spread.Spread(self.mesh, self.table, self.metrics)
+        self.readiness = readiness.Readiness(
+            self.mesh, self.table, self.spread
+        )
         self.revisions.subscribe(self._revision_changed)
         self.table.subscribe(self._target_changed)
         self.target_reports = target_reports.TargetReports(
@@ -320,7 +324,7 @@
             return "stopping"
         if not self.revisions.ready:
             return "no revision confirmed yet"
-        return ""
+        return self.readiness.missing()
 
     # -- life --
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,7 +19,7 @@
 
 
 class FleetCase(unittest.IsolatedAsyncioTestCase):
-    """Three keepers, six routers, three engines, two booking replicas."""
+    """Three keepers, six routers, three engines, three booking replicas."""
 
     routers = 6
     through = None
@@ -49,10 +49,10 @@
         self.fleet.wait_ready(self.names)
         places = local_fleet.DATA_CENTRES
         self.targets = []
-        for kind, count in (("engine", 3), ("booking", 2)):
+        for kind, count in (("engine", 3), ("booking", 3)):
             for number in range(count):
                 self.start_target(kind, number, places[number])
-        self.fleet.wait_targets(5, self.names)
+        self.fleet.wait_targets(6, self.names)
 
     def start_target(self, kind, number, place):
         options = ["--data-centre", place]
