--- a/amaranthring/callers/way.py
+++ b/amaranthring/callers/way.py
@@ -57,7 +57,9 @@
         t.Awaitable[None],
     ]
     is_quarantined: t.Callable[[str], bool]
-    report_crash: t.Callable[[records.Request, str], t.Awaitable[None]]
+    report_crash: t.Callable[
+        [records.Request, records.Target], t.Awaitable[None]
+    ]
     may_retry: t.Callable[[str], bool]
     succeeded: t.Callable[[str], None]
     when_lost: t.Callable[[str], asyncio.Future]
@@ -218,7 +220,7 @@
     """
     needs.metrics.count("way.target-lost")
     try:
-        await needs.report_crash(request, attempt.target.name)
+        await needs.report_crash(request, attempt.target)
     except errors.AmaranthringError:
         attempt.repeatable = False
     if needs.is_quarantined(request.body_digest):
@@ -241,9 +243,11 @@
     except asyncio.CancelledError:
         end = records.End.CANCELLED
         raise
-    except errors.AmaranthringError:
+    except errors.AmaranthringError as error:
         if attempt.lost:
             end = records.End.TARGET_LOST
+        elif not attempt.sent and isinstance(error, errors.UpstreamError):
+            end = records.End.UNREACHABLE
         elif not attempt.sent:
             end = records.End.NOT_SENT
         raise
