--- a/amaranthring/testing/load.py
+++ b/amaranthring/testing/load.py
@@ -18,6 +18,8 @@
 from amaranthring.testing import engine
 
 ANSWER_SECONDS = 40.0
+HEALTH_SECONDS = 0.2
+RESEND_SECONDS = 0.2
 END = "[DONE]"
 
 
@@ -74,6 +76,27 @@
         """Send nothing more to `url`."""
         self.urls = [known for known in self.urls if known != url]
 
+    async def balance(self) -> None:
+        """Ask the health checks, as the balancer does, until cancelled."""
+        known = list(self.urls)
+        while True:
+            checks = [self._healthy(url) for url in known]
+            healthy = await asyncio.gather(*checks)
+            self.urls = [
+                url for url, good in zip(known, healthy, strict=True) if good
+            ]
+            await asyncio.sleep(HEALTH_SECONDS)
+
+    async def _healthy(self, url: str) -> bool:
+        request = tornado.httpclient.HTTPRequest(
+            url + "/health", connect_timeout=1.0, request_timeout=1.0
+        )
+        try:
+            answer = await self.client.fetch(request, raise_error=False)
+        except (OSError, tornado.httpclient.HTTPError):
+            return False
+        return answer.code == 200
+
     def next_url(self) -> str:
         """Return the next router, in turn."""
         return self.urls[next(self.turn) % len(self.urls)]
@@ -151,6 +174,22 @@
         self.tally.bookings[key] = told
         return told, data
 
+    async def book_until_told(
+        self, slot: str, key: str, seconds: float = 30.0
+    ) -> tuple[str, bytes]:
+        """Book and send again under the key, as a caller does.
+
+        A caller asks again when its connection broke, when it is told that
+        the call is in progress or was not run; it stops when it is told
+        ``ran``, or ``unknown`` in a final answer.
+        """
+        until = time.monotonic() + seconds
+        told, data = await self.book(slot, key)
+        while time.monotonic() < until and not _final(told, data):
+            await asyncio.sleep(RESEND_SECONDS)
+            told, data = await self.book(slot, key)
+        return told, data
+
     async def _post(self, url, body, headers, received, header=None) -> int:
         request = tornado.httpclient.HTTPRequest(
             url,
@@ -189,6 +228,12 @@
     return "".join(text), ended
 
 
+def _final(told: str, data: bytes) -> bool:
+    if told == str(errors.Outcome.RAN):
+        return True
+    return _code(-1, data) == errors.ClaimUnknownError.code
+
+
 def _code(status: int, data: bytes) -> str:
     if status == 0:
         return "connection-lost"
