Keep the bound exact through changes of the owner

Cause: a new owner added late reports to its own grants; a router that had heard of the owner's end followed the new owner's pointer back to it, for 3 s; grants of a frozen owner were unknown to its deputy.

Ruled out: estimating foreign requests as report above the highest own count of 5 s.

Change: owners count their own grants only; entry routers tell a silent owner's deputy what they hold, and an earlier owner that they left; pointers at routers that are gone are not followed; holdings are told every second.

--- a/amaranthring/bench/model.py
+++ b/amaranthring/bench/model.py
@@ -19,7 +19,7 @@
 from amaranthring.testing import assembled
 
 TICK_SECONDS = 0.1
-RENEW_SECONDS = 2.0
+RENEW_SECONDS = 1.0
 SAMPLE_SECONDS = 0.25
 DIGEST_SECONDS = 0.5
 
--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -1,11 +1,4 @@
-"""One cell's counts, bound and queue, as its owner keeps them.
-
-The owner counts requests in flight by grants, each with a lease that its
-entry router renews. Why two owners for some seconds do little harm: each
-holds *its own* grants below ``ceil(c * its mean)``, and sums of such parts
-stay below ``c`` times the sum of the means, but for the rounding. What does
-not add up that way is a target's capacity; there the reports speak.
-"""
+"""One cell's bound and queue, as its owner keeps them."""
 
 import collections
 import collections.abc
@@ -16,40 +9,14 @@
 from amaranthring.core import hashing
 from amaranthring.core import records
 from amaranthring.policy import bounds
+from amaranthring.policy import counts
 from amaranthring.policy import queues
 
-LEASE_SECONDS = 6.0
-GRACE_SECONDS = 1.0
-REBUILD_SECONDS = 1.0
 SIBLING_SECONDS = 3.0
 RATE_SECONDS = 10.0
 RETRY_AFTER_SECONDS = 1.0
 RETRY_AFTER_MOST_SECONDS = 60.0
 
-Key = tuple[str, int]
-
-
-@dataclasses.dataclass
-class Held:
-    """One grant in flight.
-
-    Attributes
-    ----------
-    target : str
-        Where it runs.
-    expires : float
-        When its lease ends, on the owner's clock.
-    suspect : bool
-        Whether it may be what crashed a target.
-    own : bool
-        Granted here, and not taken up from an earlier owner.
-    """
-
-    target: str
-    expires: float
-    suspect: bool = False
-    own: bool = False
-
 
 @dataclasses.dataclass
 class Sibling:
@@ -85,7 +52,7 @@
 class Ask:
     """A request as the owner sees it; see the message ``Admit``."""
 
-    key: Key
+    key: counts.Key
     account: str
     priority: int
     chat: str
@@ -110,7 +77,7 @@
         How long it waited.
     """
 
-    key: Key
+    key: counts.Key
     target: str
     queued_seconds: float = 0.0
 
@@ -129,25 +96,18 @@
         Name of the cell.
     now : float
         When this router became its owner.
-    load_of : callable
-        Last reported load of a target, or 0.
     """
 
-    def __init__(self, name: str, now: float, load_of=None):
+    def __init__(self, name: str, now: float):
         self.name = name
-        self.began = now
         self.refreshed = now
-        self.load_of = load_of or (lambda _: 0)
         self.targets: dict[str, records.Target] = {}
-        self.held: dict[Key, Held] = {}
-        self.load: collections.Counter[str] = collections.Counter()
-        self.suspects: dict[str, Key] = {}
+        self.counts = counts.Counts()
         self.siblings: dict[str, Sibling] = {}
         self.queue = queues.FairQueue()
         self.bound = 1.25
         self.released = 0.0
         self.released_at = now
-        self.own: collections.Counter[str] = collections.Counter()
         self.placed: list[Placed] = []
         self.evicted: list[queues.Waiter] = []
 
@@ -159,36 +119,21 @@
         """Take `targets` as those that may be granted from now on."""
         self.targets = {target.name: target for target in targets}
 
-    def in_flight(self, now: float) -> int:
-        """Return requests running at targets that may be granted."""
-        return sum(self.loaded(name, now) for name in self.targets)
-
-    def room_at(self, name: str, now: float) -> int:
-        """Return how many requests target `name` may run just now."""
-        total, count = self._population(now)
-        most = bounds.most(self.bound, total + 1, count)
-        return min(most, self.targets[name].capacity)
-
-    def loaded(self, name: str, now: float) -> int:
-        """Return the load of `name` as far as it is known.
-
-        A new owner does not know yet what its predecessor granted: for
-        :data:`REBUILD_SECONDS` the lagging report plus own grants is the
-        floor, until entry routers have told what they hold.
-        """
-        own = self.load[name]
-        if now - self.began < REBUILD_SECONDS:
-            return max(own, self.load_of(name) + self.own[name])
-        return own
+    def loads(self) -> dict[str, int]:
+        """Return the load of each target that may be granted."""
+        return {name: self.counts.load[name] for name in self.targets}
 
     def digest(self, now: float) -> Sibling:
         """Return what siblings should know about this cell."""
-        total = self.in_flight(now)
+        loads = self.loads()
+        most = self._most(loads, now)
         room = sum(
-            max(0, self.room_at(name, now) - self.load[name])
-            for name in self.targets
+            max(0, min(most, self.targets[name].capacity) - load)
+            for name, load in loads.items()
+        )
+        return Sibling(
+            sum(loads.values()), len(loads), room, len(self.queue), now
         )
-        return Sibling(total, len(self.targets), room, len(self.queue), now)
 
     def heard(self, name: str, sibling: Sibling) -> None:
         """Note the digest of sibling cell `name`."""
@@ -229,29 +174,26 @@
 
     def place(self, ask: Ask, now: float) -> str | None:
         """Return the best target with room for `ask`, or None."""
-        total, count = self._population(now)
-        most = bounds.most(self.bound, total + 1, count)
+        loads = self.loads()
+        most = self._most(loads, now)
 
         def room(name: str) -> int:
-            if name in ask.excluded or name not in self.targets:
+            if name in ask.excluded:
                 return 0
-            if ask.suspect and name in self.suspects:
+            if ask.suspect and name in self.counts.suspects:
                 return 0
             return min(most, self.targets[name].capacity)
 
-        def load(name: str) -> int:
-            return self.loaded(name, now)
-
-        if ask.remembered and load(ask.remembered) < room(ask.remembered):
-            return ask.remembered
         order = hashing.order(ask.chat or str(ask.key), self.targets)
-        return bounds.first_with_room(order, load, room)
+        if ask.remembered in self.targets:
+            order.insert(0, ask.remembered)
+        return bounds.first_with_room(order, loads.__getitem__, room)
 
-    def release(self, key: Key, now: float) -> None:
+    def release(self, key: counts.Key, now: float) -> None:
         """End the grant or the waiting of `key` and serve who waits."""
         if self.queue.remove(key) is not None:
             return
-        if self._drop(key):
+        if self.counts.drop(key):
             self._count_release(now)
             self.serve(now)
 
@@ -288,76 +230,36 @@
 
     # -- leases --
 
-    def hold(
-        self,
-        router: str,
-        held: dict[int, tuple[str, bool]],
-        now: float,
-    ) -> None:
-        """Renew the leases of what `router` holds; take up what is new.
-
-        Parameters
-        ----------
-        router : str
-            Entry router.
-        held : dict
-            Serial to target and whether the request is a suspect.
-        now : float
-            On the owner's clock, in seconds.
-        """
-        for serial, (target, suspect) in held.items():
-            key = (router, serial)
-            known = self.held.get(key)
-            if known is not None and known.target == target:
-                known.expires = now + LEASE_SECONDS
-                continue
-            self.queue.remove(key)
-            self._drop(key)
-            self._add(key, Held(target, now + LEASE_SECONDS, suspect))
-
     def forget_others(
         self, router: str, next_serial: int, known: collections.abc.Container
     ) -> None:
-        """End what `router` does not know of any more.
-
-        This heals a lost release. Serials from `next_serial` on are younger
-        than what the router told and stay.
-        """
-        for key in [k for k in self.held if k[0] == router]:
-            if key[1] < next_serial and key[1] not in known:
-                self._drop(key)
+        """End and withdraw what `router` does not know of any more."""
+        self.counts.keep_only(router, next_serial, known)
         for key in [k for k in self.queue.waiters if k[0] == router]:
             if key[1] < next_serial and key[1] not in known:
                 self.queue.remove(key)
 
     def lost_router(self, router: str, now: float) -> None:
-        """Shorten the leases of a router that the mesh gave up.
-
-        The verdict may be about a link only; a router that lives says so
-        within the grace and keeps its grants.
-        """
-        for key, held in self.held.items():
-            if key[0] == router:
-                held.expires = min(held.expires, now + GRACE_SECONDS)
+        """Let go soon of what a router holds that the mesh gave up."""
+        self.counts.shorten(router, now)
         for key in [k for k in self.queue.waiters if k[0] == router]:
             self.queue.remove(key)
 
     def expire(self, now: float) -> list[queues.Waiter]:
         """End leases that ran out; return waiters past their deadline."""
-        for key in [k for k, h in self.held.items() if h.expires <= now]:
-            self._drop(key)
+        self.counts.expire(now)
         return self.queue.expired(now)
 
     # -- inside --
 
-    def _population(self, now: float) -> tuple[int, int]:
-        total = self.in_flight(now)
-        count = len(self.targets)
+    def _most(self, loads: dict[str, int], now: float) -> int:
+        total = sum(loads.values())
+        count = len(loads)
         for sibling in self.siblings.values():
             if now - sibling.heard < SIBLING_SECONDS:
                 total += sibling.in_flight
                 count += sibling.targets
-        return total, count
+        return bounds.most(self.bound, total + 1, count)
 
     def _others_first(self, ask: Ask) -> bool:
         level = self.queue.levels.get(ask.priority)
@@ -395,25 +297,6 @@
         return math.exp(-(now - self.released_at) / RATE_SECONDS)
 
     def _grant(self, ask: Ask, target: str, now: float) -> None:
-        held = Held(target, now + LEASE_SECONDS, ask.suspect, own=True)
-        self._add(ask.key, held)
-
-    def _add(self, key: Key, held: Held) -> None:
-        self.held[key] = held
-        self.load[held.target] += 1
-        self.own[held.target] += held.own
-        if held.suspect:
-            self.suspects[held.target] = key
-
-    def _drop(self, key: Key) -> bool:
-        held = self.held.pop(key, None)
-        if held is None:
-            return False
-        self.load[held.target] -= 1
-        self.own[held.target] -= held.own
-        if not self.load[held.target]:
-            del self.load[held.target]
-            del self.own[held.target]
-        if self.suspects.get(held.target) == key:
-            del self.suspects[held.target]
-        return True
+        expires = now + counts.LEASE_SECONDS
+        held = counts.Held(target, expires, ask.suspect)
+        self.counts.add(ask.key, held)
--- a/amaranthring/routers/admission.py
+++ b/amaranthring/routers/admission.py
@@ -17,6 +17,7 @@
 from amaranthring.core import metrics as counters
 from amaranthring.policy import admission
 from amaranthring.policy import cells
+from amaranthring.policy import counts
 from amaranthring.routers import admission_messages as messages
 
 log = logbook.Logger(__name__)
@@ -84,8 +85,8 @@
         """Answer `Granted`, `Queued` or `NotOwner`, or raise the refusal."""
         scope = _scope(ask.cell)
         owner = self._other_owner(ask.cell, scope)
-        if owner and not ask.forced:
-            return messages.NotOwner(ask.cell, owner)
+        if owner and (self.closing or not ask.forced):
+            return messages.NotOwner(ask.cell, self.name, owner)
         cell = self._cell(ask.cell)
         wanted = admission.Ask(
             (ask.router, ask.serial),
@@ -123,15 +124,18 @@
         """Renew leases, take up grants, and heal what was lost."""
         scope = _scope(message.cell)
         owner = self._other_owner(message.cell, scope)
-        if owner and not message.forced:
-            answer = messages.NotOwner(message.cell, owner)
+        if owner and (self.closing or not message.forced):
+            answer = messages.NotOwner(message.cell, self.name, owner)
             self._send(message.router, answer)
             return
+        empty = not message.held and not message.waiting
+        if empty and message.cell not in self.cells:
+            return
         cell = self._cell(message.cell)
         now = self.clock()
         held = _held(message)
         waiting = {message.next_serial - back for back in message.waiting}
-        cell.hold(message.router, held, now)
+        cell.counts.renew(message.router, held, now)
         if not message.partial:
             known = waiting | set(held)
             cell.forget_others(message.router, message.next_serial, known)
@@ -144,7 +148,7 @@
         # that it waits in went with its owner.
         for serial in waiting:
             key = (router, serial)
-            held = cell.held.get(key)
+            held = cell.counts.held.get(key)
             if held is not None:
                 answer = messages.Granted(cell.name, serial, held.target)
                 self._send(router, answer)
@@ -231,7 +235,7 @@
                 self._refresh(cell)
             cell.serve(now)
             self._tell(cell)
-            if cell.held or len(cell.queue):
+            if cell.counts.held or len(cell.queue):
                 self.used[name] = now
             elif now - self.used.get(name, now) > IDLE_SECONDS:
                 del self.cells[name]
@@ -275,10 +279,10 @@
     def _bequeath(self, cell: admission.Cell, heir: str) -> None:
         by_router: dict[str, dict[str, list[int]]] = {}
         newest: dict[str, int] = {}
-        for router, serial in cell.held:
+        for router, serial in cell.counts.held:
             newest[router] = max(newest.get(router, 0), serial + 1)
         suspects: dict[str, list[int]] = {}
-        for (router, serial), held in cell.held.items():
+        for (router, serial), held in cell.counts.held.items():
             back = newest[router] - serial
             targets = by_router.setdefault(router, {})
             targets.setdefault(held.target, []).append(back)
@@ -303,7 +307,7 @@
                 raise errors.QueueFullError(
                     "too many cells", retry_after=IDLE_SECONDS
                 )
-            cell = admission.Cell(name, self.clock(), self._reported)
+            cell = admission.Cell(name, self.clock())
             self.cells[name] = cell
             self.used[name] = self.clock()
             self._refresh(cell)
@@ -322,10 +326,6 @@
             if scope.holds(target) and target.name not in drained
         ]
 
-    def _reported(self, target: str) -> int:
-        report = self.table.report(target)
-        return 0 if report is None else report.running + report.waiting
-
     def _policy(self, ask: messages.Admit) -> admission.Policy:
         preset = self.config().preset
         return admission.Policy(
@@ -381,7 +381,7 @@
             self._drop(waiter.key, cell.full())
         cell.evicted.clear()
 
-    def _drop(self, key: admission.Key, error) -> None:
+    def _drop(self, key: counts.Key, error) -> None:
         self._send(key[0], messages.Dropped(key[1], error.to_record()))
 
     def _send(self, router: str, message) -> None:
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -64,9 +64,10 @@
 
 @wire.message("not-owner")
 class NotOwner:
-    """The asked router sees `owner` as the live owner of `cell`."""
+    """Router `asked` sees `owner` as the live owner of `cell`."""
 
     cell: str
+    asked: str
     owner: str
 
 
--- a/amaranthring/routers/holdings.py
+++ b/amaranthring/routers/holdings.py
@@ -1,6 +1,6 @@
 """Grants that an entry router holds, and how owners come to know of them.
 
-Every two seconds, and at once when the list of routers changes, a router
+Every second, and at once when the list of routers changes, a router
 tells each owner everything that it holds in the owner's cell. One message
 so renews leases, heals lost releases and answers, and gives a new owner the
 counts of its predecessor.
@@ -14,7 +14,7 @@
 from amaranthring.routers import admission_messages as messages
 from amaranthring.routers import owner_calls
 
-RENEW_SECONDS = 2.0
+RENEW_SECONDS = 1.0
 
 
 @dataclasses.dataclass
@@ -60,6 +60,9 @@
         self.calls = calls
         self.next_serial = next_serial
         self.by_serial: dict[int, Holding] = {}
+        # The deputy of a silent owner grants as well as the owner only if it
+        # knows what runs; it is told at the first sign.
+        calls.on_silent = self.renew_cell
         self.running: collections.Counter[str] = collections.Counter()
 
     def add_handlers(self, handlers) -> None:
@@ -109,9 +112,13 @@
         for serial, waiting in self.calls.waiting.items():
             if waiting.cell == cell and waiting.owner == owner:
                 told.waiting.append(told.next_serial - serial)
-        if self.calls.mesh.send(owner, told):
-            for holding in here.values():
-                holding.owner = owner
+        if not self.calls.mesh.send(owner, told):
+            return
+        earlier = {holding.owner for holding in here.values()}
+        for holding in here.values():
+            holding.owner = owner
+        for other in earlier - {owner, ""}:
+            self._leave(cell, other)
 
     def on_granted(self, link, message: messages.Granted) -> None:
         """Wake the request that waited; give back what nobody waits for."""
@@ -133,11 +140,20 @@
             self.calls.answer(waiting, message)
 
     def on_not_owner(self, _link, message: messages.NotOwner) -> None:
-        """Tell this router's holdings to whom the asked one points."""
+        """Tell what is held to whom the asked router points."""
+        asked = self.calls.order(message.cell)[:1]
         pointed = bool(self.calls.pointed_at(message.cell))
-        self.calls.point(message.cell, message.owner)
+        followed = self.calls.follow(message.asked, message)
         # Two routers may point at each other; then the second must take it.
-        self.renew_cell(message.cell, forced=pointed)
+        forced = pointed or asked == [followed]
+        self.renew_cell(message.cell, forced)
+
+    def _leave(self, cell: str, owner: str) -> None:
+        # Two owners that both count a grant grant too little for a while,
+        # and unevenly; an owner that can be reached forgets it at once.
+        nothing = messages.Holdings(cell, self.name, self.next_serial(), {})
+        nothing.forced = True
+        self.calls.mesh.send(owner, nothing)
 
     def _note(self, told, serial: int, holding: Holding) -> None:
         back = told.next_serial - serial
--- a/amaranthring/routers/owner_calls.py
+++ b/amaranthring/routers/owner_calls.py
@@ -73,6 +73,7 @@
         self.silent: dict[str, float] = {}
         self.orders: dict[str, list[str]] = {}
         self.pointed: dict[str, tuple[str, float]] = {}
+        self.on_silent: collections.abc.Callable[[str], None] = _nothing
         table.subscribe(self.target_changed)
 
     # -- whom to ask --
@@ -163,6 +164,7 @@
             except errors.LinkError:
                 self.metrics.count("placing.owner-silent")
                 self.silent[owner] = self.clock() + SILENT_SECONDS
+                self.on_silent(ask.cell)
                 # It may have granted and only its answer is lost.
                 self.release(owner, ask.cell, ask.serial, records.End.NOT_SENT)
         return "", None
@@ -197,13 +199,23 @@
     async def _follow(self, owner: str, ask: messages.Admit):
         answer = await self._call(owner, ask)
         if isinstance(answer, messages.NotOwner):
-            owner = answer.owner
             # Whom it points at may point back: that one has to decide.
             ask.forced = True
+            owner = self.follow(owner, answer)
             answer = await self._call(owner, ask)
-            self.point(ask.cell, owner)
         return owner, answer
 
+    def follow(self, asked: str, answer: messages.NotOwner) -> str:
+        """Return whom to tell or ask next, after `asked` pointed on.
+
+        A router that this one knows to be gone or leaving is not followed:
+        `asked` has not heard of that yet and has to decide itself.
+        """
+        if answer.owner not in self.mesh.live():
+            return asked
+        self.point(answer.cell, answer.owner)
+        return answer.owner
+
     async def _call(self, owner: str, ask: messages.Admit):
         future = asyncio.get_running_loop().create_future()
         # Noted before the call: holdings sent meanwhile must not make the
@@ -219,3 +231,7 @@
         finally:
             if not isinstance(answer, messages.Queued):
                 del self.waiting[ask.serial]
+
+
+def _nothing(_cell: str) -> None:
+    """Do nothing: no grants are held."""
--- a/amaranthring/testing/assembled.py
+++ b/amaranthring/testing/assembled.py
@@ -153,7 +153,7 @@
     def counted(self):
         """Return requests in flight as all owners count them."""
         return sum(
-            len(cell.held)
+            len(cell.counts.held)
             for router in self.live()
             for cell in router.owners.cells.values()
         )
