--- /dev/null
+++ b/amaranthring/callers/server.py
@@ -0,0 +1,161 @@
+"""HTTP towards callers: routes, and a server with bounded headers."""
+
+import asyncio
+import json
+import typing as t
+
+import tornado.httpserver
+import tornado.httputil
+import tornado.netutil
+import tornado.web
+
+from amaranthring import errors
+from amaranthring.callers import conventions
+from amaranthring.callers import handlers
+from amaranthring.callers import way
+from amaranthring.settings import models as settings_models
+
+Routes = list[tuple[str, type, dict[str, t.Any]]]
+
+
+class _Watched(tornado.httputil.HTTPMessageDelegate):
+    """Passes a request on, and watches that its headers come in time."""
+
+    def __init__(self, delegate, connection, seconds: float):
+        self.delegate = delegate
+        self.connection = connection
+        self.seconds = seconds
+        self.begun = False
+        self._arm()
+
+    def _arm(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(self.seconds, self._look)
+
+    def _look(self) -> None:
+        stream = self.connection.stream
+        if stream is None or stream.closed():
+            return
+        # tornado tells of no first byte; what it buffered while waiting for
+        # the end of the headers is the only sign that they were begun.
+        waiting = stream._read_buffer_size > 0
+        if waiting and self.begun:
+            stream.write(_late_answer(self.seconds))
+            stream.close()
+            return
+        self.begun = waiting
+        self._arm()
+
+    def headers_received(self, start_line, headers):
+        """End the watch."""
+        self.timer.cancel()
+        return self.delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk):
+        """Pass on."""
+        return self.delegate.data_received(chunk)
+
+    def finish(self):
+        """Pass on."""
+        return self.delegate.finish()
+
+    def on_connection_close(self):
+        """Pass on."""
+        self.timer.cancel()
+        return self.delegate.on_connection_close()
+
+
+def _late_answer(seconds: float) -> bytes:
+    error = errors.HeadersLateError(
+        "the headers came too slowly",
+        given=f"no end after {seconds:g} s",
+        expected="whole headers",
+    )
+    record = conventions.error_record(error, error.outcome, "")
+    body = json.dumps(record)
+    head = (
+        f"HTTP/1.1 {error.status} Request Timeout\r\n"
+        "Content-Type: application/json\r\nConnection: close\r\n"
+        f"{conventions.OUTCOME_HEADER}: {error.outcome}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return (head + body).encode()
+
+
+class Server(tornado.httpserver.HTTPServer):
+    """An HTTP server whose headers must come in time.
+
+    tornado has one timeout for an idle connection and for slow headers. A
+    connection may idle for a minute between requests, so a caller that
+    sends a byte now and then would hold it as long. Here headers that were
+    begun and not ended within ``header_seconds`` to twice that are refused.
+    """
+
+    header_seconds = 5.0
+
+    def start_request(self, server_conn, request_conn):
+        """Watch the headers of the request."""
+        delegate = super().start_request(server_conn, request_conn)
+        return _Watched(delegate, request_conn, self.header_seconds)
+
+
+def make_app(
+    needs: way.Needs,
+    settings: settings_models.CallersSection,
+    others: Routes | None = None,
+) -> tornado.web.Application:
+    """Return the HTTP application towards callers.
+
+    Parameters
+    ----------
+    others : list
+        Further routes on the same listener, such as the health check.
+    """
+    given = {
+        "needs": needs,
+        "settings": settings,
+        "accounts": conventions.Accounts(),
+    }
+    service = r"/services/([A-Za-z0-9._-]{1,64})/?(.*)"
+    routes = [
+        *(others or []),
+        (r"/v1/chat/completions", handlers.ChatHandler, given),
+        (r"/v1/models", handlers.ModelsHandler, given),
+        (service, handlers.ServiceHandler, given),
+    ]
+    return tornado.web.Application(
+        routes,
+        default_handler_class=handlers.UnknownHandler,
+        default_handler_args=given,
+        log_function=lambda _: None,
+    )
+
+
+def listen(
+    app: tornado.web.Application,
+    address: str,
+    settings: settings_models.CallersSection,
+    ssl_options=None,
+) -> tuple[Server, int]:
+    """Serve `app` at ``host:port`` within the bounds of ``[callers]``.
+
+    Returns
+    -------
+    Server, int
+        The server and the port that it listens on.
+    """
+    host, _, port = address.rpartition(":")
+    sockets = tornado.netutil.bind_sockets(int(port), host.strip("[]"))
+    # The handlers check the bounds themselves, with typed answers. Above
+    # twice the bound of the headers, tornado closes with no answer.
+    server = Server(
+        app,
+        ssl_options=ssl_options,
+        idle_connection_timeout=settings.idle_seconds,
+        max_header_size=2 * settings.header_bytes_most,
+        max_body_size=settings.body_bytes_most + handlers.LINGER_BYTES_MOST,
+        max_buffer_size=4 * settings.header_bytes_most + 128 * 1024,
+    )
+    server.header_seconds = settings.header_seconds
+    server.add_sockets(sockets)
+    return server, sockets[0].getsockname()[1]
--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -10,6 +10,7 @@
 from amaranthring.core import records
 from amaranthring.policy import bounds
 from amaranthring.policy import counts
+from amaranthring.policy import outages
 from amaranthring.policy import queues
 
 SIBLING_SECONDS = 3.0
@@ -105,6 +106,7 @@
         self.counts = counts.Counts()
         self.siblings: dict[str, Sibling] = {}
         self.queue = queues.FairQueue()
+        self.outages = outages.Outages()
         self.bound = 1.25
         self.released = 0.0
         self.released_at = now
@@ -117,7 +119,12 @@
         self, targets: collections.abc.Iterable[records.Target]
     ) -> None:
         """Take `targets` as those that may be granted from now on."""
+        before = self.targets
         self.targets = {target.name: target for target in targets}
+        for name, old in before.items():
+            new = self.targets.get(name)
+            if new is None or new.incarnation != old.incarnation:
+                self.outages.forget(name)
 
     def loads(self) -> dict[str, int]:
         """Return the load of each target that may be granted."""
@@ -182,17 +189,26 @@
                 return 0
             if ask.suspect and name in self.counts.suspects:
                 return 0
-            return min(most, self.targets[name].capacity)
+            capacity = min(most, self.targets[name].capacity)
+            return self.outages.room(name, now, capacity)
 
         order = hashing.order(ask.chat or str(ask.key), self.targets)
         if ask.remembered in self.targets:
             order.insert(0, ask.remembered)
         return bounds.first_with_room(order, loads.__getitem__, room)
 
-    def release(self, key: counts.Key, now: float) -> None:
+    def release(
+        self,
+        key: counts.Key,
+        now: float,
+        end: records.End = records.End.DONE,
+    ) -> None:
         """End the grant or the waiting of `key` and serve who waits."""
         if self.queue.remove(key) is not None:
             return
+        held = self.counts.held.get(key)
+        if held is not None:
+            self._judge(held.target, key[0], now, end)
         if self.counts.drop(key):
             self._count_release(now)
             self.serve(now)
@@ -252,6 +268,12 @@
 
     # -- inside --
 
+    def _judge(self, target, router, now, end: records.End) -> None:
+        if end is records.End.DONE:
+            self.outages.succeeded(target, router)
+        if end in (records.End.UNREACHABLE, records.End.TARGET_LOST):
+            self.outages.failed(target, router, self.targets, now)
+
     def _most(self, loads: dict[str, int], now: float) -> int:
         total = sum(loads.values())
         count = len(loads)
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -91,7 +91,7 @@
     cell: str
     router: str
     serial: int
-    end: str
+    end: records.End
 
 
 @wire.message("holdings")
--- a/amaranthring/routers/owner_calls.py
+++ b/amaranthring/routers/owner_calls.py
@@ -186,7 +186,7 @@
         self, owner: str, cell: str, serial: int, end: records.End
     ) -> None:
         """Give back a grant or withdraw a waiting request."""
-        message = messages.Release(cell, self.name, serial, str(end))
+        message = messages.Release(cell, self.name, serial, end)
         if not self.mesh.send(owner, message):
             # The next holdings message leaves it out, which ends it.
             self.metrics.count("placing.release-unsent")
