Leave unreachable targets out of the mean

Cause: a target that cannot be reached was part of the mean with no load, so that of two engines the one that lived stood at its bound at once; requests waited up to 3 s beside free room.

Ruled out: lifting the bound while a target is closed; the others may then be uneven among themselves.

Change: the mean is over targets that are well. A request placed past one that waits for a certain target gets its answer in the reply.

--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -177,6 +177,7 @@
         if others:
             # Those in front may wait for a certain target only.
             self.serve(now)
+            return self._taken(ask.key)
         return None
 
     def place(self, ask: Ask, now: float) -> str | None:
@@ -275,14 +276,26 @@
             self.outages.failed(target, router, self.targets, now)
 
     def _most(self, loads: dict[str, int], now: float) -> int:
-        total = sum(loads.values())
-        count = len(loads)
+        # A target that cannot be reached carries no share of the load; were
+        # it part of the mean, the others would stand at the bound, and
+        # requests would wait beside free targets.
+        well = [name for name in loads if name not in self.outages.by_target]
+        well = well or list(loads)
+        total = sum(loads[name] for name in well)
+        count = len(well)
         for sibling in self.siblings.values():
             if now - sibling.heard < SIBLING_SECONDS:
                 total += sibling.in_flight
                 count += sibling.targets
         return bounds.most(self.bound, total + 1, count)
 
+    def _taken(self, key: counts.Key) -> Placed | None:
+        for placed in self.placed:
+            if placed.key == key:
+                self.placed.remove(placed)
+                return placed
+        return None
+
     def _others_first(self, ask: Ask) -> bool:
         level = self.queue.levels.get(ask.priority)
         return level is not None and level.length > 0
