Serve requests behind one that waits for a certain target

Cause: a suspect that waits for a target without a suspect held up every later request of its account, beside free room.

Ruled out: a queue of their own for suspects; they would lose their turn.

Change: a few waiters of each account are offered in turn. A cell without any room is not searched at all.

--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -133,11 +133,8 @@
     def digest(self, now: float) -> Sibling:
         """Return what siblings should know about this cell."""
         loads = self.loads()
-        most = self._most(loads, now)
-        room = sum(
-            max(0, min(most, self.targets[name].capacity) - load)
-            for name, load in loads.items()
-        )
+        rooms = self._rooms(loads, now)
+        room = sum(max(0, rooms[name] - loads[name]) for name in loads)
         return Sibling(
             sum(loads.values()), len(loads), room, len(self.queue), now
         )
@@ -183,21 +180,26 @@
     def place(self, ask: Ask, now: float) -> str | None:
         """Return the best target with room for `ask`, or None."""
         loads = self.loads()
-        most = self._most(loads, now)
+        rooms = self._rooms(loads, now)
 
         def room(name: str) -> int:
             if name in ask.excluded:
                 return 0
             if ask.suspect and name in self.counts.suspects:
                 return 0
-            capacity = min(most, self.targets[name].capacity)
-            return self.outages.room(name, now, capacity)
+            return rooms[name]
 
         order = hashing.order(ask.chat or str(ask.key), self.targets)
         if ask.remembered in self.targets:
             order.insert(0, ask.remembered)
         return bounds.first_with_room(order, loads.__getitem__, room)
 
+    def has_room(self, now: float) -> bool:
+        """Return whether any target may run one request more."""
+        loads = self.loads()
+        rooms = self._rooms(loads, now)
+        return any(loads[name] < room for name, room in rooms.items())
+
     def release(
         self,
         key: counts.Key,
@@ -216,7 +218,7 @@
 
     def serve(self, now: float) -> None:
         """Grant waiting requests for which there is room, into `placed`."""
-        while len(self.queue):
+        while len(self.queue) and self.has_room(now):
             found = self.queue.pop(lambda w: self.place(w.ask, now))
             if found is None:
                 break
@@ -275,6 +277,13 @@
         if end in (records.End.UNREACHABLE, records.End.TARGET_LOST):
             self.outages.failed(target, router, self.targets, now)
 
+    def _rooms(self, loads: dict[str, int], now: float) -> dict[str, int]:
+        most = self._most(loads, now)
+        return {
+            name: self.outages.room(name, now, min(most, target.capacity))
+            for name, target in self.targets.items()
+        }
+
     def _most(self, loads: dict[str, int], now: float) -> int:
         # A target that cannot be reached carries no share of the load; were
         # it part of the mean, the others would stand at the bound, and
--- a/amaranthring/policy/queues.py
+++ b/amaranthring/policy/queues.py
@@ -11,6 +11,7 @@
 import collections
 import collections.abc
 import dataclasses
+import itertools
 
 SHARE_OF_LATER = 0.05
 SCAN_MOST = 16
@@ -66,10 +67,18 @@
         queue.append(waiter)
         self.length += 1
 
-    def in_turn(self) -> list[Waiter]:
-        """Return the first waiter of each account, next in turn first."""
-        heads = [queue[0] for queue in self.accounts.values()]
-        return sorted(heads, key=lambda head: (head.start, head.since))
+    def in_turn(self) -> collections.abc.Iterator[Waiter]:
+        """Yield who may be served, next in turn first.
+
+        One that waits for a certain target must not hold up those behind
+        it, so a few of each account are offered.
+        """
+        queues = sorted(
+            self.accounts.values(),
+            key=lambda queue: (queue[0].start, queue[0].since),
+        )
+        for queue in queues:
+            yield from itertools.islice(queue, SCAN_MOST)
 
     def take(self, waiter: Waiter, served: bool) -> None:
         """Take `waiter` out; `served` moves virtual time on."""
@@ -151,7 +160,7 @@
         """
         for priority in self._turns():
             level = self.levels[priority]
-            for waiter in level.in_turn()[:SCAN_MOST]:
+            for waiter in level.in_turn():
                 target = place(waiter)
                 if target is None:
                     continue
