--- a/amaranthring/keepers/client.py
+++ b/amaranthring/keepers/client.py
@@ -46,11 +46,13 @@
         self.group = group
         self.leader = ""
         handlers = handlers or links.Handlers()
+
+        def make_dialler(address: str) -> links.Dialler:
+            return links.Dialler(address, identity, keys, handlers, on_link)
+
+        self.make_dialler = make_dialler
         self.diallers = {
-            keeper.name: links.Dialler(
-                keeper.address, identity, keys, handlers, on_link
-            )
-            for keeper in keepers
+            keeper.name: make_dialler(keeper.address) for keeper in keepers
         }
 
     def start(self) -> None:
@@ -121,7 +123,7 @@
             try:
                 reply = await self.diallers[name].call(make(seconds), seconds)
             except NOT_ACCEPTED as error:
-                self._learn(name, error)
+                await self._learn(name, error)
             except FATE_UNKNOWN as error:
                 if error.outcome != errors.Outcome.NOT_RUN:
                     unknown = error
@@ -153,10 +155,25 @@
         linked = [name for name in fresh if self.diallers[name].link]
         return random.choice(linked or fresh)
 
-    def _learn(self, name: str, error: errors.AmaranthringError) -> None:
+    async def _learn(self, name: str, error) -> None:
         hinted = error.expected if error.expected != name else ""
+        if hinted and hinted not in self.diallers:
+            await self._find_members(name)
         self.leader = hinted if hinted in self.diallers else ""
 
+    async def _find_members(self, name: str) -> None:
+        # A keeper that operators added after this process started is not
+        # in its settings, and may be the leader.
+        try:
+            status = await self.status(name)
+        except errors.AmaranthringError:
+            return
+        for member in status.members:
+            if member.name not in self.diallers:
+                dialler = self.make_dialler(member.address)
+                self.diallers[member.name] = dialler
+                dialler.start()
+
     def _forget(self, name: str) -> None:
         if self.leader == name:
             self.leader = ""
--- a/amaranthring/keepers/disk.py
+++ b/amaranthring/keepers/disk.py
@@ -157,12 +157,17 @@
     def __init__(self, folder, group: str, keeper: str, files: Files):
         self.folder = pathlib.Path(folder)
         self.files = files
+        self.lock = -1
         try:
             self.folder.mkdir(parents=True, exist_ok=True)
             self._lock()
             self.hard = self._load(group, keeper)
         except OSError as error:
+            self.close()
             raise storage_error(self.folder, error) from error
+        except errors.StorageError:
+            self.close()
+            raise
 
     def _lock(self) -> None:
         # Two processes on one folder would overwrite each other's votes;
@@ -173,7 +178,6 @@
         try:
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError as error:
-            os.close(self.lock)
             raise errors.StorageError(
                 f"{self.folder}: in use by another process",
                 given="a locked folder",
@@ -208,7 +212,9 @@
 
     def close(self) -> None:
         """Unlock the folder."""
-        os.close(self.lock)
+        if self.lock >= 0:
+            os.close(self.lock)
+            self.lock = -1
 
 
 def storage_error(where, error: OSError) -> errors.StorageError:
--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -15,6 +15,7 @@
 from amaranthring.core import logs
 from amaranthring.keepers import membership
 from amaranthring.keepers import messages
+from amaranthring.keepers import roles
 
 log = logbook.Logger(__name__)
 
@@ -31,8 +32,9 @@
         if group.leading:
             # Without this a leader behind a cut would go on taking
             # proposals that nobody can ever commit.
-            if now > quorum_heard(group) + options.election_seconds:
-                group.step_down("lost its quorum")
+            heard = max(quorum_heard(group), group.led_at)
+            if now > heard + options.election_seconds:
+                roles.step_down(group, "lost its quorum")
         elif now >= group.campaign_at and may_campaign(group):
             await _campaign(group)
 
@@ -52,7 +54,7 @@
 
 def quorum_heard(group) -> float:
     """Return when the last message left that a quorum has answered."""
-    times = [group.acked_at(member) for member in group.members.voters]
+    times = [acked_at(group, member) for member in group.members.voters]
     times.sort(reverse=True)
     needed = membership.quorum(group.members)
     return times[needed - 1] if times else 0.0
@@ -70,6 +72,20 @@
     return quorum_heard(group) + share
 
 
+def acked_at(group, member: messages.Member) -> float:
+    """Return when the last message left that `member` has answered."""
+    if member.disk == group.disk_id:
+        return group.clocks.monotonic()
+    peer = group.peers.get(member.name)
+    return peer.acked_at if peer and peer.disk == member.disk else 0.0
+
+
+def is_live(group, member: messages.Member) -> bool:
+    """Return whether `member` answered within two election times."""
+    since = group.clocks.monotonic() - acked_at(group, member)
+    return since < 2 * group.options.election_seconds
+
+
 async def _campaign(group) -> None:
     short = group.options.election_seconds * RETRY_SHARE
     wait = short * group.random.uniform(0.3, 1)
@@ -80,7 +96,7 @@
         return
     if group.leading or _hears_leader(group):
         return
-    group.set_term(group.term + 1, group.disk_id)
+    roles.set_term(group, group.term + 1, group.disk_id)
     term = group.term
     delay_campaign(group)
     try:
@@ -89,7 +105,7 @@
         return
     won = await _ballot(group, term, pre=False)
     if won and group.term == term and not group.leading:
-        group.lead()
+        roles.lead(group)
 
 
 async def _ballot(group, term: int, pre: bool) -> bool:
@@ -132,7 +148,7 @@
     except errors.AmaranthringError:
         return False
     if reply.term > group.term:
-        group.set_term(reply.term)
+        roles.set_term(group, reply.term)
     return reply.granted and reply.disk == voter.disk
 
 
@@ -165,11 +181,11 @@
         granted = message.term > group.term
         return messages.Voted(group.term, granted, group.disk_id)
     if message.term > group.term:
-        group.set_term(message.term)
+        roles.set_term(group, message.term)
     taken = group.vote not in ("", message.disk)
     if message.term < group.term or taken:
         return messages.Voted(group.term, False, group.disk_id)
-    group.set_term(message.term, message.disk)
+    roles.set_term(group, message.term, message.disk)
     delay_campaign(group)
     logs.event(
         log,
--- a/amaranthring/keepers/genesis.py
+++ b/amaranthring/keepers/genesis.py
@@ -30,7 +30,7 @@
         known = [reply.members for reply in replies.values() if reply.members]
         listed = [m for m in known if membership.is_voter(m, group.disk_id)]
         if listed:
-            await group.save_genesis(listed[0])
+            await _save(group, listed[0])
             return
         if not known and _may_begin(group, replies):
             await _begin(group, replies)
@@ -54,10 +54,18 @@
         )
         for peer in [keeper, *group.configured]
     ]
-    await group.save_genesis(messages.Members(voters, []))
+    await _save(group, messages.Members(voters, []))
     logs.event(log, "keeper.genesis", group=group.name, voters=len(voters))
 
 
+async def _save(group, members: messages.Members) -> None:
+    group.store.save_hard(genesis=members)
+    await group.writer.flush()
+    if not group.members.voters:
+        group.store.member_history = [(0, members)]
+        group.members_changed()
+
+
 async def _greet_all(group) -> dict[str, messages.Greeted]:
     names = [peer.name for peer in group.configured]
     answers = await asyncio.gather(*(_greet(group, name) for name in names))
--- a/amaranthring/keepers/membership.py
+++ b/amaranthring/keepers/membership.py
@@ -16,6 +16,7 @@
 
 from amaranthring import errors
 from amaranthring.core import logs
+from amaranthring.keepers import election
 from amaranthring.keepers import messages
 
 log = logbook.Logger(__name__)
@@ -102,7 +103,7 @@
     # The lost disk goes before the new one votes. Both at once would let
     # two majorities exist that share no disk.
     smaller = without(group.members, voter.disk)
-    live = sum(group.is_live(member) for member in smaller.voters)
+    live = sum(election.is_live(group, member) for member in smaller.voters)
     return smaller if live >= quorum(smaller) else None
 
 
@@ -111,7 +112,7 @@
     if peer is None or peer.disk != member.disk:
         return False
     lag = group.log.last_index - peer.match_index
-    return group.is_live(member) and lag <= CAUGHT_UP_ENTRIES
+    return election.is_live(group, member) and lag <= CAUGHT_UP_ENTRIES
 
 
 def safe_losses(group) -> int:
@@ -120,15 +121,30 @@
     Learners do not count: right after a repair, while the new disk is still
     catching up, one more loss may end the quorum.
     """
-    live = sum(group.is_live(member) for member in group.members.voters)
+    live = sum(
+        election.is_live(group, member) for member in group.members.voters
+    )
     return max(NO_QUORUM, live - quorum(group.members))
 
 
+def may_change(group) -> bool:
+    """Return whether the next change of members may be proposed.
+
+    The one before must be committed, and an entry of this leader's own
+    term: two leaders with one uncommitted change each could otherwise
+    decide with majorities that share no disk.
+    """
+    if not group.has_lease():
+        return False
+    last_change = group.store.member_history[-1][0]
+    return group.commit_index >= max(last_change, group.led_from)
+
+
 async def repair(group) -> None:
     """While leading, bring replaced disks back as voters, step by step."""
     while True:
         await asyncio.sleep(REPAIR_SECONDS)
-        if not group.may_change_members():
+        if not may_change(group):
             continue
         members = next_step(group)
         if members is None:
@@ -157,7 +173,7 @@
         If the change makes no sense for the present members.
     """
     await group.read_barrier(message.timeout)
-    if not group.may_change_members():
+    if not may_change(group):
         raise errors.RefusedError(
             "another change of members is not committed", retry_after=1.0
         )
@@ -203,7 +219,9 @@
     voters = [m for m in members.voters if m.name == message.name]
     if voters:
         smaller = without(members, voters[0].disk)
-        live = sum(group.is_live(member) for member in smaller.voters)
+        live = sum(
+            election.is_live(group, member) for member in smaller.voters
+        )
         if live < quorum(smaller):
             raise errors.BadRequestError(
                 "the rest would have no quorum",
--- a/amaranthring/keepers/messages.py
+++ b/amaranthring/keepers/messages.py
@@ -176,11 +176,12 @@
     """What the answering keeper knows of one member.
 
     `lag` counts entries behind the log's end and `silent_seconds` the time
-    since its last reply; both are known to the leader only.
+    since its last reply under this leader; only the leader knows them.
     """
 
     name: str
     disk: str
+    address: str
     data_centre: str
     voter: bool
     live: bool
--- /dev/null
+++ b/amaranthring/keepers/options.py
@@ -0,0 +1,67 @@
+"""What a group is made with: its machine, clocks, timing; and its roles."""
+
+import dataclasses
+import enum
+import time
+import typing as t
+
+
+class Machine(t.Protocol):
+    """Deterministic state that the log drives."""
+
+    def apply(self, index: int, stamp: float, command: t.Any) -> t.Any:
+        """Apply one command and return its result message or None."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by one that `snapshot` returned."""
+
+
+def _monotonic() -> float:
+    # Unlike CLOCK_MONOTONIC it goes on while the VM is suspended, so a
+    # lease runs out then too.
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@dataclasses.dataclass
+class Clocks:
+    """Sources of time, in seconds; seams for tests."""
+
+    wall: t.Callable[[], float] = time.time
+    monotonic: t.Callable[[], float] = _monotonic
+
+
+@dataclasses.dataclass
+class Options:
+    """Timing and bounds of a group.
+
+    Attributes
+    ----------
+    heartbeat_seconds : float
+        Longest silence of a leader.
+    election_seconds : float
+        Silence after which another leader may be elected.
+    snapshot_entries : int
+        Entries after which a snapshot is taken.
+    """
+
+    heartbeat_seconds: float = 0.1
+    election_seconds: float = 0.6
+    snapshot_entries: int = 5000
+
+    @property
+    def silent_seconds(self) -> float:
+        """Return how long a peer may be silent before its link is cut."""
+        return 3 * self.election_seconds
+
+
+class Role(enum.StrEnum):
+    """What a keeper is in a group."""
+
+    LEADER = "leader"
+    CANDIDATE = "candidate"
+    FOLLOWER = "follower"
+    LEARNER = "learner"
+    EMPTY = "empty"
--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -11,10 +11,11 @@
 from amaranthring import errors
 from amaranthring.core import links
 from amaranthring.core import logs
-from amaranthring.keepers import election
+from amaranthring.keepers import applying
 from amaranthring.keepers import log as logfile
 from amaranthring.keepers import membership
 from amaranthring.keepers import messages
+from amaranthring.keepers import roles
 from amaranthring.keepers import snapshots
 
 log = logbook.Logger(__name__)
@@ -170,7 +171,7 @@
     now = group.clocks.monotonic()
     peer.replied_at = now
     if reply.term > group.term:
-        group.set_term(reply.term)
+        roles.set_term(group, reply.term)
     if epoch != peer.epoch or message.term != group.term:
         return
     peer.in_flight -= 1
@@ -231,7 +232,7 @@
 def match_of(group, member: messages.Member) -> int:
     """Return the highest entry known to be synced on `member`'s disk."""
     if member.disk == group.disk_id:
-        return group.durable_index
+        return group.store.durable_index
     peer = group.peers.get(member.name)
     return peer.match_index if peer and peer.disk == member.disk else 0
 
@@ -242,7 +243,7 @@
         raise group.fault
     if message.to_disk != group.disk_id or message.term < group.term:
         return _appended(group, False)
-    group.follow(message.term, message.disk)
+    roles.follow(group, message.term, message.disk)
     held = group.log.term_at(message.prev_index)
     if held != message.prev_term and message.prev_index > group.commit_index:
         return _appended(group, False, hint=_conflict(group, message))
@@ -250,11 +251,11 @@
     last = message.prev_index + len(entries)
     _merge(group, message.prev_index, entries)
     group.commit(min(message.commit, last))
-    if entries or group.hard_dirty:
+    if entries or group.store.saved_term < group.term:
         await group.writer.flush()
-    match = min(last, group.durable_index)
+    match = min(last, group.store.durable_index)
     if group.term != message.term:
-        return _appended(group, False, hint=group.durable_index + 1)
+        return _appended(group, False, hint=group.store.durable_index + 1)
     return _appended(group, True, match=match)
 
 
@@ -299,17 +300,23 @@
 
 async def _send_snapshot(group, peer: Peer) -> None:
     """Send the newest snapshot file in pieces, one at a time."""
-    if group.snapshot_index == 0:
+    if group.store.snapshot_index == 0:
         return
     epoch = peer.epoch
     loop = asyncio.get_running_loop()
-    reader = snapshots.Reader(group.folder, group.snapshot_index)
+    try:
+        reader = snapshots.Reader(
+            group.store.folder, group.store.snapshot_index
+        )
+    except FileNotFoundError:
+        # A newer one has just taken its place; its index follows at once.
+        return
     logs.event(log, "keeper.snapshot-sent", peer=peer.name, index=reader.index)
     offset = 0
     try:
         while offset < reader.total and group.leading:
             data = await loop.run_in_executor(
-                group.snapshot_thread, reader.read, offset
+                group.store.snapshot_thread, reader.read, offset
             )
             offset = await _send_chunk(group, peer, reader, offset, data)
             if offset is None or epoch != peer.epoch:
@@ -339,7 +346,7 @@
         return None
     peer.replied_at = group.clocks.monotonic()
     if reply.term > group.term:
-        group.set_term(reply.term)
+        roles.set_term(group, reply.term)
     if reply.disk != peer.disk:
         _disk_changed(group, peer, reply.disk)
         return None
@@ -356,40 +363,24 @@
     no = messages.Chunked(group.term, False, group.disk_id)
     if message.to_disk != group.disk_id or message.term < group.term:
         return no
-    group.follow(message.term, message.disk)
+    roles.follow(group, message.term, message.disk)
     done = messages.Chunked(group.term, True, group.disk_id, message.total)
     if message.index <= group.commit_index:
         return done
-    loop = asyncio.get_running_loop()
-    incoming = group.incoming
-    if message.offset == 0:
-        if incoming is not None:
-            incoming.close()
-        incoming = group.incoming = snapshots.Incoming(
-            group.folder, message.index, group.files
-        )
-    if incoming is None or (incoming.index, incoming.offset) != (
-        message.index,
-        message.offset,
-    ):
-        return no
     try:
-        await loop.run_in_executor(
-            group.snapshot_thread, incoming.write, message.data
+        offset = await asyncio.get_running_loop().run_in_executor(
+            group.store.snapshot_thread,
+            group.receiver.take,
+            message.index,
+            message.offset,
+            message.data,
         )
-        if incoming.offset >= message.total:
-            group.incoming = None
-            await group.install(incoming)
+        if offset == message.total:
+            await applying.install(group)
     except (OSError, errors.StorageError) as error:
-        group.fail(error)
+        roles.fail(group, error)
         raise group.fault from error
-    if group.term != message.term:
+    if offset is None or group.term != message.term:
         return no
-    done.offset = incoming.offset
+    done.offset = offset
     return done
-
-
-def keep_election_off(group) -> None:
-    """Note that a leader was heard just now."""
-    group.heard_at = group.clocks.monotonic()
-    election.delay_campaign(group)
--- /dev/null
+++ b/amaranthring/keepers/roles.py
@@ -0,0 +1,113 @@
+"""How a keeper enters terms, leads, follows, steps down and fails."""
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import logs
+from amaranthring.core import wire
+from amaranthring.keepers import disk
+from amaranthring.keepers import election
+from amaranthring.keepers import membership
+from amaranthring.keepers import store
+
+log = logbook.Logger(__name__)
+
+
+def set_term(group, term: int, vote: str = "") -> None:
+    """Enter `term`, with a vote for disk `vote` if one is given.
+
+    The change waits for the disk in the writer's queue; whoever answers a
+    message on its strength flushes the writer first.
+    """
+    if term < group.term or (term == group.term and not vote):
+        return
+    if term > group.term:
+        step_down(group, "saw a higher term")
+        group.leader_disk = ""
+    group.term = term
+    group.vote = vote
+    group.store.save_hard(term=term, vote=vote)
+
+
+def lead(group) -> None:
+    """Become the leader of the present term."""
+    now = group.clocks.monotonic()
+    group.leading = True
+    group.leader_disk = group.disk_id
+    group.led_at = now
+    for peer in group.peers.values():
+        peer.reset(group.log.last_index + 1, now)
+        peer.disk = peer.disk or membership.disk_of(group.members, peer.name)
+    logs.event(
+        log,
+        "keeper.leads",
+        group=group.name,
+        keeper=group.keeper.name,
+        term=group.term,
+    )
+    group.metrics.count("keeper.elected")
+    # Entries of earlier terms commit only with one of this term, and reads
+    # must wait for it.
+    entry = group.new_entry(
+        store.MEMBERS_TAG,
+        wire.encode_value(group.members),
+        group.log.last_stamp,
+    )
+    group.led_from = entry.index
+
+
+def follow(group, term: int, leader_disk: str) -> None:
+    """Take the sender of a valid message of `term` as the leader."""
+    set_term(group, term)
+    if group.leader_disk != leader_disk:
+        group.leader_disk = leader_disk
+        logs.event(
+            log,
+            "keeper.follows",
+            group=group.name,
+            keeper=group.keeper.name,
+            leader=group.leader(),
+            term=term,
+        )
+    group.heard_at = group.clocks.monotonic()
+    election.delay_campaign(group)
+
+
+def step_down(group, reason: str) -> None:
+    """Stop leading; proposals in flight wait on for their fate."""
+    if not group.leading:
+        return
+    group.leading = False
+    group.leader_disk = ""
+    logs.event(
+        log,
+        "keeper.steps-down",
+        group=group.name,
+        keeper=group.keeper.name,
+        term=group.term,
+        reason=reason.replace(" ", "-"),
+    )
+    election.delay_campaign(group)
+    group.lease_changed.set()
+    group.applied_changed.set()
+    if group.announced:
+        group.announced = False
+        for callback in group.on_follower:
+            callback()
+
+
+def fail(group, error: Exception) -> None:
+    """Stop taking part: the disk can no longer be trusted to keep."""
+    if group.fault is not None:
+        return
+    if isinstance(error, OSError):
+        error = disk.storage_error(group.store.folder, error)
+    group.fault = error
+    log.error("keeper.fault group={} fault={}", group.name, error)
+    group.metrics.count("keeper.faults")
+    step_down(group, "fault")
+    for _, future in group.waiting.values():
+        if not future.done():
+            future.set_exception(
+                errors.CommitUnknownError(str(error), retry_after=1.0)
+            )
--- a/amaranthring/keepers/server.py
+++ b/amaranthring/keepers/server.py
@@ -3,8 +3,6 @@
 import pathlib
 import time
 
-import tornado.netutil
-
 from amaranthring import errors
 from amaranthring import settings as settings_module
 from amaranthring.core import links
@@ -12,6 +10,7 @@
 from amaranthring.keepers import consensus
 from amaranthring.keepers import disk
 from amaranthring.keepers import dispatch
+from amaranthring.keepers import options
 
 FOLDER = "keepers"
 
@@ -23,7 +22,7 @@
     ----------
     settings : settings.Settings
         Of this process.
-    machine : consensus.Machine
+    machine : options.Machine
         Machine of the group of the settings.
     clocks, files : optional
         Seams for tests.
@@ -46,8 +45,8 @@
     def __init__(
         self,
         settings: settings_module.Settings,
-        machine: consensus.Machine,
-        clocks: consensus.Clocks | None = None,
+        machine: options.Machine,
+        clocks: options.Clocks | None = None,
         files: disk.Files | None = None,
         metrics: metrics_module.Metrics | None = None,
     ):
@@ -90,7 +89,7 @@
             self.identity,
             self.keys,
             self.handlers,
-            consensus.Options(
+            options.Options(
                 keeper.heartbeat_seconds,
                 keeper.election_seconds,
                 keeper.snapshot_entries,
@@ -102,11 +101,8 @@
         self.groups[name] = group
         return group
 
-    def start(self) -> None:
-        """Listen on the fleet's address and start every group."""
-        host, port = self.settings.listen.fleet.rsplit(":", 1)
-        sockets = tornado.netutil.bind_sockets(int(port), host)
-        self.port = sockets[0].getsockname()[1]
+    def start(self, sockets: list) -> None:
+        """Serve the listening `sockets` and start every group."""
         self.server.add_sockets(sockets)
         for group in self.groups.values():
             group.start()
--- a/amaranthring/keepers/snapshots.py
+++ b/amaranthring/keepers/snapshots.py
@@ -109,22 +109,36 @@
         os.close(self.fd)
 
 
-class Incoming:
-    """A snapshot file that is being received, in order."""
+class Receiver:
+    """A snapshot file that is being received, in order.
 
-    def __init__(self, folder: pathlib.Path, index: int, files: disk.Files):
+    Used in the snapshot thread only: a piece whose sender gave up may still
+    be on its way to the disk when the next sender begins anew.
+    """
+
+    def __init__(self, folder: pathlib.Path, files: disk.Files):
         self.folder = folder
-        self.index = index
         self.files = files
-        self.offset = 0
         self.path = folder / INCOMING_FILE
-        flags = os.O_CREAT | os.O_TRUNC | os.O_WRONLY
-        self.fd = os.open(self.path, flags, 0o600)
+        self.index = 0
+        self.offset = 0
+        self.fd = -1
+
+    def take(self, index: int, offset: int, data: bytes) -> int | None:
+        """Write one piece of the snapshot at `index`.
 
-    def write(self, data: bytes) -> None:
-        """Add the next piece."""
+        Returns
+        -------
+        int or None
+            The next offset wanted, or None if this piece is not the next.
+        """
+        if offset == 0:
+            self._begin(index)
+        if self.fd < 0 or (self.index, self.offset) != (index, offset):
+            return None
         disk.write_all(self.fd, data, self.files)
         self.offset += len(data)
+        return self.offset
 
     def finish(self) -> Snapshot:
         """Check the whole file, put it in its place and return it.
@@ -143,6 +157,13 @@
         remove_older(self.folder, path)
         return snapshot
 
+    def _begin(self, index: int) -> None:
+        self.close()
+        flags = os.O_CREAT | os.O_TRUNC | os.O_WRONLY
+        self.fd = os.open(self.path, flags, 0o600)
+        self.index = index
+        self.offset = 0
+
     def close(self) -> None:
         """Close the file."""
         if self.fd >= 0:
--- a/amaranthring/testing/keeper.py
+++ b/amaranthring/testing/keeper.py
@@ -15,13 +15,14 @@
 import time
 import typing as t
 
+from amaranthring import app
 from amaranthring import errors
 from amaranthring import settings
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.core import wire
-from amaranthring.keepers import consensus
 from amaranthring.keepers import disk
+from amaranthring.keepers import options
 from amaranthring.keepers import server
 
 
@@ -51,6 +52,11 @@
     key: str = ""
 
 
+@wire.message("test-dump-query")
+class DumpHere:
+    """Reads everything that this keeper has applied, leader or not."""
+
+
 @wire.message("test-value")
 class Value:
     """What a register holds, and the entry that wrote or read it."""
@@ -110,7 +116,12 @@
             return Dump(machine.registers, machine.seen)
         return Value(machine.registers.get(message.key, ""))
 
+    def dump(link, message):
+        del link, message
+        return Dump(machine.registers, machine.seen)
+
     handlers.add(Get, get)
+    handlers.add(DumpHere, dump)
 
 
 def _controlled(control: pathlib.Path):
@@ -125,7 +136,7 @@
             raise OSError(errno.ENOSPC, "No space left on device")
         return os.write(fd, data)
 
-    return consensus.Clocks(wall=wall), disk.Files(write=write)
+    return options.Clocks(wall=wall), disk.Files(write=write)
 
 
 async def run(path: str, control: pathlib.Path) -> None:
@@ -136,9 +147,10 @@
     add_reads(keeper.handlers, keeper.group, machine)
     ended = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, ended.set)
-    keeper.start()
+    sockets = app.bind(keeper.settings.listen.fleet)
+    keeper.start(sockets)
     temporary = control / "port.tmp"
-    temporary.write_text(str(keeper.port))
+    temporary.write_text(str(sockets[0].getsockname()[1]))
     temporary.replace(control / "port")
     await ended.wait()
     await keeper.stop()
--- a/amaranthring/testing/processes.py
+++ b/amaranthring/testing/processes.py
@@ -182,6 +182,17 @@
         self.keepers[name].start()
         await self.listening(name)
 
+    async def join(self, name: str) -> str:
+        """Start keeper `name`, not yet a member; return its address."""
+        self.keepers[name] = KeeperProcess(name, self.folder / name)
+        for other in self.names:
+            relay = self.between[name, other] = cuts.Cut()
+            relay.target = self.between["client", other].target
+            await relay.start()
+        self.write_settings(name, [*self.names, name])
+        await self.restart(name)
+        return f"127.0.0.1:{self.keepers[name].port()}"
+
     def new_client(self) -> client.KeeperClient:
         """Return a started client of the group."""
         peers = [
--- /dev/null
+++ b/tests/test_keeper_dispatch.py
@@ -0,0 +1,295 @@
+"""Messages that a keeper must refuse, and that must change nothing."""
+
+import asyncio
+import tempfile
+import unittest
+
+import tornado.testing
+
+from amaranthring import errors
+from amaranthring import settings
+from amaranthring.core import links
+from amaranthring.core import wire
+from amaranthring.keepers import consensus
+from amaranthring.keepers import dispatch
+from amaranthring.keepers import log
+from amaranthring.keepers import messages
+from amaranthring.testing import keeper
+from amaranthring.testing import processes
+
+KEYS = processes.KEYS
+
+
+def peer(name, port=1):
+    return settings.PeerAddress(
+        name=name, data_centre="dc", address=f"127.0.0.1:{port}"
+    )
+
+
+class KeeperCase(unittest.IsolatedAsyncioTestCase):
+    """Base: keeper k1 of three, alone, in this process."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.handlers = links.Handlers()
+        self.groups = {}
+        dispatch.register(self.handlers, self.groups)
+        identity = links.Identity("k1", "keeper", "dc")
+        self.server = links.LinkServer(identity, KEYS, self.handlers)
+        sock, self.port = tornado.testing.bind_unused_port()
+        self.server.add_sockets([sock])
+        self.group = consensus.Group(
+            "g",
+            peer("k1"),
+            [peer("k1"), peer("k2"), peer("k3")],
+            folder.name,
+            keeper.RegisterMachine(),
+            identity,
+            KEYS,
+            self.handlers,
+        )
+        self.groups["g"] = self.group
+        self.group.start()
+        self.addAsyncCleanup(self.group.stop)
+        self.addCleanup(self.server.close_all)
+
+    def state(self):
+        group = self.group
+        return group.term, group.vote, group.log.last_index
+
+    async def dial(self, name="k2", role="keeper"):
+        dialler = links.Dialler(
+            f"127.0.0.1:{self.port}",
+            links.Identity(name, role, "dc"),
+            KEYS,
+            links.Handlers(),
+        )
+        dialler.start()
+        self.addCleanup(dialler.stop)
+        await processes.until(lambda: dialler.link, what="link")
+        return dialler
+
+    async def refused(self, kind, message, **dialled):
+        dialler = await self.dial(**dialled)
+        before = self.state()
+        with self.assertRaises(kind) as caught:
+            await dialler.call(message, 5)
+        self.assertEqual(self.state(), before)
+        return caught.exception
+
+    def vote(self, **changes):
+        fields = {
+            "group": "g",
+            "term": 9,
+            "disk": "d2",
+            "to_disk": self.group.disk_id,
+            "last_index": 5,
+            "last_term": 5,
+            "pre": False,
+        }
+        return messages.Vote(**(fields | changes))
+
+    def append(self, **changes):
+        fields = {
+            "group": "g",
+            "term": 9,
+            "disk": "d2",
+            "to_disk": self.group.disk_id,
+            "prev_index": 0,
+            "prev_term": 0,
+            "commit": 0,
+        }
+        return messages.Append(**(fields | changes))
+
+
+class TestRefusals(KeeperCase):
+    """Each gets a typed error."""
+
+    async def test_unknown_group(self):
+        error = await self.refused(
+            errors.NotFoundError, self.vote(group="other")
+        )
+        self.assertEqual(error.given, "other")
+
+    async def test_peer_message_of_a_router_or_unknown_keeper(self):
+        # A router holds the fleet's key too; with it, it must not be able
+        # to depose a leader or write to the log.
+        for dialled in ({"role": "router"}, {"name": "k9"}):
+            for message in (self.vote(), self.append()):
+                await self.refused(errors.ForbiddenError, message, **dialled)
+
+    async def test_entry_that_is_none(self):
+        await self.refused(
+            errors.FrameError, self.append(term=0, entries=[b"\xc1"])
+        )
+
+    async def test_entry_out_of_order(self):
+        entry = log.make(7, 1, 0.0, "test-add", b"\x80").payload
+        await self.refused(
+            errors.FrameError, self.append(term=0, entries=[entry])
+        )
+
+    async def test_members_as_a_plain_command(self):
+        body = wire.encode_message(messages.Members())[1]
+        message = messages.Propose("g", "keeper-members", body, 1.0)
+        await self.refused(errors.ForbiddenError, message)
+
+    async def test_command_of_unknown_tag_or_wrong_fields(self):
+        for tag, body in (("no-such", {}), ("test-set", {"key": 1})):
+            message = messages.Propose("g", tag, body, 1.0)
+            await self.refused(errors.FrameError, message)
+
+    async def test_proposal_without_a_leader_is_not_run(self):
+        body = {"key": "a", "value": "1"}
+        message = messages.Propose("g", "test-set", body, 1.0)
+        error = await self.refused(errors.NotLeaderError, message)
+        self.assertEqual(error.outcome, errors.Outcome.NOT_RUN)
+
+    async def test_vote_or_entries_for_another_disk(self):
+        dialler = await self.dial()
+        before = self.state()
+        voted = await dialler.call(self.vote(to_disk="lost"), 5)
+        self.assertFalse(voted.granted)
+        reply = await dialler.call(self.append(to_disk="lost"), 5)
+        self.assertFalse(reply.ok)
+        self.assertEqual(reply.disk, self.group.disk_id)
+        self.assertEqual(self.state(), before)
+
+
+class TestVotes(KeeperCase):
+    """When a vote is given."""
+
+    async def ready(self):
+        self.group.heard_at = -1e9
+        return await self.dial()
+
+    async def test_one_vote_a_term_and_it_is_on_disk_first(self):
+        dialler = await self.ready()
+        first = await dialler.call(self.vote(), 5)
+        self.assertTrue(first.granted)
+        self.assertEqual(self.group.store.saved_term, 9)
+        other = await dialler.call(self.vote(disk="d3"), 5)
+        self.assertFalse(other.granted)
+        again = await dialler.call(self.vote(), 5)
+        self.assertTrue(again.granted)
+
+    async def test_pre_vote_changes_nothing(self):
+        dialler = await self.ready()
+        before = self.state()
+        reply = await dialler.call(self.vote(pre=True), 5)
+        self.assertTrue(reply.granted)
+        self.assertEqual(self.state(), before)
+
+    async def test_candidate_behind_our_log_is_refused(self):
+        dialler = await self.ready()
+        entry = log.make(1, 3, 0.0, "test-add", b"\x80").payload
+        await dialler.call(self.append(term=3, entries=[entry]), 5)
+        self.group.heard_at = -1e9
+        reply = await dialler.call(self.vote(last_index=9, last_term=2), 5)
+        self.assertFalse(reply.granted)
+
+    async def test_no_vote_while_a_leader_is_heard_or_just_after_start(self):
+        # A leader answers reads under its lease as long as no other can be
+        # elected; a voter that restarts must keep its promise too.
+        dialler = await self.dial()
+        self.assertFalse((await dialler.call(self.vote(), 5)).granted)
+        await self.ready()
+        await dialler.call(self.append(term=3), 5)
+        self.assertFalse((await dialler.call(self.vote(), 5)).granted)
+
+
+class TestAppends(KeeperCase):
+    """How the log follows the leader's."""
+
+    def entry(self, index, term):
+        return log.make(index, term, 0.0, "test-add", b"\x80").payload
+
+    async def test_conflicting_entries_are_replaced(self):
+        dialler = await self.dial()
+        first = [self.entry(i, 1) for i in (1, 2, 3)]
+        await dialler.call(self.append(term=1, entries=first), 5)
+        newer = self.append(
+            term=2, prev_index=1, prev_term=1, entries=[self.entry(2, 2)]
+        )
+        reply = await dialler.call(newer, 5)
+        self.assertEqual((reply.ok, reply.match), (True, 2))
+        self.assertEqual(self.group.log.last_index, 2)
+        self.assertEqual(self.group.store.durable_index, 2)
+
+    async def test_gap_and_old_term_are_refused(self):
+        dialler = await self.dial()
+        gap = self.append(term=4, prev_index=5, prev_term=4)
+        reply = await dialler.call(gap, 5)
+        self.assertEqual((reply.ok, reply.hint), (False, 1))
+        old = self.append(term=3, entries=[self.entry(1, 3)])
+        reply = await dialler.call(old, 5)
+        self.assertEqual((reply.ok, reply.term), (False, 4))
+        self.assertEqual(self.group.log.last_index, 0)
+
+    async def test_repeated_entries_change_nothing(self):
+        dialler = await self.dial()
+        both = [self.entry(1, 1), self.entry(2, 1)]
+        await dialler.call(self.append(term=1, entries=both), 5)
+        late = self.append(term=1, entries=both[:1])
+        reply = await dialler.call(late, 5)
+        self.assertEqual((reply.ok, reply.match), (True, 1))
+        self.assertEqual(self.group.log.last_index, 2)
+
+
+class TestHandshake(KeeperCase):
+    """Hellos that prove nothing."""
+
+    async def test_replayed_hello_is_refused(self):
+        # An attacker has recorded a keeper's whole side of a handshake and
+        # sends it again: the proof is over the old challenge.
+        recorded = bytearray()
+
+        async def relay(reader, writer):
+            there = await asyncio.open_connection("127.0.0.1", self.port)
+
+            async def copy(source, sink, note):
+                while data := await source.read(4096):
+                    if note:
+                        recorded.extend(data)
+                    sink.write(data)
+
+            ways = asyncio.gather(
+                copy(reader, there[1], True), copy(there[0], writer, False)
+            )
+            tasks.append(ways)
+
+        tasks = []
+        server = await asyncio.start_server(relay, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        dialler = links.Dialler(
+            f"127.0.0.1:{port}",
+            links.Identity("k2", "keeper", "dc"),
+            KEYS,
+            links.Handlers(),
+        )
+        dialler.start()
+        await processes.until(lambda: dialler.link, what="link")
+        before = len(self.server.links)
+        dialler.stop()
+        server.close()
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(bytes(recorded))
+        vote = wire.encode(wire.REQUEST, 1, self.vote())
+        writer.write(vote)
+        while await reader.read(4096):
+            pass
+        writer.close()
+        for task in tasks:
+            task.cancel()
+        self.assertLessEqual(len(self.server.links), before)
+        self.assertEqual(self.group.term, 0)
+
+    async def test_other_version_is_refused(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        hello = links.Hello(wire.VERSION + 1, b"n" * links.NONCE_BYTES)
+        writer.write(wire.encode(wire.ONE_WAY, 0, hello))
+        while await reader.read(4096):
+            pass
+        writer.close()
+        self.assertEqual(self.server.links, set())
--- /dev/null
+++ b/tests/test_keeper_store.py
@@ -0,0 +1,283 @@
+"""Files of a keeper: torn tails, damage, identity, snapshots, write errors."""
+
+import asyncio
+import errno
+import os
+import pathlib
+import tempfile
+import unittest
+
+from amaranthring import errors
+from amaranthring.core import wire
+from amaranthring.keepers import disk
+from amaranthring.keepers import log
+from amaranthring.keepers import messages
+from amaranthring.keepers import snapshots
+from amaranthring.keepers import store
+
+MEMBERS = messages.Members([messages.Member("d", "k", "h:1", "dc")])
+
+
+def entries(begin, end, term=1):
+    return [log.make(i, term, 0.0, "x", b"body") for i in range(begin, end)]
+
+
+class FolderCase(unittest.TestCase):
+    """Base: a folder for one keeper's files."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def write(self, count, first=1):
+        segments = log.Segments(self.folder, disk.Files())
+        segments.load()
+        segments.begin(first)
+        made = entries(first, first + count)
+        segments.append([entry.payload for entry in made])
+        segments.sync()
+        segments.close()
+        return segments.segments[-1].path
+
+    def read(self):
+        segments = log.Segments(self.folder, disk.Files())
+        found = segments.load()
+        segments.close()
+        return [entry.index for entry in found]
+
+
+class TestTornTail(FolderCase):
+    """The process or VM ends in the middle of a write.
+
+    What was being written was acknowledged to nobody; the keeper must start
+    with everything before it.
+    """
+
+    def test_every_short_last_record_is_cut(self):
+        path = self.write(3)
+        whole = path.read_bytes()
+        size = len(whole) // 3
+        for cut in range(1, size):
+            path.write_bytes(whole[:-cut])
+            self.assertEqual(self.read(), [1, 2], cut)
+            self.assertEqual(path.stat().st_size, 2 * size)
+
+    def test_unwritten_sectors_are_cut(self):
+        path = self.write(3)
+        whole = path.read_bytes()
+        path.write_bytes(whole + bytes(2000))
+        self.assertEqual(self.read(), [1, 2, 3])
+        big = log.frame(log.make(4, 1, 0.0, "x", b"b" * 2000).payload)
+        path.write_bytes(whole + big[:900] + bytes(len(big) - 900))
+        self.assertEqual(self.read(), [1, 2, 3])
+
+    def test_writing_goes_on_after_the_cut(self):
+        path = self.write(3)
+        path.write_bytes(path.read_bytes()[:-1])
+        segments = log.Segments(self.folder, disk.Files())
+        segments.load()
+        segments.append([entry.payload for entry in entries(3, 5)])
+        segments.sync()
+        segments.close()
+        self.assertEqual(self.read(), [1, 2, 3, 4])
+
+
+class TestDamage(FolderCase):
+    """A disk changes what it was given; nothing is forgotten silently."""
+
+    def test_every_flipped_byte_refuses_to_start(self):
+        path = self.write(3)
+        whole = path.read_bytes()
+        for at in range(len(whole)):
+            data = bytearray(whole)
+            data[at] ^= 16
+            path.write_bytes(data)
+            with self.assertRaises(errors.StorageError, msg=at) as caught:
+                self.read()
+            self.assertIn("empty the folder", str(caught.exception))
+            self.assertEqual(path.read_bytes(), data)
+
+    def test_torn_record_before_the_last_file_refuses(self):
+        path = self.write(3)
+        self.write(2, first=4)
+        self.assertEqual(self.read(), [1, 2, 3, 4, 5])
+        path.write_bytes(path.read_bytes()[:-1])
+        with self.assertRaises(errors.StorageError):
+            self.read()
+
+    def test_missing_file_refuses(self):
+        self.write(3)
+        self.write(2, first=4).unlink()
+        self.write(2, first=6)
+        with self.assertRaises(errors.StorageError):
+            self.read()
+
+
+class TestSegments(FolderCase):
+    """Truncation and compaction over several files."""
+
+    def open(self):
+        self.write(3)
+        self.write(3, first=4)
+        segments = log.Segments(self.folder, disk.Files())
+        segments.load()
+        self.addCleanup(segments.close)
+        return segments
+
+    def test_truncate_goes_back_over_files(self):
+        segments = self.open()
+        segments.truncate(3)
+        made = entries(3, 5, term=2)
+        segments.append([entry.payload for entry in made])
+        segments.sync()
+        self.assertEqual(self.read(), [1, 2, 3, 4])
+
+    def test_compact_removes_whole_files_only(self):
+        segments = self.open()
+        segments.compact(4, 6)
+        self.assertEqual(self.read(), [4, 5, 6])
+        segments.append([entry.payload for entry in entries(7, 8)])
+        segments.sync()
+        self.assertEqual(self.read(), [4, 5, 6, 7])
+
+
+class TestStore(FolderCase):
+    """What a keeper finds in its folder when it starts."""
+
+    def open(self, keeper="k", group="g", files=None):
+        made = store.Store(
+            self.folder,
+            group,
+            keeper,
+            files or disk.Files(),
+            on_durable=lambda: None,
+            on_fault=lambda error: None,
+        )
+        self.addCleanup(made.close)
+        return made
+
+    def run_writer(self, made, work):
+        async def run():
+            task = asyncio.ensure_future(made.writer.run())
+            try:
+                await work()
+                await made.writer.flush()
+            finally:
+                task.cancel()
+
+        asyncio.run(run())
+
+    def test_term_vote_and_entries_survive(self):
+        made = self.open()
+
+        async def work():
+            made.save_hard(term=4, vote="d")
+            made.append(entries(1, 4))
+
+        self.run_writer(made, work)
+        self.assertEqual(made.durable_index, 3)
+        made.close()
+        again = self.open()
+        self.assertEqual((again.hard.term, again.hard.vote), (4, "d"))
+        self.assertEqual(again.log.last_index, 3)
+
+    def test_folder_of_another_keeper_group_or_process_refuses(self):
+        made = self.open()
+        with self.assertRaises(errors.StorageError):
+            self.open()
+        made.close()
+        for names in ({"keeper": "other"}, {"group": "other"}):
+            with self.assertRaises(errors.StorageError) as caught:
+                self.open(**names)
+            self.assertIn("belongs to another", str(caught.exception))
+
+    def test_lost_files_and_damage_refuse(self):
+        self.open().close()
+        hard = self.folder / disk.HARD_FILE
+        saved = hard.read_bytes()
+        (path,) = self.folder.glob("log-*")
+        path.unlink()
+        with self.assertRaises(errors.StorageError):
+            self.open()
+        path.touch()
+        hard.write_bytes(saved[:-1] + b"?")
+        with self.assertRaises(errors.StorageError):
+            self.open()
+        hard.unlink()
+        with self.assertRaises(errors.StorageError):
+            self.open()
+
+    def test_snapshot_that_arrived_before_the_log_was_reset(self):
+        # The process ends between the rename of a received snapshot and
+        # the removal of the older log: the log must not be taken for what
+        # follows the snapshot.
+        made = self.open()
+
+        async def work():
+            made.append(entries(1, 4))
+
+        self.run_writer(made, work)
+        made.close()
+        snapshot = snapshots.Snapshot(9, 2, 5.0, MEMBERS, b"state")
+        snapshots.save(self.folder, snapshot, disk.Files())
+        again = self.open()
+        self.assertEqual(again.log.last_index, 9)
+        self.assertEqual(again.log.last_term, 2)
+        self.assertEqual(again.snapshot.data, b"state")
+        self.assertEqual(again.members, MEMBERS)
+
+    def test_damaged_snapshot_refuses(self):
+        self.open().close()
+        snapshot = snapshots.Snapshot(9, 2, 5.0, MEMBERS, b"state")
+        snapshots.save(self.folder, snapshot, disk.Files())
+        path = snapshots.path_of(self.folder, 9)
+        data = bytearray(path.read_bytes())
+        data[-1] ^= 1
+        path.write_bytes(data)
+        with self.assertRaises(errors.StorageError):
+            self.open()
+
+    def test_truncated_members_come_back(self):
+        made = self.open()
+        tag = wire.tag_of(messages.Members)
+        body = wire.encode_value(MEMBERS)
+
+        async def work():
+            made.append([log.make(1, 1, 0.0, tag, body)])
+            other = wire.encode_value(messages.Members())
+            made.append([log.make(2, 1, 0.0, tag, other)])
+            self.assertEqual(made.members, messages.Members())
+            self.assertTrue(made.truncate(2))
+            self.assertEqual(made.members, MEMBERS)
+
+        self.run_writer(made, work)
+
+    def test_failed_write_acknowledges_nothing_any_more(self):
+        # The disk is full for one write. A later write that succeeds would
+        # leave a hole in the log, and must not be acknowledged either.
+        full = []
+
+        def write(fd, data):
+            if full:
+                full.clear()
+                raise OSError(errno.ENOSPC, "No space left on device")
+            return os.write(fd, data)
+
+        made = self.open(files=disk.Files(write=write))
+
+        async def run():
+            task = asyncio.ensure_future(made.writer.run())
+            made.append(entries(1, 2))
+            await made.writer.flush()
+            full.append(True)
+            made.append(entries(2, 3))
+            with self.assertRaises(errors.StorageError):
+                await made.writer.flush()
+            made.append(entries(3, 4))
+            with self.assertRaises(errors.StorageError):
+                await made.writer.flush()
+            await task
+
+        asyncio.run(run())
+        self.assertEqual(made.durable_index, 1)
--- /dev/null
+++ b/tests/test_linearizable.py
@@ -0,0 +1,53 @@
+"""The check that judges the histories of the failure tests."""
+
+import math
+import unittest
+
+from amaranthring.testing import linearizable
+
+
+def call(began, ended, kind, value, expected=""):
+    return linearizable.Call(began, ended, kind, value, expected)
+
+
+class TestExplainable(unittest.TestCase):
+    """Histories that could and could not have happened."""
+
+    def test_stale_read_is_found(self):
+        calls = [
+            call(0, 1, "write", "a"),
+            call(2, 3, "write", "b"),
+            call(4, 5, "read", "a"),
+        ]
+        self.assertFalse(linearizable.explainable(calls))
+        calls[2].began = 2.5
+        self.assertTrue(linearizable.explainable(calls))
+
+    def test_lost_write_is_found(self):
+        calls = [call(0, 1, "write", "a"), call(2, 3, "read", "")]
+        self.assertFalse(linearizable.explainable(calls))
+
+    def test_write_of_unknown_fate_may_come_late_or_never(self):
+        unknown = call(0, math.inf, "write", "a")
+        for value in ("", "a"):
+            calls = [unknown, call(5, 6, "read", value)]
+            self.assertTrue(linearizable.explainable(calls))
+        flicker = [
+            unknown,
+            call(5, 6, "read", "a"),
+            call(7, 8, "read", ""),
+        ]
+        self.assertFalse(linearizable.explainable(flicker))
+
+    def test_two_swaps_cannot_both_win(self):
+        calls = [
+            call(0, 9, "swap", "a", ""),
+            call(0, 9, "swap", "b", ""),
+        ]
+        self.assertFalse(linearizable.explainable(calls))
+        calls[1].expected = "a"
+        self.assertTrue(linearizable.explainable(calls))
+
+    def test_refused_swap_saw_what_was_held(self):
+        calls = [call(0, 1, "write", "a"), call(2, 3, "held", "b")]
+        self.assertFalse(linearizable.explainable(calls))
