--- a/amaranthring/testing/cuts.py
+++ b/amaranthring/testing/cuts.py
@@ -35,8 +35,10 @@
         return f"127.0.0.1:{self.port}"
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        """Listen on its port, or on a free one if it is 0."""
+        self.server = await asyncio.start_server(
+            self._accept, "127.0.0.1", self.port
+        )
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
--- a/amaranthring/testing/demo.py
+++ b/amaranthring/testing/demo.py
@@ -17,6 +17,7 @@
 import uuid
 
 from amaranthring import errors
+from amaranthring.core import signals
 from amaranthring.testing import load
 from amaranthring.testing import local_fleet
 
@@ -25,6 +26,7 @@
 ENGINES = 5
 REPLICAS = 3
 IN_FORCE_SECONDS = 3.0
+POLL_SECONDS = 0.02
 
 
 @dataclasses.dataclass
@@ -148,9 +150,8 @@
     async def engine_drained(self) -> None:
         """Drain an engine by command; it gets no new work."""
         path = "/operators/targets/engine-4/drain"
-        await self._under_load(
-            "engine drained under load",
-            lambda: self.operate("POST", path, {"reason": "demo"}),
+        await self._changed_under_load(
+            "engine drained under load", path, {"reason": "demo"}
         )
         before = self.started("engine-4")
         await load.together(*[self.callers.chat(1) for _ in range(20)])
@@ -166,21 +167,27 @@
 
     async def preset_switched(self) -> None:
         """Switch the preset under load; it is in force everywhere."""
+        await self._changed_under_load(
+            "preset switched under load",
+            "/operators/switch",
+            {"preset": "peak"},
+        )
+
+    async def _changed_under_load(self, what, path, body) -> None:
         seen: list[float] = []
 
-        def switch():
+        def change():
             began = time.monotonic()
-            body = {"preset": "peak"}
-            revision = self.operate("POST", "/operators/switch", body)
+            revision = self.operate("POST", path, body)
             while time.monotonic() < began + IN_FORCE_SECONDS:
                 if all(self.runs(name, revision) for name in self.routers):
                     seen.append(time.monotonic() - began)
                     return
-                time.sleep(0.02)
+                time.sleep(POLL_SECONDS)
 
-        await self._under_load("preset switched under load", switch)
+        await self._under_load(what, change)
         shown = f"{seen[0] * 1e3:.0f} ms" if seen else "not in time"
-        self.check("in force on all routers", shown, bool(seen))
+        self.check("  in force on all routers", shown, bool(seen))
 
     def runs(self, router: str, revision: int) -> bool:
         """Return whether `router` runs at least `revision`."""
@@ -240,6 +247,25 @@
         return "\n".join(lines)
 
 
+def serve() -> int:
+    """Keep the fleet up until SIGTERM or SIGINT; return the exit code."""
+    demo = Demo()
+    try:
+        demo.start()
+        print("the fleet runs; end it with Ctrl-C", flush=True)
+        asyncio.run(_stopped())
+    except errors.AmaranthringError as error:
+        demo.check("fleet", error, False)
+    finally:
+        demo.finish()
+    print(demo.table())
+    return 0 if all(check.held for check in demo.checks) else 1
+
+
+async def _stopped() -> None:
+    await signals.stop_event().wait()
+
+
 def main() -> int:
     """Run the demo and return its exit code."""
     demo = Demo()
@@ -255,4 +281,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(serve() if "--serve" in sys.argv else main())
