--- a/amaranthring/operators/conventions.py
+++ b/amaranthring/operators/conventions.py
@@ -14,6 +14,7 @@
 from amaranthring.core import fleet
 from amaranthring.core import hashing
 from amaranthring.keepers import commands
+from amaranthring.settings import models
 
 COMMAND_ID_HEADER = "Amaranthring-Command-Id"
 FAULTS_MOST = 50
@@ -125,6 +126,14 @@
     reason: str = pydantic.Field("", max_length=200)
 
 
+class KeeperModel(Model):
+    """Body of a change of the keepers."""
+
+    name: Name
+    data_centre: Name | t.Literal[""] = ""
+    address: models.Address | t.Literal[""] = ""
+
+
 NAME = pydantic.TypeAdapter(Name)
 
 
--- a/amaranthring/operators/handlers.py
+++ b/amaranthring/operators/handlers.py
@@ -46,7 +46,7 @@
     keepers : callable
         Coroutine that returns the status of the group of keepers.
     change_keepers : callable
-        Coroutine of a validated change of the group's members.
+        Coroutine of whether to add, and of a ``conventions.KeeperModel``.
     """
 
     tokens: dict[str, str]
@@ -57,7 +57,7 @@
     targets: t.Callable[[], list[dict]] = list
     explain: t.Callable[[str], t.Awaitable[t.Any]] | None = None
     keepers: t.Callable[[], t.Awaitable[t.Any]] | None = None
-    change_keepers: t.Callable[[t.Any], t.Awaitable[t.Any]] | None = None
+    change_keepers: t.Callable[[bool, t.Any], t.Awaitable[t.Any]] | None = None
 
 
 class Handler(tornado.web.RequestHandler):
@@ -432,6 +432,26 @@
         self.answer(parts.plain(await self.operators.keepers()))
 
 
+class ChangeKeepers(Handler):
+    """``/operators/keepers/add`` and ``/operators/keepers/remove``."""
+
+    async def post(self, action: str) -> None:
+        """Add a keeper as a learner to be voted in, or remove one."""
+        if self.operators.change_keepers is None:
+            raise errors.NotFoundError("no keepers here")
+        made = conventions.model(conventions.KeeperModel, self.body())
+        adds = action == "add"
+        if adds and not (made.address and made.data_centre):
+            raise errors.BadRequestError(
+                "a keeper to add",
+                given=made.name,
+                expected="also data_centre and address",
+            )
+        await self.operators.change_keepers(adds, made)
+        revision = self.operators.revisions.parts.revision
+        self.answer({"revision": revision, "keeper": made.name})
+
+
 class Explain(Handler):
     """``/operators/explain/REQUEST_ID``."""
 
@@ -478,6 +498,7 @@
         (f"{base}/orders/{name}", Order, shared),
         (f"{base}/quarantine/{name}", Quarantined, shared),
         (f"{base}/keepers", Keepers, shared),
+        (f"{base}/keepers/(add|remove)", ChangeKeepers, shared),
         (f"{base}/explain/{name}", Explain, shared),
         (f"{base}/.*", Missing, shared),
     ]
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -16,6 +16,7 @@
 from amaranthring.core import records
 from amaranthring.keepers import client as keeper_client
 from amaranthring.keepers import commands
+from amaranthring.keepers import messages as keeper_messages
 from amaranthring.operators import handlers as operators
 from amaranthring.platform import figures
 from amaranthring.policy import retries
@@ -291,6 +292,7 @@
             targets=self._target_rows,
             explain=self.explaining.explain,
             keepers=self._keepers_status,
+            change_keepers=self._change_keepers,
         )
 
     def _target_rows(self) -> list[dict[str, t.Any]]:
@@ -304,6 +306,16 @@
             rows.append(row)
         return rows
 
+    async def _change_keepers(self, adds: bool, keeper: t.Any) -> None:
+        change = keeper_messages.Change(
+            self.settings.fleet.group,
+            adds,
+            keeper.name,
+            keeper.address,
+            keeper.data_centre,
+        )
+        await self.keepers.change_members(change)
+
     async def _keepers_status(self) -> dict[str, t.Any]:
         names = [keeper.name for keeper in self.settings.keepers()]
         asked = [self.keepers.status(name) for name in names]
--- a/amaranthring/routers/revisions.py
+++ b/amaranthring/routers/revisions.py
@@ -40,6 +40,7 @@
 RELAYS = 2
 
 RELAY_KEY = "revisions "
+KEEPERS = "keepers"
 Query = t.Callable[[t.Any, float], t.Awaitable[t.Any]]
 Callback = t.Callable[[fleet.FleetConfig], None]
 
@@ -104,6 +105,7 @@
         self.heard: dict[str, tuple[int, float]] = {}
         self.reported: dict[str, int] = {}
         self.reported_at = 0.0
+        self.whole_wanted = False
         handlers.add(parts.Delta, self._on_delta)
         handlers.add(commands.ConfigSince, self._on_config_since)
         handlers.add(revision_messages.Number, self._on_number)
@@ -118,7 +120,12 @@
         if loaded is not None:
             self.parts = loaded
             self._take_hold(loaded.config())
-        for run in (self._become_ready, self._watch, self._compare):
+        for run in (
+            self._become_ready,
+            self._watch,
+            self._compare,
+            self._tell_keepers,
+        ):
             self.tasks.append(asyncio.ensure_future(run()))
 
     async def stop(self) -> None:
@@ -149,7 +156,12 @@
         except errors.FrameError as error:
             self.metrics.count("revisions.refused")
             log.warning("revisions.refused source={} fault={}", source, error)
-            self._pull(source, -1)
+            # Asking for the same delta again would fail again; the whole
+            # map does not depend on what is held here.
+            if source == KEEPERS:
+                self.whole_wanted = True
+            else:
+                self._pull(source, -1)
             return False
         if moved:
             self.metrics.count("revisions.applied")
@@ -189,12 +201,13 @@
                 await asyncio.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
 
     async def _follow(self) -> None:
-        ask = commands.ConfigSince(self.parts.revision, WATCH_SECONDS)
+        revision = -1 if self.whole_wanted else self.parts.revision
+        ask = commands.ConfigSince(revision, WATCH_SECONDS)
+        self.whole_wanted = False
         delta = await self.query(ask, WATCH_SECONDS + PULL_SECONDS)
-        if self.take(delta, "keepers"):
+        if self.take(delta, KEEPERS):
             self.mesh.broadcast(delta)
         self._confirm_highest(delta.revision)
-        await self._report()
 
     def _confirm_highest(self, revision: int) -> None:
         if revision < self.parts.revision:
@@ -203,10 +216,20 @@
             return
         self.confirmed_at = time.monotonic()
         if not self.ready and revision > 0:
-            self._set_ready("keepers")
+            self._set_ready(KEEPERS)
+
+    async def _tell_keepers(self) -> None:
+        """As a relay, tell the keepers who here runs which revision."""
+        while True:
+            await asyncio.sleep(COMPARE_SECONDS)
+            if not self.is_relay:
+                continue
+            try:
+                await self._report()
+            except errors.AmaranthringError:
+                self.metrics.count("revisions.report-failed")
 
     async def _report(self) -> None:
-        """Tell the keepers who of this data centre runs which revision."""
         now = time.monotonic()
         self.heard[self.name] = (self.parts.revision, now)
         for name in [n for n, h in self.heard.items() if _old(h, now)]:
@@ -215,8 +238,6 @@
         due = now - self.reported_at >= REPORT_SECONDS
         if routers == self.reported and not due:
             return
-        if now - self.reported_at < COMPARE_SECONDS:
-            return
         ages = {n: round(now - h[1], 1) for n, h in self.heard.items()}
         message = commands.Confirmed(self.data_centre, routers, ages)
         await self.query(message, PULL_SECONDS)
@@ -279,7 +300,7 @@
         self.take(delta, source)
 
     def _pull(self, name: str, revision: int) -> None:
-        if name in self.pulls or name == "keepers":
+        if name in self.pulls or name == KEEPERS:
             return
         task = asyncio.ensure_future(self._pull_from(name, revision))
         self.pulls[name] = task
@@ -325,7 +346,7 @@
             delta = await self.query(ask, PULL_SECONDS)
         except errors.AmaranthringError:
             return
-        self.take(delta, "keepers")
+        self.take(delta, KEEPERS)
         self._confirm_highest(delta.revision)
 
     async def _ask_neighbours(self) -> int:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -30,6 +30,7 @@
                 made,
                 {"r1": "dc1", "r2": "dc1"},
                 lambda: [{"name": "e1", "state": "ready"}],
+                change_keepers=self.change_keepers,
             )
             routes += [
                 (f"/{name}{path}", handler, given)
@@ -37,6 +38,9 @@
             ]
         return tornado.web.Application(routes, log_function=lambda _: None)
 
+    async def change_keepers(self, adds, keeper):
+        self.changed = (adds, keeper.name, keeper.address)
+
     async def propose(self, command, timeout):
         return await self.group.propose(command, timeout)
 
@@ -175,6 +179,16 @@
         config = self.group.machine.book.parts.config()
         self.assertEqual(config.drained, {})
 
+    def test_change_of_keepers_is_validated_and_passed_on(self):
+        path = "/r1/operators/keepers/add"
+        body = {"name": "k4", "data_centre": "dc1", "address": "10.0.0.4:80"}
+        response, _ = self.send("POST", path, body)
+        self.assertEqual(response.code, 200)
+        self.assertEqual(self.changed, (True, "k4", "10.0.0.4:80"))
+        for bad in ({"name": "k4"}, body | {"address": "x"}, {}):
+            response, _ = self.send("POST", path, bad)
+            self.assertEqual(response.code, 400)
+
     def test_views_and_unknown_names(self):
         self.switch("peak", "command-1", "1")
         _, body = self.send("GET", "/r1/operators/history?name=peak")
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -207,6 +207,18 @@
             self.assertEqual(counters["revisions.file-damaged"], 1)
             await made.stop()
 
+    async def test_router_whose_map_differs_asks_for_the_whole(self):
+        # A part of this router's map was altered. No delta fits it any
+        # more; without asking for the whole it would stay behind for ever.
+        made, _ = self.fleet.start("a1")
+        await state.until(lambda: made.ready)
+        made.parts.items["drained/x"] = "never said"
+        made.parts.sum += 1
+        revision = self.fleet.change(1)
+        await state.until(lambda: made.current.revision == revision)
+        self.assertEqual(made.current.drained, {})
+        self.assertEqual(made.metrics.counters["revisions.refused"], 1)
+
     async def test_keepers_that_lost_their_state_pull_nobody_back(self):
         made, _ = self.fleet.start("a1")
         self.fleet.change(1)
