--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -142,7 +142,7 @@
         ("/metrics", figures.FiguresHandler, {"figures": keeper.metrics})
     ]
     internal = listen_internal(settings, routes)
-    keeper.start()
+    keeper.start(bind(settings.listen.fleet))
     logs.event(log, "keeper.started", folder=settings.process.data_folder)
     await stop.wait()
     served.stop()
--- a/amaranthring/cli/fleet_commands.py
+++ b/amaranthring/cli/fleet_commands.py
@@ -191,7 +191,12 @@
 class KeeperCommands(Group):
     """Run a keeper with --settings FILE; see and change the group."""
 
-    @as_text(settings=str)
+    def __init__(self, operator: str = ""):
+        super().__init__(operator)
+        # fire reads how to parse the words of a callable object from the
+        # object itself, not from its method.
+        as_text(settings=str)(self)
+
     def __call__(self, settings: str) -> None:
         """Run a keeper with the file SETTINGS until it is stopped."""
         app = importlib.import_module("amaranthring.app")
--- a/amaranthring/testing/local_fleet.py
+++ b/amaranthring/testing/local_fleet.py
@@ -79,15 +79,16 @@
         self.signal(signal.SIGCONT)
 
     def stop(self, seconds: float = STOP_SECONDS) -> int:
-        """Ask the process to end and return its exit code."""
+        """Ask the process to end and return its exit code.
+
+        One that does not end in time is killed, which its code shows.
+        """
         self.signal(signal.SIGTERM)
         try:
             return self.popen.wait(seconds)
         except subprocess.TimeoutExpired:
             self.kill()
-            raise StartError(
-                f"{self.name} did not end", outcome=None
-            ) from None
+            return self.popen.returncode
 
 
 def free_ports(count: int) -> list[int]:
@@ -300,10 +301,11 @@
         """
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            if condition():
-                return
             if process and process.popen.poll() is not None:
+                # Checked first: another process may answer in its place.
                 raise StartError(f"{what} ended, see {process.log}")
+            if condition():
+                return
             time.sleep(POLL_SECONDS)
         log = f", see {process.log}" if process else ""
         raise StartError(f"{what} not within {seconds} s{log}")
