--- a/amaranthring/testing/keeper.py
+++ b/amaranthring/testing/keeper.py
@@ -3,7 +3,7 @@
 Run as ``python -m amaranthring.testing.keeper SETTINGS CONTROL``. It writes
 the port that it listens on into ``CONTROL/port``. A file ``CONTROL/clock``
 holds seconds by which its wall clock is wrong; while ``CONTROL/full``
-exists, every write fails as on a full disk.
+exists, every write fails as on a full disk, and slowly.
 """
 
 import asyncio
@@ -15,7 +15,8 @@
 import time
 import typing as t
 
-from amaranthring import app
+import tornado.netutil
+
 from amaranthring import errors
 from amaranthring import settings
 from amaranthring.core import links
@@ -25,6 +26,8 @@
 from amaranthring.keepers import options
 from amaranthring.keepers import server
 
+FULL_SECONDS = 0.2
+
 
 @wire.message("test-set")
 class Set:
@@ -74,6 +77,19 @@
     seen: dict[str, int]
 
 
+@wire.message("test-usage-query")
+class UsageQuery:
+    """Asks for what this process has used."""
+
+
+@wire.message("test-usage")
+class Usage:
+    """Processor seconds, and bytes sent over links that are up."""
+
+    processor_seconds: float
+    sent_bytes: int
+
+
 class RegisterMachine:
     """Registers with compare-and-set, and a counter without doubles."""
 
@@ -124,6 +140,19 @@
     handlers.add(DumpHere, dump)
 
 
+def add_usage(keeper: server.Keeper) -> None:
+    """Answer :class:`UsageQuery`."""
+
+    def usage(link, message):
+        del link, message
+        diallers = [peer.dialler for peer in keeper.group.peers.values()]
+        up = [dialler.link for dialler in diallers if dialler.link]
+        sent = sum(one.sent_bytes for one in [*up, *keeper.server.links])
+        return Usage(time.process_time(), sent)
+
+    keeper.handlers.add(UsageQuery, usage)
+
+
 def _controlled(control: pathlib.Path):
     def wall() -> float:
         try:
@@ -133,6 +162,7 @@
 
     def write(fd: int, data: bytes) -> int:
         if (control / "full").exists():
+            time.sleep(FULL_SECONDS)
             raise OSError(errno.ENOSPC, "No space left on device")
         return os.write(fd, data)
 
@@ -145,9 +175,11 @@
     clocks, files = _controlled(control)
     keeper = server.Keeper(settings.read(path), machine, clocks, files)
     add_reads(keeper.handlers, keeper.group, machine)
+    add_usage(keeper)
     ended = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, ended.set)
-    sockets = app.bind(keeper.settings.listen.fleet)
+    host, port = keeper.settings.listen.fleet.rsplit(":", 1)
+    sockets = tornado.netutil.bind_sockets(int(port), host)
     keeper.start(sockets)
     temporary = control / "port.tmp"
     temporary.write_text(str(sockets[0].getsockname()[1]))
--- a/amaranthring/testing/processes.py
+++ b/amaranthring/testing/processes.py
@@ -6,6 +6,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -23,7 +24,12 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 
 
-async def until(condition, seconds: float = 20.0, what: str = "condition"):
+async def until(
+    condition,
+    seconds: float = 20.0,
+    what: str = "condition",
+    pause: float = 0.02,
+):
     """Return the first true value of `condition`, awaited if need be.
 
     Raises
@@ -40,7 +46,15 @@
             return value
         if time.monotonic() > end:
             raise AssertionError(f"{what} did not come in {seconds} s")
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(pause)
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
 
 
 class KeeperProcess:
@@ -121,11 +135,21 @@
         Number of keepers, named k1, k2, ...
     options : dict, optional
         Keys of the ``[keeper]`` section.
+    direct : bool
+        Without relays, for measurements; links cannot be cut then.
     """
 
-    def __init__(self, folder, count: int = 3, options: dict | None = None):
+    def __init__(
+        self,
+        folder,
+        count: int = 3,
+        options: dict | None = None,
+        direct: bool = False,
+    ):
         self.folder = pathlib.Path(folder)
         self.options = options or {}
+        self.direct = direct
+        self.ports: dict[str, int] = {}
         self.names = [f"k{number + 1}" for number in range(count)]
         self.keepers: dict[str, KeeperProcess] = {}
         self.between: dict[tuple[str, str], cuts.Cut] = {}
@@ -139,9 +163,12 @@
         keys.chmod(0o600)
         for name in self.names:
             self.keepers[name] = KeeperProcess(name, self.folder / name)
+        if self.direct:
+            ports = _free_ports(len(self.names))
+            self.ports = dict(zip(self.names, ports, strict=True))
         for name in ["client", *self.names]:
             for other in self.names:
-                if name != other:
+                if name != other and not self.direct:
                     relay = self.between[name, other] = cuts.Cut()
                     await relay.start()
         for name in self.names:
@@ -151,20 +178,26 @@
             await self.listening(name)
         self.client = self.new_client()
 
+    def address(self, name: str, other: str) -> str:
+        """Return where `name` reaches keeper `other`."""
+        if self.direct:
+            return f"127.0.0.1:{self.ports[other]}"
+        if name == other:
+            return "127.0.0.1:1"
+        return self.between[name, other].address
+
     def write_settings(self, name: str, names: list[str] | None = None):
         """Write the settings of keeper `name`."""
         keeper = self.keepers[name]
         lines = []
         for other in names or self.names:
-            address = "127.0.0.1:1"
-            if other != name:
-                address = self.between[name, other].address
+            address = self.address(name, other)
             lines.append(f"    {other} dc-{other} {address}")
         options = "\n".join(f"{k} = {v}" for k, v in self.options.items())
         text = (
             f"[process]\nname = {name}\ndata_centre = dc-{name}\n"
             f"data_folder = {keeper.data}\n"
-            "[listen]\nfleet = 127.0.0.1:0\n"
+            f"[listen]\nfleet = 127.0.0.1:{self.ports.get(name, 0)}\n"
             f"[fleet]\nkeys_file = {self.folder / 'keys'}\n"
             "keepers =\n" + "\n".join(lines) + f"\n[keeper]\n{options}\n"
         )
@@ -199,7 +232,7 @@
             settings.PeerAddress(
                 name=name,
                 data_centre=f"dc-{name}",
-                address=self.between["client", name].address,
+                address=self.address("client", name),
             )
             for name in self.names
         ]
--- /dev/null
+++ b/tests/test_keeper_client.py
@@ -0,0 +1,105 @@
+"""Which calls a router's client of the keepers repeats, and where."""
+
+import asyncio
+import unittest
+
+import tornado.testing
+
+from amaranthring import errors
+from amaranthring import settings
+from amaranthring.core import links
+from amaranthring.keepers import client
+from amaranthring.keepers import messages
+from amaranthring.testing import keeper
+from amaranthring.testing import processes
+
+
+class TestKeeperClient(unittest.IsolatedAsyncioTestCase):
+    """Three keepers that answer what the test says, in turn."""
+
+    async def asyncSetUp(self):
+        self.asked = []
+        peers = []
+        self.answers = {}
+        for name in ("k1", "k2", "k3"):
+            handlers = links.Handlers()
+            handlers.add(messages.Propose, self.answer_of(name))
+            server = links.LinkServer(
+                links.Identity(name, "keeper", "dc"),
+                processes.KEYS,
+                handlers,
+            )
+            sock, port = tornado.testing.bind_unused_port()
+            server.add_sockets([sock])
+            self.addCleanup(server.close_all)
+            address = f"127.0.0.1:{port}"
+            peers.append(
+                settings.PeerAddress(
+                    name=name, data_centre="dc", address=address
+                )
+            )
+        identity = links.Identity("r1", "router", "dc")
+        self.client = client.KeeperClient("g", peers, identity, processes.KEYS)
+        self.client.start()
+        self.addCleanup(self.client.stop)
+        diallers = self.client.diallers.values()
+        await processes.until(lambda: all(d.link for d in diallers))
+        self.client.leader = "k1"
+
+    def answer_of(self, name):
+        async def answer(link, message):
+            self.asked.append(name)
+            made = self.answers[name]
+            if made is None:
+                await asyncio.sleep(30)
+            if made == "close":
+                link.close()
+                return None
+            if isinstance(made, Exception):
+                raise made
+            return made
+
+        return answer
+
+    async def test_follows_the_named_leader(self):
+        refusal = errors.NotLeaderError("x", given="k1", expected="k3")
+        self.answers = {"k1": refusal, "k3": keeper.Value("1")}
+        reply = await self.client.propose(keeper.Set("a", "1"), 5)
+        self.assertEqual(reply.value, "1")
+        self.assertEqual(self.asked, ["k1", "k3"])
+
+    async def test_command_without_an_id_is_sent_once(self):
+        # The answer of a leader that took the command is lost. Sent again,
+        # it would be applied a second time.
+        self.answers = dict.fromkeys(("k2", "k3"), keeper.Value("1"))
+        for lost in ("close", errors.CommitUnknownError("x"), None):
+            self.asked.clear()
+            self.client.leader = "k1"
+            self.answers["k1"] = lost
+            with self.assertRaises(errors.CommitUnknownError):
+                await self.client.propose(keeper.Set("a", "1"), 0.5)
+            self.assertEqual(self.asked, ["k1"])
+            dialler = self.client.diallers["k1"]
+            await processes.until(lambda d=dialler: d.link)
+
+    async def test_command_with_an_id_is_sent_again(self):
+        self.answers = dict.fromkeys(("k2", "k3"), keeper.Value("1"))
+        self.answers["k1"] = "close"
+        reply = await self.client.propose(keeper.Add("c1"), 5)
+        self.assertEqual(reply.value, "1")
+        self.assertEqual(len(self.asked), 2)
+
+    async def test_refusal_by_the_machine_is_an_answer(self):
+        refusal = errors.RevisionConflictError("x", given="1", expected="2")
+        self.answers = {"k1": refusal}
+        with self.assertRaises(errors.RevisionConflictError):
+            await self.client.propose(keeper.Set("a", "1"), 5)
+        self.assertEqual(self.asked, ["k1"])
+
+    async def test_no_leader_in_time_is_not_run(self):
+        refusal = errors.NoQuorumError("x")
+        self.answers = dict.fromkeys(("k1", "k2", "k3"), refusal)
+        with self.assertRaises(errors.NoQuorumError) as caught:
+            await self.client.propose(keeper.Set("a", "1"), 0.5)
+        self.assertEqual(caught.exception.outcome, errors.Outcome.NOT_RUN)
+        self.assertEqual(set(self.asked), {"k1", "k2", "k3"})
