--- a/amaranthring/cli/remote.py
+++ b/amaranthring/cli/remote.py
@@ -65,7 +65,7 @@
             return _decoded(answer)
         raise errors.LinkError(
             "no router answered",
-            given="; ".join(unreachable),
+            given=f"{len(unreachable)} asked, last {unreachable[-1]}",
             expected="a running router in [operator] routers",
         )
 
--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -263,6 +263,13 @@
     status = 409
 
 
+class ReplayedError(RefusedError):
+    """A numbered message of a target came again or late."""
+
+    code = "replayed"
+    status = 409
+
+
 class TableFullError(RefusedError):
     """The table of targets is at its bound."""
 
@@ -299,6 +306,13 @@
     status = 503
 
 
+class CallerTooSlowError(AmaranthringError):
+    """The caller took nothing of its answer in time and was cut off."""
+
+    code = "caller-too-slow"
+    status = 408
+
+
 class ResumeError(AmaranthringError):
     """A resume token is forged, foreign, expired or names a lost stream."""
 
--- a/amaranthring/testing/demo.py
+++ b/amaranthring/testing/demo.py
@@ -17,6 +17,7 @@
 import uuid
 
 from amaranthring import errors
+from amaranthring.core import signals
 from amaranthring.testing import load
 from amaranthring.testing import local_fleet
 
@@ -246,6 +247,25 @@
         return "\n".join(lines)
 
 
+def serve() -> int:
+    """Keep the fleet up until SIGTERM or SIGINT; return the exit code."""
+    demo = Demo()
+    try:
+        demo.start()
+        print("the fleet runs; end it with Ctrl-C", flush=True)
+        asyncio.run(_stopped())
+    except errors.AmaranthringError as error:
+        demo.check("fleet", error, False)
+    finally:
+        demo.finish()
+    print(demo.table())
+    return 0 if all(check.held for check in demo.checks) else 1
+
+
+async def _stopped() -> None:
+    await signals.stop_event().wait()
+
+
 def main() -> int:
     """Run the demo and return its exit code."""
     demo = Demo()
@@ -261,4 +281,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(serve() if "--serve" in sys.argv else main())
