--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -136,6 +136,7 @@
 async def _run_claimed(needs, request, attempt, headers, name):
     """Run a call whose claim this attempt holds."""
     try:
+        _check_awake(request)
         answer = await _send(needs, request, attempt, headers, name)
     except errors.AmaranthringError as error:
         never_ran = not attempt.sent or error.outcome is errors.Outcome.NOT_RUN
@@ -155,6 +156,23 @@
     return answer
 
 
+def _check_awake(request: records.Request) -> None:
+    """Refuse to send a call whose time has passed.
+
+    A router that froze between claim and dispatch wakes with a claim that
+    nobody else can hold, so sending would still be safe. But its caller has
+    given up long ago and may have been told to book elsewhere.
+    """
+    late = time.monotonic() - request.deadline
+    if late >= 0:
+        raise errors.DeadlineError(
+            "the deadline passed before anything was sent",
+            given=f"{late:.1f} s late",
+            expected="a claim in time",
+            retry_after=IN_PROGRESS_SECONDS,
+        )
+
+
 async def _settle(needs, request, name, outcome, stored) -> bool:
     """Commit how a claim ended; return whether that is certain.
 
--- a/amaranthring/targets/chunks.py
+++ b/amaranthring/targets/chunks.py
@@ -81,6 +81,9 @@
         errors.UpstreamError
             If the framing is malformed.
         """
+        if self.ended:
+            # What follows the last chunk are trailers; nobody reads them.
+            return b""
         if self.rest:
             data = self.rest + data
             self.rest = b""
--- a/amaranthring/testing/needs.py
+++ b/amaranthring/testing/needs.py
@@ -32,6 +32,7 @@
         self.claims: dict[tuple[str, str], tuple[str, records.Claim]] = {}
         self.fail: errors.AmaranthringError | None = None
         self.fail_settle: errors.AmaranthringError | None = None
+        self.answer_bytes_most = 16 * 1024
 
     async def claim(self, request, attempt, target) -> records.Claim:
         """Grant once; say what is known to everyone else."""
@@ -42,9 +43,11 @@
         digest, held = self.claims.get(name, ("", None))
         if held and digest != request.body_digest:
             return records.Claim(records.ClaimState.KEY_REUSED, held.attempt)
+        state = records.ClaimState
         if held and held.outcome is not errors.Outcome.NOT_RUN:
+            if held.attempt == attempt and held.outcome is None:
+                return records.Claim(state.GRANTED, attempt, target)
             return held
-        state = records.ClaimState
         kept = records.Claim(state.IN_PROGRESS, attempt, target)
         self.claims[name] = (request.body_digest, kept)
         return records.Claim(state.GRANTED, attempt, target)
@@ -61,6 +64,10 @@
         state = records.ClaimState
         held.state = state.UNKNOWN if unknown else state.SETTLED
         held.outcome = outcome
+        if answer and len(answer.body) > self.answer_bytes_most:
+            answer = records.StoredAnswer(
+                answer.status, answer.content_type, b"", False
+            )
         held.answer = answer
 
     def lose_holder(self, account: str, key: str) -> None:
--- /dev/null
+++ b/tests/test_handlers.py
@@ -0,0 +1,167 @@
+"""Bad input from callers: each gets one typed answer, and nothing is lost."""
+
+import asyncio
+import json
+import unittest
+
+from amaranthring.testing import local
+from amaranthring.testing import needs
+
+BODY_MOST = 20_000
+AUTHORIZED = f"Authorization: Bearer {needs.TOKEN}\r\n"
+
+
+class TestBadInput(unittest.IsolatedAsyncioTestCase):
+    """One router with small bounds before an engine and a replica."""
+
+    async def asyncSetUp(self):
+        self.local = local.Local(
+            body_bytes_most=BODY_MOST,
+            header_bytes_most=4096,
+            header_seconds=0.3,
+            body_seconds=1.0,
+        )
+        self.addAsyncCleanup(self.local.close)
+        self.engine = self.local.add_engine()
+        self.replica = self.local.add_booking()
+        self.router = self.local.add_router()
+
+    def assert_refused(self, answer, status, code):
+        """Check the typed form, and that nothing ran or is still counted."""
+        error = json.loads(answer.body)["error"]
+        self.assertEqual((answer.code, error["code"]), (status, code))
+        self.assertEqual(answer.headers["Amaranthring-Outcome"], "not-run")
+        self.assertEqual(error["outcome"], "not-run")
+        name = answer.headers["Amaranthring-Request-Id"]
+        self.assertEqual(error["request_id"], name)
+        self.assertTrue(error["message"] and error["expected"])
+        self.assertEqual((self.engine.ran, self.replica.received), ([], 0))
+        self.assertEqual(self.router.fakes.needs.drain.running, 0)
+
+    async def raw_answer(self, data, rest=b""):
+        """Send raw bytes and return all that comes until the close."""
+        async with self.router.raw(data) as stream:
+            if rest:
+                await stream.write(rest)
+            return await asyncio.wait_for(stream.read_until_close(), 20)
+
+    async def test_body_that_is_no_chat(self):
+        message = {"role": "user", "content": "x"}
+        bad = [
+            b"",
+            b"{",
+            b"[]",
+            b"\xff\xfe",
+            {"messages": [message]},
+            {"model": "m1"},
+            {"model": "m1", "messages": []},
+            {"model": 7, "messages": [message]},
+            {"model": "m1", "messages": [{"content": "x"}]},
+            {"model": "m1", "messages": [message], "stream": "yes"},
+            local.chat(prompt_cache_key="x" * 300),
+        ]
+        for body in bad:
+            with self.subTest(body):
+                answer = await self.router.chat(body)
+                self.assert_refused(answer, 400, "bad-request")
+
+    async def test_unknown_model_service_path_and_method(self):
+        answer = await self.router.chat(local.chat(model="nix"))
+        self.assert_refused(answer, 404, "not-found")
+        answer = await self.router.post("/services/nix/x", {})
+        self.assert_refused(answer, 404, "not-found")
+        answer = await self.router.post("/v1/nix", {})
+        self.assert_refused(answer, 404, "not-found")
+        answer = await self.router.post("/v1/models", {})
+        self.assert_refused(answer, 405, "method")
+
+    async def test_unknown_account(self):
+        for token in ("wrong", ""):
+            answer = await self.router.post(
+                "/v1/chat/completions", local.chat(), token
+            )
+            self.assert_refused(answer, 401, "unauthenticated")
+
+    async def test_malformed_headers(self):
+        bad = [
+            {"Amaranthring_Class": "nix"},
+            {"Amaranthring_Deadline": "soon"},
+            {"Amaranthring_Deadline": "-1"},
+            {"Amaranthring_Deadline": "nan"},
+        ]
+        for headers in bad:
+            with self.subTest(headers):
+                answer = await self.router.chat(local.chat(), **headers)
+                self.assert_refused(answer, 400, "bad-request")
+        for key in ("two words", "x" * 256):
+            answer = await self.router.post(
+                "/services/booking/x",
+                {},
+                Idempotency_Key=key,
+                Amaranthring_First_Send="1",
+            )
+            self.assert_refused(answer, 400, "bad-request")
+
+    async def test_body_above_the_bound(self):
+        body = local.chat("x" * BODY_MOST)
+        answer = await self.router.chat(body)
+        self.assert_refused(answer, 413, "too-large")
+
+    async def test_chunked_body_above_the_bound(self):
+        head = (
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\n"
+            f"{AUTHORIZED}Transfer-Encoding: chunked\r\n\r\n"
+        ).encode()
+        chunk = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+        answer = await self.raw_answer(head + chunk * 4 + b"0\r\n\r\n")
+        self.assertIn(b" 413 ", answer.split(b"\r\n")[0])
+        self.assertIn(b"too-large", answer)
+
+    async def test_headers_above_the_bound(self):
+        answer = await self.router.chat(local.chat(), X_Long="x" * 5000)
+        self.assert_refused(answer, 431, "headers-too-large")
+
+    async def test_slow_headers_are_refused_while_idle_is_not(self):
+        async with self.router.raw(b"") as idle:
+            answer = await self.raw_answer(b"POST /v1/chat/comple")
+            self.assertIn(b" 408 ", answer.split(b"\r\n")[0])
+            self.assertIn(b"headers-late", answer)
+            await idle.write(local.raw_chat(local.chat()))
+            await idle.read_until(b"data: [DONE]")
+
+    async def test_slow_body_is_refused(self):
+        data = local.raw_chat(local.chat())
+        answer = await self.raw_answer(data[:-10])
+        self.assertIn(b" 408 ", answer.split(b"\r\n")[0])
+        self.assertIn(b"body-late", answer)
+        self.assertEqual(self.engine.ran, [])
+
+    async def test_caller_that_leaves_within_its_body(self):
+        data = local.raw_chat(local.chat())
+        async with self.router.raw(data[:-10]):
+            await local.until(lambda: self.router.fakes.needs.drain.running)
+        await local.until(lambda: not self.router.fakes.needs.drain.running)
+
+    async def test_connection_is_kept_alive_after_a_refusal(self):
+        bad = local.raw_chat(local.chat(model="nix"))
+        async with self.router.raw(bad) as stream:
+            await stream.read_until(b"not-found")
+            await stream.write(local.raw_chat(local.chat()))
+            await stream.read_until(b"data: [DONE]")
+
+    async def test_http_1_0_caller_gets_no_chunks(self):
+        data = local.raw_chat(local.chat()).replace(b"HTTP/1.1", b"HTTP/1.0")
+        answer = await self.raw_answer(data)
+        head, _, body = answer.partition(b"\r\n\r\n")
+        self.assertNotIn(b"chunked", head)
+        self.assertEqual(local.events_of(body)[-1].data, "[DONE]")
+
+    async def test_query_and_method_reach_the_service(self):
+        answer = await self.router.client.fetch(
+            f"http://127.0.0.1:{self.router.port}/services/booking/a/b?c=d",
+            method="DELETE",
+            headers={"Authorization": f"Bearer {needs.TOKEN}"},
+        )
+        self.assertEqual(answer.code, 200)
+        (run,) = self.replica.runs
+        self.assertEqual((run["method"], run["path"]), ("DELETE", "/a/b"))
