--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -46,13 +46,20 @@
     await way.check(needs, request)
     started = time.monotonic()
     claimed = is_claimed(request)
+    asked = []
 
     async def once(attempt: way.Attempt) -> way.Answer:
         if claimed:
+            asked.append(attempt)
             return await _claimed(needs, request, attempt, headers)
         return await _send(needs, request, attempt, headers)
 
-    answer = await way.run(needs, request, once)
+    try:
+        answer = await way.run(needs, request, once)
+    except errors.NoTargetError as error:
+        if not claimed or asked:
+            raise
+        answer = await _consult(needs, request, headers, error)
     seconds = time.monotonic() - started
     needs.metrics.record("whole", seconds, request.account, request.cls)
     needs.metrics.count("way.called")
@@ -107,7 +114,7 @@
     claim = await _claim(needs, request, name, attempt.target.name)
     needs.metrics.count(f"way.claim.{claim.state}")
     if claim.state is not records.ClaimState.GRANTED:
-        return await _earlier(needs, request, attempt, headers, claim)
+        return await _earlier(needs, request, name, headers, claim)
     return await _run_claimed(needs, request, attempt, headers, name)
 
 
@@ -192,7 +199,23 @@
     return False
 
 
-async def _earlier(needs, request, attempt, headers, claim) -> way.Answer:
+async def _consult(needs, request, headers, error) -> way.Answer:
+    """Ask the ledger about a key that has no target to run at.
+
+    A resend gets its stored answer also while every replica is out of
+    reach. And only if the ledger never heard of the key is it certain that
+    nothing ran under it, so that the refusal may say so.
+    """
+    name = f"{request.request_id}.none"
+    claim = await _claim(needs, request, name, "")
+    if claim.state is not records.ClaimState.GRANTED:
+        return await _earlier(needs, request, name, headers, claim)
+    await _settle(needs, request, name, errors.Outcome.NOT_RUN, None)
+    error.claimed = True
+    raise error
+
+
+async def _earlier(needs, request, name, headers, claim) -> way.Answer:
     """Answer a resend from what the ledger knows of its key."""
     state = claim.state
     if state is records.ClaimState.KEY_REUSED:
@@ -210,7 +233,7 @@
         )
     if state is records.ClaimState.SETTLED:
         return _stored(request, claim)
-    return await _ask_again(needs, request, attempt, headers, claim)
+    return await _ask_again(needs, request, name, headers, claim)
 
 
 def _stored(request: records.Request, claim: records.Claim) -> way.Answer:
@@ -227,7 +250,7 @@
     return way.Answer(kept.status, kept.content_type, kept.body)
 
 
-async def _ask_again(needs, request, attempt, headers, claim) -> way.Answer:
+async def _ask_again(needs, request, name, headers, claim) -> way.Answer:
     """Ask the holder's target again if it deduplicates keys itself.
 
     Any other target, or one that restarted under another incarnation and
@@ -236,12 +259,7 @@
     target = needs.target(claim.target) if claim.target else None
     if target is None or not target.honours_keys:
         raise _unknown(request)
-    again = way.Attempt(
-        attempt.number,
-        records.Grant(attempt.grant.grant_id, "", target),
-        repeatable=False,
-    )
-    name = f"{request.request_id}.{attempt.number}"
+    again = way.Attempt(0, records.Grant("", "", target), repeatable=False)
     try:
         answer = await _send(needs, request, again, headers, name)
     except errors.AmaranthringError as error:
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -212,8 +212,17 @@
         Raises
         ------
         errors.UpstreamError
-            As :meth:`read`, or if the body is above `most` bytes.
+            As :meth:`read`, if the body is above `most` bytes, or if its
+            end cannot be told from a connection that broke.
         """
+        if self.body.ends_by_close:
+            # A process that dies closes its connections in good order, so
+            # the first half of an answer would pass for the whole.
+            raise errors.UpstreamError(
+                "an answer of unknown length",
+                given="neither Content-Length nor chunks",
+                expected="one of them",
+            )
         parts = []
         size = 0
         while data := await self.read():
--- a/amaranthring/testing/booking.py
+++ b/amaranthring/testing/booking.py
@@ -4,7 +4,7 @@
 compare what a caller was told with what ran. A body may carry
 ``{"stand_in": {"fault": ..., "seconds": ...}}`` with one of the faults
 ``hang-before``, ``hang-after``, ``crash-before``, ``crash-after``, ``slow``,
-``truncate``, ``status`` and ``large``.
+``truncate``, ``no-length``, ``refuse``, ``status`` and ``large``.
 """
 
 import asyncio
@@ -122,7 +122,9 @@
         if fault == "crash-after":
             return self._crash()
         if fault == "truncate":
-            return self._truncate(answer)
+            return self._truncate(answer, f"Content-Length: {len(answer)}")
+        if fault == "no-length":
+            return self._truncate(answer, "Content-Type: text/plain")
         if fault == "large":
             answer += b" " * asked.get("bytes", 1 << 20)
         if fault == "status":
@@ -158,8 +160,8 @@
             os._exit(1)
         self.detach().close()
 
-    def _truncate(self, answer):
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(answer)}\r\n\r\n"
+    def _truncate(self, answer, header):
+        head = f"HTTP/1.1 200 OK\r\n{header}\r\n\r\n"
         stream = self.detach()
         stream.write(head.encode() + answer[: len(answer) // 2])
         stream.close()
--- a/amaranthring/testing/load.py
+++ b/amaranthring/testing/load.py
@@ -153,6 +153,10 @@
         """Book `slot` under `key`; return the outcome told and the body."""
         parts: list[bytes] = []
         headers = {"Idempotency-Key": key}
+        if key not in self.tally.bookings:
+            # Only the caller knows that nothing can have run under the key
+            # yet; a router without the ledger would have to say "unknown".
+            headers["Amaranthring-First-Send"] = "1"
         outcome: list[str] = []
 
         def header(line: str) -> None:
--- a/tests/test_chats.py
+++ b/tests/test_chats.py
@@ -146,6 +146,7 @@
         """
         self.local.add_engine("e2")
         router = self.local.add_router()
+        router.fakes.preset.between_tokens_seconds = 600.0
         self.engine.planned = {"fault": "hang", "at": 3, "times": 1}
         body = local.chat()
         waiting = asyncio.ensure_future(router.chat(body))
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -97,7 +97,7 @@
     async def test_replica_that_goes_in_the_middle(self):
         """The connection breaks; the booking may or may not be written."""
         for number, fault in enumerate(
-            ("crash-before", "crash-after", "truncate")
+            ("crash-before", "crash-after", "truncate", "no-length")
         ):
             with self.subTest(fault):
                 key = f"k{number}"
@@ -106,7 +106,7 @@
                 self.assert_told(first, 502, UNKNOWN)
                 self.assert_told(again, 409, UNKNOWN)
                 self.assertEqual(code_of(again), "claim-unknown")
-        self.assertEqual(self.runs(), 2)
+        self.assertEqual(self.runs(), 3)
 
     async def test_error_of_the_service_is_its_answer(self):
         for router in (self.one, self.two):
@@ -280,6 +280,19 @@
         self.assert_told(first, 503, NOT_RUN)
         self.assertEqual(self.replica.received, 0)
 
+    async def test_without_a_replica_the_ledger_is_asked(self):
+        """All replicas are cut off; only the ledger knows what ran."""
+        await self.one.book("a", "k")
+        self.two.fakes.targets.clear()
+        self.two.fakes.preset.services["booking"] = fleet.ServicePolicy()
+        self.assert_told(await self.two.book("a", "k"), 200, RAN)
+        self.assert_told(await self.two.book("a", "new"), 503, NOT_RUN)
+        self.ledger.fail = errors.NoQuorumError("no leader")
+        self.assert_told(await self.two.book("a", "other"), 503, UNKNOWN)
+        self.ledger.fail = None
+        self.assert_told(await self.one.book("a", "new"), 200, RAN)
+        self.assertEqual(self.runs(), 2)
+
     async def test_resend_without_quorum_is_not_told_not_run(self):
         """The learner is told "not booked" and books again elsewhere.
 
