--- a/amaranthring/routers/mesh.py
+++ b/amaranthring/routers/mesh.py
@@ -353,6 +353,12 @@
         if dialler is not None:
             dialler.stop()
 
+    def _holds(self, peer: peers_module.Peer, link: links.Link) -> bool:
+        """Return whether a link of our own stays before `link`."""
+        if peer.link is None or not peer.ours:
+            return False
+        return link.peer.incarnation == peer.incarnation
+
     async def _wait_for_link(
         self, peer: peers_module.Peer, timeout: float
     ) -> None:
