--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 RUN = $(VENV)/bin/python
 
-.PHONY: setup check unit test demo format
+.PHONY: setup check unit test demo fleet format
 
 setup: $(VENV)/.ready
 
@@ -27,3 +27,6 @@
 
 demo: setup
 	$(RUN) -m amaranthring.testing.demo
+
+fleet: setup
+	$(RUN) -m amaranthring.testing.demo --serve
