Tell the ledger later what it could not be told at once

Cause: a claim asked for during a partition may be committed after the healing, held by an attempt that has ended; resends would hear unknown for good though nothing ran. The settlement was tried for some seconds only. Ruled out: an expiry by wall clock in the claim, which skewed clocks turn into refusals. Change: a bounded list of settlements is repeated until the ledger has them; the router's claims wait 2.5 s, which rides over an election, in place of 5 s.

--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -124,20 +124,28 @@
     A claim that was granted with its reply lost would bar the key for good,
     though nothing was sent. Asked again, the ledger knows the attempt.
     """
-    lost = (errors.CommitUnknownError, errors.LinkError)
-    for _ in range(CLAIM_TRIES - 1):
+    failed: errors.AmaranthringError | None = None
+    for _ in range(CLAIM_TRIES):
         try:
             return await needs.claim(request, name, target)
-        except lost:
-            if time.monotonic() >= request.deadline:
-                break
-            await asyncio.sleep(SETTLE_PAUSE_SECONDS)
-    try:
-        return await needs.claim(request, name, target)
-    except lost as error:
-        await _settle(needs, request, name, errors.Outcome.NOT_RUN, None)
-        error.retry_after = error.retry_after or IN_PROGRESS_SECONDS
-        raise
+        except (errors.CommitUnknownError, errors.LinkError) as error:
+            failed = error
+        except errors.AmaranthringError:
+            if failed is not None:
+                _release_later(needs, request, name)
+            raise
+        if time.monotonic() >= request.deadline:
+            break
+        await asyncio.sleep(SETTLE_PAUSE_SECONDS)
+    _release_later(needs, request, name)
+    failed.retry_after = failed.retry_after or IN_PROGRESS_SECONDS
+    raise failed
+
+
+def _release_later(needs, request, name) -> None:
+    """See that a claim which may yet be granted bars the key from nobody."""
+    outcome = errors.Outcome.NOT_RUN
+    needs.settlements.add(request, name, outcome)
 
 
 async def _run_claimed(needs, request, attempt, headers, name):
@@ -185,7 +193,7 @@
 
     A claim that cannot be settled stays held, and every resend is told
     ``unknown``: nothing runs twice. The caller of this call still hears
-    what is known here.
+    what is known here, and the ledger is told as soon as it can be.
     """
     for _ in range(SETTLE_TRIES):
         try:
@@ -196,6 +204,7 @@
         except (errors.AmaranthringError, TimeoutError):
             await asyncio.sleep(SETTLE_PAUSE_SECONDS)
     needs.metrics.count("way.unsettled")
+    needs.settlements.add(request, name, outcome, stored)
     return False
 
 
--- a/amaranthring/callers/way.py
+++ b/amaranthring/callers/way.py
@@ -12,6 +12,7 @@
 
 from amaranthring import errors
 from amaranthring.callers import drain as drains
+from amaranthring.callers import settlements as settlements_module
 from amaranthring.core import fleet
 from amaranthring.core import links
 from amaranthring.core import metrics as figures
@@ -43,6 +44,8 @@
         Counters and histograms of this process.
     drain : Drain
         Requests in progress.
+    settlements : Settlements
+        What the ledger could not be told yet.
     """
 
     router: str
@@ -70,6 +73,12 @@
         default_factory=figures.Metrics
     )
     drain: drains.Drain = dataclasses.field(default_factory=drains.Drain)
+    settlements: settlements_module.Settlements = dataclasses.field(init=False)
+
+    def __post_init__(self):
+        self.settlements = settlements_module.Settlements(
+            self.settle, self.metrics
+        )
 
 
 @dataclasses.dataclass
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -35,7 +35,8 @@
 from amaranthring.targets import announce
 from amaranthring.targets import table
 
-CLAIM_SECONDS = 5.0
+# Rides over an election; a longer wait would only keep the caller waiting.
+CLAIM_SECONDS = 2.5
 # A claim is held past the caller's deadline by what settling may take.
 CLAIM_GRACE_SECONDS = 15.0
 QUARANTINE_SECONDS = 24 * 3600.0
@@ -148,6 +149,7 @@
         self.owners = admission.Owners(
             self.name, self.table, self.mesh, self.config, self.metrics
         )
+        self.owners.ready = lambda: not self.readiness.missing()
         self.placer = placing.Placer(
             self.name,
             process.data_centre,
@@ -375,6 +377,7 @@
         self.owners.hand_over()
         self.directory.hand_over()
         await self.drain.wait_idle(bounds.shutdown_seconds)
+        self.needs.settlements.stop()
         await self._stop_parts()
 
     async def _stop_parts(self) -> None:
