Leave admission to the deputy while an owner is starting

Cause: a restarted router is an owner by everybody's list once its links are up; with its table still empty it refused requests as no-target.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -437,6 +437,13 @@
     outcome = Outcome.NOT_RUN
 
 
+class NotReadyError(LinkError):
+    """The peer started lately and does not know enough to decide."""
+
+    code = "not-ready"
+    outcome = Outcome.NOT_RUN
+
+
 class HandshakeError(LinkError):
     """The peer could not prove that it belongs to the fleet."""
 
--- a/amaranthring/routers/admission.py
+++ b/amaranthring/routers/admission.py
@@ -68,6 +68,7 @@
         self.orders: dict[str, str] = {}
         self.known_live: set[str] = set()
         self.closing = False
+        self.ready: collections.abc.Callable[[], bool] = _always
         table.subscribe(self.target_changed)
         mesh.subscribe(self.routers_changed)
 
@@ -83,6 +84,13 @@
 
     def on_admit(self, _link, ask: messages.Admit):
         """Answer `Granted`, `Queued` or `NotOwner`, or raise the refusal."""
+        if not self.ready():
+            # A router that restarted is an owner by everybody's list as soon
+            # as its links are up, with its table of targets still empty. It
+            # would refuse what others can place; so the deputy is asked.
+            raise errors.NotReadyError(
+                f"{self.name} does not know its targets yet", retry_after=1.0
+            )
         scope = _scope(ask.cell)
         owner = self._other_owner(ask.cell, scope)
         if owner and (self.closing or not ask.forced):
@@ -392,6 +400,10 @@
             self.metrics.count("admission.unsent")
 
 
+def _always() -> bool:
+    return True
+
+
 def _scope(name: str) -> cells.Scope:
     try:
         return cells.parse(name)
