--- a/amaranthring/cli/fleet_commands.py
+++ b/amaranthring/cli/fleet_commands.py
@@ -12,6 +12,7 @@
 from amaranthring import settings as settings_module
 from amaranthring.cli import output
 from amaranthring.cli import remote
+from amaranthring.cli import views
 
 OPERATOR_VARIABLE = "AMARANTHRING_OPERATOR"
 DEFAULT_OPERATOR_FILE = "~/.config/amaranthring/operator.ini"
@@ -61,7 +62,7 @@
     def list(self, json: bool = False) -> str:
         """List presets; the one in force is marked."""
         answer = self._fleet().get("/operators/presets")
-        return output.shown(answer, json, _presets)
+        return output.shown(answer, json, views.presets)
 
     @as_text(name=str)
     def show(self, name: str, json: bool = False) -> str:
@@ -101,10 +102,7 @@
     def history(self, json: bool = False) -> str:
         """List accepted changes, newest last."""
         answer = self._fleet().get("/operators/history")
-        columns = ("revision", "operator", "change", "at")
-        return output.shown(
-            answer, json, lambda a: output.table(a["history"], columns)
-        )
+        return output.shown(answer, json, views.history)
 
     @as_text(command_id=str)
     def restore(
@@ -125,19 +123,7 @@
     def list(self, json: bool = False) -> str:
         """List targets with state and load."""
         answer = self._fleet().get("/operators/targets")
-        columns = (
-            "name",
-            "kind",
-            "state",
-            "data_centre",
-            "serves",
-            "running",
-            "waiting",
-            "address",
-        )
-        return output.shown(
-            answer, json, lambda a: output.table(a["targets"], columns)
-        )
+        return output.shown(answer, json, views.targets)
 
     @as_text(name=str)
     def show(self, name: str, json: bool = False) -> str:
@@ -187,6 +173,53 @@
         answer = self._fleet().get(f"/operators/accounts/{_quoted(name)}")
         return output.shown(answer, json, output.pairs)
 
+    @as_text(name=str, file=str, command_id=str)
+    def put(
+        self,
+        name: str,
+        file: str,
+        revision: int | None = None,
+        command_id: str = "",
+    ) -> str:
+        """Create or replace client account NAME from the JSON in FILE.
+
+        Two token hashes may stand in it while a token is changed.
+        """
+        body = _json_file(file)
+        path = f"/operators/accounts/{_quoted(name)}"
+        return self._change("PUT", path, body, command_id, revision)
+
+    @as_text(name=str, command_id=str)
+    def remove(
+        self,
+        name: str,
+        revision: int | None = None,
+        command_id: str = "",
+    ) -> str:
+        """Remove client account NAME; its callers are refused from then."""
+        path = f"/operators/accounts/{_quoted(name)}"
+        return self._change("DELETE", path, None, command_id, revision)
+
+
+class QuarantineCommands(Group):
+    """See and lift the quarantine of requests that crashed targets."""
+
+    def list(self, json: bool = False) -> str:
+        """List quarantined requests by fingerprint."""
+        answer = self._fleet().get("/operators/quarantine")
+        return output.shown(answer, json, output.pairs)
+
+    @as_text(fingerprint=str, command_id=str)
+    def lift(
+        self,
+        fingerprint: str,
+        revision: int | None = None,
+        command_id: str = "",
+    ) -> str:
+        """Let the request with FINGERPRINT run again."""
+        path = f"/operators/quarantine/{_quoted(fingerprint)}"
+        return self._change("DELETE", path, None, command_id, revision)
+
 
 class KeeperCommands(Group):
     """Run a keeper with --settings FILE; see and change the group."""
@@ -205,7 +238,7 @@
     def status(self, json: bool = False) -> str:
         """Show leader, members and how many more losses are safe."""
         answer = self._fleet().get("/operators/keepers")
-        return output.shown(answer, json, output.pairs)
+        return output.shown(answer, json, views.keepers)
 
     @as_text(name=str, address=str, data_centre=str, command_id=str)
     def add(
@@ -251,37 +284,18 @@
         self.account = AccountCommands(operator)
         self.keeper = KeeperCommands(operator)
         self.order = OrderCommands(operator)
+        self.quarantine = QuarantineCommands(operator)
 
     def status(self, json: bool = False) -> str:
         """Show revision, routers, targets and keepers at a glance."""
         answer = self._fleet().get("/operators/status")
-        return output.shown(answer, json, output.pairs)
+        return output.shown(answer, json, views.status)
 
     @as_text(request_id=str)
     def explain(self, request_id: str, json: bool = False) -> str:
         """Show what was decided about REQUEST_ID, and on what grounds."""
         path = f"/operators/explain/{_quoted(request_id)}"
-        return output.shown(self._fleet().get(path), json, _explained)
-
-
-def _presets(answer: dict) -> str:
-    rows = []
-    for name, preset in sorted(answer["presets"].items()):
-        mark = "in force" if name == answer["in_force"] else ""
-        rows.append({**preset, "preset": name, "state": mark})
-    columns = ("preset", "state", "load_bound", "retry_budget")
-    heading = f"revision {answer['revision']}"
-    return heading + "\n" + output.table(rows, columns)
-
-
-def _explained(answer: dict) -> str:
-    rows = []
-    for decision in answer["decisions"]:
-        fields = decision["fields"].items()
-        said = " ".join(f"{key}={value}" for key, value in fields)
-        rows.append({**decision, "on": said})
-    heading = f"request {answer['request_id']}"
-    return heading + "\n" + output.table(rows, ("seconds", "event", "on"))
+        return output.shown(self._fleet().get(path), json, views.explained)
 
 
 def _json_file(path: str):
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -41,6 +41,7 @@
 CLAIM_GRACE_SECONDS = 15.0
 QUARANTINE_SECONDS = 24 * 3600.0
 REVISION_FILE = "revision"
+EXPLAINED_CANDIDATES = 8
 
 
 class Router:
@@ -190,7 +191,7 @@
             keys=self._resume_keys(),
             config=self.config,
             check_limits=self.limits.check_limits,
-            admit=self.placer.admit,
+            admit=self._admit,
             release=self.placer.release,
             claim=self._claim,
             settle=self._settle,
@@ -216,6 +217,25 @@
 
     # -- what the parts are handed --
 
+    async def _admit(
+        self, request: records.Request, excluded: set[str]
+    ) -> records.Grant:
+        """Admit, and keep for ``explain`` what it was decided on."""
+        near = self.table.eligible(request.kind, request.serves)
+        loads = {}
+        for target in near[:EXPLAINED_CANDIDATES]:
+            report = self.table.report(target.name)
+            loads[target.name] = report.running if report else None
+        self.ring.note(
+            request.request_id,
+            "candidates",
+            eligible=len(near),
+            reported=loads,
+            excluded=sorted(excluded),
+            revision=self.config().revision,
+        )
+        return await self.placer.admit(request, excluded)
+
     async def _claim(
         self, request: records.Request, attempt: str, target: str
     ) -> records.Claim:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,88 +5,18 @@
 
 import asyncio
 import json
-import pathlib
 import random
 import signal
-import tempfile
-import unittest
 
 from amaranthring.testing import cuts
 from amaranthring.testing import load
 from amaranthring.testing import local_fleet
+from tests import fleet_case
 
 SEED = 20261202
 
 
-class FleetCase(unittest.IsolatedAsyncioTestCase):
-    """Three keepers, six routers, three engines, three booking replicas."""
-
-    routers = 6
-    through = None
-
-    async def asyncSetUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        path = pathlib.Path(folder.name)
-        local_fleet.write_settings(
-            path, self.routers, through=self.through and self.reach
-        )
-        self.fleet = local_fleet.LocalFleet(path, path / "logs")
-        self.addCleanup(self.fleet.end)
-        self.names = self.fleet.names("router")
-        await self.blocking(self.bring_up)
-        urls = [self.fleet.callers(name) for name in self.names]
-        self.callers = load.Callers(urls, local_fleet.ACCOUNTS["vanua"])
-        self.tally = self.callers.tally
-
-    async def blocking(self, call, *arguments):
-        loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(None, call, *arguments)
-
-    def bring_up(self):
-        for name in [*self.fleet.names("keeper"), *self.names]:
-            self.fleet.start(name)
-        self.fleet.wait_ready(self.names)
-        places = local_fleet.DATA_CENTRES
-        self.targets = []
-        for kind, count in (("engine", 3), ("booking", 3)):
-            for number in range(count):
-                self.start_target(kind, number, places[number])
-        self.fleet.wait_targets(6, self.names)
-
-    def start_target(self, kind, number, place):
-        options = ["--data-centre", place]
-        if kind == "engine":
-            options += ["--token-seconds", "0.01"]
-        name = f"{kind}-{number + 1}"
-        self.fleet.start_target(kind, name, *options)
-        self.targets.append(name)
-
-    def ran(self, kind):
-        """Return the records of every run of the stand-ins of a kind."""
-        found = []
-        for name, process in self.fleet.processes.items():
-            if not name.startswith(kind):
-                continue
-            address = process.log.read_text().split()[1]
-            _, body = local_fleet.get(f"http://{address}/control/ran")
-            answer = json.loads(body)
-            found += answer["runs" if kind == "booking" else "ran"]
-        return found
-
-    def assert_run_at_most_once(self, told):
-        """Compare outcomes told last, by key, with what really ran."""
-        keys = [run["key"] for run in self.ran("booking")]
-        for key, outcome in told.items():
-            count = keys.count(key)
-            self.assertLessEqual(count, 1, f"{key} ran {count} times")
-            if outcome == "ran":
-                self.assertEqual(count, 1, f"{key} was told ran")
-            if outcome == "not-run":
-                self.assertEqual(count, 0, f"{key} was told not-run")
-
-
-class TestRollingRestart(FleetCase):
+class TestRollingRestart(fleet_case.FleetCase):
     """A planned stop of every router, one after the other."""
 
     async def test_nothing_is_lost_or_cut(self):
@@ -126,7 +56,7 @@
         await load.together(*[one() for _ in range(8)])
 
 
-class TestBookingsUnderFailure(FleetCase):
+class TestBookingsUnderFailure(fleet_case.FleetCase):
     """Routers and keepers die and freeze while callers book."""
 
     async def test_no_booking_is_lost_or_doubled(self):
@@ -175,7 +105,7 @@
             process.resume()
 
 
-class TestDataCentreCut(FleetCase):
+class TestDataCentreCut(fleet_case.FleetCase):
     """One data centre is cut off from the other two."""
 
     through = True
