--- a/amaranthring/keepers/client.py
+++ b/amaranthring/keepers/client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 import typing as t
 
@@ -15,6 +16,8 @@
 from amaranthring.keepers import messages
 
 TRY_SECONDS = 1.0
+FRESH_SECONDS = 0.5
+PING_SECONDS = 0.5
 PAUSE_SECONDS = 0.05
 
 NOT_ACCEPTED = (errors.NotLeaderError, errors.NoQuorumError)
@@ -45,6 +48,7 @@
     ):
         self.group = group
         self.leader = ""
+        self.heard: dict[str, float] = {}
         handlers = handlers or links.Handlers()
 
         def make_dialler(address: str) -> links.Dialler:
@@ -119,8 +123,10 @@
         tried: set[str] = set()
         while (left := deadline - loop.time()) > 0:
             name = self._choose(tried)
-            seconds = min(left, TRY_SECONDS) if repeatable else left
             try:
+                await self._check(name, min(left, PING_SECONDS))
+                left = max(0.001, deadline - loop.time())
+                seconds = min(left, TRY_SECONDS) if repeatable else left
                 reply = await self.diallers[name].call(make(seconds), seconds)
             except NOT_ACCEPTED as error:
                 await self._learn(name, error)
@@ -134,6 +140,7 @@
                 self._forget(name)
             else:
                 self.leader = name
+                self.heard[name] = loop.time()
                 return reply
             tried.add(name)
             if not self.leader:
@@ -146,6 +153,35 @@
             "no leader of the keepers answers", retry_after=1.0
         )
 
+    async def _check(self, name: str, seconds: float) -> None:
+        """Make sure that the link to keeper `name` answers.
+
+        Behind a cut or before a frozen keeper, a command would lie in the
+        connection for as long as the fault lasts and be committed after it,
+        long after its caller was answered. Sent only on a link that has
+        just answered, its fate is known in nearly every case.
+
+        Raises
+        ------
+        errors.LinkClosedError
+            With outcome ``not-run``.
+        """
+        loop = asyncio.get_running_loop()
+        if loop.time() - self.heard.get(name, -math.inf) < FRESH_SECONDS:
+            return
+        dialler = self.diallers[name]
+        link = dialler.link
+        try:
+            await dialler.call(messages.Ping(self.group), seconds)
+        except errors.LinkError as error:
+            if link is not None:
+                link.close()
+            raise errors.LinkClosedError(
+                f"keeper {name} does not answer",
+                outcome=errors.Outcome.NOT_RUN,
+            ) from error
+        self.heard[name] = loop.time()
+
     def _choose(self, tried: set[str]) -> str:
         if self.leader in self.diallers:
             return self.leader
@@ -175,5 +211,6 @@
                 dialler.start()
 
     def _forget(self, name: str) -> None:
+        self.heard.pop(name, None)
         if self.leader == name:
             self.leader = ""
--- a/amaranthring/keepers/dispatch.py
+++ b/amaranthring/keepers/dispatch.py
@@ -39,6 +39,7 @@
     add(messages.Chunk, replication.on_chunk, True)
     add(messages.Propose, _on_propose, False)
     add(messages.Change, membership.change, False)
+    add(messages.Ping, lambda _, message: message, False)
     add(messages.StatusQuery, lambda group, _: group.status(), False)
 
 
--- a/amaranthring/keepers/messages.py
+++ b/amaranthring/keepers/messages.py
@@ -164,6 +164,13 @@
     timeout: float = 10.0
 
 
+@wire.message("keeper-ping")
+class Ping:
+    """Asks whether the link works; the reply is the same."""
+
+    group: str
+
+
 @wire.message("keeper-status-query")
 class StatusQuery:
     """Asks any keeper for its :class:`Status`."""
--- a/tests/test_keeper_client.py
+++ b/tests/test_keeper_client.py
@@ -19,11 +19,13 @@
 
     async def asyncSetUp(self):
         self.asked = []
+        self.silent = set()
         peers = []
         self.answers = {}
         for name in ("k1", "k2", "k3"):
             handlers = links.Handlers()
             handlers.add(messages.Propose, self.answer_of(name))
+            handlers.add(messages.Ping, self.pong_of(name))
             server = links.LinkServer(
                 links.Identity(name, "keeper", "dc"),
                 processes.KEYS,
@@ -61,6 +63,30 @@
 
         return answer
 
+    def pong_of(self, name):
+        async def pong(link, message):
+            if name in self.silent:
+                await asyncio.sleep(30)
+            return message
+
+        return pong
+
+    async def test_command_is_not_left_in_a_link_that_does_not_answer(self):
+        # The leader is behind a cut. A booking's claim that is left in the
+        # connection would be committed when the cut heals, after its
+        # caller was told that nothing ran: its key would be lost for good.
+        self.answers = dict.fromkeys(("k1", "k2", "k3"), keeper.Value("1"))
+        self.silent = {"k1"}
+        await self.client.propose(keeper.Set("a", "1"), 5)
+        self.assertNotIn("k1", self.asked)
+        self.silent = {"k1", "k2", "k3"}
+        self.client.heard.clear()
+        self.asked.clear()
+        with self.assertRaises(errors.NoQuorumError) as caught:
+            await self.client.propose(keeper.Set("a", "1"), 1)
+        self.assertEqual(caught.exception.outcome, errors.Outcome.NOT_RUN)
+        self.assertEqual(self.asked, [])
+
     async def test_follows_the_named_leader(self):
         refusal = errors.NotLeaderError("x", given="k1", expected="k3")
         self.answers = {"k1": refusal, "k3": keeper.Value("1")}
