Give up on a leader only when every keeper in reach names none

Cause: a call gave up once each keeper had been tried, slow ones included; test_added_keeper_catches_up_and_votes failed once in a whole run with no quorum though there was one. Now only the word of keepers that know of no leader counts.

--- a/amaranthring/keepers/client.py
+++ b/amaranthring/keepers/client.py
@@ -125,8 +125,9 @@
         deadline = loop.time() + timeout
         unknown: errors.AmaranthringError | None = None
         tried: set[str] = set()
+        leaderless: set[str] = set()
         while (left := deadline - loop.time()) > 0:
-            if self._hopeless(tried, loop.time()):
+            if self._hopeless(leaderless, loop.time()):
                 break
             name = self._choose(tried)
             try:
@@ -136,6 +137,8 @@
                 reply = await self.diallers[name].call(make(seconds), seconds)
             except NOT_ACCEPTED as error:
                 await self._learn(name, error)
+                if not error.expected:
+                    leaderless.add(name)
             except FATE_UNKNOWN as error:
                 if error.outcome != errors.Outcome.NOT_RUN:
                     unknown = error
@@ -164,13 +167,19 @@
     def _linked(self) -> list[str]:
         return [n for n, dialler in self.diallers.items() if dialler.link]
 
-    def _hopeless(self, tried: set[str], now: float) -> bool:
-        """Return whether going on would only keep the caller waiting."""
-        linked = self._linked()
+    def _hopeless(self, leaderless: set[str], now: float) -> bool:
+        """Return whether going on would only keep the caller waiting.
+
+        Parameters
+        ----------
+        leaderless : set of str
+            Keepers that said in this call that they know of no leader. One
+            that was only slow, or names a leader, is asked again.
+        """
         since = self.leaderless_since
-        if self.leader in linked or since is None:
+        if since is None or now - since < LEADERLESS_SECONDS:
             return False
-        return now - since >= LEADERLESS_SECONDS and tried >= set(linked)
+        return leaderless >= set(self._linked())
 
     async def _check(self, name: str, seconds: float) -> None:
         """Make sure that the link to keeper `name` answers.
