--- a/amaranthring/keepers/client.py
+++ b/amaranthring/keepers/client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 import typing as t
 
@@ -15,7 +16,12 @@
 from amaranthring.keepers import messages
 
 TRY_SECONDS = 1.0
+FRESH_SECONDS = 0.5
+PING_SECONDS = 0.5
 PAUSE_SECONDS = 0.05
+# An election takes less; a call waits that long for a new leader once, and
+# later calls find out at once that there is none.
+LEADERLESS_SECONDS = 2.0
 
 NOT_ACCEPTED = (errors.NotLeaderError, errors.NoQuorumError)
 FATE_UNKNOWN = (
@@ -45,6 +51,8 @@
     ):
         self.group = group
         self.leader = ""
+        self.leaderless_since: float | None = None
+        self.heard: dict[str, float] = {}
         handlers = handlers or links.Handlers()
 
         def make_dialler(address: str) -> links.Dialler:
@@ -117,13 +125,20 @@
         deadline = loop.time() + timeout
         unknown: errors.AmaranthringError | None = None
         tried: set[str] = set()
+        leaderless: set[str] = set()
         while (left := deadline - loop.time()) > 0:
+            if self._hopeless(leaderless, loop.time()):
+                break
             name = self._choose(tried)
-            seconds = min(left, TRY_SECONDS) if repeatable else left
             try:
+                await self._check(name, min(left, PING_SECONDS))
+                left = max(0.001, deadline - loop.time())
+                seconds = min(left, TRY_SECONDS) if repeatable else left
                 reply = await self.diallers[name].call(make(seconds), seconds)
             except NOT_ACCEPTED as error:
                 await self._learn(name, error)
+                if not error.expected:
+                    leaderless.add(name)
             except FATE_UNKNOWN as error:
                 if error.outcome != errors.Outcome.NOT_RUN:
                     unknown = error
@@ -134,9 +149,12 @@
                 self._forget(name)
             else:
                 self.leader = name
+                self.leaderless_since = None
+                self.heard[name] = loop.time()
                 return reply
             tried.add(name)
             if not self.leader:
+                self.leaderless_since = self.leaderless_since or loop.time()
                 await asyncio.sleep(PAUSE_SECONDS * random.uniform(0.5, 1.5))
         if unknown is not None:
             raise errors.CommitUnknownError(
@@ -146,14 +164,58 @@
             "no leader of the keepers answers", retry_after=1.0
         )
 
+    def _linked(self) -> list[str]:
+        return [n for n, dialler in self.diallers.items() if dialler.link]
+
+    def _hopeless(self, leaderless: set[str], now: float) -> bool:
+        """Return whether going on would only keep the caller waiting.
+
+        Parameters
+        ----------
+        leaderless : set of str
+            Keepers that said in this call that they know of no leader. One
+            that was only slow, or names a leader, is asked again.
+        """
+        since = self.leaderless_since
+        if since is None or now - since < LEADERLESS_SECONDS:
+            return False
+        return leaderless >= set(self._linked())
+
+    async def _check(self, name: str, seconds: float) -> None:
+        """Make sure that the link to keeper `name` answers.
+
+        Behind a cut or before a frozen keeper, a command would lie in the
+        connection for as long as the fault lasts and be committed after it,
+        long after its caller was answered. Sent only on a link that has
+        just answered, its fate is known in nearly every case.
+
+        Raises
+        ------
+        errors.LinkClosedError
+            With outcome ``not-run``.
+        """
+        loop = asyncio.get_running_loop()
+        if loop.time() - self.heard.get(name, -math.inf) < FRESH_SECONDS:
+            return
+        dialler = self.diallers[name]
+        link = dialler.link
+        try:
+            await dialler.call(messages.Ping(self.group), seconds)
+        except errors.LinkError as error:
+            if link is not None:
+                link.close()
+            raise errors.LinkClosedError(
+                f"keeper {name} does not answer",
+                outcome=errors.Outcome.NOT_RUN,
+            ) from error
+        self.heard[name] = loop.time()
+
     def _choose(self, tried: set[str]) -> str:
-        if self.leader in self.diallers:
+        reached = self._linked() or list(self.diallers)
+        if self.leader in reached:
             return self.leader
-        if tried >= set(self.diallers):
-            tried.clear()
-        fresh = [name for name in self.diallers if name not in tried]
-        linked = [name for name in fresh if self.diallers[name].link]
-        return random.choice(linked or fresh)
+        self.leader = ""
+        return random.choice([n for n in reached if n not in tried] or reached)
 
     async def _learn(self, name: str, error) -> None:
         hinted = error.expected if error.expected != name else ""
@@ -175,5 +237,6 @@
                 dialler.start()
 
     def _forget(self, name: str) -> None:
+        self.heard.pop(name, None)
         if self.leader == name:
             self.leader = ""
