Remember a chat's place at the grant, and its last two places

Change: the place is told with the grant; a shard keeps two places, which owners try in turn before the rendezvous order. tests/test_outages.py hands the remembered place over as a tuple, as the field is one now; what it asserts is unchanged.

--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -58,7 +58,7 @@
     priority: int
     chat: str
     wait_seconds: float
-    remembered: str = ""
+    remembered: tuple[str, ...] = ()
     excluded: frozenset[str] = frozenset()
     suspect: bool = False
     at_once: bool = False
@@ -210,8 +210,8 @@
             return rooms[name]
 
         order = hashing.order(ask.chat or str(ask.key), self.targets)
-        if ask.remembered in self.targets:
-            order.insert(0, ask.remembered)
+        known = [name for name in ask.remembered if name in self.targets]
+        order = known + order
         return bounds.first_with_room(order, loads.__getitem__, room)
 
     def has_room(self, now: float) -> bool:
--- a/amaranthring/routers/admission.py
+++ b/amaranthring/routers/admission.py
@@ -94,7 +94,7 @@
             ask.priority,
             ask.chat,
             ask.wait_seconds,
-            ask.remembered,
+            tuple(ask.remembered),
             frozenset(ask.excluded),
             ask.suspect,
             ask.at_once,
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -37,7 +37,7 @@
     priority: int
     chat: str
     wait_seconds: float
-    remembered: str = ""
+    remembered: list[str] = dataclasses.field(default_factory=list)
     excluded: list[str] = dataclasses.field(default_factory=list)
     suspect: bool = False
     at_once: bool = False
@@ -170,22 +170,22 @@
 
 @wire.message("place-found")
 class PlaceFound:
-    """The remembered target, or empty, and what is known of the request.
+    """Targets that ran the chat, the last one first, and what is known.
 
     `deaths` names the targets that died while this very request ran there;
     a condemned one is not run again.
     """
 
-    target: str = ""
+    targets: list[str] = dataclasses.field(default_factory=list)
     deaths: list[str] = dataclasses.field(default_factory=list)
     condemned: bool = False
 
 
 @wire.message("place-remember")
 class RememberPlaces:
-    """Tells a directory shard where chats ran last."""
+    """Tells a directory shard where chats ran, the last place first."""
 
-    places: dict[str, str]
+    places: dict[str, list[str]]
 
 
 @wire.message("crashed")
--- a/amaranthring/routers/directory.py
+++ b/amaranthring/routers/directory.py
@@ -3,13 +3,15 @@
 The directory is soft and sharded by chat over the live routers of the
 region. Losing a shard costs cache hits, never an answer: everyone falls back
 to the same rendezvous order. A shard is bounded by bytes and forgets what
-was asked for least lately.
+was asked for least lately. It knows the last two places of a chat: the copy
+at the earlier one serves when the last one is gone or full.
 """
 
 import asyncio
 import collections
 import collections.abc
 import functools
+import sys
 import time
 
 from amaranthring import errors
@@ -22,6 +24,7 @@
 ENTRY_BYTES = 320
 SHARD_BYTES = 32 * 1024 * 1024
 BUCKETS = 1024
+PLACES_KEPT = 2
 BATCH_ENTRIES = 500
 FLUSH_SECONDS = 0.05
 UNSENT_MOST = 2000
@@ -92,11 +95,11 @@
         self.metrics = metrics or counters.Metrics()
         self.entries_most = bytes_most // ENTRY_BYTES
         self.shards = Shards(live)
-        self.places: collections.OrderedDict[str, str] = (
+        self.places: collections.OrderedDict[str, list[str]] = (
             collections.OrderedDict()
         )
         self.silent: dict[str, float] = {}
-        self.unsent: dict[str, dict[str, str]] = {}
+        self.unsent: dict[str, dict[str, list[str]]] = {}
         self.moving: list[str] = []
         mesh.subscribe(self.routers_changed)
 
@@ -128,11 +131,11 @@
         """Tell the shard of `key` where it ran; never blocks or fails."""
         for holder in self.shards.of(key)[:1]:
             if holder == self.name:
-                self._store(key, target)
+                self._store(key, [target])
                 return
             batch = self.unsent.setdefault(holder, {})
             if len(batch) < UNSENT_MOST:
-                batch[key] = target
+                batch[key] = [target]
 
     async def run(self) -> None:
         """Send in batches what was remembered. Runs for ever."""
@@ -152,11 +155,11 @@
 
     def on_find(self, _link, ask: messages.FindPlace) -> messages.PlaceFound:
         """Answer from this shard."""
-        target = self.places.get(ask.chat, "")
-        if target:
+        targets = self.places.get(ask.chat, [])
+        if targets:
             self.places.move_to_end(ask.chat)
-        self.metrics.count("directory.hit" if target else "directory.miss")
-        found = messages.PlaceFound(target)
+        self.metrics.count("directory.hit" if targets else "directory.miss")
+        found = messages.PlaceFound(targets)
         if self.suspicion is not None and ask.fingerprint:
             suspect = self.suspicion.of(ask.fingerprint)
             if suspect is not None:
@@ -166,11 +169,15 @@
 
     def on_remember(self, _link, message: messages.RememberPlaces) -> None:
         """Store places in this shard."""
-        for key, target in message.places.items():
-            self._store(key, target)
-
-    def _store(self, key: str, target: str) -> None:
-        self.places[key] = target
+        for key, targets in message.places.items():
+            self._store(key, targets)
+
+    def _store(self, key: str, targets: list[str]) -> None:
+        known = self.places.get(key, [])
+        # Names are shared among entries, so an entry costs two references.
+        newest = [sys.intern(target) for target in targets]
+        older = [target for target in known if target not in newest]
+        self.places[key] = (newest + older)[:PLACES_KEPT]
         self.places.move_to_end(key)
         while len(self.places) > self.entries_most:
             self.places.popitem(last=False)
--- a/amaranthring/routers/placing.py
+++ b/amaranthring/routers/placing.py
@@ -29,7 +29,6 @@
 GROUPED_SECONDS = 0.5
 GROUPS_MOST = 1024
 SERIAL_PER_SECOND = 1000
-RAN = (records.End.DONE, records.End.CANCELLED)
 
 
 @dataclasses.dataclass
@@ -40,8 +39,8 @@
     ----------
     request : Request
         Whom it is for.
-    remembered : str
-        Where the chat ran last, or empty.
+    remembered : list of str
+        Where the chat ran, the last place first.
     suspect : bool
         Whether a target died while the request ran there.
     excluded : set of str
@@ -49,7 +48,7 @@
     """
 
     request: records.Request
-    remembered: str
+    remembered: list[str]
     suspect: bool
     excluded: set[str]
 
@@ -155,7 +154,7 @@
             )
         search = Search(
             request,
-            found.target,
+            found.targets,
             bool(found.deaths),
             excluded | set(found.deaths),
         )
@@ -174,8 +173,6 @@
         request = holding.request
         if holding.suspect and end == records.End.DONE:
             self.suspicion.ended(request)
-        if end in RAN and request.chat and not grant.remembered:
-            self.directory.remember(request.chat, grant.target.name)
 
     def routers_changed(self) -> None:
         """Tell new owners at once; ask again what waited at lost ones."""
@@ -240,11 +237,12 @@
         self.groups.clear()
 
     def _rank(self, search: Search, name: str, members: list):
-        remembered = any(t.name == search.remembered for t in members)
+        names = {target.name for target in members}
+        places = [name in names for name in search.remembered]
         centre = cells.parse(name).data_centre
         near = centre in ("", self.data_centre)
         best = max(hashing.weight(search.chat, t.name) for t in members)
-        return (not remembered, not near, -best, name)
+        return ([not place for place in places], not near, -best, name)
 
     async def _try(self, search: Search, cell: str) -> records.Grant | None:
         """Ask one cell; return None if it has to be asked again."""
@@ -347,7 +345,7 @@
             f"{self.name}:{serial}",
             owner,
             target,
-            remembered=target.name == search.remembered,
+            remembered=search.remembered[:1] == [target.name],
             import_from=self._import_from(search, target),
         )
         held = holdings.Holding(
@@ -356,13 +354,18 @@
         self.held.add(serial, held)
         if search.suspect:
             self.suspicion.began(search.request, target.name)
+        if search.request.chat and not grant.remembered:
+            # At once: the prefix is computed first, long before the answer
+            # ends, and the chat may return meanwhile through any router.
+            self.directory.remember(search.request.chat, target.name)
         return grant
 
     def _import_from(self, search, target) -> records.Target | None:
         """Return where the chat's KV cache may still be had."""
-        if not search.remembered or search.remembered == target.name:
+        if target.name in search.remembered:
             return None
-        return self.table.get(search.remembered)
+        known = [self.table.get(name) for name in search.remembered]
+        return next((each for each in known if each is not None), None)
 
     def _local(self, search, ask: messages.Admit) -> records.Grant:
         """Decide from this router's own count and the lagging reports."""
@@ -372,12 +375,11 @@
             for target in self.calls.members(ask.cell)
             if target.name not in search.excluded
         }
-        order = hashing.order(search.chat, members)
-        if search.remembered in members:
-            order.insert(0, search.remembered)
-        known = {name: self._estimate(name) for name in members}
+        known = [name for name in search.remembered if name in members]
+        order = known + hashing.order(search.chat, members)
+        seen = {name: self._estimate(name) for name in members}
         bound = self.config().preset.load_bound
-        best = estimates.choose(order, members, known, bound)
+        best = estimates.choose(order, members, seen, bound)
         if best is None:
             raise errors.QueueFullError(
                 "no owner answers and the estimates leave no room",
--- a/amaranthring/testing/assembled.py
+++ b/amaranthring/testing/assembled.py
@@ -136,13 +136,13 @@
         request = fakes.request(number, **fields)
         grant = await at.placer.admit(request, set(excluded))
         self.grants[grant.grant_id] = (at, grant)
+        at.directory.flush()
         return grant
 
     def release(self, grant, end=records.End.DONE):
-        """End `grant` and send what was remembered."""
+        """End `grant`."""
         at, _ = self.grants.pop(grant.grant_id)
         at.placer.release(grant, end)
-        at.directory.flush()
 
     def running(self):
         """Return requests in flight by target, as they really are."""
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -143,7 +143,7 @@
         # Of two engines one died. The other stood at its bound at once, and
         # requests waited for seconds beside an engine with free room.
         self.set_targets(2, capacity=64)
-        key = self.ask(remembered="e0").key
+        key = self.ask(remembered=("e0",)).key
         self.cell.release(key, 0.0, records.End.UNREACHABLE)
         placed = [self.ask(0.1) for _ in range(10)]
         self.assertEqual({each.target for each in placed}, {"e1"})
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -24,7 +24,7 @@
 
 def ask(serial, remembered="", router="r1"):
     return admission.Ask(
-        (router, serial), "a", 1, "chat", 10.0, remembered=remembered
+        (router, serial), "a", 1, "chat", 10.0, remembered=(remembered,)
     )
 
 
