--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -263,6 +263,13 @@
     status = 409
 
 
+class ReplayedError(RefusedError):
+    """A numbered message of a target came again or late."""
+
+    code = "replayed"
+    status = 409
+
+
 class TableFullError(RefusedError):
     """The table of targets is at its bound."""
 
@@ -299,6 +306,13 @@
     status = 503
 
 
+class CallerTooSlowError(AmaranthringError):
+    """The caller took nothing of its answer in time and was cut off."""
+
+    code = "caller-too-slow"
+    status = 408
+
+
 class ResumeError(AmaranthringError):
     """A resume token is forged, foreign, expired or names a lost stream."""
 
@@ -423,6 +437,13 @@
     outcome = Outcome.NOT_RUN
 
 
+class NotReadyError(LinkError):
+    """The peer started lately and does not know enough to decide."""
+
+    code = "not-ready"
+    outcome = Outcome.NOT_RUN
+
+
 class HandshakeError(LinkError):
     """The peer could not prove that it belongs to the fleet."""
 
--- a/amaranthring/keepers/messages.py
+++ b/amaranthring/keepers/messages.py
@@ -164,6 +164,13 @@
     timeout: float = 10.0
 
 
+@wire.message("keeper-ping")
+class Ping:
+    """Asks whether the link works; the reply is the same."""
+
+    group: str
+
+
 @wire.message("keeper-status-query")
 class StatusQuery:
     """Asks any keeper for its :class:`Status`."""
@@ -176,11 +183,12 @@
     """What the answering keeper knows of one member.
 
     `lag` counts entries behind the log's end and `silent_seconds` the time
-    since its last reply; both are known to the leader only.
+    since its last reply under this leader; only the leader knows them.
     """
 
     name: str
     disk: str
+    address: str
     data_centre: str
     voter: bool
     live: bool
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -16,6 +16,7 @@
 from amaranthring.core import records
 from amaranthring.keepers import client as keeper_client
 from amaranthring.keepers import commands
+from amaranthring.keepers import messages as keeper_messages
 from amaranthring.operators import handlers as operators
 from amaranthring.platform import figures
 from amaranthring.policy import retries
@@ -25,18 +26,22 @@
 from amaranthring.routers import limits
 from amaranthring.routers import mesh
 from amaranthring.routers import placing
+from amaranthring.routers import readiness
 from amaranthring.routers import regions
 from amaranthring.routers import revisions
 from amaranthring.routers import spread
 from amaranthring.routers import suspicion
+from amaranthring.routers import target_reports
 from amaranthring.targets import announce
 from amaranthring.targets import table
 
-CLAIM_SECONDS = 5.0
+# Rides over an election; a longer wait would only keep the caller waiting.
+CLAIM_SECONDS = 2.5
 # A claim is held past the caller's deadline by what settling may take.
 CLAIM_GRACE_SECONDS = 15.0
 QUARANTINE_SECONDS = 24 * 3600.0
 REVISION_FILE = "revision"
+EXPLAINED_CANDIDATES = 8
 
 
 class Router:
@@ -109,8 +114,18 @@
         )
         self.table = table.TargetTable(place, self.config, self.metrics)
         self.spread = spread.Spread(self.mesh, self.table, self.metrics)
+        self.readiness = readiness.Readiness(
+            self.mesh, self.table, self.spread
+        )
         self.revisions.subscribe(self._revision_changed)
         self.table.subscribe(self._target_changed)
+        self.target_reports = target_reports.TargetReports(
+            place,
+            self.keepers.query,
+            lambda: self.revisions.is_relay,
+            self._ready_targets,
+            self.metrics,
+        )
 
     def _make_decisions(self) -> None:
         process = self.settings.process
@@ -135,6 +150,7 @@
         self.owners = admission.Owners(
             self.name, self.table, self.mesh, self.config, self.metrics
         )
+        self.owners.ready = lambda: not self.readiness.missing()
         self.placer = placing.Placer(
             self.name,
             process.data_centre,
@@ -175,7 +191,7 @@
             keys=self._resume_keys(),
             config=self.config,
             check_limits=self.limits.check_limits,
-            admit=self.placer.admit,
+            admit=self._admit,
             release=self.placer.release,
             claim=self._claim,
             settle=self._settle,
@@ -201,6 +217,25 @@
 
     # -- what the parts are handed --
 
+    async def _admit(
+        self, request: records.Request, excluded: set[str]
+    ) -> records.Grant:
+        """Admit, and keep for ``explain`` what it was decided on."""
+        near = self.table.eligible(request.kind, request.serves)
+        loads = {}
+        for target in near[:EXPLAINED_CANDIDATES]:
+            report = self.table.report(target.name)
+            loads[target.name] = report.running if report else None
+        self.ring.note(
+            request.request_id,
+            "candidates",
+            eligible=len(near),
+            reported=loads,
+            excluded=sorted(excluded),
+            revision=self.config().revision,
+        )
+        return await self.placer.admit(request, excluded)
+
     async def _claim(
         self, request: records.Request, attempt: str, target: str
     ) -> records.Claim:
@@ -241,13 +276,15 @@
     def _revision_changed(self, config) -> None:
         self.metrics.gauge("revision", config.revision)
 
-    def _target_changed(self, _name: str) -> None:
-        ready = [
+    def _ready_targets(self) -> list[records.Target]:
+        return [
             target
             for target in self.table.targets()
             if self.table.state(target.name) is records.TargetState.READY
         ]
-        self.metrics.gauge("targets.ready", len(ready))
+
+    def _target_changed(self, _name: str) -> None:
+        self.metrics.gauge("targets.ready", len(self._ready_targets()))
 
     # -- HTTP --
 
@@ -277,6 +314,7 @@
             targets=self._target_rows,
             explain=self.explaining.explain,
             keepers=self._keepers_status,
+            change_keepers=self._change_keepers,
         )
 
     def _target_rows(self) -> list[dict[str, t.Any]]:
@@ -290,6 +328,16 @@
             rows.append(row)
         return rows
 
+    async def _change_keepers(self, adds: bool, keeper: t.Any) -> None:
+        change = keeper_messages.Change(
+            self.settings.fleet.group,
+            adds,
+            keeper.name,
+            keeper.address,
+            keeper.data_centre,
+        )
+        await self.keepers.change_members(change)
+
     async def _keepers_status(self) -> dict[str, t.Any]:
         names = [keeper.name for keeper in self.settings.keepers()]
         asked = [self.keepers.status(name) for name in names]
@@ -310,7 +358,7 @@
             return "stopping"
         if not self.revisions.ready:
             return "no revision confirmed yet"
-        return ""
+        return self.readiness.missing()
 
     # -- life --
 
@@ -322,7 +370,12 @@
         self.spread.start()
         self.keepers.start()
         self.revisions.start()
-        runs = [self.owners.run, self.placer.run, self.directory.run]
+        runs = [
+            self.owners.run,
+            self.placer.run,
+            self.directory.run,
+            self.target_reports.run,
+        ]
         if self.settings.statsd.host:
             sender = figures.StatsdSender(self.metrics, self.settings.statsd)
             runs.append(sender.run)
@@ -344,6 +397,7 @@
         self.owners.hand_over()
         self.directory.hand_over()
         await self.drain.wait_idle(bounds.shutdown_seconds)
+        self.needs.settlements.stop()
         await self._stop_parts()
 
     async def _stop_parts(self) -> None:
--- a/amaranthring/targets/announce.py
+++ b/amaranthring/targets/announce.py
@@ -14,8 +14,6 @@
 from amaranthring.targets import conventions
 from amaranthring.targets import table as table_module
 
-RENEW_SHARE_OF_LEASE = 1 / 3
-
 
 class AnnounceHandler(tornado.web.RequestHandler):
     """One message of a target; `act` tells the table."""
@@ -40,7 +38,7 @@
         lease = self.table.config().preset.lease_seconds
         answer = {
             "lease_seconds": lease,
-            "renew_seconds": lease * RENEW_SHARE_OF_LEASE,
+            "renew_seconds": round(self.table.renew_in(), 3),
         }
         self.finish(answer)
 
@@ -68,16 +66,16 @@
     """
 
     def announce(body):
-        table.announce(body.target())
+        table.announce(body.target(), body.sequence)
 
     def renew(body):
-        table.renew(body.name, body.incarnation)
+        table.renew(body.name, body.incarnation, body.sequence)
 
     def report(body):
         table.take_report(body.report())
 
     def leave(body):
-        table.leave(body.name, body.incarnation)
+        table.leave(body.name, body.incarnation, body.sequence)
 
     acts = {
         "announce": (conventions.Announcement, announce),
