Give up claims whose answer was lost as not run, and free their key

A claim committed unheard held its key with nobody behind it, unknown for ever.

Change: routers/claims.py refuses as not run after 3 s and tells the keepers so until they have heard; the ledger takes such word also before the claim itself, and then refuses the late claim.

Ruled out: a shorter hold, since a slow holder would read as unknown; more tries in the caller's time, since a request given up on is answered at once.

Not covered: two attempts given up unheard whose claims both come late; the second may hold the key, which then reads as unknown.

--- a/amaranthring/keepers/ledger.py
+++ b/amaranthring/keepers/ledger.py
@@ -37,6 +37,7 @@
 RAN = 2
 RAN_NOT_KEPT = 3
 RELEASED = 4
+NO_DIGEST = bytes(16)
 _HEAD = struct.Struct("<BdH16s16sBB")
 # Fields of the head: state, stamp until which the claim is held, HTTP
 # status, digest of the body, digest of the attempt, lengths of the target
@@ -183,13 +184,14 @@
         self.expire(stamp)
         key = short(command.account, command.key)
         attempt = short(command.attempt)
+        digest = digest_bytes(command.body_digest)
         bucket, kept = self._find(key)
         if kept is None:
             marked = self._marked(key)
             if marked is not None:
                 return marked
             self._check_room()
-        elif kept.body_digest != digest_bytes(command.body_digest):
+        elif kept.body_digest not in (NO_DIGEST, digest):
             return records.Claim(records.ClaimState.KEY_REUSED, "")
         elif kept.state != RELEASED or kept.attempt == attempt:
             return self._told(stamp, kept, attempt, command.attempt)
@@ -201,7 +203,7 @@
             HELD,
             until,
             0,
-            digest_bytes(command.body_digest),
+            digest,
             attempt,
             command.target,
         )
@@ -216,13 +218,17 @@
         Raises
         ------
         errors.NotFoundError
-            If there is no such claim within the retention.
+            If there is no such claim within the retention, and it is not
+            said to be not run.
         errors.ForbiddenError
             If another attempt holds it, or it was settled otherwise.
         """
         key = short(command.account, command.key)
         attempt = short(command.attempt)
         bucket, kept = self._find(key)
+        not_run = command.outcome == errors.Outcome.NOT_RUN
+        if kept is None and not_run and self._marked(key) is None:
+            return self._release_early(stamp, key, attempt, command)
         if kept is None:
             raise errors.NotFoundError(
                 "no such claim", given=command.key, expected="a claimed key"
@@ -247,6 +253,17 @@
         self._put(bucket, key, made)
         return self._told(stamp, made, attempt, command.attempt)
 
+    def _release_early(self, stamp, key, attempt, command) -> records.Claim:
+        """Note that an attempt gave up a claim that did not come yet.
+
+        Its claim may still be under way, and would hold the key with nobody
+        behind it. No body is known; a claim with any body finds the note.
+        """
+        made = Kept(RELEASED, stamp, 0, NO_DIGEST, attempt)
+        bucket = self.buckets.setdefault(int(stamp // self.span), {})
+        self._put(bucket, key, made)
+        return self._told(stamp, made, attempt, command.attempt)
+
     def expire(self, stamp: float) -> None:
         """Make marks of buckets past the retention; drop old marks."""
         oldest = int((stamp - self.retention) // self.span)
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -21,6 +21,7 @@
 from amaranthring.platform import figures
 from amaranthring.policy import retries
 from amaranthring.routers import admission
+from amaranthring.routers import claims
 from amaranthring.routers import directory
 from amaranthring.routers import explaining
 from amaranthring.routers import limits
@@ -35,9 +36,7 @@
 from amaranthring.targets import announce
 from amaranthring.targets import table
 
-CLAIM_SECONDS = 5.0
-# A claim is held past the caller's deadline by what settling may take.
-CLAIM_GRACE_SECONDS = 15.0
+QUARANTINE_COMMAND_SECONDS = 5.0
 QUARANTINE_SECONDS = 24 * 3600.0
 REVISION_FILE = "revision"
 
@@ -94,6 +93,7 @@
         self.keepers = keeper_client.KeeperClient(
             settings.fleet.group, settings.keepers(), self.identity, self.keys
         )
+        self.claims = claims.Claims(self.keepers.propose, self.metrics)
         place = settings.process.data_centre
         folder = settings.process.data_folder
         self.revisions = revisions.Revisions(
@@ -190,8 +190,8 @@
             check_limits=self.limits.check_limits,
             admit=self.placer.admit,
             release=self.placer.release,
-            claim=self._claim,
-            settle=self._settle,
+            claim=self.claims.claim,
+            settle=self.claims.settle,
             is_quarantined=self.suspicion.is_quarantined,
             report_crash=self.suspicion.report_crash,
             may_retry=self.budget.may_retry,
@@ -214,35 +214,9 @@
 
     # -- what the parts are handed --
 
-    async def _claim(
-        self, request: records.Request, attempt: str, target: str
-    ) -> records.Claim:
-        left = max(0.0, request.deadline - time.monotonic())
-        command = commands.Claim(
-            request.account,
-            request.key,
-            request.body_digest,
-            attempt,
-            target,
-            left + CLAIM_GRACE_SECONDS,
-        )
-        return (await self.keepers.propose(command, CLAIM_SECONDS)).claim
-
-    async def _settle(
-        self,
-        request: records.Request,
-        attempt: str,
-        outcome: errors.Outcome,
-        answer: records.StoredAnswer | None,
-    ) -> None:
-        command = commands.Settle(
-            request.account, request.key, attempt, str(outcome), answer
-        )
-        await self.keepers.propose(command, CLAIM_SECONDS)
-
     async def _quarantine(self, fingerprint: str) -> None:
         command = commands.AddQuarantine(fingerprint, QUARANTINE_SECONDS)
-        await self.keepers.propose(command, CLAIM_SECONDS)
+        await self.keepers.propose(command, QUARANTINE_COMMAND_SECONDS)
 
     def _serves(self, kind: records.TargetKind) -> set[str]:
         found: set[str] = set()
@@ -353,6 +327,7 @@
             self.placer.run,
             self.directory.run,
             self.target_reports.run,
+            self.claims.run,
         ]
         if self.settings.statsd.host:
             sender = figures.StatsdSender(self.metrics, self.settings.statsd)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -163,6 +163,15 @@
         )
         self.assertFalse(told[0].answer.kept)
 
+    def test_giving_up_an_old_key_does_not_free_it(self):
+        self.claim("a")
+        self.settle("a", "ran", ANSWER)
+        self.stamp += ledger.RETENTION_SECONDS * 1.1
+        self.claim("z", "other")
+        with self.assertRaises(errors.NotFoundError):
+            self.settle("b", "not-run")
+        self.assertEqual(self.claim("c").state, STATES.SETTLED)
+
     def test_memory_of_what_ran_is_dropped_in_the_end(self):
         self.claim("a")
         self.settle("a", "ran", ANSWER)
