--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -21,7 +21,6 @@
 from amaranthring.platform import figures
 from amaranthring.policy import retries
 from amaranthring.routers import admission
-from amaranthring.routers import claims
 from amaranthring.routers import directory
 from amaranthring.routers import explaining
 from amaranthring.routers import limits
@@ -36,9 +35,13 @@
 from amaranthring.targets import announce
 from amaranthring.targets import table
 
-QUARANTINE_COMMAND_SECONDS = 5.0
+# Rides over an election; a longer wait would only keep the caller waiting.
+CLAIM_SECONDS = 2.5
+# A claim is held past the caller's deadline by what settling may take.
+CLAIM_GRACE_SECONDS = 15.0
 QUARANTINE_SECONDS = 24 * 3600.0
 REVISION_FILE = "revision"
+EXPLAINED_CANDIDATES = 8
 
 
 class Router:
@@ -93,7 +96,6 @@
         self.keepers = keeper_client.KeeperClient(
             settings.fleet.group, settings.keepers(), self.identity, self.keys
         )
-        self.claims = claims.Claims(self.keepers.propose, self.metrics)
         place = settings.process.data_centre
         folder = settings.process.data_folder
         self.revisions = revisions.Revisions(
@@ -148,6 +150,7 @@
         self.owners = admission.Owners(
             self.name, self.table, self.mesh, self.config, self.metrics
         )
+        self.owners.ready = lambda: not self.readiness.missing()
         self.placer = placing.Placer(
             self.name,
             process.data_centre,
@@ -188,10 +191,10 @@
             keys=self._resume_keys(),
             config=self.config,
             check_limits=self.limits.check_limits,
-            admit=self.placer.admit,
+            admit=self._admit,
             release=self.placer.release,
-            claim=self.claims.claim,
-            settle=self.claims.settle,
+            claim=self._claim,
+            settle=self._settle,
             is_quarantined=self.suspicion.is_quarantined,
             report_crash=self.suspicion.report_crash,
             may_retry=self.budget.may_retry,
@@ -214,9 +217,54 @@
 
     # -- what the parts are handed --
 
+    async def _admit(
+        self, request: records.Request, excluded: set[str]
+    ) -> records.Grant:
+        """Admit, and keep for ``explain`` what it was decided on."""
+        near = self.table.eligible(request.kind, request.serves)
+        loads = {}
+        for target in near[:EXPLAINED_CANDIDATES]:
+            report = self.table.report(target.name)
+            loads[target.name] = report.running if report else None
+        self.ring.note(
+            request.request_id,
+            "candidates",
+            eligible=len(near),
+            reported=loads,
+            excluded=sorted(excluded),
+            revision=self.config().revision,
+        )
+        return await self.placer.admit(request, excluded)
+
+    async def _claim(
+        self, request: records.Request, attempt: str, target: str
+    ) -> records.Claim:
+        left = max(0.0, request.deadline - time.monotonic())
+        command = commands.Claim(
+            request.account,
+            request.key,
+            request.body_digest,
+            attempt,
+            target,
+            left + CLAIM_GRACE_SECONDS,
+        )
+        return (await self.keepers.propose(command, CLAIM_SECONDS)).claim
+
+    async def _settle(
+        self,
+        request: records.Request,
+        attempt: str,
+        outcome: errors.Outcome,
+        answer: records.StoredAnswer | None,
+    ) -> None:
+        command = commands.Settle(
+            request.account, request.key, attempt, str(outcome), answer
+        )
+        await self.keepers.propose(command, CLAIM_SECONDS)
+
     async def _quarantine(self, fingerprint: str) -> None:
         command = commands.AddQuarantine(fingerprint, QUARANTINE_SECONDS)
-        await self.keepers.propose(command, QUARANTINE_COMMAND_SECONDS)
+        await self.keepers.propose(command, CLAIM_SECONDS)
 
     def _serves(self, kind: records.TargetKind) -> set[str]:
         found: set[str] = set()
@@ -327,7 +375,6 @@
             self.placer.run,
             self.directory.run,
             self.target_reports.run,
-            self.claims.run,
         ]
         if self.settings.statsd.host:
             sender = figures.StatsdSender(self.metrics, self.settings.statsd)
@@ -350,6 +397,7 @@
         self.owners.hand_over()
         self.directory.hand_over()
         await self.drain.wait_idle(bounds.shutdown_seconds)
+        self.needs.settlements.stop()
         await self._stop_parts()
 
     async def _stop_parts(self) -> None:
--- a/amaranthring/targets/entries.py
+++ b/amaranthring/targets/entries.py
@@ -67,6 +67,12 @@
         )
 
 
+def key_of(target: records.Target) -> int:
+    """Return the 64-bit key of a target's name and incarnation."""
+    digest = hashing.digest(target.name, str(target.incarnation))
+    return int(digest[:16], 16)
+
+
 @dataclasses.dataclass
 class Entry:
     """One target in the table.
@@ -83,6 +89,8 @@
         When flap damping lets it have work again.
     spoken : int
         Highest sequence of its own messages.
+    here : float
+        When it last spoke to this very router.
     """
 
     target: records.Target
@@ -92,6 +100,7 @@
     lost: bool = False
     ready_at: float = 0.0
     spoken: int = 0
+    here: float = 0.0
     history: flapping.History = dataclasses.field(
         default_factory=flapping.History
     )
