--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -117,7 +117,6 @@
         self.readiness = readiness.Readiness(
             self.mesh, self.table, self.spread
         )
-        self.revisions.subscribe(self._revision_changed)
         self.table.subscribe(self._target_changed)
         self.target_reports = target_reports.TargetReports(
             place,
@@ -273,9 +272,6 @@
                 found.update(target.serves)
         return found
 
-    def _revision_changed(self, config) -> None:
-        self.metrics.gauge("revision", config.revision)
-
     def _ready_targets(self) -> list[records.Target]:
         return [
             target
--- a/amaranthring/testing/announcing.py
+++ b/amaranthring/testing/announcing.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import dataclasses
-import hashlib
-import hmac
 import json
 import time
 import typing as t
@@ -16,17 +14,11 @@
 import tornado.httpclient
 
 from amaranthring.core import records
+from amaranthring.targets import conventions
 
 FIRST_RENEW_SECONDS = 0.5
 TRY_SECONDS = 1.0
 REPORT_SLACK_SECONDS = 0.25
-KEY_HEADER = "Amaranthring-Key"
-
-
-def signature(key_id: str, key: bytes, body: bytes) -> str:
-    """Return the value of ``Amaranthring-Key`` for `body`."""
-    mac = hmac.new(key, body, hashlib.sha256).hexdigest()
-    return f"{key_id} {mac}"
 
 
 class Announcer:
@@ -76,7 +68,9 @@
         body = json.dumps(record).encode()
         headers = {
             "Content-Type": "application/json",
-            KEY_HEADER: signature(self.key_id, self.key, body),
+            conventions.KEY_HEADER: conventions.sign(
+                self.key_id, self.key, body
+            ),
         }
         status = 599
         for _ in range(len(self.routers)):
--- a/amaranthring/testing/demo.py
+++ b/amaranthring/testing/demo.py
@@ -193,7 +193,7 @@
         """Return whether `router` runs at least `revision`."""
         _, body = local_fleet.get(self.fleet.internal(router) + "/metrics")
         gauges = json.loads(body or b'{"gauges": {}}')["gauges"]
-        return gauges.get("revision", 0) >= revision
+        return gauges.get("revisions.revision", 0) >= revision
 
     def operate(self, method: str, path: str, body: dict) -> int:
         """Send an operator's change and return its revision."""
