--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -200,14 +200,13 @@
         # A cell that stands alone has no room elsewhere to point at, and
         # then nobody may wait here beside free targets.
         alone = ask.alone or not self.elsewhere(ask, now)
-        rooms = self._rooms(loads, now, alone and not ask.at_once)
+        barred = set(ask.excluded)
+        if ask.suspect:
+            barred.update(self.counts.suspects)
+        rooms = self._rooms(loads, now, alone and not ask.at_once, barred)
 
         def room(name: str) -> int:
-            if name in ask.excluded:
-                return 0
-            if ask.suspect and name in self.counts.suspects:
-                return 0
-            return rooms[name]
+            return 0 if name in barred else rooms[name]
 
         order = hashing.order(ask.chat or str(ask.key), self.targets)
         known = [name for name in ask.remembered if name in self.targets]
@@ -298,19 +297,25 @@
             self.outages.failed(target, router, self.targets, now)
 
     def _rooms(
-        self, loads: dict[str, int], now: float, alone: bool
+        self,
+        loads: dict[str, int],
+        now: float,
+        alone: bool,
+        barred: collections.abc.Set[str] = frozenset(),
     ) -> dict[str, int]:
-        most = self._most(loads, now, alone)
+        most = self._most(loads, now, alone, barred)
         return {
             name: self.outages.room(name, now, min(most, target.capacity))
             for name, target in self.targets.items()
         }
 
-    def _most(self, loads: dict[str, int], now: float, alone: bool) -> int:
-        # A target that cannot be reached carries no share of the load; were
-        # it part of the mean, the others would stand at the bound, and
-        # requests would wait beside free targets.
-        well = [name for name in loads if name not in self.outages.by_target]
+    def _most(self, loads, now: float, alone: bool, barred) -> int:
+        # A target that cannot be reached, or is barred for this request,
+        # carries no share of the load; were it part of the mean, the others
+        # would stand at the bound, and requests would wait beside free
+        # targets.
+        out = barred | self.outages.by_target.keys()
+        well = [name for name in loads if name not in out]
         well = well or list(loads)
         total = sum(loads[name] for name in well)
         count = len(well)
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -201,6 +201,13 @@
     apart: bool = False
 
 
+@wire.message("crash-noted")
+class CrashNoted:
+    """Whether this death condemned the request."""
+
+    condemned: bool
+
+
 @wire.message("cleared")
 class Cleared:
     """A suspect request ran to its end; its target lives."""
--- a/amaranthring/routers/limits.py
+++ b/amaranthring/routers/limits.py
@@ -25,6 +25,7 @@
 ASK_SECONDS = 0.3
 SILENT_SECONDS = 1.0
 LEASE_SECONDS = 2.0
+PAUSE_SECONDS = 0.25
 RATE_SECONDS = 1.0
 ACCOUNTS_MOST = 4096
 OWNED_MOST = 16384
@@ -173,8 +174,9 @@
         await asyncio.shield(leased.asking)
 
     async def _ask(self, account: str, leased: Leased) -> None:
+        wanted = max(1, math.ceil(leased.seen))
         try:
-            given = await self._answer(account, leased)
+            given = await self._answer(account, leased, wanted)
         finally:
             leased.asking = None
         now = self.clock()
@@ -182,11 +184,12 @@
             leased.tokens = 0
         leased.tokens += given.tokens
         leased.expires = now + given.seconds
-        if not given.tokens:
-            leased.closed_until = now + given.retry_after
+        if given.tokens < wanted:
+            # Above its rate an account would cost a call per request.
+            wait = max(given.retry_after, PAUSE_SECONDS)
+            leased.closed_until = now + wait
 
-    async def _answer(self, account, leased) -> messages.TokensGiven:
-        wanted = max(1, math.ceil(leased.seen))
+    async def _answer(self, account, leased, wanted) -> messages.TokensGiven:
         ask = messages.AskTokens(account, self.name, wanted)
         owner = self._owner(account)
         self.metrics.count("limits.asked")
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -77,6 +77,7 @@
         self.apart: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
+        self.tasks: set[asyncio.Task] = set()
         self.confirm_seconds = CONFIRM_SECONDS
         mesh.subscribe(self.routers_changed)
 
@@ -116,9 +117,15 @@
         message = messages.Crashed(
             _key(request), request.body_digest, target.name, apart
         )
-        await asyncio.gather(
+        noted = await asyncio.gather(
             *(self._report(holder, message) for holder in self._all(message))
         )
+        if any(noted):
+            # In a task of its own: without a quorum the keepers take long,
+            # and the caller's final answer must not wait for them.
+            task = asyncio.ensure_future(self._condemn(message.fingerprint))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
 
     # -- what the placer tells --
 
@@ -146,10 +153,12 @@
         """Return what is held against `fingerprint`, if anything."""
         return self.table.get(fingerprint, self.clock())
 
-    async def on_crashed(self, _link, message: messages.Crashed) -> None:
-        """Note a death; propose the quarantine if it condemns."""
+    def on_crashed(
+        self, _link, message: messages.Crashed
+    ) -> messages.CrashNoted:
+        """Note a death; answer whether it condemned the request."""
         before = self.of(message.fingerprint)
-        condemned = before is not None and before.condemned
+        already = before is not None and before.condemned
         suspect = self.table.note(
             message.key,
             message.fingerprint,
@@ -157,8 +166,7 @@
             message.apart,
             self.clock(),
         )
-        if suspect.condemned and not condemned:
-            await self._condemn(message.fingerprint, suspect)
+        return messages.CrashNoted(suspect.condemned and not already)
 
     def on_cleared(self, _link, message: messages.Cleared) -> None:
         """Forget a suspect that ran to its end."""
@@ -198,19 +206,16 @@
             found.extend(shards.of(message.key))
         return found
 
-    async def _report(self, holder: str, message: messages.Crashed) -> None:
+    async def _report(self, holder: str, message: messages.Crashed) -> bool:
         try:
-            await self.mesh.call(holder, message, REPORT_SECONDS)
+            answer = await self.mesh.call(holder, message, REPORT_SECONDS)
         except errors.AmaranthringError:
             self.metrics.count("suspects.unsent")
+            return False
+        return answer.condemned
 
-    async def _condemn(self, fingerprint, suspect) -> None:
-        logs.event(
-            log,
-            "request.condemned",
-            fingerprint=fingerprint,
-            targets=",".join(suspect.deaths),
-        )
+    async def _condemn(self, fingerprint: str) -> None:
+        logs.event(log, "request.condemned", fingerprint=fingerprint)
         self.metrics.count("suspects.condemned")
         try:
             await self.quarantine(fingerprint)
--- a/amaranthring/testing/assembled.py
+++ b/amaranthring/testing/assembled.py
@@ -193,6 +193,12 @@
         for router in self.live():
             router.table.put(target)
 
+    def renew(self):
+        """Let routers tell owners what they hold."""
+        for router in self.live():
+            if router.name not in self.net.frozen:
+                router.placer.held.renew()
+
     def digest(self):
         """Let owners tell their siblings how they are loaded."""
         for router in self.live():
@@ -202,4 +208,5 @@
         """Move the clock and do what time brings."""
         self.clock.now += seconds
         for router in self.live():
-            router.owners.tick(self.clock())
+            if router.name not in self.net.frozen:
+                router.owners.tick(self.clock())
--- /dev/null
+++ b/tests/test_owner_changes.py
@@ -0,0 +1,193 @@
+"""Owners that freeze, die, leave or disagree; messages that are lost."""
+
+import asyncio
+import unittest
+
+from amaranthring import errors
+from amaranthring.core import records
+from amaranthring.policy import counts
+from amaranthring.testing import assembled
+
+
+async def no_time(_seconds):
+    """Pass no time while a call goes unanswered."""
+
+
+class TestOwnerChanges(unittest.IsolatedAsyncioTestCase):
+    """Four routers in one data centre, four engines."""
+
+    def setUp(self):
+        self.fleet = assembled.Routers(4, 4, capacity=2)
+        self.fleet.net.pause = no_time
+
+    def other(self):
+        owner = self.fleet.owner()
+        return next(each for each in self.fleet.live() if each is not owner)
+
+    async def fill(self, count=8, router=None):
+        for number in range(count):
+            await self.fleet.admit(number, router, chat=str(number))
+
+    async def test_frozen_owner_costs_one_timeout(self):
+        # Every request through a router waited for the timeout of a frozen
+        # owner, until the mesh gave the owner up seconds later.
+        await self.fill(1)
+        at = self.other()
+        self.fleet.net.frozen.add(self.fleet.owner().name)
+        for number in range(5):
+            await self.fleet.admit(number + 1, at.name, chat="c")
+        silent = at.placer.metrics.counters["placing.owner-silent"]
+        self.assertEqual(silent, 1)
+
+    async def test_deputy_of_a_frozen_owner_keeps_the_capacity(self):
+        # The deputy did not know what ran and filled full engines again.
+        await self.fill(1)
+        at = self.other().name
+        await self.fill(7, at)
+        self.fleet.net.frozen.add(self.fleet.owner().name)
+        full = asyncio.ensure_future(self.fleet.admit(9, at, chat="x"))
+        await asyncio.sleep(0.01)
+        self.assertFalse(full.done())
+        self.assertLessEqual(max(self.fleet.running().values()), 2)
+        full.cancel()
+
+    async def test_waiting_request_asks_again_when_its_owner_dies(self):
+        # A caller waited at an owner that died, and nobody ever answered.
+        await self.fill(1)
+        await self.fill(7, self.other().name)
+        owner = self.fleet.owner()
+        at = self.other()
+        waits = asyncio.ensure_future(self.fleet.admit(20, at.name, chat="w"))
+        await asyncio.sleep(0.01)
+        self.fleet.stop(owner.name)
+        await asyncio.sleep(0.01)
+        for _, grant in list(self.fleet.grants.values()):
+            self.fleet.release(grant)
+        self.assertIsNotNone(await asyncio.wait_for(waits, 5))
+
+    async def test_lost_release_is_healed(self):
+        # An engine looked busy for ever: the message that gave its grant
+        # back was lost with a broken link.
+        await self.fill(4)
+        self.fleet.net.lose = lambda *_: True
+        for _, grant in list(self.fleet.grants.values()):
+            self.fleet.release(grant)
+        self.fleet.net.lose = lambda *_: False
+        self.fleet.renew()
+        self.fleet.tick(counts.LEASE_SECONDS)
+        self.assertEqual(self.fleet.counted(), 0)
+
+    async def test_lost_grant_message_is_repeated(self):
+        # A request waited until its deadline although its turn had come:
+        # the owner's word was lost.
+        await self.fill(1)
+        at = self.other()
+        await self.fill(7, at.name)
+        waits = asyncio.ensure_future(self.fleet.admit(9, at.name, chat="w"))
+        await asyncio.sleep(0.01)
+        _, grant = next(iter(self.fleet.grants.values()))
+        self.fleet.net.lose = lambda _from, to, _message: to == at.name
+        self.fleet.release(grant)
+        self.fleet.net.lose = lambda *_: False
+        self.assertFalse(waits.done())
+        self.fleet.renew()
+        self.assertIsNotNone(await asyncio.wait_for(waits, 5))
+
+    async def test_dead_entry_router_frees_its_room_by_lease(self):
+        await self.fill(1)
+        at = self.other()
+        await self.fill(7, at.name)
+        self.fleet.net.frozen.add(at.name)
+        self.fleet.tick(counts.LEASE_SECONDS + 0.1)
+        self.assertEqual(len(self.fleet.owner().owners.cells), 1)
+        self.assertEqual(self.fleet.counted(), 0)
+
+    async def test_owner_that_leaves_hands_its_counts_over(self):
+        await self.fill(8)
+        owner = self.fleet.owner()
+        self.fleet.leave(owner.name)
+        self.assertEqual(owner.owners.cells, {})
+        self.assertEqual(self.fleet.counted(), 8)
+        for _, grant in list(self.fleet.grants.values()):
+            self.fleet.release(grant)
+        self.assertEqual(self.fleet.counted(), 0)
+
+    async def test_caller_that_leaves_frees_its_place_in_the_queue(self):
+        await self.fill(8)
+        waits = asyncio.ensure_future(self.fleet.admit(9, chat="w"))
+        await asyncio.sleep(0.01)
+        waits.cancel()
+        await asyncio.sleep(0.01)
+        cell = next(iter(self.fleet.owner().owners.cells.values()))
+        self.assertEqual(len(cell.queue), 0)
+
+    async def test_deadline_ends_the_waiting(self):
+        await self.fill(8)
+        soon = self.fleet.clock.now + 0.05
+        with self.assertRaises(errors.DeadlineError) as caught:
+            await self.fleet.admit(9, chat="w", deadline=soon)
+        self.assertEqual(caught.exception.outcome, errors.Outcome.NOT_RUN)
+        self.assertIsNotNone(caught.exception.retry_after)
+
+    async def test_drained_target_gets_no_new_work(self):
+        # An operator drained an engine and it went on getting requests.
+        await self.fill(1)
+        self.fleet.config.drained["e0"] = "maintenance"
+        for router in self.fleet.live():
+            router.owners.config_changed()
+        await self.fill(5)
+        self.assertLessEqual(self.fleet.running()["e0"], 1)
+
+
+class TestDataCentres(unittest.IsolatedAsyncioTestCase):
+    """Two data centres with twenty engines each: cells of their own."""
+
+    def setUp(self):
+        self.fleet = assembled.Routers(
+            4, 40, data_centres=("dc1", "dc2"), capacity=1
+        )
+        self.fleet.net.pause = no_time
+
+    def place(self, grant):
+        return grant.target.data_centre
+
+    async def test_requests_stay_in_their_data_centre(self):
+        grant = await self.fleet.admit(0, "r0", chat="c")
+        self.assertEqual(self.place(grant), "dc1")
+
+    async def test_full_data_centre_spills(self):
+        places = []
+        for number in range(30):
+            self.fleet.digest()
+            grant = await self.fleet.admit(number, "r0", chat=str(number))
+            places.append(self.place(grant))
+        self.assertEqual(places.count("dc1"), 20)
+
+    async def test_cut_off_data_centre_serves_what_it_can(self):
+        # The link between two data centres broke, and callers of either
+        # were refused although engines beside them were free.
+        names = ["r0", "r1", "r2", "r3"]
+        sides = {"r0": 0, "r2": 0, "r1": 1, "r3": 1}
+        self.fleet.net.cut = {
+            (a, b) for a in names for b in names if sides[a] != sides[b]
+        }
+        for router in self.fleet.live():
+            side = sides[router.name]
+            router.mesh.hidden = {n for n in names if sides[n] != side}
+            router.mesh.changed()
+        for router in ("r0", "r1", "r2", "r3"):
+            for number in range(5):
+                grant = await self.fleet.admit(number, router, chat="c")
+                here = self.fleet.net.data_centres[router]
+                self.assertEqual(self.place(grant), here)
+
+    async def test_no_owner_in_reach_leaves_local_estimates(self):
+        # Every link of a router broke; its callers were refused.
+        at = self.fleet.by_name["r0"]
+        names = ["r1", "r2", "r3"]
+        self.fleet.net.cut = {("r0", n) for n in names}
+        grant = await self.fleet.admit(0, "r0", chat="c")
+        self.assertIn(grant.owner, ("", "r0"))
+        self.assertEqual(
+            at.table.state(grant.target.name), records.TargetState.READY
+        )
