--- a/amaranthring/bench/fairness.py
+++ b/amaranthring/bench/fairness.py
@@ -176,5 +176,3 @@
 
 def _mean(values: list[float]) -> float:
     return sum(values) / max(len(values), 1)
-
-
--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -238,7 +238,7 @@
     def serve(self, now: float) -> None:
         """Grant waiting requests for which there is room, into `placed`."""
         while len(self.queue) and self.has_room(now):
-            found = self.queue.pop(lambda w: self.place(w.ask, now))
+            found = self.queue.pop(lambda w: self.place(w.ask, now), now)
             if found is None:
                 break
             waiter, target = found
@@ -264,7 +264,9 @@
         if released < 1:
             return 0.0
         ahead = self.queue.ahead(ask.account, ask.priority)
-        return (ahead + 1) * RATE_SECONDS / released
+        by_rate = (ahead + 1) * RATE_SECONDS / released
+        by_turn = self.queue.virtual_wait(ask.account, ask.priority, now)
+        return max(by_rate, by_turn)
 
     # -- leases --
 
--- a/amaranthring/policy/queues.py
+++ b/amaranthring/policy/queues.py
@@ -12,9 +12,11 @@
 import collections.abc
 import dataclasses
 import itertools
+import math
 
 SHARE_OF_LATER = 0.05
 SCAN_MOST = 16
+SPEED_SECONDS = 10.0
 
 
 @dataclasses.dataclass(eq=False)
@@ -58,6 +60,9 @@
         self.now = 0.0
         self.credit = 0.0
         self.length = 0
+        self.gained = 0.0
+        self.gained_at = 0.0
+        self.began = -1.0
 
     def push(self, waiter: Waiter) -> None:
         """Add `waiter` behind its account's others."""
@@ -80,6 +85,25 @@
         for queue in queues:
             yield from itertools.islice(queue, SCAN_MOST)
 
+    def speed(self, now: float) -> float:
+        """Return how fast virtual time moved lately, a second."""
+        age = now - self.began
+        if self.began < 0 or age <= 0:
+            return 0.0
+        fade = math.exp(-(now - self.gained_at) / SPEED_SECONDS)
+        filled = SPEED_SECONDS * (1 - math.exp(-age / SPEED_SECONDS))
+        return self.gained * fade / filled
+
+    def serve(self, waiter: Waiter, now: float) -> None:
+        """Take `waiter` out as served: virtual time moves on to it."""
+        if self.began < 0:
+            self.began = self.gained_at = now
+        gain = max(0.0, waiter.start - self.now)
+        fade = math.exp(-(now - self.gained_at) / SPEED_SECONDS)
+        self.gained = self.gained * fade + gain
+        self.gained_at = now
+        self.take(waiter, served=True)
+
     def take(self, waiter: Waiter, served: bool) -> None:
         """Take `waiter` out; `served` moves virtual time on."""
         queue = self.accounts[waiter.account]
@@ -145,11 +169,14 @@
         """Take out the waiter under `key`, unserved."""
         waiter = self.waiters.pop(key, None)
         if waiter is not None:
-            self._take(waiter, served=False)
+            self.levels[waiter.priority].take(waiter, served=False)
+            self._tidy(waiter.priority)
         return waiter
 
     def pop(
-        self, place: collections.abc.Callable[[Waiter], str | None]
+        self,
+        place: collections.abc.Callable[[Waiter], str | None],
+        now: float,
     ) -> tuple[Waiter, str] | None:
         """Serve the next waiter in turn that `place` finds a target for.
 
@@ -157,6 +184,8 @@
         ----------
         place : callable
             Returns the target for a waiter, or None if it has to wait on.
+        now : float
+            On the owner's clock, in seconds.
         """
         for priority in self._turns():
             level = self.levels[priority]
@@ -165,7 +194,8 @@
                 if target is None:
                     continue
                 del self.waiters[waiter.key]
-                self._take(waiter, served=True)
+                level.serve(waiter, now)
+                self._tidy(priority)
                 self._credit(priority)
                 return waiter, target
         return None
@@ -180,6 +210,19 @@
                 count += self._ahead_in(level, account)
         return count
 
+    def virtual_wait(self, account: str, priority: int, now: float) -> float:
+        """Return seconds until virtual time reaches a new request's turn.
+
+        The speed of virtual time tells of requests of other accounts that
+        come later and still go first. Unknown, it gives 0.
+        """
+        level = self.levels.get(priority)
+        if level is None:
+            return 0.0
+        gap = level.finish.get(account, 0.0) - level.now
+        speed = level.speed(now)
+        return gap / speed if gap > 0 and speed > 0 else 0.0
+
     def expired(self, now: float) -> list[Waiter]:
         """Take out and return those whose deadline has passed."""
         late = [w for w in self.waiters.values() if w.deadline <= now]
@@ -212,8 +255,6 @@
             if priority > served and other.length:
                 other.credit += SHARE_OF_LATER
 
-    def _take(self, waiter: Waiter, served: bool) -> None:
-        level = self.levels[waiter.priority]
-        level.take(waiter, served)
-        if not level.length:
-            del self.levels[waiter.priority]
+    def _tidy(self, priority: int) -> None:
+        if not self.levels[priority].length:
+            del self.levels[priority]
