--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,6 +1,7 @@
 """HTTP for operators: tokens, validation, conflicts, lost answers."""
 
 import json
+import pathlib
 
 import tornado.testing
 import tornado.web
@@ -106,6 +107,20 @@
             self.assertIn(word, body["error"]["detail"])
         self.assertEqual(self.group.machine.book.parts.revision, 1)
 
+    def test_example_presets_are_accepted(self):
+        root = pathlib.Path(__file__).resolve().parent.parent
+        paths = sorted((root / "examples" / "presets").glob("*.json"))
+        self.assertEqual(len(paths), 3)
+        for number, path in enumerate(paths):
+            response, body = self.send(
+                "PUT",
+                f"/r1/operators/presets/{path.stem}",
+                json.loads(path.read_text()),
+                id=f"command-{number}",
+                match=str(number + 1),
+            )
+            self.assertEqual(response.code, 200, body)
+
     def test_missing_and_malformed_headers(self):
         cases = (
             ({"id": "command-1"}, 428),
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -190,6 +190,24 @@
         self.fleet.routers.clear()
         self.fleet.made.clear()
 
+    async def test_data_centre_that_restarts_whole_while_cut_off(self):
+        # Both routers stop, a2 later than a1 and with a newer file; both
+        # start again without keepers. Each has only its file and the
+        # other, and both must go on under the newer revision.
+        await self.write_file()
+        self.fleet.change(1)
+        other = self.path + "-2"
+        made, _ = self.fleet.start("a2", path=other)
+        await state.until(lambda: made.ready)
+        await self.fleet.stop()
+        self.fleet.routers.clear()
+        self.fleet.made.clear()
+        self.fleet.group.cut = True
+        self.fleet.start("a1", path=self.path)
+        self.fleet.start("a2", path=other)
+        await state.until(lambda: all(m.ready for m in self.made()))
+        await state.until(lambda: self.fleet.all_at(2))
+
     async def test_damaged_file_is_ignored(self):
         await self.write_file()
         whole = read(self.path)
