--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -16,7 +16,7 @@
 from amaranthring.targets import upstream
 
 SETTLE_TRIES = 3
-CLAIM_TRIES = 3
+CLAIM_TRIES = 2
 SETTLE_SECONDS = 2.0
 SETTLE_PAUSE_SECONDS = 0.2
 IN_PROGRESS_SECONDS = 1.0
@@ -122,7 +122,9 @@
     """Ask the ledger, again under the same attempt if the reply was lost.
 
     A claim that was granted with its reply lost would bar the key for good,
-    though nothing was sent. Asked again, the ledger knows the attempt.
+    though nothing was sent. Asked again, the ledger knows the attempt. If
+    no reply comes at all, nothing is sent under this attempt any more, and
+    the claim, should there be one, is freed as soon as the ledger answers.
     """
     failed: errors.AmaranthringError | None = None
     for _ in range(CLAIM_TRIES):
