--- a/amaranthring/testing/processes.py
+++ b/amaranthring/testing/processes.py
@@ -6,7 +6,6 @@
 import pathlib
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -17,9 +16,11 @@
 from amaranthring.keepers import client
 from amaranthring.testing import cuts
 from amaranthring.testing import keeper as keeper_process
+from amaranthring.testing import local_fleet
 
 KEY_TEXT = "a " + "6b" * 32
 KEYS = links.Keys({"a": b"k" * 32})
+ERRORS_SHOWN = 2000
 MODULE = "amaranthring.testing.keeper"
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 
@@ -49,14 +50,6 @@
         await asyncio.sleep(pause)
 
 
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 class KeeperProcess:
     """One keeper process that is started, stopped, frozen and killed."""
 
@@ -164,7 +157,7 @@
         for name in self.names:
             self.keepers[name] = KeeperProcess(name, self.folder / name)
         if self.direct:
-            ports = _free_ports(len(self.names))
+            ports = local_fleet.free_ports(len(self.names))
             self.ports = dict(zip(self.names, ports, strict=True))
         for name in ["client", *self.names]:
             for other in self.names:
@@ -205,7 +198,14 @@
 
     async def listening(self, name: str) -> None:
         """Wait until keeper `name` listens; point its relays there."""
-        port = await until(self.keepers[name].port, what=f"port of {name}")
+        keeper = self.keepers[name]
+        try:
+            port = await until(keeper.port, what=f"port of {name}")
+        except AssertionError as error:
+            code = keeper.process and keeper.process.poll()
+            raise AssertionError(
+                f"{error}; exit code {code}: {keeper.errors[-ERRORS_SHOWN:]}"
+            ) from error
         for (_, other), relay in self.between.items():
             if other == name:
                 relay.target = f"127.0.0.1:{port}"
