--- a/amaranthring/bench/way.py
+++ b/amaranthring/bench/way.py
@@ -9,7 +9,6 @@
 import contextlib
 import dataclasses
 import json
-import statistics
 import subprocess
 import sys
 import time
@@ -27,6 +26,7 @@
 ADDED_P50_SECONDS = 0.002
 ADDED_P99_SECONDS = 0.008
 SHARE_MOST = 0.5
+RATIO_MOST = 1.1
 BOUNDS = ((0.5, ADDED_P50_SECONDS), (0.99, ADDED_P99_SECONDS))
 
 
@@ -63,7 +63,7 @@
         return Usage(**json.load(answer))
 
 
-def request_bytes(tokens: int, number: int, batch: int) -> bytes:
+def request_bytes(tokens: int, number: int, batch: int, token: str) -> bytes:
     """Return a whole HTTP request of a streamed chat."""
     message = {"role": "user", "content": f"question {number}"}
     body = json.dumps(
@@ -77,18 +77,20 @@
     ).encode()
     head = (
         "POST /v1/chat/completions HTTP/1.1\r\nHost: bench\r\n"
-        f"Authorization: Bearer {needs.TOKEN}\r\n"
+        f"Authorization: Bearer {token}\r\n"
         f"Amaranthring-Request-Id: bench-{number}\r\n"
         f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
 
 
-async def read_stream(port: int, tokens: int, number=0, batch=1) -> Read:
+async def read_stream(
+    port: int, tokens: int, number=0, batch=1, token=needs.TOKEN
+) -> Read:
     """Ask for one stream and read it to its end."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     began = time.perf_counter()
-    writer.write(request_bytes(tokens, number, batch))
+    writer.write(request_bytes(tokens, number, batch, token))
     found = Read()
     tail = b""
     while data := await reader.read(READ_BYTES):
@@ -104,9 +106,13 @@
     return found
 
 
-async def load(port: int, streams: int, tokens: int, batch=1) -> list[Read]:
+async def load(
+    port: int, streams: int, tokens: int, batch=1, token=needs.TOKEN
+) -> list[Read]:
     """Read `streams` streams at once; all must be whole."""
-    asked = [read_stream(port, tokens, n, batch) for n in range(streams)]
+    asked = [
+        read_stream(port, tokens, n, batch, token) for n in range(streams)
+    ]
     found = await asyncio.gather(*asked)
     broken = [one for one in found if one.events != tokens + 1]
     if broken or not all(one.whole for one in found):
@@ -152,16 +158,53 @@
     return spent / sum(one.events for one in found)
 
 
-async def first_tokens(ports: list[int], requests: int) -> list[list[float]]:
+async def first_tokens(
+    ports: list[int], requests: int, token=needs.TOKEN
+) -> list[list[float]]:
     """Return times to the first token by port, taken in turns."""
     found: list[list[float]] = [[] for _ in ports]
     for number in range(requests):
         for times, port in zip(found, ports, strict=True):
-            one = await read_stream(port, 2, number)
+            one = await read_stream(port, 2, number, token=token)
             times.append(one.first_seconds)
     return found
 
 
+def add_latency(
+    made: report.Report, direct, through, beside, bounded=True
+) -> None:
+    """Add the times to the first token, directly and through both relays."""
+    made.add("first token, direct, p50", quantile(direct, 0.5) * 1e3, "ms")
+    made.add("first token, direct, p99", quantile(direct, 0.99) * 1e3, "ms")
+    for name, times in (("way", through), ("plain relay", beside)):
+        for share, most in BOUNDS:
+            added = quantile(times, share) - quantile(direct, share)
+            made.add(
+                f"first token, added by the {name}, p{share * 100:.0f}",
+                added * 1e3,
+                "ms",
+                most=most * 1e3 if name == "way" else None,
+            )
+
+    made.add(
+        "way to plain relay, first token added, p50",
+        (quantile(through, 0.5) - quantile(direct, 0.5))
+        / (quantile(beside, 0.5) - quantile(direct, 0.5)),
+        most=RATIO_MOST if bounded else None,
+    )
+
+
+def add_cost(made: report.Report, plain: float, way: float) -> None:
+    """Add processor time for each event, in seconds, of both relays."""
+    made.add("plain relay, per event", plain * 1e6, "us")
+    made.add("way, per event", way * 1e6, "us")
+    made.add(
+        "way to plain relay, processor time per event",
+        way / plain,
+        most=SHARE_MOST,
+    )
+
+
 def quantile(values: list[float], share: float) -> float:
     """Return the value below which `share` of `values` lie."""
     return sorted(values)[int(share * (len(values) - 1))]
@@ -175,13 +218,7 @@
         way = processes.relay("way", paced)
         plain_cost = await cost(plain, streams, tokens)
         way_cost = await cost(way, streams, tokens)
-        made.add("plain relay, per event", plain_cost * 1e6, "us")
-        made.add("way, per event", way_cost * 1e6, "us")
-        made.add(
-            "way to plain relay, processor time per event",
-            way_cost / plain_cost,
-            most=SHARE_MOST,
-        )
+        add_cost(made, plain_cost, way_cost)
         await _latency(made, processes, requests)
         await _rate(made, processes, streams, tokens)
         await _memory(made, processes, long_tokens)
@@ -193,23 +230,7 @@
     plain = processes.relay("plain", quick)
     ports = [int(quick.rpartition(":")[2]), way, plain]
     await first_tokens(ports, 10)
-    direct, through, beside = await first_tokens(ports, requests)
-    pairs = [one - two for one, two in zip(through, direct, strict=True)]
-    made.add("first token, direct, p50", quantile(direct, 0.5) * 1e3, "ms")
-    made.add("first token, direct, p99", quantile(direct, 0.99) * 1e3, "ms")
-    for name, times in (("way", through), ("plain relay", beside)):
-        for share, most in (
-            (0.5, ADDED_P50_SECONDS),
-            (0.99, ADDED_P99_SECONDS),
-        ):
-            added = quantile(times, share) - quantile(direct, share)
-            made.add(
-                f"first token, added by the {name}, p{share * 100:.0f}",
-                added * 1e3,
-                "ms",
-                most=most * 1e3 if name == "way" else None,
-            )
-    made.add("first token, added, mean", statistics.mean(pairs) * 1e3, "ms")
+    add_latency(made, *await first_tokens(ports, requests))
 
 
 async def _rate(made, processes, streams, tokens) -> None:
