Ask the holder of a claim whether it still runs the call

Cause: a router killed with bookings in hand left claims in progress; their callers' resends were told so for up to 25 s, until the time of the claim was over, though the router was back within 2 s and ran nothing of it. Ruled out: a shorter time, since slow services would read as unknown; the mesh's live list, which errs in a partition. Change: a resend that meets a claim in progress asks the router that the attempt names; its word that it runs no such attempt is certain, and the ledger is asked once more.

--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -111,11 +111,34 @@
     """Claim, send, settle; or answer from an earlier claim."""
     name = f"{request.request_id}.{attempt.number}"
     attempt.repeatable = False
-    claim = await _claim(needs, request, name, attempt.target.name)
-    needs.metrics.count(f"way.claim.{claim.state}")
-    if claim.state is not records.ClaimState.GRANTED:
-        return await _earlier(needs, request, name, headers, claim)
-    return await _run_claimed(needs, request, attempt, headers, name)
+    needs.attempts.add(name)
+    try:
+        claim = await _claim(needs, request, name, attempt.target.name)
+        claim = await _checked(
+            needs, request, name, attempt.target.name, claim
+        )
+        needs.metrics.count(f"way.claim.{claim.state}")
+        if claim.state is not records.ClaimState.GRANTED:
+            return await _earlier(needs, request, name, headers, claim)
+        return await _run_claimed(needs, request, attempt, headers, name)
+    finally:
+        needs.attempts.discard(name)
+
+
+async def _checked(needs, request, name, target, claim) -> records.Claim:
+    """Return `claim`, as unknown if its holder runs the call no more.
+
+    The ledger is asked a second time, since the holder may have settled
+    between the first look and its word.
+    """
+    state = records.ClaimState.IN_PROGRESS
+    if claim.state is not state or await needs.may_run(claim.attempt):
+        return claim
+    again = await _claim(needs, request, name, target)
+    if again.state is state and again.attempt == claim.attempt:
+        needs.metrics.count("way.claim.holder-lost")
+        again.state = records.ClaimState.UNKNOWN
+    return again
 
 
 async def _claim(needs, request, name, target) -> records.Claim:
@@ -218,10 +241,15 @@
     nothing ran under it, so that the refusal may say so.
     """
     name = f"{request.request_id}.none"
-    claim = await _claim(needs, request, name, "")
-    if claim.state is not records.ClaimState.GRANTED:
-        return await _earlier(needs, request, name, headers, claim)
-    await _settle(needs, request, name, errors.Outcome.NOT_RUN, None)
+    needs.attempts.add(name)
+    try:
+        claim = await _claim(needs, request, name, "")
+        claim = await _checked(needs, request, name, "", claim)
+        if claim.state is not records.ClaimState.GRANTED:
+            return await _earlier(needs, request, name, headers, claim)
+        await _settle(needs, request, name, errors.Outcome.NOT_RUN, None)
+    finally:
+        needs.attempts.discard(name)
     error.claimed = True
     raise error
 
--- a/amaranthring/callers/way.py
+++ b/amaranthring/callers/way.py
@@ -24,6 +24,10 @@
 T = t.TypeVar("T")
 
 
+async def _may_run(_attempt: str) -> bool:
+    return True
+
+
 @dataclasses.dataclass
 class Needs:
     """What the way needs from other packages, filled by ``app.py``.
@@ -44,6 +48,10 @@
         Counters and histograms of this process.
     drain : Drain
         Requests in progress.
+    may_run : callable
+        Whether the holder of an attempt may still run it.
+    attempts : set of str
+        Claimed attempts that run here.
     settlements : Settlements
         What the ledger could not be told yet.
     """
@@ -73,6 +81,8 @@
         default_factory=figures.Metrics
     )
     drain: drains.Drain = dataclasses.field(default_factory=drains.Drain)
+    may_run: t.Callable[[str], t.Awaitable[bool]] = _may_run
+    attempts: set[str] = dataclasses.field(default_factory=set)
     settlements: settlements_module.Settlements = dataclasses.field(init=False)
 
     def __post_init__(self):
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -21,6 +21,7 @@
 from amaranthring.platform import figures
 from amaranthring.policy import retries
 from amaranthring.routers import admission
+from amaranthring.routers import attempts
 from amaranthring.routers import directory
 from amaranthring.routers import explaining
 from amaranthring.routers import limits
@@ -174,7 +175,13 @@
         self.explaining = explaining.Explaining(
             self.name, self.mesh, self.ring
         )
+        self.attempts = attempts.Attempts(
+            self.name,
+            self.mesh,
+            lambda attempt: attempt in self.needs.settlements.pending,
+        )
         for part in (
+            self.attempts,
             self.suspicion,
             self.directory,
             self.owners,
@@ -204,6 +211,8 @@
             serves=self._serves,
             metrics=self.metrics,
             drain=self.drain,
+            may_run=self.attempts.may_run,
+            attempts=self.attempts.running,
         )
 
     def _resume_keys(self) -> links.Keys:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -238,6 +238,39 @@
         self.assert_told(await first, 200, RAN)
         self.assertEqual(self.runs(), 1)
 
+    async def test_holder_that_restarted_is_known_at_once(self):
+        """A router dies with a booking in hand and is back in a second.
+
+        The caller's resends were told "in progress" for half a minute, till
+        the claim's time was over, though nobody ran it any more.
+        """
+        await self.frozen("claim after")
+        asked = []
+
+        async def gone(attempt):
+            asked.append(attempt)
+            return False
+
+        self.two.fakes.needs.may_run = gone
+        again = await self.two.book("a", "k")
+        self.assert_told(again, 409, UNKNOWN)
+        self.assertEqual(code_of(again), "claim-unknown")
+        self.assertTrue(asked[0].startswith("r1."))
+        self.assertEqual(self.runs(), 0)
+
+    async def test_holder_that_settled_meanwhile_is_believed(self):
+        """The holder settles between the ledger's word and its own."""
+        gate, first = await self.frozen("settle before")
+
+        async def settled(_):
+            gate.set()
+            await first
+            return False
+
+        self.two.fakes.needs.may_run = settled
+        self.assert_told(await self.two.book("a", "k"), 200, RAN)
+        self.assertEqual(self.runs(), 1)
+
     async def test_killed_after_settle_before_the_answer(self):
         await self.frozen("settle after")
         self.assert_told(await self.two.book("a", "k"), 200, RAN)
