Pass digests on inside the batch; let former relays fall silent

Cause: the first relay of a pair sent a message of its own to each router of its data centre; and two routers that had been relays at the start answered each other's digests for ever (found by 17 links at a router that should have 7 to 9). Change: a digest rides in the relay's next batch, which goes early once and then follows the digest; only a digest of a chosen relay is answered; tombstones are no longer listed as stale. The bench counts messages. Proof: test_routers_that_are_relays_no_more_fall_silent fails without the guard.

--- a/amaranthring/bench/control.py
+++ b/amaranthring/bench/control.py
@@ -53,6 +53,8 @@
         Bytes a second, both directions together.
     processor : float
         Percent of one core.
+    messages : float
+        Messages sent to other routers a second.
     resident_mb : float
         Highest resident memory.
     """
@@ -60,6 +62,7 @@
     streams: float
     http: float
     processor: float
+    messages: float
     resident_mb: float
 
     @property
@@ -181,6 +184,7 @@
         rate("sent", "received"),
         rate("http"),
         100 * rate("processor_seconds"),
+        rate("messages"),
         after["resident_kb"] / 1024,
     )
 
@@ -213,12 +217,14 @@
         statistics.median(use.streams for use in uses),
         statistics.median(use.http for use in uses),
         statistics.median(use.processor for use in uses),
+        max(use.messages for use in uses),
         max(use.resident_mb for use in uses),
     )
     worst = max(use.total for use in uses)
     made.add(f"streams, median of {where}", median.streams, "B/s")
     made.add(f"HTTP, median of {where}", median.http, "B/s")
     made.add(f"all bytes, worst of {where}", worst, "B/s")
+    made.add(f"messages sent, worst of {where}", median.messages, "/s")
     made.add(f"processor, median of {where}", median.processor, "%")
     made.add(f"memory, most of {where}", median.resident_mb, "MB", most=128)
     return median
@@ -255,11 +261,12 @@
 
 
 def digests(routers: float, data_centres: int) -> float:
-    """Return messages a second that one router has for other data centres.
+    """Return digests a second that one router has for other data centres.
 
     For each other data centre the first relay passes one digest a second on
-    to all routers, and two relays on either side exchange theirs. Sent and
-    received are counted, as a mean over the routers of a data centre.
+    to all routers, inside its batch, and two relays on either side exchange
+    theirs. Sent and received are counted, as a mean over the routers of a
+    data centre.
     """
     others = data_centres - 1
     passed_on = others * (routers - 1) / routers
@@ -273,7 +280,7 @@
     A data centre of n routers costs the line through the measured sizes at
     n. The split layout's mean above that line, a digest, is what one digest
     costs; :func:`digests` gives their number at full size. The first relay
-    of a pair of data centres sends one to each router beside.
+    of a pair of data centres adds a digest to its batch to each neighbour.
     """
     size = ROUTERS_A_DATA_CENTRE
     inside = split.routers / split.data_centres
@@ -291,5 +298,6 @@
         made.add(f"{name} of one digest", each, unit)
         whole = base + full * each
         made.add(f"{name} at 370, mean", whole, unit, most=most)
-        relay = whole + (size - 1) * each
-        made.add(f"{name} at 370, first relay of a pair", relay, unit)
+        if unit == "B/s":
+            relay = whole + (size - 1) * each
+            made.add(f"{name} at 370, first relay of a pair", relay, unit)
--- a/amaranthring/bench/control_worker.py
+++ b/amaranthring/bench/control_worker.py
@@ -57,6 +57,7 @@
         "resident_kb": used.ru_maxrss,
         "sent": sum(link.sent_bytes for link in linked),
         "received": sum(link.received_bytes for link in linked),
+        "messages": sum(link.sent_frames for link in linked),
         "http": server.counted_bytes,
         "links": len(linked),
         "live": len(member.mesh.live()),
--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -129,6 +129,8 @@
         The other end, proved by the handshake.
     sent_bytes, received_bytes : int
         Traffic so far.
+    sent_frames : int
+        Frames written so far.
     """
 
     def __init__(self, stream, peer: Identity, handlers: Handlers):
@@ -136,6 +138,7 @@
         self.peer = peer
         self.handlers = handlers
         self.sent_bytes = 0
+        self.sent_frames = 0
         self.received_bytes = 0
         self.closed = False
         self._ids = itertools.count(1)
@@ -238,6 +241,7 @@
                 f"link to {self.peer.name} closed"
             ) from error
         self.sent_bytes += len(data)
+        self.sent_frames += 1
 
     def _handle(self, frame: wire.Frame) -> None:
         if frame.kind in (wire.REPLY, wire.ERROR):
--- a/amaranthring/routers/member_messages.py
+++ b/amaranthring/routers/member_messages.py
@@ -42,6 +42,16 @@
     fingerprint: int
 
 
+class Passed(t.NamedTuple):
+    """Word of another data centre, passed on by a relay; see Digest."""
+
+    data_centre: str
+    age_ms: int
+    mark: int
+    routers_mark: int
+    stale: list[str]
+
+
 @wire.message("sb", compact=True)
 class Batch:
     """One router's news for its data centre, once a second.
@@ -56,38 +66,43 @@
         Targets that renewed at the sender since its last batch.
     records : list of Record
         Records that changed of late.
+    passed : list of Passed
+        Digests of other data centres, from a relay.
     """
 
     clock_ms: int
     mark: int
     beats: list[Beat]
     records: list[entries.Record]
+    passed: list[Passed]
 
 
 @wire.message("sd", compact=True)
 class Digest:
-    """A data centre's word for its targets and routers, through relays.
+    """A data centre's word for its targets and routers, between relays.
 
     Attributes
     ----------
     clock_ms : int
         Sender's monotonic clock.
-    age_ms : int
-        Milliseconds since the relay of `data_centre` said it.
     mark : int
         Digest of the records of `data_centre`.
     routers_mark : int
         Digest of its list of live routers.
     stale : list of str
         Targets that have not been heard there for a while.
+    chosen : bool
+        Whether sender and receiver are relays by the sender's list. Else it
+        only answers digests, and must not be answered: two routers that are
+        relays no more would go on for ever.
     """
 
     data_centre: str
     clock_ms: int
-    age_ms: int
     mark: int
     routers_mark: int
     stale: list[str]
+    chosen: bool
 
 
 @wire.message("spread-pull")
--- a/amaranthring/routers/spread.py
+++ b/amaranthring/routers/spread.py
@@ -34,6 +34,9 @@
 SLACK_SECONDS = 0.1
 AHEAD_SECONDS = 0.15
 FLUSH_SECONDS = 0.01
+TIMER_SECONDS = 0.002
+EARLY_SECONDS = 0.5
+GATHER_SECONDS = 0.05
 REPEATS = 3
 PULL_AFTER_SECONDS = 0.3
 PULL_EVERY_SECONDS = 0.5
@@ -89,6 +92,8 @@
         self._flushing = False
         self._lateness: dict[str, lateness.Lateness] = {}
         self._far: dict[str, float] = {}
+        self.batched_at = 0.0
+        self._passing: dict[str, tuple] = {}
         self._near_news: dict[str, float] = {}
         self._pulled_at: dict[str, float] = {}
         self._pulls: dict[str, asyncio.Task] = {}
@@ -115,6 +120,9 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(max(0.0, self.next_at - self.clock()))
+            if self.clock() < self.next_at - TIMER_SECONDS:
+                # An early batch went out meanwhile.
+                continue
             # A late tick shifts the next ones: none is made up for.
             self.next_at = max(self.next_at, self.clock() - SLACK_SECONDS)
             self.next_at += BATCH_SECONDS
@@ -132,6 +140,7 @@
     def tick(self) -> None:
         """Send this second's batch and, from a relay, the digests."""
         now = self.clock()
+        self.batched_at = now
         self.mesh.broadcast(self._batch(now))
         for place in self.mesh.data_centres():
             if place == self.mesh.data_centre:
@@ -149,11 +158,18 @@
         self._repeat = {
             n: left - 1 for n, left in self._repeat.items() if left
         }
-        return self._message(now, [b for b in beats if b], records_)
+        passed = [
+            messages.Passed(place, int((now - heard) * 1000), *word)
+            for place, (heard, *word) in self._passing.items()
+        ]
+        self._passing.clear()
+        return self._message(now, [b for b in beats if b], records_, passed)
 
-    def _message(self, now, beats, changed) -> messages.Batch:
+    def _message(self, now, beats, changed, passed=()) -> messages.Batch:
         mark = self.table.digests.get(self.mesh.data_centre, 0)
-        return messages.Batch(int(now * 1000), mark, beats, changed)
+        return messages.Batch(
+            int(now * 1000), mark, beats, changed, list(passed)
+        )
 
     def _records(self, names: t.Iterable[str], now: float):
         known = self.table.entries
@@ -220,41 +236,51 @@
             found = [beat for beat in beats if beat]
             self.mesh.broadcast(self._message(now, found, near))
         if beyond:
-            for name in self._far_links():
+            for name in self.far_links():
                 self.mesh.send(name, self._message(now, [], beyond))
 
-    def _far_links(self) -> list[str]:
-        """Return routers elsewhere that exchange digests with this one."""
-        now = self.clock()
-        found = {
-            n for n, at in self._far.items() if now - at < CUT_OFF_SECONDS
-        }
+    def _chosen_links(self) -> set[str]:
+        """Return routers elsewhere that this relay exchanges with."""
+        found = set()
         for place in self.mesh.data_centres():
             if place != self.mesh.data_centre and self.mesh.is_relay_to(place):
                 found.update(self.mesh.relays(place))
+        return found
+
+    def far_links(self) -> list[str]:
+        """Return linked routers elsewhere, chosen or that chose this one."""
+        now = self.clock()
         known = self.mesh.peers
+        found = self._chosen_links()
+        found.update(
+            name
+            for name, at in self._far.items()
+            if now - at < CUT_OFF_SECONDS
+        )
         return sorted(n for n in found if n in known and known[n].link)
 
     def _send_digest(self, place: str, now: float) -> None:
         known = self.mesh.peers
-        names = [n for n in self._far_links() if known[n].data_centre == place]
+        names = [n for n in self.far_links() if known[n].data_centre == place]
         if not names:
             return
         here = self.mesh.data_centre
         stale = [
             entry.target.name
             for entry in self.table.of(here)
-            if now - entry.heard > DIGEST_STALE_SECONDS
+            if not entry.lost and now - entry.heard > DIGEST_STALE_SECONDS
         ]
+        chosen = self._chosen_links()
         digest = messages.Digest(
             here,
             int(now * 1000),
-            0,
             self.table.digests.get(here, 0),
             mark_of(self.mesh.live(here)),
             stale,
+            False,
         )
         for name in names:
+            digest.chosen = name in chosen
             self.mesh.send(name, digest)
 
     def _greet(self, peer: peers.Peer) -> None:
@@ -304,34 +330,42 @@
         self.marks[name] = batch.mark
         if batch.mark != self.table.digests.get(here, 0):
             self._later(here, name)
+        for word in batch.passed:
+            if word.data_centre != here:
+                self._near_news[word.data_centre] = now
+                self._take_word(word, sent - word.age_ms / 1000, name)
 
     def _take_digest(self, link, digest: messages.Digest) -> None:
         now = self.clock()
         name = link.peer.name
-        place = digest.data_centre
-        if place == self.mesh.data_centre:
+        place = link.peer.data_centre
+        if digest.data_centre != place or place == self.mesh.data_centre:
             return
-        sent = self._sent_at(name, digest.clock_ms, now)
-        heard = sent - digest.age_ms / 1000
+        heard = self._sent_at(name, digest.clock_ms, now)
+        self._take_word(digest, heard, name)
+        if digest.chosen:
+            self._far[name] = now
+        self._pass_on(digest, heard, now)
+
+    def _take_word(self, word, heard: float, name: str) -> None:
+        """Take a data centre's word of `heard`, which came through `name`."""
+        place = word.data_centre
         self.heard_of[place] = max(heard, self.heard_of.get(place, heard))
-        if digest.mark == self.table.digests.get(place, 0):
-            self.table.vouch(place, heard, digest.stale)
+        if word.mark == self.table.digests.get(place, 0):
+            self.table.vouch(place, heard, word.stale)
         else:
             self._later(place, name)
         routers = self.mesh.foreign.get(place, [])
-        if mark_of(routers) != digest.routers_mark:
+        if mark_of(routers) != word.routers_mark:
             self._later(place, name)
-        if link.peer.data_centre == place:
-            self._far[name] = now
-            self._pass_on(digest, heard, now)
-        else:
-            self._near_news[place] = now
 
     def _pass_on(self, digest, heard: float, now: float) -> None:
-        """Send a digest from elsewhere on to this data centre.
+        """Put a digest from elsewhere into the next batch.
 
         The first relay does; another one only if the first has been
-        silent, so that a relay which lost its link holds nobody up.
+        silent, so that a relay which lost its link holds nobody up. The
+        batch is sent early, once, and then follows the digests: they wait
+        for it no longer than it takes to gather those of all relays.
         """
         place = digest.data_centre
         ours = self.mesh.ordered_relays(place)
@@ -339,16 +373,19 @@
         first = ours and ours[0] == self.mesh.identity.name
         if not first and now - news_at < NEWS_MISSED_SECONDS:
             return
-        self.mesh.broadcast(
-            messages.Digest(
-                place,
-                int(now * 1000),
-                max(0, int((now - heard) * 1000)),
-                digest.mark,
-                digest.routers_mark,
-                digest.stale,
-            )
-        )
+        word = (digest.mark, digest.routers_mark, digest.stale)
+        self._passing[place] = (heard, *word)
+        due = min(self.next_at, self.batched_at + EARLY_SECONDS)
+        soon = max(due, now + GATHER_SECONDS)
+        if soon < self.next_at:
+            self.next_at = soon
+            loop = asyncio.get_running_loop()
+            loop.call_later(soon - now, self._tick_early, soon)
+
+    def _tick_early(self, due: float) -> None:
+        if self.next_at == due:
+            self.next_at = self.clock() + BATCH_SECONDS
+            self.tick()
 
     # -- repair --
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -265,7 +265,8 @@
         self.fleet.renew(members.target("e2", "dc2"), [4])
         await self.until_eligible(["e2"])
         first = self.all[int(self.all[0].mesh.ordered_relays("dc2")[0][1:])]
-        first.mesh.handlers.by_class[member_messages.Digest] = _deaf(first)
+        handlers = first.mesh.handlers.by_class
+        handlers[member_messages.Digest] = lambda link, digest: None
         await asyncio.sleep(3.0)
         await self.until_eligible(["e2"])
 
@@ -275,6 +276,22 @@
             answer = await self.all[0].mesh.call(name, pull, 5)
             self.assertEqual(answer.routers, ["r3", "r4", "r5"])
 
+    async def test_routers_that_are_relays_no_more_fall_silent(self):
+        """Control traffic stays high for ever after a relay came back.
+
+        Its stand-ins answer each other's digests, each taking the other's
+        for a sign that it is a relay.
+        """
+        here = self.all[0].mesh.ordered_relays("dc2")
+        there = self.all[3].mesh.ordered_relays("dc1")
+        one = next(m for m in self.all[:3] if m.name not in here)
+        other = next(m for m in self.all[3:] if m.name not in there)
+        answer = member_messages.Digest("dc1", 0, 0, 0, [], False)
+        await members.until(lambda: one.mesh.send(other.name, answer))
+        await members.until(lambda: other.mesh.peers[one.name].link)
+        await asyncio.sleep(0.2)
+        self.assertNotIn(one.name, other.spread.far_links())
+
     async def test_routers_that_dial_each_other_keep_one_link(self):
         """Links across flap for ever and calls over them fail at random.
 
@@ -302,14 +319,3 @@
         await asyncio.sleep(1.0)
         self.assertIsNotNone(before)
         self.assertEqual(linked(), before)
-
-
-def _deaf(member):
-    """Return a handler that loses digests from other data centres."""
-    take = member.mesh.handlers.by_class[member_messages.Digest]
-
-    def handle(link, digest):
-        if link.peer.data_centre == member.mesh.data_centre:
-            take(link, digest)
-
-    return handle
