--- a/amaranthring/keepers/client.py
+++ b/amaranthring/keepers/client.py
@@ -14,7 +14,6 @@
 from amaranthring.core import links
 from amaranthring.core import wire
 from amaranthring.keepers import messages
-from amaranthring.keepers import silence
 
 TRY_SECONDS = 1.0
 # With less left a command is not sent: it would only end as unknown.
@@ -54,11 +53,8 @@
     ):
         self.group = group
         self.leader = ""
-        self.heard: dict[str, float] = {}
         self.leaderless_since: float | None = None
-        self.silence = silence.Silence(
-            lambda name: self.diallers[name].link, self.status
-        )
+        self.heard: dict[str, float] = {}
         handlers = handlers or links.Handlers()
 
         def make_dialler(address: str) -> links.Dialler:
@@ -76,7 +72,6 @@
 
     def stop(self) -> None:
         """Close every link."""
-        self.silence.stop()
         for dialler in self.diallers.values():
             dialler.stop()
 
@@ -132,8 +127,9 @@
         deadline = loop.time() + timeout
         unknown: errors.AmaranthringError | None = None
         tried: set[str] = set()
+        leaderless: set[str] = set()
         while (left := deadline - loop.time()) > 0:
-            if self._hopeless(tried, loop.time()):
+            if self._hopeless(leaderless, loop.time()):
                 break
             name = self._choose(tried)
             try:
@@ -145,9 +141,9 @@
                 reply = await self.diallers[name].call(make(seconds), seconds)
             except NOT_ACCEPTED as error:
                 await self._learn(name, error)
+                if not error.expected:
+                    leaderless.add(name)
             except FATE_UNKNOWN as error:
-                if isinstance(error, errors.LinkTimeoutError):
-                    self.silence.note(name)
                 if error.outcome != errors.Outcome.NOT_RUN:
                     unknown = error
                     if not repeatable:
@@ -157,8 +153,8 @@
                 self._forget(name)
             else:
                 self.leader = name
-                self.heard[name] = loop.time()
                 self.leaderless_since = None
+                self.heard[name] = loop.time()
                 return reply
             tried.add(name)
             if not self.leader:
@@ -172,6 +168,23 @@
             "no leader of the keepers answers", retry_after=1.0
         )
 
+    def _linked(self) -> list[str]:
+        return [n for n, dialler in self.diallers.items() if dialler.link]
+
+    def _hopeless(self, leaderless: set[str], now: float) -> bool:
+        """Return whether going on would only keep the caller waiting.
+
+        Parameters
+        ----------
+        leaderless : set of str
+            Keepers that said in this call that they know of no leader. One
+            that was only slow, or names a leader, is asked again.
+        """
+        since = self.leaderless_since
+        if since is None or now - since < LEADERLESS_SECONDS:
+            return False
+        return leaderless >= set(self._linked())
+
     async def _check(self, name: str, seconds: float) -> None:
         """Make sure that the link to keeper `name` answers.
 
@@ -193,10 +206,7 @@
         try:
             await dialler.call(messages.Ping(self.group), seconds)
         except errors.LinkError as error:
-            self.silence.note(name)
             if link is not None:
-                # Dialled anew it works again as soon as the fault ends;
-                # TCP would wait for minutes.
                 link.close()
             raise errors.LinkClosedError(
                 f"keeper {name} does not answer",
@@ -204,26 +214,12 @@
             ) from error
         self.heard[name] = loop.time()
 
-    def _heard(self) -> list[str]:
-        return [n for n in self.diallers if not self.silence.holds(n)]
-
-    def _hopeless(self, tried: set[str], now: float) -> bool:
-        """Return whether going on would only keep the caller waiting."""
-        if self.leader and not self.silence.holds(self.leader):
-            return False
-        since = self.leaderless_since
-        if since is None or now - since < LEADERLESS_SECONDS:
-            return False
-        return tried >= set(self._heard())
-
     def _choose(self, tried: set[str]) -> str:
-        heard = self._heard() or list(self.diallers)
-        if self.leader in heard:
+        reached = self._linked() or list(self.diallers)
+        if self.leader in reached:
             return self.leader
         self.leader = ""
-        fresh = [n for n in heard if n not in tried] or heard
-        linked = [name for name in fresh if self.diallers[name].link]
-        return random.choice(linked or fresh)
+        return random.choice([n for n in reached if n not in tried] or reached)
 
     async def _learn(self, name: str, error) -> None:
         hinted = error.expected if error.expected != name else ""
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -23,6 +23,8 @@
         It ran at a target that died; it must run apart from other suspects.
     at_once : bool
         Do not queue it here.
+    alone : bool
+        Cells with room were asked in vain: decide by this cell's own mean.
     forced : bool
         Decide even if another router seems to be the owner.
     """
@@ -35,11 +37,12 @@
     priority: int
     chat: str
     wait_seconds: float
-    remembered: str = ""
+    remembered: list[str] = dataclasses.field(default_factory=list)
     excluded: list[str] = dataclasses.field(default_factory=list)
     suspect: bool = False
     at_once: bool = False
     forced: bool = False
+    alone: bool = False
 
 
 @wire.message("granted")
@@ -54,12 +57,18 @@
 
 @wire.message("queued")
 class Queued:
-    """The request waits; `Granted` or `Dropped` follows by itself.
+    """The request waits; `Granted` or `Dropped` follows by itself."""
 
-    `elsewhere` names cells that lately had room.
+
+@wire.message("elsewhere")
+class Elsewhere:
+    """No room within the bound here; `cells` lately had room.
+
+    The request is not queued. The entry router asks these at once, and if
+    they have none, asks here again, `alone`.
     """
 
-    elsewhere: list[str] = dataclasses.field(default_factory=list)
+    cells: list[str]
 
 
 @wire.message("not-owner")
@@ -127,8 +136,9 @@
 
 @wire.message("cell-digest")
 class CellDigest:
-    """What one owner tells owners of sibling cells about its own."""
+    """What one owner tells the owner of sibling cell `to` about its own."""
 
+    to: str
     cell: str
     in_flight: int
     targets: int
@@ -160,22 +170,22 @@
 
 @wire.message("place-found")
 class PlaceFound:
-    """The remembered target, or empty, and what is known of the request.
+    """Targets that ran the chat, the last one first, and what is known.
 
     `deaths` names the targets that died while this very request ran there;
     a condemned one is not run again.
     """
 
-    target: str = ""
+    targets: list[str] = dataclasses.field(default_factory=list)
     deaths: list[str] = dataclasses.field(default_factory=list)
     condemned: bool = False
 
 
 @wire.message("place-remember")
 class RememberPlaces:
-    """Tells a directory shard where chats ran last."""
+    """Tells a directory shard where chats ran, the last place first."""
 
-    places: dict[str, str]
+    places: dict[str, list[str]]
 
 
 @wire.message("crashed")
@@ -191,6 +201,13 @@
     apart: bool = False
 
 
+@wire.message("crash-noted")
+class CrashNoted:
+    """Whether this death condemned the request."""
+
+    condemned: bool
+
+
 @wire.message("cleared")
 class Cleared:
     """A suspect request ran to its end; its target lives."""
--- a/amaranthring/testing/assembled.py
+++ b/amaranthring/testing/assembled.py
@@ -136,13 +136,13 @@
         request = fakes.request(number, **fields)
         grant = await at.placer.admit(request, set(excluded))
         self.grants[grant.grant_id] = (at, grant)
+        at.directory.flush()
         return grant
 
     def release(self, grant, end=records.End.DONE):
-        """End `grant` and send what was remembered."""
+        """End `grant`."""
         at, _ = self.grants.pop(grant.grant_id)
         at.placer.release(grant, end)
-        at.directory.flush()
 
     def running(self):
         """Return requests in flight by target, as they really are."""
@@ -187,8 +187,26 @@
         for router in self.live():
             router.table.set_state(name, state)
 
+    def add(self, target):
+        """Let `target` join at every router."""
+        self.targets.append(target)
+        for router in self.live():
+            router.table.put(target)
+
+    def renew(self):
+        """Let routers tell owners what they hold."""
+        for router in self.live():
+            if router.name not in self.net.frozen:
+                router.placer.held.renew()
+
+    def digest(self):
+        """Let owners tell their siblings how they are loaded."""
+        for router in self.live():
+            router.owners.tell_siblings(self.clock())
+
     def tick(self, seconds):
         """Move the clock and do what time brings."""
         self.clock.now += seconds
         for router in self.live():
-            router.owners.tick(self.clock())
+            if router.name not in self.net.frozen:
+                router.owners.tick(self.clock())
