Wake an idle keeper only when something is due

Cause: the election watch woke 20 times a second and every reply woke the peer's task although nothing was left to send. Ruled out: longer heartbeats, which would lengthen the time without a leader. Change: the watch sleeps until its next due time; a reply wakes the peer's task only if entries are left.

--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -26,17 +26,21 @@
 async def watch(group) -> None:
     """Campaign when no leader is heard; step down when no quorum is."""
     options = group.options
+    shortest = options.heartbeat_seconds / 2
     while True:
-        await asyncio.sleep(options.heartbeat_seconds / 2)
         now = group.clocks.monotonic()
         if group.leading:
             # Without this a leader behind a cut would go on taking
             # proposals that nobody can ever commit.
             heard = max(quorum_heard(group), group.led_at)
-            if now > heard + options.election_seconds:
+            due = heard + options.election_seconds
+            if now > due:
                 roles.step_down(group, "lost its quorum")
-        elif now >= group.campaign_at and may_campaign(group):
-            await _campaign(group)
+        else:
+            due = group.campaign_at
+            if now >= due and may_campaign(group):
+                await _campaign(group)
+        await asyncio.sleep(max(shortest, due - now))
 
 
 def may_campaign(group) -> bool:
--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -187,7 +187,8 @@
         advance(group)
     else:
         _back_up(peer, reply)
-    peer.wake.set()
+    if peer.next_index <= group.log.last_index:
+        peer.wake.set()
     group.lease_changed.set()
 
 
