--- a/tests/test_keeper_client.py
+++ b/tests/test_keeper_client.py
@@ -1,6 +1,7 @@
 """Which calls a router's client of the keepers repeats, and where."""
 
 import asyncio
+import math
 import unittest
 
 import tornado.testing
@@ -103,6 +104,7 @@
         for lost in ("close", errors.CommitUnknownError("x"), None):
             self.asked.clear()
             self.client.leader = "k1"
+            self.client.heard["k1"] = math.inf
             self.answers["k1"] = lost
             with self.assertRaises(errors.CommitUnknownError):
                 await self.client.propose(keeper.Set("a", "1"), 0.5)
