Count what orders change before targets show it; settle limits by settings

Cause, found by the first test of orders with processes: a new leader knew no targets for up to 30 s; a model that had been loaded was loaded again on another target, since its announcement lags. Looked at closer, the same lag unloaded the last replica of a model: three served, one was wanted, two unloads were under way and the reports still said three.

Ruled out: more patience, since no pause bounds the lag of a report; a wait for the announcement, since a target that never shows it would block others.

--- a/amaranthring/bench/revisions.py
+++ b/amaranthring/bench/revisions.py
@@ -19,14 +19,18 @@
 
 from amaranthring.bench import report
 from amaranthring.core import fleet
+from amaranthring.core import parts
 from amaranthring.core import wire
 from amaranthring.keepers import commands
 from amaranthring.keepers import machine as machines
+from amaranthring.routers import revision_messages
+from amaranthring.routers import revisions
 from amaranthring.testing import local_fleet
 
 CHANGES_A_DAY = 560
 BURST = 60
 NEIGHBOURS_AT_FULL_SIZE = 53
+DATA_CENTRES = 7
 DAY = 86400.0
 IN_FORCE = re.compile(r"^(\S+) .*revision\.in-force revision=(\d+) ")
 SETTLE_SECONDS = 20.0
@@ -103,6 +107,37 @@
     return found
 
 
+def control(neighbours: int = NEIGHBOURS_AT_FULL_SIZE) -> dict[str, float]:
+    """Return bytes a second of standing traffic at full size; exact.
+
+    Returns
+    -------
+    dict
+        Sent by a ``router``, by a ``relay``, and by the ``leader``.
+    """
+    digest = "0" * 32
+    name = "router-0000"
+    number = revision_messages.Number(name, 100_000)
+    ask = commands.ConfigSince(100_000, revisions.WATCH_SECONDS)
+    told = parts.Delta(100_000, 100_000, {}, [], digest)
+    routers = {f"{name}-{n}": 100_000 for n in range(neighbours)}
+    ages = dict.fromkeys(routers, 0.7)
+    confirmed = commands.Confirmed("data-centre", routers, ages)
+
+    def size(message) -> int:
+        return len(wire.encode(wire.REQUEST, 100_000, message))
+
+    compare = size(number) / revisions.COMPARE_SECONDS
+    relays = revisions.RELAYS
+    watch = size(ask) / revisions.WATCH_SECONDS
+    report_rate = size(confirmed) / revisions.REPORT_SECONDS
+    return {
+        "router": compare,
+        "relay": compare * (neighbours / relays) + watch + report_rate,
+        "leader": DATA_CENTRES * relays * size(told) / revisions.WATCH_SECONDS,
+    }
+
+
 def in_force_times(folder: pathlib.Path, routers: list[str]) -> dict:
     """Return the time at which each router logged each revision."""
     found: dict[int, dict[str, float]] = {}
@@ -190,6 +225,7 @@
         f"{changes} changes, seed {seed}"
     )
     _add_sizes(made, accounts)
+    _add_control(made)
     rng = random.Random(seed)
     with tempfile.TemporaryDirectory() as folder:
         running = Run(pathlib.Path(folder), routers, accounts)
@@ -232,6 +268,12 @@
     )
 
 
+def _add_control(made: report.Report) -> None:
+    for role, rate in control().items():
+        name = f"standing traffic sent by a {role}, whole fleet"
+        made.add(name, rate, "bytes/s", most=5000)
+
+
 def _add_times(made: report.Report, running: Run, found) -> None:
     last = {}
     missing = 0
--- a/amaranthring/keeper_parts.py
+++ b/amaranthring/keeper_parts.py
@@ -2,6 +2,7 @@
 
 from amaranthring import settings as settings_module
 from amaranthring.keepers import machine as machines
+from amaranthring.keepers import reconciler
 from amaranthring.keepers import server
 from amaranthring.keepers import service
 
@@ -24,6 +25,16 @@
     )
     keeper = server.Keeper(settings, machine)
     served = service.Service(
-        keeper.group, machine, keeper.handlers, section.initial_file
+        keeper.group,
+        machine,
+        keeper.handlers,
+        section.initial_file,
+        reconciler.Options(
+            patience_seconds=section.order_patience_seconds,
+            order_seconds=section.order_seconds,
+            know_seconds=section.order_listen_seconds,
+            loads_at_once=section.loads_at_once,
+            loads_per_minute=section.loads_per_minute,
+        ),
     )
     return keeper, served
--- a/amaranthring/keepers/commands.py
+++ b/amaranthring/keepers/commands.py
@@ -311,8 +311,8 @@
         Whether the target did it.
     detail : str
         What the target or the connection said.
-    unknown : bool
-        Whether the target may still be at it.
+    quiet_seconds : float
+        Time for which the target may still be at it; 0 if it surely ended.
     seen : int
         Higher fencing number that the target named, or 0.
     """
@@ -320,7 +320,7 @@
     fencing: int
     done: bool
     detail: str = ""
-    unknown: bool = False
+    quiet_seconds: float = 0.0
     seen: int = 0
 
 
--- a/amaranthring/keepers/orders.py
+++ b/amaranthring/keepers/orders.py
@@ -23,7 +23,6 @@
 PAUSE_FIRST_SECONDS = 30.0
 PAUSE_MOST_SECONDS = 600.0
 FORGET_SECONDS = 3600.0
-ORDER_SECONDS = 60.0
 DETAIL_MOST = 200
 MINUTE = 60.0
 
@@ -265,8 +264,8 @@
         # A target that says "done" shows what it serves a little later.
         pause = PAUSE_FIRST_SECONDS * 2 ** (tries.count - 1)
         tries.until = stamp + min(pause, PAUSE_MOST_SECONDS)
-        if command.unknown:
-            self.quiet[order.target] = stamp + ORDER_SECONDS
+        if command.quiet_seconds:
+            self.quiet[order.target] = stamp + command.quiet_seconds
         if command.done:
             self.failures.pop(order.wanted, None)
         else:
--- a/amaranthring/keepers/reconciler.py
+++ b/amaranthring/keepers/reconciler.py
@@ -44,6 +44,8 @@
         Longest lease of an earlier leader, with a margin.
     know_seconds : float
         Time in which a new leader hears from every data centre.
+    show_seconds : float
+        Time in which a target shows what a finished order changed.
     stale_seconds : float
         Age at which what a data centre reported counts no more.
     at_once : int
@@ -54,15 +56,27 @@
 
     step_seconds: float = 1.0
     patience_seconds: float = 10.0
-    order_seconds: float = orders.ORDER_SECONDS
+    order_seconds: float = 60.0
     lease_seconds: float = 2.0
     know_seconds: float = 35.0
+    show_seconds: float = 20.0
     stale_seconds: float = 600.0
     at_once: int = 16
     loads_at_once: int = 4
     loads_per_minute: int = 30
 
 
+def _after(target: records.Target, order: orders.Order) -> records.Target:
+    """Return `target` as `order` leaves it, an open load left out."""
+    if order.kind == commands.OrderKind.ROLE:
+        return dataclasses.replace(target, role=order.wanted)
+    serves = [model for model in target.serves if model != order.wanted]
+    finished = order.state == commands.OrderState.DONE
+    if order.kind == commands.OrderKind.LOAD and finished:
+        serves.append(order.wanted)
+    return dataclasses.replace(target, serves=tuple(serves))
+
+
 @dataclasses.dataclass
 class Sighting:
     """Ready targets of one data centre and when they were reported."""
@@ -231,10 +245,35 @@
                 stamp, target.name, target.incarnation, kind, wanted
             )
 
+        targets = [self._expected(target) for target in self._targets()]
         return planner.plan(
-            config.preset, self._targets(), config.drained, busy, blocked
+            config.preset, targets, config.drained, busy, blocked
         )
 
+    def _expected(self, target: records.Target) -> records.Target:
+        """Return `target` as it will announce itself after its orders.
+
+        A target shows what an order changed only with its next report. Taken
+        as it looks now, a replica that is being unloaded would still count,
+        and the next step would unload the last one that stays.
+        """
+        state = self.machine.orders
+        since = max(self.machine.stamp, self.wall())
+        since -= self.options.show_seconds
+        done = commands.OrderState.DONE
+        known = [
+            order
+            for order in state.finished
+            if order.state == done and order.ended > since
+        ]
+        for order in [*known, *state.open.values()]:
+            if (order.target, order.incarnation) == (
+                target.name,
+                target.incarnation,
+            ):
+                target = _after(target, order)
+        return target
+
     def _targets(self) -> list[records.Target]:
         now = self.clock()
         return [
@@ -299,8 +338,9 @@
 
     async def _end(self, fencing: int, sent: target_orders.Sent) -> None:
         self.ended[fencing] = sent
+        quiet = self.options.order_seconds if sent.unknown else 0.0
         end = commands.EndOrder(
-            fencing, sent.done, sent.detail, sent.unknown, sent.seen
+            fencing, sent.done, sent.detail, quiet, sent.seen
         )
         try:
             await self.propose(end, PROPOSE_SECONDS)
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -125,6 +125,7 @@
             lambda: self.revisions.is_relay,
             self._ready_targets,
             self.metrics,
+            lambda: self.keepers.leader,
         )
 
     def _make_decisions(self) -> None:
--- a/amaranthring/routers/target_reports.py
+++ b/amaranthring/routers/target_reports.py
@@ -33,6 +33,8 @@
         Returns every ready target that this router knows.
     metrics : metrics.Metrics
         Counters.
+    leader : callable
+        Returns the keeper that answered last.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         may_report: t.Callable[[], bool],
         ready: t.Callable[[], list[records.Target]],
         metrics: t.Any,
+        leader: t.Callable[[], str] = str,
         clock: t.Callable[[], float] = time.monotonic,
     ):
         self.data_centre = data_centre
@@ -50,6 +53,8 @@
         self.ready = ready
         self.metrics = metrics
         self.clock = clock
+        self.leader = leader
+        self.told_leader = ""
         self.told: list[records.Target] | None = None
         self.told_at = 0.0
 
@@ -73,9 +78,14 @@
             key=lambda target: target.name,
         )
         due = self.clock() - self.told_at >= REPORT_SECONDS
+        # What the keepers' leader knows of targets it keeps in memory; the
+        # next one starts with nothing.
+        if self.leader() != self.told_leader:
+            due = True
         if found == self.told and not due:
             return
         message = commands.TargetsSeen(self.data_centre, found)
         await self.query(message, QUERY_SECONDS)
         self.told = found
+        self.told_leader = self.leader()
         self.told_at = self.clock()
--- a/amaranthring/settings/models.py
+++ b/amaranthring/settings/models.py
@@ -165,6 +165,28 @@
     claim_hours: float = described(
         72.0, "Hours that a settled claim is kept.", gt=0, le=24 * 365
     )
+    order_seconds: Seconds = described(
+        60.0, "Longest time of one order to a target."
+    )
+    order_patience_seconds: float = described(
+        10.0,
+        "Time for which an order must be wanted before it is given.",
+        ge=0,
+        le=3600,
+    )
+    order_listen_seconds: float = described(
+        35.0,
+        "Time in which a new leader hears of all targets, above the 30 s of "
+        "their reports.",
+        ge=0,
+        le=3600,
+    )
+    loads_at_once: int = described(
+        4, "Loads from the weight store at the same time.", ge=1, le=1000
+    )
+    loads_per_minute: int = described(
+        30, "Loads from the weight store in a minute.", ge=1, le=100_000
+    )
 
 
 class PeerAddress(pydantic.BaseModel):
--- a/amaranthring/testing/announcing.py
+++ b/amaranthring/testing/announcing.py
@@ -45,6 +45,8 @@
     report_seconds : float
         Time between reports; a report tells the load as it was at the
         report before, so that it lags.
+    serves : callable, optional
+        Returns what it serves now; a change is announced.
     """
 
     def __init__(
@@ -55,7 +57,9 @@
         key: bytes,
         load: t.Callable[[], tuple[int, int, float]],
         report_seconds: float = 1.0,
+        serves: t.Callable[[], list[str]] | None = None,
     ):
+        self.serves = serves
         self.target = target
         self.routers = list(routers)
         self.key_id = key_id
@@ -116,6 +120,14 @@
         """Start the task that announces, renews and reports."""
         self.task = asyncio.ensure_future(self._run())
 
+    def changed(self) -> bool:
+        """Take over what the target serves now; return whether it changed."""
+        serves = tuple(self.serves()) if self.serves else self.target.serves
+        if serves == self.target.serves:
+            return False
+        self.target = dataclasses.replace(self.target, serves=serves)
+        return True
+
     def _named(self) -> dict[str, t.Any]:
         self.spoken += 1
         return {
@@ -130,6 +142,8 @@
         lagging = self.load()
         due = self.report_seconds - REPORT_SLACK_SECONDS
         while True:
+            if self.changed():
+                status = 0
             if status != 200:
                 status = 200 if await self.announce() else 0
             elif time.monotonic() - reported >= due:
--- a/amaranthring/testing/engine.py
+++ b/amaranthring/testing/engine.py
@@ -579,7 +579,7 @@
         given.models,
         fencing=given.fencing,
     )
-    await standin.serve(given, announced, engine.load)
+    await standin.serve(given, announced, engine.load, lambda: engine.models)
 
 
 if __name__ == "__main__":
--- a/amaranthring/testing/standin.py
+++ b/amaranthring/testing/standin.py
@@ -67,6 +67,7 @@
     given: argparse.Namespace,
     announced: records.Target,
     load: t.Callable[[], tuple[int, int, float]],
+    serves: t.Callable[[], list[str]] | None = None,
 ) -> None:
     """Announce until SIGTERM or SIGINT, leave, and end what still runs."""
     print(f"listening {announced.address}", flush=True)
@@ -81,6 +82,7 @@
             key,
             load,
             given.report_seconds,
+            serves,
         )
         announcer.start()
     await stopped.wait()
--- a/tests/test_bench_revisions.py
+++ b/tests/test_bench_revisions.py
@@ -15,3 +15,10 @@
         for name in ("switch", "adjust", "burst"):
             self.assertLess(many[name], few[name] + 20)
         self.assertLess(many["adjust"], 400)
+
+    def test_standing_traffic_grows_with_the_data_centre_only(self):
+        small = revisions.control(6)
+        large = revisions.control(53)
+        self.assertEqual(small["router"], large["router"])
+        self.assertLess(large["relay"], 5000)
+        self.assertEqual(small["leader"], large["leader"])
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -339,6 +339,27 @@
         detail = self.group.machine.orders.view()[0]["detail"]
         self.assertIn("not sent", detail)
 
+    async def test_last_replica_is_not_unloaded_on_a_late_report(self):
+        # Three replicas serve, one is wanted. Two are unloaded, slowly, and
+        # the routers' reports still show three. Taken at their word, the
+        # next step would unload the third and nothing would serve.
+        targets = [FakeTarget() for _ in range(3)]
+        for target in targets:
+            target.seconds = 0.1
+        self.lead([t.record(f"e{n}", "m") for n, t in enumerate(targets)])
+        await state.until(lambda: len(self.states()) >= 2)
+        await asyncio.sleep(0.5)
+        ordered = [target.orders for target in targets]
+        self.assertEqual(sum(map(len, ordered)), 2)
+        self.assertIn([], ordered)
+
+    async def test_loaded_replica_counts_before_it_is_reported(self):
+        targets = [FakeTarget() for _ in range(3)]
+        self.lead([t.record(f"e{n}") for n, t in enumerate(targets)])
+        await state.until(lambda: self.states() == [(1, "done")])
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.states(), [(1, "done")])
+
     async def test_failed_load_is_shown_and_left(self):
         target = FakeTarget()
         target.status = 500
