Let the death of a target cost no retry budget

Cause: with three engines and a request that crashes them, an innocent chat was refused as truncated-answer: the budget (a tenth of recent successes and one) was spent by the first chats that the dead engine had under way. The new test of a crashing request over a whole fleet showed it. Ruled out: a larger reserve, which only moves the number. Change: an attempt whose target died, or saw no byte, is repeated without pay; it makes no live target work twice, the owner closes the target, and three attempts stay the most.

--- a/amaranthring/callers/way.py
+++ b/amaranthring/callers/way.py
@@ -294,13 +294,26 @@
         return False
     if time.monotonic() >= request.deadline:
         return False
-    if not needs.may_retry(request.account):
+    if _costs(attempt, failed) and not needs.may_retry(request.account):
         needs.metrics.count("way.retry-refused")
         return False
     needs.metrics.count("way.retried")
     return True
 
 
+def _costs(attempt: Attempt, failed: errors.AmaranthringError) -> bool:
+    """Return whether another attempt is paid from the retry budget.
+
+    The budget keeps targets that live from doing work twice. A target that
+    died, or that could not be reached, does none; and since its owner closes
+    it, only what was under way there comes again. Were these paid, the death
+    of one of three engines would use up the budget of a small account at
+    once, and innocent requests would be refused.
+    """
+    unreached = isinstance(failed, errors.UpstreamError) and not attempt.sent
+    return not (attempt.lost or unreached)
+
+
 def _note_grant(needs, request, attempt) -> None:
     grant = attempt.grant
     needs.metrics.record(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -105,6 +105,52 @@
             process.resume()
 
 
+class TestCrashingRequest(fleet_case.FleetCase):
+    """One request crashes each engine that runs it."""
+
+    routers = 3
+
+    async def test_it_is_refused_and_the_innocent_are_not(self):
+        """A caller sends the same request again after each crash.
+
+        Without an end to it every engine would go, one after the other.
+        Two engines die; then the request is refused for good, through every
+        router. Chats that ran beside it end whole and are never refused.
+        """
+        running = [self.callers.chat(3, 30) for _ in range(12)]
+        chats = asyncio.ensure_future(load.together(*running))
+        await asyncio.sleep(0.1)
+        bad = {
+            "model": "m1",
+            "messages": [{"role": "user", "content": "crash"}],
+            "stand_in": {"fault": "crash", "at": 2},
+        }
+        other = load.Callers(list(self.callers.urls), self.callers.token)
+        for _ in range(4):
+            await other.ask(bad)
+            if "quarantined" in other.tally.refused:
+                break
+        await chats
+        self.assertEqual(self.tally.refused, {})
+        self.assertEqual((self.tally.cut, self.tally.wrong), (0, 0))
+        self.assertEqual(self.tally.whole, 36)
+        dead = [
+            name
+            for name in ("engine-1", "engine-2", "engine-3")
+            if self.fleet.processes[name].popen.poll() is not None
+        ]
+        self.assertLessEqual(len(dead), 2, dead)
+        for url in list(other.urls):
+            await self.assert_quarantined(url, bad)
+
+    async def assert_quarantined(self, url, body):
+        callers = load.Callers([url], self.callers.token)
+        until = asyncio.get_running_loop().time() + 5.0
+        while "quarantined" not in callers.tally.refused:
+            self.assertLess(asyncio.get_running_loop().time(), until)
+            await callers.ask(body)
+
+
 class TestDataCentreCut(fleet_case.FleetCase):
     """One data centre is cut off from the other two."""
 
