Send the messages of admission by position

Cause: at 8.9 requests a second a router spends 666 bytes a request on admission, 11.9 KB/s sent and received, near half of its 25 KB/s. Half of it is names of fields. Change: compact messages, as membership has them. Before: admit 253, granted 106, release 91, find 100, found 44, remember 72 bytes.

--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -11,7 +11,7 @@
 from amaranthring.core import wire
 
 
-@wire.message("admit")
+@wire.message("admit", compact=True)
 class Admit:
     """Asks the owner of `cell` for a grant.
 
@@ -45,7 +45,7 @@
     alone: bool = False
 
 
-@wire.message("granted")
+@wire.message("granted", compact=True)
 class Granted:
     """Leave to send request `serial` to `target`."""
 
@@ -93,7 +93,7 @@
     moved: bool = False
 
 
-@wire.message("release")
+@wire.message("release", compact=True)
 class Release:
     """Gives back a grant or withdraws a waiting request."""
 
@@ -103,7 +103,7 @@
     end: records.End
 
 
-@wire.message("holdings")
+@wire.message("holdings", compact=True)
 class Holdings:
     """Everything that `router` holds in `cell`: renews leases, heals losses.
 
@@ -134,7 +134,7 @@
     forced: bool = False
 
 
-@wire.message("cell-digest")
+@wire.message("cell-digest", compact=True)
 class CellDigest:
     """What one owner tells the owner of sibling cell `to` about its own."""
 
@@ -160,7 +160,7 @@
     target: records.Target | None
 
 
-@wire.message("place-find")
+@wire.message("place-find", compact=True)
 class FindPlace:
     """Asks a directory shard where `chat` ran last."""
 
@@ -168,7 +168,7 @@
     fingerprint: str = ""
 
 
-@wire.message("place-found")
+@wire.message("place-found", compact=True)
 class PlaceFound:
     """Targets that ran the chat, the last one first, and what is known.
 
@@ -181,7 +181,7 @@
     condemned: bool = False
 
 
-@wire.message("place-remember")
+@wire.message("place-remember", compact=True)
 class RememberPlaces:
     """Tells a directory shard where chats ran, the last place first."""
 
