--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -295,6 +295,8 @@
     def _judge(self, target, router, now, end: records.End) -> None:
         if end is records.End.DONE:
             self.outages.succeeded(target, router)
+        if end is records.End.FAILED:
+            self.outages.faulted(target, self.targets, now)
         if end in (records.End.UNREACHABLE, records.End.TARGET_LOST):
             self.outages.failed(target, router, self.targets, now)
 
--- a/amaranthring/policy/counts.py
+++ b/amaranthring/policy/counts.py
@@ -41,12 +41,14 @@
 
     def __init__(self):
         self.held: dict[Key, Held] = {}
+        self.serials: dict[str, set[int]] = {}
         self.load: collections.Counter[str] = collections.Counter()
         self.suspects: dict[str, Key] = {}
 
     def add(self, key: Key, held: Held) -> None:
         """Count a grant."""
         self.held[key] = held
+        self.serials.setdefault(key[0], set()).add(key[1])
         self.load[held.target] += 1
         if held.suspect:
             self.suspects[held.target] = key
@@ -56,6 +58,10 @@
         held = self.held.pop(key, None)
         if held is None:
             return False
+        router, serial = key
+        self.serials[router].discard(serial)
+        if not self.serials[router]:
+            del self.serials[router]
         self.load[held.target] -= 1
         if not self.load[held.target]:
             del self.load[held.target]
@@ -93,9 +99,9 @@
 
         Serials from `next_serial` on are younger than what the router told.
         """
-        for key in [k for k in self.held if k[0] == router]:
-            if key[1] < next_serial and key[1] not in known:
-                self.drop(key)
+        for serial in list(self.serials.get(router, ())):
+            if serial < next_serial and serial not in known:
+                self.drop((router, serial))
 
     def shorten(self, router: str, now: float) -> None:
         """Let the leases of a router that the mesh gave up end soon.
@@ -103,9 +109,9 @@
         The verdict may be about a link only; a router that lives says so
         within the grace and keeps its grants.
         """
-        for key, held in self.held.items():
-            if key[0] == router:
-                held.expires = min(held.expires, now + GRACE_SECONDS)
+        for serial in self.serials.get(router, ()):
+            held = self.held[router, serial]
+            held.expires = min(held.expires, now + GRACE_SECONDS)
 
     def expire(self, now: float) -> int:
         """End leases that ran out; return how many."""
--- a/amaranthring/policy/outages.py
+++ b/amaranthring/policy/outages.py
@@ -14,6 +14,7 @@
 MOST_SECONDS = 3.0
 WITNESS_SECONDS = 5.0
 WITNESSES_MOST = 1024
+FAULTS_IN_A_ROW = 3
 
 
 @dataclasses.dataclass
@@ -38,6 +39,36 @@
     def __init__(self):
         self.by_target: dict[str, Outage] = {}
         self.witnesses: dict[str, dict[str, float]] = {}
+        self.faults: dict[str, int] = {}
+
+    def faulted(
+        self, target: str, targets: collections.abc.Collection[str], now: float
+    ) -> bool:
+        """Note that `target` took a request and failed it.
+
+        Returns
+        -------
+        bool
+            Whether the target is closed by it.
+
+        Notes
+        -----
+        A target that fails fast always has room and draws all requests to
+        it. Several failures in a row, of as many requests, with no answer
+        between them speak of the target and not of one bad request; that
+        many bad requests at every target must not close the whole cell, so
+        half of it stays open.
+        """
+        in_a_row = self.faults.get(target, 0) + 1
+        self.faults[target] = in_a_row
+        known = self.by_target.get(target)
+        if known is not None and now < known.closed_until:
+            return False
+        closed = len(self.by_target.keys() - {target})
+        if in_a_row < FAULTS_IN_A_ROW or closed + 1 > len(targets) // 2:
+            return False
+        self._close(target, known, now)
+        return True
 
     def failed(
         self,
@@ -69,19 +100,19 @@
             # Grants made before the first failure fail one after another;
             # they say nothing new.
             return False
-        failures = known.failures + 1 if known else 1
-        wait = min(FIRST_SECONDS * 2 ** (failures - 1), MOST_SECONDS)
-        self.by_target[target] = Outage(failures, now + wait)
+        self._close(target, known, now)
         return True
 
     def succeeded(self, target: str, router: str) -> None:
         """Note that `router` had an answer from `target`."""
         self.by_target.pop(target, None)
+        self.faults.pop(target, None)
         self.witnesses.get(router, {}).pop(target, None)
 
     def forget(self, target: str) -> None:
         """Forget a target that started anew or went."""
         self.by_target.pop(target, None)
+        self.faults.pop(target, None)
         for seen in self.witnesses.values():
             seen.pop(target, None)
 
@@ -92,6 +123,11 @@
             return most
         return 0 if now < outage.closed_until else min(1, most)
 
+    def _close(self, target: str, known: Outage | None, now: float) -> None:
+        failures = known.failures + 1 if known else 1
+        wait = min(FIRST_SECONDS * 2 ** (failures - 1), MOST_SECONDS)
+        self.by_target[target] = Outage(failures, now + wait)
+
     def _witnessed(self, router: str, now: float) -> dict[str, float]:
         if len(self.witnesses) >= WITNESSES_MOST:
             self.witnesses.clear()
--- a/amaranthring/routers/admission.py
+++ b/amaranthring/routers/admission.py
@@ -95,6 +95,8 @@
         owner = self._other_owner(ask.cell, scope)
         if owner and (self.closing or not ask.forced):
             return messages.NotOwner(ask.cell, self.name, owner)
+        if owner and ask.cell not in self.cells:
+            self._ask_holdings(ask.cell, scope)
         cell = self._cell(ask.cell)
         wanted = admission.Ask(
             (ask.router, ask.serial),
@@ -144,6 +146,8 @@
         empty = not message.held and not message.waiting
         if empty and message.cell not in self.cells:
             return
+        if owner and message.cell not in self.cells and not message.partial:
+            self._ask_holdings(message.cell, scope)
         cell = self._cell(message.cell)
         now = self.clock()
         held = _held(message)
@@ -295,6 +299,15 @@
         for router, serial in list(cell.queue.waiters):
             self._send(router, messages.Dropped(serial, moved=True))
 
+    def _ask_holdings(self, name: str, scope: cells.Scope) -> None:
+        # A deputy that knows only what its first asker holds would grant
+        # beyond the bound until every other router has noticed too.
+        message = messages.TellHoldings(name, self.name)
+        near = {target.data_centre for target in self._members(scope)}
+        for centre in sorted(near):
+            for router in self.mesh.live(centre):
+                self._send(router, message)
+
     def _bequeath(self, cell: admission.Cell, heir: str) -> None:
         by_router: dict[str, dict[str, list[int]]] = {}
         newest: dict[str, int] = {}
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -134,6 +134,14 @@
     forced: bool = False
 
 
+@wire.message("tell-holdings")
+class TellHoldings:
+    """A deputy that stands in for an owner asks what runs in `cell`."""
+
+    cell: str
+    deputy: str
+
+
 @wire.message("cell-digest")
 class CellDigest:
     """What one owner tells the owner of sibling cell `to` about its own."""
--- a/amaranthring/routers/holdings.py
+++ b/amaranthring/routers/holdings.py
@@ -70,6 +70,7 @@
         handlers.add(messages.Granted, self.on_granted)
         handlers.add(messages.Dropped, self.on_dropped)
         handlers.add(messages.NotOwner, self.on_not_owner)
+        handlers.add(messages.TellHoldings, self.on_tell)
 
     def add(self, serial: int, holding: Holding) -> None:
         """Hold one more grant."""
@@ -104,11 +105,9 @@
         if not first:
             return
         owner = first[0]
-        told = messages.Holdings(cell, self.name, self.next_serial(), {})
-        told.forced = forced or not self.calls.is_natural(cell, owner)
         here = {s: h for s, h in self.by_serial.items() if h.cell == cell}
-        for serial, holding in here.items():
-            self._note(told, serial, holding)
+        told = self._told(cell, here)
+        told.forced = forced or not self.calls.is_natural(cell, owner)
         for serial, waiting in self.calls.waiting.items():
             if waiting.cell == cell and waiting.owner == owner:
                 told.waiting.append(told.next_serial - serial)
@@ -148,6 +147,22 @@
         forced = pointed or asked == [followed]
         self.renew_cell(message.cell, forced)
 
+    def on_tell(self, _link, message: messages.TellHoldings) -> None:
+        """Tell a deputy what is held, and stay with the owner."""
+        cell = message.cell
+        here = {s: h for s, h in self.by_serial.items() if h.cell == cell}
+        if here:
+            told = self._told(cell, here)
+            told.forced = True
+            told.partial = True
+            self.calls.mesh.send(message.deputy, told)
+
+    def _told(self, cell: str, here: dict[int, Holding]) -> messages.Holdings:
+        told = messages.Holdings(cell, self.name, self.next_serial(), {})
+        for serial, holding in here.items():
+            self._note(told, serial, holding)
+        return told
+
     def _leave(self, cell: str, owner: str) -> None:
         # Two owners that both count a grant grant too little for a while,
         # and unevenly; an owner that can be reached forgets it at once.
--- a/tests/test_owner_changes.py
+++ b/tests/test_owner_changes.py
@@ -191,3 +191,27 @@
         self.assertEqual(
             at.table.state(grant.target.name), records.TargetState.READY
         )
+
+
+class TestDeputy(unittest.IsolatedAsyncioTestCase):
+    """Six routers, five engines with three requests each."""
+
+    async def test_deputy_knows_what_all_routers_hold(self):
+        # The owner froze. The deputy knew only what its first asker held,
+        # and put a fourth request where three was the bound.
+        fleet = assembled.Routers(6, 5)
+        fleet.net.pause = no_time
+        for number in range(15):
+            await fleet.admit(number, chat=str(number))
+        owner = fleet.owner().name
+        fleet.net.frozen.add(owner)
+        at = next(r.name for r in fleet.live() if r.name != owner)
+        await fleet.admit(20, at, chat="0")
+        deputy = next(
+            r for r in fleet.live() if r.name != owner and r.owners.cells
+        )
+        cell = next(iter(deputy.owners.cells.values()))
+        frozen = sum(
+            g.grant_id.startswith(owner) for _, g in fleet.grants.values()
+        )
+        self.assertEqual(len(cell.counts.held), 16 - frozen)
