--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -16,7 +16,7 @@
 from amaranthring.targets import upstream
 
 SETTLE_TRIES = 3
-CLAIM_TRIES = 3
+CLAIM_TRIES = 2
 SETTLE_SECONDS = 2.0
 SETTLE_PAUSE_SECONDS = 0.2
 IN_PROGRESS_SECONDS = 1.0
@@ -111,18 +111,43 @@
     """Claim, send, settle; or answer from an earlier claim."""
     name = f"{request.request_id}.{attempt.number}"
     attempt.repeatable = False
-    claim = await _claim(needs, request, name, attempt.target.name)
-    needs.metrics.count(f"way.claim.{claim.state}")
-    if claim.state is not records.ClaimState.GRANTED:
-        return await _earlier(needs, request, name, headers, claim)
-    return await _run_claimed(needs, request, attempt, headers, name)
+    needs.attempts.add(name)
+    try:
+        claim = await _claim(needs, request, name, attempt.target.name)
+        claim = await _checked(
+            needs, request, name, attempt.target.name, claim
+        )
+        needs.metrics.count(f"way.claim.{claim.state}")
+        if claim.state is not records.ClaimState.GRANTED:
+            return await _earlier(needs, request, name, headers, claim)
+        return await _run_claimed(needs, request, attempt, headers, name)
+    finally:
+        needs.attempts.discard(name)
+
+
+async def _checked(needs, request, name, target, claim) -> records.Claim:
+    """Return `claim`, as unknown if its holder runs the call no more.
+
+    The ledger is asked a second time, since the holder may have settled
+    between the first look and its word.
+    """
+    state = records.ClaimState.IN_PROGRESS
+    if claim.state is not state or await needs.may_run(claim.attempt):
+        return claim
+    again = await _claim(needs, request, name, target)
+    if again.state is state and again.attempt == claim.attempt:
+        needs.metrics.count("way.claim.holder-lost")
+        again.state = records.ClaimState.UNKNOWN
+    return again
 
 
 async def _claim(needs, request, name, target) -> records.Claim:
     """Ask the ledger, again under the same attempt if the reply was lost.
 
     A claim that was granted with its reply lost would bar the key for good,
-    though nothing was sent. Asked again, the ledger knows the attempt.
+    though nothing was sent. Asked again, the ledger knows the attempt. If
+    no reply comes at all, nothing is sent under this attempt any more, and
+    the claim, should there be one, is freed as soon as the ledger answers.
     """
     failed: errors.AmaranthringError | None = None
     for _ in range(CLAIM_TRIES):
@@ -216,10 +241,15 @@
     nothing ran under it, so that the refusal may say so.
     """
     name = f"{request.request_id}.none"
-    claim = await _claim(needs, request, name, "")
-    if claim.state is not records.ClaimState.GRANTED:
-        return await _earlier(needs, request, name, headers, claim)
-    await _settle(needs, request, name, errors.Outcome.NOT_RUN, None)
+    needs.attempts.add(name)
+    try:
+        claim = await _claim(needs, request, name, "")
+        claim = await _checked(needs, request, name, "", claim)
+        if claim.state is not records.ClaimState.GRANTED:
+            return await _earlier(needs, request, name, headers, claim)
+        await _settle(needs, request, name, errors.Outcome.NOT_RUN, None)
+    finally:
+        needs.attempts.discard(name)
     error.claimed = True
     raise error
 
--- a/amaranthring/callers/way.py
+++ b/amaranthring/callers/way.py
@@ -24,6 +24,10 @@
 T = t.TypeVar("T")
 
 
+async def _may_run(_attempt: str) -> bool:
+    return True
+
+
 @dataclasses.dataclass
 class Needs:
     """What the way needs from other packages, filled by ``app.py``.
@@ -44,6 +48,10 @@
         Counters and histograms of this process.
     drain : Drain
         Requests in progress.
+    may_run : callable
+        Whether the holder of an attempt may still run it.
+    attempts : set of str
+        Claimed attempts that run here.
     settlements : Settlements
         What the ledger could not be told yet.
     """
@@ -73,6 +81,8 @@
         default_factory=figures.Metrics
     )
     drain: drains.Drain = dataclasses.field(default_factory=drains.Drain)
+    may_run: t.Callable[[str], t.Awaitable[bool]] = _may_run
+    attempts: set[str] = dataclasses.field(default_factory=set)
     settlements: settlements_module.Settlements = dataclasses.field(init=False)
 
     def __post_init__(self):
@@ -206,6 +216,9 @@
             made = await _released(needs, request, attempt, once)
             needs.succeeded(request.account)
             return made
+        except errors.CallerGoneError:
+            # No fault of the target, and nobody waits for another attempt.
+            raise
         except errors.AmaranthringError as error:
             ran = attempt.sent and error.outcome is not errors.Outcome.NOT_RUN
             maybe_ran = maybe_ran or ran
@@ -249,7 +262,7 @@
         made = await once(attempt)
         end = records.End.DONE
         return made
-    except asyncio.CancelledError:
+    except (asyncio.CancelledError, errors.CallerGoneError):
         end = records.End.CANCELLED
         raise
     except errors.AmaranthringError as error:
@@ -281,13 +294,26 @@
         return False
     if time.monotonic() >= request.deadline:
         return False
-    if not needs.may_retry(request.account):
+    if _costs(attempt, failed) and not needs.may_retry(request.account):
         needs.metrics.count("way.retry-refused")
         return False
     needs.metrics.count("way.retried")
     return True
 
 
+def _costs(attempt: Attempt, failed: errors.AmaranthringError) -> bool:
+    """Return whether another attempt is paid from the retry budget.
+
+    The budget keeps targets that live from doing work twice. A target that
+    died, or that could not be reached, does none; and since its owner closes
+    it, only what was under way there comes again. Were these paid, the death
+    of one of three engines would use up the budget of a small account at
+    once, and innocent requests would be refused.
+    """
+    unreached = isinstance(failed, errors.UpstreamError) and not attempt.sent
+    return not (attempt.lost or unreached)
+
+
 def _note_grant(needs, request, attempt) -> None:
     grant = attempt.grant
     needs.metrics.record(
--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -129,6 +129,8 @@
         The other end, proved by the handshake.
     sent_bytes, received_bytes : int
         Traffic so far.
+    sent_frames : int
+        Frames written so far.
     """
 
     def __init__(self, stream, peer: Identity, handlers: Handlers):
@@ -136,6 +138,7 @@
         self.peer = peer
         self.handlers = handlers
         self.sent_bytes = 0
+        self.sent_frames = 0
         self.received_bytes = 0
         self.closed = False
         self._ids = itertools.count(1)
@@ -238,6 +241,7 @@
                 f"link to {self.peer.name} closed"
             ) from error
         self.sent_bytes += len(data)
+        self.sent_frames += 1
 
     def _handle(self, frame: wire.Frame) -> None:
         if frame.kind in (wire.REPLY, wire.ERROR):
@@ -385,6 +389,7 @@
         self.on_link = on_link
         self.on_gone = on_gone
         self.links: set[Link] = set()
+        self.closed = False
 
     async def handle_stream(self, stream, address):
         """Serve one connection until it ends."""
@@ -397,6 +402,12 @@
         except errors.HandshakeError as error:
             log.warning("link.refused address={} fault={}", address, error)
             return
+        if self.closed:
+            # The handshake ended after `close_all`, or swallowed the
+            # cancellation that came with its last frame: served now, this
+            # link would outlive the process's end and hold it up.
+            link.close()
+            return
         self.links.add(link)
         try:
             if self.on_link:
@@ -410,6 +421,7 @@
 
     def close_all(self) -> None:
         """Stop listening and close every link."""
+        self.closed = True
         self.stop()
         for link in list(self.links):
             link.close()
--- a/amaranthring/keepers/client.py
+++ b/amaranthring/keepers/client.py
@@ -16,6 +16,8 @@
 from amaranthring.keepers import messages
 
 TRY_SECONDS = 1.0
+# With less left a command is not sent: it would only end as unknown.
+SEND_SECONDS = 0.02
 FRESH_SECONDS = 0.5
 PING_SECONDS = 0.5
 PAUSE_SECONDS = 0.05
@@ -73,9 +75,22 @@
         for dialler in self.diallers.values():
             dialler.stop()
 
-    async def propose(self, command: t.Any, timeout: float = 5.0) -> t.Any:
+    async def propose(
+        self, command: t.Any, timeout: float = 5.0, patient: bool = True
+    ) -> t.Any:
         """Commit `command` and return its result.
 
+        Parameters
+        ----------
+        command : object
+            A registered message.
+        timeout : float
+            Seconds to go on for.
+        patient : bool
+            False gives up at once while there has been no leader for
+            :data:`LEADERLESS_SECONDS`, for a caller who is told when to
+            come back.
+
         Raises
         ------
         errors.NoQuorumError
@@ -92,7 +107,7 @@
         def make(seconds: float) -> messages.Propose:
             return messages.Propose(self.group, tag, command, seconds)
 
-        return await self._call(make, timeout, repeatable)
+        return await self._call(make, timeout, repeatable, patient)
 
     async def query(self, message: t.Any, timeout: float = 5.0) -> t.Any:
         """Send `message`, which changes nothing, to the leader.
@@ -120,19 +135,23 @@
         query = messages.StatusQuery(self.group)
         return await self.diallers[name].call(query, timeout)
 
-    async def _call(self, make, timeout: float, repeatable: bool) -> t.Any:
+    async def _call(
+        self, make, timeout: float, repeatable: bool, patient: bool = True
+    ) -> t.Any:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
         unknown: errors.AmaranthringError | None = None
         tried: set[str] = set()
         leaderless: set[str] = set()
         while (left := deadline - loop.time()) > 0:
-            if self._hopeless(leaderless, loop.time()):
+            if not patient and self._hopeless(leaderless, loop.time()):
                 break
             name = self._choose(tried)
             try:
                 await self._check(name, min(left, PING_SECONDS))
-                left = max(0.001, deadline - loop.time())
+                left = deadline - loop.time()
+                if left < SEND_SECONDS:
+                    break
                 seconds = min(left, TRY_SECONDS) if repeatable else left
                 reply = await self.diallers[name].call(make(seconds), seconds)
             except NOT_ACCEPTED as error:
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -21,6 +21,7 @@
 from amaranthring.platform import figures
 from amaranthring.policy import retries
 from amaranthring.routers import admission
+from amaranthring.routers import attempts
 from amaranthring.routers import directory
 from amaranthring.routers import explaining
 from amaranthring.routers import limits
@@ -117,7 +118,6 @@
         self.readiness = readiness.Readiness(
             self.mesh, self.table, self.spread
         )
-        self.revisions.subscribe(self._revision_changed)
         self.table.subscribe(self._target_changed)
         self.target_reports = target_reports.TargetReports(
             place,
@@ -125,6 +125,7 @@
             lambda: self.revisions.is_relay,
             self._ready_targets,
             self.metrics,
+            lambda: self.keepers.leader,
         )
 
     def _make_decisions(self) -> None:
@@ -175,7 +176,13 @@
         self.explaining = explaining.Explaining(
             self.name, self.mesh, self.ring
         )
+        self.attempts = attempts.Attempts(
+            self.name,
+            self.mesh,
+            lambda attempt: attempt in self.needs.settlements.pending,
+        )
         for part in (
+            self.attempts,
             self.suspicion,
             self.directory,
             self.owners,
@@ -205,6 +212,8 @@
             serves=self._serves,
             metrics=self.metrics,
             drain=self.drain,
+            may_run=self.attempts.may_run,
+            attempts=self.attempts.running,
         )
 
     def _resume_keys(self) -> links.Keys:
@@ -248,7 +257,8 @@
             target,
             left + CLAIM_GRACE_SECONDS,
         )
-        return (await self.keepers.propose(command, CLAIM_SECONDS)).claim
+        done = await self.keepers.propose(command, CLAIM_SECONDS, False)
+        return done.claim
 
     async def _settle(
         self,
@@ -260,7 +270,7 @@
         command = commands.Settle(
             request.account, request.key, attempt, str(outcome), answer
         )
-        await self.keepers.propose(command, CLAIM_SECONDS)
+        await self.keepers.propose(command, CLAIM_SECONDS, False)
 
     async def _quarantine(self, fingerprint: str) -> None:
         command = commands.AddQuarantine(fingerprint, QUARANTINE_SECONDS)
@@ -273,9 +283,6 @@
                 found.update(target.serves)
         return found
 
-    def _revision_changed(self, config) -> None:
-        self.metrics.gauge("revision", config.revision)
-
     def _ready_targets(self) -> list[records.Target]:
         return [
             target
--- a/amaranthring/routers/revisions.py
+++ b/amaranthring/routers/revisions.py
@@ -207,6 +207,9 @@
         delta = await self.query(ask, WATCH_SECONDS + PULL_SECONDS)
         if self.take(delta, KEEPERS):
             self.mesh.broadcast(delta)
+        elif delta.revision > self.parts.revision:
+            # Refused; asking on and on would load the leader.
+            await asyncio.sleep(RETRY_SECONDS)
         self._confirm_highest(delta.revision)
 
     def _confirm_highest(self, revision: int) -> None:
--- a/amaranthring/testing/announcing.py
+++ b/amaranthring/testing/announcing.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import dataclasses
-import hashlib
-import hmac
 import json
 import time
 import typing as t
@@ -16,17 +14,11 @@
 import tornado.httpclient
 
 from amaranthring.core import records
+from amaranthring.targets import conventions
 
 FIRST_RENEW_SECONDS = 0.5
 TRY_SECONDS = 1.0
 REPORT_SLACK_SECONDS = 0.25
-KEY_HEADER = "Amaranthring-Key"
-
-
-def signature(key_id: str, key: bytes, body: bytes) -> str:
-    """Return the value of ``Amaranthring-Key`` for `body`."""
-    mac = hmac.new(key, body, hashlib.sha256).hexdigest()
-    return f"{key_id} {mac}"
 
 
 class Announcer:
@@ -45,6 +37,8 @@
     report_seconds : float
         Time between reports; a report tells the load as it was at the
         report before, so that it lags.
+    serves : callable, optional
+        Returns what it serves now; a change is announced.
     """
 
     def __init__(
@@ -55,7 +49,9 @@
         key: bytes,
         load: t.Callable[[], tuple[int, int, float]],
         report_seconds: float = 1.0,
+        serves: t.Callable[[], list[str]] | None = None,
     ):
+        self.serves = serves
         self.target = target
         self.routers = list(routers)
         self.key_id = key_id
@@ -76,7 +72,9 @@
         body = json.dumps(record).encode()
         headers = {
             "Content-Type": "application/json",
-            KEY_HEADER: signature(self.key_id, self.key, body),
+            conventions.KEY_HEADER: conventions.sign(
+                self.key_id, self.key, body
+            ),
         }
         status = 599
         for _ in range(len(self.routers)):
@@ -116,6 +114,14 @@
         """Start the task that announces, renews and reports."""
         self.task = asyncio.ensure_future(self._run())
 
+    def changed(self) -> bool:
+        """Take over what the target serves now; return whether it changed."""
+        serves = tuple(self.serves()) if self.serves else self.target.serves
+        if serves == self.target.serves:
+            return False
+        self.target = dataclasses.replace(self.target, serves=serves)
+        return True
+
     def _named(self) -> dict[str, t.Any]:
         self.spoken += 1
         return {
@@ -130,6 +136,8 @@
         lagging = self.load()
         due = self.report_seconds - REPORT_SLACK_SECONDS
         while True:
+            if self.changed():
+                status = 0
             if status != 200:
                 status = 200 if await self.announce() else 0
             elif time.monotonic() - reported >= due:
--- a/tests/test_chats.py
+++ b/tests/test_chats.py
@@ -5,6 +5,7 @@
 import unittest
 
 from amaranthring import errors
+from amaranthring.core import records
 from amaranthring.testing import engine
 from amaranthring.testing import local
 from amaranthring.testing import needs
@@ -117,14 +118,32 @@
         self.assertTrue(engine.expected_text(local.chat()).startswith(seen))
 
     async def test_no_retry_without_budget(self):
+        """Engines that live and fail are spared a storm of repeats."""
+        self.local.add_engine("e2")
+        router = self.local.add_router()
+        router.fakes.retries_left = 0
+        for _ in range(3):
+            self.engine.planned = {"fault": "status", "at": 0, "times": 1}
+            answer = await router.chat(local.chat())
+            self.assertEqual(answer.code, 502)
+            outcome = answer.headers["Amaranthring-Outcome"]
+            self.assertEqual(outcome, "unknown")
+        self.assertEqual(self.local.engines["e2"].ran, [])
+
+    async def test_death_of_an_engine_costs_no_budget(self):
+        """An engine dies with many chats of a small account under way.
+
+        The first two took all of the account's budget; the others were
+        refused, though another engine had room and nobody had failed them
+        but the one that is gone.
+        """
         self.local.add_engine("e2")
         router = self.local.add_router()
         router.fakes.retries_left = 0
         self.engine.planned = {"fault": "crash", "at": 0, "times": 1}
         answer = await router.chat(local.chat())
-        self.assertEqual(answer.code, 502)
-        self.assertEqual(answer.headers["Amaranthring-Outcome"], "unknown")
-        self.assertEqual(self.local.engines["e2"].ran, [])
+        self.assertEqual(answer.code, 200)
+        self.assert_whole(answer, local.chat())
 
     async def test_silent_engine_is_left_after_the_token_timeout(self):
         self.local.add_engine("e2")
@@ -202,6 +221,16 @@
                 self.assertEqual(choice["message"]["content"], expected)
         self.assert_idle(router)
 
+    async def test_second_engine_out_of_reach_is_no_not_run(self):
+        """The first engine ran it and broke off; the second saw nothing."""
+        self.local.add_engine("e2")
+        router = self.local.add_router()
+        await self.local.stop("e2")
+        body = local.chat(stream=False, stand_in={"fault": "drop"})
+        answer = await router.chat(body)
+        self.assertEqual(answer.headers["Amaranthring-Outcome"], "unknown")
+        self.assertEqual(len(self.engine.ran), 1)
+
     async def test_refused_by_all_engines_says_not_run(self):
         router = self.local.add_router()
         body = local.chat(stream=False, stand_in={"fault": "refuse"})
@@ -302,6 +331,21 @@
             rest = await stream.read_until(b"data: [DONE]\n\n")
         self.assertIn(f".{tokens - 1}\n".encode(), rest)
 
+    async def test_reader_that_stopped_for_good_is_cut_off(self):
+        """Its engine's slot must not stay taken, nor the chat run again."""
+        self.local.bounds.idle_seconds = 0.5
+        self.local.add_engine("e2")
+        router = self.local.add_router()
+        body = local.chat(tokens=120_000, stand_in_batch=500)
+        async with router.raw(local.raw_chat(body)):
+            await local.until(lambda: router.fakes.released)
+        self.assertEqual(router.fakes.released, [records.End.CANCELLED])
+        self.assertEqual(self.local.engines["e2"].ran, [])
+        counters = router.fakes.needs.metrics.counters
+        self.assertEqual(counters["callers.caller-too-slow"], 1)
+        await local.until(lambda: not self.engine.slots.running)
+        self.assert_idle(router)
+
     async def test_stopping_router_ends_what_runs_and_takes_no_more(self):
         router = self.local.add_router()
         body = local.chat(tokens=40)
--- a/tests/test_keeper_client.py
+++ b/tests/test_keeper_client.py
@@ -1,6 +1,7 @@
 """Which calls a router's client of the keepers repeats, and where."""
 
 import asyncio
+import math
 import unittest
 
 import tornado.testing
@@ -103,6 +104,7 @@
         for lost in ("close", errors.CommitUnknownError("x"), None):
             self.asked.clear()
             self.client.leader = "k1"
+            self.client.heard["k1"] = math.inf
             self.answers["k1"] = lost
             with self.assertRaises(errors.CommitUnknownError):
                 await self.client.propose(keeper.Set("a", "1"), 0.5)
@@ -149,11 +151,11 @@
         began = loop.time()
         while loop.time() - began < client.LEADERLESS_SECONDS:
             with self.assertRaises(errors.NoQuorumError):
-                await self.client.propose(command, 5.0)
+                await self.client.propose(command, 5.0, False)
         self.asked.clear()
         began = loop.time()
         with self.assertRaises(errors.NoQuorumError) as caught:
-            await self.client.propose(command, 5.0)
+            await self.client.propose(command, 5.0, False)
         self.assertLess(loop.time() - began, 1.0)
         self.assertEqual(caught.exception.outcome, errors.Outcome.NOT_RUN)
         self.assertEqual(set(self.asked), {"k3"})
@@ -161,7 +163,7 @@
         dialler = self.client.diallers["k1"]
         await processes.until(lambda: dialler.link)
         self.answers["k3"] = errors.NotLeaderError("k1", expected="k1")
-        done = await self.client.propose(command, 5.0)
+        done = await self.client.propose(command, 5.0, False)
         self.assertEqual(done, messages.Members())
 
     def cut(self, *names):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -81,6 +81,16 @@
         self.assertEqual(found.outcome, errors.Outcome.NOT_RUN)
         self.assertEqual(self.claim("b").state, STATES.GRANTED)
 
+    def test_claim_that_comes_after_it_was_given_up(self):
+        # The claim lies in a slow connection. The router gives it up and
+        # tells the keepers before they ever saw it; then it is committed.
+        # It must be refused, or it would hold the key with nobody behind.
+        self.settle("a", "not-run")
+        late = self.claim("a")
+        self.assertEqual(late.outcome, errors.Outcome.NOT_RUN)
+        self.assertEqual(self.claim("b").state, STATES.GRANTED)
+        self.assertEqual(self.claim("c").state, STATES.IN_PROGRESS)
+
     def test_only_the_holder_settles(self):
         self.claim("a")
         for outcome in ("ran", "not-run", "unknown"):
@@ -163,6 +173,15 @@
         )
         self.assertFalse(told[0].answer.kept)
 
+    def test_giving_up_an_old_key_does_not_free_it(self):
+        self.claim("a")
+        self.settle("a", "ran", ANSWER)
+        self.stamp += ledger.RETENTION_SECONDS * 1.1
+        self.claim("z", "other")
+        with self.assertRaises(errors.NotFoundError):
+            self.settle("b", "not-run")
+        self.assertEqual(self.claim("c").state, STATES.SETTLED)
+
     def test_memory_of_what_ran_is_dropped_in_the_end(self):
         self.claim("a")
         self.settle("a", "ran", ANSWER)
