Explain a grant by the owner's own counts

A grant carries the cell, the requests at the target and in the cell, and the number of targets it was decided on; explain shows them.

--- a/amaranthring/callers/way.py
+++ b/amaranthring/callers/way.py
@@ -326,6 +326,10 @@
         owner=grant.owner,
         remembered=grant.remembered,
         queued=round(grant.queued_seconds, 4),
+        cell=grant.cell,
+        load=grant.load,
+        in_flight=grant.in_flight,
+        targets=grant.targets,
     )
 
 
--- a/amaranthring/core/records.py
+++ b/amaranthring/core/records.py
@@ -154,6 +154,11 @@
         Where the chat's KV cache may be imported from.
     queued_seconds : float
         Time spent waiting at the owner.
+    cell : str
+        Cell of targets that the owner counts.
+    load, in_flight, targets : int
+        What the owner decided on: requests at the target and in the cell,
+        this one included, and targets of the cell.
     """
 
     grant_id: str
@@ -162,6 +167,10 @@
     remembered: bool = False
     import_from: Target | None = None
     queued_seconds: float = 0.0
+    cell: str = ""
+    load: int = 0
+    in_flight: int = 0
+    targets: int = 0
 
 
 class End(enum.StrEnum):
--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -77,11 +77,17 @@
         Where it may run.
     queued_seconds : float
         How long it waited.
+    load, in_flight, targets : int
+        What it was decided on: requests at the target and in the cell, this
+        one included, and targets of the cell.
     """
 
     key: counts.Key
     target: str
     queued_seconds: float = 0.0
+    load: int = 0
+    in_flight: int = 0
+    targets: int = 0
 
 
 def come_back(seconds: float) -> float:
@@ -182,7 +188,7 @@
         target = None if others else self.place(ask, now)
         if target is not None:
             self._grant(ask, target, now)
-            return Placed(ask.key, target)
+            return self._placed(ask.key, target)
         if ask.at_once:
             raise self.full()
         if not ask.alone and self.elsewhere(ask, now):
@@ -244,7 +250,16 @@
             waiter, target = found
             self._grant(waiter.ask, target, now)
             waited = now - waiter.since
-            self.placed.append(Placed(waiter.key, target, waited))
+            self.placed.append(self._placed(waiter.key, target, waited))
+
+    def _placed(
+        self, key: counts.Key, target: str, queued_seconds: float = 0.0
+    ) -> Placed:
+        load = self.counts.load
+        total = sum(load[name] for name in self.targets)
+        return Placed(
+            key, target, queued_seconds, load[target], total, len(self.targets)
+        )
 
     # -- waiting --
 
--- a/amaranthring/routers/admission.py
+++ b/amaranthring/routers/admission.py
@@ -119,7 +119,7 @@
             self._tell(cell)
         if placed is not None:
             self.metrics.count("admission.granted")
-            return messages.Granted(ask.cell, ask.serial, placed.target)
+            return _granted(ask.cell, ask.serial, placed)
         if wanted.key in cell.queue.waiters:
             self.metrics.count("admission.queued")
             return messages.Queued()
@@ -394,9 +394,7 @@
         for placed in cell.placed:
             router, serial = placed.key
             self.metrics.count("admission.granted")
-            answer = messages.Granted(
-                cell.name, serial, placed.target, placed.queued_seconds
-            )
+            answer = _granted(cell.name, serial, placed)
             self._send(router, answer)
         cell.placed.clear()
         for waiter in cell.evicted:
@@ -414,6 +412,18 @@
             self.metrics.count("admission.unsent")
 
 
+def _granted(cell: str, serial: int, placed) -> messages.Granted:
+    return messages.Granted(
+        cell,
+        serial,
+        placed.target,
+        placed.queued_seconds,
+        placed.load,
+        placed.in_flight,
+        placed.targets,
+    )
+
+
 def _always() -> bool:
     return True
 
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -47,12 +47,21 @@
 
 @wire.message("granted", compact=True)
 class Granted:
-    """Leave to send request `serial` to `target`."""
+    """Leave to send request `serial` to `target`.
+
+    Attributes
+    ----------
+    load, in_flight, targets : int
+        What it was decided on, for ``explain``.
+    """
 
     cell: str
     serial: int
     target: str
     queued_seconds: float = 0.0
+    load: int = 0
+    in_flight: int = 0
+    targets: int = 0
 
 
 @wire.message("queued")
--- a/amaranthring/routers/placing.py
+++ b/amaranthring/routers/placing.py
@@ -329,7 +329,11 @@
             end = records.End.NOT_SENT
             self.calls.release(owner, granted.cell, granted.serial, end)
             return None
-        return self._hold(search, granted.cell, granted.serial, owner, target)
+        grant = self._hold(search, granted.cell, granted.serial, owner, target)
+        grant.load = granted.load
+        grant.in_flight = granted.in_flight
+        grant.targets = granted.targets
+        return grant
 
     async def _describe(self, owner: str, name: str):
         """Ask the owner about a target that this router has not heard of."""
@@ -347,6 +351,7 @@
             target,
             remembered=search.remembered[:1] == [target.name],
             import_from=self._import_from(search, target),
+            cell=cell,
         )
         held = holdings.Holding(
             cell, owner, grant, search.request, search.suspect
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -129,6 +129,7 @@
         self.assertIn("candidates", out)
         self.assertIn("granted", out)
         self.assertIn("end=done", out)
+        self.assertRegex(out, r"cell=\S+ load=1 in_flight=1 targets=3")
         await self.assert_refused("no decisions", "explain", "router-3.00")
 
     async def busy_port(self):
