Count tokens, not bytes, against the token timeout

Cause: an engine that hangs but sends comments, or a service that sends a byte now and then, held its caller for ever, since any byte began the time anew. Now only events count, and a whole answer has its time in all. test_silent_engine_is_left_after_the_token_timeout has the case; with the old counting put back it fails.

Also: an engine that answers 400 to a text to continue is no longer taken for one that refuses the caller's own request.

--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -190,14 +190,16 @@
         raise errors.NotFoundError(
             "the engine does not know the stream", given=name
         )
+    if delivery.begun and not path.endswith(RESUME):
+        # First of all: an engine that refuses the unknown field says nothing
+        # about the caller's own request.
+        _check_continued(exchange, delivery.events.expected)
     check_head(exchange, name)
     kind = exchange.headers.get("Content-Type", "")
     if not kind.startswith(EVENT_STREAM):
         raise errors.UpstreamError(
             "the answer is no event stream", given=kind, expected=EVENT_STREAM
         )
-    if delivery.begun and not path.endswith(RESUME):
-        _check_continued(exchange, delivery.events.expected)
 
 
 def check_head(exchange: upstream.Exchange, name: str) -> None:
@@ -267,11 +269,14 @@
                 first = False
                 exchange.allow(preset.between_tokens_seconds)
             _note_time(delivery)
+            exchange.came(delivery.last)
             waits = send(ready)
             if waits is not None:
                 exchange.paused = True
                 await waits
                 exchange.paused = False
+                delivery.last = time.monotonic()
+                exchange.came(delivery.last)
         if events.ended:
             return
         if events.fault:
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -7,7 +7,7 @@
 and tornado parses the head; ``docs/design/way.md`` has the ways weighed.
 
 Watching costs one timer for each request, not one for each read: the timer
-looks when the last byte came and sets itself again.
+looks when the last token came and sets itself again.
 """
 
 import asyncio
@@ -84,13 +84,21 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def allow(self, seconds: float) -> None:
-        """Let the target be silent for `seconds` from now on."""
+        """Give the target `seconds` from now, until the next :meth:`came`."""
         self._allowed = seconds
         self.last = time.monotonic()
         if self._timer:
             self._timer.cancel()
         self._arm(seconds)
 
+    def came(self, now: float) -> None:
+        """Note that what was waited for came at monotonic time `now`.
+
+        Bytes alone are not it: a target that sends comments, or a byte now
+        and then, would hold its caller for ever.
+        """
+        self.last = now
+
     def break_off(self, cause: errors.AmaranthringError) -> None:
         """Close the connection; whoever reads gets `cause`."""
         self.cause = self.cause or cause
@@ -179,7 +187,6 @@
                 break
         else:
             raise self._broken()
-        self.last = time.monotonic()
         self.status, self.headers = start.code, headers
         self.body = chunks.body_of(headers, start.code, self.call.method)
 
@@ -200,7 +207,6 @@
                 if self.body.ends_by_close and not self.cause:
                     return b""
                 raise self._broken()
-            self.last = time.monotonic()
             data = self.body.take(data)
             if data:
                 return data
@@ -260,9 +266,9 @@
         self._timer = None
         self.break_off(
             errors.UpstreamTimeoutError(
-                "the target was silent",
+                "the target took too long",
                 given=f"{self._allowed:g} s",
-                expected="a byte earlier",
+                expected="a token, or the whole answer, earlier",
                 retry_after=1.0,
             )
         )
--- a/amaranthring/testing/engine.py
+++ b/amaranthring/testing/engine.py
@@ -41,6 +41,7 @@
     "hang",  # sends nothing from token `at` on
     "status",  # answers 500
     "refuse",  # answers 503 and that it did not run
+    "comments",  # sends comments and no token from token `at` on
     "garbage",  # sends what is no event before token `at`
 )
 TOKENS = 16
@@ -375,6 +376,12 @@
         if kind == "truncate":
             self.finish()
             return True
+        if kind == "comments":
+            while not self.gone.is_set():
+                self.write(": still here\n\n")
+                await self.flush()
+                await self.wait(0.05)
+            return True
         if kind in ("slow", "hang"):
             given = self.engine.fault(stream.body) or self.engine.planned
             await self.wait(given.get("seconds", HANG_SECONDS))
--- a/tests/test_chats.py
+++ b/tests/test_chats.py
@@ -132,10 +132,10 @@
         router = self.local.add_router()
         router.fakes.preset.first_token_seconds = 1.0
         router.fakes.preset.between_tokens_seconds = 1.0
-        for at in (0, 3):
-            with self.subTest(at=at):
-                self.engine.planned = {"fault": "hang", "at": at, "times": 1}
-                body = local.chat(f"asked at {at}")
+        for fault, at in (("hang", 0), ("hang", 3), ("comments", 3)):
+            with self.subTest(fault, at=at):
+                self.engine.planned = {"fault": fault, "at": at, "times": 1}
+                body = local.chat(f"{fault} at {at}")
                 self.assert_whole(await router.chat(body), body)
         self.assert_idle(router)
 
