Connect deaths to the suspicion and drains to the owners

Cause: the root left two hooks unconnected: the guard against condemning requests when a whole rack dies never fired, and a drain reached owners up to 0.5 s late. Both tests fail without the lines.

--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -151,6 +151,7 @@
         self.owners = admission.Owners(
             self.name, self.table, self.mesh, self.config, self.metrics
         )
+        self.revisions.subscribe(lambda _: self.owners.config_changed())
         self.owners.ready = lambda: not self.readiness.missing()
         self.placer = placing.Placer(
             self.name,
@@ -290,7 +291,9 @@
             if self.table.state(target.name) is records.TargetState.READY
         ]
 
-    def _target_changed(self, _name: str) -> None:
+    def _target_changed(self, name: str) -> None:
+        if self.table.state(name) is records.TargetState.LOST:
+            self.suspicion.target_lost(name)
         self.metrics.gauge("targets.ready", len(self._ready_targets()))
 
     # -- HTTP --
--- /dev/null
+++ b/tests/test_router_parts.py
@@ -0,0 +1,57 @@
+"""What the composition root of a router must not forget to connect."""
+
+import dataclasses
+import pathlib
+import tempfile
+import unittest
+
+from amaranthring import router_parts
+from amaranthring import settings
+from amaranthring.core import fleet
+from amaranthring.core import links
+from amaranthring.testing import local_fleet
+from amaranthring.testing import routers
+
+
+class TestRouter(unittest.IsolatedAsyncioTestCase):
+    """A router that is wired and not started."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name)
+        local_fleet.write_settings(path, routers=1, keepers=1)
+        made = settings.read(str(path / "router-1.ini"))
+        identity = links.Identity("router-1", "router", "porto", 1)
+        self.router = router_parts.Router(made, identity)
+
+    def announce(self, count):
+        for number in range(count):
+            made = routers.target(f"e{number}", "porto")
+            address = f"127.0.0.1:{number + 1}"
+            made = dataclasses.replace(made, address=address)
+            self.router.table.announce(made)
+
+    async def test_deaths_together_reach_the_suspicion(self):
+        """A rack goes; its requests must not be taken for its killers."""
+        self.announce(6)
+        entries = list(self.router.table.entries.values())
+        for entry in entries:
+            entry.heard -= 3600
+        self.router.table.expired_at = self.router.table.clock()
+        self.router.table.expire()
+        suspicion = self.router.suspicion
+        self.assertTrue(suspicion.lost.together(suspicion.clock()))
+
+    async def test_drain_reaches_the_admission_owner_at_once(self):
+        self.announce(2)
+        told = []
+        self.router.owners.config_changed = lambda: told.append(True)
+        for callback in self.router.revisions.callbacks:
+            callback(fleet.FleetConfig(revision=2))
+        self.assertEqual(told, [True])
+
+    async def test_not_ready_without_a_revision_or_when_stopping(self):
+        self.assertIn("revision", self.router.not_ready_because())
+        self.router.stopping = True
+        self.assertEqual(self.router.not_ready_because(), "stopping")
