Keep leases and batches going when one step fails

Cause: an exception of one subscriber ended the task that watches the leases for good, and nothing showed it. Change: the steps of table, spread and mesh are guarded, counted and logged. Proof: test_fault_of_a_subscriber_does_not_end_the_leases fails without the guard (23 s) and passes with it.

--- a/amaranthring/routers/mesh.py
+++ b/amaranthring/routers/mesh.py
@@ -23,6 +23,7 @@
 from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import pauses
+from amaranthring.core import repeating
 from amaranthring.core import wire
 from amaranthring.routers import peers as peers_module
 from amaranthring.routers import relays
@@ -411,7 +412,7 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            self.tick()
+            repeating.guarded(self.tick, "mesh.ticks", self.metrics)
 
     def tick(self) -> None:
         """Drop silent links, keep ours from silence, close idle ones."""
--- a/amaranthring/routers/spread.py
+++ b/amaranthring/routers/spread.py
@@ -21,6 +21,7 @@
 from amaranthring.core import hashing
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import records
+from amaranthring.core import repeating
 from amaranthring.routers import lateness
 from amaranthring.routers import member_messages as messages
 from amaranthring.routers import mesh as mesh_module
@@ -126,7 +127,7 @@
             # A late tick shifts the next ones: none is made up for.
             self.next_at = max(self.next_at, self.clock() - SLACK_SECONDS)
             self.next_at += BATCH_SECONDS
-            self.tick()
+            repeating.guarded(self.tick, "spread.ticks", self.metrics)
 
     def renew_in(self) -> float:
         """Return when a target that just renewed should do so again.
--- a/amaranthring/targets/table.py
+++ b/amaranthring/targets/table.py
@@ -26,6 +26,7 @@
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import pauses
 from amaranthring.core import records
+from amaranthring.core import repeating
 from amaranthring.policy import flapping
 from amaranthring.targets import claims
 from amaranthring.targets import entries
@@ -372,7 +373,7 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_EVERY_SECONDS)
-            self.expire()
+            repeating.guarded(self.expire, "targets.ticks", self.metrics)
 
     # -- inside -------------------------------------------------------------
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -145,6 +145,27 @@
         self.all[2].table.renew("e1", 1)
         await self.until_eligible(["e1"], [0, 1])
 
+    async def test_fault_of_a_subscriber_does_not_end_the_leases(self):
+        """A dead engine is never given up, and its requests hang.
+
+        Some subscriber failed once, and with it the task that watches.
+        """
+
+        def fail(name):
+            raise ValueError(name)
+
+        member = self.all[0]
+        self.fleet.renew(members.target("e1", "dc1"), [0])
+        await self.until_eligible(["e1"])
+        member.table.subscribe(fail)
+        lost = member.table.when_lost("e1")
+        self.fleet.silence("e1")
+        await asyncio.wait_for(asyncio.shield(lost), 20)
+        await members.until(
+            lambda: member.metrics.counters["targets.ticks_failed"] == 1
+        )
+        self.assertFalse(member.table.task.done())
+
 
 class TestMesh(FleetCase):
     """Live list, calls, leaving and frozen peers."""
