--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -106,8 +106,10 @@
         # when it wakes: it must not answer from its old state.
         old = await self.begin()
         await self.set("a", "old")
+        # A client of its own: the fleet's closes a link that does not answer.
+        dialler = self.fleet.new_client().diallers[old]
+        await processes.until(lambda: dialler.link)
         self.fleet.keepers[old].freeze()
-        dialler = self.fleet.client.diallers[old]
         read = asyncio.ensure_future(dialler.call(keeper.Get("a"), 30))
         write = asyncio.ensure_future(
             dialler.call(
