--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -17,6 +17,7 @@
 from amaranthring.keepers import client as keeper_client
 from amaranthring.keepers import commands
 from amaranthring.keepers import messages as keeper_messages
+from amaranthring.operators import base as operators_base
 from amaranthring.operators import handlers as operators
 from amaranthring.platform import figures
 from amaranthring.policy import retries
@@ -312,8 +313,8 @@
             routes += operators.routes(self._operators(tokens))
         return routes
 
-    def _operators(self, tokens: dict[str, str]) -> operators.Operators:
-        return operators.Operators(
+    def _operators(self, tokens: dict[str, str]) -> operators_base.Operators:
+        return operators_base.Operators(
             tokens=tokens,
             propose=self.keepers.propose,
             query=self.keepers.query,
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,6 +7,7 @@
 import tornado.web
 
 from amaranthring.core import hashing
+from amaranthring.operators import base
 from amaranthring.operators import handlers
 from amaranthring.testing import state
 
@@ -24,7 +25,7 @@
             made, _ = state.make_revisions(name, "dc1", self.group, {})
             made.parts.apply(self.group.machine.config_since(0))
             made.current = made.parts.config()
-            operators = handlers.Operators(
+            operators = base.Operators(
                 {"ana": hashing.token_hash(TOKEN)},
                 self.propose,
                 self.query,
