Name no leader when cut off; hand out ports of tests in turn

Found by the walk through a cut data centre by hand: each booking inside waited 2.5 s to be refused, since the keeper there named the leader of before the cut for ever. It now names none once it has not heard one for an election time; test_keeper_that_is_cut_off_names_no_leader fails without that.

--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -175,7 +175,14 @@
         return self.store.members
 
     def leader(self) -> str:
-        """Return the name of the leader, or an empty string."""
+        """Return the name of the leader, or an empty string.
+
+        A keeper that is cut off hears of no election. Naming for ever the
+        leader that it last heard would send routers after it, each call for
+        its whole time, where they could be refused at once.
+        """
+        if not self.leading and not election.hears_leader(self):
+            return ""
         member = membership.find(self.members, self.leader_disk)
         return member.name if member else ""
 
--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -98,7 +98,7 @@
     # its term, so its return deposes nobody.
     if not await _ballot(group, group.term + 1, pre=True):
         return
-    if group.leading or _hears_leader(group):
+    if group.leading or hears_leader(group):
         return
     roles.set_term(group, group.term + 1, group.disk_id)
     term = group.term
@@ -156,7 +156,8 @@
     return reply.granted and reply.disk == voter.disk
 
 
-def _hears_leader(group) -> bool:
+def hears_leader(group) -> bool:
+    """Return whether a leader was heard within the election time."""
     since = group.clocks.monotonic() - group.heard_at
     return since < group.options.election_seconds
 
@@ -168,7 +169,7 @@
         return True
     if group.leading and group.clocks.monotonic() < lease_until(group):
         return True
-    if not group.leading and _hears_leader(group):
+    if not group.leading and hears_leader(group):
         return True
     ours = (group.log.last_term, group.log.last_index)
     return (message.last_term, message.last_index) < ours
--- a/amaranthring/testing/local_fleet.py
+++ b/amaranthring/testing/local_fleet.py
@@ -6,7 +6,7 @@
 """
 
 import collections.abc
-import contextlib
+import fcntl
 import json
 import os
 import pathlib
@@ -15,6 +15,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -26,6 +27,9 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.05
+PORTS_FILE = "amaranthring-ports"
+FIRST_PORT = 10_000
+LAST_PORT = 17_999
 DATA_CENTRES = ("porto", "braga", "viana")
 REGION = "north"
 ACCOUNTS = {"agenda": "demo-agenda", "vanua": "demo-vanua"}
@@ -94,22 +98,36 @@
 def free_ports(count: int) -> list[int]:
     """Return `count` ports that are free now.
 
-    They are chosen below the range of outgoing connections, so that none is
-    taken by a connection between the choice and the listening.
+    They lie below the range of outgoing connections, so that none is taken
+    by a connection between the choice and the listening. A locked file hands
+    them out in turn: fleets that start at one instant in several processes
+    would else now and then choose the same port.
     """
     found: list[int] = []
-    with contextlib.ExitStack() as held:
+    path = pathlib.Path(tempfile.gettempdir()) / PORTS_FILE
+    with open(path, "a+", encoding="ascii") as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
+        file.seek(0)
+        text = file.read().strip()
+        port = int(text) if text.isdigit() else FIRST_PORT
         while len(found) < count:
-            port = 10_000 + secrets.randbelow(22_000)
-            sock = held.enter_context(socket.socket())
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            found.append(port)
+            port = port + 1 if FIRST_PORT <= port < LAST_PORT else FIRST_PORT
+            if _is_free(port):
+                found.append(port)
+        file.truncate(0)
+        file.write(str(port))
     return found
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def write_secrets(folder: pathlib.Path) -> None:
     """Write keys of the fleet and of targets, and one operator's token."""
     folder.mkdir(parents=True, exist_ok=True)
--- a/tests/test_keeper_dispatch.py
+++ b/tests/test_keeper_dispatch.py
@@ -291,6 +291,16 @@
         await leader.read_barrier(1)
         return leader
 
+    async def test_keeper_that_is_cut_off_names_no_leader(self):
+        # A data centre is cut off with one keeper. It went on naming the
+        # leader of before the cut; routers there went after that name, and
+        # each booking waited 2.5 s to be refused.
+        leader = await self.leader()
+        follower = next(g for g in self.groups.values() if g is not leader)
+        self.assertEqual(follower.leader(), leader.keeper.name)
+        self.late += follower.options.election_seconds
+        self.assertEqual(follower.leader(), "")
+
     async def test_oversize_command_is_refused_and_changes_nothing(self):
         leader = await self.leader()
         before = leader.log.last_index
