Bind every listener in one place; remove what nothing uses

The callers' listener parsed and bound its address by itself and mapped its error once more; it now takes sockets as the keepers' does, from the root's bind(). One name for the roles of settings. Gone, as nothing called them: two error types, a message, a function of the local fleet.

make test: 389 passed, 0 failed, before and after.

--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -136,14 +136,8 @@
     context = files.tls_context(
         listen.certificate_file, listen.certificate_key_file
     )
-    try:
-        return server.listen(app, listen.callers, settings.callers, context)[0]
-    except OSError as error:
-        raise errors.ListenError(
-            f"cannot listen on {listen.callers}",
-            given=error.strerror,
-            expected="a free address of this VM",
-        ) from error
+    sockets = bind(listen.callers)
+    return server.listen(app, sockets, settings.callers, context)
 
 
 async def run_keeper(settings: settings_module.Settings) -> None:
--- a/amaranthring/bench/relays.py
+++ b/amaranthring/bench/relays.py
@@ -16,6 +16,7 @@
 import sys
 
 import tornado.httpclient
+import tornado.netutil
 import tornado.web
 
 from amaranthring.callers import server
@@ -116,7 +117,9 @@
     app = {"plain": plain_app, "way": way_app}[kind](addresses)
     if kind == "way":
         bounds = models.CallersSection()
-        _, port = server.listen(app, "127.0.0.1:0", bounds)
+        sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
+        port = sockets[0].getsockname()[1]
+        server.listen(app, sockets, bounds)
     else:
         _, port = standin.listen(app)
     # What was made at the start lives for ever; the collector need not look
--- a/amaranthring/callers/server.py
+++ b/amaranthring/callers/server.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import json
+import socket
 import typing as t
 
 import tornado.httpserver
 import tornado.httputil
-import tornado.netutil
 import tornado.web
 
 from amaranthring import errors
@@ -133,19 +133,11 @@
 
 def listen(
     app: tornado.web.Application,
-    address: str,
+    sockets: list[socket.socket],
     settings: settings_models.CallersSection,
     ssl_options=None,
-) -> tuple[Server, int]:
-    """Serve `app` at ``host:port`` within the bounds of ``[callers]``.
-
-    Returns
-    -------
-    Server, int
-        The server and the port that it listens on.
-    """
-    host, _, port = address.rpartition(":")
-    sockets = tornado.netutil.bind_sockets(int(port), host.strip("[]"))
+) -> Server:
+    """Serve `app` on `sockets` within the bounds of ``[callers]``."""
     # The handlers check the bounds themselves, with typed answers. Above
     # twice the bound of the headers, tornado closes with no answer.
     server = Server(
@@ -158,4 +150,4 @@
     )
     server.header_seconds = settings.header_seconds
     server.add_sockets(sockets)
-    return server, sockets[0].getsockname()[1]
+    return server
--- a/amaranthring/cli/commands.py
+++ b/amaranthring/cli/commands.py
@@ -17,12 +17,12 @@
     @fleet_commands.as_text(file=str, role=str)
     def check(self, file: str, role: str = "router") -> str:
         """Check FILE as settings of a router, keeper or operator."""
-        model = settings_module.MODELS.get(role)
+        model = settings_module.ROLES.get(role)
         if model is None:
             raise errors.UsageError(
                 "no such role",
                 given=role,
-                expected=", ".join(settings_module.MODELS),
+                expected=", ".join(settings_module.ROLES),
             )
         made = settings_module.read(file, model)
         if isinstance(made, settings_module.Settings):
--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -299,13 +299,6 @@
     status = 504
 
 
-class RetryBudgetError(UpstreamError):
-    """A retry would help but the retry budget is spent."""
-
-    code = "retry-budget"
-    status = 503
-
-
 class CallerGoneError(AmaranthringError):
     """The caller left before its answer was whole; nobody hears this."""
 
@@ -402,13 +395,6 @@
     status = 422
 
 
-class StaleFencingError(RefusedError):
-    """An order carries a fencing number below the highest seen."""
-
-    code = "stale-fencing"
-    status = 409
-
-
 class StorageError(AmaranthringError):
     """The data folder is damaged, foreign or not writable."""
 
--- a/amaranthring/keepers/commands.py
+++ b/amaranthring/keepers/commands.py
@@ -199,14 +199,6 @@
     wait_seconds: float = 0.0
 
 
-@wire.message("confirm")
-class Confirm:
-    """One router tells a relay which revision it runs."""
-
-    router: str
-    revision: int
-
-
 @wire.message("confirmed")
 class Confirmed:
     """Revisions of the routers of one data centre.
--- a/amaranthring/settings/__init__.py
+++ b/amaranthring/settings/__init__.py
@@ -7,7 +7,7 @@
 from amaranthring.settings.models import OperatorSettings
 from amaranthring.settings.models import PeerAddress
 from amaranthring.settings.models import peers
-from amaranthring.settings.models import ROLES as MODELS
+from amaranthring.settings.models import ROLES
 from amaranthring.settings.models import Settings
 from amaranthring.settings.reference import example
 from amaranthring.settings.reference import reference
@@ -16,7 +16,7 @@
 from amaranthring.settings.secrets import secret_lines
 
 __all__ = [
-    "MODELS",
+    "ROLES",
     "CallersSection",
     "KeeperSection",
     "OperatorSettings",
--- a/amaranthring/testing/local.py
+++ b/amaranthring/testing/local.py
@@ -8,6 +8,7 @@
 
 import tornado.httpclient
 import tornado.iostream
+import tornado.netutil
 import tornado.tcpclient
 
 from amaranthring.callers import server
@@ -147,9 +148,9 @@
         self.fakes = fakes.Fakes(*local.targets, ledger=local.ledger)
         self.client = local.client
         app = server.make_app(self.fakes.needs, local.bounds)
-        self.server, self.port = server.listen(
-            app, "127.0.0.1:0", local.bounds
-        )
+        sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
+        self.port = sockets[0].getsockname()[1]
+        self.server = server.listen(app, sockets, local.bounds)
         local.servers[f"router {self.port}"] = self.server
 
     async def post(
--- a/amaranthring/testing/local_fleet.py
+++ b/amaranthring/testing/local_fleet.py
@@ -8,7 +8,6 @@
 import collections.abc
 import fcntl
 import json
-import os
 import pathlib
 import secrets
 import signal
@@ -384,12 +383,3 @@
         return error.code, error.read()
     except (OSError, urllib.error.URLError):
         return 0, b""
-
-
-def alive(pid: int) -> bool:
-    """Return whether process `pid` exists."""
-    try:
-        os.kill(pid, 0)
-    except OSError:
-        return False
-    return True
