Let a group of keepers take in and replace its members by itself

Cause: where nobody keeps a list of VMs, an operator's keeper add and remove cannot be relied on: a keeper that is replaced comes with a new address and an empty disk, one that lost its disk comes back under its old address.

Ruled out: voters by address alone (a wiped disk would vote again under the old identity); promoting before removing (same quorum in between, and one more voter to lose).

Change: a keeper that asks for the group gives its address; a group with admits takes it in as a learner, replaces a voter that has been silent by a learner that has caught up, and grows to an odd number of voters, the last of an even number staying a spare. Only a first start may begin a group.

--- /dev/null
+++ b/amaranthring/core/endpoints.py
@@ -0,0 +1,138 @@
+"""A small HTTP server for calls that are read whole and answered at once.
+
+For health checks, figures, announcements and operators' documents, where
+tornado's web framework would double a process's start time and memory.
+"""
+
+import asyncio
+import dataclasses
+import http.client
+import typing as t
+
+import logbook
+import tornado.httpserver
+import tornado.httputil
+import tornado.iostream
+
+from amaranthring import errors
+
+log = logbook.Logger(__name__)
+
+BODY_BYTES_MOST = 16 * 1024 * 1024
+BODY_SECONDS = 20.0
+IDLE_SECONDS = 60.0
+
+
+@dataclasses.dataclass
+class Call:
+    """One call, read whole."""
+
+    method: str
+    path: str
+    body: bytes = b""
+
+
+@dataclasses.dataclass
+class Result:
+    """The answer to one call."""
+
+    status: int = 200
+    body: bytes = b""
+    kind: str = "application/json"
+    retry_after: float | None = None
+
+
+Answer = t.Callable[[Call], t.Awaitable[Result]]
+
+
+class Endpoints(tornado.httputil.HTTPServerConnectionDelegate):
+    """Answers every call with what `answer` returns.
+
+    Parameters
+    ----------
+    answer : callable
+        Returns the result of a call, or raises an ``AmaranthringError``,
+        whose status is then the answer's.
+    """
+
+    def __init__(self, answer: Answer):
+        self.answer = answer
+        self.server = tornado.httpserver.HTTPServer(
+            self,
+            max_body_size=BODY_BYTES_MOST,
+            body_timeout=BODY_SECONDS,
+            idle_connection_timeout=IDLE_SECONDS,
+        )
+
+    def listen(self, sockets: list) -> None:
+        """Serve on the listening `sockets`."""
+        self.server.add_sockets(sockets)
+
+    def stop(self) -> None:
+        """Stop listening; calls in progress end."""
+        self.server.stop()
+
+    def start_request(self, server_conn, request_conn):
+        """Return what takes in one call."""
+        del server_conn
+        return _Reading(self.answer, request_conn)
+
+
+class _Reading(tornado.httputil.HTTPMessageDelegate):
+    """One call while it is read and answered."""
+
+    def __init__(self, answer: Answer, connection):
+        self.answer = answer
+        self.connection = connection
+        self.call: Call | None = None
+        self.parts: list[bytes] = []
+        self.task: asyncio.Task | None = None
+
+    def headers_received(self, start_line, headers):
+        del headers
+        path = start_line.path.partition("?")[0]
+        self.call = Call(start_line.method, path)
+
+    def data_received(self, chunk):
+        self.parts.append(chunk)
+
+    def finish(self):
+        self.call.body = b"".join(self.parts)
+        self.task = asyncio.ensure_future(self._run())
+
+    def on_connection_close(self):
+        # The call goes on: what it changes must not depend on whether the
+        # other end waits for the answer.
+        pass
+
+    async def _run(self) -> None:
+        try:
+            result = await self.answer(self.call)
+        except errors.AmaranthringError as error:
+            result = Result(
+                error.status,
+                str(error).encode(),
+                "text/plain",
+                error.retry_after,
+            )
+        except Exception:
+            log.exception("call.failed path={}", self.call.path)
+            result = Result(500)
+        await self._write(result)
+
+    async def _write(self, result: Result) -> None:
+        headers = tornado.httputil.HTTPHeaders()
+        headers["Content-Type"] = result.kind
+        headers["Content-Length"] = str(len(result.body))
+        if result.retry_after is not None:
+            headers["Retry-After"] = f"{result.retry_after:g}"
+        reason = http.client.responses.get(result.status, "Unknown")
+        line = tornado.httputil.ResponseStartLine(
+            "HTTP/1.1", result.status, reason
+        )
+        try:
+            await self.connection.write_headers(line, headers, result.body)
+            self.connection.finish()
+        except tornado.iostream.StreamClosedError:
+            # Nobody waits for the answer any more.
+            return
--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -286,6 +286,26 @@
     status = 502
 
 
+class TargetRefusedError(UpstreamError):
+    """A target states that it did not run the request."""
+
+    code = "target-refused"
+    outcome = Outcome.NOT_RUN
+
+
+class OtherTargetError(TargetRefusedError):
+    """Another target has the address now; it did not run the request."""
+
+    code = "other-target"
+
+
+class TargetFailedError(UpstreamError):
+    """A target ran a request that may be repeated, and failed."""
+
+    code = "target-failed"
+    outcome = Outcome.RAN
+
+
 class TruncatedAnswerError(UpstreamError):
     """The target's answer ended without its end mark or with a gap."""
 
@@ -381,6 +401,12 @@
     status = 412
 
 
+class InvalidPlanError(BadRequestError):
+    """A routing plan that cannot be put in force; it changed nothing."""
+
+    code = "invalid-plan"
+
+
 class PreconditionMissingError(RefusedError):
     """An operator's command names no revision in ``If-Match``."""
 
--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -106,6 +106,7 @@
             files or disk.Files(),
             on_durable=lambda: replication.advance(self),
             on_fault=lambda error: roles.fail(self, error),
+            kept_entries=self.options.kept_entries,
         )
         self.log = self.store.log
         self.writer = self.store.writer
--- a/amaranthring/keepers/dispatch.py
+++ b/amaranthring/keepers/dispatch.py
@@ -33,7 +33,13 @@
 
         handlers.add(kind, handle)
 
-    add(messages.Greet, genesis.on_greet, True)
+    def greet(link, message):
+        group = _group(groups, message)
+        if not group.options.admits or link.peer.role != KEEPER_ROLE:
+            _check_peer(group, link)
+        return genesis.on_greet(group, link.peer.name, message)
+
+    handlers.add(messages.Greet, greet)
     add(messages.Vote, election.on_vote, True)
     add(messages.Append, replication.on_append, True)
     add(messages.Chunk, replication.on_chunk, True)
--- a/amaranthring/keepers/genesis.py
+++ b/amaranthring/keepers/genesis.py
@@ -25,20 +25,42 @@
 
 async def join(group) -> None:
     """Begin the group or find it; return once this disk knows its members."""
-    while not group.members.voters:
+    while not _settled(group):
         replies = await _greet_all(group)
         known = [reply.members for reply in replies.values() if reply.members]
+        for members in known:
+            # The leader, which alone can take this disk in, may be none of
+            # the keepers that the settings name.
+            _meet(group, members)
         listed = [m for m in known if membership.is_voter(m, group.disk_id)]
-        if listed:
+        if listed and not group.members.voters:
             await _save(group, listed[0])
             return
-        if not known and _may_begin(group, replies):
+        if (
+            not known
+            and not group.members.voters
+            and _may_begin(group, replies)
+        ):
             await _begin(group, replies)
             return
         await asyncio.sleep(RETRY_SECONDS)
 
 
+def _settled(group) -> bool:
+    if not group.members.voters:
+        return False
+    if not group.options.admits:
+        return True
+    # A keeper that was taken out while it was down finds its own disk in
+    # the old list; it asks to be taken in again until a leader sends to it.
+    return group.leading or bool(group.leader_disk)
+
+
 def _may_begin(group, replies) -> bool:
+    if not group.options.may_begin:
+        # Others hold the group, or lost it: a disk that came later must not
+        # begin an empty one beside them.
+        return False
     everyone = {peer.name for peer in group.configured}
     first = min(everyone | {group.keeper.name})
     return set(replies) == everyone and first == group.keeper.name
@@ -58,6 +80,14 @@
     logs.event(log, "keeper.genesis", group=group.name, voters=len(voters))
 
 
+def _meet(group, members: messages.Members) -> None:
+    if not group.options.admits:
+        return
+    for member in members.voters:
+        if member.name != group.keeper.name:
+            group.add_peer(member.name, member.address, member.data_centre)
+
+
 async def _save(group, members: messages.Members) -> None:
     group.store.save_hard(genesis=members)
     await group.writer.flush()
@@ -67,22 +97,26 @@
 
 
 async def _greet_all(group) -> dict[str, messages.Greeted]:
-    names = [peer.name for peer in group.configured]
+    names = list(group.peers)
     answers = await asyncio.gather(*(_greet(group, name) for name in names))
     pairs = zip(names, answers, strict=True)
     return {name: reply for name, reply in pairs if reply is not None}
 
 
 async def _greet(group, name: str) -> messages.Greeted | None:
-    message = messages.Greet(group.name, group.disk_id)
+    keeper = group.keeper
+    message = messages.Greet(
+        group.name, group.disk_id, keeper.address, keeper.data_centre
+    )
     try:
         return await group.peers[name].dialler.call(message, GREET_SECONDS)
     except errors.AmaranthringError:
         return None
 
 
-def on_greet(group, message: messages.Greet) -> messages.Greeted:
-    """Answer with this disk and the group that it knows."""
-    del message
+def on_greet(group, name: str, message: messages.Greet) -> messages.Greeted:
+    """Answer keeper `name` with this disk and the group that it knows."""
+    if group.options.admits and message.address:
+        group.add_peer(name, message.address, message.data_centre)
     known = group.members if group.members.voters else None
     return messages.Greeted(group.disk_id, known)
--- a/amaranthring/keepers/membership.py
+++ b/amaranthring/keepers/membership.py
@@ -84,7 +84,10 @@
     members = group.members
     for peer in group.peers.values():
         known = find(members, peer.disk)
-        if known is None and peer.disk and peer.name in names(members):
+        expected = peer.name in names(members) or (
+            group.options.admits and peer.dialler.link is not None
+        )
+        if known is None and peer.disk and expected:
             member = messages.Member(
                 peer.disk, peer.name, peer.address, peer.data_centre
             )
@@ -95,10 +98,48 @@
         for voter in members.voters:
             if voter.name == learner.name:
                 return _without_lost(group, voter)
-        return promoted(members, learner.disk)
+        if not group.options.admits:
+            return promoted(members, learner.disk)
+        step = _take_in(group, learner)
+        if step is not None:
+            return step
+    return _without_silent_learner(group) if group.options.admits else None
+
+
+def _take_in(group, learner) -> messages.Members | None:
+    """Return the step by which `learner` becomes a voter, if it should."""
+    members = group.members
+    for voter in members.voters:
+        if _silent(group, voter):
+            return _without_lost(group, voter)
+    ready = sum(_caught_up(group, other) for other in members.learners)
+    votes = len(members.voters)
+    # An even number bears no more losses than the odd one below it, and
+    # the spare learner can take a lost voter's place at once.
+    wanted = min(group.options.voters_most, (votes + ready - 1) | 1)
+    return promoted(members, learner.disk) if votes < wanted else None
+
+
+def _without_silent_learner(group) -> messages.Members | None:
+    for learner in group.members.learners:
+        peer = group.peers.get(learner.name)
+        moved = peer is None or peer.disk not in ("", learner.disk)
+        if moved or _silent(group, learner):
+            if peer is not None:
+                # Taken in again only once it has answered again.
+                peer.disk = ""
+            return without(group.members, learner.disk)
     return None
 
 
+def _silent(group, member: messages.Member) -> bool:
+    if member.disk == group.disk_id:
+        return False
+    heard = max(election.acked_at(group, member), group.led_at)
+    now = group.clocks.monotonic()
+    return now - heard > group.options.replace_seconds
+
+
 def _without_lost(group, voter) -> messages.Members | None:
     # The lost disk goes before the new one votes. Both at once would let
     # two majorities exist that share no disk.
--- a/amaranthring/keepers/messages.py
+++ b/amaranthring/keepers/messages.py
@@ -44,10 +44,19 @@
 
 @wire.message("keeper-greet")
 class Greet:
-    """Asks a keeper for its disk and for the group that it knows."""
+    """Asks a keeper for its disk and for the group that it knows.
+
+    Attributes
+    ----------
+    address, data_centre : str
+        Where the keeper that asks is reached; a group that admits keepers
+        by itself takes it in there.
+    """
 
     group: str
     disk: str
+    address: str = ""
+    data_centre: str = ""
 
 
 @wire.message("keeper-greeted")
--- a/amaranthring/keepers/options.py
+++ b/amaranthring/keepers/options.py
@@ -45,11 +45,28 @@
         Silence after which another leader may be elected.
     snapshot_entries : int
         Entries after which a snapshot is taken.
+    kept_entries : int
+        Entries kept in memory and on disk behind a snapshot, for followers
+        that lag a little.
+    may_begin : bool
+        Whether this keeper may begin a group where it finds none.
+    admits : bool
+        Whether keepers that nobody named are taken in, and voters that
+        stay silent are replaced by them, without an operator.
+    replace_seconds : float
+        Silence after which a voter is replaced if another disk is ready.
+    voters_most : int
+        Voters that a group with `admits` grows to.
     """
 
     heartbeat_seconds: float = 0.1
     election_seconds: float = 0.6
     snapshot_entries: int = 5000
+    kept_entries: int = 1000
+    may_begin: bool = True
+    admits: bool = False
+    replace_seconds: float = 2.0
+    voters_most: int = 7
 
     @property
     def silent_seconds(self) -> float:
--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -207,7 +207,10 @@
 
 
 async def _greet(group, peer: Peer) -> None:
-    message = messages.Greet(group.name, group.disk_id)
+    keeper = group.keeper
+    message = messages.Greet(
+        group.name, group.disk_id, keeper.address, keeper.data_centre
+    )
     try:
         reply = await peer.dialler.call(message, GREET_SECONDS)
     except errors.AmaranthringError:
--- a/amaranthring/keepers/store.py
+++ b/amaranthring/keepers/store.py
@@ -18,7 +18,6 @@
 from amaranthring.keepers import messages
 from amaranthring.keepers import snapshots
 
-KEPT_ENTRIES = 1000
 MEMBERS_TAG = wire.tag_of(messages.Members)
 
 
@@ -37,6 +36,8 @@
         Called when `durable_index` has risen.
     on_fault : callable
         Called with the StorageError after which nothing more is written.
+    kept_entries : int
+        Entries kept behind a snapshot.
 
     Attributes
     ----------
@@ -54,9 +55,19 @@
         If the folder is foreign, in use or damaged.
     """
 
-    def __init__(self, folder, group, keeper, files, on_durable, on_fault):
+    def __init__(
+        self,
+        folder,
+        group,
+        keeper,
+        files,
+        on_durable,
+        on_fault,
+        kept_entries: int = 1000,
+    ):
         self.folder = pathlib.Path(folder)
         self.files = files
+        self.kept_entries = kept_entries
         self.on_durable = on_durable
         self.disk = disk.Disk(self.folder, group, keeper, files)
         self.segments = logfile.Segments(self.folder, files)
@@ -225,7 +236,7 @@
         if index <= self.snapshot_index:
             return
         self.snapshot_index = index
-        upto = index - KEPT_ENTRIES
+        upto = index - self.kept_entries
         last = self.log.last_index
         self.writer.submit(lambda: self.segments.compact(upto, last))
         self.log.compact(upto)
