--- /dev/null
+++ b/amaranthring/fleet_parts.py
@@ -0,0 +1,244 @@
+"""Wiring of the processes that forward by a routing plan.
+
+Part of the composition root. A caller such as the adapter to a platform
+hands in what is particular to it: names on the wire and its calls.
+"""
+
+import asyncio
+import dataclasses
+import functools
+import json
+import time
+import typing as t
+
+import logbook
+import tornado.netutil
+
+from amaranthring import errors
+from amaranthring import routing
+from amaranthring.core import endpoints
+from amaranthring.core import links
+from amaranthring.core import logs
+from amaranthring.core import metrics as metrics_module
+from amaranthring.forwarding import front as fronts
+from amaranthring.forwarding import placing
+from amaranthring.forwarding import records
+from amaranthring.forwarding import relay as relays
+from amaranthring.policy import budgets
+from amaranthring.registry import keeper as keepers
+from amaranthring.registry import subscriber as subscribers
+
+log = logbook.Logger(__name__)
+
+# What a withdrawn key may still work is counted from an acknowledgement;
+# the lease ends earlier by this share, for clocks that run at different
+# rates and for the way to a target.
+LEASE_SHARE = 0.9
+# The balancer asks every second and takes a router out after two misses; it
+# may open connections until then.
+ROTATION_SECONDS = 2.5
+# Kept of the time before the process is killed, to end in good order.
+END_SECONDS = 0.4
+FORGET_EVERY_SECONDS = 5.0
+
+
+@dataclasses.dataclass
+class RouterPlace:
+    """Where and how a router runs.
+
+    Attributes
+    ----------
+    callers, health, metrics : str
+        ``host:port`` of its listeners.
+    keepers : list of str
+        Addresses of keepers to begin with.
+    key_lease : float
+        Seconds within which a withdrawn key must stop to work; 0 if that
+        is not asked for.
+    grace : float
+        Seconds that a planned stop may take.
+    """
+
+    name: str
+    data_centre: str
+    callers: str
+    health: str
+    metrics: str
+    keepers: list[str]
+    key_lease: float
+    grace: float
+    retry_ratio: float
+    retry_allowance: float
+    retry_window: float
+
+
+class PlanRouter:
+    """The parts of a router that forwards by a plan.
+
+    Parameters
+    ----------
+    decode : callable
+        Returns the plan in a document.
+    """
+
+    def __init__(
+        self,
+        place: RouterPlace,
+        keys: links.Keys,
+        dialect: records.Dialect,
+        decode: t.Callable[[bytes], routing.Plan],
+    ):
+        self.place = place
+        self.decode = decode
+        self.metrics = metrics_module.Metrics()
+        self.table: routing.RouteTable | None = None
+        identity = links.Identity(
+            place.name, "router", place.data_centre, time.time_ns()
+        )
+        self.subscriber = subscribers.Subscriber(
+            identity, keys, self.take_plan
+        )
+        self.placer = placing.Placer(self.subscriber.table, place.data_centre)
+        self.relay = relays.Relay(
+            dialect,
+            lambda: self.table,
+            self.may_admit,
+            self.placer,
+            functools.partial(
+                budgets.RetryBudget,
+                place.retry_ratio,
+                place.retry_allowance,
+                place.retry_window,
+                time.monotonic,
+            ),
+            lambda: self.subscriber.routers,
+            self.metrics,
+        )
+        self.front = fronts.Front(dialect, self.relay.serve, self.bounds)
+        self.stopping = False
+        self.tasks: list[asyncio.Task] = []
+
+    def bounds(self) -> routing.Bounds:
+        """Return the bounds on what callers may send."""
+        return self.table.plan.bounds if self.table else routing.Bounds()
+
+    def take_plan(self, document: bytes) -> None:
+        """Put the plan in `document` in force."""
+        self.table = routing.RouteTable(self.decode(document))
+
+    def may_admit(self) -> bool:
+        """Return whether the keys of the plan may be trusted."""
+        lease = self.place.key_lease
+        return not lease or self.subscriber.is_fresh(lease * LEASE_SHARE)
+
+    def not_ready_because(self) -> str:
+        """Return why the balancer should not send callers, or nothing."""
+        if self.stopping:
+            return "stopping"
+        if self.table is None:
+            return "no plan yet"
+        if not self.may_admit():
+            return "no keeper confirms the plan"
+        return ""
+
+    def start(self) -> None:
+        """Listen and link to the keepers."""
+        self.front.listen(listening(self.place.callers))
+        serve(self.place.health, self._health)
+        serve(self.place.metrics, figures_answer(self.metrics))
+        self.subscriber.use_seeds(self.place.keepers)
+        self.tasks.append(asyncio.ensure_future(self._forget()))
+
+    async def _health(self, _call: endpoints.Call) -> endpoints.Result:
+        reason = self.not_ready_because()
+        body = json.dumps({"ready": not reason, "reason": reason}).encode()
+        return endpoints.Result(503 if reason else 200, body)
+
+    async def _forget(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_EVERY_SECONDS)
+            self.placer.forget_gone()
+
+    async def stop(self) -> None:
+        """End in good order: no new callers, then all requests ended."""
+        began = time.monotonic()
+        self.stopping = True
+        self.front.closing = True
+        await asyncio.sleep(ROTATION_SECONDS)
+        left = self.place.grace - END_SECONDS - (time.monotonic() - began)
+        try:
+            await asyncio.wait_for(self.front.idle.wait(), max(0.0, left))
+        except TimeoutError:
+            logs.event(log, "router.cut-off", running=self.front.running)
+        self.subscriber.stop()
+
+
+class KeeperProcess:
+    """A keeper with the platform's calls on its control address.
+
+    Parameters
+    ----------
+    answers : callable
+        Makes the function that answers control calls from the hub.
+    """
+
+    def __init__(
+        self,
+        place: keepers.Place,
+        control: str,
+        metrics_address: str,
+        keys: links.Keys,
+        answers: t.Callable[..., endpoints.Answer],
+    ):
+        self.place = place
+        self.control = control
+        self.metrics_address = metrics_address
+        self.metrics = metrics_module.Metrics()
+        self.keeper = keepers.PlanKeeper(place, keys, self.metrics)
+        self.answers = answers
+
+    def start(self) -> None:
+        """Listen and take part."""
+        self.keeper.start(listening(self.place.address))
+        serve(self.control, self.answers(self.keeper.hub))
+        serve(self.metrics_address, figures_answer(self.metrics))
+
+    async def stop(self) -> None:
+        """Step down and close."""
+        await self.keeper.stop()
+
+
+def listening(address: str) -> list:
+    """Return listening sockets on ``host:port``.
+
+    Raises
+    ------
+    errors.ListenError
+        If the address is taken or not of this VM.
+    """
+    host, port = address.rsplit(":", 1)
+    try:
+        return tornado.netutil.bind_sockets(int(port), host.strip("[]"))
+    except OSError as error:
+        raise errors.ListenError(
+            f"cannot listen on {address}",
+            given=error.strerror,
+            expected="a free address of this VM",
+        ) from error
+
+
+def serve(address: str, answer: endpoints.Answer) -> endpoints.Endpoints:
+    """Serve small calls on `address`."""
+    server = endpoints.Endpoints(answer)
+    server.listen(listening(address))
+    return server
+
+
+def figures_answer(metrics: metrics_module.Metrics) -> endpoints.Answer:
+    """Return the function that shows counters and histograms as text."""
+
+    async def answer(_call: endpoints.Call) -> endpoints.Result:
+        text = "".join(f"{line}\n" for line in metrics.lines())
+        return endpoints.Result(body=text.encode(), kind="text/plain")
+
+    return answer
--- /dev/null
+++ b/amaranthring/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of any HTTP request to a target of its route's service."""
--- /dev/null
+++ b/amaranthring/forwarding/attempts.py
@@ -0,0 +1,190 @@
+"""One attempt: a request to one target, and what is known when it fails."""
+
+import dataclasses
+import time
+import typing as t
+
+import tornado.httputil
+
+from amaranthring import errors
+from amaranthring.forwarding import events
+from amaranthring.forwarding import records
+from amaranthring.forwarding import replies
+from amaranthring.registry import messages
+from amaranthring.targets import upstream
+
+ANSWER_BYTES_MOST = 16 * 1024 * 1024
+# A connection within the fleet's network takes a few milliseconds. One that
+# takes longer leads to a VM without power or behind a cut; the request has
+# not been sent and has its time for another target.
+CONNECT_SECONDS = 0.25
+EVENT_STREAM = "text/event-stream"
+
+
+@dataclasses.dataclass
+class Whole:
+    """A whole answer of a target."""
+
+    answer: records.Answer
+    body: bytes
+
+
+class Attempt:
+    """A request on its way to one target.
+
+    Parameters
+    ----------
+    resume_after : str
+        Number of the last event that the caller has.
+
+    Attributes
+    ----------
+    exchange : upstream.Exchange
+        The connection; its `sent` says whether the target may have run it.
+    answer : Answer or None
+        Once its head came.
+    may_send : callable
+        Called right before the request leaves; raises if it must not.
+    """
+
+    def __init__(
+        self,
+        passage: records.Passage,
+        target: messages.TargetRecord,
+        dialect: records.Dialect,
+        resume_after: str,
+    ):
+        self.passage = passage
+        self.target = target
+        self.dialect = dialect
+        self.resume_after = resume_after
+        self.exchange = upstream.Exchange(target, CONNECT_SECONDS)
+        self.answer: records.Answer | None = None
+        self.may_send: t.Callable[[], None] = lambda: None
+
+    async def open(self, patience: float) -> records.Answer:
+        """Send the request and return the head of the answer.
+
+        Parameters
+        ----------
+        patience : float
+            Seconds to wait for the head.
+
+        Raises
+        ------
+        errors.UpstreamError
+            Without a usable head; its outcome says what is known.
+        """
+        await self.exchange.connect_first()
+        self.may_send()
+        left = self.passage.deadline - time.monotonic()
+        incoming = self.passage.incoming
+        sending = records.Sending(
+            self.target, self.passage.account, left, self.resume_after
+        )
+        call = upstream.Call(
+            incoming.method,
+            incoming.uri,
+            self.dialect.request_headers(incoming, sending),
+            incoming.body,
+        )
+        self.exchange.hand_over(call, min(patience, max(left, 0.0)))
+        await self.exchange.head()
+        exchange = self.exchange
+        self.answer = self.dialect.read_answer(
+            exchange.status, exchange.headers
+        )
+        self._check_head()
+        return self.answer
+
+    def _check_head(self) -> None:
+        answer = self.answer
+        if answer.other_target:
+            raise errors.OtherTargetError(
+                "another target has the address", given=self.target.address
+            )
+        if answer.refused:
+            raise errors.TargetRefusedError(
+                "the target refused",
+                given=answer.status,
+                expected="an answer",
+                retry_after=1.0,
+            )
+        # An answer to another request can come late on a connection, and a
+        # target that breaks writes what is no answer of its own. Either
+        # would reach the caller as a success with foreign content.
+        if answer.request_id != self.passage.incoming.request_id:
+            raise errors.UpstreamError(
+                "an answer to another request",
+                given=answer.request_id,
+                expected=self.passage.incoming.request_id,
+            )
+        if not answer.signed or answer.encoded:
+            raise errors.UpstreamError(
+                "not an answer that the target made itself",
+                given=answer.status,
+                expected="a signed one without content coding",
+            )
+
+    @property
+    def streams(self) -> bool:
+        """Return whether the answer is a good event stream."""
+        kind = self.exchange.headers.get("Content-Type", "")
+        return self.answer.status == 200 and kind.startswith(EVENT_STREAM)
+
+    async def whole(self) -> Whole:
+        """Read the rest of the answer.
+
+        Raises
+        ------
+        errors.UpstreamError
+            If it is not whole.
+        """
+        left = self.passage.deadline - time.monotonic()
+        self.exchange.allow(max(left, 0.0))
+        body = await self.exchange.whole(ANSWER_BYTES_MOST, unframed=True)
+        return Whole(self.answer, body)
+
+    async def stream(
+        self,
+        cutter: events.EventCutter,
+        reply: replies.Reply,
+        headers: tornado.httputil.HTTPHeaders,
+        pause: float,
+    ) -> None:
+        """Pass the events of the answer on to its end.
+
+        Parameters
+        ----------
+        headers : HTTPHeaders
+            For the head, if it is not written yet.
+        pause : float
+            Seconds after which a silent target counts as broken.
+
+        Raises
+        ------
+        errors.UpstreamError
+            If the target broke off; whole events were passed on.
+        errors.CallerGoneError
+            If the caller has closed.
+        """
+        self.exchange.allow(pause)
+        while data := await self.exchange.read():
+            self.exchange.came(time.monotonic())
+            ready = cutter.take(data)
+            if not ready:
+                continue
+            if reply.status:
+                await reply.write(ready)
+            else:
+                await reply.begin(self.answer.status, headers, ready)
+        if cutter.rest:
+            raise errors.TruncatedAnswerError(
+                "the stream ended within an event",
+                given=len(cutter.rest),
+                expected="whole events",
+            )
+
+    def close(self) -> None:
+        """Close the connection; the target then stops its work."""
+        self.exchange.close()
--- /dev/null
+++ b/amaranthring/forwarding/placing.py
@@ -0,0 +1,144 @@
+"""Which target gets an attempt, from what this router knows of targets."""
+
+import collections
+import time
+import typing as t
+
+from amaranthring.forwarding import records
+from amaranthring.policy import affinity
+from amaranthring.registry import messages
+from amaranthring.registry import targets as tables
+
+# What a target said of its load is worth this long; then only this router's
+# own requests count.
+REPORT_SECONDS = 1.0
+# A target that failed is passed over for this long, doubled with each
+# further failure in a row up to the most. The first is shorter than an
+# announcement's beat: most failures are over at once.
+AVOID_SECONDS = 0.5
+AVOID_SECONDS_MOST = 8.0
+
+
+class TargetView:
+    """What this router itself has seen of one target.
+
+    Attributes
+    ----------
+    running : int
+        Requests of this router there.
+    reported : float
+        Requests of all routers there, as it last said, and those that this
+        router has sent since.
+    """
+
+    def __init__(self):
+        self.running = 0
+        self.reported = 0.0
+        self.reported_at = float("-inf")
+        self.failures = 0
+        self.avoid_until = 0.0
+
+    def load(self, now: float) -> float:
+        """Return the number of requests there, as far as is known."""
+        if now - self.reported_at > REPORT_SECONDS:
+            return self.running
+        return max(self.running, self.reported)
+
+
+class Placer:
+    """Chooses targets and remembers how they did.
+
+    Parameters
+    ----------
+    table : registry.targets.TargetTable
+        Targets as the keepers know them.
+    data_centre : str
+        Of this router.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        table: tables.TargetTable,
+        data_centre: str,
+        clock: t.Callable[[], float] = time.monotonic,
+    ):
+        self.table = table
+        self.data_centre = data_centre
+        self.clock = clock
+        self.views: dict[str, TargetView] = collections.defaultdict(TargetView)
+
+    def choose(self, passage: records.Passage) -> messages.TargetRecord | None:
+        """Return the target for the next attempt, or None."""
+        now = self.clock()
+        able = self._able(passage)
+        sound = [r for r in able if self.views[r.id].avoid_until <= now]
+        heard = [r for r in sound if not r.silent]
+        # A target that fails, or is not heard, is still better than none.
+        chosen = heard or sound or able
+        by_id = {record.id: record for record in chosen}
+        candidates = [
+            affinity.Candidate(
+                record.id,
+                self.views[record.id].load(now),
+                record.slots,
+                record.data_centre == self.data_centre,
+            )
+            for record in chosen
+        ]
+        parts = passage.incoming.parts
+        if passage.route.with_prompt and parts:
+            shared = parts[-2] if len(parts) > 1 else parts[-1]
+            found = affinity.with_prompt(candidates, shared.id)
+        else:
+            found = affinity.least_loaded(candidates)
+        return by_id[found.id] if found else None
+
+    def _able(self, passage: records.Passage) -> list:
+        return [
+            record
+            for record in self.table.current()
+            if record.service == passage.service
+            and record.state == messages.State.READY
+            and record.id not in passage.tried
+        ]
+
+    def begin(self, target: messages.TargetRecord) -> None:
+        """Count a request of this router at `target`."""
+        view = self.views[target.id]
+        view.running += 1
+        view.reported += 1
+
+    def end(self, target: messages.TargetRecord) -> None:
+        """Count it off again."""
+        view = self.views[target.id]
+        view.running -= 1
+        view.reported = max(0.0, view.reported - 1)
+
+    def reported(
+        self, target: messages.TargetRecord, load: records.Load
+    ) -> None:
+        """Take what `target` said of its load."""
+        view = self.views[target.id]
+        view.reported = load.running + load.waiting
+        view.reported_at = self.clock()
+
+    def did_well(self, target: messages.TargetRecord) -> None:
+        """Note an answer that the target made."""
+        view = self.views[target.id]
+        view.failures = 0
+        view.avoid_until = 0.0
+
+    def failed(self, target: messages.TargetRecord) -> None:
+        """Note an attempt that the target did not answer."""
+        view = self.views[target.id]
+        seconds = AVOID_SECONDS * 2**view.failures
+        view.failures += 1
+        view.avoid_until = self.clock() + min(seconds, AVOID_SECONDS_MOST)
+
+    def forget_gone(self) -> None:
+        """Drop what was seen of targets that are gone."""
+        for target_id in set(self.views) - set(self.table.entries):
+            if not self.views[target_id].running:
+                del self.views[target_id]
--- /dev/null
+++ b/amaranthring/forwarding/relay.py
@@ -0,0 +1,343 @@
+"""The way of one request: route, account, target, attempts, answer."""
+
+import asyncio
+import collections
+import functools
+import time
+import typing as t
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import logs
+from amaranthring.core import metrics as metrics_module
+from amaranthring.forwarding import attempts
+from amaranthring.forwarding import events
+from amaranthring.forwarding import placing
+from amaranthring.forwarding import records
+from amaranthring.forwarding import replies
+from amaranthring.policy import budgets
+from amaranthring.routing import plan as plans
+from amaranthring.routing import table as route_tables
+
+log = logbook.Logger(__name__)
+
+# A safe request that has no answer after this multiple of its objective is
+# sent to a second target, early enough to be on time by the deadline.
+SAFE_PATIENCE = 1.6
+# A target from which no event comes for so many of the route's longest
+# pauses has broken down; callers give up after eight.
+STREAM_PAUSES = 5.0
+STREAM_SECONDS_LEAST = 1.5
+# The final answer leaves this many seconds before the caller gives up.
+ANSWER_MARGIN = 0.02
+# When a caller should come back after each kind of refusal, in seconds.
+# Targets announce themselves about every second; a full target frees a
+# slot within some tens of milliseconds, but all callers wait for it.
+RETRY_NO_PLAN = 1.0
+RETRY_NO_TARGET = 0.5
+RETRY_REFUSED = 0.3
+
+
+class Relay:
+    """Forwards requests of callers.
+
+    Parameters
+    ----------
+    table : callable
+        Returns the RouteTable in force, or None.
+    may_admit : callable
+        Whether the plan is known to be new enough to trust its keys.
+    budget : callable
+        ``(service) -> RetryBudget``, new for each service.
+    routers : callable
+        Returns how many routers share the budgets.
+    """
+
+    def __init__(
+        self,
+        dialect: records.Dialect,
+        table: t.Callable[[], route_tables.RouteTable | None],
+        may_admit: t.Callable[[], bool],
+        placer: placing.Placer,
+        budget: t.Callable[[], budgets.RetryBudget],
+        routers: t.Callable[[], int],
+        metrics: metrics_module.Metrics,
+    ):
+        self.dialect = dialect
+        self.table = table
+        self.may_admit = may_admit
+        self.placer = placer
+        self.routers = routers
+        self.metrics = metrics
+        self.budgets: dict[str, budgets.RetryBudget] = collections.defaultdict(
+            budget
+        )
+
+    async def serve(
+        self, incoming: records.Incoming, reply: replies.Reply
+    ) -> None:
+        """Answer one request.
+
+        Cancelled when the caller has gone; the target's connection is then
+        closed at once, so that it stops its work.
+        """
+        passage = None
+        fault: BaseException | None = None
+        try:
+            passage = self.enter(incoming)
+            async with asyncio.timeout_at(self._loop_time(passage.deadline)):
+                await self._attempt_all(passage, reply)
+        except TimeoutError:
+            fault = errors.UpstreamTimeoutError(
+                "no answer within the request's time"
+            )
+            await self._give_up(passage, reply, fault)
+        except errors.CallerGoneError as error:
+            fault = error
+            reply.break_off()
+        except errors.AmaranthringError as error:
+            fault = error
+            await self._give_up(passage, reply, error)
+        except asyncio.CancelledError as error:
+            fault = error
+            reply.break_off()
+            raise
+        finally:
+            self._note(incoming, passage, reply, fault)
+
+    @staticmethod
+    def _loop_time(deadline: float) -> float:
+        loop = asyncio.get_running_loop()
+        return loop.time() + deadline - time.monotonic()
+
+    # -- before the first attempt ------------------------------------
+
+    def enter(self, incoming: records.Incoming) -> records.Passage:
+        """Return the request with its route and account.
+
+        Raises
+        ------
+        errors.RefusedError
+            If it may not pass.
+        """
+        table = self.table()
+        if table is None:
+            raise errors.NoTargetError(
+                "this router has no plan yet", retry_after=RETRY_NO_PLAN
+            )
+        route = table.match(incoming.host, incoming.path)
+        if route is None:
+            raise errors.NotFoundError("no route for this host and path")
+        account = self._account(table, route, incoming)
+        service = route_tables.draw_service(route)
+        self.budgets[service].count_request()
+        patience = min(incoming.patience - ANSWER_MARGIN, route.timeout)
+        return records.Passage(
+            incoming,
+            route,
+            account.name if account else "",
+            service,
+            table.version,
+            incoming.arrived + patience,
+        )
+
+    def _account(
+        self,
+        table: route_tables.RouteTable,
+        route: plans.Route,
+        incoming: records.Incoming,
+    ) -> plans.Account | None:
+        if route.public or not table.needs_key:
+            return None
+        self._check_lease()
+        account = table.account_of(incoming.key)
+        if account is None:
+            raise errors.UnauthenticatedError("unknown key")
+        return account
+
+    def _check_lease(self) -> None:
+        if not self.may_admit():
+            # A key may have been withdrawn since: while no keeper with a
+            # quorum confirms the plan, it must not be trusted.
+            raise errors.NoQuorumError(
+                "no keeper confirms the plan in force",
+                retry_after=RETRY_NO_PLAN,
+            )
+
+    # -- attempts ----------------------------------------------------
+
+    async def _attempt_all(
+        self, passage: records.Passage, reply: replies.Reply
+    ) -> None:
+        after = passage.incoming.resume_after
+        cutter = events.EventCutter(int(after) if after.isdigit() else None)
+        headers: list = []
+        while True:
+            target = self.placer.choose(passage)
+            if target is None:
+                raise self._no_target(passage)
+            try:
+                await self._attempt(passage, target, cutter, reply, headers)
+                return
+            except errors.UpstreamError as error:
+                passage.trail.append(f"{target.id}:{error.code}")
+                passage.tried.add(target.id)
+                self._learn(target, error)
+                if not self._may_repeat(passage, error):
+                    raise
+                self.metrics.count("request.repeated")
+                cutter.go_on()
+
+    async def _attempt(self, passage, target, cutter, reply, headers) -> None:
+        after = passage.incoming.resume_after
+        if cutter.last is not None:
+            after = str(cutter.last)
+        attempt = attempts.Attempt(passage, target, self.dialect, after)
+        attempt.may_send = functools.partial(self._may_send, passage)
+        self.placer.begin(target)
+        try:
+            answer = await attempt.open(self._patience(passage))
+            if answer.load is not None:
+                self.placer.reported(target, answer.load)
+            if attempt.streams:
+                headers[:] = headers or [answer.headers]
+                pause = self._pause(passage.route)
+                await attempt.stream(cutter, reply, headers[0], pause)
+                if not reply.status:
+                    await reply.begin(answer.status, headers[0], b"")
+                reply.finish()
+            else:
+                await self._pass_whole(passage, attempt, reply)
+            self.placer.did_well(target)
+            passage.trail.append(f"{target.id}:{answer.status}")
+        finally:
+            attempt.close()
+            self.placer.end(target)
+            if attempt.exchange.sent and not _certainly_refused(attempt):
+                passage.sent += 1
+
+    async def _pass_whole(self, passage, attempt, reply) -> None:
+        found = await attempt.whole()
+        if found.answer.status >= 500 and passage.route.idempotent:
+            left = passage.route.attempts_most - passage.sent - 1
+            if left > 0 and self._takes_budget(passage):
+                raise errors.TargetFailedError(
+                    "the target failed", given=found.answer.status
+                )
+        if reply.status:
+            # A stream that was to go on here got something else.
+            raise errors.UpstreamError("no stream to go on with")
+        await reply.whole(
+            found.answer.status, found.answer.headers, found.body
+        )
+
+    def _may_send(self, passage: records.Passage) -> None:
+        if passage.account:
+            self._check_lease()
+
+    def _patience(self, passage: records.Passage) -> float:
+        route = passage.route
+        if route.kind == plans.Kind.SAFE and self._attempts_left(passage) > 1:
+            return route.objective * SAFE_PATIENCE
+        return float("inf")
+
+    def _pause(self, route: plans.Route) -> float:
+        longest = STREAM_PAUSES * route.pause_most
+        return max(longest, STREAM_SECONDS_LEAST)
+
+    def _attempts_left(self, passage: records.Passage) -> int:
+        return passage.route.attempts_most - passage.sent
+
+    def _may_repeat(
+        self, passage: records.Passage, error: errors.UpstreamError
+    ) -> bool:
+        if isinstance(error, errors.TargetFailedError):
+            return True
+        if error.outcome == errors.Outcome.NOT_RUN:
+            arrived = isinstance(error, errors.TargetRefusedError)
+            return not arrived or self._takes_budget(passage)
+        if not passage.route.idempotent:
+            return False
+        if self._attempts_left(passage) < 1:
+            return False
+        return self._takes_budget(passage)
+
+    def _takes_budget(self, passage: records.Passage) -> bool:
+        return self.budgets[passage.service].take(self.routers())
+
+    def _learn(self, target, error: errors.UpstreamError) -> None:
+        if isinstance(error, errors.OtherTargetError):
+            self.placer.table.leave(target.id)
+        elif not isinstance(error, errors.TargetFailedError):
+            self.placer.failed(target)
+
+    # -- when it fails -----------------------------------------------
+
+    def _no_target(self, passage) -> errors.AmaranthringError:
+        if passage.sent:
+            return errors.UpstreamError("no other target is left")
+        return errors.NoTargetError(
+            f"no target of service {passage.service} is ready",
+            retry_after=RETRY_NO_TARGET,
+        )
+
+    async def _give_up(self, passage, reply, error) -> None:
+        if reply.status:
+            reply.break_off()
+            return
+        known = error
+        if passage is not None and passage.sent == 0:
+            known = self._not_run(error)
+        elif isinstance(error, errors.RefusedError) and passage is not None:
+            # It was refused only after a target may have begun it.
+            known = errors.UpstreamError(error.detail)
+        try:
+            await reply.refuse(known)
+        except errors.CallerGoneError:
+            reply.break_off()
+
+    @staticmethod
+    def _not_run(error) -> errors.AmaranthringError:
+        if isinstance(error, errors.RefusedError):
+            return error
+        return errors.NoTargetError(
+            f"no target took the request: {error.detail}",
+            retry_after=RETRY_REFUSED,
+        )
+
+    def _note(self, incoming, passage, reply, fault) -> None:
+        seconds = time.monotonic() - incoming.arrived
+        outcome = "answered"
+        if isinstance(fault, errors.AmaranthringError):
+            outcome = fault.code
+        elif fault is not None:
+            outcome = "caller-gone"
+        self.metrics.count(f"request.{outcome}")
+        fields: dict[str, t.Any] = {}
+        if passage is not None:
+            self.metrics.record(
+                "request.seconds", seconds, passage.account, passage.route.kind
+            )
+            fields = {
+                "route": passage.route.name,
+                "account": passage.account,
+                "service": passage.service,
+                "plan": passage.version,
+                "sent": passage.sent,
+                "trail": ",".join(passage.trail),
+            }
+        logs.event(
+            log,
+            "request",
+            id=incoming.request_id,
+            outcome=outcome,
+            status=reply.status,
+            ms=round(seconds * 1e3, 1),
+            **fields,
+        )
+
+
+def _certainly_refused(attempt: attempts.Attempt) -> bool:
+    answer = attempt.answer
+    return answer is not None and (answer.refused or answer.other_target)
--- /dev/null
+++ b/amaranthring/forwarding/replies.py
@@ -0,0 +1,104 @@
+"""The answer to one caller, over tornado's HTTP connection."""
+
+import http.client
+import json
+
+import tornado.httputil
+import tornado.iostream
+
+from amaranthring import errors
+
+RETRY_AFTER_HEADER = "Retry-After"
+
+
+class Reply:
+    """Writes one answer.
+
+    Parameters
+    ----------
+    connection : tornado.httputil.HTTPConnection
+        The caller's.
+
+    Attributes
+    ----------
+    status : int
+        What was answered; 0 before the head was written.
+    ended : bool
+        Whether the answer is whole or broken off.
+    closing : bool
+        Whether the caller is told that the connection closes after it.
+    """
+
+    def __init__(self, connection: tornado.httputil.HTTPConnection):
+        self.connection = connection
+        self.status = 0
+        self.ended = False
+        self.closing = False
+
+    async def whole(
+        self, status: int, headers: tornado.httputil.HTTPHeaders, body: bytes
+    ) -> None:
+        """Write an answer at once."""
+        headers = headers.copy()
+        if status not in (204, 304):
+            headers["Content-Length"] = str(len(body))
+        await self._head(status, headers, body)
+        self.finish()
+
+    async def begin(
+        self, status: int, headers: tornado.httputil.HTTPHeaders, data: bytes
+    ) -> None:
+        """Write the head of a stream and its first bytes."""
+        await self._head(status, headers.copy(), data)
+
+    async def _head(self, status, headers, data: bytes) -> None:
+        self.status = status
+        if self.closing:
+            headers["Connection"] = "close"
+        reason = http.client.responses.get(status, "Unknown")
+        line = tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        try:
+            await self.connection.write_headers(line, headers, data)
+        except tornado.iostream.StreamClosedError as error:
+            raise _gone() from error
+
+    async def write(self, data: bytes) -> None:
+        """Write more of a stream.
+
+        Raises
+        ------
+        errors.CallerGoneError
+            If the caller has closed.
+        """
+        try:
+            await self.connection.write(data)
+        except tornado.iostream.StreamClosedError as error:
+            raise _gone() from error
+
+    def finish(self) -> None:
+        """End the answer in good order."""
+        if not self.ended:
+            self.ended = True
+            self.connection.finish()
+
+    def break_off(self) -> None:
+        """Close the connection, so that the answer cannot pass for whole."""
+        if not self.ended:
+            self.ended = True
+            stream = getattr(self.connection, "stream", None)
+            if stream is not None:
+                stream.close()
+
+    async def refuse(self, error: errors.AmaranthringError) -> None:
+        """Write an answer of the router's own."""
+        headers = tornado.httputil.HTTPHeaders()
+        headers["Content-Type"] = "application/json"
+        if error.retry_after is not None:
+            headers[RETRY_AFTER_HEADER] = f"{error.retry_after:g}"
+        record = {"code": error.code, "detail": error.detail}
+        body = json.dumps({"error": record}).encode()
+        await self.whole(error.status, headers, body)
+
+
+def _gone() -> errors.CallerGoneError:
+    return errors.CallerGoneError("the caller has closed its connection")
--- /dev/null
+++ b/amaranthring/registry/hub.py
@@ -0,0 +1,316 @@
+"""The keeper's side: announcements in, plan and targets out to routers."""
+
+import asyncio
+import typing as t
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import links
+from amaranthring.core import logs
+from amaranthring.keepers import dispatch
+from amaranthring.keepers import messages as keeper_messages
+from amaranthring.keepers import plans
+from amaranthring.registry import messages
+from amaranthring.registry import targets
+
+log = logbook.Logger(__name__)
+
+ROUTER_ROLE = "router"
+# Targets announce themselves about every beat; one lost or late beat is
+# ordinary, so silence begins after three.
+SILENT_BEATS = 3.5
+FRESH_BEATS = 1.5
+# Keepers tell each other this often whom they heard.
+TELL_SECONDS = 0.4
+# Longer than a beat held up by a cut is likely to be late.
+FORGET_SECONDS = 60.0
+# An operator gives a keeper one second for an answer and then asks another.
+ANSWER_SECONDS = 0.9
+RETRY_SECONDS = 0.05
+
+
+class Hub:
+    """State of one keeper towards targets, operators and routers.
+
+    Parameters
+    ----------
+    group : consensus.Group
+        The group that holds the plan.
+    machine : plans.PlanMachine
+        Its state.
+    handlers : links.Handlers
+        Of this keeper's listener.
+    beat_seconds : float
+        How often targets announce themselves.
+    clock : callable
+        Seconds that go on while the VM is suspended.
+
+    Attributes
+    ----------
+    routers : dict of links.Link to str
+        Linked routers and their names.
+    """
+
+    def __init__(
+        self,
+        group: t.Any,
+        machine: plans.PlanMachine,
+        handlers: links.Handlers,
+        beat_seconds: float,
+        clock: t.Callable[[], float],
+    ):
+        self.group = group
+        self.machine = machine
+        self.beat_seconds = beat_seconds
+        self.table = targets.TargetTable(clock, FRESH_BEATS * beat_seconds)
+        self.routers: dict[links.Link, str] = {}
+        self.task: asyncio.Task | None = None
+        self.told_version = machine.version
+        group.on_applied.append(self._applied)
+        handlers.add(messages.Renew, self._on_renew)
+        handlers.add(messages.FetchPlan, self._on_fetch)
+        handlers.add(messages.Targets, self._on_targets)
+        handlers.add(messages.Heard, self._on_heard)
+
+    def start(self) -> None:
+        """Start telling the other keepers whom this one heard."""
+        self.task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        """End the task."""
+        if self.task is not None:
+            self.task.cancel()
+
+    # -- targets -----------------------------------------------------
+
+    def announce(self, record: messages.TargetRecord) -> None:
+        """Take the announcement of a target.
+
+        Raises
+        ------
+        errors.NotReadyError
+            If nobody would hear of it here; the target asks another keeper.
+        """
+        self._require_connected()
+        if self.table.merge(record):
+            held = self.table.entries[record.id].record
+            logs.event(
+                log,
+                "target.changed",
+                target=held.id,
+                service=held.service,
+                address=held.address,
+                state=held.state,
+                sequence=held.sequence,
+            )
+            self._tell([held])
+
+    def leave(self, target_id: str) -> None:
+        """Take the notice that a target is gone.
+
+        Raises
+        ------
+        errors.NotReadyError
+            As :meth:`announce`.
+        """
+        self._require_connected()
+        record = self.table.leave(target_id)
+        if record is not None:
+            logs.event(log, "target.left", target=target_id)
+            self._tell([record])
+
+    def _require_connected(self) -> None:
+        # A keeper that is cut off would acknowledge that a target leaves
+        # while the routers go on sending to it.
+        if not self.routers and not self.group.leader():
+            raise errors.NotReadyError(
+                "this keeper is cut off from the others and from all routers"
+            )
+
+    def _tell(self, records: list[messages.TargetRecord]) -> None:
+        message = messages.Targets(records)
+        for link in list(self.routers):
+            _send(link, message)
+        for peer in self.group.peers.values():
+            peer.dialler.send(message)
+
+    def _on_targets(self, link: links.Link, message: messages.Targets) -> None:
+        _require_keeper(link)
+        changed = [
+            self.table.entries[record.id].record
+            for record in message.records
+            if self.table.merge(record)
+        ]
+        if changed:
+            news = messages.Targets(changed)
+            for router in list(self.routers):
+                _send(router, news)
+
+    def _on_heard(self, link: links.Link, message: messages.Heard) -> None:
+        _require_keeper(link)
+        for target_id, sequence in message.sequences.items():
+            if self.table.hear(target_id, sequence):
+                self._tell([self.table.entries[target_id].record])
+
+    async def _run(self) -> None:
+        told: dict[str, int] = {}
+        linked: set[str] = set()
+        while True:
+            await asyncio.sleep(TELL_SECONDS)
+            told = self._tell_heard(told)
+            linked = self._greet_new_peers(linked)
+            if self.group.leader():
+                silent = SILENT_BEATS * self.beat_seconds
+                marked = self.table.silence(silent)
+                if marked:
+                    for record in marked:
+                        logs.event(log, "target.silent", target=record.id)
+                    self._tell(marked)
+            self.table.forget(FORGET_SECONDS)
+
+    def _tell_heard(self, told: dict[str, int]) -> dict[str, int]:
+        now = {r.id: r.sequence for r in self.table.records()}
+        news = {i: s for i, s in now.items() if s > told.get(i, -1)}
+        if news:
+            for peer in self.group.peers.values():
+                peer.dialler.send(messages.Heard(news))
+        return now
+
+    def _greet_new_peers(self, linked: set[str]) -> set[str]:
+        # A keeper that was away hears everything again on its new link.
+        now = {
+            name
+            for name, peer in self.group.peers.items()
+            if peer.dialler.link is not None
+        }
+        records = self.table.records()
+        for name in now - linked:
+            if records:
+                self.group.peers[name].dialler.send(messages.Targets(records))
+        return now
+
+    # -- plan --------------------------------------------------------
+
+    async def put(self, version: int, document: bytes) -> int:
+        """Put a plan in force and return the version in force after it.
+
+        Raises
+        ------
+        errors.NoQuorumError, errors.NotLeaderError
+            Nothing was accepted.
+        errors.CommitUnknownError, errors.LinkError
+            It may come in force.
+        """
+        command = plans.PutPlan(version, plans.packed(document))
+        held = await self._at_leader(
+            lambda seconds: self.group.propose(command, seconds),
+            lambda seconds: keeper_messages.Propose(
+                self.group.name, "plan-put", command, seconds
+            ),
+        )
+        logs.event(log, "plan.put", version=version, in_force=held.version)
+        return held.version
+
+    async def read(self) -> messages.PlanBody:
+        """Return the newest plan that was acknowledged anywhere.
+
+        Raises
+        ------
+        errors.AmaranthringError
+            If this keeper cannot be sure which one is.
+        """
+        return await self._at_leader(
+            self._read_here, lambda _: messages.FetchPlan(newest=True)
+        )
+
+    async def _read_here(self, seconds: float) -> messages.PlanBody:
+        await self.group.read_barrier(seconds)
+        return messages.PlanBody(self.machine.version, self.machine.body)
+
+    async def _at_leader(self, here, message):
+        """Do a thing here if this keeper leads, else ask the leader.
+
+        Both things may be repeated, so a leader that has just changed is
+        no reason to send the operator away while there is time.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + ANSWER_SECONDS
+        fault: errors.AmaranthringError = errors.NoQuorumError(
+            "the keepers have no leader", retry_after=1.0
+        )
+        while (left := deadline - loop.time()) > RETRY_SECONDS:
+            try:
+                if self.group.leading:
+                    return await here(left)
+                peer = self.group.peers.get(self.group.leader())
+                if peer is not None:
+                    return await peer.dialler.call(message(left), left)
+            except (
+                errors.NotLeaderError,
+                errors.NoQuorumError,
+                errors.LinkClosedError,
+            ) as error:
+                fault = error
+            await asyncio.sleep(RETRY_SECONDS)
+        raise fault
+
+    def _applied(self, _index: int) -> None:
+        if self.machine.version <= self.told_version:
+            return
+        self.told_version = self.machine.version
+        for link in list(self.routers):
+            _send(link, messages.PlanNotice(self.told_version))
+
+    # -- routers -----------------------------------------------------
+
+    def on_link(self, link: links.Link) -> None:
+        """Take in a router that has just linked."""
+        if link.peer.role != ROUTER_ROLE:
+            return
+        logs.event(log, "router.linked", router=link.peer.name)
+        self.routers[link] = link.peer.name
+        _send(link, messages.Targets(self.table.records()))
+
+    def on_gone(self, link: links.Link) -> None:
+        """Forget a router whose link has ended."""
+        if self.routers.pop(link, None) is not None:
+            logs.event(log, "router.unlinked", router=link.peer.name)
+
+    async def _on_renew(self, _link: t.Any, _message: messages.Renew):
+        confirmed = False
+        if self.group.leading:
+            try:
+                await self.group.read_barrier(ANSWER_SECONDS)
+                confirmed = True
+            except errors.RefusedError:
+                # Deposed or cut off meanwhile: the router asks another.
+                pass
+        peers = self.group.peers.values()
+        known = [self.group.keeper.address, *(peer.address for peer in peers)]
+        return messages.Renewed(
+            self.machine.version,
+            confirmed,
+            len(set(self.routers.values())),
+            sorted(set(known)),
+        )
+
+    async def _on_fetch(self, _link, message: messages.FetchPlan):
+        if message.newest:
+            return await self._read_here(ANSWER_SECONDS)
+        return messages.PlanBody(self.machine.version, self.machine.body)
+
+
+def _require_keeper(link: links.Link) -> None:
+    if link.peer.role != dispatch.KEEPER_ROLE:
+        raise errors.ForbiddenError(
+            "news of targets", given=link.peer.role, expected="a keeper"
+        )
+
+
+def _send(link: links.Link, message: t.Any) -> None:
+    try:
+        link.send(message)
+    except errors.LinkError:
+        # It hears everything again on its next link.
+        link.close()
--- /dev/null
+++ b/amaranthring/registry/keeper.py
@@ -0,0 +1,140 @@
+"""A keeper process that holds the routing plan and the table of targets."""
+
+import dataclasses
+import pathlib
+import time
+
+from amaranthring.core import links
+from amaranthring.core import metrics as metrics_module
+from amaranthring.keepers import consensus
+from amaranthring.keepers import dispatch
+from amaranthring.keepers import messages as keeper_messages
+from amaranthring.keepers import options as options_module
+from amaranthring.keepers import plans
+from amaranthring.registry import hub as hubs
+
+GROUP = "plan"
+FOLDER = "keeper"
+# A plan with hundreds of routes takes some tens of kilobytes: snapshots
+# keep the log short, and a follower that missed a few changes still gets
+# them one by one.
+SNAPSHOT_ENTRIES = 50
+KEPT_ENTRIES = 20
+
+
+@dataclasses.dataclass
+class Place:
+    """Where and as whom a keeper runs.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port`` of its streams; it also names the keeper.
+    seeds : list of str
+        Addresses of keepers to begin with or to ask to be taken in.
+    may_begin : bool
+        Whether it may begin a group with the seeds.
+    folder : str
+        For its durable state.
+    beat_seconds : float
+        How often targets announce themselves.
+    """
+
+    address: str
+    data_centre: str
+    seeds: list[str]
+    may_begin: bool
+    folder: str
+    beat_seconds: float
+
+
+class PlanKeeper:
+    """The parts of a keeper: its group, its hub and its listener.
+
+    Parameters
+    ----------
+    keys : links.Keys
+        For the streams.
+    options : options.Options, optional
+        Timing of the group.
+    """
+
+    def __init__(
+        self,
+        place: Place,
+        keys: links.Keys,
+        metrics: metrics_module.Metrics,
+        options: options_module.Options | None = None,
+    ):
+        self.place = place
+        self.metrics = metrics
+        self.machine = plans.PlanMachine()
+        self.handlers = links.Handlers()
+        identity = links.Identity(
+            place.address,
+            dispatch.KEEPER_ROLE,
+            place.data_centre,
+            time.time_ns(),
+        )
+        clocks = options_module.Clocks()
+        self.group = consensus.Group(
+            GROUP,
+            _member(place.address, place.data_centre),
+            [_member(address) for address in self._everyone()],
+            pathlib.Path(place.folder) / FOLDER,
+            self.machine,
+            identity,
+            keys,
+            self.handlers,
+            options or self.options(),
+            clocks,
+            metrics=metrics,
+        )
+        dispatch.register(self.handlers, {GROUP: self.group})
+        self.hub = hubs.Hub(
+            self.group,
+            self.machine,
+            self.handlers,
+            place.beat_seconds,
+            clocks.monotonic,
+        )
+        self.server = links.LinkServer(
+            identity,
+            keys,
+            self.handlers,
+            self.hub.on_link,
+            self.hub.on_gone,
+        )
+
+    def options(self) -> options_module.Options:
+        """Return the timing of the group."""
+        return options_module.Options(
+            snapshot_entries=SNAPSHOT_ENTRIES,
+            kept_entries=KEPT_ENTRIES,
+            may_begin=self._may_begin(),
+            admits=True,
+        )
+
+    def _may_begin(self) -> bool:
+        # With more keepers than seeds, the others join what the seeds begin.
+        return self.place.may_begin and self.place.address in self.place.seeds
+
+    def _everyone(self) -> list[str]:
+        return sorted({*self.place.seeds, self.place.address})
+
+    def start(self, sockets: list) -> None:
+        """Serve streams on the listening `sockets`, and take part."""
+        self.server.add_sockets(sockets)
+        self.group.start()
+        self.hub.start()
+
+    async def stop(self) -> None:
+        """Step down and close everything."""
+        self.hub.stop()
+        await self.group.stop()
+        self.server.close_all()
+
+
+def _member(address: str, data_centre: str = "") -> keeper_messages.Member:
+    # A keeper is named by its address, which is all that others are told.
+    return keeper_messages.Member("", address, address, data_centre)
--- /dev/null
+++ b/amaranthring/registry/messages.py
@@ -0,0 +1,139 @@
+"""Messages between routers and keepers, and between keepers, about targets."""
+
+import dataclasses
+import enum
+
+from amaranthring.core import wire
+
+
+class State(enum.StrEnum):
+    """What a target says of itself; it only goes forward in this order."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+RANK = {State.READY: 0, State.DRAINING: 1, State.GONE: 2}
+
+
+@dataclasses.dataclass
+class TargetRecord:
+    """One start of one target, as it last announced itself.
+
+    Attributes
+    ----------
+    id : str
+        New with every start of the target.
+    service : str
+        Service of the plan that it belongs to.
+    address : str
+        ``host:port``.
+    data_centre : str
+        Where it runs.
+    release : str
+        Version of its software.
+    slots : int
+        Requests that it runs at once.
+    sequence : int
+        Grows with each announcement, so that a late one is told apart.
+    cold_seconds : float
+        How much longer it will be slow after its start.
+    silent : bool
+        Whether the keepers have heard nothing of it for too long.
+    """
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    release: str = ""
+    slots: int = 1
+    state: State = State.READY
+    sequence: int = 0
+    cold_seconds: float = 0.0
+    silent: bool = False
+
+    @property
+    def name(self) -> str:
+        """Return what names the target in errors and logs."""
+        return self.id
+
+
+@wire.message("registry-targets")
+class Targets:
+    """Records that are new or have changed."""
+
+    records: list[TargetRecord]
+
+
+@wire.message("registry-heard")
+class Heard:
+    """Between keepers: the newest sequence heard from each target."""
+
+    sequences: dict[str, int]
+
+
+@wire.message("registry-renew")
+class Renew:
+    """A router asks whether its plan is still the newest.
+
+    Attributes
+    ----------
+    version : int
+        Of the plan that it holds.
+    """
+
+    version: int
+
+
+@wire.message("registry-renewed")
+class Renewed:
+    """Reply to :class:`Renew`.
+
+    Attributes
+    ----------
+    version : int
+        Newest version that this keeper has applied.
+    confirmed : bool
+        Whether no higher version was acknowledged anywhere before the
+        question came; only a leader with a quorum can say so.
+    routers : int
+        Routers that are linked to this keeper.
+    keepers : list of str
+        Addresses of all keepers that it knows.
+    """
+
+    version: int
+    confirmed: bool
+    routers: int
+    keepers: list[str]
+
+
+@wire.message("registry-plan-notice")
+class PlanNotice:
+    """A keeper has applied a plan of this version."""
+
+    version: int
+
+
+@wire.message("registry-plan-fetch")
+class FetchPlan:
+    """Asks for the plan.
+
+    Attributes
+    ----------
+    newest : bool
+        Whether it must be the newest that was acknowledged anywhere; then
+        only a leader with a quorum answers.
+    """
+
+    newest: bool = False
+
+
+@wire.message("registry-plan")
+class PlanBody:
+    """A plan; the version is -1 and the body empty before the first."""
+
+    version: int
+    body: bytes
--- /dev/null
+++ b/amaranthring/registry/subscriber.py
@@ -0,0 +1,209 @@
+"""The router's side: a link to every keeper, the plan and the targets.
+
+A router may act on its plan only while it knows that no higher version was
+acknowledged long ago. It asks every keeper a few times a second; the leader,
+which has a quorum, can confirm. The age of the newest confirmed question
+bounds how old the plan can be, also if the router was cut off, frozen or
+suspended meanwhile: the clock goes on while a VM is suspended.
+"""
+
+import asyncio
+import time
+import typing as t
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import links
+from amaranthring.core import logs
+from amaranthring.keepers import plans
+from amaranthring.registry import messages
+from amaranthring.registry import targets
+
+log = logbook.Logger(__name__)
+
+# Twice a second keeps the plan's age far below the seconds that a withdrawn
+# key may still work, for 2 messages a second and keeper.
+RENEW_SECONDS = 0.5
+# A keeper that does not answer by then is frozen or its link went silent.
+REPLY_SECONDS = 1.2
+FETCH_SECONDS = 3.0
+
+
+def clock() -> float:
+    """Return seconds that go on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Subscriber:
+    """Keeps a router's plan and targets as new as the keepers have them.
+
+    Parameters
+    ----------
+    identity, keys
+        For the links.
+    take_plan : callable
+        Called with the document of each newer plan, before its version
+        counts as held. It raises an ``AmaranthringError`` if it cannot be
+        used.
+    on_targets : callable, optional
+        Called after each change of targets.
+
+    Attributes
+    ----------
+    version : int
+        Version of the plan held; -1 before the first.
+    confirmed_at : float
+        When the newest question was sent that a leader answered with the
+        version held, in seconds of :func:`clock`.
+    routers : int
+        Highest number of routers that a linked keeper counts.
+    """
+
+    def __init__(
+        self,
+        identity: links.Identity,
+        keys: links.Keys,
+        take_plan: t.Callable[[bytes], None],
+        on_targets: t.Callable[[], None] = lambda: None,
+    ):
+        self.identity = identity
+        self.keys = keys
+        self.take_plan = take_plan
+        self.on_targets = on_targets
+        self.handlers = links.Handlers()
+        self.handlers.add(messages.Targets, self._on_targets)
+        self.handlers.add(messages.PlanNotice, self._on_notice)
+        self.table = targets.TargetTable(clock, fresh_seconds=0.0)
+        self.diallers: dict[str, links.Dialler] = {}
+        self.asking: dict[str, asyncio.Task] = {}
+        self.counts: dict[str, int] = {}
+        self.version = -1
+        self.confirmed_at = float("-inf")
+        self.seeds: list[str] = []
+        self._fetching = asyncio.Lock()
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def routers(self) -> int:
+        """Return how many routers there are, as far as is known."""
+        return max(1, *self.counts.values(), 1)
+
+    def is_fresh(self, seconds: float) -> bool:
+        """Return whether the plan was the newest `seconds` ago or later."""
+        return clock() - self.confirmed_at < seconds
+
+    def follow(self, addresses: list[str]) -> None:
+        """Link to the keepers at `addresses`, beside those already known."""
+        for address in addresses:
+            if address in self.diallers:
+                continue
+            dialler = links.Dialler(
+                address, self.identity, self.keys, self.handlers
+            )
+            self.diallers[address] = dialler
+            dialler.start()
+            task = asyncio.ensure_future(self._ask(address, dialler))
+            self.asking[address] = task
+
+    def use_seeds(self, addresses: list[str]) -> None:
+        """Take the keepers that the settings name now."""
+        self.seeds = addresses
+        self.follow(addresses)
+
+    def drop(self, address: str) -> None:
+        """Give up on a keeper that is no longer one."""
+        self.diallers.pop(address).stop()
+        self.asking.pop(address).cancel()
+        self.counts.pop(address, None)
+
+    def stop(self) -> None:
+        """Close all links."""
+        for address in list(self.diallers):
+            self.drop(address)
+
+    # -- what keepers say --------------------------------------------
+
+    async def _ask(self, address: str, dialler: links.Dialler) -> None:
+        linked = False
+        while True:
+            link = dialler.link
+            if (link is not None) != linked:
+                linked = link is not None
+                name = "keeper.linked" if linked else "keeper.unlinked"
+                logs.event(log, name, keeper=address)
+                if not linked:
+                    self.counts.pop(address, None)
+            if link is not None:
+                await self._renew(address, link)
+            await asyncio.sleep(RENEW_SECONDS if link else RENEW_SECONDS / 10)
+
+    async def _renew(self, address: str, link: links.Link) -> None:
+        sent_at = clock()
+        try:
+            reply = await link.call(
+                messages.Renew(self.version), REPLY_SECONDS
+            )
+        except errors.LinkTimeoutError:
+            # Frozen, cut off, or a connection that went silent for good.
+            link.close()
+            return
+        except errors.AmaranthringError:
+            return
+        self.counts[address] = reply.routers
+        self._learn(reply)
+        if reply.version > self.version:
+            await self._fetch(link)
+        if reply.confirmed and self.version >= reply.version >= 0:
+            self.confirmed_at = max(self.confirmed_at, sent_at)
+
+    def _learn(self, reply: messages.Renewed) -> None:
+        self.follow(reply.keepers)
+        if not reply.confirmed:
+            return
+        for address in set(self.diallers) - set(reply.keepers):
+            if address not in self.seeds:
+                self.drop(address)
+
+    def _on_notice(self, link: links.Link, notice: messages.PlanNotice):
+        if notice.version > self.version:
+            task = asyncio.ensure_future(self._fetch(link))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _fetch(self, link: links.Link) -> None:
+        async with self._fetching:
+            try:
+                plan = await link.call(messages.FetchPlan(), FETCH_SECONDS)
+            except errors.AmaranthringError as error:
+                log.warning("plan.fetch-failed fault={}", error)
+                return
+            if plan.version <= self.version:
+                return
+            try:
+                self.take_plan(plans.unpacked(plan.body))
+            except errors.AmaranthringError as error:
+                log.error(
+                    "plan.refused version={} fault={}", plan.version, error
+                )
+                return
+            logs.event(
+                log, "plan.in-force", version=plan.version, before=self.version
+            )
+            self.version = plan.version
+
+    def _on_targets(self, _link: links.Link, news: messages.Targets) -> None:
+        changed = [r for r in news.records if self.table.merge(r)]
+        for record in changed:
+            logs.event(
+                log,
+                "target.changed",
+                target=record.id,
+                service=record.service,
+                address=record.address,
+                state=record.state,
+                silent=record.silent,
+                sequence=record.sequence,
+            )
+        if changed:
+            self.on_targets()
--- /dev/null
+++ b/amaranthring/registry/targets.py
@@ -0,0 +1,182 @@
+"""Table of targets, merged from announcements in any order.
+
+Keepers and routers hold one each. Merging does not depend on the order or
+the number of messages: of one start of a target the highest sequence wins,
+and its state only goes forward.
+"""
+
+import dataclasses
+import typing as t
+
+from amaranthring.registry import messages
+
+# An announcement of a start that is not known yet takes the address of a
+# start that is still heard only if it is one of its first. A later one was
+# held up by a cut and speaks of a process that is long gone.
+FIRST_SEQUENCES = 3
+
+
+@dataclasses.dataclass
+class Entry:
+    """What is known of one start of a target.
+
+    Attributes
+    ----------
+    record : TargetRecord
+        Merged.
+    heard_at : float
+        When the newest sequence came, in seconds of the table's clock.
+    gone_at : float
+        When it was found to be gone; 0 while it is not.
+    """
+
+    record: messages.TargetRecord
+    heard_at: float
+    gone_at: float = 0.0
+
+
+class TargetTable:
+    """All targets by id.
+
+    Parameters
+    ----------
+    clock : callable
+        Seconds that go on while the VM is suspended.
+    fresh_seconds : float
+        How long after its last announcement a target surely holds its
+        address. 0 where records come from keepers, which judged that.
+
+    Attributes
+    ----------
+    entries : dict
+        Entry by id; one whose address another start has taken is kept, in
+        case the other turns out to be the older one.
+    by_address : dict
+        Id of the start that holds each address now.
+    """
+
+    def __init__(self, clock: t.Callable[[], float], fresh_seconds: float):
+        self.clock = clock
+        self.fresh_seconds = fresh_seconds
+        self.entries: dict[str, Entry] = {}
+        self.by_address: dict[str, str] = {}
+
+    def merge(self, record: messages.TargetRecord) -> bool:
+        """Take `record` in; return whether others should hear of it."""
+        entry = self.entries.get(record.id)
+        if entry is not None:
+            return self._update(entry, record)
+        now = self.clock()
+        if record.state == messages.State.GONE:
+            self.entries[record.id] = Entry(record, now, gone_at=now)
+            return True
+        if not self._may_take_address(record):
+            return False
+        self.entries[record.id] = Entry(record, now)
+        self.by_address[record.address] = record.id
+        return True
+
+    def leave(self, target_id: str) -> messages.TargetRecord | None:
+        """Note that a target is gone; return its record if it was known."""
+        entry = self.entries.get(target_id)
+        if entry is None:
+            return None
+        self._end(entry)
+        return entry.record
+
+    def hear(self, target_id: str, sequence: int) -> bool:
+        """Note a sign of life; return whether the target was silent."""
+        entry = self.entries.get(target_id)
+        if entry is None or sequence <= entry.record.sequence:
+            return False
+        entry.heard_at = self.clock()
+        was_silent = entry.record.silent
+        entry.record = dataclasses.replace(
+            entry.record, sequence=sequence, silent=False
+        )
+        return was_silent
+
+    def silence(self, seconds: float) -> list[messages.TargetRecord]:
+        """Mark and return targets not heard for `seconds`."""
+        now = self.clock()
+        marked = []
+        for entry in self.entries.values():
+            if entry.gone_at or entry.record.silent:
+                continue
+            if now - entry.heard_at > seconds:
+                entry.record = dataclasses.replace(entry.record, silent=True)
+                marked.append(entry.record)
+        return marked
+
+    def forget(self, seconds: float) -> None:
+        """Drop targets that went, or fell silent, `seconds` ago."""
+        now = self.clock()
+        for target_id, entry in list(self.entries.items()):
+            since = entry.gone_at or entry.heard_at
+            ended = entry.gone_at or entry.record.silent
+            if ended and now - since > seconds:
+                del self.entries[target_id]
+                if self.holds_address(entry.record):
+                    del self.by_address[entry.record.address]
+
+    def records(self) -> list[messages.TargetRecord]:
+        """Return the records of all that hold an address or are gone."""
+        return [
+            entry.record
+            for entry in self.entries.values()
+            if entry.gone_at or self.holds_address(entry.record)
+        ]
+
+    def current(self) -> t.Iterator[messages.TargetRecord]:
+        """Return the records of all that hold an address."""
+        for target_id in self.by_address.values():
+            yield self.entries[target_id].record
+
+    def holds_address(self, record: messages.TargetRecord) -> bool:
+        """Return whether `record` is of the start at its address now."""
+        return self.by_address.get(record.address) == record.id
+
+    def _update(self, entry: Entry, record: messages.TargetRecord) -> bool:
+        held = entry.record
+        rank = messages.RANK
+        state = max(held.state, record.state, key=rank.__getitem__)
+        if record.sequence > held.sequence:
+            entry.heard_at = self.clock()
+            entry.record = dataclasses.replace(record, state=state)
+        elif record.sequence == held.sequence:
+            silent = held.silent or record.silent
+            entry.record = dataclasses.replace(
+                held, state=state, silent=silent
+            )
+        else:
+            entry.record = dataclasses.replace(held, state=state)
+        if state == messages.State.GONE and not entry.gone_at:
+            self._end(entry)
+        new = entry.record
+        return (new.state, new.silent, new.address, new.service) != (
+            held.state,
+            held.silent,
+            held.address,
+            held.service,
+        )
+
+    def _may_take_address(self, record: messages.TargetRecord) -> bool:
+        holder = self.by_address.get(record.address, "")
+        occupant = self.entries.get(holder)
+        if occupant is None or record.sequence <= FIRST_SEQUENCES:
+            return True
+        age = self.clock() - occupant.heard_at
+        return age > self.fresh_seconds
+
+    def _end(self, entry: Entry) -> None:
+        entry.gone_at = entry.gone_at or self.clock()
+        entry.record = dataclasses.replace(
+            entry.record, state=messages.State.GONE
+        )
+        address = entry.record.address
+        if self.by_address.get(address) != entry.record.id:
+            return
+        del self.by_address[address]
+        for other in self.entries.values():
+            if other.record.address == address and not other.gone_at:
+                self.by_address[address] = other.record.id
--- /dev/null
+++ b/amaranthring/routing/checks.py
@@ -0,0 +1,67 @@
+"""What makes a routing plan invalid, whatever form it came in."""
+
+import collections
+
+from amaranthring import errors
+from amaranthring.routing import plan as plans
+
+
+def check(plan: plans.Plan) -> None:
+    """Check that `plan` can be put in force.
+
+    Raises
+    ------
+    errors.InvalidPlanError
+        With the first fault that was found.
+    """
+    known = {service.name for service in plan.services}
+    _check_unique([service.name for service in plan.services], "service")
+    _check_unique([(r.host, r.prefix) for r in plan.routes], "route's place")
+    _check_unique(
+        [key for account in plan.accounts for key in set(account.keys)],
+        "key of an account",
+        show=False,
+    )
+    for route in plan.routes:
+        _check_route(route, known)
+
+
+def _check_unique(values: list, what: str, show: bool = True) -> None:
+    counts = collections.Counter(values)
+    for value, count in counts.items():
+        if count > 1:
+            # Keys are secrets and stay out of answers and logs.
+            given = f"{value} {count} times" if show else f"one {count} times"
+            raise errors.InvalidPlanError(what, given=given, expected="once")
+
+
+def _check_route(route: plans.Route, known: set[str]) -> None:
+    for share in route.shares:
+        if share.service not in known:
+            raise errors.InvalidPlanError(
+                f"service of route {route.name}",
+                given=share.service,
+                expected="a service of the plan",
+            )
+        if share.weight < 0:
+            raise errors.InvalidPlanError(
+                f"weight of route {route.name}",
+                given=share.weight,
+                expected="0 or more",
+            )
+    if sum(share.weight for share in route.shares) <= 0:
+        raise errors.InvalidPlanError(
+            f"weights of route {route.name}", given=0, expected="a sum above 0"
+        )
+    if route.timeout <= 0:
+        raise errors.InvalidPlanError(
+            f"timeout of route {route.name}",
+            given=route.timeout,
+            expected="above 0 s",
+        )
+    if not route.prefix.startswith("/"):
+        raise errors.InvalidPlanError(
+            f"prefix of route {route.name}",
+            given=route.prefix,
+            expected="a path that begins with /",
+        )
--- /dev/null
+++ b/amaranthring/routing/table.py
@@ -0,0 +1,86 @@
+"""A plan made ready for look-ups, as a router uses it for each request."""
+
+import random
+
+from amaranthring.routing import plan as plans
+
+
+class RouteTable:
+    """Look-ups over one plan.
+
+    Parameters
+    ----------
+    plan : Plan
+        A checked plan.
+
+    Attributes
+    ----------
+    services : dict of str to Service
+        By name.
+    needs_key : bool
+        Whether requests of routes that are not public carry a key.
+    """
+
+    def __init__(self, plan: plans.Plan):
+        self.plan = plan
+        self.services = {one.name: one for one in plan.services}
+        self.needs_key = bool(plan.accounts)
+        self._routes = {
+            (route.host.lower(), route.prefix): route for route in plan.routes
+        }
+        self._accounts = {
+            key: account for account in plan.accounts for key in account.keys
+        }
+
+    @property
+    def version(self) -> int:
+        """Return the version of the plan."""
+        return self.plan.version
+
+    def match(self, host: str, path: str) -> plans.Route | None:
+        """Return the route with the longest prefix of `path`, if any.
+
+        Parameters
+        ----------
+        host : str
+            As the caller named it, with or without a port.
+        path : str
+            Without the query.
+        """
+        host = host.lower()
+        found = self._longest(host, path)
+        if found is None and ":" in host:
+            found = self._longest(host.rpartition(":")[0], path)
+        return found
+
+    def _longest(self, host: str, path: str) -> plans.Route | None:
+        # Prefixes end with a slash, so only these cuts can match.
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._routes.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
+
+    def account_of(self, key: str) -> plans.Account | None:
+        """Return the account that holds `key`, if any."""
+        return self._accounts.get(key)
+
+
+def draw_service(route: plans.Route, draw: float | None = None) -> str:
+    """Return a service of `route`, drawn by the weights.
+
+    Parameters
+    ----------
+    draw : float, optional
+        A number from 0 to below 1; random if left out.
+    """
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    point = random.random() if draw is None else draw
+    point *= sum(share.weight for share in route.shares)
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -13,6 +13,7 @@
 import asyncio
 import dataclasses
 import time
+import typing as t
 
 import tornado.httputil
 
@@ -43,15 +44,16 @@
     ----------
     method, path : str
         Of the HTTP request.
-    headers : dict
-        Beside those of the connection itself.
+    headers : mapping
+        Beside those of the connection itself; ``Host`` is the target's
+        address if it is not among them.
     body : bytes
         Sent whole.
     """
 
     method: str
     path: str
-    headers: dict[str, str]
+    headers: t.Mapping[str, str]
     body: bytes = b""
 
 
@@ -62,14 +64,21 @@
     ----------
     sent : bool
         Whether a byte may have left; false is certain.
+    target : object
+        Has an address and a name.
     status : int
         HTTP status, once the head came.
     headers : HTTPHeaders
         Of the answer.
     """
 
-    def __init__(self, target: records.Target):
+    def __init__(
+        self,
+        target: records.Target,
+        connect_seconds: float = CONNECT_SECONDS,
+    ):
         self.target = target
+        self.connect_seconds = connect_seconds
         self.sent = False
         self.status = 0
         self.headers = tornado.httputil.HTTPHeaders()
@@ -79,7 +88,7 @@
         self.cause: errors.AmaranthringError | None = None
         self.body: chunks.Body | None = None
         self.paused = False
-        self._allowed = CONNECT_SECONDS
+        self._allowed = connect_seconds
         self.last = time.monotonic()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -132,6 +141,17 @@
         errors.UpstreamError
             With outcome ``not-run`` if no byte left.
         """
+        await self.connect_first()
+        self.hand_over(call, seconds)
+
+    async def connect_first(self) -> None:
+        """Connect, or say that nothing was sent.
+
+        Raises
+        ------
+        errors.UpstreamError
+            With outcome ``not-run``.
+        """
         try:
             await self.connect()
         except FAULTS as error:
@@ -143,10 +163,25 @@
                 retry_after=1.0,
                 outcome=errors.Outcome.NOT_RUN,
             ) from error
+
+    def hand_over(self, call: Call, seconds: float) -> None:
+        """Write `call` to the connection.
+
+        Parameters
+        ----------
+        seconds : float
+            Time from sending to the head.
+
+        Raises
+        ------
+        errors.BadRequestError
+            If a header cannot be sent; nothing was.
+        """
+        head = head_of(call, self.target.address)
         self.allow(seconds)
         self.sent = True
         self.call = call
-        self.writer.write(head_of(call, self.target.address) + call.body)
+        self.writer.write(head + call.body)
 
     async def connect(self) -> None:
         """Connect to the target.
@@ -157,7 +192,7 @@
             If it cannot be reached in time; no byte left.
         """
         host, _, port = self.target.address.rpartition(":")
-        async with asyncio.timeout(CONNECT_SECONDS):
+        async with asyncio.timeout(self.connect_seconds):
             self.reader, self.writer = await asyncio.open_connection(
                 host.strip("[]"), int(port), limit=READ_BYTES
             )
@@ -212,16 +247,22 @@
                 return data
         return b""
 
-    async def whole(self, most: int) -> bytes:
+    async def whole(self, most: int, unframed: bool = False) -> bytes:
         """Return the whole body.
 
+        Parameters
+        ----------
+        unframed : bool
+            Whether the target proves its answers otherwise, so that a
+            close in good order may end one.
+
         Raises
         ------
         errors.UpstreamError
             As :meth:`read`, if the body is above `most` bytes, or if its
             end cannot be told from a connection that broke.
         """
-        if self.body.ends_by_close:
+        if self.body.ends_by_close and not unframed:
             # A process that dies closes its connections in good order, so
             # the first half of an answer would pass for the whole.
             raise errors.UpstreamError(
@@ -282,7 +323,9 @@
     errors.BadRequestError
         If a value would end its line, and so forge another header.
     """
-    lines = [f"{call.method} {call.path} HTTP/1.1", f"Host: {address}"]
+    lines = [f"{call.method} {call.path} HTTP/1.1"]
+    if "Host" not in call.headers:
+        lines.append(f"Host: {address}")
     lines += [f"{name}: {value}" for name, value in call.headers.items()]
     lines += ["Connection: close", f"Content-Length: {len(call.body)}"]
     for line in lines:
