Place prompts by what targets hold; share counts and places through keepers

Cause: each router bounded loads by its own requests alone, so the mean it saw was near zero and every second request with a long prompt was sent away from where the prompt was cached; a restarted router knew no place at all.

Ruled out: a wider bound without counts (a router sees a load header every few seconds only, at the grown sites every ten); every router telling every other (84 x 83 messages four times a second).

Change: routers report their requests by target, and new pairs of prompt part and target, to one keeper four times a second; keepers exchange sums and keep recent pairs for routers that start. A target costs what it would have to read, weighed as requests, and the requests that it has; its load is bounded at twice the mean and two. SIGHUP reloads the settings file.

--- a/amaranthring/core/signals.py
+++ b/amaranthring/core/signals.py
@@ -6,6 +6,17 @@
 NUMBERS = (signal.SIGTERM, signal.SIGINT)
 
 
+def reload_event() -> asyncio.Event:
+    """Return an event that each SIGHUP sets.
+
+    Without a handler SIGHUP ends the process.
+    """
+    event = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, event.set)
+    return event
+
+
 def stop_event() -> asyncio.Event:
     """Return an event that the first SIGTERM or SIGINT sets.
 
--- a/amaranthring/fleet_parts.py
+++ b/amaranthring/fleet_parts.py
@@ -26,6 +26,7 @@
 from amaranthring.forwarding import relay as relays
 from amaranthring.policy import budgets
 from amaranthring.registry import keeper as keepers
+from amaranthring.registry import sharing
 from amaranthring.registry import subscriber as subscribers
 
 log = logbook.Logger(__name__)
@@ -37,6 +38,7 @@
 # The balancer asks every second and takes a router out after two misses; it
 # may open connections until then.
 ROTATION_SECONDS = 2.5
+CLOSE_IDLE_SECONDS = 0.1
 # Kept of the time before the process is killed, to end in good order.
 END_SECONDS = 0.4
 FORGET_EVERY_SECONDS = 5.0
@@ -99,6 +101,13 @@
             identity, keys, self.take_plan
         )
         self.placer = placing.Placer(self.subscriber.table, place.data_centre)
+        self.sharing = sharing.Member(
+            self.subscriber.handlers,
+            self.subscriber.home,
+            self.placer.counts,
+            self.placer.prompts.take_news,
+            self.placer.others_said,
+        )
         self.relay = relays.Relay(
             dialect,
             lambda: self.table,
@@ -147,7 +156,12 @@
         serve(self.place.health, self._health)
         serve(self.place.metrics, figures_answer(self.metrics))
         self.subscriber.use_seeds(self.place.keepers)
-        self.tasks.append(asyncio.ensure_future(self._forget()))
+        for work in (self._forget(), self.sharing.run()):
+            self.tasks.append(asyncio.ensure_future(work))
+
+    def use_seeds(self, addresses: list[str]) -> None:
+        """Take the keepers that the settings name now."""
+        self.subscriber.use_seeds(addresses)
 
     async def _health(self, _call: endpoints.Call) -> endpoints.Result:
         reason = self.not_ready_because()
@@ -161,14 +175,17 @@
 
     async def stop(self) -> None:
         """End in good order: no new callers, then all requests ended."""
-        began = time.monotonic()
+        ends_at = time.monotonic() + self.place.grace - END_SECONDS
         self.stopping = True
         self.front.closing = True
         await asyncio.sleep(ROTATION_SECONDS)
-        left = self.place.grace - END_SECONDS - (time.monotonic() - began)
-        try:
-            await asyncio.wait_for(self.front.idle.wait(), max(0.0, left))
-        except TimeoutError:
+        self.front.ends_at = ends_at
+        while time.monotonic() < ends_at:
+            self.front.close_idle()
+            if not self.front.running and not self.front.waiting:
+                break
+            await asyncio.sleep(CLOSE_IDLE_SECONDS)
+        if self.front.running:
             logs.event(log, "router.cut-off", running=self.front.running)
         self.subscriber.stop()
 
@@ -203,6 +220,10 @@
         serve(self.control, self.answers(self.keeper.hub))
         serve(self.metrics_address, figures_answer(self.metrics))
 
+    def use_seeds(self, addresses: list[str]) -> None:
+        """Take the keepers that the settings name now."""
+        self.keeper.use_seeds(addresses)
+
     async def stop(self) -> None:
         """Step down and close."""
         await self.keeper.stop()
--- a/amaranthring/forwarding/front.py
+++ b/amaranthring/forwarding/front.py
@@ -44,6 +44,12 @@
         Requests that were read and have no final answer yet.
     closing : bool
         Whether callers are told that their connections close.
+    ends_at : float
+        Monotonic seconds at which the process ends; a request that may take
+        longer is refused.
+    waiting : set
+        Connections on which no request has come yet, or none since the
+        last.
     """
 
     def __init__(
@@ -57,8 +63,8 @@
         self.bounds = bounds
         self.running = 0
         self.closing = False
-        self.idle = asyncio.Event()
-        self.idle.set()
+        self.ends_at = float("inf")
+        self.waiting: set[t.Any] = set()
         self.server: tornado.httpserver.HTTPServer | None = None
 
     def listen(self, sockets: list) -> None:
@@ -73,23 +79,46 @@
 
     def start_request(self, server_conn, request_conn):
         """Return what takes in one request."""
-        del server_conn
-        return _Request(self, request_conn)
+        self.waiting.add(server_conn)
+        return _Request(self, server_conn, request_conn)
+
+    def on_close(self, server_conn):
+        """Forget a connection that has closed."""
+        self.waiting.discard(server_conn)
+
+    def close_idle(self) -> None:
+        """Close the connections that wait for a request.
+
+        A caller that keeps one open would send its next request into the
+        end of the process, where it could be read and not answered.
+        """
+        for server_conn in list(self.waiting):
+            server_conn.stream.close()
+
+    def check_time(self, incoming: records.Incoming) -> None:
+        """Check that a request can end before this process does.
+
+        Raises
+        ------
+        errors.ShuttingDownError
+            If it may take longer.
+        """
+        if incoming.arrived + incoming.patience > self.ends_at:
+            raise errors.ShuttingDownError(
+                "this router is being stopped", retry_after=0.0
+            )
 
     def count(self, step: int) -> None:
         """Count a request in or out."""
         self.running += step
-        if self.running:
-            self.idle.clear()
-        else:
-            self.idle.set()
 
 
 class _Request(tornado.httputil.HTTPMessageDelegate):
     """One request while it is read, and then its task."""
 
-    def __init__(self, front: Front, connection):
+    def __init__(self, front: Front, server_conn, connection):
         self.front = front
+        self.server_conn = server_conn
         self.reply = replies.Reply(connection)
         self.incoming: records.Incoming | None = None
         self.fault: errors.AmaranthringError | None = None
@@ -99,6 +128,7 @@
 
     def headers_received(self, start_line, headers):
         """Read the head; a fault is answered when the body has come."""
+        self.front.waiting.discard(self.server_conn)
         try:
             self._check_headers(headers)
             self.incoming = self.front.dialect.read_request(
@@ -129,6 +159,11 @@
 
     def finish(self):
         """Answer the request, which is whole now."""
+        if self.server_conn.stream.closed():
+            # Its bytes were read in the very step in which the connection
+            # was closed as idle. The caller sees a close without an answer
+            # and sends it again, so it must not run here as well.
+            return
         self.reply.closing = self.front.closing
         self.front.count(+1)
         self.task = asyncio.ensure_future(self._run())
@@ -138,14 +173,23 @@
         if self.task is not None:
             self.task.cancel()
 
+    async def _refuse(self, error: errors.AmaranthringError) -> None:
+        try:
+            await self.reply.refuse(error)
+        except errors.CallerGoneError:
+            self.reply.break_off()
+
     async def _run(self) -> None:
         try:
             if self.fault is not None:
-                await self.reply.refuse(self.fault)
+                await self._refuse(self.fault)
                 return
             self.incoming.body = b"".join(self.body)
             self.body.clear()
+            self.front.check_time(self.incoming)
             await self.front.serve(self.incoming, self.reply)
+        except errors.ShuttingDownError as error:
+            await self._refuse(error)
         except errors.CallerGoneError:
             self.reply.break_off()
         except asyncio.CancelledError:
--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -4,6 +4,7 @@
 import time
 import typing as t
 
+from amaranthring.forwarding import prompts
 from amaranthring.forwarding import records
 from amaranthring.policy import affinity
 from amaranthring.registry import messages
@@ -11,7 +12,7 @@
 
 # What a target said of its load is worth this long; then only this router's
 # own requests count.
-REPORT_SECONDS = 1.0
+REPORT_SECONDS = 0.3
 # A target that failed is passed over for this long, doubled with each
 # further failure in a row up to the most. The first is shorter than an
 # announcement's beat: most failures are over at once.
@@ -26,6 +27,8 @@
     ----------
     running : int
         Requests of this router there.
+    others : int
+        Requests of the other routers there, as they last said.
     reported : float
         Requests of all routers there, as it last said, and those that this
         router has sent since.
@@ -33,6 +36,7 @@
 
     def __init__(self):
         self.running = 0
+        self.others = 0
         self.reported = 0.0
         self.reported_at = float("-inf")
         self.failures = 0
@@ -40,9 +44,11 @@
 
     def load(self, now: float) -> float:
         """Return the number of requests there, as far as is known."""
+        counted = self.running + self.others
         if now - self.reported_at > REPORT_SECONDS:
-            return self.running
-        return max(self.running, self.reported)
+            return counted
+        # Either may lag behind by what was begun meanwhile.
+        return max(counted, self.reported)
 
 
 class Placer:
@@ -67,6 +73,7 @@
         self.table = table
         self.data_centre = data_centre
         self.clock = clock
+        self.prompts = prompts.PromptPlaces(clock)
         self.views: dict[str, TargetView] = collections.defaultdict(TargetView)
 
     def choose(self, passage: records.Passage) -> messages.TargetRecord | None:
@@ -89,6 +96,8 @@
         ]
         parts = passage.incoming.parts
         if passage.route.with_prompt and parts:
+            for one in candidates:
+                one.missing = self.prompts.missing(parts, one.id)
             shared = parts[-2] if len(parts) > 1 else parts[-1]
             found = affinity.with_prompt(candidates, shared.id)
         else:
@@ -104,8 +113,11 @@
             and record.id not in passage.tried
         ]
 
-    def begin(self, target: messages.TargetRecord) -> None:
+    def begin(
+        self, target: messages.TargetRecord, passage: records.Passage
+    ) -> None:
         """Count a request of this router at `target`."""
+        self.prompts.sent(passage.incoming.parts, target.id)
         view = self.views[target.id]
         view.running += 1
         view.reported += 1
@@ -137,8 +149,22 @@
         view.failures += 1
         view.avoid_until = self.clock() + min(seconds, AVOID_SECONDS_MOST)
 
+    def counts(self) -> dict[str, int]:
+        """Return this router's requests by target."""
+        views = self.views.items()
+        return {name: view.running for name, view in views if view.running}
+
+    def others_said(self, counts: dict[str, int], places: list) -> None:
+        """Take the requests and the prompt places of the other routers."""
+        for target_id, view in self.views.items():
+            view.others = counts.get(target_id, 0)
+        for target_id in set(counts) & set(self.table.entries):
+            self.views[target_id].others = counts[target_id]
+        self.prompts.heard(places)
+
     def forget_gone(self) -> None:
-        """Drop what was seen of targets that are gone."""
+        """Drop what was seen of targets that are gone, and what is old."""
+        self.prompts.forget(self.table.entries)
         for target_id in set(self.views) - set(self.table.entries):
             if not self.views[target_id].running:
                 del self.views[target_id]
--- /dev/null
+++ b/amaranthring/forwarding/prompts.py
@@ -0,0 +1,101 @@
+"""Which targets hold which parts of prompts, as far as routers know.
+
+A router remembers where it sent each part and tells the others, through the
+keepers, about parts that several requests share. What is not used for a
+while is forgotten: an engine drops what it used least recently.
+"""
+
+import collections
+import time
+import typing as t
+
+from amaranthring.forwarding import records
+
+# Engines here keep about 40 prompts of 10,000 tokens; at the usual rates a
+# part that nobody asked for in this time may have yielded to others.
+KEPT_SECONDS = 45.0
+# A pair that is in use is told again this often, so that the others do not
+# forget it.
+TELL_AGAIN_SECONDS = 10.0
+PARTS_MOST = 20_000
+
+
+class PromptPlaces:
+    """Targets by part of a prompt.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic seconds.
+
+    Attributes
+    ----------
+    news : list of tuple of str
+        Pairs of part and target that the other routers should hear of.
+    """
+
+    def __init__(self, clock: t.Callable[[], float] = time.monotonic):
+        self.clock = clock
+        self.news: list[tuple[str, str]] = []
+        self._places: collections.OrderedDict[str, dict[str, float]] = (
+            collections.OrderedDict()
+        )
+        self._told: dict[tuple[str, str], float] = {}
+
+    def missing(self, parts: t.Sequence[records.Part], target_id: str) -> int:
+        """Return how many tokens of `parts` the target would have to read.
+
+        A part is found only if all parts before it are.
+        """
+        oldest = self.clock() - KEPT_SECONDS
+        left = sum(part.tokens for part in parts)
+        for part in parts:
+            used = self._places.get(part.id, {}).get(target_id, 0.0)
+            if used <= oldest:
+                break
+            left -= part.tokens
+        return left
+
+    def sent(self, parts: t.Sequence[records.Part], target_id: str) -> None:
+        """Note that a request with `parts` goes to a target."""
+        now = self.clock()
+        for part in parts:
+            self._note(part.id, target_id, now)
+        # The last part is the request's own: nobody else can use it.
+        for part in parts[:-1]:
+            pair = (part.id, target_id)
+            if now - self._told.get(pair, float("-inf")) > TELL_AGAIN_SECONDS:
+                self._told[pair] = now
+                self.news.append(pair)
+
+    def heard(self, pairs: t.Iterable[t.Sequence[str]]) -> None:
+        """Take what another router told."""
+        now = self.clock()
+        for part_id, target_id in pairs:
+            self._told[(part_id, target_id)] = now
+            self._note(part_id, target_id, now)
+
+    def take_news(self) -> list[tuple[str, str]]:
+        """Return what the other routers should hear of, once."""
+        news, self.news = self.news, []
+        return news
+
+    def forget(self, live: t.Container[str]) -> None:
+        """Drop what is old, and all of targets that are not in `live`."""
+        oldest = self.clock() - KEPT_SECONDS
+        for part_id, places in list(self._places.items()):
+            for target_id, used in list(places.items()):
+                if used <= oldest or target_id not in live:
+                    del places[target_id]
+            if not places:
+                del self._places[part_id]
+        for pair, told in list(self._told.items()):
+            if told <= oldest:
+                del self._told[pair]
+
+    def _note(self, part_id: str, target_id: str, now: float) -> None:
+        places = self._places.setdefault(part_id, {})
+        places[target_id] = now
+        self._places.move_to_end(part_id)
+        if len(self._places) > PARTS_MOST:
+            self._places.popitem(last=False)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -195,7 +195,7 @@
             after = str(cutter.last)
         attempt = attempts.Attempt(passage, target, self.dialect, after)
         attempt.may_send = functools.partial(self._may_send, passage)
-        self.placer.begin(target)
+        self.placer.begin(target, passage)
         try:
             answer = await attempt.open(self._patience(passage))
             if answer.load is not None:
@@ -326,6 +326,9 @@
                 "plan": passage.version,
                 "sent": passage.sent,
                 "trail": ",".join(passage.trail),
+                "prompt": ",".join(
+                    f"{part.id}:{part.tokens}" for part in incoming.parts
+                ),
             }
         logs.event(
             log,
--- a/amaranthring/platform/__main__.py
+++ b/amaranthring/platform/__main__.py
@@ -24,6 +24,9 @@
 # only tells this fleet's streams from anything else that listens there.
 FLEET_KEY = {"platform": b"amaranthring"}
 METRICS_PORT = 9105
+# How often the settings file is looked at when no signal comes: a process
+# whose keepers have all been exchanged finds the new ones within seconds.
+LOOK_SECONDS = 2.0
 
 
 def router(node: nodes.Node) -> fleet_parts.PlanRouter:
@@ -68,17 +71,46 @@
 ROLES = {"router": router, "keeper": keeper}
 
 
+async def follow_settings(node: nodes.Node, process, hangup) -> None:
+    """Hand on what changes in the settings file, until cancelled.
+
+    Parameters
+    ----------
+    hangup : asyncio.Event
+        Set by SIGHUP; the file may also change without one.
+    """
+    while True:
+        try:
+            await asyncio.wait_for(hangup.wait(), LOOK_SECONDS)
+        except TimeoutError:
+            pass
+        hangup.clear()
+        try:
+            found = nodes.read()
+        except errors.SettingsError as error:
+            # It is being written, or broken: the last good one stays.
+            log.warning("settings.unusable fault={}", error)
+            continue
+        if found.seeds != node.seeds:
+            logs.event(log, "settings.reloaded", seeds=list(found.seeds))
+            process.use_seeds(found.keepers())
+            node = found
+
+
 async def run(role: str) -> None:
     """Run a daemon until SIGTERM."""
     stop = signals.stop_event()
+    hangup = signals.reload_event()
     node = nodes.read()
     process = ROLES[role](node)
     process.start()
+    following = asyncio.ensure_future(follow_settings(node, process, hangup))
     gc.collect()
     gc.freeze()
     logs.event(log, f"{role}.started", vm=node.name, seeds=list(node.seeds))
     await stop.wait()
     logs.event(log, f"{role}.stopping", vm=node.name)
+    following.cancel()
     await process.stop()
     logs.event(log, f"{role}.stopped", vm=node.name)
 
--- a/amaranthring/policy/affinity.py
+++ b/amaranthring/policy/affinity.py
@@ -1,9 +1,10 @@
-"""Choice of a target: the one that has the prompt, unless it is loaded.
+"""Choice of a target: where the prompt is cached, unless it is loaded.
 
-Requests that share a long beginning go to the same target, so that it is
-read there once. All routers find the same target without talking, by
-rendezvous hashing. The load of a target is bounded against the mean of its
-service, so that a much wanted beginning spreads over several.
+What a target would have to read again is weighed against the requests that
+are there already; the load of a target is bounded against the mean of its
+service, so that a much wanted beginning spreads over several. Where nothing
+is known, rendezvous hashing lets all routers find the same target without
+talking.
 
 Sources: D. Thaler and C. Ravishankar, "Using Name-Based Mappings to Increase
 Hit Rates", IEEE/ACM ToN 6(1), 1998; V. Mirrokni, M. Thorup and
@@ -11,16 +12,22 @@
 """
 
 import dataclasses
-import hashlib
 import random
 import typing as t
 
+from amaranthring.core import hashing
+
 # A target may hold this multiple of the mean, plus a few, before requests
-# go to the next one. The few keep a calm fleet from spreading prompts for
-# nothing; the multiple stays below the one at which targets count as
-# overloaded (2, plus 3).
-LOAD_BOUND = 1.5
+# go elsewhere. Targets count as overloaded at 2 and 3; what routers know of
+# each other's requests is some hundred milliseconds old, hence one less.
+LOAD_BOUND = 2.0
 LOAD_SLACK = 2.0
+# Requests at a target for which it is worth reading a thousand tokens again
+# elsewhere. An engine reads 48 tokens in a millisecond, and each request
+# that runs there adds 0.12 ms to each token of the others: over 300 tokens
+# 36 ms, as much as reading 1,700 tokens. Reading also holds up all tokens
+# of the other requests there, hence several times that.
+REQUESTS_PER_1000_TOKENS = 5.0
 # Another data centre's target is taken for a plain request only if it has
 # this much less work per slot: a round trip costs a millisecond and its
 # bytes are paid for.
@@ -39,18 +46,15 @@
         Requests that it runs at once.
     near : bool
         Whether it is in this router's data centre.
+    missing : int
+        Tokens of the prompt that it would have to read.
     """
 
     id: str
     load: float
     slots: int = 1
     near: bool = True
-
-
-def rank(key: str, target_id: str) -> int:
-    """Return the place of a target for `key`; the highest is first."""
-    text = f"{key} {target_id}".encode()
-    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest())
+    missing: int = 0
 
 
 def with_prompt(
@@ -61,17 +65,22 @@
     Parameters
     ----------
     key : str
-        Names the longest beginning that other requests share.
+        Names the longest beginning that other requests share; decides where
+        cost is equal.
     """
     if not candidates:
         return None
     mean = sum(one.load for one in candidates) / len(candidates)
     bound = LOAD_BOUND * mean + LOAD_SLACK
-    ordered = sorted(candidates, key=lambda one: -rank(key, one.id))
-    for one in ordered:
-        if one.load + 1 <= bound:
-            return one
-    return min(ordered, key=lambda one: one.load)
+    free = [one for one in candidates if one.load + 1 <= bound]
+
+    def cost(one: Candidate) -> tuple[float, int]:
+        reading = one.missing / 1000 * REQUESTS_PER_1000_TOKENS
+        return reading + one.load, -hashing.weight(key, one.id)
+
+    if free:
+        return min(free, key=cost)
+    return min(candidates, key=lambda one: one.load)
 
 
 def least_loaded(
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -12,6 +12,7 @@
 from amaranthring.keepers import messages as keeper_messages
 from amaranthring.keepers import plans
 from amaranthring.registry import messages
+from amaranthring.registry import sharing
 from amaranthring.registry import targets
 
 log = logbook.Logger(__name__)
@@ -65,7 +66,12 @@
         self.beat_seconds = beat_seconds
         self.table = targets.TargetTable(clock, FRESH_BEATS * beat_seconds)
         self.routers: dict[links.Link, str] = {}
-        self.task: asyncio.Task | None = None
+        self.exchange = sharing.Exchange(
+            handlers,
+            lambda: [peer.dialler for peer in group.peers.values()],
+            clock,
+        )
+        self.tasks: list[asyncio.Task] = []
         self.told_version = machine.version
         group.on_applied.append(self._applied)
         handlers.add(messages.Renew, self._on_renew)
@@ -75,12 +81,13 @@
 
     def start(self) -> None:
         """Start telling the other keepers whom this one heard."""
-        self.task = asyncio.ensure_future(self._run())
+        for work in (self._run(), self.exchange.run()):
+            self.tasks.append(asyncio.ensure_future(work))
 
     def stop(self) -> None:
-        """End the task."""
-        if self.task is not None:
-            self.task.cancel()
+        """End the tasks."""
+        for task in self.tasks:
+            task.cancel()
 
     # -- targets -----------------------------------------------------
 
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -128,6 +128,12 @@
         self.group.start()
         self.hub.start()
 
+    def use_seeds(self, addresses: list[str]) -> None:
+        """Also ask the keepers at `addresses` to be taken in."""
+        for address in addresses:
+            if address != self.place.address:
+                self.group.add_peer(address, address, "")
+
     async def stop(self) -> None:
         """Step down and close everything."""
         self.hub.stop()
--- /dev/null
+++ b/amaranthring/registry/sharing.py
@@ -0,0 +1,215 @@
+"""Keepers pass on what routers tell each other: counts and prompt places.
+
+Each router reports to one keeper, its home, several times a second. Keepers
+exchange sums, and answer a router with the counts of all others. So a router
+sends and receives one message each time, however many routers there are.
+"""
+
+import asyncio
+import collections
+import typing as t
+
+from amaranthring import errors
+from amaranthring.core import links
+from amaranthring.core import wire
+
+# Requests last about a second; counts that are a few hundred milliseconds
+# old are of use for bounding loads, for 8 messages a second and router.
+SHARE_SECONDS = 0.25
+# Places are kept for routers that start or come to another keeper. A router
+# that restarts without them sends prompts where they must be read again:
+# with all routers restarted in turn, a third of what was read again in a
+# whole day of such trouble.
+KEPT_SECONDS = 45.0
+PLACES_MOST = 20_000
+# A keeper that has said nothing for so long is cut off or gone.
+STALE_SECONDS = 1.5
+
+
+@wire.message("share-report")
+class Report:
+    """A router's requests by target, and prompt places that are new.
+
+    Attributes
+    ----------
+    counts : dict of str to int
+        Its requests at each target; those without any are left out.
+    places : list of list of str
+        Pairs of part and target.
+    """
+
+    counts: dict[str, int]
+    places: list[list[str]]
+
+
+@wire.message("share-sums")
+class Sums:
+    """Between keepers: the sums over the routers that report to the sender."""
+
+    counts: dict[str, int]
+    places: list[list[str]]
+
+
+@wire.message("share-others")
+class Others:
+    """To a router: counts of all other routers, and places that are new."""
+
+    counts: dict[str, int]
+    places: list[list[str]]
+
+
+class Exchange:
+    """A keeper's part.
+
+    Parameters
+    ----------
+    peers : callable
+        Returns the diallers of the other keepers.
+    clock : callable
+        Seconds.
+    """
+
+    def __init__(
+        self,
+        handlers: links.Handlers,
+        peers: t.Callable[[], t.Iterable[t.Any]],
+        clock: t.Callable[[], float],
+    ):
+        self.peers = peers
+        self.clock = clock
+        self.routers: dict[links.Link, dict[str, int]] = {}
+        self.sums: dict[str, tuple[float, dict[str, int]]] = {}
+        self.places: dict[links.Link, list[list[str]]] = {}
+        self.for_keepers: list[list[str]] = []
+        self.kept: collections.OrderedDict[tuple[str, str], float] = (
+            collections.OrderedDict()
+        )
+        handlers.add(Report, self._on_report)
+        handlers.add(Sums, self._on_sums)
+
+    async def run(self) -> None:
+        """Exchange sums until cancelled."""
+        while True:
+            await asyncio.sleep(SHARE_SECONDS)
+            self.step()
+
+    def step(self) -> None:
+        """Tell the other keepers, and every router that reports here."""
+        own = collections.Counter()
+        for link, counts in list(self.routers.items()):
+            if link.closed:
+                del self.routers[link]
+                self.places.pop(link, None)
+            else:
+                own.update(counts)
+        places, self.for_keepers = self.for_keepers, []
+        message = Sums(dict(own), places)
+        for dialler in self.peers():
+            dialler.send(message)
+        total = own + self._elsewhere()
+        for link, counts in self.routers.items():
+            others = total - collections.Counter(counts)
+            self._tell(link, dict(others))
+
+    def _elsewhere(self) -> collections.Counter:
+        oldest = self.clock() - STALE_SECONDS
+        total = collections.Counter()
+        for name, (heard_at, counts) in list(self.sums.items()):
+            if heard_at <= oldest:
+                del self.sums[name]
+            else:
+                total.update(counts)
+        return total
+
+    def _tell(self, link: links.Link, counts: dict[str, int]) -> None:
+        places = self.places.pop(link, [])
+        try:
+            link.send(Others(counts, places))
+        except errors.LinkError:
+            # Counts are sent again soon; a place is told again while used.
+            return
+
+    def _on_report(self, link: links.Link, report: Report) -> None:
+        if link not in self.routers:
+            self.places[link] = self._all_kept()
+        self.routers[link] = report.counts
+        self.for_keepers += report.places
+        self._pass_on(report.places, but=link)
+
+    def _on_sums(self, link: links.Link, sums: Sums) -> None:
+        self.sums[link.peer.name] = (self.clock(), sums.counts)
+        self._pass_on(sums.places, but=link)
+
+    def _pass_on(self, places: list[list[str]], but: links.Link) -> None:
+        if not places:
+            return
+        self._keep(places)
+        for link in self.routers:
+            if link is not but:
+                self.places.setdefault(link, []).extend(places)
+
+    def _keep(self, places: list[list[str]]) -> None:
+        now = self.clock()
+        for part_id, target_id in places:
+            self.kept[part_id, target_id] = now
+            self.kept.move_to_end((part_id, target_id))
+        while self.kept:
+            pair, since = next(iter(self.kept.items()))
+            if len(self.kept) <= PLACES_MOST and now - since < KEPT_SECONDS:
+                return
+            del self.kept[pair]
+
+    def _all_kept(self) -> list[list[str]]:
+        oldest = self.clock() - KEPT_SECONDS
+        return [list(p) for p, since in self.kept.items() if since > oldest]
+
+
+class Member:
+    """A router's part.
+
+    Parameters
+    ----------
+    home : callable
+        Returns the link to the keeper that it reports to, or None.
+    counts : callable
+        Returns its requests by target.
+    take_news : callable
+        Returns its new prompt places.
+    on_others : callable
+        Called with the counts of the other routers and their places.
+    """
+
+    def __init__(
+        self,
+        handlers: links.Handlers,
+        home: t.Callable[[], links.Link | None],
+        counts: t.Callable[[], dict[str, int]],
+        take_news: t.Callable[[], list],
+        on_others: t.Callable[[dict[str, int], list], None],
+    ):
+        self.home = home
+        self.counts = counts
+        self.take_news = take_news
+        self.on_others = on_others
+        handlers.add(Others, self._on_others)
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            await asyncio.sleep(SHARE_SECONDS)
+            self.report()
+
+    def report(self) -> None:
+        """Tell the home keeper what this router does."""
+        link = self.home()
+        if link is None:
+            return
+        places = [list(pair) for pair in self.take_news()]
+        try:
+            link.send(Report(self.counts(), places))
+        except errors.LinkError:
+            # The link's own task finds that out and dials again.
+            return
+
+    def _on_others(self, _link: links.Link, others: Others) -> None:
+        self.on_others(others.counts, others.places)
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -14,6 +14,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import hashing
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.keepers import plans
@@ -89,6 +90,16 @@
         """Return how many routers there are, as far as is known."""
         return max(1, *self.counts.values(), 1)
 
+    def home(self) -> links.Link | None:
+        """Return the link to the keeper that this router reports to.
+
+        Routers choose by hashing, so keepers share the work evenly and only
+        the routers of one that is lost have to choose again.
+        """
+        linked = [a for a, d in self.diallers.items() if d.link is not None]
+        chosen = hashing.first(self.identity.name, linked)
+        return self.diallers[chosen].link if chosen else None
+
     def is_fresh(self, seconds: float) -> bool:
         """Return whether the plan was the newest `seconds` ago or later."""
         return clock() - self.confirmed_at < seconds
