--- a/amaranthring/forwarding/front.py
+++ b/amaranthring/forwarding/front.py
@@ -119,6 +119,7 @@
     def __init__(self, front: Front, server_conn, connection):
         self.front = front
         self.server_conn = server_conn
+        self.connection = connection
         self.reply = replies.Reply(connection)
         self.incoming: records.Incoming | None = None
         self.fault: errors.AmaranthringError | None = None
@@ -166,6 +167,8 @@
             return
         self.reply.closing = self.front.closing
         self.front.count(+1)
+        # While an answer is awaited tornado tells of a close here only.
+        self.connection.set_close_callback(self.on_connection_close)
         self.task = asyncio.ensure_future(self._run())
 
     def on_connection_close(self):
--- a/amaranthring/registry/targets.py
+++ b/amaranthring/registry/targets.py
@@ -166,7 +166,7 @@
         if occupant is None or record.sequence <= FIRST_SEQUENCES:
             return True
         age = self.clock() - occupant.heard_at
-        return age > self.fresh_seconds
+        return age >= self.fresh_seconds
 
     def _end(self, entry: Entry) -> None:
         entry.gone_at = entry.gone_at or self.clock()
--- /dev/null
+++ b/amaranthring/testing/plan_keepers.py
@@ -0,0 +1,149 @@
+"""Keepers of a routing plan and their followers, in this process."""
+
+import asyncio
+import itertools
+import pathlib
+import shutil
+import socket
+import typing as t
+
+import tornado.netutil
+
+from amaranthring import errors
+from amaranthring.core import links
+from amaranthring.core import metrics
+from amaranthring.keepers import options
+from amaranthring.registry import keeper as keepers
+from amaranthring.registry import subscriber
+
+KEYS = links.Keys({"test": b"key"})
+POLL_SECONDS = 0.02
+BEAT_SECONDS = 0.3
+
+
+class PlanKeepers:
+    """A few keepers, each with a folder below `folder`.
+
+    Attributes
+    ----------
+    running : dict of str to PlanKeeper
+        By address.
+    """
+
+    def __init__(self, folder: str, count: int = 3):
+        self.folder = pathlib.Path(folder)
+        self.numbers = itertools.count()
+        self.sockets: dict[str, list] = {}
+        self.seeds = [self.new_address() for _ in range(count)]
+        self.running: dict[str, keepers.PlanKeeper] = {}
+
+    def new_address(self) -> str:
+        """Return an address that is bound already."""
+        made = tornado.netutil.bind_sockets(
+            0, "127.0.0.1", family=socket.AF_INET
+        )
+        host, port = made[0].getsockname()
+        address = f"{host}:{port}"
+        self.sockets[address] = made
+        return address
+
+    def start(self, address: str, first: bool = False) -> keepers.PlanKeeper:
+        """Start the keeper at `address`; its folder may hold its state."""
+        place = keepers.Place(
+            address,
+            "here",
+            list(self.seeds),
+            first,
+            str(self.folder / address.replace(":", "-")),
+            BEAT_SECONDS,
+        )
+        timing = options.Options(
+            heartbeat_seconds=0.03,
+            election_seconds=0.2,
+            snapshot_entries=5,
+            kept_entries=2,
+            may_begin=first and address in self.seeds,
+            admits=True,
+            replace_seconds=0.5,
+        )
+        made = keepers.PlanKeeper(place, KEYS, metrics.Metrics(), timing)
+        made.start(self.sockets.pop(address, None) or _bind(address))
+        self.running[address] = made
+        return made
+
+    def start_all(self) -> None:
+        """Start all seeds for the first time."""
+        for address in self.seeds:
+            self.start(address, first=True)
+
+    async def stop(self, address: str) -> None:
+        """Stop the keeper at `address`."""
+        await self.running.pop(address).stop()
+
+    async def stop_all(self) -> None:
+        """Stop every keeper that runs."""
+        for address in list(self.running):
+            await self.stop(address)
+
+    def wipe(self, address: str) -> None:
+        """Lose the disk of a keeper that does not run."""
+        shutil.rmtree(self.folder / address.replace(":", "-"))
+
+    def leader(self) -> keepers.PlanKeeper | None:
+        """Return the keeper that leads, if one does."""
+        for one in self.running.values():
+            if one.group.has_lease() and one.group.announced:
+                return one
+        return None
+
+    def voters(self) -> set[str]:
+        """Return the addresses of the voters as the leader knows them."""
+        leader = self.leader()
+        members = leader.group.members.voters if leader else []
+        return {member.name for member in members}
+
+    async def put(self, version: int, document: bytes, at: str = "") -> int:
+        """Put a plan in force as an operator would: again until it is."""
+        return await again(lambda: self._any(at).hub.put(version, document))
+
+    async def read(self, at: str = "") -> t.Any:
+        """Read the newest plan, again until a keeper is sure of it."""
+        return await again(lambda: self._any(at).hub.read())
+
+    def _any(self, at: str) -> keepers.PlanKeeper:
+        return self.running[at] if at else next(iter(self.running.values()))
+
+
+def _bind(address: str) -> list:
+    host, port = address.rsplit(":", 1)
+    return tornado.netutil.bind_sockets(int(port), host)
+
+
+def follower(
+    name: str, seeds: list[str], taken: list[bytes]
+) -> subscriber.Subscriber:
+    """Return a router's subscriber that adds each plan to `taken`."""
+    identity = links.Identity(name, "router", "here", 1)
+    made = subscriber.Subscriber(identity, KEYS, taken.append)
+    made.use_seeds(seeds)
+    return made
+
+
+async def again(call: t.Callable, seconds: float = 10.0) -> t.Any:
+    """Return what `call` returns once it does not fail."""
+    async with asyncio.timeout(seconds):
+        while True:
+            try:
+                return await call()
+            except (errors.RefusedError, errors.LinkError):
+                await asyncio.sleep(POLL_SECONDS)
+            except errors.CommitUnknownError:
+                await asyncio.sleep(POLL_SECONDS)
+
+
+async def until(condition: t.Callable[[], t.Any], seconds: float = 10.0):
+    """Return what `condition` returns once it holds."""
+    async with asyncio.timeout(seconds):
+        while not (found := condition()):  # noqa: ASYNC110
+            await asyncio.sleep(POLL_SECONDS)
+        return found
--- /dev/null
+++ b/amaranthring/testing/scripted.py
@@ -0,0 +1,383 @@
+"""A target whose answers are scripted, and a router in this process before it.
+
+The names on the wire are this module's own: forwarding knows none.
+"""
+
+import asyncio
+import dataclasses
+import socket
+import struct
+import time
+import typing as t
+
+import tornado.httputil
+import tornado.netutil
+
+from amaranthring import errors
+from amaranthring import routing
+from amaranthring.core import metrics
+from amaranthring.forwarding import front as fronts
+from amaranthring.forwarding import placing
+from amaranthring.forwarding import records
+from amaranthring.forwarding import relay as relays
+from amaranthring.policy import budgets
+from amaranthring.registry import messages
+from amaranthring.registry import targets
+
+ID = "Test-Id"
+PATIENCE = "Test-Patience"
+SIGNED = "Test-Signed"
+REFUSED = "Test-Refused"
+EXPECTED = "Test-Expected"
+ACCOUNT = "Test-Account"
+KEY = "Test-Key"
+PROMPT = "Test-Prompt"
+LAST = "Last-Event-Id"
+OURS = {PATIENCE, EXPECTED, ACCOUNT, KEY, LAST, "Connection", "Content-Length"}
+
+
+def read_request(start_line, headers, arrived) -> records.Incoming:
+    """Read the head of a request."""
+    kept = tornado.httputil.HTTPHeaders()
+    for name, value in headers.get_all():
+        if name not in OURS and name != "Transfer-Encoding":
+            kept.add(name, value)
+    parts = filter(None, headers.get(PROMPT, "").split(","))
+    return records.Incoming(
+        request_id=headers.get(ID, ""),
+        method=start_line.method,
+        uri=start_line.path,
+        path=start_line.path.partition("?")[0],
+        host=headers.get("Host", ""),
+        headers=kept,
+        arrived=arrived,
+        patience=float(headers.get(PATIENCE, "5")),
+        key=headers.get(KEY, ""),
+        resume_after=headers.get(LAST, ""),
+        parts=tuple(
+            records.Part(part.split(":")[0], int(part.split(":")[1]))
+            for part in parts
+        ),
+    )
+
+
+def request_headers(incoming, sending) -> dict[str, str]:
+    """Return the headers for a target."""
+    headers = dict(incoming.headers.items())
+    headers[PATIENCE] = f"{sending.seconds_left:.3f}"
+    headers[EXPECTED] = sending.target.id
+    if sending.account:
+        headers[ACCOUNT] = sending.account
+    if sending.resume_after:
+        headers[LAST] = sending.resume_after
+    return headers
+
+
+def read_answer(status, headers) -> records.Answer:
+    """Read the head of an answer."""
+    kept = tornado.httputil.HTTPHeaders()
+    for name, value in headers.get_all():
+        if name not in ("Connection", "Content-Length", "Transfer-Encoding"):
+            kept.add(name, value)
+    return records.Answer(
+        status,
+        kept,
+        headers.get(ID, ""),
+        SIGNED in headers,
+        REFUSED in headers,
+        status == 421,
+    )
+
+
+DIALECT = records.Dialect(read_request, request_headers, read_answer)
+
+
+@dataclasses.dataclass
+class Seen:
+    """A request as a target read it."""
+
+    method: str
+    uri: str
+    headers: tornado.httputil.HTTPHeaders
+    body: bytes
+
+
+Script = t.Callable[["Seen", asyncio.StreamWriter], t.Awaitable[None]]
+
+
+class ScriptedTarget:
+    """A target that answers each connection's request by a script.
+
+    Attributes
+    ----------
+    seen : list of Seen
+        Requests that it read whole.
+    left : int
+        Connections that the router closed while the script still ran.
+    """
+
+    def __init__(self, name: str, script: Script):
+        self.name = name
+        self.script = script
+        self.seen: list[Seen] = []
+        self.left = 0
+        self.server: asyncio.Server | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on the loopback."""
+        self.server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0, family=socket.AF_INET
+        )
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self.server.close()
+
+    def record(self, service: str = "s", **fields) -> messages.TargetRecord:
+        """Return what a router would know of it."""
+        return messages.TargetRecord(
+            self.name, service, self.address, "here", sequence=1, **fields
+        )
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            seen = await _read(reader)
+            self.seen.append(seen)
+            running = asyncio.ensure_future(self.script(seen, writer))
+            closed = asyncio.ensure_future(reader.read(1))
+            await asyncio.wait(
+                {running, closed}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not running.done():
+                self.left += 1
+                running.cancel()
+            closed.cancel()
+        except asyncio.CancelledError:
+            # The test has ended.
+            return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+
+async def _read(reader) -> Seen:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    line, _, rest = head.partition("\r\n")
+    start = tornado.httputil.parse_request_start_line(line)
+    headers = tornado.httputil.HTTPHeaders.parse(rest)
+    length = int(headers.get("Content-Length", "0"))
+    body = await reader.readexactly(length)
+    return Seen(start.method, start.path, headers, body)
+
+
+def head(
+    seen: Seen, status: int = 200, signed: bool = True, **more: str
+) -> bytes:
+    """Return the head of an answer to `seen`."""
+    lines = [f"HTTP/1.1 {status} Status", f"{ID}: {seen.headers[ID]}"]
+    if signed:
+        lines.append(f"{SIGNED}: yes")
+    lines += [f"{k.replace('_', '-')}: {v}" for k, v in more.items()]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def whole(
+    body: bytes = b"good", status: int = 200, signed: bool = True
+) -> Script:
+    """Return a script that answers whole."""
+
+    async def script(seen, writer):
+        length = str(len(body))
+        writer.write(head(seen, status, signed, Content_Length=length) + body)
+        await writer.drain()
+
+    return script
+
+
+def refuse(status: int = 503) -> Script:
+    """Return a script that states that the request did not run."""
+
+    async def script(seen, writer):
+        more = {"Content_Length": "0", REFUSED: "1"}
+        writer.write(head(seen, status, False, **more))
+
+    return script
+
+
+def raw(data: t.Callable[[Seen], bytes]) -> Script:
+    """Return a script that writes bytes and closes."""
+
+    async def script(seen, writer):
+        writer.write(data(seen))
+        await writer.drain()
+
+    return script
+
+
+def reset() -> Script:
+    """Return a script that resets the connection."""
+
+    async def script(_seen, writer):
+        break_off(writer)
+
+    return script
+
+
+def break_off(writer: asyncio.StreamWriter) -> None:
+    """Reset the connection instead of closing it in good order."""
+    held = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def mute() -> Script:
+    """Return a script that never answers."""
+
+    async def script(_seen, _writer):
+        await asyncio.sleep(60)
+
+    return script
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def events(last: int, breaks_after: int | None = None) -> Script:
+    """Return a script that streams the events after the caller's last.
+
+    Parameters
+    ----------
+    breaks_after : int, optional
+        The connection is reset in the middle of the event after this one.
+    """
+
+    async def script(seen, writer):
+        more = {
+            "Content_Type": "text/event-stream",
+            "Transfer_Encoding": "chunked",
+        }
+        writer.write(head(seen, **more))
+        first = int(seen.headers.get(LAST, "0")) + 1
+        for number in range(first, last + 1):
+            data = event(number)
+            if breaks_after is not None and number > breaks_after:
+                writer.write(b"%x\r\n%b\r\n" % (5, data[:5]))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                break_off(writer)
+                return
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    return script
+
+
+class ScriptedRouter:
+    """A router that forwards by a fixed plan to scripted targets.
+
+    Attributes
+    ----------
+    fresh : bool
+        Whether the keepers confirm the plan.
+    address : tuple
+        Where it listens.
+    """
+
+    def __init__(self, plan: routing.Plan, allowance: float = 10.0):
+        self.fresh = True
+        self.table = routing.RouteTable(plan)
+        self.targets = targets.TargetTable(time.monotonic, 0.0)
+        self.placer = placing.Placer(self.targets, "here")
+        self.relay = relays.Relay(
+            DIALECT,
+            lambda: self.table,
+            lambda: self.fresh,
+            self.placer,
+            lambda: budgets.RetryBudget(0.2, allowance, 10.0, time.monotonic),
+            lambda: 1,
+            metrics.Metrics(),
+        )
+        self.front = fronts.Front(
+            DIALECT, self.relay.serve, lambda: self.table.plan.bounds
+        )
+        sockets = tornado.netutil.bind_sockets(
+            0, "127.0.0.1", family=socket.AF_INET
+        )
+        self.address = sockets[0].getsockname()
+        self.front.listen(sockets)
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self.front.server.stop()
+
+
+@dataclasses.dataclass
+class Got:
+    """What a caller got.
+
+    Attributes
+    ----------
+    status : int
+        0 if the connection closed before a head.
+    whole : bool
+        Whether the answer was complete.
+    """
+
+    status: int
+    headers: tornado.httputil.HTTPHeaders
+    body: bytes
+    whole: bool
+    seconds: float
+
+
+async def ask(
+    address,
+    path: str = "/a/x",
+    method: str = "GET",
+    body: bytes = b"",
+    **headers: str,
+) -> Got:
+    """Send one request as a caller would, on a connection of its own."""
+    began = time.monotonic()
+    reader, writer = await asyncio.open_connection(*address)
+    lines = [f"{method} {path} HTTP/1.1", "Host: h"]
+    given = {ID: "r1", "Content-Length": str(len(body))}
+    given |= {k.replace("_", "-"): v for k, v in headers.items()}
+    lines += [f"{name}: {value}" for name, value in given.items()]
+    writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+    try:
+        return await _read_answer(reader, method, began)
+    finally:
+        writer.close()
+
+
+async def _read_answer(reader, method: str, began: float) -> Got:
+    # Imported here as only the client side of tests reads answers.
+    from amaranthring.targets import chunks
+
+    nothing = tornado.httputil.HTTPHeaders()
+    try:
+        data = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Got(0, nothing, b"", False, time.monotonic() - began)
+    line, _, rest = data.partition("\r\n")
+    status = tornado.httputil.parse_response_start_line(line).code
+    headers = tornado.httputil.HTTPHeaders.parse(rest)
+    decoder = chunks.body_of(headers, status, method)
+    parts = []
+    try:
+        while not decoder.ended and (more := await reader.read(65536)):
+            parts.append(decoder.take(more))
+    except (ConnectionError, errors.UpstreamError):
+        pass
+    seconds = time.monotonic() - began
+    return Got(status, headers, b"".join(parts), decoder.ended, seconds)
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,371 @@
+"""Forwarding to targets that answer well, badly, late or not at all."""
+
+import asyncio
+import unittest
+
+from amaranthring import routing
+from amaranthring.testing import scripted
+
+SAFE = routing.Route(
+    "safe", "h", "/a/", routing.Kind.SAFE, 2.0, 0.1, 0,
+    (routing.Share("s", 1),), attempts_most=2, public=True,
+)  # fmt: skip
+UNSAFE = routing.Route(
+    "unsafe", "h", "/b/", routing.Kind.UNSAFE, 2.0, 0.1, 0,
+    (routing.Share("s", 1),), attempts_most=3, public=True,
+)  # fmt: skip
+RESUMABLE = routing.Route(
+    "resumable", "h", "/c/", routing.Kind.STREAM, 5.0, 0.5, 0,
+    (routing.Share("s", 1),), attempts_most=3, public=True, resumable=True,
+    pause_most=0.1,
+)  # fmt: skip
+FIXED = routing.Route(
+    "fixed", "h", "/d/", routing.Kind.STREAM, 5.0, 0.5, 0,
+    (routing.Share("s", 1),), attempts_most=3, public=True, pause_most=0.1,
+)  # fmt: skip
+KEYED = routing.Route(
+    "keyed", "h", "/e/", routing.Kind.UNSAFE, 2.0, 0.1, 0,
+    (routing.Share("s", 1),),
+)  # fmt: skip
+PLAN = routing.Plan(
+    1,
+    (SAFE, UNSAFE, RESUMABLE, FIXED, KEYED),
+    (routing.Service("s", "/health", 10),),
+    (routing.Account("alba", ("key-1", "key-2")),),
+    routing.Bounds(header_bytes=2000, body_bytes=1000),
+)
+
+
+class RouterCase(unittest.IsolatedAsyncioTestCase):
+    """Base: a router and targets in this process."""
+
+    async def begin(self, *scripts, allowance=10.0):
+        self.router = scripted.ScriptedRouter(PLAN, allowance)
+        self.addCleanup(self.router.stop)
+        self.targets = []
+        for number, script in enumerate(scripts):
+            target = scripted.ScriptedTarget(f"t{number}", script)
+            await target.start()
+            self.addCleanup(target.stop)
+            self.targets.append(target)
+            self.router.targets.merge(target.record())
+
+    async def ask(self, path, method="GET", body=b"", **headers):
+        return await scripted.ask(
+            self.router.address, path, method, body, **headers
+        )
+
+    async def until(self, condition):
+        async with asyncio.timeout(2.0):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    def ran(self):
+        return sum(len(target.seen) for target in self.targets)
+
+
+class TestAnswers(RouterCase):
+    """What a caller gets while targets are sound."""
+
+    async def test_request_and_answer_pass_unchanged(self):
+        await self.begin(scripted.whole(b"entry", status=201))
+        got = await self.ask("/b/x?y=1", "POST", b"text", X_Other="1")
+        self.assertEqual((201, b"entry"), (got.status, got.body))
+        self.assertEqual("yes", got.headers[scripted.SIGNED])
+        seen = self.targets[0].seen[0]
+        self.assertEqual("POST", seen.method)
+        self.assertEqual("/b/x?y=1", seen.uri)
+        self.assertEqual(b"text", seen.body)
+        self.assertEqual("1", seen.headers["X-Other"])
+        self.assertEqual("t0", seen.headers[scripted.EXPECTED])
+
+    async def test_time_that_is_left_is_handed_on(self):
+        await self.begin(scripted.whole())
+        await self.ask("/b/x", Test_Patience="1.5")
+        left = float(self.targets[0].seen[0].headers[scripted.PATIENCE])
+        self.assertLess(1.0, left)
+        self.assertLessEqual(left, 1.5)
+
+    async def test_stream_passes_event_by_event(self):
+        await self.begin(scripted.events(4))
+        got = await self.ask("/d/x", "POST")
+        self.assertTrue(got.whole)
+        self.assertEqual(b"".join(map(scripted.event, range(1, 5))), got.body)
+
+    async def test_callers_of_no_route_and_no_account(self):
+        await self.begin(scripted.whole())
+        self.assertEqual(404, (await self.ask("/z/x")).status)
+        self.assertEqual(401, (await self.ask("/e/x")).status)
+        self.assertEqual(0, self.ran())
+        got = await self.ask("/e/x", Test_Key="key-2", Test_Account="forged")
+        self.assertEqual(200, got.status)
+        seen = self.targets[0].seen[0]
+        self.assertEqual("alba", seen.headers[scripted.ACCOUNT])
+        self.assertNotIn(scripted.KEY, seen.headers)
+
+    async def test_bounds_of_the_plan(self):
+        await self.begin(scripted.whole())
+        big = await self.ask("/b/x", "POST", b"x" * 1001)
+        self.assertEqual(413, big.status)
+        long = await self.ask("/b/x", X_Long="y" * 2001)
+        self.assertEqual(431, long.status)
+        self.assertEqual(0, self.ran())
+
+
+class TestLease(RouterCase):
+    """Requests with a key while no keeper confirms the plan."""
+
+    async def test_key_is_not_trusted_without_lease(self):
+        """A learner's key is withdrawn while this router is cut off.
+
+        The router still holds the old plan. With the key trusted, requests
+        of a client that has lost its access would go on for ever.
+        """
+        await self.begin(scripted.whole())
+        self.router.fresh = False
+        got = await self.ask("/e/x", Test_Key="key-1")
+        self.assertEqual(503, got.status)
+        self.assertIn("Retry-After", got.headers)
+        self.assertEqual(0, self.ran())
+        self.assertEqual(200, (await self.ask("/a/x")).status)
+
+
+class TestNotIdempotent(RouterCase):
+    """Requests that may run once at most."""
+
+    async def test_no_second_run_after_doubt(self):
+        """A booking's target breaks after it read the request.
+
+        It may have booked the slot. A second target would book it again;
+        a refusal would make the caller send it again.
+        """
+        for script in (
+            scripted.reset(),
+            scripted.whole(signed=False),
+            scripted.raw(lambda _: b"garbage\r\n\r\n"),
+            scripted.raw(lambda seen: scripted.head(
+                seen, Content_Length="10") + b"half"),
+        ):  # fmt: skip
+            await self.begin(script, script, script)
+            got = await self.ask("/b/x", "POST", b"1")
+            self.assertEqual(502, got.status)
+            self.assertEqual(1, self.ran())
+
+    async def test_refusal_that_is_certain_goes_to_another_target(self):
+        await self.begin(scripted.refuse(), scripted.refuse())
+        got = await self.ask("/b/x", "POST", b"1")
+        self.assertEqual(503, got.status)
+        self.assertIn("Retry-After", got.headers)
+        self.assertEqual([1, 1], [len(one.seen) for one in self.targets])
+
+    async def test_unreachable_target_costs_nothing(self):
+        await self.begin(scripted.whole())
+        dead = scripted.ScriptedTarget("t9", scripted.whole())
+        await dead.start()
+        dead.stop()
+        await dead.server.wait_closed()
+        self.router.targets.merge(dead.record())
+        for _ in range(4):
+            self.assertEqual(200, (await self.ask("/b/x", "POST")).status)
+
+    async def test_silence_ends_as_unknown_at_the_deadline(self):
+        await self.begin(scripted.mute(), scripted.mute())
+        got = await self.ask("/b/x", "POST", Test_Patience="0.4")
+        self.assertEqual(504, got.status)
+        self.assertLess(got.seconds, 0.45)
+        self.assertEqual(1, self.ran())
+
+    async def test_failure_of_the_target_itself_is_passed_on(self):
+        await self.begin(scripted.whole(b"no", status=500))
+        got = await self.ask("/b/x", "POST")
+        self.assertEqual((500, b"no"), (got.status, got.body))
+        self.assertIn(scripted.SIGNED, got.headers)
+
+
+class TestIdempotent(RouterCase):
+    """Requests that may run again."""
+
+    async def test_failures_are_tried_at_another_target(self):
+        bad = (
+            scripted.reset(),
+            scripted.whole(status=500),
+            scripted.whole(signed=False),
+            scripted.mute(),
+        )
+        for script in bad:
+            await self.begin(script)
+            self.router.placer.choose(self._passage_of_nothing())
+            good = scripted.ScriptedTarget("good", scripted.whole())
+            await good.start()
+            self.addCleanup(good.stop)
+            # Work at the good one lets the bad one be chosen first.
+            self.router.targets.merge(good.record())
+            self.router.placer.views["good"].running = 5
+            got = await self.ask("/a/x", Test_Patience="1.0")
+            self.assertEqual((200, b"good"), (got.status, got.body))
+            self.assertEqual(1, len(self.targets[0].seen))
+
+    def _passage_of_nothing(self):
+        class Nothing:
+            service = "none"
+            tried = frozenset()
+            route = SAFE
+
+            class incoming:  # noqa: N801
+                parts = ()
+
+        return Nothing
+
+    async def test_attempts_are_bounded(self):
+        await self.begin(*[scripted.reset()] * 4)
+        got = await self.ask("/a/x")
+        self.assertEqual(502, got.status)
+        self.assertEqual(SAFE.attempts_most, self.ran())
+
+    async def test_budget_bounds_repeats(self):
+        """Targets fail all requests and callers send many.
+
+        Each request that is tried twice doubles the load on what is left
+        of the service, which then cannot recover.
+        """
+        await self.begin(scripted.reset(), scripted.reset(), allowance=2.0)
+        for _ in range(20):
+            await self.ask("/a/x")
+        self.assertLessEqual(self.ran(), 20 + 0.2 * 20 + 2)
+
+    async def test_answer_to_another_request_is_never_passed_on(self):
+        """A target sends the answer of a request that came before.
+
+        Two callers would see each other's bookings.
+        """
+
+        def foreign(seen):
+            seen.headers[scripted.ID] = "another"
+            return scripted.head(seen, Content_Length="3") + b"bad"
+
+        await self.begin(scripted.raw(foreign), scripted.raw(foreign))
+        got = await self.ask("/a/x")
+        self.assertEqual(502, got.status)
+        self.assertNotIn(b"bad", got.body)
+
+    async def test_unframed_answer_that_is_reset_is_not_whole(self):
+        async def script(seen, writer):
+            writer.write(scripted.head(seen) + b"part")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            scripted.break_off(writer)
+
+        await self.begin(script, script)
+        got = await self.ask("/a/x")
+        self.assertEqual(502, got.status)
+
+    async def test_unframed_answer_that_ends_in_good_order_is_whole(self):
+        await self.begin(
+            scripted.raw(lambda seen: scripted.head(seen) + b"all")
+        )
+        got = await self.ask("/a/x")
+        self.assertEqual((200, b"all"), (got.status, got.body))
+
+
+class TestStreams(RouterCase):
+    """Streams whose target breaks off."""
+
+    async def test_resumable_stream_goes_on_elsewhere(self):
+        """A target dies in the middle of an event of a long answer.
+
+        The caller has the events before it. Another target goes on after
+        the last of them; no event is missing, doubled or joined of two.
+        """
+        await self.begin(
+            scripted.events(6, breaks_after=3),
+            scripted.events(6, breaks_after=3),
+            scripted.events(6),
+        )
+        self.router.placer.views["t2"].running = 5
+        got = await self.ask("/c/x", "POST")
+        self.assertTrue(got.whole)
+        self.assertEqual(b"".join(map(scripted.event, range(1, 7))), got.body)
+        lasts = [
+            seen.headers.get(scripted.LAST)
+            for target in self.targets
+            for seen in target.seen
+        ]
+        self.assertCountEqual([None, "3", "3"], lasts)
+
+    async def test_other_stream_is_not_run_again(self):
+        """The same for a stream that may run once only.
+
+        What the caller got must not look whole.
+        """
+        await self.begin(
+            scripted.events(6, breaks_after=3),
+            scripted.events(6, breaks_after=3),
+        )
+        got = await self.ask("/d/x", "POST")
+        self.assertFalse(got.whole)
+        self.assertEqual(b"".join(map(scripted.event, range(1, 4))), got.body)
+        self.assertEqual(1, self.ran())
+
+    async def test_caller_that_resumes_is_served_from_its_last_event(self):
+        await self.begin(scripted.events(6))
+        got = await self.ask("/c/x", "POST", Last_Event_Id="4")
+        self.assertEqual(scripted.event(5) + scripted.event(6), got.body)
+
+    async def test_work_ends_when_the_caller_leaves(self):
+        """A shopkeeper closes the app while the answer is being made.
+
+        Without a close towards the target it would go on working for
+        nobody, and keep a slot from others.
+        """
+        await self.begin(scripted.mute())
+        asking = asyncio.ensure_future(self.ask("/d/x", "POST"))
+        await self.until(self.ran)
+        asking.cancel()
+        await self.until(lambda: self.targets[0].left)
+
+
+class TestPlannedStop(RouterCase):
+    """What callers see while a router is being stopped."""
+
+    async def test_callers_are_told_that_their_connection_closes(self):
+        await self.begin(scripted.whole())
+        self.router.front.closing = True
+        got = await self.ask("/a/x")
+        self.assertEqual("close", got.headers["Connection"])
+
+    async def test_request_that_cannot_end_in_time_is_refused(self):
+        """A stream of seconds comes just before the process ends.
+
+        It would be cut in the middle; refused it can run elsewhere.
+        """
+        await self.begin(scripted.whole())
+        self.router.front.closing = True
+        self.router.front.ends_at = 0.0
+        got = await self.ask("/b/x", "POST")
+        self.assertEqual(503, got.status)
+        self.assertEqual(0, self.ran())
+
+    async def test_request_read_as_its_connection_closes_does_not_run(self):
+        """An idle connection is closed in the step that reads a request.
+
+        The caller sees a close with no answer and sends the request to
+        another router. Passed on here as well, it would run twice.
+        """
+        await self.begin(scripted.whole())
+        reader, writer = await asyncio.open_connection(*self.router.address)
+        await self.until(lambda: self.router.front.waiting)
+        writer.write(b"GET /a/x HTTP/1.1\r\nHost: h\r\nTest-Id: r\r\n\r\n")
+        (connection,) = self.router.front.waiting
+        stream = connection.stream
+        original = stream._read_to_buffer
+
+        def read_then_close():
+            found = original()
+            asyncio.get_running_loop().call_soon(self.router.front.close_idle)
+            return found
+
+        stream._read_to_buffer = read_then_close
+        self.assertEqual(b"", await reader.read())
+        await asyncio.sleep(0.05)
+        self.assertEqual(0, self.ran())
+        writer.close()
--- /dev/null
+++ b/tests/test_plan_keepers.py
@@ -0,0 +1,243 @@
+"""Keepers of a routing plan: orders, losses of disks, routers that follow."""
+
+import asyncio
+import tempfile
+import unittest
+
+from amaranthring import errors
+from amaranthring.keepers import plans
+from amaranthring.registry import messages
+from amaranthring.testing import plan_keepers
+
+
+class KeepersCase(unittest.IsolatedAsyncioTestCase):
+    """Base: three keepers that have begun a group."""
+
+    async def asyncSetUp(self):
+        # The debug mode of this test case makes calls ten times as slow.
+        asyncio.get_running_loop().set_debug(False)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.keepers = plan_keepers.PlanKeepers(folder.name)
+        self.addAsyncCleanup(self.keepers.stop_all)
+        self.keepers.start_all()
+        await plan_keepers.until(self.keepers.leader)
+
+    def follower(self, name="router-1"):
+        taken = []
+        made = plan_keepers.follower(name, self.keepers.seeds, taken)
+        self.addCleanup(made.stop)
+        return made, taken
+
+    async def until(self, condition, seconds=10.0):
+        return await plan_keepers.until(condition, seconds)
+
+    def a_follower_keeper(self):
+        leader = self.keepers.leader()
+        others = [k for k in self.keepers.running.values() if k is not leader]
+        return others[0]
+
+
+class TestOrders(KeepersCase):
+    """The highest version is in force, whoever sends what in which order."""
+
+    async def test_highest_version_wins_and_resends_are_acknowledged(self):
+        self.assertEqual(3, await self.keepers.put(3, b"three"))
+        self.assertEqual(3, await self.keepers.put(3, b"three"))
+        self.assertEqual(3, await self.keepers.put(2, b"two"))
+        for address in self.keepers.running:
+            found = await self.keepers.read(address)
+            self.assertEqual(3, found.version)
+            self.assertEqual(b"three", plans.unpacked(found.body))
+
+    async def test_two_operators_send_one_version_to_two_keepers(self):
+        """Two operators use the same number for different plans.
+
+        Each is acknowledged; only one of them may ever be read back, by
+        whichever keeper.
+        """
+        addresses = list(self.keepers.running)
+        await asyncio.gather(
+            self.keepers.put(5, b"of one", addresses[0]),
+            self.keepers.put(5, b"of the other", addresses[1]),
+        )
+        found = {
+            plans.unpacked((await self.keepers.read(address)).body)
+            for address in addresses
+        }
+        self.assertEqual(1, len(found))
+
+    async def test_keeper_without_quorum_answers_no_read(self):
+        """A keeper is alone; the others may have taken a newer plan.
+
+        An answer from its own state could be older than what an operator
+        was told is in force.
+        """
+        await self.keepers.put(1, b"one")
+        last = self.a_follower_keeper()
+        for address in list(self.keepers.running):
+            if address != last.place.address:
+                await self.keepers.stop(address)
+        with self.assertRaises(errors.AmaranthringError):
+            await last.hub.read()
+        with self.assertRaises(errors.AmaranthringError):
+            await last.hub.put(2, b"two")
+
+
+class TestMembership(KeepersCase):
+    """Keepers that lose their disk, are replaced, or are added."""
+
+    async def test_wiped_keeper_comes_back_as_another_disk(self):
+        """A keeper loses its disk right after an acknowledgement.
+
+        It may have been one of the two that held the plan. Voting again
+        under its old identity, it and the one that missed the plan would
+        be a majority that knows nothing of it.
+        """
+        await self.keepers.put(1, b"one")
+        lost = self.a_follower_keeper().place.address
+        before = self.keepers.running[lost].group.disk_id
+        await self.keepers.stop(lost)
+        await self.keepers.put(2, b"two")
+        self.keepers.wipe(lost)
+        back = self.keepers.start(lost)
+        self.assertNotEqual(before, back.group.disk_id)
+        await self.until(lambda: lost in self._disks(back.group.disk_id))
+        self.assertEqual(2, (await self.keepers.read(lost)).version)
+
+    def _disks(self, disk):
+        leader = self.keepers.leader()
+        voters = leader.group.members.voters if leader else []
+        return [member.name for member in voters if member.disk == disk]
+
+    async def test_replaced_keeper_is_taken_in_at_its_new_address(self):
+        await self.keepers.put(1, b"one")
+        gone = self.a_follower_keeper().place.address
+        await self.keepers.stop(gone)
+        new = self.keepers.new_address()
+        self.keepers.start(new)
+        await self.until(lambda: new in self.keepers.voters())
+        self.assertNotIn(gone, self.keepers.voters())
+        self.assertEqual(1, (await self.keepers.read(new)).version)
+
+    async def test_fourth_keeper_is_a_spare_and_a_fifth_makes_five(self):
+        fourth, fifth = self.keepers.new_address(), self.keepers.new_address()
+        self.keepers.start(fourth)
+        await self.until(lambda: self._learners() == {fourth})
+        self.assertEqual(3, len(self.keepers.voters()))
+        self.keepers.start(fifth)
+        await self.until(lambda: len(self.keepers.voters()) == 5)
+
+    def _learners(self):
+        leader = self.keepers.leader()
+        learners = leader.group.members.learners if leader else []
+        return {member.name for member in learners}
+
+    async def test_keeper_that_comes_late_begins_no_second_group(self):
+        """All keepers were lost but one that is new and has nothing.
+
+        Beginning an empty group, it would answer that there is no plan.
+        """
+        await self.keepers.put(1, b"one")
+        for address in list(self.keepers.running):
+            await self.keepers.stop(address)
+        late = self.keepers.start(self.keepers.new_address())
+        await asyncio.sleep(0.5)
+        self.assertEqual([], late.group.members.voters)
+        with self.assertRaises(errors.AmaranthringError):
+            await late.hub.read()
+
+    async def test_plan_outlives_a_kill_of_all_keepers(self):
+        for version in range(1, 14):
+            await self.keepers.put(version, b"plan %d" % version)
+        for address in list(self.keepers.running):
+            await self.keepers.stop(address)
+        for address in self.keepers.seeds:
+            self.keepers.start(address)
+        self.assertEqual(13, (await self.keepers.read()).version)
+
+
+class TestFollowing(KeepersCase):
+    """What a router knows, and how sure it is of that."""
+
+    async def test_router_takes_each_plan_and_is_confirmed(self):
+        follower, taken = self.follower()
+        await self.keepers.put(1, b"one")
+        await self.until(lambda: follower.version == 1)
+        await self.until(lambda: follower.is_fresh(1.0))
+        await self.keepers.put(2, b"two")
+        await self.until(lambda: follower.version == 2)
+        self.assertEqual([b"one", b"two"], taken)
+
+    async def test_router_is_not_confirmed_without_a_quorum(self):
+        """A router still reaches one keeper, which has lost the others.
+
+        A key may be withdrawn on the other side; the keeper cannot know.
+        """
+        follower, _ = self.follower()
+        await self.keepers.put(1, b"one")
+        await self.until(lambda: follower.is_fresh(1.0))
+        for address in list(self.keepers.running)[1:]:
+            await self.keepers.stop(address)
+        await asyncio.sleep(1.5)
+        self.assertFalse(follower.is_fresh(1.0))
+
+    async def test_refused_plan_leaves_the_old_one(self):
+        follower, taken = self.follower()
+        await self.keepers.put(1, b"one")
+        await self.until(lambda: follower.version == 1)
+
+        def refuse(_document):
+            raise errors.InvalidPlanError("of a newer kind")
+
+        follower.take_plan = refuse
+        await self.keepers.put(2, b"two")
+        await asyncio.sleep(0.7)
+        self.assertEqual(1, follower.version)
+        self.assertEqual([b"one"], taken)
+
+    async def test_router_finds_keepers_that_its_settings_do_not_name(self):
+        follower, _ = self.follower()
+        new = self.keepers.new_address()
+        self.keepers.start(new)
+        await self.until(lambda: new in follower.diallers)
+
+    async def test_announcement_at_one_keeper_reaches_every_router(self):
+        one, _ = self.follower("router-1")
+        two, _ = self.follower("router-2")
+        await self.until(lambda: one.home() and two.home())
+        record = messages.TargetRecord("a", "s", "v:1", "here", sequence=1)
+        hub = self.a_follower_keeper().hub
+        await plan_keepers.again(lambda: self._announce(hub, record))
+        for follower in (one, two):
+            await self.until(lambda f=follower: "a" in f.table.entries)
+        hub.leave("a")
+        for follower in (one, two):
+            table = follower.table
+            await self.until(lambda t=table: not list(t.current()))
+
+    async def _announce(self, hub, record):
+        hub.announce(record)
+
+    async def test_silent_target_is_marked_everywhere(self):
+        follower, _ = self.follower()
+        await self.until(follower.home)
+        record = messages.TargetRecord("a", "s", "v:1", "here", sequence=1)
+        self.a_follower_keeper().hub.announce(record)
+        await self.until(lambda: "a" in follower.table.entries)
+        await self.until(lambda: follower.table.entries["a"].record.silent)
+
+    async def test_cut_off_keeper_takes_no_announcement(self):
+        """A target says that it leaves, to a keeper that reaches nobody.
+
+        Acknowledged, it would wait for its end while every router goes on
+        sending to it.
+        """
+        last = self.a_follower_keeper()
+        for address in list(self.keepers.running):
+            if address != last.place.address:
+                await self.keepers.stop(address)
+        await self.until(lambda: not last.group.leader())
+        record = messages.TargetRecord("a", "s", "v:1", "here", sequence=1)
+        with self.assertRaises(errors.NotReadyError):
+            last.hub.announce(record)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,383 @@
+"""The adapter: settings, documents, headers and calls of the platform."""
+
+import json
+import os
+import pathlib
+import re
+import tempfile
+import unittest
+
+import tornado.httputil
+
+from amaranthring import errors
+from amaranthring import routing
+from amaranthring.core import endpoints
+from amaranthring.forwarding import records
+from amaranthring.keepers import plans
+from amaranthring.platform import control
+from amaranthring.platform import documents
+from amaranthring.platform import headers
+from amaranthring.platform import node
+from amaranthring.registry import messages
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+SETTINGS = {
+    "node_name": "core-a-1",
+    "ip": "10.0.0.3",
+    "zone": "a",
+    "listen": {"control": "10.0.0.3:8080"},
+    "internal_ports": [7000, 7010],
+    "seeds": ["10.0.0.3:8080", "10.0.1.3:8080"],
+    "bootstrap": True,
+    "data_dir": "/data/keeper",
+    "heartbeat_ms": 1200,
+    "bounds": {
+        "grace_s": 8,
+        "drain_ms": 2000,
+        "revoke_strict": True,
+        "revoke_ms": 5000,
+        "retry_ratio": 0.2,
+        "retry_allowance": 54,
+        "retry_window_s": 10,
+    },
+    "a field of a later version": [1, {"x": 2}],
+}
+
+DOCUMENT = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "hostname": "h",
+            "path_prefix": "/a/",
+            "route_type": "streaming",
+            "timeout_ms": 12000,
+            "latency_target_ms": 1200,
+            "priority": 1,
+            "split": [
+                {"backend": "b1", "weight": 90},
+                {"backend": "b2", "weight": 10},
+            ],
+            "max_attempts": 2,
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "itl_target_ms": 400,
+        },
+        {
+            "name": "r2",
+            "hostname": "h",
+            "path_prefix": "/b/",
+            "route_type": "unsafe",
+            "timeout_ms": 600,
+            "latency_target_ms": 125,
+            "priority": 0,
+            "backend": "b2",
+        },
+    ],
+    "backends": [
+        {
+            "name": "b1",
+            "health_path": "/healthz",
+            "max_conns": 360,
+            "engine": {"batch_slots": 64, "kv_capacity": 423882},
+        },
+        {"name": "b2", "health_path": "/healthz", "max_conns": 100},
+    ],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "t1", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def changed(**fields):
+    return json.dumps(DOCUMENT | fields).encode()
+
+
+class TestSettings(unittest.TestCase):
+    """The file that the platform writes for each process."""
+
+    def test_fields_are_decoded_and_unknown_ones_passed_over(self):
+        found = node.decode(SETTINGS)
+        self.assertEqual("10.0.0.3:8080", found.control)
+        self.assertEqual("", found.callers)
+        self.assertEqual(["10.0.0.3:7000", "10.0.1.3:7000"], found.keepers())
+        self.assertEqual(5.0, found.key_lease)
+        self.assertEqual(1.2, found.beat)
+        self.assertTrue(found.first_start)
+
+    def test_no_lease_where_withdrawals_are_not_strict(self):
+        bounds = SETTINGS["bounds"] | {"revoke_strict": False}
+        found = node.decode(SETTINGS | {"bounds": bounds})
+        self.assertEqual(0.0, found.key_lease)
+
+    def test_broken_files(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "node.json")
+            with self.assertRaises(errors.SettingsError):
+                node.read(path)
+            for text in (
+                "",
+                "{",
+                "[]",
+                '{"ip": 3}',
+                json.dumps(SETTINGS)[:90],
+            ):
+                pathlib.Path(path).write_text(text)
+                with self.assertRaises(errors.SettingsError):
+                    node.read(path)
+            pathlib.Path(path).write_text(json.dumps(SETTINGS))
+            self.assertEqual("core-a-1", node.read(path).name)
+
+
+class TestDocuments(unittest.TestCase):
+    """Configurations of the operator."""
+
+    def test_document_becomes_a_plan(self):
+        plan = documents.decode(json.dumps(DOCUMENT).encode())
+        first, second = plan.routes
+        self.assertEqual(7, plan.version)
+        self.assertEqual(routing.Kind.STREAM, first.kind)
+        self.assertTrue(first.idempotent)
+        self.assertFalse(second.idempotent)
+        self.assertEqual(12.0, first.timeout)
+        self.assertEqual(1.2, first.objective)
+        self.assertEqual(0.4, first.pause_most)
+        self.assertEqual(
+            (routing.Share("b1", 90), routing.Share("b2", 10)), first.shares
+        )
+        self.assertEqual((routing.Share("b2", 1),), second.shares)
+        self.assertEqual(1, second.attempts_most)
+        self.assertEqual(64, plan.services[0].engine.slots)
+        self.assertIsNone(plan.services[1].engine)
+        self.assertEqual(("k1", "k2"), plan.accounts[0].keys)
+        self.assertEqual(15.0, plan.bounds.idle_seconds)
+
+    def test_unknown_fields_are_passed_over(self):
+        self.assertEqual(7, documents.decode(changed(later={"x": 1})).version)
+
+    def test_invalid_documents(self):
+        route = DOCUMENT["routes"][1]
+
+        def one(**fields):
+            return changed(routes=[route | fields])
+
+        tenants = [
+            {"name": "a", "api_keys": ["k"]},
+            {"name": "b", "api_keys": ["k"]},
+        ]
+        bad = [
+            b"",
+            b"[]",
+            b"\xff\xfe",
+            json.dumps(DOCUMENT).encode()[:-20],
+            changed(version="7"),
+            changed(version=True),
+            changed(routes=None),
+            changed(routes=[route, route | {"name": "r3"}]),
+            changed(tenants=tenants),
+            one(backend="nobody"),
+            one(timeout_ms=0),
+            one(timeout_ms="600"),
+            one(route_type="odd"),
+            one(split=[{"backend": "b1", "weight": 0}]),
+            one(split=[]),
+        ]
+        for document in bad:
+            with self.assertRaises(errors.InvalidPlanError):
+                documents.decode(document)
+                self.fail(document)
+
+
+def request(**given):
+    made = tornado.httputil.HTTPHeaders({"Host": "h"})
+    for name, value in given.items():
+        made[name.replace("_", "-")] = value
+    line = tornado.httputil.RequestStartLine("POST", "/a/x?q=1", "HTTP/1.1")
+    return headers.read_request(line, made, 10.0)
+
+
+class TestRequests(unittest.TestCase):
+    """Heads of callers' requests, and what targets are sent."""
+
+    def test_head_is_decoded(self):
+        found = request(
+            Amaranthring_Request_Id="r1",
+            Amaranthring_Deadline_Ms="1500",
+            Amaranthring_Prefix_Hash="a1:800,b2:410,c3:5",
+            Amaranthring_Token_Usage="1215,80",
+            Authorization="Bearer key",
+            Last_Event_Id="12",
+        )
+        self.assertEqual(("r1", 1.5, "key"), (
+            found.request_id, found.patience, found.key))  # fmt: skip
+        self.assertEqual(records.Part("b2", 410), found.parts[1])
+        self.assertEqual(("12", 80), (found.resume_after, found.output_tokens))
+        self.assertEqual("/a/x", found.path)
+        self.assertEqual("/a/x?q=1", found.uri)
+
+    def test_malformed_heads_are_refused(self):
+        for bad in (
+            {"Amaranthring_Deadline_Ms": "-5"},
+            {"Amaranthring_Deadline_Ms": "soon"},
+            {"Amaranthring_Prefix_Hash": "a1"},
+        ):
+            with self.assertRaises(errors.BadRequestError):
+                request(**bad)
+
+    def test_target_is_sent_what_is_the_callers_and_nothing_forged(self):
+        found = request(
+            Amaranthring_Request_Id="r1",
+            Amaranthring_Tenant="forged",
+            Amaranthring_Expect_Replica="forged",
+            Amaranthring_Prefix_Hash="a1:800",
+            Authorization="Bearer key",
+            Connection="keep-alive, X-Hop",
+            X_Hop="1",
+            X_Other="2",
+            Transfer_Encoding="chunked",
+        )
+        target = messages.TargetRecord("i-1", "s", "v:1", "here")
+        sent = headers.request_headers(
+            found, records.Sending(target, "t1", 0.9994, "3")
+        )
+        self.assertEqual("i-1", sent["Amaranthring-Expect-Replica"])
+        self.assertEqual("t1", sent["Amaranthring-Tenant"])
+        self.assertEqual("999", sent["Amaranthring-Deadline-Ms"])
+        self.assertEqual("3", sent["Last-Event-Id"])
+        self.assertEqual("a1:800", sent["Amaranthring-Prefix-Hash"])
+        self.assertEqual("2", sent["X-Other"])
+        self.assertEqual("h", sent["Host"])
+        for name in ("Authorization", "X-Hop", "Transfer-Encoding"):
+            self.assertNotIn(name, sent)
+
+    def test_account_is_not_forged_on_a_public_route(self):
+        found = request(Amaranthring_Tenant="forged")
+        target = messages.TargetRecord("i-1", "s", "v:1", "here")
+        sent = headers.request_headers(found, records.Sending(target, "", 1.0))
+        self.assertNotIn("Amaranthring-Tenant", sent)
+
+
+class TestAnswers(unittest.TestCase):
+    """Heads of targets' answers."""
+
+    def read(self, status=200, **given):
+        made = tornado.httputil.HTTPHeaders()
+        for name, value in given.items():
+            made[name.replace("_", "-")] = value
+        return headers.read_answer(status, made)
+
+    def test_what_a_head_states(self):
+        good = self.read(
+            Amaranthring_Request_Id="r1",
+            Amaranthring_Replica_Signature="x",
+            Amaranthring_Replica_Load="3,1,64",
+            Connection="close",
+        )
+        self.assertTrue(good.signed)
+        self.assertFalse(good.refused)
+        self.assertEqual(records.Load(3, 1, 64), good.load)
+        self.assertNotIn("Connection", good.headers)
+        self.assertTrue(self.read(503, Amaranthring_Not_Executed="1").refused)
+        self.assertTrue(self.read(421).other_target)
+        self.assertTrue(self.read(Content_Encoding="gzip").encoded)
+
+    def test_odd_load_is_no_load(self):
+        for value in ("", "1,2", "a,b,c", "-1,0,1"):
+            found = self.read(Amaranthring_Replica_Load=value)
+            self.assertIsNone(found.load)
+
+
+class FakeHub:
+    """Takes what the calls lead to."""
+
+    def __init__(self):
+        self.announced = []
+        self.left = []
+        self.held = messages.PlanBody(-1, b"")
+
+    def announce(self, record):
+        self.announced.append(record)
+
+    def leave(self, target_id):
+        self.left.append(target_id)
+
+    async def put(self, version, document):
+        if version > self.held.version:
+            packed = plans.packed(document)
+            self.held = messages.PlanBody(version, packed)
+        return self.held.version
+
+    async def read(self):
+        return self.held
+
+
+class TestCalls(unittest.IsolatedAsyncioTestCase):
+    """Calls of targets and operators."""
+
+    def setUp(self):
+        self.hub = FakeHub()
+        self.answer = control.answers(self.hub)
+
+    async def call(self, method, path, body=b""):
+        return await self.answer(endpoints.Call(method, path, body))
+
+    async def test_document_is_read_back_as_it_was_sent(self):
+        document = json.dumps(DOCUMENT, indent=1).encode()
+        done = await self.call("POST", "/Configuration.Replace", document)
+        self.assertEqual(200, done.status)
+        found = await self.call("GET", "/Configuration.Fetch")
+        self.assertEqual(document, found.body)
+
+    async def test_invalid_document_changes_nothing(self):
+        with self.assertRaises(errors.InvalidPlanError) as caught:
+            await self.call("POST", "/Configuration.Replace", b"{}")
+        self.assertEqual(400, caught.exception.status)
+        self.assertEqual(-1, self.hub.held.version)
+
+    async def test_heartbeat(self):
+        body = {
+            "backend": "b1",
+            "address": "10.0.0.9:80",
+            "zone": "a",
+            "version": "v1",
+            "batch_slots": 64,
+            "state": "draining",
+            "cold_left_ms": 1500,
+            "sequence": 4,
+            "later": {},
+        }
+        path = "/Replicas.Heartbeat/i-1"
+        await self.call("POST", path, json.dumps(body).encode())
+        found = self.hub.announced[0]
+        self.assertEqual(("i-1", "b1", 64), (
+            found.id, found.service, found.slots))  # fmt: skip
+        self.assertEqual(messages.State.DRAINING, found.state)
+        self.assertEqual((1.5, 4), (found.cold_seconds, found.sequence))
+        for bad in (b"", b"[]", b"{}", json.dumps(body | {"state": 3})):
+            with self.assertRaises(errors.BadRequestError):
+                await self.call("POST", path, bad)
+        await self.call("POST", "/Replicas.Deregister/i-1")
+        self.assertEqual(["i-1"], self.hub.left)
+
+    async def test_other_calls_are_not_found(self):
+        for method, path in (("GET", "/"), ("GET", "/Configuration.Replace")):
+            with self.assertRaises(errors.NotFoundError):
+                await self.call(method, path)
+
+
+class TestBoundary(unittest.TestCase):
+    """No other module knows the platform's names."""
+
+    def test_names_stay_in_the_adapter(self):
+        names = re.compile(
+            r"Replica-Signature|Not-Executed|Prefix-Hash|Token-Usage"
+            r"|Expect-Replica|Replicas\.|Configuration\.(Replace|Fetch)"
+            r"|AMARANTHRING_BOOT|path_prefix|route_type|itl_target_ms"
+            r"|heartbeat_ms|revoke_ms|api_keys|batch_slots|node_name"
+        )
+        package = ROOT / "amaranthring"
+        for path in package.rglob("*.py"):
+            if path.is_relative_to(package / "platform"):
+                continue
+            self.assertIsNone(names.search(path.read_text()), path)
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,133 @@
+"""Targets as keepers and routers merge what they hear of them."""
+
+import itertools
+import unittest
+
+from amaranthring.registry import messages
+from amaranthring.registry import targets
+
+State = messages.State
+
+
+def record(target_id="a", address="v:1", sequence=1, **fields):
+    return messages.TargetRecord(
+        target_id, "s", address, "here", sequence=sequence, **fields
+    )
+
+
+class TableCase(unittest.TestCase):
+    """Base: a table on a clock of the test."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.table = targets.TargetTable(lambda: self.now, 2.0)
+
+    def held(self, target_id="a"):
+        return self.table.entries[target_id].record
+
+
+class TestMerge(TableCase):
+    """Announcements of one start of a target."""
+
+    def test_order_does_not_matter(self):
+        news = [
+            record(sequence=1),
+            record(sequence=5, state=State.DRAINING),
+            record(sequence=7, state=State.READY),
+        ]
+        found = set()
+        for order in itertools.permutations(news):
+            table = targets.TargetTable(lambda: 0.0, 2.0)
+            for one in order:
+                table.merge(one)
+            held = table.entries["a"].record
+            found.add((held.state, held.sequence))
+        self.assertEqual({(State.DRAINING, 7)}, found)
+
+    def test_late_announcement_does_not_undo_a_leave(self):
+        """A target says that it leaves; an older word comes after it.
+
+        Taken as the newest it would bring requests to a target that is
+        about to end.
+        """
+        self.table.merge(record(sequence=3))
+        self.table.leave("a")
+        self.assertFalse(self.table.merge(record(sequence=2)))
+        self.table.merge(record(sequence=4))
+        self.assertEqual(State.GONE, self.held().state)
+        self.assertEqual([], list(self.table.current()))
+
+    def test_only_changes_are_news(self):
+        self.assertTrue(self.table.merge(record(sequence=1)))
+        self.assertFalse(self.table.merge(record(sequence=2)))
+        changed = record(sequence=3, state=State.DRAINING)
+        self.assertTrue(self.table.merge(changed))
+
+    def test_silence_ends_with_the_next_word(self):
+        self.table.merge(record(sequence=1))
+        self.now += 5
+        self.assertEqual(["a"], [r.id for r in self.table.silence(4.0)])
+        self.assertEqual([], self.table.silence(4.0))
+        self.assertTrue(self.table.merge(record(sequence=2)))
+        self.assertFalse(self.held().silent)
+
+    def test_word_of_another_keeper_ends_silence(self):
+        self.table.merge(record(sequence=1))
+        self.now += 5
+        self.table.silence(4.0)
+        self.assertTrue(self.table.hear("a", 4))
+        self.assertFalse(self.table.hear("a", 3))
+
+    def test_what_went_is_forgotten_later(self):
+        self.table.merge(record())
+        self.table.leave("a")
+        self.now += 50
+        self.table.forget(60.0)
+        self.assertIn("a", self.table.entries)
+        self.now += 20
+        self.table.forget(60.0)
+        self.assertNotIn("a", self.table.entries)
+
+
+class TestAddresses(TableCase):
+    """Several starts of targets at one address."""
+
+    def test_new_start_takes_the_address(self):
+        self.table.merge(record("old", sequence=40))
+        self.table.merge(record("new", sequence=1))
+        self.assertEqual(["new"], [r.id for r in self.table.current()])
+
+    def test_word_of_a_dead_start_held_up_by_a_cut(self):
+        """A target behind a cut crashes and starts again.
+
+        Its last announcement of before the crash arrives after the first
+        of the new start. Requests sent to the dead start's id would all be
+        refused.
+        """
+        self.table.merge(record("new", sequence=4))
+        self.assertFalse(self.table.merge(record("old", sequence=40)))
+        self.assertEqual(["new"], [r.id for r in self.table.current()])
+
+    def test_address_of_a_silent_start_is_free(self):
+        self.table.merge(record("old", sequence=40))
+        self.now += 3
+        self.assertTrue(self.table.merge(record("new", sequence=9)))
+        self.assertEqual(["new"], [r.id for r in self.table.current()])
+
+    def test_refusal_brings_the_other_start_back(self):
+        """A router hears of two starts in the wrong order.
+
+        The address answers that another target is there; then the one that
+        was displaced is it.
+        """
+        table = targets.TargetTable(lambda: self.now, 0.0)
+        table.merge(record("new", sequence=9))
+        table.merge(record("old", sequence=40))
+        self.assertEqual(["old"], [r.id for r in table.current()])
+        table.leave("old")
+        self.assertEqual(["new"], [r.id for r in table.current()])
+
+    def test_gone_start_takes_no_address(self):
+        self.table.merge(record("new", sequence=9))
+        self.table.merge(record("old", sequence=40, state=State.GONE))
+        self.assertEqual(["new"], [r.id for r in self.table.current()])
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,98 @@
+"""Routing plans: look-ups and what makes a plan invalid."""
+
+import dataclasses
+import unittest
+
+from amaranthring import errors
+from amaranthring import routing
+from amaranthring.routing import table
+
+
+def route(name="r", host="h", prefix="/a/", shares=(("s", 1),), **fields):
+    made = tuple(routing.Share(*share) for share in shares)
+    return routing.Route(
+        name, host, prefix, routing.Kind.SAFE, 1.0, 0.1, 0, made, **fields
+    )
+
+
+def plan(*routes, accounts=()):
+    services = (
+        routing.Service("s", "/health", 10),
+        routing.Service("t", "/health", 10),
+    )
+    return routing.Plan(1, routes, services, tuple(accounts))
+
+
+class TestMatch(unittest.TestCase):
+    """Which route a request takes."""
+
+    def setUp(self):
+        self.table = routing.RouteTable(
+            plan(
+                route("short", prefix="/a/"),
+                route("long", prefix="/a/b/"),
+                route("root", host="other", prefix="/"),
+            )
+        )
+
+    def name(self, host, path):
+        found = self.table.match(host, path)
+        return found.name if found else None
+
+    def test_longest_prefix_wins(self):
+        self.assertEqual("short", self.name("h", "/a/x"))
+        self.assertEqual("long", self.name("h", "/a/b/x"))
+        self.assertEqual("long", self.name("h", "/a/b/"))
+        self.assertEqual("root", self.name("other", "/a/b/c"))
+
+    def test_prefix_is_of_whole_segments(self):
+        self.assertIsNone(self.name("h", "/ab/x"))
+        self.assertIsNone(self.name("h", "/a"))
+        self.assertEqual("short", self.name("h", "/a/bc"))
+
+    def test_host_in_any_case_and_with_a_port(self):
+        self.assertEqual("short", self.name("H:8080", "/a/x"))
+        self.assertIsNone(self.name("nobody", "/a/x"))
+
+
+class TestShares(unittest.TestCase):
+    """How requests of one route are split over services."""
+
+    def test_split_follows_the_weights(self):
+        split = route(shares=(("s", 90), ("t", 10)))
+        draws = [n / 1000 for n in range(1000)]
+        taken = [table.draw_service(split, draw) for draw in draws]
+        self.assertEqual(900, taken.count("s"))
+
+    def test_weight_of_zero_gets_nothing(self):
+        split = route(shares=(("s", 0), ("t", 10)))
+        self.assertEqual("t", table.draw_service(split, 0.0))
+
+
+class TestCheck(unittest.TestCase):
+    """Plans that change nothing."""
+
+    def check(self, found, expected):
+        with self.assertRaises(errors.InvalidPlanError) as caught:
+            routing.check(found)
+        self.assertIn(expected, str(caught.exception))
+
+    def test_good_plan_passes(self):
+        routing.check(plan(route(), route("r2", prefix="/b/")))
+
+    def test_faults(self):
+        self.check(plan(route(shares=(("x", 1),))), "service of route r")
+        self.check(plan(route(), route("r2")), "place")
+        self.check(plan(route(shares=(("s", 0),))), "weights of route r")
+        self.check(plan(route(shares=(("s", -1), ("t", 2)))), "weight")
+        self.check(plan(dataclasses.replace(route(), timeout=0.0)), "timeout")
+        self.check(plan(route(prefix="a/")), "prefix")
+
+    def test_shared_key_is_refused_and_not_shown(self):
+        accounts = [
+            routing.Account("a", ("secret", "x")),
+            routing.Account("b", ("secret",)),
+        ]
+        with self.assertRaises(errors.InvalidPlanError) as caught:
+            routing.check(plan(route(), accounts=accounts))
+        self.assertNotIn("secret", str(caught.exception))
