--- a/amaranthring/core/endpoints.py
+++ b/amaranthring/core/endpoints.py
@@ -13,8 +13,10 @@
 import tornado.httpserver
 import tornado.httputil
 import tornado.iostream
+import tornado.netutil
 
 from amaranthring import errors
+from amaranthring.core import metrics as metrics_module
 
 log = logbook.Logger(__name__)
 
@@ -136,3 +138,39 @@
         except tornado.iostream.StreamClosedError:
             # Nobody waits for the answer any more.
             return
+
+
+def listening(address: str) -> list:
+    """Return listening sockets on ``host:port``.
+
+    Raises
+    ------
+    errors.ListenError
+        If the address is taken or not of this VM.
+    """
+    host, port = address.rsplit(":", 1)
+    try:
+        return tornado.netutil.bind_sockets(int(port), host.strip("[]"))
+    except OSError as error:
+        raise errors.ListenError(
+            f"cannot listen on {address}",
+            given=error.strerror,
+            expected="a free address of this VM",
+        ) from error
+
+
+def serve(address: str, answer: Answer) -> Endpoints:
+    """Serve small calls on `address`."""
+    server = Endpoints(answer)
+    server.listen(listening(address))
+    return server
+
+
+def figures(metrics: metrics_module.Metrics) -> Answer:
+    """Return the function that shows counters and histograms as text."""
+
+    async def answer(_call: Call) -> Result:
+        text = "".join(f"{line}\n" for line in metrics.lines())
+        return Result(body=text.encode(), kind="text/plain")
+
+    return answer
--- a/amaranthring/core/wire.py
+++ b/amaranthring/core/wire.py
@@ -49,6 +49,17 @@
     message: t.Any
 
 
+def _repr(self: t.Any) -> str:
+    fields = ", ".join(f"{k}={v!r}" for k, v in vars(self).items())
+    return f"{type(self).__qualname__}({fields})"
+
+
+def _equal(self: t.Any, other: t.Any) -> bool:
+    if type(self) is not type(other):
+        return NotImplemented
+    return vars(self) == vars(other)
+
+
 def message(tag: str, compact: bool = False) -> t.Callable[[C], C]:
     """Register the decorated class as a message under `tag`.
 
@@ -60,7 +71,14 @@
     """
 
     def register(cls: C) -> C:
-        made = dataclasses.dataclass(cls)
+        # One method generated for each class instead of four: a process
+        # defines some sixty messages before it can listen.
+        made = dataclasses.dataclass(repr=False, eq=False, match_args=False)(
+            cls
+        )
+        made.__repr__ = _repr
+        made.__eq__ = _equal
+        made.__hash__ = None
         if tag in _CLASSES:
             raise ValueError(f"message tag {tag!r} is taken")
         if compact:
--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -1,6 +1,7 @@
 """One attempt: a request to one target, and what is known when it fails."""
 
 import dataclasses
+import re
 import time
 import typing as t
 
@@ -11,6 +12,7 @@
 from amaranthring.forwarding import records
 from amaranthring.forwarding import replies
 from amaranthring.registry import messages
+from amaranthring.targets import pool
 from amaranthring.targets import upstream
 
 ANSWER_BYTES_MOST = 16 * 1024 * 1024
@@ -18,6 +20,15 @@
 # takes longer leads to a VM without power or behind a cut; the request has
 # not been sent and has its time for another target.
 CONNECT_SECONDS = 0.25
+# How long a connection may have idled for a request that may run again, and
+# for one that may not. On one that has gone bad meanwhile the second kind is
+# lost, where a new connection would show before it is sent that the target
+# is not there.
+KEPT_IDEMPOTENT_SECONDS = 5.0
+KEPT_SECONDS = 2.0
+KEEP_ALIVE = re.compile(r"timeout=(\d+)")
+# Answers of calls before this one that may stand before its own.
+EXTRA_ANSWERS_MOST = 2
 EVENT_STREAM = "text/event-stream"
 
 
@@ -53,11 +64,13 @@
         target: messages.TargetRecord,
         dialect: records.Dialect,
         resume_after: str,
+        connections: pool.Pool,
     ):
         self.passage = passage
         self.target = target
         self.dialect = dialect
         self.resume_after = resume_after
+        self.connections = connections
         self.exchange = upstream.Exchange(target, CONNECT_SECONDS)
         self.answer: records.Answer | None = None
         self.may_send: t.Callable[[], None] = lambda: None
@@ -75,7 +88,7 @@
         errors.UpstreamError
             Without a usable head; its outcome says what is known.
         """
-        await self.exchange.connect_first()
+        await self._connect()
         self.may_send()
         left = self.passage.deadline - time.monotonic()
         incoming = self.passage.incoming
@@ -87,16 +100,40 @@
             incoming.uri,
             self.dialect.request_headers(incoming, sending),
             incoming.body,
+            keep=True,
         )
         self.exchange.hand_over(call, min(patience, max(left, 0.0)))
-        await self.exchange.head()
-        exchange = self.exchange
-        self.answer = self.dialect.read_answer(
-            exchange.status, exchange.headers
-        )
+        await self._read_head()
         self._check_head()
         return self.answer
 
+    async def _connect(self) -> None:
+        idempotent = self.passage.route.idempotent
+        idle = KEPT_IDEMPOTENT_SECONDS if idempotent else KEPT_SECONDS
+        held = await self.connections.take(self.target.id, idle)
+        if held is not None:
+            self.exchange.use(*held)
+            return
+        await self.exchange.connect_first()
+        pool.limit_silence(self.exchange.writer)
+
+    async def _read_head(self) -> None:
+        exchange = self.exchange
+        for _ in range(1 + EXTRA_ANSWERS_MOST):
+            await exchange.head()
+            self.answer = self.dialect.read_answer(
+                exchange.status, exchange.headers
+            )
+            if not exchange.kept or not self._is_of_another():
+                return
+            # A target that answered the call before twice: its second
+            # answer stands before ours.
+            await exchange.skip(ANSWER_BYTES_MOST)
+
+    def _is_of_another(self) -> bool:
+        named = self.answer.request_id
+        return bool(named) and named != self.passage.incoming.request_id
+
     def _check_head(self) -> None:
         answer = self.answer
         if answer.other_target:
@@ -185,6 +222,19 @@
                 expected="whole events",
             )
 
-    def close(self) -> None:
-        """Close the connection; the target then stops its work."""
-        self.exchange.close()
+    def end(self, whole: bool) -> None:
+        """End the attempt; keep its connection if all of it is in order.
+
+        Parameters
+        ----------
+        whole : bool
+            Whether the answer was taken whole. Otherwise the connection is
+            closed, and the target stops its work.
+        """
+        held = self.exchange.release() if whole else None
+        if held is None:
+            self.exchange.close()
+            return
+        stated = KEEP_ALIVE.search(self.exchange.headers.get("Keep-Alive", ""))
+        seconds = float(stated[1]) if stated else None
+        self.connections.give(self.target.id, *held, seconds)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -19,6 +19,7 @@
 from amaranthring.policy import budgets
 from amaranthring.routing import plan as plans
 from amaranthring.routing import table as route_tables
+from amaranthring.targets import pool
 
 log = logbook.Logger(__name__)
 
@@ -52,6 +53,8 @@
         ``(service) -> RetryBudget``, new for each service.
     routers : callable
         Returns how many routers share the budgets.
+    connections : Pool, optional
+        Kept connections to targets.
     """
 
     def __init__(
@@ -63,7 +66,9 @@
         budget: t.Callable[[], budgets.RetryBudget],
         routers: t.Callable[[], int],
         metrics: metrics_module.Metrics,
+        connections: pool.Pool | None = None,
     ):
+        self.connections = connections or pool.Pool()
         self.dialect = dialect
         self.table = table
         self.may_admit = may_admit
@@ -193,7 +198,10 @@
         after = passage.incoming.resume_after
         if cutter.last is not None:
             after = str(cutter.last)
-        attempt = attempts.Attempt(passage, target, self.dialect, after)
+        attempt = attempts.Attempt(
+            passage, target, self.dialect, after, self.connections
+        )
+        whole = False
         attempt.may_send = functools.partial(self._may_send, passage)
         self.placer.begin(target, passage)
         try:
@@ -209,10 +217,11 @@
                 reply.finish()
             else:
                 await self._pass_whole(passage, attempt, reply)
+            whole = True
             self.placer.did_well(target)
             passage.trail.append(f"{target.id}:{answer.status}")
         finally:
-            attempt.close()
+            attempt.end(whole)
             self.placer.end(target)
             if attempt.exchange.sent and not _certainly_refused(attempt):
                 passage.sent += 1
--- a/amaranthring/fleet_parts.py
+++ b/amaranthring/plan_router.py
@@ -1,7 +1,7 @@
-"""Wiring of the processes that forward by a routing plan.
+"""Wiring of a router that forwards by a routing plan.
 
 Part of the composition root. A caller such as the adapter to a platform
-hands in what is particular to it: names on the wire and its calls.
+hands in what is particular to it: names on the wire and the form of plans.
 """
 
 import asyncio
@@ -12,9 +12,7 @@
 import typing as t
 
 import logbook
-import tornado.netutil
 
-from amaranthring import errors
 from amaranthring import routing
 from amaranthring.core import endpoints
 from amaranthring.core import links
@@ -25,9 +23,9 @@
 from amaranthring.forwarding import records
 from amaranthring.forwarding import relay as relays
 from amaranthring.policy import budgets
-from amaranthring.registry import keeper as keepers
 from amaranthring.registry import sharing
 from amaranthring.registry import subscriber as subscribers
+from amaranthring.targets import pool
 
 log = logbook.Logger(__name__)
 
@@ -39,6 +37,10 @@
 # may open connections until then.
 ROTATION_SECONDS = 2.5
 CLOSE_IDLE_SECONDS = 0.1
+# Idle connections to one target: more than a router has requests there at
+# most times, and with all routers' together half of what a target accepts.
+KEPT_MOST = 8
+KEPT_SHARE = 0.5
 # Kept of the time before the process is killed, to end in good order.
 END_SECONDS = 0.4
 FORGET_EVERY_SECONDS = 5.0
@@ -122,6 +124,7 @@
             ),
             lambda: self.subscriber.routers,
             self.metrics,
+            pool.Pool(self.kept_most),
         )
         self.front = fronts.Front(dialect, self.relay.serve, self.bounds)
         self.stopping = False
@@ -131,6 +134,17 @@
         """Return the bounds on what callers may send."""
         return self.table.plan.bounds if self.table else routing.Bounds()
 
+    def kept_most(self) -> int:
+        """Return how many connections to one target may idle.
+
+        All routers' together must leave room for those in use.
+        """
+        services = self.table.services.values() if self.table else ()
+        bounds = [one.connections_most for one in services]
+        most = min([b for b in bounds if b], default=KEPT_MOST)
+        shared = int(most * KEPT_SHARE / self.subscriber.routers)
+        return max(1, min(KEPT_MOST, shared))
+
     def take_plan(self, document: bytes) -> None:
         """Put the plan in `document` in force."""
         self.table = routing.RouteTable(self.decode(document))
@@ -152,11 +166,15 @@
 
     def start(self) -> None:
         """Listen and link to the keepers."""
-        self.front.listen(listening(self.place.callers))
-        serve(self.place.health, self._health)
-        serve(self.place.metrics, figures_answer(self.metrics))
+        self.front.listen(endpoints.listening(self.place.callers))
+        endpoints.serve(self.place.health, self._health)
+        endpoints.serve(self.place.metrics, endpoints.figures(self.metrics))
         self.subscriber.use_seeds(self.place.keepers)
-        for work in (self._forget(), self.sharing.run()):
+        for work in (
+            self._forget(),
+            self.sharing.run(),
+            self.relay.connections.run(),
+        ):
             self.tasks.append(asyncio.ensure_future(work))
 
     def use_seeds(self, addresses: list[str]) -> None:
@@ -188,78 +206,3 @@
         if self.front.running:
             logs.event(log, "router.cut-off", running=self.front.running)
         self.subscriber.stop()
-
-
-class KeeperProcess:
-    """A keeper with the platform's calls on its control address.
-
-    Parameters
-    ----------
-    answers : callable
-        Makes the function that answers control calls from the hub.
-    """
-
-    def __init__(
-        self,
-        place: keepers.Place,
-        control: str,
-        metrics_address: str,
-        keys: links.Keys,
-        answers: t.Callable[..., endpoints.Answer],
-    ):
-        self.place = place
-        self.control = control
-        self.metrics_address = metrics_address
-        self.metrics = metrics_module.Metrics()
-        self.keeper = keepers.PlanKeeper(place, keys, self.metrics)
-        self.answers = answers
-
-    def start(self) -> None:
-        """Listen and take part."""
-        self.keeper.start(listening(self.place.address))
-        serve(self.control, self.answers(self.keeper.hub))
-        serve(self.metrics_address, figures_answer(self.metrics))
-
-    def use_seeds(self, addresses: list[str]) -> None:
-        """Take the keepers that the settings name now."""
-        self.keeper.use_seeds(addresses)
-
-    async def stop(self) -> None:
-        """Step down and close."""
-        await self.keeper.stop()
-
-
-def listening(address: str) -> list:
-    """Return listening sockets on ``host:port``.
-
-    Raises
-    ------
-    errors.ListenError
-        If the address is taken or not of this VM.
-    """
-    host, port = address.rsplit(":", 1)
-    try:
-        return tornado.netutil.bind_sockets(int(port), host.strip("[]"))
-    except OSError as error:
-        raise errors.ListenError(
-            f"cannot listen on {address}",
-            given=error.strerror,
-            expected="a free address of this VM",
-        ) from error
-
-
-def serve(address: str, answer: endpoints.Answer) -> endpoints.Endpoints:
-    """Serve small calls on `address`."""
-    server = endpoints.Endpoints(answer)
-    server.listen(listening(address))
-    return server
-
-
-def figures_answer(metrics: metrics_module.Metrics) -> endpoints.Answer:
-    """Return the function that shows counters and histograms as text."""
-
-    async def answer(_call: endpoints.Call) -> endpoints.Result:
-        text = "".join(f"{line}\n" for line in metrics.lines())
-        return endpoints.Result(body=text.encode(), kind="text/plain")
-
-    return answer
--- a/amaranthring/platform/__main__.py
+++ b/amaranthring/platform/__main__.py
@@ -2,73 +2,25 @@
 
 import asyncio
 import gc
+import importlib
 import sys
 
 import logbook
 
 from amaranthring import errors
-from amaranthring import fleet_parts
 from amaranthring.core import lines
-from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.core import signals
-from amaranthring.platform import control
-from amaranthring.platform import documents
-from amaranthring.platform import headers
 from amaranthring.platform import node as nodes
-from amaranthring.registry import keeper as keepers
 
 log = logbook.Logger(__name__)
 
-# The platform hands out no secret and keeps others off these ports; the key
-# only tells this fleet's streams from anything else that listens there.
-FLEET_KEY = {"platform": b"amaranthring"}
-METRICS_PORT = 9105
 # How often the settings file is looked at when no signal comes: a process
 # whose keepers have all been exchanged finds the new ones within seconds.
 LOOK_SECONDS = 2.0
 
 
-def router(node: nodes.Node) -> fleet_parts.PlanRouter:
-    """Return the router of this VM."""
-    place = fleet_parts.RouterPlace(
-        name=node.name,
-        data_centre=node.data_centre,
-        callers=node.callers,
-        health=node.health,
-        metrics=f"{node.ip}:{METRICS_PORT}",
-        keepers=node.keepers(),
-        key_lease=node.key_lease,
-        grace=node.grace,
-        retry_ratio=node.retry_ratio,
-        retry_allowance=node.retry_allowance,
-        retry_window=node.retry_window,
-    )
-    return fleet_parts.PlanRouter(
-        place, links.Keys(FLEET_KEY), headers.dialect(), documents.decode
-    )
-
-
-def keeper(node: nodes.Node) -> fleet_parts.KeeperProcess:
-    """Return the keeper of this VM."""
-    place = keepers.Place(
-        address=f"{node.ip}:{node.fleet_port}",
-        data_centre=node.data_centre,
-        seeds=node.keepers(),
-        may_begin=node.first_start,
-        folder=node.data_folder,
-        beat_seconds=node.beat,
-    )
-    return fleet_parts.KeeperProcess(
-        place,
-        node.control,
-        f"{node.ip}:{METRICS_PORT}",
-        links.Keys(FLEET_KEY),
-        control.answers,
-    )
-
-
-ROLES = {"router": router, "keeper": keeper}
+ROLES = ("router", "keeper")
 
 
 async def follow_settings(node: nodes.Node, process, hangup) -> None:
@@ -102,7 +54,9 @@
     stop = signals.stop_event()
     hangup = signals.reload_event()
     node = nodes.read()
-    process = ROLES[role](node)
+    # Only the modules of this role are loaded.
+    maker = importlib.import_module(f"amaranthring.platform.{role}")
+    process = maker.make(node)
     process.start()
     following = asyncio.ensure_future(follow_settings(node, process, hangup))
     gc.collect()
--- /dev/null
+++ b/amaranthring/platform/keeper.py
@@ -0,0 +1,26 @@
+"""A keeper on the platform."""
+
+from amaranthring import plan_keeper
+from amaranthring.core import links
+from amaranthring.platform import control
+from amaranthring.platform import node as nodes
+from amaranthring.registry import keeper as keepers
+
+
+def make(node: nodes.Node) -> plan_keeper.KeeperProcess:
+    """Return the keeper of this VM."""
+    place = keepers.Place(
+        address=f"{node.ip}:{node.fleet_port}",
+        data_centre=node.data_centre,
+        seeds=node.keepers(),
+        may_begin=node.first_start,
+        folder=node.data_folder,
+        beat_seconds=node.beat,
+    )
+    return plan_keeper.KeeperProcess(
+        place,
+        node.control,
+        f"{node.ip}:{nodes.METRICS_PORT}",
+        links.Keys(nodes.FLEET_KEY),
+        control.answers,
+    )
--- a/amaranthring/platform/node.py
+++ b/amaranthring/platform/node.py
@@ -10,6 +10,11 @@
 PATH_VARIABLE = "AMARANTHRING_BOOT"
 MILLISECONDS = 1e3
 
+# The platform hands out no secret and keeps others off these ports; the key
+# only tells this fleet's streams from anything else that listens there.
+FLEET_KEY = {"platform": b"amaranthring"}
+METRICS_PORT = 9105
+
 
 @dataclasses.dataclass(frozen=True)
 class Node:
--- a/amaranthring/routing/plan.py
+++ b/amaranthring/routing/plan.py
@@ -17,7 +17,7 @@
     STREAM = "stream"
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class Share:
     """Part of a route's requests that goes to one service.
 
@@ -31,7 +31,7 @@
     weight: int
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class Route:
     """Where requests for a host and the paths under a prefix go.
 
@@ -85,7 +85,7 @@
         return self.kind == Kind.STREAM and self.resumable
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class Engine:
     """What the engines of a service are able to do.
 
@@ -101,7 +101,7 @@
     kv_tokens: int
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class Service:
     """A set of targets that answer the same requests.
 
@@ -121,7 +121,7 @@
     engine: Engine | None = None
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class Account:
     """A client account.
 
@@ -138,7 +138,7 @@
     priority: int | None = None
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class Bounds:
     """What a caller may send, and how long it may take or stay idle.
 
@@ -156,7 +156,7 @@
     idle_seconds: float = 15.0
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class Plan:
     """One whole document.
 
--- a/amaranthring/targets/chunks.py
+++ b/amaranthring/targets/chunks.py
@@ -26,10 +26,14 @@
         Whether the body is whole.
     ends_by_close : bool
         Whether a close is its proper end.
+    clean : bool
+        Whether nothing followed the body: only then may the connection
+        carry another request.
     """
 
     ended: bool
     ends_by_close: bool
+    clean: bool
 
     def take(self, data: bytes) -> bytes:
         """Return the part of the body in `data`."""
@@ -43,9 +47,11 @@
     def __init__(self, length: int):
         self.left = length
         self.ended = length == 0
+        self.clean = True
 
     def take(self, data: bytes) -> bytes:
         """Return the part of the body in `data`."""
+        self.clean = len(data) <= self.left
         data = data[: self.left]
         self.left -= len(data)
         self.ended = self.left == 0
@@ -57,6 +63,7 @@
 
     ends_by_close = True
     ended = False
+    clean = False
 
     def take(self, data: bytes) -> bytes:
         """Return `data`."""
@@ -70,6 +77,7 @@
 
     def __init__(self):
         self.ended = False
+        self.clean = False
         self.rest = b""
         self.left = 0
 
@@ -105,6 +113,9 @@
                 size = _size(data[at:found])
                 if size == 0:
                     self.ended = True
+                    # Trailers, or bytes that are no part of it, are not
+                    # told apart: such a connection is not used again.
+                    self.clean = data[found + 2 :] == b"\r\n"
                     break
                 at = found + 2
                 end = at + size
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -49,12 +49,15 @@
         address if it is not among them.
     body : bytes
         Sent whole.
+    keep : bool
+        Whether the connection may carry other calls after it.
     """
 
     method: str
     path: str
     headers: t.Mapping[str, str]
     body: bytes = b""
+    keep: bool = False
 
 
 class Exchange:
@@ -70,6 +73,8 @@
         HTTP status, once the head came.
     headers : HTTPHeaders
         Of the answer.
+    kept : bool
+        Whether its connection carried other calls before.
     """
 
     def __init__(
@@ -82,6 +87,7 @@
         self.sent = False
         self.status = 0
         self.headers = tornado.httputil.HTTPHeaders()
+        self.kept = False
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
         self.call: Call | None = None
@@ -113,6 +119,35 @@
         self.cause = self.cause or cause
         self.close()
 
+    def use(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Use a connection that is there already."""
+        self.reader, self.writer = reader, writer
+        self.kept = True
+
+    def release(self):
+        """Return reader and writer if they may carry another call.
+
+        The connection is then no longer this exchange's; None if it may
+        not be used again.
+        """
+        body = self.body
+        closing = self.headers.get("Connection", "").lower()
+        if body is None or not body.ended or not body.clean or self.cause:
+            return None
+        # An answer can come before the target has read the whole request;
+        # what is still to be written belongs to that one.
+        unsent = self.writer.transport.get_write_buffer_size()
+        if "close" in closing or unsent or self.writer.is_closing():
+            return None
+        held = self.reader, self.writer
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        self.reader = self.writer = None
+        return held
+
     def close(self) -> None:
         """Close the connection."""
         if self._timer:
@@ -225,6 +260,22 @@
         self.status, self.headers = start.code, headers
         self.body = chunks.body_of(headers, start.code, self.call.method)
 
+    async def skip(self, most: int) -> None:
+        """Pass over an answer to an earlier call, and nothing behind it.
+
+        Raises
+        ------
+        errors.UpstreamError
+            If its length is not given or above `most` bytes.
+        """
+        length = self.headers.get("Content-Length", "")
+        if not length.isdigit() or int(length) > most:
+            raise self._broken()
+        try:
+            await self.reader.readexactly(int(length))
+        except FAULTS as error:
+            raise self._broken() from error
+
     async def read(self) -> bytes:
         """Return what came, or nothing at the proper end of the body.
 
@@ -327,7 +378,9 @@
     if "Host" not in call.headers:
         lines.append(f"Host: {address}")
     lines += [f"{name}: {value}" for name, value in call.headers.items()]
-    lines += ["Connection: close", f"Content-Length: {len(call.body)}"]
+    if not call.keep:
+        lines.append("Connection: close")
+    lines.append(f"Content-Length: {len(call.body)}")
     for line in lines:
         if not line.isprintable():
             raise errors.BadRequestError(
--- a/amaranthring/testing/scripted.py
+++ b/amaranthring/testing/scripted.py
@@ -114,10 +114,16 @@
         Requests that it read whole.
     left : int
         Connections that the router closed while the script still ran.
+    keeps : bool
+        Whether a connection serves one call after the other.
+    connections : int
+        Connections that it accepted.
     """
 
-    def __init__(self, name: str, script: Script):
+    def __init__(self, name: str, script: Script, keeps: bool = False):
         self.name = name
+        self.keeps = keeps
+        self.connections = 0
         self.script = script
         self.seen: list[Seen] = []
         self.left = 0
@@ -143,18 +149,10 @@
         )
 
     async def _serve(self, reader, writer) -> None:
+        self.connections += 1
         try:
-            seen = await _read(reader)
-            self.seen.append(seen)
-            running = asyncio.ensure_future(self.script(seen, writer))
-            closed = asyncio.ensure_future(reader.read(1))
-            await asyncio.wait(
-                {running, closed}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if not running.done():
-                self.left += 1
-                running.cancel()
-            closed.cancel()
+            while await self._serve_one(reader, writer):
+                pass
         except asyncio.CancelledError:
             # The test has ended.
             return
@@ -163,6 +161,24 @@
         finally:
             writer.close()
 
+    async def _serve_one(self, reader, writer) -> bool:
+        """Answer one call; return whether another may follow."""
+        seen = await _read(reader)
+        self.seen.append(seen)
+        running = asyncio.ensure_future(self.script(seen, writer))
+        if self.keeps:
+            await running
+            return not writer.is_closing()
+        closed = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait(
+            {running, closed}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not running.done():
+            self.left += 1
+            running.cancel()
+        closed.cancel()
+        return False
+
 
 async def _read(reader) -> Seen:
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
