--- a/amaranthring/policy/affinity.py
+++ b/amaranthring/policy/affinity.py
@@ -28,6 +28,10 @@
 # 36 ms, as much as reading 1,700 tokens. Reading also holds up all tokens
 # of the other requests there, hence several times that.
 REQUESTS_PER_1000_TOKENS = 5.0
+# Loads up to this many requests above the mean count as equal. Where places
+# are not known (after a start, or while no keeper passes them on) hashing
+# then decides, and routers agree without talking.
+EVEN_LOAD = 1.0
 # Another data centre's target is taken for a plain request only if it has
 # this much less work per slot: a round trip costs a millisecond and its
 # bytes are paid for.
@@ -76,7 +80,8 @@
 
     def cost(one: Candidate) -> tuple[float, int]:
         reading = one.missing / 1000 * REQUESTS_PER_1000_TOKENS
-        return reading + one.load, -hashing.weight(key, one.id)
+        extra = max(0.0, one.load - mean - EVEN_LOAD)
+        return reading + extra, -hashing.weight(key, one.id)
 
     if free:
         return min(free, key=cost)
