--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -33,9 +33,10 @@
 # The final answer leaves this many seconds before the caller gives up.
 ANSWER_MARGIN = 0.02
 # When a caller should come back after each kind of refusal, in seconds.
+# After a restart of all processes routers have a plan within about 2 s.
 # Targets announce themselves about every second; a full target frees a
 # slot within some tens of milliseconds, but all callers wait for it.
-RETRY_NO_PLAN = 1.0
+RETRY_NO_PLAN = 2.0
 RETRY_NO_TARGET = 0.5
 RETRY_REFUSED = 0.3
 
--- a/amaranthring/platform/__main__.py
+++ b/amaranthring/platform/__main__.py
@@ -1,90 +1,13 @@
 """Daemons on the platform: ``python -m amaranthring.platform ROLE``."""
 
-import asyncio
 import gc
 import importlib
 import sys
 
-import logbook
-
-from amaranthring import errors
-from amaranthring.core import lines
-from amaranthring.core import logs
-from amaranthring.core import signals
-from amaranthring.platform import node as nodes
-
-log = logbook.Logger(__name__)
-
-# How often the settings file is looked at when no signal comes: a process
-# whose keepers have all been exchanged finds the new ones within seconds.
-LOOK_SECONDS = 2.0
-
-
-ROLES = ("router", "keeper")
-
-
-async def follow_settings(node: nodes.Node, process, hangup) -> None:
-    """Hand on what changes in the settings file, until cancelled.
-
-    Parameters
-    ----------
-    hangup : asyncio.Event
-        Set by SIGHUP; the file may also change without one.
-    """
-    while True:
-        try:
-            await asyncio.wait_for(hangup.wait(), LOOK_SECONDS)
-        except TimeoutError:
-            pass
-        hangup.clear()
-        try:
-            found = nodes.read()
-        except errors.SettingsError as error:
-            # It is being written, or broken: the last good one stays.
-            log.warning("settings.unusable fault={}", error)
-            continue
-        if found.seeds != node.seeds:
-            logs.event(log, "settings.reloaded", seeds=list(found.seeds))
-            process.use_seeds(found.keepers())
-            node = found
-
-
-async def run(role: str) -> None:
-    """Run a daemon until SIGTERM."""
-    stop = signals.stop_event()
-    hangup = signals.reload_event()
-    node = nodes.read()
-    # Only the modules of this role are loaded.
-    maker = importlib.import_module(f"amaranthring.platform.{role}")
-    process = maker.make(node)
-    process.start()
-    following = asyncio.ensure_future(follow_settings(node, process, hangup))
-    gc.collect()
-    gc.freeze()
-    logs.event(log, f"{role}.started", vm=node.name, seeds=list(node.seeds))
-    await stop.wait()
-    logs.event(log, f"{role}.stopping", vm=node.name)
-    following.cancel()
-    await process.stop()
-    logs.event(log, f"{role}.stopped", vm=node.name)
-
-
-def main() -> int:
-    """Run from the command line and return the exit code."""
-    role = sys.argv[1] if len(sys.argv) == 2 else ""
-    if role not in ROLES:
-        print(f"usage: ROLE is one of {', '.join(ROLES)}", file=sys.stderr)
-        return 2
-    writer = lines.setup(role)
-    try:
-        asyncio.run(run(role))
-    except errors.AmaranthringError as error:
-        log.error("{}.failed fault={}", role, error)
-        return 1
-    finally:
-        writer.flush()
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    # Nothing that is loaded at the start is garbage; looking for some takes
+    # a twentieth of the time until a keeper listens. The daemon enables
+    # collection again once it has started.
+    gc.disable()
+    daemon = importlib.import_module("amaranthring.platform.daemon")
+    sys.exit(daemon.main(sys.argv[1] if len(sys.argv) == 2 else ""))
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -19,6 +19,11 @@
 # keep the log short, and a follower that missed a few changes still gets
 # them one by one.
 SNAPSHOT_ENTRIES = 50
+# A leader that is lost is replaced within one to two of these, and without a
+# leader no router that starts gets its plan. Four heartbeats are enough where
+# keepers are a millisecond apart.
+HEARTBEAT_SECONDS = 0.1
+ELECTION_SECONDS = 0.45
 KEPT_ENTRIES = 20
 
 
@@ -109,6 +114,8 @@
     def options(self) -> options_module.Options:
         """Return the timing of the group."""
         return options_module.Options(
+            heartbeat_seconds=HEARTBEAT_SECONDS,
+            election_seconds=ELECTION_SECONDS,
             snapshot_entries=SNAPSHOT_ENTRIES,
             kept_entries=KEPT_ENTRIES,
             may_begin=self._may_begin(),
