Bound a target's load at twice the mean and three

Ruled out: lag as a reason for the margin (LIMIT allows 3 in 100 above).

Change: the bound is the one of the promise.

--- a/amaranthring/policy/affinity.py
+++ b/amaranthring/policy/affinity.py
@@ -18,10 +18,9 @@
 from amaranthring.core import hashing
 
 # A target may hold this multiple of the mean, plus a few, before requests
-# go elsewhere. Targets count as overloaded at 2 and 3; what routers know of
-# each other's requests is some hundred milliseconds old, hence one less.
+# go elsewhere; above that targets count as overloaded.
 LOAD_BOUND = 2.0
-LOAD_SLACK = 2.0
+LOAD_SLACK = 3.0
 # Requests at a target for which it is worth reading a thousand tokens again
 # elsewhere. An engine reads 48 tokens in a millisecond, and each request
 # that runs there adds 0.12 ms to each token of the others: over 300 tokens
