Keep prompt places on the keepers' disks

Ruled out: asking engines for what they hold (a call that delays their work and is dear); hashing alone (targets had come and gone since).

Change: a keeper writes the pairs it passes on to a file every 2 s and hands them to routers that start; a damaged, missing or old file costs nothing else.

--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -1,5 +1,6 @@
 """A keeper process that holds the routing plan and the table of targets."""
 
+import asyncio
 import dataclasses
 import pathlib
 import time
@@ -12,9 +13,11 @@
 from amaranthring.keepers import options as options_module
 from amaranthring.keepers import plans
 from amaranthring.registry import hub as hubs
+from amaranthring.registry import place_file
 
 GROUP = "plan"
 FOLDER = "keeper"
+PLACES = "prompt-places"
 # A plan with hundreds of routes takes some tens of kilobytes: snapshots
 # keep the log short, and a follower that missed a few changes still gets
 # them one by one.
@@ -103,6 +106,10 @@
             place.beat_seconds,
             clocks.monotonic,
         )
+        self.places = place_file.PlaceFile(
+            pathlib.Path(place.folder) / PLACES, self.hub.exchange
+        )
+        self.writing: asyncio.Task | None = None
         self.server = links.LinkServer(
             identity,
             keys,
@@ -134,6 +141,8 @@
         self.server.add_sockets(sockets)
         self.group.start()
         self.hub.start()
+        self.places.load()
+        self.writing = asyncio.ensure_future(self.places.run())
 
     def use_seeds(self, addresses: list[str]) -> None:
         """Also ask the keepers at `addresses` to be taken in."""
@@ -144,6 +153,9 @@
     async def stop(self) -> None:
         """Step down and close everything."""
         self.hub.stop()
+        if self.writing is not None:
+            self.writing.cancel()
+        self.places.close()
         await self.group.stop()
         self.server.close_all()
 
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -131,7 +131,7 @@
 
     def _on_report(self, link: links.Link, report: Report) -> None:
         if link not in self.routers:
-            self.places[link] = self._all_kept()
+            self.places[link] = self.all_kept()
         self.routers[link] = report.counts
         self.for_keepers += report.places
         self._pass_on(report.places, but=link)
@@ -143,12 +143,13 @@
     def _pass_on(self, places: list[list[str]], but: links.Link) -> None:
         if not places:
             return
-        self._keep(places)
+        self.keep(places)
         for link in self.routers:
             if link is not but:
                 self.places.setdefault(link, []).extend(places)
 
-    def _keep(self, places: list[list[str]]) -> None:
+    def keep(self, places: list[list[str]]) -> None:
+        """Remember pairs for routers that start."""
         now = self.clock()
         for part_id, target_id in places:
             self.kept[part_id, target_id] = now
@@ -159,7 +160,8 @@
                 return
             del self.kept[pair]
 
-    def _all_kept(self) -> list[list[str]]:
+    def all_kept(self) -> list[list[str]]:
+        """Return the pairs that are not too old."""
         oldest = self.clock() - KEPT_SECONDS
         return [list(p) for p, since in self.kept.items() if since > oldest]
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,8 +1,13 @@
 """Counts and prompt places that routers share through keepers."""
 
+import asyncio
+import pathlib
+import tempfile
 import unittest
 
 from amaranthring.core import links
+from amaranthring.keepers import disk
+from amaranthring.registry import place_file
 from amaranthring.registry import sharing
 
 
@@ -103,3 +108,55 @@
         self.report(1, {})
         self.one.step()
         self.assertEqual([], self.routers[1].sent[-1].places)
+
+
+class TestPlaceFile(unittest.IsolatedAsyncioTestCase):
+    """Places on a keeper's disk."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "places"
+
+    def exchange(self):
+        return sharing.Exchange(links.Handlers(), list, lambda: 100.0)
+
+    def opened(self, files=None):
+        made = place_file.PlaceFile(self.path, self.exchange(), files)
+        self.addCleanup(made.close)
+        return made
+
+    async def write(self, made):
+        made._note(made._write(sorted(made.exchange.all_kept())))
+
+    async def test_whole_fleet_loses_power(self):
+        """All VMs lose power; the engines run on with their prompts.
+
+        Routers and keepers that start know nothing, and the first request
+        for each long beginning reads it at another engine.
+        """
+        before = self.opened()
+        before.exchange.keep([["part", "a"], ["part", "b"]])
+        await self.write(before)
+        after = self.opened()
+        after.load()
+        self.assertEqual(
+            [["part", "a"], ["part", "b"]], after.exchange.all_kept()
+        )
+
+    async def test_damaged_file_is_no_file(self):
+        made = self.opened()
+        for data in (b"", b"torn", disk.with_checksum(b"\xc1")):
+            self.path.write_bytes(data)
+            made.load()
+        self.assertEqual([], made.exchange.all_kept())
+
+    async def test_full_disk_stops_nothing(self):
+        def write(_fd, _data):
+            raise OSError(28, "No space left on device")
+
+        made = self.opened(disk.Files(write=write))
+        made.exchange.keep([["part", "a"]])
+        await self.write(made)
+        self.assertTrue(made.faulty)
+        await asyncio.sleep(0)
