Leave a target only after two answers in a row that it did not give

Change: a target that was reached is avoided from the second failure in a row; one that was not is avoided at once, as before.

--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -142,11 +142,22 @@
         view.failures = 0
         view.avoid_until = 0.0
 
-    def failed(self, target: messages.TargetRecord) -> None:
-        """Note an attempt that the target did not answer."""
+    def failed(self, target: messages.TargetRecord, reached: bool) -> None:
+        """Note an attempt that the target did not answer.
+
+        Parameters
+        ----------
+        reached : bool
+            Whether there was a connection. A target that breaks one answer
+            off may do well with all others, and whoever leaves it for that
+            has long prompts read again elsewhere; two in a row are a sign.
+        """
         view = self.views[target.id]
-        seconds = AVOID_SECONDS * 2**view.failures
         view.failures += 1
+        counted = view.failures - (1 if reached else 0)
+        if counted < 1:
+            return
+        seconds = AVOID_SECONDS * 2 ** (counted - 1)
         view.avoid_until = self.clock() + min(seconds, AVOID_SECONDS_MOST)
 
     def counts(self) -> dict[str, int]:
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -280,7 +280,8 @@
         if isinstance(error, errors.OtherTargetError):
             self.placer.table.leave(target.id)
         elif not isinstance(error, errors.TargetFailedError):
-            self.placer.failed(target)
+            reached = error.outcome != errors.Outcome.NOT_RUN
+            self.placer.failed(target, reached)
 
     # -- when it fails -----------------------------------------------
 
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -9,10 +9,14 @@
 import random
 import unittest
 
+from amaranthring import routing
+from amaranthring.forwarding import placing
 from amaranthring.forwarding import prompts
 from amaranthring.forwarding import records
 from amaranthring.policy import affinity
 from amaranthring.policy import budgets
+from amaranthring.registry import messages
+from amaranthring.registry import targets
 
 ENGINES = [f"e{n}" for n in range(8)]
 SECONDS = 60.0
@@ -233,3 +237,54 @@
             inside = sum(end - 10 < at <= end for at in times)
             asked = sum(end - 10 < at <= end for at in requests)
             self.assertLessEqual(inside, 0.2 * asked + 54)
+
+
+class TestAvoidedTargets(unittest.TestCase):
+    """Targets that failed, as the next request finds them."""
+
+    def setUp(self):
+        self.now = 100.0
+        table = targets.TargetTable(lambda: self.now, 0.0)
+        for name in ("e0", "e1"):
+            table.merge(messages.TargetRecord(name, "s", f"{name}:1", "here"))
+        self.placer = placing.Placer(table, "here", lambda: self.now)
+        self.parts = (records.Part("a", 10_000), records.Part("own", 10))
+        self.first = self.chosen()
+
+    def chosen(self):
+        incoming = records.Incoming(
+            "r", "POST", "/", "/", "h", None, self.now, parts=self.parts
+        )
+        route = routing.Route(
+            "r", "h", "/", routing.Kind.STREAM, 5.0, 0.5, 0, (),
+            with_prompt=True,
+        )  # fmt: skip
+        passage = records.Passage(incoming, route, "", "s", 1, 200.0)
+        return self.placer.choose(passage)
+
+    def test_one_broken_answer_moves_no_prompt(self):
+        """Engines lose a few answers in a hundred for some seconds.
+
+        Left at each of them, long prompts went round all engines.
+        """
+        self.placer.failed(self.first, reached=True)
+        self.assertEqual(self.first, self.chosen())
+        self.placer.failed(self.first, reached=True)
+        self.assertNotEqual(self.first, self.chosen())
+
+    def test_target_that_is_not_there_is_left_at_once(self):
+        self.placer.failed(self.first, reached=False)
+        self.assertNotEqual(self.first, self.chosen())
+        self.now += placing.AVOID_SECONDS
+        self.assertEqual(self.first, self.chosen())
+
+    def test_an_answer_makes_good(self):
+        self.placer.failed(self.first, reached=True)
+        self.placer.did_well(self.first)
+        self.placer.failed(self.first, reached=True)
+        self.assertEqual(self.first, self.chosen())
+
+    def test_if_all_fail_one_is_tried_still(self):
+        for record in list(self.placer.table.current()):
+            self.placer.failed(record, reached=False)
+        self.assertIsNotNone(self.chosen())
