Leave a cut-off data centre after two targets; let other streams wait

Ruled out: targets' own slowness (the same targets answered others in 40 ms).

Change: two targets of another data centre that cannot be reached, and none reached since, take all of them out for a second; only streams that may be resumed are broken off for silence, after four of the longest pauses.

--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -20,6 +20,30 @@
 AVOID_SECONDS_MOST = 8.0
 
 
+# Targets of one data centre that could not be reached, without one that was
+# reached since, after which all of them count as cut off. Two can be down by
+# themselves, and are then one request's delay each; a cut would cost every
+# request one connection's timeout for each target of the data centre.
+CUT_TARGETS = 2
+# How long they then get requests only if there is no other target. The cut
+# is looked for again by one request each time.
+CUT_SECONDS = 1.0
+
+
+class DataCentreView:
+    """What this router itself has seen of one data centre.
+
+    Attributes
+    ----------
+    unreached : set of str
+        Targets that could not be reached since one was.
+    """
+
+    def __init__(self):
+        self.unreached: set[str] = set()
+        self.cut_until = 0.0
+
+
 class TargetView:
     """What this router itself has seen of one target.
 
@@ -73,6 +97,9 @@
         self.table = table
         self.data_centre = data_centre
         self.clock = clock
+        self.data_centres: dict[str, DataCentreView] = collections.defaultdict(
+            DataCentreView
+        )
         self.prompts = prompts.PromptPlaces(clock)
         self.views: dict[str, TargetView] = collections.defaultdict(TargetView)
 
@@ -80,7 +107,10 @@
         """Return the target for the next attempt, or None."""
         now = self.clock()
         able = self._able(passage)
-        sound = [r for r in able if self.views[r.id].avoid_until <= now]
+        near = [r for r in able if not self._is_cut_off(r, now)]
+        sound = [
+            r for r in near or able if self.views[r.id].avoid_until <= now
+        ]
         heard = [r for r in sound if not r.silent]
         # A target that fails, or is not heard, is still better than none.
         chosen = heard or sound or able
@@ -141,6 +171,24 @@
         view = self.views[target.id]
         view.failures = 0
         view.avoid_until = 0.0
+        self.reached(target)
+
+    def reached(self, target: messages.TargetRecord) -> None:
+        """Note that `target` said anything."""
+        if target.data_centre in self.data_centres:
+            del self.data_centres[target.data_centre]
+
+    def _count_unreached(self, target: messages.TargetRecord) -> None:
+        if target.data_centre == self.data_centre:
+            return
+        view = self.data_centres[target.data_centre]
+        view.unreached.add(target.id)
+        if len(view.unreached) >= CUT_TARGETS:
+            view.cut_until = self.clock() + CUT_SECONDS
+
+    def _is_cut_off(self, target: messages.TargetRecord, now: float) -> bool:
+        view = self.data_centres.get(target.data_centre)
+        return view is not None and view.cut_until > now
 
     def failed(self, target: messages.TargetRecord, reached: bool) -> None:
         """Note an attempt that the target did not answer.
@@ -154,6 +202,8 @@
         """
         view = self.views[target.id]
         view.failures += 1
+        if not reached:
+            self._count_unreached(target)
         counted = view.failures - (1 if reached else 0)
         if counted < 1:
             return
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -27,9 +27,11 @@
 # sent to a second target, early enough to be on time by the deadline.
 SAFE_PATIENCE = 1.6
 # A target from which no event comes for so many of the route's longest
-# pauses has broken down; callers give up after eight.
-STREAM_PAUSES = 5.0
-STREAM_SECONDS_LEAST = 1.5
+# pauses has broken down, and a stream that may go on elsewhere does; callers
+# give up after eight. Another stream waits: it can only be continued there,
+# and a cut that heals lets it go on.
+STREAM_PAUSES = 4.0
+STREAM_SECONDS_LEAST = 1.2
 # The final answer leaves this many seconds before the caller gives up.
 ANSWER_MARGIN = 0.02
 # When a caller should come back after each kind of refusal, in seconds.
@@ -207,11 +209,12 @@
         self.placer.begin(target, passage)
         try:
             answer = await attempt.open(self._patience(passage))
+            self.placer.reached(target)
             if answer.load is not None:
                 self.placer.reported(target, answer.load)
             if attempt.streams:
                 headers[:] = headers or [answer.headers]
-                pause = self._pause(passage.route)
+                pause = self._pause(passage)
                 await attempt.stream(cutter, reply, headers[0], pause)
                 if not reply.status:
                     await reply.begin(answer.status, headers[0], b"")
@@ -252,7 +255,10 @@
             return route.objective * SAFE_PATIENCE
         return float("inf")
 
-    def _pause(self, route: plans.Route) -> float:
+    def _pause(self, passage: records.Passage) -> float:
+        route = passage.route
+        if not route.idempotent or self._attempts_left(passage) < 2:
+            return passage.deadline - time.monotonic()
         longest = STREAM_PAUSES * route.pause_most
         return max(longest, STREAM_SECONDS_LEAST)
 
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -288,3 +288,57 @@
         for record in list(self.placer.table.current()):
             self.placer.failed(record, reached=False)
         self.assertIsNotNone(self.chosen())
+
+
+class TestDataCentreCutOff(unittest.TestCase):
+    """A data centre that is cut off from this router's."""
+
+    def setUp(self):
+        self.now = 100.0
+        table = targets.TargetTable(lambda: self.now, 0.0)
+        for number in range(6):
+            place = "there" if number < 4 else "here"
+            table.merge(
+                messages.TargetRecord(f"e{number}", "s", f"e{number}:1", place)
+            )
+        self.placer = placing.Placer(table, "here", lambda: self.now)
+        self.records = {r.id: r for r in table.current()}
+
+    def places(self):
+        route = routing.Route(
+            "r", "h", "/", routing.Kind.STREAM, 5.0, 0.5, 0, (),
+            with_prompt=True,
+        )  # fmt: skip
+        found = set()
+        for number in range(40):
+            incoming = records.Incoming(
+                "r", "POST", "/", "/", "h", None, self.now,
+                parts=(records.Part(f"p{number}", 10),),
+            )  # fmt: skip
+            passage = records.Passage(incoming, route, "", "s", 1, 200.0)
+            found.add(self.placer.choose(passage).data_centre)
+        return found
+
+    def test_all_its_targets_are_left_after_two(self):
+        """A cut drops all packets to a data centre with four engines.
+
+        Each request would wait for a connection to one after the other.
+        """
+        self.placer.failed(self.records["e0"], reached=False)
+        self.assertEqual({"here", "there"}, self.places())
+        self.placer.failed(self.records["e1"], reached=False)
+        self.assertEqual({"here"}, self.places())
+        self.now += placing.CUT_SECONDS
+        self.assertEqual({"here", "there"}, self.places())
+
+    def test_word_from_one_ends_it(self):
+        self.placer.failed(self.records["e0"], reached=False)
+        self.placer.failed(self.records["e1"], reached=False)
+        self.placer.reached(self.records["e2"])
+        self.assertEqual({"here", "there"}, self.places())
+
+    def test_own_data_centre_is_never_left(self):
+        self.placer.failed(self.records["e4"], reached=False)
+        self.placer.failed(self.records["e5"], reached=False)
+        self.now += placing.AVOID_SECONDS
+        self.assertEqual({"here", "there"}, self.places())
