--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -189,7 +189,6 @@
                 await self._attempt(passage, target, cutter, reply, headers)
                 return
             except errors.UpstreamError as error:
-                passage.trail.append(f"{target.id}:{error.code}")
                 passage.tried.add(target.id)
                 self._learn(target, error)
                 if not self._may_repeat(passage, error):
@@ -205,6 +204,8 @@
             passage, target, self.dialect, after, self.connections
         )
         whole = False
+        # Stands in the log if the request ends while this target is asked.
+        outcome = "unfinished"
         attempt.may_send = functools.partial(self._may_send, passage)
         self.placer.begin(target, passage)
         try:
@@ -223,8 +224,12 @@
                 await self._pass_whole(passage, attempt, reply)
             whole = True
             self.placer.did_well(target)
-            passage.trail.append(f"{target.id}:{answer.status}")
+            outcome = str(answer.status)
+        except errors.AmaranthringError as error:
+            outcome = error.code
+            raise
         finally:
+            passage.trail.append(f"{target.id}:{outcome}")
             attempt.end(whole)
             self.placer.end(target)
             if attempt.exchange.sent and not _certainly_refused(attempt):
@@ -354,10 +359,15 @@
             outcome=outcome,
             status=reply.status,
             ms=round(seconds * 1e3, 1),
+            first_ms=_milliseconds(incoming.arrived, reply.began_at),
             **fields,
         )
 
 
+def _milliseconds(since: float, until: float) -> float | None:
+    return round((until - since) * 1e3, 1) if until else None
+
+
 def _certainly_refused(attempt: attempts.Attempt) -> bool:
     answer = attempt.answer
     return answer is not None and (answer.refused or answer.other_target)
--- a/amaranthring/forwarding/replies.py
+++ b/amaranthring/forwarding/replies.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import time
 
 import tornado.httputil
 import tornado.iostream
@@ -23,6 +24,8 @@
     ----------
     status : int
         What was answered; 0 before the head was written.
+    began_at : float
+        Monotonic seconds at which its head was written.
     ended : bool
         Whether the answer is whole or broken off.
     closing : bool
@@ -32,6 +35,7 @@
     def __init__(self, connection: tornado.httputil.HTTPConnection):
         self.connection = connection
         self.status = 0
+        self.began_at = 0.0
         self.ended = False
         self.closing = False
 
@@ -53,6 +57,7 @@
 
     async def _head(self, status, headers, data: bytes) -> None:
         self.status = status
+        self.began_at = time.monotonic()
         if self.closing:
             headers["Connection"] = "close"
         reason = http.client.responses.get(status, "Unknown")
