Let routers tell each other which targets they cannot reach

Ruled out: shorter use of kept connections (those had idled below 2 s).

Change: silence on a connection is a failure of its own and leaves the target at once; routers report whom they cannot reach, and two others suffice unless the target did well here in the last half second; kept connections to a doubtful target are not used.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -312,6 +312,12 @@
     code = "truncated-answer"
 
 
+class TargetSilentError(TruncatedAnswerError):
+    """Nothing that was sent to the target is acknowledged any more."""
+
+    code = "target-silent"
+
+
 class UpstreamTimeoutError(UpstreamError):
     """The target sent nothing within the time allowed."""
 
--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -54,6 +54,8 @@
         The connection; its `sent` says whether the target may have run it.
     answer : Answer or None
         Once its head came.
+    trusts_kept : bool
+        Whether a kept connection to the target may be used.
     may_send : callable
         Called right before the request leaves; raises if it must not.
     """
@@ -73,6 +75,7 @@
         self.connections = connections
         self.exchange = upstream.Exchange(target, CONNECT_SECONDS)
         self.answer: records.Answer | None = None
+        self.trusts_kept = True
         self.may_send: t.Callable[[], None] = lambda: None
 
     async def open(self, patience: float) -> records.Answer:
@@ -108,9 +111,11 @@
         return self.answer
 
     async def _connect(self) -> None:
-        idempotent = self.passage.route.idempotent
-        idle = KEPT_IDEMPOTENT_SECONDS if idempotent else KEPT_SECONDS
-        held = await self.connections.take(self.target.id, idle)
+        held = None
+        if self.trusts_kept:
+            idempotent = self.passage.route.idempotent
+            idle = KEPT_IDEMPOTENT_SECONDS if idempotent else KEPT_SECONDS
+            held = await self.connections.take(self.target.id, idle)
         if held is not None:
             self.exchange.use(*held)
             return
--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -20,6 +20,12 @@
 AVOID_SECONDS_MOST = 8.0
 
 
+# A target that so many other routers could not reach is avoided here too,
+# unless it did well here within the trusted time; the doubt lasts a little
+# longer than the pause between two reports.
+DOUBTING_ROUTERS = 2
+TRUSTED_SECONDS = 0.5
+DOUBT_SECONDS = 0.6
 # Targets of one data centre that could not be reached, without one that was
 # reached since, after which all of them count as cut off. Two can be down by
 # themselves, and are then one request's delay each; a cut would cost every
@@ -65,6 +71,8 @@
         self.reported_at = float("-inf")
         self.failures = 0
         self.avoid_until = 0.0
+        self.unreached = False
+        self.did_well_at = float("-inf")
 
     def load(self, now: float) -> float:
         """Return the number of requests there, as far as is known."""
@@ -171,8 +179,24 @@
         view = self.views[target.id]
         view.failures = 0
         view.avoid_until = 0.0
+        view.unreached = False
+        view.did_well_at = self.clock()
         self.reached(target)
 
+    def is_doubtful(self, target: messages.TargetRecord) -> bool:
+        """Return whether the target failed last, here or at others."""
+        view = self.views[target.id]
+        return view.failures > 0 or view.avoid_until > self.clock()
+
+    def unreached(self) -> list[str]:
+        """Return the targets that this router could not reach last."""
+        now = self.clock()
+        return [
+            name
+            for name, view in self.views.items()
+            if view.unreached and view.avoid_until > now
+        ]
+
     def reached(self, target: messages.TargetRecord) -> None:
         """Note that `target` said anything."""
         if target.data_centre in self.data_centres:
@@ -202,6 +226,7 @@
         """
         view = self.views[target.id]
         view.failures += 1
+        view.unreached = not reached
         if not reached:
             self._count_unreached(target)
         counted = view.failures - (1 if reached else 0)
@@ -215,14 +240,28 @@
         views = self.views.items()
         return {name: view.running for name, view in views if view.running}
 
-    def others_said(self, counts: dict[str, int], places: list) -> None:
-        """Take the requests and the prompt places of the other routers."""
+    def others_said(
+        self, counts: dict[str, int], places: list, unreached: dict[str, int]
+    ) -> None:
+        """Take the requests, prompt places and failures of other routers."""
+        self._doubt_with_others(unreached)
         for target_id, view in self.views.items():
             view.others = counts.get(target_id, 0)
         for target_id in set(counts) & set(self.table.entries):
             self.views[target_id].others = counts[target_id]
         self.prompts.heard(places)
 
+    def _doubt_with_others(self, unreached: dict[str, int]) -> None:
+        # Each router would lose requests of its own to a target that lost
+        # its power. One router that cannot reach it may itself be cut off.
+        now = self.clock()
+        for name, routers in unreached.items():
+            if routers < DOUBTING_ROUTERS or name not in self.table.entries:
+                continue
+            view = self.views[name]
+            if now - view.did_well_at > TRUSTED_SECONDS:
+                view.avoid_until = max(view.avoid_until, now + DOUBT_SECONDS)
+
     def forget_gone(self) -> None:
         """Drop what was seen of targets that are gone, and what is old."""
         self.prompts.forget(self.table.entries)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -206,6 +206,7 @@
         whole = False
         # Stands in the log if the request ends while this target is asked.
         outcome = "unfinished"
+        attempt.trusts_kept = not self.placer.is_doubtful(target)
         attempt.may_send = functools.partial(self._may_send, passage)
         self.placer.begin(target, passage)
         try:
@@ -292,7 +293,12 @@
             self.placer.table.leave(target.id)
         elif not isinstance(error, errors.TargetFailedError):
             reached = error.outcome != errors.Outcome.NOT_RUN
-            self.placer.failed(target, reached)
+            if not reached or isinstance(error, errors.TargetSilentError):
+                # What is kept to it would take requests down with it.
+                self.connections.drop(target.id)
+                self.placer.failed(target, reached=False)
+            else:
+                self.placer.failed(target, reached=True)
 
     # -- when it fails -----------------------------------------------
 
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -108,6 +108,7 @@
             self.subscriber.home,
             self.placer.counts,
             self.placer.prompts.take_news,
+            self.placer.unreached,
             self.placer.others_said,
         )
         self.relay = relays.Relay(
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import typing as t
 
 from amaranthring import errors
@@ -36,26 +37,62 @@
         Its requests at each target; those without any are left out.
     places : list of list of str
         Pairs of part and target.
+    unreached : list of str
+        Targets that it could not reach when it last tried.
     """
 
     counts: dict[str, int]
     places: list[list[str]]
+    unreached: list[str] = dataclasses.field(default_factory=list)
 
 
 @wire.message("share-sums")
 class Sums:
-    """Between keepers: the sums over the routers that report to the sender."""
+    """Between keepers: the sums over the routers that report to the sender.
+
+    Attributes
+    ----------
+    unreached : dict of str to int
+        Routers that could not reach each target.
+    """
 
     counts: dict[str, int]
     places: list[list[str]]
+    unreached: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @wire.message("share-others")
 class Others:
-    """To a router: counts of all other routers, and places that are new."""
+    """To a router: what all other routers said; as in :class:`Sums`."""
 
     counts: dict[str, int]
     places: list[list[str]]
+    unreached: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class Totals:
+    """Sums of what routers report.
+
+    Attributes
+    ----------
+    counts : Counter
+        Requests at each target.
+    unreached : Counter
+        Routers that could not reach each target.
+    """
+
+    counts: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    unreached: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def add(self, counts: dict[str, int], unreached) -> None:
+        """Add one report, or the sums of others."""
+        self.counts.update(counts)
+        self.unreached.update(unreached)
 
 
 class Exchange:
@@ -77,8 +114,8 @@
     ):
         self.peers = peers
         self.clock = clock
-        self.routers: dict[links.Link, dict[str, int]] = {}
-        self.sums: dict[str, tuple[float, dict[str, int]]] = {}
+        self.routers: dict[links.Link, Report] = {}
+        self.sums: dict[str, tuple[float, Sums]] = {}
         self.places: dict[links.Link, list[list[str]]] = {}
         self.for_keepers: list[list[str]] = []
         self.kept: collections.OrderedDict[tuple[str, str], float] = (
@@ -95,36 +132,35 @@
 
     def step(self) -> None:
         """Tell the other keepers, and every router that reports here."""
-        own = collections.Counter()
-        for link, counts in list(self.routers.items()):
+        totals = Totals()
+        for link, report in list(self.routers.items()):
             if link.closed:
                 del self.routers[link]
                 self.places.pop(link, None)
             else:
-                own.update(counts)
+                totals.add(report.counts, report.unreached)
         places, self.for_keepers = self.for_keepers, []
-        message = Sums(dict(own), places)
+        message = Sums(dict(totals.counts), places, dict(totals.unreached))
         for dialler in self.peers():
             dialler.send(message)
-        total = own + self._elsewhere()
-        for link, counts in self.routers.items():
-            others = total - collections.Counter(counts)
-            self._tell(link, dict(others))
+        self._add_elsewhere(totals)
+        for link, report in self.routers.items():
+            self._tell(link, report, totals)
 
-    def _elsewhere(self) -> collections.Counter:
+    def _add_elsewhere(self, totals: Totals) -> None:
         oldest = self.clock() - STALE_SECONDS
-        total = collections.Counter()
-        for name, (heard_at, counts) in list(self.sums.items()):
+        for name, (heard_at, sums) in list(self.sums.items()):
             if heard_at <= oldest:
                 del self.sums[name]
             else:
-                total.update(counts)
-        return total
+                totals.add(sums.counts, sums.unreached)
 
-    def _tell(self, link: links.Link, counts: dict[str, int]) -> None:
+    def _tell(self, link: links.Link, report: Report, totals: Totals) -> None:
+        counts = totals.counts - collections.Counter(report.counts)
+        unreached = totals.unreached - collections.Counter(report.unreached)
         places = self.places.pop(link, [])
         try:
-            link.send(Others(counts, places))
+            link.send(Others(dict(counts), places, dict(unreached)))
         except errors.LinkError:
             # Counts are sent again soon; a place is told again while used.
             return
@@ -132,12 +168,12 @@
     def _on_report(self, link: links.Link, report: Report) -> None:
         if link not in self.routers:
             self.places[link] = self.all_kept()
-        self.routers[link] = report.counts
+        self.routers[link] = report
         self.for_keepers += report.places
         self._pass_on(report.places, but=link)
 
     def _on_sums(self, link: links.Link, sums: Sums) -> None:
-        self.sums[link.peer.name] = (self.clock(), sums.counts)
+        self.sums[link.peer.name] = (self.clock(), sums)
         self._pass_on(sums.places, but=link)
 
     def _pass_on(self, places: list[list[str]], but: links.Link) -> None:
@@ -177,8 +213,11 @@
         Returns its requests by target.
     take_news : callable
         Returns its new prompt places.
+    unreached : callable
+        Returns the targets that it could not reach.
     on_others : callable
-        Called with the counts of the other routers and their places.
+        Called with the counts of the other routers, their places, and how
+        many of them could not reach each target.
     """
 
     def __init__(
@@ -187,11 +226,13 @@
         home: t.Callable[[], links.Link | None],
         counts: t.Callable[[], dict[str, int]],
         take_news: t.Callable[[], list],
-        on_others: t.Callable[[dict[str, int], list], None],
+        unreached: t.Callable[[], list[str]],
+        on_others: t.Callable[[dict[str, int], list, dict[str, int]], None],
     ):
         self.home = home
         self.counts = counts
         self.take_news = take_news
+        self.unreached = unreached
         self.on_others = on_others
         handlers.add(Others, self._on_others)
 
@@ -208,10 +249,10 @@
             return
         places = [list(pair) for pair in self.take_news()]
         try:
-            link.send(Report(self.counts(), places))
+            link.send(Report(self.counts(), places, self.unreached()))
         except errors.LinkError:
             # The link's own task finds that out and dials again.
             return
 
     def _on_others(self, _link: links.Link, others: Others) -> None:
-        self.on_others(others.counts, others.places)
+        self.on_others(others.counts, others.places, others.unreached)
--- a/amaranthring/targets/pool.py
+++ b/amaranthring/targets/pool.py
@@ -22,8 +22,9 @@
 UNSTATED_SECONDS = 2.0
 EXPIRE_SECONDS = 1.0
 # Bytes that stay without acknowledgement for so long lead nowhere: the
-# connection went silent, or the target's VM lost its power.
-UNACKED_MILLISECONDS = 1000
+# connection went silent, or the target's VM lost its power. Two lost packets
+# in a row are sent again within that time (0.2 and 0.4 s).
+UNACKED_MILLISECONDS = 700
 
 
 @dataclasses.dataclass
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -252,7 +252,7 @@
                 start = tornado.httputil.parse_response_start_line(line)
                 headers = tornado.httputil.HTTPHeaders.parse(rest)
             except (*FAULTS, tornado.httputil.HTTPInputError) as error:
-                raise self._broken() from error
+                raise self._broken(error) from error
             if start.code >= 200:
                 break
         else:
@@ -274,7 +274,7 @@
         try:
             await self.reader.readexactly(int(length))
         except FAULTS as error:
-            raise self._broken() from error
+            raise self._broken(error) from error
 
     async def read(self) -> bytes:
         """Return what came, or nothing at the proper end of the body.
@@ -288,7 +288,7 @@
             try:
                 data = await self.reader.read(READ_BYTES)
             except FAULTS as error:
-                raise self._broken() from error
+                raise self._broken(error) from error
             if not data:
                 if self.body.ends_by_close and not self.cause:
                     return b""
@@ -334,9 +334,17 @@
                 )
         return b"".join(parts)
 
-    def _broken(self) -> errors.AmaranthringError:
+    def _broken(
+        self, error: BaseException | None = None
+    ) -> errors.AmaranthringError:
         self.close()
-        return self.cause or errors.TruncatedAnswerError(
+        # The system's own timeout on what is sent: the connection has gone
+        # silent, or the target's VM has no power.
+        silent = isinstance(error, TimeoutError)
+        kind = errors.TruncatedAnswerError
+        if silent:
+            kind = errors.TargetSilentError
+        return self.cause or kind(
             "the connection broke before the answer was whole",
             given=self.target.name,
             expected="a whole answer",
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -284,6 +284,24 @@
         self.placer.failed(self.first, reached=True)
         self.assertEqual(self.first, self.chosen())
 
+    def test_target_that_others_cannot_reach_is_left_too(self):
+        """An engine's VM loses its power; each router has connections to it.
+
+        Without word from others every one of them loses requests to it.
+        """
+        self.placer.others_said({}, [], {self.first.id: 1})
+        self.assertEqual(self.first, self.chosen())
+        self.placer.others_said({}, [], {self.first.id: 2})
+        self.assertNotEqual(self.first, self.chosen())
+        self.assertTrue(self.placer.is_doubtful(self.first))
+        self.now += placing.DOUBT_SECONDS
+        self.assertEqual(self.first, self.chosen())
+
+    def test_word_of_others_does_not_count_against_own_answers(self):
+        self.placer.did_well(self.first)
+        self.placer.others_said({}, [], {self.first.id: 5})
+        self.assertEqual(self.first, self.chosen())
+
     def test_if_all_fail_one_is_tried_still(self):
         for record in list(self.placer.table.current()):
             self.placer.failed(record, reached=False)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -51,9 +51,11 @@
         made.handlers = handlers
         return made
 
-    def report(self, router, counts, places=()):
+    def report(self, router, counts, places=(), unreached=()):
         home = self.two if router == 2 else self.one
-        message = sharing.Report(counts, [list(p) for p in places])
+        message = sharing.Report(
+            counts, [list(p) for p in places], list(unreached)
+        )
         home.handlers.by_class[sharing.Report](self.routers[router], message)
 
     def step(self):
@@ -81,6 +83,16 @@
         self.one.step()
         self.assertEqual({}, self.routers[0].sent[-1].counts)
 
+    def test_each_router_hears_who_else_could_not_reach_a_target(self):
+        self.report(0, {}, unreached=["a"])
+        self.report(1, {}, unreached=["a", "b"])
+        self.report(2, {})
+        self.step()
+        last = [router.sent[-1].unreached for router in self.routers]
+        self.assertEqual({"a": 1, "b": 1}, last[0])
+        self.assertEqual({"a": 1}, last[1])
+        self.assertEqual({"a": 2, "b": 1}, last[2])
+
     def test_places_reach_every_other_router_once(self):
         for router in range(3):
             self.report(router, {})
