Tell callers at once when no target can be reached

Ruled out: a longer memory of failures (a cut that heals would be noticed later; the longest is 2 s now, 8 s before).

Change: targets that this router could not reach get no request until their time is over; silence counts only for a target that has not answered here within 2 s; connections are given up after 0.15 s.

--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -19,7 +19,7 @@
 # A connection within the fleet's network takes a few milliseconds. One that
 # takes longer leads to a VM without power or behind a cut; the request has
 # not been sent and has its time for another target.
-CONNECT_SECONDS = 0.25
+CONNECT_SECONDS = 0.15
 # How long a connection may have idled for a request that may run again, and
 # for one that may not. On one that has gone bad meanwhile the second kind is
 # lost, where a new connection would show before it is sent that the target
--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -15,9 +15,12 @@
 REPORT_SECONDS = 0.3
 # A target that failed is passed over for this long, doubled with each
 # further failure in a row up to the most. The first is shorter than an
-# announcement's beat: most failures are over at once.
+# announcement's beat: most failures are over at once. The most bounds how
+# long after the end of a cut callers are still refused.
 AVOID_SECONDS = 0.5
-AVOID_SECONDS_MOST = 8.0
+AVOID_SECONDS_MOST = 2.0
+# A target that answered here within this time lives, whatever keepers heard.
+ANSWERED_SECONDS = 2.0
 
 
 # A target that so many other routers could not reach is avoided here too,
@@ -119,9 +122,11 @@
         sound = [
             r for r in near or able if self.views[r.id].avoid_until <= now
         ]
-        heard = [r for r in sound if not r.silent]
-        # A target that fails, or is not heard, is still better than none.
-        chosen = heard or sound or able
+        heard = [r for r in sound if self._is_heard(r, now)]
+        # A target that fails, or is not heard, is still better than none;
+        # one that surely cannot be reached is not: the caller is told at
+        # once, and the next request after the avoided time looks again.
+        chosen = heard or sound or [r for r in able if not self._is_out(r)]
         by_id = {record.id: record for record in chosen}
         candidates = [
             affinity.Candidate(
@@ -142,6 +147,16 @@
             found = affinity.least_loaded(candidates)
         return by_id[found.id] if found else None
 
+    def _is_heard(self, record: messages.TargetRecord, now: float) -> bool:
+        # Keepers that are cut off from each other miss announcements of
+        # targets that answer here all the while.
+        if not record.silent:
+            return True
+        return now - self.views[record.id].did_well_at < ANSWERED_SECONDS
+
+    def _is_out(self, record: messages.TargetRecord) -> bool:
+        return self.views[record.id].unreached
+
     def _able(self, passage: records.Passage) -> list:
         return [
             record
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import dataclasses
 import random
 import unittest
 
@@ -303,10 +304,36 @@
         self.assertEqual(self.first, self.chosen())
 
     def test_if_all_fail_one_is_tried_still(self):
+        for record in list(self.placer.table.current()):
+            self.placer.failed(record, reached=True)
+            self.placer.failed(record, reached=True)
+        self.assertIsNotNone(self.chosen())
+
+    def test_if_none_can_be_reached_the_caller_is_told_at_once(self):
+        """A data centre is cut off from all targets of a service.
+
+        Each request would wait for one connection after the other and be
+        refused in the end, too late to go elsewhere.
+        """
         for record in list(self.placer.table.current()):
             self.placer.failed(record, reached=False)
+        self.assertIsNone(self.chosen())
+        self.now += placing.AVOID_SECONDS
         self.assertIsNotNone(self.chosen())
 
+    def test_silent_target_that_answers_keeps_its_prompts(self):
+        """Keepers are cut off from each other, and targets go on serving.
+
+        Taken as lost for want of announcements, all of a data centre's
+        targets would give their prompts away.
+        """
+        record = dataclasses.replace(self.first, silent=True)
+        self.placer.did_well(self.first)
+        self.placer.table.merge(record)
+        self.assertEqual(self.first.id, self.chosen().id)
+        self.now += placing.ANSWERED_SECONDS
+        self.assertNotEqual(self.first.id, self.chosen().id)
+
 
 class TestDataCentreCutOff(unittest.TestCase):
     """A data centre that is cut off from this router's."""
