Begin a group though keepers that are no seeds answer too

Cause: the first keeper waited for answers from exactly the seeds. Where there are more keepers than seeds, the others had greeted it before and were asked as well, so the answers were never exactly those: no group, no plan, every request refused (a first look at 84 routers and 6 keepers served nothing).

Ruled out: the settings (all six had the same three seeds and the mark of a first start).

Change: answers from all seeds are enough. The new test fails without it.

--- a/amaranthring/keepers/genesis.py
+++ b/amaranthring/keepers/genesis.py
@@ -63,7 +63,8 @@
         return False
     everyone = {peer.name for peer in group.configured}
     first = min(everyone | {group.keeper.name})
-    return set(replies) == everyone and first == group.keeper.name
+    # Others that found this one already answer too; they join later.
+    return everyone <= set(replies) and first == group.keeper.name
 
 
 async def _begin(group, replies) -> None:
--- a/tests/test_plan_keepers.py
+++ b/tests/test_plan_keepers.py
@@ -157,6 +157,33 @@
         self.assertEqual(13, (await self.keepers.read()).version)
 
 
+class TestFirstStart(unittest.IsolatedAsyncioTestCase):
+    """More keepers than seeds, all started at once."""
+
+    async def test_keepers_that_are_no_seeds_do_not_hold_up_the_others(self):
+        """Six keepers start for the first time and know three seeds.
+
+        Those that are no seeds greet the seeds before these have begun a
+        group. Waiting for exactly the seeds' answers, nobody ever did, and
+        no plan was accepted.
+        """
+        asyncio.get_running_loop().set_debug(False)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        keepers = plan_keepers.PlanKeepers(folder.name)
+        self.addAsyncCleanup(keepers.stop_all)
+        others = [keepers.new_address() for _ in range(3)]
+        for address in [*others, *keepers.seeds[1:]]:
+            keepers.start(address, first=True)
+        await asyncio.sleep(1.5)
+        keepers.start(keepers.seeds[0], first=True)
+        await plan_keepers.until(keepers.leader)
+        await plan_keepers.until(lambda: len(keepers.voters()) == 5)
+        self.assertEqual(1, await keepers.put(1, b"one", others[0]))
+        for address in keepers.running:
+            self.assertEqual(1, (await keepers.read(address)).version)
+
+
 class TestFollowing(KeepersCase):
     """What a router knows, and how sure it is of that."""
 
