--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -12,14 +12,13 @@
 
 import logbook
 import tornado.httpserver
-import tornado.netutil
 import tornado.web
 
-from amaranthring import errors
 from amaranthring import keeper_parts
 from amaranthring import router_parts
 from amaranthring import settings as settings_module
 from amaranthring.callers import server
+from amaranthring.core import endpoints
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.core import signals
@@ -47,25 +46,6 @@
     asyncio.run(mains[role](settings))
 
 
-def bind(address: str) -> list:
-    """Return listening sockets on ``host:port``.
-
-    Raises
-    ------
-    errors.ListenError
-        If the address is taken or not of this VM.
-    """
-    host, port = address.rsplit(":", 1)
-    try:
-        return tornado.netutil.bind_sockets(int(port), host.strip("[]"))
-    except OSError as error:
-        raise errors.ListenError(
-            f"cannot listen on {address}",
-            given=error.strerror,
-            expected="a free address of this VM",
-        ) from error
-
-
 def _unlogged(_handler: tornado.web.RequestHandler) -> None:
     """Write no line per request: requests are counted, not logged."""
 
@@ -87,7 +67,7 @@
         idle_connection_timeout=bounds.idle_seconds,
         body_timeout=bounds.body_seconds,
     )
-    server.add_sockets(bind(listen.internal))
+    server.add_sockets(endpoints.listening(listen.internal))
     return server
 
 
@@ -106,7 +86,7 @@
     router = router_parts.Router(settings, identity_of("router", settings))
     internal = listen_internal(settings, router.internal_routes())
     callers = listen_callers(settings, router)
-    router.start(bind(settings.listen.fleet))
+    router.start(endpoints.listening(settings.listen.fleet))
     freeze()
     logs.event(log, "router.started", callers=settings.listen.callers)
     await stop.wait()
@@ -136,7 +116,7 @@
     context = files.tls_context(
         listen.certificate_file, listen.certificate_key_file
     )
-    sockets = bind(listen.callers)
+    sockets = endpoints.listening(listen.callers)
     return server.listen(app, sockets, settings.callers, context)
 
 
@@ -148,7 +128,7 @@
         ("/metrics", figures.FiguresHandler, {"figures": keeper.metrics})
     ]
     internal = listen_internal(settings, routes)
-    keeper.start(bind(settings.listen.fleet))
+    keeper.start(endpoints.listening(settings.listen.fleet))
     freeze()
     logs.event(log, "keeper.started", folder=settings.process.data_folder)
     await stop.wait()
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -102,15 +102,7 @@
         self._require_connected()
         if self.table.merge(record):
             held = self.table.entries[record.id].record
-            logs.event(
-                log,
-                "target.changed",
-                target=held.id,
-                service=held.service,
-                address=held.address,
-                state=held.state,
-                sequence=held.sequence,
-            )
+            targets.log_change(held)
             self._tell([held])
 
     def leave(self, target_id: str) -> None:
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -206,15 +206,6 @@
     def _on_targets(self, _link: links.Link, news: messages.Targets) -> None:
         changed = [r for r in news.records if self.table.merge(r)]
         for record in changed:
-            logs.event(
-                log,
-                "target.changed",
-                target=record.id,
-                service=record.service,
-                address=record.address,
-                state=record.state,
-                silent=record.silent,
-                sequence=record.sequence,
-            )
+            targets.log_change(record)
         if changed:
             self.on_targets()
--- a/amaranthring/registry/targets.py
+++ b/amaranthring/registry/targets.py
@@ -8,6 +8,9 @@
 import dataclasses
 import typing as t
 
+import logbook
+
+from amaranthring.core import logs
 from amaranthring.registry import messages
 
 # An announcement of a start that is not known yet takes the address of a
@@ -16,6 +19,23 @@
 FIRST_SEQUENCES = 3
 
 
+log = logbook.Logger(__name__)
+
+
+def log_change(record: messages.TargetRecord) -> None:
+    """Log that what is believed of a target has changed."""
+    logs.event(
+        log,
+        "target.changed",
+        target=record.id,
+        service=record.service,
+        address=record.address,
+        state=record.state,
+        silent=record.silent,
+        sequence=record.sequence,
+    )
+
+
 @dataclasses.dataclass
 class Entry:
     """What is known of one start of a target.
