Count what a target has yet to read, so that cold prompts spread

Requests at a target say nothing of how much it has to read first.

Ruled out: a smaller bound on loads (the engine held 9 requests, the bound then was 8 to 9, and prompts would move that are cached).

Change: routers share the tokens that each target has yet to read for them; a thousand of them count as 0.2 requests. One report goes to the keeper as one message type, made by the placer.

--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -8,6 +8,7 @@
 from amaranthring.forwarding import records
 from amaranthring.policy import affinity
 from amaranthring.registry import messages
+from amaranthring.registry import sharing
 from amaranthring.registry import targets as tables
 
 # What a target said of its load is worth this long; then only this router's
@@ -62,6 +63,8 @@
         Requests of this router there.
     others : int
         Requests of the other routers there, as they last said.
+    reading, others_reading : int
+        Tokens that it has yet to read for this router and for the others.
     reported : float
         Requests of all routers there, as it last said, and those that this
         router has sent since.
@@ -70,6 +73,8 @@
     def __init__(self):
         self.running = 0
         self.others = 0
+        self.reading = 0
+        self.others_reading = 0
         self.reported = 0.0
         self.reported_at = float("-inf")
         self.failures = 0
@@ -77,6 +82,11 @@
         self.unreached = False
         self.did_well_at = float("-inf")
 
+    @property
+    def waiting(self) -> int:
+        """Return the tokens that it has yet to read."""
+        return self.reading + self.others_reading
+
     def load(self, now: float) -> float:
         """Return the number of requests there, as far as is known."""
         counted = self.running + self.others
@@ -141,6 +151,7 @@
         if passage.route.with_prompt and parts:
             for one in candidates:
                 one.missing = self.prompts.missing(parts, one.id)
+                one.waiting = self.views[one.id].waiting
             shared = parts[-2] if len(parts) > 1 else parts[-1]
             found = affinity.with_prompt(candidates, shared.id)
         else:
@@ -170,13 +181,26 @@
         self, target: messages.TargetRecord, passage: records.Passage
     ) -> None:
         """Count a request of this router at `target`."""
-        self.prompts.sent(passage.incoming.parts, target.id)
+        parts = passage.incoming.parts
+        passage.reading = self.prompts.missing(parts, target.id)
+        self.prompts.sent(parts, target.id)
         view = self.views[target.id]
+        view.reading += passage.reading
         view.running += 1
         view.reported += 1
 
-    def end(self, target: messages.TargetRecord) -> None:
+    def has_read(
+        self, target: messages.TargetRecord, passage: records.Passage
+    ) -> None:
+        """Note that the target has begun to answer."""
+        self.views[target.id].reading -= passage.reading
+        passage.reading = 0
+
+    def end(
+        self, target: messages.TargetRecord, passage: records.Passage
+    ) -> None:
         """Count it off again."""
+        self.has_read(target, passage)
         view = self.views[target.id]
         view.running -= 1
         view.reported = max(0.0, view.reported - 1)
@@ -255,16 +279,29 @@
         views = self.views.items()
         return {name: view.running for name, view in views if view.running}
 
-    def others_said(
-        self, counts: dict[str, int], places: list, unreached: dict[str, int]
-    ) -> None:
-        """Take the requests, prompt places and failures of other routers."""
-        self._doubt_with_others(unreached)
-        for target_id, view in self.views.items():
-            view.others = counts.get(target_id, 0)
-        for target_id in set(counts) & set(self.table.entries):
-            self.views[target_id].others = counts[target_id]
-        self.prompts.heard(places)
+    def readings(self) -> dict[str, int]:
+        """Return the tokens yet to be read for this router, by target."""
+        views = self.views.items()
+        return {name: view.reading for name, view in views if view.reading}
+
+    def others_said(self, others: sharing.Others) -> None:
+        """Take what the other routers do and have found."""
+        self._doubt_with_others(others.unreached)
+        named = set(others.counts) | set(others.reading)
+        for target_id in set(self.views) | named & set(self.table.entries):
+            view = self.views[target_id]
+            view.others = others.counts.get(target_id, 0)
+            view.others_reading = others.reading.get(target_id, 0)
+        self.prompts.heard(others.places)
+
+    def report(self) -> sharing.Report:
+        """Return what the other routers should know."""
+        return sharing.Report(
+            self.counts(),
+            [list(pair) for pair in self.prompts.take_news()],
+            self.unreached(),
+            self.readings(),
+        )
 
     def _doubt_with_others(self, unreached: dict[str, int]) -> None:
         # Each router would lose requests of its own to a target that lost
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -161,6 +161,8 @@
         Targets that may have begun to work on it.
     tried : set of str
         Ids of targets that will not be asked again.
+    reading : int
+        Tokens that the target asked now has to read first.
     """
 
     incoming: Incoming
@@ -170,5 +172,6 @@
     version: int
     deadline: float
     sent: int = 0
+    reading: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     trail: list[str] = dataclasses.field(default_factory=list)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -212,6 +212,7 @@
         try:
             answer = await attempt.open(self._patience(passage))
             self.placer.reached(target)
+            self.placer.has_read(target, passage)
             if answer.load is not None:
                 self.placer.reported(target, answer.load)
             if attempt.streams:
@@ -232,7 +233,7 @@
         finally:
             passage.trail.append(f"{target.id}:{outcome}")
             attempt.end(whole)
-            self.placer.end(target)
+            self.placer.end(target, passage)
             if attempt.exchange.sent and not _certainly_refused(attempt):
                 passage.sent += 1
 
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -106,9 +106,7 @@
         self.sharing = sharing.Member(
             self.subscriber.handlers,
             self.subscriber.home,
-            self.placer.counts,
-            self.placer.prompts.take_news,
-            self.placer.unreached,
+            self.placer.report,
             self.placer.others_said,
         )
         self.relay = relays.Relay(
--- a/amaranthring/policy/affinity.py
+++ b/amaranthring/policy/affinity.py
@@ -31,6 +31,11 @@
 # are not known (after a start, or while no keeper passes them on) hashing
 # then decides, and routers agree without talking.
 EVEN_LOAD = 1.0
+# Requests at a target for which a thousand tokens that it has yet to read for
+# others count. It reads them first, 48 in a millisecond: 10,000 delay the
+# first token by 0.2 s, for which a prompt of 400 tokens is better read again
+# elsewhere, one of 2,000 is not.
+REQUESTS_PER_1000_WAITING = 0.2
 # Another data centre's target is taken for a plain request only if it has
 # this much less work per slot: a round trip costs a millisecond and its
 # bytes are paid for.
@@ -51,6 +56,8 @@
         Whether it is in this router's data centre.
     missing : int
         Tokens of the prompt that it would have to read.
+    waiting : int
+        Tokens that it has yet to read for other requests.
     """
 
     id: str
@@ -58,6 +65,7 @@
     slots: int = 1
     near: bool = True
     missing: int = 0
+    waiting: int = 0
 
 
 def with_prompt(
@@ -80,6 +88,7 @@
     def cost(one: Candidate) -> tuple[float, int]:
         reading = one.missing / 1000 * REQUESTS_PER_1000_TOKENS
         extra = max(0.0, one.load - mean - EVEN_LOAD)
+        extra += one.waiting / 1000 * REQUESTS_PER_1000_WAITING
         return reading + extra, -hashing.weight(key, one.id)
 
     if free:
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -39,11 +39,14 @@
         Pairs of part and target.
     unreached : list of str
         Targets that it could not reach when it last tried.
+    reading : dict of str to int
+        Tokens that each target has yet to read for it.
     """
 
     counts: dict[str, int]
     places: list[list[str]]
     unreached: list[str] = dataclasses.field(default_factory=list)
+    reading: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @wire.message("share-sums")
@@ -59,6 +62,7 @@
     counts: dict[str, int]
     places: list[list[str]]
     unreached: dict[str, int] = dataclasses.field(default_factory=dict)
+    reading: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @wire.message("share-others")
@@ -68,6 +72,7 @@
     counts: dict[str, int]
     places: list[list[str]]
     unreached: dict[str, int] = dataclasses.field(default_factory=dict)
+    reading: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass
@@ -80,6 +85,8 @@
         Requests at each target.
     unreached : Counter
         Routers that could not reach each target.
+    reading : Counter
+        Tokens that each target has yet to read.
     """
 
     counts: collections.Counter = dataclasses.field(
@@ -88,11 +95,23 @@
     unreached: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    reading: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
-    def add(self, counts: dict[str, int], unreached) -> None:
+    def add(self, said: Report | Sums) -> None:
         """Add one report, or the sums of others."""
-        self.counts.update(counts)
-        self.unreached.update(unreached)
+        self.counts.update(said.counts)
+        self.unreached.update(said.unreached)
+        self.reading.update(said.reading)
+
+    def without(self, own: Report) -> "Totals":
+        """Return the sums without one report."""
+        return Totals(
+            self.counts - collections.Counter(own.counts),
+            self.unreached - collections.Counter(own.unreached),
+            self.reading - collections.Counter(own.reading),
+        )
 
 
 class Exchange:
@@ -138,9 +157,14 @@
                 del self.routers[link]
                 self.places.pop(link, None)
             else:
-                totals.add(report.counts, report.unreached)
+                totals.add(report)
         places, self.for_keepers = self.for_keepers, []
-        message = Sums(dict(totals.counts), places, dict(totals.unreached))
+        message = Sums(
+            dict(totals.counts),
+            places,
+            dict(totals.unreached),
+            dict(totals.reading),
+        )
         for dialler in self.peers():
             dialler.send(message)
         self._add_elsewhere(totals)
@@ -153,14 +177,18 @@
             if heard_at <= oldest:
                 del self.sums[name]
             else:
-                totals.add(sums.counts, sums.unreached)
+                totals.add(sums)
 
     def _tell(self, link: links.Link, report: Report, totals: Totals) -> None:
-        counts = totals.counts - collections.Counter(report.counts)
-        unreached = totals.unreached - collections.Counter(report.unreached)
-        places = self.places.pop(link, [])
+        others = totals.without(report)
+        message = Others(
+            dict(others.counts),
+            self.places.pop(link, []),
+            dict(others.unreached),
+            dict(others.reading),
+        )
         try:
-            link.send(Others(dict(counts), places, dict(unreached)))
+            link.send(message)
         except errors.LinkError:
             # Counts are sent again soon; a place is told again while used.
             return
@@ -209,32 +237,22 @@
     ----------
     home : callable
         Returns the link to the keeper that it reports to, or None.
-    counts : callable
-        Returns its requests by target.
-    take_news : callable
-        Returns its new prompt places.
-    unreached : callable
-        Returns the targets that it could not reach.
+    report : callable
+        Returns what the others should know, each thing that is new once.
     on_others : callable
-        Called with the counts of the other routers, their places, and how
-        many of them could not reach each target.
+        Called with what the other routers said.
     """
 
     def __init__(
         self,
         handlers: links.Handlers,
         home: t.Callable[[], links.Link | None],
-        counts: t.Callable[[], dict[str, int]],
-        take_news: t.Callable[[], list],
-        unreached: t.Callable[[], list[str]],
-        on_others: t.Callable[[dict[str, int], list, dict[str, int]], None],
+        report: t.Callable[[], Report],
+        on_others: t.Callable[[Others], None],
     ):
         self.home = home
-        self.counts = counts
-        self.take_news = take_news
-        self.unreached = unreached
-        self.on_others = on_others
-        handlers.add(Others, self._on_others)
+        self.make_report = report
+        handlers.add(Others, lambda _link, others: on_others(others))
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -247,12 +265,8 @@
         link = self.home()
         if link is None:
             return
-        places = [list(pair) for pair in self.take_news()]
         try:
-            link.send(Report(self.counts(), places, self.unreached()))
+            link.send(self.make_report())
         except errors.LinkError:
             # The link's own task finds that out and dials again.
             return
-
-    def _on_others(self, _link: links.Link, others: Others) -> None:
-        self.on_others(others.counts, others.places, others.unreached)
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -17,6 +17,7 @@
 from amaranthring.policy import affinity
 from amaranthring.policy import budgets
 from amaranthring.registry import messages
+from amaranthring.registry import sharing
 from amaranthring.registry import targets
 
 ENGINES = [f"e{n}" for n in range(8)]
@@ -153,6 +154,33 @@
         self.assertLess(over, 0.03)
 
 
+class TestPromptsThatWait(unittest.TestCase):
+    """Engines that have yet to read long prompts for others."""
+
+    def choose(self, missing, waiting):
+        candidates = [
+            affinity.Candidate("e0", 1, 64, True, missing[0], waiting[0]),
+            affinity.Candidate("e1", 1, 64, True, missing[1], waiting[1]),
+        ]
+        return affinity.with_prompt(candidates, "key").id
+
+    def test_cold_prompts_spread(self):
+        """A day begins: no engine holds any of the long beginnings.
+
+        Hashing sent nine of them to one engine within two seconds, and the
+        last waited for all others to be read.
+        """
+        cold = (10_000, 10_000)
+        first = self.choose(cold, (0, 0))
+        waiting = (10_000, 0) if first == "e0" else (0, 10_000)
+        self.assertNotEqual(first, self.choose(cold, waiting))
+
+    def test_what_is_cached_moves_only_from_a_long_wait(self):
+        self.assertEqual("e0", self.choose((0, 2_000), (10_000, 0)))
+        self.assertEqual("e1", self.choose((0, 2_000), (60_000, 0)))
+        self.assertEqual("e0", self.choose((0, 10_000), (60_000, 0)))
+
+
 class TestPromptPlaces(unittest.TestCase):
     """Which engine holds what, as routers remember it."""
 
@@ -263,6 +291,9 @@
         passage = records.Passage(incoming, route, "", "s", 1, 200.0)
         return self.placer.choose(passage)
 
+    def hear(self, unreached):
+        self.placer.others_said(sharing.Others({}, [], unreached))
+
     def test_one_broken_answer_moves_no_prompt(self):
         """Engines lose a few answers in a hundred for some seconds.
 
@@ -290,9 +321,9 @@
 
         Without word from others every one of them loses requests to it.
         """
-        self.placer.others_said({}, [], {self.first.id: 1})
+        self.hear({self.first.id: 1})
         self.assertEqual(self.first, self.chosen())
-        self.placer.others_said({}, [], {self.first.id: 2})
+        self.hear({self.first.id: 2})
         self.assertNotEqual(self.first, self.chosen())
         self.assertTrue(self.placer.is_doubtful(self.first))
         self.now += placing.DOUBT_SECONDS
@@ -300,7 +331,7 @@
 
     def test_word_of_others_does_not_count_against_own_answers(self):
         self.placer.did_well(self.first)
-        self.placer.others_said({}, [], {self.first.id: 5})
+        self.hear({self.first.id: 5})
         self.assertEqual(self.first, self.chosen())
 
     def test_if_all_fail_one_is_tried_still(self):
