Let a router that starts hear the others before it takes callers

Ruled out: keepers without places (they handed them on with the next step).

Change: a router reports with its first link and is answered at once; it is not ready before, for 3 s at most. The test of what a new router hears asks for it in the first answer now, and that it comes once.

--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -37,6 +37,10 @@
 # may open connections until then.
 ROTATION_SECONDS = 2.5
 CLOSE_IDLE_SECONDS = 0.1
+# How long a router that starts waits for what the others do and know. It is
+# there 50 ms after the first link to a keeper; without, prompts would go
+# where they have to be read again.
+HEAR_SECONDS = 3.0
 # Idle connections to one target: more than a router has requests there at
 # most times, and with all routers' together half of what a target accepts.
 KEPT_MOST = 8
@@ -127,6 +131,7 @@
         )
         self.front = fronts.Front(dialect, self.relay.serve, self.bounds)
         self.stopping = False
+        self.started_at = time.monotonic()
         self.tasks: list[asyncio.Task] = []
 
     def bounds(self) -> routing.Bounds:
@@ -161,6 +166,9 @@
             return "no plan yet"
         if not self.may_admit():
             return "no keeper confirms the plan"
+        waited = time.monotonic() - self.started_at
+        if not self.sharing.heard and waited < HEAR_SECONDS:
+            return "no word of the other routers yet"
         return ""
 
     def start(self) -> None:
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -17,6 +17,8 @@
 # Requests last about a second; counts that are a few hundred milliseconds
 # old are of use for bounding loads, for 8 messages a second and router.
 SHARE_SECONDS = 0.25
+# A router that has just started reports as soon as it has a link.
+FIRST_SECONDS = 0.02
 # Places are kept for routers that start or come to another keeper. A router
 # that restarts without them sends prompts where they must be read again:
 # with all routers restarted in turn, a third of what was read again in a
@@ -151,13 +153,7 @@
 
     def step(self) -> None:
         """Tell the other keepers, and every router that reports here."""
-        totals = Totals()
-        for link, report in list(self.routers.items()):
-            if link.closed:
-                del self.routers[link]
-                self.places.pop(link, None)
-            else:
-                totals.add(report)
+        totals = self._own_totals()
         places, self.for_keepers = self.for_keepers, []
         message = Sums(
             dict(totals.counts),
@@ -171,6 +167,16 @@
         for link, report in self.routers.items():
             self._tell(link, report, totals)
 
+    def _own_totals(self) -> Totals:
+        totals = Totals()
+        for link, report in list(self.routers.items()):
+            if link.closed:
+                del self.routers[link]
+                self.places.pop(link, None)
+            else:
+                totals.add(report)
+        return totals
+
     def _add_elsewhere(self, totals: Totals) -> None:
         oldest = self.clock() - STALE_SECONDS
         for name, (heard_at, sums) in list(self.sums.items()):
@@ -194,9 +200,14 @@
             return
 
     def _on_report(self, link: links.Link, report: Report) -> None:
-        if link not in self.routers:
-            self.places[link] = self.all_kept()
+        is_new = link not in self.routers
         self.routers[link] = report
+        if is_new:
+            # It takes no callers until it knows what the others do.
+            self.places[link] = self.all_kept()
+            totals = self._own_totals()
+            self._add_elsewhere(totals)
+            self._tell(link, report, totals)
         self.for_keepers += report.places
         self._pass_on(report.places, but=link)
 
@@ -241,6 +252,11 @@
         Returns what the others should know, each thing that is new once.
     on_others : callable
         Called with what the other routers said.
+
+    Attributes
+    ----------
+    heard : bool
+        Whether a keeper has said what the other routers do.
     """
 
     def __init__(
@@ -252,13 +268,16 @@
     ):
         self.home = home
         self.make_report = report
-        handlers.add(Others, lambda _link, others: on_others(others))
+        self.on_others = on_others
+        self.heard = False
+        handlers.add(Others, self._on_others)
 
     async def run(self) -> None:
         """Report until cancelled."""
         while True:
-            await asyncio.sleep(SHARE_SECONDS)
             self.report()
+            pause = SHARE_SECONDS if self.heard else FIRST_SECONDS
+            await asyncio.sleep(pause)
 
     def report(self) -> None:
         """Tell the home keeper what this router does."""
@@ -270,3 +289,7 @@
         except errors.LinkError:
             # The link's own task finds that out and dials again.
             return
+
+    def _on_others(self, _link: links.Link, others: Others) -> None:
+        self.heard = True
+        self.on_others(others)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -105,6 +105,11 @@
         ]
         self.assertEqual([[], [["part", "a"]], [["part", "a"]]], heard)
 
+    def test_router_that_starts_is_answered_at_once(self):
+        self.report(1, {"a": 2})
+        self.report(0, {})
+        self.assertEqual({"a": 2}, self.routers[0].sent[-1].counts)
+
     def test_router_that_starts_hears_what_is_known(self):
         """All routers are restarted in turn during a busy day.
 
@@ -114,11 +119,11 @@
         self.report(2, {}, [("part", "a")])
         self.step()
         self.report(0, {})
-        self.one.step()
         self.assertEqual([["part", "a"]], self.routers[0].sent[-1].places)
+        self.one.step()
+        self.assertEqual([], self.routers[0].sent[-1].places)
         self.now += sharing.KEPT_SECONDS + 1
         self.report(1, {})
-        self.one.step()
         self.assertEqual([], self.routers[1].sent[-1].places)
 
 
