End a keeper whose task swallowed its cancellation

Cause: the second whole run of the tests beside load, on the commit before, did not end: test_plan_keepers waited in Group.stop for a task that had been cancelled once and gone on (asyncio.wait_for swallows a cancellation that comes with the reply).

Ruled out: load alone (ended by hand after 10 minutes, the trace shows the wait in stop; all other modules had passed).

Change: tasks are cancelled until they end.

Figures: test_replication and test_plan_keepers pass; the whole run on this commit was not made.

--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -29,6 +29,21 @@
 from amaranthring.keepers import store
 
 WAITING_MOST = 10_000
+CANCEL_SECONDS = 0.1
+
+
+async def end_tasks(tasks: list[asyncio.Task]) -> None:
+    """Cancel `tasks` until all have ended.
+
+    A cancellation that comes in the very step in which a reply does is
+    swallowed by ``asyncio.wait_for``; a task that then goes round its loop
+    would hold up the end of the process for ever.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_SECONDS)
 
 
 class Group:
@@ -165,9 +180,7 @@
         roles.step_down(self, "stopping")
         for peer in self.peers.values():
             peer.stop()
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
         self.store.close()
 
     @property
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -5,6 +5,7 @@
 import unittest
 
 from amaranthring import errors
+from amaranthring.keepers import consensus
 from amaranthring.keepers import log as logfile
 from amaranthring.keepers import messages
 from amaranthring.keepers import options
@@ -13,6 +14,33 @@
 MEMBER = messages.Member("old-disk", "k2", "h:2", "dc")
 
 
+class TestEndOfTasks(unittest.IsolatedAsyncioTestCase):
+    """Tasks of a group that is stopped."""
+
+    async def test_task_that_swallows_a_cancellation_ends(self):
+        """A keeper is stopped in the step in which a reply comes.
+
+        The task that waited for it goes on with its loop, and the keeper
+        waits for the task until it is killed.
+        """
+        swallowed = []
+
+        async def work():
+            while True:
+                try:
+                    await asyncio.sleep(60)
+                except asyncio.CancelledError:
+                    if swallowed:
+                        raise
+                    swallowed.append(True)
+
+        task = asyncio.ensure_future(work())
+        await asyncio.sleep(0)
+        async with asyncio.timeout(5):
+            await consensus.end_tasks([task])
+        self.assertTrue(task.cancelled())
+
+
 class SlowDialler:
     """A link on which every answer takes long; it notes its end."""
 
