Call one piece where a clock, freezing, sums and heads stood twice

Found by reading the whole change once more; behaviour stays.

- core/clocks.boottime for the leases of keepers and routers (was in two places), core/collection.freeze for all daemons (app's own and a copy).
- One start line for answers; one way to tell all routers; one way to make a message of shared sums; the tag of a command from its class; the name of the routers' role in one place; one time for which prompt places are kept.
- An attempt takes what it needs when it is made, and returns a body without a wrapper.
- Gone, as nothing used them: a callback of the subscriber, a method to stop endpoints, a decoded setting.

--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import gc
 import time
 
 import logbook
@@ -18,6 +17,7 @@
 from amaranthring import router_parts
 from amaranthring import settings as settings_module
 from amaranthring.callers import server
+from amaranthring.core import collection
 from amaranthring.core import endpoints
 from amaranthring.core import links
 from amaranthring.core import logs
@@ -87,7 +87,7 @@
     internal = listen_internal(settings, router.internal_routes())
     callers = listen_callers(settings, router)
     router.start(endpoints.listening(settings.listen.fleet))
-    freeze()
+    collection.freeze()
     logs.event(log, "router.started", callers=settings.listen.callers)
     await stop.wait()
     await router.shut_down(callers)
@@ -95,16 +95,6 @@
     logs.event(log, "router.stopped", running=router.drain.running)
 
 
-def freeze() -> None:
-    """Leave what was loaded at the start out of garbage collection.
-
-    A full collection would else walk all modules again and again, a pause
-    of tens of milliseconds between the tokens of every stream.
-    """
-    gc.collect()
-    gc.freeze()
-
-
 def listen_callers(
     settings: settings_module.Settings, router: router_parts.Router
 ) -> tornado.httpserver.HTTPServer:
@@ -129,7 +119,7 @@
     ]
     internal = listen_internal(settings, routes)
     keeper.start(endpoints.listening(settings.listen.fleet))
-    freeze()
+    collection.freeze()
     logs.event(log, "keeper.started", folder=settings.process.data_folder)
     await stop.wait()
     served.stop()
--- a/amaranthring/core/endpoints.py
+++ b/amaranthring/core/endpoints.py
@@ -70,10 +70,6 @@
         """Serve on the listening `sockets`."""
         self.server.add_sockets(sockets)
 
-    def stop(self) -> None:
-        """Stop listening; calls in progress end."""
-        self.server.stop()
-
     def start_request(self, server_conn, request_conn):
         """Return what takes in one call."""
         del server_conn
@@ -128,10 +124,7 @@
         headers["Content-Length"] = str(len(result.body))
         if result.retry_after is not None:
             headers["Retry-After"] = f"{result.retry_after:g}"
-        reason = http.client.responses.get(result.status, "Unknown")
-        line = tornado.httputil.ResponseStartLine(
-            "HTTP/1.1", result.status, reason
-        )
+        line = start_line(result.status)
         try:
             await self.connection.write_headers(line, headers, result.body)
             self.connection.finish()
@@ -140,6 +133,12 @@
             return
 
 
+def start_line(status: int) -> tornado.httputil.ResponseStartLine:
+    """Return the first line of an answer with `status`."""
+    reason = http.client.responses.get(status, "Unknown")
+    return tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason)
+
+
 def listening(address: str) -> list:
     """Return listening sockets on ``host:port``.
 
--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -1,6 +1,5 @@
 """One attempt: a request to one target, and what is known when it fails."""
 
-import dataclasses
 import re
 import time
 import typing as t
@@ -32,14 +31,6 @@
 EVENT_STREAM = "text/event-stream"
 
 
-@dataclasses.dataclass
-class Whole:
-    """A whole answer of a target."""
-
-    answer: records.Answer
-    body: bytes
-
-
 class Attempt:
     """A request on its way to one target.
 
@@ -47,6 +38,10 @@
     ----------
     resume_after : str
         Number of the last event that the caller has.
+    trusts_kept : bool
+        Whether a kept connection to the target may be used.
+    may_send : callable
+        Called right before the request leaves; raises if it must not.
 
     Attributes
     ----------
@@ -54,10 +49,6 @@
         The connection; its `sent` says whether the target may have run it.
     answer : Answer or None
         Once its head came.
-    trusts_kept : bool
-        Whether a kept connection to the target may be used.
-    may_send : callable
-        Called right before the request leaves; raises if it must not.
     """
 
     def __init__(
@@ -67,6 +58,8 @@
         dialect: records.Dialect,
         resume_after: str,
         connections: pool.Pool,
+        trusts_kept: bool,
+        may_send: t.Callable[[], None],
     ):
         self.passage = passage
         self.target = target
@@ -75,8 +68,8 @@
         self.connections = connections
         self.exchange = upstream.Exchange(target, CONNECT_SECONDS)
         self.answer: records.Answer | None = None
-        self.trusts_kept = True
-        self.may_send: t.Callable[[], None] = lambda: None
+        self.trusts_kept = trusts_kept
+        self.may_send = may_send
 
     async def open(self, patience: float) -> records.Answer:
         """Send the request and return the head of the answer.
@@ -174,8 +167,8 @@
         kind = self.exchange.headers.get("Content-Type", "")
         return self.answer.status == 200 and kind.startswith(EVENT_STREAM)
 
-    async def whole(self) -> Whole:
-        """Read the rest of the answer.
+    async def whole(self) -> bytes:
+        """Return the whole body of the answer.
 
         Raises
         ------
@@ -184,8 +177,7 @@
         """
         left = self.passage.deadline - time.monotonic()
         self.exchange.allow(max(left, 0.0))
-        body = await self.exchange.whole(ANSWER_BYTES_MOST, unframed=True)
-        return Whole(self.answer, body)
+        return await self.exchange.whole(ANSWER_BYTES_MOST, unframed=True)
 
     async def stream(
         self,
--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -22,8 +22,6 @@
 AVOID_SECONDS_MOST = 2.0
 # A target that answered here within this time lives, whatever keepers heard.
 ANSWERED_SECONDS = 2.0
-
-
 # A target that so many other routers could not reach is avoided here too,
 # unless it did well here within the trusted time; the doubt lasts a little
 # longer than the pause between two reports.
--- a/amaranthring/forwarding/prompts.py
+++ b/amaranthring/forwarding/prompts.py
@@ -10,10 +10,12 @@
 import typing as t
 
 from amaranthring.forwarding import records
+from amaranthring.registry import sharing
 
 # Engines here keep about 40 prompts of 10,000 tokens; at the usual rates a
 # part that nobody asked for in this time may have yielded to others.
-KEPT_SECONDS = 45.0
+# Keepers remember pairs for as long.
+KEPT_SECONDS = sharing.KEPT_SECONDS
 # A pair that is in use is told again this often, so that the others do not
 # forget it.
 TELL_AGAIN_SECONDS = 10.0
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -201,13 +201,17 @@
         if cutter.last is not None:
             after = str(cutter.last)
         attempt = attempts.Attempt(
-            passage, target, self.dialect, after, self.connections
+            passage,
+            target,
+            self.dialect,
+            after,
+            self.connections,
+            trusts_kept=not self.placer.is_doubtful(target),
+            may_send=functools.partial(self._may_send, passage),
         )
         whole = False
         # Stands in the log if the request ends while this target is asked.
         outcome = "unfinished"
-        attempt.trusts_kept = not self.placer.is_doubtful(target)
-        attempt.may_send = functools.partial(self._may_send, passage)
         self.placer.begin(target, passage)
         try:
             answer = await attempt.open(self._patience(passage))
@@ -238,19 +242,18 @@
                 passage.sent += 1
 
     async def _pass_whole(self, passage, attempt, reply) -> None:
-        found = await attempt.whole()
-        if found.answer.status >= 500 and passage.route.idempotent:
+        body = await attempt.whole()
+        answer = attempt.answer
+        if answer.status >= 500 and passage.route.idempotent:
             left = passage.route.attempts_most - passage.sent - 1
             if left > 0 and self._takes_budget(passage):
                 raise errors.TargetFailedError(
-                    "the target failed", given=found.answer.status
+                    "the target failed", given=answer.status
                 )
         if reply.status:
             # A stream that was to go on here got something else.
             raise errors.UpstreamError("no stream to go on with")
-        await reply.whole(
-            found.answer.status, found.answer.headers, found.body
-        )
+        await reply.whole(answer.status, answer.headers, body)
 
     def _may_send(self, passage: records.Passage) -> None:
         if passage.account:
--- a/amaranthring/forwarding/replies.py
+++ b/amaranthring/forwarding/replies.py
@@ -1,6 +1,5 @@
 """The answer to one caller, over tornado's HTTP connection."""
 
-import http.client
 import json
 import time
 
@@ -8,6 +7,7 @@
 import tornado.iostream
 
 from amaranthring import errors
+from amaranthring.core import endpoints
 
 RETRY_AFTER_HEADER = "Retry-After"
 
@@ -60,8 +60,7 @@
         self.began_at = time.monotonic()
         if self.closing:
             headers["Connection"] = "close"
-        reason = http.client.responses.get(status, "Unknown")
-        line = tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        line = endpoints.start_line(status)
         try:
             await self.connection.write_headers(line, headers, data)
         except tornado.iostream.StreamClosedError as error:
--- a/amaranthring/keepers/options.py
+++ b/amaranthring/keepers/options.py
@@ -5,6 +5,8 @@
 import time
 import typing as t
 
+from amaranthring.core import clocks
+
 
 class Machine(t.Protocol):
     """Deterministic state that the log drives."""
@@ -19,18 +21,12 @@
         """Replace the state by one that `snapshot` returned."""
 
 
-def _monotonic() -> float:
-    # Unlike CLOCK_MONOTONIC it goes on while the VM is suspended, so a
-    # lease runs out then too.
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @dataclasses.dataclass
 class Clocks:
     """Sources of time, in seconds; seams for tests."""
 
     wall: t.Callable[[], float] = time.time
-    monotonic: t.Callable[[], float] = _monotonic
+    monotonic: t.Callable[[], float] = clocks.boottime
 
 
 @dataclasses.dataclass
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -23,6 +23,7 @@
 from amaranthring.forwarding import records
 from amaranthring.forwarding import relay as relays
 from amaranthring.policy import budgets
+from amaranthring.registry import messages
 from amaranthring.registry import sharing
 from amaranthring.registry import subscriber as subscribers
 from amaranthring.targets import pool
@@ -101,7 +102,10 @@
         self.metrics = metrics_module.Metrics()
         self.table: routing.RouteTable | None = None
         identity = links.Identity(
-            place.name, "router", place.data_centre, time.time_ns()
+            place.name,
+            messages.ROUTER_ROLE,
+            place.data_centre,
+            time.time_ns(),
         )
         self.subscriber = subscribers.Subscriber(
             identity, keys, self.take_plan
--- a/amaranthring/platform/daemon.py
+++ b/amaranthring/platform/daemon.py
@@ -8,6 +8,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import collection
 from amaranthring.core import lines
 from amaranthring.core import logs
 from amaranthring.core import signals
@@ -19,7 +20,6 @@
 # whose keepers have all been exchanged finds the new ones within seconds.
 LOOK_SECONDS = 2.0
 
-
 ROLES = ("router", "keeper")
 
 
@@ -59,8 +59,7 @@
     process = maker.make(node)
     process.start()
     following = asyncio.ensure_future(follow_settings(node, process, hangup))
-    gc.collect()
-    gc.freeze()
+    collection.freeze()
     gc.enable()
     logs.event(log, f"{role}.started", vm=node.name, seeds=list(node.seeds))
     await stop.wait()
--- a/amaranthring/platform/node.py
+++ b/amaranthring/platform/node.py
@@ -46,8 +46,6 @@
         Seconds between two announcements of a target.
     grace : float
         Seconds from SIGTERM to SIGKILL.
-    drain : float
-        Seconds within which a leaving target must get no new requests.
     key_lease : float
         Seconds after which a withdrawn key must have stopped to work; 0 if
         that is not asked for.
@@ -68,7 +66,6 @@
     data_folder: str
     beat: float
     grace: float
-    drain: float
     key_lease: float
     retry_ratio: float
     retry_allowance: float
@@ -123,7 +120,6 @@
         data_folder=found.get("data_dir") or "",
         beat=found.get("heartbeat_ms", 1000) / MILLISECONDS,
         grace=float(bounds.get("grace_s", 8)),
-        drain=bounds.get("drain_ms", 2000) / MILLISECONDS,
         key_lease=revoke if bounds.get("revoke_strict") else 0.0,
         retry_ratio=float(bounds.get("retry_ratio", 0.2)),
         retry_allowance=float(bounds.get("retry_allowance", 10)),
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -8,6 +8,7 @@
 from amaranthring import errors
 from amaranthring.core import links
 from amaranthring.core import logs
+from amaranthring.core import wire
 from amaranthring.keepers import dispatch
 from amaranthring.keepers import messages as keeper_messages
 from amaranthring.keepers import plans
@@ -17,7 +18,6 @@
 
 log = logbook.Logger(__name__)
 
-ROUTER_ROLE = "router"
 # Targets announce themselves about every beat; one lost or late beat is
 # ordinary, so silence begins after three.
 SILENT_BEATS = 3.5
@@ -129,11 +129,14 @@
 
     def _tell(self, records: list[messages.TargetRecord]) -> None:
         message = messages.Targets(records)
-        for link in list(self.routers):
-            _send(link, message)
+        self._tell_routers(message)
         for peer in self.group.peers.values():
             peer.dialler.send(message)
 
+    def _tell_routers(self, message: t.Any) -> None:
+        for link in list(self.routers):
+            _send(link, message)
+
     def _on_targets(self, link: links.Link, message: messages.Targets) -> None:
         _require_keeper(link)
         changed = [
@@ -142,9 +145,7 @@
             if self.table.merge(record)
         ]
         if changed:
-            news = messages.Targets(changed)
-            for router in list(self.routers):
-                _send(router, news)
+            self._tell_routers(messages.Targets(changed))
 
     def _on_heard(self, link: links.Link, message: messages.Heard) -> None:
         _require_keeper(link)
@@ -202,10 +203,11 @@
             It may come in force.
         """
         command = plans.PutPlan(version, plans.packed(document))
+        tag = wire.tag_of(plans.PutPlan)
         held = await self._at_leader(
             lambda seconds: self.group.propose(command, seconds),
             lambda seconds: keeper_messages.Propose(
-                self.group.name, "plan-put", command, seconds
+                self.group.name, tag, command, seconds
             ),
         )
         logs.event(log, "plan.put", version=version, in_force=held.version)
@@ -258,14 +260,13 @@
         if self.machine.version <= self.told_version:
             return
         self.told_version = self.machine.version
-        for link in list(self.routers):
-            _send(link, messages.PlanNotice(self.told_version))
+        self._tell_routers(messages.PlanNotice(self.told_version))
 
     # -- routers -----------------------------------------------------
 
     def on_link(self, link: links.Link) -> None:
         """Take in a router that has just linked."""
-        if link.peer.role != ROUTER_ROLE:
+        if link.peer.role != messages.ROUTER_ROLE:
             return
         logs.event(log, "router.linked", router=link.peer.name)
         self.routers[link] = link.peer.name
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -5,6 +5,9 @@
 
 from amaranthring.core import wire
 
+# What a router calls itself on its links.
+ROUTER_ROLE = "router"
+
 
 class State(enum.StrEnum):
     """What a target says of itself; it only goes forward in this order."""
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -115,6 +115,15 @@
             self.reading - collections.Counter(own.reading),
         )
 
+    def message(self, kind: type, places: list[list[str]]) -> t.Any:
+        """Return the sums as a message of `kind`, with new places."""
+        return kind(
+            dict(self.counts),
+            places,
+            dict(self.unreached),
+            dict(self.reading),
+        )
+
 
 class Exchange:
     """A keeper's part.
@@ -155,12 +164,7 @@
         """Tell the other keepers, and every router that reports here."""
         totals = self._own_totals()
         places, self.for_keepers = self.for_keepers, []
-        message = Sums(
-            dict(totals.counts),
-            places,
-            dict(totals.unreached),
-            dict(totals.reading),
-        )
+        message = totals.message(Sums, places)
         for dialler in self.peers():
             dialler.send(message)
         self._add_elsewhere(totals)
@@ -186,13 +190,8 @@
                 totals.add(sums)
 
     def _tell(self, link: links.Link, report: Report, totals: Totals) -> None:
-        others = totals.without(report)
-        message = Others(
-            dict(others.counts),
-            self.places.pop(link, []),
-            dict(others.unreached),
-            dict(others.reading),
-        )
+        places = self.places.pop(link, [])
+        message = totals.without(report).message(Others, places)
         try:
             link.send(message)
         except errors.LinkError:
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -8,12 +8,12 @@
 """
 
 import asyncio
-import time
 import typing as t
 
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import clocks
 from amaranthring.core import hashing
 from amaranthring.core import links
 from amaranthring.core import logs
@@ -31,11 +31,6 @@
 FETCH_SECONDS = 3.0
 
 
-def clock() -> float:
-    """Return seconds that go on while the VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Subscriber:
     """Keeps a router's plan and targets as new as the keepers have them.
 
@@ -47,8 +42,6 @@
         Called with the document of each newer plan, before its version
         counts as held. It raises an ``AmaranthringError`` if it cannot be
         used.
-    on_targets : callable, optional
-        Called after each change of targets.
 
     Attributes
     ----------
@@ -56,7 +49,7 @@
         Version of the plan held; -1 before the first.
     confirmed_at : float
         When the newest question was sent that a leader answered with the
-        version held, in seconds of :func:`clock`.
+        version held, in seconds of :func:`clocks.boottime`.
     routers : int
         Highest number of routers that a linked keeper counts.
     """
@@ -66,16 +59,14 @@
         identity: links.Identity,
         keys: links.Keys,
         take_plan: t.Callable[[bytes], None],
-        on_targets: t.Callable[[], None] = lambda: None,
     ):
         self.identity = identity
         self.keys = keys
         self.take_plan = take_plan
-        self.on_targets = on_targets
         self.handlers = links.Handlers()
         self.handlers.add(messages.Targets, self._on_targets)
         self.handlers.add(messages.PlanNotice, self._on_notice)
-        self.table = targets.TargetTable(clock, fresh_seconds=0.0)
+        self.table = targets.TargetTable(clocks.boottime, fresh_seconds=0.0)
         self.diallers: dict[str, links.Dialler] = {}
         self.asking: dict[str, asyncio.Task] = {}
         self.counts: dict[str, int] = {}
@@ -88,7 +79,7 @@
     @property
     def routers(self) -> int:
         """Return how many routers there are, as far as is known."""
-        return max(1, *self.counts.values(), 1)
+        return max([1, *self.counts.values()])
 
     def home(self) -> links.Link | None:
         """Return the link to the keeper that this router reports to.
@@ -102,7 +93,7 @@
 
     def is_fresh(self, seconds: float) -> bool:
         """Return whether the plan was the newest `seconds` ago or later."""
-        return clock() - self.confirmed_at < seconds
+        return clocks.boottime() - self.confirmed_at < seconds
 
     def follow(self, addresses: list[str]) -> None:
         """Link to the keepers at `addresses`, beside those already known."""
@@ -150,7 +141,7 @@
             await asyncio.sleep(RENEW_SECONDS if link else RENEW_SECONDS / 10)
 
     async def _renew(self, address: str, link: links.Link) -> None:
-        sent_at = clock()
+        sent_at = clocks.boottime()
         try:
             reply = await link.call(
                 messages.Renew(self.version), REPLY_SECONDS
@@ -204,8 +195,6 @@
             self.version = plan.version
 
     def _on_targets(self, _link: links.Link, news: messages.Targets) -> None:
-        changed = [r for r in news.records if self.table.merge(r)]
-        for record in changed:
-            targets.log_change(record)
-        if changed:
-            self.on_targets()
+        for record in news.records:
+            if self.table.merge(record):
+                targets.log_change(record)
--- a/amaranthring/testing/plan_keepers.py
+++ b/amaranthring/testing/plan_keepers.py
@@ -14,6 +14,7 @@
 from amaranthring.core import metrics
 from amaranthring.keepers import options
 from amaranthring.registry import keeper as keepers
+from amaranthring.registry import messages
 from amaranthring.registry import subscriber
 
 KEYS = links.Keys({"test": b"key"})
@@ -123,7 +124,7 @@
     name: str, seeds: list[str], taken: list[bytes]
 ) -> subscriber.Subscriber:
     """Return a router's subscriber that adds each plan to `taken`."""
-    identity = links.Identity(name, "router", "here", 1)
+    identity = links.Identity(name, messages.ROUTER_ROLE, "here", 1)
     made = subscriber.Subscriber(identity, KEYS, taken.append)
     made.use_seeds(seeds)
     return made
--- a/amaranthring/testing/scripted.py
+++ b/amaranthring/testing/scripted.py
@@ -23,6 +23,7 @@
 from amaranthring.policy import budgets
 from amaranthring.registry import messages
 from amaranthring.registry import targets
+from amaranthring.targets import chunks
 
 ID = "Test-Id"
 PATIENCE = "Test-Patience"
@@ -377,9 +378,6 @@
 
 
 async def _read_answer(reader, method: str, began: float) -> Got:
-    # Imported here as only the client side of tests reads answers.
-    from amaranthring.targets import chunks
-
     nothing = tornado.httputil.HTTPHeaders()
     try:
         data = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
