Answer a stream under the head of the target that made it

Cause: the head of the first target was kept in a list for all attempts, also when that target had sent no event. Another one then made the whole stream, and its caller got the first one's signature with it.

Ruled out: streams that go on after events were passed on; their head is written already and stays the first one's.

Change: the head is taken from the attempt that writes it; the list is gone. test_head_is_of_the_target_that_made_the_stream fails before.

--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -4,8 +4,6 @@
 import time
 import typing as t
 
-import tornado.httputil
-
 from amaranthring import errors
 from amaranthring.forwarding import events
 from amaranthring.forwarding import records
@@ -183,15 +181,12 @@
         self,
         cutter: events.EventCutter,
         reply: replies.Reply,
-        headers: tornado.httputil.HTTPHeaders,
         pause: float,
     ) -> None:
         """Pass the events of the answer on to its end.
 
         Parameters
         ----------
-        headers : HTTPHeaders
-            For the head, if it is not written yet.
         pause : float
             Seconds after which a silent target counts as broken.
 
@@ -211,7 +206,8 @@
             if reply.status:
                 await reply.write(ready)
             else:
-                await reply.begin(self.answer.status, headers, ready)
+                answer = self.answer
+                await reply.begin(answer.status, answer.headers, ready)
         if cutter.rest:
             raise errors.TruncatedAnswerError(
                 "the stream ended within an event",
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -180,13 +180,12 @@
     ) -> None:
         after = passage.incoming.resume_after
         cutter = events.EventCutter(int(after) if after.isdigit() else None)
-        headers: list = []
         while True:
             target = self.placer.choose(passage)
             if target is None:
                 raise self._no_target(passage)
             try:
-                await self._attempt(passage, target, cutter, reply, headers)
+                await self._attempt(passage, target, cutter, reply)
                 return
             except errors.UpstreamError as error:
                 passage.tried.add(target.id)
@@ -196,7 +195,7 @@
                 self.metrics.count("request.repeated")
                 cutter.go_on()
 
-    async def _attempt(self, passage, target, cutter, reply, headers) -> None:
+    async def _attempt(self, passage, target, cutter, reply) -> None:
         after = passage.incoming.resume_after
         if cutter.last is not None:
             after = str(cutter.last)
@@ -220,11 +219,9 @@
             if answer.load is not None:
                 self.placer.reported(target, answer.load)
             if attempt.streams:
-                headers[:] = headers or [answer.headers]
-                pause = self._pause(passage)
-                await attempt.stream(cutter, reply, headers[0], pause)
+                await attempt.stream(cutter, reply, self._pause(passage))
                 if not reply.status:
-                    await reply.begin(answer.status, headers[0], b"")
+                    await reply.begin(answer.status, answer.headers, b"")
                 reply.finish()
             else:
                 await self._pass_whole(passage, attempt, reply)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -292,6 +292,28 @@
         ]
         self.assertCountEqual([None, "3", "3"], lasts)
 
+    async def test_head_is_of_the_target_that_made_the_stream(self):
+        """A target sends the head of a stream and dies before any event.
+
+        Another one makes the whole stream. Under the first one's head the
+        caller would hold a signature that is not of what it got.
+        """
+
+        async def head_only(seen, writer):
+            more = {"Content_Type": "text/event-stream", "X_By": "dead"}
+            more["Transfer_Encoding"] = "chunked"
+            writer.write(scripted.head(seen, **more))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            scripted.break_off(writer)
+
+        await self.begin(head_only, scripted.events(3))
+        self.router.placer.views["t1"].running = 5
+        got = await self.ask("/c/x", "POST")
+        self.assertTrue(got.whole)
+        self.assertEqual([1, 1], [len(one.seen) for one in self.targets])
+        self.assertNotIn("X-By", got.headers)
+
     async def test_other_stream_is_not_run_again(self):
         """The same for a stream that may run once only.
 
