Let engines copy prompts from each other instead of reading them

Ruled out: that places were unknown to routers (a tenth of the tokens, while keepers were down), that memory of engines ran out (none was put back). Change: where another engine surely has read what the chosen one lacks, the request names it as the source (policy/copies); engines that leave stay sources for three seconds; placing weighs copied tokens at a seventh of read ones. The log line of a request names copies.

--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -36,6 +36,8 @@
     ----------
     resume_after : str
         Number of the last event that the caller has.
+    copy_from : str
+        Address of a target from which this one copies the prompt, or empty.
     trusts_kept : bool
         Whether a kept connection to the target may be used.
     may_send : callable
@@ -56,6 +58,7 @@
         dialect: records.Dialect,
         resume_after: str,
         connections: pool.Pool,
+        copy_from: str,
         trusts_kept: bool,
         may_send: t.Callable[[], None],
     ):
@@ -66,6 +69,7 @@
         self.connections = connections
         self.exchange = upstream.Exchange(target, CONNECT_SECONDS)
         self.answer: records.Answer | None = None
+        self.copy_from = copy_from
         self.trusts_kept = trusts_kept
         self.may_send = may_send
 
@@ -87,7 +91,11 @@
         left = self.passage.deadline - time.monotonic()
         incoming = self.passage.incoming
         sending = records.Sending(
-            self.target, self.passage.account, left, self.resume_after
+            self.target,
+            self.passage.account,
+            left,
+            self.resume_after,
+            self.copy_from,
         )
         call = upstream.Call(
             incoming.method,
--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -7,6 +7,7 @@
 from amaranthring.forwarding import prompts
 from amaranthring.forwarding import records
 from amaranthring.policy import affinity
+from amaranthring.policy import copies
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
 from amaranthring.registry import targets as tables
@@ -36,6 +37,10 @@
 # How long they then get requests only if there is no other target. The cut
 # is looked for again by one request each time.
 CUT_SECONDS = 1.0
+# A target that said it leaves goes on for seconds, and others can copy from it
+# meanwhile: a second and a half at least, three as measured with targets that
+# were replaced. Once it has ended, whoever was to copy reads instead.
+LINGER_SECONDS = 3.0
 
 
 class DataCentreView:
@@ -147,8 +152,11 @@
         ]
         parts = passage.incoming.parts
         if passage.route.with_prompt and parts:
+            holders = self._holders(passage)
             for one in candidates:
                 one.missing = self.prompts.missing(parts, one.id)
+                copy = self._copy(passage, by_id[one.id], holders)
+                one.copied = copy.tokens if copy else 0
                 one.waiting = self.views[one.id].waiting
             shared = parts[-2] if len(parts) > 1 else parts[-1]
             found = affinity.with_prompt(candidates, shared.id)
@@ -156,6 +164,63 @@
             found = affinity.least_loaded(candidates)
         return by_id[found.id] if found else None
 
+    def copy_for(
+        self, passage: records.Passage, target: messages.TargetRecord
+    ) -> copies.Copy | None:
+        """Return what `target` should copy of the prompt, and from where.
+
+        None if it keeps the prompt itself, or reads it as fast.
+        """
+        return self._copy(passage, target, self._holders(passage))
+
+    def address_of(self, copy: copies.Copy | None) -> str:
+        """Return the address that `copy` comes from; empty without one."""
+        return self.table.entries[copy.source].record.address if copy else ""
+
+    def _copy(
+        self,
+        passage: records.Passage,
+        target: messages.TargetRecord,
+        holders: list[copies.Holder],
+    ) -> copies.Copy | None:
+        if not holders:
+            return None
+        parts = passage.incoming.parts
+        whole = sum(part.tokens for part in parts)
+        asked = copies.Holder(
+            target.id,
+            target.data_centre,
+            whole - self.prompts.missing(parts, target.id),
+        )
+        return copies.best(holders, asked, passage.engine.copy_rate)
+
+    def _holders(self, passage: records.Passage) -> list[copies.Holder]:
+        """Return the targets from which the prompt can be copied."""
+        if passage.engine is None or not passage.route.with_prompt:
+            return []
+        now = self.clock()
+        found = []
+        for entry in self.table.entries.values():
+            record = entry.record
+            if record.service != passage.service:
+                continue
+            kept = self.prompts.kept(passage.incoming.parts, record.id)
+            if not kept or not self._may_copy_from(entry, now):
+                continue
+            stays = record.state == messages.State.READY
+            found.append(
+                copies.Holder(record.id, record.data_centre, kept, stays)
+            )
+        return found
+
+    def _may_copy_from(self, entry: tables.Entry, now: float) -> bool:
+        record = entry.record
+        if self._is_out(record) or self._is_cut_off(record, now):
+            return False
+        if entry.gone_at:
+            return now - entry.gone_at < LINGER_SECONDS
+        return self.table.holds_address(record) and self._is_heard(record, now)
+
     def _is_heard(self, record: messages.TargetRecord, now: float) -> bool:
         # Keepers that are cut off from each other miss announcements of
         # targets that answer here all the while.
@@ -176,11 +241,21 @@
         ]
 
     def begin(
-        self, target: messages.TargetRecord, passage: records.Passage
+        self,
+        target: messages.TargetRecord,
+        passage: records.Passage,
+        copy: copies.Copy | None = None,
     ) -> None:
-        """Count a request of this router at `target`."""
+        """Count a request of this router at `target`.
+
+        Parameters
+        ----------
+        copy : Copy, optional
+            What the target copies of the prompt instead of reading it.
+        """
         parts = passage.incoming.parts
         passage.reading = self.prompts.missing(parts, target.id)
+        passage.reading -= copy.tokens if copy else 0
         self.prompts.sent(parts, target.id)
         view = self.views[target.id]
         view.reading += passage.reading
@@ -191,6 +266,12 @@
         self, target: messages.TargetRecord, passage: records.Passage
     ) -> None:
         """Note that the target has begun to answer."""
+        self.prompts.has_read(passage.incoming.parts, target.id)
+        self._count_read(target, passage)
+
+    def _count_read(
+        self, target: messages.TargetRecord, passage: records.Passage
+    ) -> None:
         self.views[target.id].reading -= passage.reading
         passage.reading = 0
 
@@ -198,7 +279,7 @@
         self, target: messages.TargetRecord, passage: records.Passage
     ) -> None:
         """Count it off again."""
-        self.has_read(target, passage)
+        self._count_read(target, passage)
         view = self.views[target.id]
         view.running -= 1
         view.reported = max(0.0, view.reported - 1)
--- a/amaranthring/forwarding/prompts.py
+++ b/amaranthring/forwarding/prompts.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import dataclasses
 import time
 import typing as t
 
@@ -20,6 +21,25 @@
 # forget it.
 TELL_AGAIN_SECONDS = 10.0
 PARTS_MOST = 20_000
+# An engine reads the longest prompts in about this time; before, another
+# engine would find nothing there to copy.
+READ_SECONDS = 0.25
+
+
+@dataclasses.dataclass
+class Place:
+    """A part at a target.
+
+    Attributes
+    ----------
+    used : float
+        When a request last brought it there, in seconds of the clock.
+    read_at : float
+        When the target surely has read it.
+    """
+
+    used: float
+    read_at: float
 
 
 class PromptPlaces:
@@ -39,7 +59,7 @@
     def __init__(self, clock: t.Callable[[], float] = time.monotonic):
         self.clock = clock
         self.news: list[tuple[str, str]] = []
-        self._places: collections.OrderedDict[str, dict[str, float]] = (
+        self._places: collections.OrderedDict[str, dict[str, Place]] = (
             collections.OrderedDict()
         )
         self._told: dict[tuple[str, str], float] = {}
@@ -52,12 +72,38 @@
         oldest = self.clock() - KEPT_SECONDS
         left = sum(part.tokens for part in parts)
         for part in parts:
-            used = self._places.get(part.id, {}).get(target_id, 0.0)
-            if used <= oldest:
+            place = self._places.get(part.id, {}).get(target_id)
+            if place is None or place.used <= oldest:
                 break
             left -= part.tokens
         return left
 
+    def kept(self, parts: t.Sequence[records.Part], target_id: str) -> int:
+        """Return how many tokens of `parts` others can copy from the target.
+
+        A part that it has yet to read cannot be copied.
+        """
+        now = self.clock()
+        tokens = 0
+        for part in parts:
+            place = self._places.get(part.id, {}).get(target_id)
+            if place is None or place.used <= now - KEPT_SECONDS:
+                break
+            if place.read_at > now:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def has_read(
+        self, parts: t.Sequence[records.Part], target_id: str
+    ) -> None:
+        """Note that the target has read all of `parts`."""
+        now = self.clock()
+        for part in parts:
+            place = self._places.get(part.id, {}).get(target_id)
+            if place is not None:
+                place.read_at = min(place.read_at, now)
+
     def sent(self, parts: t.Sequence[records.Part], target_id: str) -> None:
         """Note that a request with `parts` goes to a target."""
         now = self.clock()
@@ -86,8 +132,8 @@
         """Drop what is old, and all of targets that are not in `live`."""
         oldest = self.clock() - KEPT_SECONDS
         for part_id, places in list(self._places.items()):
-            for target_id, used in list(places.items()):
-                if used <= oldest or target_id not in live:
+            for target_id, place in list(places.items()):
+                if place.used <= oldest or target_id not in live:
                     del places[target_id]
             if not places:
                 del self._places[part_id]
@@ -97,7 +143,10 @@
 
     def _note(self, part_id: str, target_id: str, now: float) -> None:
         places = self._places.setdefault(part_id, {})
-        places[target_id] = now
+        if target_id in places:
+            places[target_id].used = now
+        else:
+            places[target_id] = Place(now, now + READ_SECONDS)
         self._places.move_to_end(part_id)
         if len(self._places) > PARTS_MOST:
             self._places.popitem(last=False)
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -78,12 +78,16 @@
         Until the caller has gone.
     resume_after : str
         Number of the last event that the caller has.
+    copy_from : str
+        Address of a target from which this one copies what it lacks of the
+        prompt; empty if it reads all of that itself.
     """
 
     target: messages.TargetRecord
     account: str
     seconds_left: float
     resume_after: str = ""
+    copy_from: str = ""
 
 
 @dataclasses.dataclass
@@ -161,8 +165,15 @@
         Targets that may have begun to work on it.
     tried : set of str
         Ids of targets that will not be asked again.
+    engine : Engine or None
+        What the targets of the service can do; None for a plain service.
     reading : int
         Tokens that the target asked now has to read first.
+    trail : list of str
+        ``target:outcome`` of each attempt so far.
+    copies : list of str
+        ``source>target`` of each attempt whose target was to copy the
+        prompt from another.
     """
 
     incoming: Incoming
@@ -171,7 +182,9 @@
     service: str
     version: int
     deadline: float
+    engine: plans.Engine | None = None
     sent: int = 0
     reading: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     trail: list[str] = dataclasses.field(default_factory=list)
+    copies: list[str] = dataclasses.field(default_factory=list)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -148,6 +148,7 @@
             service,
             table.version,
             incoming.arrived + patience,
+            table.services[service].engine,
         )
 
     def _account(
@@ -199,19 +200,23 @@
         after = passage.incoming.resume_after
         if cutter.last is not None:
             after = str(cutter.last)
+        copy = self.placer.copy_for(passage, target)
+        if copy is not None:
+            passage.copies.append(f"{copy.source}>{target.id}")
         attempt = attempts.Attempt(
             passage,
             target,
             self.dialect,
             after,
             self.connections,
+            copy_from=self.placer.address_of(copy),
             trusts_kept=not self.placer.is_doubtful(target),
             may_send=functools.partial(self._may_send, passage),
         )
         whole = False
         # Stands in the log if the request ends while this target is asked.
         outcome = "unfinished"
-        self.placer.begin(target, passage)
+        self.placer.begin(target, passage, copy)
         try:
             answer = await attempt.open(self._patience(passage))
             self.placer.reached(target)
@@ -355,6 +360,7 @@
                 "plan": passage.version,
                 "sent": passage.sent,
                 "trail": ",".join(passage.trail),
+                "copies": ",".join(passage.copies),
                 "prompt": ",".join(
                     f"{part.id}:{part.tokens}" for part in incoming.parts
                 ),
--- a/amaranthring/platform/documents.py
+++ b/amaranthring/platform/documents.py
@@ -7,6 +7,7 @@
 from amaranthring import routing
 
 MILLISECONDS = 1e3
+MEGABIT_BYTES = 1e6 / 8
 
 # What the platform's types of route allow.
 KINDS = {
@@ -90,6 +91,9 @@
     return routing.Engine(
         slots=int(found.get("batch_slots", 1)),
         kv_tokens=int(found.get("kv_capacity", 0)),
+        token_bytes=_number(found.get("kv_bytes", 0)),
+        # In megabits a second.
+        link_rate=_number(found.get("link_mbps", 0)) * MEGABIT_BYTES,
     )
 
 
--- a/amaranthring/platform/headers.py
+++ b/amaranthring/platform/headers.py
@@ -24,6 +24,9 @@
 # "ID:TOKENS,...": the parts of the prompt in order.
 PROMPT_PARTS = "Amaranthring-Prefix-Hash"
 LAST_EVENT = "Last-Event-Id"
+# "host:port" of a target from which the one asked copies what that keeps of
+# the prompt.
+COPY_FROM = "Kv-Fetch"
 AUTHORIZATION = "Authorization"
 SCHEME = "Bearer "
 
@@ -50,6 +53,7 @@
     ACCOUNT.lower(),
     AUTHORIZATION.lower(),
     LAST_EVENT.lower(),
+    COPY_FROM.lower(),
 }
 
 
@@ -148,6 +152,8 @@
         headers[ACCOUNT] = sending.account
     if sending.resume_after:
         headers[LAST_EVENT] = sending.resume_after
+    if sending.copy_from:
+        headers[COPY_FROM] = sending.copy_from
     return headers
 
 
--- a/amaranthring/policy/affinity.py
+++ b/amaranthring/policy/affinity.py
@@ -27,6 +27,9 @@
 # 36 ms, as much as reading 1,700 tokens. Reading also holds up all tokens
 # of the other requests there, hence several times that.
 REQUESTS_PER_1000_TOKENS = 5.0
+# The same for a thousand tokens that are copied from another target. Memory
+# that moves is paid for with about a seventh of what reading costs.
+REQUESTS_PER_1000_COPIED = 0.7
 # Loads up to this many requests above the mean count as equal. Where places
 # are not known (after a start, or while no keeper passes them on) hashing
 # then decides, and routers agree without talking.
@@ -58,6 +61,8 @@
         Tokens of the prompt that it would have to read.
     waiting : int
         Tokens that it has yet to read for other requests.
+    copied : int
+        Those of the missing tokens that it would copy from another target.
     """
 
     id: str
@@ -66,6 +71,7 @@
     near: bool = True
     missing: int = 0
     waiting: int = 0
+    copied: int = 0
 
 
 def with_prompt(
@@ -86,7 +92,8 @@
     free = [one for one in candidates if one.load + 1 <= bound]
 
     def cost(one: Candidate) -> tuple[float, int]:
-        reading = one.missing / 1000 * REQUESTS_PER_1000_TOKENS
+        reading = (one.missing - one.copied) / 1000 * REQUESTS_PER_1000_TOKENS
+        reading += one.copied / 1000 * REQUESTS_PER_1000_COPIED
         extra = max(0.0, one.load - mean - EVEN_LOAD)
         extra += one.waiting / 1000 * REQUESTS_PER_1000_WAITING
         return reading + extra, -hashing.weight(key, one.id)
--- a/amaranthring/routing/plan.py
+++ b/amaranthring/routing/plan.py
@@ -95,10 +95,24 @@
         Requests that one engine runs at once.
     kv_tokens : int
         Tokens that one engine keeps in memory.
+    token_bytes : float
+        Memory that one token takes; 0 if not told.
+    link_rate : float
+        Bytes a second between two engines; 0 if they do not copy memory
+        from each other.
     """
 
     slots: int
     kv_tokens: int
+    token_bytes: float = 0.0
+    link_rate: float = 0.0
+
+    @property
+    def copy_rate(self) -> float:
+        """Return how many tokens a second an engine copies from another."""
+        if not self.token_bytes:
+            return 0.0
+        return self.link_rate / self.token_bytes
 
 
 @dataclasses.dataclass
--- a/amaranthring/testing/scripted.py
+++ b/amaranthring/testing/scripted.py
@@ -33,6 +33,7 @@
 ACCOUNT = "Test-Account"
 KEY = "Test-Key"
 PROMPT = "Test-Prompt"
+COPY = "Test-Copy-From"
 LAST = "Last-Event-Id"
 OURS = {PATIENCE, EXPECTED, ACCOUNT, KEY, LAST, "Connection", "Content-Length"}
 
@@ -71,6 +72,8 @@
         headers[ACCOUNT] = sending.account
     if sending.resume_after:
         headers[LAST] = sending.resume_after
+    if sending.copy_from:
+        headers[COPY] = sending.copy_from
     return headers
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -81,7 +81,12 @@
             "name": "b1",
             "health_path": "/healthz",
             "max_conns": 360,
-            "engine": {"batch_slots": 64, "kv_capacity": 423882},
+            "engine": {
+                "batch_slots": 64,
+                "kv_capacity": 423882,
+                "kv_bytes": 18432,
+                "link_mbps": 740000.0,
+            },
         },
         {"name": "b2", "health_path": "/healthz", "max_conns": 100},
     ],
@@ -148,7 +153,10 @@
         )
         self.assertEqual((routing.Share("b2", 1),), second.shares)
         self.assertEqual(1, second.attempts_most)
-        self.assertEqual(64, plan.services[0].engine.slots)
+        engine = plan.services[0].engine
+        self.assertEqual(64, engine.slots)
+        # 740 Gbit/s are 92.5 GB a second.
+        self.assertAlmostEqual(92.5e9 / 18432, engine.copy_rate)
         self.assertIsNone(plan.services[1].engine)
         self.assertEqual(("k1", "k2"), plan.accounts[0].keys)
         self.assertEqual(15.0, plan.bounds.idle_seconds)
@@ -230,6 +238,7 @@
             Amaranthring_Request_Id="r1",
             Amaranthring_Tenant="forged",
             Amaranthring_Expect_Replica="forged",
+            Kv_Fetch="forged:1",
             Amaranthring_Prefix_Hash="a1:800",
             Authorization="Bearer key",
             Connection="keep-alive, X-Hop",
@@ -248,9 +257,20 @@
         self.assertEqual("a1:800", sent["Amaranthring-Prefix-Hash"])
         self.assertEqual("2", sent["X-Other"])
         self.assertEqual("h", sent["Host"])
-        for name in ("Authorization", "X-Hop", "Transfer-Encoding"):
+        for name in (
+            "Authorization",
+            "X-Hop",
+            "Transfer-Encoding",
+            "Kv-Fetch",
+        ):
             self.assertNotIn(name, sent)
 
+    def test_target_is_told_where_to_copy_the_prompt_from(self):
+        target = messages.TargetRecord("i-1", "s", "v:1", "here")
+        sending = records.Sending(target, "t1", 1.0, copy_from="v:2")
+        sent = headers.request_headers(request(), sending)
+        self.assertEqual("v:2", sent["Kv-Fetch"])
+
     def test_account_is_not_forged_on_a_public_route(self):
         found = request(Amaranthring_Tenant="forged")
         target = messages.TargetRecord("i-1", "s", "v:1", "here")
@@ -375,6 +395,7 @@
             r"|Expect-Replica|Replicas\.|Configuration\.(Replace|Fetch)"
             r"|AMARANTHRING_BOOT|path_prefix|route_type|itl_target_ms"
             r"|heartbeat_ms|revoke_ms|api_keys|batch_slots|node_name"
+            r"|Kv-Fetch|kv_bytes|link_mbps"
         )
         package = ROOT / "amaranthring"
         for path in package.rglob("*.py"):
