Let a keeper whose disk failed take part again once the disk works

Cause: by the logs a keeper whose disk was full for some seconds never took part again; when the disk of a second one of three filled up later, or its VM was replaced, the quorum was gone until processes were restarted. Ruled out: elections (the last voter asked all the while and was refused), membership (no learner, as nobody led). Change: after a failed write the folder is opened again, as at a start, until that works (keepers/recovery).

--- a/amaranthring/keepers/applying.py
+++ b/amaranthring/keepers/applying.py
@@ -109,8 +109,8 @@
             data = group.machine.snapshot()
             await group.store.save_snapshot(index, data)
         except OSError as error:
-            roles.fail(group, error)
-            return
+            roles.fail_disk(group, error)
+            continue
         group.metrics.count("keeper.snapshots")
 
 
--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -22,6 +22,7 @@
 from amaranthring.keepers import membership
 from amaranthring.keepers import messages
 from amaranthring.keepers import options as options_module
+from amaranthring.keepers import recovery
 from amaranthring.keepers import replication
 from amaranthring.keepers import roles
 from amaranthring.keepers import snapshots
@@ -76,7 +77,10 @@
     on_follower : list of callable
         Called without arguments when it leads no more.
     fault : errors.StorageError, optional
-        Why it stopped taking part until its next start.
+        Why it stopped taking part.
+    recoverable : bool
+        Whether it takes part again once its disk works again; otherwise
+        only after a restart of the process.
     heard_at, campaign_at, led_at : float
         Monotonic times: a leader was heard; a campaign is due; this keeper
         became the leader.
@@ -114,32 +118,18 @@
         self.clocks = clocks or options_module.Clocks()
         self.metrics = metrics or metrics_module.Metrics()
         self.random = random.Random()
-        self.store = store.Store(
-            folder,
-            name,
-            keeper.name,
-            files or disk.Files(),
-            on_durable=lambda: replication.advance(self),
-            on_fault=lambda error: roles.fail(self, error),
-            kept_entries=self.options.kept_entries,
-        )
-        self.log = self.store.log
-        self.writer = self.store.writer
-        self.disk_id = self.store.hard.disk
-        self.term = self.store.hard.term
-        self.vote = self.store.hard.vote
-        self.commit_index = self.applied_index = 0
-        if self.store.snapshot:
-            applying.restore(self, self.store.snapshot)
-            self.store.snapshot = None
+        self.folder = folder
+        self.files = files or disk.Files()
+        self.empty_state = machine.snapshot()
+        self._use_store(self.open_store())
         self.leading = False
         self.announced = False
         self.leader_disk = ""
         self.led_at = 0.0
         self.led_from = 0
         self.fault: errors.StorageError | None = None
+        self.recoverable = False
         self.waiting: dict[int, tuple[int, asyncio.Future]] = {}
-        self.receiver = snapshots.Receiver(self.store.folder, self.store.files)
         self.committed = asyncio.Event()
         self.snapshot_due = asyncio.Event()
         self.lease_changed = asyncio.Event()
@@ -158,23 +148,75 @@
         for peer in self.configured:
             self.add_peer(peer.name, peer.address, peer.data_centre)
 
+    def open_store(self) -> store.Store:
+        """Return the durable state as it is in the folder.
+
+        Raises
+        ------
+        errors.StorageError
+            If the folder is foreign, in use or damaged.
+        """
+        return store.Store(
+            self.folder,
+            self.name,
+            self.keeper.name,
+            self.files,
+            on_durable=lambda: replication.advance(self),
+            on_fault=lambda error: roles.fail_disk(self, error),
+            kept_entries=self.options.kept_entries,
+        )
+
+    def _use_store(self, opened: store.Store) -> None:
+        self.store = opened
+        self.log = opened.log
+        self.writer = opened.writer
+        self.disk_id = opened.hard.disk
+        self.term = opened.hard.term
+        self.vote = opened.hard.vote
+        self.receiver = snapshots.Receiver(opened.folder, opened.files)
+        self.commit_index = self.applied_index = 0
+        if opened.snapshot:
+            applying.restore(self, opened.snapshot)
+            opened.snapshot = None
+
+    def resume(self, opened: store.Store) -> None:
+        """Take part again after the disk failed, from what it holds.
+
+        Everything begins as at a start of the process. Entries that were
+        applied before may be missing on the disk, so the machine is built
+        anew as well.
+        """
+        self.machine.restore(self.empty_state)
+        self._use_store(opened)
+        self.leader_disk = ""
+        self.heard_at = self.clocks.monotonic()
+        election.delay_campaign(self)
+        self.recoverable = False
+        self.fault = None
+        self._start_tasks(self.writer.run(), genesis.join(self))
+        self.members_changed()
+
     def start(self) -> None:
         """Start the tasks of this group."""
-        for work in (
+        self._start_tasks(
             self.writer.run(),
             applying.run(self),
             applying.take_snapshots(self),
             election.watch(self),
             membership.repair(self),
             genesis.join(self),
-        ):
-            task = asyncio.ensure_future(work)
-            task.add_done_callback(self._task_ended)
-            self.tasks.append(task)
+            recovery.run(self),
+        )
         for peer in self.peers.values():
             self._start_peer(peer)
         self.members_changed()
 
+    def _start_tasks(self, *works: t.Coroutine) -> None:
+        for work in works:
+            task = asyncio.ensure_future(work)
+            task.add_done_callback(self._task_ended)
+            self.tasks.append(task)
+
     async def stop(self) -> None:
         """Step down, end all tasks and close the files."""
         roles.step_down(self, "stopping")
--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -398,7 +398,7 @@
         if offset == message.total:
             await applying.install(group)
     except (OSError, errors.StorageError) as error:
-        roles.fail(group, error)
+        roles.fail_disk(group, error)
         raise group.fault from error
     if offset is None or group.term != message.term:
         return no
--- a/amaranthring/keepers/roles.py
+++ b/amaranthring/keepers/roles.py
@@ -96,6 +96,13 @@
             callback()
 
 
+def fail_disk(group, error: Exception) -> None:
+    """Stop taking part until the disk can be opened again."""
+    if group.fault is None:
+        group.recoverable = True
+        fail(group, error)
+
+
 def fail(group, error: Exception) -> None:
     """Stop taking part: the disk can no longer be trusted to keep."""
     if group.fault is not None:
--- a/amaranthring/keepers/store.py
+++ b/amaranthring/keepers/store.py
@@ -184,6 +184,30 @@
         self.log.truncate(index)
         self.durable_index = min(self.durable_index, index - 1)
         self.writer.submit(lambda: self.segments.truncate(index))
+        return self._forget_members_from(index)
+
+    def drop_after(self, index: int) -> None:
+        """Drop all entries after `index`, before the writer runs.
+
+        Raises
+        ------
+        OSError
+            If the disk refused it.
+        errors.StorageError
+            If the entries up to `index` are not there, although they were
+            synced once.
+        """
+        if self.log.last_index < index:
+            raise disk.damaged(self.folder, "synced entries are missing")
+        if self.log.last_index == index:
+            return
+        first = max(index, self.log.base_index) + 1
+        self.log.truncate(first)
+        self.segments.truncate(first)
+        self.durable_index = self.log.last_index
+        self._forget_members_from(first)
+
+    def _forget_members_from(self, index: int) -> bool:
         kept = [known for known in self.member_history if known[0] < index]
         changed = len(kept) != len(self.member_history)
         self.member_history = kept
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -8,6 +8,7 @@
 from amaranthring.core import links
 from amaranthring.core import metrics as metrics_module
 from amaranthring.keepers import consensus
+from amaranthring.keepers import disk
 from amaranthring.keepers import dispatch
 from amaranthring.keepers import messages as keeper_messages
 from amaranthring.keepers import options as options_module
@@ -65,6 +66,8 @@
         For the streams.
     options : options.Options, optional
         Timing of the group.
+    files : disk.Files, optional
+        System calls that write.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         keys: links.Keys,
         metrics: metrics_module.Metrics,
         options: options_module.Options | None = None,
+        files: disk.Files | None = None,
     ):
         self.place = place
         self.metrics = metrics
@@ -96,7 +100,8 @@
             self.handlers,
             options or self.options(),
             clocks,
-            metrics=metrics,
+            files,
+            metrics,
         )
         dispatch.register(self.handlers, {GROUP: self.group})
         self.hub = hubs.Hub(
--- a/amaranthring/testing/plan_keepers.py
+++ b/amaranthring/testing/plan_keepers.py
@@ -1,7 +1,10 @@
 """Keepers of a routing plan and their followers, in this process."""
 
 import asyncio
+import errno
+import functools
 import itertools
+import os
 import pathlib
 import shutil
 import socket
@@ -12,6 +15,7 @@
 from amaranthring import errors
 from amaranthring.core import links
 from amaranthring.core import metrics
+from amaranthring.keepers import disk
 from amaranthring.keepers import options
 from amaranthring.registry import keeper as keepers
 from amaranthring.registry import messages
@@ -29,6 +33,8 @@
     ----------
     running : dict of str to PlanKeeper
         By address.
+    full : set of str
+        Addresses of keepers whose disks refuse every write.
     """
 
     def __init__(self, folder: str, count: int = 3):
@@ -37,6 +43,7 @@
         self.sockets: dict[str, list] = {}
         self.seeds = [self.new_address() for _ in range(count)]
         self.running: dict[str, keepers.PlanKeeper] = {}
+        self.full: set[str] = set()
 
     def new_address(self) -> str:
         """Return an address that is bound already."""
@@ -67,11 +74,19 @@
             admits=True,
             replace_seconds=0.5,
         )
-        made = keepers.PlanKeeper(place, KEYS, metrics.Metrics(), timing)
+        files = disk.Files(write=functools.partial(self._write, address))
+        made = keepers.PlanKeeper(
+            place, KEYS, metrics.Metrics(), timing, files
+        )
         made.start(self.sockets.pop(address, None) or _bind(address))
         self.running[address] = made
         return made
 
+    def _write(self, address: str, fd: int, data: bytes) -> int:
+        if address in self.full:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        return os.write(fd, data)
+
     def start_all(self) -> None:
         """Start all seeds for the first time."""
         for address in self.seeds:
--- a/tests/test_keeper_store.py
+++ b/tests/test_keeper_store.py
@@ -298,3 +298,37 @@
 
         asyncio.run(run())
         self.assertEqual(made.durable_index, 1)
+
+    def test_what_was_not_synced_is_dropped_when_the_disk_is_back(self):
+        """A sync fails; what was written can still be read from memory.
+
+        Kept in the log, entry 2 would count as synced, and be gone after
+        the next loss of power although the leader was told that it lasts.
+        """
+        failing = []
+
+        def sync(fd):
+            if failing:
+                raise OSError(errno.EIO, "Input/output error")
+            os.fdatasync(fd)
+
+        made = self.open(files=disk.Files(sync=sync))
+
+        async def run():
+            task = asyncio.ensure_future(made.writer.run())
+            made.append(entries(1, 2))
+            await made.writer.flush()
+            failing.append(True)
+            made.append(entries(2, 3))
+            with self.assertRaises(errors.StorageError):
+                await made.writer.flush()
+            await task
+
+        asyncio.run(run())
+        made.close()
+        again = self.open()
+        self.assertEqual(2, again.log.last_index)
+        again.drop_after(made.durable_index)
+        self.assertEqual((1, 1), (again.log.last_index, again.durable_index))
+        with self.assertRaises(errors.StorageError):
+            again.drop_after(5)
--- a/tests/test_plan_keepers.py
+++ b/tests/test_plan_keepers.py
@@ -84,6 +84,52 @@
             await last.hub.put(2, b"two")
 
 
+class TestFullDisk(KeepersCase):
+    """Keepers whose disks refuse writes for a while."""
+
+    async def fill(self, keeper):
+        """Fill the disk of `keeper` until it has noticed."""
+        self.keepers.full.add(keeper.place.address)
+        version = self.version = getattr(self, "version", 1) + 1
+        await self.keepers.put(version, b"while full")
+        await self.until(lambda: keeper.group.fault)
+
+    async def test_two_disks_fill_up_one_after_the_other(self):
+        """A day begins with a full disk that is freed soon; hours later the
+        disk of a second keeper fills up.
+
+        The first one had stopped taking part for good, so the second took
+        the quorum along: no order was taken and no plan could be read until
+        somebody restarted the processes.
+        """
+        leader = self.keepers.leader()
+        others = [k for k in self.keepers.running.values() if k is not leader]
+        for keeper in (others[0], leader):
+            await self.fill(keeper)
+            self.keepers.full.clear()
+            await self.until(lambda k=keeper: k.group.fault is None)
+        await self.fill(others[1])
+        self.assertEqual(9, await self.keepers.put(9, b"nine"))
+        found = await self.keepers.read()
+        self.assertEqual(b"nine", plans.unpacked(found.body))
+
+    async def test_it_comes_back_with_all_that_was_acknowledged(self):
+        keeper = self.a_follower_keeper()
+        await self.keepers.put(1, b"one")
+        await self.fill(keeper)
+        await self.keepers.put(7, b"seven")
+        self.keepers.full.clear()
+        await self.until(lambda: keeper.machine.version == 7)
+        self.assertEqual(b"seven", plans.unpacked(keeper.machine.body))
+
+    async def test_full_disk_is_tried_until_it_is_freed(self):
+        keeper = self.a_follower_keeper()
+        await self.fill(keeper)
+        tries = "keeper.disk-tries"
+        await self.until(lambda: keeper.metrics.counters.get(tries, 0) > 1)
+        self.assertIsNotNone(keeper.group.fault)
+
+
 class TestMembership(KeepersCase):
     """Keepers that lose their disk, are replaced, or are added."""
 
