--- a/tests/test_plan_keepers.py
+++ b/tests/test_plan_keepers.py
@@ -95,8 +95,7 @@
         await self.until(lambda: keeper.group.fault)
 
     async def test_two_disks_fill_up_one_after_the_other(self):
-        """A day begins with a full disk that is freed soon; hours later the
-        disk of a second keeper fills up.
+        """A full disk is freed soon; hours later that of a second fills up.
 
         The first one had stopped taking part for good, so the second took
         the quorum along: no order was taken and no plan could be read until
