Let streams wait for the first plan of a router that has just started

Callers whose connection had broken before had no other try left and were lost. Ruled out: the election alone (0.6 s of it), targets (known with the first link to a keeper). Change: a request whose caller gave it time waits for the first plan, for a third of that time and only in a router's first three seconds. Whoever could wait less than 0.9 s is refused at once as before, with when to come back. Also: a coroutine of a link that closes is closed with it, of which Python warned on standard error.

--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -271,6 +271,10 @@
             task = asyncio.ensure_future(self._finish(frame, result))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+            if inspect.iscoroutine(result):
+                # A task that is cancelled before its first step never awaits
+                # it, of which Python would warn on standard error.
+                task.add_done_callback(lambda _: result.close())
         else:
             self._answer(frame, result)
 
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -39,6 +39,15 @@
 # Targets announce themselves about every second; a full target frees a
 # slot within some tens of milliseconds, but all callers wait for it.
 RETRY_NO_PLAN = 2.0
+# A router that has just started expects its first plan within this time: 1.4 s
+# after all processes were killed at once, as measured from its start.
+START_SECONDS = 3.0
+# Until then a request may wait for the plan, for this share of its caller's
+# time. A stream with 10 s to go is better served 1.4 s late than refused: its
+# caller would come back no sooner, and some do not. One that could wait less
+# than the least is refused at once, to come back when there is a plan.
+START_SHARE = 1 / 3
+START_WAIT_LEAST = 0.9
 RETRY_NO_TARGET = 0.5
 RETRY_REFUSED = 0.3
 
@@ -58,6 +67,9 @@
         Returns how many routers share the budgets.
     connections : Pool, optional
         Kept connections to targets.
+    first_plan : asyncio.Event, optional
+        Set once there is a plan that keepers confirm; set from the start if
+        left out.
     """
 
     def __init__(
@@ -70,6 +82,7 @@
         routers: t.Callable[[], int],
         metrics: metrics_module.Metrics,
         connections: pool.Pool | None = None,
+        first_plan: asyncio.Event | None = None,
     ):
         self.connections = connections or pool.Pool()
         self.dialect = dialect
@@ -78,6 +91,8 @@
         self.placer = placer
         self.routers = routers
         self.metrics = metrics
+        self.first_plan = first_plan
+        self.started_at = time.monotonic()
         self.budgets: dict[str, budgets.RetryBudget] = collections.defaultdict(
             budget
         )
@@ -93,6 +108,7 @@
         passage = None
         fault: BaseException | None = None
         try:
+            await self._await_first_plan(incoming)
             passage = self.enter(incoming)
             async with asyncio.timeout_at(self._loop_time(passage.deadline)):
                 await self._attempt_all(passage, reply)
@@ -121,6 +137,21 @@
 
     # -- before the first attempt ------------------------------------
 
+    async def _await_first_plan(self, incoming: records.Incoming) -> None:
+        """Let a request wait for the plan of a router that has just begun."""
+        if self.first_plan is None or self.first_plan.is_set():
+            return
+        expected = self.started_at + START_SECONDS - time.monotonic()
+        seconds = min(expected, incoming.patience * START_SHARE)
+        if seconds < START_WAIT_LEAST:
+            return
+        self.metrics.count("request.awaited-plan")
+        try:
+            await asyncio.wait_for(self.first_plan.wait(), seconds)
+        except TimeoutError:
+            # It is refused for want of a plan.
+            return
+
     def enter(self, incoming: records.Incoming) -> records.Passage:
         """Return the request with its route and account.
 
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -132,6 +132,7 @@
             lambda: self.subscriber.routers,
             self.metrics,
             pool.Pool(self.kept_most),
+            self.subscriber.first_confirmed,
         )
         self.front = fronts.Front(dialect, self.relay.serve, self.bounds)
         self.stopping = False
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -50,6 +50,8 @@
     confirmed_at : float
         When the newest question was sent that a leader answered with the
         version held, in seconds of :func:`clocks.boottime`.
+    first_confirmed : asyncio.Event
+        Set once a plan is held that a leader has confirmed.
     routers : int
         Highest number of routers that a linked keeper counts.
     """
@@ -72,6 +74,7 @@
         self.counts: dict[str, int] = {}
         self.version = -1
         self.confirmed_at = float("-inf")
+        self.first_confirmed = asyncio.Event()
         self.seeds: list[str] = []
         # Version that a leader last confirmed, and when it was asked; a plan
         # that is fetched after the answer is confirmed by it as well.
@@ -197,6 +200,7 @@
             self._newest_confirmed = (version, asked_at)
         if self.version >= version >= 0:
             self.confirmed_at = max(self.confirmed_at, asked_at)
+            self.first_confirmed.set()
 
     def _on_targets(self, _link: links.Link, news: messages.Targets) -> None:
         for record in news.records:
--- a/amaranthring/testing/scripted.py
+++ b/amaranthring/testing/scripted.py
@@ -308,13 +308,17 @@
     ----------
     fresh : bool
         Whether the keepers confirm the plan.
+    first_plan : asyncio.Event
+        Set once there is a confirmed plan; set from the start.
     address : tuple
         Where it listens.
     """
 
     def __init__(self, plan: routing.Plan, allowance: float = 10.0):
         self.fresh = True
-        self.table = routing.RouteTable(plan)
+        self.first_plan = asyncio.Event()
+        self.first_plan.set()
+        self.table: routing.RouteTable | None = routing.RouteTable(plan)
         self.targets = targets.TargetTable(time.monotonic, 0.0)
         self.placer = placing.Placer(self.targets, "here")
         self.relay = relays.Relay(
@@ -325,9 +329,10 @@
             lambda: budgets.RetryBudget(0.2, allowance, 10.0, time.monotonic),
             lambda: 1,
             metrics.Metrics(),
+            first_plan=self.first_plan,
         )
         self.front = fronts.Front(
-            DIALECT, self.relay.serve, lambda: self.table.plan.bounds
+            DIALECT, self.relay.serve, lambda: plan.bounds
         )
         sockets = tornado.netutil.bind_sockets(
             0, "127.0.0.1", family=socket.AF_INET
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 import unittest
 
 from amaranthring import routing
+from amaranthring.forwarding import relay
 from amaranthring.testing import scripted
 
 SAFE = routing.Route(
@@ -130,6 +131,63 @@
         self.assertEqual(200, (await self.ask("/a/x")).status)
 
 
+class TestFirstPlan(RouterCase):
+    """Requests that come before a router's first plan.
+
+    The pattern is that of a day on which all processes are killed at once:
+    routers listen after 0.2 s, keepers after 0.9 s and have a leader 0.6 s
+    later, while callers whose connections broke come back all the while.
+    """
+
+    async def begin_without_plan(self):
+        await self.begin(scripted.events(3))
+        table, self.router.table = self.router.table, None
+        self.router.first_plan.clear()
+        return table
+
+    async def test_caller_with_time_waits_for_the_plan(self):
+        """A conversation's only retry meets a router that has just started.
+
+        Refused, the caller is lost, although it would wait ten seconds and
+        the plan is there after one.
+        """
+        table = await self.begin_without_plan()
+        asked = asyncio.ensure_future(
+            self.ask("/d/x", "POST", Test_Patience="10")
+        )
+        await asyncio.sleep(0.3)
+        self.assertFalse(asked.done())
+        self.router.table = table
+        self.router.first_plan.set()
+        self.assertEqual(200, (await asked).status)
+
+    async def test_caller_in_a_hurry_is_told_at_once_when_to_come_back(self):
+        await self.begin_without_plan()
+        got = await self.ask("/b/x", "POST", Test_Patience="1")
+        self.assertEqual(503, got.status)
+        self.assertIn("Retry-After", got.headers)
+        self.assertLess(got.seconds, 0.2)
+
+    async def test_nobody_waits_once_the_start_is_over(self):
+        await self.begin_without_plan()
+        self.router.relay.started_at -= relay.START_SECONDS
+        got = await self.ask("/d/x", "POST", Test_Patience="10")
+        self.assertEqual(503, got.status)
+        self.assertLess(got.seconds, 0.2)
+
+    async def test_caller_that_leaves_meanwhile_is_not_served(self):
+        table = await self.begin_without_plan()
+        asked = asyncio.ensure_future(
+            self.ask("/d/x", "POST", Test_Patience="10")
+        )
+        await self.until(lambda: self.router.front.running)
+        asked.cancel()
+        await self.until(lambda: not self.router.front.running)
+        self.router.table = table
+        self.router.first_plan.set()
+        self.assertEqual(0, self.ran())
+
+
 class TestNotIdempotent(RouterCase):
     """Requests that may run once at most."""
 
