--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -6,15 +6,13 @@
 
 from amaranthring.forwarding import prompts
 from amaranthring.forwarding import records
+from amaranthring.forwarding import views
 from amaranthring.policy import affinity
 from amaranthring.policy import copies
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
 from amaranthring.registry import targets as tables
 
-# What a target said of its load is worth this long; then only this router's
-# own requests count.
-REPORT_SECONDS = 0.3
 # A target that failed is passed over for this long, doubled with each
 # further failure in a row up to the most. The first is shorter than an
 # announcement's beat: most failures are over at once. The most bounds how
@@ -43,62 +41,6 @@
 LINGER_SECONDS = 1.5
 
 
-class DataCentreView:
-    """What this router itself has seen of one data centre.
-
-    Attributes
-    ----------
-    unreached : set of str
-        Targets that could not be reached since one was.
-    """
-
-    def __init__(self):
-        self.unreached: set[str] = set()
-        self.cut_until = 0.0
-
-
-class TargetView:
-    """What this router itself has seen of one target.
-
-    Attributes
-    ----------
-    running : int
-        Requests of this router there.
-    others : int
-        Requests of the other routers there, as they last said.
-    reading, others_reading : int
-        Tokens that it has yet to read for this router and for the others.
-    reported : float
-        Requests of all routers there, as it last said, and those that this
-        router has sent since.
-    """
-
-    def __init__(self):
-        self.running = 0
-        self.others = 0
-        self.reading = 0
-        self.others_reading = 0
-        self.reported = 0.0
-        self.reported_at = float("-inf")
-        self.failures = 0
-        self.avoid_until = 0.0
-        self.unreached = False
-        self.did_well_at = float("-inf")
-
-    @property
-    def waiting(self) -> int:
-        """Return the tokens that it has yet to read."""
-        return self.reading + self.others_reading
-
-    def load(self, now: float) -> float:
-        """Return the number of requests there, as far as is known."""
-        counted = self.running + self.others
-        if now - self.reported_at > REPORT_SECONDS:
-            return counted
-        # Either may lag behind by what was begun meanwhile.
-        return max(counted, self.reported)
-
-
 class Placer:
     """Chooses targets and remembers how they did.
 
@@ -121,11 +63,13 @@
         self.table = table
         self.data_centre = data_centre
         self.clock = clock
-        self.data_centres: dict[str, DataCentreView] = collections.defaultdict(
-            DataCentreView
+        self.data_centres: dict[str, views.DataCentreView] = (
+            collections.defaultdict(views.DataCentreView)
         )
         self.prompts = prompts.PromptPlaces(clock)
-        self.views: dict[str, TargetView] = collections.defaultdict(TargetView)
+        self.views: dict[str, views.TargetView] = collections.defaultdict(
+            views.TargetView
+        )
 
     def choose(self, passage: records.Passage) -> messages.TargetRecord | None:
         """Return the target for the next attempt, or None."""
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -6,13 +6,11 @@
 import time
 import typing as t
 
-import logbook
-
 from amaranthring import errors
-from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
 from amaranthring.forwarding import attempts
 from amaranthring.forwarding import events
+from amaranthring.forwarding import outcomes
 from amaranthring.forwarding import placing
 from amaranthring.forwarding import records
 from amaranthring.forwarding import replies
@@ -21,8 +19,6 @@
 from amaranthring.routing import table as route_tables
 from amaranthring.targets import pool
 
-log = logbook.Logger(__name__)
-
 # A safe request that has no answer after this multiple of its objective is
 # sent to a second target, early enough to be on time by the deadline.
 SAFE_PATIENCE = 1.6
@@ -78,7 +74,7 @@
         table: t.Callable[[], route_tables.RouteTable | None],
         may_admit: t.Callable[[], bool],
         placer: placing.Placer,
-        budget: t.Callable[[], budgets.RetryBudget],
+        budget: t.Callable[[], budgets.WindowBudget],
         routers: t.Callable[[], int],
         metrics: metrics_module.Metrics,
         connections: pool.Pool | None = None,
@@ -91,10 +87,11 @@
         self.placer = placer
         self.routers = routers
         self.metrics = metrics
+        self.note = functools.partial(outcomes.note, metrics)
         self.first_plan = first_plan
         self.started_at = time.monotonic()
-        self.budgets: dict[str, budgets.RetryBudget] = collections.defaultdict(
-            budget
+        self.budgets: dict[str, budgets.WindowBudget] = (
+            collections.defaultdict(budget)
         )
 
     async def serve(
@@ -128,7 +125,7 @@
             reply.break_off()
             raise
         finally:
-            self._note(incoming, passage, reply, fault)
+            self.note(incoming, passage, reply, fault)
 
     @staticmethod
     def _loop_time(deadline: float) -> float:
@@ -371,46 +368,6 @@
             retry_after=RETRY_REFUSED,
         )
 
-    def _note(self, incoming, passage, reply, fault) -> None:
-        seconds = time.monotonic() - incoming.arrived
-        outcome = "answered"
-        if isinstance(fault, errors.AmaranthringError):
-            outcome = fault.code
-        elif fault is not None:
-            outcome = "caller-gone"
-        self.metrics.count(f"request.{outcome}")
-        fields: dict[str, t.Any] = {}
-        if passage is not None:
-            self.metrics.record(
-                "request.seconds", seconds, passage.account, passage.route.kind
-            )
-            fields = {
-                "route": passage.route.name,
-                "account": passage.account,
-                "service": passage.service,
-                "plan": passage.version,
-                "sent": passage.sent,
-                "trail": ",".join(passage.trail),
-                "copies": ",".join(passage.copies),
-                "prompt": ",".join(
-                    f"{part.id}:{part.tokens}" for part in incoming.parts
-                ),
-            }
-        logs.event(
-            log,
-            "request",
-            id=incoming.request_id,
-            outcome=outcome,
-            status=reply.status,
-            ms=round(seconds * 1e3, 1),
-            first_ms=_milliseconds(incoming.arrived, reply.began_at),
-            **fields,
-        )
-
-
-def _milliseconds(since: float, until: float) -> float | None:
-    return round((until - since) * 1e3, 1) if until else None
-
 
 def _certainly_refused(attempt: attempts.Attempt) -> bool:
     answer = attempt.answer
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -123,7 +123,7 @@
             self.may_admit,
             self.placer,
             functools.partial(
-                budgets.RetryBudget,
+                budgets.WindowBudget,
                 place.retry_ratio,
                 place.retry_allowance,
                 place.retry_window,
--- a/amaranthring/policy/budgets.py
+++ b/amaranthring/policy/budgets.py
@@ -14,7 +14,7 @@
 USED_SHARE = 0.85
 
 
-class RetryBudget:
+class WindowBudget:
     """Repeats of one router to one service in a sliding window.
 
     Parameters
--- a/amaranthring/testing/scripted.py
+++ b/amaranthring/testing/scripted.py
@@ -326,7 +326,7 @@
             lambda: self.table,
             lambda: self.fresh,
             self.placer,
-            lambda: budgets.RetryBudget(0.2, allowance, 10.0, time.monotonic),
+            lambda: budgets.WindowBudget(0.2, allowance, 10.0, time.monotonic),
             lambda: 1,
             metrics.Metrics(),
             first_plan=self.first_plan,
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -251,7 +251,7 @@
         """
         now = [0.0]
         made = [
-            budgets.RetryBudget(0.2, 54, 10.0, lambda: now[0])
+            budgets.WindowBudget(0.2, 54, 10.0, lambda: now[0])
             for _ in range(7)
         ]
         draw = random.Random(4)
