Let a keeper with a full disk still name the leader

Symptom: test_two_disks_fill_up_one_after_the_other failed in two of six runs beside load, each time when the keeper asked was the one with the full disk. Cause (states printed each second): the two others had a leader and committed; the asked keeper refused entries before it noted who sent them, so it named nobody and sent operators away for as long as its disk was full. Ruled out: the recovery (the other keeper had resumed and voted), the election (0.22 s). Change: a keeper that takes no part notes who leads, and passes orders and reads on. A test asks that very keeper; it fails without.

--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -254,6 +254,7 @@
 async def on_append(group, message: messages.Append) -> messages.Appended:
     """Take entries from the leader; answer once they are synced."""
     if group.fault is not None:
+        roles.note_leader(group, message.term, message.disk)
         raise group.fault
     if message.to_disk != group.disk_id or message.term < group.term:
         return _appended(group, False)
--- a/amaranthring/keepers/roles.py
+++ b/amaranthring/keepers/roles.py
@@ -73,6 +73,17 @@
     election.delay_campaign(group)
 
 
+def note_leader(group, term: int, leader_disk: str) -> None:
+    """Remember who leads while this keeper takes no part itself.
+
+    A keeper with a failed disk still passes operators' orders and reads on
+    to the leader, which it can only name if it goes on listening.
+    """
+    if term >= group.term:
+        group.leader_disk = leader_disk
+        group.heard_at = group.clocks.monotonic()
+
+
 def step_down(group, reason: str) -> None:
     """Stop leading; proposals in flight wait on for their fate."""
     if not group.leading:
--- a/tests/test_plan_keepers.py
+++ b/tests/test_plan_keepers.py
@@ -123,6 +123,20 @@
         await self.until(lambda: keeper.machine.version == 7)
         self.assertEqual(b"seven", plans.unpacked(keeper.machine.body))
 
+    async def test_it_passes_orders_and_reads_on_meanwhile(self):
+        """A leader's disk fills up, and an operator asks that very keeper.
+
+        It knew of no leader while its disk was full, so whoever asked it was
+        sent away although the two others could answer.
+        """
+        leader = self.keepers.leader()
+        address = leader.place.address
+        await self.fill(leader)
+        self.assertEqual(5, await self.keepers.put(5, b"five", address))
+        found = await self.keepers.read(address)
+        self.assertEqual(b"five", plans.unpacked(found.body))
+        self.assertIsNotNone(leader.group.fault)
+
     async def test_full_disk_is_tried_until_it_is_freed(self):
         keeper = self.a_follower_keeper()
         await self.fill(keeper)
