Send plans as deltas, and plans and places at a pace

Symptom: larger sites (84 routers, 6 keepers with 6 Mbit/s): CONFIG broken after cuts that healed and after final faults; no plan could be read for 15 s, or routers went on by an older one. Ruled out: disks (no fault), the keepers' processor (0.06 of 0.26 cores). Change: a router that is a few versions behind gets what changed (one route of hundreds: less than a hundredth); a keeper spreads what it sends over half of its link; places come 100 a message, the newest first.

--- a/amaranthring/registry/fetching.py
+++ b/amaranthring/registry/fetching.py
@@ -21,8 +21,9 @@
 
 # Followers apply a plan with the leader's next heartbeat, 0.1 s after it.
 SPREAD_SECONDS = 0.15
-# Fifteen routers fetch 20 KB from one keeper within 0.4 s over 6 Mbit/s.
-HEDGE_SECONDS = 0.5
+# A keeper that was told to spread its sending over its link brings fifteen
+# routers a whole plan of 20 KB within 0.8 s; deltas come at once.
+HEDGE_SECONDS = 0.8
 FETCH_SECONDS = 3.0
 
 
@@ -35,6 +36,8 @@
         Of this router; spreads routers over the keepers.
     held : callable
         Returns the version held.
+    base : callable
+        Returns the version to which a delta may apply; -1 for none.
     linked : callable
         Returns the links to keepers.
     take : callable
@@ -50,11 +53,13 @@
         self,
         name: str,
         held: t.Callable[[], int],
+        base: t.Callable[[], int],
         linked: t.Callable[[], list[links.Link]],
         take: t.Callable[[messages.PlanBody], None],
     ):
         self.name = name
         self.held = held
+        self.base = base
         self.linked = linked
         self.take = take
         self.offers: dict[links.Link, int] = {}
@@ -111,7 +116,8 @@
 
     async def _fetch(self, link: links.Link) -> None:
         try:
-            plan = await link.call(messages.FetchPlan(), FETCH_SECONDS)
+            ask = messages.FetchPlan(held=self.base())
+            plan = await link.call(ask, FETCH_SECONDS)
         except errors.AmaranthringError as error:
             log.warning(
                 "plan.fetch-failed keeper={} fault={}", link.peer.name, error
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -12,6 +12,7 @@
 from amaranthring.keepers import dispatch
 from amaranthring.keepers import messages as keeper_messages
 from amaranthring.keepers import plans
+from amaranthring.registry import bodies
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
 from amaranthring.registry import targets
@@ -72,6 +73,7 @@
             clock,
         )
         self.tasks: list[asyncio.Task] = []
+        self.bodies = bodies.Bodies(machine, clock)
         self.told_version = machine.version
         group.on_applied.append(self._applied)
         handlers.add(messages.Renew, self._on_renew)
@@ -260,6 +262,7 @@
         if self.machine.version <= self.told_version:
             return
         self.told_version = self.machine.version
+        self.bodies.note()
         self._tell_routers(messages.PlanNotice(self.told_version))
 
     # -- routers -----------------------------------------------------
@@ -298,7 +301,7 @@
     async def _on_fetch(self, _link, message: messages.FetchPlan):
         if message.newest:
             return await self._read_here(ANSWER_SECONDS)
-        return messages.PlanBody(self.machine.version, self.machine.body)
+        return await self.bodies.send(message.held)
 
 
 def _require_keeper(link: links.Link) -> None:
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -129,14 +129,27 @@
     newest : bool
         Whether it must be the newest that was acknowledged anywhere; then
         only a leader with a quorum answers.
+    held : int
+        Version that the asker holds, for a delta from it; -1 for a whole
+        plan.
     """
 
     newest: bool = False
+    held: int = -1
 
 
 @wire.message("registry-plan")
 class PlanBody:
-    """A plan; the version is -1 and the body empty before the first."""
+    """A plan; the version is -1 and the body empty before the first.
+
+    Attributes
+    ----------
+    body : bytes
+        The document, compressed; or a delta.
+    base : int
+        Version to which the delta applies; -1 if the body is whole.
+    """
 
     version: int
     body: bytes
+    base: int = -1
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -25,6 +25,11 @@
 # whole day of such trouble.
 KEPT_SECONDS = 45.0
 PLACES_MOST = 20_000
+# Pairs that one message to a router brings at most, about 3 KB: 40 KB/s for
+# each of 14 routers. All pairs at once, 80 KB for a router that starts or
+# comes back after a cut, filled the keepers' links of 6 Mbit/s when many did
+# so together, and their heartbeats came too late. News are 40 pairs a message.
+PLACES_A_MESSAGE = 100
 # A keeper that has said nothing for so long is cut off or gone.
 STALE_SECONDS = 1.5
 
@@ -190,7 +195,11 @@
                 totals.add(sums)
 
     def _tell(self, link: links.Link, report: Report, totals: Totals) -> None:
-        places = self.places.pop(link, [])
+        waiting = self.places.pop(link, [])
+        # What came last is the most likely to be asked for next.
+        places = waiting[-PLACES_A_MESSAGE:]
+        if waiting := waiting[:-PLACES_A_MESSAGE]:
+            self.places[link] = waiting
         message = totals.without(report).message(Others, places)
         try:
             link.send(message)
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -18,6 +18,7 @@
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.keepers import plans
+from amaranthring.registry import deltas
 from amaranthring.registry import fetching
 from amaranthring.registry import messages
 from amaranthring.registry import targets
@@ -76,11 +77,17 @@
         self.confirmed_at = float("-inf")
         self.first_confirmed = asyncio.Event()
         self.seeds: list[str] = []
+        # What deltas apply to; None before the first plan, or if one failed.
+        self._document_held: bytes | None = None
         # Version that a leader last confirmed, and when it was asked; a plan
         # that is fetched after the answer is confirmed by it as well.
         self._newest_confirmed = (-1, float("-inf"))
         self.fetcher = fetching.PlanFetcher(
-            identity.name, lambda: self.version, self.linked, self._take
+            identity.name,
+            lambda: self.version,
+            self._base,
+            self.linked,
+            self._take,
         )
 
     @property
@@ -183,17 +190,33 @@
         self.fetcher.offer(link, notice.version)
 
     def _take(self, plan: messages.PlanBody) -> None:
+        if plan.base >= 0 and plan.base != self._base():
+            # Another keeper's plan came first; this one is offered again.
+            logs.event(log, "plan.delta-late", version=plan.version)
+            return
         try:
-            self.take_plan(plans.unpacked(plan.body))
+            document = self._document(plan)
+            self.take_plan(document)
         except errors.AmaranthringError as error:
             log.error("plan.refused version={} fault={}", plan.version, error)
+            # Whatever is wrong with it, it is not asked for as a delta again.
+            self._document_held = None
             return
+        self._document_held = document
         logs.event(
             log, "plan.in-force", version=plan.version, before=self.version
         )
         self.version = plan.version
         self._confirm(*self._newest_confirmed)
 
+    def _document(self, plan: messages.PlanBody) -> bytes:
+        if plan.base < 0:
+            return plans.unpacked(plan.body)
+        return deltas.apply(self._document_held, plan.body)
+
+    def _base(self) -> int:
+        return -1 if self._document_held is None else self.version
+
     def _confirm(self, version: int, asked_at: float) -> None:
         """Note that `version` was the newest when a leader was asked."""
         if version >= self._newest_confirmed[0]:
--- /dev/null
+++ b/tests/test_plan_deltas.py
@@ -0,0 +1,116 @@
+"""Plans sent to routers: deltas, whole ones, and their pace."""
+
+import asyncio
+import json
+import random
+import unittest
+
+from amaranthring import errors
+from amaranthring.keepers import plans
+from amaranthring.registry import bodies
+from amaranthring.registry import deltas
+
+
+def document(version, routes):
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [{"name": n, "timeout": s} for n, s in routes],
+            "accounts": [{"name": "alba", "keys": ["k1", "k2"]}],
+        }
+    ).encode()
+
+
+class TestDeltas(unittest.TestCase):
+    """What changed between two documents."""
+
+    def test_one_route_of_hundreds_takes_a_hundredth(self):
+        """A plan of 100 KB changes in one timeout.
+
+        Sent whole to 14 routers each it takes half a second of a keeper's
+        link, during which no heartbeat passes.
+        """
+        routes = [(f"route-{n}", 1000 + n) for n in range(2000)]
+        old = document(7, routes)
+        routes[300] = ("route-300", 5)
+        new = document(8, routes)
+        delta = deltas.make(old, new)
+        self.assertEqual(new, deltas.apply(old, delta))
+        self.assertLess(len(delta), len(plans.packed(new)) / 100)
+
+    def test_any_two_documents(self):
+        draw = random.Random(5)
+        made = [b"", b"}", b"no end", b"}}{", document(1, [])]
+        for version in range(30):
+            size = draw.randrange(12)
+            names = [f"r{draw.randrange(9)}" for _ in range(size)]
+            made.append(document(version, [(n, 1) for n in names]))
+        for old in made:
+            for new in made:
+                self.assertEqual(new, deltas.apply(old, deltas.make(old, new)))
+
+    def test_delta_for_another_document_is_refused(self):
+        routes = [("a", 1), ("b", 2)]
+        delta = deltas.make(document(1, routes), document(2, routes))
+        for other in (b"", document(1, [("c", 3)]), document(1, routes[1:])):
+            with self.assertRaises(errors.FrameError):
+                deltas.apply(other, delta)
+        for broken in (b"", delta[:-5], b"x" * 40):
+            with self.assertRaises(errors.FrameError):
+                deltas.apply(document(1, routes), broken)
+
+
+class TestBodies(unittest.IsolatedAsyncioTestCase):
+    """What a keeper sends, and when."""
+
+    def setUp(self):
+        self.now = 10.0
+        self.machine = plans.PlanMachine()
+        self.bodies = bodies.Bodies(self.machine, lambda: self.now)
+
+    def put(self, version, size=3):
+        made = document(version, [(f"r{n}", n) for n in range(size)])
+        put = plans.PutPlan(version, plans.packed(made))
+        self.machine.apply(version, 0.0, put)
+        self.bodies.note()
+        return made
+
+    def test_router_that_is_a_few_versions_behind_gets_a_delta(self):
+        old = self.put(1)
+        self.put(2)
+        new = self.put(5)
+        body = self.bodies.body_for(1)
+        self.assertEqual((5, 1), (body.version, body.base))
+        self.assertEqual(new, deltas.apply(old, body.body))
+
+    def test_others_get_it_whole(self):
+        self.put(1)
+        for version in range(2, 3 + bodies.PAST_MOST):
+            new = self.put(version)
+        for held in (-1, 1, 77, version):
+            body = self.bodies.body_for(held)
+            self.assertEqual(-1, body.base)
+            self.assertEqual(new, plans.unpacked(body.body))
+
+    async def test_whole_plans_leave_room_on_the_link(self):
+        """All routers start at once and fetch a plan of 20 KB.
+
+        Sent together they hold up the keepers' heartbeats, and the group
+        that has just found a leader loses it again.
+        """
+        self.put(1, 4000)
+        size = len(self.machine.body)
+        waits = []
+
+        async def sleep(seconds):
+            waits.append(seconds)
+
+        original, asyncio.sleep = asyncio.sleep, sleep
+        try:
+            for _ in range(14):
+                await self.bodies.send(-1)
+        finally:
+            asyncio.sleep = original
+        self.assertEqual(13, len(waits))
+        each = size / bodies.BYTES_PER_SECOND
+        self.assertAlmostEqual(13 * each, waits[-1])
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -93,6 +93,24 @@
         self.assertEqual({"a": 1}, last[1])
         self.assertEqual({"a": 2, "b": 1}, last[2])
 
+    def test_places_come_a_part_at_a_time_the_newest_first(self):
+        """A data centre's cut heals, and its routers come back together.
+
+        Each got all places at once, 80 KB, over links that carry the
+        keepers' heartbeats as well; the leader was lost again.
+        """
+        most = sharing.PLACES_A_MESSAGE
+        pairs = [(f"p{n}", "a") for n in range(3 * most)]
+        self.report(0, {}, pairs)
+        self.report(1, {})
+        sizes = []
+        for _ in range(4):
+            sizes.append(len(self.routers[1].sent[-1].places))
+            self.one.step()
+        self.assertEqual([most, most, most, 0], sizes)
+        first = self.routers[1].sent[0].places
+        self.assertEqual([f"p{3 * most - 1}", "a"], first[-1])
+
     def test_places_reach_every_other_router_once(self):
         for router in range(3):
             self.report(router, {})
