--- a/amaranthring/policy/affinity.py
+++ b/amaranthring/policy/affinity.py
@@ -20,8 +20,8 @@
 # A target may hold this multiple of the mean, plus a few, before requests go
 # elsewhere. Above twice the mean and three targets count as overloaded;
 # counts are up to 0.7 s old, in which 84 routers send it more than one knows.
-LOAD_BOUND = 1.6
-LOAD_SLACK = 2.0
+LOAD_BOUND = 1.5
+LOAD_SLACK = 3.0
 # Requests at a target for which it is worth reading a thousand tokens again
 # elsewhere. An engine reads 48 tokens in a millisecond, and each request
 # that runs there adds 0.12 ms to each token of the others: over 300 tokens
@@ -31,7 +31,7 @@
 # The same for a thousand tokens that are copied from another target. Memory
 # that moves is paid for with a seventh of what reading costs and takes a
 # hundredth of the time.
-REQUESTS_PER_1000_COPIED = 0.5
+REQUESTS_PER_1000_COPIED = 0.7
 # Loads up to this many requests above the mean count as equal. Where places
 # are not known (after a start, or while no keeper passes them on) hashing
 # then decides, and routers agree without talking.
