Give a new learner time to answer, and let who was taken out ask again

Ruled out: the recovery of disks (none was full), the replication (the learner had everything). Change: silence is counted from the last change of members on; a keeper that hears no leader asks all others each second. Two tests fail without.

--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -86,6 +86,9 @@
         became the leader.
     led_from : int
         First entry of this keeper's leadership.
+    changed_at : float
+        Monotonic time at which the members last changed: who was taken in
+        then has had no time to answer before.
 
     Raises
     ------
@@ -127,6 +130,7 @@
         self.leader_disk = ""
         self.led_at = 0.0
         self.led_from = 0
+        self.changed_at = 0.0
         self.fault: errors.StorageError | None = None
         self.recoverable = False
         self.waiting: dict[int, tuple[int, asyncio.Future]] = {}
@@ -205,6 +209,7 @@
             election.watch(self),
             membership.repair(self),
             genesis.join(self),
+            genesis.join_again(self),
             recovery.run(self),
         )
         for peer in self.peers.values():
@@ -384,6 +389,7 @@
 
     def members_changed(self) -> None:
         """Dial who joined, forget who left."""
+        self.changed_at = self.clocks.monotonic()
         self.store.forget_members(self.applied_index)
         for member in self.members.voters + self.members.learners:
             if member.name != self.keeper.name:
--- a/amaranthring/keepers/genesis.py
+++ b/amaranthring/keepers/genesis.py
@@ -14,6 +14,7 @@
 
 from amaranthring import errors
 from amaranthring.core import logs
+from amaranthring.keepers import election
 from amaranthring.keepers import membership
 from amaranthring.keepers import messages
 
@@ -21,6 +22,9 @@
 
 GREET_SECONDS = 0.5
 RETRY_SECONDS = 0.1
+# A keeper that was taken out asks this often. Two more losses of three voters
+# end the quorum, so a voter that is missing is wanted back within seconds.
+REJOIN_SECONDS = 1.0
 
 
 async def join(group) -> None:
@@ -46,6 +50,24 @@
         await asyncio.sleep(RETRY_SECONDS)
 
 
+async def join_again(group) -> None:
+    """Ask to be taken in again whenever no leader sends to this keeper.
+
+    A leader takes out who is silent for a while. A keeper that comes back
+    after that is sent nothing, and has to say that it is there.
+    """
+    while True:
+        await asyncio.sleep(REJOIN_SECONDS)
+        if not group.options.admits or not _settled(group):
+            continue
+        if group.leading or election.hears_leader(group):
+            continue
+        replies = await _greet_all(group)
+        for reply in replies.values():
+            if reply.members:
+                _meet(group, reply.members)
+
+
 def _settled(group) -> bool:
     if not group.members.voters:
         return False
--- a/amaranthring/keepers/membership.py
+++ b/amaranthring/keepers/membership.py
@@ -135,7 +135,9 @@
 def _silent(group, member: messages.Member) -> bool:
     if member.disk == group.disk_id:
         return False
-    heard = max(election.acked_at(group, member), group.led_at)
+    heard = max(
+        election.acked_at(group, member), group.led_at, group.changed_at
+    )
     now = group.clocks.monotonic()
     return now - heard > group.options.replace_seconds
 
--- a/tests/test_plan_keepers.py
+++ b/tests/test_plan_keepers.py
@@ -7,6 +7,8 @@
 
 from amaranthring import errors
 from amaranthring.core import hashing
+from amaranthring.keepers import membership
+from amaranthring.keepers import messages as keeper_messages
 from amaranthring.keepers import plans
 from amaranthring.registry import messages
 from amaranthring.testing import plan_keepers
@@ -218,6 +220,54 @@
         self.assertEqual(13, (await self.keepers.read()).version)
 
 
+class TestLearners(KeepersCase):
+    """Keepers that are taken in beside three voters."""
+
+    def learners(self):
+        leader = self.keepers.leader()
+        members = leader.group.members.learners if leader else []
+        return {member.name for member in members}
+
+    async def test_new_learner_is_given_time_to_answer(self):
+        """A VM is replaced: the new one comes before the old one stops.
+
+        The leader had led for longer than the silence after which a keeper
+        is taken out. The new one had answered nothing yet, was taken for
+        silent 0.2 s later and never came back; with the old one stopped,
+        the next lost disk ended the quorum.
+        """
+        leader = self.keepers.leader()
+        await asyncio.sleep(leader.group.options.replace_seconds + 0.1)
+        new = self.keepers.new_address()
+        members = leader.group.members
+        learner = keeper_messages.Member("d", new, new, "here")
+        changed = membership.with_learner(members, learner)
+        await leader.group.propose(changed, 2.0)
+        step = membership.next_step(leader.group)
+        self.assertTrue(step is None or step.learners)
+
+    async def test_learner_that_was_taken_out_asks_again(self):
+        """A leader takes out a keeper that was silent for a while.
+
+        It had heard a leader once and asked nobody again, so it stayed out
+        for as long as it ran.
+        """
+        new = self.keepers.new_address()
+        self.keepers.start(new)
+        await self.until(lambda: new in self.learners())
+        joined = self.keepers.running[new].group
+        await self.until(lambda: joined.leader_disk)
+        # Its search for a group has ended.
+        await asyncio.sleep(0.3)
+        leader = self.keepers.leader()
+        disk = joined.disk_id
+        smaller = membership.without(leader.group.members, disk)
+        await leader.group.propose(smaller, 2.0)
+        leader.group.drop_strangers()
+        self.assertEqual(set(), self.learners())
+        await self.until(lambda: new in self.learners(), 5.0)
+
+
 class TestFirstStart(unittest.IsolatedAsyncioTestCase):
     """More keepers than seeds, all started at once."""
 
