Tell starts of a target apart when it keeps its id; refuse words of other writers

Cause: a target may start again under its id; its numbers begin anew, so its first words were taken for late ones, and what was believed of its requests, prompts and connections went on. Announcements with odd fields raised or were taken for a target's.

Change: an id for each start, made of the name and the time of birth; the last born wins in any order; a leave names the start that it is of; states, addresses, births and services that nobody knows are counted, logged and never used. Tests: all orders of six words, late leaves, 21 odd words.

--- a/amaranthring/platform/headers.py
+++ b/amaranthring/platform/headers.py
@@ -168,7 +168,7 @@
     if sending.seconds_left != float("inf"):
         left = max(1, int(sending.seconds_left * MILLISECONDS))
         headers[DEADLINE] = str(left)
-    headers[EXPECTED_TARGET] = sending.target.id
+    headers[EXPECTED_TARGET] = sending.target.name
     if sending.account:
         headers[ACCOUNT] = sending.account
     if sending.resume_after:
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -112,18 +112,32 @@
             targets.log_change(held)
             self._tell([held])
 
-    def leave(self, target_id: str) -> None:
+    def refuse(self, fault: errors.AmaranthringError) -> None:
+        """Note an announcement that names no target to use.
+
+        It may come from another writer than a target: the targets that are
+        known stay as they are.
+        """
+        self.group.metrics.count("announcement.refused")
+        logs.event(log, "announcement.refused", fault=str(fault))
+
+    def leave(self, name: str, born: int = 0) -> None:
         """Take the notice that a target is gone.
 
+        Parameters
+        ----------
+        born : int
+            As in :class:`messages.TargetRecord`.
+
         Raises
         ------
         errors.NotReadyError
             As :meth:`announce`.
         """
         self._require_connected()
-        record = self.table.leave(target_id)
+        record = self.table.leave_named(name, born)
         if record is not None:
-            logs.event(log, "target.left", target=target_id)
+            logs.event(log, "target.left", target=record.id)
             self._tell([record])
 
     def _require_connected(self) -> None:
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -30,7 +30,7 @@
     Attributes
     ----------
     id : str
-        New with every start of the target.
+        New with every start of the target; see :func:`start_id`.
     service : str
         Service of the plan that it belongs to.
     address : str
@@ -47,6 +47,12 @@
         How much longer it will be slow after its start.
     silent : bool
         Whether the keepers have heard nothing of it for too long.
+    name : str
+        What the target calls itself. It may keep that over a start; where
+        nothing else is given it is the id.
+    born : int
+        When it started, by its own clock, in milliseconds of the Unix time;
+        0 if it does not say.
     """
 
     id: str
@@ -59,11 +65,23 @@
     sequence: int = 0
     cold_seconds: float = 0.0
     silent: bool = False
+    name: str = ""
+    born: int = 0
 
-    @property
-    def name(self) -> str:
-        """Return what names the target in errors and logs."""
-        return self.id
+    def __post_init__(self):
+        """Name a target that has no other name by its id."""
+        self.name = self.name or self.id
+
+
+def start_id(name: str, born: int) -> str:
+    """Return the id of one start of the target `name`.
+
+    What is known of a target (its requests, the prompts that it keeps, its
+    connections) ends with its process. With an id for each start nothing
+    that was believed of one is ever taken for the next, in whatever order
+    word of them comes.
+    """
+    return f"{name}.{born:x}" if born else name
 
 
 @wire.message("registry-targets")
--- a/amaranthring/registry/targets.py
+++ b/amaranthring/registry/targets.py
@@ -1,8 +1,9 @@
 """Table of targets, merged from announcements in any order.
 
 Keepers and routers hold one each. Merging does not depend on the order or
-the number of messages: of one start of a target the highest sequence wins,
-and its state only goes forward.
+the number of messages: of the starts of a target the one that was born last
+wins and ends those before it; of one start the highest sequence wins, and
+its state only goes forward.
 """
 
 import dataclasses
@@ -77,6 +78,8 @@
         case the other turns out to be the older one.
     by_address : dict
         Id of the start that holds each address now.
+    newest : dict
+        Id of the start that was born last, by the target's name.
     """
 
     def __init__(self, clock: t.Callable[[], float], fresh_seconds: float):
@@ -84,20 +87,28 @@
         self.fresh_seconds = fresh_seconds
         self.entries: dict[str, Entry] = {}
         self.by_address: dict[str, str] = {}
+        self.newest: dict[str, str] = {}
 
     def merge(self, record: messages.TargetRecord) -> bool:
         """Take `record` in; return whether others should hear of it."""
         entry = self.entries.get(record.id)
         if entry is not None:
             return self._update(entry, record)
+        before = self.entries.get(self.newest.get(record.name, ""))
+        if before is not None and before.record.born > record.born:
+            # Held up on its way, of a process that is no more; or of
+            # another writer, which does not say when the target was born.
+            return False
         now = self.clock()
-        if record.state == messages.State.GONE:
-            self.entries[record.id] = Entry(record, now, gone_at=now)
-            return True
-        if not self._may_take_address(record):
+        gone = record.state == messages.State.GONE
+        if not gone and not self._may_take_address(record):
             return False
-        self.entries[record.id] = Entry(record, now)
-        self.by_address[record.address] = record.id
+        if before is not None:
+            self._end(before)
+        self.newest[record.name] = record.id
+        self.entries[record.id] = Entry(record, now, now if gone else 0.0)
+        if not gone:
+            self.by_address[record.address] = record.id
         return True
 
     def restore(
@@ -125,6 +136,21 @@
         self._end(entry)
         return entry.record
 
+    def leave_named(
+        self, name: str, born: int
+    ) -> messages.TargetRecord | None:
+        """Note that the target `name` is gone; as :meth:`leave`.
+
+        Parameters
+        ----------
+        born : int
+            When the start was born that says so; 0 if it does not say.
+        """
+        entry = self.entries.get(self.newest.get(name, ""))
+        if entry is None or 0 < born < entry.record.born:
+            return None
+        return self.leave(entry.record.id)
+
     def hear(self, target_id: str, sequence: int) -> bool:
         """Note a sign of life; return whether the target was silent."""
         entry = self.entries.get(target_id)
@@ -157,6 +183,8 @@
             ended = entry.gone_at or entry.record.silent
             if ended and now - since > seconds:
                 del self.entries[target_id]
+                if self.newest.get(entry.record.name) == target_id:
+                    del self.newest[entry.record.name]
                 if self.holds_address(entry.record):
                     del self.by_address[entry.record.address]
 
@@ -207,6 +235,9 @@
         occupant = self.entries.get(holder)
         if occupant is None or record.sequence <= FIRST_SEQUENCES:
             return True
+        if occupant.record.name == record.name:
+            # The same target, started again.
+            return True
         age = self.clock() - occupant.heard_at
         return age >= self.fresh_seconds
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,6 +19,7 @@
 from amaranthring.platform import headers
 from amaranthring.platform import node
 from amaranthring.registry import messages
+from amaranthring.registry import targets
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
@@ -339,13 +340,22 @@
     def __init__(self):
         self.announced = []
         self.left = []
+        self.refused = []
         self.held = messages.PlanBody(-1, b"")
+        self.table = targets.TargetTable(lambda: 0.0, 1.0)
+
+    @property
+    def machine(self):
+        return self.held
+
+    def refuse(self, fault):
+        self.refused.append(fault)
 
     def announce(self, record):
         self.announced.append(record)
 
-    def leave(self, target_id):
-        self.left.append(target_id)
+    def leave(self, name, born=0):
+        self.left.append((name, born) if born else name)
 
     async def put(self, version, document):
         if version > self.held.version:
@@ -405,6 +415,74 @@
         await self.call("POST", "/Replicas.Deregister/i-1")
         self.assertEqual(["i-1"], self.hub.left)
 
+    def heartbeat(self, **fields):
+        body = {
+            "backend": "b1",
+            "address": "10.0.0.9:80",
+            "zone": "a",
+            "state": "ready",
+            "sequence": 1,
+        }
+        return json.dumps(body | fields).encode()
+
+    async def test_start_under_the_same_id_is_another(self):
+        path = "/Replicas.Heartbeat/i-1"
+        for born in (1_700_000_000_000, 1_700_000_009_000):
+            await self.call("POST", path, self.heartbeat(born=born))
+        first, second = self.hub.announced
+        self.assertNotEqual(first.id, second.id)
+        self.assertEqual(("i-1", "i-1"), (first.name, second.name))
+        sending = records.Sending(second, "", 1.0)
+        sent = headers.request_headers(request(), sending)
+        self.assertEqual("i-1", sent["Amaranthring-Expect-Replica"])
+        await self.call(
+            "POST", "/Replicas.Deregister/i-1", b'{"born": 1700000009000}'
+        )
+        self.assertEqual([("i-1", 1_700_000_009_000)], self.hub.left)
+
+    async def test_words_of_another_writer_name_no_target(self):
+        """Something else writes announcements, some of them malformed.
+
+        Taken for a target, one gets requests that nobody answers; taken for
+        a known one, it takes a sound target out.
+        """
+        path = "/Replicas.Heartbeat/i-1"
+        for odd in (
+            {"state": "resting"},
+            {"state": ["ready"]},
+            {"state": None},
+            {"backend": 5},
+            {"address": "nowhere"},
+            {"address": 80},
+            {"sequence": "7"},
+            {"sequence": None},
+            {"born": "1700000009000"},
+            {"born": 1.5},
+            {"born": True},
+            {"batch_slots": "many"},
+            {"zone": 3},
+        ):
+            with self.subTest(odd), self.assertRaises(errors.BadRequestError):
+                await self.call("POST", path, self.heartbeat(**odd))
+        for odd in (b"\xff\x00", b"[" * 9, b'"text"', b"17"):
+            for way in (path, "/Replicas.Deregister/i-1"):
+                with self.assertRaises(errors.BadRequestError):
+                    await self.call("POST", way, odd)
+        self.assertEqual(([], []), (self.hub.announced, self.hub.left))
+        self.assertEqual(21, len(self.hub.refused))
+
+    async def test_service_that_no_plan_names(self):
+        document = json.dumps(DOCUMENT).encode()
+        await self.call("POST", "/Configuration.Replace", document)
+        path = "/Replicas.Heartbeat/i-1"
+        odd = self.heartbeat(backend="b9")
+        done = await self.call("POST", path, odd)
+        self.assertEqual(200, done.status)
+        self.assertEqual([], self.hub.announced)
+        self.assertEqual(1, len(self.hub.refused))
+        await self.call("POST", path, self.heartbeat())
+        self.assertEqual(1, len(self.hub.announced))
+
     async def test_other_calls_are_not_found(self):
         for method, path in (("GET", "/"), ("GET", "/Configuration.Replace")):
             with self.assertRaises(errors.NotFoundError):
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -6,6 +6,8 @@
 
 from amaranthring import errors
 from amaranthring.core import wire
+from amaranthring.forwarding import placing
+from amaranthring.forwarding import records
 from amaranthring.registry import messages
 from amaranthring.registry import targets
 
@@ -136,6 +138,71 @@
         self.assertEqual(["new"], [r.id for r in self.table.current()])
 
 
+class TestStarts(TableCase):
+    """A target that starts again under the name that it had."""
+
+    OLD, NEW = 1_700_000_000_000, 1_700_000_009_000
+
+    def start(self, born, sequence=1, **fields):
+        return messages.TargetRecord(
+            messages.start_id("a", born), "s", "v:1", "here",
+            sequence=sequence, name="a", born=born, **fields
+        )  # fmt: skip
+
+    def words(self):
+        drains = messages.State.DRAINING
+        gone = messages.State.GONE
+        return [
+            self.start(self.OLD, 40),
+            self.start(self.OLD, 41, state=drains),
+            self.start(self.OLD, 42, state=gone),
+            self.start(self.NEW, 1),
+            self.start(self.NEW, 2),
+            # Another writer's: it does not say when the target was born.
+            self.start(0, 50, state=drains),
+        ]
+
+    def test_last_born_wins_in_any_order(self):
+        """An engine crashes and is back under its id; words overtake.
+
+        What it said before was taken for newer, since its numbers began
+        anew: it stayed out, or got requests for prompts that it had lost.
+        """
+        for order in itertools.permutations(self.words()):
+            table = targets.TargetTable(lambda: self.now, 2.0)
+            for record in order:
+                table.merge(record)
+            held = list(table.current())
+            self.assertEqual([self.start(self.NEW, 2)], held)
+
+    def test_requests_of_the_start_before_are_not_counted(self):
+        self.table.merge(self.start(self.OLD, 40))
+        placer = placing.Placer(self.table, "here", lambda: self.now)
+        old = next(self.table.current())
+        placer.views[old.id].running = 7
+        placer.prompts.heard([["part", old.id]])
+        self.table.merge(self.start(self.NEW, 1))
+        new = next(self.table.current())
+        self.assertEqual(0, placer.views[new.id].load(self.now))
+        part = records.Part("part", 10)
+        self.assertEqual(10, placer.prompts.missing([part], new.id))
+
+    def test_leave_of_the_start_before_comes_late(self):
+        self.table.merge(self.start(self.OLD, 40))
+        self.table.merge(self.start(self.NEW, 1))
+        self.assertIsNone(self.table.leave_named("a", self.OLD))
+        self.assertEqual(1, len(list(self.table.current())))
+        self.assertIsNotNone(self.table.leave_named("a", self.NEW))
+        self.assertEqual([], list(self.table.current()))
+
+    def test_start_is_forgotten_after_a_while(self):
+        self.table.merge(self.start(self.OLD, 40))
+        self.table.leave_named("a", 0)
+        self.now += 61.0
+        self.table.forget(60.0)
+        self.assertEqual(({}, {}), (self.table.entries, self.table.newest))
+
+
 class TestAllTargets(unittest.TestCase):
     """All records in one message, for a router that has just linked."""
 
