Send callers of a cut-off router elsewhere at once, and wait for silent targets by what is usual

Change: a router that no keeper answers says 0 s and closes the connection; keepers without a quorum still mean 2 s.

Change: the first word of what may run elsewhere is awaited by its learned usual time and the objective; the second target is in another data centre.

--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -75,7 +75,7 @@
         """Return the target for the next attempt, or None."""
         now = self.clock()
         able = self._able(passage)
-        near = [r for r in able if not self._is_cut_off(r, now)]
+        near = [r for r in able if not self._may_be_cut_off(passage, r, now)]
         sound = [
             r for r in near or able if self.views[r.id].avoid_until <= now
         ]
@@ -109,6 +109,23 @@
             found = affinity.least_loaded(candidates)
         return by_id[found.id] if found else None
 
+    def _may_be_cut_off(
+        self,
+        passage: records.Passage,
+        record: messages.TargetRecord,
+        now: float,
+    ) -> bool:
+        """Return whether the target's data centre is better left out.
+
+        A request that one target of another data centre has left without an
+        answer would mostly wait in vain for the next one there, too.
+        """
+        if record.data_centre == self.data_centre:
+            return False
+        if record.data_centre in passage.silent_in:
+            return True
+        return self._is_cut_off(record, now)
+
     def copy_for(
         self, passage: records.Passage, target: messages.TargetRecord
     ) -> copies.Copy | None:
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -171,6 +171,8 @@
         What the targets of the service can do; None for a plain service.
     reading : int
         Tokens that the target asked now has to read first.
+    silent_in : set of str
+        Data centres whose targets left it without an answer.
     trail : list of str
         ``target:outcome`` of each attempt so far.
     copies : list of str
@@ -191,5 +193,6 @@
     refused_by: list[messages.TargetRecord] = dataclasses.field(
         default_factory=list
     )
+    silent_in: set[str] = dataclasses.field(default_factory=set)
     trail: list[str] = dataclasses.field(default_factory=list)
     copies: list[str] = dataclasses.field(default_factory=list)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -14,14 +14,17 @@
 from amaranthring.forwarding import placing
 from amaranthring.forwarding import records
 from amaranthring.forwarding import replies
+from amaranthring.forwarding import standing
+from amaranthring.forwarding import starting
 from amaranthring.policy import budgets
-from amaranthring.registry import messages
+from amaranthring.policy import patience
 from amaranthring.routing import plan as plans
 from amaranthring.routing import table as route_tables
 from amaranthring.targets import pool
 
 # A safe request that has no answer after this multiple of its objective is
-# sent to a second target, early enough to be on time by the deadline.
+# sent to a second target, early enough to be on time by the deadline; as long
+# as nothing was learned of how long answers take.
 SAFE_PATIENCE = 1.6
 # A target from which no event comes for so many of the route's longest
 # pauses has broken down, and a stream that may go on elsewhere does; callers
@@ -32,27 +35,10 @@
 # The final answer leaves this many seconds before the caller gives up.
 ANSWER_MARGIN = 0.02
 # When a caller should come back after each kind of refusal, in seconds.
-# After a restart of all processes routers have a plan within about 2 s.
 # Targets announce themselves about every second; a full target frees a
 # slot within some tens of milliseconds, but all callers wait for it.
-RETRY_NO_PLAN = 2.0
-# A router that has just started expects its first plan within this time: 1.4 s
-# after all processes were killed at once, as measured from its start.
-START_SECONDS = 3.0
-# Until then a request may wait for the plan, for this share of its caller's
-# time: as long as the caller itself would wait before it comes back. A stream
-# with 10 s to go is better served 1.4 s late than refused, and a booking with
-# 2.5 s finds a plan after a wait and one return, 1.4 s later, where two
-# refusals at once are its end. One that could wait less than the least is
-# refused at once, to come back when there is a plan.
-START_SHARE = 1 / 3
-START_WAIT_LEAST = 0.4
-# When to come back meanwhile.
-RETRY_STARTING = 0.4
 RETRY_NO_TARGET = 0.5
 RETRY_REFUSED = 0.3
-# Failures after which a target cannot be reached for other requests either.
-UNREACHED = (errors.TargetUnreachedError, errors.TargetSilentError)
 
 
 class Relay:
@@ -70,9 +56,8 @@
         Returns how many routers share the budgets.
     connections : Pool, optional
         Kept connections to targets.
-    first_plan : asyncio.Event, optional
-        Set once there is a plan that keepers confirm; set from the start if
-        left out.
+    start : Start, optional
+        What holds requests back until there is a plan.
     """
 
     def __init__(
@@ -85,7 +70,7 @@
         routers: t.Callable[[], int],
         metrics: metrics_module.Metrics,
         connections: pool.Pool | None = None,
-        first_plan: asyncio.Event | None = None,
+        start: starting.Start | None = None,
     ):
         self.connections = connections or pool.Pool()
         self.dialect = dialect
@@ -95,8 +80,8 @@
         self.routers = routers
         self.metrics = metrics
         self.note = functools.partial(outcomes.note, metrics)
-        self.first_plan = first_plan
-        self.started_at = time.monotonic()
+        self.start = start or starting.Start(metrics)
+        self.answer_times = patience.AnswerTimes()
         self.budgets: dict[str, budgets.WindowBudget] = (
             collections.defaultdict(budget)
         )
@@ -112,7 +97,7 @@
         passage = None
         fault: BaseException | None = None
         try:
-            await self._await_first_plan(incoming)
+            await self.start.await_plan(incoming)
             passage = self.enter(incoming)
             async with asyncio.timeout_at(self._loop_time(passage.deadline)):
                 await self._attempt_all(passage, reply)
@@ -141,21 +126,6 @@
 
     # -- before the first attempt ------------------------------------
 
-    async def _await_first_plan(self, incoming: records.Incoming) -> None:
-        """Let a request wait for the plan of a router that has just begun."""
-        if self.first_plan is None or self.first_plan.is_set():
-            return
-        expected = self.started_at + START_SECONDS - time.monotonic()
-        seconds = min(expected, incoming.patience * START_SHARE)
-        if seconds < START_WAIT_LEAST:
-            return
-        self.metrics.count("request.awaited-plan")
-        try:
-            await asyncio.wait_for(self.first_plan.wait(), seconds)
-        except TimeoutError:
-            # It is refused for want of a plan.
-            return
-
     def enter(self, incoming: records.Incoming) -> records.Passage:
         """Return the request with its route and account.
 
@@ -167,7 +137,8 @@
         table = self.table()
         if table is None:
             raise errors.NoTargetError(
-                "this router has no plan yet", retry_after=self._retry_plan()
+                "this router has no plan yet",
+                retry_after=self.start.retry_after(),
             )
         route = table.match(incoming.host, incoming.path)
         if route is None:
@@ -206,14 +177,9 @@
             # quorum confirms the plan, it must not be trusted.
             raise errors.NoQuorumError(
                 "no keeper confirms the plan in force",
-                retry_after=self._retry_plan(),
+                retry_after=self.start.retry_after(),
             )
 
-    def _retry_plan(self) -> float:
-        """Return when a caller finds a plan here, in seconds."""
-        starting = time.monotonic() - self.started_at < START_SECONDS
-        return RETRY_STARTING if starting else RETRY_NO_PLAN
-
     # -- attempts ----------------------------------------------------
 
     async def _attempt_all(
@@ -230,7 +196,9 @@
                 return
             except errors.UpstreamError as error:
                 passage.tried.add(target.id)
-                self._learn(passage, target, error)
+                standing.learn(
+                    self.placer, self.connections, passage, target, error
+                )
                 if not self._may_repeat(passage, error):
                     raise
                 self.metrics.count("request.repeated")
@@ -258,7 +226,7 @@
         outcome = "unfinished"
         self.placer.begin(target, passage, copy)
         try:
-            answer = await attempt.open(self._patience(passage))
+            answer = await self._open(passage, attempt)
             self.placer.reached(target)
             self.placer.has_read(target, passage)
             if answer.load is not None:
@@ -272,7 +240,7 @@
                 await self._pass_whole(passage, attempt, reply)
             whole = True
             self.placer.did_well(target)
-            self._learn_from_refusals(passage)
+            standing.learn_from_refusals(self.placer, passage)
             outcome = str(answer.status)
         except errors.AmaranthringError as error:
             outcome = error.code
@@ -284,6 +252,22 @@
             if attempt.exchange.sent and not _certainly_refused(attempt):
                 passage.sent += 1
 
+    async def _open(
+        self, passage: records.Passage, attempt: attempts.Attempt
+    ) -> records.Answer:
+        """Return the head of the answer, and learn how long it took."""
+        began = time.monotonic()
+        seconds = self._patience(passage)
+        reading = passage.reading
+        try:
+            answer = await attempt.open(seconds)
+        except errors.UpstreamTimeoutError:
+            self.answer_times.expired(passage.service, reading, seconds)
+            raise
+        took = time.monotonic() - began
+        self.answer_times.answered(passage.service, reading, took)
+        return answer
+
     async def _pass_whole(self, passage, attempt, reply) -> None:
         body = await attempt.whole()
         answer = attempt.answer
@@ -303,10 +287,24 @@
             self._check_lease()
 
     def _patience(self, passage: records.Passage) -> float:
+        """Return how long to await the head of an answer, in seconds.
+
+        Where the request may run elsewhere as well. Callers of streams were
+        0.7 s late when a data centre was cut off, as long as it took to know
+        that what was sent there was not acknowledged.
+        """
         route = passage.route
-        if route.kind == plans.Kind.SAFE and self._attempts_left(passage) > 1:
-            return route.objective * SAFE_PATIENCE
-        return float("inf")
+        if not route.idempotent or self._attempts_left(passage) < 2:
+            return float("inf")
+        objective_at = passage.incoming.arrived + route.objective
+        left = objective_at - time.monotonic()
+        learned = self.answer_times.seconds(
+            passage.service, passage.reading, left
+        )
+        if learned is not None:
+            return learned
+        safe = route.kind == plans.Kind.SAFE
+        return route.objective * SAFE_PATIENCE if safe else float("inf")
 
     def _pause(self, passage: records.Passage) -> float:
         route = passage.route
@@ -335,38 +333,6 @@
     def _takes_budget(self, passage: records.Passage) -> bool:
         return self.budgets[passage.service].take(self.routers())
 
-    def _learn(
-        self,
-        passage: records.Passage,
-        target: messages.TargetRecord,
-        error: errors.UpstreamError,
-    ) -> None:
-        """Note what an attempt that failed says of its target."""
-        if isinstance(error, errors.OtherTargetError):
-            self.placer.replaced(target)
-        elif isinstance(error, errors.TargetRefusedError):
-            # Nothing is learned before another target takes the request.
-            passage.refused_by.append(target)
-        elif isinstance(error, UNREACHED):
-            # What is kept to it would take requests down with it.
-            self.connections.drop(target.id)
-            self.placer.failed(target, reached=False)
-        elif not isinstance(error, errors.TargetFailedError):
-            self.placer.failed(target, reached=True)
-
-    def _learn_from_refusals(self, passage: records.Passage) -> None:
-        """Hold refusals against targets, now that another took the request.
-
-        A request that all targets refuse is itself the reason: too large for
-        any of them, or with a header that none accepts. If its refusals
-        counted, one caller could make a router shun every target of a
-        service; with that, 474 of 1,671 requests of a quiet day were
-        answered 503 within a millisecond while all engines idled.
-        """
-        for target in passage.refused_by:
-            self.placer.failed(target, reached=True)
-        passage.refused_by.clear()
-
     # -- when it fails -----------------------------------------------
 
     def _no_target(self, passage) -> errors.AmaranthringError:
@@ -387,6 +353,9 @@
         elif isinstance(error, errors.RefusedError) and passage is not None:
             # It was refused only after a target may have begun it.
             known = errors.UpstreamError(error.detail)
+        if isinstance(known, errors.NoQuorumError):
+            # What follows on this connection would meet the same.
+            reply.closing = True
         try:
             await reply.refuse(known)
         except errors.CallerGoneError:
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -22,6 +22,7 @@
 from amaranthring.forwarding import placing
 from amaranthring.forwarding import records
 from amaranthring.forwarding import relay as relays
+from amaranthring.forwarding import starting
 from amaranthring.policy import budgets
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
@@ -132,7 +133,11 @@
             lambda: self.subscriber.routers,
             self.metrics,
             pool.Pool(self.kept_most),
-            self.subscriber.first_confirmed,
+            starting.Start(
+                self.metrics,
+                self.subscriber.first_confirmed,
+                self.subscriber.is_cut_off,
+            ),
         )
         self.front = fronts.Front(dialect, self.relay.serve, self.bounds)
         self.stopping = False
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -33,6 +33,9 @@
 # A router whose plan nobody has confirmed for so long, two questions' time,
 # asks a keeper that begins to lead at once.
 UNCONFIRMED_SECONDS = 1.0
+# A router that no keeper has answered for so long, one question's time and
+# its answer's, is itself cut off; keepers that lost their quorum answer.
+CUT_OFF_SECONDS = RENEW_SECONDS + REPLY_SECONDS
 
 
 class Subscriber:
@@ -54,6 +57,8 @@
     confirmed_at : float
         When the newest question was sent that a leader answered with the
         version held, in seconds of :func:`clocks.boottime`.
+    answered_at : float
+        When any keeper last answered, on the same clock.
     first_confirmed : asyncio.Event
         Set once a plan is held that a leader has confirmed.
     routers : int
@@ -80,6 +85,7 @@
         self.renewing: set[asyncio.Task] = set()
         self.version = -1
         self.confirmed_at = float("-inf")
+        self.answered_at = float("-inf")
         self.first_confirmed = asyncio.Event()
         self.seeds: list[str] = []
         # What deltas apply to; None before the first plan, or if one failed.
@@ -119,6 +125,10 @@
         """Return whether the plan was the newest `seconds` ago or later."""
         return clocks.boottime() - self.confirmed_at < seconds
 
+    def is_cut_off(self) -> bool:
+        """Return whether no keeper answers this router."""
+        return clocks.boottime() - self.answered_at > CUT_OFF_SECONDS
+
     def follow(self, addresses: list[str]) -> None:
         """Link to the keepers at `addresses`, beside those already known."""
         for address in addresses:
@@ -180,6 +190,7 @@
         except errors.AmaranthringError:
             return
         self.counts[address] = reply.routers
+        self.answered_at = clocks.boottime()
         self._learn(reply)
         self.fetcher.offer(link, reply.version)
         if reply.confirmed:
--- a/amaranthring/testing/scripted.py
+++ b/amaranthring/testing/scripted.py
@@ -20,6 +20,7 @@
 from amaranthring.forwarding import placing
 from amaranthring.forwarding import records
 from amaranthring.forwarding import relay as relays
+from amaranthring.forwarding import starting
 from amaranthring.policy import budgets
 from amaranthring.registry import messages
 from amaranthring.registry import targets
@@ -308,6 +309,8 @@
     ----------
     fresh : bool
         Whether the keepers confirm the plan.
+    cut_off : bool
+        Whether no keeper answers this router.
     first_plan : asyncio.Event
         Set once there is a confirmed plan; set from the start.
     address : tuple
@@ -316,11 +319,14 @@
 
     def __init__(self, plan: routing.Plan, allowance: float = 10.0):
         self.fresh = True
+        self.cut_off = False
         self.first_plan = asyncio.Event()
         self.first_plan.set()
         self.table: routing.RouteTable | None = routing.RouteTable(plan)
         self.targets = targets.TargetTable(time.monotonic, 0.0)
         self.placer = placing.Placer(self.targets, "here")
+        counters = metrics.Metrics()
+        start = starting.Start(counters, self.first_plan, lambda: self.cut_off)
         self.relay = relays.Relay(
             DIALECT,
             lambda: self.table,
@@ -328,8 +334,8 @@
             self.placer,
             lambda: budgets.WindowBudget(0.2, allowance, 10.0, time.monotonic),
             lambda: 1,
-            metrics.Metrics(),
-            first_plan=self.first_plan,
+            counters,
+            start=start,
         )
         self.front = fronts.Front(
             DIALECT, self.relay.serve, lambda: plan.bounds
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,7 +4,7 @@
 import unittest
 
 from amaranthring import routing
-from amaranthring.forwarding import relay
+from amaranthring.forwarding import starting
 from amaranthring.testing import scripted
 
 SAFE = routing.Route(
@@ -130,6 +130,22 @@
         self.assertEqual(0, self.ran())
         self.assertEqual(200, (await self.ask("/a/x")).status)
 
+    async def test_caller_of_a_cut_off_router_returns_by_another(self):
+        """Three routers of seven lose the keepers for seven seconds.
+
+        Each told its callers to come back in 2 s, and on kept connections
+        to itself. They were answered 2.1 s later, by the other four.
+        """
+        await self.begin(scripted.whole())
+        self.router.relay.start.began_at -= starting.START_SECONDS
+        self.router.fresh = False
+        got = await self.ask("/e/x", Test_Key="key-1")
+        self.assertEqual("2", got.headers["Retry-After"])
+        self.router.cut_off = True
+        got = await self.ask("/e/x", Test_Key="key-1")
+        self.assertEqual("0", got.headers["Retry-After"])
+        self.assertEqual("close", got.headers["Connection"])
+
 
 class TestFirstPlan(RouterCase):
     """Requests that come before a router's first plan.
@@ -170,7 +186,7 @@
 
     async def test_nobody_waits_once_the_start_is_over(self):
         await self.begin_without_plan()
-        self.router.relay.started_at -= relay.START_SECONDS
+        self.router.relay.start.began_at -= starting.START_SECONDS
         got = await self.ask("/d/x", "POST", Test_Patience="10")
         self.assertEqual(503, got.status)
         self.assertLess(got.seconds, 0.2)
@@ -411,6 +427,30 @@
         self.assertEqual([1, 1], [len(one.seen) for one in self.targets])
         self.assertNotIn("X-By", got.headers)
 
+    async def test_silent_target_is_left_in_time_for_the_objective(self):
+        """An engine takes what is sent to it and answers nothing.
+
+        Its data centre is cut off, or it hangs. The caller has half a
+        second for the first event, and was given it after the deadline.
+        """
+        await self.begin(scripted.mute(), scripted.events(3))
+        for _ in range(10):
+            self.router.relay.answer_times.answered("s", 0, 0.02)
+        self.router.placer.views["t1"].running = 3
+        got = await self.ask("/c/x", "POST")
+        self.assertTrue(got.whole)
+        self.assertLess(got.seconds, RESUMABLE.objective)
+        self.assertEqual([1, 1], [len(one.seen) for one in self.targets])
+
+    async def test_stream_that_runs_once_waits_for_its_target(self):
+        await self.begin(scripted.mute(), scripted.events(3))
+        for _ in range(10):
+            self.router.relay.answer_times.answered("s", 0, 0.02)
+        self.router.placer.views["t1"].running = 3
+        got = await self.ask("/d/x", "POST", Test_Patience="0.7")
+        self.assertEqual(504, got.status)
+        self.assertEqual(0, len(self.targets[1].seen))
+
     async def test_other_stream_is_not_run_again(self):
         """The same for a stream that may run once only.
 
--- a/tests/test_plan_keepers.py
+++ b/tests/test_plan_keepers.py
@@ -339,6 +339,10 @@
             await self.keepers.stop(address)
         await asyncio.sleep(1.5)
         self.assertFalse(follower.is_fresh(1.0))
+        # The one that is left answers: the others have the same trouble.
+        self.assertFalse(follower.is_cut_off())
+        await self.keepers.stop(next(iter(self.keepers.running)))
+        await self.until(follower.is_cut_off)
 
     async def test_refused_plan_leaves_the_old_one(self):
         follower, taken = self.follower()
