--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -28,6 +28,12 @@
 # sync of a slow disk as long again.
 CHUNK_SECONDS = 4.0
 GREET_SECONDS = 0.25
+# A peer that cannot take a snapshot, since its disk is full or failed, is sent
+# none for so long. Sent again at once, one of 100 KB took half of a leader's
+# 6 Mbit/s; its heartbeats and the routers' plans waited behind, and it lost
+# its quorum in the middle of a calm time. A disk that works again is some
+# seconds behind in any case.
+REFUSED_SECONDS = 1.5
 
 
 class Peer:
@@ -52,6 +58,8 @@
         Monotonic time of its last reply.
     flight_began_at : float
         Monotonic time at which a message left while none was in flight.
+    snapshot_due : float
+        Monotonic time from which it may be sent a snapshot.
     wall_offset : float
         Its wall clock minus our monotonic clock, in seconds.
     """
@@ -66,6 +74,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.main: asyncio.Task | None = None
         self.epoch = 0
+        self.snapshot_due = 0.0
         self.wall_offset: float | None = None
         self.reset(1, 0.0)
 
@@ -123,7 +132,8 @@
         await _greet(group, peer)
         return
     if group.log.term_at(peer.next_index - 1) is None:
-        await _send_snapshot(group, peer)
+        if now >= peer.snapshot_due:
+            await _send_snapshot(group, peer)
         return
     while _may_send(group, peer):
         _send(group, peer, BATCH_BYTES)
@@ -364,6 +374,7 @@
             peer.dialler.link.close()
         return None
     except errors.AmaranthringError:
+        peer.snapshot_due = group.clocks.monotonic() + REFUSED_SECONDS
         return None
     peer.replied_at = group.clocks.monotonic()
     if reply.term > group.term:
--- a/amaranthring/registry/targets.py
+++ b/amaranthring/registry/targets.py
@@ -31,6 +31,7 @@
         target=record.id,
         service=record.service,
         address=record.address,
+        data_centre=record.data_centre,
         state=record.state,
         silent=record.silent,
         sequence=record.sequence,
--- a/tests/test_plan_keepers.py
+++ b/tests/test_plan_keepers.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import tempfile
+import time
 import unittest
 from unittest import mock
 
@@ -12,6 +13,7 @@
 from amaranthring.keepers import membership
 from amaranthring.keepers import messages as keeper_messages
 from amaranthring.keepers import plans
+from amaranthring.keepers import replication
 from amaranthring.registry import messages
 from amaranthring.registry import subscriber
 from amaranthring.testing import plan_keepers
@@ -142,6 +144,31 @@
         self.assertEqual(b"five", plans.unpacked(found.body))
         self.assertIsNotNone(leader.group.fault)
 
+    async def test_leader_does_not_fill_its_link_with_refused_snapshots(self):
+        """A keeper's disk is full while hundreds of routes are added.
+
+        It falls behind what the leader's log keeps, and was sent the whole
+        snapshot three times a second, over a link of 6 Mbit/s that also
+        carries the heartbeats of the leader, which lost its quorum.
+        """
+        keeper = self.a_follower_keeper()
+        await self.fill(keeper)
+        sent = []
+        send = replication._send_chunk
+
+        async def counting(*args):
+            sent.append(time.monotonic())
+            return await send(*args)
+
+        with mock.patch.object(replication, "_send_chunk", counting):
+            for version in range(10, 30):
+                await self.keepers.put(version, b"more")
+            await self.until(lambda: sent)
+            await asyncio.sleep(1.2)
+            self.assertLessEqual(len(sent), 2)
+            self.keepers.full.clear()
+            await self.until(lambda: keeper.machine.version == 29)
+
     async def test_full_disk_is_tried_until_it_is_freed(self):
         keeper = self.a_follower_keeper()
         await self.fill(keeper)
