Learn from an answer that never came by the time it was awaited

Cause, found by reading: a request that may run once is awaited without an end, and its timeout was learned as an endless time; nothing of the service was sent elsewhere after that. The test fails on the code before (inf).

--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -146,14 +146,14 @@
         account = self._account(table, route, incoming)
         service = route_tables.draw_service(route)
         self.budgets[service].count_request()
-        patience = min(incoming.patience - ANSWER_MARGIN, route.timeout)
+        seconds = min(incoming.patience - ANSWER_MARGIN, route.timeout)
         return records.Passage(
             incoming,
             route,
             account.name if account else "",
             service,
             table.version,
-            incoming.arrived + patience,
+            incoming.arrived + seconds,
             table.services[service].engine,
         )
 
@@ -257,15 +257,13 @@
     ) -> records.Answer:
         """Return the head of the answer, and learn how long it took."""
         began = time.monotonic()
-        seconds = self._patience(passage)
-        reading = passage.reading
+        asked = passage.service, passage.reading
         try:
-            answer = await attempt.open(seconds)
+            answer = await attempt.open(self._patience(passage))
         except errors.UpstreamTimeoutError:
-            self.answer_times.expired(passage.service, reading, seconds)
+            self.answer_times.expired(*asked, time.monotonic() - began)
             raise
-        took = time.monotonic() - began
-        self.answer_times.answered(passage.service, reading, took)
+        self.answer_times.answered(*asked, time.monotonic() - began)
         return answer
 
     async def _pass_whole(self, passage, attempt, reply) -> None:
--- a/amaranthring/policy/patience.py
+++ b/amaranthring/policy/patience.py
@@ -68,7 +68,7 @@
         self._estimate(service, reading).note(seconds)
 
     def expired(self, service: str, reading: int, seconds: float) -> None:
-        """Note that an answer was awaited for `seconds` and not longer."""
+        """Note that an answer was awaited for `seconds` and did not come."""
         self._estimate(service, reading).note(seconds * EXPIRED_FACTOR)
 
     def seconds(
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,9 +1,13 @@
 """Forwarding to targets that answer well, badly, late or not at all."""
 
 import asyncio
+import time
 import unittest
+from unittest import mock
 
+from amaranthring import errors
 from amaranthring import routing
+from amaranthring.forwarding import records
 from amaranthring.forwarding import starting
 from amaranthring.testing import scripted
 
@@ -458,6 +462,25 @@
         self.assertLess(got.seconds, RESUMABLE.objective)
         self.assertEqual([1, 1], [len(one.seen) for one in self.targets])
 
+    async def test_answer_that_never_came_spoils_no_estimate(self):
+        """A booking has all of its caller's time, and its target hangs.
+
+        Taken for an endless one, the time that answers take was endless for
+        the whole service from then on, and nothing was sent elsewhere.
+        """
+        await self.begin()
+        for _ in range(10):
+            self.router.relay.answer_times.answered("s", 0, 0.02)
+        late = mock.Mock()
+        late.open.side_effect = errors.UpstreamTimeoutError("too long")
+        passage = records.Passage(
+            mock.Mock(), UNSAFE, "", "s", 1, time.monotonic()
+        )
+        with self.assertRaises(errors.UpstreamTimeoutError):
+            await self.router.relay._open(passage, late)
+        learned = self.router.relay.answer_times.seconds("s", 0, 0.5)
+        self.assertLess(learned, 1.0)
+
     async def test_stream_that_runs_once_waits_for_its_target(self):
         await self.begin(scripted.mute(), scripted.events(3))
         for _ in range(10):
