Trace three tests that failed beside heavy load

One is the listed TestCrashingRequest, whose callers were told a new code: it is for the trail of forwarded requests only, callers of chats and services get the code that they always got. test_no_booking_is_lost_or_doubled ended in a division by zero: the load tool's balancer found no router healthy in one round and had nobody to send to; it sends to all then, as a balancer does. test_silent_target_is_left_in_time_for_the_objective had 0.07 s to spare for the machine, and took 0.509 s of 0.5; with a usual time of 0.15 s it has 0.2 s, and asserts the same.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -287,9 +287,12 @@
 
 
 class TargetUnreachedError(UpstreamError):
-    """There is no connection to the target; no byte was sent."""
+    """There is no connection to the target; no byte was sent.
+
+    Callers are told the code of its parent: for them it is one failure of
+    the target like others.
+    """
 
-    code = "target-unreached"
     outcome = Outcome.NOT_RUN
 
 
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -39,6 +39,8 @@
 # slot within some tens of milliseconds, but all callers wait for it.
 RETRY_NO_TARGET = 0.5
 RETRY_REFUSED = 0.3
+# In the trail of a request: no byte of it went to that target.
+UNREACHED = "target-unreached"
 
 
 class Relay:
@@ -242,6 +244,9 @@
             self.placer.did_well(target)
             standing.learn_from_refusals(self.placer, passage)
             outcome = str(answer.status)
+        except errors.TargetUnreachedError:
+            outcome = UNREACHED
+            raise
         except errors.AmaranthringError as error:
             outcome = error.code
             raise
--- a/amaranthring/testing/load.py
+++ b/amaranthring/testing/load.py
@@ -83,9 +83,10 @@
         while True:
             checks = [self._healthy(url) for url in known]
             healthy = await asyncio.gather(*checks)
-            self.urls = [
-                url for url, good in zip(known, healthy, strict=True) if good
-            ]
+            pairs = zip(known, healthy, strict=True)
+            # A balancer that finds nobody healthy sends to all: on a busy
+            # machine every check of one round may come too late.
+            self.urls = [url for url, good in pairs if good] or known
             await asyncio.sleep(HEALTH_SECONDS)
 
     async def _healthy(self, url: str) -> bool:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -454,8 +454,10 @@
         second for the first event, and was given it after the deadline.
         """
         await self.begin(scripted.mute(), scripted.events(3))
+        # The second one is asked after 0.3 s, with 0.2 s to spare for a
+        # machine on which other tests run.
         for _ in range(10):
-            self.router.relay.answer_times.answered("s", 0, 0.02)
+            self.router.relay.answer_times.answered("s", 0, 0.15)
         self.router.placer.views["t1"].running = 3
         got = await self.ask("/c/x", "POST")
         self.assertTrue(got.whole)
