Say why a group has no leader: ballots, pressure on keepers, bytes by kind

Cause: 2 to 5 s without any line of a keeper while all ran. Ballots now say who granted, refused or was late; a leader that steps down, how long ago each voter answered; a keeper whose loop is late, whose link is half used or which knows no leader says so twice a second, with what it sent by kind.

--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import hashlib
 import hmac
@@ -106,10 +107,18 @@
 
 
 class Handlers:
-    """Handlers by message class; a package adds its own at construction."""
+    """Handlers by message class; a package adds its own at construction.
+
+    Attributes
+    ----------
+    sent : Counter
+        Bytes handed to all links that use these handlers, by message tag;
+        errors under ``error``, answers without a body under ``done``.
+    """
 
     def __init__(self):
         self.by_class: dict[type, Handler] = {}
+        self.sent: collections.Counter[str] = collections.Counter()
 
     def add(self, kind: type, handler: Handler) -> None:
         """Route messages of class `kind` to `handler`."""
@@ -156,17 +165,23 @@
         errors.LinkClosedError, errors.LinkOverloadedError
             If the message surely was not handed to the stream.
         """
-        self._write(wire.encode(wire.ONE_WAY, 0, message))
+        frame = wire.encode(wire.ONE_WAY, 0, message)
+        self._write(frame, wire.tag_of(type(message)))
 
-    def send_encoded(self, frame: bytes) -> None:
+    def send_encoded(self, frame: bytes, tag: str) -> None:
         """Send the bytes of a one-way frame, encoded once for many links.
 
+        Parameters
+        ----------
+        tag : str
+            Of the message in it.
+
         Raises
         ------
         errors.LinkClosedError, errors.LinkOverloadedError
             As :meth:`send`.
         """
-        self._write(frame)
+        self._write(frame, tag)
 
     async def call(self, message: t.Any, timeout: float) -> t.Any:
         """Send a request and return its reply.
@@ -189,7 +204,8 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting[call_id] = future
         try:
-            self._write(wire.encode(wire.REQUEST, call_id, message))
+            frame = wire.encode(wire.REQUEST, call_id, message)
+            self._write(frame, wire.tag_of(type(message)))
             return await asyncio.wait_for(future, timeout)
         except TimeoutError as error:
             raise errors.LinkTimeoutError(
@@ -230,7 +246,11 @@
         finally:
             self.close()
 
-    def _write(self, data: bytes) -> None:
+    def is_writing(self) -> bool:
+        """Return whether bytes wait that the system has not taken yet."""
+        return not self.closed and self.stream.writing()
+
+    def _write(self, data: bytes, tag: str) -> None:
         if self.closed:
             raise errors.LinkClosedError(f"link to {self.peer.name} closed")
         try:
@@ -245,6 +265,7 @@
             ) from error
         self.sent_bytes += len(data)
         self.sent_frames += 1
+        self.handlers.sent[tag] += len(data)
 
     def _handle(self, frame: wire.Frame) -> None:
         if frame.kind in (wire.REPLY, wire.ERROR):
@@ -295,8 +316,11 @@
             return
         failed = isinstance(result, errors.AmaranthringError)
         kind = wire.ERROR if failed else wire.REPLY
+        tag = "error" if failed else "done"
+        if not failed and result is not None:
+            tag = wire.tag_of(type(result))
         try:
-            self._write(wire.encode(kind, frame.call_id, result))
+            self._write(wire.encode(kind, frame.call_id, result), tag)
         except errors.LinkError:
             # The caller sees its link close and treats the call as unknown.
             self.close()
--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import enum
 
 import logbook
 
@@ -26,6 +27,17 @@
 FIRST_SHARE = 0.5
 
 
+class Answer(enum.StrEnum):
+    """What became of a request for a vote."""
+
+    GRANTED = "granted"
+    REFUSED = "refused"
+    LATE = "late"
+    NO_LINK = "no-link"
+    OTHER_DISK = "other-disk"
+    FAILED = "failed"
+
+
 async def watch(group) -> None:
     """Campaign when no leader is heard; step down when no quorum is."""
     options = group.options
@@ -107,6 +119,18 @@
     return peer.acked_at if peer and peer.disk == member.disk else 0.0
 
 
+def ages(group) -> dict[str, float]:
+    """Return for each voter how old the last message is that it answered.
+
+    In seconds by name; -1 if it has answered none under this leader.
+    """
+    now = group.clocks.monotonic()
+    heard = {m.name: acked_at(group, m) for m in group.members.voters}
+    return {
+        name: round(now - at, 3) if at else -1 for name, at in heard.items()
+    }
+
+
 def is_live(group, member: messages.Member) -> bool:
     """Return whether `member` answered within two election times."""
     since = group.clocks.monotonic() - acked_at(group, member)
@@ -136,29 +160,48 @@
 
 
 async def _ballot(group, term: int, pre: bool) -> bool:
+    began_at = group.clocks.monotonic()
     needed = membership.quorum(group.members)
     voters = [m for m in group.members.voters if m.disk != group.disk_id]
-    votes = 1
+    answers: dict[str, Answer] = {}
     waiting = {
-        asyncio.ensure_future(_ask(group, voter, term, pre))
+        asyncio.ensure_future(_note(answers, group, voter, term, pre))
         for voter in voters
     }
+    votes = 1
     try:
         while waiting and votes < needed:
-            done, waiting = await asyncio.wait(
+            _, waiting = await asyncio.wait(
                 waiting, return_when=asyncio.FIRST_COMPLETED
             )
-            votes += sum(task.result() for task in done)
+            votes = 1 + list(answers.values()).count(Answer.GRANTED)
         return votes >= needed
     finally:
         for task in waiting:
             task.cancel()
+        # A group without a leader says with this line whether nobody asks,
+        # nobody answers, or who answers refuses.
+        logs.event(
+            log,
+            "keeper.ballot",
+            group=group.name,
+            term=term,
+            pre=pre,
+            votes=votes,
+            needed=needed,
+            seconds=round(group.clocks.monotonic() - began_at, 3),
+            answers=answers,
+        )
+
 
+async def _note(answers, group, voter, term: int, pre: bool) -> None:
+    answers[voter.name] = await _ask(group, voter, term, pre)
 
-async def _ask(group, voter, term: int, pre: bool) -> bool:
+
+async def _ask(group, voter, term: int, pre: bool) -> Answer:
     peer = group.peers.get(voter.name)
-    if peer is None:
-        return False
+    if peer is None or peer.dialler.link is None:
+        return Answer.NO_LINK
     message = messages.Vote(
         group.name,
         term,
@@ -172,11 +215,17 @@
         reply = await peer.dialler.call(
             message, group.options.election_seconds * 0.5
         )
+    except errors.LinkTimeoutError:
+        return Answer.LATE
+    except errors.LinkError:
+        return Answer.NO_LINK
     except errors.AmaranthringError:
-        return False
+        return Answer.FAILED
     if reply.term > group.term:
         roles.set_term(group, reply.term)
-    return reply.granted and reply.disk == voter.disk
+    if reply.disk != voter.disk:
+        return Answer.OTHER_DISK
+    return Answer.GRANTED if reply.granted else Answer.REFUSED
 
 
 def hears_leader(group) -> bool:
--- a/amaranthring/keepers/roles.py
+++ b/amaranthring/keepers/roles.py
@@ -97,6 +97,7 @@
         keeper=group.keeper.name,
         term=group.term,
         reason=reason.replace(" ", "-"),
+        voters=election.ages(group),
     )
     election.delay_campaign(group)
     group.lease_changed.set()
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -15,6 +15,7 @@
 from amaranthring.keepers import plans
 from amaranthring.registry import hint_file
 from amaranthring.registry import hub as hubs
+from amaranthring.registry import pressure
 
 GROUP = "plan"
 FOLDER = "keeper"
@@ -130,6 +131,7 @@
             self.hub.table,
             unheard * place.beat_seconds,
         )
+        self.watching: asyncio.Task | None = None
         self.writing: asyncio.Task | None = None
         self.server = links.LinkServer(
             identity,
@@ -165,6 +167,16 @@
         self.group.start()
         self.hub.start()
         self.writing = asyncio.ensure_future(self.hints.run())
+        self.watching = asyncio.ensure_future(
+            pressure.watch(
+                self.group, self.handlers, self.links, self.place.link_rate
+            )
+        )
+
+    def links(self) -> list[links.Link]:
+        """Return the links that stand, accepted and dialled."""
+        dialled = [p.dialler.link for p in self.group.peers.values()]
+        return [*self.server.links, *(link for link in dialled if link)]
 
     def use_seeds(self, addresses: list[str]) -> None:
         """Also ask the keepers at `addresses` to be taken in."""
@@ -175,8 +187,9 @@
     async def stop(self) -> None:
         """Step down and close everything."""
         self.hub.stop()
-        if self.writing is not None:
-            self.writing.cancel()
+        for task in (self.writing, self.watching):
+            if task is not None:
+                task.cancel()
         self.hints.close()
         await self.group.stop()
         self.server.close_all()
--- a/amaranthring/routers/mesh.py
+++ b/amaranthring/routers/mesh.py
@@ -191,7 +191,8 @@
         taken = 0
         for peer in self.neighbours():
             if peer.link is not None:
-                taken += self._write(peer.link, data)
+                tag = wire.tag_of(type(message))
+                taken += self._write(peer.link, data, tag)
         return taken
 
     def relays(self, data_centre: str) -> list[str]:
@@ -444,7 +445,7 @@
             peer.sent = link.sent_bytes
             peer.spoke = now
         elif now - peer.spoke > HEARTBEAT_SECONDS:
-            self._write(link, _HEARTBEAT)
+            self._write(link, _HEARTBEAT, _HEARTBEAT_TAG)
         self._drop_idle(peer, now)
 
     def _drop_idle(self, peer: peers_module.Peer, now: float) -> None:
@@ -466,9 +467,9 @@
                     self._hang_up(peer)
                 self._dial(peer)
 
-    def _write(self, link: links.Link, data: bytes) -> bool:
+    def _write(self, link: links.Link, data: bytes, tag: str) -> bool:
         try:
-            link.send_encoded(data)
+            link.send_encoded(data, tag)
         except errors.LinkError:
             self.metrics.count("mesh.sends_dropped")
             return False
@@ -514,3 +515,4 @@
 
 
 _HEARTBEAT = wire.encode(wire.ONE_WAY, 0, peers_module.Heartbeat())
+_HEARTBEAT_TAG = wire.tag_of(peers_module.Heartbeat)
