--- /dev/null
+++ b/tests/test_election.py
@@ -0,0 +1,66 @@
+"""Elections among keepers that all campaign at the same moment."""
+
+import asyncio
+import tempfile
+import unittest
+from unittest import mock
+
+from amaranthring.keepers import election
+from amaranthring.keepers import messages
+from amaranthring.testing import plan_keepers
+
+
+class TestCandidates(unittest.IsolatedAsyncioTestCase):
+    """Keepers that have all lost their power and start together."""
+
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.keepers = plan_keepers.PlanKeepers(folder.name)
+        self.addAsyncCleanup(self.keepers.stop_all)
+        self.keepers.start_all()
+        leader = await plan_keepers.until(self.keepers.leader)
+        await self.keepers.put(1, b"one")
+        others = [k for k in self.keepers.running.values() if k is not leader]
+        self.group, self.other = others[0].group, others[1].group
+        for one in (self.group, self.other):
+            # Only the campaign of the test.
+            one.campaign_at = float("inf")
+        await self.keepers.stop(leader.place.address)
+
+    async def test_who_voted_meanwhile_does_not_campaign(self):
+        """Two keepers ask for pre-votes at once, and both may campaign.
+
+        The first is elected with the second one's vote. The second, whose
+        own pre-vote ends a moment later, went on in the term after that: the
+        leader saw a higher term 0.1 s after it had begun to lead, and the
+        group was without one again. Ballots of two keepers 20 ms apart in
+        the logs, the later one in a term that nobody had asked about, showed
+        it.
+        """
+        rival = messages.Vote(
+            self.group.name,
+            self.group.term + 1,
+            self.other.disk_id,
+            self.group.disk_id,
+            self.group.log.last_index,
+            self.group.log.last_term,
+            pre=False,
+        )
+        asked = []
+
+        async def ballot(group, term, pre):
+            asked.append((term, pre))
+            group.heard_at = 0.0
+            if pre:
+                given = await election.on_vote(group, rival)
+                self.assertTrue(given.granted)
+            return pre
+
+        self.group.heard_at = 0.0
+        with mock.patch.object(election, "_ballot", ballot):
+            await election._campaign(self.group)
+        self.assertEqual([(rival.term, True)], asked)
+        self.assertEqual(rival.term, self.group.term)
+        self.assertEqual(self.other.disk_id, self.group.vote)
