Campaign only in the term for which the pre-vote was asked

Change: if the term has moved meanwhile, no campaign. tests.test_election failed before ([(2, pre), (3, vote)]), passes now.

--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -141,14 +141,18 @@
     short = group.options.election_seconds * RETRY_SHARE
     wait = short * group.random.uniform(0.3, 1)
     group.campaign_at = group.clocks.monotonic() + wait
+    term = group.term + 1
     # A keeper that was cut off finds no majority here and does not raise
     # its term, so its return deposes nobody.
-    if not await _ballot(group, group.term + 1, pre=True):
+    if not await _ballot(group, term, pre=True):
         return
     if group.leading or hears_leader(group):
         return
-    roles.set_term(group, group.term + 1, group.disk_id)
-    term = group.term
+    if group.term + 1 != term:
+        # Another was voted for meanwhile: a campaign in the term after that,
+        # for which nobody asked, would depose it 0.1 s after it was elected.
+        return
+    roles.set_term(group, term, group.disk_id)
     delay_campaign(group)
     try:
         await group.writer.flush()
