--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -80,7 +80,9 @@
         )
         self.tasks: list[asyncio.Task] = []
         self.bodies = bodies.Bodies(machine, pacer)
-        self.news = news.TargetNews(lambda: self.routers, pacer)
+        self.news = news.TargetNews(
+            lambda: self.routers, self.table.records, pacer
+        )
         self.told_version = machine.version
         self.notice_due = False
         group.on_applied.append(self._applied)
@@ -89,6 +91,7 @@
         handlers.add(messages.FetchPlan, self._on_fetch)
         handlers.add(messages.PlanHeld, self._on_held)
         handlers.add(messages.Targets, self._on_targets)
+        handlers.add(messages.AllTargets, self._on_all_targets)
         handlers.add(messages.Heard, self._on_heard)
 
     def start(self) -> None:
@@ -159,11 +162,20 @@
         for peer in self.group.peers.values():
             peer.dialler.send(message)
 
+    def _on_all_targets(
+        self, link: links.Link, message: messages.AllTargets
+    ) -> None:
+        _require_keeper(link)
+        self._merge(messages.unpack_targets(message))
+
     def _on_targets(self, link: links.Link, message: messages.Targets) -> None:
         _require_keeper(link)
+        self._merge(message.records)
+
+    def _merge(self, records: list[messages.TargetRecord]) -> None:
         changed = [
             self.table.entries[record.id].record
-            for record in message.records
+            for record in records
             if self.table.merge(record)
         ]
         if changed:
@@ -211,7 +223,7 @@
             dialler = self.group.peers[name].dialler
             self.exchange.greet(dialler)
             if records:
-                dialler.send(messages.Targets(records))
+                dialler.send(messages.pack_targets(records))
         return now
 
     # -- plan --------------------------------------------------------
@@ -308,7 +320,7 @@
             return
         logs.event(log, "router.linked", router=link.peer.name)
         self.routers[link] = link.peer.name
-        _send(link, messages.pack_targets(self.table.records()))
+        self.news.welcome(link)
 
     def on_gone(self, link: links.Link) -> None:
         """Forget a router whose link has ended."""
@@ -348,11 +360,3 @@
         raise errors.ForbiddenError(
             "news of targets", given=link.peer.role, expected="a keeper"
         )
-
-
-def _send(link: links.Link, message: t.Any) -> None:
-    try:
-        link.send(message)
-    except errors.LinkError:
-        # It hears everything again on its next link.
-        link.close()
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -93,7 +93,7 @@
 
 @wire.message("registry-all-targets")
 class AllTargets:
-    """All records, for a router that has just linked.
+    """All records, for a router or keeper that has just linked.
 
     Attributes
     ----------
--- a/amaranthring/registry/news.py
+++ b/amaranthring/registry/news.py
@@ -1,6 +1,7 @@
-"""Tells a keeper's routers which targets are new or have changed."""
+"""Tells a keeper's routers of targets: all at first, then what changes."""
 
 import asyncio
+import collections
 import typing as t
 
 from amaranthring import errors
@@ -18,12 +19,15 @@
 
     Records wait while the link has no room and then go together: a keeper
     that had lost its disk told 84 routers of 60 targets one by one, 1.2 MB,
-    where all of them fit into 1 KB a router.
+    where all of them fit into 1 KB a router. Routers that have just linked
+    wait for the whole table in turn: 370 of them and 630 targets make 3 MB.
 
     Parameters
     ----------
     routers : callable
         Returns the links to tell.
+    table : callable
+        Returns all records.
     pacer : pacing.Pacer
         Of the keeper's link.
     """
@@ -31,11 +35,14 @@
     def __init__(
         self,
         routers: t.Callable[[], t.Iterable[links.Link]],
+        table: t.Callable[[], list[messages.TargetRecord]],
         pacer: pacing.Pacer,
     ):
         self.routers = routers
+        self.table = table
         self.pacer = pacer
         self.waiting: dict[str, messages.TargetRecord] = {}
+        self.newcomers: collections.deque[links.Link] = collections.deque()
         self.due = asyncio.Event()
 
     def add(self, records: list[messages.TargetRecord]) -> None:
@@ -43,26 +50,49 @@
         self.waiting.update((record.id, record) for record in records)
         self.due.set()
 
+    def welcome(self, router: links.Link) -> None:
+        """Tell `router` of all targets as soon as there is room."""
+        self.newcomers.append(router)
+        self.due.set()
+
     async def run(self) -> None:
         """Tell until cancelled."""
         while True:
             await self.due.wait()
             await self.pacer.turn()
-            self.due.clear()
-            records, self.waiting = list(self.waiting.values()), {}
-            message: t.Any = messages.Targets(records)
-            if len(records) >= PACKED_FROM:
-                message = messages.pack_targets(records)
-            tell_all(self.routers(), message)
+            if self.waiting:
+                self._tell_changes()
+            elif self.newcomers:
+                self._tell_newcomers()
+            else:
+                self.due.clear()
+
+    def _tell_changes(self) -> None:
+        records, self.waiting = list(self.waiting.values()), {}
+        message: t.Any = messages.Targets(records)
+        if len(records) >= PACKED_FROM:
+            message = messages.pack_targets(records)
+        tell_all(self.routers(), message)
+
+    def _tell_newcomers(self) -> None:
+        message = messages.pack_targets(self.table())
+        frame = wire.encode(wire.ONE_WAY, 0, message)
+        while self.newcomers:
+            _send(self.newcomers.popleft(), frame, type(message))
+            if not self.pacer.room():
+                return
 
 
 def tell_all(routers: t.Iterable[links.Link], message: t.Any) -> None:
     """Send `message` to all `routers`, encoded once."""
     frame = wire.encode(wire.ONE_WAY, 0, message)
-    tag = wire.tag_of(type(message))
     for link in list(routers):
-        try:
-            link.send_encoded(frame, tag)
-        except errors.LinkError:
-            # It hears everything again on its next link.
-            link.close()
+        _send(link, frame, type(message))
+
+
+def _send(link: links.Link, frame: bytes, kind: type) -> None:
+    try:
+        link.send_encoded(frame, wire.tag_of(kind))
+    except errors.LinkError:
+        # It hears everything again on its next link.
+        link.close()
--- a/tests/test_keeper_start.py
+++ b/tests/test_keeper_start.py
@@ -125,14 +125,14 @@
             dialler=dialler, address=address
         )
 
-    async def return_of_routers(self):
+    async def return_of_routers(self, count=ROUTERS):
         """Link and report as routers do that have all just started."""
         report = self.handlers.by_class[sharing.Report]
-        for number in range(ROUTERS):
+        for number in range(count):
             link = self.link(f"router-{number}", messages.ROUTER_ROLE)
             self.hub.on_link(link)
             report(link, sharing.Report({}, []))
-            await asyncio.sleep(LINKING_SECONDS / ROUTERS)
+            await asyncio.sleep(LINKING_SECONDS / count)
 
     def record(self, number):
         return messages.TargetRecord(
@@ -170,6 +170,15 @@
         await asyncio.sleep(WATCHED_SECONDS)
         self.assert_votes_in_time()
 
+    async def test_table_of_a_full_fleet_leaves_room_for_votes(self):
+        """370 routers return, and 630 targets are known from the disk."""
+        for number in range(630):
+            self.hub.table.merge(self.record(number))
+        self.hub.start()
+        await self.return_of_routers(370)
+        await asyncio.sleep(WATCHED_SECONDS)
+        self.assert_votes_in_time()
+
     async def test_targets_heard_one_by_one_leave_room_for_votes(self):
         """The keeper's disk was lost: each announcement is news to it."""
         self.hub.start()
