--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -73,6 +73,7 @@
             members=messages.Members([MEMBER]),
             options=options.Options(),
             clocks=types.SimpleNamespace(monotonic=lambda: self.now),
+            pacer=None,
         )
         self.dialler = SlowDialler()
         self.peer = replication.Peer("k2", "h:2", "dc", self.dialler)
