Take a target for dead whose connections are reset as soon as they are taken

Cause, traced beside load with a line for each crash that is reported: the request that crashed engine-3 was reported once, and not for the engines that it brought down after that, while innocent requests there were. The router asks whether the target takes a connection; while the kernel ends a process on a busy machine its listener still does. So the death was blamed on nobody and the caller's next send ran apart from nothing. Change: the connection has to stay for 0.15 s. request.crashed says who is reported. tests.test_upstream failed before (alive), passes now.

--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -110,7 +110,17 @@
             # A second death condemns. A rack that goes shows in the table
             # within this time, and then nobody is to blame.
             await asyncio.sleep(self.confirm_seconds)
-        if self.lost.together(self.clock()):
+        blamed = not self.lost.together(self.clock())
+        logs.event(
+            log,
+            "request.crashed",
+            request=request.request_id,
+            fingerprint=request.body_digest,
+            target=target.name,
+            apart=apart,
+            blamed=blamed,
+        )
+        if not blamed:
             self.metrics.count("suspects.many-deaths")
             return
         self.metrics.count("suspects.reported")
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -23,6 +23,10 @@
 
 READ_BYTES = 64 * 1024
 CONNECT_SECONDS = 1.0
+# A process that is ended beside others on a busy machine has closed its
+# sockets within some tens of milliseconds; a caller whose attempt failed
+# waits as long.
+KEPT_SECONDS = 0.15
 OUTCOME_HEADER = "Amaranthring-Outcome"
 REQUEST_ID_HEADER = "Amaranthring-Request-Id"
 
@@ -399,10 +403,21 @@
 
 
 async def reachable(target: records.Target) -> bool:
-    """Return whether `target` takes connections."""
+    """Return whether `target` takes a connection and keeps it.
+
+    While the kernel ends a process, its listener still takes connections
+    for a moment, which are reset with it: such a target is dead.
+    """
     exchange = Exchange(target)
     try:
         await exchange.connect()
+    except FAULTS:
+        exchange.close()
+        return False
+    try:
+        async with asyncio.timeout(KEPT_SECONDS):
+            return bool(await exchange.reader.read(1))
+    except TimeoutError:
         return True
     except FAULTS:
         return False
