Split the handshake from links; log slow answers once an election time

No logic of links changed: Identity, Keys and the proof of both ends move to core/handshake. keeper.slow-answer is bounded.

--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -4,20 +4,12 @@
 one-way messages and call each other; a handler that returns an awaitable is
 run in a task of its own so that a call that waits does not hold up the
 stream. A :class:`Dialler` keeps one link to one peer up, with one task.
-
-The handshake is a challenge in both directions: each end proves knowledge of
-a fleet key over both nonces, so that a recorded hello is worth nothing, and
-two keys may be held at once while keys are changed.
 """
 
 import asyncio
 import collections
-import dataclasses
-import hashlib
-import hmac
 import inspect
 import itertools
-import os
 import random
 import time
 import typing as t
@@ -29,19 +21,18 @@
 import tornado.tcpserver
 
 from amaranthring import errors
+from amaranthring.core import handshake
 from amaranthring.core import wire
 
 log = logbook.Logger(__name__)
 
 HANDSHAKE_SECONDS = 2.0
-READ_BYTES = 64 * 1024
 SEND_BUFFER_BYTES = 4 * 1024 * 1024
 BACKOFF_FIRST_SECONDS = 0.05
 # Where all have lost power, routers are back 0.9 s before the keepers: each
 # dials on at this pace, and who dials seldom is linked late. An attempt costs
 # a packet and, while nobody listens, its refusal.
 BACKOFF_MOST_SECONDS = 0.4
-NONCE_BYTES = 16
 STABLE_SECONDS = 1.0
 
 STREAM_FAULTS = (
@@ -52,56 +43,8 @@
 )
 
 
-@dataclasses.dataclass
-class Identity:
-    """Who a process says it is.
-
-    Attributes
-    ----------
-    name : str
-        Unique name of the process in the fleet.
-    role : str
-        ``router`` or ``keeper``.
-    data_centre : str
-        Data centre from its settings.
-    incarnation : int
-        Grows with every start, so a restarted process is told apart.
-    """
-
-    name: str
-    role: str
-    data_centre: str
-    incarnation: int = 0
-
-
-@wire.message("hello")
-class Hello:
-    """First frame of either end; `nonce` is the challenge to the other."""
-
-    version: int
-    nonce: bytes
-
-
-@wire.message("proof")
-class Proof:
-    """Second frame of either end: identity, and its proof under `key_id`."""
-
-    identity: Identity
-    key_id: str
-    mac: bytes
-
-
-@dataclasses.dataclass
-class Keys:
-    """Fleet keys by id; the first signs, all are accepted."""
-
-    by_id: dict[str, bytes]
-
-    @property
-    def signing(self) -> tuple[str, bytes]:
-        """Return id and bytes of the key that signs."""
-        return next(iter(self.by_id.items()))
-
+Identity = handshake.Identity
+Keys = handshake.Keys
 
 Handler = t.Callable[["Link", t.Any], t.Any]
 
@@ -133,11 +76,6 @@
         self.by_class[kind] = handler
 
 
-def _mac(key: bytes, side: str, identity: Identity, ours, theirs) -> bytes:
-    text = wire.encode_value((side, identity, ours, theirs))
-    return hmac.new(key, text, hashlib.sha256).digest()
-
-
 class Link:
     """One authenticated stream to a peer.
 
@@ -242,7 +180,9 @@
             while True:
                 for parts in unpacker:
                     self._handle(wire.decode(parts))
-                data = await self.stream.read_bytes(READ_BYTES, partial=True)
+                data = await self.stream.read_bytes(
+                    handshake.READ_BYTES, partial=True
+                )
                 self.received_bytes += len(data)
                 self.handlers.received_bytes += len(data)
                 unpacker.feed(data)
@@ -344,46 +284,6 @@
             future.set_result(frame.message)
 
 
-async def _next_frame(stream, unpacker, kind: type) -> t.Any:
-    while True:
-        for parts in unpacker:
-            frame = wire.decode(parts)
-            if not isinstance(frame.message, kind):
-                raise errors.HandshakeError(
-                    "unexpected frame",
-                    given=type(frame.message).__name__,
-                    expected=kind.__name__,
-                )
-            return frame.message
-        unpacker.feed(await stream.read_bytes(READ_BYTES, partial=True))
-
-
-async def _shake(stream, identity, keys, side, unpacker) -> Identity:
-    nonce = os.urandom(NONCE_BYTES)
-    hello = Hello(wire.VERSION, nonce)
-    await stream.write(wire.encode(wire.ONE_WAY, 0, hello))
-    theirs = await _next_frame(stream, unpacker, Hello)
-    if theirs.version != wire.VERSION:
-        raise errors.HandshakeError(
-            "version", given=theirs.version, expected=wire.VERSION
-        )
-    key_id, key = keys.signing
-    mac = _mac(key, side, identity, nonce, theirs.nonce)
-    proof = Proof(identity, key_id, mac)
-    await stream.write(wire.encode(wire.ONE_WAY, 0, proof))
-    answer = await _next_frame(stream, unpacker, Proof)
-    other = "server" if side == "client" else "client"
-    known = keys.by_id.get(answer.key_id, b"")
-    expected = _mac(known, other, answer.identity, theirs.nonce, nonce)
-    if not known or not hmac.compare_digest(expected, answer.mac):
-        raise errors.HandshakeError(
-            "peer's proof is wrong",
-            given=answer.key_id,
-            expected=f"one of {sorted(keys.by_id)}",
-        )
-    return answer.identity
-
-
 async def shake(stream, identity, keys, side, handlers) -> tuple[Link, t.Any]:
     """Authenticate both ends and return the link with its unpacker.
 
@@ -395,7 +295,8 @@
     unpacker = wire.unpacker()
     try:
         peer = await asyncio.wait_for(
-            _shake(stream, identity, keys, side, unpacker), HANDSHAKE_SECONDS
+            handshake.prove(stream, identity, keys, side, unpacker),
+            HANDSHAKE_SECONDS,
         )
     except errors.AmaranthringError:
         stream.close()
--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -68,7 +68,7 @@
     options, clocks, files, metrics : optional
         Timing, time sources, system calls, counters.
     pacer : pacing.Pacer, optional
-        Of the link, for snapshots that are sent to others.
+        Of the link, for snapshots and for entries that others lack.
 
     Attributes
     ----------
--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -152,7 +152,8 @@
     now = group.clocks.monotonic()
     heard = {m.name: acked_at(group, m) for m in group.members.voters}
     return {
-        name: round(now - at, 3) if at else -1 for name, at in heard.items()
+        name: round(max(0.0, now - at), 3) if at else -1
+        for name, at in heard.items()
     }
 
 
--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -62,6 +62,8 @@
         Monotonic time at which a message left while none was in flight.
     snapshot_due : float
         Monotonic time from which it may be sent a snapshot.
+    slow_at : float
+        Monotonic time at which a slow answer of it was logged.
     wall_offset : float
         Its wall clock minus our monotonic clock, in seconds.
     """
@@ -77,6 +79,7 @@
         self.main: asyncio.Task | None = None
         self.epoch = 0
         self.snapshot_due = 0.0
+        self.slow_at = float("-inf")
         self.wall_offset: float | None = None
         self.reset(1, 0.0)
 
@@ -210,16 +213,7 @@
         return
     now = group.clocks.monotonic()
     peer.replied_at = now
-    if now - sent_at > SLOW_HEARTBEATS * group.options.heartbeat_seconds:
-        # Says whether the follower's disk or the way there and back was slow.
-        logs.event(
-            log,
-            "keeper.slow-answer",
-            peer=peer.name,
-            seconds=round(now - sent_at, 3),
-            held=round(reply.held, 3),
-            entries_bytes=size,
-        )
+    _note_slowness(group, peer, sent_at, reply, size)
     if reply.term > group.term:
         roles.set_term(group, reply.term)
     if epoch != peer.epoch or message.term != group.term:
@@ -242,6 +236,24 @@
     group.lease_changed.set()
 
 
+def _note_slowness(group, peer, sent_at: float, reply, size: int) -> None:
+    """Log whether the follower's disk or the way there and back was slow."""
+    now = group.clocks.monotonic()
+    options = group.options
+    slow = now - sent_at > SLOW_HEARTBEATS * options.heartbeat_seconds
+    if not slow or now - peer.slow_at < options.election_seconds:
+        return
+    peer.slow_at = now
+    logs.event(
+        log,
+        "keeper.slow-answer",
+        peer=peer.name,
+        seconds=round(now - sent_at, 3),
+        held=round(reply.held, 3),
+        entries_bytes=size,
+    )
+
+
 def _back_up(peer: Peer, reply: messages.Appended) -> None:
     if reply.hint <= peer.match_index:
         # It no longer has what it once synced: an old copy of its disk.
