Ask a keeper for its plan once while it has not answered

A router that has asked all keepers ends its round, and each offer, twice a second from each keeper, began a new one beside the calls under way. Change: who has yet to answer is not asked. Before and after: four offers, 4 calls a keeper, now 1 (tests.test_keeper_start).

--- a/amaranthring/registry/fetching.py
+++ b/amaranthring/registry/fetching.py
@@ -87,6 +87,7 @@
         asked: dict[links.Link, int] = {}
         while (link := self._next(asked)) is not None:
             asked[link] = self.offers[link]
+            self._asked.add(link)
             call = asyncio.ensure_future(self._fetch(link))
             self._calls.add(call)
             call.add_done_callback(self._calls.discard)
@@ -108,15 +109,17 @@
         for link in list(self.offers):
             if link.closed:
                 del self.offers[link]
+        # Every answer of a keeper offers its plan anew. Asked again while it
+        # has yet to answer, it would send the plan twice.
         newer = [
             link
             for link, version in self.offers.items()
             if version > max(self.held(), asked.get(link, -1))
+            and link not in self._asked
         ]
         return max(newer, key=self._order, default=None)
 
     async def _fetch(self, link: links.Link) -> None:
-        self._asked.add(link)
         try:
             ask = messages.FetchPlan(held=self.base())
             plan = await link.call(ask, FETCH_SECONDS)
--- a/tests/test_keeper_start.py
+++ b/tests/test_keeper_start.py
@@ -331,6 +331,25 @@
         self.assertEqual((7, b""), (first.version, first.body))
         self.assertEqual(b"plan", plans.unpacked(second.body))
 
+    async def test_keeper_is_asked_once_while_it_has_not_answered(self):
+        """Keepers offer their plan with each answer, twice a second.
+
+        A router that had asked them all began anew with each offer, and was
+        sent the plan as often; 87 routers were served 4 s after there was a
+        leader.
+        """
+        asked = [FakeKeeper(f"k{n}") for n in range(3)]
+        fetcher = fetching.PlanFetcher(
+            "router", lambda: -1, lambda: -1, lambda: asked, lambda plan: None
+        )
+        with mock.patch.object(fetching, "HEDGE_SECONDS", 0.01):
+            for _ in range(4):
+                for link in asked:
+                    fetcher.offer(link, 7)
+                await asyncio.sleep(0.1)
+        fetcher.stop()
+        self.assertEqual([1, 1, 1], [link.calls for link in asked])
+
     async def test_router_says_what_it_holds_to_all_it_asked(self):
         held = []
         asked = [FakeKeeper(f"k{n}") for n in range(3)]
@@ -360,10 +379,12 @@
         self.peer = links.Identity(name, "keeper", "here")
         self.closed = False
         self.sent = []
+        self.calls = 0
         self.answer = asyncio.get_running_loop().create_future()
 
     async def call(self, _message, _timeout):
         """Return the answer once it is there."""
+        self.calls += 1
         return await asyncio.shield(self.answer)
 
     def send(self, message):
