--- a/tests/test_keeper_dispatch.py
+++ b/tests/test_keeper_dispatch.py
@@ -9,6 +9,7 @@
 
 from amaranthring import errors
 from amaranthring import settings
+from amaranthring.core import handshake
 from amaranthring.core import links
 from amaranthring.core import wire
 from amaranthring.keepers import consensus
@@ -374,7 +375,7 @@
 
     async def test_other_version_is_refused(self):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        hello = links.Hello(wire.VERSION + 1, b"n" * links.NONCE_BYTES)
+        hello = handshake.Hello(wire.VERSION + 1, b"n" * handshake.NONCE_BYTES)
         writer.write(wire.encode(wire.ONE_WAY, 0, hello))
         while await reader.read(4096):
             pass
