Ask again where a notice came during a question

Change: a notice during a question makes the router ask once more after it. test_notice_during_a_question_is_not_lost failed before (1 question, not 2).

--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -83,6 +83,7 @@
         self.asking: dict[str, asyncio.Task] = {}
         self.counts: dict[str, int] = {}
         self.renewing: dict[links.Link, asyncio.Task] = {}
+        self.noticed: set[links.Link] = set()
         self.version = -1
         self.confirmed_at = float("-inf")
         self.answered_at = float("-inf")
@@ -223,12 +224,22 @@
         if not notice.leads or self.is_fresh(UNCONFIRMED_SECONDS):
             return
         address = self._address_of(link)
-        if address is None or link in self.renewing:
+        if address is None:
             return
-        task = asyncio.ensure_future(self._renew(address, link))
+        self.noticed.add(link)
+        if link in self.renewing:
+            return
+        task = asyncio.ensure_future(self._renew_noticed(address, link))
         self.renewing[link] = task
         task.add_done_callback(lambda _: self.renewing.pop(link, None))
 
+    async def _renew_noticed(self, address: str, link: links.Link) -> None:
+        # A notice that comes while a question is under way may be what that
+        # question came too early for.
+        while link in self.noticed:
+            self.noticed.discard(link)
+            await self._renew(address, link)
+
     def _address_of(self, link: links.Link) -> str | None:
         for address, dialler in self.diallers.items():
             if dialler.link is link:
--- a/tests/test_plan_keepers.py
+++ b/tests/test_plan_keepers.py
@@ -355,6 +355,37 @@
             await self.until(lambda: len(follower.linked()) == 3)
             await self.until(lambda: follower.is_fresh(1.0))
 
+    async def test_notice_during_a_question_is_not_lost(self):
+        """A new leader's notice comes while a question is under way.
+
+        The question was answered before the leader could confirm; the notice
+        was passed over, and the router asked again half a second later.
+        """
+        patched = mock.patch.object(subscriber, "RENEW_SECONDS", 30.0)
+        patched.start()
+        self.addCleanup(patched.stop)
+        follower, _ = self.follower()
+        await self.until(lambda: len(follower.linked()) == 3)
+        asked = []
+
+        async def slow(address, link):
+            asked.append(address)
+            await asyncio.sleep(0.05)
+
+        follower.confirmed_at = float("-inf")
+        with (
+            mock.patch.object(follower, "_renew", slow),
+            mock.patch.object(follower, "is_fresh", lambda _: False),
+        ):
+            asked.clear()
+            link = follower.linked()[0]
+            for _ in range(3):
+                follower._on_notice(link, messages.PlanNotice(1, True))
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.15)
+            address = follower._address_of(link)
+        self.assertEqual(2, asked.count(address))
+
     async def test_router_is_not_confirmed_without_a_quorum(self):
         """A router still reaches one keeper, which has lost the others.
 
