--- a/tests/test_keeper_start.py
+++ b/tests/test_keeper_start.py
@@ -73,6 +73,18 @@
         """Close nothing."""
 
 
+def carried_by(wire, handlers):
+    """Return a context in which `wire` carries what `handlers`' links send."""
+    write = links.Link._write
+
+    def carried(link, data, tag):
+        if link.handlers is handlers:
+            wire.carry(len(data))
+        write(link, data, tag)
+
+    return mock.patch.object(links.Link, "_write", carried)
+
+
 class TestReturnOfAllRouters(unittest.IsolatedAsyncioTestCase):
     """All VMs lose power, and 84 routers link to a keeper that has no leader.
 
@@ -236,14 +248,7 @@
             await self.keepers.put(version, os.urandom(40_000), self.address())
         await asyncio.sleep(0.5)
         wire = Wire(LINK_RATE)
-        write = links.Link._write
-
-        def carried(link, data, tag):
-            if link.handlers is self.leader.handlers:
-                wire.carry(len(data))
-            write(link, data, tag)
-
-        with mock.patch.object(links.Link, "_write", carried):
+        with carried_by(wire, self.leader.handlers):
             back = self.keepers.start(lost)
             await plan_keepers.until(lambda: back.machine.version == 12)
         self.assertLess(wire.worst, keepers.ELECTION_SECONDS / 2)
@@ -287,14 +292,7 @@
         await self.keepers.put(1, self.document(1), address)
         await asyncio.sleep(0.5)
         wire = Wire(LINK_RATE)
-        write = links.Link._write
-
-        def carried(link, data, tag):
-            if link.handlers is self.leader.handlers:
-                wire.carry(len(data))
-            write(link, data, tag)
-
-        with mock.patch.object(links.Link, "_write", carried):
+        with carried_by(wire, self.leader.handlers):
             for version in range(2, 14):
                 at = address if version % 2 else follower
                 newest = self.document(version)
