Answer every connection that was opened to a router before it ends

Callers saw: while a router is replaced, a connection that has just been opened is reset without an answer (ConnectionResetError within 11 ms), the request already sent; a keyed caller can't tell whether it ran.

Cause: the kernel opens connections by itself, and resets those that the process has not taken when the listening socket closes. The router closed it a second after its health check had begun to fail, whoever still came.

Mend: the listener lets the kernel open no more connections (a packet filter on the socket drops what would open one), takes what is open, then closes; later callers are refused with nothing sent. It holds since nothing can enter the queue any more when the loop empties it. And it closes only once no request has come for a second, or after leave_seconds, so that a late balancer loses nobody; answers tell callers to close meanwhile.

The same fault elsewhere, mended alike: the end of a router that forwards by plan (listener open to the very end); connections closed as idle that were new or whose request was being read; answers written and not sent when the process ends; operators' requests and keepers' control calls in progress.

test_request_read_as_its_connection_closes_does_not_run closed the connection by close_idle, which no longer closes one whose request is being read; it now closes the stream itself, with the same checks.

--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -52,7 +52,7 @@
 
 def listen_internal(
     settings: settings_module.Settings, routes: list
-) -> tornado.httpserver.HTTPServer:
+) -> listeners.Listener:
     """Serve `routes` on the internal listener, with TLS where set."""
     listen = settings.listen
     bounds = settings.callers
@@ -67,8 +67,7 @@
         idle_connection_timeout=bounds.idle_seconds,
         body_timeout=bounds.body_seconds,
     )
-    server.add_sockets(listeners.listening(listen.internal))
-    return server
+    return listeners.serve(server, listen.internal)
 
 
 def identity_of(
@@ -90,14 +89,13 @@
     collection.freeze()
     logs.event(log, "router.started", callers=settings.listen.callers)
     await stop.wait()
-    await router.shut_down(callers)
-    internal.stop()
+    await router.shut_down(callers, internal)
     logs.event(log, "router.stopped", running=router.drain.running)
 
 
 def listen_callers(
     settings: settings_module.Settings, router: router_parts.Router
-) -> tornado.httpserver.HTTPServer:
+) -> listeners.Listener:
     """Serve callers and the balancer's health check."""
     given = {"ready": router.not_ready_because}
     routes = [("/health", health.HealthHandler, given)]
@@ -107,7 +105,8 @@
         listen.certificate_file, listen.certificate_key_file
     )
     sockets = listeners.listening(listen.callers)
-    return server.listen(app, sockets, settings.callers, context)
+    served = server.listen(app, sockets, settings.callers, context)
+    return listeners.Listener(served, sockets)
 
 
 async def run_keeper(settings: settings_module.Settings) -> None:
@@ -123,6 +122,6 @@
     logs.event(log, "keeper.started", folder=settings.process.data_folder)
     await stop.wait()
     served.stop()
-    internal.stop()
+    await internal.close()
     await keeper.stop()
     logs.event(log, "keeper.stopped")
--- a/amaranthring/callers/handlers.py
+++ b/amaranthring/callers/handlers.py
@@ -16,6 +16,7 @@
 from amaranthring.callers import services
 from amaranthring.callers import tokens
 from amaranthring.callers import way
+from amaranthring.core import connections
 from amaranthring.core import decisions
 from amaranthring.core import records
 from amaranthring.settings import models as settings_models
@@ -181,7 +182,7 @@
         """Set the headers that every answer has."""
         self.set_header(conventions.REQUEST_ID_HEADER, self.request_id)
         self.set_header(conventions.OUTCOME_HEADER, str(outcome))
-        if self.needs.drain.closing:
+        if self.needs.drain.leaving:
             self.set_header("Connection", "close")
 
     def answer(self, answer: way.Answer) -> None:
@@ -192,12 +193,13 @@
         self.finish(answer.body)
 
     def on_finish(self):
-        """Count the request out, unless its work runs on."""
+        """Count the request out once its answer is sent."""
         if self.body_timer:
             self.body_timer.cancel()
         if self.entered and self.work is None:
             self.entered = False
-            self.needs.drain.leave()
+            stream = getattr(self.request.connection, "stream", None)
+            connections.when_sent(stream, self.needs.drain.leave)
 
     def on_connection_close(self):
         """Cancel the work of a caller that left.
--- a/amaranthring/callers/server.py
+++ b/amaranthring/callers/server.py
@@ -13,6 +13,7 @@
 from amaranthring.callers import conventions
 from amaranthring.callers import handlers
 from amaranthring.callers import way
+from amaranthring.core import connections
 from amaranthring.settings import models as settings_models
 
 Routes = list[tuple[str, type, dict[str, t.Any]]]
@@ -21,10 +22,11 @@
 class _Watched(tornado.httputil.HTTPMessageDelegate):
     """Passes a request on, and watches that its headers come in time."""
 
-    def __init__(self, delegate, connection, seconds: float):
+    def __init__(self, delegate, connection, seconds: float, on_headers):
         self.delegate = delegate
         self.connection = connection
         self.seconds = seconds
+        self.on_headers = on_headers
         self.begun = False
         self._arm()
 
@@ -49,6 +51,7 @@
     def headers_received(self, start_line, headers):
         """End the watch."""
         self.timer.cancel()
+        self.on_headers()
         return self.delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk):
@@ -93,10 +96,26 @@
 
     header_seconds = 5.0
 
+    def initialize(self, *args, **kwargs):
+        """Keep account of the connections that wait for a request."""
+        super().initialize(*args, **kwargs)
+        self.waiting = connections.Waiting()
+
     def start_request(self, server_conn, request_conn):
         """Watch the headers of the request."""
+        self.waiting.add(server_conn)
         delegate = super().start_request(server_conn, request_conn)
-        return _Watched(delegate, request_conn, self.header_seconds)
+        return _Watched(
+            delegate,
+            request_conn,
+            self.header_seconds,
+            lambda: self.waiting.discard(server_conn),
+        )
+
+    def on_close(self, server_conn):
+        """Forget a connection that has closed."""
+        self.waiting.discard(server_conn)
+        super().on_close(server_conn)
 
 
 def make_app(
--- a/amaranthring/callers/way.py
+++ b/amaranthring/callers/way.py
@@ -11,8 +11,8 @@
 import typing as t
 
 from amaranthring import errors
-from amaranthring.callers import drain as drains
 from amaranthring.callers import settlements as settlements_module
+from amaranthring.core import drain as drains
 from amaranthring.core import fleet
 from amaranthring.core import links
 from amaranthring.core import metrics as figures
--- a/amaranthring/callers/drain.py
+++ b/amaranthring/core/drain.py
@@ -1,6 +1,7 @@
 """Counts requests in progress, so that a stop cuts off none of them."""
 
 import asyncio
+import time
 
 
 class Drain:
@@ -8,21 +9,28 @@
 
     Attributes
     ----------
+    leaving : bool
+        Whether callers are told to close their connections.
     closing : bool
         Whether new requests are refused.
     running : int
         Requests in progress.
+    entered_at : float
+        Monotonic seconds at which the last request came.
     """
 
     def __init__(self):
+        self.leaving = False
         self.closing = False
         self.running = 0
+        self.entered_at = time.monotonic()
         self._idle = asyncio.Event()
         self._idle.set()
 
     def enter(self) -> None:
         """Count a request in."""
         self.running += 1
+        self.entered_at = time.monotonic()
         self._idle.clear()
 
     def leave(self) -> None:
@@ -31,8 +39,28 @@
         if not self.running:
             self._idle.set()
 
+    async def wait_quiet(self, seconds: float, most: float) -> bool:
+        """Tell callers to close; wait until none has come for `seconds`.
+
+        Returns
+        -------
+        bool
+            Whether that was reached within `most` seconds.
+        """
+        self.leaving = True
+        began = time.monotonic()
+        while True:
+            now = time.monotonic()
+            quiet_at = max(self.entered_at, began) + seconds
+            if quiet_at <= now:
+                return True
+            if began + most <= now:
+                return False
+            await asyncio.sleep(min(quiet_at, began + most) - now)
+
     def close(self) -> None:
         """Refuse new requests from now on."""
+        self.leaving = True
         self.closing = True
 
     async def wait_idle(self, seconds: float) -> bool:
--- a/amaranthring/core/endpoints.py
+++ b/amaranthring/core/endpoints.py
@@ -15,6 +15,8 @@
 import tornado.iostream
 
 from amaranthring import errors
+from amaranthring.core import connections
+from amaranthring.core import drain as drains
 from amaranthring.core import listeners
 from amaranthring.core import metrics as metrics_module
 
@@ -59,6 +61,8 @@
 
     def __init__(self, answer: Answer):
         self.answer = answer
+        self.drain = drains.Drain()
+        self.listener: listeners.Listener | None = None
         self.server = tornado.httpserver.HTTPServer(
             self,
             max_body_size=BODY_BYTES_MOST,
@@ -69,19 +73,26 @@
     def listen(self, sockets: list) -> None:
         """Serve on the listening `sockets`."""
         self.server.add_sockets(sockets)
+        self.listener = listeners.Listener(self.server, sockets)
 
     def start_request(self, server_conn, request_conn):
         """Return what takes in one call."""
         del server_conn
-        return _Reading(self.answer, request_conn)
+        return _Reading(self.answer, request_conn, self.drain)
+
+    async def close(self, seconds: float) -> None:
+        """Take no more calls; end those in progress within `seconds`."""
+        await self.listener.close()
+        await self.drain.wait_idle(seconds)
 
 
 class _Reading(tornado.httputil.HTTPMessageDelegate):
     """One call while it is read and answered."""
 
-    def __init__(self, answer: Answer, connection):
+    def __init__(self, answer: Answer, connection, drain: drains.Drain):
         self.answer = answer
         self.connection = connection
+        self.drain = drain
         self.call: Call | None = None
         self.parts: list[bytes] = []
         self.task: asyncio.Task | None = None
@@ -96,6 +107,7 @@
 
     def finish(self):
         self.call.body = b"".join(self.parts)
+        self.drain.enter()
         self.task = asyncio.ensure_future(self._run())
 
     def on_connection_close(self):
@@ -105,9 +117,16 @@
 
     async def _run(self) -> None:
         try:
-            result = await self.answer(self.call)
+            await self._write(await self._result())
+        finally:
+            stream = getattr(self.connection, "stream", None)
+            connections.when_sent(stream, self.drain.leave)
+
+    async def _result(self) -> Result:
+        try:
+            return await self.answer(self.call)
         except errors.AmaranthringError as error:
-            result = Result(
+            return Result(
                 error.status,
                 str(error).encode(),
                 "text/plain",
@@ -115,8 +134,7 @@
             )
         except Exception:
             log.exception("call.failed path={}", self.call.path)
-            result = Result(500)
-        await self._write(result)
+            return Result(500)
 
     async def _write(self, result: Result) -> None:
         headers = tornado.httputil.HTTPHeaders()
--- a/amaranthring/forwarding/front.py
+++ b/amaranthring/forwarding/front.py
@@ -9,6 +9,8 @@
 import tornado.httputil
 
 from amaranthring import errors
+from amaranthring.core import connections
+from amaranthring.core import listeners
 from amaranthring.forwarding import records
 from amaranthring.forwarding import replies
 from amaranthring.routing import plan as plans
@@ -47,9 +49,11 @@
     ends_at : float
         Monotonic seconds at which the process ends; a request that may take
         longer is refused.
-    waiting : set
+    waiting : connections.Waiting
         Connections on which no request has come yet, or none since the
         last.
+    listener : listeners.Listener, optional
+        On which callers come, once it listens.
     """
 
     def __init__(
@@ -64,8 +68,9 @@
         self.running = 0
         self.closing = False
         self.ends_at = float("inf")
-        self.waiting: set[t.Any] = set()
+        self.waiting = connections.Waiting()
         self.server: tornado.httpserver.HTTPServer | None = None
+        self.listener: listeners.Listener | None = None
 
     def listen(self, sockets: list) -> None:
         """Serve on the listening `sockets`."""
@@ -76,6 +81,7 @@
             idle_connection_timeout=IDLE_SECONDS,
         )
         self.server.add_sockets(sockets)
+        self.listener = listeners.Listener(self.server, sockets)
 
     def start_request(self, server_conn, request_conn):
         """Return what takes in one request."""
@@ -86,14 +92,19 @@
         """Forget a connection that has closed."""
         self.waiting.discard(server_conn)
 
-    def close_idle(self) -> None:
-        """Close the connections that wait for a request.
+    async def end_requests(self, until: float) -> None:
+        """Close connections as they get idle, until none has a request.
 
-        A caller that keeps one open would send its next request into the
-        end of the process, where it could be read and not answered.
+        Parameters
+        ----------
+        until : float
+            Monotonic seconds after which what still runs is left.
         """
-        for server_conn in list(self.waiting):
-            server_conn.stream.close()
+        while time.monotonic() < until:
+            self.waiting.close_idle()
+            if not self.running and not self.waiting:
+                return
+            await asyncio.sleep(connections.LOOK_SECONDS)
 
     def check_time(self, incoming: records.Incoming) -> None:
         """Check that a request can end before this process does.
@@ -120,7 +131,7 @@
         self.front = front
         self.server_conn = server_conn
         self.connection = connection
-        self.reply = replies.Reply(connection)
+        self.reply = replies.Reply(connection, lambda: front.closing)
         self.incoming: records.Incoming | None = None
         self.fault: errors.AmaranthringError | None = None
         self.body: list[bytes] = []
@@ -165,7 +176,6 @@
             # was closed as idle. The caller sees a close without an answer
             # and sends it again, so it must not run here as well.
             return
-        self.reply.closing = self.front.closing
         self.front.count(+1)
         # While an answer is awaited tornado tells of a close here only.
         self.connection.set_close_callback(self.on_connection_close)
@@ -201,4 +211,5 @@
             log.exception("request.failed")
             self.reply.break_off()
         finally:
-            self.front.count(-1)
+            stream = getattr(self.connection, "stream", None)
+            connections.when_sent(stream, lambda: self.front.count(-1))
--- a/amaranthring/forwarding/replies.py
+++ b/amaranthring/forwarding/replies.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+import typing as t
 
 import tornado.httputil
 import tornado.iostream
@@ -19,6 +20,9 @@
     ----------
     connection : tornado.httputil.HTTPConnection
         The caller's.
+    stopping : callable
+        Returns whether callers are told to close their connections, as the
+        router stops.
 
     Attributes
     ----------
@@ -29,11 +33,16 @@
     ended : bool
         Whether the answer is whole or broken off.
     closing : bool
-        Whether the caller is told that the connection closes after it.
+        Whether this caller is told to close its connection.
     """
 
-    def __init__(self, connection: tornado.httputil.HTTPConnection):
+    def __init__(
+        self,
+        connection: tornado.httputil.HTTPConnection,
+        stopping: t.Callable[[], bool],
+    ):
         self.connection = connection
+        self.stopping = stopping
         self.status = 0
         self.began_at = 0.0
         self.ended = False
@@ -58,7 +67,7 @@
     async def _head(self, status, headers, data: bytes) -> None:
         self.status = status
         self.began_at = time.monotonic()
-        if self.closing:
+        if self.closing or self.stopping():
             headers["Connection"] = "close"
         line = endpoints.start_line(status)
         try:
--- a/amaranthring/operators/base.py
+++ b/amaranthring/operators/base.py
@@ -11,6 +11,8 @@
 import tornado.web
 
 from amaranthring import errors
+from amaranthring.core import connections
+from amaranthring.core import drain as drains
 from amaranthring.core import fleet
 from amaranthring.core import hashing
 from amaranthring.core import parts
@@ -45,6 +47,8 @@
         Coroutine that returns the status of the group of keepers.
     change_keepers : callable
         Coroutine of whether to add, and of a ``conventions.KeeperModel``.
+    drain : drain.Drain
+        Requests in progress, so that a router that stops ends them first.
     """
 
     tokens: dict[str, str]
@@ -56,6 +60,7 @@
     explain: t.Callable[[str], t.Awaitable[t.Any]] | None = None
     keepers: t.Callable[[], t.Awaitable[t.Any]] | None = None
     change_keepers: t.Callable[[bool, t.Any], t.Awaitable[t.Any]] | None = None
+    drain: drains.Drain = dataclasses.field(default_factory=drains.Drain)
 
 
 class Handler(tornado.web.RequestHandler):
@@ -64,6 +69,12 @@
     def initialize(self, operators: Operators) -> None:
         """Take over what the composition root gathered."""
         self.operators = operators
+        self.operators.drain.enter()
+
+    def on_finish(self) -> None:
+        """Count the request out once its answer is sent."""
+        stream = getattr(self.request.connection, "stream", None)
+        connections.when_sent(stream, self.operators.drain.leave)
 
     def prepare(self) -> None:
         """Refuse whoever holds no operator's token."""
--- a/amaranthring/plan_keeper.py
+++ b/amaranthring/plan_keeper.py
@@ -21,6 +21,8 @@
 
 log = logbook.Logger(__name__)
 
+# A change is confirmed within one round of the keepers, or not soon.
+CALLS_SECONDS = 0.5
 HTTP_MODULE = "amaranthring.core.endpoints"
 
 
@@ -54,6 +56,7 @@
         self.keeper = keepers.PlanKeeper(place, keys, self.metrics)
         self.load_answers = load_answers
         self.listening: asyncio.Task | None = None
+        self.answering: t.Any = None
 
     def start(self) -> asyncio.Task:
         """Take part; return the task that listens to targets and operators.
@@ -66,7 +69,8 @@
 
     async def _listen(self) -> None:
         endpoints, answers = await asyncio.to_thread(self._load)
-        endpoints.serve(self.control, answers(self.keeper.hub))
+        answer = answers(self.keeper.hub)
+        self.answering = endpoints.serve(self.control, answer)
         endpoints.serve(self.metrics_address, endpoints.figures(self.metrics))
         logs.event(log, "keeper.listening", address=self.control)
 
@@ -78,6 +82,12 @@
         self.keeper.use_seeds(addresses)
 
     async def stop(self) -> None:
-        """Step down and close."""
+        """End the calls in progress, step down and close.
+
+        A call whose answer is lost leaves an operator in doubt whether the
+        change holds.
+        """
         self.listening.cancel()
+        if self.answering is not None:
+            await self.answering.close(CALLS_SECONDS)
         await self.keeper.stop()
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -39,7 +39,6 @@
 # The balancer asks every second and takes a router out after two misses; it
 # may open connections until then.
 ROTATION_SECONDS = 2.5
-CLOSE_IDLE_SECONDS = 0.1
 # How long a router that starts waits for what the others do and know. It is
 # there 50 ms after the first link to a keeper; without, prompts would go
 # where they have to be read again.
@@ -48,8 +47,11 @@
 # most times, and with all routers' together half of what a target accepts.
 KEPT_MOST = 8
 KEPT_SHARE = 0.5
-# Kept of the time before the process is killed, to end in good order.
+# Kept of the time before the process is killed, to end in good order; the
+# listener's end takes a quarter of it.
 END_SECONDS = 0.4
+# Kept for what is still to be sent once nobody comes any more.
+LAST_SECONDS = 0.1
 FORGET_EVERY_SECONDS = 5.0
 
 
@@ -210,17 +212,19 @@
             self.placer.forget_gone()
 
     async def stop(self) -> None:
-        """End in good order: no new callers, then all requests ended."""
-        ends_at = time.monotonic() + self.place.grace - END_SECONDS
+        """End in good order: no new callers, then all requests ended.
+
+        Callers whom the balancer still sends are served until the end, or
+        refused once they may take longer.
+        """
+        killed_at = time.monotonic() + self.place.grace
         self.stopping = True
         self.front.closing = True
         await asyncio.sleep(ROTATION_SECONDS)
-        self.front.ends_at = ends_at
-        while time.monotonic() < ends_at:
-            self.front.close_idle()
-            if not self.front.running and not self.front.waiting:
-                break
-            await asyncio.sleep(CLOSE_IDLE_SECONDS)
+        self.front.ends_at = killed_at - END_SECONDS
+        await self.front.end_requests(killed_at - END_SECONDS)
+        await self.front.listener.close()
+        await self.front.end_requests(killed_at - LAST_SECONDS)
         if self.front.running:
             logs.event(log, "router.cut-off", running=self.front.running)
         self.subscriber.stop()
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -6,12 +6,16 @@
 import time
 import typing as t
 
+import logbook
+
 from amaranthring import errors
 from amaranthring import settings as settings_module
-from amaranthring.callers import drain as drains
 from amaranthring.callers import way
 from amaranthring.core import decisions
+from amaranthring.core import drain as drains
 from amaranthring.core import links
+from amaranthring.core import listeners
+from amaranthring.core import logs
 from amaranthring.core import metrics
 from amaranthring.core import records
 from amaranthring.keepers import client as keeper_client
@@ -44,6 +48,11 @@
 QUARANTINE_SECONDS = 24 * 3600.0
 REVISION_FILE = "revision"
 EXPLAINED_CANDIDATES = 8
+# Callers who keep a connection open without using it read in this time that
+# it has closed.
+END_SECONDS = 2.0
+
+log = logbook.Logger(__name__)
 
 
 class Router:
@@ -54,7 +63,9 @@
     needs : way.Needs
         What the request's way was given.
     drain : drain.Drain
-        Requests in progress.
+        Requests of callers in progress.
+    operated : drain.Drain
+        Requests of operators in progress.
     stopping : bool
         Whether the health check fails for a shutdown.
     """
@@ -68,6 +79,7 @@
         self.metrics = metrics.Metrics()
         self.ring = decisions.Decisions()
         self.drain = drains.Drain()
+        self.operated = drains.Drain()
         self.stopping = False
         self.tasks: list[asyncio.Task] = []
         section = settings.fleet
@@ -326,6 +338,7 @@
             explain=self.explaining.explain,
             keepers=self._keepers_status,
             change_keepers=self._change_keepers,
+            drain=self.operated,
         )
 
     def _target_rows(self) -> list[dict[str, t.Any]]:
@@ -392,22 +405,32 @@
             runs.append(sender.run)
         self.tasks = [asyncio.ensure_future(run()) for run in runs]
 
-    async def shut_down(self, listener) -> None:
+    async def shut_down(
+        self, callers: listeners.Listener, internal: listeners.Listener
+    ) -> None:
         """End gracefully: no request in progress is cut off.
 
         The health check fails first, so that the balancer leaves this
-        router out; then owners and shards move to other routers; then what
-        runs ends; then the process may.
+        router out; those whom a late balancer still sends are served. Then
+        owners and shards move to other routers; then what runs ends; then
+        the process may.
         """
         self.stopping = True
         bounds = self.settings.callers
-        await asyncio.sleep(bounds.health_grace_seconds)
-        listener.stop()
+        quiet = await self.drain.wait_quiet(
+            bounds.health_grace_seconds, bounds.leave_seconds
+        )
+        running = self.drain.running
+        logs.event(log, "router.leaving", quiet=quiet, running=running)
+        await callers.close()
         self.drain.close()
         self.mesh.leave()
         self.owners.hand_over()
         self.directory.hand_over()
         await self.drain.wait_idle(bounds.shutdown_seconds)
+        await callers.server.waiting.end(END_SECONDS)
+        await internal.close()
+        await self.operated.wait_idle(operators_base.COMMAND_SECONDS)
         self.needs.settlements.stop()
         await self._stop_parts()
 
--- a/amaranthring/settings/models.py
+++ b/amaranthring/settings/models.py
@@ -126,11 +126,16 @@
     )
     health_grace_seconds: float = described(
         1.0,
-        "Time between the failing health check and the closing of the "
-        "listener.",
+        "Time without a new request, after the health check has begun to "
+        "fail, until the listener closes.",
         ge=0,
         le=60,
     )
+    leave_seconds: Seconds = described(
+        10.0,
+        "Time at most in which a stopping router still serves callers who "
+        "come although its health check fails.",
+    )
 
 
 class StatsdSection(Section):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -561,7 +561,7 @@
 
         def read_then_close():
             found = original()
-            asyncio.get_running_loop().call_soon(self.router.front.close_idle)
+            asyncio.get_running_loop().call_soon(stream.close)
             return found
 
         stream._read_to_buffer = read_then_close
