Start keepers for tests in one place; tell apart two messages named alike

What a keeper's group needs in a test stood four times. PlanHeld named both the version in force and a router's word that it has taken a plan; the second is PlanTaken, its tag on the wire unchanged. A router's links to keepers are gathered in one place. No behaviour changes; checks are as they were.

--- a/amaranthring/registry/fetching.py
+++ b/amaranthring/registry/fetching.py
@@ -137,7 +137,7 @@
     def _tell_others(self) -> None:
         for link in self._asked:
             try:
-                link.send(messages.PlanHeld(self.held()))
+                link.send(messages.PlanTaken(self.held()))
             except errors.LinkError:
                 # Then nothing comes from there in any case.
                 continue
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -89,7 +89,7 @@
         group.on_leader.append(self._leads)
         handlers.add(messages.Renew, self._on_renew)
         handlers.add(messages.FetchPlan, self._on_fetch)
-        handlers.add(messages.PlanHeld, self._on_held)
+        handlers.add(messages.PlanTaken, self._on_held)
         handlers.add(messages.Targets, self._on_targets)
         handlers.add(messages.AllTargets, self._on_all_targets)
         handlers.add(messages.Heard, self._on_heard)
@@ -358,7 +358,7 @@
             return await self._read_here(ANSWER_SECONDS)
         return await self.bodies.send(message.held, link)
 
-    def _on_held(self, link: links.Link, message: messages.PlanHeld) -> None:
+    def _on_held(self, link: links.Link, message: messages.PlanTaken) -> None:
         self.bodies.note_held(link, message.version)
 
 
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -206,7 +206,7 @@
 
 
 @wire.message("registry-plan-held")
-class PlanHeld:
+class PlanTaken:
     """A router holds `version` now and wants it from no other keeper."""
 
     version: int
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -117,11 +117,7 @@
         so keepers share the work evenly and only the routers of one that is
         lost have to choose again.
         """
-        linked = {
-            address: dialler.link
-            for address, dialler in self.diallers.items()
-            if dialler.link is not None
-        }
+        linked = self._linked()
         here = self.identity.data_centre
         near = [a for a, k in linked.items() if k.peer.data_centre == here]
         chosen = hashing.first(self.identity.name, near or linked)
@@ -129,8 +125,15 @@
 
     def linked(self) -> list[links.Link]:
         """Return the links to keepers that stand."""
-        found = [dialler.link for dialler in self.diallers.values()]
-        return [link for link in found if link is not None]
+        return list(self._linked().values())
+
+    def _linked(self) -> dict[str, links.Link]:
+        """Return the links to keepers that stand, by address."""
+        return {
+            address: dialler.link
+            for address, dialler in self.diallers.items()
+            if dialler.link is not None
+        }
 
     def is_fresh(self, seconds: float) -> bool:
         """Return whether the plan was the newest `seconds` ago or later."""
@@ -241,10 +244,8 @@
             await self._renew(address, link)
 
     def _address_of(self, link: links.Link) -> str | None:
-        for address, dialler in self.diallers.items():
-            if dialler.link is link:
-                return address
-        return None
+        known = {one: address for address, one in self._linked().items()}
+        return known.get(link)
 
     def _take(self, plan: messages.PlanBody) -> None:
         if plan.base >= 0 and plan.base != self._base():
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -1,27 +1,20 @@
 """Elections among keepers that all campaign at the same moment."""
 
 import asyncio
-import tempfile
-import unittest
 from unittest import mock
 
 from amaranthring.keepers import election
 from amaranthring.keepers import messages
 from amaranthring.keepers import roles
-from amaranthring.testing import plan_keepers
+from tests import keepers_case
 
 
-class TestCandidates(unittest.IsolatedAsyncioTestCase):
+class TestCandidates(keepers_case.KeepersCase):
     """Keepers that have all lost their power and start together."""
 
     async def asyncSetUp(self):
-        asyncio.get_running_loop().set_debug(False)
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.keepers = plan_keepers.PlanKeepers(folder.name)
-        self.addAsyncCleanup(self.keepers.stop_all)
-        self.keepers.start_all()
-        leader = await plan_keepers.until(self.keepers.leader)
+        await super().asyncSetUp()
+        leader = self.leader
         await self.keepers.put(1, b"one")
         others = [k for k in self.keepers.running.values() if k is not leader]
         self.group, self.other = others[0].group, others[1].group
--- a/tests/test_keeper_start.py
+++ b/tests/test_keeper_start.py
@@ -4,7 +4,6 @@
 import collections
 import json
 import os
-import tempfile
 import time
 import types
 import unittest
@@ -21,6 +20,7 @@
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
 from amaranthring.testing import plan_keepers
+from tests import keepers_case
 
 LINK_RATE = 0.75e6  # bytes a second: 6 Mbit/s
 ROUTERS = 84
@@ -222,7 +222,7 @@
         self.assertGreater(told[tag], 0)
 
 
-class TestLaggingKeeper(unittest.IsolatedAsyncioTestCase):
+class TestLaggingKeeper(keepers_case.KeepersCase):
     """A keeper comes back and lacks several large plans.
 
     The leader sent it all of them at once, and its heartbeats to the voters
@@ -231,15 +231,7 @@
     its link in half a second.
     """
 
-    async def asyncSetUp(self):
-        asyncio.get_running_loop().set_debug(False)
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.keepers = plan_keepers.PlanKeepers(folder.name)
-        self.keepers.snapshot_entries = self.keepers.kept_entries = 100
-        self.addAsyncCleanup(self.keepers.stop_all)
-        self.keepers.start_all()
-        self.leader = await plan_keepers.until(self.keepers.leader)
+    snapshot_entries = 100
 
     async def test_heartbeats_do_not_wait_for_what_it_lacks(self):
         lost = next(a for a in self.keepers.seeds if a != self.address())
@@ -257,7 +249,7 @@
         return self.leader.place.address
 
 
-class TestChangesInQuickSuccession(unittest.IsolatedAsyncioTestCase):
+class TestChangesInQuickSuccession(keepers_case.KeepersCase):
     """An operator changes one route of 1,400 after the other.
 
     A change in a calm time was acknowledged after 2.8 s, and leaders lost
@@ -268,13 +260,7 @@
     """
 
     async def asyncSetUp(self):
-        asyncio.get_running_loop().set_debug(False)
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.keepers = plan_keepers.PlanKeepers(folder.name)
-        self.addAsyncCleanup(self.keepers.stop_all)
-        self.keepers.start_all()
-        self.leader = await plan_keepers.until(self.keepers.leader)
+        await super().asyncSetUp()
         self.routes = [[os.urandom(6).hex(), 500] for _ in range(1400)]
 
     def document(self, version):
@@ -366,7 +352,7 @@
             await asyncio.sleep(0.02)
         fetcher.stop()
         self.assertEqual([7], held)
-        told = [messages.PlanHeld(7)]
+        told = [messages.PlanTaken(7)]
         self.assertEqual([told, [], told], [link.sent for link in asked])
 
 
--- a/tests/test_plan_keepers.py
+++ b/tests/test_plan_keepers.py
@@ -17,20 +17,11 @@
 from amaranthring.registry import messages
 from amaranthring.registry import subscriber
 from amaranthring.testing import plan_keepers
+from tests import keepers_case
 
 
-class KeepersCase(unittest.IsolatedAsyncioTestCase):
-    """Base: three keepers that have begun a group."""
-
-    async def asyncSetUp(self):
-        # The debug mode of this test case makes calls ten times as slow.
-        asyncio.get_running_loop().set_debug(False)
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.keepers = plan_keepers.PlanKeepers(folder.name)
-        self.addAsyncCleanup(self.keepers.stop_all)
-        self.keepers.start_all()
-        await plan_keepers.until(self.keepers.leader)
+class KeepersCase(keepers_case.KeepersCase):
+    """Three keepers, with routers that follow them."""
 
     def follower(self, name="router-1"):
         taken = []
