--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -50,8 +50,8 @@
 # Kept of the time before the process is killed, to end in good order; the
 # listener's end takes a quarter of it.
 END_SECONDS = 0.4
-# Kept for what is still to be sent once nobody comes any more.
-LAST_SECONDS = 0.1
+# Kept of that for the end of the process itself, on half of a core.
+LAST_SECONDS = 0.2
 FORGET_EVERY_SECONDS = 5.0
 
 
