--- a/amaranthring/callers/handlers.py
+++ b/amaranthring/callers/handlers.py
@@ -198,8 +198,8 @@
             self.body_timer.cancel()
         if self.entered and self.work is None:
             self.entered = False
-            stream = getattr(self.request.connection, "stream", None)
-            connections.when_sent(stream, self.needs.drain.leave)
+            connection = self.request.connection
+            connections.when_sent(connection, self.needs.drain.leave)
 
     def on_connection_close(self):
         """Cancel the work of a caller that left.
--- a/amaranthring/core/connections.py
+++ b/amaranthring/core/connections.py
@@ -51,13 +51,23 @@
             if since <= longest and not _has_input(stream):
                 stream.close()
 
-    async def end(self, seconds: float) -> None:
-        """Close them as they get idle, until none is left or `seconds`."""
-        ends_at = time.monotonic() + seconds
-        self.close_idle()
-        while self.since and time.monotonic() < ends_at:
-            await asyncio.sleep(LOOK_SECONDS)
+    async def end(
+        self, until: float, running: t.Callable[[], int] = lambda: 0
+    ) -> None:
+        """Close them as they get idle, until none has a request.
+
+        Parameters
+        ----------
+        until : float
+            Monotonic seconds after which what is left is left.
+        running : callable
+            Returns how many requests are in progress.
+        """
+        while time.monotonic() < until:
             self.close_idle()
+            if not self.since and not running():
+                return
+            await asyncio.sleep(LOOK_SECONDS)
 
 
 def _has_input(stream) -> bool:
@@ -75,12 +85,18 @@
         return False
 
 
-def when_sent(stream, call: t.Callable[[], None]) -> None:
-    """Call `call` once all that was written to `stream` has left it.
+def when_sent(connection: t.Any, call: t.Callable[[], None]) -> None:
+    """Call `call` once all that was written to a caller has been sent.
 
     At once if nothing waits to be sent; also when the connection breaks. An
     answer in the process's own buffer is lost with the process.
+
+    Parameters
+    ----------
+    connection : tornado.httputil.HTTPConnection
+        The caller's.
     """
+    stream = getattr(connection, "stream", None)
     if stream is None or not stream.writing():
         call()
         return
--- a/amaranthring/core/endpoints.py
+++ b/amaranthring/core/endpoints.py
@@ -119,8 +119,7 @@
         try:
             await self._write(await self._result())
         finally:
-            stream = getattr(self.connection, "stream", None)
-            connections.when_sent(stream, self.drain.leave)
+            connections.when_sent(self.connection, self.drain.leave)
 
     async def _result(self) -> Result:
         try:
--- a/amaranthring/forwarding/front.py
+++ b/amaranthring/forwarding/front.py
@@ -100,11 +100,7 @@
         until : float
             Monotonic seconds after which what still runs is left.
         """
-        while time.monotonic() < until:
-            self.waiting.close_idle()
-            if not self.running and not self.waiting:
-                return
-            await asyncio.sleep(connections.LOOK_SECONDS)
+        await self.waiting.end(until, lambda: self.running)
 
     def check_time(self, incoming: records.Incoming) -> None:
         """Check that a request can end before this process does.
@@ -211,5 +207,6 @@
             log.exception("request.failed")
             self.reply.break_off()
         finally:
-            stream = getattr(self.connection, "stream", None)
-            connections.when_sent(stream, lambda: self.front.count(-1))
+            connections.when_sent(
+                self.connection, lambda: self.front.count(-1)
+            )
--- a/amaranthring/operators/base.py
+++ b/amaranthring/operators/base.py
@@ -73,8 +73,8 @@
 
     def on_finish(self) -> None:
         """Count the request out once its answer is sent."""
-        stream = getattr(self.request.connection, "stream", None)
-        connections.when_sent(stream, self.operators.drain.leave)
+        leave = self.operators.drain.leave
+        connections.when_sent(self.request.connection, leave)
 
     def prepare(self) -> None:
         """Refuse whoever holds no operator's token."""
