--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -48,10 +48,10 @@
 KEPT_MOST = 8
 KEPT_SHARE = 0.5
 # Kept of the time before the process is killed, to end in good order; the
-# listener's end takes a quarter of it.
-END_SECONDS = 0.4
+# listener's end takes a fifth of it.
+END_SECONDS = 0.5
 # Kept of that for the end of the process itself, on half of a core.
-LAST_SECONDS = 0.2
+LAST_SECONDS = 0.4
 FORGET_EVERY_SECONDS = 5.0
 
 
