--- a/amaranthring/core/listeners.py
+++ b/amaranthring/core/listeners.py
@@ -16,7 +16,7 @@
 log = logbook.Logger(__name__)
 
 # A connection whose first packet came before new ones are ignored is there
-# after one more way to the peer and back; across regions that is 0.05 s.
+# after one more way to the peer and back, also across regions.
 SETTLE_SECONDS = 0.1
 
 # ``SO_ATTACH_FILTER`` of Linux, which Python has no name for.
@@ -43,6 +43,8 @@
     ----------
     server : tornado.tcpserver.TCPServer
         Already serving on `sockets`.
+    sockets : list of socket.socket
+        Listening; closed with the server.
     """
 
     server: tornado.tcpserver.TCPServer
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -29,13 +29,11 @@
 # whole day of such trouble.
 KEPT_SECONDS = 45.0
 PLACES_MOST = 20_000
-# Pairs that one message brings, if as many wait: what the link has room for,
-# shared by all who wait. All pairs at once, 80 KB for a router that starts or
-# comes back after a cut, filled links of 6 Mbit/s when 14 did so together,
-# and the keepers' heartbeats came too late; with 2 or 3 routers a keeper all
-# pairs are there within 0.25 s of a start. At 100 a message that took 2.5 s,
-# in which 170,000 to 210,000 tokens were read again after a loss of power.
-# Compressed, a pair takes about as many bytes as its part's identifier.
+# Places share what the link has room for. All at once, to many routers that
+# start or come back after a cut together, they fill it, and the keepers'
+# heartbeats come too late; a few at a time, routers send prompts where they
+# are read again until they have heard of all. Compressed, a pair takes about
+# as many bytes as its part's identifier.
 PAIR_BYTES = 10
 # Where the link's room is not known.
 PLACES_A_MESSAGE = 100
