Show with tests that a router's own stall counts against its targets

A router that stands still for some tenths of a second while it connects, while it awaits the head of an answer, or until the end of a request's time, answers 503, 502 and 504 for a target that did its part in time: its timer runs in the step of the loop in which what came is read, and comes first.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -524,6 +524,65 @@
         await self.until(lambda: self.targets[0].left)
 
 
+class TestOwnStall(RouterCase):
+    """A router that stands still while a target does its part.
+
+    Beside other processes, or where its share of a core is used up, the
+    router is not scheduled for some tenths of a second. On waking, its timer
+    for the target is due in the same step of the loop in which what it waits
+    for has come, and runs first. The target counted as unreached or silent,
+    and its caller got 503 ``no-target`` or 502 for a target that was there.
+    """
+
+    def stall(self, seconds):
+        """Stand still in the next step of the loop."""
+        asyncio.get_running_loop().call_soon(time.sleep, seconds)
+
+    def stall_connecting(self, at):
+        """Let `at` run in the step in which a connection is begun."""
+        connect = asyncio.open_connection
+
+        async def stalled(*args, **more):
+            at(0.3)
+            return await connect(*args, **more)
+
+        patched = mock.patch("asyncio.open_connection", stalled)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    async def test_stall_before_it_connects(self):
+        await self.begin(scripted.whole())
+        self.stall_connecting(time.sleep)
+        self.assertEqual(200, (await self.ask("/a/x")).status)
+
+    async def test_stall_while_it_connects(self):
+        await self.begin(scripted.whole())
+        self.stall_connecting(self.stall)
+        self.assertEqual(200, (await self.ask("/a/x")).status)
+
+    async def test_stall_while_the_head_comes(self):
+        async def answers(seen, writer):
+            writer.write(scripted.head(seen, Content_Length="4"))
+            time.sleep(0.3)
+            await asyncio.sleep(0.05)
+            writer.write(b"good")
+
+        await self.begin(answers)
+        got = await self.ask("/a/x")
+        self.assertEqual((200, b"good"), (got.status, got.body))
+
+    async def test_stall_at_the_deadline(self):
+        """The time of a request ends while its answer lies unread."""
+
+        async def answers(seen, writer):
+            writer.write(scripted.head(seen, Content_Length="4") + b"good")
+            time.sleep(0.5)
+
+        await self.begin(answers)
+        got = await self.ask("/b/x", "POST", Test_Patience="0.3")
+        self.assertEqual((200, b"good"), (got.status, got.body))
+
+
 class TestPlannedStop(RouterCase):
     """What callers see while a router is being stopped."""
 
