Leave a router's own stalls out of the time that a target has

Callers got 503 no-target, 502 or 504 for a target that had done its part. Cause: a router that isn't scheduled for 0.15 s or more finds its timer due in the step of the loop in which what it waits for has come, and the timer runs first. Connecting, awaiting a head and the deadline of a request all did so.

Why it holds: connecting is bounded by time in which the process ran, counted in steps of which a late one counts as none, ten at most; the other two find themselves late and read what came before they judge. A process that stalls all the time, and a target that stays silent, still come to an end.

--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -8,6 +8,7 @@
 
 from amaranthring import errors
 from amaranthring.core import metrics as metrics_module
+from amaranthring.core import timeouts
 from amaranthring.forwarding import attempts
 from amaranthring.forwarding import events
 from amaranthring.forwarding import outcomes
@@ -101,7 +102,9 @@
         try:
             await self.start.await_plan(incoming)
             passage = self.enter(incoming)
-            async with asyncio.timeout_at(self._loop_time(passage.deadline)):
+            # An answer that is there when this process wakes from a stall
+            # is delivered, also after the deadline.
+            async with timeouts.until(self._loop_time(passage.deadline)):
                 await self._attempt_all(passage, reply)
         except TimeoutError:
             fault = errors.UpstreamTimeoutError(
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -19,6 +19,7 @@
 
 from amaranthring import errors
 from amaranthring.core import records
+from amaranthring.core import timeouts
 from amaranthring.targets import chunks
 
 READ_BYTES = 64 * 1024
@@ -101,6 +102,8 @@
         self._allowed = connect_seconds
         self.last = time.monotonic()
         self._timer: asyncio.TimerHandle | None = None
+        self._due = 0.0
+        self._may_look_again = False
 
     def allow(self, seconds: float) -> None:
         """Give the target `seconds` from now, until the next :meth:`came`."""
@@ -108,6 +111,7 @@
         self.last = time.monotonic()
         if self._timer:
             self._timer.cancel()
+        self._may_look_again = True
         self._arm(seconds)
 
     def came(self, now: float) -> None:
@@ -230,7 +234,9 @@
             If it cannot be reached in time; no byte left.
         """
         host, _, port = self.target.address.rpartition(":")
-        async with asyncio.timeout(self.connect_seconds):
+        # A stall of this process must not make a target count as unreached:
+        # its callers got 503 for a target that was there.
+        async with timeouts.running(self.connect_seconds):
             self.reader, self.writer = await asyncio.open_connection(
                 host.strip("[]"), int(port), limit=READ_BYTES
             )
@@ -355,7 +361,8 @@
 
     def _arm(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, self._look)
+        self._due = loop.time() + seconds
+        self._timer = loop.call_at(self._due, self._look)
 
     def _look(self) -> None:
         now = time.monotonic()
@@ -363,6 +370,12 @@
             # The caller reads slowly; the target is not at fault.
             self.last = now
         left = self.last + self._allowed - now
+        if left <= 0 and self._may_look_again and timeouts.is_late(self._due):
+            # This process stood still. What the target sent meanwhile is
+            # read after this step of the loop; broken off now, the target
+            # would count as silent with its answer in the socket.
+            self._may_look_again = False
+            left = timeouts.READ_SECONDS
         if left > 0:
             self._arm(left)
             return
@@ -415,7 +428,7 @@
         exchange.close()
         return False
     try:
-        async with asyncio.timeout(KEPT_SECONDS):
+        async with timeouts.running(KEPT_SECONDS):
             return bool(await exchange.reader.read(1))
     except TimeoutError:
         return True
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -532,9 +532,14 @@
     for the target is due in the same step of the loop in which what it waits
     for has come, and runs first. The target counted as unreached or silent,
     and its caller got 503 ``no-target`` or 502 for a target that was there.
+    A process stopped in one of these steps for 0.2 s failed so always.
     """
 
     def stall(self, seconds):
+        """Stand still in this step of the loop."""
+        time.sleep(seconds)
+
+    def stall_next(self, seconds):
         """Stand still in the next step of the loop."""
         asyncio.get_running_loop().call_soon(time.sleep, seconds)
 
@@ -552,18 +557,18 @@
 
     async def test_stall_before_it_connects(self):
         await self.begin(scripted.whole())
-        self.stall_connecting(time.sleep)
+        self.stall_connecting(self.stall)
         self.assertEqual(200, (await self.ask("/a/x")).status)
 
     async def test_stall_while_it_connects(self):
         await self.begin(scripted.whole())
-        self.stall_connecting(self.stall)
+        self.stall_connecting(self.stall_next)
         self.assertEqual(200, (await self.ask("/a/x")).status)
 
     async def test_stall_while_the_head_comes(self):
         async def answers(seen, writer):
             writer.write(scripted.head(seen, Content_Length="4"))
-            time.sleep(0.3)
+            self.stall(0.3)
             await asyncio.sleep(0.05)
             writer.write(b"good")
 
@@ -576,7 +581,7 @@
 
         async def answers(seen, writer):
             writer.write(scripted.head(seen, Content_Length="4") + b"good")
-            time.sleep(0.5)
+            self.stall(0.5)
 
         await self.begin(answers)
         got = await self.ask("/b/x", "POST", Test_Patience="0.3")
