Let a router say that it leaves a keeper, and what it knows, to the next

Callers' prompts were read again after losses of power and in cuts on a site of 87 routers: routers heard late of the engines that had them. One cause of two: a router that turned to another keeper was told places by both, for 1.5 s, and by the next one all that there were. places.behind showed 145 routers at six keepers where there were 87.

Now the router tells the keeper that it leaves, in order on the same link, and the next one when it was last told all. It says so only of a keeper that hears all others, and by the report before the last, so that one that was frozen or behind claims too little, never too much.

--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -8,11 +8,13 @@
 import asyncio
 import collections
 import dataclasses
+import itertools
 import typing as t
 
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import clocks
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.core import pacing
@@ -42,6 +44,9 @@
 PLACES_LEAST = 30
 # A keeper that has said nothing for so long is cut off or gone.
 STALE_SECONDS = 1.5
+# What a router may lack although its keeper told it all: the other keepers'
+# last sums may be stale, and news take two messages from one to the router.
+NEWS_SECONDS = STALE_SECONDS + 2 * SHARE_SECONDS
 # Between two lines that say how far behind places are.
 LOG_SECONDS = 1.0
 
@@ -64,6 +69,9 @@
         Tokens that each target has yet to read for it.
     failing : list of str
         Targets that broke an answer off a short while ago.
+    told_all_ago : float
+        Seconds since it was last told all places that there were; negative
+        if it never was.
     """
 
     counts: dict[str, int]
@@ -71,6 +79,12 @@
     unreached: list[str] = dataclasses.field(default_factory=list)
     reading: dict[str, int] = dataclasses.field(default_factory=dict)
     failing: list[str] = dataclasses.field(default_factory=list)
+    told_all_ago: float = -1.0
+
+
+@wire.message("share-left")
+class Left:
+    """A router reports to another keeper from now on."""
 
 
 @wire.message("share-sums", compressed=True)
@@ -102,6 +116,11 @@
     read and in the places. Plain, the counts alone took the half of a
     keeper's link that places have to share with them, and routers heard of
     places seconds late or not at all.
+
+    Attributes
+    ----------
+    all_told : bool
+        Whether this router has now been told all places that there are.
     """
 
     counts: dict[str, int]
@@ -109,6 +128,7 @@
     unreached: dict[str, int] = dataclasses.field(default_factory=dict)
     reading: dict[str, int] = dataclasses.field(default_factory=dict)
     failing: dict[str, int] = dataclasses.field(default_factory=dict)
+    all_told: bool = False
 
 
 @dataclasses.dataclass
@@ -248,6 +268,7 @@
         self.known_at = 0.0
         self.logged_at = float("-inf")
         handlers.add(Report, self._on_report)
+        handlers.add(Left, self._on_left)
         handlers.add(Sums, self._on_sums)
 
     async def run(self) -> None:
@@ -302,13 +323,17 @@
         totals = Totals()
         for link, report in list(self.routers.items()):
             if link.closed or self._reports_elsewhere(link):
-                del self.routers[link]
-                del self.reported_at[link]
-                self.places.pop(link, None)
+                self._forget(link)
             else:
                 totals.add(report)
         return totals
 
+    def _forget(self, link: links.Link) -> None:
+        """Count a router no more, and tell it nothing more."""
+        if self.routers.pop(link, None) is not None:
+            del self.reported_at[link]
+            self.places.pop(link, None)
+
     def _reports_elsewhere(self, link: links.Link) -> bool:
         """Return whether the router has turned to another keeper.
 
@@ -334,11 +359,12 @@
     ) -> None:
         places = self._next(self.places, link, allowed)
         message = totals.without(report).message(Others, places)
-        try:
-            link.send(message)
-        except errors.LinkError:
-            # Counts are sent again soon; a place is told again while used.
-            return
+        message.all_told = link not in self.places and self._hears_all()
+        _send(link, message)
+
+    def _hears_all(self) -> bool:
+        """Return whether this keeper knows what every other one knows."""
+        return len(self.sums) >= len(list(self.peers()))
 
     def _next(
         self,
@@ -379,13 +405,34 @@
         self.reported_at[link] = self.clock()
         if is_new:
             # It takes no callers until it knows what the others do.
-            self.places[link] = Backlog(self.all_kept())
+            self.places[link] = Backlog(self._unknown_to(report))
             totals = self._own_totals()
             self._add_elsewhere(totals)
             self._tell(link, report, totals, self._allowed(self._room()))
         self.for_keepers += report.places
         self._pass_on(report.places, but=link)
 
+    def _on_left(self, link: links.Link, _left: Left) -> None:
+        # Until its report was stale, the router was told places here that it
+        # was also told by the next keeper, and others waited for the room.
+        self._forget(link)
+
+    def _unknown_to(self, report: Report) -> list[list[str]]:
+        """Return the pairs that a router may lack that reports here anew.
+
+        Most come from another keeper, and were told all but what is new. All
+        pairs again, to all routers beyond a cut at once, kept news waiting
+        for seconds.
+        """
+        if report.told_all_ago < 0:
+            return self.all_kept()
+        oldest = self.clock() - report.told_all_ago - NEWS_SECONDS
+        newest_first = reversed(self.kept.items())
+        fresh = itertools.takewhile(
+            lambda item: item[1] > oldest, newest_first
+        )
+        return [list(pair) for pair, _ in fresh][::-1]
+
     def _on_sums(self, link: links.Link, sums: Sums) -> None:
         self.sums[link.peer.name] = (self.clock(), sums)
         self._pass_on(sums.places, but=link)
@@ -437,6 +484,8 @@
         Returns what the others should know, each thing that is new once.
     on_others : callable
         Called with what the other routers said.
+    clock : callable
+        Seconds that go on while the VM is suspended.
 
     Attributes
     ----------
@@ -450,8 +499,15 @@
         home: t.Callable[[], links.Link | None],
         report: t.Callable[[], Report],
         on_others: t.Callable[[Others], None],
+        clock: t.Callable[[], float] = clocks.boottime,
     ):
         self.home = home
+        self.clock = clock
+        self.reported_to: links.Link | None = None
+        self.told_all_at: float | None = None
+        self.reported_at: collections.deque[float] = collections.deque(
+            maxlen=2
+        )
         self.make_report = report
         self.on_others = on_others
         self.heard = False
@@ -469,12 +525,34 @@
         link = self.home()
         if link is None:
             return
-        try:
-            link.send(self.make_report())
-        except errors.LinkError:
-            # The link's own task finds that out and dials again.
-            return
-
-    def _on_others(self, _link: links.Link, others: Others) -> None:
+        self._leave_for(link)
+        report = self.make_report()
+        now = self.clock()
+        if self.told_all_at is not None:
+            report.told_all_ago = now - self.told_all_at
+        self.reported_at.append(now)
+        _send(link, report)
+
+    def _leave_for(self, link: links.Link) -> None:
+        """Tell the keeper reported to before that it is `link`'s turn."""
+        before, self.reported_to = self.reported_to, link
+        if before not in (None, link):
+            _send(before, Left())
+
+    def _on_others(self, link: links.Link, others: Others) -> None:
         self.heard = True
+        if others.all_told and link is self.reported_to:
+            # A process that was frozen reads late what was sent to it
+            # before, perhaps after its next report; it knew no more then
+            # than when it made the one before that.
+            self.told_all_at = self.reported_at[0]
         self.on_others(others)
+
+
+def _send(link: links.Link, message: t.Any) -> None:
+    try:
+        link.send(message)
+    except errors.LinkError:
+        # The link's own task finds that out and dials again. Counts are sent
+        # again soon; a place is told again while it is used.
+        return
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -208,6 +208,125 @@
         self.assertEqual([], self.routers[1].sent[-1].places)
 
 
+class TestTurningAway(unittest.TestCase):
+    """A router that reports to one keeper after the other.
+
+    All routers come back after a loss of power, or a cut begins: they report
+    to the first keeper that they reach, and a moment later to that of their
+    data centre, or to one that is left. The first keeper went on telling
+    them places for 1.5 s, the next one began with all places anew.
+    ``places.behind`` of keepers showed up to 3,000 pairs waiting for each
+    router, half of them at keepers that it had turned away from; meanwhile
+    routers sent prompts where they were read again.
+    """
+
+    def setUp(self):
+        self.now = 100.0
+        self.keepers = [self.keeper(name) for name in ("one", "two")]
+        self.links = [FakeLink(name) for name in ("one", "two")]
+        self.home = 0
+        self.others = []
+        handlers = links.Handlers()
+        self.member = sharing.Member(
+            handlers,
+            lambda: self.links[self.home],
+            lambda: sharing.Report({"a": 1}, []),
+            self.others.append,
+            lambda: self.now,
+        )
+        self.on_others = handlers.by_class[sharing.Others]
+
+    def keeper(self, name):
+        handlers = links.Handlers()
+        made = sharing.Exchange(
+            handlers, lambda: self.diallers(name), lambda: self.now
+        )
+        made.handlers = handlers
+        return made
+
+    def diallers(self, name):
+        if name == "one":
+            return [FakeDialler("one", lambda: self.keepers[1])]
+        return [FakeDialler("two", lambda: self.keepers[0])]
+
+    def turn(self, home=None):
+        """Let the router report, and the keepers hear it and answer."""
+        if home is not None:
+            self.home = home
+        self.member.report()
+        for number, link in enumerate(self.links):
+            # What the router sent comes on the keeper's end of the link.
+            said, link.sent = link.sent, []
+            for message in said:
+                handlers = self.keepers[number].handlers
+                handlers.by_class[type(message)](link, message)
+        for keeper in self.keepers:
+            keeper.step()
+        self.now += sharing.SHARE_SECONDS
+        return self.hear()
+
+    def hear(self):
+        """Return the pairs that the router was told, by keeper."""
+        heard = []
+        for link in self.links:
+            said, link.sent = link.sent, []
+            for message in said:
+                self.on_others(link, message)
+            heard.append([pair for one in said for pair in one.places])
+        return heard
+
+    def keep(self, names):
+        for keeper in self.keepers:
+            keeper.keep([[name, "a"] for name in names])
+
+    def test_keeper_that_it_left_tells_it_nothing_more(self):
+        self.keep([f"p{n}" for n in range(10 * sharing.PLACES_A_MESSAGE)])
+        self.turn()
+        [left, right] = self.turn(home=1)
+        self.assertEqual([], left)
+        self.assertNotEqual([], right)
+        self.assertNotIn(self.links[0], self.keepers[0].routers)
+
+    def test_router_that_knows_all_is_told_only_what_is_new(self):
+        self.keep(["old"])
+        for _ in range(3):
+            self.turn()
+        self.now += 5.0
+        for _ in range(3):
+            self.turn()
+        self.keep(["new"])
+        [_, right] = self.turn(home=1)
+        self.assertEqual([["new", "a"]], right)
+
+    def test_router_that_was_behind_is_told_all(self):
+        self.keep([f"p{n}" for n in range(10 * sharing.PLACES_A_MESSAGE)])
+        self.turn()
+        heard = []
+        for _ in range(12):
+            heard += self.turn(home=1)[1]
+        self.assertEqual(10 * sharing.PLACES_A_MESSAGE, len(heard))
+
+    def test_keeper_that_hears_no_other_says_not_that_it_told_all(self):
+        """A router reports to a keeper that is cut off from the others.
+
+        What they learned meanwhile must come whole when it turns to them.
+        """
+        self.diallers = lambda name: [FakeDialler(name, self.lost)]
+        self.keep(["old"])
+        for _ in range(8):
+            self.turn()
+        self.keepers[1].keep([["unheard", "a"]])
+        self.now += 5.0
+        for _ in range(8):
+            self.turn()
+        [_, right] = self.turn(home=1)
+        self.assertEqual([["old", "a"], ["unheard", "a"]], sorted(right))
+
+    def lost(self):
+        """Return a keeper to which all that is sent is lost."""
+        return self.keeper("lost")
+
+
 class CountedLink(FakeLink):
     """Counts the bytes that a router or keeper is sent."""
 
