--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -54,6 +54,16 @@
         self.fleet.start_target(kind, name, *options)
         self.targets.append(name)
 
+    async def keep_chatting(self, max_tokens):
+        """Let eight callers chat until `chatting` is false."""
+        self.chatting = True
+
+        async def one():
+            while self.chatting:
+                await self.callers.chat(turns=2, max_tokens=max_tokens)
+
+        await load.together(*[one() for _ in range(8)])
+
     def ran(self, kind):
         """Return the records of every run of the stand-ins of a kind."""
         found = []
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -29,7 +29,7 @@
         changes nothing.
         """
         balancer = asyncio.ensure_future(self.callers.balance())
-        chats = asyncio.ensure_future(self.keep_chatting())
+        chats = asyncio.ensure_future(self.keep_chatting(max_tokens=20))
         codes = []
         for name in self.names:
             process = self.fleet.processes.pop(name)
@@ -47,15 +47,6 @@
         self.assertEqual((self.tally.cut, self.tally.wrong), (0, 0))
         self.assertGreater(self.tally.whole, 100)
 
-    async def keep_chatting(self):
-        self.chatting = True
-
-        async def one():
-            while self.chatting:
-                await self.callers.chat(turns=2, max_tokens=20)
-
-        await load.together(*[one() for _ in range(8)])
-
 
 class TestBookingsUnderFailure(fleet_case.FleetCase):
     """Routers and keepers die and freeze while callers book."""
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -14,7 +14,6 @@
 from amaranthring import settings
 from amaranthring.core import links
 from amaranthring.core import signals
-from amaranthring.testing import load
 from amaranthring.testing import local
 from amaranthring.testing import local_fleet
 from amaranthring.testing import needs
@@ -308,7 +307,7 @@
         opened a connection in that step lost it with their request sent,
         later ones were refused.
         """
-        chats = asyncio.ensure_future(self.keep_chatting())
+        chats = asyncio.ensure_future(self.keep_chatting(max_tokens=10))
         name = self.names[0]
         process = self.fleet.processes.pop(name)
         process.signal(signal.SIGTERM)
@@ -321,12 +320,3 @@
         self.assertEqual(self.tally.refused, {})
         self.assertEqual((self.tally.cut, self.tally.wrong), (0, 0))
         self.assertGreater(self.tally.whole, 50)
-
-    async def keep_chatting(self):
-        self.chatting = True
-
-        async def one():
-            while self.chatting:
-                await self.callers.chat(turns=2, max_tokens=10)
-
-        await load.together(*[one() for _ in range(8)])
