--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -31,9 +31,9 @@
 # a half a leader has lost its quorum.
 SLOW_HEARTBEATS = 2
 # A peer that cannot take a snapshot, since its disk is full or failed, is sent
-# none for so long. Sent again at once, one of 100 KB took half of a leader's
-# 6 Mbit/s; its heartbeats and the routers' plans waited behind, and it lost
-# its quorum in the middle of a calm time. A disk that works again is some
+# none for so long. Sent again at once, snapshots would fill a thin link;
+# heartbeats and the routers' plans would wait behind, and the leader lose its
+# quorum in the middle of a calm time. A disk that works again is some
 # seconds behind in any case.
 REFUSED_SECONDS = 1.5
 
@@ -165,8 +165,8 @@
     """Return how many bytes of entries may go to `peer` now.
 
     What is committed already decides nothing, and goes as the link has room.
-    A leader that sent two keepers with new disks 500 KB of it at once lost
-    its quorum, as its heartbeats to the voters waited behind.
+    A leader that sends it to keepers with new disks at once loses its quorum,
+    as its heartbeats to the voters wait behind.
     """
     if not _lags(group, peer):
         return BATCH_BYTES
--- a/amaranthring/registry/bodies.py
+++ b/amaranthring/registry/bodies.py
@@ -21,8 +21,8 @@
     machine : plans.PlanMachine
         Holds the newest plan.
     pacer : pacing.Pacer
-        Of the link that plans share with heartbeats: after a cut had
-        healed, 84 routers fetching at once cost a group its leader for 15 s.
+        Of the link that plans share with heartbeats: all routers that
+        fetch at once after a cut would cost the group its leader.
     """
 
     def __init__(self, machine: plans.PlanMachine, pacer: pacing.Pacer):
@@ -66,8 +66,8 @@
             As in :class:`messages.FetchPlan`.
         router : links.Link, optional
             Who asks. Nothing is sent if it says before its turn comes that
-            it holds the plan: of 87 routers that had lost their plan, most
-            asked two to four keepers, and those sent it 300 times in 6 s.
+            it holds the plan: routers that have lost theirs ask several
+            keepers, and all would send it.
         """
         await self.pacer.turn()
         # A newer one may have come meanwhile.
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -98,9 +98,8 @@
     Attributes
     ----------
     packed : bytes
-        A :class:`Targets`, encoded and compressed: records are alike, and 50
-        of them take 1 KB instead of 7. 84 routers that come back at once get
-        them from every keeper.
+        A :class:`Targets`, encoded and compressed: records are alike, and
+        all routers that come back at once get them from every keeper.
     """
 
     packed: bytes
--- a/amaranthring/registry/news.py
+++ b/amaranthring/registry/news.py
@@ -18,9 +18,9 @@
     """The latest record of each target that routers have not been told.
 
     Records wait while the link has no room and then go together: a keeper
-    that had lost its disk told 84 routers of 60 targets one by one, 1.2 MB,
-    where all of them fit into 1 KB a router. Routers that have just linked
-    wait for the whole table in turn: 370 of them and 630 targets make 3 MB.
+    that has lost its disk would tell all routers of each target one by one,
+    many times the bytes of the compressed table. Routers that have just
+    linked wait for the whole table in turn.
 
     Parameters
     ----------
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -221,9 +221,8 @@
     def _on_notice(self, link: links.Link, notice: messages.PlanNotice):
         self.fetcher.offer(link, notice.version)
         # Who does not lead confirms nothing, and one question at a time is
-        # enough: each router asking six keepers ten times in half a second
-        # made 100 KB of answers, before which a new leader's first append
-        # waited.
+        # enough: the answers to all routers that ask all keepers for each
+        # notice would delay a new leader's first append.
         if not notice.leads or self.is_fresh(UNCONFIRMED_SECONDS):
             return
         address = self._address_of(link)
