Tell routers first of the parts of long beginnings

Callers' prompts were read again after losses of power on a site of 87 routers. Cause, beside what was mended before: a router that starts, or is behind, was told the newest places first, and by then the link had no room for the rest for seconds.

Now routers say how long a beginning is that a part is in, keepers keep that with the place, also over a loss of power, and a backlog gives what is longest first, by powers of two. A part is found only behind those before it, so it is as urgent as the longest beginning that it is in.

What a backlog holds, and the router's part in sharing, have modules of their own now.

--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -369,12 +369,14 @@
 
     def report(self) -> sharing.Report:
         """Return what the other routers should know."""
+        tokens = self.prompts.tokens
         return sharing.Report(
             self.counts(),
             [list(pair) for pair in self.prompts.take_news()],
             self.unreached(),
             self.readings(),
             self.failing(),
+            tokens=tokens,
         )
 
     def failing(self) -> list[str]:
--- a/amaranthring/forwarding/prompts.py
+++ b/amaranthring/forwarding/prompts.py
@@ -54,11 +54,15 @@
     ----------
     news : list of tuple of str
         Pairs of part and target that the other routers should hear of.
+    tokens : dict of str to int
+        For each part in `news` the tokens of the longest beginning of a
+        prompt that it is in: no part is found without those before it.
     """
 
     def __init__(self, clock: t.Callable[[], float] = time.monotonic):
         self.clock = clock
         self.news: list[tuple[str, str]] = []
+        self.tokens: dict[str, int] = {}
         self._places: collections.OrderedDict[str, dict[str, Place]] = (
             collections.OrderedDict()
         )
@@ -110,11 +114,14 @@
         for part in parts:
             self._note(part.id, target_id, now)
         # The last part is the request's own: nobody else can use it.
+        beginning = sum(part.tokens for part in parts[:-1])
         for part in parts[:-1]:
             pair = (part.id, target_id)
             if now - self._told.get(pair, float("-inf")) > TELL_AGAIN_SECONDS:
                 self._told[pair] = now
                 self.news.append(pair)
+                known = self.tokens.get(part.id, 0)
+                self.tokens[part.id] = max(known, beginning)
 
     def heard(self, pairs: t.Iterable[t.Sequence[str]]) -> None:
         """Take what another router told.
@@ -131,6 +138,7 @@
     def take_news(self) -> list[tuple[str, str]]:
         """Return what the other routers should hear of, once."""
         news, self.news = self.news, []
+        self.tokens = {}
         return news
 
     def forget(self, live: t.Container[str]) -> None:
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -26,7 +26,7 @@
 from amaranthring.forwarding import starting
 from amaranthring.policy import budgets
 from amaranthring.registry import messages
-from amaranthring.registry import sharing
+from amaranthring.registry import reporting
 from amaranthring.registry import subscriber as subscribers
 from amaranthring.targets import pool
 
@@ -115,7 +115,7 @@
             identity, keys, self.take_plan
         )
         self.placer = placing.Placer(self.subscriber.table, place.data_centre)
-        self.sharing = sharing.Member(
+        self.sharing = reporting.Reporter(
             self.subscriber.handlers,
             self.subscriber.home,
             self.placer.report,
--- a/amaranthring/registry/hint_file.py
+++ b/amaranthring/registry/hint_file.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import concurrent.futures
+import dataclasses
 import pathlib
 import time
 import typing as t
@@ -47,11 +48,14 @@
         Pairs of part and target, the oldest first.
     targets : list of TargetRecord
         Those that were heard of.
+    tokens : dict of str to int
+        As in :class:`sharing.Report`, for `places`.
     """
 
     written_at: float
     places: list[list[str]]
     targets: list[messages.TargetRecord]
+    tokens: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class HintFile:
@@ -103,6 +107,7 @@
         except (OSError, ValueError, TypeError, errors.AmaranthringError) as e:
             log.warning("hints.unreadable fault={}", e)
             return
+        self.exchange.learn_tokens(found.tokens)
         self.exchange.keep(found.places)
         age = self.wall() - found.written_at
         known = found.targets if abs(age) <= TARGETS_SECONDS else []
@@ -132,7 +137,9 @@
 
     def _hints(self) -> Hints:
         heard = [one for one in self.table.current() if not one.silent]
-        return Hints(self.wall(), self.exchange.all_kept(), heard)
+        places = self.exchange.all_kept()
+        tokens = self.exchange.tokens_of(places)
+        return Hints(self.wall(), places, heard, tokens)
 
     @staticmethod
     def _held(hints: Hints) -> t.Any:
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -14,21 +14,17 @@
 import logbook
 
 from amaranthring import errors
-from amaranthring.core import clocks
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.core import pacing
 from amaranthring.core import wire
+from amaranthring.registry import backlogs
 
 # Requests last about a second; counts that are a few hundred milliseconds
 # old are of use for bounding loads, for 8 messages a second and router.
 SHARE_SECONDS = 0.25
-# A router that has just started reports as soon as it has a link.
-FIRST_SECONDS = 0.02
 # Places are kept for routers that start or come to another keeper. A router
-# that restarts without them sends prompts where they must be read again:
-# with all routers restarted in turn, a third of what was read again in a
-# whole day of such trouble.
+# that restarts without them sends prompts where they must be read again.
 KEPT_SECONDS = 45.0
 PLACES_MOST = 20_000
 # Places share what the link has room for. All at once, to many routers that
@@ -39,8 +35,7 @@
 PAIR_BYTES = 10
 # Where the link's room is not known.
 PLACES_A_MESSAGE = 100
-# What comes in any case, 300 bytes, so that news go on during long pressure;
-# there are about 40 a message.
+# What comes in any case, so that news go on during long pressure.
 PLACES_LEAST = 30
 # A keeper that has said nothing for so long is cut off or gone.
 STALE_SECONDS = 1.5
@@ -72,6 +67,9 @@
     told_all_ago : float
         Seconds since it was last told all places that there were; negative
         if it never was.
+    tokens : dict of str to int
+        For each part in `places` the tokens of the longest beginning of a
+        prompt that it is in.
     """
 
     counts: dict[str, int]
@@ -80,6 +78,7 @@
     reading: dict[str, int] = dataclasses.field(default_factory=dict)
     failing: list[str] = dataclasses.field(default_factory=list)
     told_all_ago: float = -1.0
+    tokens: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @wire.message("share-left")
@@ -98,6 +97,8 @@
         answer off.
     known : list of list of str
         Pairs that are old news, for a keeper that may have lost them.
+    tokens : dict of str to int
+        As in :class:`Report`, for `places` and `known`.
     """
 
     counts: dict[str, int]
@@ -106,6 +107,7 @@
     reading: dict[str, int] = dataclasses.field(default_factory=dict)
     failing: dict[str, int] = dataclasses.field(default_factory=dict)
     known: list[list[str]] = dataclasses.field(default_factory=list)
+    tokens: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @wire.message("share-others", compressed=True)
@@ -187,51 +189,6 @@
         )
 
 
-class Backlog:
-    """Pairs that one process has still to be told, the newest first.
-
-    Parameters
-    ----------
-    known : list of list of str
-        What was known when it came; shared by all who came together, since
-        6,000 pairs copied for each of 84 routers take 40 MB.
-    """
-
-    def __init__(self, known: list[list[str]]):
-        self.known = known
-        self.left = len(known)
-        self.news: list[list[str]] = []
-
-    def __len__(self) -> int:
-        return self.left + len(self.news)
-
-    def add(self, pairs: list[list[str]]) -> None:
-        """Add pairs that are new."""
-        self.news += pairs
-        del self.news[:-PLACES_MOST]
-
-    def take(self, most: int) -> list[list[str]]:
-        """Remove and return up to `most` pairs, the newest last.
-
-        What came last is the most likely to be asked for next.
-        """
-        taken = self.news[-most:]
-        del self.news[-most:]
-        first = max(0, self.left - (most - len(taken)))
-        taken = self.known[first : self.left] + taken
-        self.left = first
-        return taken
-
-
-def fair_shares(wanted: dict[t.Any, int], room: int) -> dict[t.Any, int]:
-    """Share `room` alike; what one does not want goes to the others."""
-    shares = {}
-    for to in sorted(wanted, key=wanted.get):
-        shares[to] = min(wanted[to], room // (len(wanted) - len(shares)))
-        room -= shares[to]
-    return shares
-
-
 class Exchange:
     """A keeper's part.
 
@@ -258,14 +215,15 @@
         self.routers: dict[links.Link, Report] = {}
         self.reported_at: dict[links.Link, float] = {}
         self.sums: dict[str, tuple[float, Sums]] = {}
-        self.places: dict[links.Link, Backlog] = {}
+        self.places: dict[links.Link, backlogs.Backlog] = {}
         self.for_keepers: list[list[str]] = []
-        self.greetings: dict[t.Any, Backlog] = {}
+        self.greetings: dict[t.Any, backlogs.Backlog] = {}
         self.kept: collections.OrderedDict[tuple[str, str], float] = (
             collections.OrderedDict()
         )
-        self.known: list[list[str]] | None = None
-        self.known_at = 0.0
+        self.tokens: dict[str, int] = {}
+        self.known: list[list[str]] = []
+        self.known_at = float("-inf")
         self.logged_at = float("-inf")
         handlers.add(Report, self._on_report)
         handlers.add(Left, self._on_left)
@@ -282,11 +240,15 @@
         totals = self._own_totals()
         places, self.for_keepers = self.for_keepers, []
         message = totals.message(Sums, places)
+        message.tokens = self.tokens_of(places)
         room = self._room()
         allowed = self._allowed(room)
         for dialler in self.peers():
             known = self._next(self.greetings, dialler, allowed)
-            dialler.send(dataclasses.replace(message, known=known))
+            tokens = message.tokens | self.tokens_of(known)
+            dialler.send(
+                dataclasses.replace(message, known=known, tokens=tokens)
+            )
         self._add_elsewhere(totals)
         for link, report in self.routers.items():
             self._tell(link, report, totals, allowed)
@@ -313,11 +275,10 @@
     def greet(self, dialler: t.Any) -> None:
         """Tell a keeper that has just been linked what it may have lost.
 
-        One whose disk was wiped knew no place, and the routers that report
-        to it sent prompts where they had to be read again: in 12 s after a
-        loss of power with one disk wiped, 100,000 tokens.
+        One whose disk was wiped knows no place, and the routers that report
+        to it would send prompts where they have to be read again.
         """
-        self.greetings[dialler] = Backlog(self.all_kept())
+        self.greetings[dialler] = backlogs.Backlog(self.rank, self._known())
 
     def _own_totals(self) -> Totals:
         totals = Totals()
@@ -360,7 +321,7 @@
         places = self._next(self.places, link, allowed)
         message = totals.without(report).message(Others, places)
         message.all_told = link not in self.places and self._hears_all()
-        _send(link, message)
+        tell(link, message)
 
     def _hears_all(self) -> bool:
         """Return whether this keeper knows what every other one knows."""
@@ -368,7 +329,7 @@
 
     def _next(
         self,
-        waiting: dict[t.Any, Backlog],
+        waiting: dict[t.Any, backlogs.Backlog],
         to: t.Any,
         allowed: dict[t.Any, int],
     ) -> list[list[str]]:
@@ -396,7 +357,7 @@
         sizes = {to: len(backlog) for to, backlog in waiting.items()}
         return {
             to: max(PLACES_LEAST, share)
-            for to, share in fair_shares(sizes, room).items()
+            for to, share in backlogs.fair_shares(sizes, room).items()
         }
 
     def _on_report(self, link: links.Link, report: Report) -> None:
@@ -405,11 +366,13 @@
         self.reported_at[link] = self.clock()
         if is_new:
             # It takes no callers until it knows what the others do.
-            self.places[link] = Backlog(self._unknown_to(report))
+            known = self._unknown_to(report)
+            self.places[link] = backlogs.Backlog(self.rank, known)
             totals = self._own_totals()
             self._add_elsewhere(totals)
             self._tell(link, report, totals, self._allowed(self._room()))
         self.for_keepers += report.places
+        self.learn_tokens(report.tokens)
         self._pass_on(report.places, but=link)
 
     def _on_left(self, link: links.Link, _left: Left) -> None:
@@ -425,16 +388,13 @@
         for seconds.
         """
         if report.told_all_ago < 0:
-            return self.all_kept()
-        oldest = self.clock() - report.told_all_ago - NEWS_SECONDS
-        newest_first = reversed(self.kept.items())
-        fresh = itertools.takewhile(
-            lambda item: item[1] > oldest, newest_first
-        )
-        return [list(pair) for pair, _ in fresh][::-1]
+            return self._known()
+        age = report.told_all_ago + NEWS_SECONDS
+        return self._by_rank(self._kept_since(self.clock() - age))
 
     def _on_sums(self, link: links.Link, sums: Sums) -> None:
         self.sums[link.peer.name] = (self.clock(), sums)
+        self.learn_tokens(sums.tokens)
         self._pass_on(sums.places, but=link)
         lost = [pair for pair in sums.known if tuple(pair) not in self.kept]
         self._pass_on(lost, but=link)
@@ -443,113 +403,72 @@
         if not places:
             return
         self.keep(places)
+        ranked = collections.defaultdict(list)
+        for pair in places:
+            ranked[self.rank(pair[0])].append(pair)
         for link in self.routers:
             if link is not but:
-                self.places.setdefault(link, Backlog([])).add(places)
+                waiting = self.places.setdefault(
+                    link, backlogs.Backlog(self.rank, [])
+                )
+                waiting.add(ranked)
 
     def keep(self, places: list[list[str]]) -> None:
         """Remember pairs for routers that start."""
         now = self.clock()
-        self.known = None
+        self.known_at = float("-inf")
         for part_id, target_id in places:
             self.kept[part_id, target_id] = now
             self.kept.move_to_end((part_id, target_id))
         while self.kept:
             pair, since = next(iter(self.kept.items()))
             if len(self.kept) <= PLACES_MOST and now - since < KEPT_SECONDS:
-                return
+                break
             del self.kept[pair]
+        if len(self.tokens) > PLACES_MOST:
+            self.tokens = self.tokens_of(self.all_kept())
 
     def all_kept(self) -> list[list[str]]:
         """Return the pairs that are not too old, the newest last."""
+        return self._kept_since(self.clock() - KEPT_SECONDS)
+
+    def _kept_since(self, oldest: float) -> list[list[str]]:
+        newest_first = reversed(self.kept.items())
+        fresh = itertools.takewhile(lambda one: one[1] > oldest, newest_first)
+        return [list(pair) for pair, _ in fresh][::-1]
+
+    def _known(self) -> list[list[str]]:
+        """Return the pairs that are kept, those of the longest parts last.
+
+        All who come together share them: 84 routers that start at once ask
+        for the same pairs.
+        """
         now = self.clock()
-        if self.known is None or now - self.known_at > SHARE_SECONDS:
-            # 84 routers that start together ask for the same pairs.
-            oldest = now - KEPT_SECONDS
-            self.known = [
-                list(p) for p, at in self.kept.items() if at > oldest
-            ]
+        if now - self.known_at > SHARE_SECONDS:
+            self.known = self._by_rank(self.all_kept())
             self.known_at = now
         return self.known
 
+    def _by_rank(self, places: list[list[str]]) -> list[list[str]]:
+        return sorted(places, key=lambda pair: self.rank(pair[0]))
 
-class Member:
-    """A router's part.
+    def rank(self, part_id: str) -> int:
+        """Return how urgent a part is: its tokens by powers of two."""
+        return self.tokens.get(part_id, 0).bit_length()
 
-    Parameters
-    ----------
-    home : callable
-        Returns the link to the keeper that it reports to, or None.
-    report : callable
-        Returns what the others should know, each thing that is new once.
-    on_others : callable
-        Called with what the other routers said.
-    clock : callable
-        Seconds that go on while the VM is suspended.
+    def learn_tokens(self, tokens: dict[str, int]) -> None:
+        """Take the tokens of beginnings that parts are in."""
+        for part_id, count in tokens.items():
+            self.tokens[part_id] = max(count, self.tokens.get(part_id, 0))
 
-    Attributes
-    ----------
-    heard : bool
-        Whether a keeper has said what the other routers do.
-    """
+    def tokens_of(self, places: list[list[str]]) -> dict[str, int]:
+        """Return the tokens of the parts in `places`, where known."""
+        parts = {part_id for part_id, _ in places}
+        return {one: self.tokens[one] for one in parts & self.tokens.keys()}
 
-    def __init__(
-        self,
-        handlers: links.Handlers,
-        home: t.Callable[[], links.Link | None],
-        report: t.Callable[[], Report],
-        on_others: t.Callable[[Others], None],
-        clock: t.Callable[[], float] = clocks.boottime,
-    ):
-        self.home = home
-        self.clock = clock
-        self.reported_to: links.Link | None = None
-        self.told_all_at: float | None = None
-        self.reported_at: collections.deque[float] = collections.deque(
-            maxlen=2
-        )
-        self.make_report = report
-        self.on_others = on_others
-        self.heard = False
-        handlers.add(Others, self._on_others)
 
-    async def run(self) -> None:
-        """Report until cancelled."""
-        while True:
-            self.report()
-            pause = SHARE_SECONDS if self.heard else FIRST_SECONDS
-            await asyncio.sleep(pause)
-
-    def report(self) -> None:
-        """Tell the home keeper what this router does."""
-        link = self.home()
-        if link is None:
-            return
-        self._leave_for(link)
-        report = self.make_report()
-        now = self.clock()
-        if self.told_all_at is not None:
-            report.told_all_ago = now - self.told_all_at
-        self.reported_at.append(now)
-        _send(link, report)
-
-    def _leave_for(self, link: links.Link) -> None:
-        """Tell the keeper reported to before that it is `link`'s turn."""
-        before, self.reported_to = self.reported_to, link
-        if before not in (None, link):
-            _send(before, Left())
-
-    def _on_others(self, link: links.Link, others: Others) -> None:
-        self.heard = True
-        if others.all_told and link is self.reported_to:
-            # A process that was frozen reads late what was sent to it
-            # before, perhaps after its next report; it knew no more then
-            # than when it made the one before that.
-            self.told_all_at = self.reported_at[0]
-        self.on_others(others)
-
-
-def _send(link: links.Link, message: t.Any) -> None:
+def tell(link: links.Link, message: t.Any) -> None:
+    """Send `message` one way, if the link stands."""
     try:
         link.send(message)
     except errors.LinkError:
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -214,6 +214,18 @@
         self.places.sent(self.parts, "e0")
         self.assertEqual(told, self.places.take_news())
 
+    def test_part_is_as_urgent_as_the_longest_beginning_that_it_is_in(self):
+        """Routers hear of the most urgent parts first when they are behind.
+
+        The short instructions that all prompts begin with came last, and no
+        long part was found behind them.
+        """
+        self.places.sent(self.parts, "e0")
+        self.places.sent([self.parts[0], self.parts[2]], "e0")
+        self.assertEqual({"a": 1100, "b": 1100}, self.places.tokens)
+        self.places.take_news()
+        self.assertEqual({}, self.places.tokens)
+
     def test_what_is_not_used_is_forgotten(self):
         self.places.sent(self.parts, "e0")
         self.now += prompts.KEPT_SECONDS + 1
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -14,6 +14,7 @@
 from amaranthring.keepers import disk
 from amaranthring.registry import hint_file
 from amaranthring.registry import messages
+from amaranthring.registry import reporting
 from amaranthring.registry import sharing
 from amaranthring.registry import targets
 
@@ -227,7 +228,7 @@
         self.home = 0
         self.others = []
         handlers = links.Handlers()
-        self.member = sharing.Member(
+        self.member = reporting.Reporter(
             handlers,
             lambda: self.links[self.home],
             lambda: sharing.Report({"a": 1}, []),
@@ -327,6 +328,63 @@
         return self.keeper("lost")
 
 
+class TestLongPartsFirst(unittest.TestCase):
+    """A link that has no room for all that routers have yet to be told.
+
+    All routers come back after a loss of power, and some are cut off: 1,000
+    to 3,000 pairs wait for each (``places.behind``). The newest went first,
+    and engines read long beginnings again whose places came seconds later:
+    a tenth of the parts holds half of all tokens asked for. With the longest
+    parts first as much was read again: a part is found only behind those
+    before it, which are short and came last.
+    """
+
+    def setUp(self):
+        handlers = links.Handlers()
+        self.now = 100.0
+        self.keeper = sharing.Exchange(handlers, list, lambda: self.now)
+        self.on_report = handlers.by_class[sharing.Report]
+        self.router = FakeLink("r0")
+
+    def report(self, link, lengths):
+        pairs = [[name, "a"] for name in lengths]
+        self.on_report(link, sharing.Report({}, pairs, tokens=lengths))
+
+    def heard(self):
+        return [p for m in self.router.sent for p, _ in m.places]
+
+    def lengths(self, kind, tokens):
+        count = sharing.PLACES_A_MESSAGE
+        return {f"{kind}{n}": tokens for n in range(count)}
+
+    def test_router_that_starts(self):
+        long = self.lengths("long", 20_000)
+        self.report(FakeLink("r1"), long)
+        self.report(FakeLink("r1"), self.lengths("short", 300))
+        self.report(self.router, {})
+        self.assertCountEqual(long, self.heard())
+
+    def test_news(self):
+        self.report(FakeLink("r1"), self.lengths("old", 300))
+        self.report(self.router, {})
+        long = self.lengths("long", 20_000)
+        self.report(FakeLink("r1"), long)
+        self.report(FakeLink("r1"), self.lengths("short", 300))
+        self.router.sent.clear()
+        self.keeper.step()
+        self.assertCountEqual(long, self.heard())
+
+    def test_nothing_is_left_out(self):
+        for kind, tokens in (("a", 9), ("b", 20_000), ("c", 300)):
+            self.report(FakeLink("r1"), self.lengths(kind, tokens))
+        self.report(self.router, {})
+        self.report(FakeLink("r1"), self.lengths("d", 1000))
+        for _ in range(6):
+            self.keeper.step()
+        self.assertEqual(4 * sharing.PLACES_A_MESSAGE, len(self.heard()))
+        self.assertEqual(len(set(self.heard())), len(self.heard()))
+
+
 class CountedLink(FakeLink):
     """Counts the bytes that a router or keeper is sent."""
 
@@ -487,9 +545,11 @@
         """
         before = self.opened()
         before.exchange.keep([["part", "b"], ["part", "a"]])
+        before.exchange.tokens = {"part": 20_000, "gone": 300}
         await self.write(before)
         after = self.opened()
         after.load()
+        self.assertEqual({"part": 20_000}, after.exchange.tokens)
         # The newest last, as they are sent from there.
         self.assertEqual(
             [["part", "b"], ["part", "a"]], after.exchange.all_kept()
