--- a/amaranthring/forwarding/placing.py
+++ b/amaranthring/forwarding/placing.py
@@ -28,9 +28,9 @@
 TRUSTED_SECONDS = 0.5
 DOUBT_SECONDS = 0.6
 # A target that broke an answer off so lately, at any router, gets what may
-# run only once if half of the targets are left. A target that breaks off two
-# answers in five is known to all after two or three such losses; each router
-# for itself lost two before it turned away, eight requests in 1.5 s.
+# run only once if half of the targets are left. So one that often breaks off
+# is known to all after a few losses; each router by itself would have to lose
+# some of its own requests before it turned away.
 FAILING_SECONDS = 1.0
 DOUBTED_MOST = 0.5
 # Targets of one data centre that could not be reached, without one that was
@@ -43,7 +43,7 @@
 CUT_SECONDS = 1.0
 # A target that leaves without having drained goes on for two seconds or more,
 # and others can copy from it meanwhile. Whoever is to copy from one that has
-# ended waits 0.35 s for it, as measured, and reads all the same.
+# ended waits for it in vain, and reads all the same.
 LINGER_SECONDS = 1.5
 
 
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -440,8 +440,8 @@
     def _known(self) -> list[list[str]]:
         """Return the pairs that are kept, those of the longest parts last.
 
-        All who come together share them: 84 routers that start at once ask
-        for the same pairs.
+        All who come together share them: routers that start at once ask for
+        the same pairs.
         """
         now = self.clock()
         if now - self.known_at > SHARE_SECONDS:
