Take a target for alive when it answers, for dead when it refuses connections

What callers saw: a chat that crashes its engine crashed a third one, so that no engine was left; chats of other callers ended as upstream, deadline or truncated-answer, and some of them were quarantined in place of the culprit.

Cause, from logs of the listed test with a line for each question (trial, a crashed engine ends 0.3 s after its connections broke): the first question to each of the three engines said alive (59:20.73, 59:21.04, 59:22.24), those of other requests 0.15 s later said dead. The router asked whether the target takes a connection and keeps it for 0.15 s. The kernel takes connections for a process that is ending, stopped or stalled.

Change: a target is alive if it answers "OPTIONS *", and dead if its address refuses connections. Neither within 0.15 s: it is silent. A silent target's requests become suspects at once, so that they are retried in isolation, but the crash counts as unproven: the question stands until the target answers (withdrawn) or has ended (proven), and nothing is condemned for an unproven crash. A request that two crashes would condemn, were they proven, is refused meanwhile (503 suspected, Retry-After of one lease) and runs nowhere.

The same fault where the lease runs out: a stopped engine counted as crashed. It now asks, too.

Why this holds: no wait decides. How long a process takes to end matters no more, as its silence already isolates the request, and only proof condemns.

--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -140,7 +140,13 @@
     if not attempt.sent:
         raise error
     timed_out = isinstance(error, errors.UpstreamTimeoutError)
-    if progress.opened and not attempt.target_lost and not timed_out:
+    await execution.examine_target(deps, request, attempt)
+    resumable = progress.opened and not timed_out
+    if attempt.target_lost:
+        # Only the same engine can surely go on with what the caller has
+        # received; one that is silent may have stalled.
+        resumable = resumable and progress.begun and attempt.silent
+    if resumable:
         for _ in range(MAX_RESUMES):
             try:
                 await _resume(deps, attempt.target, name, progress)
@@ -148,13 +154,11 @@
                 return
             except errors.NotFoundError:
                 # The process that ran the stream is gone.
-                attempt.target_lost = True
+                attempt.target_lost = attempt.process_gone = True
                 break
             except errors.UpstreamError as resume_error:
                 if resume_error.outcome is errors.Outcome.NOT_RUN:
                     break
-    if not attempt.target_lost:
-        await execution.detect_target_loss(attempt)
     if not attempt.target_lost:
         await cancel(attempt.target, name)
     if progress.begun:
@@ -439,7 +443,7 @@
             finally:
                 attempt.sent = exchange.sent
     except errors.TruncatedResponseError:
-        await execution.detect_target_loss(attempt)
+        await execution.examine_target(deps, request, attempt)
         raise
     except asyncio.CancelledError:
         exchange.close()
--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -17,6 +17,7 @@
 from amaranthring.core import links
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import records
+from amaranthring.targets import liveness
 from amaranthring.targets import upstream
 
 MAX_ATTEMPTS = 3
@@ -68,9 +69,7 @@
         t.Awaitable[None],
     ]
     is_quarantined: t.Callable[[str], bool]
-    report_crash: t.Callable[
-        [records.Request, records.Target], t.Awaitable[None]
-    ]
+    report_crash: t.Callable[..., t.Awaitable[None]]
     may_retry: t.Callable[[str], bool]
     record_success: t.Callable[[str], None]
     when_lost: t.Callable[[str], asyncio.Future]
@@ -105,6 +104,14 @@
         Whether the target crashed or was declared lost meanwhile.
     retryable : bool
         Whether another attempt may follow.
+    inquiry : Inquiry or None
+        Asks whether the target still runs, after the connection broke.
+    silent : bool
+        Whether the target broke off and did not answer the inquiry in time.
+    process_gone : bool
+        Whether the target is known to be another process by now.
+    reported : bool
+        Whether the loss of the target was reported.
     """
 
     number: int
@@ -112,6 +119,10 @@
     sent: bool = False
     target_lost: bool = False
     retryable: bool = True
+    inquiry: liveness.Inquiry | None = None
+    silent: bool = False
+    process_gone: bool = False
+    reported: bool = False
 
     @property
     def target(self) -> records.Target:
@@ -232,21 +243,28 @@
         excluded.add(attempt.target.name)
         deps.metrics.count(f"way.failed.{last_error.code}")
         if attempt.target_lost:
-            await _report_crash(deps, request, attempt)
+            await report_crash(deps, request, attempt)
         if not _may_retry(deps, request, attempt, last_error, maybe_ran):
             break
     raise last_error
 
 
-async def _report_crash(deps, request, attempt) -> None:
-    """Report that a target was lost while it ran the request.
+async def report_crash(
+    deps: Dependencies, request: records.Request, attempt: Attempt
+) -> None:
+    """Report, once, that a target was lost while it ran the request.
 
-    ``report_crash`` may delay suspected requests so that they run again
-    separately, and may reject the request.
+    The request is retried only after it is known as a suspect, so that it
+    runs isolated from others.
     """
+    if attempt.reported:
+        return
+    attempt.reported = True
     deps.metrics.count("way.target-lost")
+    if attempt.inquiry is None and not attempt.process_gone:
+        attempt.inquiry = liveness.Inquiry(attempt.target)
     try:
-        await deps.report_crash(request, attempt.target)
+        await deps.report_crash(request, attempt.target, attempt.inquiry)
     except errors.AmaranthringError:
         attempt.retryable = False
     if deps.is_quarantined(request.body_digest):
@@ -389,13 +407,23 @@
     return headers
 
 
-async def detect_target_loss(attempt: Attempt) -> None:
-    """Mark the attempt if its target can no longer be reached.
+async def examine_target(
+    deps: Dependencies, request: records.Request, attempt: Attempt
+) -> None:
+    """Ask whether the target of a broken attempt runs; report its loss.
 
-    A broken connection alone is no crash: a crashed process refuses the
-    next connection, one that only dropped this connection accepts it.
+    A broken connection alone is no crash: a target that only dropped this
+    connection answers an inquiry.
     """
-    if not attempt.target_lost and not await upstream.is_reachable(
-        attempt.target
-    ):
+    if not attempt.target_lost:
+        await _inquire(attempt)
+    if attempt.target_lost:
+        await report_crash(deps, request, attempt)
+
+
+async def _inquire(attempt: Attempt) -> None:
+    attempt.inquiry = liveness.Inquiry(attempt.target)
+    verdict = await attempt.inquiry.wait(liveness.ANSWER_SECONDS)
+    attempt.silent = verdict is liveness.Verdict.SILENT
+    if verdict is not liveness.Verdict.ALIVE:
         attempt.target_lost = True
--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -90,7 +90,7 @@
             finally:
                 attempt.sent = attempt.sent or exchange.sent
     except errors.TruncatedResponseError:
-        await execution.detect_target_loss(attempt)
+        await execution.examine_target(deps, request, attempt)
         raise
     _check_request_id(exchange, name)
     if exchange.headers.get(upstream.OUTCOME_HEADER) == "not-run":
--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -233,6 +233,12 @@
     status = 422
 
 
+class SuspectedError(RefusedError):
+    """Two targets may have crashed while the request ran there."""
+
+    code = "suspected"
+
+
 class ShuttingDownError(RefusedError):
     """The router accepts no new requests."""
 
--- a/amaranthring/policy/suspects.py
+++ b/amaranthring/policy/suspects.py
@@ -5,6 +5,11 @@
 ends without a crash. It is condemned only if another target crashes during
 such a run. Requests that merely ran beside the cause, or on hardware that
 failed at the same time, are therefore not condemned.
+
+A target that broke its connections and does not answer may have crashed, or
+only be stopped or stalled. Such a crash counts as unproven: what ran there is
+a suspect, but nothing is condemned for it until the crash is proven, and it is
+withdrawn when the target answers.
 """
 
 import collections
@@ -12,11 +17,33 @@
 
 SUSPECT_SECONDS = 600.0
 MAX_ENTRIES = 20000
-MAX_DEATHS = 4
+MAX_CRASHES = 4
 CORRELATED_CRASHES = 3
 CORRELATION_SECONDS = 3.0
 
 
+@dataclasses.dataclass
+class Crash:
+    """A crash of a target while a suspect ran there.
+
+    Attributes
+    ----------
+    target : str
+        Name of the target.
+    incarnation : int
+        Of the process that crashed.
+    apart : bool
+        Whether the request ran isolated from other suspects.
+    proven : bool
+        Whether the process is known to have ended.
+    """
+
+    target: str
+    incarnation: int = 0
+    apart: bool = False
+    proven: bool = True
+
+
 @dataclasses.dataclass
 class Suspect:
     """A request that may have crashed a target.
@@ -25,18 +52,42 @@
     ----------
     key : str
         Determines the directory shard of the entry.
-    deaths : list of str
-        Targets that crashed while it ran there.
-    condemned : bool
-        Whether the request is refused.
+    crashes : list of Crash
+        One for each target that crashed while it ran there.
     expires : float
         Time at which the entry expires, in seconds.
+    condemned : bool
+        Whether the request is refused. Never reset.
     """
 
     key: str
-    deaths: list[str]
-    condemned: bool
+    crashes: list[Crash]
     expires: float
+    condemned: bool = False
+
+    @property
+    def targets(self) -> list[str]:
+        """Return the names of the targets that crashed."""
+        return [crash.target for crash in self.crashes]
+
+    @property
+    def pending(self) -> bool:
+        """Return whether proof of its crashes would condemn it."""
+        return not self.condemned and _condemns(self.crashes)
+
+    def find(self, target: str) -> Crash | None:
+        """Return the crash of `target`, if known."""
+        return next((c for c in self.crashes if c.target == target), None)
+
+    def judge(self) -> None:
+        """Condemn the request if its proven crashes suffice."""
+        proven = [crash for crash in self.crashes if crash.proven]
+        self.condemned = self.condemned or _condemns(proven)
+
+
+def _condemns(crashes: list[Crash]) -> bool:
+    """Return whether two targets crashed, one during an isolated run."""
+    return len(crashes) > 1 and any(crash.apart for crash in crashes)
 
 
 class SuspectTable:
@@ -48,30 +99,55 @@
         )
 
     def record_crash(
-        self, key: str, fingerprint: str, target: str, apart: bool, now: float
+        self, key: str, fingerprint: str, crash: Crash, now: float
     ) -> Suspect:
-        """Record that `target` crashed while `fingerprint` ran there.
-
-        Parameters
-        ----------
-        apart : bool
-            Whether it already ran as a suspect, isolated from others.
-        """
+        """Record that a target crashed while `fingerprint` ran there."""
         suspect = self.get(fingerprint, now)
         if suspect is None:
-            suspect = Suspect(key, [], False, 0.0)
+            suspect = Suspect(key, [], 0.0)
             self.entries[fingerprint] = suspect
-        is_other = bool(suspect.deaths) and target not in suspect.deaths
-        if apart and is_other:
-            suspect.condemned = True
-        if target not in suspect.deaths:
-            suspect.deaths = [*suspect.deaths, target][-MAX_DEATHS:]
+        known = suspect.find(crash.target)
+        if known is None:
+            # Only a second crash can show that the request is the cause.
+            crash.apart = crash.apart and bool(suspect.crashes)
+            suspect.crashes = [*suspect.crashes, crash][-MAX_CRASHES:]
+        elif known.incarnation == crash.incarnation:
+            known.proven = known.proven or crash.proven
+        suspect.judge()
         suspect.expires = now + SUSPECT_SECONDS
         self.entries.move_to_end(fingerprint)
         while len(self.entries) > MAX_ENTRIES:
             self.entries.popitem(last=False)
         return suspect
 
+    def settle_crash(
+        self, fingerprint: str, crash: Crash, now: float
+    ) -> Suspect | None:
+        """Replace what is known of an earlier crash of the same process.
+
+        Returns None if the request is no longer suspected of it.
+        """
+        suspect = self.get(fingerprint, now)
+        known = suspect and suspect.find(crash.target)
+        if not known or known.incarnation != crash.incarnation:
+            return None
+        known.apart = known.apart and crash.apart
+        known.proven = crash.proven
+        suspect.judge()
+        return suspect
+
+    def withdraw_crash(
+        self, fingerprint: str, target: str, now: float
+    ) -> None:
+        """Remove an unproven crash: `target` is alive."""
+        suspect = self.get(fingerprint, now)
+        known = suspect and suspect.find(target)
+        if not known or known.proven:
+            return
+        suspect.crashes.remove(known)
+        if not suspect.crashes and not suspect.condemned:
+            del self.entries[fingerprint]
+
     def get(self, fingerprint: str, now: float) -> Suspect | None:
         """Return the entry of `fingerprint`, if it is a suspect."""
         suspect = self.entries.get(fingerprint)
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -154,6 +154,7 @@
             self._quarantine,
             self.config,
             self.metrics,
+            get_target=self.table.get,
         )
         self.directory = directory.Directory(
             self.name,
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -9,6 +9,7 @@
 
 from amaranthring.core import records
 from amaranthring.core import wire
+from amaranthring.policy import suspects
 
 
 @wire.message("admit", compact=True)
@@ -192,12 +193,14 @@
     """Targets that ran the chat, most recent first.
 
     `deaths` lists targets that died while this request ran there. A
-    `condemned` request must not run again.
+    `condemned` request must not run again; a `pending` one not before its
+    crashes are proven or withdrawn.
     """
 
     targets: list[str] = dataclasses.field(default_factory=list)
     deaths: list[str] = dataclasses.field(default_factory=list)
     condemned: bool = False
+    pending: bool = False
 
 
 @wire.message("place-remember", compact=True)
@@ -207,24 +210,39 @@
     places: dict[str, list[str]]
 
 
-@wire.message("crashed")
-class TargetCrashed:
-    """Reports that `target` died while request `fingerprint` ran there.
+@wire.message("suspect-crashed")
+class SuspectCrashed:
+    """Reports a crash while request `fingerprint` ran on the target."""
+
+    key: str
+    fingerprint: str
+    crash: suspects.Crash
 
-    `apart` is set if it ran as a suspect, isolated from other suspects.
-    """
+
+@wire.message("crash-settled")
+class CrashSettled:
+    """Replaces what was reported about a crash, if it is still known."""
 
     key: str
     fingerprint: str
-    target: str
-    apart: bool = False
+    crash: suspects.Crash
 
 
-@wire.message("crash-noted")
+@wire.message("crash-recorded")
 class CrashRecorded:
-    """Reply: whether this crash condemned the request."""
+    """Reply: all crashes of the request, and whether this condemned it."""
 
-    condemned: bool
+    condemned: bool = False
+    crashes: list[suspects.Crash] = dataclasses.field(default_factory=list)
+
+
+@wire.message("crash-withdrawn")
+class CrashWithdrawn:
+    """Reports that a target whose crash was not proven is alive."""
+
+    key: str
+    fingerprint: str
+    target: str
 
 
 @wire.message("cleared")
@@ -241,7 +259,7 @@
 
     key: str
     fingerprint: str
-    deaths: list[str]
+    crashes: list[suspects.Crash]
     condemned: bool = False
 
 
--- a/amaranthring/routers/directory.py
+++ b/amaranthring/routers/directory.py
@@ -165,8 +165,9 @@
         if self.suspicion is not None and ask.fingerprint:
             suspect = self.suspicion.suspect_of(ask.fingerprint)
             if suspect is not None:
-                reply.deaths = suspect.deaths
+                reply.deaths = suspect.targets
                 reply.condemned = suspect.condemned
+                reply.pending = suspect.pending
         return reply
 
     def on_store(self, _link, message: messages.StoreLocations) -> None:
--- a/amaranthring/routers/placement.py
+++ b/amaranthring/routers/placement.py
@@ -143,6 +143,8 @@
             With ``retry_after``.
         errors.QuarantinedError
             If two targets died while the request ran there.
+        errors.SuspectedError
+            If two targets may have died while the request ran there.
         """
         started = self.clock()
         locations = await self.directory.find(
@@ -152,6 +154,14 @@
             raise errors.QuarantinedError(
                 "targets crashed while this request ran there"
             )
+        if locations.pending:
+            raise errors.SuspectedError(
+                "two targets broke off while this request ran there; whether "
+                "they crashed is not known yet",
+                given=request.body_digest,
+                expected="a request whose targets have answered",
+                retry_after=self.config().preset.lease_seconds,
+            )
         search = Search(
             request,
             locations.targets,
@@ -365,7 +375,7 @@
         )
         self.held.add(serial, held_grant)
         if search.suspect:
-            self.suspicion.suspect_started(search.request, target.name)
+            self.suspicion.suspect_started(search.request, target.name, owner)
         if search.request.chat and not grant.remembered:
             # Stored before the answer ends: the prefix is cached early, and
             # the chat may already return through another router.
--- /dev/null
+++ b/amaranthring/routers/suspect_client.py
@@ -0,0 +1,95 @@
+"""Calls to the shards that hold suspects.
+
+See :mod:`amaranthring.routers.suspect_shard` for the shards.
+"""
+
+import asyncio
+import typing as t
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import logs
+from amaranthring.policy import suspects
+from amaranthring.routers import admission_messages as messages
+from amaranthring.routers import directory
+
+log = logbook.Logger(__name__)
+
+CALL_TIMEOUT_SECONDS = 0.4
+
+
+class SuspectClient:
+    """Sends what a router learns of suspects to their shards.
+
+    Parameters
+    ----------
+    mesh : object
+        Links to the other routers.
+    regions : Regions
+        Live routers by region.
+    """
+
+    def __init__(self, mesh, regions):
+        self.mesh = mesh
+        self.regions = regions
+
+    async def report(
+        self, key: str, fingerprint: str, crash: suspects.Crash
+    ) -> messages.CrashRecorded | None:
+        """Report a crash; None if no holder acknowledged it.
+
+        Otherwise return all crashes of the suspect, and whether this one
+        condemned it.
+        """
+        message = messages.SuspectCrashed(key, fingerprint, crash)
+        replies = await self._call_all(self._holders(key), message)
+        if not replies:
+            return None
+        crashes = [crash for reply in replies for crash in reply.crashes]
+        condemned = any(reply.condemned for reply in replies)
+        return messages.CrashRecorded(condemned, crashes)
+
+    async def settle(
+        self, key: str, fingerprint: str, crash: suspects.Crash
+    ) -> bool:
+        """Update a reported crash; return whether it condemned the suspect."""
+        message = messages.CrashSettled(key, fingerprint, crash)
+        replies = await self._call_all(self._holders(key), message)
+        return any(reply.condemned for reply in replies)
+
+    def withdraw(self, key: str, fingerprint: str, target: str) -> None:
+        """Remove a reported crash that was never proven."""
+        self._send(key, messages.CrashWithdrawn(key, fingerprint, target))
+
+    def clear(self, key: str, fingerprint: str) -> None:
+        """Remove a suspect whose run ended without a crash."""
+        self._send(key, messages.SuspectCleared(key, fingerprint))
+
+    async def _call_all(self, holders: list[str], message) -> list[t.Any]:
+        """Call `holders` at once; return the replies of those that answer."""
+        replies = await asyncio.gather(
+            *(self._call(holder, message) for holder in holders)
+        )
+        return [reply for reply in replies if reply is not None]
+
+    async def _call(self, holder: str, message) -> t.Any:
+        try:
+            return await self.mesh.call(holder, message, CALL_TIMEOUT_SECONDS)
+        except errors.AmaranthringError as error:
+            logs.event(
+                log, "suspects.unanswered", holder=holder, error=error.code
+            )
+            return None
+
+    def _send(self, key: str, message) -> None:
+        for holder in self._holders(key):
+            self.mesh.send(holder, message)
+
+    def _holders(self, key: str) -> list[str]:
+        """Return the holders of `key` in all regions."""
+        holders = []
+        for live in [self.regions.own(), *self.regions.others()]:
+            shards = directory.Shards(lambda live=live: live)
+            holders.extend(shards.holders_of(key))
+        return holders
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -1,15 +1,17 @@
-"""Tracks suspects across the fleet: requests that may crash their targets.
+"""Reports requests that may crash their targets, and settles the reports.
 
-The entry of a suspect is stored in the directory shard of its chat, so that
-the directory lookup of any router returns it. Each entry has two holders in
-each region: it survives the loss of a router, and a retry through any router
-is recognised.
+A request whose target crashed becomes a suspect at once, so that it runs
+isolated from other suspects, through whichever router it returns. What is
+learned later changes that: a target that answers is alive, one that refuses
+connections has crashed.
 """
 
 import asyncio
 import collections
 import collections.abc
+import dataclasses
 import time
+import typing as t
 
 import logbook
 
@@ -19,19 +21,40 @@
 from amaranthring.core import metrics as counters
 from amaranthring.core import records
 from amaranthring.policy import suspects
-from amaranthring.routers import admission_messages as messages
-from amaranthring.routers import directory
+from amaranthring.routers import suspect_client
+from amaranthring.routers import suspect_shard
+from amaranthring.targets import liveness
 
 log = logbook.Logger(__name__)
 
-REPORT_TIMEOUT_SECONDS = 0.4
 CONFIRM_SECONDS = 0.5
+# A process that started again answers before it has announced itself.
+RESTART_SECONDS = 1.0
 MAX_ISOLATED_RUNS = 20000
-BATCH_ENTRIES = 500
+MAX_TASKS = 2000
+
+
+@dataclasses.dataclass
+class Report:
+    """A crash that this router reported.
+
+    Attributes
+    ----------
+    key : str
+        Determines the directory shard of the suspect.
+    fingerprint : str
+        Of the request.
+    crash : Crash
+        The crash, as it was reported.
+    """
+
+    key: str
+    fingerprint: str
+    crash: suspects.Crash
 
 
 class CrashTracker:
-    """Shard of suspects of this router, and a client of the other shards.
+    """Reports crashes, and holds a shard of suspects.
 
     Parameters
     ----------
@@ -49,6 +72,17 @@
         Monotonic clock, in seconds.
     wall : callable
         Wall clock, in seconds; expiry times in the revision use it.
+    get_target : callable
+        Returns a target by name, or None if it is unknown or lost.
+
+    Attributes
+    ----------
+    client : SuspectClient
+        Calls to the shards of all routers.
+    shard : SuspectShard
+        Suspects that this router holds.
+    tasks : set of asyncio.Task
+        Reports that are not settled yet.
     """
 
     def __init__(
@@ -63,29 +97,28 @@
         metrics: counters.Metrics | None = None,
         clock: collections.abc.Callable[[], float] = time.monotonic,
         wall: collections.abc.Callable[[], float] = time.time,
+        get_target: collections.abc.Callable[
+            [str], records.Target | None
+        ] = lambda _: None,
     ):
-        self.name = name
-        self.mesh = mesh
-        self.regions = regions
         self.quarantine = quarantine
         self.config = config
         self.metrics = metrics or counters.Metrics()
         self.clock = clock
         self.wall_clock = wall
-        self.table = suspects.SuspectTable()
+        self.get_target = get_target
+        self.client = suspect_client.SuspectClient(mesh, regions)
+        self.shard = suspect_shard.SuspectShard(name, mesh, regions.own, clock)
         self.recent_deaths = suspects.RecentCrashes()
         self.isolated_runs: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
         self.tasks: set[asyncio.Task] = set()
         self.confirm_seconds = CONFIRM_SECONDS
-        mesh.subscribe(self.routers_changed)
 
     def add_handlers(self, handlers) -> None:
-        """Register this module's message handlers."""
-        handlers.add(messages.TargetCrashed, self.on_crashed)
-        handlers.add(messages.SuspectCleared, self.on_cleared)
-        handlers.add(messages.Suspects, self.on_suspects)
+        """Register the message handlers of the shard."""
+        self.shard.add_handlers(handlers)
 
     # -- interface to the request pipeline --
 
@@ -94,58 +127,76 @@
         expiry = self.config().quarantined.get(body_digest)
         if expiry is not None and expiry > self.wall_clock():
             return True
-        suspect = self.table.get(body_digest, self.clock())
+        suspect = self.suspect_of(body_digest)
         return suspect is not None and suspect.condemned
 
+    def suspect_of(self, fingerprint: str) -> suspects.Suspect | None:
+        """Return the entry of `fingerprint` in this router's shard."""
+        return self.shard.get(fingerprint)
+
     async def report_crash(
-        self, request: records.Request, target: records.Target
+        self,
+        request: records.Request,
+        target: records.Target,
+        inquiry: liveness.Inquiry | None = None,
     ) -> None:
-        """Report that `target` died while `request` ran there.
+        """Report that `target` crashed while `request` ran there.
+
+        Returns once the request is known as a suspect. A crash that is not
+        proven yet is settled in the background. Never raises.
 
-        Never raises: after a lost report the request is not a suspect until
-        its next crash.
+        Parameters
+        ----------
+        inquiry : Inquiry, optional
+            Asks whether the target still runs. Without it, the crash counts
+            as proven.
         """
-        apart = self.isolated_runs.pop(request.body_digest, "") == target.name
+        fingerprint = request.body_digest
+        apart = self.isolated_runs.get(fingerprint) == target.name
         if apart:
-            # A second crash condemns the request. The loss of a whole rack
-            # shows in the table within this time and clears the request.
-            await asyncio.sleep(self.confirm_seconds)
+            del self.isolated_runs[fingerprint]
+        proven = inquiry is None or inquiry.verdict is liveness.Verdict.DEAD
+        # A crash that may condemn the request is confirmed first.
+        crash = suspects.Crash(
+            target.name, target.incarnation, apart, proven and not apart
+        )
+        report = Report(_key(request), fingerprint, crash)
         blamed = not self.recent_deaths.correlated(self.clock())
         logs.event(
             log,
             "request.crashed",
             request=request.request_id,
-            fingerprint=request.body_digest,
+            fingerprint=fingerprint,
             target=target.name,
             apart=apart,
+            proven=proven,
             blamed=blamed,
         )
         if not blamed:
             self.metrics.count("suspects.many-deaths")
+            if inquiry is not None:
+                inquiry.stop()
             return
         self.metrics.count("suspects.reported")
-        message = messages.TargetCrashed(
-            _key(request), request.body_digest, target.name, apart
-        )
-        condemned = await asyncio.gather(
-            *(
-                self._report(holder, message)
-                for holder in self._holders(message)
-            )
-        )
-        if any(condemned):
-            # In its own task: the caller's answer must not wait for keepers
-            # without a quorum.
-            task = asyncio.ensure_future(
-                self._propose_quarantine(message.fingerprint)
-            )
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+        await self._report(report)
+        if not crash.proven:
+            inquiry = None if proven else inquiry
+            self._start(self._settle(report, target, inquiry))
 
     # -- events from the placer --
 
-    def suspect_started(self, request: records.Request, target: str) -> None:
+    def suspect_started(
+        self, request: records.Request, target: str, owner: str
+    ) -> None:
         """Record that `request` runs as a suspect, apart from others."""
+        logs.event(
+            log,
+            "request.isolated",
+            request=request.request_id,
+            fingerprint=request.body_digest,
+            target=target,
+            owner=owner,
+        )
         self.isolated_runs[request.body_digest] = target
         if len(self.isolated_runs) > MAX_ISOLATED_RUNS:
             self.isolated_runs.popitem(last=False)
@@ -154,84 +205,90 @@
         """Clear `request`, which completed without a crash."""
         self.isolated_runs.pop(request.body_digest, None)
         self.metrics.count("suspects.cleared")
-        message = messages.SuspectCleared(_key(request), request.body_digest)
-        for holder in self._holders(message):
-            self.mesh.send(holder, message)
+        self.client.clear(_key(request), request.body_digest)
 
     def target_lost(self, name: str) -> None:
         """Record the loss of target `name`."""
         self.recent_deaths.note(name, self.clock())
 
-    # -- this shard --
+    # -- settling of reports --
 
-    def suspect_of(self, fingerprint: str) -> suspects.Suspect | None:
-        """Return the entry of `fingerprint`, or None if not a suspect."""
-        return self.table.get(fingerprint, self.clock())
-
-    def on_crashed(
-        self, _link, message: messages.TargetCrashed
-    ) -> messages.CrashRecorded:
-        """Record a crash; reply whether it condemned the request."""
-        before = self.suspect_of(message.fingerprint)
-        was_condemned = before is not None and before.condemned
-        suspect = self.table.record_crash(
-            message.key,
-            message.fingerprint,
-            message.target,
-            message.apart,
-            self.clock(),
+    async def _report(self, report: Report) -> None:
+        """Report a crash to the holders of the suspect."""
+        reply = await self.client.report(
+            report.key, report.fingerprint, report.crash
         )
-        return messages.CrashRecorded(suspect.condemned and not was_condemned)
-
-    def on_cleared(self, _link, message: messages.SuspectCleared) -> None:
-        """Remove a suspect that completed."""
-        self.table.clear(message.fingerprint)
-
-    def on_suspects(self, _link, message: messages.Suspects) -> None:
-        """Adopt entries of a shard that moved here."""
-        expires = self.clock() + suspects.SUSPECT_SECONDS
-        for entry in message.entries:
-            suspect = suspects.Suspect(
-                entry.key, entry.deaths, entry.condemned, expires
-            )
-            self.table.adopt(entry.fingerprint, suspect)
-
-    def routers_changed(self) -> None:
-        """Copy entries to their holders by the new list of routers."""
-        shards = directory.Shards(self.regions.own)
-        entries_by_holder: dict[str, list[messages.SuspectEntry]] = {}
-        for fingerprint, suspect in self.table.entries.items():
-            entry = messages.SuspectEntry(
-                suspect.key, fingerprint, suspect.deaths, suspect.condemned
-            )
-            for holder in shards.holders_of(suspect.key):
-                if holder != self.name:
-                    entries_by_holder.setdefault(holder, []).append(entry)
-        for holder, entries in entries_by_holder.items():
-            for first in range(0, len(entries), BATCH_ENTRIES):
-                batch = entries[first : first + BATCH_ENTRIES]
-                self.mesh.send(holder, messages.Suspects(batch))
-
-    # -- internals --
-
-    def _holders(self, message) -> list[str]:
-        holders = []
-        for live in [self.regions.own(), *self.regions.others()]:
-            shards = directory.Shards(lambda live=live: live)
-            holders.extend(shards.holders_of(message.key))
-        return holders
-
-    async def _report(
-        self, holder: str, message: messages.TargetCrashed
-    ) -> bool:
-        try:
-            answer = await self.mesh.call(
-                holder, message, REPORT_TIMEOUT_SECONDS
-            )
-        except errors.AmaranthringError:
+        if reply is None:
             self.metrics.count("suspects.unsent")
-            return False
-        return answer.condemned
+            return
+        if reply.condemned:
+            # In its own task: the caller's answer must not wait for keepers
+            # without a quorum.
+            self._start(self._propose_quarantine(report.fingerprint))
+
+    async def _settle(
+        self,
+        report: Report,
+        target: records.Target,
+        inquiry: liveness.Inquiry | None,
+    ) -> None:
+        """Settle a crash that is not proven yet."""
+        if inquiry is None:
+            await self._confirm(report)
+            return
+        verdict = await self._final_verdict(target, inquiry)
+        if verdict is liveness.Verdict.ALIVE:
+            self._withdraw(report)
+        elif verdict is liveness.Verdict.DEAD:
+            await self._confirm(report)
+
+    async def _final_verdict(
+        self, target: records.Target, inquiry: liveness.Inquiry
+    ) -> liveness.Verdict:
+        """Wait until `target` answers or has ended."""
+        verdict = await inquiry.settle(suspects.SUSPECT_SECONDS)
+        inquiry.stop()
+        if verdict is liveness.Verdict.ALIVE:
+            await asyncio.sleep(RESTART_SECONDS)
+            if self._was_replaced(target):
+                return liveness.Verdict.DEAD
+        return verdict
+
+    async def _confirm(self, report: Report) -> None:
+        """Settle a crash that is proven by now."""
+        crash = dataclasses.replace(report.crash, proven=True)
+        if crash.apart:
+            # The loss of a whole rack shows in the table within this time.
+            await asyncio.sleep(self.confirm_seconds)
+            if self.recent_deaths.correlated(self.clock()):
+                self.metrics.count("suspects.many-deaths")
+                self._withdraw(report)
+                return
+        logs.event(
+            log,
+            "crash.settled",
+            fingerprint=report.fingerprint,
+            target=crash.target,
+            apart=crash.apart,
+        )
+        if await self.client.settle(report.key, report.fingerprint, crash):
+            await self._propose_quarantine(report.fingerprint)
+
+    def _was_replaced(self, target: records.Target) -> bool:
+        """Return whether another process runs under the target's name."""
+        known = self.get_target(target.name)
+        return known is not None and known.incarnation != target.incarnation
+
+    def _withdraw(self, report: Report) -> None:
+        target = report.crash.target
+        logs.event(
+            log,
+            "crash.withdrawn",
+            fingerprint=report.fingerprint,
+            target=target,
+        )
+        self.metrics.count("suspects.withdrawn")
+        self.client.withdraw(report.key, report.fingerprint, target)
 
     async def _propose_quarantine(self, fingerprint: str) -> None:
         logs.event(log, "request.condemned", fingerprint=fingerprint)
@@ -242,6 +299,16 @@
             # The shards refuse the request until their entry expires.
             self.metrics.count("suspects.not-proposed")
 
+    def _start(self, call: t.Coroutine) -> None:
+        """Run `call` in a task of its own."""
+        if len(self.tasks) >= MAX_TASKS:
+            self.metrics.count("suspects.not-followed")
+            call.close()
+            return
+        task = asyncio.ensure_future(call)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
 
 def _key(request: records.Request) -> str:
     return request.chat or request.body_digest
--- /dev/null
+++ b/amaranthring/targets/liveness.py
@@ -0,0 +1,132 @@
+"""Whether a target still runs after it broke off a request.
+
+A target is alive if it answers a small request, and dead if its address
+refuses connections. Neither a connection that is accepted nor one that is
+reset decides: the kernel accepts connections for a process that is ending,
+stopped or stalled.
+"""
+
+import asyncio
+import enum
+import typing as t
+
+import logbook
+
+from amaranthring.core import logs
+from amaranthring.core import records
+from amaranthring.core import timeouts
+
+log = logbook.Logger(__name__)
+
+# Limits the delay of a retry after a broken connection.
+ANSWER_SECONDS = 0.15
+CONNECT_SECONDS = 1.0
+# Pauses between inquiries whose connections were closed without an answer.
+FIRST_PAUSE_SECONDS = 0.01
+MAX_PAUSE_SECONDS = 1.0
+
+
+class Verdict(enum.StrEnum):
+    """What is known about a target."""
+
+    ALIVE = "alive"
+    DEAD = "dead"
+    SILENT = "silent"
+
+
+class Inquiry:
+    """Asks one target whether it runs, until it answers or is dead.
+
+    Parameters
+    ----------
+    target : Target
+        Target to ask.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        ``SILENT`` until the target has answered or is dead.
+    """
+
+    def __init__(self, target: records.Target):
+        self.target = target
+        self.verdict = Verdict.SILENT
+        self.task = asyncio.ensure_future(self._run())
+
+    async def wait(self, seconds: float) -> Verdict:
+        """Return the verdict, or ``SILENT`` if there is none in time.
+
+        Parameters
+        ----------
+        seconds : float
+            Maximum wait, not counting stalls of this process.
+        """
+        try:
+            async with timeouts.timeout(seconds):
+                await asyncio.shield(self.task)
+        except TimeoutError:
+            self._log()
+        return self.verdict
+
+    async def settle(self, seconds: float) -> Verdict:
+        """Return the verdict, or ``SILENT`` if there is none in time.
+
+        Unlike :meth:`wait`, it counts stalls and suits long waits.
+        """
+        await asyncio.wait({self.task}, timeout=seconds)
+        return self.verdict
+
+    def stop(self) -> None:
+        """Stop asking."""
+        self.task.cancel()
+
+    async def _run(self) -> None:
+        pause = FIRST_PAUSE_SECONDS
+        while True:
+            self.verdict = await _ask(self.target)
+            if self.verdict is not Verdict.SILENT:
+                self._log()
+                return
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, MAX_PAUSE_SECONDS)
+
+    def _log(self) -> None:
+        logs.event(
+            log,
+            "target.asked",
+            target=self.target.name,
+            incarnation=self.target.incarnation,
+            verdict=str(self.verdict),
+        )
+
+
+async def _ask(target: records.Target) -> Verdict:
+    """Ask once; wait for the answer as long as the connection lasts."""
+    host, _, port = target.address.rpartition(":")
+    writer: asyncio.StreamWriter | None = None
+    try:
+        async with timeouts.timeout(CONNECT_SECONDS):
+            reader, writer = await asyncio.open_connection(
+                host.strip("[]"), int(port)
+            )
+        writer.write(_request(target.address))
+        answered = await reader.read(1)
+    except ConnectionRefusedError:
+        return Verdict.DEAD
+    except (OSError, ValueError, TimeoutError):
+        return Verdict.SILENT
+    finally:
+        if writer is not None:
+            writer.transport.abort()
+    return Verdict.ALIVE if answered else Verdict.SILENT
+
+
+def _request(address: str) -> bytes:
+    """Return ``OPTIONS *``, which every HTTP server answers somehow."""
+    lines: t.Sequence[str] = (
+        "OPTIONS * HTTP/1.1",
+        f"Host: {address}",
+        "Connection: close",
+        "Content-Length: 0",
+    )
+    return "\r\n".join([*lines, "", ""]).encode("latin1")
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -24,9 +24,6 @@
 
 READ_BYTES = 64 * 1024
 CONNECT_SECONDS = 1.0
-# Time in which a killed process has closed all of its sockets, also on a busy
-# machine. A caller whose attempt failed waits as long.
-RESET_WAIT_SECONDS = 0.15
 OUTCOME_HEADER = "Amaranthring-Outcome"
 REQUEST_ID_HEADER = "Amaranthring-Request-Id"
 
@@ -424,26 +421,3 @@
                 expected="printable characters",
             )
     return "\r\n".join([*lines, "", ""]).encode("latin1", "replace")
-
-
-async def is_reachable(target: records.Target) -> bool:
-    """Return whether `target` accepts a connection and keeps it.
-
-    While the kernel ends a process, its listener briefly still accepts
-    connections, which are then reset: such a target is dead.
-    """
-    exchange = Exchange(target)
-    try:
-        await exchange.open_connection()
-    except CONNECTION_ERRORS:
-        exchange.close()
-        return False
-    try:
-        async with timeouts.timeout(RESET_WAIT_SECONDS):
-            return bool(await exchange.reader.read(1))
-    except TimeoutError:
-        return True
-    except CONNECTION_ERRORS:
-        return False
-    finally:
-        exchange.close()
--- a/amaranthring/testing/engine.py
+++ b/amaranthring/testing/engine.py
@@ -19,6 +19,7 @@
 import itertools
 import json
 import os
+import time
 import typing as t
 
 import tornado.httpclient
@@ -132,6 +133,9 @@
         Chats whose prefix is cached, least recently used first.
     exit_on_crash : bool
         Whether a crash ends the process or just drops the connection.
+    crash_seconds : float
+        Time from a crash, which closes all connections, to the end of the
+        process. Until then the kernel accepts connections for it.
     supports_continuation : bool
         Whether it can continue a given text.
     on_crash : callable
@@ -148,6 +152,7 @@
         fencing: bool = False,
         exit_on_crash: bool = False,
         continues: bool = True,
+        crash_seconds: float = 0.0,
     ):
         self.name = name
         self.models = models
@@ -156,6 +161,7 @@
         self.cache_chats = cache_chats
         self.fencing = fencing
         self.exit_on_crash = exit_on_crash
+        self.crash_seconds = crash_seconds
         self.supports_continuation = continues
         self.on_crash: t.Callable[[], None] = lambda: None
         self.runs: list[dict[str, t.Any]] = []
@@ -269,6 +275,10 @@
     def crash(self) -> None:
         """End the process, or drop the connection."""
         if self.engine.exit_on_crash:
+            if self.engine.crash_seconds:
+                standin.shut_down_connections()
+                # Blocks the event loop: nothing is answered any more.
+                time.sleep(self.engine.crash_seconds)
             os._exit(1)
         self.engine.on_crash()
         self.detach().close()
@@ -577,6 +587,7 @@
     parser.add_argument("--token-seconds", type=float, default=0.0)
     parser.add_argument("--cache-chats", type=int, default=500)
     parser.add_argument("--fencing", action="store_true")
+    parser.add_argument("--crash-seconds", type=float, default=0.0)
     args = parser.parse_args()
     engine = Engine(
         args.name,
@@ -586,6 +597,7 @@
         args.cache_chats,
         args.fencing,
         exit_on_crash=True,
+        crash_seconds=args.crash_seconds,
     )
     _, port = standin.listen(engine.app(), args.port)
     target = standin.target(
--- a/amaranthring/testing/fake_dependencies.py
+++ b/amaranthring/testing/fake_dependencies.py
@@ -177,7 +177,7 @@
         self.running[grant.target.name] -= 1
         self.released.append(end)
 
-    async def report_crash(self, request, target) -> None:
+    async def report_crash(self, request, target, _inquiry=None) -> None:
         """Record a crash; the second target quarantines the request."""
         self.crash_reports.append((request.body_digest, target.name))
         crashed_targets = {
--- a/amaranthring/testing/in_process_routers.py
+++ b/amaranthring/testing/in_process_routers.py
@@ -90,6 +90,7 @@
             self._quarantine,
             lambda: self.config,
             clock=self.clock,
+            get_target=table.get,
         )
         crash_tracker.confirm_seconds = 0.0
         chat_directory = directory.Directory(
--- a/amaranthring/testing/standin.py
+++ b/amaranthring/testing/standin.py
@@ -2,6 +2,8 @@
 
 import argparse
 import asyncio
+import os
+import socket
 import time
 import typing as t
 
@@ -42,6 +44,23 @@
     return server, sockets[0].getsockname()[1]
 
 
+def shut_down_connections() -> None:
+    """Shut down every connection of this process; its listeners stay."""
+    for name in os.listdir("/proc/self/fd"):
+        try:
+            connection = socket.socket(fileno=os.dup(int(name)))
+        except OSError:
+            # Not a socket.
+            continue
+        with connection:
+            try:
+                # Fails for listeners, which a shutdown would close.
+                connection.getpeername()
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+
+
 def target(
     args: argparse.Namespace,
     kind: records.TargetKind,
--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -15,6 +15,7 @@
 
     routers = 6
     map_addresses = None
+    engine_options = ()
 
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -49,7 +50,7 @@
     def start_target(self, kind, number, data_centre):
         options = ["--data-centre", data_centre]
         if kind == "engine":
-            options += ["--token-seconds", "0.01"]
+            options += ["--token-seconds", "0.01", *self.engine_options]
         name = f"{kind}-{number + 1}"
         self.fleet.start_target(kind, name, *options)
         self.targets.append(name)
--- /dev/null
+++ b/tests/test_execution.py
@@ -0,0 +1,65 @@
+"""Examination of a target that broke off an attempt."""
+
+import asyncio
+import unittest
+
+from amaranthring.callers import execution
+from amaranthring.core import records
+from amaranthring.testing import fake_dependencies
+from amaranthring.testing import fake_network
+
+
+class TestExamination(unittest.IsolatedAsyncioTestCase):
+    """An attempt whose connection broke, and the listener of its target."""
+
+    async def asyncSetUp(self):
+        self.writers = []
+        self.server = await asyncio.start_server(
+            self.on_connection, "127.0.0.1", 0
+        )
+        self.addCleanup(self.close)
+        host, port = self.server.sockets[0].getsockname()
+        address = f"{host}:{port}"
+        self.target = records.Target(
+            "e1", 1, records.TargetKind.ENGINE, address, "dc1", "r", ("m",)
+        )
+        self.fakes = fake_dependencies.Fakes(self.target)
+        self.deps = self.fakes.needs
+        self.request = fake_network.request(body_digest="body")
+        grant = records.Grant("g1", "r1", self.target)
+        self.attempt = execution.Attempt(0, grant, sent=True)
+
+    def close(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        if self.attempt.inquiry:
+            self.attempt.inquiry.stop()
+
+    async def on_connection(self, reader, writer):
+        self.writers.append(writer)
+        await self.answer(reader, writer)
+
+    async def answer(self, reader, writer):
+        """Do not answer: the kernel accepted the connection."""
+
+    async def examine(self):
+        await execution.examine_target(self.deps, self.request, self.attempt)
+
+    async def test_silent_target_is_reported_before_the_grant_is_released(
+        self,
+    ):
+        """Another isolated run must not start there before the report."""
+        await self.examine()
+        self.assertTrue(self.attempt.target_lost)
+        self.assertEqual(self.fakes.crash_reports, [("body", "e1")])
+
+    async def test_answering_target_is_not_lost(self):
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 404 Not Found\r\n\r\n")
+
+        self.answer = answer
+        await self.examine()
+        self.assertFalse(self.attempt.target_lost)
+        self.assertEqual(self.fakes.crash_reports, [])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -138,6 +138,73 @@
             await callers.ask(body)
 
 
+class TestSlowCrash(TestCrashingRequest):
+    """Crashed engines whose processes end 0.3 s later.
+
+    Until then their listeners accept connections that nothing answers, so an
+    accepted connection does not show that an engine is alive.
+    """
+
+    engine_options = ("--crash-seconds", "0.3")
+
+
+class TestVerySlowCrash(TestCrashingRequest):
+    """Crashed engines whose processes end 1.0 s later.
+
+    The request returns through other routers before they have ended.
+    """
+
+    engine_options = ("--crash-seconds", "1.0")
+
+
+class TestStoppedEngines(fleet_case.FleetCase):
+    """Engines that are stopped while they run the same request."""
+
+    routers = 3
+
+    async def test_request_is_not_condemned(self):
+        """A stopped process loses its lease but has not crashed.
+
+        Its request is refused for now, and accepted once both engines run.
+        """
+        body = {
+            "model": "m1",
+            "messages": [{"role": "user", "content": "slow"}],
+            "stream": True,
+            "max_tokens": 4,
+            "stand_in": {"fault": "slow", "at": 2, "seconds": 4.0},
+        }
+        chat = asyncio.ensure_future(self.callers.ask(body))
+        stopped = [await self.stop_engine([])]
+        stopped.append(await self.stop_engine(stopped))
+        await chat
+        other = load.Callers(self.callers.urls, self.callers.token)
+        await other.ask(body)
+        self.assertEqual(other.tally.refused, {"suspected": 1})
+        for name in stopped:
+            self.fleet.processes[name].resume()
+        while not other.tally.complete:
+            await asyncio.sleep(1.0)
+            await other.ask(body)
+            self.assertLess(other.tally.refused.get("suspected", 0), 10)
+        self.assertEqual(set(other.tally.refused), {"suspected"})
+
+    async def stop_engine(self, stopped):
+        """Stop the engine that runs the request; return its name."""
+        names = [f"engine-{number}" for number in (1, 2, 3)]
+        while True:
+            for name in set(names) - set(stopped):
+                process = self.fleet.processes[name]
+                address = process.log.read_text().split()[1]
+                _, answer = await self.blocking(
+                    local_fleet.http_get, f"http://{address}/control/ran"
+                )
+                if json.loads(answer)["running"]:
+                    process.pause()
+                    return name
+            await asyncio.sleep(0.05)
+
+
 class TestDataCentreCut(fleet_case.FleetCase):
     """A network partition isolates one data centre from the others."""
 
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -1,10 +1,14 @@
 """Quarantine of requests that crash their targets."""
 
 import asyncio
+import dataclasses
 import unittest
+import unittest.mock
 
 from amaranthring import errors
 from amaranthring.core import records
+from amaranthring.routers import suspicion
+from amaranthring.targets import liveness
 from amaranthring.testing import in_process_routers
 
 
@@ -104,3 +108,118 @@
         await self.crash(one.target.name)
         await self.crash(two.target.name)
         self.assertEqual(self.fleet.quarantined, [])
+
+
+class ScriptedInquiry:
+    """An inquiry whose verdict the test sets."""
+
+    def __init__(self, verdict=liveness.Verdict.SILENT):
+        self.verdict = verdict
+        self.decided = asyncio.Event()
+
+    def decide(self, verdict):
+        self.verdict = verdict
+        self.decided.set()
+
+    async def wait(self, _seconds):
+        return self.verdict
+
+    async def settle(self, _seconds):
+        await self.decided.wait()
+        return self.verdict
+
+    def stop(self):
+        self.decided.set()
+
+
+class CrashCase(unittest.IsolatedAsyncioTestCase):
+    """Six routers in three data centres and eight engines."""
+
+    def setUp(self):
+        self.fleet = in_process_routers.Routers(
+            6, 8, data_centres=("dc1", "dc2", "dc3")
+        )
+        self.patch(suspicion, "RESTART_SECONDS", 0.0)
+
+    def patch(self, module, name, value):
+        patcher = unittest.mock.patch.object(module, name, value)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    async def admit(self, body, router, excluded=()):
+        return await self.fleet.admit(
+            1, router, excluded, chat=body, body_digest=body
+        )
+
+    async def break_off(self, grant, inquiry=None):
+        """Let the target break off the request, as its router sees it."""
+        router, _ = self.fleet.grants[grant.grant_id]
+        serial = int(grant.grant_id.rpartition(":")[2])
+        request = router.placer.held.by_serial[serial].request
+        await router.suspicion.report_crash(request, grant.target, inquiry)
+        self.fleet.release(grant, records.AttemptEnd.TARGET_LOST)
+        return router
+
+    async def settle(self):
+        """Wait until no router has a report left to settle."""
+        while tasks := [
+            task
+            for router in self.fleet.live()
+            for task in router.suspicion.tasks
+        ]:
+            await asyncio.gather(*tasks)
+
+
+class TestUnprovenCrash(CrashCase):
+    """Targets that broke off and are silent, but may not have crashed."""
+
+    async def crash_twice(self):
+        inquiries = [ScriptedInquiry(), ScriptedInquiry()]
+        for router, inquiry in zip(("r0", "r4"), inquiries, strict=True):
+            grant = await self.admit("bad", router)
+            await self.break_off(grant, inquiry)
+        self.assertEqual(self.fleet.quarantined, [])
+        return inquiries
+
+    async def test_request_waits_for_proof(self):
+        """A third engine must not crash before the first two have ended."""
+        first, second = await self.crash_twice()
+        for router in self.fleet.live():
+            with self.assertRaises(errors.SuspectedError) as caught:
+                await self.admit("bad", router.name)
+            self.assertGreater(caught.exception.retry_after, 0)
+        first.decide(liveness.Verdict.DEAD)
+        second.decide(liveness.Verdict.DEAD)
+        await self.settle()
+        self.assertEqual(self.fleet.quarantined, ["bad"])
+
+    async def test_stopped_targets_condemn_nothing(self):
+        """Processes that were only stopped answer when they are resumed."""
+        first, second = await self.crash_twice()
+        first.decide(liveness.Verdict.DEAD)
+        second.decide(liveness.Verdict.ALIVE)
+        await self.settle()
+        self.assertEqual(self.fleet.quarantined, [])
+        grant = await self.admit("bad", "r2")
+        self.fleet.release(grant)
+
+    async def test_restarted_process_has_crashed(self):
+        """Another process answers at the address of the one that crashed."""
+        first, second = await self.crash_twice()
+        for target in list(self.fleet.targets):
+            for router in self.fleet.live():
+                router.table.put(dataclasses.replace(target, incarnation=2))
+        first.decide(liveness.Verdict.ALIVE)
+        second.decide(liveness.Verdict.ALIVE)
+        await self.settle()
+        self.assertEqual(self.fleet.quarantined, ["bad"])
+
+    async def test_completed_run_is_not_suspected_again(self):
+        """Proof that comes after a completed run must not undo it."""
+        inquiry = ScriptedInquiry()
+        await self.break_off(await self.admit("good", "r0"), inquiry)
+        self.fleet.release(await self.admit("good", "r1"))
+        inquiry.decide(liveness.Verdict.DEAD)
+        await self.settle()
+        entries = [r.suspicion.suspect_of("good") for r in self.fleet.live()]
+        self.assertEqual(set(entries), {None})
