Condemn a request only if no other can have caused both crashes

Cause: "isolated" meant apart from known suspects. A copy of the culprit that nobody suspected yet could run beside it and crash the second engine as well.

Change: what ran on a process when it crashed is stored with its target. A crash during an isolated run counts only if no other request ran on both of the crashed targets; one that was sent after the first report is not blamed at all. The crash is reported before the grant is released. Suspects are not the first to try a target whose breaker has opened.

Why this holds: two crashes condemn only the one request that both have in common, whoever was suspected when.

Tests, on the code before: "good" is quarantined beside the second copy, a request sent after the crash becomes a suspect, a suspect is granted the target that has just failed (3 failures).

--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -112,6 +112,8 @@
         Whether the target is known to be another process by now.
     reported : bool
         Whether the loss of the target was reported.
+    started : float
+        Monotonic time of its start, in seconds.
     """
 
     number: int
@@ -123,6 +125,7 @@
     silent: bool = False
     process_gone: bool = False
     reported: bool = False
+    started: float = dataclasses.field(default_factory=time.monotonic)
 
     @property
     def target(self) -> records.Target:
@@ -263,8 +266,11 @@
     deps.metrics.count("way.target-lost")
     if attempt.inquiry is None and not attempt.process_gone:
         attempt.inquiry = liveness.Inquiry(attempt.target)
+    seconds = time.monotonic() - attempt.started
     try:
-        await deps.report_crash(request, attempt.target, attempt.inquiry)
+        await deps.report_crash(
+            request, attempt.target, attempt.inquiry, seconds
+        )
     except errors.AmaranthringError:
         attempt.retryable = False
     if deps.is_quarantined(request.body_digest):
@@ -413,7 +419,8 @@
     """Ask whether the target of a broken attempt runs; report its loss.
 
     A broken connection alone is no crash: a target that only dropped this
-    connection answers an inquiry.
+    connection answers an inquiry. Called before the grant is released, so
+    that the next isolated run there starts after the report.
     """
     if not attempt.target_lost:
         await _inquire(attempt)
--- a/amaranthring/policy/admission.py
+++ b/amaranthring/policy/admission.py
@@ -229,6 +229,13 @@
         barred = set(request.excluded)
         if request.suspect:
             barred.update(self.counts.suspects)
+            # A target that has crashed may accept the request before it
+            # ends; the request would be suspected of that crash as well.
+            barred.update(
+                name
+                for name in self.targets
+                if self.breakers.is_doubtful(name, now)
+            )
         limits = self._limits(
             loads, now, own_mean and not request.at_once, barred
         )
--- a/amaranthring/policy/breakers.py
+++ b/amaranthring/policy/breakers.py
@@ -13,6 +13,8 @@
 INITIAL_OPEN_SECONDS = 0.3
 MAX_OPEN_SECONDS = 3.0
 REPORT_SECONDS = 5.0
+# Time after which any request may be the trial of a target.
+DOUBT_SECONDS = 3.0
 MAX_REPORTERS = 1024
 CONSECUTIVE_ERRORS = 3
 
@@ -122,6 +124,17 @@
             return capacity
         return 0 if now < breaker.open_until else min(1, capacity)
 
+    def is_doubtful(self, target: str, now: float) -> bool:
+        """Return whether `target` failed and has not succeeded since.
+
+        It ends by itself after a time, so that a target gets its trial
+        request although no other requests arrive.
+        """
+        breaker = self.by_target.get(target)
+        return breaker is not None and (
+            now < breaker.open_until + DOUBT_SECONDS
+        )
+
     def _open(
         self, target: str, known: OpenBreaker | None, now: float
     ) -> None:
--- a/amaranthring/policy/suspects.py
+++ b/amaranthring/policy/suspects.py
@@ -18,6 +18,10 @@
 SUSPECT_SECONDS = 600.0
 MAX_ENTRIES = 20000
 MAX_CRASHES = 4
+# Reports take up to this time, so the first may come later than others'.
+REPORT_DELAY_SECONDS = 0.4
+MAX_CASUALTIES = 512
+MAX_CASUALTY_ENTRIES = 1024
 CORRELATED_CRASHES = 3
 CORRELATION_SECONDS = 3.0
 
@@ -170,6 +174,76 @@
         self.entries.setdefault(fingerprint, suspect)
 
 
+@dataclasses.dataclass
+class Casualties:
+    """Requests that ran on one process when it crashed.
+
+    Attributes
+    ----------
+    reported_at : float
+        Time of the first report, in seconds.
+    apart_reported_at : float
+        Time of the first report of an isolated run, in seconds.
+    fingerprints : set of str
+        Of the requests, up to :data:`MAX_CASUALTIES`.
+    """
+
+    reported_at: float
+    apart_reported_at: float = float("inf")
+    fingerprints: set[str] = dataclasses.field(default_factory=set)
+
+
+class CasualtyTable:
+    """Bounded table of the requests that ran on crashed processes."""
+
+    def __init__(self):
+        self.entries: collections.OrderedDict[tuple[str, int], Casualties] = (
+            collections.OrderedDict()
+        )
+
+    def add(
+        self,
+        crash: Crash,
+        fingerprint: str,
+        seconds: float,
+        now: float,
+    ) -> bool:
+        """Add a request; return whether it may have caused the crash.
+
+        A request that was sent after the first report is not added. It went
+        to a process that had crashed already, as the kernel accepts
+        connections until the process has ended.
+
+        Parameters
+        ----------
+        seconds : float
+            Time since the request was sent.
+        """
+        key = crash.target, crash.incarnation
+        known = self.entries.get(key)
+        if known is None or known.reported_at < now - SUSPECT_SECONDS:
+            known = self.entries[key] = Casualties(now)
+            while len(self.entries) > MAX_CASUALTY_ENTRIES:
+                self.entries.popitem(last=False)
+        sent_at = now - seconds
+        if sent_at > known.reported_at + REPORT_DELAY_SECONDS:
+            return False
+        if crash.apart:
+            # Isolated runs follow one another, so this one was sent after
+            # the connection of the other had broken.
+            if sent_at > known.apart_reported_at:
+                return False
+            known.apart_reported_at = min(known.apart_reported_at, now)
+        if len(known.fingerprints) < MAX_CASUALTIES:
+            known.fingerprints.add(fingerprint)
+        return True
+
+    def get(self, target: str, incarnation: int) -> set[str]:
+        """Return the fingerprints of the requests that ran there."""
+        known = self.entries.get((target, incarnation))
+        return set() if known is None else known.fingerprints
+
+
 class RecentCrashes:
     """Recent crashes of targets, to detect infrastructure failures."""
 
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -253,6 +253,40 @@
     fingerprint: str
 
 
+@wire.message("casualty")
+class CasualtyReport:
+    """Reports a request that ran on a process when it crashed.
+
+    `seconds` is the time since the request was sent.
+    """
+
+    crash: suspects.Crash
+    fingerprint: str
+    seconds: float
+
+
+@wire.message("casualty-recorded")
+class CasualtyRecorded:
+    """Reply: whether the request may have caused the crash."""
+
+    plausible: bool = True
+
+
+@wire.message("casualties-ask")
+class CasualtiesRequest:
+    """Asks which requests ran on a process when it crashed."""
+
+    target: str
+    incarnation: int
+
+
+@wire.message("casualties")
+class CasualtyList:
+    """Reply: fingerprints of the requests that ran there."""
+
+    fingerprints: list[str] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass
 class SuspectEntry:
     """State of one suspect, copied between shards."""
--- a/amaranthring/routers/suspect_client.py
+++ b/amaranthring/routers/suspect_client.py
@@ -1,4 +1,4 @@
-"""Calls to the shards that hold suspects.
+"""Calls to the shards that hold suspects and casualties.
 
 See :mod:`amaranthring.routers.suspect_shard` for the shards.
 """
@@ -16,7 +16,7 @@
 
 log = logbook.Logger(__name__)
 
-CALL_TIMEOUT_SECONDS = 0.4
+CALL_TIMEOUT_SECONDS = suspects.REPORT_DELAY_SECONDS
 
 
 class SuspectClient:
@@ -66,6 +66,30 @@
         """Remove a suspect whose run ended without a crash."""
         self._send(key, messages.SuspectCleared(key, fingerprint))
 
+    async def add_casualty(
+        self, crash: suspects.Crash, fingerprint: str, seconds: float
+    ) -> bool:
+        """Report a request that ran on a process when it crashed.
+
+        Returns whether the request may have caused the crash.
+
+        Parameters
+        ----------
+        seconds : float
+            Time since the request was sent.
+        """
+        message = messages.CasualtyReport(crash, fingerprint, seconds)
+        holders = self._own_holders(crash.target)
+        replies = await self._call_all(holders, message)
+        return all(reply.plausible for reply in replies)
+
+    async def casualties(self, crash: suspects.Crash) -> set[str]:
+        """Return fingerprints of all requests that ran on the process."""
+        message = messages.CasualtiesRequest(crash.target, crash.incarnation)
+        holders = self._own_holders(crash.target)
+        replies = await self._call_all(holders, message)
+        return {name for reply in replies for name in reply.fingerprints}
+
     async def _call_all(self, holders: list[str], message) -> list[t.Any]:
         """Call `holders` at once; return the replies of those that answer."""
         replies = await asyncio.gather(
@@ -86,6 +110,10 @@
         for holder in self._holders(key):
             self.mesh.send(holder, message)
 
+    def _own_holders(self, key: str) -> list[str]:
+        """Return the holders of `key` in this region."""
+        return directory.Shards(self.regions.own).holders_of(key)
+
     def _holders(self, key: str) -> list[str]:
         """Return the holders of `key` in all regions."""
         holders = []
--- a/amaranthring/routers/suspect_shard.py
+++ b/amaranthring/routers/suspect_shard.py
@@ -1,8 +1,9 @@
-"""The shard of suspects that one router holds.
+"""The shard of suspects and of casualties that one router holds.
 
 A suspect is stored in the directory shard of its chat, so that the directory
-lookup of any router returns it. Each entry has two holders in each region, so
-that it survives the loss of a router.
+lookup of any router returns it. The requests that ran on a crashed process
+are stored in the shard of its target. Each entry has two holders, so that it
+survives the loss of a router.
 """
 
 import collections.abc
@@ -16,7 +17,7 @@
 
 
 class SuspectShard:
-    """Suspects that this router holds.
+    """Suspects and casualties that this router holds.
 
     Parameters
     ----------
@@ -42,6 +43,7 @@
         self.live = live
         self.clock = clock
         self.suspects = suspects.SuspectTable()
+        self.casualties = suspects.CasualtyTable()
         mesh.subscribe(self.routers_changed)
 
     def add_handlers(self, handlers) -> None:
@@ -51,6 +53,8 @@
         handlers.add(messages.CrashWithdrawn, self.on_withdrawn)
         handlers.add(messages.SuspectCleared, self.on_cleared)
         handlers.add(messages.Suspects, self.on_suspects)
+        handlers.add(messages.CasualtyReport, self.on_casualty)
+        handlers.add(messages.CasualtiesRequest, self.on_casualties_request)
 
     def get(self, fingerprint: str) -> suspects.Suspect | None:
         """Return the entry of `fingerprint`, or None if not a suspect."""
@@ -104,6 +108,25 @@
             )
             self.suspects.adopt(entry.fingerprint, suspect)
 
+    def on_casualty(
+        self, _link, message: messages.CasualtyReport
+    ) -> messages.CasualtyRecorded:
+        """Record a request that ran on a process when it crashed."""
+        plausible = self.casualties.add(
+            message.crash,
+            message.fingerprint,
+            message.seconds,
+            self.clock(),
+        )
+        return messages.CasualtyRecorded(plausible)
+
+    def on_casualties_request(
+        self, _link, message: messages.CasualtiesRequest
+    ) -> messages.CasualtyList:
+        """Return the requests that ran on a process when it crashed."""
+        found = self.casualties.get(message.target, message.incarnation)
+        return messages.CasualtyList(sorted(found))
+
     def routers_changed(self) -> None:
         """Copy suspects to their holders by the new list of routers."""
         shards = directory.Shards(self.live)
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -46,11 +46,14 @@
         Of the request.
     crash : Crash
         The crash, as it was reported.
+    earlier : list of Crash
+        Earlier crashes of the request.
     """
 
     key: str
     fingerprint: str
     crash: suspects.Crash
+    earlier: list[suspects.Crash] = dataclasses.field(default_factory=list)
 
 
 class CrashTracker:
@@ -139,6 +142,7 @@
         request: records.Request,
         target: records.Target,
         inquiry: liveness.Inquiry | None = None,
+        seconds: float = 0.0,
     ) -> None:
         """Report that `target` crashed while `request` ran there.
 
@@ -150,6 +154,8 @@
         inquiry : Inquiry, optional
             Asks whether the target still runs. Without it, the crash counts
             as proven.
+        seconds : float
+            Time since the request was sent.
         """
         fingerprint = request.body_digest
         apart = self.isolated_runs.get(fingerprint) == target.name
@@ -161,7 +167,9 @@
             target.name, target.incarnation, apart, proven and not apart
         )
         report = Report(_key(request), fingerprint, crash)
-        blamed = not self.recent_deaths.correlated(self.clock())
+        plausible = await self.client.add_casualty(crash, fingerprint, seconds)
+        correlated = self.recent_deaths.correlated(self.clock())
+        blamed = plausible and not correlated
         logs.event(
             log,
             "request.crashed",
@@ -173,7 +181,8 @@
             blamed=blamed,
         )
         if not blamed:
-            self.metrics.count("suspects.many-deaths")
+            cause = "many-deaths" if correlated else "crashed-before"
+            self.metrics.count(f"suspects.{cause}")
             if inquiry is not None:
                 inquiry.stop()
             return
@@ -221,6 +230,11 @@
         if reply is None:
             self.metrics.count("suspects.unsent")
             return
+        report.earlier = [
+            crash
+            for crash in reply.crashes
+            if crash.target != report.crash.target
+        ]
         if reply.condemned:
             # In its own task: the caller's answer must not wait for keepers
             # without a quorum.
@@ -255,15 +269,20 @@
         return verdict
 
     async def _confirm(self, report: Report) -> None:
-        """Settle a crash that is proven by now."""
+        """Settle a crash that is proven by now.
+
+        An isolated run counts only if no other request can be the cause.
+        """
         crash = dataclasses.replace(report.crash, proven=True)
         if crash.apart:
-            # The loss of a whole rack shows in the table within this time.
+            # The loss of a whole rack shows in the table within this time,
+            # and other routers report what ran on the target.
             await asyncio.sleep(self.confirm_seconds)
             if self.recent_deaths.correlated(self.clock()):
                 self.metrics.count("suspects.many-deaths")
                 self._withdraw(report)
                 return
+            crash.apart = not await self._other_causes(report)
         logs.event(
             log,
             "crash.settled",
@@ -274,6 +293,18 @@
         if await self.client.settle(report.key, report.fingerprint, crash):
             await self._propose_quarantine(report.fingerprint)
 
+    async def _other_causes(self, report: Report) -> set[str]:
+        """Return the other requests that ran on two of the crashed targets.
+
+        They may have caused both crashes as well, if nobody suspected them
+        when the second target crashed.
+        """
+        second = await self.client.casualties(report.crash)
+        earlier: set[str] = set()
+        for crash in report.earlier:
+            earlier |= await self.client.casualties(crash)
+        return (second & earlier) - {report.fingerprint}
+
     def _was_replaced(self, target: records.Target) -> bool:
         """Return whether another process runs under the target's name."""
         known = self.get_target(target.name)
--- a/amaranthring/testing/fake_dependencies.py
+++ b/amaranthring/testing/fake_dependencies.py
@@ -177,7 +177,9 @@
         self.running[grant.target.name] -= 1
         self.released.append(end)
 
-    async def report_crash(self, request, target, _inquiry=None) -> None:
+    async def report_crash(
+        self, request, target, _inquiry=None, _seconds=0.0
+    ) -> None:
         """Record a crash; the second target quarantines the request."""
         self.crash_reports.append((request.body_digest, target.name))
         crashed_targets = {
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -5,6 +5,7 @@
 from amaranthring import errors
 from amaranthring.core import records
 from amaranthring.policy import admission
+from amaranthring.policy import breakers
 from amaranthring.policy import leases
 from amaranthring.testing import fake_network as fakes
 
@@ -154,3 +155,24 @@
         self.assertIsNone(self.admit(suspect=True))
         self.assertIsNotNone(self.admit())
         self.assertEqual(self.release(first.key, 1.0), [3])
+
+    def test_suspects_avoid_a_target_that_may_have_crashed(self):
+        """It accepts requests until its process has ended.
+
+        A suspect sent there would be suspected of a second crash.
+        """
+        key = self.admit(remembered=("e0",)).key
+        self.cell.release(key, 0.0, records.AttemptEnd.TARGET_LOST)
+        later = breakers.INITIAL_OPEN_SECONDS + 0.1
+        self.assertEqual(self.admit(later, suspect=True).target, "e1")
+        self.assertIsNone(self.admit(later, suspect=True))
+        trial = self.admit(later, remembered=("e0",))
+        self.assertEqual(trial.target, "e0")
+
+    def test_suspect_may_be_the_trial_after_a_time(self):
+        """Without other requests nothing would show that it is alive."""
+        key = self.admit(remembered=("e0",)).key
+        self.cell.release(key, 0.0, records.AttemptEnd.TARGET_LOST)
+        self.admit(suspect=True)
+        later = breakers.INITIAL_OPEN_SECONDS + breakers.DOUBT_SECONDS
+        self.assertEqual(self.admit(later, suspect=True).target, "e0")
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -151,12 +151,14 @@
             1, router, excluded, chat=body, body_digest=body
         )
 
-    async def break_off(self, grant, inquiry=None):
+    async def break_off(self, grant, inquiry=None, seconds=0.0):
         """Let the target break off the request, as its router sees it."""
         router, _ = self.fleet.grants[grant.grant_id]
         serial = int(grant.grant_id.rpartition(":")[2])
         request = router.placer.held.by_serial[serial].request
-        await router.suspicion.report_crash(request, grant.target, inquiry)
+        await router.suspicion.report_crash(
+            request, grant.target, inquiry, seconds
+        )
         self.fleet.release(grant, records.AttemptEnd.TARGET_LOST)
         return router
 
@@ -223,3 +225,44 @@
         await self.settle()
         entries = [r.suspicion.suspect_of("good") for r in self.fleet.live()]
         self.assertEqual(set(entries), {None})
+
+
+class TestOtherCauses(CrashCase):
+    """Requests that another request made look guilty."""
+
+    async def test_suspect_beside_an_unsuspected_culprit(self):
+        """Two copies of a culprit run at once, and a suspect beside them.
+
+        The suspect ran isolated, but the second copy was no suspect when it
+        was sent; it may have caused both crashes.
+        """
+        others = [f"e{number}" for number in range(2, 8)]
+        first = ["e0", *others]
+        second = ["e1", *others]
+        good = await self.admit("good", "r0", first)
+        bad = await self.admit("bad", "r1", first)
+        copy = await self.admit("bad", "r2", second)
+        self.assertEqual(good.target, bad.target)
+        await self.break_off(good)
+        again = await self.admit("good", "r3", second)
+        self.assertEqual(again.target, copy.target)
+        await self.break_off(bad)
+        await self.break_off(again)
+        await self.break_off(copy)
+        await self.settle()
+        self.assertEqual(self.fleet.quarantined, [])
+        self.fleet.release(await self.admit("good", "r5"))
+
+    async def test_request_sent_after_the_crash(self):
+        """The kernel accepts requests for a process that has crashed."""
+        grant = await self.admit("bad", "r0")
+        late = await self.admit("late", "r1", self.all_but(grant))
+        await self.break_off(grant, ScriptedInquiry())
+        self.fleet.clock.now += 2.0
+        await self.break_off(late, None, seconds=1.0)
+        entries = [r.suspicion.suspect_of("late") for r in self.fleet.live()]
+        self.assertEqual(set(entries), {None})
+
+    def all_but(self, grant):
+        names = [target.name for target in self.fleet.targets]
+        return [name for name in names if name != grant.target.name]
