Repeat reports of crashes, and heed them on the own router meanwhile

What callers would see: a request that crashes engines runs on as an ordinary one, beside suspects, if both holders of its suspicion stall for 0.4 s.

Cause, from reading: a report without an answer was dropped. The lookup of the retry, too, knew of no suspect if no holder answered within 0.1 s.

Change: a report is repeated until a holder acknowledges it. For ten seconds a router heeds its own reports, whatever the holders answer.

Tests, on the code before: the holder has no entry, and the retry is no suspect (2 failures).

--- a/amaranthring/routers/directory.py
+++ b/amaranthring/routers/directory.py
@@ -114,6 +114,15 @@
         self, key: str, fingerprint: str = ""
     ) -> messages.LocationsFound:
         """Return the locations of `key`; empty if no shard answers."""
+        reply = await self._ask_shards(key, fingerprint)
+        if self.suspicion is not None and fingerprint:
+            reported = self.suspicion.reported_targets(fingerprint)
+            reply.deaths = sorted({*reply.deaths, *reported})
+        return reply
+
+    async def _ask_shards(
+        self, key: str, fingerprint: str
+    ) -> messages.LocationsFound:
         ask = messages.FindLocations(key, fingerprint)
         for holder in self.shards.holders_of(key):
             if holder == self.name:
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -30,6 +30,12 @@
 CONFIRM_SECONDS = 0.5
 # A process that started again answers before it has announced itself.
 RESTART_SECONDS = 1.0
+# Pause between reports that no holder has acknowledged, and their number.
+REPEAT_SECONDS = 0.5
+MAX_REPEATS = 20
+# Time for which a router heeds its own reports, whatever the holders know.
+OWN_REPORT_SECONDS = 10.0
+MAX_OWN_REPORTS = 20000
 MAX_ISOLATED_RUNS = 20000
 MAX_TASKS = 2000
 
@@ -84,6 +90,8 @@
         Calls to the shards of all routers.
     shard : SuspectShard
         Suspects that this router holds.
+    own_reports : OrderedDict
+        Crashed targets by fingerprint, each with the time of its expiry.
     tasks : set of asyncio.Task
         Reports that are not settled yet.
     """
@@ -116,6 +124,9 @@
         self.isolated_runs: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
+        self.own_reports: collections.OrderedDict[str, dict[str, float]] = (
+            collections.OrderedDict()
+        )
         self.tasks: set[asyncio.Task] = set()
         self.confirm_seconds = CONFIRM_SECONDS
 
@@ -137,6 +148,15 @@
         """Return the entry of `fingerprint` in this router's shard."""
         return self.shard.get(fingerprint)
 
+    def reported_targets(self, fingerprint: str) -> list[str]:
+        """Return targets that this router has just reported as crashed.
+
+        Holders that did not answer do not know them.
+        """
+        now = self.clock()
+        reported = self.own_reports.get(fingerprint, {})
+        return [name for name, expires in reported.items() if expires > now]
+
     async def report_crash(
         self,
         request: records.Request,
@@ -187,10 +207,11 @@
                 inquiry.stop()
             return
         self.metrics.count("suspects.reported")
-        await self._report(report)
-        if not crash.proven:
+        self._remember(report)
+        acknowledged = await self._report(report)
+        if not acknowledged or not crash.proven:
             inquiry = None if proven else inquiry
-            self._start(self._settle(report, target, inquiry))
+            self._start(self._settle(report, target, inquiry, acknowledged))
 
     # -- events from the placer --
 
@@ -213,6 +234,7 @@
     def suspect_finished(self, request: records.Request) -> None:
         """Clear `request`, which completed without a crash."""
         self.isolated_runs.pop(request.body_digest, None)
+        self.own_reports.pop(request.body_digest, None)
         self.metrics.count("suspects.cleared")
         self.client.clear(_key(request), request.body_digest)
 
@@ -222,14 +244,14 @@
 
     # -- settling of reports --
 
-    async def _report(self, report: Report) -> None:
-        """Report a crash to the holders of the suspect."""
+    async def _report(self, report: Report) -> bool:
+        """Report a crash; return whether a holder acknowledged it."""
         reply = await self.client.report(
             report.key, report.fingerprint, report.crash
         )
         if reply is None:
             self.metrics.count("suspects.unsent")
-            return
+            return False
         report.earlier = [
             crash
             for crash in reply.crashes
@@ -239,14 +261,23 @@
             # In its own task: the caller's answer must not wait for keepers
             # without a quorum.
             self._start(self._propose_quarantine(report.fingerprint))
+        return True
 
     async def _settle(
         self,
         report: Report,
         target: records.Target,
         inquiry: liveness.Inquiry | None,
+        acknowledged: bool,
     ) -> None:
-        """Settle a crash that is not proven yet."""
+        """Repeat a lost report, and settle the crash if it is not proven."""
+        for _ in range(MAX_REPEATS):
+            if acknowledged:
+                break
+            await asyncio.sleep(REPEAT_SECONDS)
+            acknowledged = await self._report(report)
+        if report.crash.proven:
+            return
         if inquiry is None:
             await self._confirm(report)
             return
@@ -319,8 +350,17 @@
             target=target,
         )
         self.metrics.count("suspects.withdrawn")
+        self.own_reports.get(report.fingerprint, {}).pop(target, None)
         self.client.withdraw(report.key, report.fingerprint, target)
 
+    def _remember(self, report: Report) -> None:
+        reported = self.own_reports.setdefault(report.fingerprint, {})
+        expires = self.clock() + OWN_REPORT_SECONDS
+        reported[report.crash.target] = expires
+        self.own_reports.move_to_end(report.fingerprint)
+        while len(self.own_reports) > MAX_OWN_REPORTS:
+            self.own_reports.popitem(last=False)
+
     async def _propose_quarantine(self, fingerprint: str) -> None:
         logs.event(log, "request.condemned", fingerprint=fingerprint)
         self.metrics.count("suspects.condemned")
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -140,6 +140,7 @@
             6, 8, data_centres=("dc1", "dc2", "dc3")
         )
         self.patch(suspicion, "RESTART_SECONDS", 0.0)
+        self.patch(suspicion, "REPEAT_SECONDS", 0.0)
 
     def patch(self, module, name, value):
         patcher = unittest.mock.patch.object(module, name, value)
@@ -227,6 +228,47 @@
         self.assertEqual(set(entries), {None})
 
 
+class TestUnacknowledgedReport(CrashCase):
+    """Reports that reach no holder of the suspect."""
+
+    async def test_own_router_isolates_the_retry(self):
+        """Stalled holders must not let a culprit run as an ordinary request.
+
+        It would crash its next engine beside suspects that did nothing.
+        """
+        holders = self.fleet.routers[0].directory.shards.holders_of("bad")
+        router = next(
+            r.name for r in self.fleet.live() if r.name not in holders
+        )
+        grant = await self.admit("bad", router)
+        self.fleet.network.pause = self.no_pause
+        self.fleet.network.frozen.update(holders)
+        await self.break_off(grant)
+        self.fleet.network.frozen.clear()
+        again = await self.admit("bad", router)
+        self.assertNotEqual(again.target.name, grant.target.name)
+        held = self.fleet.by_name[router].placer.held.by_serial.values()
+        self.assertTrue(all(h.suspect for h in held))
+
+    async def test_report_is_repeated(self):
+        """A report that is dropped must not make the request unsuspected."""
+        holders = self.fleet.routers[0].directory.shards.holders_of("bad")
+        router = next(
+            r.name for r in self.fleet.live() if r.name not in holders
+        )
+        grant = await self.admit("bad", router)
+        self.fleet.network.pause = self.no_pause
+        self.fleet.network.frozen.update(holders)
+        await self.break_off(grant)
+        self.fleet.network.frozen.clear()
+        await self.settle()
+        entry = self.fleet.by_name[holders[0]].suspicion.suspect_of("bad")
+        self.assertEqual(entry.targets, [grant.target.name])
+
+    async def no_pause(self, _seconds):
+        await asyncio.sleep(0)
+
+
 class TestOtherCauses(CrashCase):
     """Requests that another request made look guilty."""
 
