Count a run as isolated only if an owner has granted it

What callers would see: an innocent request is quarantined while an admission owner is not there.

Cause, found when looking for how two suspects met on one engine: a router places by its own counts if no owner answers, and nothing keeps other suspects off the target then; the run was recorded as isolated all the same.

Change: such a run never condemns. request.isolated logs each isolated run and its owner.

Test, on the code before: the request is quarantined.

--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -218,7 +218,11 @@
     def suspect_started(
         self, request: records.Request, target: str, owner: str
     ) -> None:
-        """Record that `request` runs as a suspect, apart from others."""
+        """Record that `request` runs as a suspect, apart from others.
+
+        Only an owner keeps other suspects off the target; `owner` is empty
+        if there was none.
+        """
         logs.event(
             log,
             "request.isolated",
@@ -227,6 +231,9 @@
             target=target,
             owner=owner,
         )
+        if not owner:
+            self.isolated_runs.pop(request.body_digest, None)
+            return
         self.isolated_runs[request.body_digest] = target
         if len(self.isolated_runs) > MAX_ISOLATED_RUNS:
             self.isolated_runs.popitem(last=False)
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -9,6 +9,7 @@
 from amaranthring.core import records
 from amaranthring.routers import suspicion
 from amaranthring.targets import liveness
+from amaranthring.testing import fake_network
 from amaranthring.testing import in_process_routers
 
 
@@ -305,6 +306,17 @@
         entries = [r.suspicion.suspect_of("late") for r in self.fleet.live()]
         self.assertEqual(set(entries), {None})
 
+    async def test_run_without_an_owner_is_not_isolated(self):
+        """Without an owner, nothing keeps other suspects off the target."""
+        await self.break_off(await self.admit("bad", "r0"))
+        router = self.fleet.by_name["r1"]
+        request = fake_network.request(chat="bad", body_digest="bad")
+        router.suspicion.suspect_started(request, "e5", "")
+        target = fake_network.target("e5")
+        await router.suspicion.report_crash(request, target)
+        await self.settle()
+        self.assertEqual(self.fleet.quarantined, [])
+
     def all_but(self, grant):
         names = [target.name for target in self.fleet.targets]
         return [name for name in names if name != grant.target.name]
