Blame no request that was never sent to the target

Cause: the lease of the engine ran out while the request was about to connect. That marks the attempt as one whose target was lost, and every such attempt was reported.

Change: only an attempt that may have sent a byte is reported.

Test, on the code before: the crash is reported.

--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -245,7 +245,7 @@
             last_error = error
         excluded.add(attempt.target.name)
         deps.metrics.count(f"way.failed.{last_error.code}")
-        if attempt.target_lost:
+        if attempt.target_lost and attempt.sent:
             await report_crash(deps, request, attempt)
         if not _may_retry(deps, request, attempt, last_error, maybe_ran):
             break
@@ -424,7 +424,7 @@
     """
     if not attempt.target_lost:
         await _inquire(attempt)
-    if attempt.target_lost:
+    if attempt.target_lost and attempt.sent:
         await report_crash(deps, request, attempt)
 
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -63,3 +63,10 @@
         await self.examine()
         self.assertFalse(self.attempt.target_lost)
         self.assertEqual(self.fakes.crash_reports, [])
+
+    async def test_request_that_was_not_sent_is_not_reported(self):
+        """It cannot have crashed a target that it did not reach."""
+        self.attempt.sent = False
+        self.attempt.target_lost = True
+        await self.examine()
+        self.assertEqual(self.fakes.crash_reports, [])
