Report crashes that show only later, and those of callers that have left

What callers would see: a request that crashes engines runs on the next as an ordinary one, if its engine still answered while it was ending or its supervisor started another process at once, or if the caller disconnected in the 0.15 s of the question and came back through another router.

Cause, from reading: the router asked once, while the caller waited. What it learned after that made nobody a suspect.

Change: the question of a caller that has left goes on, and its outcome is reported. A target that answered after it broke off is watched for one lease and a second: if it is lost or replaced by then, the request becomes a suspect.

Tests: there was nothing to call on the code before (watch_target is new).

--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -75,6 +75,7 @@
     when_lost: t.Callable[[str], asyncio.Future]
     record_decision: t.Callable[..., None]
     get_target: t.Callable[[str], records.Target | None]
+    watch_target: t.Callable[..., None]
     served_names: t.Callable[[records.TargetKind], t.Collection[str]]
     metrics: metrics_module.Metrics = dataclasses.field(
         default_factory=metrics_module.Metrics
@@ -423,14 +424,24 @@
     that the next isolated run there starts after the report.
     """
     if not attempt.target_lost:
-        await _inquire(attempt)
+        await _inquire(deps, request, attempt)
     if attempt.target_lost and attempt.sent:
         await report_crash(deps, request, attempt)
 
 
-async def _inquire(attempt: Attempt) -> None:
+async def _inquire(deps, request, attempt) -> None:
     attempt.inquiry = liveness.Inquiry(attempt.target)
-    verdict = await attempt.inquiry.wait(liveness.ANSWER_SECONDS)
+    seconds = time.monotonic() - attempt.started
+    verdict = liveness.Verdict.ALIVE
+    try:
+        verdict = await attempt.inquiry.wait(liveness.ANSWER_SECONDS)
+    finally:
+        # Also if cancelled: a caller that disconnects may send the request
+        # again through another router.
+        if verdict is liveness.Verdict.ALIVE:
+            deps.watch_target(
+                request, attempt.target, attempt.inquiry, seconds
+            )
     attempt.silent = verdict is liveness.Verdict.SILENT
     if verdict is not liveness.Verdict.ALIVE:
         attempt.target_lost = True
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -220,6 +220,7 @@
             settle=self._settle,
             is_quarantined=self.suspicion.is_quarantined,
             report_crash=self.suspicion.report_crash,
+            watch_target=self.suspicion.watch_target,
             may_retry=self.retry_budget.may_retry,
             record_success=self.retry_budget.record_success,
             when_lost=self.table.when_lost,
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -38,6 +38,7 @@
 MAX_OWN_REPORTS = 20000
 MAX_ISOLATED_RUNS = 20000
 MAX_TASKS = 2000
+MAX_WATCHES = 500
 
 
 @dataclasses.dataclass
@@ -213,6 +214,25 @@
             inquiry = None if proven else inquiry
             self._start(self._settle(report, target, inquiry, acknowledged))
 
+    def watch_target(
+        self,
+        request: records.Request,
+        target: records.Target,
+        inquiry: liveness.Inquiry,
+        seconds: float = 0.0,
+    ) -> None:
+        """Report a crash of `target` that shows only later.
+
+        Parameters
+        ----------
+        inquiry : Inquiry
+            Asks whether the target still runs.
+        seconds : float
+            Time since the request was sent.
+        """
+        if len(self.tasks) < MAX_WATCHES:
+            self._start(self._watch(request, target, inquiry, seconds))
+
     # -- events from the placer --
 
     def suspect_started(
@@ -343,6 +363,21 @@
             earlier |= await self.client.casualties(crash)
         return (second & earlier) - {report.fingerprint}
 
+    async def _watch(self, request, target, inquiry, seconds) -> None:
+        started = self.clock()
+        verdict = await inquiry.wait(liveness.ANSWER_SECONDS)
+        if verdict is liveness.Verdict.ALIVE:
+            lease = self.config().preset.lease_seconds
+            await asyncio.sleep(lease + RESTART_SECONDS)
+            if self._was_replaced(target):
+                inquiry = None
+            elif self.get_target(target.name) is None:
+                inquiry = liveness.Inquiry(target)
+            else:
+                return
+        elapsed = self.clock() - started
+        await self.report_crash(request, target, inquiry, seconds + elapsed)
+
     def _was_replaced(self, target: records.Target) -> bool:
         """Return whether another process runs under the target's name."""
         known = self.get_target(target.name)
--- a/amaranthring/testing/fake_dependencies.py
+++ b/amaranthring/testing/fake_dependencies.py
@@ -133,6 +133,7 @@
                 self.logged_events.append((name, event, more))
             ),
             get_target=self.targets.get,
+            watch_target=lambda *_: None,
             served_names=self.serves,
         )
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -14,6 +14,7 @@
 
     async def asyncSetUp(self):
         self.writers = []
+        self.connected = asyncio.Event()
         self.server = await asyncio.start_server(
             self.on_connection, "127.0.0.1", 0
         )
@@ -25,6 +26,8 @@
         )
         self.fakes = fake_dependencies.Fakes(self.target)
         self.deps = self.fakes.needs
+        self.watched = []
+        self.deps.watch_target = lambda *call: self.watched.append(call)
         self.request = fake_network.request(body_digest="body")
         grant = records.Grant("g1", "r1", self.target)
         self.attempt = execution.Attempt(0, grant, sent=True)
@@ -38,6 +41,7 @@
 
     async def on_connection(self, reader, writer):
         self.writers.append(writer)
+        self.connected.set()
         await self.answer(reader, writer)
 
     async def answer(self, reader, writer):
@@ -55,6 +59,8 @@
         self.assertEqual(self.fakes.crash_reports, [("body", "e1")])
 
     async def test_answering_target_is_not_lost(self):
+        """It is watched, as it may be ending while it answers."""
+
         async def answer(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 404 Not Found\r\n\r\n")
@@ -63,6 +69,19 @@
         await self.examine()
         self.assertFalse(self.attempt.target_lost)
         self.assertEqual(self.fakes.crash_reports, [])
+        self.assertEqual(len(self.watched), 1)
+
+    async def test_caller_that_leaves_meanwhile(self):
+        """The caller may resend at once, through a router that knows nothing.
+
+        The crash is reported although nobody waits for it.
+        """
+        examination = asyncio.ensure_future(self.examine())
+        await self.connected.wait()
+        examination.cancel()
+        await asyncio.wait({examination})
+        self.assertTrue(examination.cancelled())
+        self.assertEqual(len(self.watched), 1)
 
     async def test_request_that_was_not_sent_is_not_reported(self):
         """It cannot have crashed a target that it did not reach."""
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -228,6 +228,20 @@
         entries = [r.suspicion.suspect_of("good") for r in self.fleet.live()]
         self.assertEqual(set(entries), {None})
 
+    async def test_crash_that_shows_later_is_blamed(self):
+        """The target answered an inquiry while its process was ending."""
+        grant = await self.admit("bad", "r0")
+        router, _ = self.fleet.grants[grant.grant_id]
+        self.fleet.config.presets["ordinary"].lease_seconds = 0.0
+        request = fake_network.request(chat="bad", body_digest="bad")
+        inquiry = ScriptedInquiry(liveness.Verdict.ALIVE)
+        router.suspicion.watch_target(request, grant.target, inquiry)
+        replaced = dataclasses.replace(grant.target, incarnation=2)
+        router.table.put(replaced)
+        await self.settle()
+        again = await self.admit("bad", "r3")
+        self.assertNotEqual(again.target.name, grant.target.name)
+
 
 class TestUnacknowledgedReport(CrashCase):
     """Reports that reach no holder of the suspect."""
