Blame requests for the crash of a target that had only stalled before

Cause, from reading again: what ran on a process when it was reported as crashed stays with its target, and whatever was sent later is not blamed. A report that was wrong, as the target was only silent, kept excusing requests.

Change: the entry goes when the target answers, is made anew by a request that was sent over 10 s after it (a crashed target is given none that late), and is not made at all when many targets die at once.

--- a/amaranthring/policy/suspects.py
+++ b/amaranthring/policy/suspects.py
@@ -20,6 +20,8 @@
 MAX_CRASHES = 4
 # Reports take up to this time, so the first may come later than others'.
 REPORT_DELAY_SECONDS = 0.4
+# Time within which a crashed target is given no more requests.
+CRASH_SECONDS = 10.0
 MAX_CASUALTIES = 512
 MAX_CASUALTY_ENTRIES = 1024
 CORRELATED_CRASHES = 3
@@ -219,13 +221,8 @@
         seconds : float
             Time since the request was sent.
         """
-        key = crash.target, crash.incarnation
-        known = self.entries.get(key)
-        if known is None or known.reported_at < now - SUSPECT_SECONDS:
-            known = self.entries[key] = Casualties(now)
-            while len(self.entries) > MAX_CASUALTY_ENTRIES:
-                self.entries.popitem(last=False)
         sent_at = now - seconds
+        known = self._entry(crash, sent_at, now)
         if sent_at > known.reported_at + REPORT_DELAY_SECONDS:
             return False
         if crash.apart:
@@ -238,6 +235,22 @@
             known.fingerprints.add(fingerprint)
         return True
 
+    def _entry(self, crash: Crash, sent_at: float, now: float) -> Casualties:
+        """Return the entry to add a request to that was sent at `sent_at`."""
+        key = crash.target, crash.incarnation
+        known = self.entries.get(key)
+        # A target that was still given requests later had not crashed.
+        if known is None or sent_at > known.reported_at + CRASH_SECONDS:
+            known = self.entries[key] = Casualties(now)
+            self.entries.move_to_end(key)
+            while len(self.entries) > MAX_CASUALTY_ENTRIES:
+                self.entries.popitem(last=False)
+        return known
+
+    def discard(self, target: str, incarnation: int) -> None:
+        """Remove the entry of a process that has not crashed."""
+        self.entries.pop((target, incarnation), None)
+
     def get(self, target: str, incarnation: int) -> set[str]:
         """Return the fingerprints of the requests that ran there."""
         known = self.entries.get((target, incarnation))
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -287,6 +287,14 @@
     fingerprints: list[str] = dataclasses.field(default_factory=list)
 
 
+@wire.message("casualties-withdrawn")
+class CasualtiesWithdrawn:
+    """Reports that a process whose crash was not proven is alive."""
+
+    target: str
+    incarnation: int
+
+
 @dataclasses.dataclass
 class SuspectEntry:
     """State of one suspect, copied between shards."""
--- a/amaranthring/routers/suspect_client.py
+++ b/amaranthring/routers/suspect_client.py
@@ -58,13 +58,21 @@
         replies = await self._call_all(self._holders(key), message)
         return any(reply.condemned for reply in replies)
 
-    def withdraw(self, key: str, fingerprint: str, target: str) -> None:
+    def withdraw(
+        self, key: str, fingerprint: str, crash: suspects.Crash
+    ) -> None:
         """Remove a reported crash that was never proven."""
-        self._send(key, messages.CrashWithdrawn(key, fingerprint, target))
+        message = messages.CrashWithdrawn(key, fingerprint, crash.target)
+        self._send(self._holders(key), message)
+        self._send(
+            self._own_holders(crash.target),
+            messages.CasualtiesWithdrawn(crash.target, crash.incarnation),
+        )
 
     def clear(self, key: str, fingerprint: str) -> None:
         """Remove a suspect whose run ended without a crash."""
-        self._send(key, messages.SuspectCleared(key, fingerprint))
+        message = messages.SuspectCleared(key, fingerprint)
+        self._send(self._holders(key), message)
 
     async def add_casualty(
         self, crash: suspects.Crash, fingerprint: str, seconds: float
@@ -106,8 +114,8 @@
             )
             return None
 
-    def _send(self, key: str, message) -> None:
-        for holder in self._holders(key):
+    def _send(self, holders: list[str], message) -> None:
+        for holder in holders:
             self.mesh.send(holder, message)
 
     def _own_holders(self, key: str) -> list[str]:
--- a/amaranthring/routers/suspect_shard.py
+++ b/amaranthring/routers/suspect_shard.py
@@ -55,6 +55,9 @@
         handlers.add(messages.Suspects, self.on_suspects)
         handlers.add(messages.CasualtyReport, self.on_casualty)
         handlers.add(messages.CasualtiesRequest, self.on_casualties_request)
+        handlers.add(
+            messages.CasualtiesWithdrawn, self.on_casualties_withdrawn
+        )
 
     def get(self, fingerprint: str) -> suspects.Suspect | None:
         """Return the entry of `fingerprint`, or None if not a suspect."""
@@ -127,6 +130,12 @@
         found = self.casualties.get(message.target, message.incarnation)
         return messages.CasualtyList(sorted(found))
 
+    def on_casualties_withdrawn(
+        self, _link, message: messages.CasualtiesWithdrawn
+    ) -> None:
+        """Remove the requests that ran on a process that is alive."""
+        self.casualties.discard(message.target, message.incarnation)
+
     def routers_changed(self) -> None:
         """Copy suspects to their holders by the new list of routers."""
         shards = directory.Shards(self.live)
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -188,9 +188,10 @@
             target.name, target.incarnation, apart, proven and not apart
         )
         report = Report(_key(request), fingerprint, crash)
-        plausible = await self.client.add_casualty(crash, fingerprint, seconds)
         correlated = self.recent_deaths.correlated(self.clock())
-        blamed = plausible and not correlated
+        blamed = not correlated and await self.client.add_casualty(
+            crash, fingerprint, seconds
+        )
         logs.event(
             log,
             "request.crashed",
@@ -393,7 +394,7 @@
         )
         self.metrics.count("suspects.withdrawn")
         self.own_reports.get(report.fingerprint, {}).pop(target, None)
-        self.client.withdraw(report.key, report.fingerprint, target)
+        self.client.withdraw(report.key, report.fingerprint, report.crash)
 
     def _remember(self, report: Report) -> None:
         reported = self.own_reports.setdefault(report.fingerprint, {})
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -7,6 +7,7 @@
 
 from amaranthring import errors
 from amaranthring.core import records
+from amaranthring.policy import suspects
 from amaranthring.routers import suspicion
 from amaranthring.targets import liveness
 from amaranthring.testing import fake_network
@@ -320,6 +321,47 @@
         entries = [r.suspicion.suspect_of("late") for r in self.fleet.live()]
         self.assertEqual(set(entries), {None})
 
+    async def test_target_that_crashes_after_a_stall(self):
+        """A stall that looked like a crash must not excuse later requests."""
+        inquiry = ScriptedInquiry()
+        grant = await self.admit("good", "r0")
+        await self.break_off(grant, inquiry)
+        inquiry.decide(liveness.Verdict.ALIVE)
+        await self.settle()
+        self.fleet.clock.now += 2.0
+        bad = await self.admit("bad", "r1", self.all_but(grant))
+        await self.break_off(bad)
+        entry = self.holder("bad").suspicion.suspect_of("bad")
+        self.assertEqual(entry.targets, [grant.target.name])
+
+    async def test_target_that_crashes_long_after_a_report(self):
+        """A target that is still given requests had not crashed."""
+        grant = await self.admit("good", "r0")
+        await self.break_off(grant, ScriptedInquiry())
+        self.fleet.clock.now += 2 * suspects.CRASH_SECONDS
+        bad = await self.admit("bad", "r1", self.all_but(grant))
+        await self.break_off(bad)
+        entry = self.holder("bad").suspicion.suspect_of("bad")
+        self.assertEqual(entry.targets, [grant.target.name])
+
+    async def test_targets_that_come_back_after_a_partition(self):
+        """Many targets are lost at once and return with their processes."""
+        grants = [await self.admit(f"body-{n}", "r0") for n in range(3)]
+        tracker = self.fleet.by_name["r0"].suspicion
+        for grant in grants:
+            tracker.target_lost(grant.target.name)
+        for grant in grants:
+            await self.break_off(grant, ScriptedInquiry())
+        self.fleet.clock.now += suspects.CORRELATION_SECONDS + 1.0
+        bad = await self.admit("bad", "r0", self.all_but(grants[0]))
+        await self.break_off(bad)
+        entry = self.holder("bad").suspicion.suspect_of("bad")
+        self.assertEqual(entry.targets, [grants[0].target.name])
+
+    def holder(self, body):
+        holders = self.fleet.routers[0].directory.shards.holders_of(body)
+        return self.fleet.by_name[holders[0]]
+
     async def test_run_without_an_owner_is_not_isolated(self):
         """Without an owner, nothing keeps other suspects off the target."""
         await self.break_off(await self.admit("bad", "r0"))
