Take a target that is only slow for alive again

What callers would see: retries of an overloaded model are no longer charged to the retry budget and add to its load.

Cause, from reading again: a stream that exceeds its token timeout asks the target, too, and one that is too busy to answer within 0.15 s counted as lost. An accepted connection was enough before.

Change: silence counts only after the target broke the connection. An inquiry ends after ten minutes by itself, whoever follows it.

Test, on the code before: the slow target is lost.

--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -140,7 +140,8 @@
     if not attempt.sent:
         raise error
     timed_out = isinstance(error, errors.UpstreamTimeoutError)
-    await execution.examine_target(deps, request, attempt)
+    broke_off = isinstance(error, errors.TruncatedResponseError)
+    await execution.examine_target(deps, request, attempt, broke_off)
     resumable = progress.opened and not timed_out
     if attempt.target_lost:
         # Only the same engine can surely go on with what the caller has
--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -415,21 +415,30 @@
 
 
 async def examine_target(
-    deps: Dependencies, request: records.Request, attempt: Attempt
+    deps: Dependencies,
+    request: records.Request,
+    attempt: Attempt,
+    broke_off: bool = True,
 ) -> None:
-    """Ask whether the target of a broken attempt runs; report its loss.
+    """Ask whether the target of a failed attempt runs; report its loss.
 
     A broken connection alone is no crash: a target that only dropped this
     connection answers an inquiry. Called before the grant is released, so
     that the next isolated run there starts after the report.
+
+    Parameters
+    ----------
+    broke_off : bool
+        Whether the target broke the connection. A target that only took too
+        long may be overloaded; silence does not show that it is lost.
     """
     if not attempt.target_lost:
-        await _inquire(deps, request, attempt)
+        await _inquire(deps, request, attempt, broke_off)
     if attempt.target_lost and attempt.sent:
         await report_crash(deps, request, attempt)
 
 
-async def _inquire(deps, request, attempt) -> None:
+async def _inquire(deps, request, attempt, broke_off) -> None:
     attempt.inquiry = liveness.Inquiry(attempt.target)
     seconds = time.monotonic() - attempt.started
     verdict = liveness.Verdict.ALIVE
@@ -442,6 +451,8 @@
             deps.watch_target(
                 request, attempt.target, attempt.inquiry, seconds
             )
-    attempt.silent = verdict is liveness.Verdict.SILENT
-    if verdict is not liveness.Verdict.ALIVE:
+    if verdict is liveness.Verdict.SILENT and not broke_off:
+        attempt.inquiry.stop()
+    attempt.silent = broke_off and verdict is liveness.Verdict.SILENT
+    if attempt.silent or verdict is liveness.Verdict.DEAD:
         attempt.target_lost = True
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -319,8 +319,7 @@
         self, target: records.Target, inquiry: liveness.Inquiry
     ) -> liveness.Verdict:
         """Wait until `target` answers or has ended."""
-        verdict = await inquiry.settle(suspects.SUSPECT_SECONDS)
-        inquiry.stop()
+        verdict = await inquiry.settle()
         if verdict is liveness.Verdict.ALIVE:
             await asyncio.sleep(RESTART_SECONDS)
             if self._was_replaced(target):
--- a/amaranthring/targets/liveness.py
+++ b/amaranthring/targets/liveness.py
@@ -21,6 +21,8 @@
 # Limits the delay of a retry after a broken connection.
 ANSWER_SECONDS = 0.15
 CONNECT_SECONDS = 1.0
+# Time for which a silent target is asked.
+MAX_SECONDS = 600.0
 # Pauses between inquiries whose connections were closed without an answer.
 FIRST_PAUSE_SECONDS = 0.01
 MAX_PAUSE_SECONDS = 1.0
@@ -68,12 +70,9 @@
             self._log()
         return self.verdict
 
-    async def settle(self, seconds: float) -> Verdict:
-        """Return the verdict, or ``SILENT`` if there is none in time.
-
-        Unlike :meth:`wait`, it counts stalls and suits long waits.
-        """
-        await asyncio.wait({self.task}, timeout=seconds)
+    async def settle(self) -> Verdict:
+        """Return the last verdict: ``SILENT`` if the target is given up."""
+        await asyncio.wait({self.task})
         return self.verdict
 
     def stop(self) -> None:
@@ -81,11 +80,18 @@
         self.task.cancel()
 
     async def _run(self) -> None:
+        try:
+            async with asyncio.timeout(MAX_SECONDS):
+                await self._ask_until_decided()
+        except TimeoutError:
+            pass
+        self._log()
+
+    async def _ask_until_decided(self) -> None:
         pause = FIRST_PAUSE_SECONDS
         while True:
             self.verdict = await _ask(self.target)
             if self.verdict is not Verdict.SILENT:
-                self._log()
                 return
             await asyncio.sleep(pause)
             pause = min(2 * pause, MAX_PAUSE_SECONDS)
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -83,6 +83,18 @@
         self.assertTrue(examination.cancelled())
         self.assertEqual(len(self.watched), 1)
 
+    async def test_slow_target_is_not_lost(self):
+        """An overloaded target exceeds the timeout and the inquiry's alike.
+
+        If it counted as lost, retries would not be charged to the budget and
+        add to the overload.
+        """
+        await execution.examine_target(
+            self.deps, self.request, self.attempt, broke_off=False
+        )
+        self.assertFalse(self.attempt.target_lost)
+        self.assertEqual(self.fakes.crash_reports, [])
+
     async def test_request_that_was_not_sent_is_not_reported(self):
         """It cannot have crashed a target that it did not reach."""
         self.attempt.sent = False
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -73,7 +73,10 @@
         inquiry = await self.ask(ending)
         verdict = await inquiry.wait(liveness.ANSWER_SECONDS)
         self.assertEqual(verdict, liveness.Verdict.SILENT)
-        self.assertEqual(await inquiry.settle(5.0), liveness.Verdict.DEAD)
+        self.assertEqual(
+            await asyncio.wait_for(inquiry.settle(), 5.0),
+            liveness.Verdict.DEAD,
+        )
 
     async def test_any_answer_shows_life_at_once(self):
         """A caller whose target dropped a connection must not wait."""
@@ -103,7 +106,10 @@
         inquiry = await self.ask(stalled)
         verdict = await inquiry.wait(liveness.ANSWER_SECONDS)
         self.assertEqual(verdict, liveness.Verdict.SILENT)
-        self.assertEqual(await inquiry.settle(5.0), liveness.Verdict.ALIVE)
+        self.assertEqual(
+            await asyncio.wait_for(inquiry.settle(), 5.0),
+            liveness.Verdict.ALIVE,
+        )
 
     async def test_connection_limit_is_no_crash(self):
         """A target at its limit closes connections without an answer."""
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -126,7 +126,7 @@
     async def wait(self, _seconds):
         return self.verdict
 
-    async def settle(self, _seconds):
+    async def settle(self):
         await self.decided.wait()
         return self.verdict
 
