--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -15,6 +15,7 @@
 
 from amaranthring import errors
 from amaranthring.callers import execution
+from amaranthring.callers import target_loss
 from amaranthring.callers import tokens
 from amaranthring.core import records
 from amaranthring.targets import sse
@@ -118,7 +119,7 @@
         timeout = min(timeout, remaining)
     exchange = upstream.Exchange(attempt.target)
     try:
-        with execution.AbortOnTargetLoss(deps, exchange):
+        with target_loss.AbortOnTargetLoss(deps, exchange):
             try:
                 progress.opened = False
                 await exchange.send(call, timeout)
@@ -141,7 +142,7 @@
         raise error
     timed_out = isinstance(error, errors.UpstreamTimeoutError)
     broke_off = isinstance(error, errors.TruncatedResponseError)
-    await execution.examine_target(deps, request, attempt, broke_off)
+    await target_loss.examine_target(deps, request, attempt, broke_off)
     resumable = progress.opened and not timed_out
     if attempt.target_lost:
         # Only the same engine can surely go on with what the caller has
@@ -182,7 +183,7 @@
     call = upstream.Call("POST", path, headers, body)
     preset = deps.config().preset
     exchange = upstream.Exchange(target)
-    with execution.AbortOnTargetLoss(deps, exchange):
+    with target_loss.AbortOnTargetLoss(deps, exchange):
         await exchange.send(call, preset.first_token_seconds)
         await _open_stream(exchange, name, progress)
         await _relay(exchange, progress, preset)
@@ -436,7 +437,7 @@
     exchange = upstream.Exchange(attempt.target)
     remaining = max(0.001, request.deadline - time.monotonic())
     try:
-        with execution.AbortOnTargetLoss(deps, exchange):
+        with target_loss.AbortOnTargetLoss(deps, exchange):
             try:
                 await exchange.open(call, remaining)
                 check_response_head(exchange, name)
@@ -444,7 +445,7 @@
             finally:
                 attempt.sent = exchange.sent
     except errors.TruncatedResponseError:
-        await execution.examine_target(deps, request, attempt)
+        await target_loss.examine_target(deps, request, attempt)
         raise
     except asyncio.CancelledError:
         exchange.close()
--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -12,6 +12,7 @@
 
 from amaranthring import errors
 from amaranthring.callers import settlements as settlements_module
+from amaranthring.callers import target_loss
 from amaranthring.core import drain as drains
 from amaranthring.core import fleet
 from amaranthring.core import links
@@ -247,37 +248,12 @@
         excluded.add(attempt.target.name)
         deps.metrics.count(f"way.failed.{last_error.code}")
         if attempt.target_lost and attempt.sent:
-            await report_crash(deps, request, attempt)
+            await target_loss.report_crash(deps, request, attempt)
         if not _may_retry(deps, request, attempt, last_error, maybe_ran):
             break
     raise last_error
 
 
-async def report_crash(
-    deps: Dependencies, request: records.Request, attempt: Attempt
-) -> None:
-    """Report, once, that a target was lost while it ran the request.
-
-    The request is retried only after it is known as a suspect, so that it
-    runs isolated from others.
-    """
-    if attempt.reported:
-        return
-    attempt.reported = True
-    deps.metrics.count("way.target-lost")
-    if attempt.inquiry is None and not attempt.process_gone:
-        attempt.inquiry = liveness.Inquiry(attempt.target)
-    seconds = time.monotonic() - attempt.started
-    try:
-        await deps.report_crash(
-            request, attempt.target, attempt.inquiry, seconds
-        )
-    except errors.AmaranthringError:
-        attempt.retryable = False
-    if deps.is_quarantined(request.body_digest):
-        attempt.retryable = False
-
-
 async def _run_and_release(deps, request, attempt, run_attempt):
     """Run one attempt and release its grant, however it ends."""
     end = records.AttemptEnd.FAILED
@@ -367,36 +343,6 @@
     )
 
 
-class AbortOnTargetLoss:
-    """Aborts an exchange when its target is lost.
-
-    Without it, a request to a frozen target would wait for the token
-    timeout, although membership has already declared the target lost.
-    """
-
-    def __init__(self, deps: Dependencies, exchange: upstream.Exchange):
-        self.lost_future = deps.when_lost(exchange.target.name)
-        self.exchange = exchange
-        self.lost_future.add_done_callback(self._abort)
-
-    def __enter__(self) -> upstream.Exchange:
-        return self.exchange
-
-    def __exit__(self, *_) -> None:
-        self.lost_future.remove_done_callback(self._abort)
-        self.exchange.close()
-
-    def _abort(self, _) -> None:
-        self.exchange.abort(
-            errors.UpstreamError(
-                "the target was lost",
-                given=self.exchange.target.name,
-                expected="a target that renews its lease",
-                retry_after=1.0,
-            )
-        )
-
-
 def upstream_headers(
     request: records.Request, grant: records.Grant, attempt_name: str
 ) -> dict[str, str]:
@@ -412,47 +358,3 @@
     if grant.import_from:
         headers["Amaranthring-Import-From"] = grant.import_from.address
     return headers
-
-
-async def examine_target(
-    deps: Dependencies,
-    request: records.Request,
-    attempt: Attempt,
-    broke_off: bool = True,
-) -> None:
-    """Ask whether the target of a failed attempt runs; report its loss.
-
-    A broken connection alone is no crash: a target that only dropped this
-    connection answers an inquiry. Called before the grant is released, so
-    that the next isolated run there starts after the report.
-
-    Parameters
-    ----------
-    broke_off : bool
-        Whether the target broke the connection. A target that only took too
-        long may be overloaded; silence does not show that it is lost.
-    """
-    if not attempt.target_lost:
-        await _inquire(deps, request, attempt, broke_off)
-    if attempt.target_lost and attempt.sent:
-        await report_crash(deps, request, attempt)
-
-
-async def _inquire(deps, request, attempt, broke_off) -> None:
-    attempt.inquiry = liveness.Inquiry(attempt.target)
-    seconds = time.monotonic() - attempt.started
-    verdict = liveness.Verdict.ALIVE
-    try:
-        verdict = await attempt.inquiry.wait(liveness.ANSWER_SECONDS)
-    finally:
-        # Also if cancelled: a caller that disconnects may send the request
-        # again through another router.
-        if verdict is liveness.Verdict.ALIVE:
-            deps.watch_target(
-                request, attempt.target, attempt.inquiry, seconds
-            )
-    if verdict is liveness.Verdict.SILENT and not broke_off:
-        attempt.inquiry.stop()
-    attempt.silent = broke_off and verdict is liveness.Verdict.SILENT
-    if attempt.silent or verdict is liveness.Verdict.DEAD:
-        attempt.target_lost = True
--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -11,6 +11,7 @@
 
 from amaranthring import errors
 from amaranthring.callers import execution
+from amaranthring.callers import target_loss
 from amaranthring.core import records
 from amaranthring.targets import upstream
 
@@ -83,14 +84,14 @@
     exchange = upstream.Exchange(attempt.target)
     remaining = max(0.001, request.deadline - time.monotonic())
     try:
-        with execution.AbortOnTargetLoss(deps, exchange):
+        with target_loss.AbortOnTargetLoss(deps, exchange):
             try:
                 await exchange.open(upstream_call, remaining)
                 body = await exchange.read_all(execution.MAX_RESPONSE_BYTES)
             finally:
                 attempt.sent = attempt.sent or exchange.sent
     except errors.TruncatedResponseError:
-        await execution.examine_target(deps, request, attempt)
+        await target_loss.examine_target(deps, request, attempt)
         raise
     _check_request_id(exchange, name)
     if exchange.headers.get(upstream.OUTCOME_HEADER) == "not-run":
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -178,40 +178,27 @@
         seconds : float
             Time since the request was sent.
         """
-        fingerprint = request.body_digest
-        apart = self.isolated_runs.get(fingerprint) == target.name
-        if apart:
-            del self.isolated_runs[fingerprint]
         proven = inquiry is None or inquiry.verdict is liveness.Verdict.DEAD
-        # A crash that may condemn the request is confirmed first.
-        crash = suspects.Crash(
-            target.name, target.incarnation, apart, proven and not apart
-        )
-        report = Report(_key(request), fingerprint, crash)
-        correlated = self.recent_deaths.correlated(self.clock())
-        blamed = not correlated and await self.client.add_casualty(
-            crash, fingerprint, seconds
-        )
+        report = self._make_report(request, target, proven)
+        blamed = await self._is_blamed(report, seconds)
         logs.event(
             log,
             "request.crashed",
             request=request.request_id,
-            fingerprint=fingerprint,
+            fingerprint=report.fingerprint,
             target=target.name,
-            apart=apart,
+            apart=report.crash.apart,
             proven=proven,
             blamed=blamed,
         )
         if not blamed:
-            cause = "many-deaths" if correlated else "crashed-before"
-            self.metrics.count(f"suspects.{cause}")
             if inquiry is not None:
                 inquiry.stop()
             return
         self.metrics.count("suspects.reported")
         self._remember(report)
         acknowledged = await self._report(report)
-        if not acknowledged or not crash.proven:
+        if not acknowledged or not report.crash.proven:
             inquiry = None if proven else inquiry
             self._start(self._settle(report, target, inquiry, acknowledged))
 
@@ -270,7 +257,31 @@
         """Record the loss of target `name`."""
         self.recent_deaths.note(name, self.clock())
 
-    # -- settling of reports --
+    # -- reports --
+
+    def _make_report(
+        self, request: records.Request, target: records.Target, proven: bool
+    ) -> Report:
+        fingerprint = request.body_digest
+        apart = self.isolated_runs.get(fingerprint) == target.name
+        if apart:
+            del self.isolated_runs[fingerprint]
+        # A crash that may condemn the request is confirmed first.
+        proven = proven and not apart
+        crash = suspects.Crash(target.name, target.incarnation, apart, proven)
+        return Report(_key(request), fingerprint, crash)
+
+    async def _is_blamed(self, report: Report, seconds: float) -> bool:
+        """Return whether the request may have caused the crash."""
+        if self.recent_deaths.correlated(self.clock()):
+            self.metrics.count("suspects.many-deaths")
+            return False
+        plausible = await self.client.add_casualty(
+            report.crash, report.fingerprint, seconds
+        )
+        if not plausible:
+            self.metrics.count("suspects.crashed-before")
+        return plausible
 
     async def _report(self, report: Report) -> bool:
         """Report a crash; return whether a holder acknowledged it."""
--- a/tests/test_execution.py
+++ b/tests/test_target_loss.py
@@ -4,6 +4,7 @@
 import unittest
 
 from amaranthring.callers import execution
+from amaranthring.callers import target_loss
 from amaranthring.core import records
 from amaranthring.testing import fake_dependencies
 from amaranthring.testing import fake_network
@@ -48,7 +49,7 @@
         """Do not answer: the kernel accepted the connection."""
 
     async def examine(self):
-        await execution.examine_target(self.deps, self.request, self.attempt)
+        await target_loss.examine_target(self.deps, self.request, self.attempt)
 
     async def test_silent_target_is_reported_before_the_grant_is_released(
         self,
@@ -89,7 +90,7 @@
         If it counted as lost, retries would not be charged to the budget and
         add to the overload.
         """
-        await execution.examine_target(
+        await target_loss.examine_target(
             self.deps, self.request, self.attempt, broke_off=False
         )
         self.assertFalse(self.attempt.target_lost)
