--- a/amaranthring/policy/suspects.py
+++ b/amaranthring/policy/suspects.py
@@ -22,8 +22,8 @@
 REPORT_DELAY_SECONDS = 0.4
 # Time within which a crashed target is given no more requests.
 CRASH_SECONDS = 10.0
-MAX_CASUALTIES = 512
-MAX_CASUALTY_ENTRIES = 1024
+MAX_RECORDED_REQUESTS = 512
+MAX_CRASH_RECORDS = 1024
 CORRELATED_CRASHES = 3
 CORRELATION_SECONDS = 3.0
 
@@ -177,7 +177,7 @@
 
 
 @dataclasses.dataclass
-class Casualties:
+class CrashRecord:
     """Requests that ran on one process when it crashed.
 
     Attributes
@@ -187,7 +187,7 @@
     apart_reported_at : float
         Time of the first report of an isolated run, in seconds.
     fingerprints : set of str
-        Of the requests, up to :data:`MAX_CASUALTIES`.
+        Of the requests, up to :data:`MAX_RECORDED_REQUESTS`.
     cause : str
         Fingerprint of the request that was condemned for the crash, if any.
     """
@@ -198,11 +198,11 @@
     cause: str = ""
 
 
-class CasualtyTable:
+class CrashRecords:
     """Bounded table of the requests that ran on crashed processes."""
 
     def __init__(self):
-        self.entries: collections.OrderedDict[tuple[str, int], Casualties] = (
+        self.entries: collections.OrderedDict[tuple[str, int], CrashRecord] = (
             collections.OrderedDict()
         )
 
@@ -236,19 +236,19 @@
             if sent_at > known.apart_reported_at:
                 return False
             known.apart_reported_at = min(known.apart_reported_at, now)
-        if len(known.fingerprints) < MAX_CASUALTIES:
+        if len(known.fingerprints) < MAX_RECORDED_REQUESTS:
             known.fingerprints.add(fingerprint)
         return True
 
-    def _entry(self, crash: Crash, sent_at: float, now: float) -> Casualties:
+    def _entry(self, crash: Crash, sent_at: float, now: float) -> CrashRecord:
         """Return the entry to add a request to that was sent at `sent_at`."""
         key = crash.target, crash.incarnation
         known = self.entries.get(key)
         # A target that was still given requests later had not crashed.
         if known is None or sent_at > known.reported_at + CRASH_SECONDS:
-            known = self.entries[key] = Casualties(now)
+            known = self.entries[key] = CrashRecord(now)
             self.entries.move_to_end(key)
-            while len(self.entries) > MAX_CASUALTY_ENTRIES:
+            while len(self.entries) > MAX_CRASH_RECORDS:
                 self.entries.popitem(last=False)
         return known
 
@@ -262,7 +262,7 @@
         if known is not None:
             known.cause = fingerprint
 
-    def get(self, target: str, incarnation: int) -> Casualties | None:
+    def get(self, target: str, incarnation: int) -> CrashRecord | None:
         """Return the requests that ran there, if known."""
         return self.entries.get((target, incarnation))
 
--- a/amaranthring/routers/admission_messages.py
+++ b/amaranthring/routers/admission_messages.py
@@ -228,8 +228,8 @@
     crash: suspects.Crash
 
 
-@wire.message("crash-recorded")
-class CrashRecorded:
+@wire.message("suspect-updated")
+class SuspectUpdated:
     """Reply: all crashes of the request, and whether this condemned it."""
 
     condemned: bool = False
@@ -253,8 +253,8 @@
     fingerprint: str
 
 
-@wire.message("casualty")
-class CasualtyReport:
+@wire.message("running-at-crash")
+class RunningAtCrash:
     """Reports a request that ran on a process when it crashed.
 
     `seconds` is the time since the request was sent.
@@ -265,23 +265,23 @@
     seconds: float
 
 
-@wire.message("casualty-recorded")
-class CasualtyRecorded:
+@wire.message("running-recorded")
+class RunningRecorded:
     """Reply: whether the request may have caused the crash."""
 
     plausible: bool = True
 
 
-@wire.message("casualties-ask")
-class CasualtiesRequest:
+@wire.message("crash-record-ask")
+class CrashRecordRequest:
     """Asks which requests ran on a process when it crashed."""
 
     target: str
     incarnation: int
 
 
-@wire.message("casualties")
-class CasualtyList:
+@wire.message("crash-record")
+class CrashRecordFound:
     """Reply: fingerprints of the requests that ran there.
 
     `cause` is the one that was condemned for the crash, if any.
@@ -299,8 +299,8 @@
     fingerprint: str
 
 
-@wire.message("casualties-withdrawn")
-class CasualtiesWithdrawn:
+@wire.message("crash-record-withdrawn")
+class CrashRecordWithdrawn:
     """Reports that a process whose crash was not proven is alive."""
 
     target: str
--- a/amaranthring/routers/suspect_client.py
+++ b/amaranthring/routers/suspect_client.py
@@ -1,4 +1,4 @@
-"""Calls to the shards that hold suspects and casualties.
+"""Calls to the shards that hold suspects and crash records.
 
 See :mod:`amaranthring.routers.suspect_shard` for the shards.
 """
@@ -36,7 +36,7 @@
 
     async def report(
         self, key: str, fingerprint: str, crash: suspects.Crash
-    ) -> messages.CrashRecorded | None:
+    ) -> messages.SuspectUpdated | None:
         """Report a crash; None if no holder acknowledged it.
 
         Otherwise return all crashes of the suspect, and whether this one
@@ -48,7 +48,7 @@
             return None
         crashes = [crash for reply in replies for crash in reply.crashes]
         condemned = any(reply.condemned for reply in replies)
-        return messages.CrashRecorded(condemned, crashes)
+        return messages.SuspectUpdated(condemned, crashes)
 
     async def settle(
         self, key: str, fingerprint: str, crash: suspects.Crash
@@ -66,7 +66,7 @@
         self._send(self._holders(key), message)
         self._send(
             self._own_holders(crash.target),
-            messages.CasualtiesWithdrawn(crash.target, crash.incarnation),
+            messages.CrashRecordWithdrawn(crash.target, crash.incarnation),
         )
 
     def clear(self, key: str, fingerprint: str) -> None:
@@ -74,7 +74,7 @@
         message = messages.SuspectCleared(key, fingerprint)
         self._send(self._holders(key), message)
 
-    async def add_casualty(
+    async def add_running(
         self, crash: suspects.Crash, fingerprint: str, seconds: float
     ) -> bool:
         """Report a request that ran on a process when it crashed.
@@ -86,7 +86,7 @@
         seconds : float
             Time since the request was sent.
         """
-        message = messages.CasualtyReport(crash, fingerprint, seconds)
+        message = messages.RunningAtCrash(crash, fingerprint, seconds)
         holders = self._own_holders(crash.target)
         replies = await self._call_all(holders, message)
         return all(reply.plausible for reply in replies)
@@ -96,14 +96,16 @@
         message = messages.CrashExplained(crash, fingerprint)
         self._send(self._own_holders(crash.target), message)
 
-    async def casualties(self, crash: suspects.Crash) -> messages.CasualtyList:
+    async def crash_record(
+        self, crash: suspects.Crash
+    ) -> messages.CrashRecordFound:
         """Return the requests that ran on the process, as far as known."""
-        message = messages.CasualtiesRequest(crash.target, crash.incarnation)
+        message = messages.CrashRecordRequest(crash.target, crash.incarnation)
         holders = self._own_holders(crash.target)
         replies = await self._call_all(holders, message)
         names = {name for reply in replies for name in reply.fingerprints}
         causes = [reply.cause for reply in replies if reply.cause]
-        return messages.CasualtyList(sorted(names), "".join(causes[:1]))
+        return messages.CrashRecordFound(sorted(names), "".join(causes[:1]))
 
     async def _call_all(self, holders: list[str], message) -> list[t.Any]:
         """Call `holders` at once; return the replies of those that answer."""
--- a/amaranthring/routers/suspect_shard.py
+++ b/amaranthring/routers/suspect_shard.py
@@ -1,4 +1,4 @@
-"""The shard of suspects and of casualties that one router holds.
+"""The shard of suspects and crash records that one router holds.
 
 A suspect is stored in the directory shard of its chat, so that the directory
 lookup of any router returns it. The requests that ran on a crashed process
@@ -17,7 +17,7 @@
 
 
 class SuspectShard:
-    """Suspects and casualties that this router holds.
+    """Suspects and crash records that this router holds.
 
     Parameters
     ----------
@@ -43,7 +43,7 @@
         self.live = live
         self.clock = clock
         self.suspects = suspects.SuspectTable()
-        self.casualties = suspects.CasualtyTable()
+        self.crash_records = suspects.CrashRecords()
         mesh.subscribe(self.routers_changed)
 
     def add_handlers(self, handlers) -> None:
@@ -53,12 +53,10 @@
         handlers.add(messages.CrashWithdrawn, self.on_withdrawn)
         handlers.add(messages.SuspectCleared, self.on_cleared)
         handlers.add(messages.Suspects, self.on_suspects)
-        handlers.add(messages.CasualtyReport, self.on_casualty)
-        handlers.add(messages.CasualtiesRequest, self.on_casualties_request)
+        handlers.add(messages.RunningAtCrash, self.on_running)
+        handlers.add(messages.CrashRecordRequest, self.on_record_request)
         handlers.add(messages.CrashExplained, self.on_crash_explained)
-        handlers.add(
-            messages.CasualtiesWithdrawn, self.on_casualties_withdrawn
-        )
+        handlers.add(messages.CrashRecordWithdrawn, self.on_record_withdrawn)
 
     def get(self, fingerprint: str) -> suspects.Suspect | None:
         """Return the entry of `fingerprint`, or None if not a suspect."""
@@ -66,7 +64,7 @@
 
     def on_crashed(
         self, _link, message: messages.SuspectCrashed
-    ) -> messages.CrashRecorded:
+    ) -> messages.SuspectUpdated:
         """Record a crash; reply whether it condemned the request."""
         was_condemned = self._is_condemned(message.fingerprint)
         suspect = self.suspects.record_crash(
@@ -75,21 +73,21 @@
             dataclasses.replace(message.crash),
             self.clock(),
         )
-        return messages.CrashRecorded(
+        return messages.SuspectUpdated(
             suspect.condemned and not was_condemned, suspect.crashes
         )
 
     def on_settled(
         self, _link, message: messages.CrashSettled
-    ) -> messages.CrashRecorded:
+    ) -> messages.SuspectUpdated:
         """Update a crash; reply whether it condemned the request."""
         was_condemned = self._is_condemned(message.fingerprint)
         suspect = self.suspects.settle_crash(
             message.fingerprint, message.crash, self.clock()
         )
         if suspect is None:
-            return messages.CrashRecorded()
-        return messages.CrashRecorded(
+            return messages.SuspectUpdated()
+        return messages.SuspectUpdated(
             suspect.condemned and not was_condemned, suspect.crashes
         )
 
@@ -112,38 +110,40 @@
             )
             self.suspects.adopt(entry.fingerprint, suspect)
 
-    def on_casualty(
-        self, _link, message: messages.CasualtyReport
-    ) -> messages.CasualtyRecorded:
+    def on_running(
+        self, _link, message: messages.RunningAtCrash
+    ) -> messages.RunningRecorded:
         """Record a request that ran on a process when it crashed."""
-        plausible = self.casualties.add(
+        plausible = self.crash_records.add(
             message.crash,
             message.fingerprint,
             message.seconds,
             self.clock(),
         )
-        return messages.CasualtyRecorded(plausible)
+        return messages.RunningRecorded(plausible)
 
-    def on_casualties_request(
-        self, _link, message: messages.CasualtiesRequest
-    ) -> messages.CasualtyList:
+    def on_record_request(
+        self, _link, message: messages.CrashRecordRequest
+    ) -> messages.CrashRecordFound:
         """Return the requests that ran on a process when it crashed."""
-        found = self.casualties.get(message.target, message.incarnation)
+        found = self.crash_records.get(message.target, message.incarnation)
         if found is None:
-            return messages.CasualtyList()
-        return messages.CasualtyList(sorted(found.fingerprints), found.cause)
+            return messages.CrashRecordFound()
+        return messages.CrashRecordFound(
+            sorted(found.fingerprints), found.cause
+        )
 
     def on_crash_explained(
         self, _link, message: messages.CrashExplained
     ) -> None:
         """Record which request was condemned for a crash."""
-        self.casualties.explain(message.crash, message.fingerprint)
+        self.crash_records.explain(message.crash, message.fingerprint)
 
-    def on_casualties_withdrawn(
-        self, _link, message: messages.CasualtiesWithdrawn
+    def on_record_withdrawn(
+        self, _link, message: messages.CrashRecordWithdrawn
     ) -> None:
         """Remove the requests that ran on a process that is alive."""
-        self.casualties.discard(message.target, message.incarnation)
+        self.crash_records.discard(message.target, message.incarnation)
 
     def routers_changed(self) -> None:
         """Copy suspects to their holders by the new list of routers."""
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -276,7 +276,7 @@
         if self.recent_deaths.correlated(self.clock()):
             self.metrics.count("suspects.many-deaths")
             return False
-        plausible = await self.client.add_casualty(
+        plausible = await self.client.add_running(
             report.crash, report.fingerprint, seconds
         )
         if not plausible:
@@ -370,12 +370,12 @@
         it when the second target crashed.
         """
         itself = report.fingerprint
-        last = await self.client.casualties(report.crash)
+        last = await self.client.crash_record(report.crash)
         if last.cause not in ("", itself):
             return False
         unexplained = False
         for crash in report.earlier:
-            earlier = await self.client.casualties(crash)
+            earlier = await self.client.crash_record(crash)
             if earlier.cause not in ("", itself):
                 continue
             unexplained = True
