Prove the crash of an isolated run only after a look for other causes

What callers would see: a chat is quarantined although another request ran on both crashed targets.

Cause, from reading: a report of the same crash by another router, for a copy of the request that did not run isolated, marked the crash as proven. The entry then condemned before the router of the isolated run had looked for others.

Change: only the router of the isolated run settles its crash.

Test, on the code before: the chat is quarantined.

--- a/amaranthring/policy/suspects.py
+++ b/amaranthring/policy/suspects.py
@@ -117,7 +117,9 @@
             # Only a second crash can show that the request is the cause.
             crash.apart = crash.apart and bool(suspect.crashes)
             suspect.crashes = [*suspect.crashes, crash][-MAX_CRASHES:]
-        elif known.incarnation == crash.incarnation:
+        elif known.incarnation == crash.incarnation and not known.apart:
+            # That of an isolated run is proven by its own router, which
+            # looks for other causes first.
             known.proven = known.proven or crash.proven
         suspect.judge()
         suspect.expires = now + SUSPECT_SECONDS
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -334,6 +334,20 @@
         self.assertEqual(self.fleet.quarantined, ["bad"])
         self.fleet.release(await self.admit("good", "r4"))
 
+    async def test_copy_does_not_prove_the_crash_of_an_isolated_run(self):
+        """Another router saw the same process end under a copy.
+
+        It did not look for other causes of the crash.
+        """
+        await self.break_off(await self.admit("good", "r0"))
+        again = await self.admit("good", "r1")
+        request = fake_network.request(chat="good", body_digest="good")
+        await self.break_off(again, ScriptedInquiry())
+        tracker = self.fleet.by_name["r2"].suspicion
+        await tracker.report_crash(request, again.target)
+        await asyncio.gather(*tracker.tasks)
+        self.assertEqual(self.fleet.quarantined, [])
+
     async def test_request_sent_after_the_crash(self):
         """The kernel accepts requests for a process that has crashed."""
         grant = await self.admit("bad", "r0")
