--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -247,39 +247,36 @@
 class TestUnacknowledgedReport(CrashCase):
     """Reports that reach no holder of the suspect."""
 
+    async def report_in_vain(self):
+        """Report a crash while no holder answers; return the router."""
+        self.holders = self.fleet.routers[0].directory.shards.holders_of("bad")
+        names = [router.name for router in self.fleet.live()]
+        name = next(name for name in names if name not in self.holders)
+        self.grant = await self.admit("bad", name)
+        self.fleet.network.pause = self.no_pause
+        self.fleet.network.frozen.update(self.holders)
+        await self.break_off(self.grant)
+        self.fleet.network.frozen.clear()
+        return self.fleet.by_name[name]
+
     async def test_own_router_isolates_the_retry(self):
         """Stalled holders must not let a culprit run as an ordinary request.
 
         It would crash its next engine beside suspects that did nothing.
         """
-        holders = self.fleet.routers[0].directory.shards.holders_of("bad")
-        router = next(
-            r.name for r in self.fleet.live() if r.name not in holders
-        )
-        grant = await self.admit("bad", router)
-        self.fleet.network.pause = self.no_pause
-        self.fleet.network.frozen.update(holders)
-        await self.break_off(grant)
-        self.fleet.network.frozen.clear()
-        again = await self.admit("bad", router)
-        self.assertNotEqual(again.target.name, grant.target.name)
-        held = self.fleet.by_name[router].placer.held.by_serial.values()
+        router = await self.report_in_vain()
+        again = await self.admit("bad", router.name)
+        self.assertNotEqual(again.target.name, self.grant.target.name)
+        held = router.placer.held.by_serial.values()
         self.assertTrue(all(h.suspect for h in held))
 
     async def test_report_is_repeated(self):
         """A report that is dropped must not make the request unsuspected."""
-        holders = self.fleet.routers[0].directory.shards.holders_of("bad")
-        router = next(
-            r.name for r in self.fleet.live() if r.name not in holders
-        )
-        grant = await self.admit("bad", router)
-        self.fleet.network.pause = self.no_pause
-        self.fleet.network.frozen.update(holders)
-        await self.break_off(grant)
-        self.fleet.network.frozen.clear()
+        await self.report_in_vain()
         await self.settle()
-        entry = self.fleet.by_name[holders[0]].suspicion.suspect_of("bad")
-        self.assertEqual(entry.targets, [grant.target.name])
+        holder = self.fleet.by_name[self.holders[0]]
+        entry = holder.suspicion.suspect_of("bad")
+        self.assertEqual(entry.targets, [self.grant.target.name])
 
     async def no_pause(self, _seconds):
         await asyncio.sleep(0)
