Repeat no report of a request that has completed since

What callers would see: a request that ran to its end is isolated for ten minutes, as a suspect.

Cause, from reading again: a report that no holder acknowledged was repeated although the request had been cleared meanwhile.

Test, on the code before: the request is a suspect.

--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -314,6 +314,9 @@
             if acknowledged:
                 break
             await asyncio.sleep(REPEAT_SECONDS)
+            if report.fingerprint not in self.own_reports:
+                # Cleared by a completed run.
+                return
             acknowledged = await self._report(report)
         if report.crash.proven:
             return
--- a/amaranthring/targets/liveness.py
+++ b/amaranthring/targets/liveness.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import enum
-import typing as t
 
 import logbook
 
@@ -129,7 +128,7 @@
 
 def _request(address: str) -> bytes:
     """Return ``OPTIONS *``, which every HTTP server answers somehow."""
-    lines: t.Sequence[str] = (
+    lines = (
         "OPTIONS * HTTP/1.1",
         f"Host: {address}",
         "Connection: close",
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -278,6 +278,14 @@
         entry = holder.suspicion.suspect_of("bad")
         self.assertEqual(entry.targets, [self.grant.target.name])
 
+    async def test_report_is_not_repeated_after_a_completed_run(self):
+        """It would make a suspect of a request that has been cleared."""
+        router = await self.report_in_vain()
+        self.fleet.release(await self.admit("bad", router.name))
+        await self.settle()
+        entries = [r.suspicion.suspect_of("bad") for r in self.fleet.live()]
+        self.assertFalse(any(entries))
+
     async def no_pause(self, _seconds):
         await asyncio.sleep(0)
 
