--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -140,15 +140,9 @@
     """Resume a broken stream at its engine until it ends, or raise."""
     if not attempt.sent:
         raise error
-    timed_out = isinstance(error, errors.UpstreamTimeoutError)
     broke_off = isinstance(error, errors.TruncatedResponseError)
     await target_loss.examine_target(deps, request, attempt, broke_off)
-    resumable = progress.opened and not timed_out
-    if attempt.target_lost:
-        # Only the same engine can surely go on with what the caller has
-        # received; one that is silent may have stalled.
-        resumable = resumable and progress.begun and attempt.silent
-    if resumable:
+    if _is_resumable(attempt, progress, error):
         for _ in range(MAX_RESUMES):
             try:
                 await _resume(deps, attempt.target, name, progress)
@@ -156,7 +150,7 @@
                 return
             except errors.NotFoundError:
                 # The process that ran the stream is gone.
-                attempt.target_lost = attempt.process_gone = True
+                attempt.target_lost = True
                 break
             except errors.UpstreamError as resume_error:
                 if resume_error.outcome is errors.Outcome.NOT_RUN:
@@ -170,6 +164,15 @@
     raise error
 
 
+def _is_resumable(attempt, progress, error) -> bool:
+    """Return whether the engine may still have the stream."""
+    if not progress.opened or isinstance(error, errors.UpstreamTimeoutError):
+        return False
+    # A silent engine may only have stalled. No other engine surely continues
+    # what the caller has received, so the stream waits for it.
+    return not attempt.target_lost or (attempt.silent and progress.begun)
+
+
 async def _resume(deps, target, name, progress) -> None:
     """Resume stream `name` at `target` from the next expected event."""
     events = progress.events
--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -110,8 +110,6 @@
         Asks whether the target still runs, after the connection broke.
     silent : bool
         Whether the target broke off and did not answer the inquiry in time.
-    process_gone : bool
-        Whether the target is known to be another process by now.
     reported : bool
         Whether the loss of the target was reported.
     started : float
@@ -125,7 +123,6 @@
     retryable: bool = True
     inquiry: liveness.Inquiry | None = None
     silent: bool = False
-    process_gone: bool = False
     reported: bool = False
     started: float = dataclasses.field(default_factory=time.monotonic)
 
--- a/amaranthring/callers/target_loss.py
+++ b/amaranthring/callers/target_loss.py
@@ -107,7 +107,7 @@
         return
     attempt.reported = True
     deps.metrics.count("way.target-lost")
-    if attempt.inquiry is None and not attempt.process_gone:
+    if attempt.inquiry is None:
         attempt.inquiry = liveness.Inquiry(attempt.target)
     seconds = time.monotonic() - attempt.started
     try:
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -1,4 +1,4 @@
-"""A fleet whose engines crash slowly, are restarted, or are only stopped."""
+"""A fleet whose engines crash, at once or slowly, or are only stopped."""
 
 import asyncio
 import json
@@ -132,7 +132,7 @@
     async def stop_engine(self, stopped):
         """Stop the engine that runs the request; return its name."""
         names = [f"engine-{number}" for number in (1, 2, 3)]
-        while True:
+        for _ in range(400):
             for name in set(names) - set(stopped):
                 process = self.fleet.processes[name]
                 address = process.log.read_text().split()[1]
@@ -143,3 +143,4 @@
                     process.pause()
                     return name
             await asyncio.sleep(0.05)
+        return self.fail("no engine runs the request")
