Withdraw a report only when the target has stayed alive for a lease

What callers saw: a request crashed a third engine.

Resumed, it answered the inquiry, so that the report was withdrawn after 1.0 s; then it went on with the request that its router had given up, crashed, and ended 1.5 s later. The request was sent to a third.

Change: a target that answers is watched for a lease and a second, as one that never was silent is. If it is lost or replaced by then, it has crashed.

Test, on the code before: the request is not quarantined.

--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -332,14 +332,23 @@
     async def _final_verdict(
         self, target: records.Target, inquiry: liveness.Inquiry
     ) -> liveness.Verdict:
-        """Wait until `target` answers or has ended."""
+        """Wait until `target` stays alive or has ended."""
         verdict = await inquiry.settle()
         if verdict is liveness.Verdict.ALIVE:
-            await asyncio.sleep(RESTART_SECONDS)
+            await self._wait_for_loss()
             if self._was_replaced(target):
                 return liveness.Verdict.DEAD
+            if self.get_target(target.name) is None:
+                # Lost since it answered.
+                again = liveness.Inquiry(target)
+                return await self._final_verdict(target, again)
         return verdict
 
+    async def _wait_for_loss(self) -> None:
+        """Wait until a target that has ended would be lost or replaced."""
+        lease = self.config().preset.lease_seconds
+        await asyncio.sleep(lease + RESTART_SECONDS)
+
     async def _confirm(self, report: Report) -> None:
         """Settle a crash that is proven by now.
 
@@ -391,8 +400,7 @@
         started = self.clock()
         verdict = await inquiry.wait(liveness.ANSWER_SECONDS)
         if verdict is liveness.Verdict.ALIVE:
-            lease = self.config().preset.lease_seconds
-            await asyncio.sleep(lease + RESTART_SECONDS)
+            await self._wait_for_loss()
             if self._was_replaced(target):
                 inquiry = None
             elif self.get_target(target.name) is None:
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -112,6 +112,9 @@
         self.assertEqual(self.fleet.quarantined, [])
 
 
+LEASE_SECONDS = 0.1
+
+
 class ScriptedInquiry:
     """An inquiry whose verdict the test sets."""
 
@@ -141,6 +144,7 @@
         self.fleet = in_process_routers.Routers(
             6, 8, data_centres=("dc1", "dc2", "dc3")
         )
+        self.fleet.config.preset.lease_seconds = LEASE_SECONDS
         self.patch(suspicion, "RESTART_SECONDS", 0.0)
         self.patch(suspicion, "REPEAT_SECONDS", 0.0)
 
@@ -219,6 +223,23 @@
         await self.settle()
         self.assertEqual(self.fleet.quarantined, ["bad"])
 
+    async def test_target_that_crashes_after_its_answer(self):
+        """A stopped engine is resumed, answers, and goes on with the request.
+
+        It crashes although its lease had run out and nobody waits for it.
+        """
+        await self.break_off(await self.admit("bad", "r0"))
+        inquiry = ScriptedInquiry()
+        second = await self.admit("bad", "r4")
+        await self.break_off(second, inquiry)
+        inquiry.decide(liveness.Verdict.ALIVE)
+        await asyncio.sleep(LEASE_SECONDS / 2)
+        for router in self.fleet.live():
+            target = dataclasses.replace(second.target, incarnation=2)
+            router.table.put(target)
+        await self.settle()
+        self.assertEqual(self.fleet.quarantined, ["bad"])
+
     async def test_completed_run_is_not_suspected_again(self):
         """Proof that comes after a completed run must not undo it."""
         inquiry = ScriptedInquiry()
