Discard the crash record of a target as soon as it answers

What callers saw: a request crashed a third engine.

Change: the record goes at the answer; only the report waits.

Test, on the code before: the culprit has no entry.

--- a/amaranthring/routers/suspect_client.py
+++ b/amaranthring/routers/suspect_client.py
@@ -64,10 +64,13 @@
         """Remove a reported crash that was never proven."""
         message = messages.CrashWithdrawn(key, fingerprint, crash.target)
         self._send(self._holders(key), message)
-        self._send(
-            self._own_holders(crash.target),
-            messages.CrashRecordWithdrawn(crash.target, crash.incarnation),
+
+    def discard_record(self, crash: suspects.Crash) -> None:
+        """Remove the crash record of a process that is alive."""
+        message = messages.CrashRecordWithdrawn(
+            crash.target, crash.incarnation
         )
+        self._send(self._own_holders(crash.target), message)
 
     def clear(self, key: str, fingerprint: str) -> None:
         """Remove a suspect whose run ended without a crash."""
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -323,25 +323,30 @@
         if inquiry is None:
             await self._confirm(report)
             return
-        verdict = await self._final_verdict(target, inquiry)
+        verdict = await self._final_verdict(report, target, inquiry)
         if verdict is liveness.Verdict.ALIVE:
             self._withdraw(report)
         elif verdict is liveness.Verdict.DEAD:
             await self._confirm(report)
 
     async def _final_verdict(
-        self, target: records.Target, inquiry: liveness.Inquiry
+        self,
+        report: Report,
+        target: records.Target,
+        inquiry: liveness.Inquiry,
     ) -> liveness.Verdict:
         """Wait until `target` stays alive or has ended."""
         verdict = await inquiry.settle()
         if verdict is liveness.Verdict.ALIVE:
+            # It is given requests again, which may crash it.
+            self.client.discard_record(report.crash)
             await self._wait_for_loss()
             if self._was_replaced(target):
                 return liveness.Verdict.DEAD
             if self.get_target(target.name) is None:
                 # Lost since it answered.
                 again = liveness.Inquiry(target)
-                return await self._final_verdict(target, again)
+                return await self._final_verdict(report, target, again)
         return verdict
 
     async def _wait_for_loss(self) -> None:
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -390,7 +390,7 @@
         grant = await self.admit("good", "r0")
         await self.break_off(grant, inquiry)
         inquiry.decide(liveness.Verdict.ALIVE)
-        await self.settle()
+        await asyncio.sleep(LEASE_SECONDS / 2)
         self.fleet.clock.now += 2.0
         bad = await self.admit("bad", "r1", self.all_but(grant))
         await self.break_off(bad)
