--- a/amaranthring/callers/target_loss.py
+++ b/amaranthring/callers/target_loss.py
@@ -70,6 +70,7 @@
 
 
 async def _inquire(deps, request, attempt, broke_off) -> None:
+    """Ask the target, and record in the attempt whether it is lost."""
     attempt.inquiry = inquiry = liveness.Inquiry(attempt.target)
     seconds = time.monotonic() - attempt.started
 
--- a/amaranthring/policy/suspects.py
+++ b/amaranthring/policy/suspects.py
@@ -3,13 +3,14 @@
 When a target crashes, all requests in flight there become suspects. A suspect
 is retried on a target without another suspect, and is cleared when that run
 ends without a crash. It is condemned only if another target crashes during
-such a run. Requests that merely ran beside the cause, or on hardware that
-failed at the same time, are therefore not condemned.
+such a run, and no other request can have caused both crashes. Requests that
+merely ran beside the cause, or on hardware that failed at the same time, are
+therefore not condemned.
 
 A target that broke its connections and does not answer may have crashed, or
 only be stopped or stalled. Such a crash counts as unproven: what ran there is
 a suspect, but nothing is condemned for it until the crash is proven, and it is
-withdrawn when the target answers.
+withdrawn when the target answers and stays alive.
 """
 
 import collections
@@ -18,9 +19,10 @@
 SUSPECT_SECONDS = 600.0
 MAX_ENTRIES = 20000
 MAX_CRASHES = 4
-# Reports take up to this time, so the first may come later than others'.
+# Longest time that a report takes. Requests sent so soon after the first
+# report may have been sent before the crash.
 REPORT_DELAY_SECONDS = 0.4
-# Time within which a crashed target is given no more requests.
+# Longest time after its crash for which a target is still given requests.
 CRASH_SECONDS = 10.0
 MAX_RECORDED_REQUESTS = 512
 MAX_CRASH_RECORDS = 1024
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -2,8 +2,8 @@
 
 A request whose target crashed becomes a suspect at once, so that it runs
 isolated from other suspects, through whichever router it returns. What is
-learned later changes that: a target that answers is alive, one that refuses
-connections has crashed.
+learned later changes that: a target that answers and stays alive has not
+crashed, one that refuses connections has.
 """
 
 import asyncio
@@ -91,8 +91,11 @@
         Calls to the shards of all routers.
     shard : SuspectShard
         Suspects that this router holds.
+    isolated_runs : OrderedDict
+        Target by fingerprint of each suspect that runs isolated.
     own_reports : OrderedDict
-        Crashed targets by fingerprint, each with the time of its expiry.
+        Targets that this router reported as crashed, by fingerprint, each
+        with the time until which it heeds the report.
     tasks : set of asyncio.Task
         Reports that are not settled yet.
     """
