Log what targets ask for in their answers, and when attempts are sent

Logs could not tell whether a router did not know that a target had asked for rest or knew and sent all the same: neither Retry-After of a 503 nor Server-Leaving was read. Both are decoded now in the adapter, malformed values are named and ignored, and target.rest-asked, target.says-leaving and target.invalid-header tell of them; sent_ms in the line of a request tells when each attempt went out. No decision has changed.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -340,6 +340,12 @@
     status = 504
 
 
+class InvalidHeaderError(AmaranthringError):
+    """A header of a target's response is malformed; it is ignored."""
+
+    code = "invalid-header"
+
+
 class CallerDisconnectedError(AmaranthringError):
     """The caller disconnected before its response was complete."""
 
--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from amaranthring import errors
+from amaranthring.core import notices
 from amaranthring.forwarding import events
 from amaranthring.forwarding import records
 from amaranthring.forwarding import responses
@@ -41,6 +42,8 @@
         Whether a pooled connection may be used.
     before_send : callable
         Called right before the request is sent; raises to prevent it.
+    on_notice : callable
+        Called with the status and the notice of each response of the target.
 
     Attributes
     ----------
@@ -61,6 +64,7 @@
         copy_from: str,
         reuse_connection: bool,
         before_send: t.Callable[[], None],
+        on_notice: t.Callable[[int, notices.Notice], None],
     ):
         self.context = context
         self.target = target
@@ -72,6 +76,7 @@
         self.copy_from = copy_from
         self.reuse_connection = reuse_connection
         self.before_send = before_send
+        self.on_notice = on_notice
 
     async def open(self, timeout: float) -> records.ResponseHead:
         """Send the request and return the head of the response.
@@ -106,6 +111,7 @@
             keep_alive=True,
         )
         self.exchange.write_call(call, min(timeout, max(left, 0.0)))
+        self.context.sent_after.append(time.monotonic() - incoming.arrived)
         await self._read_head()
         self._check_head()
         return self.head
@@ -129,6 +135,8 @@
             self.head = self.dialect.read_response(
                 exchange.status, exchange.headers
             )
+            if not self.head.other_target:
+                self.on_notice(self.head.status, self.head.notice)
             if not exchange.reused or not self._is_for_another_request():
                 return
             # The target responded twice to an earlier request, and the
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -5,6 +5,7 @@
 
 import tornado.httputil
 
+from amaranthring.core import notices
 from amaranthring.registry import messages
 from amaranthring.routing import plan as plans
 
@@ -120,6 +121,8 @@
         Whether the body has a content coding; it is then not forwarded.
     load : Load or None
         Load of the target, if reported.
+    notice : Notice
+        What the target says about itself.
     """
 
     status: int
@@ -130,6 +133,7 @@
     other_target: bool = False
     encoded: bool = False
     load: Load | None = None
+    notice: notices.Notice = notices.NOTHING
 
 
 @dataclasses.dataclass
@@ -176,6 +180,8 @@
         Data centres in which a target did not respond.
     attempt_outcomes : list of str
         ``target:outcome`` of each attempt.
+    sent_after : list of float
+        Seconds from the arrival of the request to each attempt that was sent.
     copies : list of str
         ``source>target`` of each attempt with a copy of a cached prefix.
     """
@@ -195,4 +201,5 @@
     )
     silent_data_centres: set[str] = dataclasses.field(default_factory=set)
     attempt_outcomes: list[str] = dataclasses.field(default_factory=list)
+    sent_after: list[float] = dataclasses.field(default_factory=list)
     copies: list[str] = dataclasses.field(default_factory=list)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -6,8 +6,12 @@
 import time
 import typing as t
 
+import logbook
+
 from amaranthring import errors
+from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
+from amaranthring.core import notices
 from amaranthring.core import timeouts
 from amaranthring.forwarding import attempts
 from amaranthring.forwarding import events
@@ -19,10 +23,13 @@
 from amaranthring.forwarding import startup
 from amaranthring.policy import budgets
 from amaranthring.policy import response_times
+from amaranthring.registry import messages
 from amaranthring.routing import plan as plans
 from amaranthring.routing import table as route_tables
 from amaranthring.targets import pool
 
+log = logbook.Logger(__name__)
+
 # While response times are unknown, a safe request goes to a second target
 # after this multiple of its objective.
 SAFE_TIMEOUT_FACTOR = 1.6
@@ -225,6 +232,7 @@
             copy_from=self.placer.source_address(copy),
             reuse_connection=not self.placer.failed_recently(target),
             before_send=functools.partial(self._before_send, context),
+            on_notice=functools.partial(self._take_notice, context, target),
         )
         complete = False
         # Logged if the request is cancelled during this attempt.
@@ -294,6 +302,34 @@
             )
         await writer.send(head.status, head.headers, body)
 
+    def _take_notice(
+        self,
+        context: records.RequestContext,
+        target: messages.TargetRecord,
+        status: int,
+        notice: notices.Notice,
+    ) -> None:
+        """Log and count what a target says about itself in a response."""
+        if notice is notices.NOTHING:
+            return
+        event = functools.partial(
+            logs.event,
+            log,
+            target=target.id,
+            service=target.service,
+            request=context.incoming.request_id,
+            status=status,
+        )
+        for fault in notice.faults:
+            self.metrics.count("target.invalid-header")
+            event("target.invalid-header", fault=str(fault))
+        if notice.rest_seconds:
+            self.metrics.count("target.rest-asked")
+            event("target.rest-asked", seconds=notice.rest_seconds)
+        if notice.leaving:
+            self.metrics.count("target.leaving-answers")
+            event("target.says-leaving")
+
     def _before_send(self, context: records.RequestContext) -> None:
         if context.account:
             self._check_keys_trusted()
--- a/amaranthring/forwarding/request_log.py
+++ b/amaranthring/forwarding/request_log.py
@@ -71,6 +71,7 @@
         "plan": context.version,
         "sent": context.attempts_sent,
         "trail": ",".join(context.attempt_outcomes),
+        "sent_ms": ",".join(f"{s * 1e3:.1f}" for s in context.sent_after),
         "copies": ",".join(context.copies),
         "prompt": ",".join(f"{part.id}:{part.tokens}" for part in parts),
     }
--- a/amaranthring/platform/headers.py
+++ b/amaranthring/platform/headers.py
@@ -3,6 +3,7 @@
 import tornado.httputil
 
 from amaranthring import errors
+from amaranthring.core import notices
 from amaranthring.forwarding import records
 
 MILLISECONDS = 1e3
@@ -17,6 +18,8 @@
 SIGNATURE = "Amaranthring-Replica-Signature"
 # Present if the target did not run the request and never will.
 NOT_RUN = "Amaranthring-Not-Executed"
+# "1" in all responses of a target that leaves.
+LEAVING = "Server-Leaving"
 # "running,waiting,slots" of the target.
 LOAD = "Amaranthring-Replica-Load"
 # "input tokens,maximum output tokens".
@@ -189,6 +192,7 @@
         other_target=status == MISDIRECTED,
         encoded="Content-Encoding" in headers,
         load=_load(headers.get(LOAD)),
+        notice=notices.read(status, headers, LEAVING),
     )
 
 
--- a/amaranthring/testing/scripted_target.py
+++ b/amaranthring/testing/scripted_target.py
@@ -16,6 +16,7 @@
 from amaranthring import errors
 from amaranthring import routing
 from amaranthring.core import metrics
+from amaranthring.core import notices
 from amaranthring.forwarding import frontend as fronts
 from amaranthring.forwarding import placement
 from amaranthring.forwarding import records
@@ -31,6 +32,7 @@
 SIGNED = "Test-Signed"
 REFUSED = "Test-Refused"
 EXPECTED = "Test-Expected"
+LEAVING = "Test-Leaving"
 ACCOUNT = "Test-Account"
 KEY = "Test-Key"
 PROMPT = "Test-Prompt"
@@ -99,6 +101,7 @@
         SIGNED in headers,
         REFUSED in headers,
         status == 421,
+        notice=notices.read(status, headers, LEAVING),
     )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
 from amaranthring import errors
 from amaranthring import routing
 from amaranthring.core import endpoints
+from amaranthring.core import notices
 from amaranthring.forwarding import records
 from amaranthring.keepers import plans
 from amaranthring.platform import control
@@ -337,6 +338,12 @@
         self.assertTrue(self.read(421).other_target)
         self.assertTrue(self.read(Content_Encoding="gzip").encoded)
 
+    def test_what_a_target_says_about_itself(self):
+        refused = self.read(503, Retry_After="1.5", Server_Leaving="1")
+        self.assertEqual(notices.Notice(1.5, True), refused.notice)
+        self.assertTrue(self.read(200, Server_Leaving="1").notice.leaving)
+        self.assertIs(notices.NOTHING, self.read(200).notice)
+
     def test_malformed_load_is_ignored(self):
         for value in ("", "1,2", "a,b,c", "-1,0,1"):
             head = self.read(Amaranthring_Replica_Load=value)
