--- a/amaranthring/testing/scripted_target.py
+++ b/amaranthring/testing/scripted_target.py
@@ -110,12 +110,19 @@
 
 @dataclasses.dataclass
 class Seen:
-    """A request as a target received it."""
+    """A request as a target received it.
+
+    Attributes
+    ----------
+    at : float
+        Monotonic seconds at which it was complete.
+    """
 
     method: str
     uri: str
     headers: tornado.httputil.HTTPHeaders
     body: bytes
+    at: float
 
 
 Script = t.Callable[["Seen", asyncio.StreamWriter], t.Awaitable[None]]
@@ -203,7 +210,7 @@
     headers = tornado.httputil.HTTPHeaders.parse(rest)
     length = int(headers.get("Content-Length", "0"))
     body = await reader.readexactly(length)
-    return Seen(start.method, start.path, headers, body)
+    return Seen(start.method, start.path, headers, body, time.monotonic())
 
 
 def response_head(
@@ -218,30 +225,47 @@
 
 
 def respond(
-    body: bytes = b"good", status: int = 200, signed: bool = True
+    body: bytes = b"good",
+    status: int = 200,
+    signed: bool = True,
+    **headers: str,
 ) -> Script:
     """Return a script that sends a complete response."""
 
     async def script(seen, writer):
-        length = str(len(body))
-        writer.write(
-            response_head(seen, status, signed, Content_Length=length) + body
-        )
+        more = {"Content_Length": str(len(body))} | headers
+        writer.write(response_head(seen, status, signed, **more) + body)
         await writer.drain()
 
     return script
 
 
-def respond_not_run(status: int = 503) -> Script:
+def respond_not_run(status: int = 503, **headers: str) -> Script:
     """Return a script that answers that the request did not run."""
 
     async def script(seen, writer):
-        more = {"Content_Length": "0", REFUSED: "1"}
+        more = {"Content_Length": "0", REFUSED: "1"} | headers
         writer.write(response_head(seen, status, False, **more))
 
     return script
 
 
+def ask_for_rest(seconds: float, then: Script) -> Script:
+    """Return a script that asks for rest once and then answers by `then`."""
+    asked = False
+
+    async def script(seen, writer):
+        nonlocal asked
+        if asked:
+            await then(seen, writer)
+            return
+        asked = True
+        refuse = respond_not_run(Retry_After=f"{seconds:g}")
+        await refuse(seen, writer)
+
+    return script
+
+
 def raw(data: t.Callable[[Seen], bytes]) -> Script:
     """Return a script that writes raw bytes."""
 
