Send nothing more to a target that says in its answers that it leaves

What was seen in a test: 18 of 18 requests of a second went to a target whose answers all said that it leaves. A router that no keeper tells, as it or they are cut off, sends its callers to a target that is about to end.

Cause: only announcements, which come through keepers, were believed; the header of the target's own answers was not read.

Change: such an answer marks the target as draining in the router's own table. The state only advances, so a late announcement does not bring it back, and a new incarnation has another id. What runs there ends whole, prompts may be copied from it as from any draining target. A 421 comes from the next target at the address and says nothing of the one that was asked.

--- a/amaranthring/forwarding/target_notices.py
+++ b/amaranthring/forwarding/target_notices.py
@@ -51,4 +51,5 @@
         context.asked_for_rest.add(target.id)
     if notice.leaving:
         metrics.count("target.leaving-answers")
-        event("target.says-leaving")
+        if placer.table.mark_draining(target.id):
+            event("target.says-leaving")
--- a/amaranthring/registry/targets.py
+++ b/amaranthring/registry/targets.py
@@ -127,6 +127,16 @@
             if record.id not in self.entries and self.merge(record):
                 self.entries[record.id].heard_at = heard_at
 
+    def mark_draining(self, target_id: str) -> bool:
+        """Mark a target as draining; return whether it was ready before."""
+        entry = self.entries.get(target_id)
+        if entry is None or entry.record.state != messages.State.READY:
+            return False
+        entry.record = dataclasses.replace(
+            entry.record, state=messages.State.DRAINING
+        )
+        return True
+
     def mark_gone(self, target_id: str) -> messages.TargetRecord | None:
         """Mark a target as gone; return its record if it was known."""
         entry = self.entries.get(target_id)
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -260,3 +260,85 @@
         later = await self.keep_asking(1.0, "/a/x", "/b/x", "/c/x")
         self.assertEqual({200}, {got.status for got in later})
         self.assertEqual([], self.arrivals(0, told_at))
+
+    async def test_any_answer_tells(self):
+        """Refusals, failures and broken answers bear the header too."""
+
+        def foreign(seen):
+            seen.headers[scripted_target.ID] = "another"
+            return scripted_target.response_head(
+                seen, Content_Length="0", **LEAVING
+            )
+
+        for answer in (
+            scripted_target.respond_not_run(**LEAVING),
+            scripted_target.respond(status=500, **LEAVING),
+            scripted_target.respond(signed=False, **LEAVING),
+            scripted_target.raw(foreign),
+        ):
+            await self.begin(answer, scripted_target.respond())
+            self.prefer(0)
+            await self.ask("/a/x")
+            told_at = time.monotonic()
+            await self.keep_asking(0.3, "/a/x")
+            self.assertEqual([], self.arrivals(0, told_at))
+
+    async def test_stream_in_progress_ends_whole(self):
+        """The head of a long stream says that its target leaves."""
+
+        async def stream(seen, writer):
+            more = {"Content_Type": "text/event-stream"} | LEAVING
+            writer.write(scripted_target.response_head(seen, **more))
+            for number in range(1, 4):
+                writer.write(scripted_target.event(number))
+                await asyncio.sleep(0.1)
+
+        await self.begin(stream, scripted_target.stream_events(3))
+        self.prefer(0)
+        streaming = asyncio.ensure_future(self.ask("/d/x", "POST"))
+        await asyncio.sleep(0.1)
+        await self.ask("/d/x", "POST")
+        got = await streaming
+        self.assertEqual(
+            b"".join(map(scripted_target.event, range(1, 4))), got.body
+        )
+        self.assertEqual([1, 1], [len(one.requests) for one in self.targets])
+
+    async def test_late_announcement_does_not_bring_it_back(self):
+        """Keepers that were cut off announce the target as ready."""
+        await self.begin(scripted_target.respond(**LEAVING))
+        self.assertEqual(200, (await self.ask("/a/x")).status)
+        for sequence in (1, 2):
+            record = self.targets[0].record()
+            record.sequence = sequence
+            self.router.targets.merge(record)
+            got = await self.ask("/a/x")
+            self.assertEqual(503, got.status)
+            self.assertIn("Retry-After", got.headers)
+        self.assertEqual(1, self.ran())
+
+    async def test_next_target_at_its_address_gets_requests(self):
+        await self.begin(scripted_target.respond(**LEAVING))
+        self.assertEqual(200, (await self.ask("/a/x")).status)
+        record = self.targets[0].record()
+        record.id = record.name = "t0-next"
+        self.router.targets.merge(record)
+        self.assertEqual(200, (await self.ask("/a/x")).status)
+
+    async def test_malformed_value_keeps_no_request_away(self):
+        for value in ("", "0", "yes", "1, 1"):
+            header = dict.fromkeys(LEAVING, value)
+            await self.begin(scripted_target.respond(**header))
+            for _ in range(2):
+                self.assertEqual(200, (await self.ask("/a/x")).status)
+
+    async def test_answer_of_the_next_target_at_its_address(self):
+        """421: what it says concerns the target that answers, no other."""
+        await self.begin(
+            scripted_target.respond_not_run(421, Retry_After="5", **LEAVING)
+        )
+        await self.ask("/a/x")
+        self.assertEqual({}, self.router.placer.rests.by_target)
+        self.assertNotIn(
+            "target.leaving-answers", self.router.relay.metrics.counters
+        )
