--- a/amaranthring/testing/scripted_target.py
+++ b/amaranthring/testing/scripted_target.py
@@ -425,18 +425,30 @@
     connect : callable, optional
         Opens the connection; defaults to ``asyncio.open_connection``.
     """
-    started_at = time.monotonic()
     connect = connect or asyncio.open_connection
     reader, writer = await connect(*address)
+    try:
+        return await send_on(reader, writer, path, method, body, **headers)
+    finally:
+        writer.close()
+
+
+async def send_on(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    path: str,
+    method: str,
+    body: bytes = b"",
+    **headers: str,
+) -> Response:
+    """Send one request on an open connection, which stays open."""
+    started_at = time.monotonic()
     lines = [f"{method} {path} HTTP/1.1", "Host: h"]
     sent_headers = {ID: "r1", "Content-Length": str(len(body))}
     sent_headers |= {k.replace("_", "-"): v for k, v in headers.items()}
     lines += [f"{name}: {value}" for name, value in sent_headers.items()]
     writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-    try:
-        return await _read_response(reader, method, started_at)
-    finally:
-        writer.close()
+    return await _read_response(reader, method, started_at)
 
 
 async def _read_response(reader, method: str, started_at: float) -> Response:
