--- a/amaranthring/core/notices.py
+++ b/amaranthring/core/notices.py
@@ -10,9 +10,14 @@
 import time
 import typing as t
 
+import logbook
 import tornado.httputil
 
 from amaranthring import errors
+from amaranthring.core import logs
+from amaranthring.core import metrics as metrics_module
+
+log = logbook.Logger(__name__)
 
 RETRY_AFTER = "Retry-After"
 DATE = "Date"
@@ -72,6 +77,33 @@
     return Notice(max(rests, default=0.0), any(leaving), tuple(faults))
 
 
+def report(
+    notice: Notice,
+    metrics: metrics_module.Metrics,
+    newly_leaving: bool,
+    **fields: t.Any,
+) -> None:
+    """Log and count a notice.
+
+    Parameters
+    ----------
+    newly_leaving : bool
+        Whether the target was not known to leave before.
+    **fields
+        Target and request of the response.
+    """
+    for fault in notice.faults:
+        metrics.count("target.invalid-header")
+        logs.event(log, "target.invalid-header", fault=str(fault), **fields)
+    if notice.rest_seconds:
+        metrics.count("target.rest-asked")
+        seconds = notice.rest_seconds
+        logs.event(log, "target.rest-asked", seconds=seconds, **fields)
+    if newly_leaving:
+        metrics.count("target.says-leaving")
+        logs.event(log, "target.says-leaving", **fields)
+
+
 def parse_retry_after(value: str, now: float) -> float:
     """Return the seconds that a ``Retry-After`` header asks for.
 
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -340,5 +340,5 @@
         await self.ask("/a/x")
         self.assertEqual({}, self.router.placer.rests.by_target)
         self.assertNotIn(
-            "target.leaving-answers", self.router.relay.metrics.counters
+            "target.says-leaving", self.router.relay.metrics.counters
         )
