Observe rests and departures on the own interface too

What callers saw in tests: an engine or replica that answers 503 with Retry-After, or says in its answers that it leaves, goes on getting chats, calls, resumed streams and cancellations; when all rest, callers get 502 and a second. The cause is that of forwarding by plan: neither header was read here either, a 503 was an error like others.

Change: every exchange of this interface is made by targets/notices.py, which reads the head of each answer and is asked before anything is sent, and again after the connect. Resting targets are excluded from admission; a grant for one is returned unsent and does not count against the target. A departure is the end of the incarnation in the router's table, as its leave is; a stream in progress is still resumed there. A resend under a claimed key whose target rests is told when to come back. Rests are charged to accounts as in forwarding by plan. Stand-ins ask for rest, and say that they leave once they are stopped.

--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import time
@@ -117,7 +118,7 @@
     timeout = preset.first_token_seconds
     if not progress.begun:
         timeout = min(timeout, remaining)
-    exchange = upstream.Exchange(attempt.target)
+    exchange = deps.notices.exchange(attempt.target, name, request.account)
     try:
         with target_loss.AbortOnTargetLoss(deps, exchange):
             try:
@@ -145,7 +146,7 @@
     if _is_resumable(attempt, progress, error):
         for _ in range(MAX_RESUMES):
             try:
-                await _resume(deps, attempt.target, name, progress)
+                await _resume(deps, request, attempt.target, name, progress)
                 deps.metrics.count("way.resumed")
                 return
             except errors.NotFoundError:
@@ -156,7 +157,7 @@
                 if resume_error.outcome is errors.Outcome.NOT_RUN:
                     break
     if not attempt.target_lost:
-        await cancel(attempt.target, name)
+        await cancel(deps, request, attempt.target, name)
     if progress.begun:
         attempt.retryable = (
             continuation_body(request.body, progress.events) is not None
@@ -173,7 +174,7 @@
     return not attempt.target_lost or (attempt.silent and progress.begun)
 
 
-async def _resume(deps, target, name, progress) -> None:
+async def _resume(deps, request, target, name, progress) -> None:
     """Resume stream `name` at `target` from the next expected event."""
     events = progress.events
     events.switch_to(name, events.shown.decode()[4:-1])
@@ -185,7 +186,9 @@
     }
     call = upstream.Call("POST", path, headers, body)
     preset = deps.config().preset
-    exchange = upstream.Exchange(target)
+    exchange = deps.notices.exchange(
+        target, name, request.account, continues=True
+    )
     with target_loss.AbortOnTargetLoss(deps, exchange):
         await exchange.send(call, preset.first_token_seconds)
         await _open_stream(exchange, name, progress)
@@ -340,17 +343,27 @@
     return json.dumps(fields).encode()
 
 
-async def cancel(target: records.Target, name: str) -> None:
-    """Ask an engine to stop a stream; failures are ignored."""
+async def cancel(
+    deps: execution.Dependencies,
+    request: records.Request,
+    target: records.Target,
+    name: str,
+) -> None:
+    """Ask an engine to stop a stream; failures are ignored.
+
+    A resting engine is not asked: its connection is closed, and it stops by
+    itself.
+    """
     headers = {upstream.REQUEST_ID_HEADER: name}
     call = upstream.Call("POST", f"/v1/streams/{name}/cancel", headers)
-    exchange = upstream.Exchange(target)
     try:
-        await exchange.open(call, CANCEL_TIMEOUT_SECONDS)
+        exchange = deps.notices.exchange(
+            target, name, request.account, continues=True
+        )
+        with contextlib.closing(exchange):
+            await exchange.open(call, CANCEL_TIMEOUT_SECONDS)
     except errors.AmaranthringError:
         pass
-    finally:
-        exchange.close()
 
 
 async def resume(
@@ -378,20 +391,24 @@
     target = deps.get_target(reference.target)
     if target is None or target.incarnation != reference.incarnation:
         raise _stream_gone_error(reference, "an engine that is gone")
+    try:
+        deps.notices.check(target)
+    except errors.TargetLeavingError as error:
+        raise _stream_gone_error(reference, str(error)) from error
     token = _resume_token(deps, request, target, reference.stream)
     progress = StreamProgress(sink, time.monotonic())
     progress.events = sse.EventRewriter(reference.stream, token, number)
     last_error = None
     for _ in range(MAX_RESUMES):
         try:
-            await _resume(deps, target, reference.stream, progress)
+            await _resume(deps, request, target, reference.stream, progress)
             break
         except errors.NotFoundError as error:
             raise _stream_gone_error(reference, str(error)) from error
         except errors.UpstreamError as error:
             last_error = error
     else:
-        if progress.begun:
+        if progress.begun or isinstance(last_error, errors.TargetRestingError):
             raise last_error
         raise _stream_gone_error(reference, str(last_error)) from last_error
     deps.metrics.count("way.came-back")
@@ -437,7 +454,7 @@
     headers = execution.upstream_headers(request, attempt.grant, name)
     headers["Content-Type"] = JSON
     call = upstream.Call("POST", request.path, headers, request.body)
-    exchange = upstream.Exchange(attempt.target)
+    exchange = deps.notices.exchange(attempt.target, name, request.account)
     remaining = max(0.001, request.deadline - time.monotonic())
     try:
         with target_loss.AbortOnTargetLoss(deps, exchange):
--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -19,10 +19,14 @@
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import records
 from amaranthring.targets import liveness
+from amaranthring.targets import notices as notices_module
 from amaranthring.targets import upstream
 
 MAX_ATTEMPTS = 3
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# The target was reachable, but it must not be asked.
+UNASKED = (errors.TargetRestingError, errors.TargetLeavingError)
+RESTING = (errors.TargetsRestingError, errors.CallerHeldBackError)
 T = t.TypeVar("T")
 
 
@@ -54,6 +58,8 @@
         Whether the holder of an attempt may still run it.
     running_attempts : set of str
         Claimed attempts that run on this router.
+    notices : TargetNotices
+        What targets have said about themselves in their answers.
     settlements : Settlements
         Settlements that the ledger has not confirmed yet.
     """
@@ -84,6 +90,9 @@
     drain: drains.Drain = dataclasses.field(default_factory=drains.Drain)
     may_run: t.Callable[[str], t.Awaitable[bool]] = _may_run
     running_attempts: set[str] = dataclasses.field(default_factory=set)
+    notices: notices_module.TargetNotices = dataclasses.field(
+        default_factory=notices_module.TargetNotices
+    )
     settlements: settlements_module.Settlements = dataclasses.field(init=False)
 
     def __post_init__(self):
@@ -217,14 +226,20 @@
         outcome is ``not-run`` only if no attempt can have run.
     """
     excluded: set[str] = set()
+    refused_by: list[records.Target] = []
     last_error: errors.AmaranthringError | None = None
     maybe_ran = False
     for number in range(MAX_ATTEMPTS):
         try:
-            grant = await deps.admit(request, excluded)
+            grant = await _admit(deps, request, excluded)
         except errors.AmaranthringError as error:
-            # The error of the previous attempt says more.
-            raise last_error or error from error
+            if last_error is None:
+                last_error = error
+            elif isinstance(error, RESTING) and not maybe_ran:
+                # It says when to come back.
+                error.claimed = last_error.claimed
+                last_error = error
+            break
         attempt = Attempt(number, grant)
         _record_grant(deps, request, attempt)
         try:
@@ -232,6 +247,7 @@
                 deps, request, attempt, run_attempt
             )
             deps.record_success(request.account)
+            deps.notices.request_accepted(request, refused_by)
             return result
         except errors.CallerDisconnectedError:
             # Not a failure of the target; no caller waits for a retry.
@@ -243,14 +259,38 @@
                 error.outcome = errors.Outcome.UNKNOWN
             last_error = error
         excluded.add(attempt.target.name)
+        refused_by.append(attempt.target)
         deps.metrics.count(f"way.failed.{last_error.code}")
         if attempt.target_lost and attempt.sent:
             await target_loss.report_crash(deps, request, attempt)
         if not _may_retry(deps, request, attempt, last_error, maybe_ran):
             break
+    deps.notices.request_failed(request, refused_by)
     raise last_error
 
 
+async def _admit(deps, request, excluded: set[str]) -> records.Grant:
+    """Return a grant for a target that neither failed nor rests.
+
+    Raises
+    ------
+    errors.TargetsRestingError
+        If all that are left rest; the first may be asked again then.
+    """
+    resting = deps.notices.resting_targets(request)
+    try:
+        return await deps.admit(request, excluded | set(resting))
+    except errors.NoTargetError as error:
+        if not resting:
+            raise
+        raise errors.TargetsRestingError(
+            "all targets that could serve this request rest",
+            given=request.serves,
+            expected="a target that has not asked for rest",
+            retry_after=min(resting.values()),
+        ) from error
+
+
 async def _run_and_release(deps, request, attempt, run_attempt):
     """Run one attempt and release its grant, however it ends."""
     end = records.AttemptEnd.FAILED
@@ -270,6 +310,8 @@
     except errors.AmaranthringError as error:
         if attempt.target_lost:
             end = records.AttemptEnd.TARGET_LOST
+        elif isinstance(error, UNASKED):
+            end = records.AttemptEnd.NOT_SENT
         elif not attempt.sent and isinstance(error, errors.UpstreamError):
             end = records.AttemptEnd.UNREACHABLE
         elif not attempt.sent:
--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -81,7 +81,7 @@
     upstream_call = upstream.Call(
         request.method, request.path, call_headers, request.body
     )
-    exchange = upstream.Exchange(attempt.target)
+    exchange = deps.notices.exchange(attempt.target, name, request.account)
     remaining = max(0.001, request.deadline - time.monotonic())
     try:
         with target_loss.AbortOnTargetLoss(deps, exchange):
@@ -327,7 +327,10 @@
         response = await _send(deps, request, attempt, headers, name)
     except errors.AmaranthringError as error:
         # The first call under the key may have run, so never "not-run".
-        raise _claim_unknown(request) from error
+        unknown = _claim_unknown(request)
+        if isinstance(error, errors.TargetRestingError):
+            unknown.retry_after = error.retry_after
+        raise unknown from error
     stored = records.StoredAnswer(
         response.status, response.content_type, response.body
     )
--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -39,11 +39,18 @@
         Seconds to wait before a retry.
     outcome : Outcome, optional
         Overrides the default outcome of the class.
+
+    Attributes
+    ----------
+    claimed : bool
+        Whether the request held the claim of its idempotency key, so that the
+        outcome holds for the key and not only for this request.
     """
 
     code = "internal"
     status = 500
     outcome = Outcome.UNKNOWN
+    claimed = False
 
     def __init__(
         self,
@@ -330,6 +337,15 @@
     """The target asked this router for rest meanwhile; nothing was sent."""
 
     code = "target-resting"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
+class TargetLeavingError(UpstreamError):
+    """The target has said that it leaves; nothing was sent."""
+
+    code = "target-leaving"
+    status = 503
     outcome = Outcome.NOT_RUN
 
 
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -39,6 +39,7 @@
 from amaranthring.routers import target_reports
 from amaranthring.routers import target_sync
 from amaranthring.targets import announce
+from amaranthring.targets import notices as target_notices
 from amaranthring.targets import table
 
 # Long enough to survive a leader election.
@@ -231,6 +232,9 @@
             drain=self.drain,
             may_run=self.attempts.may_run,
             running_attempts=self.attempts.running,
+            notices=target_notices.TargetNotices(
+                self.metrics, self.table.mark_leaving, self._count_targets
+            ),
         )
 
     def _resume_keys(self) -> links.Keys:
@@ -302,6 +306,9 @@
                 names.update(target.serves)
         return names
 
+    def _count_targets(self, request: records.Request) -> int:
+        return len(self.table.eligible(request.kind, request.serves))
+
     def _ready_targets(self) -> list[records.Target]:
         return [
             target
--- /dev/null
+++ b/amaranthring/targets/notices.py
@@ -0,0 +1,208 @@
+"""Observance of what targets say about themselves in their answers.
+
+Every exchange with a target passes its head here, and asks here before it
+sends anything, so that a rest or a departure holds for attempts, resumed
+streams and cancellations alike.
+"""
+
+import typing as t
+
+from amaranthring import errors
+from amaranthring.core import clocks
+from amaranthring.core import metrics as metrics_module
+from amaranthring.core import notices
+from amaranthring.core import records
+from amaranthring.policy import rests as rests_module
+from amaranthring.targets import upstream
+
+LEAVING_HEADER = "Server-Leaving"
+# Time for which a departure is remembered: a target ends long before.
+LEAVING_SECONDS = 3600.0
+
+
+def _ignore(_name: str, _incarnation: int) -> None:
+    return
+
+
+class TargetNotices:
+    """Rests and departures of which targets told this router.
+
+    Parameters
+    ----------
+    metrics : Metrics, optional
+        Counters.
+    mark_leaving : callable
+        Called with the name and incarnation of a target that leaves.
+    count_targets : callable
+        Returns how many targets can serve a request.
+    clock : callable
+        Seconds; continues while the VM is suspended.
+
+    Attributes
+    ----------
+    rests : Rests
+        Rests by incarnation of a target.
+    resting : dict
+        Targets that have asked for rest, by incarnation.
+    left_at : dict
+        When each incarnation first said that it leaves.
+    """
+
+    def __init__(
+        self,
+        metrics: metrics_module.Metrics | None = None,
+        mark_leaving: t.Callable[[str, int], None] = _ignore,
+        count_targets: t.Callable[[records.Request], int] = lambda _: 0,
+        clock: t.Callable[[], float] = clocks.boottime,
+    ):
+        self.metrics = metrics or metrics_module.Metrics()
+        self.mark_leaving = mark_leaving
+        self.count_targets = count_targets
+        self.clock = clock
+        self.rests = rests_module.Rests(clock)
+        self.resting: dict[str, records.Target] = {}
+        self.left_at: dict[str, float] = {}
+
+    def exchange(
+        self,
+        target: records.Target,
+        request_id: str,
+        account: str,
+        continues: bool = False,
+    ) -> upstream.Exchange:
+        """Return an exchange that observes the notices of `target`.
+
+        Parameters
+        ----------
+        account : str
+            Client account that is charged with a rest.
+        continues : bool
+            Whether it continues what `target` runs for a request in progress,
+            which a departure does not end.
+
+        Raises
+        ------
+        errors.TargetRestingError, errors.TargetLeavingError
+            As :meth:`check`, which is called again before sending.
+        """
+        self.check(target, continues)
+        exchange = upstream.Exchange(target)
+        exchange.before_write = lambda: self.check(target, continues)
+        exchange.on_head = lambda: self._take(exchange, request_id, account)
+        return exchange
+
+    def check(self, target: records.Target, continues: bool = False) -> None:
+        """Check that a request may be sent to `target` now.
+
+        Raises
+        ------
+        errors.TargetRestingError, errors.TargetLeavingError
+            If not; nothing was sent.
+        """
+        left = self.rests.left(_key(target))
+        if left:
+            raise errors.TargetRestingError(
+                "the target has asked for rest",
+                given=f"{target.name}, {left:.3f} s left",
+                expected="a target that accepts requests",
+                retry_after=left,
+            )
+        if not continues and _key(target) in self.left_at:
+            raise errors.TargetLeavingError(
+                "the target has said that it leaves",
+                given=target.name,
+                expected="a target that stays",
+            )
+
+    def resting_targets(self, request: records.Request) -> dict[str, float]:
+        """Return the seconds left of resting targets by name.
+
+        Raises
+        ------
+        errors.CallerHeldBackError
+            If the requests of the account made too many targets rest.
+        """
+        if not self.resting:
+            return {}
+        targets = self.count_targets(request)
+        held_back = self.rests.held_back(
+            _caller(request.kind, request.account), targets
+        )
+        if held_back:
+            raise errors.CallerHeldBackError(
+                "requests of this account made too many targets rest",
+                retry_after=held_back,
+            )
+        left = {
+            target.name: self.rests.left(key)
+            for key, target in self.resting.items()
+            if target.kind is request.kind and request.serves in target.serves
+        }
+        return {name: seconds for name, seconds in left.items() if seconds}
+
+    def request_accepted(
+        self, request: records.Request, refused_by: t.Iterable[records.Target]
+    ) -> None:
+        """Record that a target accepted what `refused_by` had refused."""
+        keys = [_key(target) for target in refused_by]
+        if keys:
+            caller = _caller(request.kind, request.account)
+            self.rests.request_accepted(caller, keys)
+
+    def request_failed(
+        self, request: records.Request, refused_by: t.Iterable[records.Target]
+    ) -> None:
+        """Record that no target accepted what `refused_by` had refused."""
+        refusals = sum(bool(self.rests.left(_key(t))) for t in refused_by)
+        caller = _caller(request.kind, request.account)
+        self.rests.request_failed(caller, refusals)
+
+    def _take(
+        self, exchange: upstream.Exchange, request_id: str, account: str
+    ) -> None:
+        """Observe the notice in a response's head from now on."""
+        notice = notices.read(
+            exchange.status, exchange.headers, LEAVING_HEADER
+        )
+        if notice is notices.NOTHING:
+            return
+        self._prune()
+        target = exchange.target
+        key = _key(target)
+        if notice.rest_seconds:
+            caller = _caller(target.kind, account)
+            self.rests.begin(key, notice.rest_seconds, caller)
+            self.resting[key] = target
+        newly_leaving = notice.leaving and key not in self.left_at
+        if newly_leaving:
+            self.left_at[key] = self.clock()
+            self.mark_leaving(target.name, target.incarnation)
+        notices.report(
+            notice,
+            self.metrics,
+            newly_leaving,
+            target=target.name,
+            incarnation=target.incarnation,
+            request=request_id,
+            status=exchange.status,
+        )
+
+    def _prune(self) -> None:
+        self.rests.prune()
+        self.resting = {
+            key: target
+            for key, target in self.resting.items()
+            if key in self.rests.by_target
+        }
+        oldest = self.clock() - LEAVING_SECONDS
+        self.left_at = {
+            key: at for key, at in self.left_at.items() if at > oldest
+        }
+
+
+def _caller(kind: records.TargetKind, account: str) -> rests_module.Caller:
+    return kind, account
+
+
+def _key(target: records.Target) -> str:
+    return f"{target.name}.{target.incarnation}"
--- a/amaranthring/targets/table.py
+++ b/amaranthring/targets/table.py
@@ -269,6 +269,19 @@
         self.merge_record(record, heard_at)
         self._record_message(entry, heard_at)
 
+    def mark_leaving(self, name: str, incarnation: int) -> None:
+        """Process the word of a target, in an answer, that it leaves."""
+        entry = self.entries.get(name)
+        if entry is None or entry.target.incarnation != incarnation:
+            return
+        record = entries.Record(
+            entry.target,
+            entry.version.revision,
+            True,
+            spoken=entry.last_sequence,
+        )
+        self.merge_record(record, self.pauses.trusted_arrival())
+
     # -- messages from other routers -----------------------------------------
 
     def merge_record(self, record: entries.Record, heard_at: float) -> bool:
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -61,6 +61,10 @@
     keep_alive: bool = False
 
 
+def _do_nothing() -> None:
+    return
+
+
 class Exchange:
     """One call to one target and its response.
 
@@ -76,6 +80,10 @@
         Of the response.
     reused : bool
         Whether its connection carried other calls before.
+    before_write : callable
+        Called right before a call is written; raises to prevent it.
+    on_head : callable
+        Called when the head of the response has arrived.
     """
 
     def __init__(
@@ -89,6 +97,8 @@
         self.status = 0
         self.headers = tornado.httputil.HTTPHeaders()
         self.reused = False
+        self.before_write: t.Callable[[], None] = _do_nothing
+        self.on_head: t.Callable[[], None] = _do_nothing
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
         self.call: Call | None = None
@@ -218,8 +228,11 @@
         ------
         errors.BadRequestError
             If a header cannot be sent; nothing was.
+        errors.AmaranthringError
+            What `before_write` raised; nothing was sent.
         """
         head = encode_head(call, self.target.address)
+        self.before_write()
         self.set_timeout(seconds)
         self.sent = True
         self.call = call
@@ -272,6 +285,7 @@
         self.body = http_body.decoder_for(
             headers, start.code, self.call.method
         )
+        self.on_head()
 
     async def skip_body(self, max_bytes: int) -> None:
         """Skip exactly the body of a response to an earlier call.
--- a/amaranthring/testing/booking.py
+++ b/amaranthring/testing/booking.py
@@ -4,7 +4,7 @@
 what ran. The body of a call, such as ``POST /NAME/bookings``, may request a
 fault with ``{"stand_in": {"fault": ..., "seconds": ...}}``: ``hang-before``,
 ``hang-after``, ``crash-before``, ``crash-after``, ``slow``, ``truncate``,
-``no-length``, ``refuse``, ``status`` or ``large``.
+``no-length``, ``refuse``, ``rest``, ``status`` or ``large``.
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 import tornado.web
 
 from amaranthring.core import records
+from amaranthring.targets import notices
 from amaranthring.testing import standin
 
 MAX_RUNS = 100_000
@@ -32,6 +33,8 @@
         Whether a repeated idempotency key returns the first answer.
     exit_on_crash : bool
         Whether a crash ends the process or just drops the connection.
+    leaving : bool
+        Whether all answers say that it leaves.
     """
 
     def __init__(self, name: str, honours_keys=False, exit_on_crash=False):
@@ -42,6 +45,11 @@
         self.answers: dict[str, bytes] = {}
         self.running = 0
         self.received = 0
+        self.leaving = False
+
+    def leave(self) -> None:
+        """Say in all answers from now on that this replica leaves."""
+        self.leaving = True
 
     def load(self) -> tuple[int, int, float]:
         """Return requests running and waiting, and the share of KV memory."""
@@ -94,6 +102,8 @@
         """Run a call of any HTTP method."""
         self.booking.running += 1
         self.booking.received += 1
+        if self.booking.leaving:
+            self.set_header(notices.LEAVING_HEADER, "1")
         try:
             await self._run_call()
         finally:
@@ -110,7 +120,9 @@
             await self._wait(options.get("seconds", 1.0))
         if fault == "crash-before":
             return self._crash()
-        if fault == "refuse":
+        if fault in ("refuse", "rest"):
+            if fault == "rest":
+                self.set_header("Retry-After", str(options["seconds"]))
             self.set_header("Amaranthring-Outcome", "not-run")
             self.set_status(503)
             self.finish(b"{}")
@@ -192,7 +204,7 @@
         args.services,
         honours_keys=args.honours_keys,
     )
-    await standin.serve(args, target, booking.load)
+    await standin.serve(args, target, booking.load, on_leave=booking.leave)
 
 
 if __name__ == "__main__":
--- a/amaranthring/testing/engine.py
+++ b/amaranthring/testing/engine.py
@@ -28,6 +28,7 @@
 
 from amaranthring.core import hashing
 from amaranthring.core import records
+from amaranthring.targets import notices
 from amaranthring.testing import standin
 
 FAULTS = (
@@ -43,6 +44,7 @@
     "hang",  # sends nothing from token `at` on
     "status",  # answers 500
     "refuse",  # answers 503 and states that it did not run
+    "rest",  # as "refuse", and asks for `seconds` of rest
     "comments",  # sends comments and no token from token `at` on
     "garbage",  # sends an invalid event before token `at`
 )
@@ -140,6 +142,10 @@
         Whether it can continue a given text.
     on_crash : callable
         Called on a crash that does not end the process.
+    leaving : bool
+        Whether all answers say that it leaves.
+    received : int
+        Requests received, except those for tests.
     """
 
     def __init__(
@@ -181,6 +187,12 @@
         self.role = "mixed"
         self.hits = 0
         self.cancelled = 0
+        self.leaving = False
+        self.received = 0
+
+    def leave(self) -> None:
+        """Say in all answers from now on that this engine leaves."""
+        self.leaving = True
 
     def load(self) -> tuple[int, int, float]:
         """Return requests running and waiting, and the share of KV memory."""
@@ -260,6 +272,19 @@
         """Store the engine's state."""
         self.engine = engine
         self.disconnected = asyncio.Event()
+        # Tornado calls it before the engine is known.
+        self.set_default_headers()
+
+    def set_default_headers(self):
+        """Say so if the engine leaves."""
+        engine = getattr(self, "engine", None)
+        if engine is not None and engine.leaving:
+            self.set_header(notices.LEAVING_HEADER, "1")
+
+    def prepare(self):
+        """Count the request."""
+        if not self.request.path.startswith("/control/"):
+            self.engine.received += 1
 
     def on_connection_close(self):
         """Record that the caller disconnected."""
@@ -450,9 +475,11 @@
             raise tornado.web.HTTPError(404)
         if fault.get("fault") == "status":
             raise tornado.web.HTTPError(500)
-        if fault.get("fault") == "refuse":
+        if fault.get("fault") in ("refuse", "rest"):
             self.set_header("Amaranthring-Outcome", "not-run")
             self.set_status(503)
+            if fault["fault"] == "rest":
+                self.set_header("Retry-After", str(fault["seconds"]))
             return
         chat = headers.get("Amaranthring-Chat", "")
         await self._import_prefix(
@@ -608,7 +635,9 @@
         args.models,
         fencing=args.fencing,
     )
-    await standin.serve(args, target, engine.load, lambda: engine.models)
+    await standin.serve(
+        args, target, engine.load, lambda: engine.models, engine.leave
+    )
 
 
 if __name__ == "__main__":
--- a/amaranthring/testing/standin.py
+++ b/amaranthring/testing/standin.py
@@ -87,8 +87,15 @@
     announced_target: records.Target,
     load: t.Callable[[], tuple[int, int, float]],
     serves: t.Callable[[], list[str]] | None = None,
+    on_leave: t.Callable[[], None] = lambda: None,
 ) -> None:
-    """Announce until SIGTERM or SIGINT, then leave and drain."""
+    """Announce until SIGTERM or SIGINT, then leave and drain.
+
+    Parameters
+    ----------
+    on_leave : callable
+        Makes all answers say that the stand-in leaves.
+    """
     print(f"listening {announced_target.address}", flush=True)
     stopping = signals.stop_event()
     announcer = None
@@ -105,6 +112,7 @@
         )
         announcer.start()
     await stopping.wait()
+    on_leave()
     if announcer:
         await announcer.leave()
     for _ in range(int(DRAIN_SECONDS / POLL_SECONDS)):
