Test a fleet of processes in which an engine asks one router for rest

The router's owner goes on granting the engine; the router leaves it out for the 4 s that it was asked for, others use it, and it is used again afterwards.

--- a/amaranthring/testing/engine.py
+++ b/amaranthring/testing/engine.py
@@ -146,6 +146,8 @@
         Whether all answers say that it leaves.
     received : int
         Requests received, except those for tests.
+    rests : list of str
+        Ids of the requests that it answered by asking for rest.
     """
 
     def __init__(
@@ -189,6 +191,7 @@
         self.cancelled = 0
         self.leaving = False
         self.received = 0
+        self.rests: list[str] = []
 
     def leave(self) -> None:
         """Say in all answers from now on that this engine leaves."""
@@ -480,6 +483,7 @@
             self.set_status(503)
             if fault["fault"] == "rest":
                 self.set_header("Retry-After", str(fault["seconds"]))
+                engine.rests.append(name)
             return
         chat = headers.get("Amaranthring-Chat", "")
         await self._import_prefix(
@@ -598,6 +602,7 @@
                 "hits": engine.hits,
                 "orders": engine.orders,
                 "cancelled": engine.cancelled,
+                "rests": engine.rests,
                 "running": engine.slots.running,
             }
         )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -221,3 +221,60 @@
             if self.fleet.settings[name].process.data_centre in data_centres
         ]
         return load.Callers(urls, local_fleet.ACCOUNTS["vanua"])
+
+
+class TestRest(fleet_case.FleetCase):
+    """An engine that asks for rest, under chats through all routers."""
+
+    routers = 3
+    rest_seconds = 4.0
+
+    async def test_router_that_was_asked_sends_nothing(self):
+        """Admission owners grant a target that has asked a router for rest.
+
+        The router must leave it out, and use it again after the rest.
+        """
+        chats = asyncio.ensure_future(self.chat_until_stopped(max_tokens=5))
+        fault = {"fault": "rest", "seconds": self.rest_seconds, "times": 1}
+        await self.blocking(self.control, fault)
+        async with asyncio.timeout(10.0):
+            while not (rests := (await self.state())["rests"]):  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        router = rests[0].partition(".")[0]
+        await asyncio.sleep(0.5)
+        before = await self.runs_of(router)
+        await asyncio.sleep(self.rest_seconds - 1.0)
+        during = await self.runs_of(router)
+        others = len((await self.state())["ran"])
+        await asyncio.sleep(2.0)
+        after = await self.runs_of(router)
+        self.chatting = False
+        await chats
+        self.assertEqual(before, during)
+        self.assertGreater(others, during)
+        self.assertGreater(after, during)
+        self.assertEqual(self.tally.refused, {})
+
+    async def state(self):
+        return await self.blocking(self.control)
+
+    async def runs_of(self, router):
+        """Return how many requests of `router` the engine ran."""
+        ran = (await self.state())["ran"]
+        return sum(
+            run["request_id"].partition(".")[0] == router for run in ran
+        )
+
+    def control(self, fault=None):
+        """Plan a fault of the first engine, or return its state."""
+        process = self.fleet.processes["engine-1"]
+        address = process.log.read_text().split()[1]
+        base = f"http://{address}/control"
+        if fault is None:
+            _, body = local_fleet.http_get(f"{base}/ran")
+        else:
+            data = json.dumps(fault).encode()
+            _, body = local_fleet.http_request(
+                "POST", f"{base}/fault", body=data
+            )
+        return json.loads(body)
