Keep the rest that a target asks for when it refuses an order

The rest now lengthens the time for which the target gets no orders. The new test failed before: 0.1 s of quiet instead of 3000 s.

--- a/amaranthring/keepers/commands.py
+++ b/amaranthring/keepers/commands.py
@@ -306,8 +306,8 @@
     detail : str
         Message of the target, or the connection error.
     quiet_seconds : float
-        Time for which the target may still be executing the order; 0 if it
-        has certainly ended.
+        Time for which the target gets no orders, as it may still be
+        executing this one, or has asked for rest; 0 for none.
     seen : int
         Higher fencing number that the target reported, or 0.
     """
--- a/amaranthring/keepers/reconciler.py
+++ b/amaranthring/keepers/reconciler.py
@@ -347,6 +347,7 @@
     ) -> None:
         self.uncommitted[fencing] = result
         quiet_seconds = self.options.order_seconds if result.unknown else 0.0
+        quiet_seconds = max(quiet_seconds, result.rest_seconds)
         end = commands.EndOrder(
             fencing,
             result.done,
--- a/amaranthring/targets/notices.py
+++ b/amaranthring/targets/notices.py
@@ -15,7 +15,6 @@
 from amaranthring.policy import rests as rests_module
 from amaranthring.targets import upstream
 
-LEAVING_HEADER = "Server-Leaving"
 # Time for which a departure is remembered: a target ends long before.
 LEAVING_SECONDS = 3600.0
 
@@ -162,7 +161,7 @@
     ) -> None:
         """Observe the notice in a response's head from now on."""
         notice = notices.read(
-            exchange.status, exchange.headers, LEAVING_HEADER
+            exchange.status, exchange.headers, upstream.LEAVING_HEADER
         )
         if notice is notices.NOTHING:
             return
--- a/amaranthring/targets/orders.py
+++ b/amaranthring/targets/orders.py
@@ -11,10 +11,15 @@
 import json
 import typing as t
 
+import logbook
 import tornado.httpclient
 
 from amaranthring import errors
+from amaranthring.core import notices
 from amaranthring.core import records
+from amaranthring.targets import upstream
+
+log = logbook.Logger(__name__)
 
 CONNECT_SECONDS = 2.0
 MAX_ANSWER_BYTES = 64 * 1024
@@ -35,12 +40,15 @@
         Whether the target may have accepted it and may still be at work.
     newer_fencing : int
         Higher fencing number that the target reported, or 0.
+    rest_seconds : float
+        Time for which the target wants no orders; 0 for none.
     """
 
     done: bool
     detail: str = ""
     unknown: bool = False
     newer_fencing: int = 0
+    rest_seconds: float = 0.0
 
 
 def parse_model(wanted: str) -> dict[str, str]:
@@ -140,7 +148,12 @@
     detail = f"{answer.code} {text}".strip()
     # A gateway error tells nothing about the target itself.
     unknown = answer.code >= 502
-    return Result(False, detail, unknown, _newer_fencing(answer))
+    notice = notices.read(answer.code, answer.headers, upstream.LEAVING_HEADER)
+    for fault in notice.faults:
+        log.warning("order.invalid-header fault={}", fault)
+    return Result(
+        False, detail, unknown, _newer_fencing(answer), notice.rest_seconds
+    )
 
 
 def _newer_fencing(answer) -> int:
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -26,6 +26,8 @@
 CONNECT_SECONDS = 1.0
 OUTCOME_HEADER = "Amaranthring-Outcome"
 REQUEST_ID_HEADER = "Amaranthring-Request-Id"
+# "1" in all responses of a target that leaves.
+LEAVING_HEADER = "Server-Leaving"
 
 MAX_INFORMATIONAL = 5
 CONNECTION_ERRORS = (
--- a/amaranthring/testing/booking.py
+++ b/amaranthring/testing/booking.py
@@ -15,7 +15,7 @@
 import tornado.web
 
 from amaranthring.core import records
-from amaranthring.targets import notices
+from amaranthring.targets import upstream
 from amaranthring.testing import standin
 
 MAX_RUNS = 100_000
@@ -103,7 +103,7 @@
         self.booking.running += 1
         self.booking.received += 1
         if self.booking.leaving:
-            self.set_header(notices.LEAVING_HEADER, "1")
+            self.set_header(upstream.LEAVING_HEADER, "1")
         try:
             await self._run_call()
         finally:
--- a/amaranthring/testing/engine.py
+++ b/amaranthring/testing/engine.py
@@ -28,7 +28,7 @@
 
 from amaranthring.core import hashing
 from amaranthring.core import records
-from amaranthring.targets import notices
+from amaranthring.targets import upstream
 from amaranthring.testing import standin
 
 FAULTS = (
@@ -282,7 +282,7 @@
         """Say so if the engine leaves."""
         engine = getattr(self, "engine", None)
         if engine is not None and engine.leaving:
-            self.set_header(notices.LEAVING_HEADER, "1")
+            self.set_header(upstream.LEAVING_HEADER, "1")
 
     def prepare(self):
         """Count the request."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -201,6 +201,8 @@
         self.target.orders.append(order)
         await asyncio.sleep(self.target.delay_seconds)
         self.set_status(self.target.status)
+        for name, value in self.target.headers.items():
+            self.set_header(name, value)
         self.finish({})
 
 
@@ -212,6 +214,7 @@
         self.highest_fencing = 0
         self.orders = []
         self.status = 200
+        self.headers = {}
         self.delay_seconds = 0.0
         app = tornado.web.Application(
             [("/v1/orders", OrdersHandler, {"target": self})],
@@ -289,6 +292,20 @@
             ],
         )
 
+    async def test_target_that_asks_for_rest_gets_no_orders(self):
+        """A target refuses an order and asks for an hour of rest.
+
+        It must not get the next one after the shorter time of an order.
+        """
+        target = FakeTarget()
+        target.status = 503
+        target.headers = {"Retry-After": "3000"}
+        self.lead([target.record("e1")], order_seconds=0.1)
+        await fake_state.wait_until(lambda: self.states() == [(1, "failed")])
+        orders = self.group.machine.orders
+        left = orders.busy_until["e1"] - self.group.machine.stamp
+        self.assertAlmostEqual(3000.0, left, delta=5.0)
+
     async def test_fencing_number_behind_target_is_raised(self):
         # After data loss, the keepers' fencing numbers may be lower than
         # the last one that a target has seen.
