Play rests and departures before routers on the platform's protocol

Processes of the platform's daemons on loopback addresses, with stand-ins of its replicas, operator and callers, which send Retry-After (malformed values too) and Server-Leaving.

--- /dev/null
+++ b/tests/platform_case.py
@@ -0,0 +1,357 @@
+"""A fleet on the platform's protocol, as processes on loopback addresses."""
+
+import asyncio
+import collections
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+import tornado.httpclient
+
+from amaranthring.platform import headers
+from amaranthring.testing import local_fleet
+from amaranthring.testing import scripted_target
+
+START_SECONDS = 20.0
+HEARTBEAT_SECONDS = 0.5
+# The host that `scripted_target` asks for.
+HOST = "h"
+SERVICE = "booking"
+ROUTES = {"safe": "/a/", "unsafe": "/b/"}
+ROUTER = "X-Router"
+SENT = "X-Sent"
+
+
+def configuration(version):
+    """Return the document of a configuration with one service."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": kind,
+                "hostname": HOST,
+                "path_prefix": prefix,
+                "route_type": kind,
+                "timeout_ms": 3000,
+                "latency_target_ms": 500,
+                "priority": 0,
+                "backend": SERVICE,
+                "max_attempts": 2,
+                "public": False,
+                "sticky": False,
+                "resumable": False,
+            }
+            for kind, prefix in ROUTES.items()
+        ],
+        "backends": [
+            {
+                "name": SERVICE,
+                "health_path": "/healthz",
+                "max_conns": 100,
+                "protocol": "h1",
+                "tls": False,
+            }
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [
+            {"name": name, "api_keys": [f"key-{name}"], "priority": 1}
+            for name in ("alba", "bela")
+        ],
+    }
+
+
+class Replica(scripted_target.ScriptedTarget):
+    """A replica that rests or leaves when a test says so.
+
+    Attributes
+    ----------
+    rest : str
+        ``Retry-After`` of its refusals, until `rest_until`.
+    leaving : bool
+        Whether all answers say that it leaves.
+    told : dict
+        What it told each router process, see :class:`Told`.
+    ran : Counter
+        Runs by request id.
+    """
+
+    def __init__(self, name):
+        super().__init__(name, self.answer, keep_alive=True)
+        self.rest = ""
+        self.rest_until = 0.0
+        self.leaving = False
+        self.told = collections.defaultdict(Told)
+        self.ran = collections.Counter()
+
+    async def answer(self, seen, writer):
+        """Answer one request as the state demands."""
+        now = time.monotonic()
+        told = self.told[seen.headers[ROUTER]]
+        told.arrivals.append((now, float(seen.headers[SENT])))
+        lines = [f"{headers.REQUEST_ID}: {seen.headers[headers.REQUEST_ID]}"]
+        if self.leaving:
+            lines.append(f"{headers.LEAVING}: 1")
+            told.leaving_at = min(told.leaving_at, now)
+        if seen.headers[headers.EXPECTED_TARGET] != self.name:
+            status, body = 421, b""
+        elif now < self.rest_until:
+            status, body = 503, b""
+            lines += [f"{headers.NOT_RUN}: 1", f"Retry-After: {self.rest}"]
+            told.rest(now, self.rest)
+        else:
+            status, body = 200, self.name.encode()
+            lines.append(f"{headers.SIGNATURE}: {self.name}")
+            self.ran[seen.headers[headers.REQUEST_ID]] += 1
+            await asyncio.sleep(0.005)
+        lines.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join([f"HTTP/1.1 {status} Status", *lines, "", ""])
+        writer.write(head.encode() + body)
+
+
+class Told:
+    """What a replica told one router process, and what it got since.
+
+    Attributes
+    ----------
+    rests : list of tuple
+        Start and seconds of each rest.
+    arrivals : list of tuple
+        When each request arrived, and when its caller sent it.
+    leaving_at : float
+        When it first told that it leaves.
+    frozen : list of float
+        When the process was stopped, which excuses what follows.
+    """
+
+    def __init__(self):
+        self.rests = []
+        self.arrivals = []
+        self.leaving_at = float("inf")
+
+    def rest(self, now, value):
+        """Record a rest, unless `value` is malformed."""
+        with contextlib.suppress(ValueError):
+            if 0 < float(value) <= 3600:
+                self.rests.append((now, float(value)))
+
+    def most_during_rests(self, reaction, frozen):
+        """Return how many requests arrived in the rest that had most."""
+        return max(
+            (
+                sum(
+                    start + reaction < at <= start + seconds
+                    for at, _ in self.arrivals
+                )
+                for start, seconds in self.rests
+                if not any(start <= at <= start + seconds for at in frozen)
+            ),
+            default=0,
+        )
+
+    def after_leaving(self, drain, frozen):
+        """Return how many requests callers sent `drain` after it told."""
+        until = min(
+            (at for at in frozen if at > self.leaving_at),
+            default=float("inf"),
+        )
+        first = self.leaving_at + drain
+        return sum(first < sent and at < until for at, sent in self.arrivals)
+
+
+class PlatformCase(unittest.IsolatedAsyncioTestCase):
+    """One keeper, some routers and replicas of one service."""
+
+    routers = 2
+    replicas = 3
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.network = ".".join(
+            str(random.SystemRandom().randrange(1, 250)) for _ in range(2)
+        )
+        self.fleet_port, self.port = local_fleet.free_ports(2)
+        self.client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+        self.addCleanup(self.client.close)
+        self.processes = {}
+        self.starts = collections.Counter()
+        self.frozen = collections.defaultdict(list)
+        self.addCleanup(self.stop_all)
+        self.all_replicas = []
+        self.heartbeats = {}
+        self.version = 0
+        self.start("keeper")
+        self.router_names = [f"router-{n}" for n in range(self.routers)]
+        for name in self.router_names:
+            self.start(name)
+        await self.configure()
+        for number in range(self.replicas):
+            await self.add_replica(f"t{number}")
+        for name in self.router_names:
+            await self.wait_ready(name)
+
+    async def asyncTearDown(self):
+        for task in self.heartbeats.values():
+            task.cancel()
+        for replica in self.all_replicas:
+            replica.stop()
+
+    # -- processes -------------------------------------------------------
+
+    def ip(self, name):
+        """Return the address of a process."""
+        number = 1 if name == "keeper" else 10 + int(name.partition("-")[2])
+        return f"127.{self.network}.{number}"
+
+    def start(self, name):
+        """Start a process under its address."""
+        ip = self.ip(name)
+        role = name.partition("-")[0]
+        at = f"{ip}:{self.port}"
+        listen = {"control": at}
+        if role == "router":
+            listen = {"frontend": at, "readiness": f"{ip}:{self.port + 1}"}
+        settings = {
+            "node_name": name,
+            "zone": "here",
+            "ip": ip,
+            "internal_ports": [self.fleet_port, self.fleet_port],
+            "listen": listen,
+            "seeds": [f"{self.ip('keeper')}:{self.port}"],
+            "bootstrap": True,
+            "data_dir": str(self.folder / name) if role == "keeper" else "",
+            "heartbeat_ms": HEARTBEAT_SECONDS * 1e3,
+            "bounds": {"grace_s": 4, "retry_allowance": 1000},
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.starts[name] += 1
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "amaranthring.platform", role],
+                env=os.environ | {"AMARANTHRING_BOOT": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def incarnation(self, name):
+        """Return the name of the running process called `name`."""
+        return f"{name}.{self.starts[name]}"
+
+    def stop_all(self):
+        """Kill all processes."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+    async def restart(self, name, how=signal.SIGTERM):
+        """Stop a process and start the next one."""
+        process = self.processes[name]
+        process.send_signal(how)
+        await asyncio.to_thread(process.wait)
+        self.start(name)
+        if name != "keeper":
+            await self.wait_ready(name)
+
+    async def freeze(self, name, seconds):
+        """Stop a process without ending it."""
+        process = self.processes[name]
+        self.frozen[self.incarnation(name)].append(time.monotonic())
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.send_signal(signal.SIGCONT)
+        self.frozen[self.incarnation(name)].append(time.monotonic())
+
+    async def wait_ready(self, name):
+        """Wait until a router serves, and its readiness says so."""
+        url = f"http://{self.ip(name)}:{self.port + 1}/readyz"
+        async with asyncio.timeout(START_SECONDS):
+            while await self.fetch(url) != 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+
+    # -- operator and replicas -------------------------------------------
+
+    async def fetch(self, url, body=None):
+        """Return the status of a call, or 0 without a response."""
+        try:
+            response = await self.client.fetch(
+                url,
+                method="GET" if body is None else "POST",
+                body=None if body is None else json.dumps(body),
+                raise_error=False,
+                request_timeout=1.0,
+            )
+        except (OSError, tornado.httpclient.HTTPError):
+            return 0
+        return response.code
+
+    async def configure(self):
+        """Put the next version of the configuration in force."""
+        self.version += 1
+        url = f"http://{self.ip('keeper')}:{self.port}/Configuration.Replace"
+        async with asyncio.timeout(START_SECONDS):
+            while await self.fetch(url, configuration(self.version)) != 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+
+    async def add_replica(self, name):
+        """Start a replica that announces itself."""
+        replica = Replica(name)
+        await replica.start()
+        self.all_replicas.append(replica)
+        self.heartbeats[name] = asyncio.ensure_future(self.announce(replica))
+        return replica
+
+    async def announce(self, replica):
+        """Send heartbeats; none of them says that the replica leaves."""
+        url = (
+            f"http://{self.ip('keeper')}:{self.port}"
+            f"/Replicas.Heartbeat/{replica.name}"
+        )
+        sequence = 0
+        while True:
+            sequence += 1
+            body = {
+                "backend": SERVICE,
+                "address": replica.address,
+                "zone": "here",
+                "version": "v1",
+                "batch_slots": 8,
+                "state": "ready",
+                "cold_left_ms": 0,
+                "sequence": sequence,
+            }
+            await self.fetch(url, body)
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    # -- callers ---------------------------------------------------------
+
+    async def call(self, connection, incarnation, request_id, kind="safe"):
+        """Send one request on an open connection."""
+        reader, writer = connection
+        return await scripted_target.send_on(
+            reader,
+            writer,
+            f"{ROUTES[kind]}x",
+            "POST",
+            **{
+                headers.REQUEST_ID: request_id,
+                headers.DEADLINE: "3000",
+                headers.AUTHORIZATION: f"Bearer key-{request_id[:4]}",
+                ROUTER: incarnation,
+                SENT: repr(time.monotonic()),
+            },
+        )
