Let requests go to the one target that is left, and others try those that rest

Found by a test of several resting targets: with two of three at rest by their own need, the request that met both was refused though the third would have run it, and its account was refused for the length of the rest.

Cause: a caller that was charged with half of a service was held back at once; whether targets or the request are the reason shows only at the next target.

Change: a request may go on to the last target. If none accepts it, its caller is a suspect and can make one target rest at a time for 30 s. Targets that rest on account of one caller may be tried by others once all rest, within what the rule for rests allows: in the first 0.3 s, and once later. A caller is cleared when the head of an accepting target arrives, not at the end of the answer.

--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -118,7 +118,9 @@
     timeout = preset.first_token_seconds
     if not progress.begun:
         timeout = min(timeout, remaining)
-    exchange = deps.notices.exchange(attempt.target, name, request.account)
+    exchange = deps.notices.exchange(
+        attempt.target, name, request.account, is_trial=attempt.is_trial
+    )
     try:
         with target_loss.AbortOnTargetLoss(deps, exchange):
             try:
@@ -454,7 +456,9 @@
     headers = execution.upstream_headers(request, attempt.grant, name)
     headers["Content-Type"] = JSON
     call = upstream.Call("POST", request.path, headers, request.body)
-    exchange = deps.notices.exchange(attempt.target, name, request.account)
+    exchange = deps.notices.exchange(
+        attempt.target, name, request.account, is_trial=attempt.is_trial
+    )
     remaining = max(0.001, request.deadline - time.monotonic())
     try:
         with target_loss.AbortOnTargetLoss(deps, exchange):
--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -121,6 +121,8 @@
         Whether the target broke off and did not answer the inquiry in time.
     reported : bool
         Whether the loss of the target was reported.
+    is_trial : bool
+        Whether all targets rest and this one is tried all the same.
     started : float
         Monotonic time of its start, in seconds.
     """
@@ -133,6 +135,7 @@
     inquiry: liveness.Inquiry | None = None
     silent: bool = False
     reported: bool = False
+    is_trial: bool = False
     started: float = dataclasses.field(default_factory=time.monotonic)
 
     @property
@@ -231,7 +234,7 @@
     maybe_ran = False
     for number in range(MAX_ATTEMPTS):
         try:
-            grant = await _admit(deps, request, excluded)
+            grant, is_trial = await _admit(deps, request, excluded)
         except errors.AmaranthringError as error:
             if last_error is None:
                 last_error = error
@@ -240,7 +243,7 @@
                 error.claimed = last_error.claimed
                 last_error = error
             break
-        attempt = Attempt(number, grant)
+        attempt = Attempt(number, grant, is_trial=is_trial)
         _record_grant(deps, request, attempt)
         try:
             result = await _run_and_release(
@@ -266,12 +269,20 @@
         if not _may_retry(deps, request, attempt, last_error, maybe_ran):
             break
     deps.notices.request_failed(request, refused_by)
+    rest = deps.notices.shortest_rest(refused_by)
+    if rest and not maybe_ran:
+        last_error.retry_after = max(last_error.retry_after or 0.0, rest)
     raise last_error
 
 
-async def _admit(deps, request, excluded: set[str]) -> records.Grant:
+async def _admit(
+    deps, request, excluded: set[str]
+) -> tuple[records.Grant, bool]:
     """Return a grant for a target that neither failed nor rests.
 
+    If all that are left rest, one that does so on account of another caller
+    may be tried; the second value is then true.
+
     Raises
     ------
     errors.TargetsRestingError
@@ -279,16 +290,23 @@
     """
     resting = deps.notices.resting_targets(request)
     try:
-        return await deps.admit(request, excluded | set(resting))
+        grant = await deps.admit(request, excluded | set(resting))
+        return grant, False
     except errors.NoTargetError as error:
         if not resting:
             raise
-        raise errors.TargetsRestingError(
+        resting_error = errors.TargetsRestingError(
             "all targets that could serve this request rest",
             given=request.serves,
             expected="a target that has not asked for rest",
             retry_after=min(resting.values()),
-        ) from error
+        )
+        resting_error.__cause__ = error
+    trials = deps.notices.trials(request, resting.keys() - excluded)
+    if not trials:
+        raise resting_error
+    grant = await deps.admit(request, excluded | set(resting) - trials)
+    return grant, True
 
 
 async def _run_and_release(deps, request, attempt, run_attempt):
--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -81,7 +81,9 @@
     upstream_call = upstream.Call(
         request.method, request.path, call_headers, request.body
     )
-    exchange = deps.notices.exchange(attempt.target, name, request.account)
+    exchange = deps.notices.exchange(
+        attempt.target, name, request.account, is_trial=attempt.is_trial
+    )
     remaining = max(0.001, request.deadline - time.monotonic())
     try:
         with target_loss.AbortOnTargetLoss(deps, exchange):
--- a/amaranthring/forwarding/failures.py
+++ b/amaranthring/forwarding/failures.py
@@ -38,10 +38,10 @@
         placer.record_failure(target, reached=True)
 
 
-def request_accepted(
+def record_refusals(
     placer: placement.Placer, context: records.RequestContext
 ) -> None:
-    """Record the refusals of a request that another target has accepted.
+    """Record refusals of a request that another target has completed.
 
     A request that all targets refuse is itself the reason: too large for any
     of them, or with a header that none accepts. If its refusals counted, one
@@ -50,6 +50,12 @@
     for target in context.refused_by:
         placer.record_failure(target, reached=True)
     context.refused_by.clear()
+
+
+def request_accepted(
+    placer: placement.Placer, context: records.RequestContext
+) -> None:
+    """Record that a target runs a request for which others asked for rest."""
     if context.asked_for_rest:
         placer.rests.request_accepted(context.caller, context.asked_for_rest)
         context.asked_for_rest.clear()
@@ -58,5 +64,6 @@
 def request_ended(
     placer: placement.Placer, context: records.RequestContext
 ) -> None:
-    """Record that no target has accepted a request that was refused."""
-    placer.rests.request_failed(context.caller, len(context.asked_for_rest))
+    """Record the end of a request that no target may have accepted."""
+    if context.asked_for_rest:
+        placer.rests.request_failed(context.caller)
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -237,13 +237,19 @@
         return self.views[record.id].unreachable
 
     def _eligible(self, context: records.RequestContext) -> list:
-        eligible = []
-        for record in self._ready(context.service):
-            if self.rests.left(record.id):
-                context.resting.add(record.id)
-            elif record.id not in context.tried:
-                eligible.append(record)
-        return eligible
+        ready = self._ready(context.service)
+        resting = {r.id for r in ready if self.rests.left(r.id)}
+        context.is_trial = bool(resting) and len(resting) == len(ready)
+        if resting:
+            context.resting |= resting
+        excluded = context.tried | resting
+        if context.is_trial:
+            excluded -= {
+                name
+                for name in resting - context.tried
+                if self.rests.may_try(name, context.caller)
+            }
+        return [record for record in ready if record.id not in excluded]
 
     def _ready(self, service: str) -> list[messages.TargetRecord]:
         return [
@@ -255,10 +261,9 @@
 
     def held_back(self, context: records.RequestContext) -> float:
         """Return for how many seconds the caller is held back, or 0."""
-        if not self.rests.by_target:
+        if not self.rests.suspects:
             return 0.0
-        targets = len(self._ready(context.service))
-        return self.rests.held_back(context.caller, targets)
+        return self.rests.held_back(context.caller)
 
     def rest_left(self, context: records.RequestContext) -> float:
         """Return the seconds for which all targets of the service rest, or 0.
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -179,7 +179,9 @@
     asked_for_rest : set of str
         Ids of those of them that asked for rest.
     resting : set of str
-        Ids of targets that were left out because they rest.
+        Ids of targets that rested when a target was chosen.
+    is_trial : bool
+        Whether all targets rest and the current one is tried all the same.
     engine : Engine or None
         Capabilities of the service's engines; None if it has none.
     prefill_tokens : int
@@ -209,6 +211,7 @@
     )
     asked_for_rest: set[str] = dataclasses.field(default_factory=set)
     resting: set[str] = dataclasses.field(default_factory=set)
+    is_trial: bool = False
     silent_data_centres: set[str] = dataclasses.field(default_factory=set)
     attempt_outcomes: list[str] = dataclasses.field(default_factory=list)
     sent_after: list[float] = dataclasses.field(default_factory=list)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -244,6 +244,7 @@
         self.placer.begin(target, context, copy)
         try:
             head = await self._open(context, attempt)
+            failures.request_accepted(self.placer, context)
             self.placer.record_contact(target)
             self.placer.prefill_done(target, context)
             if head.load is not None:
@@ -259,7 +260,7 @@
                 await self._relay_body(context, attempt, writer)
             complete = True
             self.placer.record_success(target)
-            failures.request_accepted(self.placer, context)
+            failures.record_refusals(self.placer, context)
             outcome = str(head.status)
         except errors.TargetUnreachableError:
             outcome = UNREACHED
@@ -310,11 +311,17 @@
         self, context: records.RequestContext, target: messages.TargetRecord
     ) -> None:
         # Its answer to another request may have come during the connect.
-        left = self.placer.rests.left(target.id)
+        rests = self.placer.rests
+        left = rests.left(target.id)
         if left:
-            raise errors.TargetRestingError(
-                "the target has asked for rest", given=f"{left:.3f} s left"
+            tried = context.is_trial and rests.may_try(
+                target.id, context.caller
             )
+            if not tried:
+                raise errors.TargetRestingError(
+                    "the target has asked for rest", given=f"{left:.3f} s left"
+                )
+            rests.count_trial(target.id)
         if context.account:
             self._check_keys_trusted()
 
@@ -373,7 +380,7 @@
         held_back = self.placer.held_back(context)
         if held_back:
             return errors.CallerHeldBackError(
-                "the caller's requests made too many targets rest",
+                "a target rests on account of requests of this caller",
                 retry_after=_round_up(held_back),
             )
         rest = self.placer.rest_left(context)
--- a/amaranthring/policy/rests.py
+++ b/amaranthring/policy/rests.py
@@ -2,28 +2,28 @@
 
 A target that asks for rest when it turns a request away may be overloaded, or
 the request may be the reason: one that is too large for any target is turned
-away by all of them. A rest is therefore charged to the caller of the request
-until another target has accepted the request, and a caller that is charged
-with the rests of too many targets is held back until the first of them ends.
-Otherwise one caller could make all targets of a service rest.
+away by all of them, and must not make a service unavailable to others. Which
+of the two it is shows only when another target accepts the request, so until
+then a rest is charged to the caller of the request:
+
+* a caller that is charged with several rests at once is a suspect for a while
+  and can make only one target rest at a time;
+* if all targets of a service rest, those that do so on account of one caller
+  may be tried once by others.
 """
 
 import collections.abc
 import dataclasses
-import math
 
 from amaranthring.core import clocks
 
-# Targets that a caller may be charged with before it is held back: half of
-# the service, and two of a small one, so that a request which one target
-# turns away can still go to another.
-MAX_CHARGED_SHARE = 0.5
-MIN_CHARGED = 2
-# A request was turned away by this many targets and accepted by none: until
-# the suspicion ends, its caller may be charged with SUSPECT_CHARGED only.
-SUSPICIOUS_REFUSALS = 2
-SUSPECT_CHARGED = 1
+# A caller is suspected if none of several targets has accepted its requests.
+SUSPICIOUS_RESTS = 2
 SUSPECT_SECONDS = 30.0
+# A target allows its routers half a second until they keep a rest, and two
+# requests after that. A trial leaves the rest of it to requests on their way.
+TRIAL_SECONDS = 0.3
+MAX_LATE_TRIALS = 1
 
 Caller = collections.abc.Hashable
 
@@ -34,15 +34,19 @@
 
     Attributes
     ----------
-    until : float
-        Time before which it gets no requests.
+    begun, until : float
+        Time between which it gets no requests.
     charged_to : Caller or None
         Caller whose requests alone led to it; None if the rest is the
         target's own need.
+    late_trials : int
+        Trials later than TRIAL_SECONDS after its beginning.
     """
 
+    begun: float
     until: float
     charged_to: Caller | None
+    late_trials: int = 0
 
 
 class Rests:
@@ -69,20 +73,37 @@
         caller : Caller
             Whose request the target turned away.
         """
-        until = self.clock() + seconds
-        rest = self.by_target.get(target)
-        if rest is None or rest.until <= self.clock():
-            self.by_target[target] = Rest(until, caller)
+        now = self.clock()
+        rest = self._active(target)
+        if rest is None:
+            self.by_target[target] = Rest(now, now + seconds, caller)
             return
-        rest.until = max(rest.until, until)
+        rest.until = max(rest.until, now + seconds)
         if rest.charged_to != caller:
             # It turns away more than the requests of one caller.
             rest.charged_to = None
 
     def left(self, target: str) -> float:
         """Return the seconds for which `target` still rests, or 0."""
-        rest = self.by_target.get(target)
-        return 0.0 if rest is None else max(0.0, rest.until - self.clock())
+        rest = self._active(target)
+        return 0.0 if rest is None else rest.until - self.clock()
+
+    def may_try(self, target: str, caller: Caller) -> bool:
+        """Return whether `caller` may try a target that rests for another.
+
+        Only if all targets of a service rest.
+        """
+        rest = self._active(target)
+        if rest is None or rest.charged_to in (None, caller):
+            return False
+        is_early = self.clock() - rest.begun < TRIAL_SECONDS
+        return is_early or rest.late_trials < MAX_LATE_TRIALS
+
+    def count_trial(self, target: str) -> None:
+        """Count a request that is sent to a resting target as a trial."""
+        rest = self._active(target)
+        if rest is not None and self.clock() - rest.begun >= TRIAL_SECONDS:
+            rest.late_trials += 1
 
     def request_accepted(
         self, caller: Caller, targets: collections.abc.Iterable[str]
@@ -97,40 +118,29 @@
                 rest.charged_to = None
         self.suspects.pop(caller, None)
 
-    def request_failed(self, caller: Caller, refusals: int) -> None:
-        """Suspect `caller` if its request led to several rests.
-
-        Parameters
-        ----------
-        refusals : int
-            Targets that asked for rest instead of running the request, while
-            no target accepted it.
-        """
-        if refusals >= SUSPICIOUS_REFUSALS:
+    def request_failed(self, caller: Caller) -> None:
+        """Suspect `caller`, whose request no target accepted, of its rests."""
+        if len(self._charged(caller)) >= SUSPICIOUS_RESTS:
             self.suspects[caller] = self.clock() + SUSPECT_SECONDS
 
-    def held_back(self, caller: Caller, targets: int) -> float:
-        """Return the seconds for which `caller` is held back, or 0.
+    def held_back(self, caller: Caller) -> float:
+        """Return the seconds for which a suspect may send nothing, or 0."""
+        if self.suspects.get(caller, 0.0) <= self.clock():
+            return 0.0
+        return min(self._charged(caller), default=0.0)
 
-        Parameters
-        ----------
-        targets : int
-            Targets of the service, resting or not.
-        """
+    def _active(self, target: str) -> Rest | None:
+        rest = self.by_target.get(target)
+        return rest if rest and rest.until > self.clock() else None
+
+    def _charged(self, caller: Caller) -> list[float]:
+        """Return the seconds left of the rests charged to `caller`."""
         now = self.clock()
-        charged = [
+        return [
             rest.until - now
             for rest in self.by_target.values()
             if rest.charged_to == caller and rest.until > now
         ]
-        if len(charged) < self._max_charged(caller, targets):
-            return 0.0
-        return min(charged)
-
-    def _max_charged(self, caller: Caller, targets: int) -> int:
-        if self.suspects.get(caller, 0.0) > self.clock():
-            return SUSPECT_CHARGED
-        return max(MIN_CHARGED, math.ceil(MAX_CHARGED_SHARE * targets))
 
     def prune(self) -> None:
         """Drop rests and suspicions that have ended."""
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -233,7 +233,7 @@
             may_run=self.attempts.may_run,
             running_attempts=self.attempts.running,
             notices=target_notices.TargetNotices(
-                self.metrics, self.table.mark_leaving, self._count_targets
+                self.metrics, self.table.mark_leaving
             ),
         )
 
@@ -306,9 +306,6 @@
                 names.update(target.serves)
         return names
 
-    def _count_targets(self, request: records.Request) -> int:
-        return len(self.table.eligible(request.kind, request.serves))
-
     def _ready_targets(self) -> list[records.Target]:
         return [
             target
--- a/amaranthring/targets/notices.py
+++ b/amaranthring/targets/notices.py
@@ -32,8 +32,6 @@
         Counters.
     mark_leaving : callable
         Called with the name and incarnation of a target that leaves.
-    count_targets : callable
-        Returns how many targets can serve a request.
     clock : callable
         Seconds; continues while the VM is suspended.
 
@@ -51,12 +49,10 @@
         self,
         metrics: metrics_module.Metrics | None = None,
         mark_leaving: t.Callable[[str, int], None] = _ignore,
-        count_targets: t.Callable[[records.Request], int] = lambda _: 0,
         clock: t.Callable[[], float] = clocks.boottime,
     ):
         self.metrics = metrics or metrics_module.Metrics()
         self.mark_leaving = mark_leaving
-        self.count_targets = count_targets
         self.clock = clock
         self.rests = rests_module.Rests(clock)
         self.resting: dict[str, records.Target] = {}
@@ -68,6 +64,7 @@
         request_id: str,
         account: str,
         continues: bool = False,
+        is_trial: bool = False,
     ) -> upstream.Exchange:
         """Return an exchange that observes the notices of `target`.
 
@@ -78,28 +75,52 @@
         continues : bool
             Whether it continues what `target` runs for a request in progress,
             which a departure does not end.
+        is_trial : bool
+            Whether all targets rest and `target` is tried all the same.
 
         Raises
         ------
         errors.TargetRestingError, errors.TargetLeavingError
-            As :meth:`check`, which is called again before sending.
+            If nothing may be sent; the exchange checks it again before it
+            sends anything.
         """
-        self.check(target, continues)
+        tried_by = account if is_trial else ""
+
+        def before_write() -> None:
+            self.check(target, continues, tried_by)
+            self.rests.count_trial(_key(target))
+
+        self.check(target, continues, tried_by)
         exchange = upstream.Exchange(target)
-        exchange.before_write = lambda: self.check(target, continues)
+        exchange.before_write = before_write
         exchange.on_head = lambda: self._take(exchange, request_id, account)
         return exchange
 
-    def check(self, target: records.Target, continues: bool = False) -> None:
+    def check(
+        self,
+        target: records.Target,
+        continues: bool = False,
+        tried_by: str = "",
+    ) -> None:
         """Check that a request may be sent to `target` now.
 
+        Parameters
+        ----------
+        continues : bool
+            As for :meth:`exchange`.
+        tried_by : str
+            Client account that tries a resting target; empty for none.
+
         Raises
         ------
         errors.TargetRestingError, errors.TargetLeavingError
             If not; nothing was sent.
         """
         left = self.rests.left(_key(target))
-        if left:
+        caller = _caller(target.kind, tried_by)
+        if left and not (
+            tried_by and self.rests.may_try(_key(target), caller)
+        ):
             raise errors.TargetRestingError(
                 "the target has asked for rest",
                 given=f"{target.name}, {left:.3f} s left",
@@ -113,23 +134,32 @@
                 expected="a target that stays",
             )
 
+    def trials(
+        self, request: records.Request, names: t.Collection[str]
+    ) -> set[str]:
+        """Return the resting targets of `names` that `request` may try."""
+        caller = _caller(request.kind, request.account)
+        return {
+            target.name
+            for key, target in self.resting.items()
+            if target.name in names and self.rests.may_try(key, caller)
+        }
+
     def resting_targets(self, request: records.Request) -> dict[str, float]:
         """Return the seconds left of resting targets by name.
 
         Raises
         ------
         errors.CallerHeldBackError
-            If the requests of the account made too many targets rest.
+            If the account is suspected of making targets rest.
         """
         if not self.resting:
             return {}
-        targets = self.count_targets(request)
-        held_back = self.rests.held_back(
-            _caller(request.kind, request.account), targets
-        )
+        caller = _caller(request.kind, request.account)
+        held_back = self.rests.held_back(caller)
         if held_back:
             raise errors.CallerHeldBackError(
-                "requests of this account made too many targets rest",
+                "a target rests on account of requests of this account",
                 retry_after=held_back,
             )
         left = {
@@ -139,6 +169,10 @@
         }
         return {name: seconds for name, seconds in left.items() if seconds}
 
+    def shortest_rest(self, targets: t.Collection[records.Target]) -> float:
+        """Return the seconds until one of `targets` may be asked, or 0."""
+        return min((self.rests.left(_key(t)) for t in targets), default=0.0)
+
     def request_accepted(
         self, request: records.Request, refused_by: t.Iterable[records.Target]
     ) -> None:
@@ -152,9 +186,9 @@
         self, request: records.Request, refused_by: t.Iterable[records.Target]
     ) -> None:
         """Record that no target accepted what `refused_by` had refused."""
-        refusals = sum(bool(self.rests.left(_key(t))) for t in refused_by)
-        caller = _caller(request.kind, request.account)
-        self.rests.request_failed(caller, refusals)
+        if any(self.rests.left(_key(target)) for target in refused_by):
+            caller = _caller(request.kind, request.account)
+            self.rests.request_failed(caller)
 
     def _take(
         self, exchange: upstream.Exchange, request_id: str, account: str
