--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -24,8 +24,9 @@
 
 MAX_ATTEMPTS = 3
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-# The target was reachable, but it must not be asked.
+# The target was not asked, and has not failed.
 UNASKED = (errors.TargetRestingError, errors.TargetLeavingError)
+# Refusals of admission that say when a rest ends.
 RESTING = (errors.TargetsRestingError, errors.CallerHeldBackError)
 T = t.TypeVar("T")
 
@@ -229,19 +230,14 @@
         outcome is ``not-run`` only if no attempt can have run.
     """
     excluded: set[str] = set()
-    refused_by: list[records.Target] = []
+    failed_at: list[records.Target] = []
     last_error: errors.AmaranthringError | None = None
     maybe_ran = False
     for number in range(MAX_ATTEMPTS):
         try:
             grant, is_trial = await _admit(deps, request, excluded)
         except errors.AmaranthringError as error:
-            if last_error is None:
-                last_error = error
-            elif isinstance(error, RESTING) and not maybe_ran:
-                # It says when to come back.
-                error.claimed = last_error.claimed
-                last_error = error
+            last_error = _latest_error(last_error, error, maybe_ran)
             break
         attempt = Attempt(number, grant, is_trial=is_trial)
         _record_grant(deps, request, attempt)
@@ -250,7 +246,7 @@
                 deps, request, attempt, run_attempt
             )
             deps.record_success(request.account)
-            deps.notices.request_accepted(request, refused_by)
+            deps.notices.request_accepted(request, failed_at)
             return result
         except errors.CallerDisconnectedError:
             # Not a failure of the target; no caller waits for a retry.
@@ -262,19 +258,37 @@
                 error.outcome = errors.Outcome.UNKNOWN
             last_error = error
         excluded.add(attempt.target.name)
-        refused_by.append(attempt.target)
+        failed_at.append(attempt.target)
         deps.metrics.count(f"way.failed.{last_error.code}")
         if attempt.target_lost and attempt.sent:
             await target_loss.report_crash(deps, request, attempt)
         if not _may_retry(deps, request, attempt, last_error, maybe_ran):
             break
-    deps.notices.request_failed(request, refused_by)
-    rest = deps.notices.shortest_rest(refused_by)
+    deps.notices.request_failed(request, failed_at)
+    rest = deps.notices.shortest_rest(failed_at)
     if rest and not maybe_ran:
         last_error.retry_after = max(last_error.retry_after or 0.0, rest)
     raise last_error
 
 
+def _latest_error(
+    last_error: errors.AmaranthringError | None,
+    refusal: errors.AmaranthringError,
+    maybe_ran: bool,
+) -> errors.AmaranthringError:
+    """Return the error to report after admission refused an attempt.
+
+    The error of the previous attempt says more, unless nothing ran and the
+    refusal says when to come back.
+    """
+    if last_error is None:
+        return refusal
+    if maybe_ran or not isinstance(refusal, RESTING):
+        return last_error
+    refusal.claimed = last_error.claimed
+    return refusal
+
+
 async def _admit(
     deps, request, excluded: set[str]
 ) -> tuple[records.Grant, bool]:
--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -240,7 +240,7 @@
 
 
 class CallerHeldBackError(NoTargetError):
-    """The caller's requests alone have made too many targets rest."""
+    """A target rests on account of the caller, which is suspected."""
 
     code = "caller-held-back"
 
