Tell operators and targets no shorter wait than is needed

Found by reading, when waits that are told or asked for were looked through: Retry-After was rounded to whole seconds, for operators to the nearest and for announcing targets down, so who came back as told could be refused again. It is rounded up now, as for callers. The new test failed before: 2 for 2.4 s.

--- a/amaranthring/operators/base.py
+++ b/amaranthring/operators/base.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import hmac
+import math
 import typing as t
 
 import tornado.web
@@ -118,7 +119,7 @@
         if retry_after is None and error.status in (429, 503, 504):
             retry_after = RETRY_AFTER_SECONDS
         if retry_after is not None:
-            self.set_header("Retry-After", str(max(1, round(retry_after))))
+            self.set_header("Retry-After", str(max(1, math.ceil(retry_after))))
         self.finish({"error": error.to_record()})
 
     def log_exception(self, typ, value, tb) -> None:
--- a/amaranthring/targets/announce.py
+++ b/amaranthring/targets/announce.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 import typing as t
 
 import tornado.web
@@ -47,7 +48,8 @@
         self.metrics.count(f"targets.refused.{error.code}")
         self.set_status(error.status)
         if error.retry_after is not None:
-            self.set_header("Retry-After", str(max(1, int(error.retry_after))))
+            seconds = max(1, math.ceil(error.retry_after))
+            self.set_header("Retry-After", str(seconds))
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps({"error": error.to_record()}))
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,6 +6,7 @@
 import tornado.testing
 import tornado.web
 
+from amaranthring import errors
 from amaranthring.core import hashing
 from amaranthring.operators import base
 from amaranthring.operators import handlers
@@ -162,6 +163,18 @@
         response, _ = self.switch("ordinary", "command-1", "1", "r2")
         self.assertEqual(response.code, 422)
 
+    def test_operators_are_told_no_shorter_wait_than_is_needed(self):
+        """An operator that comes back as told is refused once more."""
+
+        async def refuse(_command, _timeout):
+            raise errors.NoQuorumError("no leader", retry_after=2.4)
+
+        self.group.propose = refuse
+        response, _ = self.switch("peak", "command-1", "1")
+        self.assertEqual(
+            (503, "3"), (response.code, response.headers["Retry-After"])
+        )
+
     def test_without_keepers_changes_are_refused(self):
         self.group.cut = True
         response, body = self.switch("peak", "command-1", "1")
