Do not let the next incarnation of a target rest for the one before

What callers saw in a test: an engine that starts again under its name after it had asked for rest gets no chats until the rest of the former process ends; its only service is told 503.

Cause: of my own change: resting targets are excluded from admission by name. Change: only if the incarnation that asked is still the current one. The new test failed before.

--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -302,7 +302,7 @@
     errors.TargetsRestingError
         If all that are left rest; the first may be asked again then.
     """
-    resting = deps.notices.resting_targets(request)
+    resting = deps.notices.resting_targets(request, deps.get_target)
     try:
         grant = await deps.admit(request, excluded | set(resting))
         return grant, False
--- a/amaranthring/targets/notices.py
+++ b/amaranthring/targets/notices.py
@@ -145,9 +145,18 @@
             if target.name in names and self.rests.may_try(key, caller)
         }
 
-    def resting_targets(self, request: records.Request) -> dict[str, float]:
+    def resting_targets(
+        self,
+        request: records.Request,
+        get_target: t.Callable[[str], records.Target | None],
+    ) -> dict[str, float]:
         """Return the seconds left of resting targets by name.
 
+        Parameters
+        ----------
+        get_target : callable
+            Returns the current incarnation of a target by name, or None.
+
         Raises
         ------
         errors.CallerHeldBackError
@@ -165,7 +174,9 @@
         left = {
             target.name: self.rests.left(key)
             for key, target in self.resting.items()
-            if target.kind is request.kind and request.serves in target.serves
+            if target.kind is request.kind
+            and request.serves in target.serves
+            and _is_current(target, get_target(target.name))
         }
         return {name: seconds for name, seconds in left.items() if seconds}
 
@@ -237,5 +248,9 @@
     return kind, account
 
 
+def _is_current(target: records.Target, known: records.Target | None) -> bool:
+    return known is None or known.incarnation == target.incarnation
+
+
 def _key(target: records.Target) -> str:
     return f"{target.name}.{target.incarnation}"
--- a/tests/test_targets_notices.py
+++ b/tests/test_targets_notices.py
@@ -40,6 +40,16 @@
         await asyncio.sleep(0.35)
         self.assert_complete(await router.chat(body), body)
 
+    async def test_engine_that_starts_again_does_not_rest(self):
+        """The next incarnation under the name has asked for nothing."""
+        router = self.local.add_router()
+        plan(self.engine, "rest", seconds=30)
+        body = in_process_callers.chat_body()
+        await router.chat(body)
+        targets = router.fakes.targets
+        targets["e1"] = dataclasses.replace(targets["e1"], incarnation=2)
+        self.assert_complete(await router.chat(body), body)
+
     async def test_callers_hear_when_all_engines_rest(self):
         """Nobody can be served for 20 s; each caller hears so at once."""
         self.local.add_engine("e2")
