--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import contextlib
 import json
 import os
 import pathlib
@@ -17,6 +16,7 @@
 import tornado.httpclient
 
 from amaranthring.platform import headers
+from amaranthring.testing import compliance
 from amaranthring.testing import local_fleet
 from amaranthring.testing import scripted_target
 
@@ -83,7 +83,7 @@
     leaving : bool
         Whether all answers say that it leaves.
     told : dict
-        What it told each router process, see :class:`Told`.
+        What it told each router process, by its name.
     ran : Counter
         Runs by request id.
     """
@@ -93,7 +93,7 @@
         self.rest = ""
         self.rest_until = 0.0
         self.leaving = False
-        self.told = collections.defaultdict(Told)
+        self.told = collections.defaultdict(compliance.Told)
         self.ran = collections.Counter()
 
     async def answer(self, seen, writer):
@@ -110,7 +110,7 @@
         elif now < self.rest_until:
             status, body = 503, b""
             lines += [f"{headers.NOT_RUN}: 1", f"Retry-After: {self.rest}"]
-            told.rest(now, self.rest)
+            told.ask_for_rest(now, self.rest)
         else:
             status, body = 200, self.name.encode()
             lines.append(f"{headers.SIGNATURE}: {self.name}")
@@ -121,56 +121,6 @@
         writer.write(head.encode() + body)
 
 
-class Told:
-    """What a replica told one router process, and what it got since.
-
-    Attributes
-    ----------
-    rests : list of tuple
-        Start and seconds of each rest.
-    arrivals : list of tuple
-        When each request arrived, and when its caller sent it.
-    leaving_at : float
-        When it first told that it leaves.
-    frozen : list of float
-        When the process was stopped, which excuses what follows.
-    """
-
-    def __init__(self):
-        self.rests = []
-        self.arrivals = []
-        self.leaving_at = float("inf")
-
-    def rest(self, now, value):
-        """Record a rest, unless `value` is malformed."""
-        with contextlib.suppress(ValueError):
-            if 0 < float(value) <= 3600:
-                self.rests.append((now, float(value)))
-
-    def most_during_rests(self, reaction, frozen):
-        """Return how many requests arrived in the rest that had most."""
-        return max(
-            (
-                sum(
-                    start + reaction < at <= start + seconds
-                    for at, _ in self.arrivals
-                )
-                for start, seconds in self.rests
-                if not any(start <= at <= start + seconds for at in frozen)
-            ),
-            default=0,
-        )
-
-    def after_leaving(self, drain, frozen):
-        """Return how many requests callers sent `drain` after it told."""
-        until = min(
-            (at for at in frozen if at > self.leaving_at),
-            default=float("inf"),
-        )
-        first = self.leaving_at + drain
-        return sum(first < sent and at < until for at, sent in self.arrivals)
-
-
 class PlatformCase(unittest.IsolatedAsyncioTestCase):
     """One keeper, some routers and replicas of one service."""
 
--- a/tests/test_forwarding_notices_soak.py
+++ b/tests/test_forwarding_notices_soak.py
@@ -7,13 +7,13 @@
 import asyncio
 import collections
 import contextlib
-import dataclasses
 import os
 import random
 import time
 import unittest
 
 from amaranthring.registry import messages
+from amaranthring.testing import compliance
 from amaranthring.testing import scripted_target
 from tests import test_forwarding
 
@@ -23,48 +23,12 @@
 ROUTERS = 3 * SCALE
 TARGETS = 4 * SCALE
 CALLERS = 12 * SCALE
-# Bounds of the users' rules: no more than two requests from half a second
-# after a target has asked for rest, and none that a caller sent two seconds
-# after a router was told that the target leaves.
-REACTION_SECONDS = 0.5
-MAX_DURING_REST = 2
-DRAIN_SECONDS = 2.0
 MALFORMED = ("", "soon", "-1", "1e9", "nan", "2, 3")
 PATHS = ("/a/x", "/b/x", "/c/x", "/e/x")
 ROUTER = "X-Router"
 SENT = "X-Sent"
 
 
-@dataclasses.dataclass
-class Told:
-    """What a target told one router, and what it got from it since.
-
-    Attributes
-    ----------
-    rests : list of tuple
-        Start and seconds of each rest.
-    arrivals : list of tuple
-        When each request arrived, and when its caller sent it.
-    leaving_at : float
-        When it first told that it leaves.
-    """
-
-    rests: list = dataclasses.field(default_factory=list)
-    arrivals: list = dataclasses.field(default_factory=list)
-    leaving_at: float = float("inf")
-
-    def during(self, rest):
-        """Return how many requests arrived while it should have rested."""
-        start, seconds = rest
-        window = (start + REACTION_SECONDS, start + seconds)
-        return sum(window[0] < at <= window[1] for at, _ in self.arrivals)
-
-    def after_leaving(self):
-        """Return how many requests were sent to it when it had long left."""
-        last = self.leaving_at + DRAIN_SECONDS
-        return sum(sent > last for _, sent in self.arrivals)
-
-
 class RestlessTarget(scripted_target.ScriptedTarget):
     """A target that rests and leaves when told to, and keeps records."""
 
@@ -74,7 +38,7 @@
         self.resting_until = 0.0
         self.rest = ""
         self.leaving = False
-        self.told = collections.defaultdict(Told)
+        self.told = collections.defaultdict(compliance.Told)
         self.ran = collections.Counter()
 
     async def answer(self, seen, writer):
@@ -87,8 +51,7 @@
             more[scripted_target.LEAVING.replace("-", "_")] = "1"
             told.leaving_at = min(told.leaving_at, now)
         if now < self.resting_until:
-            if self.rest not in MALFORMED:
-                told.rests.append((now, float(self.rest)))
+            told.ask_for_rest(now, self.rest)
             more["Retry_After"] = self.rest
             answer = scripted_target.respond_not_run(**more)
         else:
@@ -153,11 +116,12 @@
         await asyncio.wait_for(asyncio.gather(*callers), 15.0)
         for target in self.all_targets:
             for router, told in target.told.items():
-                for rest in told.rests:
-                    self.assertLessEqual(
-                        told.during(rest), MAX_DURING_REST, (router, rest)
-                    )
-                self.assertEqual(0, told.after_leaving(), router)
+                self.assertLessEqual(
+                    told.most_during_rests(),
+                    compliance.MAX_DURING_REST,
+                    router,
+                )
+                self.assertEqual(0, told.after_departure(), router)
         ran = sum((t.ran for t in self.all_targets), collections.Counter())
         self.assertEqual(set(), self.refused & set(ran))
         once = [i for i, n in ran.items() if n > 1 and i[0] in "be"]
--- a/tests/test_platform_notices.py
+++ b/tests/test_platform_notices.py
@@ -12,18 +12,13 @@
 import signal
 import time
 
+from amaranthring.testing import compliance
 from tests import platform_case
 
 SEED = os.environ.get("PLATFORM_SOAK_SEED", "1")
 SECONDS = float(os.environ.get("PLATFORM_SOAK_SECONDS", "15"))
 ROUTERS = int(os.environ.get("PLATFORM_SOAK_ROUTERS", "3"))
 CALLERS = 4 * ROUTERS
-# The users' rules: no more than two requests from half a second after a
-# replica has asked for rest, and none that a caller sent two seconds after a
-# router was told that the replica leaves.
-REACTION_SECONDS = 0.5
-MAX_DURING_REST = 2
-DRAIN_SECONDS = 2.0
 RESTS = ("0.5", "1", "2.5", "4", "soon", "-1", "1e9")
 
 
@@ -59,11 +54,13 @@
         await asyncio.wait_for(asyncio.gather(*callers), 20.0)
         for replica in self.all_replicas:
             for router, told in replica.told.items():
-                frozen = self.frozen[router]
-                most = told.most_during_rests(REACTION_SECONDS, frozen)
-                self.assertLessEqual(most, MAX_DURING_REST, router)
-                late = told.after_leaving(DRAIN_SECONDS, frozen)
-                self.assertEqual(0, late, router)
+                stops = self.frozen[router]
+                self.assertLessEqual(
+                    told.most_during_rests(stops),
+                    compliance.MAX_DURING_REST,
+                    router,
+                )
+                self.assertEqual(0, told.after_departure(stops), router)
         ran = sum((r.ran for r in self.all_replicas), collections.Counter())
         self.assertEqual(set(), self.refused & set(ran))
         twice = [name for name, n in ran.items() if n > 1 and "unsafe" in name]
