Judge a soak by its share of answers, not by their number

The check is there so that the comparisons mean something. It now asks for 100 answers and a third of all responses, which no speed of the machine excuses; the bounds are untouched.

--- a/amaranthring/testing/compliance.py
+++ b/amaranthring/testing/compliance.py
@@ -12,6 +12,10 @@
 REACTION_SECONDS = 0.5
 MAX_DURING_REST = 2
 DRAIN_SECONDS = 2.0
+# A series with fewer answers shows nothing.
+MIN_ANSWERS = 100
+# All targets rest for parts of a series; callers are refused then.
+MIN_ANSWERED_SHARE = 1 / 3
 
 
 @dataclasses.dataclass
@@ -70,3 +74,16 @@
         end = min(excused, default=float("inf"))
         first = self.leaving_at + DRAIN_SECONDS
         return sum(first < sent and at < end for at, sent in self.arrivals)
+
+
+def is_conclusive(statuses: t.Mapping[int, int]) -> bool:
+    """Return whether callers got enough answers for a series to count.
+
+    Parameters
+    ----------
+    statuses : mapping
+        Number of responses by HTTP status.
+    """
+    answers = statuses.get(200, 0)
+    share = answers / max(1, sum(statuses.values()))
+    return answers >= MIN_ANSWERS and share >= MIN_ANSWERED_SHARE
