--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -230,10 +230,7 @@
     rest_seconds = 4.0
 
     async def test_router_that_was_asked_sends_nothing(self):
-        """Admission owners grant a target that has asked a router for rest.
-
-        The router must leave it out, and use it again after the rest.
-        """
+        """Guards against grants of a target that rests for this router."""
         chats = asyncio.ensure_future(self.chat_until_stopped(max_tokens=5))
         fault = {"fault": "rest", "seconds": self.rest_seconds, "times": 1}
         await self.blocking(self.control, fault)
--- a/tests/test_forwarding_notices.py
+++ b/tests/test_forwarding_notices.py
@@ -39,7 +39,7 @@
     """Targets that answer 503 with ``Retry-After``."""
 
     async def test_resting_target_gets_no_request(self):
-        """A target asks for rest and gets the next requests all the same."""
+        """Guards against sending on to a target that asked for rest."""
         for path in ("/a/x", "/b/x", "/c/x"):
             for keep_alive in (False, True):
                 answer = scripted_target.respond()
@@ -58,7 +58,7 @@
                 self.assertEqual([], self.arrivals(0, asked_at))
 
     async def test_callers_hear_at_once_when_all_targets_rest(self):
-        """All targets ask for rest; callers are told to come back too soon."""
+        """Guards against a time to come back that is too short."""
         await self.begin(
             scripted_target.respond_not_run(Retry_After="2"),
             scripted_target.respond_not_run(Retry_After="4"),
@@ -78,6 +78,7 @@
         self.assertEqual([2, 2], [len(one.requests) for one in self.targets])
 
     async def test_target_is_used_again_after_its_rest(self):
+        """Guards against a rest that never ends."""
         await self.begin(
             scripted_target.ask_for_rest(0.6, scripted_target.respond())
         )
@@ -87,10 +88,7 @@
         self.assertEqual(200, (await self.ask("/a/x")).status)
 
     async def test_longest_rest_counts(self):
-        """A target asks for a short rest while a longer one is left.
-
-        Its answer to a request that was in flight must not end the rest.
-        """
+        """Guards against a shorter rest that ends a longer one."""
         seconds = iter(("1.5", "0.2", "0.2"))
 
         async def refuse(seen, writer):
@@ -106,7 +104,7 @@
         self.assertEqual([], self.arrivals(0, asked_at))
 
     async def test_target_that_asks_for_rest_during_a_connect(self):
-        """A target answers one request while another connects to it."""
+        """Guards against sending what was placed before the rest."""
         await self.begin(scripted_target.respond(), scripted_target.respond())
         self.prefer(0)
         connect = asyncio.open_connection
@@ -123,7 +121,7 @@
         self.assertEqual([0, 1], [len(one.requests) for one in self.targets])
 
     async def test_stream_is_not_resumed_at_a_resting_target(self):
-        """The only other target rests when a stream breaks off."""
+        """Guards against resuming a stream at a resting target."""
         await self.begin(
             scripted_target.stream_events(6, breaks_after=3),
             scripted_target.stream_events(6),
@@ -138,11 +136,7 @@
         )
 
     async def test_only_target_that_does_not_rest_may_be_slow(self):
-        """The one target that is left takes longer than usual.
-
-        Given up, as if another one could run the request, it would give its
-        callers 502.
-        """
+        """Guards against 502 when the only other target rests."""
 
         async def slow(seen, writer):
             await asyncio.sleep(0.6)
@@ -165,7 +159,7 @@
             self.assertEqual(1, self.ran())
 
     async def test_next_target_at_an_address_does_not_rest(self):
-        """A target starts again at the address of one that asked for rest."""
+        """Guards against a rest that outlives its target."""
         await self.begin(
             scripted_target.ask_for_rest(5.0, scripted_target.respond())
         )
@@ -177,7 +171,7 @@
         self.assertEqual(200, (await self.ask("/a/x")).status)
 
     async def test_rest_asked_in_answer_to_another_request(self):
-        """A late answer to an earlier request comes on a kept connection."""
+        """Guards against a rest lost with a late answer."""
         answers = [
             scripted_target.respond(),
             scripted_target.respond_not_run(Retry_After="5"),
@@ -200,6 +194,7 @@
         self.assertEqual((503, 2), (got.status, self.ran()))
 
     async def test_malformed_rest_keeps_no_request_away(self):
+        """Guards against losing a target to a malformed header."""
         for value in ("", "soon", "-1", "nan", "1e9", "99999999", "3, 4"):
             await self.begin(
                 scripted_target.respond_not_run(Retry_After=value),
@@ -225,10 +220,7 @@
         return [script] * number
 
     async def test_repeated_request_leaves_targets_for_others(self):
-        """All targets turn one caller's request away and ask for rest.
-
-        The caller repeats it at once; the others must still be served.
-        """
+        """Guards against one request that makes all targets rest."""
         await self.begin(*self.odd_targets(3))
         for _ in range(3):
             self.assertEqual(503, (await self.ask("/a/odd")).status)
@@ -236,11 +228,7 @@
             self.assertEqual(200, (await self.ask("/b/x", "POST")).status)
 
     async def test_suspect_makes_one_target_rest_at_a_time(self):
-        """A caller goes on with requests that no target accepts.
-
-        After the rests of the first one only one target rests at a time, and
-        the others are served whenever they ask.
-        """
+        """Guards against one account that makes all targets rest."""
         await self.begin(*self.odd_targets(2, seconds="0.4"))
         got = await self.ask("/e/odd", Test_Key="key-1")
         self.assertEqual(503, got.status)
@@ -254,7 +242,7 @@
             await asyncio.sleep(0.02)
 
     async def test_trials_keep_the_bound_of_a_rest(self):
-        """All targets rest on account of one caller, and others ask on."""
+        """Guards against too many trials of a resting target."""
         await self.begin(*self.odd_targets(3, seconds="2"))
         await self.ask("/e/odd", Test_Key="key-1")
         asked_at = time.monotonic()
@@ -265,7 +253,7 @@
             self.assertLessEqual(len(late), 1)
 
     async def test_one_of_many_targets_is_left(self):
-        """All targets but one turn requests away for a while."""
+        """Guards against refusing what the last target would run."""
         rest = scripted_target.respond_not_run(Retry_After="5")
         await self.begin(rest, rest, rest, scripted_target.respond())
         self.router.placer.views["t3"].running = 5
@@ -276,7 +264,7 @@
         self.assertEqual([1, 1, 1, 5], ran)
 
     async def test_caller_is_cleared_as_soon_as_a_target_accepts(self):
-        """A long stream runs at the third target; the other two rest."""
+        """Guards against holding a caller back during its answer."""
 
         async def stream(seen, writer):
             more = {"Content_Type": "text/event-stream"}
@@ -296,7 +284,7 @@
         self.assertEqual([200, 200], [got.status, (await streaming).status])
 
     async def test_caller_is_cleared_when_another_target_accepts(self):
-        """Targets rest one after the other, each by its own need."""
+        """Guards against charging callers with rests of targets."""
         good = scripted_target.respond()
         resting = scripted_target.ask_for_rest(5.0, good)
         await self.begin(
@@ -321,7 +309,7 @@
     """Targets that say in an answer that they leave."""
 
     async def test_target_that_says_it_leaves_gets_no_request(self):
-        """No keeper tells the router that a target leaves; its answer does."""
+        """Guards against departures that only announcements tell."""
         await self.begin(
             scripted_target.respond(**LEAVING), scripted_target.respond()
         )
@@ -333,7 +321,7 @@
         self.assertEqual([], self.arrivals(0, told_at))
 
     async def test_any_answer_tells(self):
-        """Refusals, failures and broken answers bear the header too."""
+        """Guards against departures lost with a failed answer."""
 
         def foreign(seen):
             seen.headers[scripted_target.ID] = "another"
@@ -355,7 +343,7 @@
             self.assertEqual([], self.arrivals(0, told_at))
 
     async def test_stream_in_progress_ends_whole(self):
-        """The head of a long stream says that its target leaves."""
+        """Guards against cutting off streams of a leaving target."""
 
         async def stream(seen, writer):
             more = {"Content_Type": "text/event-stream"} | LEAVING
@@ -376,7 +364,7 @@
         self.assertEqual([1, 1], [len(one.requests) for one in self.targets])
 
     async def test_late_announcement_does_not_bring_it_back(self):
-        """Keepers that were cut off announce the target as ready."""
+        """Guards against late announcements of a leaving target."""
         await self.begin(scripted_target.respond(**LEAVING))
         self.assertEqual(200, (await self.ask("/a/x")).status)
         for sequence in (1, 2):
@@ -389,6 +377,7 @@
         self.assertEqual(1, self.ran())
 
     async def test_next_target_at_its_address_gets_requests(self):
+        """Guards against a departure that outlives its target."""
         await self.begin(scripted_target.respond(**LEAVING))
         self.assertEqual(200, (await self.ask("/a/x")).status)
         record = self.targets[0].record()
@@ -397,6 +386,7 @@
         self.assertEqual(200, (await self.ask("/a/x")).status)
 
     async def test_malformed_value_keeps_no_request_away(self):
+        """Guards against losing a target to a malformed header."""
         for value in ("", "0", "yes", "1, 1"):
             header = dict.fromkeys(LEAVING, value)
             await self.begin(scripted_target.respond(**header))
@@ -404,7 +394,7 @@
                 self.assertEqual(200, (await self.ask("/a/x")).status)
 
     async def test_answer_of_the_next_target_at_its_address(self):
-        """421: what it says concerns the target that answers, no other."""
+        """Guards against a notice ascribed to another target."""
         await self.begin(
             scripted_target.respond_not_run(421, Retry_After="5", **LEAVING)
         )
--- a/tests/test_forwarding_notices_soak.py
+++ b/tests/test_forwarding_notices_soak.py
@@ -102,11 +102,7 @@
             router.targets.merge(target.record())
 
     async def test_rests_and_departures_are_observed(self):
-        """Targets ask for rest and leave while routers restart.
-
-        Resting and leaving targets get no requests, and no caller is told
-        that its request did not run although it did.
-        """
+        """Guards against requests to resting and leaving targets."""
         callers = [
             asyncio.ensure_future(self.call_until_stopped(number))
             for number in range(CALLERS)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -33,7 +33,7 @@
             self.assertIs(notices.NOTHING, read(status, Retry_After="3"))
 
     def test_date_counts_from_the_clock_of_the_target(self):
-        """The clocks of a target and its router differ by an hour."""
+        """Guards against rests that depend on clocks that differ."""
         date = "Wed, 21 Oct 2015 07:28:00 GMT"
         until = "Wed, 21 Oct 2015 07:28:07 GMT"
         self.assertEqual(7.0, read(Retry_After=until, Date=date).rest_seconds)
@@ -45,7 +45,7 @@
         )
 
     def test_malformed_values_are_ignored_and_told(self):
-        """A target sends nonsense: it must not lose its requests for it."""
+        """Guards against losing a target to a malformed header."""
         for value in (
             "", "soon", "-3", "nan", "inf", "1e3", "0x10", "1_0", "3601",
             "9" * 400, "3, 5", "Wed, 21 Oct 2015 07:28:00 GMT",
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -164,7 +164,7 @@
         self.assertEqual(response.code, 422)
 
     def test_operators_are_told_no_shorter_wait_than_is_needed(self):
-        """An operator that comes back as told is refused once more."""
+        """Guards against a time to come back that is too short."""
 
         async def refuse(_command, _timeout):
             raise errors.NoQuorumError("no leader", retry_after=2.4)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -293,10 +293,7 @@
         )
 
     async def test_target_that_asks_for_rest_gets_no_orders(self):
-        """A target refuses an order and asks for an hour of rest.
-
-        It must not get the next one after the shorter time of an order.
-        """
+        """Guards against orders to a target that asked for rest."""
         target = FakeTarget()
         target.status = 503
         target.headers = {"Retry-After": "3000"}
--- a/tests/test_platform_notices.py
+++ b/tests/test_platform_notices.py
@@ -39,12 +39,7 @@
         self.active = list(self.all_replicas)
 
     async def test_rests_and_departures_are_observed(self):
-        """Routers restart, freeze and lose their keeper all the while.
-
-        Callers use their connections until these close. No resting or leaving
-        replica gets requests, and no request is run twice or run although it
-        was refused.
-        """
+        """Guards against requests to resting and leaving replicas."""
         callers = [
             asyncio.ensure_future(self.call_until_stopped(number))
             for number in range(CALLERS)
--- a/tests/test_targets_notices.py
+++ b/tests/test_targets_notices.py
@@ -21,7 +21,7 @@
     """Chats while an engine rests or leaves."""
 
     async def test_resting_engine_gets_no_request(self):
-        """An engine asks for rest and gets the next chats all the same."""
+        """Guards against sending on to an engine that asked for rest."""
         other = self.local.add_engine("e2")
         router = self.local.add_router()
         plan(self.engine, "rest", seconds=30)
@@ -41,7 +41,7 @@
         self.assert_complete(await router.chat(body), body)
 
     async def test_engine_that_starts_again_does_not_rest(self):
-        """The next incarnation under the name has asked for nothing."""
+        """Guards against a rest that outlives its process."""
         router = self.local.add_router()
         plan(self.engine, "rest", seconds=30)
         body = in_process_callers.chat_body()
@@ -51,7 +51,7 @@
         self.assert_complete(await router.chat(body), body)
 
     async def test_callers_hear_when_all_engines_rest(self):
-        """Nobody can be served for 20 s; each caller hears so at once."""
+        """Guards against a time to come back that is too short."""
         self.local.add_engine("e2")
         router = self.local.add_router()
         for seconds, stand_in in zip(
@@ -69,11 +69,7 @@
         self.assertEqual([1, 1], received)
 
     async def test_stream_is_not_resumed_at_a_resting_engine(self):
-        """A stream breaks off while its engine rests.
-
-        Neither a resumption nor a cancellation may reach the engine; another
-        one continues the text.
-        """
+        """Guards against resuming or cancelling at a resting engine."""
         other = self.local.add_engine("e2")
         router = self.local.add_router()
         plan(self.engine, "drop")
@@ -88,7 +84,7 @@
         self.assertEqual(3, other.runs[0]["start"])
 
     async def test_leaving_engine_gets_no_request(self):
-        """An engine says in its answers that it leaves."""
+        """Guards against departures that only announcements tell."""
         other = self.local.add_engine("e2")
         router = self.local.add_router()
         left = []
@@ -101,10 +97,7 @@
         self.assertEqual([("e1", 1)], left)
 
     async def test_stream_of_a_leaving_engine_is_resumed_there(self):
-        """The connection breaks while the engine drains.
-
-        The stream is work in progress, which a departure must not cut off.
-        """
+        """Guards against cutting off streams of a leaving engine."""
         self.local.add_engine("e2")
         router = self.local.add_router()
         self.engine.leaving = True
@@ -115,6 +108,7 @@
         self.assertEqual(1, router.fakes.needs.metrics.counters["way.resumed"])
 
     async def test_malformed_headers_keep_no_chat_away(self):
+        """Guards against losing an engine to a malformed header."""
         router = self.local.add_router()
         for seconds in ("soon", "-1", "1e9", ""):
             plan(self.engine, "rest", seconds=seconds)
@@ -123,7 +117,7 @@
             self.assert_complete(await router.chat(body), body)
 
     async def test_account_leaves_engines_for_others(self):
-        """All engines ask for rest instead of running one account's chats."""
+        """Guards against one account that makes all engines rest."""
         for name in ("e2", "e3"):
             self.local.add_engine(name)
         router = self.local.add_router()
@@ -149,6 +143,7 @@
     """Calls while a replica rests or leaves."""
 
     async def test_resting_replica_gets_no_call(self):
+        """Guards against sending on to a replica that asked for rest."""
         other = self.local.add_booking("b2")
         self.start_routers()
         refused = await self.one.book("a", "k", fault="rest", seconds=30)
@@ -162,7 +157,7 @@
         self.assertEqual(received, self.replica.received + other.received)
 
     async def test_stored_answer_while_all_replicas_rest(self):
-        """A caller returns for its answer, which needs no replica."""
+        """Guards against refusing a resend that needs no replica."""
         first = await self.one.book("a", "k")
         await self.one.book("b", "k2", fault="rest", seconds=30)
         again = await self.one.book("a", "k")
@@ -170,10 +165,12 @@
         self.assertEqual(first.body, again.body)
 
     async def test_rests_are_of_one_router(self):
+        """Guards against a rest kept by routers that were not asked."""
         await self.one.book("a", "k", fault="rest", seconds=30)
         self.assert_response(await self.two.book("b", "k2"), 200, "ran")
 
     async def test_leaving_replica_gets_no_call(self):
+        """Guards against departures that only announcements tell."""
         other = self.local.add_booking("b2")
         self.start_routers()
         self.replica.leaving = True
@@ -187,6 +184,7 @@
     """Notices concern one incarnation of a target."""
 
     async def test_next_incarnation_neither_rests_nor_leaves(self):
+        """Guards against notices that outlive their process."""
         target = self.local.targets[0]
         observer = notices.TargetNotices()
         observer.rests.begin("e1.1", 30.0, "acme")
@@ -196,6 +194,7 @@
         observer.check(dataclasses.replace(target, incarnation=2))
 
     async def test_table_marks_the_incarnation_that_leaves(self):
+        """Guards against a late departure of a former process."""
         table = tables.TargetTable("dc1")
         target = self.local.targets[0]
         table.announce(target)
