--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -1,13 +1,22 @@
 """Reading of what targets say about themselves."""
 
+import random
 import time
 import unittest
 
 import tornado.httputil
 
+from amaranthring import errors
 from amaranthring.core import notices
 
 LEAVING = "Test-Leaving"
+SEED = 7
+VALUES = (
+    "3", "1.5", "", "Wed, 21 Oct 2015 07:28:00 GMT",
+    "Sunday, 06-Nov-94 08:49:37 GMT", "Sun Nov  6 08:49:37 1994",
+    "31 Dec 9999 23:59:59 +9999", "1 Jan 0001 00:00:00 -0000",
+)  # fmt: skip
+CHARACTERS = "0123456789:,-+. GMTWedOctJan\x00\x7f\xe9"
 
 
 def read(status=503, **values):
@@ -57,6 +66,21 @@
             )
             self.assertLess(len(str(notice.faults[0])), 300)
 
+    def test_mutated_values_raise_nothing_else(self):
+        """Guards against errors other than that of a malformed header."""
+        rng = random.Random(SEED)
+        for _ in range(3000):
+            value = list(rng.choice(VALUES))
+            for _ in range(rng.randrange(4)):
+                at = rng.randrange(len(value) + 1)
+                value[at : at + rng.randrange(2)] = rng.choice(CHARACTERS)
+            try:
+                seconds = notices.parse_retry_after("".join(value), 1.7e9)
+            except errors.InvalidHeaderError:
+                continue
+            self.assertLessEqual(0.0, seconds)
+            self.assertLessEqual(seconds, notices.MAX_REST_SECONDS)
+
     def test_longest_of_several_values(self):
         notice = read(Retry_After=["2", "x", "5"])
         self.assertEqual((5.0, 1), (notice.rest_seconds, len(notice.faults)))
