--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -98,7 +98,7 @@
         for _ in range(5):
             self.assertTrue(self.rests.may_try("t", "b"))
             self.rests.count_trial("t")
-        self.now += rests.TRIAL_SECONDS
+        self.now += rests.TRIAL_SECONDS + 0.01
         for _ in range(rests.MAX_LATE_TRIALS):
             self.assertTrue(self.rests.may_try("t", "b"))
             self.rests.count_trial("t")
