--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -27,7 +27,7 @@
 # The target was not asked, and has not failed.
 UNASKED = (errors.TargetRestingError, errors.TargetLeavingError)
 # Refusals of admission that say when a rest ends.
-RESTING = (errors.TargetsRestingError, errors.CallerHeldBackError)
+RESTING = (errors.AllTargetsRestingError, errors.CallerHeldBackError)
 T = t.TypeVar("T")
 
 
@@ -299,7 +299,7 @@
 
     Raises
     ------
-    errors.TargetsRestingError
+    errors.AllTargetsRestingError
         If all that are left rest; the first may be asked again then.
     """
     resting = deps.notices.resting_targets(request, deps.get_target)
@@ -309,7 +309,7 @@
     except errors.NoTargetError as error:
         if not resting:
             raise
-        resting_error = errors.TargetsRestingError(
+        resting_error = errors.AllTargetsRestingError(
             "all targets that could serve this request rest",
             given=request.serves,
             expected="a target that has not asked for rest",
--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -233,7 +233,7 @@
     code = "no-target"
 
 
-class TargetsRestingError(NoTargetError):
+class AllTargetsRestingError(NoTargetError):
     """All targets of the service have asked this router for rest."""
 
     code = "targets-resting"
--- a/amaranthring/forwarding/failures.py
+++ b/amaranthring/forwarding/failures.py
@@ -64,6 +64,6 @@
 def request_ended(
     placer: placement.Placer, context: records.RequestContext
 ) -> None:
-    """Record the end of a request that no target may have accepted."""
+    """Record the end of a request, which may still be charged with rests."""
     if context.asked_for_rest:
         placer.rests.request_failed(context.caller)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -231,7 +231,7 @@
             reuse_connection=not self.placer.failed_recently(target),
             before_send=functools.partial(self._before_send, context, target),
             on_notice=functools.partial(
-                target_notices.take,
+                target_notices.observe,
                 self.placer,
                 self.metrics,
                 context,
@@ -311,7 +311,15 @@
     def _before_send(
         self, context: records.RequestContext, target: messages.TargetRecord
     ) -> None:
-        # Its answer to another request may have come during the connect.
+        """Check that the request may still be sent to `target`.
+
+        Raises
+        ------
+        errors.TargetRestingError
+            If the target has asked for rest during the connect.
+        errors.NoQuorumError
+            If the request's key is no longer trusted.
+        """
         rests = self.placer.rests
         left = rests.left(target.id)
         if left:
@@ -399,7 +407,7 @@
             )
         rest = self.placer.rest_left(context)
         if rest:
-            return errors.TargetsRestingError(
+            return errors.AllTargetsRestingError(
                 f"all targets of service {context.service} rest",
                 retry_after=_round_up(rest),
             )
--- a/amaranthring/forwarding/target_notices.py
+++ b/amaranthring/forwarding/target_notices.py
@@ -7,7 +7,7 @@
 from amaranthring.registry import messages
 
 
-def take(
+def observe(
     placer: placement.Placer,
     metrics: metrics_module.Metrics,
     context: records.RequestContext,
--- a/amaranthring/targets/notices.py
+++ b/amaranthring/targets/notices.py
@@ -93,7 +93,7 @@
         self.check(target, continues, tried_by)
         exchange = upstream.Exchange(target)
         exchange.before_write = before_write
-        exchange.on_head = lambda: self._take(exchange, request_id, account)
+        exchange.on_head = lambda: self._observe(exchange, request_id, account)
         return exchange
 
     def check(
@@ -201,7 +201,7 @@
             caller = _caller(request.kind, request.account)
             self.rests.request_failed(caller)
 
-    def _take(
+    def _observe(
         self, exchange: upstream.Exchange, request_id: str, account: str
     ) -> None:
         """Observe the notice in a response's head from now on."""
