Let rests in tests outlast the time in which requests are counted

The rests of two tests last 30 s now, which asks for no less; the third counts arrivals up to the end of the rest.

--- a/tests/test_forwarding_notices.py
+++ b/tests/test_forwarding_notices.py
@@ -44,7 +44,7 @@
             for keep_alive in (False, True):
                 answer = scripted_target.respond()
                 await self.begin(
-                    scripted_target.ask_for_rest(1.2, answer), answer
+                    scripted_target.ask_for_rest(30.0, answer), answer
                 )
                 for target in self.targets:
                     target.keep_alive = keep_alive
@@ -89,7 +89,7 @@
 
     async def test_longest_rest_counts(self):
         """Guards against a shorter rest that ends a longer one."""
-        seconds = iter(("1.5", "0.2", "0.2"))
+        seconds = iter(("30", "0.2", "0.2"))
 
         async def refuse(seen, writer):
             await asyncio.sleep(0.1)
@@ -249,7 +249,8 @@
         got = await self.keep_asking(1.8, "/a/x")
         self.assertIn(200, {one.status for one in got})
         for number in range(3):
-            late = [at for at in self.arrivals(number, asked_at) if at > 0.5]
+            arrivals = self.arrivals(number, asked_at)
+            late = [at for at in arrivals if 0.5 < at <= 2.0]
             self.assertLessEqual(len(late), 1)
 
     async def test_one_of_many_targets_is_left(self):
