--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -179,7 +179,7 @@
     asked_for_rest : set of str
         Ids of those of them that asked for rest.
     resting : set of str
-        Ids of targets that rested when a target was chosen.
+        Ids of targets that rested when an attempt was placed.
     is_trial : bool
         Whether all targets rest and the current one is tried all the same.
     engine : Engine or None
--- a/amaranthring/policy/rests.py
+++ b/amaranthring/policy/rests.py
@@ -17,7 +17,8 @@
 
 from amaranthring.core import clocks
 
-# A caller is suspected if none of several targets has accepted its requests.
+# A caller is suspected if its requests made this many targets rest and no
+# target accepted them.
 SUSPICIOUS_RESTS = 2
 SUSPECT_SECONDS = 30.0
 # A target allows its routers half a second until they keep a rest, and two
