--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -86,6 +86,8 @@
         Bytes so far.
     sent_frames : int
         Frames written so far.
+    received_at : float
+        Monotonic time in seconds at which bytes last arrived.
     """
 
     def __init__(self, stream, peer: Identity, handlers: Handlers):
@@ -95,6 +97,7 @@
         self.sent_bytes = 0
         self.sent_frames = 0
         self.received_bytes = 0
+        self.received_at = time.monotonic()
         self.closed = False
         self._ids = itertools.count(1)
         self._pending: dict[int, asyncio.Future] = {}
@@ -184,6 +187,7 @@
                     handshake.READ_BYTES, partial=True
                 )
                 self.received_bytes += len(data)
+                self.received_at = time.monotonic()
                 self.handlers.received_bytes += len(data)
                 unpacker.feed(data)
         except STREAM_ERRORS:
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -7,7 +7,10 @@
 import time
 import typing as t
 
+import logbook
+
 from amaranthring import errors
+from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import timeouts
 from amaranthring.forwarding import attempts
@@ -26,6 +29,8 @@
 from amaranthring.routing import table as route_tables
 from amaranthring.targets import pool
 
+log = logbook.Logger(__name__)
+
 # While response times are unknown, a safe request goes to a second target
 # after this multiple of its objective.
 SAFE_TIMEOUT_FACTOR = 1.6
@@ -392,7 +397,20 @@
         return self._take_retry(context)
 
     def _take_retry(self, context: records.RequestContext) -> bool:
-        return self.budgets[context.service].take(self.routers())
+        budget = self.budgets[context.service]
+        routers = self.routers()
+        allowed = budget.take(routers)
+        logs.event(
+            log,
+            "retry.decided",
+            id=context.incoming.request_id,
+            service=context.service,
+            allowed=allowed,
+            routers=routers,
+            requests=len(budget.requests),
+            retries=len(budget.retries),
+        )
+        return allowed
 
     # -- failures ----------------------------------------------------
 
--- a/amaranthring/keepers/disk.py
+++ b/amaranthring/keepers/disk.py
@@ -13,19 +13,27 @@
 import os
 import pathlib
 import secrets
+import time
 import typing as t
 import zlib
 
+import logbook
+
 from amaranthring import errors
+from amaranthring.core import logs
 from amaranthring.core import validation
 from amaranthring.core import wire
 from amaranthring.keepers import messages
 
+log = logbook.Logger(__name__)
+
 HARD_STATE_FILE = "hard-state"
 LOCK_FILE = "lock"
 TEMPORARY_SUFFIX = ".tmp"
 DISK_ID_BYTES = 8
 CHECKSUM_BYTES = 4
+# Batches that take as long as a heartbeat interval are logged.
+SLOW_BATCH_SECONDS = 0.1
 
 
 @dataclasses.dataclass
@@ -235,6 +243,14 @@
     on_fault : callable
         Called once on the event loop with the StorageError that stopped the
         writer.
+
+    Attributes
+    ----------
+    batch_started_at : float or None
+        Monotonic time at which the batch in progress was started.
+    longest_batch : float
+        Seconds that the longest batch took since the last call of
+        `take_longest_batch`.
     """
 
     def __init__(self, sync, on_synced, on_fault):
@@ -248,6 +264,23 @@
         self.waiters: list[asyncio.Future] = []
         self.wake = asyncio.Event()
         self.batches = 0
+        self.batch_started_at: float | None = None
+        self.longest_batch = 0.0
+
+    def batch_age(self) -> float:
+        """Return the seconds since the batch in progress was started, or 0."""
+        if self.batch_started_at is None:
+            return 0.0
+        return time.monotonic() - self.batch_started_at
+
+    def take_longest_batch(self) -> float:
+        """Return the longest time of a batch since the last call, in seconds.
+
+        The batch in progress counts with its age.
+        """
+        longest = max(self.longest_batch, self.batch_age())
+        self.longest_batch = 0.0
+        return longest
 
     def submit(self, operation: t.Callable[[], None], marker=None) -> None:
         """Queue `operation`; `marker` goes to `on_synced` after the sync."""
@@ -282,8 +315,11 @@
             marker, self.marker = self.marker, None
             try:
                 if operations:
-                    await loop.run_in_executor(
-                        self.thread, self._run_batch, operations
+                    await self._time_batch(
+                        loop.run_in_executor(
+                            self.thread, self._run_batch, operations
+                        ),
+                        len(operations),
                     )
             except (OSError, errors.StorageError) as error:
                 self._fail(error, waiters)
@@ -295,6 +331,23 @@
                 if not future.done():
                     future.set_result(None)
 
+    async def _time_batch(self, batch: t.Awaitable, operations: int) -> None:
+        self.batch_started_at = time.monotonic()
+        try:
+            await batch
+        finally:
+            seconds = self.batch_age()
+            self.batch_started_at = None
+            self.longest_batch = max(self.longest_batch, seconds)
+            if seconds >= SLOW_BATCH_SECONDS:
+                logs.event(
+                    log,
+                    "keeper.slow-disk",
+                    seconds=round(seconds, 3),
+                    operations=operations,
+                    queued=len(self.operations),
+                )
+
     def _run_batch(self, operations) -> None:
         for operation in operations:
             operation()
--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -185,7 +185,7 @@
     roles.set_term(group, term, group.disk_id)
     reset_election_timer(group)
     try:
-        await group.writer.flush()
+        await _write_vote(group, term, group.disk_id)
     except errors.StorageError:
         return
     won = await _ballot(group, term, pre=False)
@@ -302,6 +302,26 @@
     return (message.last_term, message.last_index) < own
 
 
+async def _write_vote(group, term: int, candidate: str) -> None:
+    """Wait until the vote for disk `candidate` is synced.
+
+    Raises
+    ------
+    errors.StorageError
+        If the disk fails.
+    """
+    began_at = group.clocks.monotonic()
+    await group.writer.flush()
+    logs.event(
+        log,
+        "keeper.voted",
+        group=group.name,
+        term=term,
+        candidate=candidate,
+        seconds=round(group.clocks.monotonic() - began_at, 3),
+    )
+
+
 async def on_vote(group, message: messages.Vote) -> messages.Voted:
     """Answer a vote request; a granted vote is synced before the reply."""
     if group.fault is not None:
@@ -320,12 +340,5 @@
         return messages.Voted(group.term, False, group.disk_id)
     roles.set_term(group, message.term, message.disk)
     reset_election_timer(group)
-    logs.event(
-        log,
-        "keeper.voted",
-        group=group.name,
-        term=message.term,
-        candidate=message.disk,
-    )
-    await group.writer.flush()
+    await _write_vote(group, message.term, message.disk)
     return messages.Voted(message.term, True, group.disk_id)
--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -387,18 +387,33 @@
         return
     logs.event(log, "keeper.snapshot-sent", peer=peer.name, index=reader.index)
     offset = 0
+    began_at = group.clocks.monotonic()
+    paced = 0.0
     try:
         while offset < reader.total and group.leading:
             data = await loop.run_in_executor(
                 group.store.snapshot_thread, reader.read, offset
             )
             if group.pacer is not None:
+                waiting_since = group.clocks.monotonic()
                 await group.pacer.acquire()
-            offset = await _send_chunk(group, peer, reader, offset, data)
-            if offset is None or epoch != peer.epoch:
+                paced += group.clocks.monotonic() - waiting_since
+            accepted = await _send_chunk(group, peer, reader, offset, data)
+            if accepted is None or epoch != peer.epoch:
                 return
+            offset = accepted
     finally:
         reader.close()
+        logs.event(
+            log,
+            "keeper.snapshot-ended",
+            peer=peer.name,
+            index=reader.index,
+            offset=offset,
+            total=reader.total,
+            seconds=round(group.clocks.monotonic() - began_at, 3),
+            paced=round(paced, 3),
+        )
     peer.match_index = reader.index
     peer.rewind(reader.index + 1)
     advance_commit_index(group)
--- a/amaranthring/registry/pressure.py
+++ b/amaranthring/registry/pressure.py
@@ -1,8 +1,8 @@
 """Logs when a keeper's processor or link delays its consensus messages.
 
 A leader is replaced when its messages are late by an election time. The log
-line shows whether the event loop was late, the processor was busy, or bytes
-were queued on the link.
+line shows whether the event loop was late, the processor was busy, bytes were
+queued on the link, the disk was slow, or links to other keepers were silent.
 """
 
 import asyncio
@@ -55,6 +55,7 @@
         )
         cpu_before = time.process_time()
         started_at = time.monotonic()
+        group.writer.take_longest_batch()
         delay = await _worst_delay(WINDOW_SECONDS)
         seconds = time.monotonic() - started_at
         sent = handlers.sent - sent_before
@@ -70,6 +71,8 @@
             late=round(delay, 3),
             processor=round(time.process_time() - cpu_before, 3),
             link_share=round(share, 2),
+            disk=round(group.writer.take_longest_batch(), 3),
+            silent=_silent_seconds(group),
             links=len(open_links),
             writing=sum(link.has_unsent_bytes() for link in open_links),
             sent=_most_common(sent),
@@ -88,5 +91,19 @@
     return delay
 
 
+def _silent_seconds(group: t.Any) -> dict[str, float]:
+    """Return the seconds since bytes arrived on the link to each keeper.
+
+    Keyed by the keeper's name; -1 for a keeper without a link.
+    """
+    now = time.monotonic()
+    return {
+        name: round(now - peer.dialler.link.received_at, 1)
+        if peer.dialler.link
+        else -1
+        for name, peer in group.peers.items()
+    }
+
+
 def _most_common(counts: collections.Counter) -> dict[str, int]:
     return dict(counts.most_common(MAX_KINDS))
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -168,7 +168,7 @@
         """Close the link to a keeper that is no longer a member."""
         self.diallers.pop(address).stop()
         self.renewal_tasks.pop(address).cancel()
-        self.router_counts.pop(address, None)
+        self._count_routers(address, None)
 
     def stop(self) -> None:
         """Close all links."""
@@ -189,7 +189,7 @@
                 name = "keeper.linked" if linked else "keeper.unlinked"
                 logs.event(log, name, keeper=address)
                 if not linked:
-                    self.router_counts.pop(address, None)
+                    self._count_routers(address, None)
             if link is not None:
                 await self._renew(address, link)
             await asyncio.sleep(RENEW_SECONDS if link else RENEW_SECONDS / 10)
@@ -206,13 +206,29 @@
             return
         except errors.AmaranthringError:
             return
-        self.router_counts[address] = reply.routers
+        self._count_routers(address, reply.routers)
         self.answered_at = clocks.boottime()
         self._update_keepers(reply)
         self.fetcher.offer(link, reply.version)
         if reply.confirmed:
             self._confirm(reply.version, sent_at)
 
+    def _count_routers(self, address: str, count: int | None) -> None:
+        """Record how many routers a keeper counts; None without a link."""
+        before = self.routers
+        if count is None:
+            self.router_counts.pop(address, None)
+        else:
+            self.router_counts[address] = count
+        if self.routers != before:
+            logs.event(
+                log,
+                "routers.counted",
+                keeper=address,
+                routers=self.routers,
+                before=before,
+            )
+
     def _update_keepers(self, reply: messages.Renewed) -> None:
         self.add_keepers(reply.keepers)
         if not reply.confirmed:
