--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -61,8 +61,8 @@
         Returns whether the plan is recent enough to trust its keys.
     budget : callable
         Returns a new WindowBudget; called once per service.
-    routers : callable
-        Returns the number of routers that share the retry budgets.
+    share : callable
+        Returns this router's budgets.Share of the retry allowances.
     connections : Pool, optional
         Pool of connections to targets.
     start : StartupGate, optional
@@ -76,7 +76,7 @@
         may_trust_keys: t.Callable[[], bool],
         placer: placement.Placer,
         budget: t.Callable[[], budgets.WindowBudget],
-        routers: t.Callable[[], int],
+        share: t.Callable[[], budgets.Share],
         metrics: metrics_module.Metrics,
         connections: pool.Pool | None = None,
         start: startup.StartupGate | None = None,
@@ -86,7 +86,7 @@
         self.table = table
         self.may_trust_keys = may_trust_keys
         self.placer = placer
-        self.routers = routers
+        self.share = share
         self.metrics = metrics
         self.log_request = functools.partial(request_log.record, metrics)
         self.startup = start or startup.StartupGate(metrics)
@@ -398,17 +398,19 @@
 
     def _take_retry(self, context: records.RequestContext) -> bool:
         budget = self.budgets[context.service]
-        routers = self.routers()
-        allowed = budget.take(routers)
+        share = self.share()
+        allowed = budget.take(share.fraction)
         logs.event(
             log,
             "retry.decided",
             id=context.incoming.request_id,
             service=context.service,
             allowed=allowed,
-            routers=routers,
+            routers=share.routers,
+            without_share=share.reason,
             requests=len(budget.requests),
             retries=len(budget.retries),
+            left=round(budget.left(share.fraction), 2),
         )
         return allowed
 
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -14,6 +14,7 @@
 import logbook
 
 from amaranthring import routing
+from amaranthring.core import clocks
 from amaranthring.core import endpoints
 from amaranthring.core import links
 from amaranthring.core import listeners
@@ -27,6 +28,7 @@
 from amaranthring.policy import budgets
 from amaranthring.registry import messages
 from amaranthring.registry import reporting
+from amaranthring.registry import sharers
 from amaranthring.registry import subscriber as subscribers
 from amaranthring.targets import pool
 
@@ -70,6 +72,8 @@
         Seconds that a graceful stop may take.
     retry_ratio, retry_allowance, retry_window : float
         Parameters of :class:`budgets.WindowBudget`.
+    first_start : bool
+        Whether the whole fleet starts for the first time.
     """
 
     name: str
@@ -83,6 +87,7 @@
     retry_ratio: float
     retry_allowance: float
     retry_window: float
+    first_start: bool = False
 
 
 class PlanRouter:
@@ -111,8 +116,14 @@
             config.data_centre,
             time.time_ns(),
         )
+        self.sharers = sharers.Sharers(
+            config.retry_window,
+            config.first_start,
+            subscribers.CUT_OFF_SECONDS,
+            clocks.boottime,
+        )
         self.subscriber = subscribers.Subscriber(
-            identity, keys, self.take_plan
+            identity, keys, self.take_plan, self.sharers
         )
         self.placer = placement.Placer(
             self.subscriber.table, config.data_centre
@@ -133,9 +144,10 @@
                 config.retry_ratio,
                 config.retry_allowance,
                 config.retry_window,
-                time.monotonic,
+                clocks.boottime,
+                self.sharers.usable_from(),
             ),
-            lambda: self.subscriber.routers,
+            self.sharers.share,
             self.metrics,
             pool.Pool(self.max_idle_connections),
             startup.StartupGate(
@@ -162,7 +174,7 @@
         services = self.table.services.values() if self.table else ()
         bounds = [service.connections_most for service in services]
         limit = min([b for b in bounds if b], default=MAX_IDLE_CONNECTIONS)
-        shared = int(limit * IDLE_SHARE / self.subscriber.routers)
+        shared = int(limit * IDLE_SHARE / max(1, self.sharers.routers))
         return max(1, min(MAX_IDLE_CONNECTIONS, shared))
 
     def take_plan(self, document: bytes) -> None:
--- a/amaranthring/platform/keeper.py
+++ b/amaranthring/platform/keeper.py
@@ -21,6 +21,7 @@
         announce_seconds=node.heartbeat_seconds,
         link_rate=node.link_rate,
         process_started_at=clocks.STARTED_AT,
+        retry_window=node.retry_window,
     )
     return plan_keeper.KeeperProcess(
         config,
--- a/amaranthring/platform/router.py
+++ b/amaranthring/platform/router.py
@@ -21,6 +21,7 @@
         retry_ratio=node.retry_ratio,
         retry_allowance=node.retry_allowance,
         retry_window=node.retry_window,
+        first_start=node.first_start,
     )
     return plan_router.PlanRouter(
         config,
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -16,6 +16,7 @@
 from amaranthring.registry import messages
 from amaranthring.registry import plan_source
 from amaranthring.registry import publisher
+from amaranthring.registry import router_census
 from amaranthring.registry import sharing
 from amaranthring.registry import targets
 
@@ -51,6 +52,8 @@
         Seconds; continues while the VM is suspended.
     pacer : pacing.Pacer
         Of this VM's link.
+    retry_window : float
+        Seconds over which routers count retries.
 
     Attributes
     ----------
@@ -66,6 +69,7 @@
         announce_seconds: float,
         clock: t.Callable[[], float],
         pacer: pacing.Pacer,
+        retry_window: float = router_census.DEFAULT_WINDOW_SECONDS,
     ):
         self.group = group
         self.machine = machine
@@ -74,6 +78,9 @@
             clock, FRESH_INTERVALS * announce_seconds
         )
         self.routers: dict[links.Link, str] = {}
+        self.census = router_census.RouterCensus(
+            self.routers.values, retry_window, clock
+        )
         self.exchange = sharing.Exchange(
             handlers,
             lambda: [peer.dialler for peer in group.peers.values()],
@@ -341,15 +348,17 @@
             return
         logs.event(log, "router.linked", router=link.peer.name)
         self.routers[link] = link.peer.name
+        self.census.update()
         self.publisher.add_router(link)
 
     def on_unlink(self, link: links.Link) -> None:
         """Remove a router whose link has closed."""
         self.plan_source.forget(link)
         if self.routers.pop(link, None) is not None:
+            self.census.update()
             logs.event(log, "router.unlinked", router=link.peer.name)
 
-    async def _on_renew(self, _link: t.Any, _message: messages.Renew):
+    async def _on_renew(self, link: t.Any, _message: messages.Renew):
         confirmed = False
         if self.group.leading:
             try:
@@ -364,8 +373,9 @@
         return messages.Renewed(
             self.machine.version,
             confirmed,
-            len(set(self.routers.values())),
+            self.census.count(),
             sorted(set(known)),
+            self.census.counted_seconds(link.peer.name),
         )
 
     async def _on_fetch(self, link, message: messages.FetchPlan):
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -17,6 +17,7 @@
 from amaranthring.registry import hint_file
 from amaranthring.registry import hub as hubs
 from amaranthring.registry import pressure
+from amaranthring.registry import router_census
 
 GROUP = "plan"
 FOLDER = "keeper"
@@ -58,6 +59,8 @@
         Bytes per second that this VM's link carries; 0 if unknown.
     process_started_at : float, optional
         As in :class:`options.Options`.
+    retry_window : float
+        Seconds over which routers count retries.
     """
 
     address: str
@@ -68,6 +71,7 @@
     announce_seconds: float
     link_rate: float = 0.0
     process_started_at: float | None = None
+    retry_window: float = router_census.DEFAULT_WINDOW_SECONDS
 
 
 class PlanKeeper:
@@ -128,6 +132,7 @@
             config.announce_seconds,
             clocks.monotonic,
             self.pacer,
+            config.retry_window,
         )
         remaining_intervals = hubs.SILENT_INTERVALS - RESTORED_INTERVALS
         self.hints = hint_file.HintFile(
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -162,15 +162,19 @@
         Whether no higher version was acknowledged by any keeper before the
         request arrived; only a leader with a quorum can confirm that.
     routers : int
-        Routers that are linked to this keeper.
+        Routers that this keeper counts: those linked to it, and those that
+        were until recently.
     keepers : list of str
         Addresses of all keepers that it knows.
+    counted_seconds : float
+        For how long it has counted the sender without a break.
     """
 
     version: int
     confirmed: bool
     routers: int
     keepers: list[str]
+    counted_seconds: float = 0.0
 
 
 @wire.message("registry-plan-notice")
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -21,6 +21,7 @@
 from amaranthring.keepers import plans
 from amaranthring.registry import fetching
 from amaranthring.registry import messages
+from amaranthring.registry import sharers as sharers_module
 from amaranthring.registry import targets
 
 log = logbook.Logger(__name__)
@@ -49,6 +50,8 @@
         Called with the document of each newer plan, before its version
         counts as held. It raises an ``AmaranthringError`` if the plan cannot
         be used.
+    sharers : sharers.Sharers
+        Told what keepers say about the number of routers.
 
     Attributes
     ----------
@@ -61,8 +64,6 @@
         When any keeper last answered, on the same clock.
     first_confirmed : asyncio.Event
         Set once a plan is held that a leader has confirmed.
-    routers : int
-        Highest number of routers that a linked keeper counts.
     """
 
     def __init__(
@@ -70,10 +71,12 @@
         identity: links.Identity,
         keys: links.Keys,
         apply_plan: t.Callable[[bytes], None],
+        sharers: sharers_module.Sharers,
     ):
         self.identity = identity
         self.keys = keys
         self.apply_plan = apply_plan
+        self.sharers = sharers
         self.handlers = links.Handlers()
         self.handlers.add(messages.Targets, self._on_targets)
         self.handlers.add(messages.AllTargets, self._on_all_targets)
@@ -81,7 +84,6 @@
         self.table = targets.TargetTable(clocks.boottime, fresh_seconds=0.0)
         self.diallers: dict[str, links.Dialler] = {}
         self.renewal_tasks: dict[str, asyncio.Task] = {}
-        self.router_counts: dict[str, int] = {}
         self.notice_tasks: dict[links.Link, asyncio.Task] = {}
         self.noticed: set[links.Link] = set()
         self.version = -1
@@ -103,11 +105,6 @@
             self._apply,
         )
 
-    @property
-    def routers(self) -> int:
-        """Return the number of routers, as far as known."""
-        return max([1, *self.router_counts.values()])
-
     def home_link(self) -> links.Link | None:
         """Return the link to the keeper that this router reports to.
 
@@ -168,7 +165,6 @@
         """Close the link to a keeper that is no longer a member."""
         self.diallers.pop(address).stop()
         self.renewal_tasks.pop(address).cancel()
-        self._count_routers(address, None)
 
     def stop(self) -> None:
         """Close all links."""
@@ -188,8 +184,6 @@
                 linked = link is not None
                 name = "keeper.linked" if linked else "keeper.unlinked"
                 logs.event(log, name, keeper=address)
-                if not linked:
-                    self._count_routers(address, None)
             if link is not None:
                 await self._renew(address, link)
             await asyncio.sleep(RENEW_SECONDS if link else RENEW_SECONDS / 10)
@@ -206,29 +200,13 @@
             return
         except errors.AmaranthringError:
             return
-        self._count_routers(address, reply.routers)
+        self.sharers.record(address, reply, sent_at)
         self.answered_at = clocks.boottime()
         self._update_keepers(reply)
         self.fetcher.offer(link, reply.version)
         if reply.confirmed:
             self._confirm(reply.version, sent_at)
 
-    def _count_routers(self, address: str, count: int | None) -> None:
-        """Record how many routers a keeper counts; None without a link."""
-        before = self.routers
-        if count is None:
-            self.router_counts.pop(address, None)
-        else:
-            self.router_counts[address] = count
-        if self.routers != before:
-            logs.event(
-                log,
-                "routers.counted",
-                keeper=address,
-                routers=self.routers,
-                before=before,
-            )
-
     def _update_keepers(self, reply: messages.Renewed) -> None:
         self.add_keepers(reply.keepers)
         if not reply.confirmed:
--- a/amaranthring/testing/plan_keepers.py
+++ b/amaranthring/testing/plan_keepers.py
@@ -13,17 +13,20 @@
 import tornado.netutil
 
 from amaranthring import errors
+from amaranthring.core import clocks
 from amaranthring.core import links
 from amaranthring.core import metrics
 from amaranthring.keepers import disk
 from amaranthring.keepers import options
 from amaranthring.registry import keeper as keepers
 from amaranthring.registry import messages
+from amaranthring.registry import sharers
 from amaranthring.registry import subscriber
 
 KEYS = links.Keys({"test": b"key"})
 POLL_SECONDS = 0.02
 HEARTBEAT_SECONDS = 0.3
+RETRY_WINDOW_SECONDS = 10.0
 
 
 class PlanKeepers:
@@ -37,6 +40,8 @@
         Addresses of keepers whose writes fail with ENOSPC.
     snapshot_entries, kept_entries : int
         As in :class:`options.Options`, for keepers that start.
+    retry_window : float
+        Seconds over which routers count retries, for keepers that start.
     """
 
     def __init__(self, folder: str, count: int = 3):
@@ -48,6 +53,7 @@
         self.full_disks: set[str] = set()
         self.snapshot_entries = 5
         self.kept_entries = 2
+        self.retry_window = RETRY_WINDOW_SECONDS
 
     def new_address(self) -> str:
         """Bind a free port; return its address."""
@@ -68,6 +74,7 @@
             first,
             str(self.folder / address.replace(":", "-")),
             HEARTBEAT_SECONDS,
+            retry_window=self.retry_window,
         )
         timing = options.Options(
             heartbeat_seconds=0.03,
@@ -140,11 +147,23 @@
 
 
 def make_subscriber(
-    name: str, seeds: list[str], plans: list[bytes]
+    name: str,
+    seeds: list[str],
+    plans: list[bytes],
+    retry_window: float = RETRY_WINDOW_SECONDS,
+    first_start: bool = True,
 ) -> subscriber.Subscriber:
     """Return a router's subscriber that adds each plan to `plans`."""
     identity = links.Identity(name, messages.ROUTER_ROLE, "here", 1)
-    new_subscriber = subscriber.Subscriber(identity, KEYS, plans.append)
+    shared = sharers.Sharers(
+        retry_window,
+        first_start,
+        subscriber.CUT_OFF_SECONDS,
+        clocks.boottime,
+    )
+    new_subscriber = subscriber.Subscriber(
+        identity, KEYS, plans.append, shared
+    )
     new_subscriber.use_seeds(seeds)
     return new_subscriber
 
--- a/amaranthring/testing/scripted_target.py
+++ b/amaranthring/testing/scripted_target.py
@@ -373,7 +373,7 @@
             lambda: self.fresh,
             self.placer,
             lambda: budgets.WindowBudget(0.2, allowance, 10.0, time.monotonic),
-            lambda: 1,
+            lambda: budgets.Share(1.0, 1),
             counters,
             start=start,
         )
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -276,7 +276,7 @@
             router = min(6, int(rng.expovariate(0.7)))
             budget_of[router].count_request()
             requests.append(now[0])
-            if budget_of[router].take(7):
+            if budget_of[router].take(1 / 7):
                 retries.append(now[0])
         self.assertGreater(len(retries), 0.1 * len(requests))
         for end in range(10, 41):
--- /dev/null
+++ b/tests/test_retry_shares.py
@@ -0,0 +1,286 @@
+"""Shares of the retry budget: all routers together, whatever is linked."""
+
+import asyncio
+import random
+import unittest
+
+from amaranthring.testing import plan_keepers
+from amaranthring.testing import retry_timeline
+from tests import keepers_case
+
+SEEDS = range(12)
+# Longer than any share is held without a leader.
+LONG_SECONDS = 45.0
+
+
+class TimelineCase(unittest.TestCase):
+    """Checks that no window of a timeline exceeds the rule.
+
+    Attributes
+    ----------
+    rule : retry_timeline.Rule
+        Without a ratio, so that shares of the allowance alone decide.
+    """
+
+    rule = retry_timeline.Rule(ratio=0.0, allowance=500.0)
+    rate = 200.0
+
+    def timeline(self, seed=1, **parameters):
+        parameters = {"rule": self.rule, "rate": self.rate, **parameters}
+        timeline = retry_timeline.Timeline(random.Random(seed), **parameters)
+        timeline.run(40)
+        return timeline
+
+    def check(self, timeline):
+        self.assertLessEqual(timeline.worst_excess(), 0)
+
+
+class TestLostLinks(TimelineCase):
+    """Keepers that are gone, restart or are cut off, after calm times."""
+
+    def test_routers_without_keepers_do_not_take_the_whole(self):
+        """Routers without a link each counted themselves alone."""
+        timeline = self.timeline()
+        for zone in retry_timeline.ZONES:
+            timeline.stop_keeper(zone)
+        timeline.run(LONG_SECONDS)
+        self.check(timeline)
+
+    def test_restarted_keepers_do_not_forget_routers_out_of_touch(self):
+        """A keeper that had just started counted who had linked again."""
+        for seconds in (2, 12, 25):
+            with self.subTest(seconds=seconds):
+                timeline = self.timeline(seconds)
+                timeline.cut = {"c"}
+                for zone in retry_timeline.ZONES:
+                    timeline.start_keeper(zone)
+                timeline.run(seconds)
+                timeline.cut = set()
+                timeline.run(LONG_SECONDS)
+                self.check(timeline)
+
+    def test_both_sides_of_a_partition_share_one_allowance(self):
+        """Keepers counted only the routers on their side."""
+        for seconds in (5, 15, 25, 35, 70):
+            with self.subTest(seconds=seconds):
+                timeline = self.timeline(seconds)
+                timeline.cut = {"c"}
+                timeline.run(seconds)
+                timeline.cut = set()
+                timeline.run(LONG_SECONDS)
+                self.check(timeline)
+
+    def test_zone_back_after_a_long_partition_waits_for_the_others(self):
+        """The others had spent larger shares in the same window."""
+        timeline = self.timeline()
+        timeline.cut = {"c"}
+        timeline.run(65)
+        timeline.failing = False
+        timeline.run(10)
+        timeline.failing = True
+        timeline.run(4)
+        timeline.cut = set()
+        timeline.run(LONG_SECONDS)
+        self.check(timeline)
+
+
+class TestStarts(TimelineCase):
+    """Routers that start, restart or are added."""
+
+    def test_restarted_routers_do_not_spend_again(self):
+        """A restarted router forgot what it had spent."""
+        timeline = self.timeline()
+        for _ in range(3):
+            for name in list(timeline.routers):
+                timeline.start_router(name)
+            timeline.run(3)
+        timeline.run(LONG_SECONDS)
+        self.check(timeline)
+
+    def test_restarted_routers_do_not_spend_again_by_new_requests(self):
+        """Retries before a restart rest on requests before the window."""
+        rule = retry_timeline.Rule(ratio=0.2, allowance=0.0)
+        timeline = self.timeline(rule=rule)
+        timeline.failing = False
+        timeline.run(10)
+        timeline.failing = True
+        timeline.run(2)
+        for name in list(timeline.routers):
+            timeline.start_router(name)
+        timeline.run(LONG_SECONDS)
+        self.check(timeline)
+
+    def test_routers_restarted_in_a_partition_count_the_other_side(self):
+        """A leader counted only routers with a link."""
+        timeline = self.timeline()
+        timeline.cut = {"c"}
+        timeline.run(1)
+        for name, router in list(timeline.routers.items()):
+            if router.zone != "c":
+                timeline.start_router(name)
+        timeline.run(LONG_SECONDS)
+        self.check(timeline)
+
+    def test_added_routers_wait_until_all_know_of_them(self):
+        """Routers cut off before did not know of those added since."""
+        rule = retry_timeline.Rule(ratio=0.0, allowance=2000.0)
+        timeline = self.timeline(rule=rule, router_count=6)
+        timeline.failing = False
+        timeline.cut = {"c"}
+        timeline.run(1)
+        added = [f"r{number}" for number in range(6, 66) if number % 3 < 2]
+        for name in added:
+            timeline.start_router(name)
+        timeline.run(10.5)
+        timeline.failing = True
+        timeline.run(LONG_SECONDS)
+        self.check(timeline)
+
+    def test_first_router_of_a_first_start_waits_for_the_others(self):
+        """A leader tells the first router to ask that it is alone."""
+        rule = retry_timeline.Rule(ratio=0.0, allowance=60.0)
+        timeline = retry_timeline.Timeline(random.Random(1), rule, 1, 100.0)
+        timeline.run(1.4)
+        for number in range(1, 7):
+            timeline.start_router(f"r{number}", first_start=True)
+        timeline.run(LONG_SECONDS)
+        self.check(timeline)
+
+
+class TestSeries(TimelineCase):
+    """Random series of events that overlap."""
+
+    RATES = (5.0, 21.0, 80.0)
+    rule = retry_timeline.Rule()
+
+    def test_no_window_exceeds_the_rule(self):
+        """Links, keepers, routers and zones come and go."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                timeline = self.timeline(
+                    seed,
+                    router_count=3 + seed % 6,
+                    rate=self.RATES[seed % len(self.RATES)],
+                )
+                for _ in range(40):
+                    self.one_event(timeline)
+                    timeline.run(timeline.rng.uniform(0.2, 12))
+                self.check(timeline)
+
+    def one_event(self, timeline):
+        rng = timeline.rng
+        zone = rng.choice(retry_timeline.ZONES)
+        name = rng.choice(sorted(timeline.routers))
+        event = rng.choice(
+            [
+                lambda: timeline.stop_keeper(zone),
+                lambda: self.start_keepers(timeline, [zone]),
+                lambda: self.start_keepers(timeline, retry_timeline.ZONES),
+                lambda: timeline.start_router(name),
+                lambda: self.restart_routers(timeline),
+                lambda: self.add_router(timeline),
+                lambda: self.remove_router(timeline, name),
+                lambda: setattr(timeline, "cut", {zone}),
+                lambda: setattr(timeline, "cut", set()),
+                lambda: setattr(timeline, "failing", not timeline.failing),
+            ]
+        )
+        event()
+
+    def start_keepers(self, timeline, zones):
+        for zone in zones:
+            timeline.start_keeper(zone)
+
+    def restart_routers(self, timeline):
+        for name in list(timeline.routers):
+            timeline.start_router(name)
+
+    def add_router(self, timeline):
+        numbers = [int(name[1:]) for name in timeline.routers]
+        timeline.start_router(f"r{max(numbers) + 1}")
+
+    def remove_router(self, timeline, name):
+        if len(timeline.routers) > 2:
+            timeline.stop_router(name)
+
+
+class TestUse(TimelineCase):
+    """In calm times the budget is there to be used."""
+
+    rule = retry_timeline.Rule()
+    rate = 21.0
+    # Of what the rule allows; the budget itself leaves a part unused.
+    USED = 0.75
+
+    def allowed(self, timeline):
+        rule = timeline.rule
+        requests = timeline.rate * len(timeline.routers) * rule.window
+        return rule.ratio * requests + rule.allowance
+
+    def assert_used(self, timeline, seconds=30):
+        since = timeline.now()
+        timeline.run(seconds)
+        used = timeline.most_since(since)
+        self.assertGreater(used, self.USED * self.allowed(timeline))
+
+    def test_settled_fleet(self):
+        """Most of the allowance can be spent."""
+        self.assert_used(self.timeline())
+
+    def test_soon_after_the_first_start(self):
+        """A fleet that starts for the first time need not wait."""
+        timeline = retry_timeline.Timeline(random.Random(1))
+        timeline.run(3)
+        self.assert_used(timeline)
+
+    def test_keepers_without_a_leader_for_a_window(self):
+        """Routers keep their shares while no leader answers."""
+        timeline = self.timeline()
+        for zone in retry_timeline.ZONES:
+            timeline.stop_keeper(zone)
+        self.assert_used(timeline, 15)
+
+    def test_after_restarts_and_departures(self):
+        """Shares grow again once fewer routers are left."""
+        timeline = self.timeline()
+        for number in range(3):
+            timeline.stop_router(f"r{number}")
+        for name in list(timeline.routers):
+            timeline.start_router(name)
+        timeline.run(80)
+        self.assert_used(timeline)
+
+
+class TestRestartedKeepers(keepers_case.KeepersCase):
+    """Routers and keepers on real links."""
+
+    WINDOW = 1.0
+
+    async def test_number_of_routers_outlives_all_keepers(self):
+        """With the keepers gone, or started anew, each router counted one."""
+        self.keepers.retry_window = self.WINDOW
+        routers = [
+            plan_keepers.make_subscriber(
+                f"router-{number}", self.keepers.seeds, [], self.WINDOW
+            )
+            for number in range(3)
+        ]
+        for router in routers:
+            self.addCleanup(router.stop)
+        await plan_keepers.wait_until(
+            lambda: all(router.sharers.routers == 3 for router in routers)
+        )
+        self.lowest = 3
+        await self.keepers.stop_all()
+        await self.watch(routers, 2.0)
+        for address in self.keepers.seeds:
+            self.keepers.start(address)
+        await plan_keepers.wait_until(self.keepers.leader)
+        await self.watch(routers, 2.0)
+        self.assertEqual(3, self.lowest)
+
+    async def watch(self, routers, seconds):
+        for _ in range(round(seconds / plan_keepers.POLL_SECONDS)):
+            await asyncio.sleep(plan_keepers.POLL_SECONDS)
+            counted = [router.sharers.routers for router in routers]
+            self.lowest = min(self.lowest, *counted)
