--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -381,6 +381,35 @@
             await self.ask("/a/x")
         self.assertLessEqual(self.ran(), 20 + 0.2 * 20 + 2)
 
+    async def test_every_second_arrival_needs_the_budget(self):
+        """The operator counts also arrivals that a target rejects."""
+        scripts = {
+            "refused": ("/a/x", scripted_target.respond_not_run()),
+            "another target": ("/a/x", scripted_target.respond_not_run(421)),
+            "failed": ("/a/x", scripted_target.respond(status=500)),
+            "reset": ("/a/x", scripted_target.reset_connection()),
+            "silent": ("/a/x", scripted_target.never_respond()),
+            "broken stream": ("/c/x", scripted_target.stream_events(9, 2)),
+            "unsafe": ("/b/x", scripted_target.respond_not_run()),
+        }
+        for kind, (path, script) in scripts.items():
+            for allowance, arrivals in ((0.0, 1), (10.0, 2)):
+                with self.subTest(kind=kind, allowance=allowance):
+                    await self.begin(script, script, allowance=allowance)
+                    await self.ask(path)
+                    self.assertEqual(arrivals, self.ran())
+                    taken = self.router.relay.budgets["s"].retries
+                    self.assertGreaterEqual(len(taken), arrivals - 1)
+
+    async def test_target_that_is_not_reached_needs_no_budget(self):
+        """Nothing arrives at a target that refuses the connection."""
+        respond = scripted_target.respond()
+        await self.begin(respond, respond, allowance=0.0)
+        self.targets[0].stop()
+        for _ in range(4):
+            self.assertEqual(200, (await self.ask("/a/x")).status)
+        self.assertEqual(4, self.ran())
+
     async def test_response_to_another_request_is_not_forwarded(self):
         """A target sends the response to an earlier request.
 
