--- a/tests/keepers_case.py
+++ b/tests/keepers_case.py
@@ -22,9 +22,12 @@
     snapshot_entries : int or None
         Number of entries after which a keeper takes a snapshot, if not the
         default.
+    retry_window : float
+        Seconds over which routers count retries.
     """
 
     snapshot_entries = None
+    retry_window = plan_keepers.RETRY_WINDOW_SECONDS
 
     async def asyncSetUp(self):
         # asyncio's debug mode, which this test case enables, is slow.
@@ -32,6 +35,7 @@
         folder = tempfile.TemporaryDirectory(dir=MEMORY)
         self.addCleanup(folder.cleanup)
         self.keepers = plan_keepers.PlanKeepers(folder.name)
+        self.keepers.retry_window = self.retry_window
         if self.snapshot_entries:
             self.keepers.snapshot_entries = self.snapshot_entries
             self.keepers.kept_entries = self.snapshot_entries
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -251,25 +251,31 @@
         self.assert_used(timeline)
 
 
-class TestRestartedKeepers(keepers_case.KeepersCase):
+class TestLinks(keepers_case.KeepersCase):
     """Routers and keepers on real links."""
 
-    WINDOW = 1.0
+    retry_window = 1.0
 
-    async def test_number_of_routers_outlives_all_keepers(self):
-        """With the keepers gone, or started anew, each router counted one."""
-        self.keepers.retry_window = self.WINDOW
+    async def start_routers(self, count):
         routers = [
-            plan_keepers.make_subscriber(
-                f"router-{number}", self.keepers.seeds, [], self.WINDOW
-            )
-            for number in range(3)
+            self.start_router(f"router-{number}") for number in range(count)
         ]
-        for router in routers:
-            self.addCleanup(router.stop)
         await plan_keepers.wait_until(
-            lambda: all(router.sharers.routers == 3 for router in routers)
+            lambda: all(router.sharers.routers == count for router in routers)
+        )
+        return routers
+
+    def start_router(self, name, first_start=True):
+        router = plan_keepers.make_subscriber(
+            name, self.keepers.seeds, [], self.retry_window, first_start
         )
+        self.addCleanup(router.stop)
+        return router
+
+    async def test_number_of_routers_outlives_all_keepers(self):
+        """With the keepers gone, or started anew, each router counted one."""
+        self.retry_window = plan_keepers.RETRY_WINDOW_SECONDS
+        routers = await self.start_routers(3)
         self.lowest = 3
         await self.keepers.stop_all()
         await self.watch(routers, 2.0)
@@ -284,3 +290,30 @@
             await asyncio.sleep(plan_keepers.POLL_SECONDS)
             counted = [router.sharers.routers for router in routers]
             self.lowest = min(self.lowest, *counted)
+
+    async def test_router_added_later_gets_its_share_after_a_while(self):
+        """Until all count the new router, it has none of the allowance."""
+        routers = await self.start_routers(2)
+        added = self.start_router("router-2", first_start=False)
+        await plan_keepers.wait_until(lambda: added.sharers.routers == 3)
+        self.assertEqual(0.0, added.sharers.share().fraction)
+        routers.append(added)
+        await plan_keepers.wait_until(
+            lambda: all(
+                router.sharers.share().fraction == 1 / 3 for router in routers
+            )
+        )
+
+    async def test_restarted_router_is_known_to_the_keepers(self):
+        """A router that comes back under its name waits for one window."""
+        (router,) = await self.start_routers(1)
+        await asyncio.sleep(3 * self.retry_window)
+        router.stop()
+        started = asyncio.get_running_loop().time()
+        router = self.start_router("router-0", first_start=False)
+        await plan_keepers.wait_until(
+            lambda: router.sharers.share().fraction == 1.0
+        )
+        waited = asyncio.get_running_loop().time() - started
+        self.assertGreaterEqual(waited, self.retry_window)
+        self.assertEqual(1, router.sharers.routers)
