--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,6 +19,7 @@
 from amaranthring.platform import documents
 from amaranthring.platform import headers
 from amaranthring.platform import node
+from amaranthring.platform import router
 from amaranthring.registry import messages
 from amaranthring.registry import targets
 
@@ -139,6 +140,20 @@
             self.assertEqual("core-a-1", node.read(path).name)
 
 
+class TestRetryBudget(unittest.TestCase):
+    """The retry budget of a router made from the settings."""
+
+    def test_restarted_router_sends_no_retry_at_once(self):
+        """The process before it may have spent the budget."""
+        for first_start in (True, False):
+            with self.subTest(first_start=first_start):
+                settings = node.decode(SETTINGS | {"bootstrap": first_start})
+                budget = router.make(settings).relay.budgets["b1"]
+                for _ in range(100):
+                    budget.count_request()
+                self.assertEqual(first_start, budget.take(0.0))
+
+
 class TestDocuments(unittest.TestCase):
     """Configurations of the operator."""
 
