--- a/amaranthring/core/pacing.py
+++ b/amaranthring/core/pacing.py
@@ -47,6 +47,7 @@
         self.clock = clock
         self.rate = LINK_SHARE * (link_rate or DEFAULT_LINK_RATE)
         self.lock = asyncio.Lock()
+        self.urgent_lock = asyncio.Lock()
         self.waiters = 0
         self.reserved_until = float("-inf")
         self._balance = self.rate * BURST_SECONDS
@@ -83,12 +84,25 @@
         finally:
             self.waiters -= 1
 
+    async def acquire_urgent(self) -> None:
+        """Wait until bulk data may be sent, ahead of callers of `acquire`.
+
+        For bulk data that the quorum may need. Otherwise as :meth:`acquire`;
+        the others are held back only while a caller waits here.
+        """
+        async with self.urgent_lock:
+            while not self.reserve():
+                # Renews the reservation before it ends.
+                delay = min(self._refill_delay(), RESERVE_SECONDS / 2)
+                await asyncio.sleep(delay)
+
+    def _refill_delay(self) -> float:
+        return (1.0 - self._balance) / self.rate
+
     def _delay(self) -> float:
         balance = self._update()
         reserved = self.reserved_until - self._updated_at
-        return max(
-            reserved, (1.0 - balance) / self.rate if balance <= 0 else 0.0
-        )
+        return max(reserved, self._refill_delay() if balance <= 0 else 0.0)
 
     def _update(self) -> float:
         now, total = self.clock(), self._total()
--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -1,10 +1,16 @@
-"""Replication of the leader's log: one task per peer, bounded pipelining.
+"""Replication of the leader's log: entries and snapshots for each peer.
+
+Each peer has a task that sends entries and heartbeats, with bounded
+pipelining, and one that sends snapshots. Heartbeats go on while a snapshot is
+sent: what the leader knows of a peer's life follows from the link, and not
+from the snapshot's size, the pacer or the peer's disk.
 
 Sources as in :mod:`amaranthring.keepers.election`. Pipelining and writing to
 the leader's disk in parallel: Ongaro 2014, section 10.2.
 """
 
 import asyncio
+import dataclasses
 
 import logbook
 
@@ -24,8 +30,6 @@
 MAX_IN_FLIGHT_MESSAGES = 8
 MAX_IN_FLIGHT_BYTES = 2 * 1024 * 1024
 REPLY_TIMEOUT_SECONDS = 30.0
-# Long enough for a follower with a slow disk.
-CHUNK_TIMEOUT_SECONDS = 4.0
 GREET_TIMEOUT_SECONDS = 0.25
 # Replies that take longer than this many heartbeat intervals are logged.
 SLOW_HEARTBEATS = 2
@@ -58,6 +62,8 @@
         Monotonic time of the last reply.
     in_flight_since : float
         Monotonic time at which `in_flight` last rose from zero.
+    snapshot_due : asyncio.Event
+        Set while the peer lacks entries that only a snapshot has.
     snapshot_retry_at : float
         Monotonic time before which no snapshot is sent.
     slow_logged_at : float
@@ -74,6 +80,7 @@
         self.dialler: links.Dialler = dialler
         self.disk = ""
         self.wake = asyncio.Event()
+        self.snapshot_due = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
         self.main_task: asyncio.Task | None = None
         self.epoch = 0
@@ -107,8 +114,36 @@
         self.dialler.stop()
 
 
+@dataclasses.dataclass
+class Transfer:
+    """A snapshot on its way to a peer.
+
+    Attributes
+    ----------
+    term, epoch : int
+        Term of the leader and epoch of the peer at the start; the transfer
+        ends when one of them changes.
+    offset : int
+        Bytes that the peer has accepted.
+    paced : float
+        Seconds spent waiting for the pacer.
+    """
+
+    reader: snapshots.Reader
+    term: int
+    epoch: int
+    offset: int = 0
+    paced: float = 0.0
+
+
 async def replicate(group, peer: Peer) -> None:
     """Replicate the log to `peer` whenever this keeper is the leader."""
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(_send_log(group, peer))
+        tasks.create_task(_send_snapshots(group, peer))
+
+
+async def _send_log(group, peer: Peer) -> None:
     heartbeat = group.options.heartbeat_seconds
     while True:
         peer.wake.clear()
@@ -135,13 +170,25 @@
     if membership.find(group.members, peer.disk) is None:
         await _greet(group, peer)
         return
-    if group.log.term_at(peer.next_index - 1) is None:
+    if _lacks_snapshot(group, peer):
         if now >= peer.snapshot_retry_at:
-            await _send_snapshot(group, peer)
+            peer.snapshot_due.set()
+        _send_heartbeat(group, peer)
         return
     while _may_send(group, peer) and (max_bytes := _batch_bytes(group, peer)):
         _send(group, peer, max_bytes)
-    if now - peer.sent_at >= group.options.heartbeat_seconds * 0.9:
+    _send_heartbeat(group, peer)
+
+
+def _lacks_snapshot(group, peer: Peer) -> bool:
+    """Return whether entries that `peer` needs are no longer in the log."""
+    return group.log.term_at(peer.next_index - 1) is None
+
+
+def _send_heartbeat(group, peer: Peer) -> None:
+    """Send an empty append, unless a message was sent a moment ago."""
+    since = group.clocks.monotonic() - peer.sent_at
+    if since >= group.options.heartbeat_seconds * 0.9:
         _send(group, peer, 0)
 
 
@@ -174,6 +221,10 @@
 
 def _send(group, peer: Peer, max_bytes: int) -> None:
     previous = peer.next_index - 1
+    if _lacks_snapshot(group, peer):
+        # Every log agrees before its first entry, so a follower accepts this
+        # and claims to match nothing.
+        previous = 0
     entries = []
     if max_bytes:
         entries = group.log.batch(peer.next_index, max_bytes)
@@ -183,7 +234,7 @@
         group.disk_id,
         peer.disk,
         previous,
-        group.log.term_at(previous),
+        group.log.term_at(previous) or 0,
         group.commit_index,
         entries,
     )
@@ -372,12 +423,18 @@
         return
 
 
+async def _send_snapshots(group, peer: Peer) -> None:
+    while True:
+        await peer.snapshot_due.wait()
+        await _send_snapshot(group, peer)
+        # It was set again by each heartbeat of this transfer.
+        peer.snapshot_due.clear()
+
+
 async def _send_snapshot(group, peer: Peer) -> None:
-    """Send the latest snapshot file in chunks, one at a time."""
+    """Send the latest snapshot file; then entries follow."""
     if group.store.snapshot_index == 0:
         return
-    epoch = peer.epoch
-    loop = asyncio.get_running_loop()
     try:
         reader = snapshots.Reader(
             group.store.folder, group.store.snapshot_index
@@ -386,22 +443,10 @@
         # Replaced by a newer snapshot; retried with its index.
         return
     logs.event(log, "keeper.snapshot-sent", peer=peer.name, index=reader.index)
-    offset = 0
+    transfer = Transfer(reader, group.term, peer.epoch)
     began_at = group.clocks.monotonic()
-    paced = 0.0
     try:
-        while offset < reader.total and group.leading:
-            data = await loop.run_in_executor(
-                group.store.snapshot_thread, reader.read, offset
-            )
-            if group.pacer is not None:
-                waiting_since = group.clocks.monotonic()
-                await group.pacer.acquire()
-                paced += group.clocks.monotonic() - waiting_since
-            accepted = await _send_chunk(group, peer, reader, offset, data)
-            if accepted is None or epoch != peer.epoch:
-                return
-            offset = accepted
+        await _send_chunks(group, peer, transfer)
     finally:
         reader.close()
         logs.event(
@@ -409,35 +454,60 @@
             "keeper.snapshot-ended",
             peer=peer.name,
             index=reader.index,
-            offset=offset,
+            offset=transfer.offset,
             total=reader.total,
             seconds=round(group.clocks.monotonic() - began_at, 3),
-            paced=round(paced, 3),
+            paced=round(transfer.paced, 3),
         )
+    if transfer.offset < reader.total:
+        return
     peer.match_index = reader.index
     peer.rewind(reader.index + 1)
     advance_commit_index(group)
+    peer.wake.set()
+
 
+async def _send_chunks(group, peer: Peer, transfer: Transfer) -> None:
+    """Send one chunk after the other, until the last or until refused."""
+    loop = asyncio.get_running_loop()
+    reader = transfer.reader
+    while transfer.offset < reader.total:
+        data = await loop.run_in_executor(
+            group.store.snapshot_thread, reader.read, transfer.offset
+        )
+        if group.pacer is not None:
+            waiting_since = group.clocks.monotonic()
+            await group.pacer.acquire_urgent()
+            transfer.paced += group.clocks.monotonic() - waiting_since
+        if not _continues(group, peer, transfer):
+            return
+        accepted = await _send_chunk(group, peer, transfer, data)
+        if accepted is None or not _continues(group, peer, transfer):
+            return
+        transfer.offset = accepted
+
+
+def _continues(group, peer: Peer, transfer: Transfer) -> bool:
+    """Return whether neither leadership nor the peer's state has changed."""
+    same = (group.term, peer.epoch) == (transfer.term, transfer.epoch)
+    return group.leading and same
 
-async def _send_chunk(group, peer, reader, offset, data) -> int | None:
+
+async def _send_chunk(group, peer, transfer, data) -> int | None:
     message = messages.Chunk(
         group.name,
         group.term,
         group.disk_id,
         peer.disk,
-        reader.index,
-        offset,
-        reader.total,
+        transfer.reader.index,
+        transfer.offset,
+        transfer.reader.total,
         data,
     )
     sent_at = group.clocks.monotonic()
     try:
-        reply = await peer.dialler.call(message, CHUNK_TIMEOUT_SECONDS)
-    except errors.LinkTimeoutError:
-        # The peer's replication task waits here, so no other code detects
-        # that the link is silent.
-        if peer.dialler.link is not None:
-            peer.dialler.link.close()
+        reply = await peer.dialler.call(message, REPLY_TIMEOUT_SECONDS)
+    except errors.LinkClosedError:
         return None
     except errors.AmaranthringError:
         peer.snapshot_retry_at = (
--- a/amaranthring/testing/plan_keepers.py
+++ b/amaranthring/testing/plan_keepers.py
@@ -38,7 +38,9 @@
         Running keepers by address.
     full_disks : set of str
         Addresses of keepers whose writes fail with ENOSPC.
+    heartbeat_seconds, election_seconds : float
     snapshot_entries, kept_entries : int
+    auto_admit : bool
         As in :class:`options.Options`, for keepers that start.
     retry_window : float
         Seconds over which routers count retries, for keepers that start.
@@ -51,9 +53,12 @@
         self.seeds = [self.new_address() for _ in range(count)]
         self.running: dict[str, keepers.PlanKeeper] = {}
         self.full_disks: set[str] = set()
+        self.heartbeat_seconds = 0.03
+        self.election_seconds = 0.2
         self.snapshot_entries = 5
         self.kept_entries = 2
         self.retry_window = RETRY_WINDOW_SECONDS
+        self.auto_admit = True
 
     def new_address(self) -> str:
         """Bind a free port; return its address."""
@@ -77,12 +82,12 @@
             retry_window=self.retry_window,
         )
         timing = options.Options(
-            heartbeat_seconds=0.03,
-            election_seconds=0.2,
+            heartbeat_seconds=self.heartbeat_seconds,
+            election_seconds=self.election_seconds,
             snapshot_entries=self.snapshot_entries,
             kept_entries=self.kept_entries,
             may_bootstrap=first and address in self.seeds,
-            auto_admit=True,
+            auto_admit=self.auto_admit,
             replace_seconds=0.5,
         )
         files = disk.FileOps(write=functools.partial(self._write, address))
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -76,3 +76,45 @@
         # Ten polls cover the maximum debt of one second; one more succeeds.
         self.assertLessEqual(polls, 11)
         self.assertLessEqual(len(served_at), 1)
+
+    async def test_urgent_data_takes_precedence_over_waiters(self):
+        """A snapshot for a voter must not wait for the plans of routers.
+
+        Each of its chunks would stand behind all of them.
+        """
+        self.sent["plans"] += int(BULK_RATE)
+        served = []
+
+        async def routers():
+            while True:
+                await self.pacer.acquire()
+                served.append("router")
+                self.sent["plans"] += 200_000
+
+        async def snapshot():
+            for _ in range(10):
+                await self.pacer.acquire_urgent()
+                served.append("chunk")
+                self.sent["chunks"] += 32_768
+                await asyncio.sleep(0.001)
+
+        async def sleep(seconds):
+            self.now += min(seconds, 0.001)
+            await original(0)
+
+        original, asyncio.sleep = asyncio.sleep, sleep
+        waiting = [asyncio.ensure_future(routers()) for _ in range(90)]
+        try:
+            await sleep(0.001)
+            await snapshot()
+            until = self.now + 1.0
+            while self.now < until:
+                await sleep(0.001)
+        finally:
+            asyncio.sleep = original
+            for task in waiting:
+                task.cancel()
+        # A router may be served between two chunks, while none waits.
+        last_chunk = len(served) - served[::-1].index("chunk")
+        self.assertLessEqual(served[:last_chunk].count("router"), 1)
+        self.assertIn("router", served[last_chunk:])
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -4,7 +4,6 @@
 import types
 import unittest
 
-from amaranthring import errors
 from amaranthring.keepers import consensus
 from amaranthring.keepers import log as logfile
 from amaranthring.keepers import messages
@@ -97,22 +96,52 @@
         await self.send_due()
         self.assertEqual(0, self.dialler.closed)
 
+    def lack_snapshot(self):
+        self.group.log.reset(5, 1, 0.0)
+        reader = types.SimpleNamespace(index=5, total=10)
+        transfer = replication.Transfer(reader, 1, self.peer.epoch)
+        chunk = replication._send_chunk(
+            self.group, self.peer, transfer, b"data"
+        )
+        self.peer.tasks.add(asyncio.ensure_future(chunk))
+
     async def test_snapshot_does_not_wait_on_a_silent_link(self):
         """A link that goes silent during a snapshot must be closed.
 
-        The task that detects silent links is the one that waits.
+        The wait for a chunk's reply must not hide the silence.
         """
+        self.lack_snapshot()
+        await self.send_due()
+        await asyncio.sleep(0)
+        self.assertEqual(2, self.dialler.calls)
+        self.now += self.group.options.peer_timeout_seconds * 1.1
+        await self.send_due()
+        self.assertEqual(1, self.dialler.closed)
 
-        async def call(_message, _timeout):
-            raise errors.LinkTimeoutError("no reply")
+    async def test_slow_chunk_closes_no_link(self):
+        """A follower that answers heartbeats must keep its link.
+
+        Its disk may take long for a chunk, and longer for the last one.
+        """
+
+        async def call(message, _timeout):
+            if isinstance(message, messages.Chunk):
+                await asyncio.sleep(60)
+            self.assertEqual((0, 0), (message.prev_index, message.prev_term))
+            return messages.Appended(1, True, "old-disk")
 
         self.dialler.call = call
-        reader = types.SimpleNamespace(index=1, total=10)
-        sent = await replication._send_chunk(
-            self.group, self.peer, reader, 0, b"data"
-        )
-        self.assertIsNone(sent)
-        self.assertEqual(1, self.dialler.closed)
+        self.group.leading = False
+        self.group.lease_changed = asyncio.Event()
+        self.lack_snapshot()
+        for _ in range(100):
+            await self.send_due()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            self.assertEqual(self.now, self.peer.acked_at)
+            self.now += self.group.options.heartbeat_seconds
+        self.assertEqual(0, self.dialler.closed)
+        self.assertEqual(0, self.peer.match_index)
 
     async def test_link_without_replies_is_closed(self):
         await self.send_due()
