--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -88,6 +88,8 @@
         Frames written so far.
     received_at : float
         Monotonic time in seconds at which bytes last arrived.
+    asked : bool
+        Whether a request was sent since then.
     """
 
     def __init__(self, stream, peer: Identity, handlers: Handlers):
@@ -98,6 +100,7 @@
         self.sent_frames = 0
         self.received_bytes = 0
         self.received_at = time.monotonic()
+        self.asked = False
         self.closed = False
         self._ids = itertools.count(1)
         self._pending: dict[int, asyncio.Future] = {}
@@ -150,8 +153,7 @@
         future = asyncio.get_running_loop().create_future()
         self._pending[call_id] = future
         try:
-            frame = wire.encode(wire.REQUEST, call_id, message)
-            self._write(frame, wire.tag_of(type(message)))
+            self._ask(call_id, message)
             return await asyncio.wait_for(future, timeout)
         except TimeoutError as error:
             raise errors.LinkTimeoutError(
@@ -160,6 +162,21 @@
         finally:
             self._pending.pop(call_id, None)
 
+    def ask(self, message: t.Any) -> None:
+        """Send a request whose reply only shows that the peer answers.
+
+        Raises
+        ------
+        errors.LinkClosedError, errors.LinkOverloadedError
+            As :meth:`send`.
+        """
+        self._ask(next(self._ids), message)
+
+    def _ask(self, call_id: int, message: t.Any) -> None:
+        frame = wire.encode(wire.REQUEST, call_id, message)
+        self._write(frame, wire.tag_of(type(message)))
+        self.asked = True
+
     def close(self) -> None:
         """Close the stream; pending calls fail with LinkClosedError."""
         if self.closed:
@@ -188,6 +205,7 @@
                 )
                 self.received_bytes += len(data)
                 self.received_at = time.monotonic()
+                self.asked = False
                 self.handlers.received_bytes += len(data)
                 unpacker.feed(data)
         except STREAM_ERRORS:
@@ -395,6 +413,7 @@
         self.on_link = on_link
         self.on_close = on_close
         self.link: Link | None = None
+        self.replacement: tuple[Link, msgpack.Unpacker] | None = None
         self.client = tornado.tcpclient.TCPClient()
         self.task: asyncio.Task | None = None
         self.stopped = False
@@ -412,13 +431,40 @@
             self.task.cancel()
         if self.link:
             self.link.close()
+        if self.replacement:
+            self.replacement[0].close()
+
+    async def replace(self, link: Link) -> bool:
+        """Dial anew beside `link`, which is silent, then close it.
+
+        It stays open if the peer cannot be reached anew, or if bytes arrive
+        on it meanwhile: a new connection may need longer than the next
+        retransmission on the old one.
+
+        Returns
+        -------
+        bool
+            Whether `link` was replaced.
+        """
+        received_at = link.received_at
+        try:
+            replacement = await self._connect()
+        except (errors.HandshakeError, *STREAM_ERRORS):
+            return False
+        heard = link.received_at != received_at
+        if self.stopped or heard or self.link is not link:
+            replacement[0].close()
+            return False
+        self.replacement = replacement
+        link.close()
+        return True
 
     async def run(self) -> None:
         """Connect, serve the link, and reconnect until stopped."""
         backoff = INITIAL_BACKOFF_SECONDS
         while not self.stopped:
             try:
-                link, unpacker = await self._connect()
+                link, unpacker = await self._next_link()
             except (errors.HandshakeError, *STREAM_ERRORS):
                 # Jitter keeps routers from reconnecting to a restarted peer
                 # all at once.
@@ -438,6 +484,8 @@
                 self.link = None
                 if self.on_close:
                     self.on_close(link)
+            if self.replacement:
+                continue
             if time.monotonic() - connected_at > STABLE_SECONDS:
                 backoff = INITIAL_BACKOFF_SECONDS
             # Only a link that lasted resets the backoff, so a peer that
@@ -469,7 +517,11 @@
             )
         return await self.link.call(message, timeout)
 
-    async def _connect(self):
+    async def _next_link(self) -> tuple[Link, msgpack.Unpacker]:
+        replacement, self.replacement = self.replacement, None
+        return replacement or await self._connect()
+
+    async def _connect(self) -> tuple[Link, msgpack.Unpacker]:
         host, port = self.address.rsplit(":", 1)
         stream = await asyncio.wait_for(
             self.client.connect(
--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -17,6 +17,7 @@
 from amaranthring import errors
 from amaranthring.core import links
 from amaranthring.core import logs
+from amaranthring.core import silence
 from amaranthring.keepers import applier
 from amaranthring.keepers import log as logfile
 from amaranthring.keepers import membership
@@ -141,6 +142,17 @@
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(_send_log(group, peer))
         tasks.create_task(_send_snapshots(group, peer))
+        tasks.create_task(_watch_link(group, peer))
+
+
+async def _watch_link(group, peer: Peer) -> None:
+    """Replace a silent link, whatever this keeper's role.
+
+    A leader steps down before its heartbeats have gone unanswered for long,
+    and a candidate needs the links too.
+    """
+    probe = messages.Ping(group.name)
+    await silence.watch(peer.dialler, probe, group.options.election_seconds)
 
 
 async def _send_log(group, peer: Peer) -> None:
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -203,7 +203,7 @@
 
     async def _run(self) -> None:
         gossiped: dict[str, int] = {}
-        linked: set[str] = set()
+        linked: dict[str, links.Link] = {}
         while True:
             await asyncio.sleep(GOSSIP_SECONDS)
             gossiped = self._gossip_heard(gossiped)
@@ -227,15 +227,20 @@
                 peer.dialler.send(messages.Heard(advanced))
         return current
 
-    def _sync_new_peers(self, linked: set[str]) -> set[str]:
-        # A keeper that was disconnected gets the whole state on its new link.
+    def _sync_new_peers(
+        self, linked: dict[str, links.Link]
+    ) -> dict[str, links.Link]:
+        # A keeper gets the whole state on each new link; what was sent on the
+        # one before may be lost, also if there was always a link.
         current = {
-            name
+            name: peer.dialler.link
             for name, peer in self.group.peers.items()
             if peer.dialler.link is not None
         }
         records = self.table.records()
-        for name in current - linked:
+        for name, link in current.items():
+            if linked.get(name) is link:
+                continue
             dialler = self.group.peers[name].dialler
             self.exchange.sync_keeper(dialler)
             if records:
--- a/amaranthring/testing/tcp_relay.py
+++ b/amaranthring/testing/tcp_relay.py
@@ -3,7 +3,8 @@
 Bytes of a blocked direction are held back, as if they were retransmitted:
 they arrive after :meth:`Relay.heal`, or never if an end closes first. While
 the direction to the upstream is blocked, new connections are accepted and
-hang.
+hang. Connections silenced by :meth:`Relay.silence` carry nothing any more, not
+even their close, while new ones work.
 """
 
 import asyncio
@@ -29,6 +30,8 @@
         self.client_unblocked = asyncio.Event()
         self.heal()
         self.tasks: set[asyncio.Task] = set()
+        self.open: set[object] = set()
+        self.silenced: set[object] = set()
 
     @property
     def address(self) -> str:
@@ -61,6 +64,13 @@
         self.upstream_unblocked.set()
         self.client_unblocked.set()
 
+    def silence(self) -> int:
+        """Silence the open connections for good; return their number."""
+        silenced = len(self.open)
+        self.silenced |= self.open
+        self.open.clear()
+        return silenced
+
     async def _accept(self, reader, writer) -> None:
         task = asyncio.current_task()
         self.tasks.add(task)
@@ -78,25 +88,37 @@
             writer.close()
 
     async def _relay_both(self, reader, writer, upstream) -> None:
+        connection = object()
+        self.open.add(connection)
+
+        async def relay(source, sink, unblocked):
+            await self._relay(source, sink, unblocked, connection)
+            if connection in self.silenced:
+                await asyncio.Event().wait()
+
         tasks = [
             asyncio.ensure_future(
-                self._relay(reader, upstream[1], self.upstream_unblocked)
+                relay(reader, upstream[1], self.upstream_unblocked)
             ),
             asyncio.ensure_future(
-                self._relay(upstream[0], writer, self.client_unblocked)
+                relay(upstream[0], writer, self.client_unblocked)
             ),
         ]
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
+            self.open.discard(connection)
+            self.silenced.discard(connection)
             for task in tasks:
                 task.cancel()
             upstream[1].close()
 
-    async def _relay(self, reader, writer, unblocked: asyncio.Event) -> None:
+    async def _relay(self, reader, writer, unblocked, connection) -> None:
         try:
             while data := await reader.read(READ_BYTES):
                 await unblocked.wait()
+                if connection in self.silenced:
+                    return
                 writer.write(data)
                 await writer.drain()
             await unblocked.wait()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,9 +7,12 @@
 
 from amaranthring import errors
 from amaranthring.core import links
+from amaranthring.core import silence
 from amaranthring.core import wire
 from amaranthring.testing import tcp_relay
 
+# Silence after which the links of these tests are replaced.
+SILENCE_SECONDS = 0.2
 KEYS = links.Keys({"a": b"k" * 32})
 
 
@@ -21,11 +24,16 @@
     number: int = 0
 
 
+@wire.message("test-slow")
+class Slow:
+    """Message that its handler does not answer for a long time."""
+
+
 def identity(name):
     return links.Identity(name, "router", "dc1")
 
 
-class TestLink(unittest.IsolatedAsyncioTestCase):
+class LinkCase(unittest.IsolatedAsyncioTestCase):
     """One client and one server over the loopback interface."""
 
     async def asyncSetUp(self):
@@ -53,6 +61,10 @@
             await asyncio.sleep(0.01)
         return self.dialler
 
+
+class TestLink(LinkCase):
+    """Calls, errors and handshakes."""
+
     async def test_handshake_in_progress_does_not_outlive_server(self):
         # A link whose handshake completes after the server was closed must
         # not be served, as it would keep the process from exiting.
@@ -124,3 +136,64 @@
         with self.assertRaises(errors.LinkClosedError) as caught:
             await call
         self.assertEqual(caught.exception.outcome, errors.Outcome.UNKNOWN)
+
+
+class TestSilence(LinkCase):
+    """Links that are watched, through a relay."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.handlers.add(Echo, lambda link, m: m)
+        self.handlers.add(Slow, lambda link, m: asyncio.sleep(30))
+        self.relay = tcp_relay.Relay(self.address)
+        await self.relay.start()
+        self.addAsyncCleanup(self.relay.stop)
+        self.address = self.relay.address
+
+    async def watched(self):
+        dialler = await self.dial()
+        watching = silence.watch(dialler, Echo("probe"), SILENCE_SECONDS)
+        task = asyncio.ensure_future(watching)
+        self.addCleanup(task.cancel)
+        return dialler
+
+    async def test_silent_link_is_replaced(self):
+        """A link that carries nothing any more must be dialled anew.
+
+        Nothing else closes it until TCP gives up, after minutes.
+        """
+        dialler = await self.watched()
+        silent = dialler.link
+        call = asyncio.ensure_future(dialler.call(Slow(), timeout=30))
+        self.assertEqual(1, self.relay.silence())
+        with self.assertRaises(errors.LinkClosedError):
+            await asyncio.wait_for(call, 2.5 * SILENCE_SECONDS)
+        await asyncio.sleep(0.01)
+        self.assertIsNot(silent, dialler.link)
+        reply = await dialler.call(Echo("a"), timeout=1)
+        self.assertEqual(Echo("a"), reply)
+
+    async def test_slow_reply_does_not_make_a_link_silent(self):
+        """A link to a peer with a slow disk must stay open.
+
+        The peer answers the probes.
+        """
+        dialler = await self.watched()
+        link = dialler.link
+        call = asyncio.ensure_future(dialler.call(Slow(), timeout=30))
+        await asyncio.sleep(5 * SILENCE_SECONDS)
+        self.assertFalse(call.done())
+        self.assertIs(link, dialler.link)
+        call.cancel()
+
+    async def test_link_stays_until_its_peer_is_reached_anew(self):
+        """A silent link must stay open while no new one can be made.
+
+        Closing it would cost more than its silence if packets are lost.
+        """
+        dialler = await self.watched()
+        link = dialler.link
+        self.relay.block()
+        await asyncio.sleep(3 * SILENCE_SECONDS)
+        self.assertIs(link, dialler.link)
+        self.assertFalse(link.closed)
