--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -1,6 +1,7 @@
 """The keeper's service: takes announcements, distributes plan and targets."""
 
 import asyncio
+import time
 import typing as t
 
 import logbook
@@ -13,6 +14,7 @@
 from amaranthring.keepers import dispatch
 from amaranthring.keepers import messages as keeper_messages
 from amaranthring.keepers import plans
+from amaranthring.registry import accepted
 from amaranthring.registry import messages
 from amaranthring.registry import plan_source
 from amaranthring.registry import publisher
@@ -59,6 +61,8 @@
     ----------
     routers : dict of links.Link to str
         Linked routers and their names.
+    accepted : accepted.AcceptedLinks
+        All links that this keeper accepted.
     """
 
     def __init__(
@@ -81,6 +85,7 @@
         self.census = router_census.RouterCensus(
             self.routers.values, retry_window, clock
         )
+        self.accepted = accepted.AcceptedLinks(time.monotonic())
         self.exchange = sharing.Exchange(
             handlers,
             lambda: [peer.dialler for peer in group.peers.values()],
@@ -216,6 +221,7 @@
                         logs.event(log, "target.silent", target=record.id)
                     self._broadcast(silent)
             self.table.remove_expired(RETENTION_SECONDS)
+            self.accepted.close_silent(time.monotonic())
 
     def _gossip_heard(self, gossiped: dict[str, int]) -> dict[str, int]:
         current = {r.id: r.sequence for r in self.table.records()}
@@ -348,7 +354,8 @@
     # -- routers -----------------------------------------------------
 
     def on_link(self, link: links.Link) -> None:
-        """Register a router that has just linked."""
+        """Register a process that has just linked."""
+        self.accepted.add(link)
         if link.peer.role != messages.ROUTER_ROLE:
             return
         logs.event(log, "router.linked", router=link.peer.name)
@@ -357,7 +364,8 @@
         self.publisher.add_router(link)
 
     def on_unlink(self, link: links.Link) -> None:
-        """Remove a router whose link has closed."""
+        """Remove a process whose link has closed."""
+        self.accepted.remove(link)
         self.plan_source.forget(link)
         if self.routers.pop(link, None) is not None:
             self.census.update()
