--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -148,12 +148,17 @@
         for address in addresses:
             if address in self.diallers:
                 continue
+            opened = asyncio.Event()
             dialler = links.Dialler(
-                address, self.identity, self.keys, self.handlers
+                address,
+                self.identity,
+                self.keys,
+                self.handlers,
+                lambda _, opened=opened: opened.set(),
             )
             self.diallers[address] = dialler
             dialler.start()
-            task = asyncio.ensure_future(self._poll(address, dialler))
+            task = asyncio.ensure_future(self._poll(address, dialler, opened))
             self.renewal_tasks[address] = task
 
     def use_seeds(self, addresses: list[str]) -> None:
@@ -176,9 +181,13 @@
 
     # -- messages from keepers ---------------------------------------
 
-    async def _poll(self, address: str, dialler: links.Dialler) -> None:
+    async def _poll(
+        self, address: str, dialler: links.Dialler, opened: asyncio.Event
+    ) -> None:
+        """Ask a keeper in each interval, and when a link has opened."""
         linked = False
         while True:
+            opened.clear()
             link = dialler.link
             if (link is not None) != linked:
                 linked = link is not None
@@ -186,7 +195,13 @@
                 logs.event(log, name, keeper=address)
             if link is not None:
                 await self._renew(address, link)
-            await asyncio.sleep(RENEW_SECONDS if link else RENEW_SECONDS / 10)
+            interval = RENEW_SECONDS if link else RENEW_SECONDS / 10
+            try:
+                # A keeper that leads already gives no notice of it.
+                async with asyncio.timeout(interval):
+                    await opened.wait()
+            except TimeoutError:
+                pass
 
     async def _renew(self, address: str, link: links.Link) -> None:
         sent_at = clocks.boottime()
--- a/tests/test_plan_keepers.py
+++ b/tests/test_plan_keepers.py
@@ -328,6 +328,28 @@
             await self.until(lambda: len(router.open_links()) == 3)
             await self.until(lambda: router.is_fresh(1.0))
 
+    async def test_new_link_is_asked_at_once(self):
+        """A router must ask a keeper as soon as their link opens.
+
+        It has missed the notice of one that leads already.
+        """
+        with mock.patch.object(subscriber, "RENEW_SECONDS", 30.0):
+            router, _ = self.make_router()
+            await self.keepers.put(1, b"one")
+            await self.until(lambda: router.is_fresh(1.0))
+            await self.until(lambda: len(router.open_links()) == 3)
+            # Every keeper has been asked, and is asked next in 30 s.
+            asked = [
+                k.handlers.received for k in self.keepers.running.values()
+            ]
+            await self.until(
+                lambda: all(kinds["registry-renew"] for kinds in asked)
+            )
+            router.confirmed_at = float("-inf")
+            for link in router.open_links():
+                link.close()
+            await self.until(lambda: router.is_fresh(1.0), 2.0)
+
     async def test_notice_during_a_request_is_not_lost(self):
         """A notice during a pending request must trigger another request.
 
