--- a/tests/keepers_case.py
+++ b/tests/keepers_case.py
@@ -40,5 +40,9 @@
             self.keepers.snapshot_entries = self.snapshot_entries
             self.keepers.kept_entries = self.snapshot_entries
         self.addAsyncCleanup(self.keepers.stop_all)
+        await self.prepare()
         self.keepers.start_all()
         self.leader = await plan_keepers.wait_until(self.keepers.leader)
+
+    async def prepare(self):
+        """Change how the keepers start."""
--- a/tests/test_lagging_voter.py
+++ b/tests/test_lagging_voter.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import os
-import tempfile
 import time
-import unittest
 from unittest import mock
 
 from amaranthring.core import pacing
@@ -24,20 +22,13 @@
 START_TIMEOUTS = 4
 
 
-class TestLaggingVoter(unittest.IsolatedAsyncioTestCase):
+class TestLaggingVoter(keepers_case.KeepersCase):
     """Leader and lagging voter are a quorum; routers fetch the plan."""
 
-    async def asyncSetUp(self):
-        asyncio.get_running_loop().set_debug(False)
-        folder = tempfile.TemporaryDirectory(dir=keepers_case.MEMORY)
-        self.addCleanup(folder.cleanup)
-        self.keepers = plan_keepers.PlanKeepers(folder.name)
+    async def prepare(self):
         self.keepers.heartbeat_seconds = keepers.HEARTBEAT_SECONDS
         self.keepers.election_seconds = keepers.ELECTION_SECONDS
         self.keepers.auto_admit = False
-        self.addAsyncCleanup(self.keepers.stop_all)
-        self.keepers.start_all()
-        self.leader = await plan_keepers.wait_until(self.keepers.leader)
         self.routers = []
         self.addCleanup(lambda: [task.cancel() for task in self.routers])
 
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -1,7 +1,6 @@
 """Links that carry nothing any more but stay open."""
 
 import asyncio
-import tempfile
 import unittest
 from unittest import mock
 
@@ -16,21 +15,17 @@
 from tests import keepers_case
 
 
-class RelayedKeepersCase(unittest.IsolatedAsyncioTestCase):
+class RelayedKeepersCase(keepers_case.KeepersCase):
     """Three keepers; each is reached through a relay."""
 
     async def asyncSetUp(self):
-        asyncio.get_running_loop().set_debug(False)
-        folder = tempfile.TemporaryDirectory(dir=keepers_case.MEMORY)
-        self.addCleanup(folder.cleanup)
-        self.keepers = plan_keepers.PlanKeepers(folder.name)
+        await super().asyncSetUp()
+        await plan_keepers.wait_until(self.are_linked)
+
+    async def prepare(self):
         self.relays = []
         for address in self.keepers.seeds:
             await self.relay(address)
-        self.addAsyncCleanup(self.keepers.stop_all)
-        self.keepers.start_all()
-        self.leader = await plan_keepers.wait_until(self.keepers.leader)
-        await plan_keepers.wait_until(self.are_linked)
 
     async def relay(self, address):
         """Put a relay in front of the keeper at `address`."""
