--- a/tests/test_keeper_disk_soak.py
+++ b/tests/test_keeper_disk_soak.py
@@ -89,17 +89,19 @@
         self.operators.calm = True
         sync_seconds, final, most = await self.inject_final_fault()
         last_fault_at = time.time()
-        recovered = await self.read_within(RECOVER_SECONDS)
-        stable = STABLE_SECONDS * (2 if most else 1)
-        calm_at = last_fault_at + stable
-        calm_end = max(time.time(), calm_at) + CALM_SECONDS
-        await asyncio.sleep(calm_end - time.time())
+        due = last_fault_at + RECOVER_SECONDS
+        recovered = await self.read_until(due, "after the last fault")
+        calm_at = last_fault_at + STABLE_SECONDS * (2 if most else 1)
+        await asyncio.sleep(max(0.0, calm_at - time.time()))
+        # The first read may have been answered by a leader that the last
+        # fault deposed afterwards.
+        await self.read_until(max(due, time.time() + 1), "in a calm time")
+        calm_end = time.time() + CALM_SECONDS
+        await asyncio.sleep(CALM_SECONDS)
+        await self.read_until(calm_end + STABLE_SECONDS, "at the end")
         self.operators.running = False
         await asyncio.gather(*callers)
         lines = keeper_logs.read(self.fleet.logs)
-        problems = self.operators.problems
-        if recovered is None:
-            problems.append(f"no plan within {RECOVER_SECONDS} s")
         self.check_safety(lines)
         self.check_leader(lines, calm_at)
         self.check_changes(calm_at, calm_end, sync_seconds)
@@ -256,7 +258,7 @@
         finals = {
             "power": self.final_power,
             "lag": self.final_lag,
-            "silence": self.silence,
+            "silence": self.final_silence,
             "restart": self.final_restart,
         }
         final = FINAL or self.rng.choice(list(finals))
@@ -265,15 +267,17 @@
             async with asyncio.timeout(RECOVER_SECONDS):
                 await self.operators.changed.wait()
         except TimeoutError:
-            self.note("no change acknowledged before the final fault")
+            self.operators.problems.append(
+                f"no change within {RECOVER_SECONDS} s of the series"
+            )
         self.note(f"final: {final}, then syncs of {mode.low}, {mode.high} s")
-        self.fleet.set_disks(self.fleet.names, mode)
-        await finals[final]()
+        await finals[final](mode)
         self.note("all run")
         return sync_seconds, final, final in ("power", "restart")
 
-    async def final_power(self):
+    async def final_power(self, mode):
         """All lose power; as many disks as may be lost are lost."""
+        self.fleet.set_disks(self.fleet.names, mode)
         lost = self.rng.sample(self.fleet.names, self.disks_left)
         self.note(f"all lose power, {lost} their disks")
         self.fleet.lose_power(self.fleet.names, self.rng)
@@ -284,13 +288,13 @@
         for name in self.fleet.router_groups:
             self.fleet.start_router(name)
 
-    async def final_lag(self):
+    async def final_lag(self, mode):
         """Restart a keeper that lacks a snapshot, and all routers."""
         lagging, away = self.rng.sample(self.fleet.names, 2)
-        self.fleet.set_disks(self.fleet.names, slow_disks.Mode())
         self.note(f"{lagging} is away for {LAG_CHANGES} changes")
         self.fleet.kill([lagging])
         await self.operators.change_many(LAG_CHANGES, LAG_SECONDS)
+        self.fleet.set_disks(self.fleet.names, mode)
         self.fleet.kill([away])
         if self.disks_left:
             self.note(f"{away} loses its disk")
@@ -300,22 +304,37 @@
         for name in self.fleet.router_groups:
             self.fleet.start_router(name)
 
-    async def final_restart(self):
-        """All keepers are killed at the same moment."""
+    async def final_restart(self, mode):
+        """Kill all keepers at the same moment."""
+        self.fleet.set_disks(self.fleet.names, mode)
         self.fleet.kill(self.fleet.names)
         await self.bring_back(self.fleet.names, self.rng.uniform(0.1, 1.0))
 
-    async def read_within(self, seconds):
-        """Return the seconds until a plan is read, or None."""
+    async def final_silence(self, mode):
+        """Let open connections go silent twice, as a restart ends some."""
+        self.fleet.set_disks(self.fleet.names, mode)
+        await self.silence()
+        await asyncio.sleep(self.rng.uniform(0.5, 2.5))
+        if self.rng.random() < 0.5:
+            await self.restart()
+        await self.silence()
+
+    async def read_until(self, due, when):
+        """Return the seconds until a plan is read; it must be by `due`."""
         operator = operator_calls.Operator(self.fleet.controls)
-        began = time.monotonic()
-        while time.monotonic() - began < seconds:
+        began = time.time()
+        answered = False
+        while not answered and time.time() < due:
             for address in self.fleet.controls:
-                if await self.operators.read(operator, address):
-                    operator.close_all()
-                    return time.monotonic() - began
+                answered = await self.operators.read(operator, address)
+                if answered:
+                    break
             await asyncio.sleep(0.05)
-        return None
+        operator.close_all()
+        seconds = round(time.time() - began, 2)
+        if not answered:
+            self.operators.problems.append(f"no plan read {when}: {seconds} s")
+        return seconds
 
     # -- checks ----------------------------------------------------------
 
