--- a/amaranthring/testing/plan_changes.py
+++ b/amaranthring/testing/plan_changes.py
@@ -14,6 +14,9 @@
 LARGE_SHARE = 0.06
 BURST_SHARE = 0.05
 BURST_CHANGES = 30
+# Bounds of the pause between two changes of one operator, in seconds.
+PAUSES = (0.02, 0.4)
+CALM_PAUSES = (0.4, 1.2)
 RETRY_SECONDS = 0.05
 
 
@@ -108,7 +111,8 @@
                 count = BURST_CHANGES
             for _ in range(count):
                 await self.change(operator)
-            await asyncio.sleep(self.rng.uniform(0.02, 0.4))
+            pauses = CALM_PAUSES if self.calm else PAUSES
+            await asyncio.sleep(self.rng.uniform(*pauses))
         operator.close_all()
 
     async def change_many(self, count: int, seconds: float) -> None:
