--- a/tests/test_keeper_disk_soak.py
+++ b/tests/test_keeper_disk_soak.py
@@ -46,13 +46,18 @@
 LAG_CHANGES = 80
 LAG_SECONDS = 10.0
 TAIL_LINES = 12
+DELAY_SAMPLE_SECONDS = 0.02
 
 
 class TestSlowDisks(unittest.IsolatedAsyncioTestCase):
     """Keepers that lose power, disks and links while plans change."""
 
     async def asyncSetUp(self):
+        # Debug mode slows the relays, which share this loop, several times.
+        asyncio.get_running_loop().set_debug(False)
         self.rng = random.Random(SEED)
+        # Drawn from in an order that depends on timing.
+        self.details = random.Random(f"details {SEED}")
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
@@ -61,7 +66,9 @@
             self.folder.mkdir(parents=True)
         groups = [1, 1, ROUTERS - 2]
         self.fleet = soak_fleet.Fleet(self.folder, KEEPERS, groups, FOLDERS)
-        self.operators = plan_changes.Operators(self.fleet.controls, self.rng)
+        self.operators = plan_changes.Operators(
+            self.fleet.controls, random.Random(f"operators {SEED}")
+        )
         self.steps = []
         self.disks_left = LOST_DISKS[KEEPERS]
         self.began_at = time.time()
@@ -97,7 +104,7 @@
         # fault deposed afterwards.
         await self.read_until(max(due, time.time() + 1), "in a calm time")
         calm_end = time.time() + CALM_SECONDS
-        await asyncio.sleep(CALM_SECONDS)
+        late = await self.worst_delay(CALM_SECONDS)
         await self.read_until(calm_end + STABLE_SECONDS, "at the end")
         self.operators.running = False
         await asyncio.gather(*callers)
@@ -106,8 +113,19 @@
         self.check_leader(lines, calm_at)
         self.check_changes(calm_at, calm_end, sync_seconds)
         self.check_routers(lines, calm_at, calm_end)
+        self.note(f"relays were late by {late:.3f} s in the calm time")
         self.report(lines, last_fault_at, recovered, (sync_seconds, final))
 
+    async def worst_delay(self, seconds):
+        """Return how late this loop, and so the relays, was at worst."""
+        worst = 0.0
+        end = time.monotonic() + seconds
+        while (now := time.monotonic()) < end:
+            await asyncio.sleep(DELAY_SAMPLE_SECONDS)
+            late = time.monotonic() - now - DELAY_SAMPLE_SECONDS
+            worst = max(worst, late)
+        return worst
+
     # -- faults ----------------------------------------------------------
 
     def note(self, step):
@@ -132,7 +150,7 @@
     def take(self, count=1):
         """Return up to `count` keepers that no fault concerns, now taken."""
         free = [n for n in self.fleet.names if n not in self.fleet.busy]
-        names = self.rng.sample(free, min(count, len(free)))
+        names = self.details.sample(free, min(count, len(free)))
         self.fleet.busy.update(names)
         return names
 
@@ -146,19 +164,19 @@
 
     async def restart(self):
         for name in self.take():
-            how = self.rng.choice(("ends", "is killed", "loses power"))
+            how = self.details.choice(("ends", "is killed", "loses power"))
             self.note(f"{name} {how}")
             if how == "ends":
                 await self.fleet.terminate(name)
             elif how == "is killed":
                 self.fleet.kill([name])
             else:
-                self.fleet.lose_power([name], self.rng)
-            await self.bring_back([name], self.rng.uniform(0.1, 2.5))
+                self.fleet.lose_power([name], self.details)
+            await self.bring_back([name], self.details.uniform(0.1, 2.5))
 
     async def freeze(self):
         for name in self.take():
-            seconds = self.rng.uniform(0.1, 3.0)
+            seconds = self.details.uniform(0.1, 3.0)
             self.note(f"{name} stands still for {seconds:.2f} s")
             self.fleet.processes[name].pause()
             await asyncio.sleep(seconds)
@@ -166,18 +184,18 @@
             self.fleet.busy.discard(name)
 
     async def silence(self):
-        share = self.rng.choice((0.3, 1.0))
+        share = self.details.choice((0.3, 1.0))
         self.note(f"open connections go silent, share {share}")
         for relay in self.fleet.relays.values():
-            if self.rng.random() < share:
+            if self.details.random() < share:
                 relay.silence()
 
     async def cut(self):
-        one, other = self.rng.sample(self.fleet.names, 2)
+        one, other = self.details.sample(self.fleet.names, 2)
         relays = self.fleet.links_between(one, other)
-        if self.rng.random() < 0.5:
+        if self.details.random() < 0.5:
             relays, other = self.fleet.links_of(one), "all"
-        seconds = self.rng.uniform(0.3, 4.0)
+        seconds = self.details.uniform(0.3, 4.0)
         self.note(f"{one} cut from {other} for {seconds:.2f} s")
         for relay in relays:
             relay.block()
@@ -187,9 +205,9 @@
 
     async def slow_disk(self):
         names = self.fleet.names
-        if self.rng.random() < 0.5:
-            names = [self.rng.choice(names)]
-        seconds = self.rng.uniform(0.5, 4.0)
+        if self.details.random() < 0.5:
+            names = [self.details.choice(names)]
+        seconds = self.details.uniform(0.5, 4.0)
         mode = self.random_mode(seconds)
         self.note(f"disk of {','.join(names)} for {seconds:.2f} s: {mode}")
         self.fleet.set_disks(names, mode)
@@ -197,8 +215,8 @@
         self.fleet.set_disks(names, slow_disks.Mode())
 
     def random_mode(self, seconds):
-        high = self.rng.choice(SYNC_SECONDS)
-        return self.rng.choice(
+        high = self.details.choice(SYNC_SECONDS)
+        return self.details.choice(
             (
                 slow_disks.Mode(high, high),
                 slow_disks.Mode(0.0, 2 * high),
@@ -220,14 +238,14 @@
         self.note(f"{away} is away, {lagging} is needed")
         self.fleet.kill([away])
         await self.bring_back([lagging], 0.0)
-        await self.bring_back([away], self.rng.uniform(0.5, 3.0))
+        await self.bring_back([away], self.details.uniform(0.5, 3.0))
 
     async def lose_power(self):
         names = self.take(KEEPERS)
         self.note(f"{','.join(names)} and the routers lose power")
-        self.fleet.lose_power(names, self.rng)
+        self.fleet.lose_power(names, self.details)
         self.fleet.kill(list(self.fleet.router_groups))
-        await self.bring_back(names, self.rng.uniform(0.1, 1.0))
+        await self.bring_back(names, self.details.uniform(0.1, 1.0))
         for name in self.fleet.router_groups:
             self.fleet.start_router(name)
 
@@ -239,7 +257,7 @@
             self.note(f"{name} loses its disk")
             self.fleet.kill([name])
             self.fleet.lose_disk(name)
-            await self.bring_back([name], self.rng.uniform(0.1, 1.0))
+            await self.bring_back([name], self.details.uniform(0.1, 1.0))
 
     async def restart_routers(self):
         self.note("routers restart")
@@ -278,19 +296,19 @@
     async def final_power(self, mode):
         """All lose power; as many disks as may be lost are lost."""
         self.fleet.set_disks(self.fleet.names, mode)
-        lost = self.rng.sample(self.fleet.names, self.disks_left)
+        lost = self.details.sample(self.fleet.names, self.disks_left)
         self.note(f"all lose power, {lost} their disks")
-        self.fleet.lose_power(self.fleet.names, self.rng)
+        self.fleet.lose_power(self.fleet.names, self.details)
         self.fleet.kill(list(self.fleet.router_groups))
         for name in lost:
             self.fleet.lose_disk(name)
-        await self.bring_back(self.fleet.names, self.rng.uniform(0.1, 1.0))
+        await self.bring_back(self.fleet.names, self.details.uniform(0.1, 1.0))
         for name in self.fleet.router_groups:
             self.fleet.start_router(name)
 
     async def final_lag(self, mode):
         """Restart a keeper that lacks a snapshot, and all routers."""
-        lagging, away = self.rng.sample(self.fleet.names, 2)
+        lagging, away = self.details.sample(self.fleet.names, 2)
         self.note(f"{lagging} is away for {LAG_CHANGES} changes")
         self.fleet.kill([lagging])
         await self.operators.change_many(LAG_CHANGES, LAG_SECONDS)
@@ -300,7 +318,7 @@
             self.note(f"{away} loses its disk")
             self.fleet.lose_disk(away)
         self.fleet.kill(list(self.fleet.router_groups))
-        await self.bring_back([lagging, away], self.rng.uniform(0.1, 0.5))
+        await self.bring_back([lagging, away], self.details.uniform(0.1, 0.5))
         for name in self.fleet.router_groups:
             self.fleet.start_router(name)
 
@@ -308,14 +326,14 @@
         """Kill all keepers at the same moment."""
         self.fleet.set_disks(self.fleet.names, mode)
         self.fleet.kill(self.fleet.names)
-        await self.bring_back(self.fleet.names, self.rng.uniform(0.1, 1.0))
+        await self.bring_back(self.fleet.names, self.details.uniform(0.1, 1.0))
 
     async def final_silence(self, mode):
         """Let open connections go silent twice, as a restart ends some."""
         self.fleet.set_disks(self.fleet.names, mode)
         await self.silence()
-        await asyncio.sleep(self.rng.uniform(0.5, 2.5))
-        if self.rng.random() < 0.5:
+        await asyncio.sleep(self.details.uniform(0.5, 2.5))
+        if self.details.random() < 0.5:
             await self.restart()
         await self.silence()
 
