--- a/amaranthring/testing/soak_fleet.py
+++ b/amaranthring/testing/soak_fleet.py
@@ -10,8 +10,8 @@
 
 from amaranthring.registry import keeper as keepers
 from amaranthring.testing import local_fleet
-from amaranthring.testing import silent_relay
 from amaranthring.testing import slow_disks
+from amaranthring.testing import tcp_relay
 
 MODULE = "amaranthring.testing.disk_keeper"
 ROUTERS = "routers"
@@ -65,7 +65,7 @@
         self.starts: collections.Counter = collections.Counter()
         self.disks: collections.Counter = collections.Counter()
         self.busy: set[str] = set()
-        self.relays: dict[tuple[str, str], silent_relay.SilentRelay] = {}
+        self.relays: dict[tuple[str, str], tcp_relay.Relay] = {}
 
     @property
     def controls(self) -> list[str]:
@@ -77,7 +77,7 @@
         for source in [*self.names, ROUTERS]:
             for target in self.names:
                 if source != target:
-                    relay = silent_relay.SilentRelay(self.ports[target][0])
+                    relay = tcp_relay.Relay(self.ports[target][0])
                     await relay.start()
                     self.relays[source, target] = relay
         for name in self.names:
@@ -136,7 +136,7 @@
 
     # -- faults ----------------------------------------------------------
 
-    def links_of(self, name: str) -> list[silent_relay.SilentRelay]:
+    def links_of(self, name: str) -> list[tcp_relay.Relay]:
         """Return the relays of all links of a keeper."""
         return [relay for ends, relay in self.relays.items() if name in ends]
 
