--- a/tests/test_keeper_disk_soak.py
+++ b/tests/test_keeper_disk_soak.py
@@ -22,7 +22,7 @@
 from amaranthring.testing import slow_disks
 from amaranthring.testing import soak_fleet
 
-SEED = os.environ.get("KEEPER_SOAK_SEED", "1")
+SEED = os.environ.get("KEEPER_SOAK_SEED", "3")
 SECONDS = float(os.environ.get("KEEPER_SOAK_SECONDS", "6"))
 KEEPERS = int(os.environ.get("KEEPER_SOAK_KEEPERS", "3"))
 ROUTERS = int(os.environ.get("KEEPER_SOAK_ROUTERS", "7"))
