--- a/amaranthring/testing/disk_keeper.py
+++ b/amaranthring/testing/disk_keeper.py
@@ -13,6 +13,7 @@
 import os
 import pathlib
 import sys
+import time
 
 import logbook
 import tornado.tcpclient
@@ -110,9 +111,15 @@
     stop = signals.stop_event()
     subscribers = []
     for name in options["names"]:
-        identity = links.Identity(name, messages.ROUTER_ROLE, "here", 1)
-        apply_plan = functools.partial(_log_plan, name)
-        router = subscriber.Subscriber(identity, plan_keepers.KEYS, apply_plan)
+        identity = links.Identity(
+            name, messages.ROUTER_ROLE, "here", time.time_ns()
+        )
+        router = subscriber.Subscriber(
+            identity,
+            plan_keepers.KEYS,
+            functools.partial(_log_plan, name),
+            plan_keepers.make_sharers(),
+        )
         router.use_seeds(options["seeds"])
         subscribers.append(router)
     await stop.wait()
--- a/amaranthring/testing/plan_keepers.py
+++ b/amaranthring/testing/plan_keepers.py
@@ -160,12 +160,7 @@
 ) -> subscriber.Subscriber:
     """Return a router's subscriber that adds each plan to `plans`."""
     identity = links.Identity(name, messages.ROUTER_ROLE, "here", 1)
-    shared = sharers.Sharers(
-        retry_window,
-        first_start,
-        subscriber.CUT_OFF_SECONDS,
-        clocks.boottime,
-    )
+    shared = make_sharers(retry_window, first_start)
     new_subscriber = subscriber.Subscriber(
         identity, KEYS, plans.append, shared
     )
@@ -173,6 +168,18 @@
     return new_subscriber
 
 
+def make_sharers(
+    retry_window: float = RETRY_WINDOW_SECONDS, first_start: bool = True
+) -> sharers.Sharers:
+    """Return what a router knows of the number of routers: nothing yet."""
+    return sharers.Sharers(
+        retry_window,
+        first_start,
+        subscriber.CUT_OFF_SECONDS,
+        clocks.boottime,
+    )
+
+
 async def retry(call: t.Callable, seconds: float = 10.0) -> t.Any:
     """Return what `call` returns, retried on transient errors."""
     async with asyncio.timeout(seconds):
