--- a/amaranthring/keepers/store.py
+++ b/amaranthring/keepers/store.py
@@ -43,8 +43,8 @@
     ----------
     durable_index : int
         Highest index of the current log that is synced.
-    saved_term : int
-        Term of the hard state on disk.
+    saved_state : disk.HardState
+        Newest hard state on disk.
     member_history : list
         Configurations with the index of their entry, oldest first. The last
         is in force; earlier ones are restored when the log is truncated.
@@ -74,7 +74,7 @@
         self.log = logfile.Log()
         self.member_history: list[tuple[int, messages.Members]] = []
         self.durable_index = self.snapshot_index = 0
-        self.saved_term = self.hard_state.term
+        self.saved_state = self.hard_state
         try:
             self.snapshot = self._recover()
         except errors.StorageError:
@@ -92,6 +92,16 @@
         """Return the hard state, which may not be on disk yet."""
         return self.data_folder.hard_state
 
+    @property
+    def hard_state_saved(self) -> bool:
+        """Return whether the current hard state is on disk."""
+        return self.saved_state is self.hard_state
+
+    @property
+    def saved_term(self) -> int:
+        """Return the term of the hard state on disk."""
+        return self.saved_state.term
+
     @property
     def members(self) -> messages.Members:
         """Return the latest configuration, committed or not."""
@@ -160,12 +170,18 @@
         """Apply `changes` to the hard state and queue it for the disk."""
         state = dataclasses.replace(self.hard_state, **changes)
         self.data_folder.hard_state = state
+        self.writer.submit(self._save_newest_state)
 
-        def save():
-            self.data_folder.save(state)
-            self.saved_term = state.term
+    def _save_newest_state(self) -> None:
+        """Write the newest hard state, unless it is on disk; disk thread.
 
-        self.writer.submit(save)
+        A newer state than the queued one may be written ahead of log records
+        queued between them: a term or vote is never wrong for being early.
+        """
+        state = self.hard_state
+        if state is not self.saved_state:
+            self.data_folder.save(state)
+            self.saved_state = state
 
     # -- log ---------------------------------------------------------
 
--- a/tests/test_keeper_store.py
+++ b/tests/test_keeper_store.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import tempfile
+import threading
 import unittest
 
 from amaranthring import errors
@@ -170,6 +171,56 @@
 
         asyncio.run(run())
 
+    def test_queued_hard_states_cost_one_write(self):
+        """Hard states that wait for the disk must not be written in turn.
+
+        Otherwise a vote in a new term waits for two syncs or more.
+        """
+        syncs = []
+        opened = self.open(files=disk.FileOps(sync=syncs.append))
+        syncs.clear()
+
+        async def work():
+            opened.save_hard_state(term=4)
+            opened.save_hard_state(term=4, vote="d")
+            opened.save_hard_state(term=5, vote="e")
+            self.assertFalse(opened.hard_state_saved)
+            await opened.writer.flush()
+            self.assertTrue(opened.hard_state_saved)
+            self.assertEqual(5, opened.saved_term)
+
+        self.run_writer(opened, work)
+        self.assertEqual(1, len(syncs))
+        opened.close()
+        state = self.open().hard_state
+        self.assertEqual((5, "e"), (state.term, state.vote))
+
+    def test_hard_state_queued_during_a_write_is_written(self):
+        """A flush must cover a hard state that came during the last write."""
+        opened = self.open()
+        began = threading.Event()
+        go_on = threading.Event()
+        original = opened.data_folder.save
+
+        def save(state):
+            began.set()
+            go_on.wait(5)
+            original(state)
+
+        async def work():
+            opened.data_folder.save = save
+            opened.save_hard_state(term=4, vote="d")
+            await asyncio.to_thread(began.wait, 5)
+            opened.save_hard_state(term=5, vote="e")
+            go_on.set()
+            await opened.writer.flush()
+            self.assertTrue(opened.hard_state_saved)
+
+        self.run_writer(opened, work)
+        opened.close()
+        state = self.open().hard_state
+        self.assertEqual((5, "e"), (state.term, state.vote))
+
     def test_term_vote_and_entries_survive(self):
         opened = self.open()
 
