--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -368,7 +368,14 @@
 
 
 async def on_append(group, message: messages.Append) -> messages.Appended:
-    """Append entries from the leader; reply once they are synced."""
+    """Append entries from the leader; reply once they are synced.
+
+    A heartbeat is answered at once, also while the leader's term is being
+    written, as the answer shows only that this keeper is live. The lease
+    rests on the time of the message, which a restarted keeper makes up for
+    by its own start. `match` is 0 until the term is on disk, because before
+    that a restart could let an earlier leader replace entries.
+    """
     if group.fault is not None:
         roles.record_leader(group, message.term, message.disk)
         raise group.fault
@@ -386,9 +393,11 @@
     last = message.prev_index + len(entries)
     _merge(group, message.prev_index, entries)
     group.commit(min(message.commit, last))
-    if entries or group.store.saved_term < group.term:
+    if entries:
         await group.writer.flush()
-    match = min(last, group.store.durable_index)
+    match = 0
+    if group.store.saved_term >= message.term:
+        match = min(last, group.store.durable_index)
     if group.term != message.term:
         return _appended(group, False, hint=group.store.durable_index + 1)
     reply = _appended(group, True, match=match)
--- a/amaranthring/testing/plan_keepers.py
+++ b/amaranthring/testing/plan_keepers.py
@@ -8,6 +8,7 @@
 import pathlib
 import shutil
 import socket
+import threading
 import typing as t
 
 import tornado.netutil
@@ -38,6 +39,11 @@
         Running keepers by address.
     full_disks : set of str
         Addresses of keepers whose writes fail with ENOSPC.
+    crashed : dict of str to threading.Event
+        Set once the last process at an address may write no more.
+    sync_seconds : callable
+        Returns how long a sync of the keeper at an address takes beyond what
+        the machine needs; called in the disk threads.
     heartbeat_seconds, election_seconds : float
     snapshot_entries, kept_entries : int
     auto_admit : bool
@@ -53,6 +59,8 @@
         self.seeds = [self.new_address() for _ in range(count)]
         self.running: dict[str, keepers.PlanKeeper] = {}
         self.full_disks: set[str] = set()
+        self.crashed: dict[str, threading.Event] = {}
+        self.sync_seconds: t.Callable[[str], float] = lambda _: 0.0
         self.heartbeat_seconds = 0.03
         self.election_seconds = 0.2
         self.snapshot_entries = 5
@@ -90,7 +98,12 @@
             auto_admit=self.auto_admit,
             replace_seconds=0.5,
         )
-        files = disk.FileOps(write=functools.partial(self._write, address))
+        crashed = self.crashed[address] = threading.Event()
+        files = disk.FileOps(
+            write=functools.partial(self._write, address, crashed),
+            sync=functools.partial(self._sync, address, crashed),
+            replace=functools.partial(_replace, crashed),
+        )
         keeper = keepers.PlanKeeper(
             config, KEYS, metrics.Metrics(), timing, files
         )
@@ -98,11 +111,22 @@
         self.running[address] = keeper
         return keeper
 
-    def _write(self, address: str, fd: int, data: bytes) -> int:
+    def _write(self, address: str, crashed, fd: int, data: bytes) -> int:
+        _require_running(crashed)
         if address in self.full_disks:
             raise OSError(errno.ENOSPC, "No space left on device")
         return os.write(fd, data)
 
+    def _sync(self, address: str, crashed, fd: int) -> None:
+        crashed.wait(self.sync_seconds(address))
+        _require_running(crashed)
+        os.fdatasync(fd)
+
+    def use_product_timing(self) -> None:
+        """Give keepers that start the product's own timing."""
+        self.heartbeat_seconds = keepers.HEARTBEAT_SECONDS
+        self.election_seconds = keepers.ELECTION_SECONDS
+
     def start_all(self) -> None:
         """Start all seeds for the first time."""
         for address in self.seeds:
@@ -112,6 +136,11 @@
         """Stop the keeper at `address`."""
         await self.running.pop(address).stop()
 
+    async def crash(self, address: str) -> None:
+        """Stop the keeper at `address` in the middle of what it writes."""
+        self.crashed[address].set()
+        await self.stop(address)
+
     async def stop_all(self) -> None:
         """Stop every keeper that runs."""
         for address in list(self.running):
@@ -146,6 +175,16 @@
         return self.running[at] if at else next(iter(self.running.values()))
 
 
+def _require_running(crashed: threading.Event) -> None:
+    if crashed.is_set():
+        raise OSError(errno.EIO, "The process has ended")
+
+
+def _replace(crashed: threading.Event, source, target) -> None:
+    _require_running(crashed)
+    os.replace(source, target)
+
+
 def _bind(address: str) -> list:
     host, port = address.rsplit(":", 1)
     return tornado.netutil.bind_sockets(int(port), host)
