--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 import enum
+import math
 
 import logbook
 
@@ -25,9 +26,9 @@
 LEASE_SHARE = 0.9
 # Average wait of a candidate without a majority before it retries.
 RETRY_SHARE = 0.3
-# How long a pre-vote is reserved for a candidate: longer than a ballot, but
-# shorter than most retry waits, so that a candidate that cannot win does not
-# block the others.
+# How long a pre-vote is reserved for another candidate: longer than a ballot,
+# but shorter than most retry waits, so that a candidate that cannot win does
+# not block the others.
 PRE_VOTE_GRANT_SHARE = 0.15
 # Spread of the first campaigns of keepers that start together.
 FIRST_CAMPAIGN_SHARE = 0.5
@@ -163,14 +164,23 @@
 async def _campaign(group) -> None:
     retry = group.options.election_seconds * RETRY_SHARE
     wait = retry * group.random.uniform(0.5, 1.5)
-    group.election_deadline = group.clocks.monotonic() + wait
+    _postpone_campaign(group, wait)
     term = group.term + 1
     rank = _rank(group.log.last_term, group.log.last_index, group.disk_id)
-    if not _grant_pre_vote(group, rank):
+    # A candidate whose process stands still must not grant its own pre-vote
+    # to another before it knows the outcome: both would yield.
+    grant = _grant_pre_vote(group, rank, math.inf)
+    if grant is None:
         return
     # A partitioned keeper gets no majority here and does not raise its term,
     # so it does not depose the leader when it returns.
-    if not await _ballot(group, term, pre=True):
+    try:
+        won = await _ballot(group, term, pre=True)
+    finally:
+        grant.until = group.clocks.monotonic()
+    if not won:
+        # Between its ballots it leaves its pre-vote to the others.
+        _postpone_campaign(group, wait)
         return
     if group.leading or hears_leader(group):
         return
@@ -193,11 +203,16 @@
         roles.become_leader(group)
 
 
+def _postpone_campaign(group, wait: float) -> None:
+    due = group.clocks.monotonic() + wait
+    group.election_deadline = max(group.election_deadline, due)
+
+
 def _rank(last_term: int, last_index: int, disk: str) -> tuple:
     return (-last_term, -last_index, disk)
 
 
-def _grant_pre_vote(group, rank: tuple) -> bool:
+def _grant_pre_vote(group, rank: tuple, until: float) -> PreVoteGrant | None:
     """Grant the pre-vote to `rank`, unless a better candidate holds it.
 
     Prevents split votes: otherwise each of two simultaneous candidates gets
@@ -206,10 +221,9 @@
     now = group.clocks.monotonic()
     grant = group.pre_vote_grant
     if grant is not None and now < grant.until and grant.rank < rank:
-        return False
-    until = now + PRE_VOTE_GRANT_SHARE * group.options.election_seconds
+        return None
     group.pre_vote_grant = PreVoteGrant(rank, until)
-    return True
+    return group.pre_vote_grant
 
 
 async def _ballot(group, term: int, pre: bool) -> bool:
@@ -330,8 +344,7 @@
     if _must_refuse(group, message):
         return refusal
     if message.pre:
-        rank = _rank(message.last_term, message.last_index, message.disk)
-        granted = message.term > group.term and _grant_pre_vote(group, rank)
+        granted = _answer_pre_vote(group, message)
         return messages.Voted(group.term, granted, group.disk_id)
     if message.term > group.term:
         roles.set_term(group, message.term)
@@ -342,3 +355,12 @@
     reset_election_timer(group)
     await _write_vote(group, message.term, message.disk)
     return messages.Voted(message.term, True, group.disk_id)
+
+
+def _answer_pre_vote(group, message: messages.Vote) -> bool:
+    if message.term <= group.term:
+        return False
+    now = group.clocks.monotonic()
+    until = now + PRE_VOTE_GRANT_SHARE * group.options.election_seconds
+    rank = _rank(message.last_term, message.last_index, message.disk)
+    return _grant_pre_vote(group, rank, until) is not None
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -1,6 +1,7 @@
 """Elections with simultaneous candidates."""
 
 import asyncio
+import time
 from unittest import mock
 
 from amaranthring.keepers import election
@@ -8,6 +9,15 @@
 from amaranthring.keepers import roles
 from tests import keepers_case
 
+# Longer than a pre-vote is kept for another candidate, shorter than a pre-vote
+# request waits, with the tests' timing.
+STANDSTILL_SECONDS = 0.06
+
+
+def stand_still():
+    """Let the whole process wait."""
+    time.sleep(STANDSTILL_SECONDS)
+
 
 class TestCandidates(keepers_case.KeepersCase):
     """Two keepers that campaign after they have lost their leader."""
@@ -72,3 +82,57 @@
             leading = [self.group.leading, self.other.leading]
             self.assertEqual([False, True], sorted(leading))
             await asyncio.sleep(0.15)
+
+    async def test_candidate_keeps_its_favour_while_its_ballot_is_open(self):
+        """A candidate must not favour another before its ballot has ended.
+
+        Otherwise a process that stands still while two candidates ask lets
+        both grant the other's pre-vote, and both yield.
+        """
+        first, second = sorted(
+            (self.group, self.other), key=lambda group: group.disk_id
+        )
+        term = first.term + 1
+        rival = messages.Vote(
+            first.name,
+            term,
+            second.disk_id,
+            first.disk_id,
+            second.log.last_index,
+            second.log.last_term,
+            pre=True,
+        )
+        replies = []
+
+        async def ballot(group, term, pre):
+            del term
+            if pre:
+                stand_still()
+                replies.append(await election.on_vote(group, rival))
+            return pre
+
+        first.heard_at = 0.0
+        with mock.patch.object(election, "_ballot", ballot):
+            await election._campaign(first)
+        self.assertEqual([False], [reply.granted for reply in replies])
+        self.assertEqual((term, first.disk_id), (first.term, first.vote))
+
+    async def test_process_that_stands_still_while_two_ask(self):
+        """Two candidates must settle it although their process stands still.
+
+        Otherwise the favour that each gives itself runs out, and both yield.
+        """
+        loop = asyncio.get_running_loop()
+        for _ in range(8):
+            for group in (self.group, self.other):
+                group.heard_at = 0.0
+                roles.step_down(group, "the test")
+                group.election_deadline = float("inf")
+            # After both have asked, before either hears an answer.
+            loop.call_later(0, loop.call_soon, stand_still)
+            await asyncio.gather(
+                election._campaign(self.group), election._campaign(self.other)
+            )
+            leading = [self.group.leading, self.other.leading]
+            self.assertEqual([False, True], sorted(leading))
+            await asyncio.sleep(0.15)
