--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -63,6 +63,9 @@
         Monotonic time of the last reply.
     in_flight_since : float
         Monotonic time at which `in_flight` last rose from zero.
+    refuses : bool
+        Whether the last answer was an error, as of a keeper whose disk has
+        failed; it gets no entries until it answers a heartbeat.
     snapshot_due : asyncio.Event
         Set while the peer lacks entries that only a snapshot has.
     snapshot_retry_at : float
@@ -97,6 +100,7 @@
         self.replied_at = now
         self.sent_at = 0.0
         self.in_flight_since = 0.0
+        self.refuses = False
         self.rewind(next_index)
 
     def rewind(self, next_index: int) -> None:
@@ -208,7 +212,8 @@
     one_by_one = peer.probing or _is_catching_up(group, peer)
     window = 1 if one_by_one else MAX_IN_FLIGHT_MESSAGES
     return (
-        peer.next_index <= group.log.last_index
+        not peer.refuses
+        and peer.next_index <= group.log.last_index
         and peer.in_flight < window
         and peer.in_flight_bytes < MAX_IN_FLIGHT_BYTES
     )
@@ -269,10 +274,12 @@
     sent_at = group.clocks.monotonic()
     try:
         reply = await peer.dialler.call(message, REPLY_TIMEOUT_SECONDS)
-    except errors.AmaranthringError:
+    except errors.AmaranthringError as error:
         if epoch == peer.epoch:
+            _record_refusal(peer, error)
             peer.rewind(peer.match_index + 1)
         return
+    peer.refuses = False
     now = group.clocks.monotonic()
     peer.replied_at = now
     _log_slow_reply(group, peer, sent_at, reply, size)
@@ -298,6 +305,17 @@
     group.lease_changed.set()
 
 
+def _record_refusal(peer: Peer, error: errors.AmaranthringError) -> None:
+    """Send no entries to `peer` for now if it answered with an error.
+
+    Entries that it refuses would use up the link, ahead of routers' plans.
+    """
+    if peer.refuses or isinstance(error, errors.LinkError):
+        return
+    peer.refuses = True
+    logs.event(log, "keeper.refuses", peer=peer.name, fault=str(error))
+
+
 def _log_slow_reply(group, peer, sent_at: float, reply, size: int) -> None:
     """Log a slow reply, with the part of it spent at the follower."""
     now = group.clocks.monotonic()
