--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -90,6 +90,8 @@
         Index of the first entry of this keeper's leadership.
     pre_vote_grant : election.PreVoteGrant, optional
         Candidate that holds this keeper's pre-vote.
+    ballot : asyncio.Task, optional
+        Requests votes for this keeper in its current term.
     members_changed_at : float
         Monotonic time of the last membership change; silence before it does
         not count against a new member.
@@ -154,6 +156,7 @@
         )
         self.election_deadline = 0.0
         self.pre_vote_grant: election.PreVoteGrant | None = None
+        self.ballot: asyncio.Task | None = None
         election.schedule_first_campaign(self)
         self.tasks: list[asyncio.Task] = []
         self.peers: dict[str, replication.Peer] = {}
--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -30,6 +30,11 @@
 # but shorter than most retry waits, so that a candidate that cannot win does
 # not block the others.
 PRE_VOTE_GRANT_SHARE = 0.15
+# Pre-votes wait for no disk.
+PRE_VOTE_TIMEOUT_SHARE = 0.5
+# Seconds. A vote is answered once the voter's disk has it; after this time it
+# is requested again.
+VOTE_TIMEOUT_SECONDS = 30.0
 # Spread of the first campaigns of keepers that start together.
 FIRST_CAMPAIGN_SHARE = 0.5
 
@@ -45,6 +50,10 @@
     FAILED = "failed"
 
 
+# Outcomes after which a vote is requested again in the same term.
+UNANSWERED = (VoteOutcome.LATE, VoteOutcome.NO_LINK)
+
+
 @dataclasses.dataclass
 class PreVoteGrant:
     """A pre-vote granted to a candidate, possibly to this keeper itself.
@@ -64,9 +73,18 @@
 
 async def run(group) -> None:
     """Campaign when no leader is live; step down when the quorum is lost."""
+    try:
+        await _watch(group)
+    finally:
+        end_ballot(group)
+
+
+async def _watch(group) -> None:
     options = group.options
     min_sleep = options.heartbeat_seconds / 2
     while True:
+        if group.ballot is not None and group.ballot.done():
+            _take_ballot(group)
         now = group.clocks.monotonic()
         if group.leading:
             # A partitioned leader must not keep accepting proposals that
@@ -84,7 +102,7 @@
 
 def may_campaign(group) -> bool:
     """Return whether this keeper may request votes."""
-    if group.fault is not None:
+    if group.fault is not None or not group.store.hard_state_saved:
         return False
     return membership.is_voter(group.members, group.disk_id)
 
@@ -194,13 +212,7 @@
         return
     roles.set_term(group, term, group.disk_id)
     reset_election_timer(group)
-    try:
-        await _write_vote(group, term, group.disk_id)
-    except errors.StorageError:
-        return
-    won = await _ballot(group, term, pre=False)
-    if won and group.term == term and not group.leading:
-        roles.become_leader(group)
+    group.ballot = asyncio.ensure_future(_request_votes(group, term))
 
 
 def _postpone_campaign(group, wait: float) -> None:
@@ -226,25 +238,56 @@
     return group.pre_vote_grant
 
 
+async def _request_votes(group, term: int) -> None:
+    """Become the leader of `term` once a quorum has synced its votes.
+
+    There is no time limit: a vote takes as long as the voter's disk. Until
+    the ballot is won or ended by :func:`end_ballot`, this keeper may campaign
+    for the next term; only a majority of pre-votes ends this one.
+    """
+    won = await _ballot(group, term, pre=False)
+    if won and _is_open(group, term):
+        roles.become_leader(group)
+
+
+def _is_open(group, term: int) -> bool:
+    if group.fault is not None or group.leading or group.leader_disk:
+        return False
+    return group.term == term
+
+
+def end_ballot(group) -> None:
+    """Stop requesting votes: the term has changed, or a leader was heard."""
+    if group.ballot is not None:
+        group.ballot.cancel()
+
+
+def _take_ballot(group) -> None:
+    """Forget the ballot that has ended; raise what it raised."""
+    ballot, group.ballot = group.ballot, None
+    if not ballot.cancelled():
+        ballot.result()
+
+
 async def _ballot(group, term: int, pre: bool) -> bool:
+    """Return whether a quorum, which includes this keeper, grants its vote."""
     began_at = group.clocks.monotonic()
-    needed = membership.quorum(group.members)
-    voters = [m for m in group.members.voters if m.disk != group.disk_id]
     answers: dict[str, VoteOutcome] = {}
+    if pre:
+        answers[group.keeper.name] = VoteOutcome.GRANTED
     waiting = {
         asyncio.ensure_future(
             _record_outcome(answers, group, voter, term, pre)
         )
-        for voter in voters
+        for voter in group.members.voters
+        if voter.disk != group.disk_id or not pre
     }
-    votes = 1
     try:
-        while waiting and votes < needed:
+        while waiting and not _has_quorum(group, answers):
             _, waiting = await asyncio.wait(
                 waiting, return_when=asyncio.FIRST_COMPLETED
             )
-            votes = 1 + list(answers.values()).count(VoteOutcome.GRANTED)
-        return votes >= needed
+        return _has_quorum(group, answers)
     finally:
         for task in waiting:
             task.cancel()
@@ -256,15 +299,55 @@
             group=group.name,
             term=term,
             pre=pre,
-            votes=votes,
-            needed=needed,
+            votes=_granted(answers),
+            needed=membership.quorum(group.members),
             seconds=round(group.clocks.monotonic() - began_at, 3),
             answers=answers,
+            end=_ballot_end(group, term, answers, waiting),
         )
 
 
+def _granted(answers: dict[str, VoteOutcome]) -> int:
+    return list(answers.values()).count(VoteOutcome.GRANTED)
+
+
+def _has_quorum(group, answers: dict[str, VoteOutcome]) -> bool:
+    own = answers.get(group.keeper.name)
+    enough = _granted(answers) >= membership.quorum(group.members)
+    return enough and own == VoteOutcome.GRANTED
+
+
+def _ballot_end(group, term: int, answers, waiting) -> str:
+    if _has_quorum(group, answers):
+        return "won"
+    if not waiting:
+        return "lost"
+    if group.fault is not None:
+        return "fault"
+    if group.term > term:
+        return "term"
+    return "leader" if group.leader_disk else "stopped"
+
+
 async def _record_outcome(answers, group, voter, term: int, pre: bool) -> None:
-    answers[voter.name] = await _request_vote(group, voter, term, pre)
+    if voter.disk == group.disk_id:
+        answers[voter.name] = await _give_own_vote(group, term)
+        return
+    outcome = await _request_vote(group, voter, term, pre)
+    answers[voter.name] = outcome
+    while not pre and outcome in UNANSWERED:
+        # Granting a vote again to the same candidate changes nothing.
+        await asyncio.sleep(group.options.heartbeat_seconds)
+        outcome = await _request_vote(group, voter, term, pre)
+        answers[voter.name] = outcome
+
+
+async def _give_own_vote(group, term: int) -> VoteOutcome:
+    try:
+        await _write_vote(group, term, group.disk_id)
+    except errors.StorageError:
+        return VoteOutcome.FAILED
+    return VoteOutcome.GRANTED
 
 
 async def _request_vote(group, voter, term: int, pre: bool) -> VoteOutcome:
@@ -280,10 +363,11 @@
         group.log.last_term,
         pre,
     )
+    timeout = VOTE_TIMEOUT_SECONDS
+    if pre:
+        timeout = group.options.election_seconds * PRE_VOTE_TIMEOUT_SHARE
     try:
-        reply = await peer.dialler.call(
-            message, group.options.election_seconds * 0.5
-        )
+        reply = await peer.dialler.call(message, timeout)
     except errors.LinkTimeoutError:
         return VoteOutcome.LATE
     except errors.LinkError:
@@ -319,13 +403,18 @@
 async def _write_vote(group, term: int, candidate: str) -> None:
     """Wait until the vote for disk `candidate` is synced.
 
+    The candidate gets a whole election timeout from then on.
+
     Raises
     ------
     errors.StorageError
         If the disk fails.
     """
     began_at = group.clocks.monotonic()
-    await group.writer.flush()
+    try:
+        await group.writer.flush()
+    finally:
+        reset_election_timer(group)
     logs.event(
         log,
         "keeper.voted",
@@ -360,6 +449,19 @@
 def _answer_pre_vote(group, message: messages.Vote) -> bool:
     if message.term <= group.term:
         return False
+    if not group.store.hard_state_saved:
+        # The vote in progress may still elect a leader; a next term would
+        # have to wait for the same disk. So terms follow the disks' speed.
+        logs.event(
+            log,
+            "keeper.still-writing",
+            group=group.name,
+            term=group.term,
+            asked=message.term,
+            candidate=message.disk,
+            seconds=round(group.writer.batch_age(), 3),
+        )
+        return False
     now = group.clocks.monotonic()
     until = now + PRE_VOTE_GRANT_SHARE * group.options.election_seconds
     rank = _rank(message.last_term, message.last_index, message.disk)
--- a/amaranthring/keepers/roles.py
+++ b/amaranthring/keepers/roles.py
@@ -19,9 +19,10 @@
     The change is only queued for the disk: flush the writer before replying
     to a message that relies on it.
     """
-    if term < group.term or (term == group.term and not vote):
+    if term < group.term or (term == group.term and vote in ("", group.vote)):
         return
     if term > group.term:
+        election.end_ballot(group)
         step_down(group, "saw a higher term")
         group.leader_disk = ""
     group.term = term
@@ -61,6 +62,7 @@
     set_term(group, term)
     if group.leader_disk != leader_disk:
         group.leader_disk = leader_disk
+        election.end_ballot(group)
         logs.event(
             log,
             "keeper.follows",
@@ -123,6 +125,7 @@
     group.fault = error
     log.error("keeper.fault group={} fault={}", group.name, error)
     group.metrics.count("keeper.faults")
+    election.end_ballot(group)
     step_down(group, "fault")
     for _, future in group.pending_proposals.values():
         if not future.done():
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -14,6 +14,8 @@
 # timeout, and much shorter than a pre-vote request waits.
 STANDSTILL_SECONDS = 0.2
 STANDSTILL_ELECTION_SECONDS = 1.2
+# Longer than a ballot that ends.
+BALLOT_SECONDS = 2.0
 
 
 def stand_still():
@@ -53,6 +55,12 @@
             group.heard_at = 0.0
             group.election_deadline = float("inf")
 
+    async def campaign(self, group):
+        """Campaign until the ballot has ended, if one was begun."""
+        await election._campaign(group)
+        if group.ballot is not None:
+            await asyncio.wait([group.ballot], timeout=BALLOT_SECONDS)
+
     async def test_candidate_that_voted_for_another_does_not_campaign(self):
         """A candidate that votes for another must not campaign.
 
@@ -94,7 +102,7 @@
         for _ in range(5):
             await self.forget_leader()
             await asyncio.gather(
-                election._campaign(self.group), election._campaign(self.other)
+                self.campaign(self.group), self.campaign(self.other)
             )
             leading = [self.group.leading, self.other.leading]
             self.assertEqual([False, True], sorted(leading))
@@ -147,7 +155,7 @@
             # After both have asked, before either hears an answer.
             loop.call_later(0, loop.call_soon, stand_still)
             await asyncio.gather(
-                election._campaign(self.group), election._campaign(self.other)
+                self.campaign(self.group), self.campaign(self.other)
             )
             leading = [self.group.leading, self.other.leading]
             self.assertEqual([False, True], sorted(leading))
--- a/tests/test_slow_disks.py
+++ b/tests/test_slow_disks.py
@@ -1,16 +1,44 @@
-"""Keepers whose disks are slow."""
+"""Elections while the keepers' disks are slow."""
 
 import asyncio
+import collections
+import random
+import tempfile
 import time
+import unittest
+from unittest import mock
 
+from amaranthring import errors
 from amaranthring.core import wire
 from amaranthring.keepers import disk
+from amaranthring.keepers import election
 from amaranthring.keepers import messages
 from amaranthring.keepers import replication
 from amaranthring.keepers import roles
+from amaranthring.registry import keeper as keepers
 from amaranthring.testing import plan_keepers
 from tests import keepers_case
 
+# Links are dialled again within half a second; the rest is for the machine.
+MACHINE_SECONDS = 1.0
+
+
+def bound(syncs, lost_ballots=1):
+    """Return the seconds in which restarted keepers have a usable leader.
+
+    Parameters
+    ----------
+    syncs : list of float
+        Seconds of the syncs that are needed one after the other. With no
+        ballot lost there are two: all write their votes at the same time,
+        then the first entry. Each lost ballot adds one.
+    lost_ballots : int
+        How many candidates may fail before one succeeds. Each wait for a
+        candidate takes two election timeouts at most.
+    """
+    waits = 2 * (1 + lost_ballots) * keepers.ELECTION_SECONDS
+    return sum(syncs) + waits + MACHINE_SECONDS
+
 
 def hard_state(group):
     """Return what the disk holds of the group's hard state."""
@@ -18,6 +46,136 @@
     return wire.decode_value(disk.verify_checksum(path.read_bytes(), path))
 
 
+def vote_request(group, candidate, term, pre=False):
+    """Return a request of `candidate` for the vote of `group`'s keeper."""
+    return messages.Vote(
+        group.name,
+        term,
+        candidate.disk_id,
+        group.disk_id,
+        candidate.log.last_index,
+        candidate.log.last_term,
+        pre,
+    )
+
+
+class TestRestart(unittest.IsolatedAsyncioTestCase):
+    """Keepers that are restarted together, with the product's timing."""
+
+    async def asyncSetUp(self):
+        # asyncio's debug mode, which this test case enables, is slow.
+        asyncio.get_running_loop().set_debug(False)
+
+    async def new_group(self):
+        folder = tempfile.TemporaryDirectory(dir=keepers_case.MEMORY)
+        self.addCleanup(folder.cleanup)
+        group = plan_keepers.PlanKeepers(folder.name)
+        self.addAsyncCleanup(group.stop_all)
+        group.start_all()
+        await plan_keepers.wait_until(group.leader)
+        await group.put(1, b"one")
+        return group
+
+    async def restart(self, sync_seconds, gone=0):
+        """Return the keepers after a restart of all but `gone` of them."""
+        group = await self.new_group()
+        await group.stop_all()
+        group.sync_seconds = sync_seconds
+        group.use_product_timing()
+        for address in group.seeds[gone:]:
+            group.start(address)
+        return group
+
+    async def lead(self, sync_seconds, seconds, gone=0):
+        """Require a leader in `seconds` and that it goes on in its term."""
+        group = await self.restart(sync_seconds, gone)
+        began_at = time.monotonic()
+        leader = await plan_keepers.wait_until(group.leader, 30)
+        elapsed = time.monotonic() - began_at
+        term = leader.group.term
+        await asyncio.sleep(3 * keepers.ELECTION_SECONDS)
+        self.assertIs(leader, group.leader())
+        self.assertEqual(term, leader.group.term)
+        self.assertLess(elapsed, seconds)
+        read = await leader.hub.read()
+        self.assertEqual(1, read.version)
+
+    async def test_all_disks_are_slow(self):
+        """Keepers whose votes take longer than a ballot must get a leader."""
+        await asyncio.gather(
+            *(
+                self.lead(lambda _, s=seconds: s, bound([seconds] * 3), gone)
+                for seconds in (0.2, 0.3, 0.6)
+                for gone in (0, 1)
+            )
+        )
+
+    async def test_random_sync_times(self):
+        """Disks that are fast and slow in turn must not prevent a leader."""
+
+        def draw(seed):
+            source = random.Random(seed)
+            return lambda _: source.uniform(0.0, 0.6)
+
+        await asyncio.gather(
+            *(
+                self.lead(draw(seed), bound([0.6] * 3), gone)
+                for seed in range(4)
+                for gone in (0, 1)
+            )
+        )
+
+    async def test_one_disk_is_slow(self):
+        """A slow disk that no quorum needs must not delay the others."""
+
+        async def play(number):
+            group = await self.new_group()
+            slow = group.seeds[number]
+            await group.stop_all()
+            group.sync_seconds = lambda address: 2.0 * (address == slow)
+            group.use_product_timing()
+            for address in group.seeds:
+                group.start(address)
+            # The keeper with the slow disk may be the first candidate.
+            await plan_keepers.wait_until(group.leader, bound([0.0]))
+
+        await asyncio.gather(*(play(number) for number in range(3)))
+
+    async def test_first_syncs_hang(self):
+        """Votes that hang must elect a leader when the disks go on."""
+
+        def hang():
+            hung = set()
+
+            def seconds(address):
+                if address in hung:
+                    return 0.0
+                hung.add(address)
+                return 1.5
+
+            return seconds
+
+        await asyncio.gather(
+            *(self.lead(hang(), bound([1.5]), gone) for gone in (0, 1, 1))
+        )
+
+    async def test_read_after_an_election(self):
+        """A read that the first entry delays is refused; a later one works."""
+        seconds = 1.3
+        group = await self.restart(lambda _: seconds)
+
+        def elected():
+            return [k for k in group.running.values() if k.group.leading]
+
+        (leader,) = await plan_keepers.wait_until(elected, 30)
+        began_at = time.monotonic()
+        with self.assertRaises(errors.NoQuorumError):
+            await leader.hub.read()
+        await plan_keepers.wait_until(group.leader, 2 * seconds)
+        self.assertLess(time.monotonic() - began_at, 2 * seconds)
+        self.assertEqual(1, (await leader.hub.read()).version)
+
+
 class TestVotes(keepers_case.KeepersCase):
     """Votes that are still being written."""
 
@@ -45,6 +203,83 @@
         for keeper in self.keepers.running.values():
             keeper.group.heard_at = 0.0
 
+    async def test_late_vote_counts(self):
+        """A vote that is synced after a long time must still elect."""
+        await self.lose_leader()
+        term = self.group.term + 1
+        self.slow[self.other.keeper.address] = 0.5
+        await election._campaign(self.group)
+        await plan_keepers.wait_until(lambda: self.group.leading, 2)
+        self.assertEqual(term, self.group.term)
+
+    async def test_vote_is_requested_again_over_the_next_link(self):
+        """A link that breaks must not cost the vote that is being written."""
+        await self.lose_leader()
+        term = self.group.term + 1
+        self.slow[self.other.keeper.address] = 0.5
+        campaign = asyncio.ensure_future(election._campaign(self.group))
+        await plan_keepers.wait_until(lambda: self.other.term == term, 1)
+        self.group.peers[self.other.keeper.name].dialler.link.close()
+        await campaign
+        await plan_keepers.wait_until(lambda: self.group.leading, 2)
+        self.assertEqual(term, self.group.term)
+
+    async def test_own_vote_counts_when_synced(self):
+        """Others' votes alone must not elect, nor free the next term."""
+        await self.lose_leader()
+        term = self.group.term + 1
+        self.slow[self.group.keeper.address] = 0.5
+        campaign = asyncio.ensure_future(election._campaign(self.group))
+        await plan_keepers.wait_until(
+            lambda: hard_state(self.other)["term"] == term, 0.4
+        )
+        self.assertFalse(self.group.leading)
+        rival = vote_request(self.group, self.other, term + 1, pre=True)
+        reply = await election.on_vote(self.group, rival)
+        self.assertFalse(reply.granted)
+        await campaign
+        await plan_keepers.wait_until(lambda: self.group.leading, 2)
+        state = hard_state(self.group)
+        self.assertEqual(
+            (term, self.group.disk_id), (state["term"], state["vote"])
+        )
+
+    async def test_voter_that_writes_opens_no_next_term(self):
+        """While a vote is written, its keeper must not help another term.
+
+        Otherwise each term is left before the disks have written its votes.
+        """
+        await self.lose_leader()
+        term = self.group.term + 1
+        self.slow[self.group.keeper.address] = 0.3
+        voting = asyncio.ensure_future(
+            election.on_vote(
+                self.group, vote_request(self.group, self.other, term)
+            )
+        )
+        await plan_keepers.wait_until(lambda: self.group.term == term)
+        next_term = vote_request(self.group, self.other, term + 1, pre=True)
+        self.assertFalse(election.may_campaign(self.group))
+        reply = await election.on_vote(self.group, next_term)
+        self.assertFalse(reply.granted)
+        self.assertTrue((await voting).granted)
+        self.assertTrue(election.may_campaign(self.group))
+        self.assertTrue(
+            (await election.on_vote(self.group, next_term)).granted
+        )
+        wait = self.group.election_deadline - self.group.clocks.monotonic()
+        self.assertGreater(wait, 0.9 * self.group.options.election_seconds)
+
+    async def test_repeated_request_costs_no_write(self):
+        """A vote that is on disk must be granted again without a write."""
+        await self.lose_leader()
+        request = vote_request(self.group, self.other, self.group.term + 1)
+        self.assertTrue((await election.on_vote(self.group, request)).granted)
+        with mock.patch.object(self.group.store.data_folder, "save") as save:
+            reply = await election.on_vote(self.group, request)
+        self.assertTrue(reply.granted)
+        save.assert_not_called()
+
     async def test_heartbeat_of_a_new_term_waits_for_no_disk(self):
         """A leader must not lose its quorum while its term is written."""
         await self.lose_leader()
@@ -88,3 +323,147 @@
                 await asyncio.sleep(0.01)
         self.assertGreaterEqual(self.group.store.durable_index, index)
         self.assertEqual(term, hard_state(self.group)["term"])
+
+
+class Record:
+    """What keepers told each other, checked against what their disks hold.
+
+    Attributes
+    ----------
+    votes : dict of (str, int) to set of str
+        Candidates that a disk voted for in a term.
+    leaders : dict of int to set of str
+        Disks that led in a term.
+    unsynced : list
+        Votes that counted before they were on disk.
+    """
+
+    def __init__(self, source):
+        self.source = source
+        self.votes = collections.defaultdict(set)
+        self.leaders = collections.defaultdict(set)
+        self.unsynced = []
+        self.late = 0
+
+    def check_vote(self, group, term, candidate):
+        self.votes[group.disk_id, term].add(candidate)
+        state = hard_state(group)
+        newer = state["term"] > term
+        if not newer and (state["term"], state["vote"]) != (term, candidate):
+            self.unsynced.append((group.disk_id, term, candidate, state))
+
+    async def on_vote(self, original, group, message):
+        """Answer as `original` does, but late or never at times."""
+        reply = await original(group, message)
+        if reply.granted and not message.pre:
+            self.check_vote(group, message.term, message.disk)
+        fate = self.source.random()
+        if fate < 0.1:
+            self.late += 1
+            await asyncio.sleep(60)
+        elif fate < 0.4:
+            self.late += 1
+            await asyncio.sleep(self.source.uniform(0, 0.3))
+        return reply
+
+    async def ballot(self, original, group, term, pre):
+        """Let a candidate win its pre-votes at times without asking."""
+        if pre and self.source.random() < 0.5:
+            return True
+        return await original(group, term, pre)
+
+    def become_leader(self, original, group):
+        self.check_vote(group, group.term, group.disk_id)
+        self.leaders[group.term].add(group.disk_id)
+        original(group)
+
+
+class TestSafety(unittest.IsolatedAsyncioTestCase):
+    """One vote for each disk and one leader in a term, whatever is slow."""
+
+    SEEDS = range(12)
+    ROUNDS = 16
+
+    async def asyncSetUp(self):
+        # asyncio's debug mode, which this test case enables, is slow.
+        asyncio.get_running_loop().set_debug(False)
+        self.records = {}
+        ballot = election._ballot
+        on_vote = election.on_vote
+        become_leader = roles.become_leader
+
+        async def answer(group, message):
+            return await self.record(group).on_vote(on_vote, group, message)
+
+        async def ask(group, term, pre):
+            record = self.record(group)
+            return await record.ballot(ballot, group, term, pre)
+
+        def lead(group):
+            self.record(group).become_leader(become_leader, group)
+
+        for module, name, replacement in (
+            (election, "on_vote", answer),
+            (election, "_ballot", ask),
+            (roles, "become_leader", lead),
+        ):
+            patch = mock.patch.object(module, name, replacement)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def record(self, group):
+        """Return the record of the keepers that `group` belongs to."""
+        return self.records[group.folder.parents[1]]
+
+    async def test_no_second_vote_and_no_second_leader(self):
+        """Late and lost answers, slow disks and crashes must elect no two.
+
+        Crashes come also while a vote is being written.
+        """
+        records = await asyncio.gather(*map(self.play, self.SEEDS))
+        for seed, record in zip(self.SEEDS, records, strict=True):
+            with self.subTest(seed=seed):
+                doubles = [v for v in record.votes.values() if len(v) > 1]
+                self.assertEqual([], doubles)
+                several = [d for d in record.leaders.values() if len(d) > 1]
+                self.assertEqual([], several)
+                self.assertEqual([], record.unsynced)
+        self.assertGreater(sum(len(r.leaders) for r in records), 30)
+        self.assertGreater(sum(r.late for r in records), 60)
+
+    async def play(self, seed):
+        source = random.Random(seed)
+        record = Record(source)
+        folder = tempfile.TemporaryDirectory(dir=keepers_case.MEMORY)
+        self.addCleanup(folder.cleanup)
+        group = plan_keepers.PlanKeepers(folder.name)
+        self.addAsyncCleanup(group.stop_all)
+        group.sync_seconds = lambda _: source.choice((0, 0, 0.05, 0.3))
+        self.records[group.folder] = record
+        group.start_all()
+        await plan_keepers.wait_until(group.leader, 30)
+        for _ in range(self.ROUNDS):
+            await asyncio.sleep(source.uniform(0, 0.4))
+            await self.disturb(group, source)
+        await plan_keepers.wait_until(group.leader, 30)
+        return record
+
+    async def disturb(self, group, source):
+        """Break a link, let several campaign at once, or crash one."""
+        address = source.choice(group.seeds)
+        keeper = group.running[address]
+        kind = source.choice(("link", "rivals", "rivals", "crash"))
+        if kind == "link":
+            for peer in keeper.group.peers.values():
+                if peer.dialler.link is not None:
+                    peer.dialler.link.close()
+        elif kind == "rivals":
+            now = keeper.group.clocks.monotonic()
+            for other in group.running.values():
+                roles.step_down(other.group, "the test")
+                other.group.heard_at = 0.0
+                due = now + source.choice((0.0, 0.0, 0.1))
+                other.group.election_deadline = due
+        else:
+            await group.crash(address)
+            group.start(address)
