--- a/amaranthring/testing/keeper_logs.py
+++ b/amaranthring/testing/keeper_logs.py
@@ -70,7 +70,7 @@
 
 
 def leaderships(lines: list[Line], since: float) -> list[str]:
-    """Describe the leaderships and failed ballots after `since`."""
+    """Describe when keepers began and ceased to lead after `since`."""
     kinds = ("keeper.leads", "keeper.steps-down")
     return [
         f"{line.at - since:.2f} s {line.source} {line.event} "
@@ -80,6 +80,20 @@
     ]
 
 
+def worst_delay(lines: list[Line], since: float) -> float:
+    """Return how late any keeper's loop was at worst, in seconds.
+
+    A machine without free processors stops keepers too, and their leader is
+    replaced as if it were frozen.
+    """
+    delays = [
+        float(line.fields["late"])
+        for line in lines
+        if line.event == "keeper.pressed" and line.at >= since
+    ]
+    return max(delays, default=0.0)
+
+
 def tails(folder: pathlib.Path, count: int) -> str:
     """Return the last `count` lines of each keeper's newest logs."""
     parts = []
--- a/tests/test_keeper_disk_soak.py
+++ b/tests/test_keeper_disk_soak.py
@@ -114,6 +114,8 @@
         self.check_changes(calm_at, calm_end, sync_seconds)
         self.check_routers(lines, calm_at, calm_end)
         self.note(f"relays were late by {late:.3f} s in the calm time")
+        stood = keeper_logs.worst_delay(lines, calm_at)
+        self.note(f"keepers' loops were late by {stood} s in it at most")
         self.report(lines, last_fault_at, recovered, (sync_seconds, final))
 
     async def worst_delay(self, seconds):
