--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -92,6 +92,8 @@
         Candidate that holds this keeper's pre-vote.
     ballot : asyncio.Task, optional
         Requests votes for this keeper in its current term.
+    votes_being_written : int
+        Votes that wait for the disk.
     members_changed_at : float
         Monotonic time of the last membership change; silence before it does
         not count against a new member.
@@ -157,6 +159,7 @@
         self.election_deadline = 0.0
         self.pre_vote_grant: election.PreVoteGrant | None = None
         self.ballot: asyncio.Task | None = None
+        self.votes_being_written = 0
         election.schedule_first_campaign(self)
         self.tasks: list[asyncio.Task] = []
         self.peers: dict[str, replication.Peer] = {}
--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -102,11 +102,21 @@
 
 def may_campaign(group) -> bool:
     """Return whether this keeper may request votes."""
-    if group.fault is not None or not group.store.hard_state_saved:
+    if group.fault is not None or is_writing(group):
         return False
     return membership.is_voter(group.members, group.disk_id)
 
 
+def is_writing(group) -> bool:
+    """Return whether a term or vote of this keeper is not on disk yet.
+
+    A vote counts as being written until the election timer has been reset.
+    Otherwise a voter whose timer ran out meanwhile would campaign at the
+    moment in which its vote elects a leader.
+    """
+    return group.votes_being_written > 0 or not group.store.hard_state_saved
+
+
 def reset_election_timer(group) -> None:
     """Postpone the next campaign by one to two election timeouts."""
     wait = group.options.election_seconds * group.random.uniform(1, 2)
@@ -411,9 +421,11 @@
         If the disk fails.
     """
     began_at = group.clocks.monotonic()
+    group.votes_being_written += 1
     try:
         await group.writer.flush()
     finally:
+        group.votes_being_written -= 1
         reset_election_timer(group)
     logs.event(
         log,
@@ -449,7 +461,7 @@
 def _answer_pre_vote(group, message: messages.Vote) -> bool:
     if message.term <= group.term:
         return False
-    if not group.store.hard_state_saved:
+    if is_writing(group):
         # The vote in progress may still elect a leader; a next term would
         # have to wait for the same disk. So terms follow the disks' speed.
         logs.event(
--- a/tests/test_slow_disks.py
+++ b/tests/test_slow_disks.py
@@ -270,6 +270,35 @@
         wait = self.group.election_deadline - self.group.clocks.monotonic()
         self.assertGreater(wait, 0.9 * self.group.options.election_seconds)
 
+    async def test_voter_does_not_campaign_as_its_vote_is_synced(self):
+        """A voter must not depose the leader that its vote elects.
+
+        Its election timer may have run out while the vote was written.
+        """
+        await self.lose_leader()
+        term = self.group.term + 1
+        flush = self.group.writer.flush
+        synced, answered = asyncio.Event(), asyncio.Event()
+
+        async def flush_and_wait():
+            await flush()
+            synced.set()
+            await answered.wait()
+
+        request = vote_request(self.group, self.other, term)
+        with mock.patch.object(self.group.writer, "flush", flush_and_wait):
+            voting = asyncio.ensure_future(
+                election.on_vote(self.group, request)
+            )
+            await synced.wait()
+            self.assertEqual(term, hard_state(self.group)["term"])
+            self.group.election_deadline = 0.0
+            self.assertFalse(election.may_campaign(self.group))
+            answered.set()
+            self.assertTrue((await voting).granted)
+        wait = self.group.election_deadline - self.group.clocks.monotonic()
+        self.assertGreater(wait, 0.9 * self.group.options.election_seconds)
+
     async def test_repeated_request_costs_no_write(self):
         """A vote that is on disk must be granted again without a write."""
         await self.lose_leader()
