--- a/amaranthring/keepers/applier.py
+++ b/amaranthring/keepers/applier.py
@@ -125,6 +125,12 @@
     snapshot = await asyncio.get_running_loop().run_in_executor(
         group.store.snapshot_thread, group.receiver.finish
     )
+    if group.log.term_at(snapshot.index) == snapshot.term:
+        # The log has caught up while the disk was busy. The entries after the
+        # snapshot may have been acknowledged, so the log is kept.
+        group.store.adopt(snapshot)
+        group.commit(snapshot.index)
+        return
     if snapshot.index <= group.commit_index:
         return
     group.store.install(snapshot)
--- a/amaranthring/keepers/store.py
+++ b/amaranthring/keepers/store.py
@@ -284,6 +284,10 @@
         self.writer.submit(lambda: self.segments.compact(upto, last))
         self.log.compact(upto)
 
+    def adopt(self, snapshot: snapshots.Snapshot) -> None:
+        """Record `snapshot`, whose file is in place; the log is kept."""
+        self.snapshot_index = max(self.snapshot_index, snapshot.index)
+
     def install(self, snapshot: snapshots.Snapshot) -> None:
         """Restart the log after `snapshot`, whose file is in place."""
         self._rebase_on(snapshot)
