--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -406,6 +406,9 @@
     def members_changed(self) -> None:
         """Add peers for new members and remove those of former ones."""
         self.members_changed_at = self.clocks.monotonic()
+        if not self.leading:
+            # The votes that it has would not be a quorum of the new voters.
+            election.end_ballot(self)
         self.store.prune_member_history(self.applied_index)
         for member in self.members.voters + self.members.learners:
             if member.name != self.keeper.name:
--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -267,7 +267,7 @@
 
 
 def end_ballot(group) -> None:
-    """Stop requesting votes: the term has changed, or a leader was heard."""
+    """Stop requesting votes: term or voters changed, or a leader was heard."""
     if group.ballot is not None:
         group.ballot.cancel()
 
@@ -280,8 +280,12 @@
 
 
 async def _ballot(group, term: int, pre: bool) -> bool:
-    """Return whether a quorum, which includes this keeper, grants its vote."""
+    """Return whether a quorum, which includes this keeper, grants its vote.
+
+    The voters are those at the start.
+    """
     began_at = group.clocks.monotonic()
+    needed = membership.quorum(group.members)
     answers: dict[str, VoteOutcome] = {}
     if pre:
         answers[group.keeper.name] = VoteOutcome.GRANTED
@@ -293,11 +297,11 @@
         if voter.disk != group.disk_id or not pre
     }
     try:
-        while waiting and not _has_quorum(group, answers):
+        while waiting and not _has_quorum(group, answers, needed):
             _, waiting = await asyncio.wait(
                 waiting, return_when=asyncio.FIRST_COMPLETED
             )
-        return _has_quorum(group, answers)
+        return _has_quorum(group, answers, needed)
     finally:
         for task in waiting:
             task.cancel()
@@ -310,10 +314,10 @@
             term=term,
             pre=pre,
             votes=_granted(answers),
-            needed=membership.quorum(group.members),
+            needed=needed,
             seconds=round(group.clocks.monotonic() - began_at, 3),
             answers=answers,
-            end=_ballot_end(group, term, answers, waiting),
+            end=_ballot_end(group, term, answers, needed, waiting),
         )
 
 
@@ -321,14 +325,13 @@
     return list(answers.values()).count(VoteOutcome.GRANTED)
 
 
-def _has_quorum(group, answers: dict[str, VoteOutcome]) -> bool:
+def _has_quorum(group, answers: dict[str, VoteOutcome], needed: int) -> bool:
     own = answers.get(group.keeper.name)
-    enough = _granted(answers) >= membership.quorum(group.members)
-    return enough and own == VoteOutcome.GRANTED
+    return _granted(answers) >= needed and own == VoteOutcome.GRANTED
 
 
-def _ballot_end(group, term: int, answers, waiting) -> str:
-    if _has_quorum(group, answers):
+def _ballot_end(group, term: int, answers, needed: int, waiting) -> str:
+    if _has_quorum(group, answers, needed):
         return "won"
     if not waiting:
         return "lost"
--- a/tests/test_slow_disks.py
+++ b/tests/test_slow_disks.py
@@ -224,6 +224,28 @@
         await plan_keepers.wait_until(lambda: self.group.leading, 2)
         self.assertEqual(term, self.group.term)
 
+    async def test_changed_voters_end_a_ballot(self):
+        """Votes must count among the voters that were asked.
+
+        Counted among others, two candidates could have a quorum in one term.
+        """
+        await self.lose_leader()
+        self.slow[self.other.keeper.address] = 0.3
+        await election._campaign(self.group)
+        voters = [
+            member
+            for member in self.group.members.voters
+            if member.disk == self.group.disk_id
+        ]
+        index = self.group.log.last_index
+        changed = (index, messages.Members(voters, []))
+        self.group.store.member_history.append(changed)
+        self.group.members_changed()
+        self.group.election_deadline = float("inf")
+        await asyncio.sleep(0.6)
+        self.assertEqual(self.group.vote, self.group.disk_id)
+        self.assertFalse(self.group.leading)
+
     async def test_own_vote_counts_when_synced(self):
         """Others' votes alone must not elect, nor free the next term."""
         await self.lose_leader()
