--- a/tests/test_keeper_disk_soak.py
+++ b/tests/test_keeper_disk_soak.py
@@ -215,6 +215,15 @@
         self.fleet.set_disks(names, mode)
         await asyncio.sleep(seconds)
         self.fleet.set_disks(names, slow_disks.Mode())
+        if mode.full:
+            self.restart_ended(names)
+
+    def restart_ended(self, names):
+        """Start keepers again that ended as their new folder was full."""
+        ended = set(names) & set(self.fleet.ended()) - self.fleet.busy
+        for name in sorted(ended):
+            self.note(f"{name} ended by its full disk and starts again")
+            self.fleet.start_keeper(name)
 
     def random_mode(self, seconds):
         high = self.details.choice(SYNC_SECONDS)
