--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -184,9 +184,21 @@
 
 
 def is_live(group, member: messages.Member) -> bool:
-    """Return whether `member` answered within two election timeouts."""
+    """Return whether `member` answers and its disk takes what it is sent.
+
+    A member with a disk that hangs still answers heartbeats.
+    """
     since = group.clocks.monotonic() - acked_at(group, member)
-    return since < 2 * group.options.election_seconds
+    answers = since < 2 * group.options.election_seconds
+    return answers and not _disk_hangs(group, member)
+
+
+def _disk_hangs(group, member: messages.Member) -> bool:
+    if member.disk == group.disk_id:
+        return group.writer.batch_age() > group.options.replace_seconds
+    peer = group.peers[member.name]
+    since = group.clocks.monotonic() - peer.synced_at
+    return since > group.options.replace_seconds
 
 
 async def _campaign(group) -> None:
--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -61,6 +61,9 @@
         Monotonic send time of the last message that the peer answered.
     replied_at : float
         Monotonic time of the last reply.
+    synced_at : float
+        Monotonic time of the last reply that shows that the peer's disk took
+        something, or has everything that was sent.
     in_flight_since : float
         Monotonic time at which `in_flight` last rose from zero.
     refuses : bool
@@ -98,6 +101,7 @@
         self.match_index = 0
         self.acked_at = 0.0
         self.replied_at = now
+        self.synced_at = now
         self.sent_at = 0.0
         self.in_flight_since = 0.0
         self.refuses = False
@@ -296,6 +300,9 @@
     peer.wall_offset = reply.wall - now
     if reply.ok:
         peer.probing = False
+        sent_index = message.prev_index + len(message.entries)
+        if reply.match > peer.match_index or 0 < sent_index <= reply.match:
+            peer.synced_at = now
         peer.match_index = max(peer.match_index, reply.match)
         advance_commit_index(group)
     else:
@@ -562,6 +569,7 @@
     if not reply.ok or message.term != group.term:
         return None
     peer.acked_at = max(peer.acked_at, sent_at)
+    peer.synced_at = group.clocks.monotonic()
     return reply.offset
 
 
--- a/tests/test_slow_disks.py
+++ b/tests/test_slow_disks.py
@@ -376,6 +376,33 @@
         self.assertEqual(term, hard_state(self.group)["term"])
 
 
+class TestSpareLearner(keepers_case.KeepersCase):
+    """Three voters and a learner that could replace one."""
+
+    async def test_voter_stays_while_another_disk_hangs(self):
+        """A voter must not be removed if the rest depends on a hanging disk.
+
+        The removal could not be committed, and its return would not help.
+        """
+        own = self.leader.config.address
+        hanging, away = [a for a in self.keepers.running if a != own]
+        self.keepers.start(self.keepers.new_address())
+        group = self.leader.group
+        await plan_keepers.wait_until(lambda: group.members.learners)
+        await self.keepers.put(1, b"one", own)
+        self.addCleanup(lambda: self.keepers.crashed[hanging].set())
+        self.keepers.sync_seconds = lambda a: 60.0 if a == hanging else 0.0
+        await self.keepers.put(2, b"two", own)
+        await asyncio.sleep(2 * group.options.replace_seconds)
+        await self.keepers.stop(away)
+        await asyncio.sleep(4 * group.options.replace_seconds)
+        self.keepers.start(away)
+        await plan_keepers.wait_until(
+            lambda: self.keepers.leader() is not None
+        )
+        self.assertEqual(3, await self.keepers.put(3, b"three", own))
+
+
 class Record:
     """What keepers told each other, checked against what their disks hold.
 
