--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -265,6 +265,10 @@
         errors.CommitUnknownError, errors.LinkError
             The plan may still be committed.
         """
+        if self.machine.version >= version:
+            # Committed already, for example by a call whose caller got no
+            # answer. Another entry would only have to wait for the disks.
+            return self.machine.version
         in_force = await self._propose(
             self.machine.put_command(version, document)
         )
--- a/tests/test_slow_disks.py
+++ b/tests/test_slow_disks.py
@@ -15,6 +15,7 @@
 from amaranthring.keepers import messages
 from amaranthring.keepers import replication
 from amaranthring.keepers import roles
+from amaranthring.registry import hub
 from amaranthring.registry import keeper as keepers
 from amaranthring.testing import plan_keepers
 from tests import keepers_case
@@ -376,6 +377,27 @@
         self.assertEqual(term, hard_state(self.group)["term"])
 
 
+class TestRepeatedChange(keepers_case.KeepersCase):
+    """A change that is sent again, as its caller got no answer in time."""
+
+    async def test_committed_change_is_acknowledged(self):
+        """A change must be acknowledged when it is sent again.
+
+        On disks that take longer than a call waits, each repetition would
+        only add an entry that is not committed in time either.
+        """
+        self.keepers.sync_seconds = lambda _: 1.3 * hub.ANSWER_SECONDS
+        with self.assertRaises(errors.CommitUnknownError):
+            await self.leader.hub.put(7, b"seven")
+        for keeper in self.keepers.running.values():
+            await plan_keepers.wait_until(
+                lambda k=keeper: k.machine.version == 7
+            )
+            last = self.leader.group.log.last_index
+            self.assertEqual(7, await keeper.hub.put(7, b"seven"))
+            self.assertEqual(last, self.leader.group.log.last_index)
+
+
 class TestSpareLearner(keepers_case.KeepersCase):
     """Three voters and a learner that could replace one."""
 
