--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -84,6 +84,68 @@
         self.check(timeline)
 
 
+class PartlyCutTimeline(retry_timeline.Timeline):
+    """A timeline in which routers of zones a and b reach their own keeper.
+
+    Those of zone c reach all, and the keepers reach each other.
+
+    Attributes
+    ----------
+    partly_cut : bool
+        Whether the links are lost.
+    """
+
+    partly_cut = False
+
+    def reach_router(self, zone, router):
+        return not self.partly_cut or router.zone in (zone, "c")
+
+    def _renew(self, name, router):
+        for zone, keeper in self.keepers.items():
+            if not self.reach_router(zone, router):
+                continue
+            if name not in keeper.linked:
+                keeper.linked.add(name)
+                keeper.census.update()
+            told = keeper.answer(name, zone == self.leader)
+            router.sharers.record(zone, told, self.now())
+
+    def _update_links(self):
+        for zone, keeper in self.keepers.items():
+            linked = {
+                name
+                for name in keeper.linked
+                if name in self.routers
+                and self.reach_router(zone, self.routers[name])
+            }
+            if linked != keeper.linked:
+                keeper.linked.intersection_update(linked)
+                keeper.census.update()
+
+
+class TestPartlyCut(TimelineCase):
+    """Links between some routers and some keepers are lost for long."""
+
+    def test_next_leader_counts_routers_that_only_the_last_one_reached(self):
+        """A new leader had forgotten routers that hold their shares still."""
+        timeline = PartlyCutTimeline(
+            random.Random(1), rule=self.rule, rate=self.rate, router_count=9
+        )
+        timeline.run(40)
+        while timeline.leader != "a":
+            timeline.leader = "a"
+            timeline.run(40)
+        timeline.partly_cut = True
+        timeline.run(45)
+        timeline.stop_keeper("a")
+        timeline.run(1.5)
+        timeline.leader = "b"
+        timeline.run(1)
+        timeline.start_keeper("a")
+        timeline.run(LONG_SECONDS)
+        self.check(timeline)
+
+
 class TestStarts(TimelineCase):
     """Routers that start, restart or are added."""
 
