--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -26,11 +26,12 @@
 LEASE_SHARE = 0.9
 # Average wait of a candidate without a majority before it retries.
 RETRY_SHARE = 0.3
-# How long a pre-vote is reserved for another candidate: longer than a ballot,
-# but shorter than most retry waits, so that a candidate that cannot win does
-# not block the others.
+# How long a pre-vote is reserved for another candidate: longer than its
+# pre-votes take where keepers are a millisecond apart (0.01 to 0.1 s), but
+# shorter than most retry waits, so that a candidate that cannot win does not
+# block the others.
 PRE_VOTE_GRANT_SHARE = 0.15
-# Pre-votes wait for no disk.
+# How long a pre-vote may take; it waits for no disk.
 PRE_VOTE_TIMEOUT_SHARE = 0.5
 # Seconds. A vote is answered once the voter's disk has it; after this time it
 # is requested again.
