--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -28,7 +28,7 @@
 log = logbook.Logger(__name__)
 
 BATCH_BYTES = 256 * 1024
-MAX_IN_FLIGHT_MESSAGES = 8
+MAX_IN_FLIGHT_BATCHES = 8
 MAX_IN_FLIGHT_BYTES = 2 * 1024 * 1024
 REPLY_TIMEOUT_SECONDS = 30.0
 GREET_TIMEOUT_SECONDS = 0.25
@@ -52,8 +52,12 @@
     match_index : int
         Highest index known to be on the peer's disk.
     in_flight, in_flight_bytes : int
-        Messages sent and not yet answered, and their bytes of entries;
-        bounded, so that a slow peer fills neither memory nor the link.
+        Messages sent and not yet answered, and their bytes of entries.
+    batches_in_flight : int
+        Those of the messages in flight that carry entries; bounded like
+        `in_flight_bytes`, so that a slow peer fills neither memory nor the
+        link. Heartbeats do not count: with a long round trip one of them is
+        always in flight.
     epoch : int
         Incremented whenever `next_index` is reset; older replies are
         dropped.
@@ -112,6 +116,7 @@
         self.epoch += 1
         self.next_index = max(1, next_index)
         self.in_flight = 0
+        self.batches_in_flight = 0
         self.in_flight_bytes = 0
         self.probing = True
 
@@ -214,11 +219,11 @@
 
 def _may_send(group, peer: Peer) -> bool:
     one_by_one = peer.probing or _is_catching_up(group, peer)
-    window = 1 if one_by_one else MAX_IN_FLIGHT_MESSAGES
+    window = 1 if one_by_one else MAX_IN_FLIGHT_BATCHES
     return (
         not peer.refuses
         and peer.next_index <= group.log.last_index
-        and peer.in_flight < window
+        and peer.batches_in_flight < window
         and peer.in_flight_bytes < MAX_IN_FLIGHT_BYTES
     )
 
@@ -265,6 +270,7 @@
         peer.in_flight_since = group.clocks.monotonic()
     peer.next_index += len(entries)
     peer.in_flight += 1
+    peer.batches_in_flight += bool(entries)
     peer.in_flight_bytes += size
     peer.sent_at = group.clocks.monotonic()
     task = asyncio.ensure_future(
@@ -292,6 +298,7 @@
     if epoch != peer.epoch or message.term != group.term:
         return
     peer.in_flight -= 1
+    peer.batches_in_flight -= bool(message.entries)
     peer.in_flight_bytes -= size
     if reply.disk != peer.disk:
         _disk_changed(group, peer, reply.disk)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -9,8 +9,11 @@
 from amaranthring.keepers import messages
 from amaranthring.keepers import options
 from amaranthring.keepers import replication
+from amaranthring.testing import plan_keepers
 
 MEMBER = messages.Member("old-disk", "k2", "h:2", "dc")
+# Several heartbeat intervals.
+ROUND_TRIP_SECONDS = 0.25
 
 
 class TestCancelTasks(unittest.IsolatedAsyncioTestCase):
@@ -149,3 +152,106 @@
         await self.send_due()
         self.assertEqual(1, self.dialler.closed)
         self.assertEqual(0, self.peer.in_flight)
+
+
+class DistantDialler:
+    """A link to a follower whose answers take a round trip."""
+
+    def __init__(self):
+        self.link = self
+        self.last_index = 0
+        self.batches = 0
+        self.open_batches = 0
+        self.most_open = 0
+
+    async def call(self, message, _timeout):
+        reply = self.append(message)
+        carries = bool(message.entries)
+        self.batches += carries
+        self.open_batches += carries
+        self.most_open = max(self.most_open, self.open_batches)
+        await asyncio.sleep(ROUND_TRIP_SECONDS)
+        self.open_batches -= carries
+        return reply
+
+    def append(self, message):
+        if message.prev_index > self.last_index:
+            hint = self.last_index + 1
+            return messages.Appended(1, False, "old-disk", 0, hint)
+        end = message.prev_index + len(message.entries)
+        self.last_index = max(self.last_index, end)
+        return messages.Appended(1, True, "old-disk", end)
+
+
+class TestDistantFollower(unittest.IsolatedAsyncioTestCase):
+    """A follower whose answers take several heartbeat intervals."""
+
+    async def asyncSetUp(self):
+        asyncio.get_running_loop().set_debug(False)
+        log = logfile.Log()
+        self.body = bytes(replication.BATCH_BYTES)
+        for index in range(1, 9):
+            log.append([logfile.make_entry(index, 1, 0.0, "x", self.body)])
+        self.dialler = DistantDialler()
+        self.peer = replication.Peer("k2", "h:2", "dc", self.dialler)
+        self.peer.disk = "old-disk"
+        self.group = types.SimpleNamespace(
+            name="g",
+            term=1,
+            disk_id="own",
+            leading=True,
+            commit_index=8,
+            commit=self.commit,
+            log=log,
+            members=messages.Members([MEMBER]),
+            peers={"k2": self.peer},
+            options=options.Options(heartbeat_seconds=0.05),
+            clocks=options.Clocks(),
+            pacer=types.SimpleNamespace(reserve=lambda: 1e9),
+            lease_changed=asyncio.Event(),
+        )
+        self.peer.reset(9, self.group.clocks.monotonic())
+        self.addCleanup(self.end)
+
+    def commit(self, index):
+        self.group.commit_index = index
+
+    def start(self):
+        sending = replication._send_log(self.group, self.peer)
+        self.peer.main_task = asyncio.ensure_future(sending)
+
+    def end(self):
+        for task in [self.peer.main_task, *self.peer.tasks]:
+            task.cancel()
+
+    async def until_matched(self, seconds):
+        last = self.group.log.last_index
+        await plan_keepers.wait_until(
+            lambda: self.peer.match_index >= last, seconds
+        )
+
+    async def test_lagging_follower_gets_all_entries(self):
+        """Heartbeats on their way must not keep entries from a follower.
+
+        With a long round trip one of them is always unanswered.
+        """
+        self.start()
+        # One more round trip finds where the follower's log ends.
+        await self.until_matched(1.5 * (8 + 1) * ROUND_TRIP_SECONDS)
+        self.assertEqual(8, self.dialler.batches)
+        self.assertEqual(1, self.dialler.most_open)
+
+    async def test_pipelining_is_bounded_in_batches(self):
+        """New entries wait behind eight batches, whatever the heartbeats."""
+        self.dialler.last_index = 8
+        self.start()
+        await self.until_matched(4 * ROUND_TRIP_SECONDS)
+        for index in range(9, 33):
+            entry = logfile.make_entry(index, 1, 0.0, "x", bytes(10))
+            self.group.log.append([entry])
+            self.peer.wake.set()
+            await asyncio.sleep(0.01)
+        await self.until_matched(8 * ROUND_TRIP_SECONDS)
+        self.assertEqual(
+            replication.MAX_IN_FLIGHT_BATCHES, self.dialler.most_open
+        )
