--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -132,15 +132,15 @@
         """
         self._write(frame, tag)
 
-    async def call(self, message: t.Any, timeout: float) -> t.Any:
+    async def call(self, message: t.Any, timeout: float | None) -> t.Any:
         """Send a request and return its reply.
 
         Parameters
         ----------
         message : object
             A registered message.
-        timeout : float
-            Seconds to wait for the reply.
+        timeout : float or None
+            Seconds to wait for the reply; None to wait until the link closes.
 
         Raises
         ------
--- a/amaranthring/registry/fetching.py
+++ b/amaranthring/registry/fetching.py
@@ -4,7 +4,9 @@
 alone, a whole plan of 100 KB would occupy its link for seconds, so each
 router waits briefly for the keeper that rendezvous hashing assigns to it. A
 keeper that loses power never answers, so the next one is asked soon, in
-parallel (a hedged request).
+parallel (a hedged request). A request stays open as long as its link: a keeper
+that paces its plans still has it in its queue, would send the plan all the
+same, and would queue a second request behind those of all other routers.
 """
 
 import asyncio
@@ -24,7 +26,6 @@
 # Time in which a keeper that paces its link sends a whole plan of 20 KB to
 # fifteen routers.
 HEDGE_SECONDS = 0.8
-FETCH_SECONDS = 3.0
 
 
 class PlanFetcher:
@@ -122,7 +123,7 @@
     async def _fetch(self, link: links.Link) -> None:
         try:
             request = messages.FetchPlan(held=self.base_version())
-            plan = await link.call(request, FETCH_SECONDS)
+            plan = await link.call(request, None)
         except errors.AmaranthringError as error:
             log.warning(
                 "plan.fetch-failed keeper={} fault={}", link.peer.name, error
--- a/amaranthring/registry/plan_source.py
+++ b/amaranthring/registry/plan_source.py
@@ -72,11 +72,16 @@
             meantime that it holds the plan: a router without a plan asks
             several keepers, and all of them would send it.
         """
+        noted_version = self.held_versions.get(router, -1)
         await self.pacer.acquire()
-        # A newer one may have come meanwhile.
+        # A newer one may have come meanwhile, here and to the router.
         version = self.machine.version
-        if self.held_versions.get(router, -1) >= version:
+        taken_version = self.held_versions.get(router, -1)
+        if taken_version >= version:
             return messages.PlanBody(version, b"")
+        if taken_version > noted_version:
+            # A delta to the version that it held before applies no more.
+            held_version = taken_version
         return self.body_for(held_version)
 
     def note_held(self, router: links.Link, version: int) -> None:
