--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import time
 import typing as t
 
 import logbook
@@ -29,7 +30,8 @@
 # Keeps the plan's age far below the time for which a withdrawn key may still
 # work, for 2 messages per second and keeper.
 RENEW_SECONDS = 0.5
-# A keeper that does not answer in this time is frozen or its link is dead.
+# A keeper from which nothing arrives for this time after a request is frozen
+# or its link is dead.
 REPLY_SECONDS = 1.2
 # If the plan has not been confirmed for this time, two renewal intervals, the
 # router asks a new leader at once.
@@ -205,16 +207,13 @@
 
     async def _renew(self, address: str, link: links.Link) -> None:
         sent_at = clocks.boottime()
+        watch = asyncio.ensure_future(_close_once_silent(link))
         try:
-            reply = await link.call(
-                messages.Renew(self.version), REPLY_SECONDS
-            )
-        except errors.LinkTimeoutError:
-            # Frozen, partitioned, or on a connection that has gone silent.
-            link.close()
-            return
+            reply = await link.call(messages.Renew(self.version), None)
         except errors.AmaranthringError:
             return
+        finally:
+            watch.cancel()
         self.sharers.record(address, reply, sent_at)
         self.answered_at = clocks.boottime()
         self._update_keepers(reply)
@@ -312,3 +311,17 @@
         for record in records:
             if self.table.merge(record):
                 targets.log_change(record)
+
+
+async def _close_once_silent(link: links.Link) -> None:
+    """Close `link` once nothing has arrived for too long after a request.
+
+    While bytes arrive, the reply may wait behind a plan that is on its way.
+    """
+    asked_at = time.monotonic()
+    remaining = REPLY_SECONDS
+    while remaining > 0:
+        await asyncio.sleep(remaining)
+        active_at = max(asked_at, link.received_at)
+        remaining = active_at + REPLY_SECONDS - time.monotonic()
+    link.close()
--- a/tests/test_plan_queue.py
+++ b/tests/test_plan_queue.py
@@ -15,6 +15,7 @@
 from amaranthring.registry import fetching
 from amaranthring.registry import messages
 from amaranthring.registry import plan_source
+from amaranthring.registry import subscriber
 from amaranthring.testing import plan_keepers
 from tests import keepers_case
 
@@ -189,3 +190,56 @@
 async def never(_link, _message):
     """Handle a request without an answer."""
     await asyncio.Event().wait()
+
+
+class TestRenewals(keepers_case.KeepersCase):
+    """Renewals that the keepers answer late or not at all."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for name, seconds in (("REPLY", 0.3), ("RENEW", 0.1)):
+            patch = mock.patch.object(subscriber, f"{name}_SECONDS", seconds)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    async def subscribe(self, answer):
+        """Return a router, linked to keepers that handle renewals so."""
+        for keeper in self.keepers.running.values():
+            keeper.handlers.by_class[messages.Renew] = answer
+        router = plan_keepers.make_subscriber("router", self.keepers.seeds, [])
+        self.addCleanup(router.stop)
+        await plan_keepers.wait_until(lambda: len(router.open_links()) == 3)
+        return router
+
+    async def test_late_reply_counts_if_bytes_arrive(self):
+        """A renewal may wait behind a plan that is still on its way.
+
+        A link that is closed meanwhile loses the plan, and a renewal that is
+        given up is asked again at the end of the queue.
+        """
+
+        async def late(link, message):
+            await asyncio.sleep(3 * subscriber.REPLY_SECONDS)
+            return await self.leader.hub._on_renew(link, message)
+
+        router = await self.subscribe(late)
+        before = router.open_links()
+        for number in range(25):
+            await asyncio.sleep(0.05)
+            record = messages.TargetRecord(
+                "a", "s", "v:1", "here", sequence=number
+            )
+            for keeper in self.keepers.running.values():
+                for link in keeper.hub.routers:
+                    link.send(messages.Targets([record]))
+        self.assertEqual(before, router.open_links())
+        self.assertGreater(router.answered_at, 0)
+
+    async def test_silent_link_is_closed(self):
+        """A keeper without power must not keep a router from another."""
+        router = await self.subscribe(never)
+        before = router.open_links()
+        await plan_keepers.wait_until(
+            lambda: all(link.closed for link in before),
+            4 * subscriber.REPLY_SECONDS,
+        )
