--- a/amaranthring/core/pacing.py
+++ b/amaranthring/core/pacing.py
@@ -20,6 +20,8 @@
 MAX_DEBT_SECONDS = 1.0
 # Exceeds the heartbeat interval (0.1 s), at which the caller retries.
 RESERVE_SECONDS = 0.15
+# Bytes of a turn where two kinds of urgent data share; a piece of a snapshot.
+TURN_BYTES = 32 * 1024
 # Bytes a second if the rate is not given: 6 Mbit/s.
 DEFAULT_LINK_RATE = 0.75e6
 
@@ -35,6 +37,15 @@
         Returns seconds.
     link_rate : float
         Bytes a second that the link carries; 0 if unknown.
+
+    Attributes
+    ----------
+    urgent_waiters : int
+        Callers of `acquire_urgent` that wait.
+    urgent_lead : float
+        Bytes granted to them beyond those granted by `reserve`, bounded.
+    polled_until : float
+        Time until which a caller of `reserve` is expected again.
     """
 
     def __init__(
@@ -49,7 +60,9 @@
         self.lock = asyncio.Lock()
         self.urgent_lock = asyncio.Lock()
         self.waiters = 0
-        self.reserved_until = float("-inf")
+        self.urgent_waiters = 0
+        self.urgent_lead = 0.0
+        self.reserved_until = self.polled_until = float("-inf")
         self._balance = self.rate * BURST_SECONDS
         self._seen_total = self._total()
         self._updated_at = clock()
@@ -58,17 +71,29 @@
         """Return how many bytes may be sent now; 0 while others wait."""
         return 0.0 if self.waiters else max(0.0, self._update())
 
-    def reserve(self) -> float:
+    def reserve(self, size: int = TURN_BYTES) -> float:
         """Return how many bytes may be sent now, ahead of all waiters.
 
         If there are none, waiters are held back until the caller has had time
         to retry. Otherwise a caller that polls would starve, as waiters would
-        use the budget between its polls.
+        use the budget between its polls. While callers of `acquire_urgent`
+        wait, both kinds share, and a turn here is at least `TURN_BYTES`.
+
+        Parameters
+        ----------
+        size : int
+            Bytes that the caller sends if its turn allows.
         """
         balance = max(0.0, self._update())
-        if not balance:
-            self.reserved_until = self._updated_at + RESERVE_SECONDS
-        return balance
+        contended = self.urgent_waiters > 0
+        self.polled_until = self._updated_at + RESERVE_SECONDS
+        if not balance or (contended and self.urgent_lead <= 0):
+            self._hold_back()
+            return 0.0
+        # Less is a turn too: a caller with little to send would otherwise
+        # hold back urgent data for many polls.
+        self._shift_lead(-max(size, TURN_BYTES))
+        return max(balance, TURN_BYTES) if contended else balance
 
     async def acquire(self) -> None:
         """Wait until bulk data may be sent; callers are served in order.
@@ -84,17 +109,45 @@
         finally:
             self.waiters -= 1
 
-    async def acquire_urgent(self) -> None:
+    async def acquire_urgent(self, size: int = TURN_BYTES) -> None:
         """Wait until bulk data may be sent, ahead of callers of `acquire`.
 
         For bulk data that the quorum may need. Otherwise as :meth:`acquire`;
-        the others are held back only while a caller waits here.
+        the others are held back only while a caller waits here. Callers of
+        `reserve` get as many bytes.
+
+        Parameters
+        ----------
+        size : int
+            Bytes that the caller sends.
         """
-        async with self.urgent_lock:
-            while not self.reserve():
-                # Renews the reservation before it ends.
-                delay = min(self._refill_delay(), RESERVE_SECONDS / 2)
-                await asyncio.sleep(delay)
+        self.urgent_waiters += 1
+        try:
+            async with self.urgent_lock:
+                while (delay := self._urgent_delay()) > 0:  # noqa: ASYNC110
+                    # Renews the reservation before it ends.
+                    await asyncio.sleep(min(delay, RESERVE_SECONDS / 2))
+                self._shift_lead(size)
+        finally:
+            self.urgent_waiters -= 1
+
+    def _urgent_delay(self) -> float:
+        delay = self._refill_delay() if self._update() <= 0 else 0.0
+        if self.urgent_lead > 0:
+            delay = max(delay, self.polled_until - self._updated_at)
+        if delay > 0:
+            self._hold_back()
+        return delay
+
+    def _hold_back(self) -> None:
+        self.reserved_until = self._updated_at + RESERVE_SECONDS
+
+    def _shift_lead(self, size: int) -> None:
+        # Bounded, as what one kind got while the other had nothing to send
+        # must not count for long; but for one entry, however large, it does.
+        lead = self.urgent_lead + size
+        least = min(size, -self.rate * MAX_DEBT_SECONDS, self.urgent_lead)
+        self.urgent_lead = min(max(least, lead), TURN_BYTES)
 
     def _refill_delay(self) -> float:
         return (1.0 - self._balance) / self.rate
--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -242,7 +242,9 @@
     """
     if not _is_catching_up(group, peer):
         return BATCH_BYTES
-    return min(snapshots.CHUNK_BYTES, int(group.pacer.reserve()))
+    batch = group.log.batch(peer.next_index, snapshots.CHUNK_BYTES)
+    granted = group.pacer.reserve(sum(map(len, batch)))
+    return min(snapshots.CHUNK_BYTES, int(granted))
 
 
 def _send(group, peer: Peer, max_bytes: int) -> None:
@@ -530,7 +532,7 @@
         )
         if group.pacer is not None:
             waiting_since = group.clocks.monotonic()
-            await group.pacer.acquire_urgent()
+            await _await_turn(group, peer, len(data))
             transfer.paced += group.clocks.monotonic() - waiting_since
         if not _continues(group, peer, transfer):
             return
@@ -540,6 +542,14 @@
         transfer.offset = accepted
 
 
+async def _await_turn(group, peer: Peer, size: int) -> None:
+    """Wait for the pacer; only what the quorum may need goes ahead."""
+    if membership.is_voter(group.members, peer.disk):
+        await group.pacer.acquire_urgent(size)
+    else:
+        await group.pacer.acquire()
+
+
 def _continues(group, peer: Peer, transfer: Transfer) -> bool:
     """Return whether neither leadership nor the peer's state has changed."""
     same = (group.term, peer.epoch) == (transfer.term, transfer.epoch)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -118,3 +118,61 @@
         last_chunk = len(served) - served[::-1].index("chunk")
         self.assertLessEqual(served[:last_chunk].count("router"), 1)
         self.assertIn("router", served[last_chunk:])
+
+    async def share(self, entry_bytes):
+        """Return the bytes of chunks and of entries sent in a while."""
+        sent = self.sent
+
+        async def snapshot():
+            while True:
+                await self.pacer.acquire_urgent()
+                sent["chunks"] += 32_768
+                await asyncio.sleep(0.01)
+
+        async def entries():
+            while True:
+                if self.pacer.reserve(entry_bytes):
+                    sent["entries"] += entry_bytes
+                await asyncio.sleep(0.1)
+
+        async def sleep(seconds):
+            until = self.now + seconds
+            while self.now < until:
+                await original(0)
+
+        original, asyncio.sleep = asyncio.sleep, sleep
+        tasks = [asyncio.ensure_future(f()) for f in (snapshot, entries)]
+        try:
+            while self.now < 20.0:
+                self.now += 0.001
+                await original(0)
+        finally:
+            asyncio.sleep = original
+            for task in tasks:
+                task.cancel()
+        return sent["chunks"], sent["entries"]
+
+    async def check_shares(self, entry_bytes):
+        chunks, entries = await self.share(entry_bytes)
+        total = chunks + entries
+        self.assertGreater(total, 0.8 * 20.0 * BULK_RATE)
+        self.assertGreaterEqual(chunks, total / 3)
+        self.assertGreaterEqual(entries, total / 3)
+
+    async def test_snapshot_and_entries_share(self):
+        """One voter's snapshot must not starve the entries for another."""
+        await self.check_shares(32_768)
+
+    async def test_snapshot_and_large_entries_share(self):
+        """One voter's large entries must not starve another's snapshot."""
+        await self.check_shares(200_000)
+
+    async def test_snapshot_and_huge_entries_share(self):
+        """The pacer's debt is capped, but not the turns after one entry."""
+        await self.check_shares(1_000_000)
+
+    async def test_small_entries_hold_no_snapshot_back(self):
+        """A poll for few bytes must count as a whole turn."""
+        chunks, entries = await self.share(100)
+        self.assertGreaterEqual(chunks, 0.5 * 20.0 * BULK_RATE)
+        self.assertGreater(entries, 0)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -1,6 +1,7 @@
 """Task cancellation, and the link of a silent follower."""
 
 import asyncio
+import concurrent.futures
 import types
 import unittest
 
@@ -207,7 +208,7 @@
             peers={"k2": self.peer},
             options=options.Options(heartbeat_seconds=0.05),
             clocks=options.Clocks(),
-            pacer=types.SimpleNamespace(reserve=lambda: 1e9),
+            pacer=types.SimpleNamespace(reserve=lambda _: 1e9),
             lease_changed=asyncio.Event(),
         )
         self.peer.reset(9, self.group.clocks.monotonic())
@@ -255,3 +256,50 @@
         self.assertEqual(
             replication.MAX_IN_FLIGHT_BATCHES, self.dialler.most_open
         )
+
+
+class RecordingPacer:
+    """A pacer that records in which queue each caller waits."""
+
+    def __init__(self):
+        self.queues = []
+
+    async def acquire(self):
+        self.queues.append("all")
+
+    async def acquire_urgent(self, *_size):
+        self.queues.append("urgent")
+
+
+class TestSnapshotTurn(unittest.IsolatedAsyncioTestCase):
+    """Where a snapshot waits before it is sent."""
+
+    async def queues(self, members):
+        pacer = RecordingPacer()
+        thread = concurrent.futures.ThreadPoolExecutor(1)
+        self.addCleanup(thread.shutdown)
+        group = types.SimpleNamespace(
+            term=1,
+            leading=False,
+            members=members,
+            clocks=options.Clocks(),
+            pacer=pacer,
+            store=types.SimpleNamespace(snapshot_thread=thread),
+        )
+        peer = replication.Peer("k2", "h:2", "dc", None)
+        peer.disk = "old-disk"
+        reader = types.SimpleNamespace(
+            index=5, total=10, read=lambda _offset: b"data"
+        )
+        transfer = replication.Transfer(reader, 1, peer.epoch)
+        await replication._send_chunks(group, peer, transfer)
+        return pacer.queues
+
+    async def test_snapshot_for_a_voter_goes_ahead(self):
+        queues = await self.queues(messages.Members([MEMBER]))
+        self.assertEqual(["urgent"], queues)
+
+    async def test_snapshot_for_a_learner_waits_its_turn(self):
+        """A spare keeper's snapshot must not hold up voters and routers."""
+        queues = await self.queues(messages.Members([], [MEMBER]))
+        self.assertEqual(["all"], queues)
