--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -377,7 +377,7 @@
     """Keepers that are added and removed by an operator."""
 
     async def test_added_keeper_catches_up_and_votes(self):
-        leader = await self.begin(snapshot_entries=50)
+        await self.begin(snapshot_entries=50)
         await self.add(0, 1200)
         address = await self.fleet.join("k4")
         add = messages.Change("fleet", True, "k4", address, "dc-k4")
@@ -387,6 +387,7 @@
             return [m.name for m in status.members if m.voter][3:] == ["k4"]
 
         await self.status_where(voted)
+        leader = await self.fleet.wait_leader()
         stopped = self.others(leader)[0]
         self.fleet.keepers[stopped].kill()
         self.fleet.keepers[leader].kill()
