--- a/amaranthring/testing/retry_timeline.py
+++ b/amaranthring/testing/retry_timeline.py
@@ -19,7 +19,7 @@
 SETTLE_SECONDS = 1.7
 # Steps from the loss of a leader to the next one.
 ELECTION_STEPS = 8
-ZONES = ("a", "b", "c")
+DATA_CENTRES = ("a", "b", "c")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,8 +42,10 @@
 class SimulatedKeeper:
     """A keeper that only counts routers."""
 
-    def __init__(self, zone: str, rule: Rule, clock: t.Callable[[], float]):
-        self.zone = zone
+    def __init__(
+        self, data_centre: str, rule: Rule, clock: t.Callable[[], float]
+    ):
+        self.data_centre = data_centre
         self.linked: set[str] = set()
         self.census = router_census.RouterCensus(
             lambda: self.linked, rule.window, clock
@@ -65,12 +67,12 @@
 
     def __init__(
         self,
-        zone: str,
+        data_centre: str,
         rule: Rule,
         first_start: bool,
         clock: t.Callable[[], float],
     ):
-        self.zone = zone
+        self.data_centre = data_centre
         self.sharers = sharers.Sharers(
             rule.window, first_start, SETTLE_SECONDS, clock
         )
@@ -88,7 +90,7 @@
 
 
 class Timeline:
-    """Routers and keepers in three zones over simulated time.
+    """Routers and keepers in three data centres over simulated time.
 
     Parameters
     ----------
@@ -106,7 +108,7 @@
     failing : bool
         Whether the targets fail, so that each request is to be retried.
     cut : set of str
-        Zones that are partitioned off from the others.
+        Data centres that are partitioned off from the others.
     """
 
     def __init__(
@@ -128,8 +130,8 @@
         self.routers: dict[str, SimulatedRouter] = {}
         self.leader = ""
         self.leaderless_steps = 0
-        for zone in ZONES:
-            self.start_keeper(zone)
+        for data_centre in DATA_CENTRES:
+            self.start_keeper(data_centre)
         for number in range(router_count):
             self.start_router(f"r{number}", first_start=True)
 
@@ -139,19 +141,21 @@
 
     # -- events ------------------------------------------------------
 
-    def start_keeper(self, zone: str) -> None:
-        """Start, or restart, the keeper of `zone`."""
-        self.keepers[zone] = SimulatedKeeper(zone, self.rule, self.now)
+    def start_keeper(self, data_centre: str) -> None:
+        """Start, or restart, the keeper of `data_centre`."""
+        self.keepers[data_centre] = SimulatedKeeper(
+            data_centre, self.rule, self.now
+        )
 
-    def stop_keeper(self, zone: str) -> None:
-        """Stop the keeper of `zone`."""
-        self.keepers.pop(zone, None)
+    def stop_keeper(self, data_centre: str) -> None:
+        """Stop the keeper of `data_centre`."""
+        self.keepers.pop(data_centre, None)
 
     def start_router(self, name: str, first_start: bool = False) -> None:
         """Start, restart or add the router `name`."""
-        zone = ZONES[int(name[1:]) % len(ZONES)]
+        data_centre = DATA_CENTRES[int(name[1:]) % len(DATA_CENTRES)]
         self.routers[name] = SimulatedRouter(
-            zone, self.rule, first_start, self.now
+            data_centre, self.rule, first_start, self.now
         )
 
     def stop_router(self, name: str) -> None:
@@ -177,36 +181,42 @@
             return
         self.leader = ""
         self.leaderless_steps += 1
-        candidates = [zone for zone in self.keepers if self._has_quorum(zone)]
+        candidates = [
+            data_centre
+            for data_centre in self.keepers
+            if self._has_quorum(data_centre)
+        ]
         if candidates and self.leaderless_steps > ELECTION_STEPS:
             self.leader = self.rng.choice(candidates)
 
-    def _has_quorum(self, zone: str) -> bool:
-        if zone not in self.keepers:
+    def _has_quorum(self, data_centre: str) -> bool:
+        if data_centre not in self.keepers:
             return False
-        reached = [other for other in self.keepers if self._reach(zone, other)]
-        return 2 * len(reached) > len(ZONES)
+        reached = [
+            other for other in self.keepers if self._reach(data_centre, other)
+        ]
+        return 2 * len(reached) > len(DATA_CENTRES)
 
-    def _reach(self, zone: str, other: str) -> bool:
-        return (zone in self.cut) == (other in self.cut)
+    def _reach(self, data_centre: str, other: str) -> bool:
+        return (data_centre in self.cut) == (other in self.cut)
 
     def _renew(self, name: str, router: SimulatedRouter) -> None:
-        for zone, keeper in self.keepers.items():
-            if not self._reach(zone, router.zone):
+        for data_centre, keeper in self.keepers.items():
+            if not self._reach(data_centre, router.data_centre):
                 continue
             if name not in keeper.linked:
                 keeper.linked.add(name)
                 keeper.census.update()
-            told = keeper.answer(name, zone == self.leader)
-            router.sharers.record(zone, told, self.now())
+            told = keeper.answer(name, data_centre == self.leader)
+            router.sharers.record(data_centre, told, self.now())
 
     def _update_links(self) -> None:
-        for zone, keeper in self.keepers.items():
+        for data_centre, keeper in self.keepers.items():
             gone = {
                 name
                 for name in keeper.linked
                 if name not in self.routers
-                or not self._reach(zone, self.routers[name].zone)
+                or not self._reach(data_centre, self.routers[name].data_centre)
             }
             if gone:
                 keeper.linked -= gone
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -41,8 +41,8 @@
     def test_routers_without_keepers_do_not_take_the_whole(self):
         """Routers without a link each counted themselves alone."""
         timeline = self.timeline()
-        for zone in retry_timeline.ZONES:
-            timeline.stop_keeper(zone)
+        for data_centre in retry_timeline.DATA_CENTRES:
+            timeline.stop_keeper(data_centre)
         timeline.run(LONG_SECONDS)
         self.check(timeline)
 
@@ -52,8 +52,8 @@
             with self.subTest(seconds=seconds):
                 timeline = self.timeline(seconds)
                 timeline.cut = {"c"}
-                for zone in retry_timeline.ZONES:
-                    timeline.start_keeper(zone)
+                for data_centre in retry_timeline.DATA_CENTRES:
+                    timeline.start_keeper(data_centre)
                 timeline.run(seconds)
                 timeline.cut = set()
                 timeline.run(LONG_SECONDS)
@@ -70,7 +70,9 @@
                 timeline.run(LONG_SECONDS)
                 self.check(timeline)
 
-    def test_zone_back_after_a_long_partition_waits_for_the_others(self):
+    def test_data_centre_back_after_a_long_partition_waits_for_the_others(
+        self,
+    ):
         """The others had spent larger shares in the same window."""
         timeline = self.timeline()
         timeline.cut = {"c"}
@@ -85,9 +87,10 @@
 
 
 class PartlyCutTimeline(retry_timeline.Timeline):
-    """A timeline in which routers of zones a and b reach their own keeper.
+    """A timeline in which routers of two data centres reach one keeper only.
 
-    Those of zone c reach all, and the keepers reach each other.
+    Those of a and b reach their own one, those of c reach all, and the keepers
+    reach each other.
 
     Attributes
     ----------
@@ -97,26 +100,26 @@
 
     partly_cut = False
 
-    def reach_router(self, zone, router):
-        return not self.partly_cut or router.zone in (zone, "c")
+    def reach_router(self, data_centre, router):
+        return not self.partly_cut or router.data_centre in (data_centre, "c")
 
     def _renew(self, name, router):
-        for zone, keeper in self.keepers.items():
-            if not self.reach_router(zone, router):
+        for data_centre, keeper in self.keepers.items():
+            if not self.reach_router(data_centre, router):
                 continue
             if name not in keeper.linked:
                 keeper.linked.add(name)
                 keeper.census.update()
-            told = keeper.answer(name, zone == self.leader)
-            router.sharers.record(zone, told, self.now())
+            told = keeper.answer(name, data_centre == self.leader)
+            router.sharers.record(data_centre, told, self.now())
 
     def _update_links(self):
-        for zone, keeper in self.keepers.items():
+        for data_centre, keeper in self.keepers.items():
             linked = {
                 name
                 for name in keeper.linked
                 if name in self.routers
-                and self.reach_router(zone, self.routers[name])
+                and self.reach_router(data_centre, self.routers[name])
             }
             if linked != keeper.linked:
                 keeper.linked.intersection_update(linked)
@@ -178,7 +181,7 @@
         timeline.cut = {"c"}
         timeline.run(1)
         for name, router in list(timeline.routers.items()):
-            if router.zone != "c":
+            if router.data_centre != "c":
                 timeline.start_router(name)
         timeline.run(LONG_SECONDS)
         self.check(timeline)
@@ -216,7 +219,7 @@
     rule = retry_timeline.Rule()
 
     def test_no_window_exceeds_the_rule(self):
-        """Links, keepers, routers and zones come and go."""
+        """Links, keepers, routers and data centres come and go."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 timeline = self.timeline(
@@ -231,27 +234,29 @@
 
     def one_event(self, timeline):
         rng = timeline.rng
-        zone = rng.choice(retry_timeline.ZONES)
+        data_centre = rng.choice(retry_timeline.DATA_CENTRES)
         name = rng.choice(sorted(timeline.routers))
         event = rng.choice(
             [
-                lambda: timeline.stop_keeper(zone),
-                lambda: self.start_keepers(timeline, [zone]),
-                lambda: self.start_keepers(timeline, retry_timeline.ZONES),
+                lambda: timeline.stop_keeper(data_centre),
+                lambda: self.start_keepers(timeline, [data_centre]),
+                lambda: self.start_keepers(
+                    timeline, retry_timeline.DATA_CENTRES
+                ),
                 lambda: timeline.start_router(name),
                 lambda: self.restart_routers(timeline),
                 lambda: self.add_router(timeline),
                 lambda: self.remove_router(timeline, name),
-                lambda: setattr(timeline, "cut", {zone}),
+                lambda: setattr(timeline, "cut", {data_centre}),
                 lambda: setattr(timeline, "cut", set()),
                 lambda: setattr(timeline, "failing", not timeline.failing),
             ]
         )
         event()
 
-    def start_keepers(self, timeline, zones):
-        for zone in zones:
-            timeline.start_keeper(zone)
+    def start_keepers(self, timeline, data_centres):
+        for data_centre in data_centres:
+            timeline.start_keeper(data_centre)
 
     def restart_routers(self, timeline):
         for name in list(timeline.routers):
@@ -298,8 +303,8 @@
     def test_keepers_without_a_leader_for_a_window(self):
         """Routers keep their shares while no leader answers."""
         timeline = self.timeline()
-        for zone in retry_timeline.ZONES:
-            timeline.stop_keeper(zone)
+        for data_centre in retry_timeline.DATA_CENTRES:
+            timeline.stop_keeper(data_centre)
         self.assert_used(timeline, 15)
 
     def test_after_restarts_and_departures(self):
