--- a/amaranthring/testing/retry_timeline.py
+++ b/amaranthring/testing/retry_timeline.py
@@ -200,9 +200,13 @@
     def _reach(self, data_centre: str, other: str) -> bool:
         return (data_centre in self.cut) == (other in self.cut)
 
+    def reaches(self, data_centre: str, router: SimulatedRouter) -> bool:
+        """Return whether a keeper and `router` have a link."""
+        return self._reach(data_centre, router.data_centre)
+
     def _renew(self, name: str, router: SimulatedRouter) -> None:
         for data_centre, keeper in self.keepers.items():
-            if not self._reach(data_centre, router.data_centre):
+            if not self.reaches(data_centre, router):
                 continue
             if name not in keeper.linked:
                 keeper.linked.add(name)
@@ -216,7 +220,7 @@
                 name
                 for name in keeper.linked
                 if name not in self.routers
-                or not self._reach(data_centre, self.routers[name].data_centre)
+                or not self.reaches(data_centre, self.routers[name])
             }
             if gone:
                 keeper.linked -= gone
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -100,31 +100,9 @@
 
     partly_cut = False
 
-    def reach_router(self, data_centre, router):
+    def reaches(self, data_centre, router):
         return not self.partly_cut or router.data_centre in (data_centre, "c")
 
-    def _renew(self, name, router):
-        for data_centre, keeper in self.keepers.items():
-            if not self.reach_router(data_centre, router):
-                continue
-            if name not in keeper.linked:
-                keeper.linked.add(name)
-                keeper.census.update()
-            told = keeper.answer(name, data_centre == self.leader)
-            router.sharers.record(data_centre, told, self.now())
-
-    def _update_links(self):
-        for data_centre, keeper in self.keepers.items():
-            linked = {
-                name
-                for name in keeper.linked
-                if name in self.routers
-                and self.reach_router(data_centre, self.routers[name])
-            }
-            if linked != keeper.linked:
-                keeper.linked.intersection_update(linked)
-                keeper.census.update()
-
 
 class TestPartlyCut(TimelineCase):
     """Links between some routers and some keepers are lost for long."""
