--- a/amaranthring/core/pacing.py
+++ b/amaranthring/core/pacing.py
@@ -43,7 +43,8 @@
     urgent_waiters : int
         Callers of `acquire_urgent` that wait.
     urgent_lead : float
-        Bytes granted to them beyond those granted by `reserve`, bounded.
+        Bytes granted to callers of `acquire_urgent` beyond those granted by
+        `reserve`, bounded.
     polled_until : float
         Time until which a caller of `reserve` is expected again.
     """
@@ -90,8 +91,8 @@
         if not balance or (contended and self.urgent_lead <= 0):
             self._hold_back()
             return 0.0
-        # Less is a turn too: a caller with little to send would otherwise
-        # hold back urgent data for many polls.
+        # A small size counts as a whole turn: a caller with little to send
+        # would otherwise hold back urgent data for many polls.
         self._shift_lead(-max(size, TURN_BYTES))
         return max(balance, TURN_BYTES) if contended else balance
 
@@ -143,8 +144,9 @@
         self.reserved_until = self._updated_at + RESERVE_SECONDS
 
     def _shift_lead(self, size: int) -> None:
-        # Bounded, as what one kind got while the other had nothing to send
-        # must not count for long; but for one entry, however large, it does.
+        # Bounded, so that what one kind sent while the other had nothing to
+        # send does not count for long. A single entry counts in full, however
+        # large it is.
         lead = self.urgent_lead + size
         least = min(size, -self.rate * MAX_DEBT_SECONDS, self.urgent_lead)
         self.urgent_lead = min(max(least, lead), TURN_BYTES)
