--- a/amaranthring/core/silence.py
+++ b/amaranthring/core/silence.py
@@ -101,7 +101,8 @@
     try:
         silence.link.ask(probe)
     except errors.LinkError:
-        # A full buffer: the requests in it are waiting for a reply too.
+        # The link is closed, or its buffer is full of requests that wait for a
+        # reply as the probe would.
         pass
 
 
