Log the fingerprint of a request, and connections that are refused

The log could not tell which sends are of one request, as the caller gives each a new id, nor whether an unreached target had ended (its address refuses connections) or kept silent. No logic is changed.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -320,6 +320,10 @@
     outcome = Outcome.NOT_RUN
 
 
+class NotListeningError(TargetUnreachableError):
+    """The target's address refuses connections: its process has ended."""
+
+
 class TargetRefusedError(UpstreamError):
     """The target reports that it did not run the request."""
 
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -1,10 +1,12 @@
 """Data classes for requests and responses while they are forwarded."""
 
 import dataclasses
+import functools
 import typing as t
 
 import tornado.httputil
 
+from amaranthring.core import hashing
 from amaranthring.core import notices
 from amaranthring.policy import rests
 from amaranthring.registry import messages
@@ -217,6 +219,22 @@
     sent_after: list[float] = dataclasses.field(default_factory=list)
     copies: list[str] = dataclasses.field(default_factory=list)
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Return what all sends of one request by one account have in common.
+
+        The caller sets a new id for each send. Contains the account, so that
+        no caller can have the requests of another one refused.
+        """
+        incoming = self.incoming
+        return hashing.digest(
+            self.account,
+            incoming.method,
+            incoming.host,
+            incoming.uri,
+            incoming.body,
+        )
+
     @property
     def caller(self) -> rests.Caller:
         """Return who is charged with the rests that this request causes.
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -46,8 +46,9 @@
 # a full target frees a slot sooner, but all callers wait for it.
 RETRY_NO_TARGET = 0.5
 RETRY_REFUSED = 0.3
-# Outcome of an attempt in the request log: nothing was sent.
+# Outcomes of an attempt in the request log: nothing was sent.
 UNREACHED = "target-unreached"
+NOT_LISTENING = "target-not-listening"
 
 
 class Relay:
@@ -267,6 +268,9 @@
             self.placer.record_success(target)
             failures.record_refusals(self.placer, context)
             outcome = str(head.status)
+        except errors.NotListeningError:
+            outcome = NOT_LISTENING
+            raise
         except errors.TargetUnreachableError:
             outcome = UNREACHED
             raise
--- a/amaranthring/forwarding/request_log.py
+++ b/amaranthring/forwarding/request_log.py
@@ -69,6 +69,7 @@
         "account": context.account,
         "service": context.service,
         "plan": context.version,
+        "fingerprint": context.fingerprint,
         "sent": context.attempts_sent,
         "trail": ",".join(context.attempt_outcomes),
         "sent_ms": ",".join(f"{s * 1e3:.1f}" for s in context.sent_after),
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -211,7 +211,11 @@
             await self.open_connection()
         except CONNECTION_ERRORS as error:
             self.close()
-            raise errors.TargetUnreachableError(
+            refused = isinstance(error, ConnectionRefusedError)
+            kind = errors.TargetUnreachableError
+            if refused:
+                kind = errors.NotListeningError
+            raise kind(
                 "the target cannot be reached",
                 given=self.target.address,
                 expected="a listening target",
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,6 +5,8 @@
 import unittest
 from unittest import mock
 
+import logbook
+
 from amaranthring import errors
 from amaranthring import routing
 from amaranthring.forwarding import records
@@ -649,6 +651,46 @@
         self.assertEqual((200, b"good"), (got.status, got.body))
 
 
+class TestRequestLog(RouterCase):
+    """What the log line of a request says about it."""
+
+    async def test_sends_of_one_request_share_a_fingerprint(self):
+        """Guards against sends of one request that the log cannot join."""
+        await self.begin(scripted_target.respond())
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            await self.ask("/e/x?y", "POST", b"1", Test_Key="key-1")
+            await self.ask("/e/x?y", "POST", b"1", Test_Key="key-2")
+            await self.ask("/e/x?z", "POST", b"1", Test_Key="key-1")
+            await self.ask("/e/x?y", "POST", b"2", Test_Key="key-1")
+            await self.ask("/e/x?y", "PUT", b"1", Test_Key="key-1")
+        logged = [line["fingerprint"] for line in events(handler, "request")]
+        self.assertEqual(logged[0], logged[1])
+        self.assertEqual(4, len(set(logged)))
+
+    async def test_refused_connection_differs_from_a_silent_target(self):
+        """Guards against a log that cannot tell an ended process."""
+        await self.begin(scripted_target.respond())
+        self.targets[0].stop()
+        await self.targets[0].server.wait_closed()
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            await self.ask("/a/x")
+        self.assertEqual(
+            "t0:target-not-listening", events(handler, "request")[0]["trail"]
+        )
+
+
+def events(handler, name):
+    """Return the fields of the logged events called `name`."""
+    lines = [
+        record.extra["fields"]
+        for record in handler.records
+        if record.message.partition(" ")[0] == name
+    ]
+    return lines
+
+
 class TestPlannedStop(RouterCase):
     """Requests during a planned shutdown of a router."""
 
