--- /dev/null
+++ b/tests/test_repeated_crashes.py
@@ -0,0 +1,59 @@
+"""A request that ends each target that runs it, before a real fleet."""
+
+from tests import crash_case
+
+CRASHES = 3
+# Runs that may follow after this time since the third crash.
+MAX_LATE_RUNS = 3
+KNOWN_SECONDS = 1.0
+# Until then replicas that ended have come back.
+RECOVERED_SECONDS = 3.0
+SENDS = 24
+
+
+class TestCrashingRequest(crash_case.CrashCase):
+    """A caller that sends a crashing request again and again."""
+
+    path = "/b/crash"
+
+    async def test_it_reaches_few_targets_after_three_crashes(self):
+        """Guards against a crashing request that each router sends on."""
+        others = self.begin(
+            self.send_regularly(
+                lambda number: f"/a/{number}", 0.05, 10 * SENDS, account="bela"
+            )
+        )
+        answers = await self.send_regularly(lambda _: self.path, 0.5, SENDS)
+        third = self.crashes()[CRASHES - 1]
+        late = [t for t in self.runs(self.path) if t > third + KNOWN_SECONDS]
+        self.assertLessEqual(len(late), MAX_LATE_RUNS)
+        refused = [answer for answer in answers if answer.code == "suspected"]
+        self.assertLess(SENDS / 2, len(refused))
+        for answer in refused:
+            self.assertEqual(503, answer.status)
+            self.assertLess(1.0, float(answer.retry_after))
+        unserved = [
+            answer
+            for answer in await others
+            if answer.sent_at > third + RECOVERED_SECONDS
+            and answer.status != 200
+        ]
+        self.assertEqual([], unserved)
+
+
+class TestCrashWithinAnswer(TestCrashingRequest):
+    """Targets that end after the head and a part of the body."""
+
+    within_body = True
+
+
+class TestRepeatedByRouter(TestCrashingRequest):
+    """A route whose requests a router sends to a second target itself."""
+
+    path = "/a/crash"
+
+
+class TestSlowEnd(TestCrashingRequest):
+    """Targets that take connections for a while after theirs have ended."""
+
+    linger = 0.5
