--- a/tests/crash_case.py
+++ b/tests/crash_case.py
@@ -30,6 +30,8 @@
         Seconds between the end of its connections and of its listener.
     crashed_at : float
         Monotonic time in seconds at which it ended; 0 before.
+    cause : str
+        Path of the request under which it ended, if any.
     """
 
     def __init__(self, name, on_end, within_body=False, linger=0.0):
@@ -38,6 +40,7 @@
         self.within_body = within_body
         self.linger = linger
         self.crashed_at = 0.0
+        self.cause = ""
         self.writers = set()
 
     async def _serve(self, reader, writer):
@@ -67,13 +70,14 @@
             head = "\r\n".join([*lines, "", ""])
             writer.write(head.encode() + b"x" * 100)
         await asyncio.sleep(RUN_SECONDS)
-        self.end()
+        self.end(seen.uri)
 
-    def end(self):
+    def end(self, cause=""):
         """End like a process that is killed."""
         if self.crashed_at:
             return
         self.crashed_at = time.monotonic()
+        self.cause = cause
         loop = asyncio.get_running_loop()
         loop.call_later(self.linger, self.server.close)
         for writer in list(self.writers):
@@ -176,8 +180,7 @@
             )
         finally:
             connection[1].close()
-        retry_after = got.headers.get("Retry-After", "")
-        return Answer(path, sent_at, got.status, _code(got), retry_after)
+        return read_answer(path, sent_at, got)
 
     async def send_regularly(self, make_path, interval, count, **parameters):
         """Return the answers to `count` requests, begun `interval` apart."""
@@ -202,6 +205,14 @@
         )
 
 
+def read_answer(path, sent_at, response):
+    """Return what a response tells; None stands for a broken connection."""
+    if response is None:
+        return Answer(path, sent_at, 0, "", "")
+    retry_after = response.headers.get("Retry-After", "")
+    return Answer(path, sent_at, response.status, _code(response), retry_after)
+
+
 def _code(response):
     """Return the code of a router's own error, or an empty string."""
     if headers.SIGNATURE in response.headers or not response.complete:
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import json
 import os
 import pathlib
@@ -289,13 +290,13 @@
 
     # -- callers ---------------------------------------------------------
 
-    async def call(self, connection, incarnation, request_id, kind="safe"):
+    async def call(self, connection, incarnation, request_id, path="/a/x"):
         """Send one request on an open connection."""
         reader, writer = connection
         return await scripted_target.send_on(
             reader,
             writer,
-            f"{ROUTES[kind]}x",
+            path,
             "POST",
             **{
                 headers.REQUEST_ID: request_id,
@@ -305,3 +306,138 @@
                 SENT: repr(time.monotonic()),
             },
         )
+
+
+class FaultCase(PlatformCase):
+    """Processes that are disturbed in series, and callers beside them.
+
+    Attributes
+    ----------
+    rng : random.Random
+        Chooses all faults.
+    stopped : bool
+        Whether callers send no further requests.
+    statuses : Counter
+        Answers by status.
+    refused : set of str
+        Ids of the requests that were refused.
+    busy : set of str
+        Processes that are being disturbed.
+    keeper_faults : list of list of float
+        When the keeper was disturbed, from and until.
+    """
+
+    rng = random.Random(1)
+
+    async def asyncSetUp(self):
+        self.stopped = False
+        self.statuses = collections.Counter()
+        self.refused = set()
+        self.busy = set()
+        self.keeper_faults = []
+        await super().asyncSetUp()
+
+    async def inject(self, kinds, seconds):
+        """Begin faults of random `kinds` for `seconds`; await their ends."""
+        faults = []
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.rng.uniform(0.1, 0.7))
+            faults.append(asyncio.ensure_future(self.rng.choice(kinds)()))
+        await asyncio.gather(*faults)
+
+    async def restart_router(self):
+        """Restart a router, gracefully or not."""
+        async with self.undisturbed_router() as name:
+            if name:
+                how = self.rng.choice((signal.SIGTERM, signal.SIGKILL))
+                await self.restart(name, how)
+
+    async def freeze_router(self):
+        """Stop a router for a moment."""
+        async with self.undisturbed_router() as name:
+            if name:
+                await self.freeze(name, self.rng.uniform(0.2, 1.5))
+
+    @contextlib.asynccontextmanager
+    async def undisturbed_router(self):
+        """Yield a router without a fault, unless it is the last one."""
+        free = sorted(set(self.router_names) - self.busy)
+        name = self.rng.choice(free) if len(free) > 1 else ""
+        self.busy.add(name)
+        try:
+            yield name
+        finally:
+            self.busy.discard(name)
+
+    async def freeze_keeper(self):
+        """Cut all routers from their only keeper."""
+        await self.disturb_keeper(
+            lambda: self.freeze("keeper", self.rng.uniform(0.5, 3.0))
+        )
+
+    async def restart_keeper(self):
+        """Kill the only keeper and start it again."""
+        await self.disturb_keeper(
+            lambda: self.restart("keeper", signal.SIGKILL)
+        )
+
+    async def disturb_keeper(self, fault):
+        if "keeper" in self.busy:
+            return
+        self.busy.add("keeper")
+        times = [time.monotonic(), float("inf")]
+        self.keeper_faults.append(times)
+        await fault()
+        times[1] = time.monotonic()
+        self.busy.discard("keeper")
+
+    async def call_until_stopped(self, number, is_same=True):
+        """Send requests on open connections until their process is gone.
+
+        Parameters
+        ----------
+        is_same : bool
+            Whether all requests have the same path.
+        """
+        sent = 0
+        while not self.stopped:
+            name = self.rng.choice(self.router_names)
+            incarnation = self.incarnation(name)
+            try:
+                connection = await asyncio.wait_for(
+                    asyncio.open_connection(self.ip(name), self.port), 1.0
+                )
+            except (OSError, TimeoutError):
+                await asyncio.sleep(0.05)
+                continue
+            while not self.stopped and self.incarnation(name) == incarnation:
+                sent += 1
+                kind = self.rng.choice(tuple(ROUTES))
+                account = self.rng.choice(("alba", "bela"))
+                request_id = f"{account}-{kind}-{number}-{sent}"
+                path = f"{ROUTES[kind]}{'x' if is_same else request_id}"
+                response = await self.call_once(
+                    connection, incarnation, request_id, path
+                )
+                if response is None or not response.status:
+                    break
+                if response.headers.get("Connection") == "close":
+                    break
+            connection[1].close()
+
+    async def call_once(self, connection, incarnation, request_id, path):
+        """Return the response, or None if the connection broke."""
+        try:
+            response = await asyncio.wait_for(
+                self.call(connection, incarnation, request_id, path), 8.0
+            )
+        except (OSError, TimeoutError):
+            return None
+        self.statuses[response.status] += 1
+        if response.status == 503:
+            self.refused.add(request_id)
+            self.assertIn("Retry-After", response.headers)
+            # Impatient: it comes back before it is told to.
+            await asyncio.sleep(0.02)
+        return response
--- a/tests/test_platform_notices.py
+++ b/tests/test_platform_notices.py
@@ -6,10 +6,8 @@
 
 import asyncio
 import collections
-import contextlib
 import os
 import random
-import signal
 import time
 
 from amaranthring.testing import compliance
@@ -22,7 +20,7 @@
 RESTS = ("0.5", "1", "2.5", "4", "soon", "-1", "1e9")
 
 
-class TestSeries(platform_case.PlatformCase):
+class TestSeries(platform_case.FaultCase):
     """Rests, departures, signals and changes that come in series."""
 
     routers = ROUTERS
@@ -30,10 +28,6 @@
 
     async def asyncSetUp(self):
         self.rng = random.Random(SEED)
-        self.stopped = False
-        self.statuses = collections.Counter()
-        self.refused = set()
-        self.busy = set()
         self.names = 0
         await super().asyncSetUp()
         self.active = list(self.all_replicas)
@@ -70,12 +64,7 @@
             self.rest, self.rest, self.rest, self.leave, self.restart_router,
             self.freeze_router, self.freeze_keeper, self.configure,
         )  # fmt: skip
-        faults = []
-        end = time.monotonic() + SECONDS
-        while time.monotonic() < end:
-            await asyncio.sleep(self.rng.uniform(0.1, 0.7))
-            faults.append(asyncio.ensure_future(self.rng.choice(kinds)()))
-        await asyncio.gather(*faults)
+        await self.inject(kinds, SECONDS)
 
     async def rest(self):
         """Let one, two or all replicas refuse requests for a while."""
@@ -100,77 +89,3 @@
         self.active.remove(replica)
         self.heartbeats[replica.name].cancel()
         replica.stop()
-
-    async def restart_router(self):
-        async with self.undisturbed_router() as name:
-            if name:
-                how = self.rng.choice((signal.SIGTERM, signal.SIGKILL))
-                await self.restart(name, how)
-
-    async def freeze_router(self):
-        async with self.undisturbed_router() as name:
-            if name:
-                await self.freeze(name, self.rng.uniform(0.2, 1.5))
-
-    @contextlib.asynccontextmanager
-    async def undisturbed_router(self):
-        """Yield a router without a fault, unless it is the last one."""
-        free = sorted(set(self.router_names) - self.busy)
-        name = self.rng.choice(free) if len(free) > 1 else ""
-        self.busy.add(name)
-        try:
-            yield name
-        finally:
-            self.busy.discard(name)
-
-    async def freeze_keeper(self):
-        """Cut all routers from their only keeper."""
-        if "keeper" in self.busy:
-            return
-        self.busy.add("keeper")
-        await self.freeze("keeper", self.rng.uniform(0.5, 3.0))
-        self.busy.discard("keeper")
-
-    # -- callers ---------------------------------------------------------
-
-    async def call_until_stopped(self, number):
-        sent = 0
-        while not self.stopped:
-            name = self.rng.choice(self.router_names)
-            incarnation = self.incarnation(name)
-            try:
-                connection = await asyncio.wait_for(
-                    asyncio.open_connection(self.ip(name), self.port), 1.0
-                )
-            except (OSError, TimeoutError):
-                await asyncio.sleep(0.05)
-                continue
-            while not self.stopped and self.incarnation(name) == incarnation:
-                sent += 1
-                kind = self.rng.choice(tuple(platform_case.ROUTES))
-                account = self.rng.choice(("alba", "bela"))
-                request_id = f"{account}-{kind}-{number}-{sent}"
-                response = await self.call_once(
-                    connection, incarnation, request_id, kind
-                )
-                if response is None or not response.status:
-                    break
-                if response.headers.get("Connection") == "close":
-                    break
-            connection[1].close()
-
-    async def call_once(self, connection, incarnation, request_id, kind):
-        """Return the response, or None if the connection broke."""
-        try:
-            response = await asyncio.wait_for(
-                self.call(connection, incarnation, request_id, kind), 8.0
-            )
-        except (OSError, TimeoutError):
-            return None
-        self.statuses[response.status] += 1
-        if response.status == 503:
-            self.refused.add(request_id)
-            self.assertIn("Retry-After", response.headers)
-            # Impatient: it comes back before it is told to.
-            await asyncio.sleep(0.02)
-        return response
