Keep what crashes targets over a loss of all power

When all routers and keepers lost power at once, a request that was refused began from nothing and ended four more targets. Found by reading; not seen by the users.

With what is read from the file left unused, tests/test_repeated_crashes.TestRestarts.test_all_processes_lose_power fails (the request runs again) and so does tests/test_sharing.TestHintFile.test_crashing_requests_survive_a_power_loss.

--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -190,10 +190,12 @@
     def add(self, run: Run) -> bool:
         """Add a run; return whether it tells something new.
 
-        It does not if the crash is known already, if the request was sent
-        after the crash, or if it ran on several targets at once: targets that
-        end together would condemn a request that is sent often.
+        It does not if the crash is known already or long ago, if the request
+        was sent after the crash, or if it ran on several targets at once:
+        targets that end together would condemn a request that is sent often.
         """
+        if run.age >= suspects.SUSPECT_SECONDS:
+            return False
         now = self.clock()
         at = now - run.age
         crash = SeenCrash(
--- a/amaranthring/registry/crash_ledger.py
+++ b/amaranthring/registry/crash_ledger.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import dataclasses
 import typing as t
 
 import logbook
@@ -22,6 +23,10 @@
 
 log = logbook.Logger(__name__)
 
+# Bounds what is kept over a loss of power.
+KEPT_SECONDS = 600.0
+KEPT_RUNS = 200
+
 
 class CrashLedger:
     """Collects reports of crashes and publishes verdicts to the routers.
@@ -55,6 +60,28 @@
         if verdicts:
             sharing.send_if_open(link, crash_messages.Verdicts(verdicts))
 
+    def condemned(self) -> list[crash_evidence.Verdict]:
+        """Return the verdicts to keep over a loss of power."""
+        return [v for v in self.evidence.verdicts() if v.condemned]
+
+    def runs(self) -> list[crash_evidence.Run]:
+        """Return the runs to keep over a loss of power."""
+        return self.evidence.runs(KEPT_SECONDS, KEPT_RUNS)
+
+    def restore(
+        self,
+        condemned: list[crash_evidence.Verdict],
+        runs: list[crash_evidence.Run],
+        age: float,
+    ) -> None:
+        """Take over what was kept `age` seconds ago."""
+        for verdict in condemned:
+            if verdict.seconds > age:
+                self.evidence.adopt(verdict.later(age))
+        for run in runs:
+            self.evidence.add(dataclasses.replace(run, age=run.age + age))
+        self._publish()
+
     def stop(self) -> None:
         """Judge no more."""
         if self.judge_handle is not None:
--- a/amaranthring/registry/hint_file.py
+++ b/amaranthring/registry/hint_file.py
@@ -1,10 +1,11 @@
-"""Keeps a keeper's locations and targets in a file, across a power loss.
+"""Keeps what a keeper knows without its log in a file, across a power loss.
 
 After all routers and keepers lose power at once, the engines still hold their
-prefix caches and keep serving, but no process knows the locations or the
-targets. Each keeper writes both to a file every few seconds. The file is only
-a hint: an old, missing or damaged one costs recomputed prompts and targets
-that are found one announcement later, so no failure here stops a keeper.
+prefix caches and keep serving, but no process knows the locations, the
+targets, or which requests crash them. Each keeper writes these to a file every
+few seconds. The file is only a hint: an old, missing or damaged one costs
+recomputed prompts, targets that are found one announcement later, and a few
+more crashes, so no failure here stops a keeper.
 """
 
 import asyncio
@@ -20,6 +21,8 @@
 from amaranthring.core import logs
 from amaranthring.core import wire
 from amaranthring.keepers import disk
+from amaranthring.policy import crash_evidence
+from amaranthring.registry import crash_ledger
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
 from amaranthring.registry import targets
@@ -51,16 +54,24 @@
         Targets that were not silent.
     tokens : dict of str to int
         As in :class:`sharing.Report`, for `places`.
+    condemned : list of Verdict
+        Requests that are refused for good.
+    runs : list of Run
+        Runs that ended with their targets.
     """
 
     written_at: float
     places: list[list[str]]
     targets: list[messages.TargetRecord]
     tokens: dict[str, int] = dataclasses.field(default_factory=dict)
+    condemned: list[crash_evidence.Verdict] = dataclasses.field(
+        default_factory=list
+    )
+    runs: list[crash_evidence.Run] = dataclasses.field(default_factory=list)
 
 
 class HintFile:
-    """File of the locations of an exchange and the targets of a table.
+    """File of what an exchange, a table and a ledger of crashes hold.
 
     Parameters
     ----------
@@ -81,6 +92,7 @@
         path: pathlib.Path,
         exchange: sharing.Exchange,
         table: targets.TargetTable,
+        crashes: crash_ledger.CrashLedger,
         trusted_age: float = 0.0,
         files: disk.FileOps | None = None,
         wall: t.Callable[[], float] = time.time,
@@ -88,6 +100,7 @@
         self.path = pathlib.Path(path)
         self.exchange = exchange
         self.table = table
+        self.crashes = crashes
         self.trusted_age = trusted_age
         self.files = files or disk.FileOps()
         self.wall = wall
@@ -99,7 +112,7 @@
         self.thread = concurrent.futures.ThreadPoolExecutor(1, "hints")
 
     def load(self) -> None:
-        """Load the file into the exchange and the table."""
+        """Load the file into the exchange, the table and the ledger."""
         try:
             data = disk.verify_checksum(self.path.read_bytes(), self.path)
             decoded = wire.decode_value(data)
@@ -114,12 +127,14 @@
         age = self.wall() - hints.written_at
         recent = hints.targets if abs(age) <= MAX_TARGETS_AGE_SECONDS else []
         self.table.restore(recent, self.trusted_age)
+        self.crashes.restore(hints.condemned, hints.runs, max(0.0, age))
         logs.event(
             log,
             "hints.loaded",
             age_seconds=round(age, 1),
             places=len(hints.places),
             targets=len(recent),
+            condemned=len(hints.condemned),
         )
 
     async def run(self) -> None:
@@ -143,15 +158,24 @@
         ]
         locations = self.exchange.recent_locations()
         tokens = self.exchange.tokens_of(locations)
-        return Hints(self.wall(), locations, active, tokens)
+        return Hints(
+            self.wall(),
+            locations,
+            active,
+            tokens,
+            self.crashes.condemned(),
+            self.crashes.runs(),
+        )
 
     @staticmethod
     def _comparable(hints: Hints) -> t.Any:
         """Return the content whose change makes the file worth rewriting."""
-        locations = {tuple(pair) for pair in hints.places}
-        return locations, {
-            (record.id, record.state) for record in hints.targets
-        }
+        return (
+            {tuple(pair) for pair in hints.places},
+            {(record.id, record.state) for record in hints.targets},
+            {verdict.fingerprint for verdict in hints.condemned},
+            {(run.fingerprint, run.target) for run in hints.runs},
+        )
 
     def _write(self, hints: Hints) -> OSError | None:
         data = disk.with_checksum(wire.encode_value(hints))
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -139,6 +139,7 @@
             pathlib.Path(config.folder) / HINTS_FILE,
             self.hub.exchange,
             self.hub.table,
+            self.hub.crashes,
             remaining_intervals * config.announce_seconds,
         )
         self.pressure_task: asyncio.Task | None = None
--- a/tests/test_repeated_crashes.py
+++ b/tests/test_repeated_crashes.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+from amaranthring.registry import hint_file
 from tests import crash_case
 
 CRASHES = 3
@@ -81,3 +82,18 @@
             answer = await self.send(self.path, router=router)
             self.assertEqual("suspected", answer.code)
         self.assertEqual(ran, len(self.runs(self.path)))
+
+    async def test_all_processes_lose_power(self):
+        """Guards against a cause that goes on once all have restarted."""
+        await self.send_regularly(lambda _: self.path, 0.5, 14)
+        await asyncio.sleep(hint_file.WRITE_SECONDS + 0.5)
+        ran = len(self.runs(self.path))
+        self.stop_all()
+        for name in ("keeper", *self.router_names):
+            self.start(name)
+        for name in self.router_names:
+            await self.wait_ready(name)
+        for router in self.router_names * 2:
+            answer = await self.send(self.path, router=router)
+            self.assertEqual("suspected", answer.code)
+        self.assertEqual(ran, len(self.runs(self.path)))
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -12,6 +12,8 @@
 from amaranthring.core import pacing
 from amaranthring.core import wire
 from amaranthring.keepers import disk
+from amaranthring.policy import crash_evidence
+from amaranthring.registry import crash_ledger
 from amaranthring.registry import hint_file
 from amaranthring.registry import messages
 from amaranthring.registry import reporting
@@ -511,6 +513,7 @@
             self.path,
             sharing.Exchange(links.Handlers(), list, lambda: self.now),
             targets.TargetTable(lambda: self.now, 1.8),
+            crash_ledger.CrashLedger(links.Handlers(), list, lambda: self.now),
             2.0,
             files,
             lambda: self.time_of_day,
@@ -521,6 +524,32 @@
     async def write(self, hints):
         hints._record_result(hints._write(hints._hints()))
 
+    async def test_crashing_requests_survive_a_power_loss(self):
+        """Guards against causes that crash as many targets once more."""
+        hints = self.open_file()
+        evidence = hints.crashes.evidence
+        for number in range(4):
+            evidence.add(
+                crash_evidence.Run("bad", f"t{number}", 0.1, 0.0, "r")
+            )
+            self.now += 1.0
+        evidence.judge()
+        evidence.add(crash_evidence.Run("chat", "t9", 0.1, 0.0, "r"))
+        evidence.take_changes()
+        await self.write(hints)
+        self.time_of_day += 7.0
+        found = self.open_file()
+        found.load()
+        evidence = found.crashes.evidence
+        verdict = evidence.verdict("bad")
+        self.assertTrue(verdict.condemned)
+        self.assertAlmostEqual(1.0 + 7.0, verdict.crashes[-1].age)
+        self.assertEqual(1, len(evidence.get("chat").crashes))
+        self.time_of_day += 1000.0
+        late = self.open_file()
+        late.load()
+        self.assertIsNone(late.crashes.evidence.get("bad"))
+
     async def test_locations_survive_a_power_loss(self):
         """Restarted keepers must know which engines hold which prompts."""
         before = self.open_file()
