--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -140,6 +140,7 @@
         verdict = self._verdict(context)
         if verdict is None:
             return
+        context.is_suspect = True
         seconds = verdict.refused_seconds
         if not seconds and len(verdict.crashes) >= crash_evidence.MIN_CRASHES:
             trial = self.trials.setdefault(verdict.fingerprint, context)
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -118,7 +118,10 @@
             for record in usable
         ]
         parts = context.incoming.parts
-        if context.route.with_prompt and parts:
+        if context.is_suspect:
+            # If it crashes its target, few requests are lost with it.
+            choice = affinity.least_loaded(candidates)
+        elif context.route.with_prompt and parts:
             holders = self._holders(context)
             for candidate in candidates:
                 candidate.uncached_tokens = self.prefixes.uncached_tokens(
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -184,6 +184,8 @@
         Ids of targets that rested when an attempt was placed.
     is_trial : bool
         Whether all targets rest and the current one is tried all the same.
+    is_suspect : bool
+        Whether targets have crashed while they ran it.
     engine : Engine or None
         Capabilities of the service's engines; None if it has none.
     prefill_tokens : int
@@ -214,6 +216,7 @@
     asked_for_rest: set[str] = dataclasses.field(default_factory=set)
     resting: set[str] = dataclasses.field(default_factory=set)
     is_trial: bool = False
+    is_suspect: bool = False
     silent_data_centres: set[str] = dataclasses.field(default_factory=set)
     attempt_outcomes: list[str] = dataclasses.field(default_factory=list)
     sent_after: list[float] = dataclasses.field(default_factory=list)
--- a/amaranthring/testing/crash_timeline.py
+++ b/amaranthring/testing/crash_timeline.py
@@ -130,7 +130,11 @@
                     lambda: self._send(fingerprint, sends_left),
                 )
             return
-        target = self.rng.choice(sorted(self.running))
+        names = sorted(self.running)
+        self.rng.shuffle(names)
+        target = names[0]
+        if verdict is not None:
+            target = min(names, key=lambda name: len(self.running[name]))
         run = Running(fingerprint, self.now, sends_left - 1)
         self.running[target].append(run)
         if fingerprint.startswith("culprit"):
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -300,7 +300,7 @@
         )
         self.first = self.chosen()
 
-    def chosen(self, idempotent=True):
+    def chosen(self, idempotent=True, is_suspect=False):
         incoming = records.Incoming(
             "r", "POST", "/", "/", "h", None, self.now, parts=self.parts
         )
@@ -309,6 +309,7 @@
             with_prompt=True, resumable=idempotent,
         )  # fmt: skip
         context = records.RequestContext(incoming, route, "", "s", 1, 200.0)
+        context.is_suspect = is_suspect
         return self.placer.choose(context)
 
     def report_unreachable(self, unreached):
@@ -325,6 +326,16 @@
         self.placer.record_failure(self.first, reached=True)
         self.assertNotEqual(self.first, self.chosen())
 
+    def test_suspect_runs_beside_few_requests(self):
+        """Guards against a suspect that goes where its prompt is cached.
+
+        If it crashes its target, all requests there are lost.
+        """
+        self.placer.prefixes.mark_cached(self.parts, self.first.id)
+        self.placer.views[self.first.id].running = 1
+        self.assertEqual(self.first, self.chosen())
+        self.assertNotEqual(self.first, self.chosen(is_suspect=True))
+
     def test_one_broken_response_moves_requests_that_may_run_once(self):
         """An engine breaks off many responses while its health check passes.
 
