Split the proof that a target has ended from the refusal of requests

forwarding/ended_targets asks, forwarding/crash_guard reports and refuses, registry/crash_log writes the lines of both sides. An inquiry ends with its router.

--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -1,16 +1,12 @@
 """Requests that crash targets, as seen by one router.
 
-A run whose connection the target broke off may have ended with the target's
-process. Whether it did is asked apart from the request, whose caller gets its
-answer at once. Only a process that is known to have ended is reported; what
-the reports of all routers condemn is refused here.
+Runs that ended with the processes of their targets are reported to the
+keepers; what the reports of all routers condemn is refused here.
 """
 
 import asyncio
 import collections
-import dataclasses
 import math
-import time
 import typing as t
 
 import logbook
@@ -19,26 +15,18 @@
 from amaranthring.core import clocks
 from amaranthring.core import links
 from amaranthring.core import logs
+from amaranthring.forwarding import ended_targets
 from amaranthring.forwarding import placement
 from amaranthring.forwarding import records
 from amaranthring.policy import crash_evidence
-from amaranthring.registry import crash_ledger
+from amaranthring.registry import crash_log
 from amaranthring.registry import crash_messages
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
-from amaranthring.targets import liveness
 from amaranthring.targets import pool
 
 log = logbook.Logger(__name__)
 
-# The connections of a process that ended break within this time.
-SETTLE_SECONDS = 0.02
-# A process that ends may keep its listener and some connections for a while,
-# so a target counts as alive only if it shows so later than this.
-ENDING_SECONDS = 1.0
-# Time for which a target is asked. One that is silent for longer has lost its
-# VM or its network, which no request causes.
-PROOF_SECONDS = 10.0
 # A request that has been paused runs once at a time; until that run has ended,
 # further sends are told to come back after this time.
 TRIAL_RETRY_SECONDS = 0.5
@@ -46,28 +34,6 @@
 RESENT_SECONDS = 60.0
 RESENT_RUNS = 100
 MAX_TOLD = 20000
-MAX_ENDED = 1000
-# Bounds the memory for one target while it is asked.
-MAX_BROKEN_RUNS = 512
-
-
-@dataclasses.dataclass
-class BrokenRun:
-    """A run whose connection the target broke off.
-
-    Attributes
-    ----------
-    fingerprint : str
-        Of the request.
-    seconds : float
-        From sending the request.
-    at : float
-        When the connection broke, in seconds of the guard's clock.
-    """
-
-    fingerprint: str
-    seconds: float
-    at: float
 
 
 class CrashGuard:
@@ -90,10 +56,8 @@
         received.
     evidence : crash_evidence.CrashEvidence
         What this router has seen itself.
-    broken : dict
-        Runs by the target that is being asked whether it has ended.
-    ended : OrderedDict
-        Targets whose processes are known to have ended.
+    ended_targets : ended_targets.EndedTargets
+        Finds out which targets have ended.
     trials : dict of str to RequestContext
         Requests by fingerprint that run again after a pause.
     """
@@ -107,25 +71,20 @@
         clock: t.Callable[[], float] = clocks.boottime,
     ):
         self.name = name
-        self.placer = placer
-        self.connections = connections
+        self.ended_targets = ended_targets.EndedTargets(
+            placer, connections, self._report
+        )
         self.open_links = open_links
         self.clock = clock
         self.evidence = crash_evidence.CrashEvidence(clock)
         self.told: collections.OrderedDict[
             str, tuple[crash_evidence.Verdict, float]
         ] = collections.OrderedDict()
-        self.broken: dict[str, list[BrokenRun]] = {}
-        self.ended: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
         self.trials: dict[str, records.RequestContext] = {}
-        self.tasks: set[asyncio.Task] = set()
 
     def stop(self) -> None:
         """Ask no target any more."""
-        for task in self.tasks:
-            task.cancel()
+        self.ended_targets.stop()
 
     # -- requests ----------------------------------------------------
 
@@ -154,7 +113,7 @@
             fingerprint=verdict.fingerprint,
             condemned=verdict.condemned,
             seconds=round(seconds, 1),
-            crashes=crash_ledger.describe(verdict.crashes),
+            crashes=crash_log.describe(verdict.crashes),
         )
         raise errors.SuspectedError(
             "targets crashed while they ran this request",
@@ -191,21 +150,10 @@
         seconds : float
             Time since the request was sent.
         """
-        run = BrokenRun(context.fingerprint, seconds, self.clock())
-        if target.id in self.ended:
-            self._report(target, [run])
-            return
-        runs = self.broken.get(target.id)
-        if runs is not None:
-            if len(runs) < MAX_BROKEN_RUNS:
-                runs.append(run)
-            return
-        if self._has_left(target):
-            return
-        self.broken[target.id] = [run]
-        task = asyncio.ensure_future(self._ask(target))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        run = ended_targets.BrokenRun(
+            context.fingerprint, seconds, self.clock()
+        )
+        self.ended_targets.broke_off(target, run)
 
     def _verdict(
         self, context: records.RequestContext
@@ -237,48 +185,6 @@
             return None
         return current
 
-    # -- targets -----------------------------------------------------
-
-    async def _ask(self, target: messages.TargetRecord) -> None:
-        """Ask whether `target` has ended, and report its runs if so."""
-        broke_at = time.monotonic()
-        try:
-            await asyncio.sleep(SETTLE_SECONDS)
-            inquiry = liveness.Inquiry(
-                target,
-                lambda _: self._ask_once(target, broke_at),
-                PROOF_SECONDS,
-            )
-            verdict = await inquiry.settle()
-        finally:
-            runs = self.broken.pop(target.id)
-        if verdict is liveness.Verdict.DEAD:
-            self.ended[target.id] = None
-            while len(self.ended) > MAX_ENDED:
-                self.ended.popitem(last=False)
-            self._report(target, runs)
-
-    async def _ask_once(
-        self, target: messages.TargetRecord, broke_at: float
-    ) -> liveness.Verdict:
-        if self._has_left(target):
-            return liveness.Verdict.ALIVE
-        if not self.placer.table.holds_address(target):
-            return liveness.Verdict.DEAD
-        connected = self.connections.is_connected(target.id)
-        answered_at = self.placer.views[target.id].succeeded_at
-        if time.monotonic() - broke_at < ENDING_SECONDS:
-            if connected or answered_at > broke_at + SETTLE_SECONDS:
-                return liveness.Verdict.SILENT
-        elif connected or answered_at > broke_at + ENDING_SECONDS:
-            return liveness.Verdict.ALIVE
-        return await liveness.try_connection(target)
-
-    def _has_left(self, target: messages.TargetRecord) -> bool:
-        """Return whether the target has said that it ends."""
-        entry = self.placer.table.entries.get(target.id)
-        return entry is None or entry.record.state != messages.State.READY
-
     # -- keepers -----------------------------------------------------
 
     def add_keeper(self, link: links.Link) -> None:
@@ -308,7 +214,7 @@
         if not verdict.count:
             if known is not None:
                 del self.told[verdict.fingerprint]
-                crash_ledger.log_verdict(verdict)
+                crash_log.log_verdict(verdict)
             return
         # Keepers judge the same crashes at slightly different times.
         refused_before = known.refused_seconds if known is not None else 0.0
@@ -317,10 +223,12 @@
         self.told[verdict.fingerprint] = verdict, now
         is_new = known is None or known.count < verdict.count
         if is_new or (verdict.refused_seconds and not refused_before):
-            crash_ledger.log_verdict(verdict)
+            crash_log.log_verdict(verdict)
 
     def _report(
-        self, target: messages.TargetRecord, broken: list[BrokenRun]
+        self,
+        target: messages.TargetRecord,
+        broken: list[ended_targets.BrokenRun],
     ) -> None:
         now = self.clock()
         runs = [
@@ -359,7 +267,7 @@
             return
         self.evidence.judge()
         for verdict in self.evidence.take_changes():
-            crash_ledger.log_verdict(verdict)
+            crash_log.log_verdict(verdict)
 
     def _send(self, message: t.Any) -> None:
         for link in self.open_links():
--- a/amaranthring/registry/crash_ledger.py
+++ b/amaranthring/registry/crash_ledger.py
@@ -16,6 +16,7 @@
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.policy import crash_evidence
+from amaranthring.registry import crash_log
 from amaranthring.registry import crash_messages
 from amaranthring.registry import messages
 from amaranthring.registry import publisher
@@ -160,31 +161,11 @@
         if not verdicts:
             return
         for verdict in verdicts:
-            log_verdict(verdict)
+            crash_log.log_verdict(verdict)
         message = crash_messages.Verdicts(verdicts)
         publisher.broadcast(self.routers(), message)
 
 
-def log_verdict(verdict: crash_evidence.Verdict) -> None:
-    """Log what is known of a request from now on."""
-    logs.event(
-        log,
-        "suspect.known",
-        fingerprint=verdict.fingerprint,
-        condemned=verdict.condemned,
-        refused_seconds=round(verdict.refused_seconds, 1),
-        count=verdict.count,
-        crashes=describe(verdict.crashes),
-    )
-
-
-def describe(crashes: list[crash_evidence.CrashNote]) -> str:
-    """Return ``target@router:age`` of each crash, for the log."""
-    return ",".join(
-        f"{note.target}@{note.router}:{note.age:.1f}s" for note in crashes
-    )
-
-
 def _require_router(link: links.Link) -> None:
     if link.peer.role != messages.ROUTER_ROLE:
         raise errors.ForbiddenError(
--- a/amaranthring/targets/liveness.py
+++ b/amaranthring/targets/liveness.py
@@ -54,6 +54,8 @@
         Target to ask.
     ask : callable, optional
         Asks once; by default with a small request.
+    first_pause : float
+        Seconds between the first two times.
     max_seconds : float
         Time for which a silent target is asked.
 
@@ -67,10 +69,12 @@
         self,
         target: Addressed,
         ask: Ask | None = None,
+        first_pause: float = FIRST_PAUSE_SECONDS,
         max_seconds: float = MAX_SECONDS,
     ):
         self.target = target
         self.ask = ask or request_options
+        self.first_pause = first_pause
         self.max_seconds = max_seconds
         self.verdict = Verdict.SILENT
         self.task = asyncio.ensure_future(self._run())
@@ -108,7 +112,7 @@
         self._log()
 
     async def _ask_until_decided(self) -> None:
-        pause = FIRST_PAUSE_SECONDS
+        pause = self.first_pause
         while True:
             self.verdict = await self.ask(self.target)
             if self.verdict is not Verdict.SILENT:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -3,7 +3,7 @@
 import asyncio
 from unittest import mock
 
-from amaranthring.forwarding import crash_guard
+from amaranthring.forwarding import ended_targets
 from amaranthring.policy import crash_evidence
 from amaranthring.registry import crash_messages
 from amaranthring.testing import scripted_target
@@ -108,11 +108,11 @@
         await self.begin(*[scripted_target.reset_connection()] * 3)
         guard = self.router.relay.crashes
         self.addCleanup(guard.stop)
-        with mock.patch.object(crash_guard, "PROOF_SECONDS", 0.2):
+        with mock.patch.object(ended_targets, "MAX_SECONDS", 0.2):
             for _ in range(6):
                 await self.ask("/b/x", "POST")
             await asyncio.sleep(0.4)
-        self.assertEqual({}, guard.broken)
+        self.assertEqual({}, guard.ended_targets.broken)
         self.assertEqual({}, dict(guard.evidence.suspects.entries))
         self.assertEqual(502, (await self.ask("/b/x", "POST")).status)
 
