Give the stub of a request in a test the field that placement reads

tests/test_forwarding.TestIdempotent.test_failed_requests_are_retried_at_another_target ended with an AttributeError since requests that have met crashes are placed apart. Its checks stay as they are.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -356,6 +356,7 @@
             service = "none"
             tried = frozenset()
             route = SAFE
+            is_suspect = False
 
             class incoming:  # noqa: N801
                 parts = ()
