--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -337,6 +337,12 @@
         self.keeper_faults = []
         await super().asyncSetUp()
 
+    async def asyncTearDown(self):
+        # A caller that misses its cancellation must not keep a failed test
+        # from ending.
+        self.stopped = True
+        await super().asyncTearDown()
+
     async def inject(self, kinds, seconds):
         """Begin faults of random `kinds` for `seconds`; await their ends."""
         faults = []
