--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -33,6 +33,7 @@
 # Bounds what a restarted keeper gets from each router.
 RESENT_SECONDS = 60.0
 RESENT_RUNS = 100
+# Bounds the memory for verdicts of the keepers.
 MAX_TOLD = 20000
 
 
--- a/amaranthring/forwarding/ended_targets.py
+++ b/amaranthring/forwarding/ended_targets.py
@@ -30,6 +30,7 @@
 # target that is silent for longer has lost its VM or its network, which no
 # request causes.
 MAX_SECONDS = 10.0
+# Ended targets that are remembered, for breaks that show late.
 MAX_ENDED = 1000
 # Bounds the memory for one target while it is asked.
 MAX_BROKEN_RUNS = 512
--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -34,6 +34,7 @@
 MIN_APART = 3
 # Time for reports of the other requests that ran on a crashed target.
 JUDGE_SECONDS = 0.2
+# The latest crashes that are kept of each request.
 MAX_CRASHES = 16
 # Bounds the time of a judgement where a target ran hundreds of requests; the
 # cause is among those with the most crashes.
--- a/amaranthring/registry/crash_ledger.py
+++ b/amaranthring/registry/crash_ledger.py
@@ -24,7 +24,8 @@
 
 log = logbook.Logger(__name__)
 
-# Bounds what is kept over a loss of power.
+# Bounds what is kept over a loss of power: the newest runs, of crashes that
+# still count (`suspects.SUSPECT_SECONDS`).
 KEPT_SECONDS = 600.0
 KEPT_RUNS = 200
 # Many routers report the same crash, and all are told of what follows at once.
--- a/amaranthring/targets/liveness.py
+++ b/amaranthring/targets/liveness.py
@@ -36,7 +36,7 @@
 
 
 class Addressed(t.Protocol):
-    """What is known by a name and reached at an address."""
+    """A target as an inquiry needs it: its name and ``host:port``."""
 
     name: str
     address: str
