Tell routers how old the counts are by which they place requests

Keepers now tell the mean age of the counts and the number of routers that report; a router adds the way of its own report and of the answer, by its own clock. The line of a request says for each attempt the target's load, the mean, the age of the counts, and the targets left out by reason. No placement changes.

--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -58,6 +58,12 @@
         Data centre of this router.
     clock : callable
         Returns monotonic seconds.
+
+    Attributes
+    ----------
+    counted_at : float
+        When the other routers had counted the requests that they told of
+        last, on average.
     """
 
     def __init__(
@@ -77,6 +83,7 @@
             views.TargetView
         )
         self.rests = rests_module.Rests()
+        self.counted_at = float("-inf")
 
     def choose(
         self, context: records.RequestContext
@@ -85,28 +92,7 @@
         now = self.clock()
         if self.held_back(context):
             return None
-        eligible = self._eligible(context)
-        reachable = [
-            r
-            for r in eligible
-            if not self._may_be_partitioned(context, r, now)
-        ]
-        healthy = [
-            r
-            for r in reachable or eligible
-            if self.views[r.id].backoff_until <= now
-        ]
-        alive = [r for r in healthy if self._is_alive(r, now)]
-        # A failing or silent target is better than none. An unreachable one
-        # is not: the caller is refused at once, and the first request after
-        # the backoff tries again.
-        usable = (
-            alive
-            or healthy
-            or [r for r in eligible if not self._is_unreachable(r)]
-        )
-        if not context.route.idempotent:
-            usable = self._without_failing(usable, now)
+        usable, left_out = self._usable(context, now)
         by_id = {record.id: record for record in usable}
         candidates = [
             affinity.Candidate(
@@ -137,7 +123,80 @@
             choice = affinity.choose_by_prefix(candidates, shared.id, tokens)
         else:
             choice = affinity.least_loaded(candidates)
-        return by_id[choice.id] if choice else None
+        if choice is None:
+            return None
+        context.placements.append(
+            records.Placement(
+                choice.load,
+                sum(c.load for c in candidates) / len(candidates),
+                now - self.counted_at,
+                len(candidates),
+                left_out,
+            )
+        )
+        return by_id[choice.id]
+
+    def _usable(
+        self, context: records.RequestContext, now: float
+    ) -> tuple[list[messages.TargetRecord], dict[str, int]]:
+        """Return the targets to choose from.
+
+        Returns
+        -------
+        usable : list of TargetRecord
+        left_out : dict of str to int
+            Number of the service's other targets, by reason.
+        """
+        ready = self._ready(context.service)
+        eligible = self._eligible(context, ready)
+        reachable = [
+            r
+            for r in eligible
+            if not self._may_be_partitioned(context, r, now)
+        ]
+        healthy = [
+            r
+            for r in reachable or eligible
+            if self.views[r.id].backoff_until <= now
+        ]
+        alive = [r for r in healthy if self._is_alive(r, now)]
+        # A failing or silent target is better than none. An unreachable one
+        # is not: the caller is refused at once, and the first request after
+        # the backoff tries again.
+        usable = (
+            alive
+            or healthy
+            or [r for r in eligible if not self._is_unreachable(r)]
+        )
+        if not context.route.idempotent:
+            usable = self._without_failing(usable, now)
+        used = {record.id for record in usable}
+        left_out = collections.Counter(
+            self._reason_left_out(context, record, now)
+            for record in ready
+            if record.id not in used
+        )
+        return usable, dict(left_out)
+
+    def _reason_left_out(
+        self,
+        context: records.RequestContext,
+        record: messages.TargetRecord,
+        now: float,
+    ) -> str:
+        """Return why `record` is no candidate, for the log."""
+        view = self.views[record.id]
+        if record.id in context.tried:
+            return "tried"
+        if self.rests.left(record.id):
+            return "resting"
+        if self._may_be_partitioned(context, record, now):
+            return "partitioned"
+        if view.doubted_until > now:
+            return "doubted"
+        if view.backoff_until > now:
+            return "backoff"
+        return "failing" if self._is_alive(record, now) else "silent"
 
     def _without_failing(
         self, records: list[messages.TargetRecord], now: float
@@ -240,8 +299,11 @@
     def _is_unreachable(self, record: messages.TargetRecord) -> bool:
         return self.views[record.id].unreachable
 
-    def _eligible(self, context: records.RequestContext) -> list:
-        ready = self._ready(context.service)
+    def _eligible(
+        self,
+        context: records.RequestContext,
+        ready: list[messages.TargetRecord],
+    ) -> list[messages.TargetRecord]:
         resting = {r.id for r in ready if self.rests.left(r.id)}
         context.is_trial = bool(resting) and len(resting) == len(ready)
         if resting:
@@ -432,6 +494,7 @@
 
     def update_from_others(self, others: sharing.Others) -> None:
         """Apply the reports of the other routers."""
+        self.counted_at = self.clock() - others.age
         self._apply_unreachable(others.unreached)
         until = self.clock() + PEER_REPORT_SECONDS
         for name in set(others.failing) & set(self.table.entries):
@@ -473,8 +536,9 @@
                 continue
             view = self.views[name]
             if now - view.succeeded_at > TRUSTED_SECONDS:
+                view.doubted_until = now + PEER_REPORT_SECONDS
                 view.backoff_until = max(
-                    view.backoff_until, now + PEER_REPORT_SECONDS
+                    view.backoff_until, view.doubted_until
                 )
 
     def prune(self) -> None:
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -164,6 +164,33 @@
     ]
 
 
+@dataclasses.dataclass
+class Placement:
+    """What the placement of one attempt was based on.
+
+    Attributes
+    ----------
+    load : float
+        Requests at the chosen target, as believed.
+    mean : float
+        Mean of the candidates' loads, as believed.
+    counts_age : float
+        Mean age of the other routers' counts, in seconds; infinite if none
+        were received.
+    candidates : int
+        Number of targets that it was chosen from.
+    left_out : dict of str to int
+        Number of the service's other targets, by the reason for which they
+        were left out.
+    """
+
+    load: float
+    mean: float
+    counts_age: float
+    candidates: int
+    left_out: dict[str, int]
+
+
 @dataclasses.dataclass
 class RequestContext:
     """State of one request while it is forwarded.
@@ -198,6 +225,8 @@
         Seconds from the arrival of the request to each attempt that was sent.
     copies : list of str
         ``source>target`` of each attempt with a copy of a cached prefix.
+    placements : list of Placement
+        One for each attempt.
     """
 
     incoming: Incoming
@@ -221,6 +250,7 @@
     attempt_outcomes: list[str] = dataclasses.field(default_factory=list)
     sent_after: list[float] = dataclasses.field(default_factory=list)
     copies: list[str] = dataclasses.field(default_factory=list)
+    placements: list[Placement] = dataclasses.field(default_factory=list)
 
     @functools.cached_property
     def fingerprint(self) -> str:
--- a/amaranthring/forwarding/request_log.py
+++ b/amaranthring/forwarding/request_log.py
@@ -75,9 +75,21 @@
         "sent_ms": ",".join(f"{s * 1e3:.1f}" for s in context.sent_after),
         "resting": ",".join(sorted(context.resting)),
         "copies": ",".join(context.copies),
+        "placed": ",".join(map(_describe, context.placements)),
         "prompt": ",".join(f"{part.id}:{part.tokens}" for part in parts),
     }
 
 
+def _describe(placement: records.Placement) -> str:
+    """Return ``load/mean@age of candidates``, and what was left out."""
+    described = (
+        f"{placement.load:.1f}/{placement.mean:.1f}"
+        f"@{placement.counts_age:.2f} of {placement.candidates}"
+    )
+    for reason, number in placement.left_out.items():
+        described += f" {reason}={number}"
+    return described
+
+
 def _milliseconds(since: float, until: float) -> float | None:
     return round((until - since) * 1e3, 1) if until else None
--- a/amaranthring/forwarding/views.py
+++ b/amaranthring/forwarding/views.py
@@ -39,6 +39,8 @@
         since.
     backoff_until : float
         Time until which it is avoided after failures.
+    doubted_until : float
+        Time until which it counts that other routers could not reach it.
     failed_at : float
         When it last failed to respond, or broke off a response, here.
     reported_failing_until : float
@@ -54,6 +56,7 @@
         self.reported_at = float("-inf")
         self.failures = 0
         self.backoff_until = 0.0
+        self.doubted_until = float("-inf")
         self.unreachable = False
         self.succeeded_at = float("-inf")
         self.failed_at = float("-inf")
--- a/amaranthring/registry/reporting.py
+++ b/amaranthring/registry/reporting.py
@@ -22,7 +22,8 @@
     report : callable
         Returns the next report; it contains each new location once.
     on_others : callable
-        Called with the totals of the other routers.
+        Called with the totals of the other routers. Their `age` then covers
+        the way to the keeper and back, too.
     clock : callable
         Seconds; continues while the VM is suspended.
 
@@ -73,6 +74,7 @@
         now = self.clock()
         if self.synced_at is not None:
             report.told_all_ago = now - self.synced_at
+        report.sent_at = now
         self.reported_at.append(now)
         sharing.send_if_open(link, report)
 
@@ -89,4 +91,18 @@
             # next report; the message then holds only as of the report before
             # that one.
             self.synced_at = self.reported_at[0]
+        others.age = self._age(others)
         self.on_others(others)
+
+    def _age(self, others: sharing.Others) -> float:
+        """Return the mean age of the counts in `others`, in seconds.
+
+        The way of this router's report to the keeper and of the answer back
+        stands for those of all others: it takes in the time for which a
+        message waits at a busy keeper or router, without comparing the clocks
+        of two VMs.
+        """
+        if others.report_sent_at < 0:
+            return others.age
+        since = self.clock() - others.report_sent_at
+        return others.age + max(0.0, since - others.report_held)
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -74,6 +74,9 @@
     tokens : dict of str to int
         For each part in `places`, the tokens of the longest prompt prefix
         that it belongs to.
+    sent_at : float
+        When it was sent, in seconds of the router's own clock; negative if
+        unknown.
     """
 
     counts: dict[str, int]
@@ -83,6 +86,7 @@
     failing: list[str] = dataclasses.field(default_factory=list)
     told_all_ago: float = -1.0
     tokens: dict[str, int] = dataclasses.field(default_factory=dict)
+    sent_at: float = -1.0
 
 
 @wire.message("share-left")
@@ -103,6 +107,10 @@
         Older locations, for a keeper that may have lost them.
     tokens : dict of str to int
         As in :class:`Report`, for `places` and `known`.
+    routers : int
+        Number of routers that report to the sender.
+    age : float
+        Mean age of `counts` at the sender, in seconds.
     """
 
     counts: dict[str, int]
@@ -112,6 +120,8 @@
     failing: dict[str, int] = dataclasses.field(default_factory=dict)
     known: list[list[str]] = dataclasses.field(default_factory=list)
     tokens: dict[str, int] = dataclasses.field(default_factory=dict)
+    routers: int = 0
+    age: float = 0.0
 
 
 @wire.message("share-others", compressed=True)
@@ -125,6 +135,14 @@
     ----------
     all_told : bool
         Whether this router has now been sent all locations that there are.
+    routers : int
+        Number of all routers that report, with this one; 0 if unknown.
+    age : float
+        Mean age of `counts` at the keepers, in seconds.
+    report_sent_at : float
+        `sent_at` of the newest report of this router.
+    report_held : float
+        Seconds for which the keeper has had that report.
     """
 
     counts: dict[str, int]
@@ -133,6 +151,10 @@
     reading: dict[str, int] = dataclasses.field(default_factory=dict)
     failing: dict[str, int] = dataclasses.field(default_factory=dict)
     all_told: bool = False
+    routers: int = 0
+    age: float = 0.0
+    report_sent_at: float = -1.0
+    report_held: float = 0.0
 
 
 @dataclasses.dataclass
@@ -149,6 +171,12 @@
         Prompt tokens that each target has yet to process.
     failing : Counter
         Routers for which each target broke off an answer.
+    routers : int
+        Routers that reported.
+    requests : int
+        Sum of `counts`, before any report was taken out.
+    request_seconds : float
+        Ages of these requests' counts, added up.
     """
 
     counts: collections.Counter = dataclasses.field(
@@ -163,9 +191,16 @@
     failing: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-
-    def add(self, report: Report | Sums) -> None:
-        """Add one report, or the sums of another keeper."""
+    routers: int = 0
+    requests: int = 0
+    request_seconds: float = 0.0
+
+    def add(self, report: Report | Sums, age: float) -> None:
+        """Add one report, or the sums of another keeper, `age` seconds old."""
+        requests = sum(report.counts.values())
+        self.requests += requests
+        self.request_seconds += requests * age
+        self.routers += report.routers if isinstance(report, Sums) else 1
         self.counts.update(report.counts)
         self.unreached.update(report.unreached)
         self.reading.update(report.reading)
@@ -178,16 +213,22 @@
             self.unreached - collections.Counter(own.unreached),
             self.reading - collections.Counter(own.reading),
             self.failing - collections.Counter(own.failing),
+            self.routers,
+            self.requests,
+            self.request_seconds,
         )
 
     def message(self, kind: type, locations: list[list[str]]) -> t.Any:
         """Return the totals as a message of class `kind`."""
+        age = self.request_seconds / self.requests if self.requests else 0.0
         return kind(
             dict(self.counts),
             locations,
             dict(self.unreached),
             dict(self.reading),
             dict(self.failing),
+            routers=self.routers,
+            age=age,
         )
 
 
@@ -292,7 +333,7 @@
             if link.closed or self._reports_elsewhere(link):
                 self._forget(link)
             else:
-                totals.add(report)
+                totals.add(report, self.clock() - self.reported_at[link])
         return totals
 
     def _forget(self, link: links.Link) -> None:
@@ -315,7 +356,7 @@
             if heard_at <= oldest:
                 del self.sums[name]
             else:
-                totals.add(sums)
+                totals.add(sums, self.clock() - heard_at + sums.age)
 
     def _send_others(
         self,
@@ -331,6 +372,8 @@
         message.all_told = (
             link not in self.router_backlogs and self._hears_all_keepers()
         )
+        message.report_sent_at = report.sent_at
+        message.report_held = self.clock() - self.reported_at[link]
         send_if_open(link, message)
 
     def _hears_all_keepers(self) -> bool:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -118,6 +118,20 @@
         self.assertEqual({"a": 1}, last[1])
         self.assertEqual({"a": 2, "b": 1}, last[2])
 
+    def test_router_receives_how_old_the_counts_are(self):
+        """Counts behind a keeper that is late looked like new ones."""
+        self.report(2, {"a": 3})
+        self.two.step()
+        self.now += 0.5
+        self.report(0, {})
+        self.report(1, {"a": 1})
+        self.now += 0.1
+        self.one.step()
+        others = self.routers[0].sent[-1]
+        self.assertEqual(3, others.routers)
+        # Three requests were counted 0.6 s ago, one 0.1 s ago.
+        self.assertAlmostEqual(1.9 / 4, others.age)
+
     def test_locations_are_sent_in_batches_the_newest_first(self):
         """Sent all at once to many routers, locations delay heartbeats."""
         limit = sharing.LOCATIONS_PER_MESSAGE
@@ -288,6 +302,24 @@
         [_, from_new] = self.turn(home=1)
         self.assertEqual([["new", "a"]], from_new)
 
+    def test_age_covers_the_way_to_the_keeper_and_back(self):
+        """Counts that waited for a stopped process looked like new ones."""
+        received = []
+        self.reporter.on_others = received.append
+        self.turn()
+        self.reporter.report()
+        [report] = self.links[0].sent
+        self.links[0].sent = []
+        self.now += 0.3
+        on_report = self.keepers[0].handlers.by_class[sharing.Report]
+        on_report(self.links[0], report)
+        self.now += 0.1
+        self.keepers[0].step()
+        self.now += 2.0
+        self.receive()
+        # 0.3 s and 2 s on the way, and 0.1 s at the keeper.
+        self.assertAlmostEqual(2.4, received[-1].age)
+
     def test_unsynced_router_gets_all_locations(self):
         self.store(
             [f"p{n}" for n in range(10 * sharing.LOCATIONS_PER_MESSAGE)]
