Place requests by how much the counts of other routers may not show

Cause: a router places by counts that others sent 0.2 s or more ago and that have no age. All routers see the same cheapest engine until new counts arrive, and longer if a keeper is late or silent. Class: state from others that is used without its age.

A router now estimates from its own requests how many like ones the others have sent since their counts, and draws from as many of the best targets as have room for these. The older the counts, the more targets; without any counts, all of them. It holds for prompts and, with the same rule, for requests without prompts, which all went to the least loaded target before.

The number of routers is the one that the keepers tell; a router that is alone, or knows of no other, decides as before.

--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -10,6 +10,7 @@
 from amaranthring.policy import affinity
 from amaranthring.policy import copies
 from amaranthring.policy import rests as rests_module
+from amaranthring.policy import unseen
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
 from amaranthring.registry import targets as tables
@@ -58,12 +59,16 @@
         Data centre of this router.
     clock : callable
         Returns monotonic seconds.
+    count_routers : callable
+        Returns the number of routers that may be at work, with this one.
 
     Attributes
     ----------
     counted_at : float
         When the other routers had counted the requests that they told of
         last, on average.
+    routers : int
+        Number of routers that told; 0 before any.
     """
 
     def __init__(
@@ -71,9 +76,11 @@
         table: tables.TargetTable,
         data_centre: str,
         clock: t.Callable[[], float] = time.monotonic,
+        count_routers: t.Callable[[], int] = lambda: 1,
     ):
         self.table = table
         self.data_centre = data_centre
+        self.count_routers = count_routers
         self.clock = clock
         self.data_centres: dict[str, views.DataCentreView] = (
             collections.defaultdict(views.DataCentreView)
@@ -84,6 +91,8 @@
         )
         self.rests = rests_module.Rests()
         self.counted_at = float("-inf")
+        self.routers = 0
+        self.unseen_requests = unseen.UnseenRequests(clock)
 
     def choose(
         self, context: records.RequestContext
@@ -104,6 +113,7 @@
             for record in usable
         ]
         parts = context.incoming.parts
+        unseen_here = self._unseen(context, now)
         if context.is_suspect:
             # If it crashes its target, few requests are lost with it.
             choice = affinity.least_loaded(candidates)
@@ -118,11 +128,16 @@
                 candidate.pending_tokens = self.views[
                     candidate.id
                 ].pending_tokens
-            shared = parts[-2] if len(parts) > 1 else parts[-1]
             tokens = sum(part.tokens for part in parts)
-            choice = affinity.choose_by_prefix(candidates, shared.id, tokens)
+            choice = affinity.choose_by_prefix(
+                candidates, _placement_key(context), tokens, unseen=unseen_here
+            )
         else:
-            choice = affinity.least_loaded(candidates)
+            # Routers of other data centres prefer other targets.
+            data_centres = {record.data_centre for record in usable}
+            choice = affinity.least_loaded(
+                candidates, unseen=unseen_here / max(1, len(data_centres))
+            )
         if choice is None:
             return None
         context.placements.append(
@@ -136,6 +151,15 @@
         )
         return by_id[choice.id]
 
+    def _unseen(self, context: records.RequestContext, now: float) -> float:
+        """Return how many like requests the counts of others may not show."""
+        return self.unseen_requests.expected(
+            _placement_key(context),
+            context.service,
+            max(self.routers, self.count_routers()),
+            now - self.counted_at,
+        )
+
     def _usable(
         self, context: records.RequestContext, now: float
     ) -> tuple[list[messages.TargetRecord], dict[str, int]]:
@@ -371,6 +395,8 @@
         )
         context.prefill_tokens -= copy.tokens if copy else 0
         self.prefixes.record_sent(parts, target.id)
+        self.unseen_requests.record_sent(_placement_key(context))
+        context.begun_at = self.clock()
         view = self.views[target.id]
         view.prefill_tokens += context.prefill_tokens
         view.running += 1
@@ -393,6 +419,9 @@
         self, target: messages.TargetRecord, context: records.RequestContext
     ) -> None:
         """Count a request at `target` as ended."""
+        self.unseen_requests.record_duration(
+            context.service, self.clock() - context.begun_at
+        )
         self._clear_prefill(target, context)
         view = self.views[target.id]
         view.running -= 1
@@ -495,6 +524,7 @@
     def update_from_others(self, others: sharing.Others) -> None:
         """Apply the reports of the other routers."""
         self.counted_at = self.clock() - others.age
+        self.routers = others.routers
         self._apply_unreachable(others.unreached)
         until = self.clock() + PEER_REPORT_SECONDS
         for name in set(others.failing) & set(self.table.entries):
@@ -548,3 +578,11 @@
         for target_id in set(self.views) - set(self.table.entries):
             if not self.views[target_id].running:
                 del self.views[target_id]
+
+
+def _placement_key(context: records.RequestContext) -> str:
+    """Return what requests have in common that prefer the same targets."""
+    parts = context.incoming.parts
+    if not (context.route.with_prompt and parts):
+        return context.service
+    return (parts[-2] if len(parts) > 1 else parts[-1]).id
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -215,6 +215,8 @@
         Whether targets have crashed while they ran it.
     engine : Engine or None
         Capabilities of the service's engines; None if it has none.
+    begun_at : float
+        Monotonic seconds at which the current attempt began.
     prefill_tokens : int
         Tokens that the current target has to prefill.
     silent_data_centres : set of str
@@ -237,6 +239,7 @@
     deadline: float
     engine: plans.Engine | None = None
     attempts_sent: int = 0
+    begun_at: float = 0.0
     prefill_tokens: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     refused_by: list[messages.TargetRecord] = dataclasses.field(
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -130,7 +130,9 @@
             identity, keys, self.take_plan, self.sharers
         )
         self.placer = placement.Placer(
-            self.subscriber.table, config.data_centre
+            self.subscriber.table,
+            config.data_centre,
+            count_routers=lambda: self.sharers.routers,
         )
         self.reporter = reporting.Reporter(
             self.subscriber.handlers,
--- a/amaranthring/policy/affinity.py
+++ b/amaranthring/policy/affinity.py
@@ -6,6 +6,10 @@
 target has the prefix, rendezvous hashing makes all routers choose the same
 target without coordination.
 
+Counts of other routers' requests lag. The requests that they do not show yet
+most likely went to the target that looks best, so a choice is drawn from as
+many of the best targets as together have room for these.
+
 Sources: D. Thaler and C. Ravishankar, "Using Name-Based Mappings to Increase
 Hit Rates", IEEE/ACM ToN 6(1), 1998; V. Mirrokni, M. Thorup and
 M. Zadimoghaddam, "Consistent Hashing with Bounded Loads", SODA 2018.
@@ -83,6 +87,7 @@
     key: str,
     tokens: int,
     draw: t.Callable[[], float] = random.random,
+    unseen: float = 0.0,
 ) -> Candidate | None:
     """Return the target for a request whose prompt begins with prefix `key`.
 
@@ -95,6 +100,8 @@
         Length of the prompt.
     draw : callable
         Random number source for the choice between equally good targets.
+    unseen : float
+        Number of requests with this prefix that the loads may not show.
     """
     if not candidates:
         return None
@@ -104,6 +111,9 @@
         candidate for candidate in candidates if candidate.load + 1 <= bound
     ]
 
+    def room(candidate: Candidate) -> float:
+        return bound - candidate.load
+
     def cost(candidate: Candidate) -> tuple[float, int]:
         prefill = (
             (candidate.uncached_tokens - candidate.copied_tokens)
@@ -118,34 +128,55 @@
     if not below_bound:
         return min(candidates, key=lambda candidate: candidate.load)
     best = min(below_bound, key=cost)
-    if best.uncached_tokens == tokens:
-        return best
-    # Load counts lag. If every router took the cheapest target that has the
-    # prefix, it would be overloaded until the next counts arrive; a random
-    # choice among nearly equal ones prevents that. In a simulation of 84
-    # routers and 34 engines, with a third of all requests for one prefix, it
-    # halves the requests above the bound.
-    max_cost = cost(best)[0] + SPREAD_COST
-    nearly_equal = [
-        candidate
-        for candidate in below_bound
-        if candidate.uncached_tokens <= best.uncached_tokens
-        and candidate.pending_tokens
-        <= best.pending_tokens + SPREAD_PENDING_TOKENS
-        and cost(candidate)[0] <= max_cost
-    ]
-    return _draw_by_headroom(nearly_equal, bound, draw)
-
-
-def _draw_by_headroom(
+    preferred = [best]
+    if best.uncached_tokens < tokens:
+        max_cost = cost(best)[0] + SPREAD_COST
+        preferred = [
+            candidate
+            for candidate in below_bound
+            if candidate.uncached_tokens <= best.uncached_tokens
+            and candidate.pending_tokens
+            <= best.pending_tokens + SPREAD_PENDING_TOKENS
+            and cost(candidate)[0] <= max_cost
+        ]
+    if sum(map(room, preferred)) < unseen:
+        ranked = sorted(below_bound, key=cost)
+        preferred = _with_room(preferred, ranked, room, unseen)
+    return _draw_by_room(preferred, room, draw)
+
+
+def _with_room(
+    preferred: t.Sequence[Candidate],
+    ranked: t.Iterable[Candidate],
+    room: t.Callable[[Candidate], float],
+    unseen: float,
+) -> list[Candidate]:
+    """Return `preferred` and the first of `ranked`, with room for `unseen`.
+
+    All are returned if they have less room together.
+    """
+    chosen = {candidate.id: candidate for candidate in preferred}
+    total = sum(map(room, preferred))
+    for candidate in ranked:
+        if total >= unseen:
+            break
+        if candidate.id not in chosen:
+            chosen[candidate.id] = candidate
+            total += room(candidate)
+    return list(chosen.values())
+
+
+def _draw_by_room(
     candidates: t.Sequence[Candidate],
-    bound: float,
+    room: t.Callable[[Candidate], float],
     draw: t.Callable[[], float],
 ) -> Candidate:
-    """Return a random candidate, weighted by its room below `bound`."""
-    point = draw() * sum(bound - candidate.load for candidate in candidates)
+    """Return a random candidate, weighted by its room."""
+    if len(candidates) == 1:
+        return candidates[0]
+    point = draw() * sum(map(room, candidates))
     for candidate in candidates:
-        point -= bound - candidate.load
+        point -= room(candidate)
         if point < 0:
             return candidate
     return candidates[-1]
@@ -154,13 +185,18 @@
 def least_loaded(
     candidates: t.Sequence[Candidate],
     draw: t.Callable[[], float] = random.random,
+    unseen: float = 0.0,
 ) -> Candidate | None:
-    """Return the target with the least load per slot.
+    """Return the target with the least load per slot, or one of the least.
 
     Parameters
     ----------
     draw : callable
-        Breaks ties, so that routers do not all choose the same target.
+        Random number source; breaks ties, so that routers do not all choose
+        the same target.
+    unseen : float
+        Number of requests that the loads may not show, and that prefer the
+        same targets.
     """
     if not candidates:
         return None
@@ -169,4 +205,17 @@
         penalty = 0.0 if candidate.local else REMOTE_LOAD_PENALTY
         return candidate.load / max(1, candidate.slots) + penalty, draw()
 
-    return min(candidates, key=load_per_slot)
+    slots = sum(max(1, candidate.slots) for candidate in candidates)
+    mean_per_slot = sum(c.load for c in candidates) / slots
+
+    def room(candidate: Candidate) -> float:
+        mean = mean_per_slot * max(1, candidate.slots)
+        return max(0.0, LOAD_BOUND * mean + LOAD_SLACK - candidate.load)
+
+    best = min(candidates, key=load_per_slot)
+    if room(best) >= unseen:
+        return best
+    ranked = sorted(candidates, key=load_per_slot)
+    return _draw_by_room(
+        _with_room([ranked[0]], ranked, room, unseen), room, draw
+    )
--- /dev/null
+++ b/amaranthring/policy/unseen.py
@@ -0,0 +1,87 @@
+"""Requests of other routers that a router's counts do not show yet.
+
+A router places requests by counts that other routers sent some time ago. All
+of them see the same cheapest target meanwhile, so the requests that they have
+placed since then are most likely there. How many these are is estimated from
+this router's own requests: it sees one of as many samples as there are
+routers.
+"""
+
+import collections
+import math
+import typing as t
+
+# Time over which this router's own requests are counted.
+SAMPLE_SECONDS = 3.0
+# Requests of which this router may have missed the first one. A wrong guess
+# shows in the counts, and later the older they are, hence per second of age.
+MISSED_REQUESTS = 0.25
+# Weight of one request in the mean duration of a service's requests.
+DURATION_WEIGHT = 0.05
+# Assumed until a request has ended.
+FIRST_DURATION_SECONDS = 1.0
+
+
+class UnseenRequests:
+    """Estimates how many requests the other routers' counts do not show.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns monotonic seconds.
+
+    Attributes
+    ----------
+    sent : deque of tuple
+        Time and key of this router's recent requests.
+    sent_by_key : Counter
+        Number of these requests by key.
+    durations : dict of str to float
+        Mean duration of this router's requests by service, in seconds.
+    """
+
+    def __init__(self, clock: t.Callable[[], float]):
+        self.clock = clock
+        self.sent: collections.deque[tuple[float, str]] = collections.deque()
+        self.sent_by_key: collections.Counter = collections.Counter()
+        self.durations: dict[str, float] = {}
+
+    def record_sent(self, key: str) -> None:
+        """Record a request; those with the same key prefer one target."""
+        self._forget()
+        self.sent.append((self.clock(), key))
+        self.sent_by_key[key] += 1
+
+    def record_duration(self, service: str, seconds: float) -> None:
+        """Record how long a request was at a target of `service`."""
+        before = self.durations.get(service, seconds)
+        self.durations[service] = before + DURATION_WEIGHT * (seconds - before)
+
+    def expected(
+        self, key: str, service: str, routers: int, age: float
+    ) -> float:
+        """Return how many requests with `key` the counts may not show.
+
+        Parameters
+        ----------
+        routers : int
+            Number of routers, with this one.
+        age : float
+            Age of the other routers' counts in seconds; infinite if there
+            are none.
+        """
+        if routers < 2:
+            return 0.0
+        self._forget()
+        sampled = self.sent_by_key[key] + MISSED_REQUESTS * (1 + age)
+        per_second = (routers - 1) * sampled / SAMPLE_SECONDS
+        duration = self.durations.get(service, FIRST_DURATION_SECONDS)
+        return per_second * duration * -math.expm1(-age / duration)
+
+    def _forget(self) -> None:
+        oldest = self.clock() - SAMPLE_SECONDS
+        while self.sent and self.sent[0][0] < oldest:
+            _, key = self.sent.popleft()
+            self.sent_by_key[key] -= 1
+            if not self.sent_by_key[key]:
+                del self.sent_by_key[key]
--- a/tests/test_prompt_spread.py
+++ b/tests/test_prompt_spread.py
@@ -14,6 +14,7 @@
 import unittest
 
 from amaranthring.policy import affinity
+from amaranthring.policy import unseen
 
 ROUTERS = 84
 ENGINES = [f"e{number}" for number in range(34)]
@@ -87,6 +88,11 @@
         self.ages = ages
         self.with_prompts = with_prompts
         self.placed_at: list[float] = []
+        self.unseen = [
+            unseen.UnseenRequests(lambda: self.now) for _ in range(ROUTERS)
+        ]
+        for one in self.unseen:
+            one.record_duration("s", REQUEST_SECONDS)
         self.now = 0.0
         self.running: list[Running] = []
         self.locations: dict[str, dict[str, tuple[float, int]]] = (
@@ -120,7 +126,8 @@
     def place(self, prefix: str, tokens: int) -> None:
         """Place one request as a random router would."""
         router = self.random.randrange(ROUTERS)
-        counts_at = self.now - self.random.uniform(*self.ages)
+        age = self.random.uniform(*self.ages)
+        counts_at = self.now - age
         loads = collections.Counter(
             one.engine
             for one in self.running
@@ -141,12 +148,15 @@
             one.copied_tokens = uncached if copyable else 0
             candidates.append(one)
         draw = self.random.random
+        key = prefix if self.with_prompts else "s"
+        missed = self.unseen[router].expected(key, "s", ROUTERS, age)
+        self.unseen[router].record_sent(key)
         if self.with_prompts:
             chosen = affinity.choose_by_prefix(
-                candidates, prefix, tokens, draw
+                candidates, prefix, tokens, draw, missed
             )
         else:
-            chosen = affinity.least_loaded(candidates, draw)
+            chosen = affinity.least_loaded(candidates, draw, missed)
         self.record(chosen, prefix, tokens, router)
 
     def record(self, chosen, prefix, tokens, router) -> None:
