Leave a target out only when a share of the routers could not reach it

Cause: two doubts sufficed however many routers there were, and nothing kept doubts from emptying a service. Class: a constant in place of a share of the fleet.

A fifth of the routers that report, and two at least, are needed now, and half of the targets stay at least, as for targets that break off.

--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -23,10 +23,13 @@
 # A target that responded here within this time is alive, even if the keepers
 # miss its announcements.
 RECENT_SUCCESS_SECONDS = 2.0
-# A target that this many other routers could not reach is avoided here too,
-# unless it responded here within TRUSTED_SECONDS. A report counts slightly
-# longer than the interval between reports.
-MIN_REPORTING_ROUTERS = 2
+# A target that this share of the routers could not reach is avoided here too,
+# unless it responded here within TRUSTED_SECONDS, and provided that half of
+# the targets remain. On a lossy network a few of many routers fail to reach
+# each target at any time; a single one may itself be isolated. A report counts
+# slightly longer than the interval between reports.
+MIN_DOUBTING_SHARE = 0.2
+MIN_DOUBTING_ROUTERS = 2
 TRUSTED_SECONDS = 0.5
 PEER_REPORT_SECONDS = 0.6
 # A target that broke off a response this recently, at any router, gets no
@@ -183,6 +186,9 @@
             for r in reachable or eligible
             if self.views[r.id].backoff_until <= now
         ]
+        healthy = self._most_without(
+            healthy, lambda r: self.views[r.id].doubted_until > now
+        )
         alive = [r for r in healthy if self._is_alive(r, now)]
         # A failing or silent target is better than none. An unreachable one
         # is not: the caller is refused at once, and the first request after
@@ -193,7 +199,9 @@
             or [r for r in eligible if not self._is_unreachable(r)]
         )
         if not context.route.idempotent:
-            usable = self._without_failing(usable, now)
+            usable = self._most_without(
+                usable, lambda r: self._is_failing(r, now)
+            )
         used = {record.id for record in usable}
         left_out = collections.Counter(
             self._reason_left_out(context, record, now)
@@ -222,11 +230,16 @@
             return "backoff"
         return "failing" if self._is_alive(record, now) else "silent"
 
-    def _without_failing(
-        self, records: list[messages.TargetRecord], now: float
+    def _most_without(
+        self,
+        records: list[messages.TargetRecord],
+        is_excluded: t.Callable[[messages.TargetRecord], bool],
     ) -> list[messages.TargetRecord]:
-        """Leave out targets that recently failed, if enough remain."""
-        remaining = [r for r in records if not self._is_failing(r, now)]
+        """Leave out the excluded targets, if enough remain.
+
+        Otherwise the few that remain would be sent the requests of all.
+        """
+        remaining = [r for r in records if not is_excluded(r)]
         enough = len(remaining) >= (1 - MAX_EXCLUDED_SHARE) * len(records)
         return remaining if enough else records
 
@@ -440,6 +453,7 @@
         view = self.views[target.id]
         view.failures = 0
         view.backoff_until = 0.0
+        view.doubted_until = 0.0
         view.unreachable = False
         view.succeeded_at = self.clock()
         self.record_contact(target)
@@ -452,7 +466,8 @@
     def failed_recently(self, target: messages.TargetRecord) -> bool:
         """Return whether the last attempt failed, here or at other routers."""
         view = self.views[target.id]
-        return view.failures > 0 or view.backoff_until > self.clock()
+        avoided_until = max(view.backoff_until, view.doubted_until)
+        return view.failures > 0 or avoided_until > self.clock()
 
     def unreachable_targets(self) -> list[str]:
         """Return the targets that this router recently failed to reach."""
@@ -556,20 +571,15 @@
 
     def _apply_unreachable(self, unreached: dict[str, int]) -> None:
         # Otherwise each router would lose requests to a target that lost
-        # power. A single router that cannot reach it may itself be isolated.
+        # power.
         now = self.clock()
+        enough = max(MIN_DOUBTING_ROUTERS, MIN_DOUBTING_SHARE * self.routers)
         for name, routers in unreached.items():
-            if (
-                routers < MIN_REPORTING_ROUTERS
-                or name not in self.table.entries
-            ):
+            if routers < enough or name not in self.table.entries:
                 continue
             view = self.views[name]
             if now - view.succeeded_at > TRUSTED_SECONDS:
                 view.doubted_until = now + PEER_REPORT_SECONDS
-                view.backoff_until = max(
-                    view.backoff_until, view.doubted_until
-                )
 
     def prune(self) -> None:
         """Drop state of targets that are gone, and expired cache locations."""
