Let keepers tell each other which routers they have links to

Cause: a keeper counted only routers with links to itself, so the next leader did not count those that reached only the last one, while they still held their shares. Class: one process's links taken for the whole fleet.

Keepers tell each other the names of the routers linked to them, a fifth of a retry window apart, in a message that they exchange anyway; older builds ignore the field. A router told of counts like one whose link has just closed.

--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -86,6 +86,7 @@
         self.census = router_census.RouterCensus(
             self.routers.values, retry_window, clock
         )
+        self.routers_told_at = float("-inf")
         self.accepted = accepted.AcceptedLinks(time.monotonic())
         self.exchange = sharing.Exchange(
             handlers,
@@ -207,6 +208,7 @@
 
     def _on_heard(self, link: links.Link, message: messages.Heard) -> None:
         _require_keeper(link)
+        self.census.record_told(message.routers)
         for target_id, sequence in message.sequences.items():
             if self.table.record_heartbeat(target_id, sequence):
                 self._broadcast([self.table.entries[target_id].record])
@@ -233,11 +235,20 @@
         advanced = {
             i: s for i, s in current.items() if s > gossiped.get(i, -1)
         }
-        if advanced:
+        routers = self._take_routers_to_tell()
+        if advanced or routers:
             for peer in self.group.peers.values():
-                peer.dialler.send(messages.Heard(advanced))
+                peer.dialler.send(messages.Heard(advanced, routers))
         return current
 
+    def _take_routers_to_tell(self) -> list[str]:
+        """Return the linked routers if the other keepers are to be told."""
+        now = time.monotonic()
+        if now - self.routers_told_at < self.census.tell_seconds:
+            return []
+        self.routers_told_at = now
+        return sorted(set(self.routers.values()))
+
     def _sync_new_peers(
         self, linked: dict[str, links.Link]
     ) -> dict[str, links.Link]:
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -132,9 +132,18 @@
 
 @wire.message("registry-heard")
 class Heard:
-    """Between keepers: the highest sequence received from each target."""
+    """Between keepers: whom the sender has heard from.
+
+    Attributes
+    ----------
+    sequences : dict of str to int
+        Highest sequence received from each target, if it has advanced.
+    routers : list of str
+        Names of the routers linked to the sender; empty in most messages.
+    """
 
     sequences: dict[str, int]
+    routers: list[str] = dataclasses.field(default_factory=list)
 
 
 @wire.message("registry-renew")
@@ -162,8 +171,8 @@
         Whether no higher version was acknowledged by any keeper before the
         request arrived; only a leader with a quorum can confirm that.
     routers : int
-        Routers that this keeper counts: those linked to it, and those that
-        were until recently.
+        Routers that this keeper counts: those linked to it or to another
+        keeper that it hears, and those that were until recently.
     keepers : list of str
         Addresses of all keepers that it knows.
     counted_seconds : float
--- a/amaranthring/registry/router_census.py
+++ b/amaranthring/registry/router_census.py
@@ -9,6 +9,9 @@
 # of the window.
 HELD_WINDOWS = 2.0
 RETENTION_WINDOWS = HELD_WINDOWS + 1.0
+# In retry windows: interval at which keepers tell each other which routers
+# they have links to.
+TELL_WINDOWS = 0.2
 # Assumed if the deployment sets no window.
 DEFAULT_WINDOW_SECONDS = 10.0
 
@@ -22,7 +25,8 @@
     since : float
         When it was counted first without a break, in seconds.
     until : float
-        When its last link closed; infinite while one is open.
+        When its last link closed, or when another keeper last told of it;
+        infinite while one is open.
     """
 
     since: float
@@ -32,8 +36,9 @@
 class RouterCensus:
     """Counts routers by name, also those whose links closed recently.
 
-    Open links alone would say that routers behind a partition, and those
-    that have not linked again after a keeper's restart, do not exist.
+    Open links alone would say that routers behind a partition, those that
+    have not linked again after a keeper's restart, and those that reach only
+    other keepers do not exist.
 
     Parameters
     ----------
@@ -52,6 +57,7 @@
         clock: t.Callable[[], float],
     ):
         self.retention = RETENTION_WINDOWS * window
+        self.tell_seconds = TELL_WINDOWS * window
         self.linked = linked
         self.clock = clock
         self.presences: dict[str, Presence] = {}
@@ -67,6 +73,14 @@
             if name not in linked:
                 presence.until = min(presence.until, now)
 
+    def record_told(self, names: collections.abc.Iterable[str]) -> None:
+        """Count the routers that another keeper has links to."""
+        now = self.clock()
+        self._forget(now)
+        for name in names:
+            presence = self.presences.setdefault(name, Presence(now, now))
+            presence.until = max(presence.until, now)
+
     def count(self) -> int:
         """Return the number of routers that may be at work."""
         self._forget(self.clock())
--- a/amaranthring/testing/retry_timeline.py
+++ b/amaranthring/testing/retry_timeline.py
@@ -173,6 +173,7 @@
                 if (self.step + number) % RENEW_STEPS == 0:
                     self._renew(name, router)
             self._update_links()
+            self._tell_keepers()
             self._serve()
 
     def _elect(self) -> None:
@@ -226,6 +227,15 @@
                 keeper.linked -= gone
                 keeper.census.update()
 
+    def _tell_keepers(self) -> None:
+        seconds = router_census.TELL_WINDOWS * self.rule.window
+        if self.step % round(seconds / STEP_SECONDS):
+            return
+        for data_centre, keeper in self.keepers.items():
+            for other, told in self.keepers.items():
+                if other != data_centre and self._reach(data_centre, other):
+                    told.census.record_told(keeper.linked)
+
     def _serve(self) -> None:
         self.requests += [0] * (self.step + 1 - len(self.requests))
         self.arrivals += [0] * (self.step + 6 - len(self.arrivals))
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -336,6 +336,23 @@
             counted = [router.sharers.routers for router in routers]
             self.lowest = min(self.lowest, *counted)
 
+    async def test_routers_that_reach_only_other_keepers_are_counted(self):
+        """Keepers counted only the routers that had links to them."""
+        address, other, *_ = self.keepers.seeds
+        for keeper, name in ((address, "router-0"), (other, "router-1")):
+            router = plan_keepers.make_subscriber(
+                name, [keeper], [], self.retry_window, True
+            )
+            # It links to none of the other keepers that it is told of.
+            router.add_keepers = lambda addresses: None
+            self.addCleanup(router.stop)
+        await plan_keepers.wait_until(
+            lambda: all(
+                keeper.hub.census.count() == 2
+                for keeper in self.keepers.running.values()
+            )
+        )
+
     async def test_router_added_later_gets_its_share_after_a_while(self):
         """Until all count the new router, it has none of the allowance."""
         routers = await self.start_routers(2)
