Forget the prompts that others waited for once their counts are old

They count up to an age of one second now. The test fails without the limit: the target stays avoided.

--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -49,6 +49,9 @@
 # serves for at least two seconds more. A copy from a stopped target only
 # delays the prefill.
 LINGER_SECONDS = 1.5
+# Age up to which tokens that others were waiting for count as not yet
+# prefilled: a prompt takes a quarter of a second, and few wait before it.
+MAX_PENDING_AGE_SECONDS = 1.0
 
 
 class Placer:
@@ -128,9 +131,9 @@
                 )
                 copy = self._copy(context, by_id[candidate.id], holders)
                 candidate.copied_tokens = copy.tokens if copy else 0
-                candidate.pending_tokens = self.views[
-                    candidate.id
-                ].pending_tokens
+                candidate.pending_tokens = self._pending_tokens(
+                    candidate.id, now
+                )
             tokens = sum(part.tokens for part in parts)
             choice = affinity.choose_by_prefix(
                 candidates, _placement_key(context), tokens, unseen=unseen_here
@@ -154,6 +157,13 @@
         )
         return by_id[choice.id]
 
+    def _pending_tokens(self, target_id: str, now: float) -> int:
+        """Return the tokens that the target has yet to prefill."""
+        view = self.views[target_id]
+        if now - self.counted_at > MAX_PENDING_AGE_SECONDS:
+            return view.prefill_tokens
+        return view.prefill_tokens + view.others_prefill_tokens
+
     def _unseen(self, context: records.RequestContext, now: float) -> float:
         """Return how many like requests the counts of others may not show."""
         return self.unseen_requests.expected(
--- a/amaranthring/forwarding/views.py
+++ b/amaranthring/forwarding/views.py
@@ -62,11 +62,6 @@
         self.failed_at = float("-inf")
         self.reported_failing_until = float("-inf")
 
-    @property
-    def pending_tokens(self) -> int:
-        """Return the tokens that the target has yet to prefill."""
-        return self.prefill_tokens + self.others_prefill_tokens
-
     def load(self, now: float) -> float:
         """Return the estimated number of requests at the target."""
         counted = self.running + self.others
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -364,6 +364,15 @@
         self.now += placement.BACKOFF_SECONDS
         self.assertEqual(self.first, self.chosen())
 
+    def test_tokens_that_others_waited_for_long_ago_do_not_count(self):
+        """Guards against a target that is avoided until a keeper is back."""
+        self.placer.prefixes.mark_cached(self.parts, self.first.id)
+        reading = {self.first.id: 1_000_000}
+        self.placer.update_from_others(sharing.Others({}, [], reading=reading))
+        self.assertNotEqual(self.first, self.chosen())
+        self.now += placement.MAX_PENDING_AGE_SECONDS + 0.1
+        self.assertEqual(self.first, self.chosen())
+
     def test_response_resets_failures(self):
         self.placer.record_failure(self.first, reached=True)
         self.placer.record_success(self.first)
