--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -249,6 +249,47 @@
             timeline.stop_router(name)
 
 
+class LostLinksTimeline(retry_timeline.Timeline):
+    """A timeline in which single links are lost.
+
+    Attributes
+    ----------
+    lost : set of tuple
+        Data centre of the keeper, and router, of each lost link.
+    """
+
+    def __init__(self, *args, **parameters):
+        self.lost = set()
+        super().__init__(*args, **parameters)
+
+    def reaches(self, data_centre, router):
+        if (data_centre, router) in self.lost:
+            return False
+        return super().reaches(data_centre, router)
+
+
+class TestSeriesOfLostLinks(TestSeries):
+    """Random series in which single links between processes are lost, too."""
+
+    def timeline(self, seed=1, **parameters):
+        parameters = {"rule": self.rule, "rate": self.rate, **parameters}
+        timeline = LostLinksTimeline(random.Random(seed), **parameters)
+        timeline.run(40)
+        return timeline
+
+    def one_event(self, timeline):
+        if timeline.rng.random() < 0.5:
+            super().one_event(timeline)
+            return
+        share = timeline.rng.choice((0.0, 0.3, 0.6))
+        timeline.lost = {
+            (data_centre, router)
+            for data_centre in retry_timeline.DATA_CENTRES
+            for router in timeline.routers.values()
+            if timeline.rng.random() < share
+        }
+
+
 class TestUse(TimelineCase):
     """In calm times the budget is there to be used."""
 
