Pause requests that hide a crashing one by always running beside it

Cause: a request that was on nearly as many crashes keeps the cause from being told apart, and goes on running beside it. Class: evidence that does not grow with more of the same observations.

After five crashes, requests that cannot be told apart are paused together, if they are few, and then run one at a time.

--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -12,7 +12,9 @@
 
 Three crashes pause a request, as targets that are lost one after the other may
 meet one by chance. A further crash, under the run that the pause allows,
-condemns it.
+condemns it. Requests that return all the time and meet the cause on most of
+its targets hide it; after some more crashes they are paused like it, so that
+they no longer run beside it.
 """
 
 import collections
@@ -32,6 +34,11 @@
 MIN_LEAD = 2
 # Two causes that run beside each other at times have their own series, too.
 MIN_APART = 3
+# From so many crashes on, requests that cannot be told apart are paused, all
+# of them, if they are few. They run again one at a time, so a further crash is
+# that of one of them.
+MAX_UNDECIDED_CRASHES = 5
+MAX_UNDECIDED_REQUESTS = 16
 # Time for reports of the other requests that ran on a crashed target.
 JUDGE_SECONDS = 0.2
 # The latest crashes that are kept of each request.
@@ -273,6 +280,15 @@
                 self._condemn(fingerprint)
             else:
                 self._pause(fingerprint)
+        undecided = [
+            fingerprint
+            for fingerprint in most
+            if len(self._unexplained(fingerprint)) >= MAX_UNDECIDED_CRASHES
+            and not self.get(fingerprint).condemned
+        ]
+        if len(undecided) <= MAX_UNDECIDED_REQUESTS:
+            for fingerprint in undecided:
+                self._pause(fingerprint)
 
     def _condemn(self, fingerprint: str) -> None:
         suspect = self.get(fingerprint)
--- a/amaranthring/testing/crash_timeline.py
+++ b/amaranthring/testing/crash_timeline.py
@@ -30,6 +30,9 @@
         Ordinary requests a second.
     seconds : float
         Longest run of an ordinary request.
+    returning : int
+        Number of different ordinary requests; 0 if each is sent by one caller
+        only.
     sends : int
         How often an ordinary request is sent at most, repeats included.
     culprits : int
@@ -45,6 +48,7 @@
     targets: int = 5
     rate: float = 30.0
     seconds: float = 4.0
+    returning: int = 0
     sends: int = 4
     culprits: int = 1
     pause: float = 1.0
@@ -68,6 +72,8 @@
     ----------
     crashes : Counter
         Crashes that each culprit has caused.
+    crashed_at : dict of str to list of float
+        Times of these crashes.
     condemned : set of str
         Requests that are condemned.
     paused : set of str
@@ -85,6 +91,7 @@
         self.numbers = itertools.count()
         self.running: dict[str, list[Running]] = {}
         self.crashes: collections.Counter[str] = collections.Counter()
+        self.crashed_at: dict[str, list[float]] = collections.defaultdict(list)
         self.condemned: set[str] = set()
         self.paused: set[str] = set()
         self.turned_away: collections.Counter[str] = collections.Counter()
@@ -114,7 +121,10 @@
         self.running[f"t{next(self.numbers)}"] = []
 
     def _arrive(self) -> None:
-        self._send(f"chat{next(self.numbers)}", self.setting.sends)
+        number = next(self.numbers)
+        if self.setting.returning:
+            number %= self.setting.returning
+        self._send(f"chat{number}", self.setting.sends)
         self._after(self.rng.expovariate(self.setting.rate), self._arrive)
 
     def _send(self, fingerprint: str, sends_left: int) -> None:
@@ -161,6 +171,7 @@
             return
         if culprit:
             self.crashes[culprit] += 1
+            self.crashed_at[culprit].append(self.now)
         at = self.now
         for run in lost:
             delay = self.rng.uniform(0.0, REPORT_SECONDS)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -250,6 +250,9 @@
 
     def play(self, seed, seconds=25.0, **parameters):
         setting = crash_timeline.Setting(**parameters)
+        return self.play_setting(seed, setting, seconds)
+
+    def play_setting(self, seed, setting, seconds=25.0):
         timeline = crash_timeline.CrashTimeline(random.Random(seed), setting)
         timeline.run(seconds)
         return timeline
@@ -290,6 +293,38 @@
         self.check(culprits=3, sends=2, most=8)
 
 
+class TestReturningRequests(TimelineCase):
+    """A cause beside requests that are sent again all the time."""
+
+    seeds = range(60)
+    # Runs of a cause later than this after its third crash that are allowed.
+    GRACE_SECONDS = 3.0
+    MAX_LATE = 3
+
+    def late(self, times):
+        return sum(at > times[2] + self.GRACE_SECONDS for at in times[3:])
+
+    def test_cause_is_refused_although_others_share_its_crashes(self):
+        """Guards against requests that hide the cause by always being there.
+
+        Three targets run eight returning requests, each of them on most of
+        the targets at any time.
+        """
+        for seconds in (0.6, 3.0):
+            for seed in self.seeds:
+                with self.subTest(seed=seed, seconds=seconds):
+                    setting = crash_timeline.Setting(
+                        targets=3, rate=20.0, seconds=seconds,
+                        returning=8, sends=2, pause=0.5,
+                    )  # fmt: skip
+                    timeline = self.play_setting(seed, setting)
+                    self.assertEqual(
+                        [], timeline.innocent(timeline.turned_away)
+                    )
+                    times = timeline.crashed_at["culprit0"]
+                    self.assertLessEqual(self.late(times), self.MAX_LATE)
+
+
 class TestSeriesOfLosses(TimelineCase):
     """Targets that end one a second, and no request is the cause."""
 
