Take the duration of requests only from those that targets respond to

Found by reading the change before its landing, not seen by the users: refused attempts end within a millisecond and would have made the router believe that requests are short, so that old counts were trusted while targets fail; and a duration of zero would have failed the request. The new tests failed before. The choice among the candidates is a function of its own now.

--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -118,32 +118,7 @@
             )
             for record in usable
         ]
-        parts = context.incoming.parts
-        unseen_here = self._unseen(context, now)
-        if context.is_suspect:
-            # If it crashes its target, few requests are lost with it.
-            choice = affinity.least_loaded(candidates)
-        elif context.route.with_prompt and parts:
-            holders = self._holders(context)
-            for candidate in candidates:
-                candidate.uncached_tokens = self.prefixes.uncached_tokens(
-                    parts, candidate.id
-                )
-                copy = self._copy(context, by_id[candidate.id], holders)
-                candidate.copied_tokens = copy.tokens if copy else 0
-                candidate.pending_tokens = self._pending_tokens(
-                    candidate.id, now
-                )
-            tokens = sum(part.tokens for part in parts)
-            choice = affinity.choose_by_prefix(
-                candidates, _placement_key(context), tokens, unseen=unseen_here
-            )
-        else:
-            # Routers of other data centres prefer other targets.
-            data_centres = {record.data_centre for record in usable}
-            choice = affinity.least_loaded(
-                candidates, unseen=unseen_here / max(1, len(data_centres))
-            )
+        choice = self._choose_from(context, candidates, by_id, now)
         if choice is None:
             return None
         context.placements.append(
@@ -157,6 +132,40 @@
         )
         return by_id[choice.id]
 
+    def _choose_from(
+        self,
+        context: records.RequestContext,
+        candidates: list[affinity.Candidate],
+        by_id: dict[str, messages.TargetRecord],
+        now: float,
+    ) -> affinity.Candidate | None:
+        """Return the best of `candidates`, whose records are in `by_id`."""
+        parts = context.incoming.parts
+        if context.is_suspect:
+            # If it crashes its target, few requests are lost with it.
+            return affinity.least_loaded(candidates)
+        unseen_count = self._unseen_count(context, now)
+        if not (context.route.with_prompt and parts):
+            # Routers of other data centres prefer other targets.
+            data_centres = {record.data_centre for record in by_id.values()}
+            return affinity.least_loaded(
+                candidates, unseen=unseen_count / max(1, len(data_centres))
+            )
+        holders = self._holders(context)
+        for candidate in candidates:
+            candidate.uncached_tokens = self.prefixes.uncached_tokens(
+                parts, candidate.id
+            )
+            copy = self._copy(context, by_id[candidate.id], holders)
+            candidate.copied_tokens = copy.tokens if copy else 0
+            candidate.pending_tokens = self._pending_tokens(candidate.id, now)
+        return affinity.choose_by_prefix(
+            candidates,
+            _placement_key(context),
+            sum(part.tokens for part in parts),
+            unseen=unseen_count,
+        )
+
     def _pending_tokens(self, target_id: str, now: float) -> int:
         """Return the tokens that the target has yet to prefill."""
         view = self.views[target_id]
@@ -164,7 +173,9 @@
             return view.prefill_tokens
         return view.prefill_tokens + view.others_prefill_tokens
 
-    def _unseen(self, context: records.RequestContext, now: float) -> float:
+    def _unseen_count(
+        self, context: records.RequestContext, now: float
+    ) -> float:
         """Return how many like requests the counts of others may not show."""
         return self.unseen_requests.expected(
             _placement_key(context),
@@ -420,6 +431,7 @@
         self.prefixes.record_sent(parts, target.id)
         self.unseen_requests.record_sent(_placement_key(context))
         context.begun_at = self.clock()
+        context.is_accepted = False
         view = self.views[target.id]
         view.prefill_tokens += context.prefill_tokens
         view.running += 1
@@ -428,7 +440,8 @@
     def prefill_done(
         self, target: messages.TargetRecord, context: records.RequestContext
     ) -> None:
-        """Record that the target has prefilled the prompt."""
+        """Record that the target responds, so has prefilled the prompt."""
+        context.is_accepted = True
         self.prefixes.mark_cached(context.incoming.parts, target.id)
         self._clear_prefill(target, context)
 
@@ -442,9 +455,10 @@
         self, target: messages.TargetRecord, context: records.RequestContext
     ) -> None:
         """Count a request at `target` as ended."""
-        self.unseen_requests.record_duration(
-            context.service, self.clock() - context.begun_at
-        )
+        if context.is_accepted:
+            self.unseen_requests.record_duration(
+                context.service, self.clock() - context.begun_at
+            )
         self._clear_prefill(target, context)
         view = self.views[target.id]
         view.running -= 1
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -217,6 +217,8 @@
         Capabilities of the service's engines; None if it has none.
     begun_at : float
         Monotonic seconds at which the current attempt began.
+    is_accepted : bool
+        Whether the current target runs the request and responds.
     prefill_tokens : int
         Tokens that the current target has to prefill.
     silent_data_centres : set of str
@@ -240,6 +242,7 @@
     engine: plans.Engine | None = None
     attempts_sent: int = 0
     begun_at: float = 0.0
+    is_accepted: bool = False
     prefill_tokens: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     refused_by: list[messages.TargetRecord] = dataclasses.field(
--- a/amaranthring/policy/unseen.py
+++ b/amaranthring/policy/unseen.py
@@ -13,8 +13,9 @@
 
 # Time over which this router's own requests are counted.
 SAMPLE_SECONDS = 3.0
-# Requests of which this router may have missed the first one. A wrong guess
-# shows in the counts, and later the older they are, hence per second of age.
+# Number of like requests that each router may have sent in that time although
+# this one has sent none, and as many again per second of the counts' age: that
+# more were sent shows in the counts, but later the older these are.
 MISSED_REQUESTS = 0.25
 # Weight of one request in the mean duration of a service's requests.
 DURATION_WEIGHT = 0.05
@@ -53,7 +54,7 @@
         self.sent_by_key[key] += 1
 
     def record_duration(self, service: str, seconds: float) -> None:
-        """Record how long a request was at a target of `service`."""
+        """Record how long a target of `service` took for a request."""
         before = self.durations.get(service, seconds)
         self.durations[service] = before + DURATION_WEIGHT * (seconds - before)
 
@@ -70,12 +71,12 @@
             Age of the other routers' counts in seconds; infinite if there
             are none.
         """
-        if routers < 2:
+        duration = self.durations.get(service, FIRST_DURATION_SECONDS)
+        if routers < 2 or duration <= 0:
             return 0.0
         self._forget()
         sampled = self.sent_by_key[key] + MISSED_REQUESTS * (1 + age)
         per_second = (routers - 1) * sampled / SAMPLE_SECONDS
-        duration = self.durations.get(service, FIRST_DURATION_SECONDS)
         return per_second * duration * -math.expm1(-age / duration)
 
     def _forget(self) -> None:
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -9,6 +9,7 @@
 import dataclasses
 import random
 import unittest
+from unittest import mock
 
 from amaranthring import routing
 from amaranthring.forwarding import placement
@@ -373,6 +374,20 @@
         self.now += placement.MAX_PENDING_AGE_SECONDS + 0.1
         self.assertEqual(self.first, self.chosen())
 
+    def test_failed_attempts_do_not_shorten_the_duration_of_requests(self):
+        """Guards against old counts that are trusted while targets fail."""
+        durations = self.placer.unseen_requests.durations
+        incoming = records.Incoming("r", "GET", "/", "/", "h", None, self.now)
+        context = records.RequestContext(incoming, None, "", "s", 1, 200.0)
+        context.route = mock.Mock(with_prompt=False)
+        for responds in (False, True):
+            self.placer.begin(self.first, context)
+            self.now += 0.3
+            if responds:
+                self.placer.prefill_done(self.first, context)
+            self.placer.end(self.first, context)
+            self.assertEqual(responds, "s" in durations)
+
     def test_response_resets_failures(self):
         self.placer.record_failure(self.first, reached=True)
         self.placer.record_success(self.first)
