--- a/amaranthring/policy/affinity.py
+++ b/amaranthring/policy/affinity.py
@@ -22,8 +22,8 @@
 from amaranthring.core import hashing
 
 # Maximum load of a target: this multiple of the mean, plus the slack. Kept
-# below the overload limit (twice the mean plus three), as load counts are up
-# to 0.7 s old and up to 84 routers add requests meanwhile.
+# below the overload limit (twice the mean plus three), as counts lag and the
+# number of requests that they do not show is an estimate.
 LOAD_BOUND = 1.5
 LOAD_SLACK = 3.0
 # Cost of prefilling 1,000 tokens, in requests at the target. An engine
