--- a/amaranthring/policy/unseen.py
+++ b/amaranthring/policy/unseen.py
@@ -3,8 +3,7 @@
 A router places requests by counts that other routers sent some time ago. All
 of them see the same cheapest target meanwhile, so the requests that they have
 placed since then are most likely there. How many these are is estimated from
-this router's own requests: it sees one of as many samples as there are
-routers.
+this router's own requests, which are a sample of those of all routers.
 """
 
 import collections
