--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -49,8 +49,8 @@
 # serves for at least two seconds more. A copy from a stopped target only
 # delays the prefill.
 LINGER_SECONDS = 1.5
-# Age up to which tokens that others were waiting for count as not yet
-# prefilled: a prompt takes a quarter of a second, and few wait before it.
+# Other routers' tokens count as yet to be prefilled up to this age of the
+# report: a prompt takes a quarter of a second, and few wait before it.
 MAX_PENDING_AGE_SECONDS = 1.0
 
 
@@ -167,7 +167,7 @@
         )
 
     def _pending_tokens(self, target_id: str, now: float) -> int:
-        """Return the tokens that the target has yet to prefill."""
+        """Return the tokens that the target has yet to prefill for all."""
         view = self.views[target_id]
         if now - self.counted_at > MAX_PENDING_AGE_SECONDS:
             return view.prefill_tokens
--- a/amaranthring/registry/reporting.py
+++ b/amaranthring/registry/reporting.py
@@ -97,10 +97,9 @@
     def _age(self, others: sharing.Others) -> float:
         """Return the mean age of the counts in `others`, in seconds.
 
-        The way of this router's report to the keeper and of the answer back
-        stands for those of all others: it takes in the time for which a
-        message waits at a busy keeper or router, without comparing the clocks
-        of two VMs.
+        The round trip of this router's report stands for the delay of all
+        others. It includes the time that messages wait at a busy keeper or
+        router, and needs no comparison of the clocks of two VMs.
         """
         if others.report_sent_at < 0:
             return others.age
