Log runs that do not count as crashes, and runs after a pause

Keepers logged only the crashes that count, so a log could not tell whether a crash was left out because its run overlapped another one, or never reported; and nothing said which router ran a request after a pause.

`crash.ignored` names run, target, router and reason; `suspect.tried` the request that runs after a pause. No change of decisions.

--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -105,6 +105,8 @@
         if not seconds and verdict.count >= crash_evidence.MIN_CRASHES:
             trial = self.trials.setdefault(verdict.fingerprint, context)
             seconds = 0.0 if trial is context else TRIAL_RETRY_SECONDS
+            if not seconds:
+                self._log_trial(context, verdict)
         if not seconds:
             return
         logs.event(
@@ -122,6 +124,18 @@
             retry_after=math.ceil(seconds * 10) / 10,
         )
 
+    @staticmethod
+    def _log_trial(
+        context: records.RequestContext, verdict: crash_evidence.Verdict
+    ) -> None:
+        logs.event(
+            log,
+            "suspect.tried",
+            id=context.incoming.request_id,
+            fingerprint=verdict.fingerprint,
+            crashes=verdict.count,
+        )
+
     def request_ended(self, context: records.RequestContext) -> None:
         """Let other sends of a request run again."""
         if self.trials and self.trials.get(context.fingerprint) is context:
--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -19,6 +19,7 @@
 
 import collections
 import dataclasses
+import enum
 import heapq
 import typing as t
 
@@ -75,6 +76,15 @@
     router: str
 
 
+class Ignored(enum.StrEnum):
+    """Why a run does not count."""
+
+    NO = "no"
+    OLD = "old"
+    KNOWN = "known"
+    OVERLAPPING = "overlapping"
+
+
 @dataclasses.dataclass
 class SeenCrash(suspects.Crash):
     """A crash, and the run that a router lost by it.
@@ -97,6 +107,13 @@
         return begun < min(self.at, other.at) - SLACK_SECONDS
 
 
+def _seen_crash(run: Run, now: float) -> SeenCrash:
+    at = now - run.age
+    return SeenCrash(
+        run.target, sent_at=at - run.seconds, at=at, router=run.router
+    )
+
+
 @dataclasses.dataclass
 class CrashNote:
     """A crash as processes tell each other of it.
@@ -204,30 +221,37 @@
         self.published: set[str] = set()
 
     def add(self, run: Run) -> bool:
-        """Add a run; return whether it tells something new.
+        """Add a run; return whether it counts, see :meth:`check`."""
+        if self.check(run) is not Ignored.NO:
+            return False
+        now = self.clock()
+        crash = _seen_crash(run, now)
+        if not self.records.add(crash, run.fingerprint, run.seconds, crash.at):
+            return False
+        self.suspects.record_crash("", run.fingerprint, crash, now)
+        self.due[run.target] = now + JUDGE_SECONDS
+        self.changed.add(run.fingerprint)
+        return True
+
+    def check(self, run: Run) -> Ignored:
+        """Return why a run does not count, or that it may.
 
         It does not if the crash is known already or long ago, if the request
         was sent after the crash, or if it ran on several targets at once:
         targets that end together would condemn a request that is sent often.
         """
         if run.age >= suspects.SUSPECT_SECONDS:
-            return False
+            return Ignored.OLD
         now = self.clock()
-        at = now - run.age
-        crash = SeenCrash(
-            run.target, sent_at=at - run.seconds, at=at, router=run.router
-        )
         known = self.suspects.get(run.fingerprint, now)
-        if known is not None and (
-            known.find(run.target) or any(map(crash.overlaps, known.crashes))
-        ):
-            return False
-        if not self.records.add(crash, run.fingerprint, run.seconds, at):
-            return False
-        self.suspects.record_crash("", run.fingerprint, crash, now)
-        self.due[run.target] = now + JUDGE_SECONDS
-        self.changed.add(run.fingerprint)
-        return True
+        if known is None:
+            return Ignored.NO
+        if known.find(run.target):
+            return Ignored.KNOWN
+        crash = _seen_crash(run, now)
+        if any(map(crash.overlaps, known.crashes)):
+            return Ignored.OVERLAPPING
+        return Ignored.NO
 
     def clear(self, fingerprint: str) -> bool:
         """Clear a request that completed; return whether it was a suspect."""
--- a/amaranthring/registry/crash_ledger.py
+++ b/amaranthring/registry/crash_ledger.py
@@ -97,6 +97,7 @@
         self, link: links.Link, message: crash_messages.LostRuns
     ) -> None:
         _require_router(link)
+        crash_log.log_ignored(self.evidence, message.runs)
         new = [run for run in message.runs if self.evidence.add(run)]
         if not new:
             return
