--- a/tests/crash_case.py
+++ b/tests/crash_case.py
@@ -15,6 +15,8 @@
 # Time until the next incarnation of a replica that ended.
 RESTART_SECONDS = 1.5
 CRASHING = "crash"
+SLOW = "slow"
+SLOW_SECONDS = 0.4
 
 
 class Replica(platform_case.Replica):
@@ -58,6 +60,8 @@
     async def answer(self, seen, writer):
         """Answer one request, or end under it."""
         if CRASHING not in seen.uri:
+            if SLOW in seen.uri:
+                await asyncio.sleep(SLOW_SECONDS)
             await super().answer(seen, writer)
             return
         if self.within_body:
--- a/tests/test_repeated_crashes.py
+++ b/tests/test_repeated_crashes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 
 from amaranthring.registry import hint_file
 from tests import crash_case
@@ -13,6 +14,10 @@
 # Until then replicas that ended have come back.
 RECOVERED_SECONDS = 3.0
 SENDS = 24
+# A caller that sends one request several times at once.
+VOLLEYS = 4
+AT_ONCE = 5
+VOLLEY_SECONDS = 4.0
 
 
 class TestCrashingRequest(crash_case.CrashCase):
@@ -65,6 +70,55 @@
     linger = 0.5
 
 
+class TestVolleys(crash_case.CrashCase):
+    """A caller that sends a crashing request several times at once."""
+
+    routers = 7
+    replicas = 9
+    gap = 0.02
+
+    async def test_it_reaches_few_targets_after_three_crashes(self):
+        """Guards against crashes that count once as their runs overlap."""
+        for _ in range(VOLLEYS):
+            self.begin(
+                self.send_regularly(lambda _: "/b/crash", self.gap, AT_ONCE)
+            )
+            await asyncio.sleep(VOLLEY_SECONDS)
+        third = self.crashes()[CRASHES - 1]
+        late = [
+            at for at in self.runs("/b/crash") if at > third + KNOWN_SECONDS
+        ]
+        self.assertLessEqual(len(late), MAX_LATE_RUNS)
+        answers = await self.send_regularly(lambda n: f"/a/{n}", 0.01, 20)
+        self.assertEqual({200}, {answer.status for answer in answers})
+
+
+class TestVolleysOfSameMoment(TestVolleys):
+    """Sends that reach their targets at the same moment."""
+
+    gap = 0.0
+
+
+class TestLostRack(crash_case.CrashCase):
+    """Targets that end at once while all of them run the same request."""
+
+    replicas = 8
+
+    async def test_popular_request_is_served(self):
+        """Guards against refusing a popular request for a lost rack."""
+        popular = self.begin(
+            self.send_regularly(lambda _: "/a/slow", 0.025, 200)
+        )
+        await asyncio.sleep(2.0)
+        ended_at = time.monotonic()
+        for replica in self.all_replicas[:5]:
+            replica.end()
+        late = [a for a in await popular if a.sent_at > ended_at + 1.0]
+        served = [a for a in late if a.status == 200]
+        self.assertLess(50, len(late))
+        self.assertEqual(len(late), len(served))
+
+
 class TestRestarts(crash_case.CrashCase):
     """Processes that are replaced after a request was refused."""
 
