Run a suspected request once at a time over all routers

What callers saw: targets that go on ending under one request after it was paused. Cause: after the pause each router let one run through, so as many ran at once as there are routers (five in the log of seven). Ruled out: a router that lets two through.

A router now asks the keepers it reaches, and runs the request if most of those that answer agree. After a run that its target broke off none follows for 1 s, in which the crash is judged; the request is not repeated by its own router either.

--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import math
+import time
 import typing as t
 
 import logbook
@@ -18,6 +19,7 @@
 from amaranthring.forwarding import ended_targets
 from amaranthring.forwarding import placement
 from amaranthring.forwarding import records
+from amaranthring.forwarding import suspect_trials
 from amaranthring.policy import crash_evidence
 from amaranthring.registry import crash_log
 from amaranthring.registry import crash_messages
@@ -27,8 +29,8 @@
 
 log = logbook.Logger(__name__)
 
-# A request that has been paused runs once at a time; until that run has ended,
-# further sends are told to come back after this time.
+# A suspect that has been on several crashes runs once at a time; until that
+# run has ended, further sends are told to come back after this time.
 TRIAL_RETRY_SECONDS = 0.5
 # Bounds what a restarted keeper gets from each router.
 RESENT_SECONDS = 60.0
@@ -59,8 +61,8 @@
         What this router has seen itself.
     ended_targets : ended_targets.EndedTargets
         Finds out which targets have ended.
-    trials : dict of str to RequestContext
-        Requests by fingerprint that run again after a pause.
+    trials : suspect_trials.SuspectTrials
+        Runs of requests that have been on several crashes.
     """
 
     def __init__(
@@ -81,7 +83,7 @@
         self.told: collections.OrderedDict[
             str, tuple[crash_evidence.Verdict, float]
         ] = collections.OrderedDict()
-        self.trials: dict[str, records.RequestContext] = {}
+        self.trials = suspect_trials.SuspectTrials(name, open_links, clock)
 
     def stop(self) -> None:
         """Ask no target any more."""
@@ -89,13 +91,14 @@
 
     # -- requests ----------------------------------------------------
 
-    def check(self, context: records.RequestContext) -> None:
+    async def check(self, context: records.RequestContext) -> None:
         """Check that a request may be sent to a target.
 
         Raises
         ------
         errors.SuspectedError
-            If it crashes the targets that run it.
+            If it crashes the targets that run it, or may do so and runs
+            elsewhere.
         """
         verdict = self._verdict(context)
         if verdict is None:
@@ -103,10 +106,7 @@
         context.is_suspect = True
         seconds = verdict.refused_seconds
         if not seconds and verdict.count >= crash_evidence.MIN_CRASHES:
-            trial = self.trials.setdefault(verdict.fingerprint, context)
-            seconds = 0.0 if trial is context else TRIAL_RETRY_SECONDS
-            if not seconds:
-                self._log_trial(context, verdict)
+            seconds = await self._try(context)
         if not seconds:
             return
         logs.event(
@@ -124,22 +124,24 @@
             retry_after=math.ceil(seconds * 10) / 10,
         )
 
-    @staticmethod
-    def _log_trial(
-        context: records.RequestContext, verdict: crash_evidence.Verdict
-    ) -> None:
-        logs.event(
-            log,
-            "suspect.tried",
-            id=context.incoming.request_id,
-            fingerprint=verdict.fingerprint,
-            crashes=verdict.count,
-        )
+    async def _try(self, context: records.RequestContext) -> float:
+        """Return for how many seconds a suspect may not run; 0 if it may."""
+        if context.trial:
+            return TRIAL_RETRY_SECONDS if context.trial_broke_off else 0.0
+        left = context.deadline - time.monotonic()
+        context.trial = await self.trials.begin(context.fingerprint, left)
+        if not context.trial:
+            return TRIAL_RETRY_SECONDS
+        # Another crash may have become known meanwhile.
+        verdict = self._verdict(context)
+        return verdict.refused_seconds if verdict is not None else 0.0
 
     def request_ended(self, context: records.RequestContext) -> None:
         """Let other sends of a request run again."""
-        if self.trials and self.trials.get(context.fingerprint) is context:
-            del self.trials[context.fingerprint]
+        if context.trial:
+            self.trials.end(
+                context.fingerprint, context.trial, context.trial_broke_off
+            )
 
     def completed(self, context: records.RequestContext) -> None:
         """Clear a request that a target has run without a crash."""
@@ -165,6 +167,7 @@
         seconds : float
             Time since the request was sent.
         """
+        context.trial_broke_off = bool(context.trial)
         run = ended_targets.BrokenRun(
             context.fingerprint, seconds, self.clock()
         )
@@ -254,7 +257,7 @@
                 now - run.at,
                 self.name,
             )
-            for run in broken
+            for run in sorted(broken, key=lambda run: -run.seconds)
         ]
         new = [run for run in runs if self.evidence.add(run)]
         logs.event(
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -227,6 +227,10 @@
         Whether the current target runs the request and responds.
     prefill_tokens : int
         Tokens that the current target has to prefill.
+    trial : str
+        Its trial as a suspect, see :mod:`suspect_trials`; empty for none.
+    trial_broke_off : bool
+        Whether a target broke that trial off.
     silent_data_centres : set of str
         Data centres in which a target did not respond.
     attempt_outcomes : list of str
@@ -258,6 +262,8 @@
     resting: set[str] = dataclasses.field(default_factory=set)
     is_trial: bool = False
     is_suspect: bool = False
+    trial: str = ""
+    trial_broke_off: bool = False
     silent_data_centres: set[str] = dataclasses.field(default_factory=set)
     attempt_outcomes: list[str] = dataclasses.field(default_factory=list)
     sent_after: list[float] = dataclasses.field(default_factory=list)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -212,7 +212,7 @@
             int(resume_after) if resume_after.isdigit() else None
         )
         while True:
-            self.crashes.check(context)
+            await self.crashes.check(context)
             target = self.placer.choose(context)
             if target is None:
                 raise self._no_target_error(context)
--- a/amaranthring/registry/crash_ledger.py
+++ b/amaranthring/registry/crash_ledger.py
@@ -16,6 +16,7 @@
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.policy import crash_evidence
+from amaranthring.policy import trials
 from amaranthring.registry import crash_log
 from amaranthring.registry import crash_messages
 from amaranthring.registry import messages
@@ -53,11 +54,14 @@
     ):
         self.routers = routers
         self.evidence = crash_evidence.CrashEvidence(clock)
+        self.trials = trials.TrialTable(clock)
         self.judge_handle: asyncio.TimerHandle | None = None
         self.publish_handle: asyncio.TimerHandle | None = None
         handlers.add(crash_messages.LostRuns, self._on_runs)
         handlers.add(crash_messages.SuspectsCompleted, self._on_completed)
         handlers.add(crash_messages.Verdicts, self._on_verdicts)
+        handlers.add(crash_messages.BeginTrial, self._on_trial)
+        handlers.add(crash_messages.EndTrial, self._on_trial_ended)
 
     def add_router(self, link: links.Link) -> None:
         """Tell a router that has just linked what is known."""
@@ -116,6 +120,7 @@
     ) -> None:
         _require_router(link)
         for fingerprint in message.fingerprints:
+            self.trials.clear(fingerprint)
             if self.evidence.clear(fingerprint):
                 logs.event(
                     log,
@@ -133,6 +138,23 @@
             self.evidence.adopt(verdict)
         self._follow_up()
 
+    def _on_trial(
+        self, link: links.Link, message: crash_messages.BeginTrial
+    ) -> crash_messages.TrialBegun:
+        _require_router(link)
+        begins = self.trials.begin(
+            message.fingerprint, message.holder, message.seconds
+        )
+        return crash_messages.TrialBegun(begins)
+
+    def _on_trial_ended(
+        self, link: links.Link, message: crash_messages.EndTrial
+    ) -> None:
+        _require_router(link)
+        self.trials.end(
+            message.fingerprint, message.holder, message.hold_seconds
+        )
+
     def _follow_up(self) -> None:
         """Judge and publish a little later what was reported."""
         loop = asyncio.get_running_loop()
--- a/amaranthring/registry/crash_messages.py
+++ b/amaranthring/registry/crash_messages.py
@@ -36,3 +36,48 @@
     """
 
     verdicts: list[crash_evidence.Verdict]
+
+
+@wire.message("crash-trial-begin")
+class BeginTrial:
+    """From a router: asks whether a suspected request may run now.
+
+    Attributes
+    ----------
+    holder : str
+        Router and number of the run.
+    seconds : float
+        Longest time that the run may take.
+    """
+
+    fingerprint: str
+    holder: str
+    seconds: float
+
+
+@wire.message("crash-trial-begun")
+class TrialBegun:
+    """Reply to :class:`BeginTrial`.
+
+    Attributes
+    ----------
+    begins : bool
+        Whether no other run of the request is in progress.
+    """
+
+    begins: bool
+
+
+@wire.message("crash-trial-end")
+class EndTrial:
+    """From a router: the run of a suspected request has ended.
+
+    Attributes
+    ----------
+    hold_seconds : float
+        For how much longer no other run may begin.
+    """
+
+    fingerprint: str
+    holder: str
+    hold_seconds: float
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -186,9 +186,9 @@
         seen = []
         check = self.guard.check
 
-        def spy(context):
+        async def spy(context):
             seen.append(context.fingerprint)
-            check(context)
+            await check(context)
 
         self.guard.check = spy
         await self.ask("/b/x", "POST", Test_Patience="0.1")
