Count crashes of a request that runs on several targets at once

What callers saw: a request that is sent five times at once ends five targets, again and again. Cause: a crash whose run overlaps a known one was dropped, so that targets that end together condemn nobody; a volley counted as one crash.

All crashes count now for running the request once at a time. Pausing and condemning it still needs a series of runs after one another, the third of which condemns if more than five targets have ended. Of several runs of a request on one target the longest stands for the crash.

--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -10,11 +10,18 @@
 crashes or was missing at fewer than three. A crash for which another request
 was condemned does not count. A request that completes is no longer a suspect.
 
-Three crashes pause a request, as targets that are lost one after the other may
-meet one by chance. A further crash, under the run that the pause allows,
-condemns it. Requests that return all the time and meet the cause on most of
-its targets hide it; after some more crashes they are paused like it, so that
-they no longer run beside it.
+Only a series of crashes, each under a run that was sent after the one before,
+pauses or condemns a request: targets that end together, with a rack, would
+condemn one that is sent often. All its crashes count for whether it is tried
+again only once at a time, so that one that is sent several times at once ends
+no more targets than that.
+
+A series of three pauses a request, as targets that are lost one after the
+other may meet one by chance. A further crash, under the run that the pause
+allows, condemns it; the third one does if other targets have ended under it
+too. Requests that return all the time and meet the cause on most of its
+targets hide it; after some more crashes they are paused like it, so that they
+no longer run beside it.
 """
 
 import collections
@@ -30,6 +37,8 @@
 PAUSE_SECONDS = 2.0
 # Another request that ran on one of the crashes only explains no series.
 MIN_SHARED = 2
+# With more crashes than this in all, a series of three condemns.
+MAX_UNCERTAIN_CRASHES = 5
 # Requests that run beside the cause meet it again and again where few targets
 # serve much, but they end before they have been on as many crashes.
 MIN_LEAD = 2
@@ -82,7 +91,6 @@
     NO = "no"
     OLD = "old"
     KNOWN = "known"
-    OVERLAPPING = "overlapping"
 
 
 @dataclasses.dataclass
@@ -101,11 +109,6 @@
     at: float = 0.0
     router: str = ""
 
-    def overlaps(self, other: "SeenCrash") -> bool:
-        """Return whether both runs were under way at the same time."""
-        begun = max(self.sent_at, other.sent_at)
-        return begun < min(self.at, other.at) - SLACK_SECONDS
-
 
 def _seen_crash(run: Run, now: float) -> SeenCrash:
     at = now - run.age
@@ -114,6 +117,25 @@
     )
 
 
+def _series(crashes: list[SeenCrash]) -> int:
+    """Return the length of the longest series of runs after one another."""
+    length = 0
+    last_at = float("-inf")
+    for crash in sorted(crashes, key=lambda crash: crash.at):
+        if crash.sent_at > last_at - SLACK_SECONDS:
+            length += 1
+            last_at = crash.at
+    return length
+
+
+def _is_certain(crashes: list[SeenCrash]) -> bool:
+    """Return whether the `crashes` under a request condemn it."""
+    length = _series(crashes)
+    if length == MIN_CRASHES:
+        return len(crashes) > MAX_UNCERTAIN_CRASHES
+    return length > MIN_CRASHES
+
+
 @dataclasses.dataclass
 class CrashNote:
     """A crash as processes tell each other of it.
@@ -182,7 +204,7 @@
     Attributes
     ----------
     crashes : int
-        Crashes for which it is paused.
+        Length of the series of crashes for which it is paused.
     until : float
         Its end, in seconds.
     """
@@ -221,10 +243,19 @@
         self.published: set[str] = set()
 
     def add(self, run: Run) -> bool:
-        """Add a run; return whether it counts, see :meth:`check`."""
-        if self.check(run) is not Ignored.NO:
-            return False
+        """Add a run; return whether it counts, see :meth:`check`.
+
+        Of several runs on one target, the one that was sent first stands for
+        the crash: targets that end together end it everywhere at once.
+        """
         now = self.clock()
+        reason = self.check(run)
+        if reason is Ignored.KNOWN:
+            known = self.get(run.fingerprint).find(run.target)
+            sent_at = now - run.age - run.seconds
+            known.sent_at = min(known.sent_at, sent_at)
+        if reason is not Ignored.NO:
+            return False
         crash = _seen_crash(run, now)
         if not self.records.add(crash, run.fingerprint, run.seconds, crash.at):
             return False
@@ -236,21 +267,15 @@
     def check(self, run: Run) -> Ignored:
         """Return why a run does not count, or that it may.
 
-        It does not if the crash is known already or long ago, if the request
-        was sent after the crash, or if it ran on several targets at once:
-        targets that end together would condemn a request that is sent often.
+        A run that was sent after the crash does not count either, which
+        :meth:`add` finds out.
         """
         if run.age >= suspects.SUSPECT_SECONDS:
             return Ignored.OLD
         now = self.clock()
         known = self.suspects.get(run.fingerprint, now)
-        if known is None:
-            return Ignored.NO
-        if known.find(run.target):
+        if known is not None and known.find(run.target):
             return Ignored.KNOWN
-        crash = _seen_crash(run, now)
-        if any(map(crash.overlaps, known.crashes)):
-            return Ignored.OVERLAPPING
         return Ignored.NO
 
     def clear(self, fingerprint: str) -> bool:
@@ -300,14 +325,14 @@
             key=lambda name: len(self._unexplained(name)),
         )
         for fingerprint in filter(self._is_cause, most):
-            if len(self._unexplained(fingerprint)) > MIN_CRASHES:
+            if _is_certain(self._unexplained(fingerprint)):
                 self._condemn(fingerprint)
             else:
                 self._pause(fingerprint)
         undecided = [
             fingerprint
             for fingerprint in most
-            if len(self._unexplained(fingerprint)) >= MAX_UNDECIDED_CRASHES
+            if _series(self._unexplained(fingerprint)) >= MAX_UNDECIDED_CRASHES
             and not self.get(fingerprint).condemned
         ]
         if len(undecided) <= MAX_UNDECIDED_REQUESTS:
@@ -323,7 +348,7 @@
         self.changed.add(fingerprint)
 
     def _pause(self, fingerprint: str) -> None:
-        crashes = len(self._unexplained(fingerprint))
+        crashes = _series(self._unexplained(fingerprint))
         paused = self.pauses.get(fingerprint)
         if paused is not None and paused.crashes >= crashes:
             return
@@ -338,7 +363,7 @@
         if suspect is None or suspect.condemned:
             return False
         own = self._unexplained(fingerprint)
-        if len(own) < MIN_CRASHES:
+        if _series(own) < MIN_CRASHES:
             return False
         shared: collections.Counter[str] = collections.Counter()
         for crash in own:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -115,6 +115,34 @@
         self.assertIsNone(self.evidence.verdict("bad"))
 
 
+class TestSentAtOnce(EvidenceCase):
+    """A request that is sent several times at once."""
+
+    def volley(self, gap):
+        """Crash five targets under runs of one request."""
+        for _ in range(5):
+            self.now += gap
+            self.run_on(f"t{next(self.numbers)}", "bad", seconds=0.3)
+
+    def test_all_crashes_count_for_trying_it_once_at_a_time(self):
+        """Guards against crashes that are forgotten as runs overlap."""
+        for gap in (0.0, 0.02, 0.2):
+            with self.subTest(gap=gap):
+                self.setUp()
+                self.volley(gap)
+                self.judge()
+                self.assertEqual(5, self.evidence.verdict("bad").count)
+
+    def test_two_crashes_in_series_condemn_it_afterwards(self):
+        """Guards against a request that takes three more to be refused."""
+        self.volley(0.0)
+        self.assertEqual(set(), self.judge())
+        self.crash("bad")
+        self.crash("bad")
+        self.assertEqual({"bad"}, self.judge())
+        self.assertTrue(self.evidence.get("bad").condemned)
+
+
 class TestInnocent(EvidenceCase):
     """Requests that ran where targets crashed."""
 
@@ -155,6 +183,15 @@
             self.run_on(target, "popular", seconds=0.5)
         self.assertEqual(set(), self.judge())
 
+    def test_targets_that_end_within_a_second_condemn_nobody(self):
+        """Guards against refusing whom all targets run as a rack goes."""
+        for number in range(6):
+            self.now += 0.1
+            target = f"t{number}"
+            self.run_on(target, "popular", seconds=0.02)
+            self.run_on(target, "popular", seconds=0.9)
+        self.assertEqual(set(), self.judge())
+
     def test_request_sent_after_the_crash_is_not_blamed(self):
         """Guards against blaming who met a listener that still accepted."""
         for target in ("t1", "t2", "t3"):
