--- a/tests/test_repeated_crashes_soak.py
+++ b/tests/test_repeated_crashes_soak.py
@@ -25,6 +25,7 @@
 # Longer pauses are refusals for good.
 PAUSE_SECONDS = 2 * crash_evidence.PAUSE_SECONDS
 CHECKS = 30
+SENDS_AT_ONCE = (1, 1, 2, 5)
 
 
 class TestCrashSeries(crash_case.CrashCase, platform_case.FaultCase):
@@ -70,7 +71,8 @@
         """Send a crashing request again and again."""
         await asyncio.sleep(self.rng.uniform(0.0, SECONDS / 4))
         while not self.stopped:
-            await self.send(path)
+            at_once = self.rng.choice(SENDS_AT_ONCE)
+            await asyncio.gather(*(self.send(path) for _ in range(at_once)))
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
 
     async def disturb_keeper_at_times(self):
