Log when a router reaches no target of a service any more

A log showed each attempt that found its target unreached, but not that a router had lost its paths to all of them. `service.unreached` and `service.reached` say so, from the requests that it sends: several targets failed with no answer of any in between. No change of decisions.

--- a/amaranthring/forwarding/failures.py
+++ b/amaranthring/forwarding/failures.py
@@ -8,6 +8,12 @@
 
 # Failures after which a target cannot be reached for other requests either.
 UNREACHED = (errors.TargetUnreachableError, errors.TargetUnresponsiveError)
+# Failures that a lost network path may cause.
+PATH_FAILURES = (
+    *UNREACHED,
+    errors.TruncatedResponseError,
+    errors.UpstreamTimeoutError,
+)
 # Errors that a partition between two data centres may cause.
 SILENT = (*UNREACHED, errors.UpstreamTimeoutError)
 
@@ -20,6 +26,7 @@
     error: errors.UpstreamError,
 ) -> None:
     """Record a failed attempt against its target."""
+    _record_path(placer, target, error)
     if isinstance(error, SILENT):
         context.silent_data_centres.add(target.data_centre)
     if isinstance(error, errors.WrongTargetError):
@@ -38,6 +45,18 @@
         placer.record_failure(target, reached=True)
 
 
+def _record_path(
+    placer: placement.Placer,
+    target: messages.TargetRecord,
+    error: errors.UpstreamError,
+) -> None:
+    """Record what the failure says of the network path to the target."""
+    if isinstance(error, PATH_FAILURES):
+        placer.record_path_failure(target)
+    elif not isinstance(error, errors.TargetRestingError):
+        placer.record_contact(target)
+
+
 def record_refusals(
     placer: placement.Placer, context: records.RequestContext
 ) -> None:
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -5,17 +5,23 @@
 import time
 import typing as t
 
+import logbook
+
+from amaranthring.core import logs
 from amaranthring.forwarding import prompts
 from amaranthring.forwarding import records
 from amaranthring.forwarding import views
 from amaranthring.policy import affinity
 from amaranthring.policy import copies
+from amaranthring.policy import reach as reach_module
 from amaranthring.policy import rests as rests_module
 from amaranthring.policy import unseen
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
 from amaranthring.registry import targets as tables
 
+log = logbook.Logger(__name__)
+
 # Exponential backoff for a target that failed. It starts below the interval
 # of announcements, as most failures are brief. The maximum limits how long
 # callers are still refused after a network partition ends.
@@ -77,6 +83,8 @@
         last, on average.
     routers : int
         Number of routers that told, with this one; 0 before any.
+    unreached_services : set of str
+        Services of which this router reached no target when it last tried.
     """
 
     def __init__(
@@ -98,6 +106,8 @@
             views.TargetView
         )
         self.rests = rests_module.Rests()
+        self.reach = reach_module.Reach()
+        self.unreached_services: set[str] = set()
         self.counted_at = float("-inf")
         self.routers = 0
         self.unseen_requests = unseen.UnseenRequests(clock)
@@ -510,8 +520,40 @@
             if view.unreachable and view.backoff_until > now
         ]
 
+    def record_path_failure(self, target: messages.TargetRecord) -> None:
+        """Record a failure that a lost path to `target` may have caused."""
+        self.reach.record_failure(target.service, target.id)
+        if self.is_unreached(target.service):
+            self._log_reach(target.service)
+
+    def is_unreached(self, service: str) -> bool:
+        """Return whether this router reaches no target of the service."""
+        ready = [
+            record.id for record in self._ready(service) if not record.silent
+        ]
+        return self.reach.is_lost(service, ready)
+
+    def _log_reach(self, service: str) -> None:
+        is_lost = self.is_unreached(service)
+        if is_lost == (service in self.unreached_services):
+            return
+        if is_lost:
+            self.unreached_services.add(service)
+        else:
+            self.unreached_services.discard(service)
+        logs.event(
+            log,
+            "service.unreached" if is_lost else "service.reached",
+            service=service,
+            failed=len(self.reach.failed.get(service, ())),
+            targets=len(self._ready(service)),
+        )
+
     def record_contact(self, target: messages.TargetRecord) -> None:
         """Record that `target` sent data, so its data centre is reachable."""
+        self.reach.record_answer(target.service)
+        if target.service in self.unreached_services:
+            self._log_reach(target.service)
         if target.data_centre in self.data_centres:
             del self.data_centres[target.data_centre]
 
