Hand requests to other routers while a router reaches no target

Cause: a router knew no way to a target but its own.

A router that reaches no target of a service now hands its requests to one that does, offered by the keepers (docs/design/handover.md). Its view of targets is left out of what it reports, and it does not judge whether they have ended.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -353,6 +353,14 @@
     outcome = Outcome.NOT_RUN
 
 
+class HelperRefusedError(UpstreamError):
+    """Another router did not take a request that was handed over to it."""
+
+    code = "helper-refused"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
 class TargetFailedError(UpstreamError):
     """The target ran a repeatable request and failed."""
 
--- a/amaranthring/forwarding/ended_targets.py
+++ b/amaranthring/forwarding/ended_targets.py
@@ -136,6 +136,9 @@
             return liveness.Verdict.ALIVE
         if not self.placer.table.holds_address(target):
             return liveness.Verdict.DEAD
+        if self.placer.is_path_lost(target.service):
+            # Refused connections do not show that the target has ended.
+            return liveness.Verdict.SILENT
         seconds = time.monotonic() - broke_at
         connected = self.connections.is_connected(target.id)
         answered_at = self.placer.views[target.id].succeeded_at
--- a/amaranthring/forwarding/failures.py
+++ b/amaranthring/forwarding/failures.py
@@ -52,7 +52,8 @@
 ) -> None:
     """Record what the failure says of the network path to the target."""
     if isinstance(error, PATH_FAILURES):
-        placer.record_path_failure(target)
+        is_timeout = isinstance(error, errors.UpstreamTimeoutError)
+        placer.record_path_failure(target, is_timeout)
     elif not isinstance(error, errors.TargetRestingError):
         placer.record_contact(target)
 
--- /dev/null
+++ b/amaranthring/forwarding/handing_over.py
@@ -0,0 +1,239 @@
+"""Which requests are handed over to another router, and how they end.
+
+See ``docs/design/handover.md``.
+"""
+
+import asyncio
+import time
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import logs
+from amaranthring.core import metrics as metrics_module
+from amaranthring.forwarding import attempts
+from amaranthring.forwarding import events
+from amaranthring.forwarding import path_trials
+from amaranthring.forwarding import placement
+from amaranthring.forwarding import records
+from amaranthring.forwarding import responses
+from amaranthring.handover import client as handover_client
+from amaranthring.handover import messages
+
+log = logbook.Logger(__name__)
+
+# A request is offered to so many helpers, then refused.
+MAX_HELPERS_TRIED = 2
+# ``Retry-After`` in seconds where no helper takes a request.
+RETRY_HELPERS = 0.5
+# For so long after a request that needed one, helpers are sought.
+SEEK_SECONDS = 5.0
+# Errors of a helper after which another one may take the request.
+HELPER_UNFIT = (
+    errors.NoTargetError,
+    errors.NoQuorumError,
+    errors.QueueFullError,
+    errors.ShuttingDownError,
+    errors.LinkError,
+)
+
+
+class HandingOver:
+    """Hands requests over while this router reaches no target.
+
+    Parameters
+    ----------
+    client : HandoverClient
+        Links to the helpers.
+
+    Attributes
+    ----------
+    needed_at : dict of str to float
+        Monotonic seconds at which a helper was last needed, by service.
+    """
+
+    def __init__(
+        self,
+        client: handover_client.HandoverClient,
+        placer: placement.Placer,
+        metrics: metrics_module.Metrics,
+    ):
+        self.client = client
+        self.placer = placer
+        self.metrics = metrics
+        self.trials = path_trials.PathTrials(placer)
+        self.needed_at: dict[str, float] = {}
+
+    def sought_services(self) -> list[str]:
+        """Return the services for which this router needs a helper."""
+        oldest = time.monotonic() - SEEK_SECONDS
+        self.needed_at = {
+            service: at
+            for service, at in self.needed_at.items()
+            if at > oldest
+        }
+        return sorted(self.placer.unreached_services | set(self.needed_at))
+
+    def helper_for(
+        self, context: records.RequestContext
+    ) -> handover_client.Helper | None:
+        """Return the helper that gets a request, or None to try targets.
+
+        Raises
+        ------
+        errors.NoTargetError
+            If no target is reached and no helper takes the request.
+        """
+        service = context.service
+        if context.handover or not self.placer.is_unreached(service):
+            return None
+        self.needed_at[service] = time.monotonic()
+        idempotent = context.route.idempotent
+        is_new = not (context.helpers_tried or context.attempts_sent)
+        context.is_path_trial = is_new and self.trials.may_try(
+            service, idempotent
+        )
+        if context.is_path_trial:
+            logs.event(
+                log,
+                "path.tried",
+                id=context.incoming.request_id,
+                service=service,
+            )
+            return None
+        if not self.client.has_offers(service):
+            return None
+        helper = self._choose(context)
+        if helper is None:
+            raise errors.NoTargetError(
+                f"no target of service {service} is reached, and no other"
+                " router takes the request",
+                given=f"{len(context.helpers_tried)} routers asked",
+                retry_after=RETRY_HELPERS,
+            )
+        return helper
+
+    def last_helper(
+        self, context: records.RequestContext
+    ) -> handover_client.Helper | None:
+        """Return the helper for a request that is left without a target."""
+        if context.handover or not context.silent_data_centres:
+            return None
+        if context.attempts_sent and not context.route.idempotent:
+            return None
+        self.needed_at[context.service] = time.monotonic()
+        return self._choose(context)
+
+    def _choose(
+        self, context: records.RequestContext
+    ) -> handover_client.Helper | None:
+        if len(context.helpers_tried) >= MAX_HELPERS_TRIED:
+            return None
+        return self.client.choose(context.service, context.helpers_tried)
+
+    async def run(
+        self,
+        context: records.RequestContext,
+        helper: handover_client.Helper,
+        splitter: events.EventSplitter,
+        writer: responses.ResponseWriter,
+    ) -> None:
+        """Have a helper send a request on, and pass its answer back.
+
+        Raises
+        ------
+        errors.HelperRefusedError
+            If the helper did not take it; another one may.
+        errors.AmaranthringError
+            As for an attempt at a target.
+        """
+        context.helpers_tried.add(helper.address)
+        self.metrics.count("request.handed-over")
+        answer = None
+        outcome = "unfinished"
+        try:
+            answer = await self._begin(context, helper, splitter)
+            head = await answer.read_head()
+            outcome = str(head.status)
+            await _pass_on(answer, head, splitter, writer)
+        except errors.AmaranthringError as error:
+            outcome = error.code
+            raise self._interpret(context, answer, error) from error
+        except asyncio.CancelledError:
+            # The deadline has passed, or the caller has left.
+            context.attempts_sent += 1
+            raise
+        finally:
+            context.attempt_outcomes.append(f"{helper.address}:{outcome}")
+            if answer is not None:
+                self.client.end(answer)
+
+    async def _begin(
+        self,
+        context: records.RequestContext,
+        helper: handover_client.Helper,
+        splitter: events.EventSplitter,
+    ) -> handover_client.Answer:
+        resume_after = context.incoming.resume_after
+        if splitter.last_id is not None:
+            resume_after = str(splitter.last_id)
+        left = context.deadline - time.monotonic()
+        context.sent_after.append(time.monotonic() - context.incoming.arrived)
+        return await self.client.begin(helper, context, left, resume_after)
+
+    def _interpret(
+        self,
+        context: records.RequestContext,
+        answer: handover_client.Answer | None,
+        error: errors.AmaranthringError,
+    ) -> errors.AmaranthringError:
+        """Return the error for this router's own handling of a request."""
+        if isinstance(error, errors.CallerDisconnectedError):
+            return error
+        if error.outcome == errors.Outcome.NOT_RUN:
+            if isinstance(error, HELPER_UNFIT):
+                return errors.HelperRefusedError(
+                    error.detail,
+                    given=error.code,
+                    expected="a router that reaches the targets",
+                    retry_after=error.retry_after or RETRY_HELPERS,
+                )
+            return error
+        sent = answer.attempts_sent if answer is not None else 0
+        context.attempts_sent = max(context.attempts_sent + 1, sent)
+        if isinstance(error, errors.UpstreamError):
+            return error
+        return errors.TruncatedResponseError(
+            "what became of a request that was handed over is not known",
+            given=error.code,
+        )
+
+
+async def _pass_on(
+    answer: handover_client.Answer,
+    head: messages.Head,
+    splitter: events.EventSplitter,
+    writer: responses.ResponseWriter,
+) -> None:
+    """Pass the answer of a helper on to the caller."""
+    headers = messages.unpack_headers(head.headers)
+    content_type = headers.get("Content-Type", "")
+    if head.status != 200 or not content_type.startswith(
+        attempts.EVENT_STREAM
+    ):
+        body = await answer.read_all()
+        if writer.status:
+            raise errors.UpstreamError(
+                "the response does not resume the stream"
+            )
+        await writer.send(head.status, headers, body)
+        return
+    while data := await answer.read():
+        complete = splitter.feed(data)
+        if complete and writer.status:
+            await writer.write(complete)
+        elif complete:
+            await writer.start_stream(head.status, headers, complete)
+    if not writer.status:
+        await writer.start_stream(head.status, headers, b"")
+    writer.finish()
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -517,22 +517,42 @@
         return [
             name
             for name, view in self.views.items()
-            if view.unreachable and view.backoff_until > now
+            if view.unreachable
+            and view.backoff_until > now
+            and not self._lost_path_to(name)
         ]
 
-    def record_path_failure(self, target: messages.TargetRecord) -> None:
+    def record_path_failure(
+        self, target: messages.TargetRecord, is_timeout: bool
+    ) -> None:
         """Record a failure that a lost path to `target` may have caused."""
-        self.reach.record_failure(target.service, target.id)
+        if is_timeout:
+            self.reach.record_timeout(target.service, target.id)
+        else:
+            self.reach.record_failure(target.service, target.id)
         if self.is_unreached(target.service):
             self._log_reach(target.service)
 
+    def announced(self, service: str) -> list[messages.TargetRecord]:
+        """Return the targets of the service that announce themselves."""
+        return [r for r in self._ready(service) if not r.silent]
+
     def is_unreached(self, service: str) -> bool:
         """Return whether this router reaches no target of the service."""
-        ready = [
-            record.id for record in self._ready(service) if not record.silent
-        ]
+        if service not in self.reach.failed:
+            return False
+        ready = [record.id for record in self.announced(service)]
         return self.reach.is_lost(service, ready)
 
+    def is_path_lost(self, service: str) -> bool:
+        """Return whether every target announces itself and none is reached.
+
+        The only target of a service may as well have ended.
+        """
+        announced = {record.id for record in self.announced(service)}
+        failed = self.reach.failed.get(service, set())
+        return len(announced) > 1 and announced <= failed
+
     def _log_reach(self, service: str) -> None:
         is_lost = self.is_unreached(service)
         if is_lost == (service in self.unreached_services):
@@ -549,6 +569,11 @@
             targets=len(self._ready(service)),
         )
 
+    def _lost_path_to(self, target_id: str) -> bool:
+        """Return whether the target's failures may be this router's own."""
+        entry = self.table.entries.get(target_id)
+        return entry is not None and self.is_path_lost(entry.record.service)
+
     def record_contact(self, target: messages.TargetRecord) -> None:
         """Record that `target` sent data, so its data centre is reachable."""
         self.reach.record_answer(target.service)
@@ -641,7 +666,11 @@
         """Return the targets that recently broke off a response here."""
         oldest = self.clock() - FAILING_SECONDS
         views = self.views.items()
-        return [name for name, view in views if view.failed_at > oldest]
+        return [
+            name
+            for name, view in views
+            if view.failed_at > oldest and not self._lost_path_to(name)
+        ]
 
     def _apply_unreachable(self, unreached: dict[str, int]) -> None:
         # Otherwise each router would lose requests to a target that lost
@@ -659,6 +688,8 @@
         """Drop state of targets that are gone, and expired cache locations."""
         self.prefixes.prune(self.table.entries)
         self.rests.prune()
+        for service in list(self.unreached_services):
+            self._log_reach(service)
         for target_id in set(self.views) - set(self.table.entries):
             if not self.views[target_id].running:
                 del self.views[target_id]
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -197,6 +197,28 @@
     left_out: dict[str, int]
 
 
+@dataclasses.dataclass
+class Handover:
+    """Terms on which another router handed a request over.
+
+    Attributes
+    ----------
+    router : str
+        Name of that router.
+    service : str
+        Service that it drew.
+    attempts_sent : int
+        Number of targets that may have started to run it there.
+    attempts_after : int
+        The same with the attempts of this router.
+    """
+
+    router: str
+    service: str
+    attempts_sent: int
+    attempts_after: int = 0
+
+
 @dataclasses.dataclass
 class RequestContext:
     """State of one request while it is forwarded.
@@ -207,6 +229,12 @@
         Monotonic seconds by which it gets its final response.
     attempts_sent : int
         Number of targets that may have started to run it.
+    handover : Handover or None
+        Set if another router handed it over.
+    is_path_trial : bool
+        Whether it tries the path to targets that were not reached.
+    helpers_tried : set of str
+        Addresses of the helpers that have refused it.
     tried : set of str
         Ids of targets that are not tried again.
     refused_by : list of TargetRecord
@@ -254,6 +282,9 @@
     begun_at: float = 0.0
     is_accepted: bool = False
     prefill_tokens: int = 0
+    handover: Handover | None = None
+    is_path_trial: bool = False
+    helpers_tried: set[str] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
     refused_by: list[messages.TargetRecord] = dataclasses.field(
         default_factory=list
@@ -286,6 +317,12 @@
             incoming.body,
         )
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a target may have started it for this router."""
+        before = self.handover.attempts_sent if self.handover else 0
+        return self.attempts_sent > before
+
     @property
     def caller(self) -> rests.Caller:
         """Return who is charged with the rests that this request causes.
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -17,12 +17,14 @@
 from amaranthring.forwarding import crash_guard
 from amaranthring.forwarding import events
 from amaranthring.forwarding import failures
+from amaranthring.forwarding import handing_over as handing_over_module
 from amaranthring.forwarding import placement
 from amaranthring.forwarding import records
 from amaranthring.forwarding import request_log
 from amaranthring.forwarding import responses
 from amaranthring.forwarding import startup
 from amaranthring.forwarding import target_notices
+from amaranthring.handover import client as handover_client
 from amaranthring.policy import budgets
 from amaranthring.policy import response_times
 from amaranthring.registry import messages
@@ -41,6 +43,9 @@
 PAUSE_FACTOR = 4.0
 # Minimum timeout between two events, in seconds.
 MIN_EVENT_TIMEOUT = 1.2
+# Shortest timeout of a request that tries the path to targets which were not
+# reached; a helper can still serve it afterwards.
+PATH_TRIAL_SECONDS = 0.3
 # Seconds before the caller's timeout at which the final response is sent.
 RESPONSE_MARGIN = 0.02
 # ``Retry-After`` in seconds. Targets announce themselves about every second;
@@ -71,6 +76,8 @@
         Delays requests until there is a plan.
     crashes : CrashGuard, optional
         Refuses requests that crash targets.
+    handing_over : HandingOver, optional
+        Hands requests to other routers while no target is reached.
     """
 
     def __init__(
@@ -85,6 +92,7 @@
         connections: pool.Pool | None = None,
         start: startup.StartupGate | None = None,
         crashes: crash_guard.CrashGuard | None = None,
+        handing_over: handing_over_module.HandingOver | None = None,
     ):
         self.connections = connections or pool.Pool()
         self.dialect = dialect
@@ -94,6 +102,7 @@
         self.crashes = crashes or crash_guard.CrashGuard(
             "", placer, self.connections
         )
+        self.handing_over = handing_over
         self.share = share
         self.metrics = metrics
         self.log_request = functools.partial(request_log.record, metrics)
@@ -104,9 +113,12 @@
         )
 
     async def serve(
-        self, incoming: records.Incoming, writer: responses.ResponseWriter
+        self,
+        incoming: records.Incoming,
+        writer: responses.ResponseWriter,
+        handover: records.Handover | None = None,
     ) -> None:
-        """Handle one request.
+        """Handle one request, of a caller or handed over by another router.
 
         Cancelled when the caller disconnects. The connection to the target
         is then closed at once, which makes the target stop its work.
@@ -115,7 +127,7 @@
         failure: BaseException | None = None
         try:
             await self.startup.wait_for_plan(incoming)
-            context = self.resolve(incoming)
+            context = self.resolve(incoming, handover)
             # A response that arrived while this process was stalled is
             # delivered even after the deadline.
             async with timeouts.timeout_at(self._loop_time(context.deadline)):
@@ -148,9 +160,16 @@
 
     # -- routing -----------------------------------------------------
 
-    def resolve(self, incoming: records.Incoming) -> records.RequestContext:
+    def resolve(
+        self,
+        incoming: records.Incoming,
+        handover: records.Handover | None = None,
+    ) -> records.RequestContext:
         """Return the request with its route, account and service.
 
+        A request that was handed over keeps its service if its route allows
+        it, and is counted by the router that received it.
+
         Raises
         ------
         errors.RefusedError
@@ -167,7 +186,10 @@
             raise errors.NotFoundError("no route for this host and path")
         account = self._account(table, route, incoming)
         service = route_tables.draw_service(route)
-        self.budgets[service].count_request()
+        if handover is None:
+            self.budgets[service].count_request()
+        elif any(s.service == handover.service for s in route.shares):
+            service = handover.service
         seconds = min(incoming.timeout - RESPONSE_MARGIN, route.timeout)
         return records.RequestContext(
             incoming,
@@ -177,6 +199,8 @@
             table.version,
             incoming.arrived + seconds,
             table.services[service].engine,
+            attempts_sent=handover.attempts_sent if handover else 0,
+            handover=handover,
         )
 
     def _account(
@@ -212,23 +236,56 @@
             int(resume_after) if resume_after.isdigit() else None
         )
         while True:
-            await self.crashes.check(context)
-            target = self.placer.choose(context)
-            if target is None:
-                raise self._no_target_error(context)
+            helper = self._helper_for(context)
+            if helper is None:
+                await self.crashes.check(context)
+                target = self.placer.choose(context)
+                if target is None:
+                    helper = self._last_helper(context)
             try:
-                await self._attempt(context, target, splitter, writer)
+                if helper is not None:
+                    await self.handing_over.run(
+                        context, helper, splitter, writer
+                    )
+                else:
+                    await self._attempt(context, target, splitter, writer)
                 return
             except errors.UpstreamError as error:
-                context.tried.add(target.id)
-                failures.record(
-                    self.placer, self.connections, context, target, error
-                )
+                if helper is None:
+                    context.tried.add(target.id)
+                    failures.record(
+                        self.placer, self.connections, context, target, error
+                    )
                 if not self._may_retry(context, error):
                     raise
                 self.metrics.count("request.repeated")
                 splitter.discard_partial()
 
+    def _helper_for(
+        self, context: records.RequestContext
+    ) -> handover_client.Helper | None:
+        """Return the helper for a request whose targets are not reached."""
+        if self.handing_over is None:
+            return None
+        return self.handing_over.helper_for(context)
+
+    def _last_helper(
+        self, context: records.RequestContext
+    ) -> handover_client.Helper:
+        """Return the helper for a request without a target.
+
+        Raises
+        ------
+        errors.AmaranthringError
+            If there is none.
+        """
+        helper = None
+        if self.handing_over is not None:
+            helper = self.handing_over.last_helper(context)
+        if helper is None:
+            raise self._no_target_error(context)
+        return helper
+
     async def _attempt(self, context, target, splitter, writer) -> None:
         resume_after = context.incoming.resume_after
         if splitter.last_id is not None:
@@ -296,6 +353,8 @@
             self.placer.end(target, context)
             if attempt.exchange.sent and not _was_refused(attempt):
                 context.attempts_sent += 1
+            if context.handover is not None:
+                context.handover.attempts_after = context.attempts_sent
 
     async def _open(
         self, context: records.RequestContext, attempt: attempts.Attempt
@@ -370,6 +429,8 @@
             return float("inf")
         objective_at = context.incoming.arrived + route.objective
         objective_left = objective_at - time.monotonic()
+        if context.is_path_trial:
+            return max(PATH_TRIAL_SECONDS, route.objective / 2)
         learned = self.response_times.timeout(
             context.service, context.prefill_tokens, objective_left
         )
@@ -434,7 +495,7 @@
     # -- failures ----------------------------------------------------
 
     def _no_target_error(self, context) -> errors.AmaranthringError:
-        if context.attempts_sent:
+        if context.may_have_run:
             return errors.UpstreamError("no other target is left")
         held_back = self.placer.held_back(context)
         if held_back:
@@ -458,7 +519,7 @@
             writer.abort()
             return
         reported = error
-        if context is not None and context.attempts_sent == 0:
+        if context is not None and not context.may_have_run:
             reported = self._not_run_error(context, error)
         elif isinstance(error, errors.RefusedError) and context is not None:
             # A target may have run it before it was refused.
--- /dev/null
+++ b/amaranthring/handover/server.py
@@ -0,0 +1,229 @@
+"""The helper's side: sends requests of other routers on to targets."""
+
+import asyncio
+import time
+import typing as t
+
+import logbook
+import tornado.httputil
+
+from amaranthring import errors
+from amaranthring.core import links
+from amaranthring.core import logs
+from amaranthring.forwarding import records
+from amaranthring.handover import messages
+from amaranthring.registry import messages as registry_messages
+
+log = logbook.Logger(__name__)
+
+# Bounds what a router does for others beside its own callers.
+MAX_HELPED = 64
+# Less than what a link may hold unsent.
+CHUNK_BYTES = 256 * 1024
+DRAIN_POLL_SECONDS = 0.005
+RETRY_BUSY_SECONDS = 0.3
+
+Serve = t.Callable[
+    [records.Incoming, "LinkWriter", records.Handover], t.Awaitable[None]
+]
+
+
+class LinkWriter:
+    """Writes the response to one request to the link that it came on.
+
+    Has the interface of :class:`forwarding.responses.ResponseWriter`.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status; 0 before the head is written.
+    started_at : float
+        Monotonic seconds at which the head was written.
+    finished : bool
+        Whether the response is complete or was aborted.
+    closing : bool
+        Unused: the caller's connection is the router's matter.
+    """
+
+    def __init__(self, link: links.Link, number: int, terms: records.Handover):
+        self.link = link
+        self.number = number
+        self.terms = terms
+        self.status = 0
+        self.started_at = 0.0
+        self.finished = False
+        self.closing = False
+
+    async def send(
+        self, status: int, headers: tornado.httputil.HTTPHeaders, body: bytes
+    ) -> None:
+        """Send a complete response."""
+        await self.start_stream(status, headers, b"")
+        for start in range(0, len(body), CHUNK_BYTES):
+            await self.write(body[start : start + CHUNK_BYTES])
+        self.finish()
+
+    async def start_stream(
+        self, status: int, headers: tornado.httputil.HTTPHeaders, data: bytes
+    ) -> None:
+        """Send the head and the first bytes of a streamed response."""
+        self.status = status
+        self.started_at = time.monotonic()
+        pairs = messages.pack_headers(headers)
+        self._send(messages.Head(self.number, status, pairs))
+        if data:
+            await self.write(data)
+
+    async def write(self, data: bytes) -> None:
+        """Send more bytes, once the ones before have left.
+
+        Raises
+        ------
+        errors.CallerDisconnectedError
+            If the link has closed.
+        """
+        while self.link.has_unsent_bytes():  # noqa: ASYNC110
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        self._send(messages.Data(self.number, data))
+
+    def finish(self) -> None:
+        """End the response."""
+        self._end(None)
+
+    def abort(self) -> None:
+        """End the response as incomplete."""
+        self._end(
+            errors.TruncatedResponseError("the helper broke the answer off")
+        )
+
+    async def send_error(self, error: errors.AmaranthringError) -> None:
+        """Send an error of this router, with what it knows of the run."""
+        self.status = error.status
+        self._end(error)
+
+    def _end(self, error: errors.AmaranthringError | None) -> None:
+        if self.finished:
+            return
+        self.finished = True
+        record = None if error is None else error.to_record()
+        try:
+            self._send(
+                messages.End(self.number, record, self.terms.attempts_after)
+            )
+        except errors.CallerDisconnectedError as gone:
+            logs.event(log, "handover.unanswered", reason=str(gone))
+
+    def _send(self, message: t.Any) -> None:
+        try:
+            self.link.send(message)
+        except errors.LinkError as error:
+            raise errors.CallerDisconnectedError(
+                "the router has closed its link"
+            ) from error
+
+
+class HandoverServer:
+    """Takes requests that other routers hand over.
+
+    Parameters
+    ----------
+    serve : callable
+        Handles one request.
+    check : callable
+        Called with the service and the plan's version; raises if this router
+        cannot help.
+
+    Attributes
+    ----------
+    tasks : dict
+        Task of each request by link and number.
+    """
+
+    def __init__(
+        self,
+        identity: links.Identity,
+        keys: links.Keys,
+        serve: Serve,
+        check: t.Callable[[str, int], None],
+    ):
+        self.serve = serve
+        self.check = check
+        self.tasks: dict[tuple[links.Link, int], asyncio.Task] = {}
+        handlers = links.Handlers()
+        handlers.add(messages.HandOver, self._on_request)
+        handlers.add(messages.Cancel, self._on_cancel)
+        self.server = links.LinkServer(
+            identity, keys, handlers, on_close=self._on_close
+        )
+
+    def listen(self, sockets: list) -> None:
+        """Accept links on the listening `sockets`."""
+        self.server.add_sockets(sockets)
+
+    def stop(self) -> None:
+        """Close all links."""
+        self.server.close_all()
+
+    def _on_request(
+        self, link: links.Link, message: messages.HandOver
+    ) -> messages.Accepted:
+        if link.peer.role != registry_messages.ROUTER_ROLE:
+            raise errors.ForbiddenError(
+                "only routers may hand requests over",
+                given=link.peer.role,
+                expected="a router",
+            )
+        if len(self.tasks) >= MAX_HELPED:
+            raise errors.QueueFullError(
+                "this router helps with as many requests as it may",
+                given=len(self.tasks),
+                expected=f"fewer than {MAX_HELPED}",
+                retry_after=RETRY_BUSY_SECONDS,
+            )
+        self.check(message.service, message.version)
+        incoming = messages.unpack(message, time.monotonic())
+        terms = records.Handover(
+            link.peer.name, message.service, message.attempts_sent
+        )
+        logs.event(
+            log,
+            "handover.accepted",
+            id=message.request_id,
+            router=link.peer.name,
+            service=message.service,
+            helped=len(self.tasks) + 1,
+            seconds_left=round(message.seconds_left, 3),
+        )
+        writer = LinkWriter(link, message.number, terms)
+        key = link, message.number
+        self.tasks[key] = asyncio.ensure_future(
+            self._run(incoming, writer, terms)
+        )
+        self.tasks[key].add_done_callback(lambda _: self.tasks.pop(key))
+        return messages.Accepted(message.number)
+
+    async def _run(
+        self,
+        incoming: records.Incoming,
+        writer: LinkWriter,
+        terms: records.Handover,
+    ) -> None:
+        try:
+            await self.serve(incoming, writer, terms)
+        except errors.CallerDisconnectedError:
+            writer.abort()
+        except asyncio.CancelledError:
+            writer.abort()
+        except Exception:
+            log.exception("request.failed")
+            writer.abort()
+
+    def _on_cancel(self, link: links.Link, message: messages.Cancel) -> None:
+        task = self.tasks.get((link, message.number))
+        if task is not None:
+            task.cancel()
+
+    def _on_close(self, link: links.Link) -> None:
+        for (of_link, _), task in list(self.tasks.items()):
+            if of_link is link:
+                task.cancel()
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -13,6 +13,7 @@
 
 import logbook
 
+from amaranthring import errors
 from amaranthring import routing
 from amaranthring.core import clocks
 from amaranthring.core import endpoints
@@ -22,15 +23,19 @@
 from amaranthring.core import metrics as metrics_module
 from amaranthring.forwarding import crash_guard
 from amaranthring.forwarding import frontend as fronts
+from amaranthring.forwarding import handing_over
 from amaranthring.forwarding import placement
 from amaranthring.forwarding import records
 from amaranthring.forwarding import relay as relays
 from amaranthring.forwarding import startup
+from amaranthring.handover import client as handover_client
+from amaranthring.handover import server as handover_server
 from amaranthring.policy import budgets
 from amaranthring.registry import crash_messages
 from amaranthring.registry import messages
 from amaranthring.registry import reporting
 from amaranthring.registry import sharers
+from amaranthring.registry import sharing
 from amaranthring.registry import subscriber as subscribers
 from amaranthring.targets import pool
 
@@ -67,6 +72,8 @@
     ----------
     callers, health, metrics : str
         ``host:port`` of its listeners.
+    peers : str
+        ``host:port`` of its listener for other routers; empty for none.
     keepers : list of str
         Seed addresses of keepers.
     key_lease : float
@@ -92,6 +99,7 @@
     retry_allowance: float
     retry_window: float
     first_start: bool = False
+    peers: str = ""
 
 
 class PlanRouter:
@@ -134,11 +142,19 @@
             config.data_centre,
             count_routers=lambda: self.sharers.routers,
         )
+        self.handing_over = handing_over.HandingOver(
+            handover_client.HandoverClient(identity, keys),
+            self.placer,
+            self.metrics,
+        )
+        self.handover_server = handover_server.HandoverServer(
+            identity, keys, self.serve_for_peer, self.check_handover
+        )
         self.reporter = reporting.Reporter(
             self.subscriber.handlers,
             self.subscriber.home_link,
-            self.placer.report,
-            self.placer.update_from_others,
+            self.report,
+            self.update_from_others,
         )
         connections = pool.Pool(self.max_idle_connections)
         self.crashes = crash_guard.CrashGuard(
@@ -173,6 +189,7 @@
                 self.subscriber.is_cut_off,
             ),
             self.crashes,
+            self.handing_over,
         )
         self.front = fronts.Frontend(dialect, self.relay.serve, self.bounds)
         self.stopping = False
@@ -200,6 +217,52 @@
         """Activate the plan in `document`."""
         self.table = routing.RouteTable(self.decode(document))
 
+    def report(self) -> sharing.Report:
+        """Return the report for the other routers."""
+        report = self.placer.report()
+        report.sought = self.handing_over.sought_services()
+        if not self.stopping:
+            report.address = self.config.peers
+        return report
+
+    def update_from_others(self, others: sharing.Others) -> None:
+        """Apply the reports of the other routers."""
+        self.placer.update_from_others(others)
+        self.handing_over.client.update(others.helpers)
+
+    def check_handover(self, service: str, version: int) -> None:
+        """Check that this router can send requests on for others.
+
+        Raises
+        ------
+        errors.RefusedError
+            If it cannot.
+        """
+        if self.stopping:
+            raise errors.ShuttingDownError("this router is being stopped")
+        held = self.table.version if self.table else -1
+        if held < version:
+            raise errors.NoTargetError(
+                "this router has an older plan", given=held, expected=version
+            )
+        if self.placer.is_unreached(service):
+            raise errors.NoTargetError(
+                f"this router does not reach service {service} either"
+            )
+
+    async def serve_for_peer(
+        self,
+        incoming: records.Incoming,
+        writer: handover_server.LinkWriter,
+        terms: records.Handover,
+    ) -> None:
+        """Send a request on for another router."""
+        self.front.count(+1)
+        try:
+            await self.relay.serve(incoming, writer, terms)
+        finally:
+            self.front.count(-1)
+
     def may_trust_keys(self) -> bool:
         """Return whether the plan's keys are still valid under the lease."""
         lease = self.config.key_lease
@@ -225,11 +288,16 @@
         endpoints.serve(
             self.config.metrics, endpoints.metrics_handler(self.metrics)
         )
+        if self.config.peers:
+            self.handover_server.listen(
+                listeners.bind_sockets(self.config.peers)
+            )
         self.subscriber.use_seeds(self.config.keepers)
         for work in (
             self._prune_regularly(),
             self.reporter.run(),
             self.relay.connections.run(),
+            self.handing_over.trials.run(),
         ):
             self.tasks.append(asyncio.ensure_future(work))
 
@@ -264,4 +332,6 @@
         if self.front.in_flight:
             logs.event(log, "router.cut-off", running=self.front.in_flight)
         self.crashes.stop()
+        self.handing_over.client.stop()
+        self.handover_server.stop()
         self.subscriber.stop()
--- a/amaranthring/platform/node.py
+++ b/amaranthring/platform/node.py
@@ -31,6 +31,8 @@
         Address of this VM.
     fleet_port : int
         Port for links between the fleet's processes, the same on every VM.
+    peers_port : int
+        Port at which routers take requests of other routers.
     callers : str
         ``host:port`` for callers; empty if this role has none.
     health : str
@@ -61,6 +63,7 @@
     data_centre: str
     ip: str
     fleet_port: int
+    peers_port: int
     callers: str
     health: str
     control: str
@@ -116,6 +119,7 @@
         data_centre=data["zone"],
         ip=data["ip"],
         fleet_port=int(data["internal_ports"][0]),
+        peers_port=int(data["internal_ports"][-1]),
         callers=listen.get("frontend", ""),
         health=listen.get("readiness", ""),
         control=listen.get("control", ""),
--- a/amaranthring/platform/router.py
+++ b/amaranthring/platform/router.py
@@ -15,6 +15,7 @@
         callers=node.callers,
         health=node.health,
         metrics=f"{node.ip}:{nodes.METRICS_PORT}",
+        peers=f"{node.ip}:{node.peers_port}",
         keepers=node.keeper_addresses(),
         key_lease=node.key_lease,
         grace=node.grace,
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -21,6 +21,7 @@
 from amaranthring.core import pacing
 from amaranthring.core import wire
 from amaranthring.registry import backlogs
+from amaranthring.registry import helpers as helpers_module
 
 # Requests last about a second, so counts a few hundred milliseconds old still
 # bound the load, for 8 messages per second and router.
@@ -77,6 +78,11 @@
     sent_at : float
         When it was sent, in seconds of the router's own clock; negative if
         unknown.
+    address : str
+        ``host:port`` at which it takes requests of other routers; empty if
+        it takes none.
+    sought : list of str
+        Services of which it reaches no target.
     """
 
     counts: dict[str, int]
@@ -87,6 +93,8 @@
     told_all_ago: float = -1.0
     tokens: dict[str, int] = dataclasses.field(default_factory=dict)
     sent_at: float = -1.0
+    address: str = ""
+    sought: list[str] = dataclasses.field(default_factory=list)
 
 
 @wire.message("share-left")
@@ -111,6 +119,8 @@
         Number of routers that report to the sender.
     age : float
         Mean age of these routers' counts at the sender, in seconds.
+    helpers : list of Helper
+        Some of these routers that take requests of others.
     """
 
     counts: dict[str, int]
@@ -122,6 +132,9 @@
     tokens: dict[str, int] = dataclasses.field(default_factory=dict)
     routers: int = 0
     age: float = 0.0
+    helpers: list[helpers_module.Helper] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @wire.message("share-others", compressed=True)
@@ -143,6 +156,9 @@
         `sent_at` of the newest report of this router.
     report_held : float
         Seconds for which the keeper has had that report.
+    helpers : dict of str to list of str
+        Addresses of routers that take requests, by service that the receiver
+        does not reach.
     """
 
     counts: dict[str, int]
@@ -155,6 +171,7 @@
     age: float = 0.0
     report_sent_at: float = -1.0
     report_held: float = 0.0
+    helpers: dict[str, list[str]] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass
@@ -278,6 +295,7 @@
         totals = self._own_totals()
         locations, self.new_locations = self.new_locations, []
         message = totals.message(Sums, locations)
+        message.helpers = self._own_helpers()
         message.tokens = self.tokens_of(locations)
         free = self._free_locations()
         allowances = self._allowances(free)
@@ -378,8 +396,28 @@
         )
         message.report_sent_at = report.sent_at
         message.report_held = report_age
+        message.helpers = helpers_module.offers(
+            report.address, report.sought, self._helpers()
+        )
         send_if_open(link, message)
 
+    def _own_helpers(self) -> list[helpers_module.Helper]:
+        """Return some routers that report here and take requests."""
+        return helpers_module.to_tell(
+            [
+                helpers_module.Helper(report.address, report.sought)
+                for report in self.routers.values()
+                if report.address
+            ]
+        )
+
+    def _helpers(self) -> list[helpers_module.Helper]:
+        """Return the routers that take requests, as far as known."""
+        found = self._own_helpers()
+        for _, sums in self.sums.values():
+            found += sums.helpers
+        return found
+
     def _hears_all_keepers(self) -> bool:
         """Return whether the sums of every other keeper are current."""
         return len(self.sums) >= len(list(self.peers()))
--- a/amaranthring/targets/liveness.py
+++ b/amaranthring/targets/liveness.py
@@ -159,6 +159,16 @@
     return Verdict.SILENT
 
 
+async def can_connect(target: Addressed) -> bool:
+    """Return whether a connection to the target can be made."""
+    try:
+        _, writer = await _connect(target)
+    except (OSError, ValueError, TimeoutError):
+        return False
+    writer.transport.abort()
+    return True
+
+
 async def _connect(target: Addressed):
     host, _, port = target.address.rpartition(":")
     async with timeouts.timeout(CONNECT_SECONDS):
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,248 @@
+"""Requests that one router hands over to another, in one process."""
+
+import asyncio
+import time
+import unittest
+
+from amaranthring import errors
+from amaranthring.core import links
+from amaranthring.core import listeners
+from amaranthring.core import metrics
+from amaranthring.forwarding import handing_over
+from amaranthring.handover import client as handover_client
+from amaranthring.handover import messages
+from amaranthring.handover import server as handover_server
+from amaranthring.registry import helpers
+from amaranthring.registry import messages as registry_messages
+from amaranthring.testing import local_fleet
+from amaranthring.testing import scripted_target
+from tests import test_forwarding
+
+KEYS = {"test": b"key"}
+EVENTS = b"".join(scripted_target.event(n) for n in range(1, 6))
+
+
+def identity(name):
+    return links.Identity(name, registry_messages.ROUTER_ROLE, "here", 1)
+
+
+class HandoverCase(test_forwarding.RouterCase):
+    """A router that reaches no target, and a helper that reaches one."""
+
+    async def begin_both(self, *scripts):
+        await self.begin(*scripts)
+        self.helper = self.router
+        self.router = scripted_target.ScriptedRouter(test_forwarding.PLAN)
+        self.addCleanup(self.router.stop)
+        for number in range(2):
+            lost = scripted_target.ScriptedTarget(
+                f"lost{number}", scripted_target.respond()
+            )
+            await lost.start()
+            lost.stop()
+            await lost.server.wait_closed()
+            self.router.targets.merge(lost.record())
+            self.router.placer.reach.record_failure("s", lost.name)
+        self.refusal = None
+        self.server = handover_server.HandoverServer(
+            identity("helper"),
+            links.Keys(KEYS),
+            self.helper.relay.serve,
+            self.check,
+        )
+        self.address = f"127.0.0.1:{local_fleet.free_ports(1)[0]}"
+        self.server.listen(listeners.bind_sockets(self.address))
+        self.addCleanup(self.server.stop)
+        self.client = handover_client.HandoverClient(
+            identity("router"), links.Keys(KEYS)
+        )
+        self.addCleanup(self.client.stop)
+        self.router.relay.handing_over = handing_over.HandingOver(
+            self.client, self.router.placer, metrics.Metrics()
+        )
+        self.client.update({"s": [self.address]})
+        await self.until(
+            lambda: self.client.helpers[self.address].dialler.link
+        )
+
+    def check(self, _service, _version):
+        if self.refusal is not None:
+            raise self.refusal
+
+
+class TestAnswers(HandoverCase):
+    """What callers of the router get."""
+
+    async def test_request_and_answer_are_unchanged(self):
+        """Guards against a request that is changed on its way."""
+        await self.begin_both(scripted_target.respond(b"entry", status=201))
+        got = await self.ask("/b/x?y=1", "POST", b"text", X_Other="1")
+        self.assertEqual((201, b"entry"), (got.status, got.body))
+        [seen] = self.targets[0].requests
+        self.assertEqual(
+            ("POST", "/b/x?y=1", b"text"), (seen.method, seen.uri, seen.body)
+        )
+        self.assertEqual("1", seen.headers["X-Other"])
+        self.assertLess(float(seen.headers[scripted_target.TIMEOUT]), 2.0)
+
+    async def test_failure_of_the_target_is_passed_on(self):
+        """Guards against a target's failure that looks like the router's."""
+        await self.begin_both(scripted_target.respond(b"no", status=500))
+        got = await self.ask("/b/x", "POST")
+        self.assertEqual((500, b"no"), (got.status, got.body))
+        self.assertIn(scripted_target.SIGNED, got.headers)
+
+    async def test_key_is_checked_by_the_helper_too(self):
+        """Guards against a key that was withdrawn and still works."""
+        await self.begin_both(scripted_target.respond())
+        got = await self.ask("/e/x", "POST", Test_Key="key-1")
+        self.assertEqual(200, got.status)
+        [seen] = self.targets[0].requests
+        self.assertEqual("alba", seen.headers[scripted_target.ACCOUNT])
+        self.helper.fresh = False
+        got = await self.ask("/e/x", "POST", Test_Key="key-1")
+        self.assertEqual(503, got.status)
+        self.assertEqual(1, self.ran())
+
+    async def test_large_answer_is_whole(self):
+        """Guards against an answer that exceeds what a link holds."""
+        body = b"x" * (9 * 1024 * 1024)
+        await self.begin_both(scripted_target.respond(body))
+        got = await self.ask("/a/x")
+        self.assertEqual((200, len(body)), (got.status, len(got.body)))
+
+    async def test_stream_that_breaks_is_resumed(self):
+        """Guards against events that are missing, doubled or joined."""
+        await self.begin_both(
+            scripted_target.stream_events(5, breaks_after=2),
+            scripted_target.stream_events(5),
+        )
+        got = await self.ask("/c/x", "POST")
+        self.assertEqual((200, EVENTS), (got.status, got.body))
+
+    async def test_caller_that_leaves_ends_the_run(self):
+        """Guards against targets that work for callers who have left."""
+        await self.begin_both(scripted_target.never_respond())
+        asked = asyncio.ensure_future(self.ask("/b/x", "POST"))
+        await self.until(self.ran)
+        asked.cancel()
+        await asyncio.gather(asked, return_exceptions=True)
+        await self.until(lambda: self.targets[0].aborted)
+
+
+class TestOnce(HandoverCase):
+    """Requests that may run once only."""
+
+    async def test_answer_that_is_lost_is_not_asked_for_again(self):
+        """Guards against a second run after the link to the helper broke."""
+        await self.begin_both(scripted_target.never_respond())
+        asked = asyncio.ensure_future(self.ask("/b/x", "POST"))
+        await self.until(self.ran)
+        self.server.stop()
+        got = await asked
+        self.assertEqual(502, got.status)
+        self.assertEqual(1, self.ran())
+
+    async def test_refusal_promises_that_it_has_not_run(self):
+        """Guards against a 503 for a request that a helper's target ran."""
+        await self.begin_both(scripted_target.reset_connection())
+        got = await self.ask("/b/x", "POST")
+        self.assertEqual(502, got.status)
+        self.assertEqual(1, self.ran())
+
+    async def test_deadline_promises_nothing(self):
+        """Guards against a 503 for a request that a target still runs."""
+        await self.begin_both(scripted_target.never_respond())
+        got = await self.ask("/b/x", "POST", Test_Patience="0.3")
+        self.assertEqual(504, got.status)
+        self.assertEqual(1, self.ran())
+
+    async def test_attempts_of_both_routers_count(self):
+        """Guards against more targets than the route allows."""
+        await self.begin_both(*[scripted_target.reset_connection()] * 5)
+        await self.ask("/a/x")
+        self.assertEqual(test_forwarding.SAFE.attempts_most, self.ran())
+
+
+class TestRefused(HandoverCase):
+    """Helpers that do not take a request."""
+
+    async def test_callers_hear_at_once_when_to_come_back(self):
+        """Guards against requests that wait for helpers that are busy."""
+        await self.begin_both(scripted_target.respond())
+        self.refusal = errors.QueueFullError("busy", retry_after=0.3)
+        started = time.monotonic()
+        got = await self.ask("/b/x", "POST")
+        self.assertEqual(503, got.status)
+        self.assertLess(0.0, float(got.headers["Retry-After"]))
+        self.assertLess(time.monotonic() - started, 0.3)
+
+    async def test_helper_does_not_hand_over_itself(self):
+        """Guards against requests that go round between cut-off routers."""
+        await self.begin_both()
+        self.helper.relay.handing_over = self.router.relay.handing_over
+        got = await self.ask("/b/x", "POST")
+        self.assertEqual(503, got.status)
+
+    async def test_helper_bounds_what_it_takes(self):
+        """Guards against a helper that is overrun by others' requests."""
+        await self.begin_both(scripted_target.never_respond())
+        asked = [
+            asyncio.ensure_future(
+                self.ask("/b/x", "POST", Test_Patience="0.6")
+            )
+            for _ in range(handover_server.MAX_HELPED + 5)
+        ]
+        got = [answer.status for answer in await asyncio.gather(*asked)]
+        self.assertLessEqual(self.ran(), handover_server.MAX_HELPED)
+        self.assertEqual(5, got.count(503))
+
+    async def test_only_routers_hand_over(self):
+        """Guards against other processes that send requests on."""
+        await self.begin_both(scripted_target.respond())
+        dialler = links.Dialler(
+            self.address,
+            links.Identity("keeper", "keeper", "here", 1),
+            links.Keys(KEYS),
+            links.Handlers(),
+        )
+        dialler.start()
+        self.addCleanup(dialler.stop)
+        await self.until(lambda: dialler.link)
+        request = messages.HandOver(
+            1, "id", "GET", "/a/x", "h", [], b"", 1.0, "", "", [], 0, "", 1,
+            "s", 0,
+        )  # fmt: skip
+        with self.assertRaises(errors.ForbiddenError):
+            await dialler.call(request, 1.0)
+
+
+class TestOffers(unittest.TestCase):
+    """Which routers keepers offer as helpers."""
+
+    def test_routers_that_do_not_reach_the_service_are_left_out(self):
+        """Guards against cut-off routers that are offered to one another."""
+        known = [
+            helpers.Helper("a", []),
+            helpers.Helper("b", ["s"]),
+            helpers.Helper("c", ["other"]),
+        ]
+        offered = helpers.offers("a", ["s"], known)
+        self.assertEqual({"s": ["c"]}, offered)
+        self.assertEqual({}, helpers.offers("a", [], known))
+
+    def test_load_is_shared(self):
+        """Guards against all cut-off routers that choose the same helpers."""
+        known = [helpers.Helper(f"h{n}", []) for n in range(8)]
+        first = {
+            helpers.offers(f"router-{n}", ["s"], known)["s"][0]
+            for n in range(40)
+        }
+        self.assertEqual(8, len(first))
+
+    def test_few_are_told(self):
+        """Guards against messages that grow with the number of routers."""
+        known = [helpers.Helper(f"h{n}", ["s"] * (n % 2)) for n in range(99)]
+        told = helpers.to_tell(known)
+        self.assertEqual(helpers.MAX_TOLD, len(told))
+        self.assertEqual([[]] * len(told), [h.sought for h in told])
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -11,7 +11,8 @@
     """Failures and answers of the targets of one service."""
 
     def setUp(self):
-        self.reach = reach.Reach()
+        self.now = 100.0
+        self.reach = reach.Reach(lambda: self.now)
 
     def fail(self, *names):
         for name in names:
@@ -37,6 +38,17 @@
         self.fail("t2")
         self.assertFalse(self.reach.is_lost("s", READY))
 
+    def test_busy_targets_are_reached(self):
+        """Guards against taking an overloaded service for a lost path."""
+        self.reach.record_answer("s")
+        for name in READY:
+            self.reach.record_timeout("s", name)
+        self.assertFalse(self.reach.is_lost("s", READY))
+        self.now += reach.BUSY_SECONDS + 0.1
+        for name in READY:
+            self.reach.record_timeout("s", name)
+        self.assertTrue(self.reach.is_lost("s", READY))
+
     def test_only_target(self):
         """Guards against a service with one target that is never lost."""
         self.fail("t0")
--- a/tests/test_severed_routers.py
+++ b/tests/test_severed_routers.py
@@ -28,7 +28,7 @@
     number = "".join(f"{int(part):02X}" for part in reversed(ip.split(".")))
     end = f"{number}:{port:04X}"
     with open("/proc/net/tcp") as table:
-        rows = [line.split() for line in table]
+        rows = [line.split() for line in table if end in line]
     inodes = {f"socket:[{row[9]}]" for row in rows if row[1] == end}
     for name, process in processes.items():
         if inodes & _sockets(process.pid):
@@ -65,8 +65,7 @@
 
     async def _serve(self, reader, writer):
         if self.case.severed:
-            owner = owner_of(writer, self.case.processes)
-            if owner in self.case.severed and self.case.how == "refuse":
+            if self.case.how == "refuse" and self.case.owner(writer):
                 scripted_target.abort_connection(writer)
                 return
         else:
@@ -77,7 +76,7 @@
         """Answer a request, unless it comes from a router that is cut off."""
         if self.case.severed and self.case.how != "refuse":
             if writer not in self.owners:
-                self.owners[writer] = owner_of(writer, self.case.processes)
+                self.owners[writer] = self.case.owner(writer)
             if self.owners[writer] in self.case.severed:
                 if self.case.how == "hang":
                     await asyncio.sleep(HANG_SECONDS)
@@ -111,6 +110,12 @@
         self.calls = set()
         await super().asyncSetUp()
 
+    def owner(self, writer):
+        """Return the router that is cut off and holds a connection, if any."""
+        return owner_of(
+            writer, {name: self.processes[name] for name in self.severed}
+        )
+
     def make_replica(self, name):
         return Replica(name, self)
 
