--- a/amaranthring/core/notices.py
+++ b/amaranthring/core/notices.py
@@ -27,6 +27,7 @@
 MAX_REST_SECONDS = 3600.0
 SECONDS = re.compile(r"\d+(\.\d+)?", re.ASCII)
 LEAVING_VALUE = "1"
+LIMIT = re.compile(r"\d{1,9}", re.ASCII)
 MAX_SHOWN_CHARACTERS = 80
 
 
@@ -40,12 +41,16 @@
         Seconds for which it wants no requests from this router; 0 for none.
     leaving : bool
         Whether it is leaving and gets no new requests.
+    max_refused : int or None
+        Number of requests in a second above which it falls over when it has
+        to turn them away; None if it names none.
     faults : tuple of InvalidHeaderError
         Values that are ignored.
     """
 
     rest_seconds: float = 0.0
     leaving: bool = False
+    max_refused: int | None = None
     faults: tuple[errors.InvalidHeaderError, ...] = ()
 
 
@@ -53,7 +58,10 @@
 
 
 def read(
-    status: int, headers: tornado.httputil.HTTPHeaders, leaving_header: str
+    status: int,
+    headers: tornado.httputil.HTTPHeaders,
+    leaving_header: str,
+    brittle_header: str = "",
 ) -> Notice:
     """Return the notice in the head of a response.
 
@@ -61,9 +69,13 @@
     ----------
     leaving_header : str
         Header with the value ``1`` in all responses of a target that leaves.
+    brittle_header : str
+        Header with a number of requests in all responses of a brittle target;
+        empty if there is none.
     """
     asks_for_rest = status == UNAVAILABLE and RETRY_AFTER in headers
-    if not asks_for_rest and leaving_header not in headers:
+    named = (leaving_header in headers, brittle_header in headers)
+    if not asks_for_rest and not any(named):
         return NOTHING
     faults: list[errors.InvalidHeaderError] = []
     rests = []
@@ -74,7 +86,13 @@
     leaving = _valid(headers.get_list(leaving_header), _parse_leaving, faults)
     # If the values of a repeated header differ, the longest rest satisfies
     # them all.
-    return Notice(max(rests, default=0.0), any(leaving), tuple(faults))
+    limits = _valid(headers.get_list(brittle_header), _parse_limit, faults)
+    return Notice(
+        max(rests, default=0.0),
+        any(leaving),
+        min(limits, default=None),
+        tuple(faults),
+    )
 
 
 def report(
@@ -163,6 +181,12 @@
     return True
 
 
+def _parse_limit(value: str) -> int:
+    if not LIMIT.fullmatch(value.strip()):
+        raise _invalid_header("brittle", value, "a number of requests")
+    return int(value)
+
+
 def _invalid_header(
     name: str, value: str, expected: str
 ) -> errors.InvalidHeaderError:
--- a/amaranthring/forwarding/target_notices.py
+++ b/amaranthring/forwarding/target_notices.py
@@ -1,11 +1,16 @@
 """Observance of what targets say about themselves."""
 
+import logbook
+
+from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import notices
 from amaranthring.forwarding import placement
 from amaranthring.forwarding import records
 from amaranthring.registry import messages
 
+log = logbook.Logger(__name__)
+
 
 def observe(
     placer: placement.Placer,
@@ -26,6 +31,15 @@
     """
     if notice is notices.NOTHING:
         return
+    if notice.max_refused is not None and status == notices.UNAVAILABLE:
+        logs.event(
+            log,
+            "target.turned-away",
+            target=target.id,
+            service=target.service,
+            request=context.incoming.request_id,
+            max_refused=notice.max_refused,
+        )
     if notice.rest_seconds:
         placer.rests.begin(target.id, notice.rest_seconds, context.caller)
         context.asked_for_rest.add(target.id)
--- a/amaranthring/platform/headers.py
+++ b/amaranthring/platform/headers.py
@@ -20,6 +20,9 @@
 NOT_RUN = "Amaranthring-Not-Executed"
 # "1" in all responses of a target that leaves.
 LEAVING = "Server-Leaving"
+# In all responses of a brittle target: how many requests it may turn away
+# in a second before it falls over.
+BRITTLE = "Server-Brittle"
 # "running,waiting,slots" of the target.
 LOAD = "Amaranthring-Replica-Load"
 # "input tokens,maximum output tokens".
@@ -192,7 +195,7 @@
         other_target=status == MISDIRECTED,
         encoded="Content-Encoding" in headers,
         load=_load(headers.get(LOAD)),
-        notice=notices.read(status, headers, LEAVING),
+        notice=notices.read(status, headers, LEAVING, BRITTLE),
     )
 
 
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -104,3 +104,31 @@
 
     def test_repeated_header(self):
         self.assertTrue(read(Test_Leaving=["1", "1"]).leaving)
+
+
+class TestBrittle(unittest.TestCase):
+    """How many requests a target may turn away before it falls over."""
+
+    def read(self, *values, status=200):
+        headers = tornado.httputil.HTTPHeaders()
+        for value in values:
+            headers.add("Test-Brittle", value)
+        return notices.read(status, headers, "Test-Leaving", "Test-Brittle")
+
+    def test_any_status(self):
+        """Guards against a limit that only refusals are read for."""
+        for status in (200, 503):
+            self.assertEqual(5, self.read("5", status=status).max_refused)
+        self.assertEqual(0, self.read("0").max_refused)
+        self.assertIsNone(self.read().max_refused)
+
+    def test_malformed_values_are_ignored_and_told(self):
+        """Guards against a limit of another kind that stops a service."""
+        for value in ("", "-1", "1.5", "many", "9" * 20):
+            notice = self.read(value)
+            self.assertIsNone(notice.max_refused)
+            self.assertEqual(1, len(notice.faults))
+
+    def test_lowest_of_several_values(self):
+        """Guards against a looser limit that is read last."""
+        self.assertEqual(2, self.read("7", "2", "x").max_refused)
