Send brittle targets no more than they have places, over all routers

What callers saw: a service whose targets are brittle falls over at 0.8 of what it can serve and stays down, as each fall moves its load to the rest. Cause: nothing bounded what routers send a target; full ones turned the rest away.

Runs on a target that fell over after refusals are not blamed.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -239,6 +239,12 @@
     code = "targets-resting"
 
 
+class NoRoomError(NoTargetError):
+    """The targets of the service have no room for another request."""
+
+    code = "no-room"
+
+
 class CallerHeldBackError(NoTargetError):
     """A target rests on account of the caller, which is suspected."""
 
--- a/amaranthring/forwarding/ended_targets.py
+++ b/amaranthring/forwarding/ended_targets.py
@@ -11,11 +11,16 @@
 import time
 import typing as t
 
+import logbook
+
+from amaranthring.core import logs
 from amaranthring.forwarding import placement
 from amaranthring.registry import messages
 from amaranthring.targets import liveness
 from amaranthring.targets import pool
 
+log = logbook.Logger(__name__)
+
 # The connections of a process that ended break within this time.
 SETTLE_SECONDS = 0.02
 # A process that ends may keep some connections for a while, so a target counts
@@ -30,6 +35,8 @@
 # target that is silent for longer has lost its VM or its network, which no
 # request causes.
 MAX_SECONDS = 10.0
+# Time in which routers hear of requests that a target turned away elsewhere.
+OTHERS_SECONDS = 0.6
 # Ended targets that are remembered, for breaks that show late.
 MAX_ENDED = 1000
 # Bounds the memory for one target while it is asked.
@@ -124,11 +131,29 @@
             if inquiry is not None:
                 inquiry.stop()
         if verdict is liveness.Verdict.DEAD:
+            if await self._fell_over(target):
+                return
             self.ended[target.id] = None
             while len(self.ended) > MAX_ENDED:
                 self.ended.popitem(last=False)
             self.report(target, runs)
 
+    async def _fell_over(self, target: messages.TargetRecord) -> bool:
+        """Return whether a brittle target ended as it was asked too much.
+
+        What ran there is then not to blame.
+        """
+        if not self.placer.is_brittle(target.service):
+            return False
+        if not self.placer.fell_over(target):
+            await asyncio.sleep(OTHERS_SECONDS)
+        if not self.placer.fell_over(target):
+            return False
+        logs.event(
+            log, "target.fell", target=target.id, service=target.service
+        )
+        return True
+
     async def _ask_once(
         self, target: messages.TargetRecord, broke_at: float
     ) -> liveness.Verdict:
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -12,6 +12,7 @@
 from amaranthring.forwarding import records
 from amaranthring.forwarding import views
 from amaranthring.policy import affinity
+from amaranthring.policy import brittleness
 from amaranthring.policy import copies
 from amaranthring.policy import reach as reach_module
 from amaranthring.policy import rests as rests_module
@@ -83,6 +84,11 @@
         last, on average.
     routers : int
         Number of routers that told, with this one; 0 before any.
+    brittle : policy.brittleness.BrittleLimits
+        Limits of requests at targets that fall over easily.
+    on_room : list of callable
+        Called with a service and the number of places that have become free
+        at its brittle targets.
     unreached_services : set of str
         Services of which this router reached no target when it last tried.
     """
@@ -107,6 +113,8 @@
         )
         self.rests = rests_module.Rests()
         self.reach = reach_module.Reach()
+        self.brittle = brittleness.BrittleLimits(clock)
+        self.on_room: list[t.Callable[[str, int], None]] = []
         self.unreached_services: set[str] = set()
         self.counted_at = float("-inf")
         self.routers = 0
@@ -261,6 +269,8 @@
             return "tried"
         if self.rests.left(record.id):
             return "resting"
+        if not self._has_room(record):
+            return "full"
         if self._may_be_partitioned(context, record, now):
             return "partitioned"
         if view.doubted_until > now:
@@ -391,7 +401,97 @@
                 for name in resting - context.tried
                 if self.rests.may_try(name, context.caller)
             }
-        return [record for record in ready if record.id not in excluded]
+        eligible = [record for record in ready if record.id not in excluded]
+        with_room = [r for r in eligible if self._has_room(r)]
+        context.lacks_room = len(with_room) < len(eligible)
+        return with_room
+
+    # -- brittle targets ---------------------------------------------
+
+    def _has_room(self, record: messages.TargetRecord) -> bool:
+        return self.brittle.max_refused(
+            record.service
+        ) is None or self.brittle.has_room(
+            record.service, record.id, self._counts(record)
+        )
+
+    def _counts(self, record: messages.TargetRecord) -> brittleness.Counts:
+        view = self.views[record.id]
+        return brittleness.Counts(
+            record.slots,
+            view.running,
+            view.others,
+            max(1, self.count_routers(), self.routers),
+            self.routers,
+            self.clock() - self.counted_at,
+        )
+
+    def allowed_requests(self, service: str) -> int:
+        """Return how many requests this router may have at brittle targets."""
+        return sum(
+            self.brittle.allowed.get(record.id, (0, 0.0))[0]
+            for record in self._ready(service)
+        )
+
+    def _renew_allowances(self) -> None:
+        """Renew what this router may send to brittle targets."""
+        for service in {*self.brittle.said, *self.brittle.told}:
+            if self.brittle.max_refused(service) is None:
+                continue
+            free = 0
+            for record in self._ready(service):
+                counts = self._counts(record)
+                self.brittle.update(record.id, counts)
+                allowed, _ = self.brittle.allowed[record.id]
+                free += max(0, allowed - counts.own)
+            self._announce_room(service, free)
+
+    def _announce_room(self, service: str, places: int) -> None:
+        for callback in self.on_room if places else ():
+            callback(service, places)
+
+    def record_brittle(
+        self, target: messages.TargetRecord, max_refused: int, refused: bool
+    ) -> None:
+        """Record that a target says it is brittle.
+
+        Parameters
+        ----------
+        refused : bool
+            Whether it has turned the request away.
+        """
+        if refused:
+            self.brittle.record_refusal(target.id)
+        if self.brittle.say(target.service, max_refused):
+            logs.event(
+                log,
+                "service.brittle",
+                service=target.service,
+                target=target.id,
+                max_refused=max_refused,
+            )
+
+    def others_full(
+        self, context: records.RequestContext, target: messages.TargetRecord
+    ) -> bool:
+        """Return whether no brittle target has room beside `target`."""
+        if not self.is_brittle(target.service):
+            return False
+        return not any(
+            self._has_room(record)
+            for record in self._ready(target.service)
+            if record.id != target.id and record.id not in context.tried
+        )
+
+    def fell_over(self, target: messages.TargetRecord) -> bool:
+        """Return whether a target that ended has turned requests away."""
+        return self.is_brittle(target.service) and self.brittle.has_refused(
+            target.id
+        )
+
+    def is_brittle(self, service: str) -> bool:
+        """Return whether the targets of the service fall over easily."""
+        return self.brittle.max_refused(service) is not None
 
     def _ready(self, service: str) -> list[messages.TargetRecord]:
         return [
@@ -481,6 +581,12 @@
         view = self.views[target.id]
         view.running -= 1
         view.reported = max(0.0, view.reported - 1)
+        if self.brittle.said or self.brittle.told:
+            if context.is_accepted:
+                self.brittle.record_duration(
+                    target.service, self.clock() - context.begun_at
+                )
+            self._announce_room(target.service, 1)
 
     def update_load(
         self, target: messages.TargetRecord, load: records.Load
@@ -649,6 +755,9 @@
             view.others = others.counts.get(target_id, 0)
             view.others_prefill_tokens = others.reading.get(target_id, 0)
         self.prefixes.merge(others.places)
+        self.brittle.tell(others.brittle)
+        self.brittle.refused_others = others.refused
+        self._renew_allowances()
 
     def report(self) -> sharing.Report:
         """Return the report for the other routers."""
@@ -660,6 +769,8 @@
             self.pending_tokens(),
             self.failing_targets(),
             tokens=tokens,
+            refused=self.brittle.refused_here(),
+            brittle=self.brittle.said_here(),
         )
 
     def failing_targets(self) -> list[str]:
@@ -688,6 +799,7 @@
         """Drop state of targets that are gone, and expired cache locations."""
         self.prefixes.prune(self.table.entries)
         self.rests.prune()
+        self.brittle.prune(self.table.entries)
         for service in list(self.unreached_services):
             self._log_reach(service)
         for target_id in set(self.views) - set(self.table.entries):
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -243,6 +243,10 @@
         Ids of those of them that asked for rest.
     resting : set of str
         Ids of targets that rested when an attempt was placed.
+    lacks_room : bool
+        Whether targets were left out as they are brittle and have no room.
+    waited_since : float or None
+        Monotonic seconds since which it waits for room, if it ever did.
     is_trial : bool
         Whether all targets rest and the current one is tried all the same.
     is_suspect : bool
@@ -291,6 +295,8 @@
     )
     asked_for_rest: set[str] = dataclasses.field(default_factory=set)
     resting: set[str] = dataclasses.field(default_factory=set)
+    lacks_room: bool = False
+    waited_since: float | None = None
     is_trial: bool = False
     is_suspect: bool = False
     trial: str = ""
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -22,6 +22,7 @@
 from amaranthring.forwarding import records
 from amaranthring.forwarding import request_log
 from amaranthring.forwarding import responses
+from amaranthring.forwarding import room_queue
 from amaranthring.forwarding import startup
 from amaranthring.forwarding import target_notices
 from amaranthring.handover import client as handover_client
@@ -108,6 +109,7 @@
         self.log_request = functools.partial(request_log.record, metrics)
         self.startup = start or startup.StartupGate(metrics)
         self.response_times = response_times.ResponseTimes()
+        self.room = room_queue.RoomQueue(placer)
         self.budgets: dict[str, budgets.WindowBudget] = (
             collections.defaultdict(budget)
         )
@@ -239,7 +241,7 @@
             helper = self._helper_for(context)
             if helper is None:
                 await self.crashes.check(context)
-                target = self.placer.choose(context)
+                target = await self._choose(context)
                 if target is None:
                     helper = self._last_helper(context)
             try:
@@ -261,6 +263,21 @@
                 self.metrics.count("request.repeated")
                 splitter.discard_partial()
 
+    async def _choose(
+        self, context: records.RequestContext
+    ) -> messages.TargetRecord | None:
+        """Return the target for an attempt, once one has room, or None."""
+        target = None
+        if not self.room.must_wait(context):
+            target = self.placer.choose(context)
+        while target is None and self._may_wait(context):
+            await self.room.wait(context)
+            target = self.placer.choose(context)
+        return target
+
+    def _may_wait(self, context: records.RequestContext) -> bool:
+        return context.lacks_room or self.room.must_wait(context)
+
     def _helper_for(
         self, context: records.RequestContext
     ) -> handover_client.Helper | None:
@@ -455,6 +472,7 @@
             context.route.idempotent
             and self._attempts_left(context) >= 2
             and not self.placer.others_rest(context, target)
+            and not self.placer.others_full(context, target)
         )
 
     def _attempts_left(self, context: records.RequestContext) -> int:
--- a/amaranthring/forwarding/target_notices.py
+++ b/amaranthring/forwarding/target_notices.py
@@ -31,7 +31,10 @@
     """
     if notice is notices.NOTHING:
         return
-    if notice.max_refused is not None and status == notices.UNAVAILABLE:
+    refused = status == notices.UNAVAILABLE
+    if notice.max_refused is not None:
+        placer.record_brittle(target, notice.max_refused, refused)
+    if notice.max_refused is not None and refused:
         logs.event(
             log,
             "target.turned-away",
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -83,6 +83,10 @@
         it takes none.
     sought : list of str
         Services of which it reaches no target.
+    refused : dict of str to int
+        Requests that each brittle target has turned away in the last seconds.
+    brittle : dict of str to int
+        By service, how many requests a second its targets may turn away.
     """
 
     counts: dict[str, int]
@@ -95,6 +99,8 @@
     sent_at: float = -1.0
     address: str = ""
     sought: list[str] = dataclasses.field(default_factory=list)
+    refused: dict[str, int] = dataclasses.field(default_factory=dict)
+    brittle: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @wire.message("share-left")
@@ -135,6 +141,8 @@
     helpers: list[helpers_module.Helper] = dataclasses.field(
         default_factory=list
     )
+    refused: dict[str, int] = dataclasses.field(default_factory=dict)
+    brittle: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @wire.message("share-others", compressed=True)
@@ -172,6 +180,8 @@
     report_sent_at: float = -1.0
     report_held: float = 0.0
     helpers: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    refused: dict[str, int] = dataclasses.field(default_factory=dict)
+    brittle: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass
@@ -192,6 +202,10 @@
         Routers that reported.
     router_seconds : float
         Ages of their counts, added up.
+    refused : Counter
+        Requests that each brittle target has turned away.
+    brittle : dict of str to int
+        By service, how many requests a second its targets may turn away.
     """
 
     counts: collections.Counter = dataclasses.field(
@@ -208,6 +222,10 @@
     )
     routers: int = 0
     router_seconds: float = 0.0
+    refused: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    brittle: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def add(self, report: Report | Sums, age: float) -> None:
         """Add one report, or the sums of another keeper, `age` seconds old."""
@@ -218,6 +236,10 @@
         self.unreached.update(report.unreached)
         self.reading.update(report.reading)
         self.failing.update(report.failing)
+        self.refused.update(report.refused)
+        for service, number in report.brittle.items():
+            known = self.brittle.get(service, number)
+            self.brittle[service] = min(known, number)
 
     def without(self, own: Report, age: float) -> "Totals":
         """Return the totals minus one report, `age` seconds old."""
@@ -228,6 +250,8 @@
             self.failing - collections.Counter(own.failing),
             self.routers - 1,
             self.router_seconds - age,
+            self.refused - collections.Counter(own.refused),
+            self.brittle,
         )
 
     def message(self, kind: type, locations: list[list[str]]) -> t.Any:
@@ -241,6 +265,8 @@
             dict(self.failing),
             routers=self.routers,
             age=age,
+            refused=dict(self.refused),
+            brittle=self.brittle,
         )
 
 
--- a/amaranthring/testing/scripted_target.py
+++ b/amaranthring/testing/scripted_target.py
@@ -33,6 +33,7 @@
 REFUSED = "Test-Refused"
 EXPECTED = "Test-Expected"
 LEAVING = "Test-Leaving"
+BRITTLE = "Test-Brittle"
 ACCOUNT = "Test-Account"
 KEY = "Test-Key"
 PROMPT = "Test-Prompt"
@@ -101,7 +102,7 @@
         SIGNED in headers,
         REFUSED in headers,
         status == 421,
-        notice=notices.read(status, headers, LEAVING),
+        notice=notices.read(status, headers, LEAVING, BRITTLE),
     )
 
 
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -139,7 +139,7 @@
         suffix = uuid.uuid4().hex[:4]
         await self.add_replica(f"{name.partition('.')[0]}.{suffix}")
 
-    async def call_once(self, number):
+    async def note_answer(self, number):
         """Send one request; some have the same path."""
         kind = "popular" if number % POPULAR_SHARE == 0 else "other"
         path = "/a/x" if kind == "popular" else f"/a/{uuid.uuid4().hex}"
@@ -166,7 +166,7 @@
         number = 0
         calls = []
         while time.monotonic() < began + seconds:
-            calls.append(asyncio.ensure_future(self.call_once(number)))
+            calls.append(asyncio.ensure_future(self.note_answer(number)))
             number += 1
             due = began + number * pause
             await asyncio.sleep(max(0.0, due - time.monotonic()))
--- a/tests/test_severed_routers.py
+++ b/tests/test_severed_routers.py
@@ -119,7 +119,7 @@
     def make_replica(self, name):
         return Replica(name, self)
 
-    async def call_once(self, router, path):
+    async def note_answer(self, router, path):
         """Send one request on a new connection, and note its answer."""
         sent_at = time.monotonic()
         status = 0
@@ -140,7 +140,7 @@
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             for router in self.router_names:
-                task = asyncio.ensure_future(self.call_once(router, path))
+                task = asyncio.ensure_future(self.note_answer(router, path))
                 self.calls.add(task)
                 task.add_done_callback(self.calls.discard)
             await asyncio.sleep(1 / RATE)
