--- a/amaranthring/forwarding/request_log.py
+++ b/amaranthring/forwarding/request_log.py
@@ -32,8 +32,10 @@
     """
     seconds = time.monotonic() - incoming.arrived
     outcome = _outcome(failure)
-    metrics.count(f"request.{outcome}")
-    if context is not None:
+    handed_over = context is not None and context.handover is not None
+    # The router that received it counts it as a request.
+    metrics.count(f"{'handover' if handed_over else 'request'}.{outcome}")
+    if context is not None and not handed_over:
         metrics.record(
             "request.seconds", seconds, context.account, context.route.kind
         )
@@ -69,6 +71,7 @@
         "account": context.account,
         "service": context.service,
         "plan": context.version,
+        "handed_over_by": context.handover.router if context.handover else "",
         "fingerprint": context.fingerprint,
         "sent": context.attempts_sent,
         "trail": ",".join(context.attempt_outcomes),
--- a/amaranthring/registry/helpers.py
+++ b/amaranthring/registry/helpers.py
@@ -18,12 +18,12 @@
     ----------
     address : str
         ``host:port`` of its listener for other routers.
-    sought : list of str
+    lost : list of str
         Services of which it reaches no target itself.
     """
 
     address: str
-    sought: list[str]
+    lost: list[str]
 
 
 def to_tell(helpers: list[Helper]) -> list[Helper]:
@@ -34,7 +34,7 @@
     """
     by_address = {helper.address: helper for helper in helpers}
     ordered = [by_address[a] for a in hashing.order("helpers", by_address)]
-    ordered.sort(key=lambda helper: len(helper.sought))
+    ordered.sort(key=lambda helper: len(helper.lost))
     return ordered[:MAX_TOLD]
 
 
@@ -48,6 +48,8 @@
     own_address : str
         Of that router; each one gets helpers of its own, so that they share
         the load.
+    sought : list of str
+        Services for which it needs helpers.
     """
     return {
         service: hashing.order(
@@ -55,8 +57,7 @@
             {
                 helper.address
                 for helper in helpers
-                if helper.address != own_address
-                and service not in helper.sought
+                if helper.address != own_address and service not in helper.lost
             },
         )[:MAX_OFFERED]
         for service in sought
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -81,8 +81,10 @@
     address : str
         ``host:port`` at which it takes requests of other routers; empty if
         it takes none.
-    sought : list of str
+    lost : list of str
         Services of which it reaches no target.
+    sought : list of str
+        Services for which it needs routers that send requests on.
     refused : dict of str to int
         Requests that each brittle target has turned away in the last seconds.
     brittle : dict of str to int
@@ -98,6 +100,7 @@
     tokens: dict[str, int] = dataclasses.field(default_factory=dict)
     sent_at: float = -1.0
     address: str = ""
+    lost: list[str] = dataclasses.field(default_factory=list)
     sought: list[str] = dataclasses.field(default_factory=list)
     refused: dict[str, int] = dataclasses.field(default_factory=dict)
     brittle: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -431,7 +434,7 @@
         """Return some routers that report here and take requests."""
         return helpers_module.to_tell(
             [
-                helpers_module.Helper(report.address, report.sought)
+                helpers_module.Helper(report.address, report.lost)
                 for report in self.routers.values()
                 if report.address
             ]
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 import unittest
+import uuid
 
 import tornado.httpclient
 
@@ -324,6 +325,28 @@
             },
         )
 
+    async def send_once(self, router, path):
+        """Send one request on a new connection.
+
+        Returns
+        -------
+        sent_at : float
+            Monotonic seconds.
+        status : int
+            Of the answer; 0 without one.
+        """
+        sent_at = time.monotonic()
+        try:
+            connection = await asyncio.open_connection(
+                self.ip(router), self.port
+            )
+            request_id = f"alba-{uuid.uuid4().hex[:12]}"
+            response = await self.call(connection, router, request_id, path)
+        except (OSError, EOFError, ValueError):
+            return sent_at, 0
+        connection[1].close()
+        return sent_at, response.status
+
 
 class FaultCase(PlatformCase):
     """Processes that are disturbed in series, and callers beside them.
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -144,19 +144,7 @@
         kind = "popular" if number % POPULAR_SHARE == 0 else "other"
         path = "/a/x" if kind == "popular" else f"/a/{uuid.uuid4().hex}"
         router = self.router_names[number % self.routers]
-        sent_at = time.monotonic()
-        status = 0
-        try:
-            connection = await asyncio.open_connection(
-                self.ip(router), self.port
-            )
-            request_id = f"alba-{uuid.uuid4().hex[:12]}"
-            response = await self.call(connection, router, request_id, path)
-            status = response.status
-            connection[1].close()
-        except (OSError, EOFError, ValueError):
-            pass
-        self.answers[kind].append((sent_at, status))
+        self.answers[kind].append(await self.send_once(router, path))
 
     async def play(self):
         began = time.monotonic()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -245,4 +245,4 @@
         known = [helpers.Helper(f"h{n}", ["s"] * (n % 2)) for n in range(99)]
         told = helpers.to_tell(known)
         self.assertEqual(helpers.MAX_TOLD, len(told))
-        self.assertEqual([[]] * len(told), [h.sought for h in told])
+        self.assertEqual([[]] * len(told), [h.lost for h in told])
--- a/tests/test_severed_routers.py
+++ b/tests/test_severed_routers.py
@@ -7,7 +7,6 @@
 import collections
 import os
 import time
-import uuid
 
 from amaranthring.testing import scripted_target
 from tests import platform_case
@@ -121,19 +120,7 @@
 
     async def note_answer(self, router, path):
         """Send one request on a new connection, and note its answer."""
-        sent_at = time.monotonic()
-        status = 0
-        try:
-            connection = await asyncio.open_connection(
-                self.ip(router), self.port
-            )
-            request_id = f"alba-{uuid.uuid4().hex[:12]}"
-            response = await self.call(connection, router, request_id, path)
-            status = response.status
-            connection[1].close()
-        except (OSError, EOFError, ValueError):
-            pass
-        self.answers[router].append((sent_at, status))
+        self.answers[router].append(await self.send_once(router, path))
 
     async def call_all(self, seconds, path="/a/x"):
         """Send to all routers for a while."""
--- a/tools/attribution.py
+++ b/tools/attribution.py
@@ -87,7 +87,9 @@
         if event.get("event") == "target.changed":
             engine = self.engines[event["target"]]
             engine.data_centre = event.get("data_centre", "")
-        if event.get("event") == "request":
+        # The router that handed a request over logs it, too.
+        is_own = not event.get("handed_over_by")
+        if event.get("event") == "request" and is_own:
             ended_at = float(match[1] or event["time"])
             self.requests.append(
                 _parse_request(ended_at, match[2] or "", event)
