Notice a lost path also by requests that run out of time

A request that may run once has no timeout of its own, so a path that hangs was never noticed by it: at the cut-off router 0 of such requests were served (real processes, all targets silent).

--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -182,6 +182,11 @@
                 expected="a signed response without content coding",
             )
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether the request was sent and nothing came back."""
+        return self.exchange.sent and self.head is None
+
     @property
     def is_event_stream(self) -> bool:
         """Return whether the response is a successful event stream."""
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -363,6 +363,8 @@
             raise
         finally:
             context.attempt_outcomes.append(f"{target.id}:{outcome}")
+            if attempt.is_unanswered and time.monotonic() >= context.deadline:
+                self.placer.record_path_failure(target, is_timeout=True)
             if attempt.exchange.broken_off:
                 seconds = time.monotonic() - attempt.sent_at
                 self.crashes.broke_off(context, target, seconds)
--- a/tests/test_severed_routers.py
+++ b/tests/test_severed_routers.py
@@ -200,6 +200,10 @@
         """Guards against callers that wait for targets out of reach."""
         await self.check("/a/x")
 
+    async def test_requests_that_run_once_are_served_by_way_of_others(self):
+        """Guards against requests without a timeout that show no lost path."""
+        await self.check("/b/x")
+
 
 class TestNewRefused(SeveredCase):
     """Connections live on, new ones are refused."""
