--- a/amaranthring/forwarding/ended_targets.py
+++ b/amaranthring/forwarding/ended_targets.py
@@ -143,11 +143,11 @@
 
         What ran there is then not to blame.
         """
-        if not self.placer.is_brittle(target.service):
+        if not self.placer.room.is_brittle(target.service):
             return False
-        if not self.placer.fell_over(target):
+        if not self.placer.room.fell_over(target):
             await asyncio.sleep(OTHERS_SECONDS)
-        if not self.placer.fell_over(target):
+        if not self.placer.room.fell_over(target):
             return False
         logs.event(
             log, "target.fell", target=target.id, service=target.service
@@ -161,7 +161,7 @@
             return liveness.Verdict.ALIVE
         if not self.placer.table.holds_address(target):
             return liveness.Verdict.DEAD
-        if self.placer.is_path_lost(target.service):
+        if self.placer.paths.is_lost(target.service):
             # Refused connections do not show that the target has ended.
             return liveness.Verdict.SILENT
         seconds = time.monotonic() - broke_at
--- a/amaranthring/forwarding/failures.py
+++ b/amaranthring/forwarding/failures.py
@@ -53,7 +53,7 @@
     """Record what the failure says of the network path to the target."""
     if isinstance(error, PATH_FAILURES):
         is_timeout = isinstance(error, errors.UpstreamTimeoutError)
-        placer.record_path_failure(target, is_timeout)
+        placer.paths.record_failure(target, is_timeout)
     elif not isinstance(error, errors.TargetRestingError):
         placer.record_contact(target)
 
--- a/amaranthring/forwarding/handing_over.py
+++ b/amaranthring/forwarding/handing_over.py
@@ -72,7 +72,9 @@
             for service, at in self.needed_at.items()
             if at > oldest
         }
-        return sorted(self.placer.unreached_services | set(self.needed_at))
+        return sorted(
+            self.placer.paths.unreached_services | set(self.needed_at)
+        )
 
     def helper_for(
         self, context: records.RequestContext
@@ -85,7 +87,7 @@
             If no target is reached and no helper takes the request.
         """
         service = context.service
-        if context.handover or not self.placer.is_unreached(service):
+        if context.handover or not self.placer.paths.is_unreached(service):
             return None
         self.needed_at[service] = time.monotonic()
         idempotent = context.route.idempotent
--- a/amaranthring/forwarding/path_trials.py
+++ b/amaranthring/forwarding/path_trials.py
@@ -81,7 +81,7 @@
         """Connect to unreached targets until cancelled."""
         while True:
             await asyncio.sleep(CONNECT_INTERVAL_SECONDS)
-            unreached = set(self.placer.unreached_services)
+            unreached = set(self.placer.paths.unreached_services)
             for service in set(self.by_service) - unreached:
                 del self.by_service[service]
             await asyncio.gather(*map(self._connect, sorted(unreached)))
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -5,24 +5,20 @@
 import time
 import typing as t
 
-import logbook
-
-from amaranthring.core import logs
+from amaranthring.forwarding import paths as paths_module
 from amaranthring.forwarding import prompts
 from amaranthring.forwarding import records
+from amaranthring.forwarding import target_room
 from amaranthring.forwarding import views
 from amaranthring.policy import affinity
 from amaranthring.policy import brittleness
 from amaranthring.policy import copies
-from amaranthring.policy import reach as reach_module
 from amaranthring.policy import rests as rests_module
 from amaranthring.policy import unseen
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
 from amaranthring.registry import targets as tables
 
-log = logbook.Logger(__name__)
-
 # Exponential backoff for a target that failed. It starts below the interval
 # of announcements, as most failures are brief. The maximum limits how long
 # callers are still refused after a network partition ends.
@@ -84,13 +80,10 @@
         last, on average.
     routers : int
         Number of routers that told, with this one; 0 before any.
-    brittle : policy.brittleness.BrittleLimits
-        Limits of requests at targets that fall over easily.
-    on_room : list of callable
-        Called with a service and the number of places that have become free
-        at its brittle targets.
-    unreached_services : set of str
-        Services of which this router reached no target when it last tried.
+    paths : paths.Paths
+        Which services this router reaches.
+    room : target_room.TargetRoom
+        What it may still send to brittle targets.
     """
 
     def __init__(
@@ -112,10 +105,8 @@
             views.TargetView
         )
         self.rests = rests_module.Rests()
-        self.reach = reach_module.Reach()
-        self.brittle = brittleness.BrittleLimits(clock)
-        self.on_room: list[t.Callable[[str, int], None]] = []
-        self.unreached_services: set[str] = set()
+        self.paths = paths_module.Paths(self.announced, clock)
+        self.room = target_room.TargetRoom(self._ready, self._counts, clock)
         self.counted_at = float("-inf")
         self.routers = 0
         self.unseen_requests = unseen.UnseenRequests(clock)
@@ -269,7 +260,7 @@
             return "tried"
         if self.rests.left(record.id):
             return "resting"
-        if not self._has_room(record):
+        if not self.room.has_room(record):
             return "full"
         if self._may_be_partitioned(context, record, now):
             return "partitioned"
@@ -402,19 +393,10 @@
                 if self.rests.may_try(name, context.caller)
             }
         eligible = [record for record in ready if record.id not in excluded]
-        with_room = [r for r in eligible if self._has_room(r)]
+        with_room = [r for r in eligible if self.room.has_room(r)]
         context.lacks_room = len(with_room) < len(eligible)
         return with_room
 
-    # -- brittle targets ---------------------------------------------
-
-    def _has_room(self, record: messages.TargetRecord) -> bool:
-        return self.brittle.max_refused(
-            record.service
-        ) is None or self.brittle.has_room(
-            record.service, record.id, self._counts(record)
-        )
-
     def _counts(self, record: messages.TargetRecord) -> brittleness.Counts:
         view = self.views[record.id]
         return brittleness.Counts(
@@ -426,73 +408,6 @@
             self.clock() - self.counted_at,
         )
 
-    def allowed_requests(self, service: str) -> int:
-        """Return how many requests this router may have at brittle targets."""
-        return sum(
-            self.brittle.allowed.get(record.id, (0, 0.0))[0]
-            for record in self._ready(service)
-        )
-
-    def _renew_allowances(self) -> None:
-        """Renew what this router may send to brittle targets."""
-        for service in {*self.brittle.said, *self.brittle.told}:
-            if self.brittle.max_refused(service) is None:
-                continue
-            free = 0
-            for record in self._ready(service):
-                counts = self._counts(record)
-                self.brittle.update(record.id, counts)
-                allowed, _ = self.brittle.allowed[record.id]
-                free += max(0, allowed - counts.own)
-            self._announce_room(service, free)
-
-    def _announce_room(self, service: str, places: int) -> None:
-        for callback in self.on_room if places else ():
-            callback(service, places)
-
-    def record_brittle(
-        self, target: messages.TargetRecord, max_refused: int, refused: bool
-    ) -> None:
-        """Record that a target says it is brittle.
-
-        Parameters
-        ----------
-        refused : bool
-            Whether it has turned the request away.
-        """
-        if refused:
-            self.brittle.record_refusal(target.id)
-        if self.brittle.say(target.service, max_refused):
-            logs.event(
-                log,
-                "service.brittle",
-                service=target.service,
-                target=target.id,
-                max_refused=max_refused,
-            )
-
-    def others_full(
-        self, context: records.RequestContext, target: messages.TargetRecord
-    ) -> bool:
-        """Return whether no brittle target has room beside `target`."""
-        if not self.is_brittle(target.service):
-            return False
-        return not any(
-            self._has_room(record)
-            for record in self._ready(target.service)
-            if record.id != target.id and record.id not in context.tried
-        )
-
-    def fell_over(self, target: messages.TargetRecord) -> bool:
-        """Return whether a target that ended has turned requests away."""
-        return self.is_brittle(target.service) and self.brittle.has_refused(
-            target.id
-        )
-
-    def is_brittle(self, service: str) -> bool:
-        """Return whether the targets of the service fall over easily."""
-        return self.brittle.max_refused(service) is not None
-
     def _ready(self, service: str) -> list[messages.TargetRecord]:
         return [
             record
@@ -581,12 +496,10 @@
         view = self.views[target.id]
         view.running -= 1
         view.reported = max(0.0, view.reported - 1)
-        if self.brittle.said or self.brittle.told:
-            if context.is_accepted:
-                self.brittle.record_duration(
-                    target.service, self.clock() - context.begun_at
-                )
-            self._announce_room(target.service, 1)
+        seconds = self.clock() - context.begun_at
+        self.room.request_ended(
+            target, seconds if context.is_accepted else None
+        )
 
     def update_load(
         self, target: messages.TargetRecord, load: records.Load
@@ -628,63 +541,18 @@
             and not self._lost_path_to(name)
         ]
 
-    def record_path_failure(
-        self, target: messages.TargetRecord, is_timeout: bool
-    ) -> None:
-        """Record a failure that a lost path to `target` may have caused."""
-        if is_timeout:
-            self.reach.record_timeout(target.service, target.id)
-        else:
-            self.reach.record_failure(target.service, target.id)
-        if self.is_unreached(target.service):
-            self._log_reach(target.service)
-
     def announced(self, service: str) -> list[messages.TargetRecord]:
         """Return the targets of the service that announce themselves."""
         return [r for r in self._ready(service) if not r.silent]
 
-    def is_unreached(self, service: str) -> bool:
-        """Return whether this router reaches no target of the service."""
-        if service not in self.reach.failed:
-            return False
-        ready = [record.id for record in self.announced(service)]
-        return self.reach.is_lost(service, ready)
-
-    def is_path_lost(self, service: str) -> bool:
-        """Return whether every target announces itself and none is reached.
-
-        The only target of a service may as well have ended.
-        """
-        announced = {record.id for record in self.announced(service)}
-        failed = self.reach.failed.get(service, set())
-        return len(announced) > 1 and announced <= failed
-
-    def _log_reach(self, service: str) -> None:
-        is_lost = self.is_unreached(service)
-        if is_lost == (service in self.unreached_services):
-            return
-        if is_lost:
-            self.unreached_services.add(service)
-        else:
-            self.unreached_services.discard(service)
-        logs.event(
-            log,
-            "service.unreached" if is_lost else "service.reached",
-            service=service,
-            failed=len(self.reach.failed.get(service, ())),
-            targets=len(self._ready(service)),
-        )
-
     def _lost_path_to(self, target_id: str) -> bool:
         """Return whether the target's failures may be this router's own."""
         entry = self.table.entries.get(target_id)
-        return entry is not None and self.is_path_lost(entry.record.service)
+        return entry is not None and self.paths.is_lost(entry.record.service)
 
     def record_contact(self, target: messages.TargetRecord) -> None:
         """Record that `target` sent data, so its data centre is reachable."""
-        self.reach.record_answer(target.service)
-        if target.service in self.unreached_services:
-            self._log_reach(target.service)
+        self.paths.record_answer(target)
         if target.data_centre in self.data_centres:
             del self.data_centres[target.data_centre]
 
@@ -755,9 +623,9 @@
             view.others = others.counts.get(target_id, 0)
             view.others_prefill_tokens = others.reading.get(target_id, 0)
         self.prefixes.merge(others.places)
-        self.brittle.tell(others.brittle)
-        self.brittle.refused_others = others.refused
-        self._renew_allowances()
+        self.room.limits.tell(others.brittle)
+        self.room.limits.refused_others = others.refused
+        self.room.renew()
 
     def report(self) -> sharing.Report:
         """Return the report for the other routers."""
@@ -769,8 +637,8 @@
             self.pending_tokens(),
             self.failing_targets(),
             tokens=tokens,
-            refused=self.brittle.refused_here(),
-            brittle=self.brittle.said_here(),
+            refused=self.room.limits.refused_here(),
+            brittle=self.room.limits.said_here(),
         )
 
     def failing_targets(self) -> list[str]:
@@ -799,9 +667,8 @@
         """Drop state of targets that are gone, and expired cache locations."""
         self.prefixes.prune(self.table.entries)
         self.rests.prune()
-        self.brittle.prune(self.table.entries)
-        for service in list(self.unreached_services):
-            self._log_reach(service)
+        self.room.limits.prune(self.table.entries)
+        self.paths.update()
         for target_id in set(self.views) - set(self.table.entries):
             if not self.views[target_id].running:
                 del self.views[target_id]
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -109,7 +109,7 @@
         self.log_request = functools.partial(request_log.record, metrics)
         self.startup = start or startup.StartupGate(metrics)
         self.response_times = response_times.ResponseTimes()
-        self.room = room_queue.RoomQueue(placer)
+        self.queue = room_queue.RoomQueue(placer)
         self.budgets: dict[str, budgets.WindowBudget] = (
             collections.defaultdict(budget)
         )
@@ -268,15 +268,15 @@
     ) -> messages.TargetRecord | None:
         """Return the target for an attempt, once one has room, or None."""
         target = None
-        if not self.room.must_wait(context):
+        if not self.queue.must_wait(context):
             target = self.placer.choose(context)
         while target is None and self._may_wait(context):
-            await self.room.wait(context)
+            await self.queue.wait(context)
             target = self.placer.choose(context)
         return target
 
     def _may_wait(self, context: records.RequestContext) -> bool:
-        return context.lacks_room or self.room.must_wait(context)
+        return context.lacks_room or self.queue.must_wait(context)
 
     def _helper_for(
         self, context: records.RequestContext
@@ -364,7 +364,7 @@
         finally:
             context.attempt_outcomes.append(f"{target.id}:{outcome}")
             if attempt.is_unanswered and time.monotonic() >= context.deadline:
-                self.placer.record_path_failure(target, is_timeout=True)
+                self.placer.paths.record_failure(target, is_timeout=True)
             if attempt.exchange.broken_off:
                 seconds = time.monotonic() - attempt.sent_at
                 self.crashes.broke_off(context, target, seconds)
@@ -474,7 +474,7 @@
             context.route.idempotent
             and self._attempts_left(context) >= 2
             and not self.placer.others_rest(context, target)
-            and not self.placer.others_full(context, target)
+            and not self.placer.room.others_full(target, context.tried)
         )
 
     def _attempts_left(self, context: records.RequestContext) -> int:
--- a/amaranthring/forwarding/room_queue.py
+++ b/amaranthring/forwarding/room_queue.py
@@ -40,7 +40,7 @@
         self.waiting: dict[str, collections.deque[asyncio.Future]] = (
             collections.defaultdict(collections.deque)
         )
-        placer.on_room.append(self.wake)
+        placer.room.on_room.append(self.wake)
 
     def must_wait(self, context: records.RequestContext) -> bool:
         """Return whether others wait that came before."""
@@ -91,10 +91,10 @@
 
     def _expected_wait(self, service: str, ahead: int) -> float:
         """Return the seconds until `ahead` requests have found room."""
-        allowed = self.placer.allowed_requests(service)
+        allowed = self.placer.room.allowed_requests(service)
         if not allowed:
             return MAX_RETRY_SECONDS
-        return ahead * self.placer.brittle.duration(service) / allowed
+        return ahead * self.placer.room.limits.duration(service) / allowed
 
     def _no_room(
         self, context: records.RequestContext, expected: float
@@ -108,7 +108,7 @@
             service=context.service,
             waited=round(time.monotonic() - context.waited_since, 3),
             waiting=len(self.waiting[context.service]),
-            allowed=self.placer.allowed_requests(context.service),
+            allowed=self.placer.room.allowed_requests(context.service),
             expected=round(expected, 3),
         )
         return errors.NoRoomError(
--- a/amaranthring/forwarding/target_notices.py
+++ b/amaranthring/forwarding/target_notices.py
@@ -33,7 +33,7 @@
         return
     refused = status == notices.UNAVAILABLE
     if notice.max_refused is not None:
-        placer.record_brittle(target, notice.max_refused, refused)
+        placer.room.record_notice(target, notice.max_refused, refused)
     if notice.max_refused is not None and refused:
         logs.event(
             log,
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -220,7 +220,7 @@
     def report(self) -> sharing.Report:
         """Return the report for the other routers."""
         report = self.placer.report()
-        report.lost = sorted(self.placer.unreached_services)
+        report.lost = sorted(self.placer.paths.unreached_services)
         report.sought = self.handing_over.sought_services()
         if not self.stopping:
             report.address = self.config.peers
@@ -246,7 +246,7 @@
             raise errors.NoTargetError(
                 "this router has an older plan", given=held, expected=version
             )
-        if self.placer.is_unreached(service):
+        if self.placer.paths.is_unreached(service):
             raise errors.NoTargetError(
                 f"this router does not reach service {service} either"
             )
--- a/tests/test_brittleness.py
+++ b/tests/test_brittleness.py
@@ -173,7 +173,7 @@
     async def test_callers_hear_at_once_when_to_come_back(self):
         """Guards against requests that wait in vain."""
         await self.begin_brittle(0.5)
-        self.router.placer.brittle.record_duration("s", 5.0)
+        self.router.placer.room.limits.record_duration("s", 5.0)
         first = asyncio.ensure_future(self.ask("/b/x", "POST"))
         await asyncio.sleep(0.05)
         started = time.monotonic()
@@ -194,7 +194,7 @@
         await asyncio.sleep(0.005)
         second.cancel()
         await first
-        queue = self.router.relay.room.waiting["s"]
+        queue = self.router.relay.queue.waiting["s"]
         await self.until(lambda: not queue)
         self.assertEqual(200, (await self.ask("/a/z")).status)
         self.assertNotIn("/a/y", self.order)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -42,7 +42,7 @@
             lost.stop()
             await lost.server.wait_closed()
             self.router.targets.merge(lost.record())
-            self.router.placer.reach.record_failure("s", lost.name)
+            self.router.placer.paths.reach.record_failure("s", lost.name)
         self.refusal = None
         self.server = handover_server.HandoverServer(
             identity("helper"),
