--- a/amaranthring/forwarding/ended_targets.py
+++ b/amaranthring/forwarding/ended_targets.py
@@ -139,9 +139,9 @@
             self.report(target, runs)
 
     async def _fell_over(self, target: messages.TargetRecord) -> bool:
-        """Return whether a brittle target ended as it was asked too much.
+        """Return whether a brittle target ended for the requests it refused.
 
-        What ran there is then not to blame.
+        The runs on it have not caused that.
         """
         if not self.placer.room.is_brittle(target.service):
             return False
--- a/amaranthring/forwarding/room_queue.py
+++ b/amaranthring/forwarding/room_queue.py
@@ -66,7 +66,7 @@
         if left <= 0 or (is_first and expected > left):
             raise self._no_room(context, expected)
         future = asyncio.get_running_loop().create_future()
-        # One that was woken in vain keeps its place.
+        # A request that found no room after all keeps its position.
         if is_first:
             queue.append(future)
         else:
--- a/amaranthring/handover/client.py
+++ b/amaranthring/handover/client.py
@@ -17,8 +17,8 @@
 
 log = logbook.Logger(__name__)
 
-# A helper acknowledges within a round trip; one that stands still is as good
-# as a target that does.
+# A helper acknowledges within a round trip. After this time the handover
+# counts as sent, with an unknown outcome.
 ACCEPT_SECONDS = 0.4
 # A helper that has refused is left alone for this time.
 BUSY_SECONDS = 0.3
@@ -184,7 +184,7 @@
         return bool(self.offers.get(service))
 
     def choose(self, service: str, tried: t.Collection[str]) -> Helper | None:
-        """Return the helper with the fewest requests of this router.
+        """Return the helper that has the fewest requests from this router.
 
         Parameters
         ----------
--- a/amaranthring/policy/brittleness.py
+++ b/amaranthring/policy/brittleness.py
@@ -111,7 +111,7 @@
     # -- which services are brittle ----------------------------------
 
     def say(self, service: str, max_refused: int) -> bool:
-        """Record what a target says; return whether it is news."""
+        """Record what a target says; return whether that was not known."""
         before = self.max_refused(service)
         self.said[service] = max_refused, self.clock()
         return before != self.max_refused(service)
