Let routers that do not know their number have little at brittle targets

A router that has just started, or never reached a leader, took the unknown number of routers for one, and so all places of each brittle target: absent taken for zero, found by reading. It has one request at each target until it knows.

--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -403,7 +403,7 @@
             record.slots,
             view.running,
             view.others,
-            max(1, self.count_routers(), self.routers),
+            max(self.count_routers(), self.routers),
             self.routers,
             self.clock() - self.counted_at,
         )
--- a/amaranthring/policy/brittleness.py
+++ b/amaranthring/policy/brittleness.py
@@ -17,6 +17,8 @@
 MAX_COUNTS_AGE_SECONDS = 1.0
 # Share of its requests at a target that a router keeps; the rest goes to all.
 KEPT_SHARE = 0.95
+# Requests at a target while the number of routers is not known.
+UNKNOWN_ALLOWANCE = 1.0
 # All routers together are turned away this share of what a target tolerates.
 REFUSED_SHARE = 0.5
 MAX_PAUSE_SECONDS = 10.0
@@ -38,7 +40,7 @@
     own, others : int
         Requests of this router and of those that told theirs.
     routers : int
-        Number of routers that may be at work, with this one; at least 1.
+        Number of routers that may be at work, with this one; 0 if unknown.
     told : int
         Number of routers whose requests are counted, with this one.
     age : float
@@ -55,7 +57,9 @@
 
 def allowance(counts: Counts) -> float:
     """Return how many requests this router may have at a target."""
-    slots, routers = float(counts.slots), max(1, counts.routers)
+    slots, routers = float(counts.slots), counts.routers
+    if not routers:
+        return min(UNKNOWN_ALLOWANCE, slots)
     share = slots / routers
     if routers > 1 and counts.age > MAX_COUNTS_AGE_SECONDS:
         return share
@@ -178,7 +182,7 @@
         if not times:
             return False
         pause = MAX_PAUSE_SECONDS
-        if tolerated:
+        if tolerated and routers:
             pause = min(routers / tolerated, MAX_PAUSE_SECONDS)
         return self.clock() - times[-1] < pause
 
--- a/tests/test_brittleness.py
+++ b/tests/test_brittleness.py
@@ -61,6 +61,12 @@
         self.assertEqual(2.0, with_all)
         self.assertAlmostEqual(1.0, with_half, delta=0.1)
 
+    def test_unknown_number_of_routers_is_not_one(self):
+        """Guards against a router that has just started and takes all."""
+        for age in (0.3, float("inf")):
+            allowed = brittleness.allowance(counts(0, 0, 0, told=0, age=age))
+            self.assertEqual(1.0, allowed)
+
     def test_old_counts_show_nothing(self):
         """Guards against allowances from counts of long ago."""
         allowed = brittleness.allowance(counts(8, 0, 4, age=2.0))
