Name limits, waits and beliefs by what they are

Renames only: `unreached_services` in reports where `lost` stood for the same thing, `seen` and `told` limits, waits by what they wait for.

--- a/amaranthring/forwarding/ended_targets.py
+++ b/amaranthring/forwarding/ended_targets.py
@@ -36,7 +36,7 @@
 # request causes.
 MAX_SECONDS = 10.0
 # Time in which routers hear of requests that a target turned away elsewhere.
-OTHERS_SECONDS = 0.6
+REPORTED_REFUSALS_SECONDS = 0.6
 # Ended targets that are remembered, for breaks that show late.
 MAX_ENDED = 1000
 # Bounds the memory for one target while it is asked.
@@ -146,7 +146,7 @@
         if not self.placer.room.is_brittle(target.service):
             return False
         if not self.placer.room.fell_over(target):
-            await asyncio.sleep(OTHERS_SECONDS)
+            await asyncio.sleep(REPORTED_REFUSALS_SECONDS)
         if not self.placer.room.fell_over(target):
             return False
         logs.event(
--- a/amaranthring/forwarding/paths.py
+++ b/amaranthring/forwarding/paths.py
@@ -55,7 +55,7 @@
         if service not in self.reach.failed:
             return False
         announced = [record.id for record in self.announced(service)]
-        return self.reach.is_lost(service, announced)
+        return self.reach.is_unreached(service, announced)
 
     def is_lost(self, service: str) -> bool:
         """Return whether every target announces itself and none is reached.
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -623,7 +623,7 @@
             view.others = others.counts.get(target_id, 0)
             view.others_prefill_tokens = others.reading.get(target_id, 0)
         self.prefixes.merge(others.places)
-        self.room.limits.tell(others.brittle)
+        self.room.limits.record_told(others.brittle)
         self.room.limits.refused_others = others.refused
         self.room.renew()
 
@@ -638,7 +638,7 @@
             self.failing_targets(),
             tokens=tokens,
             refused=self.room.limits.refused_here(),
-            brittle=self.room.limits.said_here(),
+            brittle=self.room.limits.seen_here(),
         )
 
     def failing_targets(self) -> list[str]:
--- a/amaranthring/forwarding/target_room.py
+++ b/amaranthring/forwarding/target_room.py
@@ -80,7 +80,7 @@
 
     def renew(self) -> None:
         """Renew all allowances, as the counts are new."""
-        for service in {*self.limits.said, *self.limits.told}:
+        for service in {*self.limits.seen, *self.limits.told}:
             if self.is_brittle(service):
                 self._renew_service(service)
 
@@ -125,7 +125,7 @@
         """
         if refused:
             self.limits.record_refusal(target.id)
-        if self.limits.say(target.service, max_refused):
+        if self.limits.record_seen(target.service, max_refused):
             logs.event(
                 log,
                 "service.brittle",
--- a/amaranthring/handover/client.py
+++ b/amaranthring/handover/client.py
@@ -21,10 +21,10 @@
 # counts as sent, with an unknown outcome.
 ACCEPT_SECONDS = 0.4
 # A helper that has refused is left alone for this time.
-BUSY_SECONDS = 0.3
+HELPER_PAUSE_SECONDS = 0.3
 # Links are kept for this time after the last offer.
 KEPT_SECONDS = 30.0
-MAX_HELPERS = 16
+MAX_LINKS = 16
 
 
 class Answer:
@@ -102,7 +102,7 @@
     ----------
     offered_at : float
         Monotonic seconds of the last offer.
-    busy_until : float
+    paused_until : float
         Time until which it gets nothing, as it has refused.
     answers : dict of int to Answer
         Answers that it owes, by number.
@@ -111,7 +111,7 @@
     address: str
     dialler: links.Dialler
     offered_at: float
-    busy_until: float = 0.0
+    paused_until: float = 0.0
     answers: dict[int, Answer] = dataclasses.field(default_factory=dict)
 
 
@@ -156,7 +156,7 @@
         for address in set(itertools.chain.from_iterable(offers.values())):
             if address in self.helpers:
                 self.helpers[address].offered_at = now
-            elif len(self.helpers) < MAX_HELPERS:
+            elif len(self.helpers) < MAX_LINKS:
                 self._dial(address, now)
         for helper in list(self.helpers.values()):
             if now - helper.offered_at > KEPT_SECONDS and not helper.answers:
@@ -197,7 +197,7 @@
             for address in self.offers.get(service, ())
             if (helper := self.helpers.get(address)) is not None
             and helper.dialler.link is not None
-            and helper.busy_until <= now
+            and helper.paused_until <= now
             and address not in tried
         ]
         random.shuffle(usable)
@@ -227,7 +227,7 @@
             await helper.dialler.call(message, ACCEPT_SECONDS)
         except errors.AmaranthringError as error:
             if error.outcome == errors.Outcome.NOT_RUN:
-                helper.busy_until = self.clock() + BUSY_SECONDS
+                helper.paused_until = self.clock() + HELPER_PAUSE_SECONDS
             self.end(answer)
             raise
         except asyncio.CancelledError:
--- a/amaranthring/handover/server.py
+++ b/amaranthring/handover/server.py
@@ -17,7 +17,7 @@
 log = logbook.Logger(__name__)
 
 # Bounds what a router does for others beside its own callers.
-MAX_HELPED = 64
+MAX_HELPED_REQUESTS = 64
 # Less than what a link may hold unsent.
 CHUNK_BYTES = 256 * 1024
 DRAIN_POLL_SECONDS = 0.005
@@ -173,11 +173,11 @@
                 given=link.peer.role,
                 expected="a router",
             )
-        if len(self.tasks) >= MAX_HELPED:
+        if len(self.tasks) >= MAX_HELPED_REQUESTS:
             raise errors.QueueFullError(
                 "this router helps with as many requests as it may",
                 given=len(self.tasks),
-                expected=f"fewer than {MAX_HELPED}",
+                expected=f"fewer than {MAX_HELPED_REQUESTS}",
                 retry_after=RETRY_BUSY_SECONDS,
             )
         self.check(message.service, message.version)
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -220,7 +220,9 @@
     def report(self) -> sharing.Report:
         """Return the report for the other routers."""
         report = self.placer.report()
-        report.lost = sorted(self.placer.paths.unreached_services)
+        report.unreached_services = sorted(
+            self.placer.paths.unreached_services
+        )
         report.sought = self.handing_over.sought_services()
         if not self.stopping:
             report.address = self.config.peers
--- a/amaranthring/policy/brittleness.py
+++ b/amaranthring/policy/brittleness.py
@@ -83,7 +83,7 @@
 
     Attributes
     ----------
-    said : dict of str to tuple
+    seen : dict of str to tuple
         By service, the number of refusals that its targets tolerate in a
         second, and when one said so.
     told : dict of str to tuple
@@ -105,7 +105,7 @@
     ):
         self.clock = clock
         self.draw = draw
-        self.said: dict[str, tuple[int, float]] = {}
+        self.seen: dict[str, tuple[int, float]] = {}
         self.told: dict[str, tuple[int, float]] = {}
         self.allowed: dict[str, tuple[int, float]] = {}
         self.refused_at: dict[str, collections.deque[float]] = {}
@@ -114,33 +114,33 @@
 
     # -- which services are brittle ----------------------------------
 
-    def say(self, service: str, max_refused: int) -> bool:
+    def record_seen(self, service: str, max_refused: int) -> bool:
         """Record what a target says; return whether that was not known."""
         before = self.max_refused(service)
-        self.said[service] = max_refused, self.clock()
+        self.seen[service] = max_refused, self.clock()
         return before != self.max_refused(service)
 
-    def tell(self, brittle: dict[str, int]) -> None:
+    def record_told(self, brittle: dict[str, int]) -> None:
         """Record what other routers know."""
         now = self.clock()
         self.told.update((name, (n, now)) for name, n in brittle.items())
 
     def max_refused(self, service: str) -> int | None:
         """Return how many refusals a second are tolerated; None for any."""
-        if not self.said and not self.told:
+        if not self.seen and not self.told:
             return None
         known = [
-            self._current(self.said, service, BRITTLE_SECONDS),
+            self._current(self.seen, service, BRITTLE_SECONDS),
             self._current(self.told, service, TOLD_SECONDS),
         ]
         return min((n for n in known if n is not None), default=None)
 
-    def said_here(self) -> dict[str, int]:
+    def seen_here(self) -> dict[str, int]:
         """Return the brittle services by what this router has seen itself."""
         return {
             service: n
-            for service in self.said
-            if (n := self._current(self.said, service, BRITTLE_SECONDS))
+            for service in self.seen
+            if (n := self._current(self.seen, service, BRITTLE_SECONDS))
             is not None
         }
 
--- a/amaranthring/policy/reach.py
+++ b/amaranthring/policy/reach.py
@@ -15,7 +15,7 @@
 # Of the service's targets that announce themselves.
 MIN_FAILED_SHARE = 0.5
 # A service of which a target has answered within this time is reached.
-BUSY_SECONDS = 1.0
+RECENT_ANSWER_SECONDS = 1.0
 
 
 class Reach:
@@ -42,14 +42,14 @@
     def record_timeout(self, service: str, target_id: str) -> None:
         """Record a target that took too long."""
         answered_at = self.answered_at.get(service, float("-inf"))
-        if self.clock() - answered_at > BUSY_SECONDS:
+        if self.clock() - answered_at > RECENT_ANSWER_SECONDS:
             self.record_failure(service, target_id)
 
     def record_failure(self, service: str, target_id: str) -> None:
         """Record a connection that failed or broke."""
         self.failed[service].add(target_id)
 
-    def is_lost(self, service: str, ready: t.Collection[str]) -> bool:
+    def is_unreached(self, service: str, ready: t.Collection[str]) -> bool:
         """Return whether none of the service's targets is reached.
 
         Parameters
--- a/amaranthring/registry/helpers.py
+++ b/amaranthring/registry/helpers.py
@@ -18,12 +18,12 @@
     ----------
     address : str
         ``host:port`` of its listener for other routers.
-    lost : list of str
+    unreached_services : list of str
         Services of which it reaches no target itself.
     """
 
     address: str
-    lost: list[str]
+    unreached_services: list[str]
 
 
 def to_tell(helpers: list[Helper]) -> list[Helper]:
@@ -34,7 +34,7 @@
     """
     by_address = {helper.address: helper for helper in helpers}
     ordered = [by_address[a] for a in hashing.order("helpers", by_address)]
-    ordered.sort(key=lambda helper: len(helper.lost))
+    ordered.sort(key=lambda helper: len(helper.unreached_services))
     return ordered[:MAX_TOLD]
 
 
@@ -57,7 +57,8 @@
             {
                 helper.address
                 for helper in helpers
-                if helper.address != own_address and service not in helper.lost
+                if helper.address != own_address
+                and service not in helper.unreached_services
             },
         )[:MAX_OFFERED]
         for service in sought
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -81,7 +81,7 @@
     address : str
         ``host:port`` at which it takes requests of other routers; empty if
         it takes none.
-    lost : list of str
+    unreached_services : list of str
         Services of which it reaches no target.
     sought : list of str
         Services for which it needs routers that send requests on.
@@ -100,7 +100,7 @@
     tokens: dict[str, int] = dataclasses.field(default_factory=dict)
     sent_at: float = -1.0
     address: str = ""
-    lost: list[str] = dataclasses.field(default_factory=list)
+    unreached_services: list[str] = dataclasses.field(default_factory=list)
     sought: list[str] = dataclasses.field(default_factory=list)
     refused: dict[str, int] = dataclasses.field(default_factory=dict)
     brittle: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -434,7 +434,9 @@
         """Return some routers that report here and take requests."""
         return helpers_module.to_tell(
             [
-                helpers_module.Helper(report.address, report.lost)
+                helpers_module.Helper(
+                    report.address, report.unreached_services
+                )
                 for report in self.routers.values()
                 if report.address
             ]
--- a/tests/test_brittleness.py
+++ b/tests/test_brittleness.py
@@ -88,20 +88,20 @@
     def test_only_brittle_services_are_limited(self):
         """Guards against limits for targets that have not asked for them."""
         self.assertTrue(self.has_room(own=50))
-        self.limits.say("s", 5)
+        self.limits.record_seen("s", 5)
         self.assertFalse(self.has_room(own=8))
         self.assertTrue(self.has_room(own=7))
         self.assertTrue(self.limits.has_room("other", "t2", counts(own=50)))
 
     def test_limit_ends_once_targets_no_longer_say_so(self):
         """Guards against a limit for ever."""
-        self.limits.say("s", 5)
+        self.limits.record_seen("s", 5)
         self.now += brittleness.BRITTLE_SECONDS + 0.1
         self.assertIsNone(self.limits.max_refused("s"))
 
     def test_zero_is_a_limit(self):
         """Guards against taking no tolerated refusal for no limit."""
-        self.limits.say("s", 0)
+        self.limits.record_seen("s", 0)
         self.assertEqual(0, self.limits.max_refused("s"))
         self.limits.record_refusal("t")
         self.now += 1.0
@@ -109,15 +109,15 @@
 
     def test_what_was_told_is_not_passed_on(self):
         """Guards against routers that remind one another for ever."""
-        self.limits.tell({"s": 3})
+        self.limits.record_told({"s": 3})
         self.assertEqual(3, self.limits.max_refused("s"))
-        self.assertEqual({}, self.limits.said_here())
+        self.assertEqual({}, self.limits.seen_here())
         self.now += brittleness.TOLD_SECONDS + 0.1
         self.assertIsNone(self.limits.max_refused("s"))
 
     def test_refusal_pauses_by_the_number_of_routers(self):
         """Guards against refusals that add up over all routers."""
-        self.limits.say("s", 5)
+        self.limits.record_seen("s", 5)
         self.limits.record_refusal("t")
         for routers, seconds in ((3, 1.2), (7, 2.8)):
             self.limits.refused_at["t"][0] = self.now - seconds + 0.1
@@ -128,7 +128,7 @@
 
     def test_refusals_elsewhere_pause_too(self):
         """Guards against a target that is at its limit by others' requests."""
-        self.limits.say("s", 5)
+        self.limits.record_seen("s", 5)
         self.limits.refused_others = {"t": 3}
         self.assertFalse(self.has_room())
         self.limits.refused_others = {"t": 2}
@@ -140,7 +140,7 @@
         limits = brittleness.BrittleLimits(
             lambda: self.now, lambda: next(draws)
         )
-        limits.say("s", 5)
+        limits.record_seen("s", 5)
         found = []
         for _ in range(4):
             limits.update("t", counts(0, routers=16))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -191,10 +191,10 @@
             asyncio.ensure_future(
                 self.ask("/b/x", "POST", Test_Patience="0.6")
             )
-            for _ in range(handover_server.MAX_HELPED + 5)
+            for _ in range(handover_server.MAX_HELPED_REQUESTS + 5)
         ]
         got = [answer.status for answer in await asyncio.gather(*asked)]
-        self.assertLessEqual(self.ran(), handover_server.MAX_HELPED)
+        self.assertLessEqual(self.ran(), handover_server.MAX_HELPED_REQUESTS)
         self.assertEqual(5, got.count(503))
 
     async def test_only_routers_hand_over(self):
@@ -245,4 +245,6 @@
         known = [helpers.Helper(f"h{n}", ["s"] * (n % 2)) for n in range(99)]
         told = helpers.to_tell(known)
         self.assertEqual(helpers.MAX_TOLD, len(told))
-        self.assertEqual([[]] * len(told), [h.lost for h in told])
+        self.assertEqual(
+            [[]] * len(told), [h.unreached_services for h in told]
+        )
