Log the software versions of targets and attempts

The hypotheses on streams that go on at another version could not be told apart: no line named the version of a target or of an attempt, nor that a request takes a stream up again. Logic is unchanged; `Resumes` is decoded and logged, and passed on as before.

--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -49,6 +49,9 @@
         Key of the client account; empty if none was sent.
     resume_after : str
         Id of the last event that the caller received; empty for none.
+    resumes : str
+        Id of the caller's attempt that brought the first event of the stream
+        that it takes up again; empty for none.
     parts : tuple of PromptPart
         Parts of the prompt in order; the last one is not shared.
     output_tokens : int
@@ -71,6 +74,7 @@
     output_tokens: int = 0
     body: bytes = b""
     origin: str = ""
+    resumes: str = ""
 
 
 @dataclasses.dataclass
@@ -267,6 +271,8 @@
         Data centres in which a target did not respond.
     attempt_outcomes : list of str
         ``target:outcome`` of each attempt.
+    releases : list of str
+        Software version of the target of each attempt, as announced.
     sent_after : list of float
         Seconds from the arrival of the request to each attempt that was sent.
     copies : list of str
@@ -303,6 +309,7 @@
     trial_broke_off: bool = False
     silent_data_centres: set[str] = dataclasses.field(default_factory=set)
     attempt_outcomes: list[str] = dataclasses.field(default_factory=list)
+    releases: list[str] = dataclasses.field(default_factory=list)
     sent_after: list[float] = dataclasses.field(default_factory=list)
     copies: list[str] = dataclasses.field(default_factory=list)
     placements: list[Placement] = dataclasses.field(default_factory=list)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -331,6 +331,7 @@
         # Logged if the request is cancelled during this attempt.
         outcome = "unfinished"
         self.placer.begin(target, context, copy)
+        context.releases.append(target.release)
         try:
             head = await self._open(context, attempt)
             failures.request_accepted(self.placer, context)
--- a/amaranthring/platform/headers.py
+++ b/amaranthring/platform/headers.py
@@ -30,6 +30,9 @@
 # "ID:TOKENS,...": the parts of the prompt in order.
 PROMPT_PARTS = "Amaranthring-Prefix-Hash"
 LAST_EVENT = "Last-Event-Id"
+# Request id of the caller's attempt that brought the first event of the
+# stream; not the id of its last attempt.
+RESUMES = "Resumes"
 # "host:port" of the target from which to copy the cached prompt prefix.
 COPY_FROM = "Kv-Fetch"
 # 0 (most urgent) to 9: the order in which a target admits requests.
@@ -118,6 +121,7 @@
         resume_after=headers.get(LAST_EVENT, ""),
         parts=_parts(headers.get(PROMPT_PARTS, "")),
         output_tokens=_output_tokens(headers.get(TOKENS, "")),
+        resumes=headers.get(RESUMES, ""),
     )
 
 
--- a/amaranthring/registry/targets.py
+++ b/amaranthring/registry/targets.py
@@ -32,6 +32,7 @@
         service=record.service,
         address=record.address,
         data_centre=record.data_centre,
+        release=record.release,
         state=record.state,
         silent=record.silent,
         sequence=record.sequence,
