--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -284,19 +284,24 @@
         sequence = 0
         while True:
             sequence += 1
-            body = {
-                "backend": SERVICE,
-                "address": replica.address,
-                "zone": "here",
-                "version": "v1",
-                "batch_slots": 8,
-                "state": "ready",
-                "cold_left_ms": 0,
-                "sequence": sequence,
-            }
-            await self.heartbeat(replica, body)
+            await self.heartbeat(
+                replica, self.heartbeat_body(replica, sequence)
+            )
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    def heartbeat_body(self, replica, sequence):
+        """Return what a replica says in a heartbeat."""
+        return {
+            "backend": SERVICE,
+            "address": replica.address,
+            "zone": "here",
+            "version": "v1",
+            "batch_slots": 8,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "sequence": sequence,
+        }
+
     async def heartbeat(self, replica, body):
         """Send one heartbeat to the keepers."""
         await self.announce_to("keeper", replica, body)
