Keep streams at the software version that began them

What callers saw: streams with events of two software versions of a service; where a target broke a stream off, its router sent the rest to any other.

Cause: the version of a target was known and used by nobody. Which targets may take a request was answered in many places, each from all ready targets of the service.

Change: a stream is bound to the service and version of the target that made its first event. Eligibility answers which targets may take a request, and placement, timeouts, rests and Retry-After ask it. A target that announces no version fits nothing. A timeout leaves a target only if another one may take the rest; before, also if no other was there. Prefix copies need the same version, as memory of two may not fit.

The stand-ins of targets announce a version now, as targets must: without one nothing goes on or is copied.

--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -211,14 +211,18 @@
         self,
         splitter: events.EventSplitter,
         writer: responses.ResponseWriter,
-        timeout: float,
+        timeout: t.Callable[[], float],
+        on_events: t.Callable[[], None],
     ) -> None:
         """Forward all events of the response to the caller.
 
         Parameters
         ----------
-        timeout : float
-            Maximum seconds between two events.
+        timeout : callable
+            Returns the maximum seconds between two events; asked before the
+            first one, and after it.
+        on_events : callable
+            Called before events are passed on.
 
         Raises
         ------
@@ -227,12 +231,17 @@
         errors.CallerDisconnectedError
             If the caller has closed its connection.
         """
-        self.exchange.set_timeout(timeout)
+        self.exchange.set_timeout(timeout())
+        is_first = True
         while data := await self.exchange.read():
             self.exchange.note_progress(time.monotonic())
             complete = splitter.feed(data)
             if not complete:
                 continue
+            on_events()
+            if is_first:
+                self.exchange.set_timeout(timeout())
+                is_first = False
             if writer.status:
                 await writer.write(complete)
             else:
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -5,12 +5,14 @@
 import time
 import typing as t
 
+from amaranthring.forwarding import eligibility
 from amaranthring.forwarding import paths as paths_module
 from amaranthring.forwarding import prompts
 from amaranthring.forwarding import records
 from amaranthring.forwarding import target_room
 from amaranthring.forwarding import views
 from amaranthring.policy import affinity
+from amaranthring.policy import bindings
 from amaranthring.policy import brittleness
 from amaranthring.policy import copies
 from amaranthring.policy import rests as rests_module
@@ -75,6 +77,8 @@
 
     Attributes
     ----------
+    eligibility : eligibility.Eligibility
+        Which targets may take a request.
     counted_at : float
         When the other routers had counted the requests that they told of
         last, on average.
@@ -94,6 +98,7 @@
         count_routers: t.Callable[[], int] = lambda: 1,
     ):
         self.table = table
+        self.eligibility = eligibility.Eligibility(table)
         self.data_centre = data_centre
         self.count_routers = count_routers
         self.clock = clock
@@ -106,7 +111,9 @@
         )
         self.rests = rests_module.Rests()
         self.paths = paths_module.Paths(self.announced, clock)
-        self.room = target_room.TargetRoom(self._ready, self._counts, clock)
+        self.room = target_room.TargetRoom(
+            self.eligibility.ready, self._counts, clock
+        )
         self.counted_at = float("-inf")
         self.routers = 0
         self.unseen_requests = unseen.UnseenRequests(clock)
@@ -212,7 +219,7 @@
         left_out : dict of str to int
             Number of the service's other targets, by reason.
         """
-        ready = self._ready(context.service)
+        ready = self.eligibility.of_request(context)
         eligible = self._eligible(context, ready)
         reachable = [
             r
@@ -246,6 +253,8 @@
             for record in ready
             if record.id not in used
         )
+        if other_release := len(self.eligibility.left_out(context)):
+            left_out["other-release"] = other_release
         return usable, dict(left_out)
 
     def _reason_left_out(
@@ -325,6 +334,13 @@
         target: messages.TargetRecord,
         holders: list[copies.Holder],
     ) -> copies.Copy | None:
+        # What another software version has in its memory may not fit.
+        binding = bindings.of_target(target)
+        holders = [
+            holder
+            for holder in holders
+            if binding.fits(self.table.entries[holder.id].record)
+        ]
         if not holders:
             return None
         parts = context.incoming.parts
@@ -408,14 +424,6 @@
             self.clock() - self.counted_at,
         )
 
-    def _ready(self, service: str) -> list[messages.TargetRecord]:
-        return [
-            record
-            for record in self.table.active()
-            if record.service == service
-            and record.state == messages.State.READY
-        ]
-
     def held_back(self, context: records.RequestContext) -> float:
         """Return for how many seconds the caller is held back, or 0."""
         if not self.rests.suspects:
@@ -423,25 +431,30 @@
         return self.rests.held_back(context.caller)
 
     def rest_left(self, context: records.RequestContext) -> float:
-        """Return the seconds for which all targets of the service rest, or 0.
+        """Return for how many seconds all targets of the request rest, or 0.
 
         The rest of the first target that may be asked again counts.
         """
-        ready = self._ready(context.service)
+        ready = self.eligibility.of_request(context)
         return min((self.rests.left(r.id) for r in ready), default=0.0)
 
-    def others_rest(
-        self, context: records.RequestContext, target: messages.TargetRecord
+    def may_follow(
+        self,
+        context: records.RequestContext,
+        target: messages.TargetRecord,
+        has_begun: bool = False,
     ) -> bool:
-        """Return whether all targets that may follow `target` rest."""
-        if not self.rests.by_target:
-            return False
-        left = [
-            self.rests.left(record.id)
-            for record in self._ready(context.service)
-            if record.id != target.id and record.id not in context.tried
-        ]
-        return bool(left) and min(left) > 0.0
+        """Return whether any target may take the request after `target` now.
+
+        Parameters
+        ----------
+        has_begun : bool
+            Whether the caller has received events of `target`.
+        """
+        return any(
+            not self.rests.left(record.id) and self.room.has_room(record)
+            for record in self.eligibility.after(context, target, has_begun)
+        )
 
     def begin(
         self,
@@ -543,7 +556,7 @@
 
     def announced(self, service: str) -> list[messages.TargetRecord]:
         """Return the targets of the service that announce themselves."""
-        return [r for r in self._ready(service) if not r.silent]
+        return [r for r in self.eligibility.ready(service) if not r.silent]
 
     def _lost_path_to(self, target_id: str) -> bool:
         """Return whether the target's failures may be this router's own."""
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -8,6 +8,7 @@
 
 from amaranthring.core import hashing
 from amaranthring.core import notices
+from amaranthring.policy import bindings
 from amaranthring.policy import rests
 from amaranthring.registry import messages
 from amaranthring.routing import plan as plans
@@ -233,6 +234,9 @@
         Monotonic seconds by which it gets its final response.
     attempts_sent : int
         Number of targets that may have started to run it.
+    binding : Binding or None
+        What its stream is bound to, once an event of it was passed on, now or
+        at an earlier attempt of the caller.
     handover : Handover or None
         Set if another router handed it over.
     is_path_trial : bool
@@ -292,6 +296,7 @@
     begun_at: float = 0.0
     is_accepted: bool = False
     prefill_tokens: int = 0
+    binding: bindings.Binding | None = None
     handover: Handover | None = None
     is_path_trial: bool = False
     helpers_tried: set[str] = dataclasses.field(default_factory=set)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -26,6 +26,7 @@
 from amaranthring.forwarding import startup
 from amaranthring.forwarding import target_notices
 from amaranthring.handover import client as handover_client
+from amaranthring.policy import bindings
 from amaranthring.policy import budgets
 from amaranthring.policy import response_times
 from amaranthring.registry import messages
@@ -341,7 +342,10 @@
                 self.placer.update_load(target, head.load)
             if attempt.is_event_stream:
                 await attempt.relay_events(
-                    splitter, writer, self._event_timeout(context, target)
+                    splitter,
+                    writer,
+                    functools.partial(self._event_timeout, context, target),
+                    functools.partial(_bind, context, target),
                 )
                 if not writer.status:
                     await writer.start_stream(head.status, head.headers, b"")
@@ -445,12 +449,15 @@
         partitioned off.
         """
         route = context.route
-        if not self._may_replace(context, target):
+        if not self._may_repeat(context):
             return float("inf")
-        objective_at = context.incoming.arrived + route.objective
-        objective_left = objective_at - time.monotonic()
         if context.is_path_trial:
+            # A helper may take it, if no target does.
             return max(PATH_TRIAL_SECONDS, route.objective / 2)
+        if not self.placer.may_follow(context, target):
+            return float("inf")
+        objective_at = context.incoming.arrived + route.objective
+        objective_left = objective_at - time.monotonic()
         learned = self.response_times.timeout(
             context.service, context.prefill_tokens, objective_left
         )
@@ -462,21 +469,22 @@
     def _event_timeout(
         self, context: records.RequestContext, target: messages.TargetRecord
     ) -> float:
-        if not self._may_replace(context, target):
+        """Return the most seconds between two events.
+
+        A silent target is left only if another one may go on with the stream.
+        """
+        has_begun = context.binding is not None
+        if not (
+            self._may_repeat(context)
+            and self.placer.may_follow(context, target, has_begun)
+        ):
             return context.deadline - time.monotonic()
         timeout = PAUSE_FACTOR * context.route.pause_most
         return max(timeout, MIN_EVENT_TIMEOUT)
 
-    def _may_replace(
-        self, context: records.RequestContext, target: messages.TargetRecord
-    ) -> bool:
-        """Return whether another target may run the request after `target`."""
-        return (
-            context.route.idempotent
-            and self._attempts_left(context) >= 2
-            and not self.placer.others_rest(context, target)
-            and not self.placer.room.others_full(target, context.tried)
-        )
+    def _may_repeat(self, context: records.RequestContext) -> bool:
+        """Return whether another attempt may follow the current one."""
+        return context.route.idempotent and self._attempts_left(context) >= 2
 
     def _attempts_left(self, context: records.RequestContext) -> int:
         return context.route.attempts_most - context.attempts_sent
@@ -563,6 +571,14 @@
         )
 
 
+def _bind(
+    context: records.RequestContext, target: messages.TargetRecord
+) -> None:
+    """Bind a stream to the target that made its first event."""
+    if context.binding is None:
+        context.binding = bindings.of_target(target)
+
+
 def _round_up(seconds: float) -> float:
     """Return `seconds` in whole milliseconds, none too few."""
     return math.ceil(seconds * 1e3) / 1e3
--- a/amaranthring/forwarding/target_room.py
+++ b/amaranthring/forwarding/target_room.py
@@ -53,24 +53,6 @@
         counts = self.count(target)
         return self.limits.has_room(target.service, target.id, counts)
 
-    def others_full(
-        self, target: messages.TargetRecord, tried: t.Container[str]
-    ) -> bool:
-        """Return whether no brittle target has room but `target`.
-
-        Parameters
-        ----------
-        tried : collection of str
-            Ids of targets that do not count.
-        """
-        if not self.is_brittle(target.service):
-            return False
-        return not any(
-            self.has_room(other)
-            for other in self.ready(target.service)
-            if other.id != target.id and other.id not in tried
-        )
-
     def allowed_requests(self, service: str) -> int:
         """Return how many requests this router may have at brittle targets."""
         return sum(
--- a/amaranthring/testing/scripted_target.py
+++ b/amaranthring/testing/scripted_target.py
@@ -168,8 +168,9 @@
 
     def record(self, service: str = "s", **fields) -> messages.TargetRecord:
         """Return the record that a router would hold of it."""
+        fields = {"release": "v1", "sequence": 1} | fields
         return messages.TargetRecord(
-            self.name, service, self.address, "here", sequence=1, **fields
+            self.name, service, self.address, "here", **fields
         )
 
     async def _serve(self, reader, writer) -> None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -354,6 +354,7 @@
     def _context_without_targets(self):
         class Context:
             service = "none"
+            binding = None
             tried = frozenset()
             route = SAFE
             is_suspect = False
--- a/tests/test_prompt_copies.py
+++ b/tests/test_prompt_copies.py
@@ -70,7 +70,9 @@
         self.started += 1
         name = f"e{self.started}"
         self.table.merge(
-            messages.TargetRecord(name, "s", f"{name}:1", "here", slots=64)
+            messages.TargetRecord(
+                name, "s", f"{name}:1", "here", "v1", slots=64
+            )
         )
 
     def drain_oldest(self) -> None:
@@ -222,7 +224,7 @@
         self.table = targets.TargetTable(lambda: self.now, 0.0)
         for name in ("e0", "e1"):
             self.table.merge(
-                messages.TargetRecord(name, "s", f"{name}:1", "here")
+                messages.TargetRecord(name, "s", f"{name}:1", "here", "v1")
             )
         self.placer = placement.Placer(self.table, "here", lambda: self.now)
         self.parts = (
@@ -280,6 +282,14 @@
         self.now += placement.LINGER_SECONDS
         self.assertIsNone(self.copy())
 
+    def test_engine_of_another_version_is_not_a_source(self):
+        """Guards against memory of a version that may not fit."""
+        self.now += 1.0
+        self.old.release = "v2"
+        self.assertIsNone(self.copy())
+        self.old.release = self.new.release = ""
+        self.assertIsNone(self.copy())
+
     def test_replaced_engine_is_not_a_source(self):
         self.now += 1.0
         self.placer.record_replaced(self.old)
