Know which version began a stream at every router

What callers saw: a stream that they took up again at any router went on at any version of the service's software, and at any service of a split route.

Cause: which target began a stream was known to nobody once its answer had ended; Resumes was not read. Class: what is absent was taken for equal.

Change: routers report the streams that they pass on to their home keeper with the counts they send anyhow, keepers tell each other, and a router that does not know a stream asks all of them. Keys are digests of account and id. Nobody knows: a request goes on only if one version alone can have begun it, as a keeper that hears all others says; else it is refused at once with Retry-After. A binding names the service as well, so a try keeps to it on a split route, and is refused where the route no longer leads there. Keepers' hints hold targets that have left, and are written at once for a new version, so that this holds after a loss of all power.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -245,6 +245,12 @@
     code = "no-room"
 
 
+class StreamUnknownError(NoTargetError):
+    """Nobody knows which version of the service began a stream."""
+
+    code = "stream-unknown"
+
+
 class CallerHeldBackError(NoTargetError):
     """A target rests on account of the caller, which is suspected."""
 
--- a/amaranthring/forwarding/handing_over.py
+++ b/amaranthring/forwarding/handing_over.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import time
+import typing as t
 
 import logbook
 
@@ -19,6 +20,7 @@
 from amaranthring.forwarding import responses
 from amaranthring.handover import client as handover_client
 from amaranthring.handover import messages
+from amaranthring.policy import bindings
 
 log = logbook.Logger(__name__)
 
@@ -131,6 +133,9 @@
     ) -> handover_client.Helper | None:
         if len(context.helpers_tried) >= MAX_HELPERS_TRIED:
             return None
+        if context.binding is not None and not context.binding.release:
+            # No helper can keep to a version that is not known.
+            return None
         return self.client.choose(context.service, context.helpers_tried)
 
     async def run(
@@ -139,9 +144,15 @@
         helper: handover_client.Helper,
         splitter: events.EventSplitter,
         writer: responses.ResponseWriter,
+        on_events: t.Callable[[bindings.Binding], None],
     ) -> None:
         """Have a helper send a request on, and pass its answer back.
 
+        Parameters
+        ----------
+        on_events : callable
+            Called with the binding of the stream before events are passed on.
+
         Raises
         ------
         errors.HelperRefusedError
@@ -157,7 +168,7 @@
             answer = await self._begin(context, helper, splitter)
             head = await answer.read_head()
             outcome = str(head.status)
-            await _pass_on(answer, head, splitter, writer)
+            await _pass_on(answer, head, splitter, writer, on_events)
         except errors.AmaranthringError as error:
             outcome = error.code
             raise self._interpret(context, answer, error) from error
@@ -216,6 +227,7 @@
     head: messages.Head,
     splitter: events.EventSplitter,
     writer: responses.ResponseWriter,
+    on_events: t.Callable[[bindings.Binding], None],
 ) -> None:
     """Pass the answer of a helper on to the caller."""
     headers = messages.unpack_headers(head.headers)
@@ -232,6 +244,8 @@
         return
     while data := await answer.read():
         complete = splitter.feed(data)
+        if complete:
+            on_events(bindings.Binding(head.service, head.release))
         if complete and writer.status:
             await writer.write(complete)
         elif complete:
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -77,6 +77,11 @@
     origin: str = ""
     resumes: str = ""
 
+    @property
+    def is_resumed(self) -> bool:
+        """Return whether the caller takes a stream up again."""
+        return bool(self.resume_after or self.resumes)
+
 
 @dataclasses.dataclass
 class AttemptInfo:
@@ -216,12 +221,15 @@
         Number of targets that may have started to run it there.
     attempts_after : int
         The same with the attempts of this router.
+    binding : Binding or None
+        What the stream is bound to, once it is.
     """
 
     router: str
     service: str
     attempts_sent: int
     attempts_after: int = 0
+    binding: bindings.Binding | None = None
 
 
 @dataclasses.dataclass
@@ -237,6 +245,8 @@
     binding : Binding or None
         What its stream is bound to, once an event of it was passed on, now or
         at an earlier attempt of the caller.
+    bound_at : float
+        When the binding was last recorded, in seconds.
     handover : Handover or None
         Set if another router handed it over.
     is_path_trial : bool
@@ -297,6 +307,7 @@
     is_accepted: bool = False
     prefill_tokens: int = 0
     binding: bindings.Binding | None = None
+    bound_at: float = float("-inf")
     handover: Handover | None = None
     is_path_trial: bool = False
     helpers_tried: set[str] = dataclasses.field(default_factory=set)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -24,6 +24,7 @@
 from amaranthring.forwarding import responses
 from amaranthring.forwarding import room_queue
 from amaranthring.forwarding import startup
+from amaranthring.forwarding import stream_bindings
 from amaranthring.forwarding import target_notices
 from amaranthring.handover import client as handover_client
 from amaranthring.policy import bindings
@@ -54,6 +55,9 @@
 # a full target frees a slot sooner, but all callers wait for it.
 RETRY_NO_TARGET = 0.5
 RETRY_REFUSED = 0.3
+# The same where no target has the version of a stream: one that crashed is
+# back after some seconds.
+RETRY_RELEASE = 1.0
 # Outcomes of an attempt in the request log: nothing was sent.
 UNREACHED = "target-unreached"
 NOT_LISTENING = "target-not-listening"
@@ -80,6 +84,8 @@
         Refuses requests that crash targets.
     handing_over : HandingOver, optional
         Hands requests to other routers while no target is reached.
+    streams : StreamBindings, optional
+        Knows which versions began streams.
     """
 
     def __init__(
@@ -95,6 +101,7 @@
         start: startup.StartupGate | None = None,
         crashes: crash_guard.CrashGuard | None = None,
         handing_over: handing_over_module.HandingOver | None = None,
+        streams: stream_bindings.StreamBindings | None = None,
     ):
         self.connections = connections or pool.Pool()
         self.dialect = dialect
@@ -105,6 +112,7 @@
             "", placer, self.connections
         )
         self.handing_over = handing_over
+        self.streams = streams or stream_bindings.StreamBindings(placer.table)
         self.share = share
         self.metrics = metrics
         self.log_request = functools.partial(request_log.record, metrics)
@@ -134,6 +142,7 @@
             # A response that arrived while this process was stalled is
             # delivered even after the deadline.
             async with timeouts.timeout_at(self._loop_time(context.deadline)):
+                await self._admit(context)
                 await self._run_attempts(context, writer)
         except TimeoutError:
             failure = errors.UpstreamTimeoutError(
@@ -189,9 +198,7 @@
             raise errors.NotFoundError("no route for this host and path")
         account = self._account(table, route, incoming)
         service = route_tables.draw_service(route)
-        if handover is None:
-            self.budgets[service].count_request()
-        elif any(s.service == handover.service for s in route.shares):
+        if handover is not None and route.leads_to(handover.service):
             service = handover.service
         seconds = min(incoming.timeout - RESPONSE_MARGIN, route.timeout)
         return records.RequestContext(
@@ -203,9 +210,41 @@
             incoming.arrived + seconds,
             table.services[service].engine,
             attempts_sent=handover.attempts_sent if handover else 0,
+            binding=handover.binding if handover else None,
             handover=handover,
         )
 
+    async def _admit(self, context: records.RequestContext) -> None:
+        """Bind a request that takes a stream up again, and count it.
+
+        Raises
+        ------
+        errors.RefusedError
+            If it is not known what may go on with the stream, or the route
+            no longer leads there.
+        """
+        try:
+            await self.streams.bind(context)
+            self._follow_binding(context)
+        finally:
+            if context.handover is None:
+                self.budgets[context.service].count_request()
+
+    def _follow_binding(self, context: records.RequestContext) -> None:
+        binding = context.binding
+        if binding is None or binding.service == context.service:
+            return
+        table = self.table()
+        if not context.route.leads_to(binding.service) or table is None:
+            raise errors.NoTargetError(
+                "the route no longer leads to the service of the stream",
+                given=context.service,
+                expected=binding.service,
+                retry_after=RETRY_RELEASE,
+            )
+        context.service = binding.service
+        context.engine = table.services[binding.service].engine
+
     def _account(
         self,
         table: route_tables.RouteTable,
@@ -248,7 +287,11 @@
             try:
                 if helper is not None:
                     await self.handing_over.run(
-                        context, helper, splitter, writer
+                        context,
+                        helper,
+                        splitter,
+                        writer,
+                        functools.partial(self.streams.passed_on, context),
                     )
                 else:
                     await self._attempt(context, target, splitter, writer)
@@ -345,7 +388,11 @@
                     splitter,
                     writer,
                     functools.partial(self._event_timeout, context, target),
-                    functools.partial(_bind, context, target),
+                    functools.partial(
+                        self.streams.passed_on,
+                        context,
+                        bindings.of_target(target),
+                    ),
                 )
                 if not writer.status:
                     await writer.start_stream(head.status, head.headers, b"")
@@ -538,6 +585,12 @@
                 f"all targets of service {context.service} rest",
                 retry_after=_round_up(rest),
             )
+        if context.binding and not self.placer.eligibility.of_request(context):
+            return errors.NoTargetError(
+                "no target may go on with the stream",
+                expected=str(context.binding),
+                retry_after=RETRY_RELEASE,
+            )
         return errors.NoTargetError(
             f"no target of service {context.service} is ready",
             retry_after=RETRY_NO_TARGET,
@@ -571,14 +624,6 @@
         )
 
 
-def _bind(
-    context: records.RequestContext, target: messages.TargetRecord
-) -> None:
-    """Bind a stream to the target that made its first event."""
-    if context.binding is None:
-        context.binding = bindings.of_target(target)
-
-
 def _round_up(seconds: float) -> float:
     """Return `seconds` in whole milliseconds, none too few."""
     return math.ceil(seconds * 1e3) / 1e3
--- /dev/null
+++ b/amaranthring/forwarding/stream_bindings.py
@@ -0,0 +1,337 @@
+"""What streams are bound to, as one router knows and finds out."""
+
+import asyncio
+import collections
+import typing as t
+
+import logbook
+
+from amaranthring import errors
+from amaranthring import routing
+from amaranthring.core import clocks
+from amaranthring.core import links
+from amaranthring.core import logs
+from amaranthring.forwarding import records
+from amaranthring.policy import bindings
+from amaranthring.registry import stream_messages
+from amaranthring.registry import targets as tables
+
+__all__ = ["StreamBindings"]
+
+log = logbook.Logger(__name__)
+
+# Streams of this router in one generation of bindings.
+MAX_STREAMS = 20_000
+# Reported at once; the rest follows with the next reports.
+MAX_REPORTED = 4_096
+# A stream in use is recorded again after this time, before it is forgotten.
+RENEW_SECONDS = 20.0
+# What was reported within this time before the home keeper changed may be
+# lost with the one before.
+REPEATED_SECONDS = 1.0
+# A keeper answers within a round trip.
+ANSWER_SECONDS = 0.3
+# After a start, for this long keepers are asked again until one knows enough.
+ASK_SECONDS = 0.5
+ASK_PAUSE_SECONDS = 0.1
+# For as long as keepers know targets that have left.
+HISTORY_SECONDS = 60.0
+# ``Retry-After`` in seconds: a report reaches all keepers within this time.
+RETRY_UNKNOWN = 0.5
+
+RouteKey = tuple[str, str]
+
+
+class StreamBindings:
+    """Bindings of the streams that this router passes on, and of others.
+
+    Parameters
+    ----------
+    table : targets.TargetTable
+        Targets as known to the keepers.
+    open_links : callable
+        Returns the open links to keepers.
+    clock : callable
+        Seconds; continues while the VM is suspended.
+
+    Attributes
+    ----------
+    known : bindings.BindingTable
+        Bindings of the streams that this router has passed on.
+    services : dict
+        Services of each route of the plan in force, by host and prefix.
+    moved_at : dict
+        When the services of a route last changed, by host and prefix.
+    """
+
+    def __init__(
+        self,
+        table: tables.TargetTable,
+        open_links: t.Callable[[], t.Iterable[links.Link]] = list,
+        clock: t.Callable[[], float] = clocks.boottime,
+    ):
+        self.table = table
+        self.open_links = open_links
+        self.clock = clock
+        self.known = bindings.BindingTable(clock, MAX_STREAMS)
+        self.unreported: collections.deque[tuple[bytes, bindings.Binding]] = (
+            collections.deque(maxlen=MAX_STREAMS)
+        )
+        self.reported: collections.deque[
+            tuple[float, bytes, bindings.Binding]
+        ] = collections.deque(maxlen=MAX_REPORTED)
+        self.services: dict[RouteKey, frozenset[str]] = {}
+        self.moved_at: dict[RouteKey, float] = {}
+
+    # -- streams that are passed on ----------------------------------
+
+    def passed_on(
+        self, context: records.RequestContext, binding: bindings.Binding
+    ) -> None:
+        """Bind a stream with its first events; called before all events.
+
+        Raises
+        ------
+        errors.UpstreamError
+            If the stream is bound to something else.
+        """
+        if context.binding is None:
+            context.binding = binding
+        elif context.binding != binding:
+            raise errors.UpstreamError(
+                "the target may not go on with the stream",
+                given=str(binding),
+                expected=str(context.binding),
+            )
+        now = self.clock()
+        if now - context.bound_at < RENEW_SECONDS:
+            return
+        context.bound_at = now
+        if context.handover is not None:
+            context.handover.binding = context.binding
+        if context.binding.release:
+            key = _key(context)
+            self.known.record(key, context.binding)
+            self.unreported.append((key, context.binding))
+
+    def take_report(self) -> list[stream_messages.BoundStreams]:
+        """Return the streams to report to the home keeper."""
+        now = self.clock()
+        by_binding = collections.defaultdict(list)
+        for _ in range(min(MAX_REPORTED, len(self.unreported))):
+            key, binding = self.unreported.popleft()
+            by_binding[binding].append(key)
+            self.reported.append((now, key, binding))
+        return stream_messages.pack(by_binding)
+
+    def report_again(self) -> None:
+        """Report again what the home keeper before may not have passed on."""
+        oldest = self.clock() - REPEATED_SECONDS
+        self.unreported.extend(
+            (key, binding)
+            for at, key, binding in self.reported
+            if at >= oldest
+        )
+        self.reported.clear()
+
+    def record_plan(self, plan: routing.Plan) -> None:
+        """Note which routes lead to other services than before."""
+        now = self.clock()
+        services = {
+            _route_key(route): frozenset(s.service for s in route.shares)
+            for route in plan.routes
+        }
+        if self.services:
+            for key, names in services.items():
+                if self.services.get(key) != names:
+                    self.moved_at[key] = now
+        oldest = now - HISTORY_SECONDS
+        self.moved_at = {
+            key: at for key, at in self.moved_at.items() if at >= oldest
+        }
+        self.services = services
+
+    # -- streams that are taken up again -----------------------------
+
+    async def bind(self, context: records.RequestContext) -> None:
+        """Bind a request that takes a stream up again as its first attempt.
+
+        Raises
+        ------
+        errors.StreamUnknownError
+            If nobody knows which version began the stream.
+        """
+        if context.binding is not None or not context.incoming.is_resumed:
+            return
+        key = _key(context)
+        found = self.known.find(key)
+        if found is not None:
+            self._bind(context, found.binding, "here", found.age)
+            return
+        give_up_at = self.clock() + ASK_SECONDS
+        while True:
+            answers = await self._ask_keepers(context, key)
+            if self._bind_by_answers(context, answers):
+                return
+            if not self._is_worth_asking_again(answers):
+                break
+            if self.clock() >= give_up_at:
+                break
+            await asyncio.sleep(ASK_PAUSE_SECONDS)
+        raise self._unknown(context, answers)
+
+    def _bind_by_answers(
+        self,
+        context: records.RequestContext,
+        answers: dict[str, stream_messages.StreamFound],
+    ) -> bool:
+        """Bind a request if the keepers' answers allow it."""
+        for keeper, answer in answers.items():
+            if answer.known:
+                binding = bindings.Binding(answer.service, answer.release)
+                self._bind(context, binding, keeper, answer.age)
+                return True
+        release = self._only_release(context, answers)
+        if release:
+            binding = bindings.Binding(context.service, release)
+            self._bind(context, binding, "only-release", 0.0)
+        return bool(release)
+
+    def _bind(
+        self,
+        context: records.RequestContext,
+        binding: bindings.Binding,
+        source: str,
+        age: float,
+    ) -> None:
+        if binding == bindings.AMBIGUOUS:
+            raise self._unknown(context, {}, "ambiguous")
+        context.binding = binding
+        logs.event(
+            log,
+            "stream.bound",
+            id=context.incoming.request_id,
+            resumes=context.incoming.resumes,
+            service=binding.service,
+            release=binding.release,
+            source=source,
+            age=round(age, 3),
+        )
+
+    async def _ask_keepers(
+        self, context: records.RequestContext, key: bytes
+    ) -> dict[str, stream_messages.StreamFound]:
+        """Return the answers of the keepers by name.
+
+        One that knows the stream's binding is enough.
+        """
+        question = stream_messages.FindStream(key, context.service)
+        tasks = [
+            asyncio.ensure_future(_ask(link, question))
+            for link in self.open_links()
+        ]
+        answers = {}
+        try:
+            for task in asyncio.as_completed(tasks):
+                keeper, answer = await task
+                if answer is not None:
+                    answers[keeper] = answer
+                if answer is not None and answer.known:
+                    break
+        finally:
+            for task in tasks:
+                task.cancel()
+        return answers
+
+    def _only_release(
+        self,
+        context: records.RequestContext,
+        answers: dict[str, stream_messages.StreamFound],
+    ) -> str:
+        """Return the version that alone can have begun the stream, or ""."""
+        if len(context.route.shares) != 1 or self._has_moved(context.route):
+            return ""
+        if not any(answer.complete for answer in answers.values()):
+            return ""
+        releases = self._releases(context.service).union(
+            *(answer.releases for answer in answers.values())
+        )
+        return releases.pop() if len(releases) == 1 else ""
+
+    def _releases(self, service: str) -> set[str]:
+        """Return the versions that this router knows of."""
+        oldest = self.table.clock() - HISTORY_SECONDS
+        return {
+            entry.record.release
+            for entry in self.table.entries.values()
+            if entry.record.service == service
+            and (not entry.gone_at or entry.gone_at >= oldest)
+        }
+
+    def _has_moved(self, route: routing.Route) -> bool:
+        moved_at = self.moved_at.get(_route_key(route))
+        if moved_at is None:
+            return False
+        return self.clock() - moved_at < HISTORY_SECONDS
+
+    def _is_worth_asking_again(
+        self, answers: dict[str, stream_messages.StreamFound]
+    ) -> bool:
+        """Return whether keepers may soon know more, as after their start."""
+        if any(answer.complete for answer in answers.values()):
+            return False
+        return not any(len(a.releases) > 1 for a in answers.values())
+
+    def _unknown(
+        self,
+        context: records.RequestContext,
+        answers: dict[str, stream_messages.StreamFound],
+        reason: str = "unknown",
+    ) -> errors.StreamUnknownError:
+        logs.event(
+            log,
+            "stream.unknown",
+            id=context.incoming.request_id,
+            resumes=context.incoming.resumes,
+            service=context.service,
+            reason=reason,
+            services=len(context.route.shares),
+            moved=self._has_moved(context.route),
+            answers={
+                keeper: [answer.complete, answer.releases]
+                for keeper, answer in answers.items()
+            },
+            releases=sorted(self._releases(context.service)),
+        )
+        return errors.StreamUnknownError(
+            "it is not known which version of the service began the stream",
+            given=context.incoming.resumes,
+            expected="the id of the attempt that brought its first event",
+            retry_after=RETRY_UNKNOWN,
+        )
+
+
+async def _ask(
+    link: links.Link, question: stream_messages.FindStream
+) -> tuple[str, stream_messages.StreamFound | None]:
+    """Return a keeper's name and its answer, if it gives one."""
+    try:
+        return link.peer.name, await link.call(question, ANSWER_SECONDS)
+    except errors.AmaranthringError as error:
+        logs.event(
+            log,
+            "stream.unanswered",
+            keeper=link.peer.name,
+            reason=error.code,
+        )
+        return link.peer.name, None
+
+
+def _key(context: records.RequestContext) -> bytes:
+    incoming = context.incoming
+    first = incoming.resumes or incoming.request_id
+    return bindings.stream_key(context.account, first)
+
+
+def _route_key(route: routing.Route) -> RouteKey:
+    return route.host.lower(), route.prefix
--- a/amaranthring/handover/client.py
+++ b/amaranthring/handover/client.py
@@ -224,7 +224,7 @@
             answer.number, context, seconds_left, resume_after
         )
         try:
-            await helper.dialler.call(message, ACCEPT_SECONDS)
+            accepted = await helper.dialler.call(message, ACCEPT_SECONDS)
         except errors.AmaranthringError as error:
             if error.outcome == errors.Outcome.NOT_RUN:
                 helper.paused_until = self.clock() + HELPER_PAUSE_SECONDS
@@ -233,6 +233,14 @@
         except asyncio.CancelledError:
             self.end(answer)
             raise
+        if accepted.release != message.release:
+            # An older build, which may have begun to run the request.
+            self.end(answer)
+            raise errors.TruncatedResponseError(
+                "the helper does not keep streams to a version",
+                given=accepted.release,
+                expected=message.release,
+            )
         return answer
 
     def end(self, answer: Answer) -> None:
--- a/amaranthring/handover/messages.py
+++ b/amaranthring/handover/messages.py
@@ -4,6 +4,7 @@
 
 from amaranthring.core import wire
 from amaranthring.forwarding import records
+from amaranthring.policy import bindings
 
 
 @wire.message("handover-request")
@@ -26,6 +27,10 @@
         Service that the router drew.
     attempts_sent : int
         Number of targets that may have started to run it.
+    resumes : str
+        Attempt of the caller that brought the first event of its stream.
+    bound_service, release : str
+        What its stream is bound to; empty if it is not.
     """
 
     number: int
@@ -44,13 +49,23 @@
     version: int
     service: str
     attempts_sent: int
+    resumes: str = ""
+    bound_service: str = ""
+    release: str = ""
 
 
 @wire.message("handover-accepted")
 class Accepted:
-    """Reply to :class:`HandOver`: the answer follows."""
+    """Reply to :class:`HandOver`: the answer follows.
+
+    Attributes
+    ----------
+    release : str
+        Version to which the helper keeps the stream, if it is bound.
+    """
 
     number: int
+    release: str = ""
 
 
 @wire.message("handover-cancel")
@@ -62,11 +77,19 @@
 
 @wire.message("handover-head")
 class Head:
-    """Head of the target's response; headers as in :class:`HandOver`."""
+    """Head of the target's response; headers as in :class:`HandOver`.
+
+    Attributes
+    ----------
+    service, release : str
+        What the stream is bound to, if the response is one.
+    """
 
     number: int
     status: int
     headers: list[list[str]]
+    service: str = ""
+    release: str = ""
 
 
 @wire.message("handover-data")
@@ -118,6 +141,9 @@
         context.version,
         context.service,
         context.attempts_sent,
+        incoming.resumes,
+        context.binding.service if context.binding else "",
+        context.binding.release if context.binding else "",
     )
 
 
@@ -147,9 +173,17 @@
         output_tokens=message.output_tokens,
         body=message.body,
         origin=message.origin,
+        resumes=message.resumes,
     )
 
 
+def binding_of(message: HandOver) -> bindings.Binding | None:
+    """Return what the stream of a handed over request is bound to."""
+    if not message.release:
+        return None
+    return bindings.Binding(message.bound_service, message.release)
+
+
 def pack_headers(headers: tornado.httputil.HTTPHeaders) -> list[list[str]]:
     """Return the headers as pairs of name and value."""
     return [list(pair) for pair in headers.get_all()]
--- a/amaranthring/handover/server.py
+++ b/amaranthring/handover/server.py
@@ -70,7 +70,11 @@
         self.status = status
         self.started_at = time.monotonic()
         pairs = messages.pack_headers(headers)
-        self._send(messages.Head(self.number, status, pairs))
+        binding = self.terms.binding
+        head = messages.Head(self.number, status, pairs)
+        if binding is not None:
+            head.service, head.release = binding.service, binding.release
+        self._send(head)
         if data:
             await self.write(data)
 
@@ -183,7 +187,10 @@
         self.check(message.service, message.version)
         incoming = messages.unpack(message, time.monotonic())
         terms = records.Handover(
-            link.peer.name, message.service, message.attempts_sent
+            link.peer.name,
+            message.service,
+            message.attempts_sent,
+            binding=messages.binding_of(message),
         )
         logs.event(
             log,
@@ -191,6 +198,7 @@
             id=message.request_id,
             router=link.peer.name,
             service=message.service,
+            release=message.release,
             helped=len(self.tasks) + 1,
             seconds_left=round(message.seconds_left, 3),
         )
@@ -200,7 +208,7 @@
             self._run(incoming, writer, terms)
         )
         self.tasks[key].add_done_callback(lambda _: self.tasks.pop(key))
-        return messages.Accepted(message.number)
+        return messages.Accepted(message.number, message.release)
 
     async def _run(
         self,
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -28,6 +28,7 @@
 from amaranthring.forwarding import records
 from amaranthring.forwarding import relay as relays
 from amaranthring.forwarding import startup
+from amaranthring.forwarding import stream_bindings
 from amaranthring.handover import client as handover_client
 from amaranthring.handover import server as handover_server
 from amaranthring.policy import budgets
@@ -150,11 +151,15 @@
         self.handover_server = handover_server.HandoverServer(
             identity, keys, self.serve_for_peer, self.check_handover
         )
+        self.streams = stream_bindings.StreamBindings(
+            self.subscriber.table, self.subscriber.open_links
+        )
         self.reporter = reporting.Reporter(
             self.subscriber.handlers,
             self.subscriber.home_link,
             self.report,
             self.update_from_others,
+            on_switch=self.streams.report_again,
         )
         connections = pool.Pool(self.max_idle_connections)
         self.crashes = crash_guard.CrashGuard(
@@ -190,6 +195,7 @@
             ),
             self.crashes,
             self.handing_over,
+            self.streams,
         )
         self.front = fronts.Frontend(dialect, self.relay.serve, self.bounds)
         self.stopping = False
@@ -216,6 +222,7 @@
     def take_plan(self, document: bytes) -> None:
         """Activate the plan in `document`."""
         self.table = routing.RouteTable(self.decode(document))
+        self.streams.record_plan(self.table.plan)
 
     def report(self) -> sharing.Report:
         """Return the report for the other routers."""
@@ -224,6 +231,7 @@
             self.placer.paths.unreached_services
         )
         report.sought = self.handing_over.sought_services()
+        report.streams = self.streams.take_report()
         if not self.stopping:
             report.address = self.config.peers
         return report
--- a/amaranthring/registry/hint_file.py
+++ b/amaranthring/registry/hint_file.py
@@ -51,7 +51,7 @@
     places : list of list of str
         Pairs of prompt part and target, the oldest first.
     targets : list of TargetRecord
-        Targets that were not silent.
+        Targets that were not silent, with those that had left of late.
     tokens : dict of str to int
         As in :class:`sharing.Report`, for `places`.
     condemned : list of Verdict
@@ -85,6 +85,11 @@
         System calls.
     wall : callable
         Wall-clock time in seconds.
+
+    Attributes
+    ----------
+    has_targets : bool
+        Whether the targets of before the start were loaded.
     """
 
     def __init__(
@@ -107,6 +112,8 @@
         self.written: t.Any = None
         self.written_at = float("-inf")
         self.faulty = False
+        self.has_targets = False
+        self.is_urgent = asyncio.Event()
         # Writes in a thread, so that a stalled disk blocks neither the event
         # loop nor the log.
         self.thread = concurrent.futures.ThreadPoolExecutor(1, "hints")
@@ -127,6 +134,7 @@
         age = self.wall() - hints.written_at
         recent = hints.targets if abs(age) <= MAX_TARGETS_AGE_SECONDS else []
         self.table.restore(recent, self.trusted_age)
+        self.has_targets = bool(recent)
         self.crashes.restore(hints.condemned, hints.runs, max(0.0, age))
         logs.event(
             log,
@@ -141,7 +149,7 @@
         """Write changes until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(WRITE_SECONDS)
+            await self._wait()
             hints = self._hints()
             comparable = self._comparable(hints)
             due = hints.written_at - self.written_at >= REWRITE_SECONDS
@@ -152,9 +160,22 @@
             if error is None:
                 self.written, self.written_at = comparable, hints.written_at
 
+    async def _wait(self) -> None:
+        """Wait until the next write is due."""
+        try:
+            async with asyncio.timeout(WRITE_SECONDS):
+                await self.is_urgent.wait()
+        except TimeoutError:
+            pass
+        self.is_urgent.clear()
+
+    def write_soon(self) -> None:
+        """Write without waiting for the interval."""
+        asyncio.get_running_loop().call_soon(self.is_urgent.set)
+
     def _hints(self) -> Hints:
         active = [
-            record for record in self.table.active() if not record.silent
+            record for record in self.table.records() if not record.silent
         ]
         locations = self.exchange.recent_locations()
         tokens = self.exchange.tokens_of(locations)
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -21,6 +21,7 @@
 from amaranthring.registry import publisher
 from amaranthring.registry import router_census
 from amaranthring.registry import sharing
+from amaranthring.registry import stream_ledger
 from amaranthring.registry import targets
 
 log = logbook.Logger(__name__)
@@ -88,11 +89,15 @@
         )
         self.routers_told_at = float("-inf")
         self.accepted = accepted.AcceptedLinks(time.monotonic())
+        self.streams = stream_ledger.StreamLedger(
+            handlers, self.table, FRESH_INTERVALS * announce_seconds, clock
+        )
         self.exchange = sharing.Exchange(
             handlers,
             lambda: [peer.dialler for peer in group.peers.values()],
             clock,
             pacer,
+            self.streams,
         )
         self.crashes = crash_ledger.CrashLedger(
             handlers, lambda: self.routers, clock
@@ -140,6 +145,7 @@
             another keeper.
         """
         self._require_connected()
+        self.streams.will_announce(record)
         if self.table.merge(record):
             merged = self.table.entries[record.id].record
             targets.log_change(merged)
@@ -198,6 +204,8 @@
         self._merge(message.records)
 
     def _merge(self, records: list[messages.TargetRecord]) -> None:
+        for record in records:
+            self.streams.will_announce(record)
         changed = [
             self.table.entries[record.id].record
             for record in records
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -177,6 +177,8 @@
     def start(self, sockets: list) -> None:
         """Accept links on the listening `sockets` and join the group."""
         self.hints.load()
+        self.hub.streams.is_restored = self.hints.has_targets
+        self.hub.streams.on_new_release.append(self.hints.write_soon)
         self.server.add_sockets(sockets)
         self.group.start()
         self.hub.start()
--- a/amaranthring/registry/reporting.py
+++ b/amaranthring/registry/reporting.py
@@ -26,6 +26,8 @@
         the way to the keeper and back, too.
     clock : callable
         Seconds; continues while the VM is suspended.
+    on_switch : callable, optional
+        Called before the first report to another keeper than before.
 
     Attributes
     ----------
@@ -40,7 +42,9 @@
         report: t.Callable[[], sharing.Report],
         on_others: t.Callable[[sharing.Others], None],
         clock: t.Callable[[], float] = clocks.boottime,
+        on_switch: t.Callable[[], None] | None = None,
     ):
+        self.on_switch = on_switch
         self.home_link = home_link
         self.clock = clock
         self.reported_to: links.Link | None = None
@@ -81,6 +85,8 @@
     def _switch_to(self, link: links.Link) -> None:
         """Tell the previous home keeper that this router has left it."""
         previous, self.reported_to = self.reported_to, link
+        if previous is not link and self.on_switch is not None:
+            self.on_switch()
         if previous not in (None, link):
             sharing.send_if_open(previous, sharing.Left())
 
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -22,6 +22,8 @@
 from amaranthring.core import wire
 from amaranthring.registry import backlogs
 from amaranthring.registry import helpers as helpers_module
+from amaranthring.registry import stream_ledger
+from amaranthring.registry import stream_messages
 
 # Requests last about a second, so counts a few hundred milliseconds old still
 # bound the load, for 8 messages per second and router.
@@ -89,6 +91,8 @@
         Requests that each brittle target has turned away in the last seconds.
     brittle : dict of str to int
         By service, how many requests a second its targets may turn away.
+    streams : list of BoundStreams
+        Streams that it has begun to pass on, or still does.
     """
 
     counts: dict[str, int]
@@ -104,6 +108,9 @@
     sought: list[str] = dataclasses.field(default_factory=list)
     refused: dict[str, int] = dataclasses.field(default_factory=dict)
     brittle: dict[str, int] = dataclasses.field(default_factory=dict)
+    streams: list[stream_messages.BoundStreams] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @wire.message("share-left")
@@ -130,6 +137,8 @@
         Mean age of these routers' counts at the sender, in seconds.
     helpers : list of Helper
         Some of these routers that take requests of others.
+    streams : list of BoundStreams
+        What these routers have reported since the last sums.
     """
 
     counts: dict[str, int]
@@ -146,6 +155,9 @@
     )
     refused: dict[str, int] = dataclasses.field(default_factory=dict)
     brittle: dict[str, int] = dataclasses.field(default_factory=dict)
+    streams: list[stream_messages.BoundStreams] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @wire.message("share-others", compressed=True)
@@ -284,6 +296,8 @@
         Seconds.
     pacer : pacing.Pacer, optional
         Of this keeper's link.
+    streams : StreamLedger, optional
+        What streams are bound to.
     """
 
     def __init__(
@@ -292,8 +306,12 @@
         peers: t.Callable[[], t.Iterable[t.Any]],
         clock: t.Callable[[], float],
         pacer: pacing.Pacer | None = None,
+        streams: stream_ledger.StreamLedger | None = None,
     ):
         self.pacer = pacer
+        self.streams = streams
+        if streams is not None:
+            streams.hears_all_keepers = self._hears_all_keepers
         self.peers = peers
         self.clock = clock
         self.routers: dict[links.Link, Report] = {}
@@ -326,6 +344,8 @@
         message = totals.message(Sums, locations)
         message.helpers = self._own_helpers()
         message.tokens = self.tokens_of(locations)
+        if self.streams is not None:
+            message.streams = self.streams.take_untold()
         free = self._free_locations()
         allowances = self._allowances(free)
         for dialler in self.peers():
@@ -494,6 +514,8 @@
         is_new = link not in self.routers
         self.routers[link] = report
         self.reported_at[link] = self.clock()
+        if self.streams is not None:
+            self.streams.add(report.streams)
         if is_new:
             # A new router accepts no callers until it knows the others'
             # totals.
@@ -532,6 +554,8 @@
         if name not in self.sums:
             logs.event(log, "sums.heard", keeper=name, routers=sums.routers)
         self.sums[name] = (self.clock(), sums)
+        if self.streams is not None:
+            self.streams.merge(sums.streams)
         self.merge_tokens(sums.tokens)
         self._forward(sums.places, sender=link)
         unknown = [
--- /dev/null
+++ b/amaranthring/registry/stream_messages.py
@@ -0,0 +1,83 @@
+"""Messages about what streams are bound to."""
+
+import dataclasses
+import typing as t
+
+from amaranthring.core import wire
+from amaranthring.policy import bindings
+
+
+@dataclasses.dataclass
+class BoundStreams:
+    """Streams with the same binding.
+
+    Attributes
+    ----------
+    keys : bytes
+        Their keys, ``bindings.KEY_BYTES`` each.
+    """
+
+    service: str
+    release: str
+    keys: bytes
+
+
+@wire.message("stream-find")
+class FindStream:
+    """A router asks a keeper which version began a stream.
+
+    Attributes
+    ----------
+    service : str
+        Service whose versions are asked for, too; empty for none.
+    """
+
+    key: bytes
+    service: str
+
+
+@wire.message("stream-found")
+class StreamFound:
+    """Reply to :class:`FindStream`.
+
+    Attributes
+    ----------
+    known : bool
+        Whether the stream's binding is known.
+    service, release : str
+        Its binding, if known.
+    age : float
+        Seconds since it was recorded, or some more.
+    releases : list of str
+        All versions of the service's targets, with those that have left.
+    complete : bool
+        Whether no other keeper can know of further versions.
+    """
+
+    known: bool
+    service: str = ""
+    release: str = ""
+    age: float = 0.0
+    releases: list[str] = dataclasses.field(default_factory=list)
+    complete: bool = False
+
+
+def pack(
+    streams: dict[bindings.Binding, list[bytes]],
+) -> list[BoundStreams]:
+    """Return the keys of streams by binding, as sent."""
+    return [
+        BoundStreams(binding.service, binding.release, b"".join(keys))
+        for binding, keys in streams.items()
+    ]
+
+
+def unpack(
+    groups: list[BoundStreams],
+) -> t.Iterator[tuple[bytes, bindings.Binding]]:
+    """Yield the key and the binding of each stream."""
+    size = bindings.KEY_BYTES
+    for group in groups:
+        binding = bindings.Binding(group.service, group.release)
+        for start in range(0, len(group.keys) - size + 1, size):
+            yield group.keys[start : start + size], binding
--- a/amaranthring/registry/targets.py
+++ b/amaranthring/registry/targets.py
@@ -242,11 +242,13 @@
             merged.silent,
             merged.address,
             merged.service,
+            merged.release,
         ) != (
             previous.state,
             previous.silent,
             previous.address,
             previous.service,
+            previous.release,
         )
 
     def _may_take_address(self, record: messages.TargetRecord) -> bool:
--- a/amaranthring/routing/plan.py
+++ b/amaranthring/routing/plan.py
@@ -77,6 +77,10 @@
     resumable: bool = False
     pause_most: float = 0.0
 
+    def leads_to(self, service: str) -> bool:
+        """Return whether requests of the route may go to `service`."""
+        return any(share.service == service for share in self.shares)
+
     @property
     def idempotent(self) -> bool:
         """Return whether a request may run more than once."""
--- a/amaranthring/testing/scripted_target.py
+++ b/amaranthring/testing/scripted_target.py
@@ -15,6 +15,7 @@
 
 from amaranthring import errors
 from amaranthring import routing
+from amaranthring.core import links
 from amaranthring.core import metrics
 from amaranthring.core import notices
 from amaranthring.forwarding import frontend as fronts
@@ -22,8 +23,10 @@
 from amaranthring.forwarding import records
 from amaranthring.forwarding import relay as relays
 from amaranthring.forwarding import startup
+from amaranthring.forwarding import stream_bindings
 from amaranthring.policy import budgets
 from amaranthring.registry import messages
+from amaranthring.registry import stream_messages
 from amaranthring.registry import targets
 from amaranthring.targets import http_body
 
@@ -39,6 +42,7 @@
 PROMPT = "Test-Prompt"
 COPY = "Test-Copy-From"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Test-Resumes"
 NOT_FORWARDED = {
     TIMEOUT,
     EXPECTED,
@@ -68,6 +72,7 @@
         timeout=float(headers.get(TIMEOUT, "5")),
         key=headers.get(KEY, ""),
         resume_after=headers.get(LAST_EVENT_ID, ""),
+        resumes=headers.get(RESUMES, ""),
         parts=tuple(
             records.PromptPart(part.split(":")[0], int(part.split(":")[1]))
             for part in parts
@@ -342,6 +347,40 @@
     return script
 
 
+class ScriptedKeeper:
+    """A router's link to a keeper that knows what a test says.
+
+    Attributes
+    ----------
+    answer : StreamFound
+        What it says of all streams that it does not know.
+    known : dict of bytes to StreamFound
+        By key of the stream.
+    is_silent : bool
+        Whether it gives no answer.
+    asked : int
+        Number of questions.
+    """
+
+    def __init__(self, releases: t.Iterable[str] = ("v1",)):
+        self.peer = links.Identity("keeper", "keeper", "here", 1)
+        self.answer = stream_messages.StreamFound(
+            False, releases=list(releases), complete=True
+        )
+        self.known: dict[bytes, stream_messages.StreamFound] = {}
+        self.is_silent = False
+        self.asked = 0
+
+    async def call(
+        self, message: stream_messages.FindStream, _timeout: float
+    ) -> stream_messages.StreamFound:
+        """Answer a question."""
+        self.asked += 1
+        if self.is_silent:
+            raise errors.LinkTimeoutError("no reply")
+        return self.known.get(message.key, self.answer)
+
+
 class ScriptedRouter:
     """A router that forwards to scripted targets by a fixed plan.
 
@@ -355,6 +394,8 @@
         Set once a plan is confirmed; here from the start.
     address : tuple
         Host and port of its listener.
+    keepers : list of ScriptedKeeper
+        Whom it asks for streams that it does not know.
     """
 
     def __init__(self, plan: routing.Plan, allowance: float = 10.0):
@@ -365,6 +406,7 @@
         self.table: routing.RouteTable | None = routing.RouteTable(plan)
         self.targets = targets.TargetTable(time.monotonic, 0.0)
         self.placer = placement.Placer(self.targets, "here")
+        self.keepers = [ScriptedKeeper()]
         counters = metrics.Metrics()
         start = startup.StartupGate(
             counters, self.first_plan, lambda: self.cut_off
@@ -378,6 +420,9 @@
             lambda: budgets.Share(1.0, 1),
             counters,
             start=start,
+            streams=stream_bindings.StreamBindings(
+                self.targets, lambda: self.keepers
+            ),
         )
         self.front = fronts.Frontend(
             DIALECT, self.relay.serve, lambda: plan.bounds
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,6 +12,7 @@
 from amaranthring.handover import client as handover_client
 from amaranthring.handover import messages
 from amaranthring.handover import server as handover_server
+from amaranthring.policy import bindings
 from amaranthring.registry import helpers
 from amaranthring.registry import messages as registry_messages
 from amaranthring.testing import local_fleet
@@ -248,3 +249,79 @@
         self.assertEqual(
             [[]] * len(told), [h.unreached_services for h in told]
         )
+
+
+class TestVersions(HandoverCase):
+    """Streams that go on at one version of the targets' software."""
+
+    async def begin_versions(self, *targets):
+        """Begin with pairs of a version and a script at the helper."""
+        await self.begin_both(*(script for _, script in targets))
+        for number, (version, _) in enumerate(targets):
+            entry = self.helper.targets.entries[f"t{number}"]
+            entry.record.release = version
+            self.helper.placer.views[f"t{number}"].running = 5 * number
+
+    async def test_helper_keeps_the_version_that_began_the_stream(self):
+        """Guards against a helper's retry at another version."""
+        await self.begin_versions(
+            ("v1", scripted_target.stream_events(5, breaks_after=2)),
+            ("v2", scripted_target.stream_events(5)),
+            ("v1", scripted_target.stream_events(5)),
+        )
+        got = await self.ask("/c/x", "POST")
+        self.assertEqual((200, EVENTS), (got.status, got.body))
+        self.assertEqual(0, len(self.targets[1].requests))
+
+    async def test_stream_that_was_handed_over_is_bound_here_too(self):
+        """Guards against a version that only the helper knows."""
+        await self.begin_versions(
+            ("v1", scripted_target.stream_events(5)),
+            ("v2", scripted_target.stream_events(5)),
+        )
+        await self.ask("/c/x", "POST", Test_Id="first")
+        self.helper.placer.views["t0"].running = 50
+        got = await self.ask(
+            "/c/x",
+            "POST",
+            Test_Id="again",
+            Test_Resumes="first",
+            Last_Event_Id="2",
+        )
+        self.assertEqual(200, got.status)
+        self.assertEqual(2, len(self.targets[0].requests))
+        [report] = self.router.relay.streams.take_report()
+        self.assertEqual(("s", "v1"), (report.service, report.release))
+
+    async def test_helper_without_the_version_refuses(self):
+        """Guards against a helper that takes any version it reaches."""
+        await self.begin_versions(("v2", scripted_target.stream_events(5)))
+        self.router.relay.streams.known.record(
+            bindings.stream_key("", "first"), bindings.Binding("s", "v1")
+        )
+        got = await self.ask(
+            "/c/x", "POST", Test_Resumes="first", Last_Event_Id="2"
+        )
+        self.assertEqual(503, got.status)
+        self.assertEqual(0, self.ran())
+
+    async def test_helper_that_ignores_the_version_is_left(self):
+        """Guards against routers of a build that knows no versions."""
+        await self.begin_versions(("v2", scripted_target.stream_events(5)))
+        self.router.relay.streams.known.record(
+            bindings.stream_key("", "first"), bindings.Binding("s", "v1")
+        )
+        take = self.server._on_request
+
+        def take_without_version(link, message):
+            message.release = message.bound_service = ""
+            return take(link, message)
+
+        self.server.server.handlers.by_class[messages.HandOver] = (
+            take_without_version
+        )
+        got = await self.ask(
+            "/c/x", "POST", Test_Resumes="first", Last_Event_Id="2"
+        )
+        self.assertEqual(502, got.status)
+        self.assertNotIn(b"piece", got.body)
--- /dev/null
+++ b/tests/test_stream_ledger.py
@@ -0,0 +1,145 @@
+"""What keepers know of streams, and say of their versions."""
+
+import unittest
+from unittest import mock
+
+from amaranthring.core import links
+from amaranthring.policy import bindings
+from amaranthring.registry import messages
+from amaranthring.registry import sharing
+from amaranthring.registry import stream_ledger
+from amaranthring.registry import stream_messages
+from amaranthring.registry import targets
+
+V1 = bindings.Binding("s", "v1")
+SETTLE_SECONDS = 1.5
+
+
+def key(number):
+    return bindings.stream_key("alba", f"r{number}")
+
+
+def target(name, release, **fields):
+    fields = {"sequence": 1} | fields
+    return messages.TargetRecord(
+        name, "s", f"{name}:1", "here", release, **fields
+    )
+
+
+class LedgerCase(unittest.TestCase):
+    """One keeper's ledger."""
+
+    def setUp(self):
+        self.now = 1000.0
+        self.handlers = links.Handlers()
+        self.table = targets.TargetTable(lambda: self.now, 1.5)
+        self.ledger = stream_ledger.StreamLedger(
+            self.handlers, self.table, SETTLE_SECONDS, lambda: self.now
+        )
+        self.ledger.hears_all_keepers = lambda: True
+        self.now += SETTLE_SECONDS
+
+    def find(self, number):
+        """Return the answer to a question."""
+        handler = self.handlers.by_class[stream_messages.FindStream]
+        return handler(None, stream_messages.FindStream(key(number), "s"))
+
+
+class TestStreams(LedgerCase):
+    """Streams that were reported."""
+
+    def test_reported_stream_is_found_and_told_once(self):
+        groups = stream_messages.pack({V1: [key(1), key(2)]})
+        self.ledger.add(groups)
+        found = self.find(2)
+        self.assertEqual(
+            (True, "s", "v1"), (found.known, found.service, found.release)
+        )
+        self.assertEqual(groups, self.ledger.take_untold())
+        self.assertEqual([], self.ledger.take_untold())
+
+    def test_streams_of_other_keepers_are_not_told_again(self):
+        """Guards against records that keepers send round for ever."""
+        self.ledger.merge(stream_messages.pack({V1: [key(1)]}))
+        self.assertTrue(self.find(1).known)
+        self.assertEqual([], self.ledger.take_untold())
+
+    def test_truncated_keys_are_ignored(self):
+        self.ledger.add([stream_messages.BoundStreams("s", "v1", b"short")])
+        self.assertEqual([], self.ledger.take_untold())
+
+
+class TestReleases(LedgerCase):
+    """Versions that may have begun a stream which is not known."""
+
+    def test_versions_of_targets_that_have_left_count(self):
+        """Guards against one version that looks like the only one."""
+        self.table.merge(target("t1", "v1"))
+        self.table.merge(target("t2", "v2"))
+        self.table.mark_gone("t1")
+        self.assertEqual(["v1", "v2"], self.find(1).releases)
+
+    def test_absent_version_is_a_version_of_its_own(self):
+        """Guards against targets without a version that count as equal."""
+        self.table.merge(target("t1", "v1"))
+        self.table.merge(target("t2", ""))
+        self.assertEqual(["", "v1"], self.find(1).releases)
+
+    def test_keeper_that_misses_another_is_not_complete(self):
+        """Guards against a version that only a cut-off keeper knows."""
+        self.assertTrue(self.find(1).complete)
+        self.ledger.hears_all_keepers = lambda: False
+        self.assertFalse(self.find(1).complete)
+
+    def test_keeper_that_has_just_started_is_not_complete(self):
+        """Guards against targets that have not announced themselves yet."""
+        self.now -= SETTLE_SECONDS / 2
+        self.assertFalse(self.find(1).complete)
+        self.ledger.is_restored = True
+        self.assertTrue(self.find(1).complete)
+
+    def test_new_version_is_noticed_once(self):
+        """Guards against a new version that is lost with all power."""
+        noticed = []
+        self.ledger.on_new_release.append(lambda: noticed.append(1))
+        for record in (target("t1", "v1"), target("t2", "v1")):
+            self.ledger.will_announce(record)
+            self.table.merge(record)
+        self.ledger.will_announce(target("t2", "v1", sequence=2))
+        self.assertEqual(1, len(noticed))
+
+    def test_version_that_comes_late_is_passed_on(self):
+        """Guards against a version that routers never learn."""
+        self.table.merge(target("t1", ""))
+        self.assertFalse(self.table.merge(target("t1", "", sequence=2)))
+        self.assertTrue(self.table.merge(target("t1", "v1", sequence=3)))
+
+
+class TestExchange(unittest.TestCase):
+    """Reports of routers, and sums of other keepers."""
+
+    def test_reported_streams_reach_the_other_keepers(self):
+        """Guards against streams that only one keeper knows."""
+        exchanges = []
+        for name in ("a", "b"):
+            handlers = links.Handlers()
+            table = targets.TargetTable(lambda: 0.0, 1.5)
+            ledger = stream_ledger.StreamLedger(
+                handlers, table, 0.0, lambda: 0.0
+            )
+            peer = mock.Mock()
+            exchange = sharing.Exchange(
+                handlers, lambda p=peer: [p], lambda: 0.0, None, ledger
+            )
+            link = mock.Mock(closed=False)
+            link.peer = links.Identity(name, "router", "here", 1)
+            exchanges.append((exchange, ledger, peer, link))
+        (exchange, _, peer, link), (other, other_ledger, _, _) = exchanges
+        report = sharing.Report({}, [])
+        report.streams = stream_messages.pack({V1: [key(1)]})
+        exchange._on_report(link, report)
+        self.assertFalse(other_ledger.hears_all_keepers())
+        exchange.step()
+        other._on_sums(link, peer.send.call_args.args[0])
+        self.assertEqual(V1, other_ledger.bindings.find(key(1)).binding)
+        self.assertTrue(other_ledger.hears_all_keepers())
