Let streams go before new requests at brittle targets

What callers would see: a stream that may go on at one version waits for room there, while new requests take each place that becomes free, or a place at another version wakes it in vain and nobody uses that place.

Cause: the wait for room knew only services.

Change: a free place names its target and wakes who may use it, streams that go on there first. While one waits, new requests leave the places of its version alone. The expected wait counts rivals and allowances at the targets that the request may use.

Tests: both new ones in test_brittleness failed before: a stream came after three new requests that arrived later or at once, and one was refused for want of room while its target had some.

--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -269,7 +269,7 @@
             return "tried"
         if self.rests.left(record.id):
             return "resting"
-        if not self.room.has_room(record):
+        if not self.room.has_room(record, context.binding):
             return "full"
         if self._may_be_partitioned(context, record, now):
             return "partitioned"
@@ -409,7 +409,9 @@
                 if self.rests.may_try(name, context.caller)
             }
         eligible = [record for record in ready if record.id not in excluded]
-        with_room = [r for r in eligible if self.room.has_room(r)]
+        with_room = [
+            r for r in eligible if self.room.has_room(r, context.binding)
+        ]
         context.lacks_room = len(with_room) < len(eligible)
         return with_room
 
@@ -452,7 +454,8 @@
             Whether the caller has received events of `target`.
         """
         return any(
-            not self.rests.left(record.id) and self.room.has_room(record)
+            not self.rests.left(record.id)
+            and self.room.has_room(record, context.binding)
             for record in self.eligibility.after(context, target, has_begun)
         )
 
--- a/amaranthring/forwarding/room_queue.py
+++ b/amaranthring/forwarding/room_queue.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import math
 import random
 import time
@@ -12,6 +13,7 @@
 from amaranthring.core import logs
 from amaranthring.forwarding import placement
 from amaranthring.forwarding import records
+from amaranthring.registry import messages
 
 log = logbook.Logger(__name__)
 
@@ -26,26 +28,54 @@
 RETRY_SPREAD = 0.5
 
 
+@dataclasses.dataclass(eq=False)
+class Waiting:
+    """A request that waits.
+
+    Attributes
+    ----------
+    woken : asyncio.Future
+        Done once a target may have room for it.
+    """
+
+    context: records.RequestContext
+    woken: asyncio.Future
+
+    def may_use(self, target: messages.TargetRecord) -> bool:
+        """Return whether the request may be sent to `target`."""
+        binding = self.context.binding
+        return binding is None or binding.fits(target)
+
+
 class RoomQueue:
     """Waiting requests of each service, in the order of their arrival.
 
+    Streams that may go on at some targets only go before new requests, which
+    may use any.
+
     Attributes
     ----------
-    waiting : dict of str to deque of asyncio.Future
+    waiting : dict of str to deque of Waiting
         By service.
     """
 
     def __init__(self, placer: placement.Placer):
         self.placer = placer
-        self.waiting: dict[str, collections.deque[asyncio.Future]] = (
+        self.waiting: dict[str, collections.deque[Waiting]] = (
             collections.defaultdict(collections.deque)
         )
         placer.room.on_room.append(self.wake)
 
     def must_wait(self, context: records.RequestContext) -> bool:
         """Return whether others wait that came before."""
-        return bool(self.waiting.get(context.service)) and (
-            context.waited_since is None
+        return context.waited_since is None and bool(self._rivals(context))
+
+    def _rivals(self, context: records.RequestContext) -> int:
+        """Return how many requests wait that go before a new one."""
+        binding = context.binding
+        return sum(
+            waiting.context.binding == binding
+            for waiting in self.waiting.get(context.service, ())
         )
 
     async def wait(self, context: records.RequestContext) -> None:
@@ -57,44 +87,61 @@
             If there is none in time, or none can be expected.
         """
         queue = self.waiting[context.service]
+        room = self.placer.room
         now = time.monotonic()
         is_first = context.waited_since is None
         if is_first:
             context.waited_since = now
         left = context.waited_since + _patience(context) - now
-        expected = self._expected_wait(context.service, len(queue) + is_first)
+        expected = self._expected_wait(
+            context, self._rivals(context) + is_first
+        )
         if left <= 0 or (is_first and expected > left):
             raise self._no_room(context, expected)
         future = asyncio.get_running_loop().create_future()
+        waiting = Waiting(context, future)
         # A request that found no room after all keeps its position.
         if is_first:
-            queue.append(future)
+            queue.append(waiting)
         else:
-            queue.appendleft(future)
+            queue.appendleft(waiting)
+        if context.binding is not None:
+            room.awaited[context.binding] += 1
         try:
             async with asyncio.timeout(left):
                 await future
         except TimeoutError:
             raise self._no_room(context, expected) from None
         finally:
-            if future in queue:
-                queue.remove(future)
-
-    def wake(self, service: str, places: int) -> None:
-        """Wake as many requests as there may be places."""
-        queue = self.waiting.get(service)
-        while queue and places > 0:
-            future = queue.popleft()
-            if not future.done():
-                future.set_result(None)
-                places -= 1
-
-    def _expected_wait(self, service: str, ahead: int) -> float:
+            if waiting in queue:
+                queue.remove(waiting)
+            if context.binding is not None:
+                room.awaited[context.binding] -= 1
+
+    def wake(self, target: messages.TargetRecord, places: int) -> None:
+        """Wake as many requests as there may be places at `target`."""
+        queue = self.waiting.get(target.service, collections.deque())
+        able = [waiting for waiting in queue if waiting.may_use(target)]
+        able.sort(key=lambda waiting: waiting.context.binding is None)
+        for waiting in able[:places]:
+            queue.remove(waiting)
+            if not waiting.woken.done():
+                waiting.woken.set_result(None)
+
+    def _expected_wait(
+        self, context: records.RequestContext, ahead: int
+    ) -> float:
         """Return the seconds until `ahead` requests have found room."""
-        allowed = self.placer.room.allowed_requests(service)
+        allowed = self._allowed(context)
         if not allowed:
             return MAX_RETRY_SECONDS
-        return ahead * self.placer.room.limits.duration(service) / allowed
+        duration = self.placer.room.limits.duration(context.service)
+        return ahead * duration / allowed
+
+    def _allowed(self, context: records.RequestContext) -> int:
+        """Return how many requests this router may have at its targets."""
+        targets = self.placer.eligibility.of_request(context)
+        return self.placer.room.allowed_requests(targets)
 
     def _no_room(
         self, context: records.RequestContext, expected: float
@@ -108,7 +155,7 @@
             service=context.service,
             waited=round(time.monotonic() - context.waited_since, 3),
             waiting=len(self.waiting[context.service]),
-            allowed=self.placer.room.allowed_requests(context.service),
+            allowed=self._allowed(context),
             expected=round(expected, 3),
         )
         return errors.NoRoomError(
--- a/amaranthring/forwarding/target_room.py
+++ b/amaranthring/forwarding/target_room.py
@@ -1,10 +1,12 @@
 """What this router may still send to brittle targets."""
 
+import collections
 import typing as t
 
 import logbook
 
 from amaranthring.core import logs
+from amaranthring.policy import bindings
 from amaranthring.policy import brittleness
 from amaranthring.registry import messages
 
@@ -28,7 +30,9 @@
     limits : brittleness.BrittleLimits
         Which services are brittle, and the allowances at their targets.
     on_room : list of callable
-        Called with a service and the number of places that have become free.
+        Called with a target and the number of places that have become free.
+    awaited : Counter of Binding
+        Number of streams that wait for a place where they may go on.
     """
 
     def __init__(
@@ -40,24 +44,42 @@
         self.ready = ready
         self.count = count
         self.limits = brittleness.BrittleLimits(clock)
-        self.on_room: list[t.Callable[[str, int], None]] = []
+        self.on_room: list[t.Callable[[messages.TargetRecord, int], None]] = []
+        self.awaited: collections.Counter[bindings.Binding] = (
+            collections.Counter()
+        )
 
     def is_brittle(self, service: str) -> bool:
         """Return whether the targets of the service fall over easily."""
         return self.limits.max_refused(service) is not None
 
-    def has_room(self, target: messages.TargetRecord) -> bool:
-        """Return whether `target` may be sent another request."""
+    def has_room(
+        self,
+        target: messages.TargetRecord,
+        binding: bindings.Binding | None = None,
+    ) -> bool:
+        """Return whether `target` may be sent another request.
+
+        Parameters
+        ----------
+        binding : Binding, optional
+            Of the request's stream. Others leave the places alone for which
+            streams wait that may go on nowhere else.
+        """
         if not self.is_brittle(target.service):
             return True
+        if binding is None and self.awaited[bindings.of_target(target)]:
+            return False
         counts = self.count(target)
         return self.limits.has_room(target.service, target.id, counts)
 
-    def allowed_requests(self, service: str) -> int:
-        """Return how many requests this router may have at brittle targets."""
+    def allowed_requests(
+        self, targets: t.Iterable[messages.TargetRecord]
+    ) -> int:
+        """Return how many requests this router may have at `targets`."""
         return sum(
             self.limits.allowed.get(target.id, (0, 0.0))[0]
-            for target in self.ready(service)
+            for target in targets
         )
 
     def renew(self) -> None:
@@ -67,13 +89,11 @@
                 self._renew_service(service)
 
     def _renew_service(self, service: str) -> None:
-        free = 0
         for target in self.ready(service):
             counts = self.count(target)
             self.limits.update(target.id, counts)
             allowed, _ = self.limits.allowed[target.id]
-            free += max(0, allowed - counts.own)
-        self._announce(service, free)
+            self._announce(target, max(0, allowed - counts.own))
 
     def request_ended(
         self, target: messages.TargetRecord, seconds: float | None
@@ -89,11 +109,11 @@
             return
         if seconds is not None:
             self.limits.record_duration(target.service, seconds)
-        self._announce(target.service, 1)
+        self._announce(target, 1)
 
-    def _announce(self, service: str, places: int) -> None:
+    def _announce(self, target: messages.TargetRecord, places: int) -> None:
         for callback in self.on_room if places else ():
-            callback(service, places)
+            callback(target, places)
 
     def record_notice(
         self, target: messages.TargetRecord, max_refused: int, refused: bool
--- a/tests/test_brittleness.py
+++ b/tests/test_brittleness.py
@@ -6,6 +6,7 @@
 import unittest
 
 from amaranthring.forwarding import room_queue
+from amaranthring.policy import bindings
 from amaranthring.policy import brittleness
 from amaranthring.testing import scripted_target
 from tests import test_forwarding
@@ -191,6 +192,62 @@
         self.assertEqual(200, (await first).status)
         self.assertEqual(["/a/first", "/b/x"], self.order)
 
+    async def begin_versions(self):
+        """Begin with one brittle target of each of two versions."""
+        self.order = []
+
+        def answer_of(name):
+            async def answer(seen, writer):
+                self.order.append((name, seen.uri))
+                await asyncio.sleep(0.03 if len(self.order) > 1 else 0.0)
+                script = scripted_target.respond(Test_Brittle="5")
+                await script(seen, writer)
+
+            return answer
+
+        await self.begin(answer_of("v1"), answer_of("v2"))
+        self.router.targets.entries["t1"].record.release = "v2"
+        await self.ask("/a/first")
+        self.router.relay.streams.known.record(
+            bindings.stream_key("", "stream"), bindings.Binding("s", "v1")
+        )
+
+    async def ask_on(self, path, seconds):
+        """Take the stream of the first version up."""
+        await asyncio.sleep(seconds)
+        return await self.ask(
+            path, "POST", Test_Resumes="stream", Last_Event_Id="1"
+        )
+
+    async def test_streams_go_before_requests_that_may_go_elsewhere(self):
+        """Guards against streams that new requests keep from their places."""
+        await self.begin_versions()
+        got = await asyncio.gather(
+            self.ask("/c/1"),
+            self.ask_later("/c/2", 0.002),
+            self.ask_later("/c/3", 0.004),
+            self.ask_on("/c/on", 0.006),
+            self.ask_later("/c/4", 0.008),
+        )
+        self.assertEqual([200] * 5, [answer.status for answer in got])
+        placed = [(name, path) for name, path in self.order[1:]]
+        first = [path for name, path in placed if name == "v1"]
+        self.assertEqual("/c/on", first[1])
+
+    async def test_place_elsewhere_wakes_no_stream(self):
+        """Guards against a place that is spent on who may not use it."""
+        await self.begin_versions()
+        self.router.placer.views["t0"].running += 1
+        on = asyncio.ensure_future(self.ask_on("/c/on", 0.0))
+        await self.until(lambda: self.router.relay.queue.waiting["s"])
+        for number in range(3):
+            got = await self.ask(f"/c/{number}")
+            self.assertEqual(200, got.status)
+        self.assertEqual({"v2"}, {name for name, _ in self.order[1:]})
+        self.router.placer.views["t0"].running -= 1
+        self.router.placer.room.renew()
+        self.assertEqual(200, (await on).status)
+
     async def test_caller_that_leaves_frees_its_place_in_the_queue(self):
         """Guards against a queue that callers who left keep full."""
         await self.begin_brittle(0.03)
