Hand streams over whose version this router does not reach

What callers would see: a router that reaches some targets of a service, but none of the version that began a stream, refuses the stream although other routers reach those.

Cause: requests were handed over only while their whole service was not reached, or if they had themselves found targets silent.

Change: a request without a target is also handed over if this router fails to reach all announced targets that may take it.

Test: test_stream_whose_version_is_not_reached_is_handed_over, 503 before.

--- a/amaranthring/forwarding/handing_over.py
+++ b/amaranthring/forwarding/handing_over.py
@@ -121,7 +121,11 @@
         self, context: records.RequestContext
     ) -> handover_client.Helper | None:
         """Return the helper for a request that is left without a target."""
-        if context.handover or not context.silent_data_centres:
+        if context.handover:
+            return None
+        if not (
+            context.silent_data_centres or self.placer.reaches_none(context)
+        ):
             return None
         if context.attempts_sent and not context.route.idempotent:
             return None
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -389,6 +389,18 @@
             now - self.views[record.id].succeeded_at < RECENT_SUCCESS_SECONDS
         )
 
+    def reaches_none(self, context: records.RequestContext) -> bool:
+        """Return whether this router reaches no target of a request.
+
+        Only targets that announce themselves count, of which there are some.
+        """
+        announced = [
+            record
+            for record in self.eligibility.of_request(context)
+            if not record.silent
+        ]
+        return bool(announced) and all(map(self._is_unreachable, announced))
+
     def _is_unreachable(self, record: messages.TargetRecord) -> bool:
         return self.views[record.id].unreachable
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -293,6 +293,29 @@
         [report] = self.router.relay.streams.take_report()
         self.assertEqual(("s", "v1"), (report.service, report.release))
 
+    async def test_stream_whose_version_is_not_reached_is_handed_over(self):
+        """Guards against refusals while other targets are reached."""
+        await self.begin_versions(("v1", scripted_target.stream_events(5)))
+        reached = scripted_target.ScriptedTarget(
+            "reached", scripted_target.stream_events(5)
+        )
+        await reached.start()
+        self.addCleanup(reached.stop)
+        self.router.targets.merge(reached.record(release="v2"))
+        self.router.placer.paths.record_answer(reached.record())
+        self.router.relay.streams.known.record(
+            bindings.stream_key("", "first"), bindings.Binding("s", "v1")
+        )
+        for name in ("lost0", "lost1"):
+            record = self.router.targets.entries[name].record
+            self.router.placer.record_failure(record, reached=False)
+        got = await self.ask(
+            "/c/x", "POST", Test_Resumes="first", Last_Event_Id="2"
+        )
+        self.assertEqual(200, got.status)
+        self.assertEqual(1, len(self.targets[0].requests))
+        self.assertEqual(0, len(reached.requests))
+
     async def test_helper_without_the_version_refuses(self):
         """Guards against a helper that takes any version it reaches."""
         await self.begin_versions(("v2", scripted_target.stream_events(5)))
