Report streams at once while several versions serve

What callers would see: a stream that began just before its router was killed is refused by all others, four times in a row, as no keeper was told yet.

Cause: bindings went with the next report, up to 0.25 s later.

Change: while targets of several versions serve, streams are reported within 30 ms. With one version nothing is sent, since the only version tells as much.

--- a/amaranthring/forwarding/stream_bindings.py
+++ b/amaranthring/forwarding/stream_bindings.py
@@ -13,6 +13,7 @@
 from amaranthring.core import logs
 from amaranthring.forwarding import records
 from amaranthring.policy import bindings
+from amaranthring.registry import sharing
 from amaranthring.registry import stream_messages
 from amaranthring.registry import targets as tables
 
@@ -24,6 +25,10 @@
 MAX_STREAMS = 20_000
 # Reported at once; the rest follows with the next reports.
 MAX_REPORTED = 4_096
+# Streams that begin within this time are reported together while several
+# versions serve. Streams of which no keeper knows cannot go on elsewhere, and
+# short ones last some tenths of a second.
+PROMPT_SECONDS = 0.03
 # A stream in use is recorded again after this time, before it is forgotten.
 RENEW_SECONDS = 20.0
 # What was reported within this time before the home keeper changed may be
@@ -80,6 +85,7 @@
         self.reported: collections.deque[
             tuple[float, bytes, bindings.Binding]
         ] = collections.deque(maxlen=MAX_REPORTED)
+        self.is_urgent = asyncio.Event()
         self.services: dict[RouteKey, frozenset[str]] = {}
         self.moved_at: dict[RouteKey, float] = {}
 
@@ -113,6 +119,36 @@
             key = _key(context)
             self.known.record(key, context.binding)
             self.unreported.append((key, context.binding))
+            if self._serves_versions(context.binding.service):
+                self.is_urgent.set()
+
+    def _serves_versions(self, service: str) -> bool:
+        """Return whether targets of several versions serve."""
+        releases = {
+            record.release
+            for record in self.table.active()
+            if record.service == service
+        }
+        return len(releases) > 1
+
+    async def report_promptly(
+        self, home_link: t.Callable[[], links.Link | None]
+    ) -> None:
+        """Report streams that cannot wait for the next report.
+
+        Parameters
+        ----------
+        home_link : callable
+            Returns the link to the keeper that this router reports to.
+        """
+        while True:
+            await self.is_urgent.wait()
+            await asyncio.sleep(PROMPT_SECONDS)
+            self.is_urgent.clear()
+            link = home_link()
+            if link is not None and self.unreported:
+                message = stream_messages.StreamsBound(self.take_report())
+                sharing.send_if_open(link, message)
 
     def take_report(self) -> list[stream_messages.BoundStreams]:
         """Return the streams to report to the home keeper."""
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -309,6 +309,7 @@
             self.reporter.run(),
             self.relay.connections.run(),
             self.handing_over.trials.run(),
+            self.streams.report_promptly(self.subscriber.home_link),
         ):
             self.tasks.append(asyncio.ensure_future(work))
 
--- a/amaranthring/registry/stream_ledger.py
+++ b/amaranthring/registry/stream_ledger.py
@@ -63,6 +63,7 @@
         self.is_restored = False
         self.on_new_release: list[t.Callable[[], None]] = []
         handlers.add(stream_messages.FindStream, self._on_find)
+        handlers.add(stream_messages.StreamsBound, self._on_bound)
 
     def add(self, groups: list[stream_messages.BoundStreams]) -> None:
         """Record the streams of a router's report."""
@@ -70,6 +71,11 @@
             self.bindings.record(key, binding)
             self.untold.append((key, binding))
 
+    def _on_bound(
+        self, _link: links.Link, message: stream_messages.StreamsBound
+    ) -> None:
+        self.add(message.streams)
+
     def merge(self, groups: list[stream_messages.BoundStreams]) -> None:
         """Record the streams that another keeper tells of."""
         for key, binding in stream_messages.unpack(groups):
--- a/amaranthring/registry/stream_messages.py
+++ b/amaranthring/registry/stream_messages.py
@@ -22,6 +22,13 @@
     keys: bytes
 
 
+@wire.message("stream-bound")
+class StreamsBound:
+    """A router tells its home keeper of streams ahead of its next report."""
+
+    streams: list[BoundStreams]
+
+
 @wire.message("stream-find")
 class FindStream:
     """A router asks a keeper which version began a stream.
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+from unittest import mock
 
 from amaranthring import routing
+from amaranthring.forwarding import stream_bindings
 from amaranthring.policy import bindings
 from amaranthring.registry import stream_messages
 from amaranthring.testing import scripted_target
@@ -376,3 +378,44 @@
         self.use_shares(other=1)
         self.assertEqual(503, (await self.resume()).status)
         self.assertEqual(0, self.ran())
+
+
+class TestReports(ResumeCase):
+    """What this router tells its home keeper."""
+
+    async def begin_stream(self):
+        """Pass a stream on, and return what was sent ahead of reports."""
+        link = mock.Mock()
+        streams = self.router.relay.streams
+        reporting = asyncio.ensure_future(
+            streams.report_promptly(lambda: link)
+        )
+        self.addCleanup(reporting.cancel)
+        await self.ask("/c/x", "POST", Test_Id="first")
+        await asyncio.sleep(2 * stream_bindings.PROMPT_SECONDS)
+        return [call.args[0] for call in link.send.call_args_list]
+
+    async def test_streams_are_reported_at_once_beside_other_versions(self):
+        """Guards against short streams that only a dead router knew."""
+        await self.begin_mixed()
+        [message] = await self.begin_stream()
+        [group] = message.streams
+        key = bindings.stream_key("", "first")
+        self.assertEqual(("v1", key), (group.release, group.keys))
+
+    async def test_streams_of_the_only_version_wait_for_the_report(self):
+        """Guards against messages that are of no use."""
+        await self.begin_mixed()
+        self.router.targets.entries["t1"].record.release = "v1"
+        self.assertEqual([], await self.begin_stream())
+        self.assertEqual(1, len(self.router.relay.streams.take_report()))
+
+    async def test_last_streams_are_reported_to_the_next_keeper_again(self):
+        """Guards against streams that were lost with the home keeper."""
+        await self.begin_mixed()
+        await self.ask("/c/x", "POST", Test_Id="first")
+        streams = self.router.relay.streams
+        [before] = streams.take_report()
+        self.assertEqual([], streams.take_report())
+        streams.report_again()
+        self.assertEqual([before], streams.take_report())
