--- a/tests/version_case.py
+++ b/tests/version_case.py
@@ -15,12 +15,15 @@
 from amaranthring.platform import headers
 from amaranthring.testing import scripted_target
 from tests import platform_case
+from tests import test_severed_routers
 
 EVENTS = 20
 PACE_SECONDS = 0.05
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+)\n\n")
 END = b"0\r\n\r\n"
 TIMEOUT_SECONDS = 8.0
+# Callers give a stream up after so long without an event.
+MOST_PAUSE_SECONDS = 2.0
 # Callers take a stream up so often, and for so long after it began.
 MOST_TRIES = 5
 PATIENCE_SECONDS = 6.0
@@ -42,20 +45,24 @@
         Of its software; None to leave it out of the heartbeats.
     service : str
         Service that it announces itself for.
+    is_severed : callable
+        Returns whether the router at the other end of a connection is cut
+        off from all replicas.
     crashed : bool
         Whether its process has ended.
     """
 
-    def __init__(self, name, version, rng, service=platform_case.SERVICE):
+    def __init__(self, name, version, rng, service, is_severed):
         super().__init__(name)
         self.version = version
         self.rng = rng
         self.service = service
+        self.is_severed = is_severed
         self.crashed = False
         self.writers = set()
 
     async def _serve(self, reader, writer):
-        if self.crashed:
+        if self.crashed or self.is_severed(writer):
             scripted_target.abort_connection(writer)
             return
         self.writers.add(writer)
@@ -84,13 +91,21 @@
         writer.write(head.encode())
         last = int(seen.headers.get(headers.LAST_EVENT, "0"))
         for number in range(last + 1, EVENTS + 1):
-            data = f"id: {number}\ndata: {self.version} {self.name}\n\n"
+            data = f"id: {number}\ndata: {self.label} {self.name}\n\n"
             writer.write(b"%x\r\n%s\r\n" % (len(data), data.encode()))
             await asyncio.sleep(PACE_SECONDS)
             if self.crashed:
                 return
+            if self.is_severed(writer):
+                scripted_target.abort_connection(writer)
+                return
         writer.write(END)
 
+    @property
+    def label(self):
+        """Return the service and version that its events name."""
+        return f"{self.service}:{self.version}"
+
     def crash(self):
         """End, in the middle of some events."""
         self.crashed = True
@@ -98,7 +113,11 @@
         for writer in list(self.writers):
             if self.rng.random() < 0.5:
                 writer.write(b"8\r\nid: 99")
-            scripted_target.abort_connection(writer)
+            try:
+                scripted_target.abort_connection(writer)
+            except OSError:
+                # The router has closed it.
+                continue
 
 
 class Stream:
@@ -107,7 +126,7 @@
     Attributes
     ----------
     events : list of tuple
-        Number, version and replica of each event.
+        Number, label (service and version) and replica of each event.
     first : str
         Id of the attempt that brought the first event.
     whole : bool
@@ -123,14 +142,14 @@
         self.statuses = []
 
     @property
-    def versions(self):
-        """Return the versions that its events name."""
-        return {version for _, version, _ in self.events}
+    def label(self):
+        """Return the service and version that its last event names."""
+        return self.events[-1][1] if self.events else ""
 
     @property
     def is_mixed(self):
         """Return whether events of two versions or services are joined."""
-        return len(self.versions) > 1
+        return len({label for _, label, _ in self.events}) > 1
 
     @property
     def is_wrong(self):
@@ -153,15 +172,21 @@
     resumed : list of bool
         Whether each try that took a stream up went on, of those during which
         two replicas of its version served.
+    severed : set of str
+        Routers that are cut off from all replicas.
+    names_first : bool
+        Whether callers name the attempt that brought the first event.
     """
 
     routers = 3
     replicas = 0
     versions = {"v1": 4, "v1.1": 4}
     seed = 1
+    names_first = True
 
     async def asyncSetUp(self):
         self.rng = random.Random(self.seed)
+        self.severed = set()
         self.streams = []
         self.begun = []
         self.resumed = []
@@ -206,7 +231,9 @@
     async def add(self, version, service=platform_case.SERVICE):
         """Start a replica under a new name."""
         self.added += 1
-        replica = Replica(f"t{self.added}", version, self.rng, service)
+        replica = Replica(
+            f"t{self.added}", version, self.rng, service, self.is_severed
+        )
         await replica.start()
         self.all_replicas.append(replica)
         self.heartbeats[replica.name] = asyncio.ensure_future(
@@ -214,12 +241,19 @@
         )
         return replica
 
-    def serving(self, version):
-        """Return the replicas of a version that serve."""
+    def is_severed(self, writer):
+        """Return whether a connection comes from a router that is cut off."""
+        if not self.severed:
+            return False
+        processes = {name: self.processes[name] for name in self.severed}
+        return bool(test_severed_routers.owner_of(writer, processes))
+
+    def serving(self, label):
+        """Return the replicas of a service and version that serve."""
         return [
             replica
             for replica in self.all_replicas
-            if replica.version == version and not replica.crashed
+            if replica.label == label and not replica.crashed
         ]
 
     # -- callers ---------------------------------------------------------
@@ -262,7 +296,7 @@
         ]
         if stream.events:
             lines.append(f"{headers.LAST_EVENT}: {stream.events[-1][0]}")
-        if stream.events and stream.first:
+        if stream.events and self.names_first:
             lines.append(f"{headers.RESUMES}: {stream.first}")
         return "\r\n".join([*lines, "", body]).encode()
 
@@ -271,7 +305,7 @@
         before = list(stream.events)
         data = b""
         while more := await asyncio.wait_for(
-            reader.read(65536), TIMEOUT_SECONDS
+            reader.read(65536), MOST_PAUSE_SECONDS
         ):
             data += more
             stream.events = before + [
@@ -301,8 +335,8 @@
         """Send the next try of a stream, note how it went; return its wait."""
         request_id = uuid.uuid4().hex[:16]
         is_new = not stream.events
-        version = stream.events[-1][1] if stream.events else ""
-        enough = len(self.serving(version)) >= 2
+        label = stream.label
+        enough = len(self.serving(label)) >= 2
         received = len(stream.events)
         status, retry = await self.attempt(
             router, request_id, stream, break_after
@@ -311,7 +345,7 @@
         goes_on = len(stream.events) > received or stream.whole
         if not stream.first and stream.events:
             stream.first = request_id
-        enough = enough and len(self.serving(version)) >= 2
+        enough = enough and len(self.serving(label)) >= 2
         if status and is_new:
             self.begun.append(goes_on)
         elif status and enough:
@@ -338,21 +372,20 @@
             able = [
                 replica
                 for replica in self.all_replicas
-                if not replica.crashed
-                and len(self.serving(replica.version)) > 2
+                if not replica.crashed and len(self.serving(replica.label)) > 2
             ]
             if able:
                 replica = self.rng.choice(able)
                 replica.crash()
                 self.backs.append(
-                    asyncio.ensure_future(self.bring_back(replica.version))
+                    asyncio.ensure_future(self.bring_back(replica))
                 )
         await asyncio.gather(*self.backs)
 
-    async def bring_back(self, version):
-        """Start a replica of a version some seconds later."""
+    async def bring_back(self, crashed):
+        """Start a replica like the one that crashed, some seconds later."""
         await asyncio.sleep(BACK_SECONDS)
-        await self.add(version)
+        await self.add(crashed.version, crashed.service)
 
     async def kill_routers(self, seconds):
         """Kill routers in turn."""
