--- a/tests/version_case.py
+++ b/tests/version_case.py
@@ -258,13 +258,28 @@
 
     # -- callers ---------------------------------------------------------
 
-    async def attempt(self, router, request_id, stream, break_after=0):
-        """Send one try of a stream; return its status and Retry-After."""
+    async def connect(self, router, kept):
+        """Return a connection of its own, or one that its caller has kept."""
+        if router in kept:
+            return kept.pop(router)
+        return await asyncio.wait_for(
+            asyncio.open_connection(self.ip(router), self.port), 1.0
+        )
+
+    async def attempt(
+        self, router, request_id, stream, break_after=0, kept=None
+    ):
+        """Send one try of a stream; return its status and Retry-After.
+
+        Parameters
+        ----------
+        kept : dict, optional
+            Open connections of the caller, by router.
+        """
         status, retry = 0, 0.1
+        kept = {} if kept is None else kept
         try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(self.ip(router), self.port), 1.0
-            )
+            reader, writer = await self.connect(router, kept)
         except (OSError, TimeoutError):
             return status, retry
         try:
@@ -277,10 +292,13 @@
             retry = float(told[1]) if told else retry
             if status == 200:
                 await self.read_events(reader, stream, break_after)
+            if stream.whole:
+                kept[router] = reader, writer
         except (OSError, EOFError, TimeoutError):
             return status, retry
         finally:
-            writer.close()
+            if router not in kept:
+                writer.close()
         return status, retry
 
     def request(self, request_id, stream):
@@ -316,14 +334,14 @@
             if stream.whole or 0 < break_after <= len(stream.events):
                 return
 
-    async def read_stream(self, break_after=0):
+    async def read_stream(self, break_after=0, kept=None):
         """Read a stream to its end, taking it up at any router."""
         stream = Stream()
         self.streams.append(stream)
         started_at = time.monotonic()
         while len(stream.statuses) < MOST_TRIES:
             router = self.rng.choice(self.router_names)
-            retry = await self.try_once(router, stream, break_after)
+            retry = await self.try_once(router, stream, break_after, kept)
             break_after = 0
             if stream.whole or not stream.first:
                 return
@@ -331,7 +349,7 @@
                 return
             await asyncio.sleep(min(retry, 1.5))
 
-    async def try_once(self, router, stream, break_after=0):
+    async def try_once(self, router, stream, break_after=0, kept=None):
         """Send the next try of a stream, note how it went; return its wait."""
         request_id = uuid.uuid4().hex[:16]
         is_new = not stream.events
@@ -339,7 +357,7 @@
         enough = len(self.serving(label)) >= 2
         received = len(stream.events)
         status, retry = await self.attempt(
-            router, request_id, stream, break_after
+            router, request_id, stream, break_after, kept
         )
         stream.statuses.append(status)
         goes_on = len(stream.events) > received or stream.whole
@@ -352,6 +370,17 @@
             self.resumed.append(goes_on)
         return retry
 
+    async def read_until_stopped(self, break_share):
+        """Read streams one after the other, on connections that stay open."""
+        kept = {}
+        while not self.stopped:
+            breaks = self.rng.random() < break_share
+            after = self.rng.randrange(2, EVENTS - 2) if breaks else 0
+            await self.read_stream(after, kept)
+            await asyncio.sleep(self.rng.uniform(0.0, 0.05))
+        for _, writer in kept.values():
+            writer.close()
+
     async def read_streams(self, seconds, break_share=0.0):
         """Begin streams for a while, and read them all to their ends."""
         until = time.monotonic() + seconds
