Withdraw crashes of targets that go on announcing themselves

What callers would see: a router whose connections to targets are reset and then refused takes live targets for ended ones, until all have failed. What ran on three of them runs once at a time, what ran on four in series is refused for ten minutes.

Cause: no process looked whether a target that was reported as ended goes on. Class: what one router sees of others taken for what there is.

Change: keepers watch such targets. One that has announced itself four times more, over three intervals, lives: its crash no longer counts, a request with fewer than three crashes left is free again, and routers hear so. Incarnations have ids of their own, so a restarted target does not count as a live one; up to three late announcements of an ended one withdraw nothing.

Tests: four new ones in test_crash_ledger and one in test_crash_guard; nothing withdrew a crash before.

--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -227,7 +227,9 @@
 
     def _heed(self, verdict: crash_evidence.Verdict, now: float) -> None:
         known = self._told(verdict.fingerprint)
-        if known is not None and known.condemned:
+        if verdict.withdrawn:
+            self.evidence.forget(verdict.fingerprint)
+        elif known is not None and known.condemned:
             return
         if not verdict.count:
             if known is not None:
@@ -236,7 +238,7 @@
             return
         # Keepers judge the same crashes at slightly different times.
         refused_before = known.refused_seconds if known is not None else 0.0
-        if refused_before > verdict.refused_seconds:
+        if refused_before > verdict.refused_seconds and not verdict.withdrawn:
             return
         self.told[verdict.fingerprint] = verdict, now
         is_new = known is None or known.count < verdict.count
--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -173,6 +173,8 @@
         Number of crashes under it; 0 if it is no longer a suspect.
     crashes : list of CrashNote
         These crashes, if it is refused.
+    withdrawn : bool
+        Whether some crashes no longer count, as their targets live.
     """
 
     fingerprint: str
@@ -181,6 +183,7 @@
     seconds: float
     count: int
     crashes: list[CrashNote]
+    withdrawn: bool = False
 
     def later(self, seconds: float) -> "Verdict":
         """Return what the verdict says some `seconds` later."""
@@ -231,6 +234,9 @@
         Fingerprints of the requests of which something new is known.
     published : set of str
         Fingerprints in the verdicts that were taken last.
+    withdrawn : set of str
+        Fingerprints of the requests of which crashes were withdrawn since
+        then.
     """
 
     def __init__(self, clock: t.Callable[[], float]):
@@ -241,6 +247,7 @@
         self.pauses: dict[str, Pause] = {}
         self.changed: set[str] = set()
         self.published: set[str] = set()
+        self.withdrawn: set[str] = set()
 
     def add(self, run: Run) -> bool:
         """Add a run; return whether it counts, see :meth:`check`.
@@ -292,6 +299,39 @@
         self.changed.add(fingerprint)
         return True
 
+    def withdraw(self, target: str) -> list[str]:
+        """Withdraw the crash of a target that lives.
+
+        Returns
+        -------
+        list of str
+            Fingerprints of the requests that it counted for.
+        """
+        self.due.pop(target, None)
+        self.records.discard(target, 0)
+        found = []
+        for fingerprint, suspect in list(self.suspects.entries.items()):
+            crash = suspect.find(target)
+            if crash is None:
+                continue
+            found.append(fingerprint)
+            suspect.crashes.remove(crash)
+            if len(suspect.crashes) < MIN_CRASHES:
+                suspect.condemned = False
+                self.pauses.pop(fingerprint, None)
+            if not suspect.crashes:
+                self.suspects.clear(fingerprint)
+        self.changed.update(found)
+        self.withdrawn.update(found)
+        return found
+
+    def forget(self, fingerprint: str) -> None:
+        """Forget a request of which other processes know better."""
+        suspect = self.get(fingerprint)
+        if suspect is not None:
+            suspect.condemned = False
+            self.clear(fingerprint)
+
     def adopt(self, verdict: Verdict) -> None:
         """Take over what another process knows of a condemned request."""
         now = self.clock()
@@ -400,10 +440,13 @@
             verdict = self.verdict(fingerprint)
             if verdict is not None:
                 self.published.add(fingerprint)
-                verdicts.append(verdict)
             elif fingerprint in self.published:
                 self.published.discard(fingerprint)
-                verdicts.append(Verdict(fingerprint, False, 0.0, 0.0, 0, []))
+                verdict = Verdict(fingerprint, False, 0.0, 0.0, 0, [])
+            if verdict is not None:
+                verdict.withdrawn = fingerprint in self.withdrawn
+                verdicts.append(verdict)
+        self.withdrawn.clear()
         return verdicts
 
     def verdicts(self) -> list[Verdict]:
--- a/amaranthring/registry/crash_ledger.py
+++ b/amaranthring/registry/crash_ledger.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import typing as t
 
@@ -22,6 +23,7 @@
 from amaranthring.registry import messages
 from amaranthring.registry import publisher
 from amaranthring.registry import sharing
+from amaranthring.registry import targets
 
 log = logbook.Logger(__name__)
 
@@ -33,6 +35,31 @@
 PUBLISH_SECONDS = 0.05
 
 
+# A target lives that has announced itself so often, over so many of its
+# intervals, since its crash was reported. Announcements of a process that has
+# ended may arrive late, but not so many of them.
+ALIVE_ANNOUNCEMENTS = 4
+ALIVE_INTERVALS = 3.0
+# Targets whose crashes are watched at once.
+MAX_WATCHED = 1000
+
+
+@dataclasses.dataclass
+class Watch:
+    """A target that was reported as ended.
+
+    Attributes
+    ----------
+    sequence : int
+        Of its last announcement by then; -1 if that is not known yet.
+    since : float
+        When it was reported, in seconds.
+    """
+
+    sequence: int
+    since: float
+
+
 class CrashLedger:
     """Collects reports of crashes and publishes verdicts to the routers.
 
@@ -44,6 +71,11 @@
         Returns the links to the routers.
     clock : callable
         Seconds; continues while the VM is suspended.
+
+    Attributes
+    ----------
+    watched : OrderedDict of str to Watch
+        Targets that were reported as ended and may prove to live.
     """
 
     def __init__(
@@ -55,6 +87,10 @@
         self.routers = routers
         self.evidence = crash_evidence.CrashEvidence(clock)
         self.trials = trials.TrialTable(clock)
+        self.clock = clock
+        self.watched: collections.OrderedDict[str, Watch] = (
+            collections.OrderedDict()
+        )
         self.judge_handle: asyncio.TimerHandle | None = None
         self.publish_handle: asyncio.TimerHandle | None = None
         handlers.add(crash_messages.LostRuns, self._on_runs)
@@ -105,6 +141,10 @@
         new = [run for run in message.runs if self.evidence.add(run)]
         if not new:
             return
+        for run in new:
+            self.watched.setdefault(run.target, Watch(-1, self.clock()))
+        while len(self.watched) > MAX_WATCHED:
+            self.watched.popitem(last=False)
         logs.event(
             log,
             "crash.reported",
@@ -115,6 +155,38 @@
         )
         self._follow_up()
 
+    def withdraw_living(
+        self, table: targets.TargetTable, announce_seconds: float
+    ) -> None:
+        """Withdraw the crashes of targets that go on announcing themselves.
+
+        A router that loses its paths may take live targets for ended ones.
+        """
+        for target_id, watch in list(self.watched.items()):
+            entry = table.entries.get(target_id)
+            if entry is None or entry.gone_at or entry.record.silent:
+                del self.watched[target_id]
+            elif watch.sequence < 0:
+                watch.sequence = entry.record.sequence
+            elif (
+                entry.record.sequence >= watch.sequence + ALIVE_ANNOUNCEMENTS
+                and self.clock() - watch.since
+                >= ALIVE_INTERVALS * announce_seconds
+            ):
+                del self.watched[target_id]
+                self._withdraw(target_id)
+
+    def _withdraw(self, target_id: str) -> None:
+        fingerprints = self.evidence.withdraw(target_id)
+        logs.event(
+            log,
+            "crash.withdrawn",
+            target=target_id,
+            requests=len(fingerprints),
+        )
+        if fingerprints:
+            self._follow_up()
+
     def _on_completed(
         self, link: links.Link, message: crash_messages.SuspectsCompleted
     ) -> None:
--- a/amaranthring/registry/crash_log.py
+++ b/amaranthring/registry/crash_log.py
@@ -20,6 +20,7 @@
         condemned=verdict.condemned,
         refused_seconds=round(verdict.refused_seconds, 1),
         count=verdict.count,
+        withdrawn=verdict.withdrawn,
         crashes=describe(verdict.crashes),
     )
 
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -235,6 +235,7 @@
                     for record in silent:
                         logs.event(log, "target.silent", target=record.id)
                     self._broadcast(silent)
+            self.crashes.withdraw_living(self.table, self.announce_seconds)
             self.table.remove_expired(RETENTION_SECONDS)
             self.accepted.close_silent(time.monotonic())
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -42,13 +42,26 @@
         await asyncio.sleep(0.15)
         return got
 
-    def verdict(self, fingerprint="f", crashes=3, refused=0.0, seconds=600.0):
+    def verdict(
+        self,
+        fingerprint="f",
+        crashes=3,
+        refused=0.0,
+        seconds=600.0,
+        withdrawn=False,
+    ):
         notes = [
             crash_evidence.CrashNote(f"t{n}", 1.0, "router-1")
             for n in range(crashes)
         ]
         return crash_evidence.Verdict(
-            fingerprint, refused > 60.0, refused, seconds, crashes, notes
+            fingerprint,
+            refused > 60.0,
+            refused,
+            seconds,
+            crashes,
+            notes,
+            withdrawn,
         )
 
     def tell(self, **parameters):
@@ -156,6 +169,17 @@
         await asyncio.sleep(0.2)
         self.assertIsNone(self.guard._told(name))
 
+    async def test_withdrawn_crashes_free_a_condemned_request(self):
+        """Guards against refusals for crashes of targets that live."""
+        await self.begin_crashing(2)
+        name = await self.fingerprint("/b/x")
+        self.tell(fingerprint=name, refused=500.0, crashes=4)
+        self.assertEqual(503, (await self.ask("/b/x", "POST")).status)
+        self.tell(fingerprint=name, crashes=0)
+        self.assertEqual(503, (await self.ask("/b/x", "POST")).status)
+        self.tell(fingerprint=name, crashes=0, withdrawn=True)
+        self.assertEqual(200, (await self.ask("/b/x", "POST")).status)
+
     async def test_longest_refusal_of_several_keepers_holds(self):
         """Guards against a keeper that ends what another has decided."""
         await self.begin_crashing(1)
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -12,6 +12,7 @@
 from amaranthring.registry import crash_ledger
 from amaranthring.registry import crash_messages
 from amaranthring.registry import messages
+from amaranthring.registry import targets
 
 
 class FakeLink:
@@ -115,6 +116,72 @@
                 self.receive(keeper, message)
 
 
+class TestLivingTargets(LedgerCase):
+    """Targets that a router without paths has reported as ended."""
+
+    def setUp(self):
+        super().setUp()
+        self.table = targets.TargetTable(lambda: self.now, 1.5)
+
+    def announce(self, sequence, names):
+        """Let targets announce themselves, and the ledger take note."""
+        for name in names:
+            self.table.merge(
+                messages.TargetRecord(
+                    name, "s", f"{name}:1", "here", sequence=sequence
+                )
+            )
+        self.now += 1.0
+        self.ledger.withdraw_living(self.table, 1.0)
+
+    async def crash_and_announce(self, count, announcements):
+        """Report a series of crashes; some targets announce themselves on."""
+        names = [f"bad-t{number}" for number in range(count)]
+        for name in names:
+            self.table.merge(
+                messages.TargetRecord(
+                    name, "s", f"{name}:1", "here", sequence=1
+                )
+            )
+        await self.crash_series(count)
+        for number in range(announcements + 1):
+            self.announce(1 + number, names)
+        await self.settle()
+        return self.routers[0].verdicts()["bad"]
+
+    async def test_crashes_of_targets_that_live_do_not_count(self):
+        """Guards against routers without paths that blame requests."""
+        verdict = await self.crash_and_announce(
+            3, crash_ledger.ALIVE_ANNOUNCEMENTS
+        )
+        self.assertEqual((0, True), (verdict.count, verdict.withdrawn))
+        self.assertIsNone(self.ledger.evidence.get("bad"))
+
+    async def test_condemned_request_is_free_again(self):
+        """Guards against ten minutes of refusals for a router's own fault."""
+        verdict = await self.crash_and_announce(4, 1)
+        self.assertTrue(verdict.condemned)
+        names = [f"bad-t{number}" for number in range(4)]
+        for number in range(crash_ledger.ALIVE_ANNOUNCEMENTS):
+            self.announce(3 + number, names)
+        await self.settle()
+        verdict = self.routers[0].verdicts()["bad"]
+        self.assertEqual((0, False), (verdict.count, verdict.condemned))
+
+    async def test_late_announcements_withdraw_nothing(self):
+        """Guards against crashes that count no more, as messages are late."""
+        verdict = await self.crash_and_announce(
+            4, crash_ledger.ALIVE_ANNOUNCEMENTS - 1
+        )
+        self.assertTrue(verdict.condemned)
+
+    async def test_targets_that_have_left_are_not_watched(self):
+        """Guards against memory for targets that never come back."""
+        await self.crash_series(3)
+        self.ledger.withdraw_living(self.table, 1.0)
+        self.assertEqual(0, len(self.ledger.watched))
+
+
 class TestRestoring(LedgerCase):
     """Processes that link anew."""
 
