Refuse streams whose service a newer plan has dropped

A plan that comes while keepers are asked for a stream's binding may drop its service; the request would then end with an internal error. Read in the code, not seen. Keepers' hints are also written anew when only a version has changed.

--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -234,16 +234,18 @@
         binding = context.binding
         if binding is None or binding.service == context.service:
             return
+        # The plan may have changed while keepers were asked.
         table = self.table()
-        if not context.route.leads_to(binding.service) or table is None:
+        service = table.services.get(binding.service)
+        if not context.route.leads_to(binding.service) or service is None:
             raise errors.NoTargetError(
                 "the route no longer leads to the service of the stream",
                 given=context.service,
                 expected=binding.service,
                 retry_after=RETRY_RELEASE,
             )
-        context.service = binding.service
-        context.engine = table.services[binding.service].engine
+        context.service = service.name
+        context.engine = service.engine
 
     def _account(
         self,
--- a/amaranthring/registry/hint_file.py
+++ b/amaranthring/registry/hint_file.py
@@ -171,7 +171,7 @@
 
     def write_soon(self) -> None:
         """Write without waiting for the interval."""
-        asyncio.get_running_loop().call_soon(self.is_urgent.set)
+        self.is_urgent.set()
 
     def _hints(self) -> Hints:
         active = [
@@ -193,7 +193,10 @@
         """Return the content whose change makes the file worth rewriting."""
         return (
             {tuple(pair) for pair in hints.places},
-            {(record.id, record.state) for record in hints.targets},
+            {
+                (record.id, record.state, record.release)
+                for record in hints.targets
+            },
             {verdict.fingerprint for verdict in hints.condemned},
             {(run.fingerprint, run.target) for run in hints.runs},
         )
