Let tests of mixed versions read until enough tries were made

Cause: the test's own process was slow to begin streams (62 to 75 instead of 136 in the time), as it searched all connections of the machine for each event of a cut-off router, and as the load let it. It searches once a connection now, and streams are begun until 12 tries were made, for three times as long at most.

--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -1,6 +1,7 @@
 """Streams while replicas of several software versions serve, as processes."""
 
 import asyncio
+import itertools
 import signal
 import time
 
@@ -24,22 +25,24 @@
 class TestCallers(version_case.VersionCase):
     """Callers break streams off and take them up at any router."""
 
+    needs_tries = True
+
     async def test_streams_go_on_at_the_version_that_began_them(self):
         """Guards against a caller's try that goes on at another version."""
         await self.read_streams(SECONDS, break_share=0.4)
-        self.assertGreaterEqual(len(self.resumed), version_case.MIN_TRIES)
         self.check()
 
 
 class TestKilledRouters(version_case.VersionCase):
     """Routers are killed, and callers take their streams up at others."""
 
+    needs_tries = True
+
     async def test_streams_go_on_at_the_version_that_began_them(self):
         """Guards against versions that only the killed router knew."""
-        kills = asyncio.ensure_future(self.kill_routers(SECONDS))
+        kills = asyncio.ensure_future(self.kill_routers())
         await self.read_streams(SECONDS)
-        await kills
-        self.assertGreaterEqual(len(self.resumed), version_case.MIN_TRIES)
+        kills.cancel()
         self.check()
 
 
@@ -68,10 +71,11 @@
     """Most routers are killed at the same moment."""
 
     routers = 4
+    needs_tries = True
 
     async def kill_most(self):
-        """Kill all routers but one, twice."""
-        for spared in self.router_names[:2]:
+        """Kill all routers but one again and again."""
+        for spared in itertools.cycle(self.router_names):
             await asyncio.sleep(1.5)
             await asyncio.gather(
                 *(
@@ -85,14 +89,15 @@
         """Guards against versions that only routers know."""
         kills = asyncio.ensure_future(self.kill_most())
         await self.read_streams(SECONDS)
-        await kills
-        self.assertGreaterEqual(len(self.resumed), version_case.MIN_TRIES)
+        kills.cancel()
         self.check()
 
 
 class TestStoppedRouter(version_case.VersionCase):
     """Routers stand still while their callers go elsewhere, and come back."""
 
+    needs_tries = True
+
     async def stop_routers(self):
         """Stop one router after the other for longer than callers wait."""
         for name in self.router_names[:2]:
@@ -103,13 +108,14 @@
         stops = asyncio.ensure_future(self.stop_routers())
         await self.read_streams(SECONDS, break_share=0.3)
         await stops
-        self.assertGreaterEqual(len(self.resumed), version_case.MIN_TRIES)
         self.check()
 
 
 class TestSeveredRouter(version_case.VersionCase):
     """A router reaches no replica, and hands its streams over."""
 
+    needs_tries = True
+
     async def sever(self):
         """Cut one router off from all replicas for a while."""
         await asyncio.sleep(1.0)
@@ -122,7 +128,6 @@
         cut = asyncio.ensure_future(self.sever())
         await self.read_streams(SECONDS, break_share=0.4)
         await cut
-        self.assertGreaterEqual(len(self.resumed), version_case.MIN_TRIES)
         self.check()
 
 
--- a/tests/version_case.py
+++ b/tests/version_case.py
@@ -176,6 +176,8 @@
         Routers that are cut off from all replicas.
     names_first : bool
         Whether callers name the attempt that brought the first event.
+    needs_tries : bool
+        Whether the users' least number of tries must take streams up.
     """
 
     routers = 3
@@ -183,10 +185,12 @@
     versions = {"v1": 4, "v1.1": 4}
     seed = 1
     names_first = True
+    needs_tries = False
 
     async def asyncSetUp(self):
         self.rng = random.Random(self.seed)
         self.severed = set()
+        self.owners = {}
         self.streams = []
         self.begun = []
         self.resumed = []
@@ -245,8 +249,13 @@
         """Return whether a connection comes from a router that is cut off."""
         if not self.severed:
             return False
-        processes = {name: self.processes[name] for name in self.severed}
-        return bool(test_severed_routers.owner_of(writer, processes))
+        # Searching all connections of the VM takes milliseconds.
+        if writer not in self.owners:
+            self.owners[writer] = test_severed_routers.owner_of(
+                writer,
+                {name: self.processes[name] for name in self.router_names},
+            )
+        return self.owners[writer] in self.severed
 
     def serving(self, label):
         """Return the replicas of a service and version that serve."""
@@ -381,10 +390,20 @@
         for _, writer in kept.values():
             writer.close()
 
+    def has_read_enough(self, spent, seconds):
+        """Return whether no more streams are begun after `spent` seconds."""
+        if not self.needs_tries or len(self.resumed) >= MIN_TRIES:
+            return spent >= seconds
+        return spent >= 3 * seconds
+
     async def read_streams(self, seconds, break_share=0.0):
-        """Begin streams for a while, and read them all to their ends."""
-        until = time.monotonic() + seconds
-        while time.monotonic() < until:
+        """Begin streams for a while, and read them all to their ends.
+
+        A busy machine is slow to begin them: up to three times as long, until
+        as many tries have taken a stream up as the users count.
+        """
+        started_at = time.monotonic()
+        while not self.has_read_enough(time.monotonic() - started_at, seconds):
             breaks = self.rng.random() < break_share
             after = self.rng.randrange(2, EVENTS - 2) if breaks else 0
             self.callers.add(asyncio.ensure_future(self.read_stream(after)))
@@ -416,11 +435,10 @@
         await asyncio.sleep(BACK_SECONDS)
         await self.add(crashed.version, crashed.service)
 
-    async def kill_routers(self, seconds):
-        """Kill routers in turn."""
-        until = time.monotonic() + seconds
+    async def kill_routers(self):
+        """Kill routers in turn until cancelled."""
         number = 0
-        while time.monotonic() < until:
+        while True:
             await asyncio.sleep(1.5)
             await self.restart(
                 self.router_names[number % self.routers], signal.SIGKILL
@@ -431,6 +449,8 @@
 
     def check(self):
         """Check what the users ask of streams."""
+        if self.needs_tries:
+            self.assertGreaterEqual(len(self.resumed), MIN_TRIES)
         wrong = [stream.events for stream in self.streams if stream.is_wrong]
         self.assertEqual([], wrong)
         mixed = [stream.events for stream in self.streams if stream.is_mixed]
