Tell routers that start which routes were moved before

What callers would see: a stream goes on at another service than the one that began it, if its route was moved, the keepers have lost its binding, and the router has started since.

A router knew only the changes of routes that it had seen itself.

Change: routers report changes of routes to their home keeper, once, and again to the next one; a keeper that is asked for a stream says whether the route was moved within a minute, and keeps that in its hints.

--- a/amaranthring/bench/streams.py
+++ b/amaranthring/bench/streams.py
@@ -13,6 +13,7 @@
 from amaranthring.core import links
 from amaranthring.core import wire
 from amaranthring.policy import bindings
+from amaranthring.policy import route_history
 from amaranthring.registry import messages
 from amaranthring.registry import stream_ledger
 from amaranthring.registry import stream_messages
@@ -118,7 +119,9 @@
     results.add(
         "a keeper tells a second", told / KEEPERS * (KEEPERS - 1), "bytes"
     )
-    question = stream_messages.FindStream(key, BINDING.service)
+    question = stream_messages.FindStream(
+        key, BINDING.service, route_history.route_key("host", "/prefix/")
+    )
     answer = stream_messages.StreamFound(
         True, BINDING.service, BINDING.release, 1.0
     )
--- a/amaranthring/forwarding/stream_bindings.py
+++ b/amaranthring/forwarding/stream_bindings.py
@@ -13,6 +13,7 @@
 from amaranthring.core import logs
 from amaranthring.forwarding import records
 from amaranthring.policy import bindings
+from amaranthring.policy import route_history
 from amaranthring.registry import sharing
 from amaranthring.registry import stream_messages
 from amaranthring.registry import targets as tables
@@ -39,13 +40,9 @@
 # After a start, for this long keepers are asked again until one knows enough.
 ASK_SECONDS = 0.5
 ASK_PAUSE_SECONDS = 0.1
-# For as long as keepers know targets that have left.
-HISTORY_SECONDS = 60.0
 # ``Retry-After`` in seconds: a report reaches all keepers within this time.
 RETRY_UNKNOWN = 0.5
 
-RouteKey = tuple[str, str]
-
 
 class StreamBindings:
     """Bindings of the streams that this router passes on, and of others.
@@ -63,10 +60,8 @@
     ----------
     known : bindings.BindingTable
         Bindings of the streams that this router has passed on.
-    services : dict
-        Services of each route of the plan in force, by host and prefix.
-    moved_at : dict
-        When the services of a route last changed, by host and prefix.
+    routes : route_history.RouteHistory
+        Routes that led to other services of late, as this router knows.
     """
 
     def __init__(
@@ -86,8 +81,7 @@
             tuple[float, bytes, bindings.Binding]
         ] = collections.deque(maxlen=MAX_REPORTED)
         self.is_urgent = asyncio.Event()
-        self.services: dict[RouteKey, frozenset[str]] = {}
-        self.moved_at: dict[RouteKey, float] = {}
+        self.routes = route_history.RouteHistory(clock)
 
     # -- streams that are passed on ----------------------------------
 
@@ -169,23 +163,16 @@
             if at >= oldest
         )
         self.reported.clear()
+        self.routes.tell_again()
 
     def record_plan(self, plan: routing.Plan) -> None:
         """Note which routes lead to other services than before."""
-        now = self.clock()
-        services = {
-            _route_key(route): frozenset(s.service for s in route.shares)
-            for route in plan.routes
-        }
-        if self.services:
-            for key, names in services.items():
-                if self.services.get(key) != names:
-                    self.moved_at[key] = now
-        oldest = now - HISTORY_SECONDS
-        self.moved_at = {
-            key: at for key, at in self.moved_at.items() if at >= oldest
-        }
-        self.services = services
+        self.routes.record(
+            {
+                _route_key(route): frozenset(s.service for s in route.shares)
+                for route in plan.routes
+            }
+        )
 
     # -- streams that are taken up again -----------------------------
 
@@ -261,7 +248,9 @@
 
         One that knows the stream's binding is enough.
         """
-        question = stream_messages.FindStream(key, context.service)
+        question = stream_messages.FindStream(
+            key, context.service, _route_key(context.route)
+        )
         tasks = [
             asyncio.ensure_future(_ask(link, question))
             for link in self.open_links()
@@ -285,7 +274,9 @@
         answers: dict[str, stream_messages.StreamFound],
     ) -> str:
         """Return the version that alone can have begun the stream, or ""."""
-        if len(context.route.shares) != 1 or self._has_moved(context.route):
+        if len(context.route.shares) != 1:
+            return ""
+        if self._has_moved(context.route, answers):
             return ""
         if not any(answer.complete for answer in answers.values()):
             return ""
@@ -296,7 +287,7 @@
 
     def _releases(self, service: str) -> set[str]:
         """Return the versions that this router knows of."""
-        oldest = self.table.clock() - HISTORY_SECONDS
+        oldest = self.table.clock() - route_history.HISTORY_SECONDS
         return {
             entry.record.release
             for entry in self.table.entries.values()
@@ -304,11 +295,15 @@
             and (not entry.gone_at or entry.gone_at >= oldest)
         }
 
-    def _has_moved(self, route: routing.Route) -> bool:
-        moved_at = self.moved_at.get(_route_key(route))
-        if moved_at is None:
-            return False
-        return self.clock() - moved_at < HISTORY_SECONDS
+    def _has_moved(
+        self,
+        route: routing.Route,
+        answers: dict[str, stream_messages.StreamFound],
+    ) -> bool:
+        """Return whether the route led to other services of late."""
+        if any(answer.moved for answer in answers.values()):
+            return True
+        return self.routes.has_moved(_route_key(route))
 
     def _is_worth_asking_again(
         self, answers: dict[str, stream_messages.StreamFound]
@@ -332,7 +327,7 @@
             service=context.service,
             reason=reason,
             services=len(context.route.shares),
-            moved=self._has_moved(context.route),
+            moved=self._has_moved(context.route, answers),
             answers={
                 keeper: [answer.complete, answer.releases]
                 for keeper, answer in answers.items()
@@ -369,5 +364,5 @@
     return bindings.stream_key(context.account, first)
 
 
-def _route_key(route: routing.Route) -> RouteKey:
-    return route.host.lower(), route.prefix
+def _route_key(route: routing.Route) -> str:
+    return route_history.route_key(route.host, route.prefix)
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -232,6 +232,7 @@
         )
         report.sought = self.handing_over.sought_services()
         report.streams = self.streams.take_report()
+        report.moved = self.streams.routes.take_untold()
         if not self.stopping:
             report.address = self.config.peers
         return report
--- a/amaranthring/registry/hint_file.py
+++ b/amaranthring/registry/hint_file.py
@@ -22,6 +22,7 @@
 from amaranthring.core import wire
 from amaranthring.keepers import disk
 from amaranthring.policy import crash_evidence
+from amaranthring.policy import route_history
 from amaranthring.registry import crash_ledger
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
@@ -58,6 +59,8 @@
         Requests that are refused for good.
     runs : list of Run
         Runs that ended with their targets.
+    moved : dict of str to float
+        Routes that began to lead to other services so many seconds before.
     """
 
     written_at: float
@@ -68,10 +71,11 @@
         default_factory=list
     )
     runs: list[crash_evidence.Run] = dataclasses.field(default_factory=list)
+    moved: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class HintFile:
-    """File of what an exchange, a table and a ledger of crashes hold.
+    """File of what an exchange, a table, a ledger and a history hold.
 
     Parameters
     ----------
@@ -98,6 +102,7 @@
         exchange: sharing.Exchange,
         table: targets.TargetTable,
         crashes: crash_ledger.CrashLedger,
+        routes: route_history.RouteHistory,
         trusted_age: float = 0.0,
         files: disk.FileOps | None = None,
         wall: t.Callable[[], float] = time.time,
@@ -106,6 +111,7 @@
         self.exchange = exchange
         self.table = table
         self.crashes = crashes
+        self.routes = routes
         self.trusted_age = trusted_age
         self.files = files or disk.FileOps()
         self.wall = wall
@@ -135,6 +141,7 @@
         recent = hints.targets if abs(age) <= MAX_TARGETS_AGE_SECONDS else []
         self.table.restore(recent, self.trusted_age)
         self.has_targets = bool(recent)
+        self.routes.merge(hints.moved)
         self.crashes.restore(hints.condemned, hints.runs, max(0.0, age))
         logs.event(
             log,
@@ -186,6 +193,7 @@
             tokens,
             self.crashes.condemned(),
             self.crashes.runs(),
+            self.routes.ages(),
         )
 
     @staticmethod
@@ -199,6 +207,7 @@
             },
             {verdict.fingerprint for verdict in hints.condemned},
             {(run.fingerprint, run.target) for run in hints.runs},
+            set(hints.moved),
         )
 
     def _write(self, hints: Hints) -> OSError | None:
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -140,6 +140,7 @@
             self.hub.exchange,
             self.hub.table,
             self.hub.crashes,
+            self.hub.streams.routes,
             remaining_intervals * config.announce_seconds,
         )
         self.pressure_task: asyncio.Task | None = None
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -93,6 +93,9 @@
         By service, how many requests a second its targets may turn away.
     streams : list of BoundStreams
         Streams that it has begun to pass on, or still does.
+    moved : dict of str to float
+        Routes that began to lead to other services so many seconds ago, if
+        this keeper was not told yet.
     """
 
     counts: dict[str, int]
@@ -111,6 +114,7 @@
     streams: list[stream_messages.BoundStreams] = dataclasses.field(
         default_factory=list
     )
+    moved: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @wire.message("share-left")
@@ -516,6 +520,7 @@
         self.reported_at[link] = self.clock()
         if self.streams is not None:
             self.streams.add(report.streams)
+            self.streams.routes.merge(report.moved)
         if is_new:
             # A new router accepts no callers until it knows the others'
             # totals.
--- a/amaranthring/registry/stream_ledger.py
+++ b/amaranthring/registry/stream_ledger.py
@@ -9,6 +9,7 @@
 
 from amaranthring.core import links
 from amaranthring.policy import bindings
+from amaranthring.policy import route_history
 from amaranthring.registry import messages
 from amaranthring.registry import stream_messages
 from amaranthring.registry import targets
@@ -37,6 +38,8 @@
 
     Attributes
     ----------
+    routes : route_history.RouteHistory
+        Routes that led to other services of late, as routers have told.
     hears_all_keepers : callable
         Returns whether no other keeper is silent.
     is_restored : bool
@@ -59,6 +62,7 @@
         self.untold: collections.deque[tuple[bytes, bindings.Binding]] = (
             collections.deque(maxlen=MAX_TOLD)
         )
+        self.routes = route_history.RouteHistory(clock)
         self.hears_all_keepers: t.Callable[[], bool] = lambda: False
         self.is_restored = False
         self.on_new_release: list[t.Callable[[], None]] = []
@@ -119,4 +123,5 @@
             False,
             releases=sorted(self._releases(message.service)),
             complete=is_settled and self.hears_all_keepers(),
+            moved=self.routes.has_moved(message.route),
         )
--- a/amaranthring/registry/stream_messages.py
+++ b/amaranthring/registry/stream_messages.py
@@ -36,11 +36,14 @@
     Attributes
     ----------
     service : str
-        Service whose versions are asked for, too; empty for none.
+        Service whose versions are asked for, too.
+    route : str
+        Key of the route, of which is asked whether it was moved.
     """
 
     key: bytes
     service: str
+    route: str
 
 
 @wire.message("stream-found")
@@ -59,6 +62,8 @@
         All versions of the service's targets, with those that have left.
     complete : bool
         Whether no other keeper can know of further versions.
+    moved : bool
+        Whether the route led to other services of late.
     """
 
     known: bool
@@ -67,6 +72,7 @@
     age: float = 0.0
     releases: list[str] = dataclasses.field(default_factory=list)
     complete: bool = False
+    moved: bool = False
 
 
 def pack(
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -229,3 +229,29 @@
         fresh = version_case.Stream()
         await self.try_once(self.router_names[1], fresh)
         self.assertEqual("booking:v2", fresh.label)
+
+
+class TestNewRouterAfterAMove(TestMovedRoute):
+    """A router and the keeper start right after a route was moved."""
+
+    versions = {"v1": 2}
+    services = ("booking",)
+
+    async def test_streams_go_on_at_the_service_that_began_them(self):
+        """Guards against a router that knows the newest plan only."""
+        await self.add("v1", "other")
+        streams = [version_case.Stream() for _ in range(4)]
+        for stream in streams:
+            await self.try_once(self.router_names[0], stream, break_after=3)
+        self.services = ("other",)
+        await self.configure()
+        await asyncio.sleep(1.0)
+        await self.restart("keeper", signal.SIGKILL)
+        await self.restart(self.router_names[1], signal.SIGKILL)
+        await asyncio.sleep(1.0)
+        for stream in streams:
+            await self.try_once(self.router_names[1], stream)
+        self.assertEqual([], [s.events for s in streams if s.is_mixed])
+        fresh = version_case.Stream()
+        await self.try_once(self.router_names[1], fresh)
+        self.assertEqual("other:v1", fresh.label)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -15,6 +15,7 @@
 from amaranthring.core import wire
 from amaranthring.keepers import disk
 from amaranthring.policy import crash_evidence
+from amaranthring.policy import route_history
 from amaranthring.registry import crash_ledger
 from amaranthring.registry import hint_file
 from amaranthring.registry import messages
@@ -575,6 +576,7 @@
             sharing.Exchange(links.Handlers(), list, lambda: self.now),
             targets.TargetTable(lambda: self.now, 1.8),
             crash_ledger.CrashLedger(links.Handlers(), list, lambda: self.now),
+            route_history.RouteHistory(lambda: self.now),
             2.0,
             files,
             lambda: self.time_of_day,
@@ -585,6 +587,15 @@
     async def write(self, hints):
         hints._record_result(hints._write(hints._hints()))
 
+    async def test_moved_routes_survive_a_power_loss(self):
+        """Guards against streams that go on at the service of today."""
+        hints = self.open_file()
+        hints.routes.merge({"r1": 3.0})
+        await self.write(hints)
+        restored = self.open_file()
+        restored.load()
+        self.assertTrue(restored.routes.has_moved("r1"))
+
     async def test_crashing_requests_survive_a_power_loss(self):
         """Guards against causes that crash as many targets once more."""
         hints = self.open_file()
--- a/tests/test_stream_ledger.py
+++ b/tests/test_stream_ledger.py
@@ -5,6 +5,7 @@
 
 from amaranthring.core import links
 from amaranthring.policy import bindings
+from amaranthring.policy import route_history
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
 from amaranthring.registry import stream_ledger
@@ -42,7 +43,8 @@
     def find(self, number):
         """Return the answer to a question."""
         handler = self.handlers.by_class[stream_messages.FindStream]
-        return handler(None, stream_messages.FindStream(key(number), "s"))
+        question = stream_messages.FindStream(key(number), "s", "route")
+        return handler(None, question)
 
 
 class TestStreams(LedgerCase):
@@ -98,6 +100,14 @@
         self.ledger.is_restored = True
         self.assertTrue(self.find(1).complete)
 
+    def test_route_that_was_moved_is_told(self):
+        """Guards against routers that have started after the change."""
+        self.assertFalse(self.find(1).moved)
+        self.ledger.routes.merge({"route": 5.0})
+        self.assertTrue(self.find(1).moved)
+        self.now += route_history.HISTORY_SECONDS
+        self.assertFalse(self.find(1).moved)
+
     def test_new_version_is_noticed_once(self):
         """Guards against a new version that is lost with all power."""
         noticed = []
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -371,6 +371,14 @@
         self.assertEqual(503, (await self.resume()).status)
         self.assertEqual(0, self.ran())
 
+    async def test_router_that_started_after_the_change_does_not_guess(self):
+        """Guards against a router that knows the newest plan only."""
+        await self.begin_split()
+        self.use_shares(other=1)
+        self.keeper.answer.moved = True
+        self.assertEqual(503, (await self.resume()).status)
+        self.assertEqual(0, self.ran())
+
     async def test_unknown_stream_of_a_moved_route_is_refused(self):
         """Guards against the one version of a service that did not begin."""
         await self.begin_split()
