--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -137,17 +137,6 @@
     versions = {"v1": 3}
     services = ("booking", "other")
 
-    def configuration(self):
-        document = super().configuration()
-        [known] = document["backends"]
-        document["backends"].append(known | {"name": "other"})
-        for route in document["routes"]:
-            del route["backend"]
-            route["split"] = [
-                {"backend": service, "weight": 1} for service in self.services
-            ]
-        return document
-
     async def move(self):
         """Move the route to the second service."""
         await asyncio.sleep(3.0)
--- a/tests/test_mixed_versions_soak.py
+++ b/tests/test_mixed_versions_soak.py
@@ -36,17 +36,6 @@
         for _ in range(2):
             await self.add("v1", "other")
 
-    def configuration(self):
-        document = super().configuration()
-        [known] = document["backends"]
-        document["backends"].append(known | {"name": "other"})
-        for route in document["routes"]:
-            del route["backend"]
-            route["split"] = [
-                {"backend": service, "weight": 1} for service in self.services
-            ]
-        return document
-
     async def crash_one(self):
         """Crash a replica; it is back after a while."""
         able = [r for r in self.all_replicas if not r.crashed]
--- a/tests/version_case.py
+++ b/tests/version_case.py
@@ -17,6 +17,8 @@
 from tests import platform_case
 from tests import test_severed_routers
 
+# A second service, to which routes may be split or moved.
+OTHER_SERVICE = "other"
 EVENTS = 20
 PACE_SECONDS = 0.05
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+)\n\n")
@@ -165,6 +167,8 @@
     ----------
     versions : dict of str to int
         Number of replicas of each version.
+    services : tuple of str
+        Services to which the plan's routes lead.
     streams : list of Stream
         All streams that were begun.
     begun : list of bool
@@ -183,6 +187,7 @@
     routers = 3
     replicas = 0
     versions = {"v1": 4, "v1.1": 4}
+    services = (platform_case.SERVICE,)
     seed = 1
     names_first = True
     needs_tries = False
@@ -205,8 +210,15 @@
 
     def configuration(self):
         document = super().configuration()
+        [known] = document["backends"]
+        document["backends"].append(known | {"name": OTHER_SERVICE})
         for route in document["routes"]:
+            del route["backend"]
             route.update(
+                split=[
+                    {"backend": service, "weight": 1}
+                    for service in self.services
+                ],
                 route_type="streaming",
                 resumable=True,
                 timeout_ms=TIMEOUT_SECONDS * 1e3,
