--- a/tests/test_brittleness.py
+++ b/tests/test_brittleness.py
@@ -4,6 +4,7 @@
 import itertools
 import time
 import unittest
+from unittest import mock
 
 from amaranthring.forwarding import room_queue
 from amaranthring.policy import bindings
@@ -236,6 +237,10 @@
 
     async def test_place_elsewhere_wakes_no_stream(self):
         """Guards against a place that is spent on who may not use it."""
+        # The stream must wait for as long as the other requests take.
+        patch = mock.patch.object(room_queue, "OBJECTIVE_SHARE", 4.0)
+        patch.start()
+        self.addCleanup(patch.stop)
         await self.begin_versions()
         self.router.placer.views["t0"].running += 1
         on = asyncio.ensure_future(self.ask_on("/c/on", 0.0))
