--- a/amaranthring/forwarding/stream_bindings.py
+++ b/amaranthring/forwarding/stream_bindings.py
@@ -32,8 +32,8 @@
 PROMPT_SECONDS = 0.03
 # A stream in use is recorded again after this time, before it is forgotten.
 RENEW_SECONDS = 20.0
-# What was reported within this time before the home keeper changed may be
-# lost with the one before.
+# What was reported to the previous home keeper within this time before it
+# changed may not have reached the other keepers.
 REPEATED_SECONDS = 1.0
 # A keeper answers within a round trip.
 ANSWER_SECONDS = 0.3
--- a/amaranthring/policy/route_history.py
+++ b/amaranthring/policy/route_history.py
@@ -11,7 +11,7 @@
 
 __all__ = ["HISTORY_SECONDS", "RouteHistory", "route_key"]
 
-# For as long as keepers know targets that have left.
+# Keepers know targets that have left for as long (hub.RETENTION_SECONDS).
 HISTORY_SECONDS = 60.0
 # Routes that were moved; the oldest are forgotten first.
 MAX_MOVED = 2000
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -32,7 +32,8 @@
 FRESH_INTERVALS = 1.5
 # Interval at which keepers tell each other which targets they have heard from.
 GOSSIP_SECONDS = 0.4
-# Longer than a partition is likely to delay an announcement.
+# Longer than a partition is likely to delay an announcement. At least
+# route_history.HISTORY_SECONDS, as a release that has left must be known.
 RETENTION_SECONDS = 60.0
 # An operator allows a keeper one second for an answer, then asks another.
 ANSWER_SECONDS = 0.9
