Name the lost requests and their prompt parts when a target has ended

Without them a crash has to be joined with lines of requests by target and time to tell which requests, or which shared parts, it counts for. Logging only.

--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -169,7 +169,10 @@
         """
         context.trial_broke_off = bool(context.trial)
         run = ended_targets.BrokenRun(
-            context.fingerprint, seconds, self.clock()
+            context.fingerprint,
+            seconds,
+            self.clock(),
+            tuple(part.id for part in context.incoming.parts[:-1]),
         )
         self.ended_targets.broke_off(target, run)
 
@@ -269,6 +272,7 @@
             service=target.service,
             requests=len(runs),
             counted=len(new),
+            lost=ended_targets.describe(broken),
             age=round(max(run.age for run in runs), 3),
         )
         if new:
--- a/amaranthring/forwarding/ended_targets.py
+++ b/amaranthring/forwarding/ended_targets.py
@@ -41,6 +41,8 @@
 MAX_ENDED = 1000
 # Bounds the memory for one target while it is asked.
 MAX_BROKEN_RUNS = 512
+# Bounds the log line of one crash.
+MAX_LOGGED_RUNS = 20
 
 
 @dataclasses.dataclass
@@ -55,11 +57,22 @@
         From sending the request.
     at : float
         When the connection broke, in seconds.
+    parts : tuple of str
+        Ids of the prompt parts that other requests may have, too.
     """
 
     fingerprint: str
     seconds: float
     at: float
+    parts: tuple[str, ...] = ()
+
+
+def describe(runs: list[BrokenRun]) -> str:
+    """Return ``fingerprint/part+part`` of each run, for the log."""
+    return ",".join(
+        f"{run.fingerprint}/{'+'.join(run.parts)}"
+        for run in runs[:MAX_LOGGED_RUNS]
+    )
 
 
 Report = t.Callable[[messages.TargetRecord, list[BrokenRun]], None]
