--- a/tests/crash_case.py
+++ b/tests/crash_case.py
@@ -16,11 +16,13 @@
 RESTART_SECONDS = 1.5
 CRASHING = "crash"
 SLOW = "slow"
+# Prompt parts whose id begins so end each replica that answers them.
+CRASHING_PART = "bad"
 SLOW_SECONDS = 0.4
 
 
 class Replica(platform_case.Replica):
-    """A replica that ends when it runs a request whose path says so.
+    """A replica that ends under requests whose path or parts say so.
 
     Attributes
     ----------
@@ -33,7 +35,7 @@
     crashed_at : float
         Monotonic time in seconds at which it ended; 0 before.
     cause : str
-        Path of the request under which it ended, if any.
+        Path or prompt part under which it ended, if any.
     """
 
     def __init__(self, name, on_end, within_body=False, linger=0.0):
@@ -59,7 +61,10 @@
 
     async def answer(self, seen, writer):
         """Answer one request, or end under it."""
-        if CRASHING not in seen.uri:
+        cause = crashing_part(seen)
+        if CRASHING in seen.uri:
+            cause = seen.uri
+        if not cause:
             if SLOW in seen.uri:
                 await asyncio.sleep(SLOW_SECONDS)
             await super().answer(seen, writer)
@@ -74,7 +79,7 @@
             head = "\r\n".join([*lines, "", ""])
             writer.write(head.encode() + b"x" * 100)
         await asyncio.sleep(RUN_SECONDS)
-        self.end(seen.uri)
+        self.end(cause)
 
     def end(self, cause=""):
         """End like a process that is killed."""
@@ -89,6 +94,15 @@
         self.on_end(self)
 
 
+def crashing_part(seen):
+    """Return the id of the part that ends replicas; empty without one."""
+    for part in seen.headers.get(headers.PROMPT_PARTS, "").split(","):
+        name = part.partition(":")[0]
+        if name.startswith(CRASHING_PART):
+            return name
+    return ""
+
+
 @dataclasses.dataclass
 class Answer:
     """What a caller got for one send.
@@ -157,7 +171,9 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
-    async def send(self, path, account="alba", body=b"", router=None):
+    async def send(
+        self, path, account="alba", body=b"", router=None, parts=""
+    ):
         """Send a request under a new id, to the routers in turn."""
         self.turn += 1
         router = router or self.router_names[self.turn % self.routers]
@@ -180,6 +196,7 @@
                     headers.AUTHORIZATION: f"Bearer key-{account}",
                     platform_case.ROUTER: self.incarnation(router),
                     platform_case.SENT: "0",
+                    **({headers.PROMPT_PARTS: parts} if parts else {}),
                 },
             )
         finally:
