Blame crashes on features of requests, not on whole requests only

Callers: requests that shared one prompt part ended target after target, for as long as they came; each took its neighbours' answers with it.

Cause: evidence was kept by the fingerprint of the whole request. No two of these requests are alike, so each had one crash and none was ever suspected. Class: evidence that knows one shape of culprit.

Change: a request has several features (its prompt parts but the last, its account's path, itself); one table and one judgement serve all. A completed request clears its features and makes them sound for a while, so popular parts neither hide a cause nor are refused for targets that end by themselves. What was on exactly the same lost requests is refused together only, and requests with some of it run one at a time. The check is repeated right before a send, a trial covers one send, and a request whose target broke it off is not sent to a second one while its features are suspected.

Two tests of the guard now expect the path beside the request; the timeline's other requests are judged as strictly.

--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -1,7 +1,8 @@
 """Requests that crash targets, as seen by one router.
 
 Runs that ended with the processes of their targets are reported to the
-keepers; what the reports of all routers condemn is refused here.
+keepers by the features of their requests; requests with features that the
+reports of all routers condemn are refused here.
 """
 
 import asyncio
@@ -16,10 +17,13 @@
 from amaranthring.core import clocks
 from amaranthring.core import links
 from amaranthring.core import logs
+from amaranthring.forwarding import crash_features
 from amaranthring.forwarding import ended_targets
+from amaranthring.forwarding import lost_runs
 from amaranthring.forwarding import placement
 from amaranthring.forwarding import records
 from amaranthring.forwarding import suspect_trials
+from amaranthring.policy import completions
 from amaranthring.policy import crash_evidence
 from amaranthring.registry import crash_log
 from amaranthring.registry import crash_messages
@@ -29,14 +33,21 @@
 
 log = logbook.Logger(__name__)
 
-# A suspect that has been on several crashes runs once at a time; until that
-# run has ended, further sends are told to come back after this time.
+# Requests with a feature that has been on several crashes run one at a time;
+# until that run has ended, others are told to come back after this time.
 TRIAL_RETRY_SECONDS = 0.5
 # Bounds what a restarted keeper gets from each router.
 RESENT_SECONDS = 60.0
 RESENT_RUNS = 100
 # Bounds the memory for verdicts of the keepers.
 MAX_TOLD = 20000
+# From this status on an answer does not show that the request was run.
+MIN_FAILED_STATUS = 500
+
+
+def _runs_alone(verdict: crash_evidence.Verdict) -> bool:
+    """Return whether requests with the feature run one at a time."""
+    return verdict.count >= crash_evidence.MIN_CRASHES
 
 
 class CrashGuard:
@@ -55,14 +66,16 @@
     Attributes
     ----------
     told : OrderedDict
-        Verdict of the keepers by fingerprint, with the time at which it was
-        received.
+        Verdict of the keepers by fingerprint of the feature, with the time at
+        which it was received.
+    completions : completions.Completions
+        When requests with a shared feature last completed here.
     evidence : crash_evidence.CrashEvidence
         What this router has seen itself.
     ended_targets : ended_targets.EndedTargets
         Finds out which targets have ended.
     trials : suspect_trials.SuspectTrials
-        Runs of requests that have been on several crashes.
+        Runs with features that have been on several crashes.
     """
 
     def __init__(
@@ -80,6 +93,7 @@
         self.open_links = open_links
         self.clock = clock
         self.evidence = crash_evidence.CrashEvidence(clock)
+        self.completions = completions.Completions(clock)
         self.told: collections.OrderedDict[
             str, tuple[crash_evidence.Verdict, float]
         ] = collections.OrderedDict()
@@ -97,62 +111,113 @@
         Raises
         ------
         errors.SuspectedError
-            If it crashes the targets that run it, or may do so and runs
-            elsewhere.
+            If it has what crashes the targets that run it, or what may do so
+            and runs elsewhere.
         """
-        verdict = self._verdict(context)
-        if verdict is None:
+        suspected = self._suspected(context)
+        if not suspected:
             return
         context.is_suspect = True
-        seconds = verdict.refused_seconds
-        if not seconds and verdict.count >= crash_evidence.MIN_CRASHES:
-            seconds = await self._try(context)
-        if not seconds:
-            return
+        if context.broke_off:
+            # A second target may end under it as well.
+            self._refuse(context, suspected[0], TRIAL_RETRY_SECONDS)
+        self._check_refused(context, suspected)
+        for verdict in filter(_runs_alone, suspected):
+            if not await self._try(context, verdict.fingerprint):
+                self._refuse(context, verdict, TRIAL_RETRY_SECONDS)
+        # Another crash may have become known meanwhile.
+        self.check_send(context)
+
+    def check_send(self, context: records.RequestContext) -> None:
+        """Check once more right before a request is sent.
+
+        Raises
+        ------
+        errors.SuspectedError
+            As :meth:`check`.
+        """
+        suspected = self._suspected(context)
+        self._check_refused(context, suspected)
+        for verdict in filter(_runs_alone, suspected):
+            if verdict.fingerprint not in context.trials:
+                self._refuse(context, verdict, TRIAL_RETRY_SECONDS)
+
+    def _check_refused(
+        self,
+        context: records.RequestContext,
+        suspected: list[crash_evidence.Verdict],
+    ) -> None:
+        """Refuse a request that has all of what is refused together."""
+        features = set(crash_features.of_request(context))
+        for verdict in suspected:
+            if verdict.refused_seconds and features.issuperset(
+                verdict.together
+            ):
+                self._refuse(context, verdict, verdict.refused_seconds)
+
+    def _refuse(
+        self,
+        context: records.RequestContext,
+        verdict: crash_evidence.Verdict,
+        seconds: float,
+    ) -> t.NoReturn:
         logs.event(
             log,
             "request.suspected",
             id=context.incoming.request_id,
-            fingerprint=verdict.fingerprint,
+            feature=verdict.fingerprint,
+            together=verdict.together,
             condemned=verdict.condemned,
             seconds=round(seconds, 1),
+            count=verdict.count,
             crashes=crash_log.describe(verdict.crashes),
         )
         raise errors.SuspectedError(
-            "targets crashed while they ran this request",
+            "targets crashed while they ran requests like this one",
             given=f"{verdict.count} crashes",
             retry_after=math.ceil(seconds * 10) / 10,
         )
 
-    async def _try(self, context: records.RequestContext) -> float:
-        """Return for how many seconds a suspect may not run; 0 if it may."""
-        if context.trial:
-            return TRIAL_RETRY_SECONDS if context.trial_broke_off else 0.0
+    async def _try(
+        self, context: records.RequestContext, fingerprint: str
+    ) -> bool:
+        """Return whether a request may run as the only one with a suspect."""
+        sends = len(context.sent_after)
+        if fingerprint in context.trials:
+            return sends == context.trial_sends
         left = context.deadline - time.monotonic()
-        context.trial = await self.trials.begin(context.fingerprint, left)
-        if not context.trial:
-            return TRIAL_RETRY_SECONDS
-        # Another crash may have become known meanwhile.
-        verdict = self._verdict(context)
-        return verdict.refused_seconds if verdict is not None else 0.0
+        holder = await self.trials.begin(fingerprint, left)
+        if holder:
+            context.trials[fingerprint] = holder
+            context.trial_sends = sends
+        return bool(holder)
 
     def request_ended(self, context: records.RequestContext) -> None:
-        """Let other sends of a request run again."""
-        if context.trial:
-            self.trials.end(
-                context.fingerprint, context.trial, context.trial_broke_off
-            )
-
-    def completed(self, context: records.RequestContext) -> None:
-        """Clear a request that a target has run without a crash."""
+        """Let other requests with the same suspects run again."""
+        for fingerprint, holder in context.trials.items():
+            self.trials.end(fingerprint, holder, context.broke_off)
+
+    def completed(self, context: records.RequestContext, status: int) -> None:
+        """Clear the features of a request that a target has run.
+
+        Parameters
+        ----------
+        status : int
+            Of the target's answer.
+        """
+        if status >= MIN_FAILED_STATUS:
+            return
+        self.completions.note(crash_features.shared(context))
         if not self.told and not self.evidence.suspects.entries:
             return
-        fingerprint = context.fingerprint
-        told = self._told(fingerprint)
-        known = self.evidence.clear(fingerprint)
-        if known or (told is not None and not told.condemned):
-            self.told.pop(fingerprint, None)
-            self._send(crash_messages.SuspectsCompleted([fingerprint]))
+        features = crash_features.of_request(context)
+        told = [name for name in features if self._told(name) is not None]
+        if not self.evidence.complete(features) and not told:
+            return
+        for fingerprint in told:
+            if not self.told[fingerprint][0].condemned:
+                del self.told[fingerprint]
+        self._send(crash_messages.SuspectsCompleted(list(features)))
 
     def broke_off(
         self,
@@ -167,26 +232,27 @@
         seconds : float
             Time since the request was sent.
         """
-        context.trial_broke_off = bool(context.trial)
+        context.broke_off = True
         run = ended_targets.BrokenRun(
-            context.fingerprint,
-            seconds,
-            self.clock(),
-            tuple(part.id for part in context.incoming.parts[:-1]),
+            crash_features.of_request(context), seconds, self.clock()
         )
         self.ended_targets.broke_off(target, run)
 
-    def _verdict(
+    def _suspected(
         self, context: records.RequestContext
-    ) -> crash_evidence.Verdict | None:
+    ) -> list[crash_evidence.Verdict]:
+        """Return the verdicts on features of a request."""
         if not self.told and not self.evidence.suspects.entries:
-            return None
-        fingerprint = context.fingerprint
+            return []
+        found = map(self._verdict, crash_features.of_request(context))
+        return [verdict for verdict in found if verdict is not None]
+
+    def _verdict(self, fingerprint: str) -> crash_evidence.Verdict | None:
         known = [
             self._told(fingerprint),
             self.evidence.verdict(fingerprint),
         ]
-        return max(
+        verdict = max(
             filter(None, known),
             key=lambda verdict: (
                 verdict.refused_seconds,
@@ -194,6 +260,18 @@
             ),
             default=None,
         )
+        if verdict is None or verdict.condemned:
+            return verdict
+        # Keepers that do not know yet that it is sound are told at once.
+        is_sound = self._completed_age(fingerprint) is not None
+        if is_sound and verdict.count < crash_evidence.MIN_SOUND_CRASHES:
+            return None
+        return verdict
+
+    def _completed_age(self, fingerprint: str) -> float | None:
+        """Return when a feature completed here, if that makes it sound."""
+        age = self.completions.age(fingerprint)
+        return age if age < crash_evidence.SOUND_SECONDS else None
 
     def _told(self, fingerprint: str) -> crash_evidence.Verdict | None:
         """Return the verdict of the keepers as of now."""
@@ -219,12 +297,20 @@
             sharing.send_if_open(link, crash_messages.Verdicts(condemned))
 
     def on_verdicts(
-        self, _link: links.Link, message: crash_messages.Verdicts
+        self, link: links.Link, message: crash_messages.Verdicts
     ) -> None:
         """Heed the verdicts of a keeper."""
         now = self.clock()
         for verdict in message.verdicts:
             self._heed(verdict, now)
+            age = self._completed_age(verdict.fingerprint)
+            if verdict.count and not verdict.condemned and age is not None:
+                sharing.send_if_open(
+                    link,
+                    crash_messages.SuspectsCompleted(
+                        [verdict.fingerprint], age
+                    ),
+                )
         while len(self.told) > MAX_TOLD:
             self.told.popitem(last=False)
 
@@ -233,6 +319,7 @@
         if verdict.withdrawn:
             self.evidence.forget(verdict.fingerprint)
         elif known is not None and known.condemned:
+            self._heed_more(verdict, known, now)
             return
         if not verdict.count:
             if known is not None:
@@ -248,35 +335,46 @@
         if is_new or (verdict.refused_seconds and not refused_before):
             crash_log.log_verdict(verdict)
 
+    def _heed_more(
+        self,
+        verdict: crash_evidence.Verdict,
+        known: crash_evidence.Verdict,
+        now: float,
+    ) -> None:
+        """Heed what tells a condemned feature from those it was with."""
+        if not known.together:
+            # Another keeper may have lost what condemned it.
+            return
+        if verdict.condemned and set(verdict.together) < set(known.together):
+            self.told[verdict.fingerprint] = verdict, now
+        elif not verdict.count:
+            del self.told[verdict.fingerprint]
+        else:
+            return
+        crash_log.log_verdict(verdict)
+
     def _report(
         self,
         target: messages.TargetRecord,
         broken: list[ended_targets.BrokenRun],
     ) -> None:
-        now = self.clock()
-        runs = [
-            crash_evidence.Run(
-                run.fingerprint,
-                target.id,
-                run.seconds,
-                now - run.at,
-                self.name,
-            )
-            for run in sorted(broken, key=lambda run: -run.seconds)
-        ]
+        runs = lost_runs.by_feature(
+            broken, target.id, self.name, self.clock(), self.completions
+        )
         new = [run for run in runs if self.evidence.add(run)]
         logs.event(
             log,
             "target.crashed",
             target=target.id,
             service=target.service,
-            requests=len(runs),
+            requests=len(broken),
+            features=len(runs),
             counted=len(new),
             lost=ended_targets.describe(broken),
             age=round(max(run.age for run in runs), 3),
         )
         if new:
-            self._send(crash_messages.LostRuns(new))
+            self._send(crash_messages.LostRuns(runs))
         loop = asyncio.get_running_loop()
         loop.call_later(crash_evidence.JUDGE_SECONDS, self._judge)
 
--- a/amaranthring/forwarding/ended_targets.py
+++ b/amaranthring/forwarding/ended_targets.py
@@ -51,28 +51,22 @@
 
     Attributes
     ----------
-    fingerprint : str
-        Of the request.
+    features : tuple of str
+        Fingerprints of what the request may share with others, and its own.
     seconds : float
         From sending the request.
     at : float
         When the connection broke, in seconds.
-    parts : tuple of str
-        Ids of the prompt parts that other requests may have, too.
     """
 
-    fingerprint: str
+    features: tuple[str, ...]
     seconds: float
     at: float
-    parts: tuple[str, ...] = ()
 
 
 def describe(runs: list[BrokenRun]) -> str:
-    """Return ``fingerprint/part+part`` of each run, for the log."""
-    return ",".join(
-        f"{run.fingerprint}/{'+'.join(run.parts)}"
-        for run in runs[:MAX_LOGGED_RUNS]
-    )
+    """Return ``feature+feature`` of each run, for the log."""
+    return ",".join("+".join(run.features) for run in runs[:MAX_LOGGED_RUNS])
 
 
 Report = t.Callable[[messages.TargetRecord, list[BrokenRun]], None]
--- /dev/null
+++ b/amaranthring/forwarding/lost_runs.py
@@ -0,0 +1,43 @@
+"""Reports of the runs that this router lost with one target."""
+
+import typing as t
+
+from amaranthring.forwarding import crash_features
+from amaranthring.forwarding import ended_targets
+from amaranthring.policy import completions
+from amaranthring.policy import crash_evidence
+
+
+def by_feature(
+    broken: t.Iterable[ended_targets.BrokenRun],
+    target: str,
+    router: str,
+    now: float,
+    completed: completions.Completions,
+) -> list[crash_evidence.Run]:
+    """Return one run for each feature of the lost requests.
+
+    The first one that was sent stands for all with the same feature. Shared
+    features come first, as receivers bound what they keep of one crash.
+    """
+    runs: dict[str, crash_evidence.Run] = {}
+    for lost in sorted(broken, key=lambda lost: -lost.seconds):
+        for feature in lost.features:
+            beside = [name for name in lost.features if name != feature]
+            if feature in runs:
+                known = runs[feature]
+                known.beside = [b for b in known.beside if b in beside]
+                continue
+            runs[feature] = crash_evidence.Run(
+                feature,
+                target,
+                lost.seconds,
+                now - lost.at,
+                router,
+                beside,
+                completed.age(feature),
+            )
+    return sorted(
+        runs.values(),
+        key=lambda run: not crash_features.is_shared(run.fingerprint),
+    )
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -268,7 +268,7 @@
     is_trial : bool
         Whether all targets rest and the current one is tried all the same.
     is_suspect : bool
-        Whether targets have crashed while they ran it.
+        Whether targets have crashed while they ran requests like it.
     engine : Engine or None
         Capabilities of the service's engines; None if it has none.
     begun_at : float
@@ -277,10 +277,12 @@
         Whether the current target runs the request and responds.
     prefill_tokens : int
         Tokens that the current target has to prefill.
-    trial : str
-        Its trial as a suspect, see :mod:`suspect_trials`; empty for none.
-    trial_broke_off : bool
-        Whether a target broke that trial off.
+    trials : dict of str to str
+        Its trials by suspected feature, see :mod:`suspect_trials`.
+    trial_sends : int
+        Number of sends before its first trial.
+    broke_off : bool
+        Whether a target broke off its last run.
     silent_data_centres : set of str
         Data centres in which a target did not respond.
     attempt_outcomes : list of str
@@ -321,8 +323,9 @@
     waited_since: float | None = None
     is_trial: bool = False
     is_suspect: bool = False
-    trial: str = ""
-    trial_broke_off: bool = False
+    trials: dict[str, str] = dataclasses.field(default_factory=dict)
+    trial_sends: int = 0
+    broke_off: bool = False
     silent_data_centres: set[str] = dataclasses.field(default_factory=set)
     attempt_outcomes: list[str] = dataclasses.field(default_factory=list)
     releases: list[str] = dataclasses.field(default_factory=list)
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -403,7 +403,7 @@
                 await self._relay_body(context, attempt, writer)
             complete = True
             self.placer.record_success(target)
-            self.crashes.completed(context)
+            self.crashes.completed(context, head.status)
             failures.record_refusals(self.placer, context)
             outcome = str(head.status)
         except errors.NotListeningError:
@@ -469,11 +469,14 @@
 
         Raises
         ------
+        errors.SuspectedError
+            If it became known meanwhile that it crashes targets.
         errors.TargetRestingError
             If the target has asked for rest during the connect.
         errors.NoQuorumError
             If the request's key is no longer trusted.
         """
+        self.crashes.check_send(context)
         rests = self.placer.rests
         left = rests.left(target.id)
         if left:
--- a/amaranthring/forwarding/suspect_trials.py
+++ b/amaranthring/forwarding/suspect_trials.py
@@ -1,7 +1,8 @@
-"""The router's side of running suspected requests one at a time.
+"""The router's side of running requests with suspects one at a time.
 
 Routers ask all keepers that they reach, and run a request if most of those
-that answer agree; so it runs at one router of all that reach the same keepers.
+that answer agree; so one runs at a time, at one router of all that reach the
+same keepers.
 """
 
 import asyncio
@@ -26,13 +27,13 @@
 # After a run that its target broke off: finding out that the target has ended,
 # the reports of other routers and the keepers' judgement take less.
 JUDGED_SECONDS = 1.0
-# After keepers have refused, all sends of the request are refused for this
-# time without asking them.
+# After keepers have refused, all requests with the feature are refused for
+# this time without asking them.
 REFUSED_SECONDS = 0.5
 
 
 class SuspectTrials:
-    """Trials of suspected requests at this router.
+    """Trials of suspected features at this router.
 
     Parameters
     ----------
--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -1,22 +1,30 @@
-"""Which requests crash targets, where nobody keeps suspects apart.
+"""What crashes targets, where nobody keeps suspects apart.
+
+A crash is blamed on a feature of the requests that ran there: a request
+itself, or what it shares with others. Each feature has a fingerprint.
 
 Routers that forward by a plan place requests on their own, so a request that
 crashes targets runs beside others, and each crash has many suspects. What
 tells them apart is how often they were there: the cause was there each time,
-and another request only as often as it happened to share a target with it.
+and another feature only as often as it happened to share a target with it.
+
+A feature that was on three crashes counts as their cause, unless another one
+may be: one that was on two or more of them, and has been on nearly as many
+crashes or was missing at fewer than three. A crash for which another feature
+was condemned does not count. A feature of a request that completes is no
+longer a suspect, and for a while it takes many more crashes to become one.
 
-A request that ran on three crashes counts as their cause, unless another one
-may be: one that ran on two or more of them, and has been on nearly as many
-crashes or was missing at fewer than three. A crash for which another request
-was condemned does not count. A request that completes is no longer a suspect.
+Features that were on exactly the same lost requests cannot be told apart.
+They count as one cause: requests that have all of them are refused, and those
+with some of them run once at a time, which shows which of them it is.
 
 Only a series of crashes, each under a run that was sent after the one before,
-pauses or condemns a request: targets that end together, with a rack, would
-condemn one that is sent often. All its crashes count for whether it is tried
-again only once at a time, so that one that is sent several times at once ends
-no more targets than that.
+pauses or condemns a feature: targets that end together, with a rack, would
+condemn one that many requests have. All its crashes count for whether it is
+tried again only once at a time, so that requests that are sent at once end no
+more targets than that.
 
-A series of three pauses a request, as targets that are lost one after the
+A series of three pauses a feature, as targets that are lost one after the
 other may meet one by chance. A further crash, under the run that the pause
 allows, condemns it; the third one does if other targets have ended under it
 too. Requests that return all the time and meet the cause on most of its
@@ -28,14 +36,28 @@
 import dataclasses
 import enum
 import heapq
+import itertools
+import math
 import typing as t
 
+from amaranthring.policy import companions
+from amaranthring.policy import completions
 from amaranthring.policy import suspects
 
 MIN_CRASHES = 3
 # A caller that waits for several seconds can still come back after it.
 PAUSE_SECONDS = 2.0
-# Another request that ran on one of the crashes only explains no series.
+# Each further pause is longer by this factor, so that few targets end under a
+# cause that is not told apart from another feature.
+PAUSE_FACTOR = 4.0
+MAX_PAUSE_SECONDS = 60.0
+# A feature is sound for so long after a request with it has completed.
+SOUND_SECONDS = 300.0
+# Series that pauses, and that condemns, a sound feature: targets that end one
+# after the other for another reason are all lost under popular features.
+MIN_SOUND_CRASHES = 8
+MAX_SOUND_CRASHES = 16
+# Another feature that was on one of the crashes only explains no series.
 MIN_SHARED = 2
 # With more crashes than this in all, a series of three condemns.
 MAX_UNCERTAIN_CRASHES = 5
@@ -62,20 +84,25 @@
 
 @dataclasses.dataclass
 class Run:
-    """A run of a request that ended with the process of its target.
+    """Runs with one feature that ended with the process of their target.
 
     Attributes
     ----------
     fingerprint : str
-        Of the request.
+        Of the feature.
     target : str
         Id of the target's incarnation.
     seconds : float
-        Time from sending the request to the crash.
+        Time from sending the first of the requests to the crash.
     age : float
         Seconds since the crash.
     router : str
-        Router that had sent it.
+        Router that had sent them.
+    beside : list of str
+        Fingerprints of the features that all these requests had too.
+    completed : float
+        Seconds since a request with the feature completed at that router;
+        infinite if it knows of none.
     """
 
     fingerprint: str
@@ -83,6 +110,8 @@
     seconds: float
     age: float
     router: str
+    beside: list[str] = dataclasses.field(default_factory=list)
+    completed: float = math.inf
 
 
 class Ignored(enum.StrEnum):
@@ -129,7 +158,7 @@
 
 
 def _is_certain(crashes: list[SeenCrash]) -> bool:
-    """Return whether the `crashes` under a request condemn it."""
+    """Return whether the `crashes` under a feature condemn it."""
     length = _series(crashes)
     if length == MIN_CRASHES:
         return len(crashes) > MAX_UNCERTAIN_CRASHES
@@ -157,16 +186,16 @@
 
 @dataclasses.dataclass
 class Verdict:
-    """What is known of one request.
+    """What is known of one feature.
 
     Attributes
     ----------
     fingerprint : str
-        Of the request.
+        Of the feature.
     condemned : bool
         Whether it is refused for as long as the crashes count.
     refused_seconds : float
-        Time for which it is refused; 0 if it is not.
+        Time for which requests with it are refused; 0 if they are not.
     seconds : float
         Time for which the crashes count.
     count : int
@@ -175,6 +204,9 @@
         These crashes, if it is refused.
     withdrawn : bool
         Whether some crashes no longer count, as their targets live.
+    together : list of str
+        Fingerprints of the features from which nothing tells it apart. Only
+        requests that have all of them too are refused.
     """
 
     fingerprint: str
@@ -184,6 +216,7 @@
     count: int
     crashes: list[CrashNote]
     withdrawn: bool = False
+    together: list[str] = dataclasses.field(default_factory=list)
 
     def later(self, seconds: float) -> "Verdict":
         """Return what the verdict says some `seconds` later."""
@@ -197,6 +230,7 @@
                 dataclasses.replace(note, age=note.age + seconds)
                 for note in self.crashes
             ],
+            together=self.together,
         )
 
 
@@ -210,14 +244,17 @@
         Length of the series of crashes for which it is paused.
     until : float
         Its end, in seconds.
+    number : int
+        Number of pauses before it.
     """
 
     crashes: int
     until: float
+    number: int = 0
 
 
 class CrashEvidence:
-    """Runs that ended with their targets, and the requests they condemn.
+    """Runs that ended with their targets, and the features they condemn.
 
     Parameters
     ----------
@@ -229,14 +266,18 @@
     due : dict of str to float
         Time at which the crash of each target is judged.
     pauses : dict of str to Pause
-        Last pause by fingerprint of the request.
+        Last pause by fingerprint.
     changed : set of str
-        Fingerprints of the requests of which something new is known.
+        Fingerprints of the features of which something new is known.
     published : set of str
         Fingerprints in the verdicts that were taken last.
     withdrawn : set of str
-        Fingerprints of the requests of which crashes were withdrawn since
+        Fingerprints of the features of which crashes were withdrawn since
         then.
+    companions : companions.Companions
+        Features that were on all lost requests of another one.
+    completions : completions.Completions
+        When requests with a feature last completed.
     """
 
     def __init__(self, clock: t.Callable[[], float]):
@@ -248,6 +289,8 @@
         self.changed: set[str] = set()
         self.published: set[str] = set()
         self.withdrawn: set[str] = set()
+        self.companions = companions.Companions()
+        self.completions = completions.Completions(clock)
 
     def add(self, run: Run) -> bool:
         """Add a run; return whether it counts, see :meth:`check`.
@@ -255,22 +298,30 @@
         Of several runs on one target, the one that was sent first stands for
         the crash: targets that end together end it everywhere at once.
         """
+        if run.completed < SOUND_SECONDS:
+            self.complete([run.fingerprint], run.completed)
         now = self.clock()
         reason = self.check(run)
         if reason is Ignored.KNOWN:
             known = self.get(run.fingerprint).find(run.target)
             sent_at = now - run.age - run.seconds
             known.sent_at = min(known.sent_at, sent_at)
+            self._add_companions(run)
         if reason is not Ignored.NO:
             return False
         crash = _seen_crash(run, now)
         if not self.records.add(crash, run.fingerprint, run.seconds, crash.at):
             return False
         self.suspects.record_crash("", run.fingerprint, crash, now)
+        self._add_companions(run)
         self.due[run.target] = now + JUDGE_SECONDS
         self.changed.add(run.fingerprint)
         return True
 
+    def _add_companions(self, run: Run) -> None:
+        if self.companions.add(run.fingerprint, run.beside):
+            self.changed.add(run.fingerprint)
+
     def check(self, run: Run) -> Ignored:
         """Return why a run does not count, or that it may.
 
@@ -285,19 +336,83 @@
             return Ignored.KNOWN
         return Ignored.NO
 
-    def clear(self, fingerprint: str) -> bool:
-        """Clear a request that completed; return whether it was a suspect."""
-        suspect = self.get(fingerprint)
-        if suspect is None or suspect.condemned:
-            return False
-        for crash in suspect.crashes:
+    def complete(
+        self, fingerprints: t.Collection[str], age: float = 0.0
+    ) -> list[str]:
+        """Clear features of a request that completed.
+
+        One that is refused stays so if the request should have been refused:
+        it is a duplicate that was sent earlier.
+
+        Parameters
+        ----------
+        age : float
+            Seconds since it completed; later crashes still count.
+
+        Returns
+        -------
+        list of str
+            Fingerprints of those that were suspects.
+        """
+        self.completions.note(fingerprints, age)
+        for fingerprint in fingerprints:
+            self._tell_apart(fingerprint)
+        names = set(fingerprints)
+        cleared = []
+        for fingerprint in fingerprints:
+            suspect = self.get(fingerprint)
+            if suspect is None:
+                continue
+            if suspect.condemned and self.together(fingerprint) <= names:
+                continue
+            self._drop_crashes(fingerprint, suspect, self.clock() - age)
+            cleared.append(fingerprint)
+        return cleared
+
+    def _drop_crashes(
+        self, fingerprint: str, suspect: suspects.Suspect, until: float
+    ) -> None:
+        """Drop the crashes of a feature up to the time `until`."""
+        for crash in [c for c in suspect.crashes if c.at <= until]:
+            suspect.crashes.remove(crash)
             self.records.remove_request(crash, fingerprint)
-            # One that was not told apart from this request may be now.
+            # One that was not told apart from this feature may be now.
             self.due[crash.target] = self.clock()
-        self.suspects.clear(fingerprint)
-        self.pauses.pop(fingerprint, None)
+        self._reconsider(fingerprint, suspect)
+        if not suspect.crashes:
+            self.companions.clear(fingerprint)
         self.changed.add(fingerprint)
-        return True
+
+    def _tell_apart(self, fingerprint: str) -> None:
+        """Drop a feature that completed from what others are seen with."""
+        for other in self.published:
+            if fingerprint in self.companions.of(other):
+                self.companions.discard(other, fingerprint)
+                self.changed.add(other)
+
+    def _reconsider(self, fingerprint: str, suspect: suspects.Suspect) -> None:
+        """Refuse a feature no longer for crashes that do not count."""
+        if len(suspect.crashes) < MIN_CRASHES:
+            suspect.condemned = False
+            self.pauses.pop(fingerprint, None)
+        if not suspect.crashes:
+            self.suspects.clear(fingerprint)
+
+    def clear(self, fingerprint: str) -> bool:
+        """Clear a feature; return whether it was a suspect."""
+        return bool(self.complete([fingerprint]))
+
+    def is_sound(self, fingerprint: str) -> bool:
+        """Return whether a request with the feature completed of late."""
+        return self.completions.age(fingerprint) < SOUND_SECONDS
+
+    def together(self, fingerprint: str) -> set[str]:
+        """Return the features that nothing tells apart from this one."""
+        return {
+            name
+            for name in self.companions.of(fingerprint)
+            if not self.is_sound(name)
+        }
 
     def withdraw(self, target: str) -> list[str]:
         """Withdraw the crash of a target that lives.
@@ -305,7 +420,7 @@
         Returns
         -------
         list of str
-            Fingerprints of the requests that it counted for.
+            Fingerprints of the features that it counted for.
         """
         self.due.pop(target, None)
         self.records.discard(target, 0)
@@ -316,24 +431,20 @@
                 continue
             found.append(fingerprint)
             suspect.crashes.remove(crash)
-            if len(suspect.crashes) < MIN_CRASHES:
-                suspect.condemned = False
-                self.pauses.pop(fingerprint, None)
-            if not suspect.crashes:
-                self.suspects.clear(fingerprint)
+            self._reconsider(fingerprint, suspect)
         self.changed.update(found)
         self.withdrawn.update(found)
         return found
 
     def forget(self, fingerprint: str) -> None:
-        """Forget a request of which other processes know better."""
+        """Forget a feature of which other processes know better."""
         suspect = self.get(fingerprint)
         if suspect is not None:
             suspect.condemned = False
-            self.clear(fingerprint)
+            self._drop_crashes(fingerprint, suspect, self.clock())
 
     def adopt(self, verdict: Verdict) -> None:
-        """Take over what another process knows of a condemned request."""
+        """Take over what another process knows of a condemned feature."""
         now = self.clock()
         known = self.suspects.get(verdict.fingerprint, now)
         if not verdict.condemned or (known is not None and known.condemned):
@@ -344,10 +455,11 @@
         ]
         suspect = suspects.Suspect("", crashes, now + verdict.seconds, True)
         self.suspects.entries[verdict.fingerprint] = suspect
+        self.companions.add(verdict.fingerprint, verdict.together)
         self.changed.add(verdict.fingerprint)
 
     def get(self, fingerprint: str) -> suspects.Suspect | None:
-        """Return what is known of a request, or None."""
+        """Return what is known of a feature, or None."""
         return self.suspects.get(fingerprint, self.clock())
 
     def judge(self) -> None:
@@ -361,11 +473,11 @@
             candidates |= record.fingerprints if record else set()
         most = heapq.nlargest(
             MAX_CANDIDATES,
-            sorted(candidates),
+            sorted(filter(self._may_be_cause, candidates)),
             key=lambda name: len(self._unexplained(name)),
         )
         for fingerprint in filter(self._is_cause, most):
-            if _is_certain(self._unexplained(fingerprint)):
+            if self._is_certain(fingerprint):
                 self._condemn(fingerprint)
             else:
                 self._pause(fingerprint)
@@ -379,6 +491,39 @@
             for fingerprint in undecided:
                 self._pause(fingerprint)
 
+    def _may_be_cause(self, fingerprint: str) -> bool:
+        """Return whether enough crashes count for a feature."""
+        suspect = self.get(fingerprint)
+        if suspect is None or suspect.condemned:
+            return False
+        least = MIN_CRASHES
+        if self.is_sound(fingerprint):
+            least = MIN_SOUND_CRASHES
+        return _series(self._unexplained(fingerprint)) >= least
+
+    def _is_certain(self, fingerprint: str) -> bool:
+        """Return whether its crashes condemn a feature that is a cause."""
+        crashes = self._unexplained(fingerprint)
+        if self.is_sound(fingerprint):
+            return _series(crashes) >= MAX_SOUND_CRASHES
+        return _is_certain(crashes) and not all(
+            self._has_other_cause(crash, fingerprint) for crash in crashes
+        )
+
+    def _has_other_cause(
+        self, crash: suspects.Crash, fingerprint: str
+    ) -> bool:
+        """Return whether a feature that was there may be a cause as well."""
+        record = self.records.get(crash.target, 0)
+        companions = self.companions.of(fingerprint)
+        return any(
+            other != fingerprint
+            and other not in companions
+            and not self.is_sound(other)
+            and len(self._unexplained(other)) >= MIN_SHARED
+            for other in (record.fingerprints if record else ())
+        )
+
     def _condemn(self, fingerprint: str) -> None:
         suspect = self.get(fingerprint)
         suspect.condemned = True
@@ -394,15 +539,16 @@
             return
         if len(self.pauses) >= suspects.MAX_CRASH_RECORDS:
             self.pauses.pop(next(iter(self.pauses)))
-        until = self.clock() + PAUSE_SECONDS
-        self.pauses[fingerprint] = Pause(crashes, until)
+        number = paused.number + 1 if paused is not None else 0
+        seconds = min(PAUSE_SECONDS * PAUSE_FACTOR**number, MAX_PAUSE_SECONDS)
+        until = self.clock() + seconds
+        self.pauses[fingerprint] = Pause(crashes, until, number)
         self.changed.add(fingerprint)
 
     def _is_cause(self, fingerprint: str) -> bool:
-        suspect = self.get(fingerprint)
-        if suspect is None or suspect.condemned:
-            return False
+        """Return whether no other feature is as likely to be the cause."""
         own = self._unexplained(fingerprint)
+        # An earlier one of the same judgement may have explained them.
         if _series(own) < MIN_CRASHES:
             return False
         shared: collections.Counter[str] = collections.Counter()
@@ -410,20 +556,28 @@
             record = self.records.get(crash.target, 0)
             shared.update(record.fingerprints if record else ())
         del shared[fingerprint]
+        # Requests are refused for these only together.
+        for companion in self.companions.of(fingerprint):
+            shared.pop(companion, None)
+        is_sound = self.is_sound(fingerprint)
         return not any(
             count >= MIN_SHARED
             and len(own) - count < MIN_APART
+            and (is_sound or not self.is_sound(other))
             and len(self._unexplained(other)) > len(own) - MIN_LEAD
             for other, count in shared.items()
         )
 
     def _unexplained(self, fingerprint: str) -> list[suspects.Crash]:
-        """Return the crashes for which no other request is condemned."""
+        """Return the crashes for which no other feature is condemned."""
         suspect = self.get(fingerprint)
         crashes = []
         for crash in suspect.crashes if suspect else ():
             record = self.records.get(crash.target, 0)
-            if record is None or record.cause in ("", fingerprint):
+            cause = record.cause if record else ""
+            if cause in ("", fingerprint) or (
+                fingerprint in self.together(cause)
+            ):
                 crashes.append(crash)
         return crashes
 
@@ -432,7 +586,8 @@
     def take_changes(self) -> list[Verdict]:
         """Return the verdicts that have changed since the last call.
 
-        Requests with a single crash are left out: nobody has to know them.
+        Features with a single crash are left out, and sound ones: nobody has
+        to know them.
         """
         changed, self.changed = self.changed, set()
         verdicts = []
@@ -456,19 +611,23 @@
         return [verdict for verdict in found.values() if verdict]
 
     def verdict(self, fingerprint: str) -> Verdict | None:
-        """Return the verdict on a request, or None if there is none."""
+        """Return the verdict on a feature, or None if there is none."""
         suspect = self.get(fingerprint)
         if suspect is None:
             return None
-        if not suspect.condemned and len(suspect.crashes) < MIN_SHARED:
-            return None
+        count = len(suspect.crashes)
+        if not suspect.condemned:
+            count = len(self._unexplained(fingerprint))
+            is_sound = self.is_sound(fingerprint)
+            if count < (MIN_SOUND_CRASHES if is_sound else MIN_SHARED):
+                return None
         now = self.clock()
         seconds = suspect.expires - now
         refused_seconds = seconds if suspect.condemned else 0.0
         if fingerprint in self.pauses:
             paused_seconds = self.pauses[fingerprint].until - now
             refused_seconds = max(refused_seconds, paused_seconds)
-        # Many requests are on two crashes while one of them is the cause, and
+        # Many features are on two crashes while one of them is the cause, and
         # every keeper tells every router of them.
         notes = [
             CrashNote(crash.target, now - crash.at, crash.router)
@@ -480,23 +639,40 @@
             suspect.condemned,
             refused_seconds,
             seconds,
-            len(suspect.crashes),
+            count,
             notes,
+            together=sorted(self.together(fingerprint)),
         )
 
     def runs(self, max_age: float, most: int) -> list[Run]:
-        """Return the newest runs, at most `most` and `max_age` seconds old."""
-        now = self.clock()
-        found = []
-        for fingerprint, suspect in reversed(self.suspects.entries.items()):
-            for crash in suspect.crashes:
-                if now - crash.at > max_age or len(found) >= most:
-                    continue
-                seconds = crash.at - crash.sent_at
-                age = now - crash.at
-                found.append(
-                    Run(fingerprint, crash.target, seconds, age, crash.router)
-                )
+        """Return the newest runs, at most `most` and `max_age` seconds old.
+
+        Those of features that were on several crashes come first.
+        """
+        entries = list(reversed(self.suspects.entries.items()))
+        several = [item for item in entries if len(item[1].crashes) > 1]
+        single = [item for item in entries if len(item[1].crashes) == 1]
+        found: list[Run] = []
+        for fingerprint, suspect in itertools.chain(several, single):
             if len(found) >= most:
                 break
-        return found
+            found += self._runs_of(fingerprint, suspect, max_age)
+        return found[:most]
+
+    def _runs_of(
+        self, fingerprint: str, suspect: suspects.Suspect, max_age: float
+    ) -> list[Run]:
+        now = self.clock()
+        beside = sorted(self.companions.of(fingerprint))
+        return [
+            Run(
+                fingerprint,
+                crash.target,
+                crash.at - crash.sent_at,
+                now - crash.at,
+                crash.router,
+                beside,
+            )
+            for crash in suspect.crashes
+            if now - crash.at <= max_age
+        ]
--- a/amaranthring/policy/trials.py
+++ b/amaranthring/policy/trials.py
@@ -1,7 +1,7 @@
-"""Which runs of suspected requests may go on, one of each at a time.
+"""Which runs with suspected features may go on, one of each at a time.
 
-A request that has been on several crashes may be their cause. It runs again
-only once at a time, so that a further crash is that of one target.
+A feature that has been on several crashes may be their cause. Requests with it
+run again only one at a time, so that a further crash is that of one target.
 """
 
 import collections
@@ -10,11 +10,15 @@
 
 # Bounds the memory; the oldest trials are forgotten first.
 MAX_TRIALS = 4096
+# Each trial that was broken off, and after which the feature is still a
+# suspect, lengthens the time until the next one by this factor.
+HOLD_FACTOR = 4.0
+MAX_HOLD_SECONDS = 60.0
 
 
 @dataclasses.dataclass
 class Trial:
-    """A run of a suspected request.
+    """A run of a request with a suspected feature.
 
     Attributes
     ----------
@@ -22,14 +26,17 @@
         Router and number of the run.
     until : float
         Time until which no other run may begin, in seconds.
+    broken_off : int
+        Number of trials of the feature that were broken off.
     """
 
     holder: str
     until: float
+    broken_off: int = 0
 
 
 class TrialTable:
-    """Trials in progress by the fingerprint of the request.
+    """Trials by the fingerprint of the feature.
 
     Parameters
     ----------
@@ -55,7 +62,8 @@
         known = self.trials.get(fingerprint)
         if known is not None and known.holder != holder and known.until > now:
             return False
-        self.trials[fingerprint] = Trial(holder, now + seconds)
+        broken_off = known.broken_off if known is not None else 0
+        self.trials[fingerprint] = Trial(holder, now + seconds, broken_off)
         self.trials.move_to_end(fingerprint)
         while len(self.trials) > MAX_TRIALS:
             self.trials.popitem(last=False)
@@ -66,11 +74,16 @@
         known = self.trials.get(fingerprint)
         if known is None or known.holder != holder:
             return
+        now = self.clock()
         if hold_seconds:
-            known.until = self.clock() + hold_seconds
+            factor = HOLD_FACTOR**known.broken_off
+            known.until = now + min(hold_seconds * factor, MAX_HOLD_SECONDS)
+            known.broken_off += 1
+        elif known.broken_off:
+            known.until = now
         else:
             del self.trials[fingerprint]
 
     def clear(self, fingerprint: str) -> None:
-        """Forget the trial of a request that is no longer a suspect."""
+        """Forget the trials of a feature that is no longer a suspect."""
         self.trials.pop(fingerprint, None)
--- a/amaranthring/registry/crash_ledger.py
+++ b/amaranthring/registry/crash_ledger.py
@@ -1,7 +1,7 @@
-"""The keeper's side of finding requests that crash targets.
+"""The keeper's side of finding what crashes targets.
 
-A request comes back through any router, so no router sees enough of its
-crashes. Each router reports to every keeper that it reaches; each keeper
+Requests that share the cause come to any router, so no router sees enough of
+its crashes. Each router reports to every keeper that it reaches; each keeper
 judges by itself and tells its routers. What one keeper lost with its process
 comes back from the routers, and the other way round.
 """
@@ -150,7 +150,7 @@
             "crash.reported",
             router=link.peer.name,
             targets=sorted({run.target for run in new}),
-            requests=len(new),
+            features=len(new),
             age=round(max(run.age for run in new), 3),
         )
         self._follow_up()
@@ -182,7 +182,7 @@
             log,
             "crash.withdrawn",
             target=target_id,
-            requests=len(fingerprints),
+            features=len(fingerprints),
         )
         if fingerprints:
             self._follow_up()
@@ -193,13 +193,15 @@
         _require_router(link)
         for fingerprint in message.fingerprints:
             self.trials.clear(fingerprint)
-            if self.evidence.clear(fingerprint):
-                logs.event(
-                    log,
-                    "suspect.cleared",
-                    fingerprint=fingerprint,
-                    router=link.peer.name,
-                )
+        cleared = self.evidence.complete(message.fingerprints, message.age)
+        for fingerprint in cleared:
+            logs.event(
+                log,
+                "suspect.cleared",
+                fingerprint=fingerprint,
+                router=link.peer.name,
+                age=round(message.age, 3),
+            )
         self._follow_up()
 
     def _on_verdicts(
--- a/amaranthring/registry/crash_log.py
+++ b/amaranthring/registry/crash_log.py
@@ -1,4 +1,4 @@
-"""Log lines about requests that crash targets, alike on all processes."""
+"""Log lines about what crashes targets, alike on all processes."""
 
 import logbook
 
@@ -12,7 +12,7 @@
 
 
 def log_verdict(verdict: crash_evidence.Verdict) -> None:
-    """Log what is known of a request from now on."""
+    """Log what is known of a feature from now on."""
     logs.event(
         log,
         "suspect.known",
@@ -21,6 +21,7 @@
         refused_seconds=round(verdict.refused_seconds, 1),
         count=verdict.count,
         withdrawn=verdict.withdrawn,
+        together=verdict.together,
         crashes=describe(verdict.crashes),
     )
 
--- a/amaranthring/registry/crash_messages.py
+++ b/amaranthring/registry/crash_messages.py
@@ -1,4 +1,4 @@
-"""Messages about requests that may crash their targets."""
+"""Messages about features of requests that may crash their targets."""
 
 from amaranthring.core import wire
 from amaranthring.policy import crash_evidence
@@ -16,22 +16,25 @@
 
 @wire.message("crash-completed")
 class SuspectsCompleted:
-    """From a router: suspects that ran without a crash.
+    """From a router: a request with suspected features completed.
 
     Attributes
     ----------
     fingerprints : list of str
-        Of the requests.
+        Of these features.
+    age : float
+        Seconds since it completed.
     """
 
     fingerprints: list[str]
+    age: float = 0.0
 
 
 @wire.message("crash-verdicts", compressed=True)
 class Verdicts:
     """From a keeper: what has changed, or all that is known on a new link.
 
-    From a router, on a new link: the requests that it knows as condemned, for
+    From a router, on a new link: the features that it knows as condemned, for
     a keeper that has lost them.
     """
 
@@ -40,7 +43,7 @@
 
 @wire.message("crash-trial-begin")
 class BeginTrial:
-    """From a router: asks whether a suspected request may run now.
+    """From a router: asks whether a request with a suspect may run now.
 
     Attributes
     ----------
@@ -62,7 +65,7 @@
     Attributes
     ----------
     begins : bool
-        Whether no other run of the request is in progress.
+        Whether no other run with the feature is in progress.
     """
 
     begins: bool
@@ -70,7 +73,7 @@
 
 @wire.message("crash-trial-end")
 class EndTrial:
-    """From a router: the run of a suspected request has ended.
+    """From a router: the run of a request with a suspect has ended.
 
     Attributes
     ----------
--- a/amaranthring/registry/hint_file.py
+++ b/amaranthring/registry/hint_file.py
@@ -56,7 +56,7 @@
     tokens : dict of str to int
         As in :class:`sharing.Report`, for `places`.
     condemned : list of Verdict
-        Requests that are refused for good.
+        Features of requests that are refused for good.
     runs : list of Run
         Runs that ended with their targets.
     moved : dict of str to float
@@ -205,7 +205,10 @@
                 (record.id, record.state, record.release)
                 for record in hints.targets
             },
-            {verdict.fingerprint for verdict in hints.condemned},
+            {
+                (verdict.fingerprint, *verdict.together)
+                for verdict in hints.condemned
+            },
             {(run.fingerprint, run.target) for run in hints.runs},
             set(hints.moved),
         )
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -3,6 +3,7 @@
 import asyncio
 from unittest import mock
 
+from amaranthring.forwarding import crash_features
 from amaranthring.forwarding import ended_targets
 from amaranthring.policy import crash_evidence
 from amaranthring.registry import crash_messages
@@ -148,9 +149,9 @@
         seen = []
         complete = self.guard.completed
 
-        def completed(context):
+        def completed(context, status):
             seen.append(context.fingerprint)
-            complete(context)
+            complete(context, status)
 
         self.guard.completed = completed
         await self.ask(path, "POST")
@@ -228,7 +229,11 @@
         self.assertEqual([], sent)
         self.tell(fingerprint=name)
         self.assertEqual(200, (await self.ask("/b/x", "POST")).status)
-        self.assertEqual([crash_messages.SuspectsCompleted([name])], sent)
+        [message] = sent
+        self.assertIsInstance(message, crash_messages.SuspectsCompleted)
+        path, request = message.fingerprints
+        self.assertTrue(path.startswith(crash_features.PATH))
+        self.assertEqual(name, request)
         self.assertIsNone(self.guard._told(name))
 
     async def test_new_keeper_is_told_what_is_known(self):
@@ -240,5 +245,9 @@
         link = mock.Mock()
         self.guard.add_keeper(link)
         runs, verdicts = [call.args[0] for call in link.send.mock_calls]
-        self.assertEqual(1, len(runs.runs))
+        # The request, and its path.
+        by_name = {run.fingerprint: run.beside for run in runs.runs}
+        self.assertEqual(2, len(by_name))
+        for name, beside in by_name.items():
+            self.assertEqual([n for n in by_name if n != name], beside)
         self.assertEqual(["worse"], [v.fingerprint for v in verdicts.verdicts])
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -46,6 +46,7 @@
     sound_parts = tuple(f"sys:800,g{n}:400" for n in range(6))
     sound_path = "/a/"
     sound_seconds = SOUND_SECONDS
+    calm_seconds = CALM_SECONDS
 
     async def asyncSetUp(self):
         self.rng = random.Random(SEED)
@@ -89,7 +90,7 @@
         """Send sound requests alone for a while, then both."""
         self.calm_from = time.monotonic()
         self.sender = self.begin(self.send_sound())
-        await asyncio.sleep(CALM_SECONDS)
+        await asyncio.sleep(self.calm_seconds)
         self.began_at = time.monotonic()
         await self.send_bad(seconds)
 
@@ -172,7 +173,8 @@
 
     bad_parts = ("rare:800,bad:400",)
     sound_parts = ("rare:800,own:400",)
-    sound_seconds = 0.35
+    sound_seconds = 0.3
+    calm_seconds = 7.0
 
 
 class TestTwoParts(PartsCase):
