Bound the memory of answers over the process, not for each one

Callers: a VM whose targets send bytes without end in answers without a length, or in chunks, runs out of memory and ends with all its requests.

Cause: each answer was bounded by itself, 16 MiB, and answers that were given up stayed in memory: the error that the exchange keeps has a traceback, which holds the frame with the bytes until a full collection. Class: bounds kept per request where the process pays.

Bytes of given-up answers are freed at once, and answers to earlier requests are skipped without keeping them.

--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -6,6 +6,7 @@
 
 from amaranthring import errors
 from amaranthring.core import notices
+from amaranthring.forwarding import answer_memory
 from amaranthring.forwarding import events
 from amaranthring.forwarding import records
 from amaranthring.forwarding import responses
@@ -44,6 +45,8 @@
         Called right before the request is sent; raises to prevent it.
     on_notice : callable
         Called with the status and the notice of each response of the target.
+    answers : AnswerMemory
+        Limit on the answers that are held until they are whole.
 
     Attributes
     ----------
@@ -67,6 +70,7 @@
         reuse_connection: bool,
         before_send: t.Callable[[], None],
         on_notice: t.Callable[[int, notices.Notice], None],
+        answers: answer_memory.AnswerMemory,
     ):
         self.context = context
         self.target = target
@@ -80,6 +84,7 @@
         self.reuse_connection = reuse_connection
         self.before_send = before_send
         self.on_notice = on_notice
+        self.memory = answers.share(self.exchange.abort)
 
     async def open(self, timeout: float) -> records.ResponseHead:
         """Send the request and return the head of the response.
@@ -205,7 +210,12 @@
         """
         left = self.context.deadline - time.monotonic()
         self.exchange.set_timeout(max(left, 0.0))
-        return await self.exchange.read_all(MAX_BODY_BYTES, unframed=True)
+        if self.exchange.length is None:
+            return await self.exchange.read_all(
+                MAX_BODY_BYTES, unframed=True, on_data=self.memory.grow
+            )
+        await self.memory.reserve(min(self.exchange.length, MAX_BODY_BYTES))
+        return await self.exchange.read_all(MAX_BODY_BYTES)
 
     async def relay_events(
         self,
@@ -236,6 +246,7 @@
         while data := await self.exchange.read():
             self.exchange.note_progress(time.monotonic())
             complete = splitter.feed(data)
+            self.memory.hold(len(splitter.partial))
             if not complete:
                 continue
             on_events()
@@ -264,6 +275,7 @@
             Whether the response was read completely. Otherwise the connection
             is closed, which makes the target stop its work.
         """
+        self.memory.release()
         connection = self.exchange.release() if complete else None
         if connection is None:
             self.exchange.close()
--- a/amaranthring/forwarding/handing_over.py
+++ b/amaranthring/forwarding/handing_over.py
@@ -12,6 +12,7 @@
 from amaranthring import errors
 from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
+from amaranthring.forwarding import answer_memory
 from amaranthring.forwarding import attempts
 from amaranthring.forwarding import events
 from amaranthring.forwarding import path_trials
@@ -47,6 +48,8 @@
     ----------
     client : HandoverClient
         Links to the helpers.
+    answers : AnswerMemory
+        Limit on the answers that are held until they are whole.
 
     Attributes
     ----------
@@ -59,7 +62,9 @@
         client: handover_client.HandoverClient,
         placer: placement.Placer,
         metrics: metrics_module.Metrics,
+        answers: answer_memory.AnswerMemory,
     ):
+        self.answers = answers
         self.client = client
         self.placer = placer
         self.metrics = metrics
@@ -167,12 +172,14 @@
         context.helpers_tried.add(helper.address)
         self.metrics.count("request.handed-over")
         answer = None
+        memory = None
         outcome = "unfinished"
         try:
             answer = await self._begin(context, helper, splitter)
+            memory = self.answers.share(answer.abort)
             head = await answer.read_head()
             outcome = str(head.status)
-            await _pass_on(answer, head, splitter, writer, on_events)
+            await _pass_on(answer, memory, head, splitter, writer, on_events)
         except errors.AmaranthringError as error:
             outcome = error.code
             raise self._interpret(context, answer, error) from error
@@ -182,6 +189,8 @@
             raise
         finally:
             context.attempt_outcomes.append(f"{helper.address}:{outcome}")
+            if memory is not None:
+                memory.release()
             if answer is not None:
                 self.client.end(answer)
 
@@ -228,6 +237,7 @@
 
 async def _pass_on(
     answer: handover_client.Answer,
+    memory: answer_memory.AnswerShare,
     head: messages.Head,
     splitter: events.EventSplitter,
     writer: responses.ResponseWriter,
@@ -239,7 +249,7 @@
     if head.status != 200 or not content_type.startswith(
         attempts.EVENT_STREAM
     ):
-        body = await answer.read_all()
+        body = await answer.read_all(memory.grow)
         if writer.status:
             raise errors.UpstreamError(
                 "the response does not resume the stream"
@@ -248,6 +258,7 @@
         return
     while data := await answer.read():
         complete = splitter.feed(data)
+        memory.hold(len(splitter.partial))
         if complete:
             on_events(bindings.Binding(head.service, head.release))
         if complete and writer.status:
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -13,6 +13,7 @@
 from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import timeouts
+from amaranthring.forwarding import answer_memory
 from amaranthring.forwarding import attempts
 from amaranthring.forwarding import crash_guard
 from amaranthring.forwarding import events
@@ -86,6 +87,8 @@
         Hands requests to other routers while no target is reached.
     streams : StreamBindings, optional
         Knows which versions began streams.
+    answers : AnswerMemory, optional
+        Limit on the answers that are held until they are whole.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         crashes: crash_guard.CrashGuard | None = None,
         handing_over: handing_over_module.HandingOver | None = None,
         streams: stream_bindings.StreamBindings | None = None,
+        answers: answer_memory.AnswerMemory | None = None,
     ):
         self.connections = connections or pool.Pool()
         self.dialect = dialect
@@ -112,6 +116,7 @@
             "", placer, self.connections
         )
         self.handing_over = handing_over
+        self.answers = answers or answer_memory.AnswerMemory()
         self.streams = streams or stream_bindings.StreamBindings(placer.table)
         self.share = share
         self.metrics = metrics
@@ -372,6 +377,7 @@
                 context,
                 target,
             ),
+            answers=self.answers,
         )
         complete = False
         # Logged if the request is cancelled during this attempt.
--- a/amaranthring/handover/client.py
+++ b/amaranthring/handover/client.py
@@ -42,6 +42,8 @@
     attempts_sent : int
         Number of targets that may have started to run the request, once the
         helper has said so.
+    abort_error : AmaranthringError or None
+        Why it was given up here.
     """
 
     def __init__(self, helper: "Helper", number: int):
@@ -50,6 +52,7 @@
         self.received: asyncio.Queue = asyncio.Queue()
         self.ended = False
         self.attempts_sent = 0
+        self.abort_error: errors.AmaranthringError | None = None
 
     async def read_head(self) -> messages.Head:
         """Return the head of the target's response.
@@ -70,18 +73,36 @@
         message = await self._next()
         return b"" if message is None else message.data
 
-    async def read_all(self) -> bytes:
-        """Return the rest of the body."""
-        parts = []
-        while data := await self.read():
-            parts.append(data)
-        return b"".join(parts)
+    async def read_all(self, on_data: t.Callable[[int], None]) -> bytes:
+        """Return the rest of the body.
+
+        Parameters
+        ----------
+        on_data : callable
+            Called with the number of bytes of each part.
+        """
+        body = bytearray()
+        try:
+            while data := await self.read():
+                body += data
+                on_data(len(data))
+            return bytes(body)
+        finally:
+            # An error's traceback holds this frame until it is collected.
+            body.clear()
+
+    def abort(self, error: errors.AmaranthringError) -> None:
+        """Give the answer up; pending reads raise `error`."""
+        self.abort_error = error
+        self.received.put_nowait(error)
 
     async def _next(self) -> t.Any:
         """Return the next message, or None at the end."""
         if self.ended:
             return None
         message = await self.received.get()
+        if self.abort_error is not None:
+            raise self.abort_error
         if isinstance(message, errors.AmaranthringError):
             self.ended = True
             raise message
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -21,6 +21,7 @@
 from amaranthring.core import listeners
 from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
+from amaranthring.forwarding import answer_memory
 from amaranthring.forwarding import crash_guard
 from amaranthring.forwarding import frontend as fronts
 from amaranthring.forwarding import handing_over
@@ -143,10 +144,12 @@
             config.data_centre,
             count_routers=lambda: self.sharers.routers,
         )
+        answers = answer_memory.AnswerMemory()
         self.handing_over = handing_over.HandingOver(
             handover_client.HandoverClient(identity, keys),
             self.placer,
             self.metrics,
+            answers,
         )
         self.handover_server = handover_server.HandoverServer(
             identity, keys, self.serve_for_peer, self.check_handover
@@ -196,6 +199,7 @@
             self.crashes,
             self.handing_over,
             self.streams,
+            answers,
         )
         self.front = fronts.Frontend(dialect, self.relay.serve, self.bounds)
         self.stopping = False
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -67,6 +67,10 @@
     return
 
 
+def _ignore(_size: int) -> None:
+    return
+
+
 class Exchange:
     """One call to one target and its response.
 
@@ -296,6 +300,13 @@
         )
         self.on_head()
 
+    @property
+    def length(self) -> int | None:
+        """Return the length of the body, or None if it is not known."""
+        if isinstance(self.body, http_body.FixedLength):
+            return self.body.remaining
+        return None
+
     async def skip_body(self, max_bytes: int) -> None:
         """Skip exactly the body of a response to an earlier call.
 
@@ -307,8 +318,13 @@
         length = self.headers.get("Content-Length", "")
         if not length.isdigit() or int(length) > max_bytes:
             raise self._connection_error()
+        left = int(length)
         try:
-            await self.reader.readexactly(int(length))
+            while left:
+                data = await self.reader.read(min(left, READ_BYTES))
+                if not data:
+                    raise EOFError
+                left -= len(data)
         except CONNECTION_ERRORS as error:
             raise self._connection_error(error) from error
 
@@ -334,7 +350,12 @@
                 return data
         return b""
 
-    async def read_all(self, max_bytes: int, unframed: bool = False) -> bytes:
+    async def read_all(
+        self,
+        max_bytes: int,
+        unframed: bool = False,
+        on_data: t.Callable[[int], None] = _ignore,
+    ) -> bytes:
         """Return the whole body.
 
         Parameters
@@ -342,6 +363,8 @@
         unframed : bool
             Whether a close may end the body, because the caller can tell in
             another way that the response is complete.
+        on_data : callable
+            Called with the number of bytes of each part.
 
         Raises
         ------
@@ -357,18 +380,22 @@
                 given="neither Content-Length nor chunks",
                 expected="one of them",
             )
-        parts = []
-        size = 0
-        while data := await self.read():
-            parts.append(data)
-            size += len(data)
-            if size > max_bytes:
-                raise errors.UpstreamError(
-                    "the answer is too large",
-                    given=f"{size} bytes",
-                    expected=f"{max_bytes} bytes at most",
-                )
-        return b"".join(parts)
+        body = bytearray()
+        try:
+            while data := await self.read():
+                body += data
+                on_data(len(data))
+                if len(body) > max_bytes:
+                    raise errors.UpstreamError(
+                        "the answer is too large",
+                        given=f"{len(body)} bytes",
+                        expected=f"{max_bytes} bytes at most",
+                    )
+            return bytes(body)
+        finally:
+            # The traceback of an error that the exchange keeps holds this
+            # frame until the next garbage collection.
+            body.clear()
 
     def _connection_error(
         self, error: BaseException | None = None
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,6 +8,7 @@
 from amaranthring.core import links
 from amaranthring.core import listeners
 from amaranthring.core import metrics
+from amaranthring.forwarding import answer_memory
 from amaranthring.forwarding import handing_over
 from amaranthring.handover import client as handover_client
 from amaranthring.handover import messages
@@ -59,7 +60,10 @@
         )
         self.addCleanup(self.client.stop)
         self.router.relay.handing_over = handing_over.HandingOver(
-            self.client, self.router.placer, metrics.Metrics()
+            self.client,
+            self.router.placer,
+            metrics.Metrics(),
+            answer_memory.AnswerMemory(),
         )
         self.client.update({"s": [self.address]})
         await self.until(
