Close new connections unread while the event loop is overloaded

Callers: while most new connections come to one router, it reads more requests than its processor time allows, and most of them run out of time there.

Cause: a router reads every connection that it gets; what it has begun then waits for ever longer turns of its event loop.

Change: while the turns of the loop are over 0.1 s late on average, or callers take 0.6 of the process's files, new connections are closed before they are read; their callers try another router at once. Readiness is left as it is: another router would get them all.

--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -30,6 +30,30 @@
 IDLE_SECONDS = 120.0
 
 
+def _is_never_full(_connections: int) -> bool:
+    return False
+
+
+class _Server(tornado.httpserver.HTTPServer):
+    """Server that closes new connections unread while it is asked to."""
+
+    def initialize(self, *args, is_full, **kwargs):
+        super().initialize(*args, **kwargs)
+        self.is_full = is_full
+        self.open = 0
+
+    def handle_stream(self, stream, address):
+        if self.is_full(self.open):
+            stream.close()
+            return
+        self.open += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn):
+        self.open -= 1
+        super().on_close(server_conn)
+
+
 class Frontend(tornado.httputil.HTTPServerConnectionDelegate):
     """Receives requests from callers and passes each to `serve`.
 
@@ -41,6 +65,9 @@
         Handles one request.
     bounds : callable
         Returns the limits of the active plan.
+    is_full : callable, optional
+        Returns whether one more connection is closed unread, given how many
+        there are.
 
     Attributes
     ----------
@@ -62,7 +89,9 @@
         dialect: records.Dialect,
         serve: Serve,
         bounds: t.Callable[[], plans.Bounds],
+        is_full: t.Callable[[int], bool] = _is_never_full,
     ):
+        self.is_full = is_full
         self.dialect = dialect
         self.serve = serve
         self.bounds = bounds
@@ -75,8 +104,9 @@
 
     def listen(self, sockets: list) -> None:
         """Serve on the listening `sockets`."""
-        self.server = tornado.httpserver.HTTPServer(
+        self.server = _Server(
             self,
+            is_full=self.is_full,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
             idle_connection_timeout=IDLE_SECONDS,
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -21,7 +21,9 @@
 from amaranthring.core import listeners
 from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
+from amaranthring.core import overload
 from amaranthring.forwarding import answer_memory
+from amaranthring.forwarding import connection_limit
 from amaranthring.forwarding import crash_guard
 from amaranthring.forwarding import frontend as fronts
 from amaranthring.forwarding import handing_over
@@ -201,7 +203,11 @@
             self.streams,
             answers,
         )
-        self.front = fronts.Frontend(dialect, self.relay.serve, self.bounds)
+        self.loop_delay = overload.LoopDelay()
+        limit = connection_limit.ConnectionLimit(self.loop_delay, self.metrics)
+        self.front = fronts.Frontend(
+            dialect, self.relay.serve, self.bounds, limit.is_full
+        )
         self.stopping = False
         self.started_at = time.monotonic()
         self.tasks: list[asyncio.Task] = []
@@ -311,6 +317,7 @@
         self.subscriber.use_seeds(self.config.keepers)
         for work in (
             self._prune_regularly(),
+            self.loop_delay.run(),
             self.reporter.run(),
             self.relay.connections.run(),
             self.handing_over.trials.run(),
