--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -50,6 +50,7 @@
         refused=0.0,
         seconds=600.0,
         withdrawn=False,
+        together=(),
     ):
         notes = [
             crash_evidence.CrashNote(f"t{n}", 1.0, "router-1")
@@ -63,11 +64,12 @@
             crashes,
             notes,
             withdrawn,
+            list(together),
         )
 
-    def tell(self, **parameters):
+    def tell(self, link=None, **parameters):
         message = crash_messages.Verdicts([self.verdict(**parameters)])
-        self.guard.on_verdicts(None, message)
+        self.guard.on_verdicts(link, message)
 
 
 class TestCutOff(GuardCase):
@@ -251,3 +253,107 @@
         for name, beside in by_name.items():
             self.assertEqual([n for n in by_name if n != name], beside)
         self.assertEqual(["worse"], [v.fingerprint for v in verdicts.verdicts])
+
+
+class TestFeatures(GuardCase):
+    """What requests share with others, as keepers tell it."""
+
+    async def ask_with(self, parts, path="/a/x", **headers):
+        """Send a request whose prompt has `parts` and one of its own."""
+        prompt = ",".join(f"{part}:100" for part in [*parts.split(), "own"])
+        return await self.ask(path, "POST", Test_Prompt=prompt, **headers)
+
+    async def test_all_requests_with_a_refused_part_are_refused(self):
+        """Guards against a crashing part in requests that are not alike."""
+        await self.begin_crashing(2)
+        self.tell(fingerprint="part:bad", refused=600.0, crashes=4)
+        for path, parts in (("/a/x", "sys bad"), ("/b/y", "bad other")):
+            got = await self.ask_with(parts, path)
+            self.assertEqual(503, got.status)
+            self.assertLess(60.0, float(got.headers["Retry-After"]))
+        self.assertEqual(0, self.ran())
+        self.assertEqual(200, (await self.ask_with("sys")).status)
+
+    async def test_own_part_is_no_feature(self):
+        """Guards against refusing a request for its last part."""
+        await self.begin_crashing(2)
+        self.tell(fingerprint="part:own", refused=600.0, crashes=4)
+        self.assertEqual(200, (await self.ask_with("sys")).status)
+
+    async def test_parts_that_come_together_are_refused_together(self):
+        """Guards against refusing sound requests with one of two parts."""
+        await self.begin_crashing(2)
+        self.tell(
+            fingerprint="part:bad",
+            refused=600.0,
+            crashes=4,
+            together=["part:rare"],
+        )
+        self.assertEqual(503, (await self.ask_with("rare bad")).status)
+        self.assertEqual(200, (await self.ask_with("rare")).status)
+
+    async def test_narrower_verdict_replaces_a_wider_one(self):
+        """Guards against a cause that only some of its requests show."""
+        await self.begin_crashing(2)
+        for together in (["part:rare"], []):
+            self.tell(
+                fingerprint="part:bad",
+                refused=600.0,
+                crashes=4,
+                together=together,
+            )
+        self.assertEqual(503, (await self.ask_with("bad")).status)
+
+    async def test_sound_part_is_told_to_keepers_at_once(self):
+        """Guards against a popular part that runs one request at a time."""
+        await self.begin_crashing(2)
+        self.assertEqual(200, (await self.ask_with("sys")).status)
+        link = mock.Mock()
+        self.tell(link, fingerprint="part:sys", crashes=3)
+        [call] = link.send.mock_calls
+        self.assertEqual(["part:sys"], call.args[0].fingerprints)
+        asked = [asyncio.ensure_future(self.ask_with("sys")) for _ in range(5)]
+        got = [answer.status for answer in await asyncio.gather(*asked)]
+        self.assertEqual([200] * 5, got)
+
+    async def test_failed_answer_clears_nothing(self):
+        """Guards against a suspect that an error of its target clears."""
+        await self.begin(scripted_target.respond(b"no", status=500))
+        self.guard = self.router.relay.crashes
+        sent = []
+        self.guard._send = sent.append
+        self.tell(fingerprint="part:bad", crashes=2)
+        await self.ask_with("bad", "/b/x")
+        self.assertEqual([], sent)
+        self.assertIsNotNone(self.guard._told("part:bad"))
+
+    async def test_request_is_checked_right_before_it_is_sent(self):
+        """Guards against a request that waited while its part was judged."""
+        await self.begin_crashing(2)
+        check = self.guard.check
+
+        async def check_then_learn(context):
+            await check(context)
+            self.tell(fingerprint="part:bad", refused=600.0, crashes=4)
+
+        self.guard.check = check_then_learn
+        self.assertEqual(503, (await self.ask_with("bad")).status)
+        self.assertEqual(0, self.ran())
+
+    async def test_broken_off_request_is_not_sent_to_a_second_target(self):
+        """Guards against two crashes under one request of a known part."""
+        await self.begin(*[scripted_target.reset_connection()] * 2)
+        self.guard = self.router.relay.crashes
+        self.addCleanup(self.guard.stop)
+        self.tell(fingerprint="part:bad", crashes=2)
+        self.assertEqual(502, (await self.ask_with("bad")).status)
+        self.assertEqual(1, self.ran())
+
+    async def test_trial_covers_one_send(self):
+        """Guards against a trial that times out and goes to a second one."""
+        await self.begin(*[scripted_target.never_respond()] * 2)
+        self.guard = self.router.relay.crashes
+        self.tell(fingerprint="part:bad", crashes=3)
+        got = await self.ask_with("bad", Test_Patience="1.0")
+        self.assertIn(got.status, (502, 504))
+        self.assertEqual(1, self.ran())
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,6 +14,8 @@
 from amaranthring.handover import messages
 from amaranthring.handover import server as handover_server
 from amaranthring.policy import bindings
+from amaranthring.policy import crash_evidence
+from amaranthring.registry import crash_messages
 from amaranthring.registry import helpers
 from amaranthring.registry import messages as registry_messages
 from amaranthring.testing import local_fleet
@@ -109,6 +111,19 @@
         self.assertEqual(503, got.status)
         self.assertEqual(1, self.ran())
 
+    async def test_helper_refuses_what_crashes_targets(self):
+        """Guards against a crashing part that goes on by way of helpers."""
+        await self.begin_both(scripted_target.respond())
+        verdict = crash_evidence.Verdict("part:bad", True, 600.0, 600.0, 4, [])
+        self.helper.relay.crashes.on_verdicts(
+            None, crash_messages.Verdicts([verdict])
+        )
+        got = await self.ask("/a/x", "POST", Test_Prompt="bad:100,own:100")
+        self.assertEqual(503, got.status)
+        self.assertEqual(0, self.ran())
+        got = await self.ask("/a/x", "POST", Test_Prompt="sys:100,own:100")
+        self.assertEqual(200, got.status)
+
     async def test_large_answer_is_whole(self):
         """Guards against an answer that exceeds what a link holds."""
         body = b"x" * (9 * 1024 * 1024)
