--- a/tests/crash_case.py
+++ b/tests/crash_case.py
@@ -18,6 +18,9 @@
 SLOW = "slow"
 # Prompt parts whose id begins so end each replica that answers them.
 CRASHING_PART = "bad"
+# A process counts as in touch so long after it was disturbed.
+CALM_SECONDS = 3.0
+KEEPER_PAUSE_SECONDS = 6.0, 14.0
 SLOW_SECONDS = 0.4
 
 
@@ -226,6 +229,32 @@
         )
 
 
+class SeriesCase(CrashCase, platform_case.FaultCase):
+    """Replicas that end, before a fleet that is disturbed in series."""
+
+    async def disturb_keeper_at_times(self, seconds):
+        """Leave calm times between, in which bounds are checked."""
+        end = time.monotonic() + seconds
+        while True:
+            await asyncio.sleep(self.rng.uniform(*KEEPER_PAUSE_SECONDS))
+            if time.monotonic() > end:
+                return
+            await self.rng.choice((self.freeze_keeper, self.restart_keeper))()
+
+    async def lose_replica(self):
+        """End a replica for no cause, at times."""
+        alive = [r for r in self.all_replicas if not r.crashed_at]
+        if len(alive) > 3 and self.rng.random() < 0.3:
+            self.rng.choice(alive).end()
+
+    def was_calm(self, at):
+        """Return whether the keeper was in touch with all routers."""
+        return not any(
+            begun <= at <= ended + CALM_SECONDS
+            for begun, ended in self.keeper_faults
+        )
+
+
 def read_answer(path, sent_at, response):
     """Return what a response tells; None stands for a broken connection."""
     if response is None:
--- a/tests/test_crashing_parts_soak.py
+++ b/tests/test_crashing_parts_soak.py
@@ -9,22 +9,19 @@
 import random
 
 from amaranthring.policy import crash_evidence
-from tests import platform_case
+from tests import crash_case
 from tests import test_crashing_parts
 
 SEED = os.environ.get("CRASH_PARTS_SEED", "1")
 SECONDS = float(os.environ.get("CRASH_PARTS_SECONDS", "15"))
 ROUTERS = int(os.environ.get("CRASH_PARTS_ROUTERS", "3"))
-# A process counts as in touch so long after it was disturbed.
-CALM_SECONDS = 3.0
-KEEPER_PAUSE_SECONDS = 6.0, 14.0
 CALLERS = 4 * ROUTERS
 # What a sound request may be refused for: a pause, not for good.
 MAX_REFUSED_SECONDS = crash_evidence.MAX_PAUSE_SECONDS
 CHECKS = 30
 
 
-class TestPartSeries(test_crashing_parts.PartsCase, platform_case.FaultCase):
+class TestPartSeries(test_crashing_parts.PartsCase, crash_case.SeriesCase):
     """Crashing parts, lost targets, signals and changes in series."""
 
     routers = ROUTERS
@@ -59,7 +56,7 @@
             self.assertLessEqual(
                 len(self.late(part)), test_crashing_parts.MAX_LATE_RUNS, part
             )
-        await asyncio.sleep(CALM_SECONDS)
+        await asyncio.sleep(crash_case.CALM_SECONDS)
         sender.cancel()
         refused = [
             answer
@@ -86,22 +83,6 @@
             )
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
 
-    async def disturb_keeper_at_times(self, seconds):
-        """Leave calm times between, in which the bounds are checked."""
-        loop = asyncio.get_running_loop()
-        end = loop.time() + seconds
-        while True:
-            await asyncio.sleep(self.rng.uniform(*KEEPER_PAUSE_SECONDS))
-            if loop.time() > end:
-                return
-            await self.rng.choice((self.freeze_keeper, self.restart_keeper))()
-
-    async def lose_replica(self):
-        """End a replica for no cause, at times."""
-        alive = [r for r in self.all_replicas if not r.crashed_at]
-        if len(alive) > 3 and self.rng.random() < 0.3:
-            self.rng.choice(alive).end()
-
     def late(self, part):
         """Return the runs after five crashes while the keeper was calm."""
         crashes = self.crashed_by(part)
@@ -111,9 +92,5 @@
         return [
             at
             for at in self.runs_with(part)
-            if at > fifth + CALM_SECONDS
-            and not any(
-                begun <= at <= ended + CALM_SECONDS
-                for begun, ended in self.keeper_faults
-            )
+            if at > fifth + crash_case.CALM_SECONDS and self.was_calm(at)
         ]
--- a/tests/test_repeated_crashes_soak.py
+++ b/tests/test_repeated_crashes_soak.py
@@ -11,16 +11,12 @@
 
 from amaranthring.policy import crash_evidence
 from tests import crash_case
-from tests import platform_case
 
 SEED = os.environ.get("CRASH_PLAN_SEED", "1")
 SECONDS = float(os.environ.get("CRASH_PLAN_SECONDS", "15"))
 ROUTERS = int(os.environ.get("CRASH_PLAN_ROUTERS", "3"))
 CALLERS = 4 * ROUTERS
 CAUSES = 2
-# A process counts as in touch so long after it was disturbed.
-CALM_SECONDS = 3.0
-KEEPER_PAUSE_SECONDS = 6.0, 14.0
 MAX_LATE_RUNS = 3
 # Longer pauses are refusals for good.
 PAUSE_SECONDS = 2 * crash_evidence.PAUSE_SECONDS
@@ -28,7 +24,7 @@
 SENDS_AT_ONCE = (1, 1, 2, 5)
 
 
-class TestCrashSeries(crash_case.CrashCase, platform_case.FaultCase):
+class TestCrashSeries(crash_case.SeriesCase):
     """Causes, lost targets, signals and changes that come in series."""
 
     routers = ROUTERS
@@ -47,7 +43,7 @@
         ]
         paths = [f"/{'ab'[n % 2]}/crash{n}" for n in range(CAUSES)]
         callers += [self.begin(self.cause(path)) for path in paths]
-        keeper_faults = self.begin(self.disturb_keeper_at_times())
+        keeper_faults = self.begin(self.disturb_keeper_at_times(SECONDS))
         await self.inject(
             (
                 self.restart_router, self.freeze_router, self.lose_replica,
@@ -61,7 +57,7 @@
         for path in paths:
             self.assertLessEqual(len(self.late(path)), MAX_LATE_RUNS, path)
         self.assertEqual([], self.turned_away)
-        await asyncio.sleep(CALM_SECONDS)
+        await asyncio.sleep(crash_case.CALM_SECONDS)
         answers = await self.send_regularly(
             lambda number: f"/a/check{number}", 0.02, CHECKS
         )
@@ -75,21 +71,6 @@
             await asyncio.gather(*(self.send(path) for _ in range(at_once)))
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
 
-    async def disturb_keeper_at_times(self):
-        """Leave calm times between, in which the bounds are checked."""
-        end = time.monotonic() + SECONDS
-        while True:
-            await asyncio.sleep(self.rng.uniform(*KEEPER_PAUSE_SECONDS))
-            if time.monotonic() > end:
-                return
-            await self.rng.choice((self.freeze_keeper, self.restart_keeper))()
-
-    async def lose_replica(self):
-        """End a replica for no cause, at times."""
-        alive = [r for r in self.all_replicas if not r.crashed_at]
-        if len(alive) > 3 and self.rng.random() < 0.3:
-            self.rng.choice(alive).end()
-
     async def call_once(self, connection, incarnation, request_id, path):
         """Note who is refused for good."""
         response = await super().call_once(
@@ -114,9 +95,5 @@
         return [
             at
             for at in self.runs(path)
-            if at > third + CALM_SECONDS
-            and not any(
-                begun <= at <= ended + CALM_SECONDS
-                for begun, ended in self.keeper_faults
-            )
+            if at > third + crash_case.CALM_SECONDS and self.was_calm(at)
         ]
