--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -262,7 +262,7 @@
         )
         if verdict is None or verdict.condemned:
             return verdict
-        # Keepers that do not know yet that it is sound are told at once.
+        # Keepers may not know yet that it is sound; on_verdicts tells them.
         is_sound = self._completed_age(fingerprint) is not None
         if is_sound and verdict.count < crash_evidence.MIN_SOUND_CRASHES:
             return None
@@ -319,7 +319,7 @@
         if verdict.withdrawn:
             self.evidence.forget(verdict.fingerprint)
         elif known is not None and known.condemned:
-            self._heed_more(verdict, known, now)
+            self._narrow_condemned(verdict, known, now)
             return
         if not verdict.count:
             if known is not None:
@@ -335,7 +335,7 @@
         if is_new or (verdict.refused_seconds and not refused_before):
             crash_log.log_verdict(verdict)
 
-    def _heed_more(
+    def _narrow_condemned(
         self,
         verdict: crash_evidence.Verdict,
         known: crash_evidence.Verdict,
--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -66,11 +66,11 @@
 MIN_LEAD = 2
 # Two causes that run beside each other at times have their own series, too.
 MIN_APART = 3
-# From so many crashes on, requests that cannot be told apart are paused, all
+# From so many crashes on, features that cannot be told apart are paused, all
 # of them, if they are few. They run again one at a time, so a further crash is
 # that of one of them.
 MAX_UNDECIDED_CRASHES = 5
-MAX_UNDECIDED_REQUESTS = 16
+MAX_UNDECIDED_FEATURES = 16
 # Time for reports of the other requests that ran on a crashed target.
 JUDGE_SECONDS = 0.2
 # The latest crashes that are kept of each request.
@@ -487,7 +487,7 @@
             if _series(self._unexplained(fingerprint)) >= MAX_UNDECIDED_CRASHES
             and not self.get(fingerprint).condemned
         ]
-        if len(undecided) <= MAX_UNDECIDED_REQUESTS:
+        if len(undecided) <= MAX_UNDECIDED_FEATURES:
             for fingerprint in undecided:
                 self._pause(fingerprint)
 
