--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -39,7 +39,7 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def main(folder, play):
+def main(folder, play, make_fleet=fleets.Fleet):
     """Run `play` and exit with the code of the case.
 
     Parameters
@@ -47,11 +47,13 @@
     play : callable
         ``async (fleet, record) -> str``; returns how the rule was broken, or
         an empty string.
+    make_fleet : callable
+        Returns the machines, none of them started.
     """
     record = Record(pathlib.Path(folder) / "record.txt")
     code = CANNOT_RUN
     try:
-        code = asyncio.run(_run(record, play))
+        code = asyncio.run(_run(record, play, make_fleet))
     except fleets.CannotRunError as error:
         record.note(f"cannot run: {error}")
     except Exception:
@@ -63,8 +65,8 @@
     sys.exit(code)
 
 
-async def _run(record, play):
-    fleet = fleets.Fleet()
+async def _run(record, play, make_fleet):
+    fleet = make_fleet()
     try:
         async with asyncio.timeout(MAX_SECONDS):
             broken = await play(fleet, record)
