Log targets that may have ended, and runs that are given up

target.doubted, when a run breaks off, says whether all targets of the service fail at this router, as refused connections then prove nothing; target.undecided names the runs that no proof came for; run.given-up a run whose connection the router closed itself. They tell the incident's hypotheses apart: until now a run whose proof never came left no line but its request's.

--- a/amaranthring/forwarding/ended_targets.py
+++ b/amaranthring/forwarding/ended_targets.py
@@ -123,6 +123,14 @@
 
     async def _ask(self, target: messages.TargetRecord) -> None:
         broke_at = time.monotonic()
+        logs.event(
+            log,
+            "target.doubted",
+            target=target.id,
+            service=target.service,
+            lost=describe(self.broken[target.id]),
+            unreached=self.placer.paths.is_lost(target.service),
+        )
         inquiry = None
         try:
             await asyncio.sleep(SETTLE_SECONDS)
@@ -144,6 +152,15 @@
             while len(self.ended) > MAX_ENDED:
                 self.ended.popitem(last=False)
             self.report(target, runs)
+        elif verdict is liveness.Verdict.SILENT:
+            logs.event(
+                log,
+                "target.undecided",
+                target=target.id,
+                service=target.service,
+                seconds=round(time.monotonic() - broke_at, 3),
+                lost=describe(runs),
+            )
 
     async def _fell_over(self, target: messages.TargetRecord) -> bool:
         """Return whether a brittle target ended for the requests it refused.
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -428,6 +428,8 @@
             if attempt.exchange.broken_off:
                 seconds = time.monotonic() - attempt.sent_at
                 self.crashes.broke_off(context, target, seconds)
+            elif attempt.is_unanswered:
+                self._log_given_up(context, attempt)
             attempt.close(complete)
             self.placer.end(target, context)
             if attempt.exchange.sent and not _was_refused(attempt):
@@ -435,6 +437,19 @@
             if context.handover is not None:
                 context.handover.attempts_after = context.attempts_sent
 
+    def _log_given_up(
+        self, context: records.RequestContext, attempt: attempts.Attempt
+    ) -> None:
+        """Log a run whose answer nobody waits for any more."""
+        logs.event(
+            log,
+            "run.given-up",
+            id=context.incoming.request_id,
+            target=attempt.target.id,
+            seconds=round(time.monotonic() - attempt.sent_at, 3),
+            fingerprint=context.fingerprint,
+        )
+
     async def _open(
         self, context: records.RequestContext, attempt: attempts.Attempt
     ) -> records.ResponseHead:
