--- a/tests/crash_case.py
+++ b/tests/crash_case.py
@@ -35,14 +35,24 @@
         Whether it ends after the head and a part of the body.
     linger : float
         Seconds between the end of its connections and of its listener.
+    run_seconds : float
+        Time that a request runs until the replica ends under it.
     crashed_at : float
         Monotonic time in seconds at which it ended; 0 before.
     cause : str
         Path or prompt part under which it ended, if any.
     """
 
-    def __init__(self, name, on_end, within_body=False, linger=0.0):
+    def __init__(
+        self,
+        name,
+        on_end,
+        within_body=False,
+        linger=0.0,
+        run_seconds=RUN_SECONDS,
+    ):
         super().__init__(name)
+        self.run_seconds = run_seconds
         self.on_end = on_end
         self.within_body = within_body
         self.linger = linger
@@ -81,7 +91,7 @@
             ]
             head = "\r\n".join([*lines, "", ""])
             writer.write(head.encode() + b"x" * 100)
-        await asyncio.sleep(RUN_SECONDS)
+        await asyncio.sleep(self.run_seconds)
         self.end(cause)
 
     def end(self, cause=""):
@@ -136,12 +146,16 @@
 
     Attributes
     ----------
-    within_body, linger
+    within_body, linger, run_seconds
         As in :class:`Replica`.
+    restart_seconds : float
+        Time until the next incarnation of a replica that ended.
     """
 
     within_body = False
     linger = 0.0
+    run_seconds = RUN_SECONDS
+    restart_seconds = RESTART_SECONDS
     replicas = 4
 
     async def asyncSetUp(self):
@@ -151,7 +165,9 @@
 
     async def add_replica(self, name):
         """Start a replica that announces itself."""
-        replica = Replica(name, self.ended, self.within_body, self.linger)
+        replica = Replica(
+            name, self.ended, self.within_body, self.linger, self.run_seconds
+        )
         await replica.start()
         self.all_replicas.append(replica)
         self.heartbeats[name] = asyncio.ensure_future(self.announce(replica))
@@ -163,7 +179,7 @@
         self.begin(self.replace(replica.name))
 
     async def replace(self, name):
-        await asyncio.sleep(RESTART_SECONDS)
+        await asyncio.sleep(self.restart_seconds)
         suffix = uuid.uuid4().hex[:4]
         await self.add_replica(f"{name.partition('.')[0]}.{suffix}")
 
@@ -219,6 +235,11 @@
         """Return when replicas ended, the earliest first."""
         return sorted(r.crashed_at for r in self.all_replicas if r.crashed_at)
 
+    def late_runs(self, path, count, seconds):
+        """Return the runs with `path` so long after the crash `count`."""
+        ended_at = self.crashes()[count - 1]
+        return [at for at in self.runs(path) if at > ended_at + seconds]
+
     def runs(self, path):
         """Return when requests with `path` reached replicas."""
         return sorted(
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -124,6 +124,25 @@
         got = await self.ask("/a/x", "POST", Test_Prompt="sys:100,own:100")
         self.assertEqual(200, got.status)
 
+    async def test_broken_off_suspect_is_not_handed_over(self):
+        """Guards against a second crash by way of a helper."""
+        await self.begin_both(scripted_target.respond())
+        breaking = scripted_target.ScriptedTarget(
+            "breaking", scripted_target.reset_connection()
+        )
+        await breaking.start()
+        self.addCleanup(breaking.stop)
+        self.router.targets.merge(breaking.record())
+        self.router.placer.paths.record_answer(breaking.record())
+        verdict = crash_evidence.Verdict("part:bad", False, 0.0, 600.0, 2, [])
+        self.router.relay.crashes.on_verdicts(
+            None, crash_messages.Verdicts([verdict])
+        )
+        got = await self.ask("/a/x", "POST", Test_Prompt="bad:100,own:100")
+        self.assertEqual(502, got.status)
+        self.assertEqual(1, len(breaking.requests))
+        self.assertEqual(0, self.ran())
+
     async def test_large_answer_is_whole(self):
         """Guards against an answer that exceeds what a link holds."""
         body = b"x" * (9 * 1024 * 1024)
--- a/tests/test_repeated_crashes.py
+++ b/tests/test_repeated_crashes.py
@@ -18,6 +18,9 @@
 VOLLEYS = 4
 AT_ONCE = 5
 VOLLEY_SECONDS = 4.0
+# Volleys at targets that are silent for some seconds before they come back.
+SILENT_VOLLEYS = 3
+SILENT_VOLLEY_SECONDS = 6.0
 
 
 class TestCrashingRequest(crash_case.CrashCase):
@@ -99,6 +102,51 @@
     gap = 0.0
 
 
+class TestSilentEnds(crash_case.CrashCase):
+    """Targets that end silently, and come back at other addresses."""
+
+    routers = 7
+    replicas = 3
+    linger = 2.9
+    restart_seconds = 3.1
+    path = "/a/crash"
+
+    async def test_it_reaches_few_targets_after_three_crashes(self):
+        """Guards against crashes that nobody counts without proof."""
+        others = self.begin(
+            self.send_regularly(
+                lambda number: f"/a/{number}", 0.05, 320, account="bela"
+            )
+        )
+        for _ in range(SILENT_VOLLEYS):
+            self.begin(self.send_regularly(lambda _: self.path, 0.05, 6))
+            await asyncio.sleep(SILENT_VOLLEY_SECONDS)
+        late = self.late_runs(self.path, CRASHES, crash_case.CALM_SECONDS)
+        self.assertLessEqual(len(late), MAX_LATE_RUNS)
+        await others
+        answers = await self.send_regularly(lambda n: f"/a/new{n}", 0.01, 20)
+        self.assertEqual({200}, {answer.status for answer in answers})
+
+
+class TestGivenUpRuns(crash_case.CrashCase):
+    """Targets that end right after their router has given the run up."""
+
+    run_seconds = 0.85
+    path = "/a/crash"
+
+    async def test_it_reaches_few_targets_after_three_crashes(self):
+        """Guards against crashes that count only under unfinished runs."""
+        others = self.begin(
+            self.send_regularly(
+                lambda number: f"/b/{number}", 0.02, 600, account="bela"
+            )
+        )
+        await self.send_regularly(lambda _: self.path, 1.0, 12)
+        late = self.late_runs(self.path, CRASHES, crash_case.CALM_SECONDS)
+        self.assertLessEqual(len(late), MAX_LATE_RUNS)
+        await others
+
+
 class TestLostRack(crash_case.CrashCase):
     """Targets that end at once while all of them run the same request."""
 
