Count runs that targets broke off before their end is proven

Callers saw: a request that ends each target that runs it ended a service of three targets, and was let through again when they were back. Cause: a router that lost a run waited for proof that the target had ended. While all targets of the service fail at it, refused connections proved nothing; a listener that answers nothing for 3 s ended the search; one answer disproved all runs that shared an inquiry. Evidence of which no proof came was dropped.

Now what a target broke off is reported at once as not proven, unless the target shows life, and counts as if it had ended. Proof confirms it; an answer one second later, or four announcements more, withdraw it (crash-target-lives), also of a target that was silent for a while. An answer disproves only the runs before it, announcements before a later loss show nothing, and a loss that is reported late does not count against a feature that has completed since. Only keepers judge by runs that are not proven, as they hear announcements. Another target that answers at the address is proof.

--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import math
 import time
 import typing as t
@@ -41,6 +42,8 @@
 RESENT_RUNS = 100
 # Bounds the memory for verdicts of the keepers.
 MAX_TOLD = 20000
+# Bounds the memory for targets that may have ended.
+MAX_UNPROVEN = 1000
 # From this status on an answer does not show that the request was run.
 MIN_FAILED_STATUS = 500
 
@@ -71,7 +74,11 @@
     completions : completions.Completions
         When requests with a shared feature last completed here.
     evidence : crash_evidence.CrashEvidence
-        What this router has seen itself.
+        What this router has seen itself, of targets that have ended.
+    unproven : OrderedDict
+        Runs on others that it has reported, with the time of the report, by
+        the id of the target. Only keepers judge by them, as they hear whether
+        a target goes on announcing itself.
     ended_targets : ended_targets.EndedTargets
         Finds out which targets have ended.
     trials : suspect_trials.SuspectTrials
@@ -88,8 +95,11 @@
     ):
         self.name = name
         self.ended_targets = ended_targets.EndedTargets(
-            placer, connections, self._report
+            placer, connections, self._report, self._withdraw
         )
+        self.unproven: collections.OrderedDict[
+            str, list[tuple[crash_evidence.Run, float]]
+        ] = collections.OrderedDict()
         self.open_links = open_links
         self.clock = clock
         self.evidence = crash_evidence.CrashEvidence(clock)
@@ -233,10 +243,46 @@
             Time since the request was sent.
         """
         context.broke_off = True
-        run = ended_targets.BrokenRun(
-            crash_features.of_request(context), seconds, self.clock()
+        run = ended_targets.LostRun(
+            crash_features.of_request(context), seconds, time.monotonic()
+        )
+        self.ended_targets.add(target, run)
+
+    def gave_up(
+        self,
+        context: records.RequestContext,
+        target: messages.TargetRecord,
+        seconds: float,
+    ) -> None:
+        """Record that this router waits no longer for a run on `target`.
+
+        Parameters
+        ----------
+        seconds : float
+            Time since the request was sent.
+        """
+        logs.event(
+            log,
+            "run.given-up",
+            id=context.incoming.request_id,
+            target=target.id,
+            seconds=round(seconds, 3),
+        )
+        run = ended_targets.LostRun(
+            crash_features.of_request(context),
+            seconds,
+            time.monotonic(),
+            given_up=True,
         )
-        self.ended_targets.broke_off(target, run)
+        self.ended_targets.add(target, run)
+
+    def note_refused(self, target: messages.TargetRecord) -> None:
+        """Record that `target` refused a connection."""
+        self.ended_targets.note_refused(target)
+
+    def note_replaced(self, target: messages.TargetRecord) -> None:
+        """Record that another target answered at the address of `target`."""
+        self.ended_targets.note_replaced(target)
 
     def _suspected(
         self, context: records.RequestContext
@@ -289,6 +335,7 @@
     def add_keeper(self, link: links.Link) -> None:
         """Tell a keeper on a new link what it may not know."""
         runs = self.evidence.runs(RESENT_SECONDS, RESENT_RUNS)
+        runs += self._unproven_runs()[: RESENT_RUNS - len(runs)]
         if runs:
             sharing.send_if_open(link, crash_messages.LostRuns(runs))
         known = [self._told(fingerprint) for fingerprint in list(self.told)]
@@ -356,21 +403,26 @@
     def _report(
         self,
         target: messages.TargetRecord,
-        broken: list[ended_targets.BrokenRun],
+        lost: list[ended_targets.LostRun],
+        proven: bool,
     ) -> None:
         runs = lost_runs.by_feature(
-            broken, target.id, self.name, self.clock(), self.completions
+            lost, target.id, self.name, proven, self.completions
         )
+        if not proven:
+            self._report_unproven(target, lost, runs)
+            return
+        self.unproven.pop(target.id, None)
         new = [run for run in runs if self.evidence.add(run)]
         logs.event(
             log,
             "target.crashed",
             target=target.id,
             service=target.service,
-            requests=len(broken),
+            requests=len(lost),
             features=len(runs),
             counted=len(new),
-            lost=ended_targets.describe(broken),
+            lost=ended_targets.describe(lost),
             age=round(max(run.age for run in runs), 3),
         )
         if new:
@@ -378,6 +430,47 @@
         loop = asyncio.get_running_loop()
         loop.call_later(crash_evidence.JUDGE_SECONDS, self._judge)
 
+    def _report_unproven(
+        self,
+        target: messages.TargetRecord,
+        lost: list[ended_targets.LostRun],
+        runs: list[crash_evidence.Run],
+    ) -> None:
+        """Report what `target` may have ended under."""
+        logs.event(
+            log,
+            "target.suspected",
+            target=target.id,
+            service=target.service,
+            requests=len(lost),
+            features=len(runs),
+            lost=ended_targets.describe(lost),
+        )
+        now = self.clock()
+        known = self.unproven.setdefault(target.id, [])
+        known += [(run, now) for run in runs]
+        while len(self.unproven) > MAX_UNPROVEN:
+            self.unproven.popitem(last=False)
+        self._send(crash_messages.LostRuns(runs))
+
+    def _withdraw(self, target: messages.TargetRecord) -> None:
+        """Withdraw what was reported of a target that lives."""
+        self.unproven.pop(target.id, None)
+        logs.event(
+            log, "target.lives", target=target.id, service=target.service
+        )
+        self._send(crash_messages.TargetLives(target.id))
+
+    def _unproven_runs(self) -> list[crash_evidence.Run]:
+        """Return the runs of the last time that are not proven, as of now."""
+        now = self.clock()
+        return [
+            dataclasses.replace(run, age=run.age + now - reported_at)
+            for known in self.unproven.values()
+            for run, reported_at in known
+            if run.age + now - reported_at <= RESENT_SECONDS
+        ]
+
     def _judge(self) -> None:
         """Judge by what this router has seen, if no keeper does.
 
--- a/amaranthring/forwarding/ended_targets.py
+++ b/amaranthring/forwarding/ended_targets.py
@@ -1,13 +1,16 @@
-"""Which targets have ended, of those that broke off runs.
+"""Which targets have ended, of those that runs were lost on.
 
-A target may break off a connection and live on, and a process that ends may
-keep its listener for a while. Whether one has ended is asked apart from the
-requests that ran there, whose callers get their answers at once.
+A target may break off a connection and live on, a process that ends may keep
+its listener for a while, and a run may have been given up right before its
+target ended. Whether a target has ended is asked apart from the requests that
+ran there, whose callers get their answers at once. Until it is known, runs
+that a target broke off count as if it had ended.
 """
 
 import asyncio
 import collections
 import dataclasses
+import math
 import time
 import typing as t
 
@@ -31,23 +34,22 @@
 FIRST_PAUSE_SECONDS = 0.05
 # After this time no more connections are tried.
 LAST_TRY_SECONDS = 3.0
-# Time in which the next incarnation may announce itself at the address. A
-# target that is silent for longer has lost its VM or its network, which no
-# request causes.
+# Time after the last lost run in which a target is watched. Later, only its
+# announcements can show that it lives, which keepers watch.
 MAX_SECONDS = 10.0
 # Time in which routers hear of requests that a target turned away elsewhere.
 REPORTED_REFUSALS_SECONDS = 0.6
-# Ended targets that are remembered, for breaks that show late.
+# Ended targets that are remembered, for runs that are lost late.
 MAX_ENDED = 1000
-# Bounds the memory for one target while it is asked.
-MAX_BROKEN_RUNS = 512
+# Bounds the memory for one target while it is doubted.
+MAX_LOST_RUNS = 512
 # Bounds the log line of one crash.
 MAX_LOGGED_RUNS = 20
 
 
 @dataclasses.dataclass
-class BrokenRun:
-    """A run whose connection the target broke off.
+class LostRun:
+    """A run without a whole answer.
 
     Attributes
     ----------
@@ -56,34 +58,85 @@
     seconds : float
         From sending the request.
     at : float
-        When the connection broke, in seconds.
+        When the connection was closed, in monotonic seconds.
+    given_up : bool
+        Whether this router closed it, rather than the target.
+    reported : bool
+        Whether it was reported without proof.
     """
 
     features: tuple[str, ...]
     seconds: float
     at: float
+    given_up: bool = False
+    reported: bool = False
 
 
-def describe(runs: list[BrokenRun]) -> str:
+def describe(runs: list[LostRun]) -> str:
     """Return ``feature+feature`` of each run, for the log."""
     return ",".join("+".join(run.features) for run in runs[:MAX_LOGGED_RUNS])
 
 
-Report = t.Callable[[messages.TargetRecord, list[BrokenRun]], None]
+@dataclasses.dataclass
+class Doubt:
+    """A target that may have ended.
+
+    Attributes
+    ----------
+    runs : list of LostRun
+        Runs that it may have ended under.
+    refused : bool
+        Whether it has refused a connection since.
+    replaced : bool
+        Whether another target has answered at its address since.
+    changed : asyncio.Event
+        Set when there is something new to judge by.
+    """
+
+    target: messages.TargetRecord
+    runs: list[LostRun] = dataclasses.field(default_factory=list)
+    refused: bool = False
+    replaced: bool = False
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def add(self, run: LostRun) -> None:
+        """Add a run; one that was given up makes room for it if need be."""
+        if len(self.runs) >= MAX_LOST_RUNS:
+            given_up = (r for r in self.runs if r.given_up)
+            oldest = next(given_up, None)
+            if oldest is None:
+                return
+            self.runs.remove(oldest)
+        self.runs.append(run)
+        if not run.given_up:
+            self.changed.set()
+
+    @property
+    def broke_off_at(self) -> float:
+        """Return when the target last broke off a run."""
+        times = (run.at for run in self.runs if not run.given_up)
+        return max(times, default=float("-inf"))
+
+
+# Called with a target, runs that it may have ended under, and whether it is
+# known to have ended.
+Report = t.Callable[[messages.TargetRecord, list[LostRun], bool], None]
 
 
 class EndedTargets:
-    """Asks targets that broke off runs whether they have ended.
+    """Finds out whether targets on which runs were lost have ended.
 
     Parameters
     ----------
     report : callable
-        Called with a target that has ended and the runs that it broke off.
+        Called with runs that count, see :data:`Report`.
+    withdraw : callable
+        Called with a target that lives although runs on it were reported.
 
     Attributes
     ----------
-    broken : dict
-        Runs by the target that is being asked.
+    doubts : dict
+        What is not known yet, by the id of the target.
     ended : OrderedDict
         Ids of the targets that have ended.
     """
@@ -93,74 +146,178 @@
         placer: placement.Placer,
         connections: pool.Pool,
         report: Report,
+        withdraw: t.Callable[[messages.TargetRecord], None],
     ):
         self.placer = placer
         self.connections = connections
         self.report = report
-        self.broken: dict[str, list[BrokenRun]] = {}
+        self.withdraw = withdraw
+        self.doubts: dict[str, Doubt] = {}
         self.ended: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
         self.tasks: set[asyncio.Task] = set()
 
     def stop(self) -> None:
-        """Ask no target any more."""
+        """Judge no target any more."""
         for task in self.tasks:
             task.cancel()
 
-    def broke_off(self, target: messages.TargetRecord, run: BrokenRun) -> None:
-        """Record that `target` broke off a run."""
+    def add(self, target: messages.TargetRecord, run: LostRun) -> None:
+        """Add a run that was lost on `target`."""
         if target.id in self.ended:
-            self.report(target, [run])
-        elif target.id in self.broken:
-            if len(self.broken[target.id]) < MAX_BROKEN_RUNS:
-                self.broken[target.id].append(run)
-        elif not self._has_left(target):
-            self.broken[target.id] = [run]
-            task = asyncio.ensure_future(self._ask(target))
+            self.report(target, [run], True)
+        elif target.id in self.doubts:
+            self.doubts[target.id].add(run)
+        elif target.id in self.placer.table.entries and not self._has_left(
+            target
+        ):
+            doubt = self.doubts[target.id] = Doubt(target)
+            doubt.add(run)
+            task = asyncio.ensure_future(self._settle(doubt))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def _ask(self, target: messages.TargetRecord) -> None:
-        broke_at = time.monotonic()
+    def note_refused(self, target: messages.TargetRecord) -> None:
+        """Record that `target` refused a connection."""
+        doubt = self.doubts.get(target.id)
+        if doubt is not None:
+            doubt.refused = True
+            doubt.changed.set()
+
+    def note_replaced(self, target: messages.TargetRecord) -> None:
+        """Record that another target answered at the address of `target`."""
+        doubt = self.doubts.get(target.id)
+        if doubt is not None:
+            doubt.replaced = True
+            doubt.changed.set()
+
+    async def _settle(self, doubt: Doubt) -> None:
+        target = doubt.target
         logs.event(
             log,
             "target.doubted",
             target=target.id,
             service=target.service,
-            lost=describe(self.broken[target.id]),
+            lost=describe(doubt.runs),
+            given_up=doubt.runs[0].given_up,
             unreached=self.placer.paths.is_lost(target.service),
         )
-        inquiry = None
         try:
-            await asyncio.sleep(SETTLE_SECONDS)
-            inquiry = liveness.Inquiry(
-                target,
-                lambda _: self._ask_once(target, broke_at),
-                FIRST_PAUSE_SECONDS,
-                MAX_SECONDS,
-            )
-            verdict = await inquiry.settle()
+            verdict = await self._judge(doubt)
         finally:
-            runs = self.broken.pop(target.id)
-            if inquiry is not None:
-                inquiry.stop()
+            del self.doubts[target.id]
         if verdict is liveness.Verdict.DEAD:
             if await self._fell_over(target):
+                self._withdraw(doubt)
                 return
             self.ended[target.id] = None
             while len(self.ended) > MAX_ENDED:
                 self.ended.popitem(last=False)
-            self.report(target, runs)
-        elif verdict is liveness.Verdict.SILENT:
-            logs.event(
-                log,
-                "target.undecided",
-                target=target.id,
-                service=target.service,
-                seconds=round(time.monotonic() - broke_at, 3),
-                lost=describe(runs),
-            )
+            self.report(target, doubt.runs, True)
+        elif verdict is liveness.Verdict.ALIVE:
+            self._withdraw(doubt)
+
+    async def _judge(self, doubt: Doubt) -> liveness.Verdict:
+        """Return whether the target has ended; ``SILENT`` without proof."""
+        pause = FIRST_PAUSE_SECONDS
+        await asyncio.sleep(SETTLE_SECONDS)
+        while True:
+            doubt.changed.clear()
+            verdict = await self._ask_once(doubt)
+            if verdict is liveness.Verdict.SILENT:
+                self._suspect(doubt)
+            newest = max((run.at for run in doubt.runs), default=0.0)
+            is_late = time.monotonic() - newest > MAX_SECONDS
+            if verdict is not liveness.Verdict.SILENT or is_late:
+                break
+            if await _is_set_within(doubt.changed, pause):
+                pause = FIRST_PAUSE_SECONDS
+            else:
+                pause = min(2 * pause, liveness.MAX_PAUSE_SECONDS)
+        logs.event(
+            log,
+            "target.asked",
+            target=doubt.target.id,
+            service=doubt.target.service,
+            verdict=str(verdict),
+            runs=len(doubt.runs),
+            reported=sum(run.reported for run in doubt.runs),
+        )
+        return verdict
+
+    async def _ask_once(self, doubt: Doubt) -> liveness.Verdict:
+        target = doubt.target
+        if doubt.replaced:
+            return liveness.Verdict.DEAD
+        if self._has_left(target):
+            return liveness.Verdict.ALIVE
+        if not self.placer.table.holds_address(target):
+            return liveness.Verdict.DEAD
+        self._drop_disproved(doubt)
+        if not doubt.runs:
+            return liveness.Verdict.ALIVE
+        if self.placer.paths.is_lost(target.service):
+            # Refused connections do not show that the target has ended.
+            return liveness.Verdict.SILENT
+        if doubt.refused:
+            return liveness.Verdict.DEAD
+        seconds = time.monotonic() - doubt.broke_off_at
+        if seconds > LAST_TRY_SECONDS or self._may_live(doubt):
+            return liveness.Verdict.SILENT
+        return await liveness.try_connection(target)
+
+    def _drop_disproved(self, doubt: Doubt) -> None:
+        """Drop the runs after which the target has shown that it lives."""
+        lived_at = self._lived_at(doubt.target)
+        latest = lived_at - ENDING_SECONDS
+        if any(run.reported and run.at <= latest for run in doubt.runs):
+            self._withdraw(doubt)
+        doubt.runs = [run for run in doubt.runs if run.at > latest]
+
+    def _lived_at(self, target: messages.TargetRecord) -> float:
+        """Return when the target last showed here that it lives."""
+        if self.connections.is_connected(target.id):
+            return time.monotonic()
+        return self.placer.views[target.id].heard_at
+
+    def _may_live(self, doubt: Doubt) -> bool:
+        """Return whether it shows some life, which may be what is left."""
+        newest = max(run.at for run in doubt.runs)
+        return self._lived_at(doubt.target) > newest + SETTLE_SECONDS
+
+    def _suspect(self, doubt: Doubt) -> None:
+        """Report what the target may have ended under, without proof."""
+        target = doubt.target
+        broke_off_at = doubt.broke_off_at
+        if not (doubt.refused or math.isfinite(broke_off_at)):
+            return
+        if self._may_live(doubt) or self._may_have_fallen(
+            target, broke_off_at
+        ):
+            return
+        runs = [run for run in doubt.runs if not run.reported]
+        for run in runs:
+            run.reported = True
+        if runs:
+            self.report(target, runs, False)
+
+    def _withdraw(self, doubt: Doubt) -> None:
+        """Withdraw what was reported of a target that lives."""
+        if any(run.reported for run in doubt.runs):
+            self.withdraw(doubt.target)
+        for run in doubt.runs:
+            run.reported = False
+
+    def _may_have_fallen(
+        self, target: messages.TargetRecord, broke_off_at: float
+    ) -> bool:
+        """Return whether a target may have ended for what it refused."""
+        room = self.placer.room
+        is_recent = time.monotonic() - broke_off_at < REPORTED_REFUSALS_SECONDS
+        return room.is_brittle(target.service) and (
+            is_recent or room.fell_over(target)
+        )
 
     async def _fell_over(self, target: messages.TargetRecord) -> bool:
         """Return whether a brittle target ended for the requests it refused.
@@ -178,29 +335,16 @@
         )
         return True
 
-    async def _ask_once(
-        self, target: messages.TargetRecord, broke_at: float
-    ) -> liveness.Verdict:
-        if self._has_left(target):
-            return liveness.Verdict.ALIVE
-        if not self.placer.table.holds_address(target):
-            return liveness.Verdict.DEAD
-        if self.placer.paths.is_lost(target.service):
-            # Refused connections do not show that the target has ended.
-            return liveness.Verdict.SILENT
-        seconds = time.monotonic() - broke_at
-        connected = self.connections.is_connected(target.id)
-        answered_at = self.placer.views[target.id].succeeded_at
-        if seconds < ENDING_SECONDS:
-            if connected or answered_at > broke_at + SETTLE_SECONDS:
-                return liveness.Verdict.SILENT
-        elif connected or answered_at > broke_at + ENDING_SECONDS:
-            return liveness.Verdict.ALIVE
-        if seconds > LAST_TRY_SECONDS:
-            return liveness.Verdict.SILENT
-        return await liveness.try_connection(target)
-
     def _has_left(self, target: messages.TargetRecord) -> bool:
         """Return whether the target has said that it ends."""
         entry = self.placer.table.entries.get(target.id)
-        return entry is None or entry.record.state != messages.State.READY
+        return entry is not None and entry.record.state != messages.State.READY
+
+
+async def _is_set_within(event: asyncio.Event, seconds: float) -> bool:
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
--- a/amaranthring/forwarding/lost_runs.py
+++ b/amaranthring/forwarding/lost_runs.py
@@ -1,5 +1,6 @@
-"""Reports of the runs that this router lost with one target."""
+"""Reports of the runs that this router lost on one target."""
 
+import time
 import typing as t
 
 from amaranthring.forwarding import crash_features
@@ -9,10 +10,10 @@
 
 
 def by_feature(
-    broken: t.Iterable[ended_targets.BrokenRun],
+    lost_runs: t.Iterable[ended_targets.LostRun],
     target: str,
     router: str,
-    now: float,
+    proven: bool,
     completed: completions.Completions,
 ) -> list[crash_evidence.Run]:
     """Return one run for each feature of the lost requests.
@@ -20,8 +21,9 @@
     The first one that was sent stands for all with the same feature. Shared
     features come first, as receivers bound what they keep of one crash.
     """
+    now = time.monotonic()
     runs: dict[str, crash_evidence.Run] = {}
-    for lost in sorted(broken, key=lambda lost: -lost.seconds):
+    for lost in sorted(lost_runs, key=lambda lost: -lost.seconds):
         for feature in lost.features:
             beside = [name for name in lost.features if name != feature]
             if feature in runs:
@@ -36,6 +38,7 @@
                 router,
                 beside,
                 completed.age(feature),
+                proven,
             )
     return sorted(
         runs.values(),
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -580,6 +580,7 @@
 
     def record_contact(self, target: messages.TargetRecord) -> None:
         """Record that `target` sent data, so its data centre is reachable."""
+        self.views[target.id].heard_at = self.clock()
         self.paths.record_answer(target)
         if target.data_centre in self.data_centres:
             del self.data_centres[target.data_centre]
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -414,10 +414,15 @@
             outcome = str(head.status)
         except errors.NotListeningError:
             outcome = NOT_LISTENING
+            self.crashes.note_refused(target)
             raise
         except errors.TargetUnreachableError:
             outcome = UNREACHED
             raise
+        except errors.WrongTargetError as error:
+            outcome = error.code
+            self.crashes.note_replaced(target)
+            raise
         except errors.AmaranthringError as error:
             outcome = error.code
             raise
@@ -428,8 +433,6 @@
             if attempt.exchange.broken_off:
                 seconds = time.monotonic() - attempt.sent_at
                 self.crashes.broke_off(context, target, seconds)
-            elif attempt.is_unanswered:
-                self._log_given_up(context, attempt)
             attempt.close(complete)
             self.placer.end(target, context)
             if attempt.exchange.sent and not _was_refused(attempt):
@@ -437,19 +440,6 @@
             if context.handover is not None:
                 context.handover.attempts_after = context.attempts_sent
 
-    def _log_given_up(
-        self, context: records.RequestContext, attempt: attempts.Attempt
-    ) -> None:
-        """Log a run whose answer nobody waits for any more."""
-        logs.event(
-            log,
-            "run.given-up",
-            id=context.incoming.request_id,
-            target=attempt.target.id,
-            seconds=round(time.monotonic() - attempt.sent_at, 3),
-            fingerprint=context.fingerprint,
-        )
-
     async def _open(
         self, context: records.RequestContext, attempt: attempts.Attempt
     ) -> records.ResponseHead:
--- a/amaranthring/forwarding/views.py
+++ b/amaranthring/forwarding/views.py
@@ -41,6 +41,10 @@
         Time until which it is avoided after failures.
     doubted_until : float
         Time until which it counts that other routers could not reach it.
+    succeeded_at : float
+        When it last completed a request of this router.
+    heard_at : float
+        When it last answered here, whatever it said.
     failed_at : float
         When it last failed to respond, or broke off a response, here.
     reported_failing_until : float
@@ -59,6 +63,7 @@
         self.doubted_until = float("-inf")
         self.unreachable = False
         self.succeeded_at = float("-inf")
+        self.heard_at = float("-inf")
         self.failed_at = float("-inf")
         self.reported_failing_until = float("-inf")
 
--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -103,6 +103,9 @@
     completed : float
         Seconds since a request with the feature completed at that router;
         infinite if it knows of none.
+    proven : bool
+        Whether the target is known to have ended. Until then the run counts
+        as if it had, and can be withdrawn.
     """
 
     fingerprint: str
@@ -112,6 +115,7 @@
     router: str
     beside: list[str] = dataclasses.field(default_factory=list)
     completed: float = math.inf
+    proven: bool = True
 
 
 class Ignored(enum.StrEnum):
@@ -120,6 +124,7 @@
     NO = "no"
     OLD = "old"
     KNOWN = "known"
+    CLEARED = "cleared"
 
 
 @dataclasses.dataclass
@@ -278,6 +283,9 @@
         Features that were on all lost requests of another one.
     completions : completions.Completions
         When requests with a feature last completed.
+    unproven : OrderedDict
+        Ids of the targets that are not known to have ended, of those on which
+        runs count.
     """
 
     def __init__(self, clock: t.Callable[[], float]):
@@ -291,6 +299,9 @@
         self.withdrawn: set[str] = set()
         self.companions = companions.Companions()
         self.completions = completions.Completions(clock)
+        self.unproven: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     def add(self, run: Run) -> bool:
         """Add a run; return whether it counts, see :meth:`check`.
@@ -301,6 +312,7 @@
         if run.completed < SOUND_SECONDS:
             self.complete([run.fingerprint], run.completed)
         now = self.clock()
+        self._note_proof(run)
         reason = self.check(run)
         if reason is Ignored.KNOWN:
             known = self.get(run.fingerprint).find(run.target)
@@ -318,6 +330,17 @@
         self.changed.add(run.fingerprint)
         return True
 
+    def _note_proof(self, run: Run) -> None:
+        """Note whether the target of a new run is known to have ended."""
+        if run.proven and run.target in self.unproven:
+            del self.unproven[run.target]
+            # It may have lived on after the runs that are known.
+            self.records.delay_report(run.target, self.clock() - run.age)
+        elif not run.proven and self.records.get(run.target, 0) is None:
+            self.unproven[run.target] = None
+            while len(self.unproven) > suspects.MAX_CRASH_RECORDS:
+                self.unproven.popitem(last=False)
+
     def _add_companions(self, run: Run) -> None:
         if self.companions.add(run.fingerprint, run.beside):
             self.changed.add(run.fingerprint)
@@ -334,6 +357,8 @@
         known = self.suspects.get(run.fingerprint, now)
         if known is not None and known.find(run.target):
             return Ignored.KNOWN
+        if self.completions.age(run.fingerprint) < run.age:
+            return Ignored.CLEARED
         return Ignored.NO
 
     def complete(
@@ -422,6 +447,7 @@
         list of str
             Fingerprints of the features that it counted for.
         """
+        self.unproven.pop(target, None)
         self.due.pop(target, None)
         self.records.discard(target, 0)
         found = []
@@ -672,6 +698,7 @@
                 now - crash.at,
                 crash.router,
                 beside,
+                proven=crash.target not in self.unproven,
             )
             for crash in suspect.crashes
             if now - crash.at <= max_age
--- a/amaranthring/policy/suspects.py
+++ b/amaranthring/policy/suspects.py
@@ -273,6 +273,12 @@
         """Remove the entry of a process that has not crashed."""
         self.entries.pop((target, incarnation), None)
 
+    def delay_report(self, target: str, at: float) -> None:
+        """Count requests that were sent until `at` as well."""
+        known = self.entries.get((target, 0))
+        if known is not None:
+            known.reported_at = max(known.reported_at, at)
+
     def explain(self, crash: Crash, fingerprint: str) -> None:
         """Record that `fingerprint` was condemned for the crash."""
         known = self.entries.get((crash.target, crash.incarnation))
--- a/amaranthring/registry/crash_ledger.py
+++ b/amaranthring/registry/crash_ledger.py
@@ -40,20 +40,22 @@
 # ended may arrive late, but not so many of them.
 ALIVE_ANNOUNCEMENTS = 4
 ALIVE_INTERVALS = 3.0
+# Runs that are lost within this time are lost by the same crash.
+LOSS_SECONDS = 1.0
 # Targets whose crashes are watched at once.
 MAX_WATCHED = 1000
 
 
 @dataclasses.dataclass
 class Watch:
-    """A target that was reported as ended.
+    """A target that was reported as ended, or as one that may have ended.
 
     Attributes
     ----------
     sequence : int
         Of its last announcement by then; -1 if that is not known yet.
     since : float
-        When it was reported, in seconds.
+        When runs on it were lost, in seconds.
     """
 
     sequence: int
@@ -94,6 +96,7 @@
         self.judge_handle: asyncio.TimerHandle | None = None
         self.publish_handle: asyncio.TimerHandle | None = None
         handlers.add(crash_messages.LostRuns, self._on_runs)
+        handlers.add(crash_messages.TargetLives, self._on_target_lives)
         handlers.add(crash_messages.SuspectsCompleted, self._on_completed)
         handlers.add(crash_messages.Verdicts, self._on_verdicts)
         handlers.add(crash_messages.BeginTrial, self._on_trial)
@@ -142,7 +145,7 @@
         if not new:
             return
         for run in new:
-            self.watched.setdefault(run.target, Watch(-1, self.clock()))
+            self._watch(run.target, self.clock() - run.age)
         while len(self.watched) > MAX_WATCHED:
             self.watched.popitem(last=False)
         logs.event(
@@ -152,9 +155,19 @@
             targets=sorted({run.target for run in new}),
             features=len(new),
             age=round(max(run.age for run in new), 3),
+            proven=all(run.proven for run in new),
         )
         self._follow_up()
 
+    def _watch(self, target_id: str, lost_at: float) -> None:
+        """Watch a target that has lost runs at `lost_at`.
+
+        What it announced before the last of them does not show that it lives.
+        """
+        known = self.watched.get(target_id)
+        if known is None or lost_at > known.since + LOSS_SECONDS:
+            self.watched[target_id] = Watch(-1, lost_at)
+
     def withdraw_living(
         self, table: targets.TargetTable, announce_seconds: float
     ) -> None:
@@ -164,8 +177,10 @@
         """
         for target_id, watch in list(self.watched.items()):
             entry = table.entries.get(target_id)
-            if entry is None or entry.gone_at or entry.record.silent:
+            if entry is None or entry.gone_at:
                 del self.watched[target_id]
+            elif entry.record.silent:
+                self.watched[target_id] = Watch(-1, self.clock())
             elif watch.sequence < 0:
                 watch.sequence = entry.record.sequence
             elif (
@@ -173,10 +188,17 @@
                 and self.clock() - watch.since
                 >= ALIVE_INTERVALS * announce_seconds
             ):
-                del self.watched[target_id]
                 self._withdraw(target_id)
 
+    def _on_target_lives(
+        self, link: links.Link, message: crash_messages.TargetLives
+    ) -> None:
+        _require_router(link)
+        if message.target in self.evidence.unproven:
+            self._withdraw(message.target)
+
     def _withdraw(self, target_id: str) -> None:
+        self.watched.pop(target_id, None)
         fingerprints = self.evidence.withdraw(target_id)
         logs.event(
             log,
--- a/amaranthring/registry/crash_messages.py
+++ b/amaranthring/registry/crash_messages.py
@@ -6,7 +6,7 @@
 
 @wire.message("crash-runs", compressed=True)
 class LostRuns:
-    """From a router: runs that ended with the processes of their targets.
+    """From a router: runs that were lost with their targets.
 
     Compressed, as many requests end with one target.
     """
@@ -14,6 +14,19 @@
     runs: list[crash_evidence.Run]
 
 
+@wire.message("crash-target-lives")
+class TargetLives:
+    """From a router: a target lives on which it reported lost runs.
+
+    Attributes
+    ----------
+    target : str
+        Id of the target's incarnation.
+    """
+
+    target: str
+
+
 @wire.message("crash-completed")
 class SuspectsCompleted:
     """From a router: a request with suspected features completed.
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -21,9 +21,11 @@
         self.numbers = itertools.count(1)
         self.evidence = crash_evidence.CrashEvidence(lambda: self.now)
 
-    def run_on(self, target, name, seconds=0.1, age=0.0):
+    def run_on(self, target, name, seconds=0.1, age=0.0, proven=True):
         return self.evidence.add(
-            crash_evidence.Run(name, target, seconds, age, "router-1")
+            crash_evidence.Run(
+                name, target, seconds, age, "router-1", proven=proven
+            )
         )
 
     def crash(self, *names, seconds=0.1):
@@ -49,6 +51,37 @@
         return targets
 
 
+class TestUnproven(EvidenceCase):
+    """Targets that are not known to have ended."""
+
+    def test_unproven_crashes_pause_and_condemn(self):
+        """Guards against a request whose crashes nobody proves."""
+        for number in range(3):
+            self.now += 1.0
+            self.run_on(f"t{number}", "bad", proven=False)
+        self.assertEqual({"bad"}, self.judge())
+        self.now += crash_evidence.PAUSE_SECONDS
+        self.run_on("t3", "bad", proven=False)
+        self.assertEqual({"bad"}, self.judge())
+        self.assertTrue(self.evidence.get("bad").condemned)
+        kept = [run.proven for run in self.evidence.runs(60.0, 10)]
+        self.assertEqual([False] * 4, kept)
+
+    def test_run_after_an_unproven_end_counts_once_it_is_proven(self):
+        """Guards against a crash that an earlier broken run hides."""
+        self.run_on("t1", "chat", proven=False)
+        self.now += 2.0
+        self.assertTrue(self.run_on("t1", "bad"))
+        self.now += 2.0
+        self.assertFalse(self.run_on("t1", "late"))
+
+    def test_completion_after_a_loss_that_is_reported_late(self):
+        """Guards against blaming a request that has completed since."""
+        self.evidence.complete(["chat"], age=1.0)
+        self.assertFalse(self.run_on("t1", "chat", age=2.0))
+        self.assertTrue(self.run_on("t1", "chat", age=0.5))
+
+
 class TestCondemned(EvidenceCase):
     """Requests that crash each target that runs them."""
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -128,7 +128,7 @@
             for _ in range(6):
                 await self.ask("/b/x", "POST")
             await asyncio.sleep(0.4)
-        self.assertEqual({}, guard.ended_targets.broken)
+        self.assertEqual({}, guard.ended_targets.doubts)
         self.assertEqual({}, dict(guard.evidence.suspects.entries))
         self.assertEqual(502, (await self.ask("/b/x", "POST")).status)
 
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -62,9 +62,11 @@
     def receive(self, link, message):
         self.handlers.by_class[type(message)](link, message)
 
-    def report(self, router, target, *names):
+    def report(self, router, target, *names, proven=True):
         runs = [
-            crash_evidence.Run(name, target, 0.1, 0.0, router.peer.name)
+            crash_evidence.Run(
+                name, target, 0.1, 0.0, router.peer.name, proven=proven
+            )
             for name in names
         ]
         self.receive(router, crash_messages.LostRuns(runs))
@@ -109,6 +111,7 @@
         keeper = FakeLink("keeper", dispatch.KEEPER_ROLE)
         for message in (
             crash_messages.LostRuns([]),
+            crash_messages.TargetLives("t1"),
             crash_messages.SuspectsCompleted([]),
             crash_messages.Verdicts([]),
         ):
@@ -175,6 +178,40 @@
         )
         self.assertTrue(verdict.condemned)
 
+    async def test_target_that_was_silent_for_a_while_lives(self):
+        """Guards against suspects of targets that were only cut off."""
+        self.announce(1, ["bad-t0"])
+        await self.crash_series(1)
+        self.now += 2.0
+        self.table.mark_silent(1.0)
+        self.ledger.withdraw_living(self.table, 1.0)
+        for number in range(crash_ledger.ALIVE_ANNOUNCEMENTS + 2):
+            self.table.record_heartbeat("bad-t0", 2 + number)
+            self.now += 1.0
+            self.ledger.withdraw_living(self.table, 1.0)
+        self.assertIsNone(self.ledger.evidence.get("bad"))
+
+    async def test_announcements_before_a_later_crash_show_nothing(self):
+        """Guards against a crash that the life before it withdraws."""
+        self.announce(1, ["t0"])
+        self.report(self.routers[0], "t0", "chat", proven=False)
+        for number in range(crash_ledger.ALIVE_ANNOUNCEMENTS):
+            self.announce(1 + number, ["t0"])
+        self.report(self.routers[0], "t0", "later")
+        for number in range(crash_ledger.ALIVE_ANNOUNCEMENTS):
+            self.announce(5 + number, ["t0"])
+        self.assertIsNotNone(self.ledger.evidence.get("later"))
+
+    async def test_router_withdraws_what_is_not_proven(self):
+        """Guards against suspects of a target that its router has heard."""
+        self.report(self.routers[0], "t1", "chat", proven=False)
+        self.report(self.routers[0], "t2", "chat", proven=False)
+        self.report(self.routers[1], "t2", "chat")
+        for target in ("t1", "t2"):
+            self.receive(self.routers[0], crash_messages.TargetLives(target))
+        crashes = self.ledger.evidence.get("chat").crashes
+        self.assertEqual(["t2"], [crash.target for crash in crashes])
+
     async def test_targets_that_have_left_are_not_watched(self):
         """Guards against memory for targets that never come back."""
         await self.crash_series(3)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -133,7 +133,10 @@
         await breaking.start()
         self.addCleanup(breaking.stop)
         self.router.targets.merge(breaking.record())
-        self.router.placer.paths.record_answer(breaking.record())
+        self.router.targets.mark_gone("lost1")
+        paths = self.router.placer.paths
+        paths.record_answer(breaking.record())
+        paths.reach.record_failure("s", "lost0")
         verdict = crash_evidence.Verdict("part:bad", False, 0.0, 600.0, 2, [])
         self.router.relay.crashes.on_verdicts(
             None, crash_messages.Verdicts([verdict])
