Count runs that were given up right before their target ended

Cause: a run without an answer was evidence only if the target closed the connection.

A run that a router gives up, by a timeout or as its caller leaves, now makes it doubt the target without asking it: a refused connection of another request, or another target at its address, shows that it has ended, and an answer a second later that it lives.

--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -433,6 +433,9 @@
             if attempt.exchange.broken_off:
                 seconds = time.monotonic() - attempt.sent_at
                 self.crashes.broke_off(context, target, seconds)
+            elif not complete and _was_given_up(context, attempt):
+                seconds = time.monotonic() - attempt.sent_at
+                self.crashes.gave_up(context, target, seconds)
             attempt.close(complete)
             self.placer.end(target, context)
             if attempt.exchange.sent and not _was_refused(attempt):
@@ -648,3 +651,15 @@
 def _was_refused(attempt: attempts.Attempt) -> bool:
     head = attempt.head
     return head is not None and (head.refused or head.other_target)
+
+
+def _was_given_up(
+    context: records.RequestContext, attempt: attempts.Attempt
+) -> bool:
+    """Return whether a run was left to itself before its answer was whole."""
+    exchange = attempt.exchange
+    if not exchange.sent or exchange.broken_off:
+        return False
+    return attempt.head is None or (
+        context.is_accepted and not exchange.body.ended
+    )
--- a/tests/test_ended_targets.py
+++ b/tests/test_ended_targets.py
@@ -112,3 +112,36 @@
             scripted_target.abort_connection(writer)
         await asyncio.gather(*asked)
         await self.until(lambda: len(set(self.reported(proven=False))) == 2)
+
+
+class TestGivenUpRuns(EndingCase):
+    """Runs that their router leaves before their targets end."""
+
+    async def test_target_that_refuses_connections_has_ended(self):
+        """Guards against a crash right after its run was given up."""
+        await self.begin_ending()
+        await self.ask(HANGING, "POST", Test_Patience="0.2")
+        await self.end(self.targets[0])
+        self.assertEqual([], self.sent)
+        await self.ask("/b/x", "POST")
+        await self.until(lambda: self.reported(proven=True))
+
+    async def test_target_that_answers_later_lives(self):
+        """Guards against blaming each request that takes too long."""
+        await self.begin_ending()
+        await self.ask(HANGING, "POST", Test_Patience="0.2")
+        await asyncio.sleep(2 * ended_targets.ENDING_SECONDS)
+        await self.ask("/b/x", "POST")
+        await self.until(lambda: not self.guard.ended_targets.doubts)
+        await self.end(self.targets[0])
+        await self.ask("/b/x", "POST")
+        self.assertEqual([], self.sent)
+
+    async def test_target_is_not_asked(self):
+        """Guards against a connection for each request that is too slow."""
+        await self.begin_ending()
+        with mock.patch.object(ended_targets, "MAX_SECONDS", 0.3):
+            await self.ask(HANGING, "POST", Test_Patience="0.2")
+            await self.until(lambda: not self.guard.ended_targets.doubts)
+        self.assertEqual(1, self.targets[0].connections)
+        self.assertEqual([], self.sent)
