--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -128,9 +128,6 @@
         if not suspected:
             return
         context.is_suspect = True
-        if context.broke_off:
-            # A second target may end under it as well.
-            self._refuse(context, suspected[0], TRIAL_RETRY_SECONDS)
         self._check_refused(context, suspected)
         for verdict in filter(_runs_alone, suspected):
             if not await self._try(context, verdict.fingerprint):
@@ -138,6 +135,18 @@
         # Another crash may have become known meanwhile.
         self.check_send(context)
 
+    def check_repeat(self, context: records.RequestContext) -> None:
+        """Check that a request may run again if a target broke it off.
+
+        Raises
+        ------
+        errors.SuspectedError
+            If a second target may end under it as well.
+        """
+        suspected = self._suspected(context) if context.broke_off else []
+        if suspected:
+            self._refuse(context, suspected[0], TRIAL_RETRY_SECONDS)
+
     def check_send(self, context: records.RequestContext) -> None:
         """Check once more right before a request is sent.
 
--- a/amaranthring/forwarding/handing_over.py
+++ b/amaranthring/forwarding/handing_over.py
@@ -182,7 +182,11 @@
             await _pass_on(answer, memory, head, splitter, writer, on_events)
         except errors.AmaranthringError as error:
             outcome = error.code
-            raise self._interpret(context, answer, error) from error
+            meaning = self._interpret(context, answer, error)
+            if meaning.outcome != errors.Outcome.NOT_RUN:
+                # A target of the helper may have ended under it.
+                context.broke_off = True
+            raise meaning from error
         except asyncio.CancelledError:
             # The deadline has passed, or the caller has left.
             context.attempts_sent += 1
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -282,7 +282,7 @@
     trial_sends : int
         Number of sends before its first trial.
     broke_off : bool
-        Whether a target broke off its last run.
+        Whether a target broke off its last run, here or at a helper.
     silent_data_centres : set of str
         Data centres in which a target did not respond.
     attempt_outcomes : list of str
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -285,6 +285,7 @@
             int(resume_after) if resume_after.isdigit() else None
         )
         while True:
+            self.crashes.check_repeat(context)
             helper = self._helper_for(context)
             if helper is None:
                 await self.crashes.check(context)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -48,15 +48,7 @@
             self.router.targets.merge(lost.record())
             self.router.placer.paths.reach.record_failure("s", lost.name)
         self.refusal = None
-        self.server = handover_server.HandoverServer(
-            identity("helper"),
-            links.Keys(KEYS),
-            self.helper.relay.serve,
-            self.check,
-        )
-        self.address = f"127.0.0.1:{local_fleet.free_ports(1)[0]}"
-        self.server.listen(listeners.bind_sockets(self.address))
-        self.addCleanup(self.server.stop)
+        self.server, self.address = self.listen()
         self.client = handover_client.HandoverClient(
             identity("router"), links.Keys(KEYS)
         )
@@ -72,6 +64,25 @@
             lambda: self.client.helpers[self.address].dialler.link
         )
 
+    def listen(self):
+        """Return a server of the helper, and its address."""
+        server = handover_server.HandoverServer(
+            identity("helper"),
+            links.Keys(KEYS),
+            self.helper.relay.serve,
+            self.check,
+        )
+        address = f"127.0.0.1:{local_fleet.free_ports(1)[0]}"
+        server.listen(listeners.bind_sockets(address))
+        self.addCleanup(server.stop)
+        return server, address
+
+    async def add_helper(self):
+        """Offer a second helper to the router."""
+        _, address = self.listen()
+        self.client.update({"s": [self.address, address]})
+        await self.until(lambda: self.client.helpers[address].dialler.link)
+
     def check(self, _service, _version):
         if self.refusal is not None:
             raise self.refusal
@@ -146,6 +157,18 @@
         self.assertEqual(1, len(breaking.requests))
         self.assertEqual(0, self.ran())
 
+    async def test_suspect_that_a_helper_lost_is_not_sent_again(self):
+        """Guards against a helper that tells nobody of a broken run."""
+        await self.begin_both(scripted_target.reset_connection())
+        await self.add_helper()
+        verdict = crash_evidence.Verdict("part:bad", False, 0.0, 600.0, 2, [])
+        self.router.relay.crashes.on_verdicts(
+            None, crash_messages.Verdicts([verdict])
+        )
+        got = await self.ask("/a/x", "POST", Test_Prompt="bad:100,own:100")
+        self.assertEqual(502, got.status)
+        self.assertEqual(1, self.ran())
+
     async def test_large_answer_is_whole(self):
         """Guards against an answer that exceeds what a link holds."""
         body = b"x" * (9 * 1024 * 1024)
