Believe nothing of an answer that is not the request's own

Callers saw: bookings that ran twice (TWICE), and bookings that ran and were answered 503, so that their callers booked again (REFUSED). Cause: an answer without an id that said "not run" was believed, as it was compared with no id, and the head of a second answer to an earlier request was kept while the next one was awaited. A 421 without an id removed a sound target for good, as a target's state only advances.

Now a head counts once its id is that of the request; others are passed over and logged. A 421 leaves its target out for 5 s. Kept: what an answer with another id says of its target counts (tests of rests and departures say so).

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -386,6 +386,12 @@
     code = "truncated-answer"
 
 
+class ForeignResponseError(UpstreamError):
+    """What the target sent is not the response to this request."""
+
+    code = "foreign-answer"
+
+
 class TargetUnresponsiveError(TruncatedResponseError):
     """The target no longer acknowledges data sent to it."""
 
--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -4,7 +4,10 @@
 import time
 import typing as t
 
+import logbook
+
 from amaranthring import errors
+from amaranthring.core import logs
 from amaranthring.core import notices
 from amaranthring.forwarding import answer_memory
 from amaranthring.forwarding import events
@@ -14,6 +17,8 @@
 from amaranthring.targets import pool
 from amaranthring.targets import upstream
 
+log = logbook.Logger(__name__)
+
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Connecting takes a few milliseconds unless the target's VM has lost power or
 # the network is partitioned. The request can then still go elsewhere.
@@ -24,10 +29,12 @@
 IDEMPOTENT_IDLE_SECONDS = 5.0
 IDLE_SECONDS = 2.0
 KEEP_ALIVE = re.compile(r"timeout=(\d+)")
-# Maximum number of duplicate responses to earlier requests that are skipped
-# on a reused connection.
-MAX_EXTRA_RESPONSES = 2
+# Maximum number of responses to other requests that are skipped before the
+# one that is awaited.
+MAX_FOREIGN_RESPONSES = 2
 EVENT_STREAM = "text/event-stream"
+# Bounds the log line of a response to another request.
+MAX_LOGGED_ID = 64
 
 
 class Attempt:
@@ -54,7 +61,7 @@
         The HTTP exchange; `exchange.sent` tells whether the target may have
         run the request.
     head : ResponseHead or None
-        Head of the response, once received.
+        Head of the response to this request, once received.
     sent_at : float
         Monotonic seconds at which the request was sent; 0 before.
     """
@@ -127,7 +134,8 @@
 
     async def _connect(self) -> None:
         connection = None
-        if self.reuse_connection:
+        # Without an id its response cannot be told from a late one.
+        if self.reuse_connection and self.context.incoming.request_id:
             idempotent = self.context.route.idempotent
             idle = IDEMPOTENT_IDLE_SECONDS if idempotent else IDLE_SECONDS
             connection = await self.connections.acquire(self.target.id, idle)
@@ -138,24 +146,43 @@
         pool.set_ack_timeout(self.exchange.writer)
 
     async def _read_head(self) -> None:
+        """Read the head of the response to this request.
+
+        Nothing that another response says counts for the request. What it
+        says of the target does, if it is one to some request.
+        """
         exchange = self.exchange
-        for _ in range(1 + MAX_EXTRA_RESPONSES):
+        for _ in range(1 + MAX_FOREIGN_RESPONSES):
             await exchange.read_head()
-            self.head = self.dialect.read_response(
+            head = self.dialect.read_response(
                 exchange.status, exchange.headers
             )
-            if not self.head.other_target:
-                self.on_notice(self.head.status, self.head.notice)
-            if not exchange.reused or not self._is_for_another_request():
+            is_own = head.request_id == self.context.incoming.request_id
+            if (is_own or head.request_id) and not head.other_target:
+                self.on_notice(head.status, head.notice)
+            if is_own:
+                self.head = head
                 return
-            # The target responded twice to an earlier request, and the
-            # duplicate precedes the response to this one.
+            self._log_foreign(head)
+            if "close" in exchange.headers.get("Connection", "").lower():
+                break
             await exchange.skip_body(MAX_BODY_BYTES)
+        raise errors.ForeignResponseError(
+            "no response to this request",
+            given=head.request_id or "a response without an id",
+            expected=self.context.incoming.request_id,
+        )
 
-    def _is_for_another_request(self) -> bool:
-        request_id = self.head.request_id
-        return (
-            bool(request_id) and request_id != self.context.incoming.request_id
+    def _log_foreign(self, head: records.ResponseHead) -> None:
+        logs.event(
+            log,
+            "response.foreign",
+            id=self.context.incoming.request_id,
+            target=self.target.id,
+            given=head.request_id[:MAX_LOGGED_ID],
+            status=head.status,
+            refused=head.refused,
+            reused=self.exchange.reused,
         )
 
     def _check_head(self) -> None:
@@ -172,14 +199,6 @@
                 expected="a response",
                 retry_after=1.0,
             )
-        # A late response to another request, or output of a crashing target,
-        # must not reach the caller as a success with foreign content.
-        if head.request_id != self.context.incoming.request_id:
-            raise errors.UpstreamError(
-                "response to another request",
-                given=head.request_id,
-                expected=self.context.incoming.request_id,
-            )
         if not head.signed or head.encoded:
             raise errors.UpstreamError(
                 "response is unsigned or has a content coding",
--- a/amaranthring/forwarding/eligibility.py
+++ b/amaranthring/forwarding/eligibility.py
@@ -34,6 +34,7 @@
             for record in self.table.active()
             if record.service == service
             and record.state == messages.State.READY
+            and not self.table.is_replaced(record.id)
         ]
 
     def of_request(
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -548,8 +548,8 @@
         self.record_contact(target)
 
     def record_replaced(self, target: messages.TargetRecord) -> None:
-        """Record that another target has taken the address of `target`."""
-        self.table.mark_gone(target.id)
+        """Record that another target has answered for `target`."""
+        self.table.mark_replaced(target.id)
         self.views[target.id].unreachable = True
 
     def failed_recently(self, target: messages.TargetRecord) -> bool:
--- a/amaranthring/registry/targets.py
+++ b/amaranthring/registry/targets.py
@@ -18,7 +18,9 @@
 # may take the address only with one of its first announcements. A later one
 # was delayed by a partition and comes from a process that has ended.
 FIRST_SEQUENCES = 3
-
+# Time after which keepers have heard an announcement of whoever holds an
+# address.
+REPLACED_SECONDS = 5.0
 
 log = logbook.Logger(__name__)
 
@@ -54,12 +56,15 @@
     still_serving : bool
         Whether it went without draining first: such a target serves for a
         while, one that has drained ends at once.
+    replaced_until : float
+        Until when it counts that another target has answered at its address.
     """
 
     record: messages.TargetRecord
     heard_at: float
     gone_at: float = 0.0
     still_serving: bool = False
+    replaced_until: float = float("-inf")
 
 
 class TargetTable:
@@ -138,6 +143,21 @@
         )
         return True
 
+    def mark_replaced(self, target_id: str) -> None:
+        """Record that another target has answered at the address.
+
+        It is left out for :data:`REPLACED_SECONDS`. By then the keepers know
+        from announcements who holds the address.
+        """
+        entry = self.entries.get(target_id)
+        if entry is not None:
+            entry.replaced_until = self.clock() + REPLACED_SECONDS
+
+    def is_replaced(self, target_id: str) -> bool:
+        """Return whether another target has answered at the address."""
+        entry = self.entries.get(target_id)
+        return entry is not None and self.clock() < entry.replaced_until
+
     def mark_gone(self, target_id: str) -> messages.TargetRecord | None:
         """Mark a target as gone; return its record if it was known."""
         entry = self.entries.get(target_id)
