Let an incarnation that lives take its address back

Cause: a late first announcement of a dead incarnation took the address of the living one, and nothing gave it back: of two known incarnations the one that came last held the address for good. A leave of a target that the keeper did not know was confirmed and forgotten, as was a draining target of a service that no plan names yet.

Now records carry a claim that only keepers raise, and the highest holds the address everywhere; a leave is kept for what is announced later.

Keepers before routers: a router of before ignores claims, as today.

--- a/amaranthring/platform/control.py
+++ b/amaranthring/platform/control.py
@@ -80,7 +80,8 @@
     except errors.BadRequestError as error:
         hub.refuse(error)
         raise
-    if record.id in hub.table.entries or services.has(record.service):
+    is_known = record.id in hub.table.entries or services.has(record.service)
+    if is_known or record.state is not messages.State.READY:
         hub.announce(record)
     else:
         # Acknowledged, since no router sends to it; once a plan names the
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -210,7 +210,7 @@
         changed = [
             self.table.entries[record.id].record
             for record in records
-            if self.table.merge(record)
+            if self.table.adopt(record)
         ]
         if changed:
             self.publisher.publish(changed)
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -318,7 +318,7 @@
 
     def _merge(self, records: list[messages.TargetRecord]) -> None:
         for record in records:
-            if self.table.merge(record):
+            if self.table.adopt(record):
                 targets.log_change(record)
 
 
--- a/amaranthring/registry/targets.py
+++ b/amaranthring/registry/targets.py
@@ -3,10 +3,17 @@
 Keepers and routers hold one each. The result does not depend on the order or
 number of messages: of the incarnations of a target the last born wins and ends
 the earlier ones; of one incarnation the highest sequence wins, and its state
-only advances.
+only advances; of the incarnations at one address that are not gone, the one
+with the highest claim holds it.
+
+Only keepers raise claims, by what targets announce to them: an address goes to
+an incarnation that is new, and to a known one that goes on announcing itself
+while the holder does not. So a late announcement of a process that has ended
+may take an address, and loses it again to the one that lives.
 """
 
 import dataclasses
+import time
 import typing as t
 
 import logbook
@@ -21,6 +28,9 @@
 # Time after which keepers have heard an announcement of whoever holds an
 # address.
 REPLACED_SECONDS = 5.0
+# Fields of a record whose changes others have to know.
+CHANGES = ("state", "silent", "address", "service", "release", "claim")
+MILLISECONDS = 1e3
 
 log = logbook.Logger(__name__)
 
@@ -76,7 +86,10 @@
         Seconds; continues while the VM is suspended.
     fresh_seconds : float
         How long after its last announcement a target certainly holds its
-        address. 0 where records come from keepers, which have checked that.
+        address.
+    time_of_day : callable
+        Seconds of Unix time. Claims grow with it, so that those of keepers
+        that have forgotten an address are higher than what routers remember.
 
     Attributes
     ----------
@@ -89,35 +102,90 @@
         Id of the incarnation that was born last, by the target's name.
     """
 
-    def __init__(self, clock: t.Callable[[], float], fresh_seconds: float):
+    def __init__(
+        self,
+        clock: t.Callable[[], float],
+        fresh_seconds: float,
+        time_of_day: t.Callable[[], float] = time.time,
+    ):
         self.clock = clock
         self.fresh_seconds = fresh_seconds
+        self.time_of_day = time_of_day
         self.entries: dict[str, Entry] = {}
         self.by_address: dict[str, str] = {}
         self.newest_by_name: dict[str, str] = {}
 
     def merge(self, record: messages.TargetRecord) -> bool:
-        """Merge `record`; return whether to forward the result."""
+        """Merge what a target announces; return whether to forward it."""
         entry = self.entries.get(record.id)
-        if entry is not None:
-            return self._merge_known(entry, record)
+        if entry is None:
+            may_take = self._may_take_address(record)
+            gone = record.state == messages.State.GONE
+            if not (gone or may_take) or not self._add(record):
+                return False
+            entry = self.entries[record.id]
+            changed = True
+        else:
+            is_new = record.sequence > entry.record.sequence
+            may_take = is_new and self._may_take_address(record)
+            changed = self._merge_known(entry, record)
+        if may_take and not entry.gone_at:
+            changed = self._take_address(entry) or changed
+        return changed
+
+    def adopt(self, record: messages.TargetRecord) -> bool:
+        """Merge what a keeper tells; return whether to forward it."""
+        entry = self.entries.get(record.id)
+        if entry is None:
+            return self._add(record)
+        return self._merge_known(entry, record)
+
+    def _add(self, record: messages.TargetRecord) -> bool:
+        """Add an incarnation; return False if a later one is known."""
         previous = self.entries.get(self.newest_by_name.get(record.name, ""))
         if previous is not None and previous.record.born > record.born:
             # Delayed, from a process that has ended; or from another sender,
             # which does not say when the target was born.
             return False
-        now = self.clock()
-        gone = record.state == messages.State.GONE
-        if not gone and not self._may_take_address(record):
-            return False
         if previous is not None:
             self._mark_ended(previous)
+        now = self.clock()
+        gone = record.state == messages.State.GONE
         self.newest_by_name[record.name] = record.id
         self.entries[record.id] = Entry(record, now, now if gone else 0.0)
-        if not gone:
-            self.by_address[record.address] = record.id
+        self._settle_address(record.address)
         return True
 
+    def _take_address(self, entry: Entry) -> bool:
+        """Give an incarnation its address; return whether another had it."""
+        holder = self.entries.get(self.by_address.get(entry.record.address))
+        if holder is entry and entry.record.claim:
+            return False
+        claims = [
+            other.record.claim
+            for other in self.entries.values()
+            if other.record.address == entry.record.address
+        ]
+        now = int(self.time_of_day() * MILLISECONDS)
+        entry.record = dataclasses.replace(
+            entry.record, claim=max(now, *claims, 0) + 1
+        )
+        self._settle_address(entry.record.address)
+        return holder is not entry
+
+    def _settle_address(self, address: str) -> None:
+        """Let the incarnation with the highest claim hold an address."""
+        candidates = [
+            entry.record
+            for entry in reversed(self.entries.values())
+            if entry.record.address == address and not entry.gone_at
+        ]
+        self.by_address.pop(address, None)
+        if candidates:
+            # Keepers of an earlier build tell no claims; the last one counts.
+            holder = max(candidates, key=lambda r: (r.claim, r.claim and r.id))
+            self.by_address[address] = holder.id
+
     def restore(
         self, records: t.Iterable[messages.TargetRecord], age: float
     ) -> None:
@@ -130,7 +198,7 @@
         """
         heard_at = self.clock() - age
         for record in records:
-            if record.id not in self.entries and self.merge(record):
+            if record.id not in self.entries and self.adopt(record):
                 self.entries[record.id].heard_at = heard_at
 
     def mark_draining(self, target_id: str) -> bool:
@@ -171,7 +239,9 @@
     def mark_gone_by_name(
         self, name: str, born: int
     ) -> messages.TargetRecord | None:
-        """Mark the target `name` as gone, as :meth:`mark_gone`.
+        """Mark the target `name` as gone, also if it is not known yet.
+
+        Returns None if a later incarnation is known.
 
         Parameters
         ----------
@@ -179,10 +249,29 @@
             Birth time of the incarnation that reports it; 0 if unknown.
         """
         entry = self.entries.get(self.newest_by_name.get(name, ""))
-        if entry is None or 0 < born < entry.record.born:
+        if entry is None or 0 < entry.record.born < born:
+            return self._add_gone(name, born)
+        if 0 < born < entry.record.born:
             return None
         return self.mark_gone(entry.record.id)
 
+    def _add_gone(self, name: str, born: int) -> messages.TargetRecord:
+        """Add an incarnation that leaves before its first announcement.
+
+        An announcement that arrives later does not bring it back.
+        """
+        record = messages.TargetRecord(
+            messages.incarnation_id(name, born),
+            service="",
+            address="",
+            data_centre="",
+            state=messages.State.GONE,
+            name=name,
+            born=born,
+        )
+        self._add(record)
+        return record
+
     def record_heartbeat(self, target_id: str, sequence: int) -> bool:
         """Record that a target is alive; return whether it was silent."""
         entry = self.entries.get(target_id)
@@ -217,8 +306,7 @@
                 del self.entries[target_id]
                 if self.newest_by_name.get(entry.record.name) == target_id:
                     del self.newest_by_name[entry.record.name]
-                if self.holds_address(entry.record):
-                    del self.by_address[entry.record.address]
+                self._settle_address(entry.record.address)
 
     def records(self) -> list[messages.TargetRecord]:
         """Return the records of targets that hold an address or are gone."""
@@ -243,33 +331,28 @@
         previous = entry.record
         order = messages.STATE_ORDER
         state = max(previous.state, record.state, key=order.__getitem__)
+        claim = max(previous.claim, record.claim)
+        newest = previous
         if record.sequence > previous.sequence:
             entry.heard_at = self.clock()
-            entry.record = dataclasses.replace(record, state=state)
+            newest = record
         elif record.sequence == previous.sequence:
             silent = previous.silent or record.silent
-            entry.record = dataclasses.replace(
-                previous, state=state, silent=silent
-            )
-        else:
-            entry.record = dataclasses.replace(previous, state=state)
+            newest = dataclasses.replace(previous, silent=silent)
+        merged = dataclasses.replace(newest, state=state, claim=claim)
+        entry.record = merged
         if state == messages.State.GONE and not entry.gone_at:
             entry.still_serving = previous.state == messages.State.READY
             self._mark_ended(entry)
-        merged = entry.record
-        return (
-            merged.state,
-            merged.silent,
-            merged.address,
-            merged.service,
-            merged.release,
-        ) != (
-            previous.state,
-            previous.silent,
-            previous.address,
-            previous.service,
-            previous.release,
-        )
+        changes = {
+            name
+            for name in CHANGES
+            if getattr(merged, name) != getattr(previous, name)
+        }
+        if changes & {"address", "claim"}:
+            for address in {previous.address, merged.address}:
+                self._settle_address(address)
+        return bool(changes)
 
     def _may_take_address(self, record: messages.TargetRecord) -> bool:
         holder_id = self.by_address.get(record.address, "")
@@ -287,10 +370,4 @@
         entry.record = dataclasses.replace(
             entry.record, state=messages.State.GONE
         )
-        address = entry.record.address
-        if self.by_address.get(address) != entry.record.id:
-            return
-        del self.by_address[address]
-        for other in self.entries.values():
-            if other.record.address == address and not other.gone_at:
-                self.by_address[address] = other.record.id
+        self._settle_address(entry.record.address)
