Open the log after every loss of power

Callers saw: after losses of power among several changes at once two of three keepers ended at each start, and the acknowledged configuration came no more (CONFIG). Cause: a batch of several appends was written one by one before its sync; where an earlier write was missing and a later one there, the log took the hole for damage. Removed files could come back one by one and leave a gap, too. testing/slow_disks only cut the end of a file, so no soak met it.

A keeper of an earlier build does not read the new records.

--- a/amaranthring/keepers/disk.py
+++ b/amaranthring/keepers/disk.py
@@ -36,6 +36,15 @@
 SLOW_BATCH_SECONDS = 0.1
 
 
+def sync_folder(folder: pathlib.Path) -> None:
+    """Sync `folder` itself, so that renames and new files are durable."""
+    fd = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
 @dataclasses.dataclass
 class FileOps:
     """System calls that write; tests replace them to inject errors.
@@ -48,11 +57,20 @@
         Like :func:`os.fdatasync`.
     replace : callable
         Like :func:`os.replace`.
+    remove : callable
+        Like :func:`os.unlink`.
+    truncate : callable
+        Like :func:`os.ftruncate`.
+    sync_folder : callable
+        Like :func:`sync_folder`.
     """
 
     write: t.Callable[[int, bytes], int] = os.write
     sync: t.Callable[[int], None] = os.fdatasync
     replace: t.Callable[..., None] = os.replace
+    remove: t.Callable[[pathlib.Path], None] = os.unlink
+    truncate: t.Callable[[int, int], None] = os.ftruncate
+    sync_folder: t.Callable[[pathlib.Path], None] = sync_folder
 
 
 @dataclasses.dataclass
@@ -89,15 +107,6 @@
         view = view[files.write(fd, view) :]
 
 
-def sync_folder(folder: pathlib.Path) -> None:
-    """Sync `folder` itself, so that renames and new files are durable."""
-    fd = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(fd)
-    finally:
-        os.close(fd)
-
-
 def replace_file(path: pathlib.Path, data: bytes, files: FileOps) -> None:
     """Atomically replace the contents of the file at `path` by `data`."""
     temporary = path.with_suffix(TEMPORARY_SUFFIX)
--- a/amaranthring/keepers/log.py
+++ b/amaranthring/keepers/log.py
@@ -1,10 +1,16 @@
 """The replicated log: entries in memory and segment files on disk.
 
 A record is a header of three big-endian 4-byte integers (length of the
-payload, its checksum, checksum of these two) and the payload. A crash can
-leave the last record of the last file short or zero-filled; such a torn tail
-was never acknowledged and is truncated. Any other invalid record is corruption
-of data that may have been acknowledged, and the keeper refuses to start.
+payload, its checksum, checksum of these two) and the payload. All records of a
+batch are written at once, and synced before the next ones are written; the
+first of them is marked in the highest bit of its length.
+
+So a loss of power can leave only the records of the last write of the last
+file short or with zeros in their place. They were never acknowledged and are
+truncated. Any other invalid record, and one with a later write behind it, is
+corruption of data that may have been acknowledged, and the keeper refuses to
+start. Files are removed one after the other, each removal synced, so that a
+loss of power leaves no gap between them.
 """
 
 import bisect
@@ -23,6 +29,9 @@
 PREFIX = "log-"
 SECTOR_BYTES = 512
 MAX_ENTRY_BYTES = 1024 * 1024
+# Mark of the first record of a write, in the length of its payload.
+FIRST_OF_WRITE = 1 << 31
+FIRST_OF_WRITE_BYTE = b"\x80"
 
 
 @dataclasses.dataclass(slots=True)
@@ -185,7 +194,7 @@
         self.files = files
         self.segments: list[Segment] = []
         self.fd = -1
-        self.dirty = False
+        self.unwritten: list[bytes] = []
 
     def load(self) -> list[Entry]:
         """Return all entries on disk, after truncating a torn tail.
@@ -209,7 +218,7 @@
             self.segments.append(segment)
         if self.segments:
             self._open(self.segments[-1])
-            os.ftruncate(self.fd, self.segments[-1].size)
+            self.files.truncate(self.fd, self.segments[-1].size)
             os.fsync(self.fd)
         return entries
 
@@ -219,41 +228,40 @@
             return
         segment = Segment(self.folder / f"{PREFIX}{first:020d}", first)
         self._open(segment)
-        os.ftruncate(self.fd, 0)
+        self.files.truncate(self.fd, 0)
         self.segments.append(segment)
-        disk.sync_folder(self.folder)
+        self.files.sync_folder(self.folder)
 
     def append(self, payloads: list[bytes]) -> None:
-        """Write records; they are durable after :meth:`sync`."""
+        """Append records; :meth:`sync` writes them."""
         segment = self.segments[-1]
-        records = []
         for payload in payloads:
             segment.offsets.append(segment.size)
-            record = frame(payload)
+            record = frame(payload, not self.unwritten)
             segment.size += len(record)
-            records.append(record)
-        self.dirty = True
-        disk.write_all(self.fd, b"".join(records), self.files)
+            self.unwritten.append(record)
 
     def sync(self) -> None:
-        """Sync everything written so far to disk."""
-        if self.dirty:
+        """Write all that was appended at once, and sync it to disk."""
+        if self.unwritten:
+            data = b"".join(self.unwritten)
+            self.unwritten.clear()
+            disk.write_all(self.fd, data, self.files)
             self.files.sync(self.fd)
-            self.dirty = False
 
     def truncate(self, index: int) -> None:
         """Drop record `index` and all after it, durably."""
+        self.sync()
         while self.segments[-1].first > index and len(self.segments) > 1:
-            self.segments.pop().path.unlink()
+            self._remove(self.segments.pop())
             self._open(self.segments[-1])
         segment = self.segments[-1]
         keep = index - segment.first
         if keep < len(segment.offsets):
             segment.size = segment.offsets[keep]
             del segment.offsets[keep:]
-            os.ftruncate(self.fd, segment.size)
+            self.files.truncate(self.fd, segment.size)
         os.fsync(self.fd)
-        disk.sync_folder(self.folder)
 
     def compact(self, upto: int, last_index: int) -> None:
         """Start a new segment; remove those without records above `upto`."""
@@ -262,15 +270,14 @@
         ends = [segment.last for segment in self.segments]
         obsolete = min(bisect.bisect_right(ends, upto), len(ends) - 1)
         for segment in self.segments[:obsolete]:
-            segment.path.unlink()
+            self._remove(segment)
         del self.segments[:obsolete]
 
     def reset(self, first: int) -> None:
         """Remove all records; the next one has index `first`."""
-        old = self.segments
-        self.segments = []
-        for segment in reversed(old):
-            segment.path.unlink()
+        self.sync()
+        while self.segments:
+            self._remove(self.segments.pop())
         self.start_segment(first)
 
     def bytes(self) -> int:
@@ -283,6 +290,10 @@
             os.close(self.fd)
             self.fd = -1
 
+    def _remove(self, segment: Segment) -> None:
+        self.files.remove(segment.path)
+        self.files.sync_folder(self.folder)
+
     def _open(self, segment: Segment) -> None:
         self.sync()
         self.close()
@@ -290,9 +301,9 @@
         self.fd = os.open(segment.path, flags, 0o600)
 
 
-def frame(payload: bytes) -> bytes:
+def frame(payload: bytes, first_of_write: bool = False) -> bytes:
     """Return the record that holds `payload`."""
-    length = len(payload)
+    length = len(payload) | (FIRST_OF_WRITE if first_of_write else 0)
     checksum = zlib.crc32(payload)
     header_checksum = zlib.crc32(struct.pack(">II", length, checksum))
     return HEADER.pack(length, checksum, header_checksum) + payload
@@ -322,7 +333,9 @@
 
 
 def _read_header(data: bytes, offset: int) -> tuple[int, int] | None:
+    """Return the length and the checksum of the payload, if it is valid."""
     length, checksum, header_checksum = HEADER.unpack_from(data, offset)
+    length &= ~FIRST_OF_WRITE
     if (
         zlib.crc32(data[offset : offset + 8]) != header_checksum
         or length > MAX_ENTRY_BYTES * 2
@@ -345,18 +358,33 @@
 
 
 def _is_torn(data: bytes, offset: int) -> bool:
-    """Return whether a crash explains the invalid record at `offset`.
+    """Return whether a loss of power explains the bad record at `offset`.
 
-    The file ends inside the record, or it grew but its last sectors were
-    never written and read as zeros. A complete record that is invalid was
-    corrupted after it was written.
+    It does in the last write, if the file ends inside the record, or if its
+    end or a sector of it was never written and reads as zeros. A complete
+    record that is invalid was corrupted after it was written.
     """
-    begin = offset + HEADER.size
-    if begin > len(data):
-        return True
-    header = _read_header(data, offset)
-    if header is not None and begin + header[0] > len(data):
+    if _has_later_write(data, offset):
+        return False
+    end = offset + HEADER.size
+    header = _read_header(data, offset) if end <= len(data) else None
+    if header is not None:
+        end += header[0]
+    if end > len(data.rstrip(b"\0")):
         return True
-    written = len(data.rstrip(b"\0"))
-    boundary = -(-written // SECTOR_BYTES) * SECTOR_BYTES
-    return boundary < len(data)
+    return any(
+        not any(data[max(start, offset) : start + SECTOR_BYTES])
+        for start in range(
+            offset // SECTOR_BYTES * SECTOR_BYTES, end, SECTOR_BYTES
+        )
+    )
+
+
+def _has_later_write(data: bytes, offset: int) -> bool:
+    """Return whether the first record of a write follows after `offset`."""
+    begin = data.find(FIRST_OF_WRITE_BYTE, offset + 1)
+    while begin >= 0:
+        if _read_payload(data, begin) is not None:
+            return True
+        begin = data.find(FIRST_OF_WRITE_BYTE, begin + 1)
+    return False
--- a/tests/test_keeper_store.py
+++ b/tests/test_keeper_store.py
@@ -101,6 +101,25 @@
             self.assertIn("empty the folder", str(caught.exception))
             self.assertEqual(path.read_bytes(), data)
 
+    def test_zeros_before_a_later_write_refuse(self):
+        """Guards against dropping what a later write shows to be synced."""
+        segments = log.Segments(self.folder, disk.FileOps())
+        segments.load()
+        segments.start_segment(1)
+        for first in (1, 3):
+            records = entries(first, first + 2)
+            segments.append([entry.payload for entry in records])
+            segments.sync()
+        segments.close()
+        path = segments.segments[0].path
+        whole = path.read_bytes()
+        for begin in (0, len(whole) // 4, len(whole) // 4 + 20):
+            data = bytearray(whole)
+            data[begin : len(whole) // 2] = bytes(len(whole) // 2 - begin)
+            path.write_bytes(data)
+            with self.assertRaises(errors.StorageError):
+                self.read()
+
     def test_torn_record_before_the_last_file_refuses(self):
         path = self.write(3)
         self.write(2, first=4)
