--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -252,10 +252,7 @@
             Time since the request was sent.
         """
         context.broke_off = True
-        run = ended_targets.LostRun(
-            crash_features.of_request(context), seconds, time.monotonic()
-        )
-        self.ended_targets.add(target, run)
+        self._doubt(context, target, seconds, given_up=False)
 
     def gave_up(
         self,
@@ -277,11 +274,19 @@
             target=target.id,
             seconds=round(seconds, 3),
         )
+        self._doubt(context, target, seconds, given_up=True)
+
+    def _doubt(
+        self,
+        context: records.RequestContext,
+        target: messages.TargetRecord,
+        seconds: float,
+        given_up: bool,
+    ) -> None:
+        """Find out whether `target` has ended under a run that was lost."""
+        features = crash_features.of_request(context)
         run = ended_targets.LostRun(
-            crash_features.of_request(context),
-            seconds,
-            time.monotonic(),
-            given_up=True,
+            features, seconds, time.monotonic(), given_up
         )
         self.ended_targets.add(target, run)
 
