--- a/tests/test_repeated_crashes_soak.py
+++ b/tests/test_repeated_crashes_soak.py
@@ -22,6 +22,8 @@
 PAUSE_SECONDS = 2 * crash_evidence.PAUSE_SECONDS
 CHECKS = 30
 SENDS_AT_ONCE = (1, 1, 2, 5)
+# Seconds for which a replica that has ended keeps its listener.
+LINGERS = (0.0, 0.3, 1.2)
 
 
 class TestCrashSeries(crash_case.SeriesCase):
@@ -32,6 +34,7 @@
 
     async def asyncSetUp(self):
         self.rng = random.Random(SEED)
+        self.linger = random.Random(f"linger {SEED}").choice(LINGERS)
         self.turned_away = []
         await super().asyncSetUp()
 
