Call the number of an address's holder an epoch

A claim is the ledger's grant in the glossary and in the keepers; the record's field for the same word meant another thing. Beside it, names that say what they hold: FORWARDED_FIELDS, CrashRecords.count_until. Nothing behaves differently: test_registry, test_address_holders, test_late_announcements and test_plan_process pass.

--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -335,7 +335,7 @@
         if run.proven and run.target in self.unproven:
             del self.unproven[run.target]
             # It may have lived on after the runs that are known.
-            self.records.delay_report(run.target, self.clock() - run.age)
+            self.records.count_until(run.target, self.clock() - run.age)
         elif not run.proven and self.records.get(run.target, 0) is None:
             self.unproven[run.target] = None
             while len(self.unproven) > suspects.MAX_CRASH_RECORDS:
--- a/amaranthring/policy/suspects.py
+++ b/amaranthring/policy/suspects.py
@@ -273,7 +273,7 @@
         """Remove the entry of a process that has not crashed."""
         self.entries.pop((target, incarnation), None)
 
-    def delay_report(self, target: str, at: float) -> None:
+    def count_until(self, target: str, at: float) -> None:
         """Count requests that were sent until `at` as well."""
         known = self.entries.get((target, 0))
         if known is not None:
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -53,7 +53,7 @@
     born : int
         When it started, by its own clock, in milliseconds of Unix time; 0 if
         unknown.
-    claim : int
+    epoch : int
         Grows over all incarnations at one address, each time that a keeper
         gives it to another one; the highest holds it. 0 in what a target
         itself announces.
@@ -71,7 +71,7 @@
     silent: bool = False
     name: str = ""
     born: int = 0
-    claim: int = dataclasses.field(default=0, compare=False)
+    epoch: int = dataclasses.field(default=0, compare=False)
 
     def __post_init__(self):
         """Use the id as the name of a target without one."""
--- a/amaranthring/registry/targets.py
+++ b/amaranthring/registry/targets.py
@@ -4,9 +4,9 @@
 number of messages: of the incarnations of a target the last born wins and ends
 the earlier ones; of one incarnation the highest sequence wins, and its state
 only advances; of the incarnations at one address that are not gone, the one
-with the highest claim holds it.
+with the highest epoch holds it.
 
-Only keepers raise claims, by what targets announce to them: an address goes to
+Only keepers raise epochs, by what targets announce to them: an address goes to
 an incarnation that is new, and to a known one that goes on announcing itself
 while the holder does not. So a late announcement of a process that has ended
 may take an address, and loses it again to the one that lives.
@@ -29,7 +29,14 @@
 # address.
 REPLACED_SECONDS = 5.0
 # Fields of a record whose changes others have to know.
-CHANGES = ("state", "silent", "address", "service", "release", "claim")
+FORWARDED_FIELDS = (
+    "state",
+    "silent",
+    "address",
+    "service",
+    "release",
+    "epoch",
+)
 MILLISECONDS = 1e3
 
 log = logbook.Logger(__name__)
@@ -88,7 +95,7 @@
         How long after its last announcement a target certainly holds its
         address.
     time_of_day : callable
-        Seconds of Unix time. Claims grow with it, so that those of keepers
+        Seconds of Unix time. Epochs grow with it, so that those of keepers
         that have forgotten an address are higher than what routers remember.
 
     Attributes
@@ -159,22 +166,22 @@
     def _take_address(self, entry: Entry) -> bool:
         """Give an incarnation its address; return whether another had it."""
         holder = self.entries.get(self.by_address.get(entry.record.address))
-        if holder is entry and entry.record.claim:
+        if holder is entry and entry.record.epoch:
             return False
-        claims = [
-            other.record.claim
+        epochs = [
+            other.record.epoch
             for other in self.entries.values()
             if other.record.address == entry.record.address
         ]
         now = int(self.time_of_day() * MILLISECONDS)
         entry.record = dataclasses.replace(
-            entry.record, claim=max(now, *claims, 0) + 1
+            entry.record, epoch=max(now, *epochs, 0) + 1
         )
         self._settle_address(entry.record.address)
         return holder is not entry
 
     def _settle_address(self, address: str) -> None:
-        """Let the incarnation with the highest claim hold an address."""
+        """Let the incarnation with the highest epoch hold an address."""
         candidates = [
             entry.record
             for entry in reversed(self.entries.values())
@@ -182,8 +189,8 @@
         ]
         self.by_address.pop(address, None)
         if candidates:
-            # Keepers of an earlier build tell no claims; the last one counts.
-            holder = max(candidates, key=lambda r: (r.claim, r.claim and r.id))
+            # Keepers of an earlier build tell no epochs; the last one counts.
+            holder = max(candidates, key=lambda r: (r.epoch, r.epoch and r.id))
             self.by_address[address] = holder.id
 
     def restore(
@@ -331,7 +338,7 @@
         previous = entry.record
         order = messages.STATE_ORDER
         state = max(previous.state, record.state, key=order.__getitem__)
-        claim = max(previous.claim, record.claim)
+        epoch = max(previous.epoch, record.epoch)
         newest = previous
         if record.sequence > previous.sequence:
             entry.heard_at = self.clock()
@@ -339,17 +346,17 @@
         elif record.sequence == previous.sequence:
             silent = previous.silent or record.silent
             newest = dataclasses.replace(previous, silent=silent)
-        merged = dataclasses.replace(newest, state=state, claim=claim)
+        merged = dataclasses.replace(newest, state=state, epoch=epoch)
         entry.record = merged
         if state == messages.State.GONE and not entry.gone_at:
             entry.still_serving = previous.state == messages.State.READY
             self._mark_ended(entry)
         changes = {
             name
-            for name in CHANGES
+            for name in FORWARDED_FIELDS
             if getattr(merged, name) != getattr(previous, name)
         }
-        if changes & {"address", "claim"}:
+        if changes & {"address", "epoch"}:
             for address in {previous.address, merged.address}:
                 self._settle_address(address)
         return bool(changes)
