Log what is open when a router's stop ends, and requests without an answer

Nothing in the logs told a request that was left to the exit of the process from one whose task was cancelled or failed: both showed as caller-gone, or not at all. router.closing counts the connections that are open when a stop no longer waits, those with unread input and the requests in flight; request.unanswered names each request whose connection is closed without a whole answer, and why.

--- a/amaranthring/core/connections.py
+++ b/amaranthring/core/connections.py
@@ -49,7 +49,7 @@
         idle_before = time.monotonic() - MIN_IDLE_SECONDS
         for server_conn, since in list(self.idle_since.items()):
             stream = server_conn.stream
-            if since <= idle_before and not _has_input(stream):
+            if since <= idle_before and not has_input(stream):
                 stream.close()
 
     async def drain(
@@ -71,7 +71,7 @@
             await asyncio.sleep(POLL_SECONDS)
 
 
-def _has_input(stream) -> bool:
+def has_input(stream) -> bool:
     """Return whether part of a request has arrived."""
     if stream.closed():
         return False
--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -7,10 +7,12 @@
 import logbook
 import tornado.httpserver
 import tornado.httputil
+import tornado.iostream
 
 from amaranthring import errors
 from amaranthring.core import connections
 from amaranthring.core import listeners
+from amaranthring.core import logs
 from amaranthring.forwarding import records
 from amaranthring.forwarding import responses
 from amaranthring.routing import plan as plans
@@ -40,17 +42,17 @@
     def initialize(self, *args, is_full, **kwargs):
         super().initialize(*args, **kwargs)
         self.is_full = is_full
-        self.open = 0
+        self.streams: set[tornado.iostream.IOStream] = set()
 
     def handle_stream(self, stream, address):
-        if self.is_full(self.open):
+        if self.is_full(len(self.streams)):
             stream.close()
             return
-        self.open += 1
+        self.streams.add(stream)
         super().handle_stream(stream, address)
 
     def on_close(self, server_conn):
-        self.open -= 1
+        self.streams.discard(server_conn.stream)
         super().on_close(server_conn)
 
 
@@ -133,6 +135,17 @@
         """
         await self.idle.drain(until, lambda: self.in_flight)
 
+    def log_open_connections(self) -> None:
+        """Log what is open when a stop no longer waits for callers."""
+        streams = self.server.streams
+        logs.event(
+            log,
+            "router.closing",
+            connections=len(streams),
+            unread=sum(connections.has_input(stream) for stream in streams),
+            running=self.in_flight,
+        )
+
     def check_deadline(self, incoming: records.Incoming) -> None:
         """Check that a request can finish before shutdown.
 
@@ -222,7 +235,19 @@
         try:
             await self.writer.send_error(error)
         except errors.CallerDisconnectedError:
-            self.writer.abort()
+            self._abort("caller-gone")
+
+    def _abort(self, reason: str) -> None:
+        """Close the connection without an answer, or in the middle of it."""
+        logs.event(
+            log,
+            "request.unanswered",
+            id=self.incoming.request_id if self.incoming else "",
+            reason=reason,
+            status=self.writer.status,
+            caller_gone=self.server_conn.stream.closed(),
+        )
+        self.writer.abort()
 
     async def _run(self) -> None:
         try:
@@ -235,13 +260,13 @@
             await self.frontend.serve(self.incoming, self.writer)
         except errors.ShuttingDownError as error:
             await self._send_error(error)
-        except errors.CallerDisconnectedError:
-            self.writer.abort()
+        except errors.CallerDisconnectedError as error:
+            self._abort(error.code)
         except asyncio.CancelledError:
-            self.writer.abort()
-        except Exception:
+            self._abort("cancelled")
+        except Exception as error:
             log.exception("request.failed")
-            self.writer.abort()
+            self._abort(repr(error))
         finally:
             connections.call_when_sent(
                 self.connection, lambda: self.frontend.count(-1)
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -353,6 +353,7 @@
         await self.front.drain(deadline - CLOSE_SECONDS)
         await self.front.listener.close()
         await self.front.drain(deadline - EXIT_SECONDS)
+        self.front.log_open_connections()
         if self.front.in_flight:
             logs.event(log, "router.cut-off", running=self.front.in_flight)
         self.crashes.stop()
