Answer or close every connection before a stopping router exits

Cause: what is open when the last wait of a stop ends was left to the exit of the process. A request in flight was cancelled by the end of the event loop, which closes its connection without an answer; a connection without a request stayed open and was read by nobody.

Now a stop ends its connections itself: requests in flight are interrupted and answered (503 if nothing was sent to a target, else 502), requests that have just arrived are read and refused, then all connections are closed. A stop also waits for connections on which a request is being read, as long as there is time. A request that was cancelled before its first step stayed counted for good; it is answered now.

Before, of test_unanswered_requests: test_no_connection_is_left_to_the_exit and test_requests_that_arrive_last_are_answered failed (both connections stayed open); the two tests of interrupted requests found no way to interrupt them. All four hold now.

--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -30,6 +30,9 @@
 # Longer than the idle time of any plan, so that a connection is not closed
 # while a caller that observes the idle time of the plan sends a request.
 IDLE_SECONDS = 120.0
+# Time for answering the last requests before all connections are closed.
+END_SECONDS = 0.1
+END_POLL_SECONDS = 0.01
 
 
 def _is_never_full(_connections: int) -> bool:
@@ -74,7 +77,9 @@
     Attributes
     ----------
     in_flight : int
-        Requests without a final response.
+        Requests without a final response, with those of other routers.
+    requests : dict
+        Request without a final response by the stream that it came on.
     closing : bool
         Whether callers are told to close their connections.
     shutdown_at : float
@@ -98,6 +103,7 @@
         self.serve = serve
         self.bounds = bounds
         self.in_flight = 0
+        self.requests: dict[tornado.iostream.IOStream, _Request] = {}
         self.closing = False
         self.shutdown_at = float("inf")
         self.idle = connections.IdleConnections()
@@ -126,14 +132,36 @@
         self.idle.discard(server_conn)
 
     async def drain(self, until: float) -> None:
-        """Close connections as they become idle, until none has a request.
+        """Close connections as they become idle, until none is open.
 
         Parameters
         ----------
         until : float
             Monotonic seconds at which to stop waiting.
         """
-        await self.idle.drain(until, lambda: self.in_flight)
+        await self.idle.drain(
+            until, lambda: self.in_flight + len(self.server.streams)
+        )
+
+    async def end_connections(self) -> None:
+        """Answer the remaining requests, then close all connections.
+
+        What is left open until the process exits gets neither an answer nor
+        a close before, so a caller that sends a request meanwhile waits in
+        vain and does not learn whether it ran.
+        """
+        self.shutdown_at = float("-inf")
+        for request in list(self.requests.values()):
+            request.interrupt(_shutting_down())
+        give_up_at = time.monotonic() + END_SECONDS
+        while time.monotonic() < give_up_at:
+            # Requests that have arrived are read and refused meanwhile.
+            await asyncio.sleep(END_POLL_SECONDS)
+            unread = any(map(connections.has_input, self.server.streams))
+            if not unread and not self.requests:
+                break
+        for stream in list(self.server.streams):
+            stream.close()
 
     def log_open_connections(self) -> None:
         """Log what is open when a stop no longer waits for callers."""
@@ -155,15 +183,19 @@
             If it may take longer.
         """
         if incoming.arrived + incoming.timeout > self.shutdown_at:
-            raise errors.ShuttingDownError(
-                "this router is being stopped", retry_after=0.0
-            )
+            raise _shutting_down()
 
     def count(self, step: int) -> None:
         """Change the number of requests in flight by `step`."""
         self.in_flight += step
 
 
+def _shutting_down() -> errors.ShuttingDownError:
+    return errors.ShuttingDownError(
+        "this router is being stopped", retry_after=0.0
+    )
+
+
 class _Request(tornado.httputil.HTTPMessageDelegate):
     """Receives one request and runs its task."""
 
@@ -179,6 +211,7 @@
         self.body: list[bytes] = []
         self.body_bytes = 0
         self.task: asyncio.Task | None = None
+        self.has_begun = False
 
     def headers_received(self, start_line, headers):
         """Parse the head; errors are sent after the body was received."""
@@ -222,14 +255,29 @@
             # sends the request again, so it must not run here too.
             return
         self.frontend.count(+1)
+        self.frontend.requests[self.server_conn.stream] = self
         # While a response is pending, tornado reports a close only here.
         self.connection.set_close_callback(self.on_connection_close)
         self.task = asyncio.ensure_future(self._run())
 
     def on_connection_close(self):
         """Cancel the request, as its caller has disconnected."""
-        if self.task is not None:
-            self.task.cancel()
+        self.interrupt(
+            errors.CallerDisconnectedError(
+                "the caller has closed its connection"
+            )
+        )
+
+    def interrupt(self, error: errors.AmaranthringError) -> None:
+        """End the request with `error`, if it has not ended yet."""
+        if self.task is None or self.error is not None:
+            return
+        if not self.has_begun:
+            # A task that is cancelled before its first step never runs.
+            self.error = error
+            return
+        self.incoming.interruption = error
+        self.task.cancel()
 
     async def _send_error(self, error: errors.AmaranthringError) -> None:
         try:
@@ -239,6 +287,8 @@
 
     def _abort(self, reason: str) -> None:
         """Close the connection without an answer, or in the middle of it."""
+        if self.writer.finished:
+            return
         logs.event(
             log,
             "request.unanswered",
@@ -250,6 +300,7 @@
         self.writer.abort()
 
     async def _run(self) -> None:
+        self.has_begun = True
         try:
             if self.error is not None:
                 await self._send_error(self.error)
@@ -268,6 +319,8 @@
             log.exception("request.failed")
             self._abort(repr(error))
         finally:
-            connections.call_when_sent(
-                self.connection, lambda: self.frontend.count(-1)
-            )
+            connections.call_when_sent(self.connection, self._ended)
+
+    def _ended(self) -> None:
+        self.frontend.count(-1)
+        self.frontend.requests.pop(self.server_conn.stream, None)
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -6,6 +6,7 @@
 
 import tornado.httputil
 
+from amaranthring import errors
 from amaranthring.core import hashing
 from amaranthring.core import notices
 from amaranthring.policy import bindings
@@ -59,6 +60,8 @@
         Maximum number of generated tokens.
     origin : str
         IP address that the caller's connection comes from.
+    interruption : AmaranthringError, optional
+        Why its task was cancelled.
     """
 
     request_id: str
@@ -76,6 +79,7 @@
     body: bytes = b""
     origin: str = ""
     resumes: str = ""
+    interruption: errors.AmaranthringError | None = None
 
     @property
     def is_resumed(self) -> bool:
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -161,8 +161,8 @@
             failure = error
             await self._send_failure(context, writer, error)
         except asyncio.CancelledError as error:
-            failure = error
-            writer.abort()
+            failure = incoming.interruption or error
+            await self._end_interrupted(context, incoming, writer)
             raise
         finally:
             if context is not None:
@@ -616,6 +616,15 @@
             retry_after=RETRY_NO_TARGET,
         )
 
+    async def _end_interrupted(self, context, incoming, writer) -> None:
+        """Answer a request whose task was cancelled, if its caller listens."""
+        error = incoming.interruption
+        if error is None or isinstance(error, errors.CallerDisconnectedError):
+            writer.abort()
+            return
+        writer.closing = True
+        await self._send_failure(context, writer, error)
+
     async def _send_failure(self, context, writer, error) -> None:
         if writer.status:
             writer.abort()
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -356,6 +356,7 @@
         self.front.log_open_connections()
         if self.front.in_flight:
             logs.event(log, "router.cut-off", running=self.front.in_flight)
+        await self.front.end_connections()
         self.crashes.stop()
         self.handing_over.client.stop()
         self.handover_server.stop()
--- /dev/null
+++ b/tests/test_unanswered_requests.py
@@ -0,0 +1,212 @@
+"""Requests whose connection must not end without an answer."""
+
+import asyncio
+import socket
+import time
+import unittest
+from unittest import mock
+
+from amaranthring import plan_router
+from amaranthring.core import links
+from amaranthring.core import listeners
+from amaranthring.testing import local_fleet
+from amaranthring.testing import scripted_target
+from tests import test_forwarding
+
+REQUEST = b"GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n"
+# Time for which a test waits for an answer after its request was sent.
+ANSWER_SECONDS = 1.0
+
+
+def make_router(grace):
+    """Return a router of a plan with no keepers, and its callers' address."""
+    ports = local_fleet.free_ports(3)
+    addresses = [f"127.0.0.1:{port}" for port in ports]
+    config = plan_router.RouterConfig(
+        "r1", "here", *addresses, [], 0.0, grace, 0.2, 10.0, 10.0
+    )
+    router = plan_router.PlanRouter(
+        config,
+        links.Keys({"k": b"secret"}),
+        scripted_target.DIALECT,
+        lambda document: None,
+    )
+    return router, config.callers
+
+
+def connect(address):
+    """Open a connection, blocking the event loop for a moment."""
+    host, port = address.rsplit(":", 1)
+    sock = socket.create_connection((host, int(port)), 0.2)
+    sock.setblocking(False)
+    return sock
+
+
+async def read_all(sock):
+    """Return all bytes until the connection ends; None if it stays open."""
+    loop = asyncio.get_running_loop()
+    received = b""
+    try:
+        async with asyncio.timeout(ANSWER_SECONDS):
+            while data := await loop.sock_recv(sock, 65536):
+                received += data
+    except TimeoutError:
+        return None
+    except OSError:
+        pass
+    finally:
+        sock.close()
+    return received
+
+
+class TestEndOfStop(unittest.IsolatedAsyncioTestCase):
+    """A router whose stop no longer waits for callers."""
+
+    async def asyncSetUp(self):
+        self.router, self.address = make_router(2.0)
+        self.router.start()
+        self.addCleanup(self.end)
+        # The stop waits for a request that is being read.
+        self.partial = connect(self.address)
+        self.partial.sendall(REQUEST[:20])
+        await asyncio.sleep(0.1)
+
+    def end(self):
+        self.partial.close()
+        for task in self.router.tasks:
+            task.cancel()
+
+    @mock.patch.object(plan_router, "ROTATION_SECONDS", 0.0)
+    async def test_no_connection_is_left_to_the_exit(self):
+        """Connections left open get requests that nobody reads any more."""
+        stopping = asyncio.ensure_future(self.router.stop())
+        await asyncio.sleep(1.2)
+        silent = connect(self.address)
+        await stopping
+        self.assertEqual(await read_all(silent), b"")
+        self.assertEqual(await read_all(self.partial), b"")
+
+    @mock.patch.object(plan_router, "ROTATION_SECONDS", 0.0)
+    async def test_requests_that_arrive_last_are_answered(self):
+        """Requests written right before the end must not stay unanswered."""
+        stopping = asyncio.ensure_future(self.router.stop())
+        sockets = []
+        with mock.patch.object(listeners, "SETTLE_SECONDS", 0.3):
+            await asyncio.sleep(1.45)
+            sockets = [connect(self.address) for _ in range(20)]
+            while not stopping.done():
+                if sockets:
+                    sock = sockets.pop()
+                    sock.sendall(REQUEST)
+                    received = asyncio.ensure_future(read_all(sock))
+                await asyncio.sleep(0.01)
+        self.assertIn(b" 503 ", await received)
+
+
+class TestLateLoop(unittest.IsolatedAsyncioTestCase):
+    """A router whose event loop is late in all of its turns."""
+
+    turn_seconds = 0.6
+    grace = 6.0
+
+    @mock.patch.object(plan_router, "ROTATION_SECONDS", 0.5)
+    async def test_stop_ends_within_the_grace_period(self):
+        """A slow router must not be killed while it still takes requests."""
+        router, address = make_router(self.grace)
+        router.start()
+        delaying = asyncio.ensure_future(self.delay())
+        await asyncio.sleep(2.0)
+        began = time.monotonic()
+        stopping = asyncio.ensure_future(router.stop())
+        callers = [
+            asyncio.ensure_future(self.call_until_refused(address))
+            for _ in range(4)
+        ]
+        await stopping
+        seconds = time.monotonic() - began
+        delaying.cancel()
+        await asyncio.gather(*callers)
+        for task in router.tasks:
+            task.cancel()
+        self.assertLess(seconds, self.grace - plan_router.EXIT_SECONDS)
+
+    async def delay(self):
+        while True:
+            time.sleep(self.turn_seconds)  # noqa: ASYNC251
+            await asyncio.sleep(0)
+
+    async def call_until_refused(self, address):
+        host, port = address.rsplit(":", 1)
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(host, port)
+                writer.write(REQUEST)
+                await reader.read()
+                writer.close()
+            except OSError:
+                return
+
+
+class TestInterruptedRequests(test_forwarding.RouterCase):
+    """Requests that end before their target has answered."""
+
+    async def open_request(self, path, *more):
+        """Send a request that its target does not answer."""
+        sock = connect("{}:{}".format(*self.router.address))
+        for data in (REQUEST.replace(b"/a/x", path), *more):
+            sock.sendall(data)
+        return sock
+
+    async def test_running_request_is_answered_as_the_process_ends(self):
+        """A request that outlasts a stop must not end without an answer."""
+        await self.begin(scripted_target.never_respond())
+        sock = await self.open_request(b"/b/x")
+        await self.until(lambda: self.ran() == 1)
+        await self.router.front.end_connections()
+        self.assertIn(b" 502 ", await read_all(sock))
+
+    async def test_waiting_request_is_refused_as_the_process_ends(self):
+        """A request that was not sent on must be told that it did not run."""
+        await self.begin()
+        self.router.table = None
+        self.router.first_plan.clear()
+        sock = await self.open_request(b"/b/x")
+        await self.until(lambda: self.router.front.in_flight)
+        await self.router.front.end_connections()
+        answer = await read_all(sock)
+        self.assertIn(b" 503 ", answer)
+        self.assertIn(b"Retry-After", answer)
+
+    async def test_half_closed_caller_is_answered(self):
+        """A caller that shuts its sending side must hear of its request."""
+        await self.begin(scripted_target.never_respond())
+        sock = await self.open_request(b"/b/x")
+        await self.until(lambda: self.ran() == 1)
+        sock.shutdown(socket.SHUT_WR)
+        self.assertIn(b" 502 ", await read_all(sock))
+        await self.until(lambda: not self.router.front.in_flight)
+
+    async def test_half_closed_at_once_is_answered(self):
+        """The request may arrive together with the end of the sending side."""
+        await self.begin(scripted_target.never_respond())
+        sock = await self.open_request(b"/b/x")
+        sock.shutdown(socket.SHUT_WR)
+        self.assertRegex(await read_all(sock), b" 50[23] ")
+
+    async def test_unexpected_error_is_answered(self):
+        """An error that nobody expects must not close the connection."""
+        await self.begin(scripted_target.respond(b"entry"))
+        with mock.patch.object(
+            self.router.relay, "resolve", side_effect=KeyError("s")
+        ):
+            sock = await self.open_request(b"/b/x")
+            answer = await read_all(sock)
+        self.assertIn(b" 500 ", answer)
+
+    async def test_target_of_a_caller_that_left_stops(self):
+        """Work for a caller that has closed its connection must end."""
+        await self.begin(scripted_target.never_respond())
+        sock = await self.open_request(b"/b/x")
+        await self.until(lambda: self.ran() == 1)
+        sock.close()
+        await self.until(lambda: not self.router.front.in_flight)
