Begin the end of a stop earlier while the event loop is late

A router with a sixth of a core and 120 callers that go on sending was killed at the end of its grace period: stops took 8.15 s of 8 s, and what was open then ended without an answer.

Cause: the time reserved for closing the listener and for the exit assumed an event loop in time and half of a core. Each step of a stop takes a turn of the loop; late turns add up. The finalization of the interpreter, 0.35 s and more on that processor, came after it.

Now both parts of a stop begin earlier by as many turns as they take, as late as the loop is; requests are served for 0.4 of the grace period in any case. The process exits without finalizing the interpreter.

--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -131,17 +131,19 @@
         """Forget a closed connection."""
         self.idle.discard(server_conn)
 
-    async def drain(self, until: float) -> None:
+    async def drain(self, until: t.Callable[[], float]) -> None:
         """Close connections as they become idle, until none is open.
 
         Parameters
         ----------
-        until : float
-            Monotonic seconds at which to stop waiting.
+        until : callable
+            Returns the monotonic seconds at which to stop waiting.
         """
-        await self.idle.drain(
-            until, lambda: self.in_flight + len(self.server.streams)
-        )
+        while time.monotonic() < until():
+            self.idle.close_idle()
+            if not self.in_flight and not self.server.streams:
+                return
+            await asyncio.sleep(connections.POLL_SECONDS)
 
     async def end_connections(self) -> None:
         """Answer the remaining requests, then close all connections.
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -65,6 +65,13 @@
 CLOSE_SECONDS = 0.5
 # Part of CLOSE_SECONDS reserved for the exit of the process on half of a core.
 EXIT_SECONDS = 0.4
+# Turns of the event loop from closing the listener to the exit, and from the
+# end of the last wait. If turns are late, as the processor is slow or busy,
+# both begin earlier.
+CLOSE_TURNS = 8
+EXIT_TURNS = 4
+# Share of the grace period in which requests are served in any case.
+SERVING_SHARE = 0.4
 PRUNE_INTERVAL_SECONDS = 5.0
 
 
@@ -339,6 +346,29 @@
             await asyncio.sleep(PRUNE_INTERVAL_SECONDS)
             self.placer.prune()
 
+    def _latest_start(
+        self, deadline: float, reserved: float, turns: int
+    ) -> float:
+        """Return when at the latest to begin a part of the shutdown.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic seconds at which the process has to be gone.
+        reserved : float
+            Seconds that it takes from there on if the event loop is in time.
+        turns : int
+            Turns of the event loop from there on.
+
+        Returns
+        -------
+        float
+            Monotonic seconds.
+        """
+        needed = reserved + turns * self.loop_delay.mean
+        most = self.config.grace * (1 - SERVING_SHARE)
+        return deadline - min(needed, most)
+
     async def stop(self) -> None:
         """Shut down gracefully within the grace period.
 
@@ -350,9 +380,13 @@
         self.front.closing = True
         await asyncio.sleep(ROTATION_SECONDS)
         self.front.shutdown_at = deadline - CLOSE_SECONDS
-        await self.front.drain(deadline - CLOSE_SECONDS)
+        await self.front.drain(
+            lambda: self._latest_start(deadline, CLOSE_SECONDS, CLOSE_TURNS)
+        )
         await self.front.listener.close()
-        await self.front.drain(deadline - EXIT_SECONDS)
+        await self.front.drain(
+            lambda: self._latest_start(deadline, EXIT_SECONDS, EXIT_TURNS)
+        )
         self.front.log_open_connections()
         if self.front.in_flight:
             logs.event(log, "router.cut-off", running=self.front.in_flight)
--- a/amaranthring/platform/__main__.py
+++ b/amaranthring/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import importlib
+import os
 import sys
 
 # Imported first, as it records when this process started.
@@ -12,4 +13,9 @@
     # the start. The daemon enables collection once it has started.
     gc.disable()
     daemon = importlib.import_module("amaranthring.platform.daemon")
-    sys.exit(daemon.main(sys.argv[1] if len(sys.argv) == 2 else ""))
+    code = daemon.main(sys.argv[1] if len(sys.argv) == 2 else "")
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # Skips the finalization of the interpreter. It has nothing left to do, and
+    # on a small share of a core it would outlast the grace period of a stop.
+    os._exit(code)
