Answer callers that close their sending side

Cause: tornado closes a connection when nothing more can be read from it. HTTP cannot tell such a caller from one that has closed the connection, whose work must end within half a second; so it still counts as gone. But it is now told what became of its request: 503 half-closed if nothing was sent to a target, also if the request arrives together with the end of the input, else 502. Work at the target ends as before (test_target_of_a_caller_that_left_stops).

CallerStream reports the end of the input in place of closing.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -276,6 +276,12 @@
     code = "shutting-down"
 
 
+class HalfClosedError(RefusedError):
+    """The caller closed its sending side, so it counts as disconnected."""
+
+    code = "half-closed"
+
+
 # -- target announcements ----------------------------------------------------
 
 
--- /dev/null
+++ b/amaranthring/forwarding/caller_stream.py
@@ -0,0 +1,73 @@
+"""Connections of callers, on which the end of a caller's sending side shows.
+
+tornado closes a connection as soon as nothing more can be read from it. A
+caller that shuts its sending side after its request could then not be
+answered, and nothing tells it from one that has closed the connection.
+"""
+
+import asyncio
+import typing as t
+
+import tornado.iostream
+
+__all__ = ["CallerStream", "wrap"]
+
+# Time for reading a request that arrived together with the end of the sending
+# side.
+PARSE_SECONDS = 0.05
+
+
+class CallerStream(tornado.iostream.IOStream):
+    """Stream that reports the end of the peer's sending side.
+
+    Attributes
+    ----------
+    is_half_closed : bool
+        Whether the peer has shut its sending side, or closed the connection.
+    on_half_closed : callable, optional
+        Called with this stream once that is read. It must see to it that the
+        stream is closed soon, as the event loop reports it as readable until
+        then.
+    """
+
+    def __init__(self, *args, **kwargs):
+        self.is_half_closed = False
+        self.on_half_closed: t.Callable[[CallerStream], None] | None = None
+        super().__init__(*args, **kwargs)
+
+    def read_from_fd(self, buf):
+        """Read; the end of the input counts as no input."""
+        size = super().read_from_fd(buf)
+        if size != 0 or self.on_half_closed is None:
+            return size
+        if not self.is_half_closed:
+            self.is_half_closed = True
+            asyncio.get_running_loop().call_soon(self._report)
+        return None
+
+    def _report(self) -> None:
+        if self.closed():
+            return
+        self.on_half_closed(self)
+        if not self.closed():
+            loop = asyncio.get_running_loop()
+            loop.call_later(PARSE_SECONDS, self._close_unread)
+
+    def _close_unread(self) -> None:
+        """Close the stream if what was read is no whole request."""
+        if not self.closed() and not self.writing():
+            self.close()
+
+
+def wrap(
+    stream: tornado.iostream.IOStream,
+    on_half_closed: t.Callable[[CallerStream], None],
+) -> CallerStream:
+    """Return a stream on the socket of `stream`, which is not used yet."""
+    wrapped = CallerStream(
+        stream.socket,
+        max_buffer_size=stream.max_buffer_size,
+        read_chunk_size=stream.read_chunk_size,
+    )
+    wrapped.on_half_closed = on_half_closed
+    return wrapped
--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -13,6 +13,7 @@
 from amaranthring.core import connections
 from amaranthring.core import listeners
 from amaranthring.core import logs
+from amaranthring.forwarding import caller_stream
 from amaranthring.forwarding import records
 from amaranthring.forwarding import responses
 from amaranthring.routing import plan as plans
@@ -42,15 +43,17 @@
 class _Server(tornado.httpserver.HTTPServer):
     """Server that closes new connections unread while it is asked to."""
 
-    def initialize(self, *args, is_full, **kwargs):
+    def initialize(self, *args, is_full, on_half_closed, **kwargs):
         super().initialize(*args, **kwargs)
         self.is_full = is_full
+        self.on_half_closed = on_half_closed
         self.streams: set[tornado.iostream.IOStream] = set()
 
     def handle_stream(self, stream, address):
         if self.is_full(len(self.streams)):
             stream.close()
             return
+        stream = caller_stream.wrap(stream, self.on_half_closed)
         self.streams.add(stream)
         super().handle_stream(stream, address)
 
@@ -115,6 +118,7 @@
         self.server = _Server(
             self,
             is_full=self.is_full,
+            on_half_closed=self.on_half_closed,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
             idle_connection_timeout=IDLE_SECONDS,
@@ -176,6 +180,18 @@
             running=self.in_flight,
         )
 
+    def on_half_closed(self, stream: caller_stream.CallerStream) -> None:
+        """End what a caller that sends nothing more still waits for.
+
+        It cannot be told from one that has closed its connection, whose work
+        must end. So its request is answered, but not with its own result.
+        """
+        request = self.requests.get(stream)
+        if request is not None:
+            request.interrupt(_half_closed())
+        elif not connections.has_input(stream):
+            stream.close()
+
     def check_deadline(self, incoming: records.Incoming) -> None:
         """Check that a request can finish before shutdown.
 
@@ -198,6 +214,13 @@
     )
 
 
+def _half_closed() -> errors.HalfClosedError:
+    return errors.HalfClosedError(
+        "the caller has closed its sending side before its answer",
+        retry_after=0.0,
+    )
+
+
 class _Request(tornado.httputil.HTTPMessageDelegate):
     """Receives one request and runs its task."""
 
@@ -256,6 +279,9 @@
             # the connection was closed as idle. The caller sees it closed and
             # sends the request again, so it must not run here too.
             return
+        if self.server_conn.stream.is_half_closed:
+            self.error = self.error or _half_closed()
+            self.writer.closing = True
         self.frontend.count(+1)
         self.frontend.requests[self.server_conn.stream] = self
         # While a response is pending, tornado reports a close only here.
--- a/amaranthring/forwarding/request_log.py
+++ b/amaranthring/forwarding/request_log.py
@@ -54,6 +54,9 @@
 def _outcome(failure: BaseException | None) -> str:
     if failure is None:
         return "answered"
+    if isinstance(failure, errors.HalfClosedError):
+        # Most of these callers have closed the connection.
+        return errors.CallerDisconnectedError.code
     if isinstance(failure, errors.AmaranthringError):
         return failure.code
     return "caller-gone"
