Answer requests that fail with an unexpected error

An error that no code expects closed the caller's connection without an answer: the caller could not tell it from a lost router. It is answered with 500 now, which promises nothing about the run; the line request.failed has the error as before.

test_unexpected_error_is_answered got no byte before.

--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -343,9 +343,15 @@
             self._abort(error.code)
         except asyncio.CancelledError:
             self._abort("cancelled")
-        except Exception as error:
+        except Exception:
             log.exception("request.failed")
-            self._abort(repr(error))
+            if self.writer.status:
+                self._abort("failed")
+                return
+            self.writer.closing = True
+            await self._send_error(
+                errors.AmaranthringError("the router failed on this request")
+            )
         finally:
             connections.call_when_sent(self.connection, self._ended)
 
