Answer requests that a stopping router turns away under load

While its event loop is late, a router closes new connections unread.

A stopping router now answers whole requests that have arrived on such connections with 503 shutting-down, without reading anything else. Other routers close unread as before: a request that is not read can be sent elsewhere, also one that may run only once.

--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -15,6 +15,7 @@
 from amaranthring.core import logs
 from amaranthring.forwarding import caller_stream
 from amaranthring.forwarding import records
+from amaranthring.forwarding import refusals
 from amaranthring.forwarding import responses
 from amaranthring.routing import plan as plans
 
@@ -41,17 +42,18 @@
 
 
 class _Server(tornado.httpserver.HTTPServer):
-    """Server that closes new connections unread while it is asked to."""
+    """Server that turns new connections away while it is asked to."""
 
-    def initialize(self, *args, is_full, on_half_closed, **kwargs):
+    def initialize(self, *args, is_full, turn_away, on_half_closed, **kwargs):
         super().initialize(*args, **kwargs)
         self.is_full = is_full
+        self.turn_away = turn_away
         self.on_half_closed = on_half_closed
         self.streams: set[tornado.iostream.IOStream] = set()
 
     def handle_stream(self, stream, address):
         if self.is_full(len(self.streams)):
-            stream.close()
+            self.turn_away(stream)
             return
         stream = caller_stream.wrap(stream, self.on_half_closed)
         self.streams.add(stream)
@@ -74,7 +76,7 @@
     bounds : callable
         Returns the limits of the active plan.
     is_full : callable, optional
-        Returns whether one more connection is closed unread, given how many
+        Returns whether one more connection is turned away, given how many
         there are.
 
     Attributes
@@ -118,6 +120,7 @@
         self.server = _Server(
             self,
             is_full=self.is_full,
+            turn_away=self.turn_away,
             on_half_closed=self.on_half_closed,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
@@ -180,6 +183,16 @@
             running=self.in_flight,
         )
 
+    def turn_away(self, stream: tornado.iostream.IOStream) -> None:
+        """Close a new connection unread.
+
+        Callers of a stopping router may have waited for it for some time, so
+        those whose requests have arrived are answered.
+        """
+        if self.closing:
+            refusals.refuse_arrived(stream.socket, _shutting_down())
+        stream.close()
+
     def on_half_closed(self, stream: caller_stream.CallerStream) -> None:
         """End what a caller that sends nothing more still waits for.
 
--- /dev/null
+++ b/amaranthring/forwarding/refusals.py
@@ -0,0 +1,78 @@
+"""Refusals of requests on connections that are not served.
+
+They cost a few system calls, so that a router that has too much to do can
+still send them.
+"""
+
+import json
+import re
+import socket
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import logs
+
+__all__ = ["refuse_arrived"]
+
+log = logbook.Logger(__name__)
+
+# Requests of which more than this has to arrive are not recognized as whole.
+MAX_BYTES = 65536
+CONTENT_LENGTH = re.compile(
+    rb"\r\nContent-Length: *(\d+) *\r\n", re.IGNORECASE
+)
+TRANSFER_ENCODING = re.compile(rb"\r\nTransfer-Encoding:", re.IGNORECASE)
+
+
+def refuse_arrived(
+    sock: socket.socket, error: errors.AmaranthringError
+) -> bool:
+    """Answer a whole request that has arrived on a connection.
+
+    Nothing is read otherwise, so the caller learns from the close of the
+    connection that its request was not read.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        Does not block. The caller of this function closes it.
+
+    Returns
+    -------
+    bool
+        Whether there was one.
+    """
+    try:
+        data = sock.recv(MAX_BYTES, socket.MSG_PEEK)
+        if not _is_whole(data):
+            return False
+        sock.recv(MAX_BYTES)
+        sock.send(_response(error))
+    except BlockingIOError:
+        return False
+    except OSError as fault:
+        logs.event(log, "connection.lost", fault=fault.strerror)
+        return False
+    return True
+
+
+def _is_whole(data: bytes) -> bool:
+    """Return whether `data` is one request."""
+    head, end, body = data.partition(b"\r\n\r\n")
+    head += b"\r\n"
+    if not end or TRANSFER_ENCODING.search(head):
+        return False
+    length = CONTENT_LENGTH.search(head)
+    return len(body) == (int(length[1]) if length else 0)
+
+
+def _response(error: errors.AmaranthringError) -> bytes:
+    record = {"code": error.code, "detail": error.detail}
+    body = json.dumps({"error": record})
+    return (
+        f"HTTP/1.1 {error.status} Service Unavailable\r\n"
+        "Content-Type: application/json\r\nConnection: close\r\n"
+        f"Retry-After: {error.retry_after or 0:g}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -197,3 +197,27 @@
         await self.until(lambda: self.ran() == 1)
         sock.close()
         await self.until(lambda: not self.router.front.in_flight)
+
+
+class TestConnectionsTurnedAway(test_forwarding.RouterCase):
+    """New connections while the router has too much to do."""
+
+    async def asyncSetUp(self):
+        await self.begin()
+        self.front = self.router.front
+        self.front.server.is_full = lambda connections: True
+
+    async def send(self, data):
+        sock = connect("{}:{}".format(*self.router.address))
+        sock.sendall(data)
+        return await read_all(sock)
+
+    async def test_stopping_router_answers_requests_that_wait(self):
+        """A request that waited unread must not end without an answer."""
+        self.front.closing = True
+        self.assertIn(b" 503 ", await self.send(REQUEST))
+        self.assertEqual(await self.send(REQUEST[:20]), b"")
+
+    async def test_other_routers_close_unread(self):
+        """What is not read is sent elsewhere, also if it may run once."""
+        self.assertEqual(await self.send(REQUEST), b"")
