Give a kept connection to one request only

What callers saw: requests that reached a sound target end without an answer, their connection closed, at any time; answers and streams of sound targets are cut.

Cause: a request that takes a kept connection waits for the end of the task that watches it. Meanwhile the pool's expiry, each second, puts a new list in the place of the target's old one. If the connection ends in that moment, the request goes on with the old list, and takes a connection that is in the new list too. A second request can take the same one: it writes to a connection whose answer another one awaits, and asyncio raises RuntimeError, upon which its caller's connection is closed unanswered ("request.failed"). Or the next expiry finds the connection unwatched, and closes it in use.

Evidence: test_connection_goes_to_one_request fails with 2 users of one connection in 2 of 4 orders of the event loop, and test_connection_in_use_is_not_closed with one close.

Change: the list is looked up again after each wait, so that each connection is in one list only. A request that is cancelled while it waits closes the connection, which was left open before.

--- a/amaranthring/targets/pool.py
+++ b/amaranthring/targets/pool.py
@@ -77,8 +77,9 @@
             Longest acceptable idle time in seconds.
         """
         now = self.clock()
-        idle = self.idle.get(name, [])
-        while idle:
+        # Looked up each time: while this waits, the list may be replaced, and
+        # what is left in the old one is given to others too.
+        while idle := self.idle.get(name):
             # The one used last is the least likely to be stale.
             connection = idle.pop()
             usable = (
@@ -86,15 +87,8 @@
             )
             if not usable or now - connection.idle_since > max_idle_seconds:
                 _close(connection)
-                continue
-            connection.watcher.cancel()
-            await asyncio.wait({connection.watcher})
-            if (
-                connection.watcher.cancelled()
-                and not connection.reader.at_eof()
-            ):
+            elif await _stop_watching(connection):
                 return connection.reader, connection.writer
-            _close(connection)
         return None
 
     def release(
@@ -165,6 +159,20 @@
         return
 
 
+async def _stop_watching(connection: IdleConnection) -> bool:
+    """Return whether the connection is still usable; it is closed if not."""
+    connection.watcher.cancel()
+    try:
+        await asyncio.wait({connection.watcher})
+    except asyncio.CancelledError:
+        _close(connection)
+        raise
+    usable = connection.watcher.cancelled() and not connection.reader.at_eof()
+    if not usable:
+        _close(connection)
+    return usable
+
+
 def _close(connection: IdleConnection) -> None:
     connection.watcher.cancel()
     connection.writer.transport.abort()
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from amaranthring import plan_router
+from amaranthring.targets import pool
 from amaranthring.testing import scripted_target
 from tests import test_forwarding
 
@@ -60,6 +61,54 @@
         self.assertEqual(2, self.target.connections)
 
 
+class TestOneUser(unittest.IsolatedAsyncioTestCase):
+    """Connections that are taken while others expire."""
+
+    async def asyncSetUp(self):
+        self.pool = pool.Pool()
+        self.good, self.ended = (
+            (asyncio.StreamReader(), mock.Mock()) for _ in range(2)
+        )
+        for connection in (self.good, self.ended):
+            self.pool.release("t0", *connection, 60.0)
+        await asyncio.sleep(0)
+
+    async def begin(self):
+        """Begin to take the connection that just ends; expire others."""
+        taking = asyncio.ensure_future(self.pool.acquire("t0", 60.0))
+        await asyncio.sleep(0)
+        self.ended[0].feed_eof()
+        self.pool.expire()
+        return taking
+
+    async def test_connection_goes_to_one_request(self):
+        """Guards against two requests on one connection, one unanswered."""
+        for steps in range(4):
+            with self.subTest(steps=steps):
+                await self.asyncSetUp()
+                first = await self.begin()
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                other = asyncio.ensure_future(self.pool.acquire("t0", 60.0))
+                got = await asyncio.gather(first, other)
+                self.assertEqual(1, got.count(self.good))
+
+    async def test_connection_in_use_is_not_closed(self):
+        """Guards against answers of sound targets that the pool cuts."""
+        first = await self.begin()
+        self.assertEqual(self.good, await first)
+        self.pool.expire()
+        self.assertIsNone(await self.pool.acquire("t0", 60.0))
+        self.good[1].transport.abort.assert_not_called()
+
+    async def test_connection_of_a_cancelled_request_is_closed(self):
+        """Guards against open connections that nobody uses."""
+        taking = await self.begin()
+        taking.cancel()
+        await asyncio.wait({taking})
+        self.ended[1].transport.abort.assert_called()
+
+
 class TestIdleShare(unittest.TestCase):
     """How many idle connections to a target one router keeps."""
 
