Read and refuse the last requests of a stop also while turns are late

Cause: the last step of a stop took 0.1 s at most to read and refuse what had arrived, which is less than one turn of a late loop; reading and answering takes four. And the share of the grace period in which requests were served in any case left too few turns.

The last step takes four turns of the loop now, however late, and answers whole requests that are still unread then without the loop.

--- a/amaranthring/core/connections.py
+++ b/amaranthring/core/connections.py
@@ -86,6 +86,11 @@
         return False
 
 
+def is_fresh(stream) -> bool:
+    """Return whether nothing was read of a request, or of the next one."""
+    return not stream.closed() and stream._read_buffer_size == 0
+
+
 def call_when_sent(connection: t.Any, callback: t.Callable[[], None]) -> None:
     """Call `callback` once everything written to a caller has been sent.
 
--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -35,6 +35,9 @@
 # Time for answering the last requests before all connections are closed.
 END_SECONDS = 0.1
 END_POLL_SECONDS = 0.01
+# Turns of the event loop that this takes: to take a connection, and to read,
+# refuse and answer its request.
+END_TURNS = 4
 
 
 def _is_never_full(_connections: int) -> bool:
@@ -163,13 +166,16 @@
         for request in list(self.requests.values()):
             request.interrupt(_shutting_down())
         give_up_at = time.monotonic() + END_SECONDS
+        for _ in range(END_TURNS):
+            await asyncio.sleep(0)
         while time.monotonic() < give_up_at:
-            # Requests that have arrived are read and refused meanwhile.
-            await asyncio.sleep(END_POLL_SECONDS)
             unread = any(map(connections.has_input, self.server.streams))
             if not unread and not self.requests:
                 break
+            await asyncio.sleep(END_POLL_SECONDS)
         for stream in list(self.server.streams):
+            if stream not in self.requests and connections.is_fresh(stream):
+                refusals.refuse_arrived(stream.socket, _shutting_down())
             stream.close()
 
     def log_open_connections(self) -> None:
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -68,10 +68,8 @@
 # Turns of the event loop from closing the listener to the exit, and from the
 # end of the last wait. If turns are late, as the processor is slow or busy,
 # both begin earlier.
-CLOSE_TURNS = 8
-EXIT_TURNS = 4
-# Share of the grace period in which requests are served in any case.
-SERVING_SHARE = 0.4
+CLOSE_TURNS = 10
+EXIT_TURNS = 6
 PRUNE_INTERVAL_SECONDS = 5.0
 
 
@@ -365,9 +363,7 @@
         float
             Monotonic seconds.
         """
-        needed = reserved + turns * self.loop_delay.mean
-        most = self.config.grace * (1 - SERVING_SHARE)
-        return deadline - min(needed, most)
+        return deadline - reserved - turns * self.loop_delay.mean
 
     async def stop(self) -> None:
         """Shut down gracefully within the grace period.
