Read numbers in headers without errors that nobody expects

What callers saw: requests whose connection is closed without an answer, at any time, and not only those whose target or caller sent the odd number.

Cause: str.isdigit holds for digits that int() does not read, int() raises on more than 4300 digits, and a load of hundreds of digits is an int that no float holds. The ValueError or OverflowError is none of ours, so that the request ends with "request.failed" and its connection is closed. An overflow in a target's load header also ends the requests that are placed after it, for as long as the load counts.

Change: one function reads such numbers (core/numerals), as none if they are none, and up to a maximum that fits all uses; ids of events have 64 digits at most. The new test mixes odd answers with changes of the plan, targets that move and keepers that do not answer, and asserts that each request ends with a whole answer.

--- a/amaranthring/callers/handlers.py
+++ b/amaranthring/callers/handlers.py
@@ -18,6 +18,7 @@
 from amaranthring.callers import tokens
 from amaranthring.core import connections
 from amaranthring.core import decisions
+from amaranthring.core import numerals
 from amaranthring.core import records
 from amaranthring.settings import models as settings_models
 
@@ -82,9 +83,9 @@
             )
         self.config = self.deps.config()
         self.caller = codec.decode_caller(headers, self.config, self.accounts)
-        length = headers.get("Content-Length", "0")
-        if length.isdigit() and int(length) > self.limits.body_bytes_most:
-            raise self._too_large(int(length))
+        length = numerals.read(headers.get("Content-Length", ""))
+        if length is not None and length > self.limits.body_bytes_most:
+            raise self._too_large(length)
 
     def _too_large(self, given: int) -> errors.TooLargeError:
         return errors.TooLargeError(
@@ -101,9 +102,9 @@
         ``MAX_DISCARDED_BYTES`` of the body remain, they are read and
         discarded first.
         """
-        length = self.request.headers.get("Content-Length", "0")
-        known = length.isdigit()
-        if known and 0 < int(length) - self.size <= MAX_DISCARDED_BYTES:
+        length = numerals.read(self.request.headers.get("Content-Length", ""))
+        left = (length or 0) - self.size
+        if 0 < left <= MAX_DISCARDED_BYTES:
             self.rejection = error
             self.chunks.clear()
             return
--- a/amaranthring/forwarding/events.py
+++ b/amaranthring/forwarding/events.py
@@ -10,7 +10,8 @@
 
 MAX_EVENT_BYTES = 256 * 1024
 EVENT_END = b"\n\n"
-EVENT_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
+# Longer ids are no numbers of events.
+EVENT_ID = re.compile(rb"^id: ?(\d{1,64})\r?$", re.MULTILINE)
 
 
 class EventSplitter:
--- a/amaranthring/platform/headers.py
+++ b/amaranthring/platform/headers.py
@@ -4,9 +4,13 @@
 
 from amaranthring import errors
 from amaranthring.core import notices
+from amaranthring.core import numerals
 from amaranthring.forwarding import records
 
 MILLISECONDS = 1e3
+# Exceeds any number of tokens or requests; sums of such numbers still fit
+# into the messages between routers.
+MAX_COUNT = 10**9
 
 REQUEST_ID = "Amaranthring-Request-Id"
 DEADLINE = "Amaranthring-Deadline-Ms"
@@ -138,11 +142,12 @@
 def _timeout(value: str | None) -> float:
     if value is None:
         return float("inf")
-    if not value.isdigit():
+    milliseconds = numerals.read(value)
+    if milliseconds is None:
         raise errors.BadRequestError(
             DEADLINE, given=value[:32], expected="milliseconds"
         )
-    return int(value) / MILLISECONDS
+    return milliseconds / MILLISECONDS
 
 
 def _key(value: str) -> str:
@@ -154,18 +159,19 @@
 def _parts(value: str) -> tuple[records.PromptPart, ...]:
     parts = []
     for entry in filter(None, value.split(",")):
-        part_id, _, tokens = entry.strip().partition(":")
-        if not tokens.isdigit():
+        part_id, _, given = entry.strip().partition(":")
+        tokens = numerals.read(given, MAX_COUNT)
+        if tokens is None:
             raise errors.BadRequestError(
                 PROMPT_PARTS, given=entry[:64], expected="ID:TOKENS"
             )
-        parts.append(records.PromptPart(part_id, int(tokens)))
+        parts.append(records.PromptPart(part_id, tokens))
     return tuple(parts)
 
 
 def _output_tokens(value: str) -> int:
     tokens = value.rpartition(",")[2].strip()
-    return int(tokens) if tokens.isdigit() else 0
+    return numerals.read(tokens, MAX_COUNT) or 0
 
 
 def request_headers(
@@ -204,7 +210,8 @@
 
 
 def _load(value: str | None) -> records.Load | None:
-    numbers = (value or "").split(",")
-    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+    values = (value or "").split(",")
+    numbers = [numerals.read(v.strip(), MAX_COUNT) for v in values]
+    if len(numbers) != 3 or None in numbers:
         return None
-    return records.Load(*map(int, numbers))
+    return records.Load(*numbers)
--- a/amaranthring/targets/http_body.py
+++ b/amaranthring/targets/http_body.py
@@ -10,6 +10,7 @@
 import typing as t
 
 from amaranthring import errors
+from amaranthring.core import numerals
 
 MAX_SIZE_LINE_BYTES = 64
 MAX_CHUNK_BYTES = 16 * 1024 * 1024
@@ -174,6 +175,8 @@
         raise _malformed(f"Transfer-Encoding: {coding}".encode())
     if length is None:
         return UntilClose()
-    if not length.isdigit():
-        raise _malformed(f"Content-Length: {length}".encode())
-    return FixedLength(int(length))
+    size = numerals.read(length)
+    if size is None:
+        shown = length[:MAX_SIZE_LINE_BYTES]
+        raise _malformed(f"Content-Length: {shown}".encode())
+    return FixedLength(size)
--- a/amaranthring/targets/sse.py
+++ b/amaranthring/targets/sse.py
@@ -11,6 +11,7 @@
 import json
 
 from amaranthring import errors
+from amaranthring.core import numerals
 
 MAX_EVENT_BYTES = 256 * 1024
 DONE_LINE = b"data: [DONE]"
@@ -125,19 +126,20 @@
         """Skip a comment or duplicate; record anything else as an error."""
         if block.startswith(b":"):
             return
-        number = head[len(self.prefix) :]
-        if not head.startswith(self.prefix) or not number.isdigit():
+        shown = head[len(self.prefix) :].decode("latin1")
+        number = numerals.read(shown)
+        if not head.startswith(self.prefix) or number is None:
             self.error = errors.UpstreamError(
                 "an event belongs to another request or has no id",
                 given=repr(head[:MAX_SHOWN_BYTES]),
                 expected=self.prefix.decode() + "NUMBER",
             )
-        elif int(number) < self.expected:
+        elif number < self.expected:
             self.duplicates += 1
         else:
             self.error = errors.TruncatedResponseError(
                 "events are missing",
-                given=f"event {number.decode()}",
+                given=f"event {number}",
                 expected=f"event {self.expected}",
             )
 
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -18,6 +18,7 @@
 import tornado.httputil
 
 from amaranthring import errors
+from amaranthring.core import numerals
 from amaranthring.core import records
 from amaranthring.core import timeouts
 from amaranthring.targets import http_body
@@ -315,10 +316,9 @@
         errors.UpstreamError
             If its length is not given or above `max_bytes`.
         """
-        length = self.headers.get("Content-Length", "")
-        if not length.isdigit() or int(length) > max_bytes:
+        left = numerals.read(self.headers.get("Content-Length", ""))
+        if left is None or left > max_bytes:
             raise self._connection_error()
-        left = int(length)
         try:
             while left:
                 data = await self.reader.read(min(left, READ_BYTES))
--- /dev/null
+++ b/tests/test_numerals.py
@@ -0,0 +1,76 @@
+"""Numbers in headers."""
+
+import unittest
+
+import tornado.httputil
+
+from amaranthring import errors
+from amaranthring.core import numerals
+from amaranthring.platform import headers
+from amaranthring.targets import http_body
+
+# str.isdigit holds for the first; int() raises on it and on the second, and
+# no float holds the third.
+ODD = ("\u00b2", "9" * 5000, "9" * 400)
+
+
+class TestNumerals(unittest.TestCase):
+    """What counts as a number, and as which."""
+
+    def test_numbers(self):
+        self.assertEqual(0, numerals.read("000"))
+        self.assertEqual(1200, numerals.read("0" * 5000 + "1200"))
+        self.assertEqual(7, numerals.read("8", maximum=7))
+        self.assertEqual(numerals.MAX_NUMBER, numerals.read("9" * 5000))
+
+    def test_others(self):
+        for text in ("", " 1", "+1", "-1", "1_0", "1.0", "\u00b2", "\u0661"):
+            self.assertIsNone(numerals.read(text), text)
+
+
+class TestHeaders(unittest.TestCase):
+    """Guards against odd numbers that end a request unanswered."""
+
+    def read_request(self, **fields):
+        given = {"Host": "h"} | fields
+        return headers.read_request(
+            tornado.httputil.RequestStartLine("GET", "/", "HTTP/1.1"),
+            tornado.httputil.HTTPHeaders(given),
+            0.0,
+        )
+
+    def test_requests(self):
+        for name in (headers.DEADLINE, headers.PROMPT_PARTS, headers.TOKENS):
+            for number in ODD:
+                value = f"a:{number}" if "Hash" in name else number
+                try:
+                    incoming = self.read_request(**{name: value})
+                except errors.BadRequestError:
+                    continue
+                self.assertIn(incoming.timeout, (float("inf"), 1e12))
+                self.assertLessEqual(
+                    sum(part.tokens for part in incoming.parts),
+                    headers.MAX_COUNT,
+                )
+
+    def test_load(self):
+        for number in ODD:
+            given = tornado.httputil.HTTPHeaders(
+                {headers.LOAD: f"{number},0,1"}
+            )
+            load = headers.read_response(200, given).load
+            if load is not None:
+                self.assertLessEqual(load.running, headers.MAX_COUNT)
+
+    def test_length_of_a_body(self):
+        for number in ODD:
+            given = tornado.httputil.HTTPHeaders({"Content-Length": number})
+            try:
+                decoder = http_body.decoder_for(given, 200, "GET")
+            except errors.UpstreamError:
+                continue
+            self.assertEqual(numerals.MAX_NUMBER, decoder.remaining)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_odd_answers.py
@@ -0,0 +1,300 @@
+"""Requests while targets answer oddly and the plan changes under them."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import unittest
+from unittest import mock
+
+import logbook
+
+from amaranthring import routing
+from amaranthring.platform import headers
+from amaranthring.testing import scripted_target
+from tests import test_forwarding
+
+SEED = 4711
+# Each round has a router and targets of its own, as a router soon avoids
+# targets that answer oddly, and requests that seem to crash them.
+ROUNDS = 12
+CALLERS = 10
+REQUESTS = 5
+# Time that callers wait, and within which each request must have ended.
+PATIENCE_SECONDS = 1.0
+ANSWER_SECONDS = 4.0
+# Requests of each route that are served all the same, so that the test does
+# not pass because nothing runs.
+MIN_SERVED = 20
+
+SERVICES = ("s",) * 9 + ("s2",)
+PATHS = ("/a/x", "/b/x", "/c/x", "/d/x")
+# What int() and float() reject or overflow on, although it looks like digits.
+ODD_NUMBERS = (
+    "\u00b2", "9" * 25, "9" * 400, "9" * 5000, "-1", "1e3", "", " ", "0x10",
+    "1,2", "nan", "\u00e9", "1_0",
+)  # fmt: skip
+ODD_DATES = (
+    "Thu, 01 Jan 0000 00:00:00 GMT", "Thu, 99 Foo 2020 00:00:00 +9999999",
+    "Thu, 01 Jan 1970 00:00:00 -2400", ",", "0 0 0 0 0", "1 Jan 99999",
+)  # fmt: skip
+NUMBER_HEADERS = (
+    "Content-Length", headers.LOAD, "Retry-After", headers.BRITTLE,
+    headers.LEAVING, "Keep-Alive", "Date",
+)  # fmt: skip
+
+
+class OddTarget:
+    """Writes answers that differ from a proper one by chance.
+
+    The chance depends on the request and its number at this target only, so
+    that the order in which tasks run does not matter.
+    """
+
+    def __init__(self, seed):
+        self.seed = seed
+        self.number = 0
+
+    async def __call__(self, seen, writer):
+        request_id = seen.headers[headers.REQUEST_ID]
+        self.number += 1
+        rng = random.Random(f"{self.seed} {request_id} {seen.uri}")
+        is_stream = seen.uri.startswith(("/c/", "/d/"))
+        head = {
+            headers.REQUEST_ID: request_id,
+            headers.SIGNATURE: "yes",
+        }
+        body = _events(seen) if is_stream else rng.randbytes(200)
+        if is_stream:
+            head["Content-Type"] = "text/event-stream"
+        status = "HTTP/1.1 200 Good"
+        if rng.random() < 0.5:
+            head["Transfer-Encoding"] = "chunked"
+            body = _chunked(rng, body)
+        else:
+            head["Content-Length"] = str(len(body))
+        lines = [status, *(f"{name}: {value}" for name, value in head.items())]
+        for _ in range(rng.choice((0, 1, 1, 2))):
+            lines, body = rng.choice(CHANGES)(rng, lines, body)
+        data = "\r\n".join([*lines, "", ""]).encode("latin1", "replace")
+        await _write(rng, writer, data + body)
+
+
+def _events(seen) -> bytes:
+    last = seen.headers.get(headers.LAST_EVENT, "0")
+    return b"".join(map(scripted_target.event, range(int(last) + 1, 9)))
+
+
+def _chunked(rng, body: bytes) -> bytes:
+    size = rng.randint(1, 90)
+    pieces = [body[n : n + size] for n in range(0, len(body), size)]
+    chunks = [b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces]
+    return b"".join(chunks) + b"0\r\n\r\n"
+
+
+async def _write(rng, writer, data: bytes) -> None:
+    """Write `data` in two pieces; sometimes not to the end."""
+    end = len(data)
+    breaks = rng.random() < 0.15
+    if breaks:
+        end = rng.randrange(len(data))
+    middle = rng.randrange(end + 1)
+    writer.write(data[:middle])
+    if rng.random() < 0.3:
+        await asyncio.sleep(rng.uniform(0, 0.05))
+    writer.write(data[middle:end])
+    if breaks and rng.random() < 0.5 and not writer.is_closing():
+        scripted_target.abort_connection(writer)
+    elif breaks or rng.random() < 0.2:
+        writer.close()
+
+
+def _odd_number(rng, lines, body):
+    """Give a header that has numbers an odd one."""
+    name = rng.choice(NUMBER_HEADERS)
+    value = rng.choice(ODD_NUMBERS)
+    if name == headers.LOAD:
+        value = ",".join((value, "1", rng.choice(("1", value))))
+    elif name == "Keep-Alive":
+        value = f"timeout={value}"
+    elif name in ("Retry-After", "Date"):
+        value = rng.choice((*ODD_NUMBERS, *ODD_DATES))
+    kept = [line for line in lines if not line.startswith(f"{name}:")]
+    if name == "Retry-After":
+        kept[0] = "HTTP/1.1 503 Busy"
+        kept.append(f"Date: {rng.choice(ODD_DATES)}")
+    return [*kept, f"{name}: {value}"], body
+
+
+def _odd_status(rng, lines, body):
+    """Change the status, or precede the answer with others."""
+    status = rng.choice(
+        ("HTTP/1.1 204 None", "HTTP/1.1 304 Same", "HTTP/1.1 500 Bad",
+         "HTTP/1.1 999 Odd", "HTTP/1.1 421 Other", "HTTP/1.0 200", "garbage",
+         "HTTP/1.1 42 Odd", "HTTP/1.1 \u00b2\u00b2\u00b2 Odd",
+         "HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 Good",
+         "HTTP/1.1 103 Hint\r\nLink: x\r\n\r\n" * 6 + "HTTP/1.1 200 Good")
+    )  # fmt: skip
+    return [status, *lines[1:]], body
+
+
+def _odd_line(rng, lines, body):
+    """Add a header line that no target should send."""
+    line = rng.choice(
+        (": no name", "no colon", " folded: first", "Name : space",
+         "X-Bare: a\rb", "X-Feed: a\nX-Other: b", "X-Nul: a\0b",
+         "X-Latin: \u00e9\u00ff\u0080", "X-Tab: a\tb", "X-Long: " + "y" * 9000,
+         "X-Longer: " + "y" * 70000, "\u00e9: odd name", "X-Folded: a\r\n b",
+         "Connection: close", "Connection: Content-Type, ,",
+         "Transfer-Encoding: gzip", "Transfer-Encoding: chunked",
+         "Content-Encoding: gzip", f"{headers.REQUEST_ID}: other",
+         f"{headers.NOT_RUN}: 1", "Set-Cookie: a=b\r\nSet-Cookie: c=d",
+         "Trailer: X-End", f"{headers.LEAVING}: 1", f"{headers.BRITTLE}: 1")
+    )  # fmt: skip
+    at = rng.randrange(1, len(lines) + 1)
+    return [*lines[:at], line, *lines[at:]], body
+
+
+def _odd_body(rng, lines, body):
+    """Damage the body, or add something after it."""
+    at = rng.randrange(len(body) + 1)
+    odd = rng.choice(
+        (b"zz\r\n", b"fffffffff\r\n", b"\r\n", b"\xff", b"id: 99999\n\n",
+         b"id: " + b"7" * 5000 + b"\n\n", b"id: \xb2\n\n", b"0\r\n\r\n")
+    )  # fmt: skip
+    if rng.random() < 0.3:
+        return lines, body + odd
+    return lines, body[:at] + odd + body[at:]
+
+
+def _odd_id(rng, lines, body):
+    """Send an event whose number is no int."""
+    odd = b"id: " + b"7" * rng.choice((30, 5000)) + b"\ndata: x\n\n"
+    kept = [
+        line
+        for line in lines
+        if not line.startswith(("Content-Length", "Transfer-Encoding"))
+    ]
+    return [*kept, f"Content-Length: {len(odd)}"], odd
+
+
+CHANGES = (_odd_number, _odd_status, _odd_line, _odd_body, _odd_id)
+
+
+class TestOddAnswers(test_forwarding.RouterCase):
+    """Each request ends with a whole answer, whatever targets send."""
+
+    def setUp(self):
+        self.handler = self.enterContext(logbook.TestHandler())
+        self.number = 0
+
+    async def asyncSetUp(self):
+        # The checks of debug mode take most of the time.
+        asyncio.get_running_loop().set_debug(False)
+
+    async def begin(self, *scripts):
+        patch = mock.patch.object(
+            scripted_target, "DIALECT", headers.dialect()
+        )
+        with patch:
+            await super().begin(*scripts, allowance=1000.0)
+        for target in self.targets:
+            target.keep_alive = True
+        return self.router, self.targets
+
+    async def request(self, router, path, **more):
+        """Return the id of a request, its answer and whether it is whole."""
+        self.number += 1
+        request_id = f"r{self.number}"
+        sent = {
+            headers.REQUEST_ID: request_id,
+            headers.DEADLINE: str(int(PATIENCE_SECONDS * 1e3)),
+        } | more
+        async with asyncio.timeout(ANSWER_SECONDS):
+            answer = await scripted_target.send_request(
+                router.address, path, "POST", b"body", **sent
+            )
+        return request_id, answer
+
+    def assert_none_failed(self):
+        failed = [
+            record.formatted_exception or record.message
+            for record in self.handler.records
+            if "request.failed" in record.message
+            or record.level >= logbook.ERROR
+        ]
+        self.assertEqual([], failed[:3], f"{len(failed)} failed")
+
+
+class TestChanges(TestOddAnswers):
+    """Odd answers beside changes of the plan and of the targets."""
+
+    async def test_each_request_ends_with_a_whole_answer(self):
+        """Guards against requests that end by an error nobody expects."""
+        self.statuses = collections.Counter()
+        self.cut = []
+        rounds = [
+            await self.begin_round(random.Random(SEED + number))
+            for number in range(ROUNDS)
+        ]
+        await asyncio.gather(*rounds)
+        self.assert_none_failed()
+        self.assertEqual([], self.cut)
+        for path in PATHS:
+            self.assertLess(MIN_SERVED, self.statuses[path, 200], path)
+
+    async def begin_round(self, rng):
+        """Start a router with its targets; return what sends requests."""
+        seeds = [rng.random() for _ in range(4)]
+        router, targets = await self.begin(*map(OddTarget, seeds))
+        return self.play(rng, router, targets)
+
+    async def play(self, rng, router, targets):
+        """Send the requests of one round."""
+        changing = asyncio.ensure_future(change(rng, router, targets))
+        paths = [rng.choices(PATHS, k=REQUESTS) for _ in range(CALLERS)]
+        await asyncio.gather(*(self.call(router, some) for some in paths))
+        changing.cancel()
+
+    async def call(self, router, paths):
+        """Send requests one after the other."""
+        for path in paths:
+            request_id, answer = await self.request(router, path)
+            self.statuses[path, answer.status] += 1
+            # A stream that has begun may break off.
+            is_stream = path.startswith(("/c/", "/d/")) and answer.status
+            if not answer.complete and not is_stream:
+                self.cut.append((path, request_id))
+
+
+async def change(rng, router, targets):
+    """Change the plan, the targets and the keepers again and again."""
+    version = 1
+    while True:
+        await asyncio.sleep(rng.uniform(0.005, 0.03))
+        version += 1
+        service = rng.choice(SERVICES)
+        routes = [
+            dataclasses.replace(route, shares=(routing.Share(service, 1),))
+            for route in test_forwarding.PLAN.routes
+            if rng.random() < 0.97
+        ]
+        plan = dataclasses.replace(
+            test_forwarding.PLAN,
+            version=version,
+            routes=tuple(routes),
+            services=(routing.Service(service, "/health", 10),),
+        )
+        router.table = routing.RouteTable(plan)
+        router.keepers[0].is_silent = rng.random() < 0.3
+        record = rng.choice(targets).record(
+            rng.choice(SERVICES), sequence=version
+        )
+        router.targets.merge(record)
+        router.relay.connections.expire()
+        for view in router.placer.views.values():
+            view.backoff_until = 0.0
+
+
+if __name__ == "__main__":
+    unittest.main()
