Count a part that a prompt repeats once

What callers saw: nothing at once, but requests with a suspected part go on being refused although one like them has just completed.

Cause: the features of a request name a repeated part of its prompt twice. When such a request completes, its suspects are dropped one by one; the second time raises KeyError after the answer was sent, and the keepers are not told.

Evidence: test_part_that_a_prompt_repeats fails: no message to the keepers (IndexError), with "request.failed" in the log.

Change: the features of a request are unique.

After: it passes, as do test_crash_guard, test_crash_features and test_repeated_crashes (47 tests).

--- a/amaranthring/forwarding/crash_features.py
+++ b/amaranthring/forwarding/crash_features.py
@@ -10,6 +10,8 @@
 from amaranthring.core import hashing
 from amaranthring.forwarding import records
 
+Kind = t.Callable[[records.RequestContext], list[str]]
+
 PART = "part:"
 PATH = "path:"
 
@@ -32,7 +34,7 @@
 
 
 # The first ones are shared by the most requests.
-KINDS: tuple[t.Callable[[records.RequestContext], list[str]], ...] = (
+KINDS: tuple[Kind, ...] = (
     _prompt_parts,
     _path,
     _request,
@@ -40,14 +42,22 @@
 SHARED_KINDS = KINDS[:-1]
 
 
+def _unique(
+    kinds: tuple[Kind, ...], context: records.RequestContext
+) -> tuple[str, ...]:
+    # A prompt may repeat a part.
+    names = (name for kind in kinds for name in kind(context))
+    return tuple(dict.fromkeys(names))
+
+
 def of_request(context: records.RequestContext) -> tuple[str, ...]:
     """Return the fingerprints of all features of a request."""
-    return tuple(name for kind in KINDS for name in kind(context))
+    return _unique(KINDS, context)
 
 
 def shared(context: records.RequestContext) -> tuple[str, ...]:
     """Return the fingerprints of the features that other requests have too."""
-    return tuple(name for kind in SHARED_KINDS for name in kind(context))
+    return _unique(SHARED_KINDS, context)
 
 
 def is_shared(fingerprint: str) -> bool:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -3,6 +3,8 @@
 import asyncio
 from unittest import mock
 
+import logbook
+
 from amaranthring.forwarding import crash_features
 from amaranthring.forwarding import ended_targets
 from amaranthring.policy import crash_evidence
@@ -274,6 +276,18 @@
         self.assertEqual(0, self.ran())
         self.assertEqual(200, (await self.ask_with("sys")).status)
 
+    async def test_part_that_a_prompt_repeats(self):
+        """Guards against an error that ends the request as unexpected."""
+        await self.begin_crashing(2)
+        sent = []
+        self.guard._send = sent.append
+        self.tell(fingerprint="part:sys")
+        with logbook.TestHandler() as handler:
+            got = await self.ask_with("sys sys other")
+        self.assertEqual(200, got.status)
+        self.assertFalse(handler.has_errors, handler.formatted_records)
+        self.assertEqual(4, len(sent[0].fingerprints))
+
     async def test_own_part_is_no_feature(self):
         """Guards against refusing a request for its last part."""
         await self.begin_crashing(2)
