Pass over keepers that fail to answer whether a suspect may run

What callers saw: 500, or another error of a keeper, for a request that resembles one on a crashed target, though the router could decide without that keeper; the trial stayed taken, so that others like it were refused.

Cause: only errors of the link counted as no answer. An error that the keeper's handler raised ended the request.

Evidence: test_failing_keepers_do_not_count fails with InternalError.

Change: any error of ours counts as no answer, as it does for the keepers' answers about streams, and is logged as before.

After: it passes, with the other 7 tests of the module.

--- a/amaranthring/forwarding/suspect_trials.py
+++ b/amaranthring/forwarding/suspect_trials.py
@@ -142,7 +142,7 @@
     """Return the keeper's answer, or None without one."""
     try:
         reply = await link.call(request, ANSWER_SECONDS)
-    except errors.LinkError as error:
+    except errors.AmaranthringError as error:
         logs.event(
             log,
             "trial.unanswered",
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -18,14 +18,14 @@
         self.table = trials.TrialTable(clock)
         self.peer = self
         self.name = "keeper"
-        self.silent = False
+        self.error = None
         self.answered = asyncio.Event()
         self.answered.set()
 
     async def call(self, message, _timeout):
         await self.answered.wait()
-        if self.silent:
-            raise errors.LinkTimeoutError("no reply")
+        if self.error is not None:
+            raise self.error
         begins = self.table.begin(
             message.fingerprint, message.holder, message.seconds
         )
@@ -71,7 +71,13 @@
     async def test_silent_keepers_do_not_count(self):
         """Guards against keepers that do not answer and block a request."""
         for keeper in self.keepers[1:]:
-            keeper.silent = True
+            keeper.error = errors.LinkTimeoutError("no reply")
+        self.assertEqual(1, len(await self.begin_everywhere()))
+
+    async def test_failing_keepers_do_not_count(self):
+        """Guards against requests that end by a keeper's own error."""
+        for keeper in self.keepers[1:]:
+            keeper.error = errors.InternalError("handler failed")
         self.assertEqual(1, len(await self.begin_everywhere()))
 
     async def test_router_without_keepers_runs_it_once(self):
