Log what keepers knew where only one release can have begun a stream

A stream whose binding is known to nobody goes on if one release alone can have begun it. The log said so, and not on whose word: a keeper that had just started could not be told from one that had heard everything.

--- a/amaranthring/forwarding/stream_bindings.py
+++ b/amaranthring/forwarding/stream_bindings.py
@@ -217,6 +217,13 @@
         release = self._only_release(context, answers)
         if release:
             binding = bindings.Binding(context.service, release)
+            logs.event(
+                log,
+                "stream.one-release",
+                id=context.incoming.request_id,
+                release=release,
+                answers=_summary(answers),
+            )
             self._bind(context, binding, "only-release", 0.0)
         return bool(release)
 
@@ -328,10 +335,7 @@
             reason=reason,
             services=len(context.route.shares),
             moved=self._has_moved(context.route, answers),
-            answers={
-                keeper: [answer.complete, answer.releases]
-                for keeper, answer in answers.items()
-            },
+            answers=_summary(answers),
             releases=sorted(self._releases(context.service)),
         )
         return errors.StreamUnknownError(
@@ -358,6 +362,16 @@
         return link.peer.name, None
 
 
+def _summary(
+    answers: dict[str, stream_messages.StreamFound],
+) -> dict[str, list[t.Any]]:
+    """Return what keepers know of releases, for the log."""
+    return {
+        keeper: [answer.complete, answer.releases]
+        for keeper, answer in answers.items()
+    }
+
+
 def _key(context: records.RequestContext) -> bytes:
     incoming = context.incoming
     first = incoming.resumes or incoming.request_id
