Remember releases longer than the targets that served them

Callers that took up a stream after all keepers and routers were killed got the rest from another release, with status 200: the targets of the first release had crashed, or had left while the keepers were down.

Nobody knows a binding after such a loss, and a router then goes on if one release alone can have begun the stream. Which releases have served was read from the records of targets. These leave out silent targets in the hints and those whose address is taken, lose the old release of a target that restarts as another, are dropped from hints older than 30 s, and end 60 s after the target. A keeper without hints, or with hints of another minute, took what it heard after its start for all that there was.

Keepers keep a history of releases by service for 600 s, in the hints and on each new link to another keeper. A keeper is complete only if this history reaches back to before its start, and after the targets had time to announce themselves, also with hints: these may lack a release that was announced while the disk stood still.

The same constant bounds the history of routes. Two tests name the new span, and the test of a keeper that has just started asks for the wait with hints, too: the exception for hints was the fault.

--- a/amaranthring/forwarding/stream_bindings.py
+++ b/amaranthring/forwarding/stream_bindings.py
@@ -37,8 +37,11 @@
 REPEATED_SECONDS = 1.0
 # A keeper answers within a round trip.
 ANSWER_SECONDS = 0.3
-# After a start, for this long keepers are asked again until one knows enough.
+# After a start, for this long keepers are asked again until one knows enough;
+# while one says that it soon will, for longer, but callers give a stream up
+# after 2 s without an event.
 ASK_SECONDS = 0.5
+MAX_ASK_SECONDS = 1.6
 ASK_PAUSE_SECONDS = 0.1
 # ``Retry-After`` in seconds: a report reaches all keepers within this time.
 RETRY_UNKNOWN = 0.5
@@ -191,14 +194,16 @@
         if found is not None:
             self._bind(context, found.binding, "here", found.age)
             return
-        give_up_at = self.clock() + ASK_SECONDS
+        asked_at = self.clock()
+        give_up_at = asked_at + ASK_SECONDS
         while True:
             answers = await self._ask_keepers(context, key)
             if self._bind_by_answers(context, answers):
                 return
             if not self._is_worth_asking_again(answers):
                 break
-            if self.clock() >= give_up_at:
+            give_up_at = max(give_up_at, self._settled_at(answers))
+            if self.clock() >= min(give_up_at, asked_at + MAX_ASK_SECONDS):
                 break
             await asyncio.sleep(ASK_PAUSE_SECONDS)
         raise self._unknown(context, answers)
@@ -294,7 +299,7 @@
 
     def _releases(self, service: str) -> set[str]:
         """Return the versions that this router knows of."""
-        oldest = self.table.clock() - route_history.HISTORY_SECONDS
+        oldest = self.table.clock() - bindings.HISTORY_SECONDS
         return {
             entry.record.release
             for entry in self.table.entries.values()
@@ -320,6 +325,17 @@
             return False
         return not any(len(a.releases) > 1 for a in answers.values())
 
+    def _settled_at(
+        self, answers: dict[str, stream_messages.StreamFound]
+    ) -> float:
+        """Return when keepers that have just started know all targets."""
+        settles_in = max(
+            (answer.settles_in for answer in answers.values()), default=0.0
+        )
+        if not settles_in:
+            return float("-inf")
+        return self.clock() + settles_in + ASK_PAUSE_SECONDS
+
     def _unknown(
         self,
         context: records.RequestContext,
--- a/amaranthring/policy/bindings.py
+++ b/amaranthring/policy/bindings.py
@@ -10,12 +10,23 @@
 
 from amaranthring.core import hashing
 
-__all__ = ["Binding", "BindingTable", "Found", "of_target", "stream_key"]
+__all__ = [
+    "HISTORY_SECONDS",
+    "Binding",
+    "BindingTable",
+    "Found",
+    "of_target",
+    "stream_key",
+]
 
 # Bindings are kept for two to three generations after they were last recorded.
 GENERATION_SECONDS = 30.0
 MAX_GENERATIONS = 3
 KEY_BYTES = 16
+# A stream may be taken up for so long after its release has left or its route
+# was moved. Its own binding is kept for a shorter time, as thousands of them
+# are recorded a second.
+HISTORY_SECONDS = 600.0
 
 
 class Target(t.Protocol):
--- a/amaranthring/policy/route_history.py
+++ b/amaranthring/policy/route_history.py
@@ -8,11 +8,10 @@
 import typing as t
 
 from amaranthring.core import hashing
+from amaranthring.policy import bindings
 
-__all__ = ["HISTORY_SECONDS", "RouteHistory", "route_key"]
+__all__ = ["RouteHistory", "route_key"]
 
-# Keepers know targets that have left for as long (hub.RETENTION_SECONDS).
-HISTORY_SECONDS = 60.0
 # Routes that were moved; the oldest are forgotten first.
 MAX_MOVED = 2000
 KEY_CHARACTERS = 16
@@ -72,14 +71,14 @@
         for key, age in ages.items():
             moved_at = max(now - age, self.moved_at.pop(key, float("-inf")))
             self.moved_at[key] = moved_at
-        oldest = now - HISTORY_SECONDS
+        oldest = now - bindings.HISTORY_SECONDS
         recent = [item for item in self.moved_at.items() if item[1] >= oldest]
         self.moved_at = dict(recent[-MAX_MOVED:])
 
     def has_moved(self, key: str) -> bool:
         """Return whether the route led to other services of late."""
         moved_at = self.moved_at.get(key, float("-inf"))
-        return self.clock() - moved_at < HISTORY_SECONDS
+        return self.clock() - moved_at < bindings.HISTORY_SECONDS
 
     def ages(self) -> dict[str, float]:
         """Return for how many seconds each change has been known."""
@@ -87,7 +86,7 @@
         return {
             key: now - moved_at
             for key, moved_at in self.moved_at.items()
-            if now - moved_at < HISTORY_SECONDS
+            if now - moved_at < bindings.HISTORY_SECONDS
         }
 
     def take_untold(self) -> dict[str, float]:
--- a/amaranthring/registry/hint_file.py
+++ b/amaranthring/registry/hint_file.py
@@ -22,10 +22,10 @@
 from amaranthring.core import wire
 from amaranthring.keepers import disk
 from amaranthring.policy import crash_evidence
-from amaranthring.policy import route_history
 from amaranthring.registry import crash_ledger
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
+from amaranthring.registry import stream_ledger
 from amaranthring.registry import targets
 
 log = logbook.Logger(__name__)
@@ -61,6 +61,10 @@
         Runs that ended with their targets.
     moved : dict of str to float
         Routes that began to lead to other services so many seconds before.
+    releases : dict of str to dict of str to float
+        By service, the releases that served so many seconds before.
+    knows_history : bool
+        Whether `moved` and `releases` were complete.
     """
 
     written_at: float
@@ -72,10 +76,14 @@
     )
     runs: list[crash_evidence.Run] = dataclasses.field(default_factory=list)
     moved: dict[str, float] = dataclasses.field(default_factory=dict)
+    releases: dict[str, dict[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    knows_history: bool = False
 
 
 class HintFile:
-    """File of what an exchange, a table, a ledger and a history hold.
+    """File of what an exchange, a table and two ledgers hold.
 
     Parameters
     ----------
@@ -89,11 +97,6 @@
         System calls.
     wall : callable
         Wall-clock time in seconds.
-
-    Attributes
-    ----------
-    has_targets : bool
-        Whether the targets of before the start were loaded.
     """
 
     def __init__(
@@ -102,7 +105,7 @@
         exchange: sharing.Exchange,
         table: targets.TargetTable,
         crashes: crash_ledger.CrashLedger,
-        routes: route_history.RouteHistory,
+        streams: stream_ledger.StreamLedger,
         trusted_age: float = 0.0,
         files: disk.FileOps | None = None,
         wall: t.Callable[[], float] = time.time,
@@ -111,14 +114,13 @@
         self.exchange = exchange
         self.table = table
         self.crashes = crashes
-        self.routes = routes
+        self.streams = streams
         self.trusted_age = trusted_age
         self.files = files or disk.FileOps()
         self.wall = wall
         self.written: t.Any = None
         self.written_at = float("-inf")
         self.faulty = False
-        self.has_targets = False
         self.is_urgent = asyncio.Event()
         # Writes in a thread, so that a stalled disk blocks neither the event
         # loop nor the log.
@@ -140,8 +142,12 @@
         age = self.wall() - hints.written_at
         recent = hints.targets if abs(age) <= MAX_TARGETS_AGE_SECONDS else []
         self.table.restore(recent, self.trusted_age)
-        self.has_targets = bool(recent)
-        self.routes.merge(hints.moved)
+        self.streams.routes.merge(hints.moved)
+        # As if no time had passed: the wall clock may have been set meanwhile,
+        # and a release that is forgotten too early costs more.
+        self.streams.releases.merge(hints.releases)
+        if hints.knows_history:
+            self.streams.learn_history("hints")
         self.crashes.restore(hints.condemned, hints.runs, max(0.0, age))
         logs.event(
             log,
@@ -186,6 +192,7 @@
         ]
         locations = self.exchange.recent_locations()
         tokens = self.exchange.tokens_of(locations)
+        history = self.streams.history()
         return Hints(
             self.wall(),
             locations,
@@ -193,7 +200,9 @@
             tokens,
             self.crashes.condemned(),
             self.crashes.runs(),
-            self.routes.ages(),
+            history.moved,
+            history.releases,
+            history.is_known,
         )
 
     @staticmethod
@@ -211,6 +220,8 @@
             },
             {(run.fingerprint, run.target) for run in hints.runs},
             set(hints.moved),
+            {(name, *releases) for name, releases in hints.releases.items()},
+            hints.knows_history,
         )
 
     def _write(self, hints: Hints) -> OSError | None:
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -32,8 +32,7 @@
 FRESH_INTERVALS = 1.5
 # Interval at which keepers tell each other which targets they have heard from.
 GOSSIP_SECONDS = 0.4
-# Longer than a partition is likely to delay an announcement. At least
-# route_history.HISTORY_SECONDS, as a release that has left must be known.
+# Longer than a partition is likely to delay an announcement.
 RETENTION_SECONDS = 60.0
 # An operator allows a keeper one second for an answer, then asks another.
 ANSWER_SECONDS = 0.9
@@ -237,6 +236,7 @@
                         logs.event(log, "target.silent", target=record.id)
                     self._broadcast(silent)
             self.crashes.withdraw_living(self.table, self.announce_seconds)
+            self.streams.refresh_releases()
             self.table.remove_expired(RETENTION_SECONDS)
             self.accepted.close_silent(time.monotonic())
 
@@ -277,6 +277,7 @@
             self.exchange.sync_keeper(dialler)
             if records:
                 dialler.send(messages.pack_targets(records))
+            dialler.send(self.streams.history())
         return current
 
     # -- plan --------------------------------------------------------
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -50,7 +50,8 @@
     seeds : list of str
         Addresses of keepers to bootstrap with or to ask for membership.
     may_bootstrap : bool
-        Whether it may bootstrap a group with the seeds.
+        Whether it may bootstrap a group with the seeds, as the whole fleet
+        starts for the first time.
     folder : str
         For its durable state.
     announce_seconds : float
@@ -140,7 +141,7 @@
             self.hub.exchange,
             self.hub.table,
             self.hub.crashes,
-            self.hub.streams.routes,
+            self.hub.streams,
             remaining_intervals * config.announce_seconds,
         )
         self.pressure_task: asyncio.Task | None = None
@@ -178,7 +179,8 @@
     def start(self, sockets: list) -> None:
         """Accept links on the listening `sockets` and join the group."""
         self.hints.load()
-        self.hub.streams.is_restored = self.hints.has_targets
+        if self.config.may_bootstrap:
+            self.hub.streams.learn_history("first-start")
         self.hub.streams.on_new_release.append(self.hints.write_soon)
         self.server.add_sockets(sockets)
         self.group.start()
--- a/amaranthring/registry/stream_ledger.py
+++ b/amaranthring/registry/stream_ledger.py
@@ -7,8 +7,12 @@
 import collections
 import typing as t
 
+import logbook
+
 from amaranthring.core import links
+from amaranthring.core import logs
 from amaranthring.policy import bindings
+from amaranthring.policy import release_history
 from amaranthring.policy import route_history
 from amaranthring.registry import messages
 from amaranthring.registry import stream_messages
@@ -16,6 +20,8 @@
 
 __all__ = ["StreamLedger"]
 
+log = logbook.Logger(__name__)
+
 # Streams of all routers in one generation of bindings.
 MAX_STREAMS = 120_000
 # Told to the other keepers at once.
@@ -40,10 +46,13 @@
     ----------
     routes : route_history.RouteHistory
         Routes that led to other services of late, as routers have told.
+    releases : release_history.ReleaseHistory
+        Releases that have served of late.
     hears_all_keepers : callable
         Returns whether no other keeper is silent.
-    is_restored : bool
-        Whether this keeper knows the targets of before its start.
+    knows_history : bool
+        Whether `releases` and `routes` reach back to before the start of
+        this process, or nothing served then.
     on_new_release : list of callable
         Called when a target announces a version that is new in its service.
     """
@@ -57,17 +66,20 @@
     ):
         self.table = table
         self.clock = clock
-        self.settled_at = clock() + settle_seconds
+        self.started_at = clock()
+        self.settled_at = self.started_at + settle_seconds
         self.bindings = bindings.BindingTable(clock, MAX_STREAMS)
         self.untold: collections.deque[tuple[bytes, bindings.Binding]] = (
             collections.deque(maxlen=MAX_TOLD)
         )
         self.routes = route_history.RouteHistory(clock)
+        self.releases = release_history.ReleaseHistory(clock)
         self.hears_all_keepers: t.Callable[[], bool] = lambda: False
-        self.is_restored = False
+        self.knows_history = False
         self.on_new_release: list[t.Callable[[], None]] = []
         handlers.add(stream_messages.FindStream, self._on_find)
         handlers.add(stream_messages.StreamsBound, self._on_bound)
+        handlers.add(stream_messages.History, self._on_history)
 
     def add(self, groups: list[stream_messages.BoundStreams]) -> None:
         """Record the streams of a router's report."""
@@ -95,19 +107,75 @@
 
     def will_announce(self, record: messages.TargetRecord) -> None:
         """Note a target whose record is about to be merged."""
-        if record.id in self.table.entries:
+        if not record.service:
+            # It left before any keeper knew it.
             return
-        if record.release not in self._releases(record.service):
+        if self.releases.record(record.service, record.release):
+            logs.event(
+                log,
+                "release.new",
+                service=record.service,
+                release=record.release,
+                target=record.id,
+            )
             for callback in self.on_new_release:
                 callback()
 
+    def refresh_releases(self) -> None:
+        """Record that the releases of all targets that are left serve."""
+        serving = {
+            (entry.record.service, entry.record.release)
+            for entry in self.table.entries.values()
+            if not entry.gone_at
+        }
+        for service, release in serving:
+            self.releases.record(service, release)
+
+    def history(self) -> stream_messages.History:
+        """Return what the other keepers may not know."""
+        self.refresh_releases()
+        return stream_messages.History(
+            self.releases.ages(), self.routes.ages(), self.knows_history
+        )
+
+    def _on_history(
+        self, link: links.Link, message: stream_messages.History
+    ) -> None:
+        self.releases.merge(message.releases)
+        self.routes.merge(message.moved)
+        if message.is_known:
+            self.learn_history(link.peer.name)
+
     def _releases(self, service: str) -> set[str]:
-        entries = self.table.entries.values()
-        return {
+        serving = {
             entry.record.release
-            for entry in entries
+            for entry in self.table.entries.values()
             if entry.record.service == service
         }
+        return serving | self.releases.releases(service)
+
+    def learn_history(self, source: str) -> None:
+        """Note that what was before the start of this process is known."""
+        if not self.knows_history:
+            self.knows_history = True
+            logs.event(log, "history.known", source=source)
+
+    def _settles_in(self) -> float:
+        """Return the seconds until this keeper's answers may be complete."""
+        if not self.knows_history:
+            return 0.0
+        return max(0.0, self.settled_at - self.clock())
+
+    def _is_complete(self) -> bool:
+        """Return whether no release can have served that is not known."""
+        now = self.clock()
+        if now - self.started_at >= bindings.HISTORY_SECONDS:
+            self.learn_history("uptime")
+        return (
+            self.knows_history
+            and not self._settles_in()
+            and self.hears_all_keepers()
+        )
 
     def _on_find(
         self, _link: links.Link, message: stream_messages.FindStream
@@ -118,10 +186,10 @@
             return stream_messages.StreamFound(
                 True, binding.service, binding.release, found.age
             )
-        is_settled = self.is_restored or self.clock() >= self.settled_at
         return stream_messages.StreamFound(
             False,
             releases=sorted(self._releases(message.service)),
-            complete=is_settled and self.hears_all_keepers(),
+            complete=self._is_complete(),
             moved=self.routes.has_moved(message.route),
+            settles_in=self._settles_in(),
         )
--- a/amaranthring/registry/stream_messages.py
+++ b/amaranthring/registry/stream_messages.py
@@ -64,6 +64,9 @@
         Whether no other keeper can know of further versions.
     moved : bool
         Whether the route led to other services of late.
+    settles_in : float
+        Seconds until all targets have announced themselves to this keeper,
+        which has just started.
     """
 
     known: bool
@@ -73,6 +76,26 @@
     releases: list[str] = dataclasses.field(default_factory=list)
     complete: bool = False
     moved: bool = False
+    settles_in: float = 0.0
+
+
+@wire.message("stream-history", compressed=True)
+class History:
+    """Between keepers: what the sender knows of before, on each new link.
+
+    Attributes
+    ----------
+    releases : dict of str to dict of str to float
+        By service, the releases that served so many seconds ago.
+    moved : dict of str to float
+        Routes that began to lead to other services so many seconds ago.
+    is_known : bool
+        Whether these are complete as far as the sender has heard.
+    """
+
+    releases: dict[str, dict[str, float]]
+    moved: dict[str, float]
+    is_known: bool
 
 
 def pack(
--- /dev/null
+++ b/tests/test_rejoined_streams.py
@@ -0,0 +1,260 @@
+"""Streams that are taken up after all routers, or all processes, were killed.
+
+``REJOINED_SEED`` chooses the series of kills, ``REJOINED_SECONDS`` its length.
+"""
+
+import asyncio
+import os
+import random
+import shutil
+import signal
+import time
+
+from tests import platform_case
+from tests import version_case
+
+SEED = os.environ.get("REJOINED_SEED", "1")
+SECONDS = float(os.environ.get("REJOINED_SECONDS", "9"))
+# Targets that send no heartbeats count as silent after 3.5 of them; the hints
+# are written within 2 s.
+SILENT_SECONDS = 3.5 * platform_case.HEARTBEAT_SECONDS + 2.5
+DATA_CENTRES = ("here", "there", "beyond")
+
+
+class RejoinedCase(version_case.VersionCase):
+    """Several keepers, and routers that are killed together.
+
+    Attributes
+    ----------
+    keeper_count : int
+        Number of keepers, each in a data centre of its own.
+    """
+
+    keeper_count = 1
+    versions = {"v1": 3}
+
+    async def asyncSetUp(self):
+        self.keepers = ["keeper"] + [
+            f"keeper-{number}" for number in range(1, self.keeper_count)
+        ]
+        await super().asyncSetUp()
+
+    def ip(self, name):
+        role, _, number = name.partition("-")
+        first = 1 if role == "keeper" else 10
+        return f"127.{self.network}.{first + int(number or 0)}"
+
+    def start(self, name):
+        """Start a process; the first keeper's first start brings others."""
+        super().start(name)
+        if name == "keeper" and self.starts[name] == 1:
+            for other in self.keepers[1:]:
+                super().start(other)
+
+    def settings(self, name):
+        number = int(name.partition("-")[2] or 0)
+        return super().settings(name) | {
+            "zone": DATA_CENTRES[number % self.keeper_count],
+            "seeds": [f"{self.ip(each)}:{self.port}" for each in self.keepers],
+            "bootstrap": self.starts[name] == 1,
+        }
+
+    async def heartbeat(self, replica, body):
+        await asyncio.gather(
+            *(self.announce_to(name, replica, body) for name in self.keepers)
+        )
+
+    def leave(self, replica):
+        """End a replica that has said so."""
+        self.heartbeats[replica.name].cancel()
+        replica.crash()
+        return asyncio.gather(
+            *(
+                self.fetch(
+                    f"http://{self.ip(name)}:{self.port}"
+                    f"/Replicas.Deregister/{replica.name}",
+                    {},
+                )
+                for name in self.keepers
+            )
+        )
+
+    async def kill(self, names):
+        """Kill processes at the same moment."""
+        for name in names:
+            self.processes[name].send_signal(signal.SIGKILL)
+        for name in names:
+            await asyncio.to_thread(self.processes[name].wait)
+
+    async def bring_up(self, names):
+        """Start processes; wait for the routers."""
+        for name in names:
+            self.start(name)
+        for name in names:
+            if name in self.router_names:
+                await self.wait_ready(name)
+
+    async def begin_streams(self, number=6):
+        """Begin streams that their callers break off."""
+        streams = [version_case.Stream() for _ in range(number)]
+        for stream in streams:
+            await self.try_once(self.router_names[0], stream, break_after=3)
+        await asyncio.sleep(0.3)
+        return streams
+
+    async def take_up(self, streams, break_after=0):
+        """Take streams up, each at another router than the one before."""
+        for number, stream in enumerate(streams):
+            router = self.router_names[number % self.routers]
+            await self.try_once(router, stream, break_after)
+
+    def check_not_mixed(self, streams):
+        """Check that no stream holds events of two versions."""
+        mixed = [s.events for s in streams if s.is_mixed]
+        self.assertEqual([], mixed, f"{len(mixed)} of {len(streams)}")
+
+
+class TestCrashedVersion(RejoinedCase):
+    """All processes lose power after the targets of a version crashed."""
+
+    async def test_crashed_version_is_not_forgotten(self):
+        """Guards against a version whose targets fell silent before."""
+        streams = await self.begin_streams()
+        await self.add("v1.1")
+        await asyncio.sleep(platform_case.HEARTBEAT_SECONDS)
+        for replica in self.all_replicas[:3]:
+            replica.crash()
+        await asyncio.sleep(SILENT_SECONDS)
+        names = [*self.keepers, *self.router_names]
+        await self.kill(names)
+        await self.bring_up(names)
+        await asyncio.sleep(1.0)
+        await self.take_up(streams)
+        self.check_not_mixed(streams)
+
+
+class TestCrashedVersionAtThreeKeepers(TestCrashedVersion):
+    """The same in three data centres."""
+
+    keeper_count = 3
+
+
+class TestTwoLossesOfPower(RejoinedCase):
+    """Two losses of power; the old version leaves during the first."""
+
+    async def test_version_that_left_unheard_is_not_forgotten(self):
+        """Guards against a version that only the hints before name."""
+        streams = await self.begin_streams()
+        await asyncio.sleep(2.5)
+        names = [*self.keepers, *self.router_names]
+        await self.kill(names)
+        for replica in list(self.all_replicas):
+            await self.leave(replica)
+        await self.add("v1.1")
+        await self.bring_up(names)
+        await asyncio.sleep(SILENT_SECONDS)
+        await self.kill(names)
+        await self.bring_up(names)
+        await asyncio.sleep(1.0)
+        await self.take_up(streams)
+        self.check_not_mixed(streams)
+
+
+class TestLostHints(RejoinedCase):
+    """All processes lose power, and no keeper has hints afterwards."""
+
+    async def test_keepers_without_hints_do_not_guess(self):
+        """Guards against a keeper that takes what it hears for all."""
+        streams = await self.begin_streams()
+        await self.add("v1.1")
+        await asyncio.sleep(platform_case.HEARTBEAT_SECONDS)
+        for replica in self.all_replicas[:3]:
+            await self.leave(replica)
+        names = [*self.keepers, *self.router_names]
+        await self.kill(names)
+        for name in self.keepers:
+            for path in (self.folder / name).rglob("hints"):
+                path.write_bytes(b"damaged")
+        await self.bring_up(names)
+        await asyncio.sleep(2.0)
+        await self.take_up(streams)
+        self.check_not_mixed(streams)
+        fresh = version_case.Stream()
+        await self.try_once(self.router_names[1], fresh)
+        self.assertEqual("booking:v1.1", fresh.label)
+
+
+class TestSecondTakeUp(RejoinedCase):
+    """Streams break twice, each time as all routers are killed."""
+
+    versions = {"v1": 2, "v1.1": 2}
+    keeper_count = 3
+
+    async def test_second_take_up_keeps_the_first_binding(self):
+        """Guards against a binding that ends with the second kill."""
+        streams = await self.begin_streams(12)
+        for _ in range(2):
+            await self.kill(self.router_names)
+            await self.bring_up(self.router_names)
+            await self.take_up(streams, break_after=6)
+            await asyncio.sleep(0.3)
+        await self.take_up(streams)
+        self.check_not_mixed(streams)
+        self.assertEqual(12, sum(stream.whole for stream in streams))
+
+
+class TestSeries(RejoinedCase):
+    """All routers are killed again and again, with some of the keepers."""
+
+    versions = {"v1": 2, "v1.1": 2}
+    keeper_count = 3
+
+    async def asyncSetUp(self):
+        self.seed = SEED
+        await super().asyncSetUp()
+        self.rng = random.Random(SEED)
+
+    async def kill_all(self, until):
+        """Kill all routers with none, one or all of the keepers."""
+        while time.monotonic() < until:
+            await asyncio.sleep(self.rng.uniform(0.5, 2.0))
+            count = self.rng.choice((0, 0, 1, self.keeper_count))
+            keepers = self.rng.sample(self.keepers, count)
+            names = [*keepers, *self.router_names]
+            await self.kill(names)
+            if len(keepers) == 1 and self.rng.random() < 0.5:
+                shutil.rmtree(self.folder / keepers[0])
+            await asyncio.sleep(self.rng.uniform(0.0, 0.8))
+            await self.bring_up(names)
+
+    async def change_versions(self, until):
+        """Replace one version by another, also by one that was there."""
+        while time.monotonic() < until:
+            await asyncio.sleep(self.rng.uniform(0.2, 2.5))
+            version = self.rng.choice(("v1", "v1.1", "v1.2"))
+            old = [
+                replica
+                for replica in self.all_replicas
+                if not replica.crashed and replica.version != version
+            ]
+            for _ in range(2):
+                await self.add(version)
+            if self.rng.random() < 0.7:
+                await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+            for replica in old:
+                if self.rng.random() < 0.5:
+                    replica.crash()
+                else:
+                    await self.leave(replica)
+
+    async def test_no_answer_joins_two_versions(self):
+        """Guards against versions known only to what dies together."""
+        until = time.monotonic() + SECONDS
+        faults = [
+            asyncio.ensure_future(self.kill_all(until)),
+            asyncio.ensure_future(self.change_versions(until)),
+        ]
+        await self.read_streams(SECONDS, break_share=0.2)
+        await asyncio.gather(*faults)
+        mixed = [s.events for s in self.streams if s.is_mixed]
+        self.assertEqual([], mixed, f"{len(mixed)} of {len(self.streams)}")
--- a/tests/test_route_history.py
+++ b/tests/test_route_history.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from amaranthring.policy import bindings
 from amaranthring.policy import route_history
 
 SERVICES = {"r1": frozenset({"a"}), "r2": frozenset({"a", "b"})}
@@ -24,7 +25,7 @@
     def test_only_changed_services_count(self):
         self.history.record(SERVICES | {"r2": frozenset({"b"})})
         self.assertEqual({"r2"}, self.moved())
-        self.now += route_history.HISTORY_SECONDS
+        self.now += bindings.HISTORY_SECONDS
         self.assertEqual(set(), self.moved())
 
     def test_new_route_may_have_been_part_of_another(self):
@@ -43,7 +44,7 @@
         self.assertEqual({"r2": 2.0}, self.history.take_untold())
 
     def test_told_changes_keep_their_age(self):
-        self.history.merge({"r1": 50.0})
+        self.history.merge({"r1": bindings.HISTORY_SECONDS - 10.0})
         self.assertEqual({"r1"}, self.moved())
         self.assertEqual({}, self.history.take_untold())
         self.now += 11.0
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -14,13 +14,14 @@
 from amaranthring.core import pacing
 from amaranthring.core import wire
 from amaranthring.keepers import disk
+from amaranthring.policy import bindings
 from amaranthring.policy import crash_evidence
-from amaranthring.policy import route_history
 from amaranthring.registry import crash_ledger
 from amaranthring.registry import hint_file
 from amaranthring.registry import messages
 from amaranthring.registry import reporting
 from amaranthring.registry import sharing
+from amaranthring.registry import stream_ledger
 from amaranthring.registry import targets
 
 SEED = 20261203
@@ -571,12 +572,15 @@
         self.time_of_day = 1e9
 
     def open_file(self, files=None):
+        table = targets.TargetTable(lambda: self.now, 1.8)
         hints = hint_file.HintFile(
             self.path,
             sharing.Exchange(links.Handlers(), list, lambda: self.now),
-            targets.TargetTable(lambda: self.now, 1.8),
+            table,
             crash_ledger.CrashLedger(links.Handlers(), list, lambda: self.now),
-            route_history.RouteHistory(lambda: self.now),
+            stream_ledger.StreamLedger(
+                links.Handlers(), table, 0.0, lambda: self.now
+            ),
             2.0,
             files,
             lambda: self.time_of_day,
@@ -590,11 +594,37 @@
     async def test_moved_routes_survive_a_power_loss(self):
         """Guards against streams that go on at the service of today."""
         hints = self.open_file()
-        hints.routes.merge({"r1": 3.0})
+        hints.streams.routes.merge({"r1": 3.0})
         await self.write(hints)
         restored = self.open_file()
         restored.load()
-        self.assertTrue(restored.routes.has_moved("r1"))
+        self.assertTrue(restored.streams.routes.has_moved("r1"))
+
+    async def test_releases_survive_a_power_loss(self):
+        """Guards against a release that is taken for the only one."""
+        before = self.open_file()
+        before.table.merge(record("quiet", 5, release="v1"))
+        before.table.mark_silent(-1.0)
+        # It takes the address of the one that crashed.
+        before.table.merge(record("next", 1, release="v1.1"))
+        before.streams.learn_history("first-start")
+        await self.write(before)
+        # The wall clock may have been set.
+        self.time_of_day += 2 * bindings.HISTORY_SECONDS
+        after = self.open_file()
+        after.load()
+        releases = after.streams.releases
+        self.assertEqual({"v1", "v1.1"}, releases.releases("s"))
+        self.assertTrue(after.streams.knows_history)
+
+    async def test_gap_in_the_history_survives_a_restart(self):
+        """Guards against a second start that makes a wiped keeper sure."""
+        before = self.open_file()
+        before.table.merge(record("next", 1, release="v1.1"))
+        await self.write(before)
+        after = self.open_file()
+        after.load()
+        self.assertFalse(after.streams.knows_history)
 
     async def test_crashing_requests_survive_a_power_loss(self):
         """Guards against causes that crash as many targets once more."""
--- a/tests/test_stream_ledger.py
+++ b/tests/test_stream_ledger.py
@@ -5,7 +5,7 @@
 
 from amaranthring.core import links
 from amaranthring.policy import bindings
-from amaranthring.policy import route_history
+from amaranthring.registry import hub
 from amaranthring.registry import messages
 from amaranthring.registry import sharing
 from amaranthring.registry import stream_ledger
@@ -38,6 +38,7 @@
             self.handlers, self.table, SETTLE_SECONDS, lambda: self.now
         )
         self.ledger.hears_all_keepers = lambda: True
+        self.ledger.learn_history("first-start")
         self.now += SETTLE_SECONDS
 
     def find(self, number):
@@ -81,6 +82,40 @@
         self.table.mark_gone("t1")
         self.assertEqual(["v1", "v2"], self.find(1).releases)
 
+    def test_versions_count_for_as_long_as_streams_are_taken_up(self):
+        """Guards against a version that is forgotten with its target."""
+        self.announce(target("t1", "v1"))
+        self.table.mark_gone("t1")
+        self.announce(target("t2", "v2"))
+        self.pass_seconds(bindings.HISTORY_SECONDS - 1.0)
+        self.assertEqual(["v1", "v2"], self.find(1).releases)
+        self.pass_seconds(2.0)
+        self.assertEqual(["v2"], self.find(1).releases)
+
+    def test_version_that_a_target_changes_counts(self):
+        """Guards against a target that restarts as another version."""
+        self.announce(target("t1", "v1"))
+        self.announce(target("t1", "v2", sequence=2))
+        self.assertEqual(["v1", "v2"], self.find(1).releases)
+
+    def test_version_that_goes_on_is_not_forgotten(self):
+        """Guards against a version that was announced long ago."""
+        self.announce(target("t1", "v1"))
+        self.pass_seconds(2 * bindings.HISTORY_SECONDS)
+        self.table.mark_gone("t1")
+        self.pass_seconds(bindings.HISTORY_SECONDS - 1.0)
+        self.assertEqual(["v1"], self.find(1).releases)
+
+    def announce(self, record):
+        self.ledger.will_announce(record)
+        self.table.merge(record)
+
+    def pass_seconds(self, seconds):
+        """Let time pass; the keeper looks after its targets meanwhile."""
+        self.now += seconds
+        self.ledger.refresh_releases()
+        self.table.remove_expired(hub.RETENTION_SECONDS)
+
     def test_absent_version_is_a_version_of_its_own(self):
         """Guards against targets without a version that count as equal."""
         self.table.merge(target("t1", "v1"))
@@ -94,18 +129,45 @@
         self.assertFalse(self.find(1).complete)
 
     def test_keeper_that_has_just_started_is_not_complete(self):
-        """Guards against targets that have not announced themselves yet."""
+        """Guards against targets that have not announced themselves yet.
+
+        Also with hints, which may be older than the newest version.
+        """
         self.now -= SETTLE_SECONDS / 2
         self.assertFalse(self.find(1).complete)
-        self.ledger.is_restored = True
+        self.now += SETTLE_SECONDS / 2
+        self.assertTrue(self.find(1).complete)
+
+    def test_keeper_without_history_is_not_complete(self):
+        """Guards against a version that left before the keeper started."""
+        self.ledger.knows_history = False
+        self.assertFalse(self.find(1).complete)
+        self.tell_history(is_known=False)
+        self.assertFalse(self.find(1).complete)
+        self.tell_history(is_known=True)
         self.assertTrue(self.find(1).complete)
+        self.assertEqual(["v0"], self.find(1).releases)
+
+    def test_keeper_learns_history_with_time(self):
+        """Guards against a fleet that never trusts its keepers again."""
+        self.ledger.knows_history = False
+        self.now += bindings.HISTORY_SECONDS
+        self.assertTrue(self.find(1).complete)
+
+    def tell_history(self, is_known):
+        """Let another keeper tell what it knows of before."""
+        link = mock.Mock()
+        handler = self.handlers.by_class[stream_messages.History]
+        handler(
+            link, stream_messages.History({"s": {"v0": 90.0}}, {}, is_known)
+        )
 
     def test_route_that_was_moved_is_told(self):
         """Guards against routers that have started after the change."""
         self.assertFalse(self.find(1).moved)
         self.ledger.routes.merge({"route": 5.0})
         self.assertTrue(self.find(1).moved)
-        self.now += route_history.HISTORY_SECONDS
+        self.now += bindings.HISTORY_SECONDS
         self.assertFalse(self.find(1).moved)
 
     def test_new_version_is_noticed_once(self):
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -308,6 +308,26 @@
         self.keeper.answer.releases = [""]
         self.assertEqual(503, (await self.resume()).status)
 
+    async def test_keepers_are_asked_until_they_know_all_targets(self):
+        """Guards against refusals by keepers that wait for announcements."""
+        await self.begin_alike()
+        self.keeper.answer.complete = False
+        self.keeper.answer.settles_in = 0.8
+        asked = asyncio.ensure_future(self.resume())
+        await asyncio.sleep(0.8)
+        self.keeper.answer.settles_in = 0.0
+        self.keeper.answer.complete = True
+        self.assertEqual(200, (await asked).status)
+
+    async def test_keepers_are_not_asked_for_ever(self):
+        """Guards against callers that wait until they give a stream up."""
+        await self.begin_alike()
+        self.keeper.answer.complete = False
+        self.keeper.answer.settles_in = 60.0
+        got = await self.resume()
+        self.assertEqual(503, got.status)
+        self.assertLess(got.seconds, 2.0)
+
     async def test_keepers_are_asked_again_after_their_start(self):
         """Guards against refusals right after a loss of power."""
         await self.begin_alike()
