--- a/tests/crash_case.py
+++ b/amaranthring/testing/crash_case.py
@@ -7,8 +7,8 @@
 import uuid
 
 from amaranthring.platform import headers
+from amaranthring.testing import platform_case
 from amaranthring.testing import scripted_target
-from tests import platform_case
 
 # How long a request of this kind runs until its replica ends.
 RUN_SECONDS = 0.08
@@ -159,6 +159,7 @@
     replicas = 4
 
     async def asyncSetUp(self):
+        """Start the fleet; no request has been sent."""
         self.tasks = set()
         self.turn = 0
         await super().asyncSetUp()
@@ -179,6 +180,7 @@
         self.begin(self.replace(replica.name))
 
     async def replace(self, name):
+        """Add a replica in the place of one that has ended."""
         await asyncio.sleep(self.restart_seconds)
         suffix = uuid.uuid4().hex[:4]
         await self.add_replica(f"{name.partition('.')[0]}.{suffix}")
--- a/tests/version_case.py
+++ b/amaranthring/testing/version_case.py
@@ -13,8 +13,8 @@
 import uuid
 
 from amaranthring.platform import headers
+from amaranthring.testing import platform_case
 from amaranthring.testing import scripted_target
-from tests import platform_case
 from tests import test_severed_routers
 
 # A second service, to which routes may be split or moved.
@@ -193,6 +193,7 @@
     needs_tries = False
 
     async def asyncSetUp(self):
+        """Start the fleet; no stream has been read."""
         self.rng = random.Random(self.seed)
         self.severed = set()
         self.owners = {}
@@ -209,6 +210,7 @@
         await asyncio.sleep(1.0)
 
     def configuration(self):
+        """Return the next configuration, whose streams may be resumed."""
         document = super().configuration()
         [known] = document["backends"]
         document["backends"].append(known | {"name": OTHER_SERVICE})
@@ -228,6 +230,7 @@
         return document
 
     def heartbeat_body(self, replica, sequence):
+        """Return what a replica says, with its version."""
         body = super().heartbeat_body(replica, sequence)
         body["backend"] = replica.service
         body["version"] = replica.version
