Count a keeper as heard only after it has told what it knows

A keeper called its knowledge of releases complete as soon as the sums of all others arrived. These come every 0.25 s, the targets and the history that the others send on a new link up to 0.4 s after it opened. In between, after a start or a cut, it answered for releases that it had not heard of.

TestExchange failed before: sums that were sent ahead of the history counted. Sums now say whether the sender has told its history on this link.

--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -143,6 +143,9 @@
         Some of these routers that take requests of others.
     streams : list of BoundStreams
         What these routers have reported since the last sums.
+    has_told_history : bool
+        Whether the sender has told on this link which targets, releases and
+        routes it knows.
     """
 
     counts: dict[str, int]
@@ -162,6 +165,7 @@
     streams: list[stream_messages.BoundStreams] = dataclasses.field(
         default_factory=list
     )
+    has_told_history: bool = False
 
 
 @wire.message("share-others", compressed=True)
@@ -315,7 +319,7 @@
         self.pacer = pacer
         self.streams = streams
         if streams is not None:
-            streams.hears_all_keepers = self._hears_all_keepers
+            streams.hears_all_keepers = self._knows_all_keepers
         self.peers = peers
         self.clock = clock
         self.routers: dict[links.Link, Report] = {}
@@ -324,6 +328,7 @@
         self.router_backlogs: dict[links.Link, backlogs.Backlog] = {}
         self.new_locations: list[list[str]] = []
         self.keeper_backlogs: dict[t.Any, backlogs.Backlog] = {}
+        self.synced_links: dict[t.Any, links.Link] = {}
         self.stored_at: collections.OrderedDict[tuple[str, str], float] = (
             collections.OrderedDict()
         )
@@ -357,8 +362,14 @@
                 self.keeper_backlogs, dialler, allowances
             )
             tokens = message.tokens | self.tokens_of(initial)
+            is_synced = self.synced_links.get(dialler) is dialler.link
             dialler.send(
-                dataclasses.replace(message, known=initial, tokens=tokens)
+                dataclasses.replace(
+                    message,
+                    known=initial,
+                    tokens=tokens,
+                    has_told_history=is_synced,
+                )
             )
         self._add_peer_sums(totals)
         for link, report in self.routers.items():
@@ -388,7 +399,9 @@
 
         A keeper whose disk was wiped knows no locations; the routers that
         report to it would send prompts to targets that must compute them anew.
+        The caller sends it targets and history, in the same step.
         """
+        self.synced_links[dialler] = dialler.link
         self.keeper_backlogs[dialler] = backlogs.Backlog(
             self.priority, self._ranked_recent_locations()
         )
@@ -477,6 +490,11 @@
         """Return whether the sums of every other keeper are current."""
         return len(self.sums) >= len(list(self.peers()))
 
+    def _knows_all_keepers(self) -> bool:
+        """Return whether all that the other keepers know was told here."""
+        told = [sums.has_told_history for _, sums in self.sums.values()]
+        return self._hears_all_keepers() and all(told)
+
     def _take_locations(
         self,
         backlogs_by_receiver: dict[t.Any, backlogs.Backlog],
--- a/amaranthring/registry/stream_ledger.py
+++ b/amaranthring/registry/stream_ledger.py
@@ -49,7 +49,8 @@
     releases : release_history.ReleaseHistory
         Releases that have served of late.
     hears_all_keepers : callable
-        Returns whether no other keeper is silent.
+        Returns whether no other keeper is silent, and each has told its
+        history.
     knows_history : bool
         Whether `releases` and `routes` reach back to before the start of
         this process, or nothing served then.
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -184,6 +184,22 @@
         self.assertEqual("booking:v1.1", fresh.label)
 
 
+class TestOneVersion(RejoinedCase):
+    """All processes lose power while one version serves."""
+
+    keeper_count = 3
+
+    async def test_streams_go_on_after_a_loss_of_power(self):
+        """Guards against keepers that never call their knowledge complete."""
+        streams = await self.begin_streams(12)
+        await asyncio.sleep(2.5)
+        names = [*self.keepers, *self.router_names]
+        await self.kill(names)
+        await self.bring_up(names)
+        await self.take_up(streams)
+        self.assertEqual([True] * 12, [stream.whole for stream in streams])
+
+
 class TestSecondTakeUp(RejoinedCase):
     """Streams break twice, each time as all routers are killed."""
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -441,6 +441,8 @@
     def __init__(self, name, sent):
         super().__init__(name)
         self.bytes = sent
+        # Used as a dialler, too.
+        self.link = self
 
     def send(self, message):
         frame = wire.encode(wire.ONE_WAY, 0, message)
--- a/tests/test_stream_ledger.py
+++ b/tests/test_stream_ledger.py
@@ -213,5 +213,10 @@
         self.assertFalse(other_ledger.hears_all_keepers())
         exchange.step()
         other._on_sums(link, peer.send.call_args.args[0])
+        # Its sums may come before what it knew already.
+        self.assertFalse(other_ledger.hears_all_keepers())
+        exchange.sync_keeper(peer)
+        exchange.step()
+        other._on_sums(link, peer.send.call_args.args[0])
         self.assertEqual(V1, other_ledger.bindings.find(key(1)).binding)
         self.assertTrue(other_ledger.hears_all_keepers())
