--- a/amaranthring/handover/server.py
+++ b/amaranthring/handover/server.py
@@ -1,6 +1,7 @@
 """The helper's side: sends requests of other routers on to targets."""
 
 import asyncio
+import dataclasses
 import time
 import typing as t
 
@@ -22,6 +23,9 @@
 CHUNK_BYTES = 256 * 1024
 DRAIN_POLL_SECONDS = 0.005
 RETRY_BUSY_SECONDS = 0.3
+# Time for ending the remaining requests, and for telling their routers.
+END_SECONDS = 0.1
+END_POLL_SECONDS = 0.005
 
 Serve = t.Callable[
     [records.Incoming, "LinkWriter", records.Handover], t.Awaitable[None]
@@ -126,6 +130,30 @@
             ) from error
 
 
+@dataclasses.dataclass
+class _Helped:
+    """A request that was handed over.
+
+    Attributes
+    ----------
+    has_begun : bool
+        Whether its task has begun.
+    """
+
+    incoming: records.Incoming
+    terms: records.Handover
+    writer: LinkWriter
+    has_begun: bool = False
+    task: asyncio.Task | None = None
+
+    def interrupt(self, error: errors.AmaranthringError) -> None:
+        """End the request with `error`."""
+        self.incoming.interruption = error
+        if self.has_begun:
+            # A task that is cancelled before its first step never runs.
+            self.task.cancel()
+
+
 class HandoverServer:
     """Takes requests that other routers hand over.
 
@@ -139,8 +167,8 @@
 
     Attributes
     ----------
-    tasks : dict
-        Task of each request by link and number.
+    requests : dict
+        Requests that have not ended, by link and number.
     """
 
     def __init__(
@@ -152,7 +180,7 @@
     ):
         self.serve = serve
         self.check = check
-        self.tasks: dict[tuple[links.Link, int], asyncio.Task] = {}
+        self.requests: dict[tuple[links.Link, int], _Helped] = {}
         handlers = links.Handlers()
         handlers.add(messages.HandOver, self._on_request)
         handlers.add(messages.Cancel, self._on_cancel)
@@ -164,6 +192,26 @@
         """Accept links on the listening `sockets`."""
         self.server.add_sockets(sockets)
 
+    async def end_requests(self) -> None:
+        """End all requests, and tell their routers what became of them.
+
+        A router that only sees its link close cannot tell whether a target
+        has run a request, so it could not send it on elsewhere.
+        """
+        for helped in list(self.requests.values()):
+            helped.interrupt(
+                errors.ShuttingDownError("the helper is being stopped")
+            )
+        give_up_at = time.monotonic() + END_SECONDS
+        while self.requests or self._has_unsent_bytes():
+            if time.monotonic() >= give_up_at:
+                logs.event(log, "handover.cut-off", running=len(self.requests))
+                return
+            await asyncio.sleep(END_POLL_SECONDS)
+
+    def _has_unsent_bytes(self) -> bool:
+        return any(link.has_unsent_bytes() for link in self.server.links)
+
     def stop(self) -> None:
         """Close all links."""
         self.server.close_all()
@@ -177,10 +225,10 @@
                 given=link.peer.role,
                 expected="a router",
             )
-        if len(self.tasks) >= MAX_HELPED_REQUESTS:
+        if len(self.requests) >= MAX_HELPED_REQUESTS:
             raise errors.QueueFullError(
                 "this router helps with as many requests as it may",
-                given=len(self.tasks),
+                given=len(self.requests),
                 expected=f"fewer than {MAX_HELPED_REQUESTS}",
                 retry_after=RETRY_BUSY_SECONDS,
             )
@@ -199,25 +247,25 @@
             router=link.peer.name,
             service=message.service,
             release=message.release,
-            helped=len(self.tasks) + 1,
+            helped=len(self.requests) + 1,
             seconds_left=round(message.seconds_left, 3),
         )
         writer = LinkWriter(link, message.number, terms)
+        helped = _Helped(incoming, terms, writer)
         key = link, message.number
-        self.tasks[key] = asyncio.ensure_future(
-            self._run(incoming, writer, terms)
-        )
-        self.tasks[key].add_done_callback(lambda _: self.tasks.pop(key))
+        self.requests[key] = helped
+        helped.task = asyncio.ensure_future(self._run(helped))
+        helped.task.add_done_callback(lambda _: self.requests.pop(key))
         return messages.Accepted(message.number, message.release)
 
-    async def _run(
-        self,
-        incoming: records.Incoming,
-        writer: LinkWriter,
-        terms: records.Handover,
-    ) -> None:
+    async def _run(self, helped: _Helped) -> None:
+        helped.has_begun = True
+        writer = helped.writer
         try:
-            await self.serve(incoming, writer, terms)
+            if helped.incoming.interruption is not None:
+                await writer.send_error(helped.incoming.interruption)
+                return
+            await self.serve(helped.incoming, writer, helped.terms)
         except errors.CallerDisconnectedError:
             writer.abort()
         except asyncio.CancelledError:
@@ -227,11 +275,11 @@
             writer.abort()
 
     def _on_cancel(self, link: links.Link, message: messages.Cancel) -> None:
-        task = self.tasks.get((link, message.number))
-        if task is not None:
-            task.cancel()
+        helped = self.requests.get((link, message.number))
+        if helped is not None:
+            helped.task.cancel()
 
     def _on_close(self, link: links.Link) -> None:
-        for (of_link, _), task in list(self.tasks.items()):
+        for (of_link, _), helped in list(self.requests.items()):
             if of_link is link:
-                task.cancel()
+                helped.task.cancel()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,6 +3,9 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
+
+import logbook
 
 from amaranthring import errors
 from amaranthring.core import links
@@ -229,6 +232,119 @@
         self.assertEqual(test_forwarding.SAFE.attempts_most, self.ran())
 
 
+class TestHelperStops(HandoverCase):
+    """Helpers that end while they send requests on."""
+
+    async def begin_waiting(self, *scripts):
+        """Begin with a helper where requests wait before they are sent."""
+        await self.begin_both(*scripts)
+        self.arrived = asyncio.Event()
+        self.helper.relay.crashes.check = self.wait
+
+    async def wait(self, _context):
+        self.arrived.set()
+        self.helper.relay.crashes.check = mock.AsyncMock()
+        await asyncio.sleep(60.0)
+
+    async def stop_helper(self):
+        await self.server.end_requests()
+        self.server.stop()
+
+    async def test_request_that_was_not_sent_goes_to_another_helper(self):
+        """Guards against failures that leave open whether a request ran."""
+        await self.begin_waiting(scripted_target.respond())
+        asked = asyncio.ensure_future(self.ask("/b/x", "POST"))
+        await self.arrived.wait()
+        await self.add_helper()
+        await self.stop_helper()
+        self.assertEqual((200, 1), ((await asked).status, self.ran()))
+
+    async def test_request_that_no_other_helper_takes_is_not_run(self):
+        """Guards against failures that leave open whether a request ran."""
+        await self.begin_waiting(scripted_target.respond())
+        asked = asyncio.ensure_future(self.ask("/b/x", "POST"))
+        await self.arrived.wait()
+        await self.stop_helper()
+        got = await asked
+        self.assertEqual((503, 0), (got.status, self.ran()))
+        self.assertIn("Retry-After", got.headers)
+
+    async def test_request_that_was_sent_may_have_run(self):
+        """Guards against a promise that does not hold, and a second run."""
+        await self.begin_both(scripted_target.never_respond())
+        asked = asyncio.ensure_future(self.ask("/b/x", "POST"))
+        await self.until(self.ran)
+        await self.add_helper()
+        await self.stop_helper()
+        self.assertEqual((502, 1), ((await asked).status, self.ran()))
+
+    async def test_idempotent_request_is_sent_on_by_another_helper(self):
+        """Guards against failures of requests that may run again."""
+        again = scripted_target.respond(b"again")
+
+        async def script(seen, writer):
+            if self.ran() == 1:
+                await asyncio.sleep(60.0)
+            await again(seen, writer)
+
+        await self.begin_both(script, script)
+        asked = asyncio.ensure_future(self.ask("/a/x"))
+        await self.until(self.ran)
+        await self.add_helper()
+        await self.stop_helper()
+        got = await asked
+        self.assertEqual((200, b"again"), (got.status, got.body))
+
+    async def test_request_that_just_arrives_is_not_run(self):
+        """Guards against requests whose task is cancelled unbegun."""
+        await self.begin_both(scripted_target.respond())
+        take = self.server._on_request
+        ended = []
+
+        def take_and_end(link, message):
+            accepted = take(link, message)
+            ended.append(asyncio.ensure_future(self.stop_helper()))
+            return accepted
+
+        self.server.server.handlers.by_class[messages.HandOver] = take_and_end
+        got = await self.ask("/b/x", "POST")
+        self.assertEqual((503, 0), (got.status, self.ran()))
+        await asyncio.gather(*ended)
+
+    async def test_stream_that_has_begun_breaks_off(self):
+        """Guards against a stream that looks complete, or goes on twice."""
+
+        async def script(seen, writer):
+            head = {"Content_Type": "text/event-stream"}
+            writer.write(scripted_target.response_head(seen, **head))
+            writer.write(scripted_target.event(1))
+            await asyncio.sleep(60.0)
+
+        await self.begin_both(script)
+        asked = asyncio.ensure_future(self.ask("/d/x", "POST"))
+        await self.until(self.ran)
+        await asyncio.sleep(0.05)
+        await self.add_helper()
+        await self.stop_helper()
+        got = await asyncio.wait_for(asked, 1.0)
+        self.assertEqual((200, False), (got.status, got.complete))
+        self.assertEqual(1, self.ran())
+
+    async def test_end_is_bounded(self):
+        """Guards against a stop that waits for a router that reads nothing."""
+        await self.begin_both(scripted_target.never_respond())
+        asked = asyncio.ensure_future(self.ask("/b/x", "POST"))
+        await self.until(self.ran)
+        for link in self.server.server.links:
+            link.has_unsent_bytes = lambda: True
+        with logbook.TestHandler() as handler:
+            async with asyncio.timeout(1.0):
+                await self.stop_helper()
+        names = [record.message.split()[0] for record in handler.records]
+        self.assertIn("handover.cut-off", names)
+        self.assertEqual(502, (await asked).status)
+
+
 class TestRefused(HandoverCase):
     """Helpers that do not take a request."""
 
