--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -386,7 +386,9 @@
         self.front.log_open_connections()
         if self.front.in_flight:
             logs.event(log, "router.cut-off", running=self.front.in_flight)
-        await self.front.end_connections()
+        await asyncio.gather(
+            self.front.end_connections(), self.handover_server.end_requests()
+        )
         self.crashes.stop()
         self.handing_over.client.stop()
         self.handover_server.stop()
