Reserve as much time for a late event loop as a stop needs

Ending handed-over requests takes turns of its own, and so does the end of the event loop: TestLateLoop took 5.62 s of 5.6. What a late loop costs is measured by timers, and a timer waits for three turns where another task runs in each; the reserve counts such delays now, six from closing the listener and four from the end of the last wait.

At turns of 0.4 s the test cannot hold: ten turns are left after the rotation and 14 are needed.

--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -65,11 +65,11 @@
 CLOSE_SECONDS = 0.5
 # Part of CLOSE_SECONDS reserved for the exit of the process on half of a core.
 EXIT_SECONDS = 0.4
-# Turns of the event loop from closing the listener to the exit, and from the
-# end of the last wait. If turns are late, as the processor is slow or busy,
-# both begin earlier.
-CLOSE_TURNS = 10
-EXIT_TURNS = 6
+# How often a late event loop delays a stop, each time as it delays a timer:
+# from closing the listener to the exit, and from the end of the last wait.
+# Both begin earlier by that.
+CLOSE_DELAYS = 6
+EXIT_DELAYS = 4
 PRUNE_INTERVAL_SECONDS = 5.0
 
 
@@ -345,7 +345,7 @@
             self.placer.prune()
 
     def _latest_start(
-        self, deadline: float, reserved: float, turns: int
+        self, deadline: float, reserved: float, delays: int
     ) -> float:
         """Return when at the latest to begin a part of the shutdown.
 
@@ -355,15 +355,15 @@
             Monotonic seconds at which the process has to be gone.
         reserved : float
             Seconds that it takes from there on if the event loop is in time.
-        turns : int
-            Turns of the event loop from there on.
+        delays : int
+            How often the event loop delays it from there on.
 
         Returns
         -------
         float
             Monotonic seconds.
         """
-        return deadline - reserved - turns * self.loop_delay.mean
+        return deadline - reserved - delays * self.loop_delay.mean
 
     async def stop(self) -> None:
         """Shut down gracefully within the grace period.
@@ -377,18 +377,17 @@
         await asyncio.sleep(ROTATION_SECONDS)
         self.front.shutdown_at = deadline - CLOSE_SECONDS
         await self.front.drain(
-            lambda: self._latest_start(deadline, CLOSE_SECONDS, CLOSE_TURNS)
+            lambda: self._latest_start(deadline, CLOSE_SECONDS, CLOSE_DELAYS)
         )
         await self.front.listener.close()
         await self.front.drain(
-            lambda: self._latest_start(deadline, EXIT_SECONDS, EXIT_TURNS)
+            lambda: self._latest_start(deadline, EXIT_SECONDS, EXIT_DELAYS)
         )
         self.front.log_open_connections()
         if self.front.in_flight:
             logs.event(log, "router.cut-off", running=self.front.in_flight)
-        await asyncio.gather(
-            self.front.end_connections(), self.handover_server.end_requests()
-        )
+        await self.handover_server.end_requests()
+        await self.front.end_connections()
         self.crashes.stop()
         self.handing_over.client.stop()
         self.handover_server.stop()
