--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -35,9 +35,9 @@
 # Time for answering the last requests before all connections are closed.
 END_SECONDS = 0.1
 END_POLL_SECONDS = 0.01
-# Turns of the event loop that this takes: to take a connection, and to read,
-# refuse and answer its request.
-END_TURNS = 4
+# Turns of the event loop that this may take, however late they are: to take a
+# connection, and to read, parse, refuse and answer its request.
+END_TURNS = 8
 
 
 def _is_never_full(_connections: int) -> bool:
@@ -166,17 +166,26 @@
         for request in list(self.requests.values()):
             request.interrupt(_shutting_down())
         give_up_at = time.monotonic() + END_SECONDS
-        for _ in range(END_TURNS):
-            await asyncio.sleep(0)
-        while time.monotonic() < give_up_at:
+        turns = 0
+        while turns < END_TURNS or time.monotonic() < give_up_at:
             unread = any(map(connections.has_input, self.server.streams))
-            if not unread and not self.requests:
+            if turns and not unread and not self.requests:
                 break
-            await asyncio.sleep(END_POLL_SECONDS)
-        for stream in list(self.server.streams):
+            await asyncio.sleep(0 if turns < END_TURNS else END_POLL_SECONDS)
+            turns += 1
+        streams = list(self.server.streams)
+        unread = sum(map(connections.has_input, streams))
+        for stream in streams:
             if stream not in self.requests and connections.is_fresh(stream):
                 refusals.refuse_arrived(stream.socket, _shutting_down())
             stream.close()
+        logs.event(
+            log,
+            "router.closed",
+            connections=len(streams),
+            unread=unread,
+            running=len(self.requests),
+        )
 
     def log_open_connections(self) -> None:
         """Log what is open when a stop no longer waits for callers."""
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -68,8 +68,8 @@
 # How often a late event loop delays a stop, each time as it delays a timer:
 # from closing the listener to the exit, and from the end of the last wait.
 # Both begin earlier by that.
-CLOSE_DELAYS = 6
-EXIT_DELAYS = 4
+CLOSE_DELAYS = 7
+EXIT_DELAYS = 5
 PRUNE_INTERVAL_SECONDS = 5.0
 
 
