Close kept connections on which bytes arrive as they are taken

A watcher that is cancelled in the event loop iteration in which bytes arrive has not read them, so the connection passed as usable and the bytes stood before the answer to the next request. test_connection_with_bytes_is_not_taken got the connection before.

--- a/amaranthring/targets/pool.py
+++ b/amaranthring/targets/pool.py
@@ -167,12 +167,22 @@
     except asyncio.CancelledError:
         _close(connection)
         raise
-    usable = connection.watcher.cancelled() and not connection.reader.at_eof()
+    # A watcher that is cancelled in the moment in which bytes arrive has not
+    # read them.
+    usable = connection.watcher.cancelled() and not _has_input(
+        connection.reader
+    )
     if not usable:
         _close(connection)
     return usable
 
 
+def _has_input(reader: asyncio.StreamReader) -> bool:
+    """Return whether unread bytes or the end have arrived."""
+    # asyncio keeps the buffer private.
+    return reader.at_eof() or bool(reader._buffer)
+
+
 def _close(connection: IdleConnection) -> None:
     connection.watcher.cancel()
     connection.writer.transport.abort()
