Give the place of a waiting request that ends to the next one

A request that was woken for a place at a brittle target and ended before its next step (its caller left, or its time was up) took the place with it: the next one waited on until another event, or was refused with 503 though a place was free. test_place_goes_to_the_next_request waited in vain before.

--- a/amaranthring/forwarding/room_queue.py
+++ b/amaranthring/forwarding/room_queue.py
@@ -36,10 +36,13 @@
     ----------
     woken : asyncio.Future
         Done once a target may have room for it.
+    target : TargetRecord or None
+        That target.
     """
 
     context: records.RequestContext
     woken: asyncio.Future
+    target: messages.TargetRecord | None = None
 
     def may_use(self, target: messages.TargetRecord) -> bool:
         """Return whether the request may be sent to `target`."""
@@ -107,9 +110,11 @@
             queue.appendleft(waiting)
         if context.binding is not None:
             room.awaited[context.binding] += 1
+        has_place = False
         try:
             async with asyncio.timeout(left):
                 await future
+            has_place = True
         except TimeoutError:
             raise self._no_room(context, expected) from None
         finally:
@@ -117,6 +122,9 @@
                 queue.remove(waiting)
             if context.binding is not None:
                 room.awaited[context.binding] -= 1
+            if waiting.target is not None and not has_place:
+                # It ended when it had been woken: the next one may go.
+                self.wake(waiting.target, 1)
 
     def wake(self, target: messages.TargetRecord, places: int) -> None:
         """Wake as many requests as there may be places at `target`."""
@@ -126,6 +134,7 @@
         for waiting in able[:places]:
             queue.remove(waiting)
             if not waiting.woken.done():
+                waiting.target = target
                 waiting.woken.set_result(None)
 
     def _expected_wait(
