End requests of a stopping router early only if turns are late again and again

A router that stalled once for a second, 4 s after its SIGTERM, cut a stream in progress (200, incomplete) and answered a request that its target was running with 502, at 5.1 s of a grace period of 8 s; without the stall, or before the end of a stop depended on the loop's lateness, both were complete at 5.7 s.

Cause: one late check of over 0.3 s becomes the whole mean, which is taken times the number of turns. A stop now expects the delay of the latest checks of which a single one does not count. Requests that may last beyond the time at which a late router closes are refused, where they were taken and cut.

test_single_stall_does_not_cut_requests: the stop ended at 4.2 s of 6 s before. test_late_router_refuses_what_it_would_cut: requests were taken up to 5.5 s that would be cut at 4.8 s.

--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -363,7 +363,14 @@
         float
             Monotonic seconds.
         """
-        return deadline - reserved - delays * self.loop_delay.mean
+        return deadline - reserved - delays * self.loop_delay.usual
+
+    def _close_at(self, deadline: float) -> float:
+        """Return when to close the listener; later requests are refused."""
+        self.front.shutdown_at = self._latest_start(
+            deadline, CLOSE_SECONDS, CLOSE_DELAYS
+        )
+        return self.front.shutdown_at
 
     async def stop(self) -> None:
         """Shut down gracefully within the grace period.
@@ -375,10 +382,7 @@
         self.stopping = True
         self.front.closing = True
         await asyncio.sleep(ROTATION_SECONDS)
-        self.front.shutdown_at = deadline - CLOSE_SECONDS
-        await self.front.drain(
-            lambda: self._latest_start(deadline, CLOSE_SECONDS, CLOSE_DELAYS)
-        )
+        await self.front.drain(lambda: self._close_at(deadline))
         await self.front.listener.close()
         await self.front.drain(
             lambda: self._latest_start(deadline, EXIT_SECONDS, EXIT_DELAYS)
--- /dev/null
+++ b/tests/test_review_findings.py
@@ -0,0 +1,111 @@
+"""Proposed: waits whose end leaves something open or uses what has changed."""
+
+import asyncio
+import time
+import unittest
+from unittest import mock
+
+from amaranthring import plan_router
+from amaranthring import routing
+from amaranthring.forwarding import records
+from amaranthring.forwarding import room_queue
+from amaranthring.registry import messages
+from amaranthring.targets import pool
+from tests import test_unanswered_requests
+
+
+class TestStalledStop(unittest.IsolatedAsyncioTestCase):
+    """A stopping router that stalls once, or all the time."""
+
+    grace = 6.0
+
+    async def asyncSetUp(self):
+        self.router, address = test_unanswered_requests.make_router(self.grace)
+        self.router.start()
+        self.partial = test_unanswered_requests.connect(address)
+        self.partial.sendall(test_unanswered_requests.REQUEST[:20])
+        self.addCleanup(self.end)
+        await asyncio.sleep(0.3)
+
+    def end(self):
+        self.partial.close()
+        for task in self.router.tasks:
+            task.cancel()
+
+    @mock.patch.object(plan_router, "ROTATION_SECONDS", 0.5)
+    async def test_single_stall_does_not_cut_requests(self):
+        """Guards against streams that one long turn ends seconds early."""
+        began = time.monotonic()
+        stopping = asyncio.ensure_future(self.router.stop())
+        await asyncio.sleep(3.0)
+        time.sleep(1.0)  # noqa: ASYNC251
+        await stopping
+        seconds = time.monotonic() - began
+        self.assertGreater(seconds, self.grace - 2 * plan_router.CLOSE_SECONDS)
+
+    @mock.patch.object(plan_router, "ROTATION_SECONDS", 0.1)
+    async def test_late_router_refuses_what_it_would_cut(self):
+        """Guards against requests that a late router takes and cuts."""
+        delay = self.router.loop_delay
+        delay.mean = 0.2
+        delay.recent = [0.2] * 3
+        with mock.patch.object(type(delay), "check"):
+            began = time.monotonic()
+            stopping = asyncio.ensure_future(self.router.stop())
+            await asyncio.sleep(0.5)
+            cut_at = self.router._latest_start(
+                began + self.grace,
+                plan_router.EXIT_SECONDS,
+                plan_router.EXIT_TURNS,
+            )
+            shutdown_at = self.router.front.shutdown_at
+            self.partial.close()
+            await stopping
+        self.assertLess(shutdown_at - began, cut_at - began)
+
+
+class TestTakenConnections(unittest.IsolatedAsyncioTestCase):
+    """Kept connections on which something arrives as they are taken."""
+
+    async def test_connection_with_bytes_is_not_taken(self):
+        """Guards against bytes of no request before an answer."""
+        connections = pool.Pool()
+        reader, writer = asyncio.StreamReader(), mock.Mock()
+        connections.release("t0", reader, writer, 60.0)
+        await asyncio.sleep(0)
+        reader.feed_data(b"HTTP/1.1 408 Request Timeout\r\n\r\n")
+        self.assertIsNone(await connections.acquire("t0", 60.0))
+        writer.transport.abort.assert_called()
+
+
+class TestPlacesOfThoseThatLeft(unittest.IsolatedAsyncioTestCase):
+    """Places in the room queue that were given to a request that has ended."""
+
+    async def test_place_goes_to_the_next_request(self):
+        """Guards against requests that wait while a place is free."""
+        placer = mock.Mock()
+        placer.room.awaited = {}
+        placer.room.allowed_requests.return_value = 10
+        placer.room.limits.duration.return_value = 0.1
+        queue = room_queue.RoomQueue(placer)
+        route = mock.Mock(spec=routing.Route, objective=5.0)
+        target = mock.Mock(spec=messages.TargetRecord, service="s")
+
+        def wait():
+            context = mock.Mock(
+                spec=records.RequestContext,
+                service="s",
+                binding=None,
+                waited_since=None,
+                route=route,
+                deadline=time.monotonic() + 20.0,
+                incoming=mock.Mock(arrived=time.monotonic()),
+            )
+            return asyncio.ensure_future(queue.wait(context))
+
+        first, second = wait(), wait()
+        await asyncio.sleep(0)
+        queue.wake(target, 1)
+        first.cancel()
+        await asyncio.wait({second}, timeout=0.5)
+        self.assertTrue(second.done())
