End tasks that are cancelled as what they wait for arrives

asyncio.wait_for returns the result when its task is cancelled in the step in which the result has come: the cancellation is lost.

--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -155,7 +155,10 @@
         self._pending[call_id] = future
         try:
             self._ask(call_id, message)
-            return await asyncio.wait_for(future, timeout)
+            # wait_for would swallow a cancellation in the step in which the
+            # reply arrives.
+            async with asyncio.timeout(timeout):
+                return await future
         except TimeoutError as error:
             raise errors.LinkTimeoutError(
                 f"no reply from {self.peer.name} in {timeout} s"
--- a/amaranthring/forwarding/startup.py
+++ b/amaranthring/forwarding/startup.py
@@ -82,7 +82,10 @@
             return
         self.metrics.count("request.awaited-plan")
         try:
-            await asyncio.wait_for(self.first_plan.wait(), seconds)
+            # wait_for would swallow a cancellation in the step in which the
+            # plan arrives.
+            async with asyncio.timeout(seconds):
+                await self.first_plan.wait()
         except TimeoutError:
             # The request is then refused, as there is no plan.
             return
--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -5,12 +5,16 @@
 import unittest
 from unittest import mock
 
+from amaranthring import errors
 from amaranthring import plan_router
 from amaranthring import routing
+from amaranthring.core import links
 from amaranthring.forwarding import records
 from amaranthring.forwarding import room_queue
 from amaranthring.registry import messages
 from amaranthring.targets import pool
+from amaranthring.testing import scripted_target
+from tests import test_forwarding
 from tests import test_unanswered_requests
 
 
@@ -109,3 +113,47 @@
         first.cancel()
         await asyncio.wait({second}, timeout=0.5)
         self.assertTrue(second.done())
+
+
+class TestInterruptedWaits(test_forwarding.RouterCase):
+    """Waits that end in the moment in which their task is cancelled."""
+
+    async def test_request_whose_caller_left_as_the_plan_came_does_not_run(
+        self,
+    ):
+        """Guards against work for callers that have left."""
+        for steps in range(5):
+            with self.subTest(steps=steps):
+                await self.check_not_run(steps)
+
+    async def check_not_run(self, steps):
+        await self.begin(scripted_target.never_respond())
+        table, self.router.table = self.router.table, None
+        self.router.first_plan.clear()
+        asked = asyncio.ensure_future(
+            self.ask("/b/x", "POST", Test_Patience="10")
+        )
+        self.addCleanup(asked.cancel)
+        await self.until(lambda: self.router.front.in_flight)
+        await asyncio.sleep(0.05)
+        self.router.table = table
+        self.router.first_plan.set()
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        [request] = self.router.front.requests.values()
+        request.interrupt(errors.CallerDisconnectedError("left"))
+        await asyncio.sleep(0.1)
+        self.assertEqual(0, self.ran())
+        self.assertEqual(0, self.router.front.in_flight)
+
+    async def test_cancelled_call_ends_though_its_reply_arrives(self):
+        """Guards against requests that outlive their deadline or caller."""
+        peer = mock.Mock()
+        link = links.Link(mock.Mock(), peer, links.Handlers())
+        calling = asyncio.ensure_future(link.call(messages.Renew(0), 1.0))
+        await asyncio.sleep(0)
+        [reply] = link._pending.values()
+        reply.set_result(None)
+        calling.cancel()
+        await asyncio.wait({calling})
+        self.assertTrue(calling.cancelled())
