Answer what a stopping router has read or gets in its last moment

The end of a stop cut answers that were whole but not all sent yet (a caller that reads got 3.9 of 12.6 MB), though it waits for 0.1 s before it closes the connections.

Whole answers are left to be sent, and whole requests that are unread at the close are refused as those on connections that are turned away. test_whole_answers_are_sent_before_the_close and test_requests_unread_at_the_close_are_answered failed before.

--- a/amaranthring/core/connections.py
+++ b/amaranthring/core/connections.py
@@ -86,9 +86,11 @@
         return False
 
 
-def is_fresh(stream) -> bool:
-    """Return whether nothing was read of a request, or of the next one."""
-    return not stream.closed() and stream._read_buffer_size == 0
+def is_waiting(stream) -> bool:
+    """Return whether all that was read is answered, and the answer sent."""
+    if stream.closed() or stream.writing():
+        return False
+    return stream.reading() and stream._read_buffer_size == 0
 
 
 def call_when_sent(connection: t.Any, callback: t.Callable[[], None]) -> None:
--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -164,7 +164,8 @@
         """
         self.shutdown_at = float("-inf")
         for request in list(self.requests.values()):
-            request.interrupt(_shutting_down())
+            if not request.writer.is_whole:
+                request.interrupt(_shutting_down())
         give_up_at = time.monotonic() + END_SECONDS
         turns = 0
         while turns < END_TURNS or time.monotonic() < give_up_at:
@@ -176,7 +177,8 @@
         streams = list(self.server.streams)
         unread = sum(map(connections.has_input, streams))
         for stream in streams:
-            if stream not in self.requests and connections.is_fresh(stream):
+            if connections.is_waiting(stream):
+                # Callers that go on sending may have just sent a request.
                 refusals.refuse_arrived(stream.socket, _shutting_down())
             stream.close()
         logs.event(
--- a/amaranthring/forwarding/responses.py
+++ b/amaranthring/forwarding/responses.py
@@ -32,6 +32,9 @@
         Monotonic seconds at which the head was written.
     finished : bool
         Whether the response is complete or was aborted.
+    is_whole : bool
+        Whether a complete response was given to the connection, which may
+        not have sent all of it.
     closing : bool
         Whether this caller should close its connection.
     """
@@ -46,6 +49,7 @@
         self.status = 0
         self.started_at = 0.0
         self.finished = False
+        self.is_whole = False
         self.closing = False
 
     async def send(
@@ -55,6 +59,7 @@
         headers = headers.copy()
         if status not in (204, 304):
             headers["Content-Length"] = str(len(body))
+        self.is_whole = True
         await self._write_head(status, headers, body)
         self.finish()
 
--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -9,6 +9,7 @@
 from amaranthring import plan_router
 from amaranthring import routing
 from amaranthring.core import links
+from amaranthring.forwarding import frontend
 from amaranthring.forwarding import records
 from amaranthring.forwarding import room_queue
 from amaranthring.registry import messages
@@ -157,3 +158,46 @@
         calling.cancel()
         await asyncio.wait({calling})
         self.assertTrue(calling.cancelled())
+
+
+class TestLastMoment(test_forwarding.RouterCase):
+    """Connections that are in use until they are closed."""
+
+    async def test_whole_answers_are_sent_before_the_close(self):
+        """Guards against answers that are cut though there is time left."""
+        body = b"x" * (12 * 1024 * 1024)
+        await self.begin(scripted_target.respond(body))
+        sock = test_unanswered_requests.connect(
+            "{}:{}".format(*self.router.address)
+        )
+        sock.sendall(b"GET /a/x HTTP/1.1\r\nHost: h\r\nTest-Id: i1\r\n\r\n")
+        writers = self.router.front.requests
+        await self.until(
+            lambda: any(r.writer.status for r in writers.values())
+        )
+        reading = asyncio.ensure_future(
+            test_unanswered_requests.read_all(sock)
+        )
+        await asyncio.sleep(0)
+        await self.router.front.end_connections()
+        self.assertEqual(len(body), len(await reading) - self.head(200))
+
+    def head(self, status):
+        """Return the length of the head of a target's response."""
+        return len(
+            f"HTTP/1.1 {status} OK\r\nTest-Id: i1\r\nTest-Signed: yes\r\n"
+            f"Content-Length: {12 * 1024 * 1024}\r\n\r\n"
+        )
+
+    @mock.patch.object(frontend, "END_SECONDS", 0.0)
+    async def test_requests_unread_at_the_close_are_answered(self):
+        """Guards against requests closed unread as callers go on sending."""
+        await self.begin()
+        sock = test_unanswered_requests.connect(
+            "{}:{}".format(*self.router.address)
+        )
+        await asyncio.sleep(0.05)
+        sock.sendall(test_unanswered_requests.REQUEST)
+        await self.router.front.end_connections()
+        answer = await test_unanswered_requests.read_all(sock)
+        self.assertIn(b" 503 ", answer)
