Close connections of half-closed callers once their answer is sent

The end of a caller's input stays readable until its connection is closed, and the event loop reports it in every turn. A caller that closed its sending side while the last bytes of its answer waited to be sent was left open: once it had read them, the router used a whole core (2.00 of 2 s) for up to the idle time of 120 s.

--- a/amaranthring/forwarding/caller_stream.py
+++ b/amaranthring/forwarding/caller_stream.py
@@ -49,13 +49,22 @@
         if self.closed():
             return
         self.on_half_closed(self)
+        self._close_soon()
+
+    def _close_soon(self) -> None:
+        """Close the stream once what was read may have been answered."""
         if not self.closed():
             loop = asyncio.get_running_loop()
-            loop.call_later(PARSE_SECONDS, self._close_unread)
+            loop.call_later(PARSE_SECONDS, self._close)
 
-    def _close_unread(self) -> None:
-        """Close the stream if what was read is no whole request."""
-        if not self.closed() and not self.writing():
+    def _close(self) -> None:
+        """Close the stream, or else once all that was written is sent."""
+        if self.closed():
+            return
+        if self.writing():
+            # Writes complete in order, so an empty one ends last.
+            self.write(b"").add_done_callback(lambda _: self._close_soon())
+        else:
             self.close()
 
 
--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -1,13 +1,17 @@
 """Proposed: waits whose end leaves something open or uses what has changed."""
 
 import asyncio
+import socket
 import time
 import unittest
 from unittest import mock
 
+import tornado.httputil
+
 from amaranthring import errors
 from amaranthring import plan_router
 from amaranthring import routing
+from amaranthring.core import endpoints
 from amaranthring.core import links
 from amaranthring.forwarding import frontend
 from amaranthring.forwarding import records
@@ -201,3 +205,36 @@
         await self.router.front.end_connections()
         answer = await test_unanswered_requests.read_all(sock)
         self.assertIn(b" 503 ", answer)
+
+
+class TestHalfClosedReaders(test_forwarding.RouterCase):
+    """Callers that close their sending side, then read what is left."""
+
+    async def test_connection_is_closed_once_its_answer_is_sent(self):
+        """Guards against an event loop kept busy by an end of input."""
+        await self.begin()
+        size = 8 * 1024 * 1024
+
+        async def serve(_incoming, writer):
+            # As at the end of a stream, which does not wait for its last
+            # bytes to be sent.
+            headers = tornado.httputil.HTTPHeaders(
+                {"Content-Length": str(size)}
+            )
+            writer.status = 200
+            line = endpoints.status_line(200)
+            writer.connection.write_headers(line, headers, b"x" * size)
+            writer.finish()
+
+        self.router.front.serve = serve
+        sock = test_unanswered_requests.connect(
+            "{}:{}".format(*self.router.address)
+        )
+        sock.sendall(test_unanswered_requests.REQUEST)
+        await self.until(lambda: self.router.front.in_flight)
+        sock.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(0.1)
+        received = await test_unanswered_requests.read_all(sock)
+        self.assertGreater(len(received), size)
+        await asyncio.sleep(0.1)
+        self.assertEqual(set(), self.router.front.server.streams)
