--- a/tests/test_review_findings.py
+++ b/tests/test_ended_waits.py
@@ -1,4 +1,4 @@
-"""Proposed: waits whose end leaves something open or uses what has changed."""
+"""Waits whose end leaves something open, or that use what has changed."""
 
 import asyncio
 import socket
@@ -65,7 +65,7 @@
             cut_at = self.router._latest_start(
                 began + self.grace,
                 plan_router.EXIT_SECONDS,
-                plan_router.EXIT_TURNS,
+                plan_router.EXIT_DELAYS,
             )
             shutdown_at = self.router.front.shutdown_at
             self.partial.close()
