Answer or close everything before a router or keeper exits

What callers saw, on a router's own interface: a request that runs longer than shutdown_seconds, or whose body is still on its way, ends with the process, without an answer; its caller does not learn whether it ran. The key of a booking that was claimed and not sent stays blocked, and the answer of one that ran and was not stored yet is lost. Operators hear nothing of commands that wait for the keepers. Idle connections, and those with half a head, stay open until the process has gone, on the internal listeners too.

Cause: each wait of the shutdown has an end, and what is open then is left to the exit of the process.

Evidence: TestRouterStop and TestControl fail: 0.2 s after the shutdown a request with half a body, half a head, and internal connections are all open and unanswered; a call in progress on a control listener gets nothing in 2 s.

After the last wait each is answered: 503 shutting-down, not-run only if nothing was sent to a target, or an error event at the end of a stream; commit-unknown for commands. Then all connections are closed. A claim of an interrupted call is settled (not run, or the answer) for a second at most, as far as the keepers answer; whatever was sent stays unknown.

--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -122,5 +122,6 @@
     await stop.wait()
     served.stop()
     await internal.close()
+    await internal.close_connections()
     await keeper.stop()
     logs.event(log, "keeper.stopped")
--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -350,6 +350,7 @@
             end = records.AttemptEnd.NOT_SENT
         raise
     finally:
+        request.may_have_run = request.may_have_run or attempt.sent
         lost_future.remove_done_callback(mark_lost)
         deps.release(attempt.grant, end)
         deps.record_decision(
--- a/amaranthring/callers/handlers.py
+++ b/amaranthring/callers/handlers.py
@@ -45,6 +45,8 @@
         self.disconnected = False
         self.counted = False
         self.streaming = False
+        self.interrupted = False
+        self.routed: records.Request | None = None
         self.body_timer: asyncio.TimerHandle | None = None
 
     def set_default_headers(self):
@@ -53,7 +55,7 @@
 
     def prepare(self):
         """Check everything but the body before the body is read."""
-        self.deps.drain.request_started()
+        self.deps.drain.request_started(self.interrupt)
         self.counted = True
         self.deps.metrics.count("callers.requests")
         loop = asyncio.get_running_loop()
@@ -198,9 +200,9 @@
             self.body_timer.cancel()
         if self.counted and self.work is None:
             self.counted = False
-            connection = self.request.connection
+            finished = self.deps.drain.request_finished
             connections.call_when_sent(
-                connection, self.deps.drain.request_finished
+                self.request.connection, lambda: finished(self.interrupt)
             )
 
     def on_connection_close(self):
@@ -214,6 +216,29 @@
             self.work.cancel()
         self.on_finish()
 
+    def interrupt(self) -> None:
+        """Answer the request at once, as the process is about to exit."""
+        if self._finished or self.disconnected:
+            return
+        self.interrupted = True
+        if self.work is not None:
+            self.work.cancel()
+            return
+        self.set_header("Connection", "close")
+        self.write_error_response(self.rejection or self._interruption())
+
+    def _interruption(self) -> errors.AmaranthringError:
+        """Return the error of a request that was interrupted."""
+        never_ran = self.work is None or (
+            self.routed is not None and not self.routed.may_have_run
+        )
+        return errors.ShuttingDownError(
+            "this router has stopped before the answer was whole",
+            expected="a request to another router",
+            retry_after=1.0,
+            outcome=None if never_ran else errors.Outcome.UNKNOWN,
+        )
+
     async def run(self, work: t.Coroutine) -> None:
         """Run `work`, which is cancelled if the caller disconnects.
 
@@ -225,10 +250,14 @@
         except errors.AmaranthringError as error:
             self.write_error_response(error)
         except asyncio.CancelledError:
-            # ``on_connection_close`` cancelled the work; tornado still
-            # uses the task, so it must not stay cancelled.
+            # Cancelled here; tornado still uses the task, so it must not
+            # stay cancelled.
             self.work.uncancel()
-            self.deps.metrics.count("callers.caller-gone")
+            if self.interrupted and not self.disconnected:
+                self.set_header("Connection", "close")
+                self.write_error_response(self._interruption())
+            else:
+                self.deps.metrics.count("callers.caller-gone")
         except tornado.iostream.StreamClosedError:
             self.deps.metrics.count("callers.caller-gone")
         except Exception:
@@ -273,6 +302,7 @@
         body = self.finish_body()
         chat = codec.decode_chat(body)
         request = codec.chat_request(self.caller, self.request_id, chat, body)
+        self.routed = request
         execution.check_served(self.deps, request)
         if not request.stream:
             self.write_response(await chats.complete(self.deps, request))
@@ -357,6 +387,7 @@
             body,
             self.config.preset.service_policy(service),
         )
+        self.routed = request
         execution.check_served(self.deps, request)
         self.runs_to_end = services.is_claimed(request)
         headers = {
--- a/amaranthring/callers/services.py
+++ b/amaranthring/callers/services.py
@@ -126,6 +126,7 @@
     name = f"{request.request_id}.{attempt.number}"
     attempt.retryable = False
     deps.running_attempts.add(name)
+    claim = None
     try:
         claim = await _request_claim(deps, request, name, attempt.target.name)
         claim = await _recheck_claim(
@@ -137,6 +138,12 @@
                 deps, request, name, headers, claim
             )
         return await _run_claimed(deps, request, attempt, headers, name)
+    except asyncio.CancelledError:
+        # The router stops. What was not sent must not block its key.
+        state = claim.state if claim else records.ClaimState.GRANTED
+        if state is records.ClaimState.GRANTED and not attempt.sent:
+            _release_later(deps, request, name)
+        raise
     finally:
         deps.running_attempts.discard(name)
 
@@ -243,6 +250,10 @@
                 SETTLE_TIMEOUT_SECONDS,
             )
             return True
+        except asyncio.CancelledError:
+            # The router stops, and settles what is left at its end.
+            deps.settlements.add(request, name, outcome, stored)
+            raise
         except (errors.AmaranthringError, TimeoutError):
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
     deps.metrics.count("way.unsettled")
@@ -266,6 +277,9 @@
                 deps, request, name, headers, claim
             )
         await _settle(deps, request, name, errors.Outcome.NOT_RUN, None)
+    except asyncio.CancelledError:
+        _release_later(deps, request, name)
+        raise
     finally:
         deps.running_attempts.discard(name)
     error.claimed = True
@@ -322,6 +336,7 @@
     target = deps.get_target(claim.target) if claim.target else None
     if target is None or not target.honours_keys:
         raise _claim_unknown(request)
+    request.may_have_run = True
     attempt = execution.Attempt(
         0, records.Grant("", "", target), retryable=False
     )
--- a/amaranthring/callers/settlements.py
+++ b/amaranthring/callers/settlements.py
@@ -11,12 +11,19 @@
 import collections
 import typing as t
 
+import logbook
+
 from amaranthring import errors
+from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import records
 
+log = logbook.Logger(__name__)
+
 MAX_PENDING = 10_000
 RETRY_INTERVAL_SECONDS = 0.5
+# The same while the router stops.
+LAST_INTERVAL_SECONDS = 0.1
 BATCH_SIZE = 50
 
 Settle = t.Callable[
@@ -89,7 +96,20 @@
                 self.metrics.count("settlements.told")
             self.pending.pop(attempt, None)
 
-    def stop(self) -> None:
-        """Stop the task; pending claims stay ``unknown``."""
+    async def stop(self, seconds: float) -> None:
+        """Settle what is pending; claims that remain stay ``unknown``.
+
+        Parameters
+        ----------
+        seconds : float
+            Time that this may take.
+        """
         if self.task:
             self.task.cancel()
+        try:
+            async with asyncio.timeout(seconds):
+                while self.pending:
+                    await self._settle_batch()
+                    await asyncio.sleep(LAST_INTERVAL_SECONDS)
+        except TimeoutError:
+            logs.event(log, "settlements.left", pending=len(self.pending))
--- a/amaranthring/core/endpoints.py
+++ b/amaranthring/core/endpoints.py
@@ -81,9 +81,15 @@
         return _RequestReader(self.handler, request_conn, self.drain)
 
     async def close(self, seconds: float) -> None:
-        """Stop listening; wait up to `seconds` for requests in flight."""
+        """Stop listening; wait up to `seconds` for requests in flight.
+
+        What has not ended by then is answered that its outcome is unknown,
+        and all connections are closed.
+        """
         await self.listener.close()
         await self.drain.wait_idle(seconds)
+        await self.drain.end_requests()
+        await self.listener.close_connections()
 
 
 class _RequestReader(tornado.httputil.HTTPMessageDelegate):
@@ -96,6 +102,8 @@
         self.request: Request | None = None
         self.chunks: list[bytes] = []
         self.task: asyncio.Task | None = None
+        self.interruption: asyncio.Task | None = None
+        self.answered = False
 
     def headers_received(self, start_line, headers):
         del headers
@@ -107,7 +115,7 @@
 
     def finish(self):
         self.request.body = b"".join(self.chunks)
-        self.drain.request_started()
+        self.drain.request_started(self.interrupt)
         self.task = asyncio.ensure_future(self._respond())
 
     def on_connection_close(self):
@@ -115,24 +123,36 @@
         # whether the client still waits for the response.
         pass
 
+    def interrupt(self) -> None:
+        """Answer the request at once, as the process is about to exit."""
+        error = errors.CommitUnknownError(
+            "this process has stopped before it had the answer",
+            expected="a resend to another one",
+        )
+        self.interruption = asyncio.ensure_future(
+            self._answer(_error_response(error))
+        )
+
     async def _respond(self) -> None:
+        await self._answer(await self._response())
+
+    async def _answer(self, response: Response) -> None:
+        if self.answered:
+            return
+        self.answered = True
         try:
-            await self._write(await self._response())
+            await self._write(response)
         finally:
+            finished = self.drain.request_finished
             connections.call_when_sent(
-                self.connection, self.drain.request_finished
+                self.connection, lambda: finished(self.interrupt)
             )
 
     async def _response(self) -> Response:
         try:
             return await self.handler(self.request)
         except errors.AmaranthringError as error:
-            return Response(
-                error.status,
-                str(error).encode(),
-                "text/plain",
-                error.retry_after,
-            )
+            return _error_response(error)
         except Exception:
             log.exception("call.failed path={}", self.request.path)
             return Response(500)
@@ -152,6 +172,12 @@
             return
 
 
+def _error_response(error: errors.AmaranthringError) -> Response:
+    return Response(
+        error.status, str(error).encode(), "text/plain", error.retry_after
+    )
+
+
 def status_line(status: int) -> tornado.httputil.ResponseStartLine:
     """Return the status line of a response with `status`."""
     reason = http.client.responses.get(status, "Unknown")
--- a/amaranthring/core/listeners.py
+++ b/amaranthring/core/listeners.py
@@ -18,6 +18,8 @@
 # Covers one round trip, also across regions, so that TCP handshakes complete
 # whose SYN arrived before the filter was attached.
 SETTLE_SECONDS = 0.1
+# Time for the tasks of closed connections to end.
+CLOSE_SECONDS = 0.5
 
 # Socket option of Linux that the socket module does not define.
 SO_ATTACH_FILTER = 26
@@ -65,6 +67,19 @@
         await asyncio.sleep(SETTLE_SECONDS)
         self.server.stop()
 
+    async def close_connections(self) -> None:
+        """Close all connections of an HTTP server.
+
+        A request that is sent on one that is left to the exit of the process
+        gets neither an answer nor a close until the process has gone.
+        """
+        try:
+            await asyncio.wait_for(
+                self.server.close_all_connections(), CLOSE_SECONDS
+            )
+        except TimeoutError:
+            logs.event(log, "connections.left-open")
+
 
 def _drop_new_connections(sock: socket.socket) -> None:
     """Make the kernel drop packets that open connections to `sock`."""
--- a/amaranthring/core/records.py
+++ b/amaranthring/core/records.py
@@ -117,6 +117,8 @@
         Idempotency key, or empty.
     stream : bool
         Whether the caller wants server-sent events.
+    may_have_run : bool
+        Whether it was sent to a target, which may have begun to run it.
     """
 
     request_id: str
@@ -134,6 +136,7 @@
     stream: bool = False
     method: str = "POST"
     path: str = ""
+    may_have_run: bool = False
 
 
 @dataclasses.dataclass
--- a/amaranthring/operators/base.py
+++ b/amaranthring/operators/base.py
@@ -70,12 +70,26 @@
     def initialize(self, operators: Dependencies) -> None:
         """Store the dependencies and count the request as started."""
         self.dependencies = operators
-        self.dependencies.drain.request_started()
+        self.dependencies.drain.request_started(self.interrupt)
 
     def on_finish(self) -> None:
         """Count the request as finished once its response is sent."""
         finished = self.dependencies.drain.request_finished
-        connections.call_when_sent(self.request.connection, finished)
+        connections.call_when_sent(
+            self.request.connection, lambda: finished(self.interrupt)
+        )
+
+    def interrupt(self) -> None:
+        """Answer the request at once, as the process is about to exit."""
+        if self._finished:
+            return
+        self.set_header("Connection", "close")
+        error = errors.CommitUnknownError(
+            "this router has stopped before the keepers answered; resend "
+            "with the same command id, through another router",
+            retry_after=RETRY_AFTER_SECONDS,
+        )
+        self.write_error(error.status, exc_info=(type(error), error, None))
 
     def prepare(self) -> None:
         """Authenticate the operator by the bearer token."""
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -49,6 +49,8 @@
 QUARANTINE_SECONDS = 24 * 3600.0
 REVISION_FILE = "revision"
 EXPLAINED_CANDIDATES = 8
+# Time for settling the claims of the last calls.
+SETTLE_SECONDS = 1.0
 # Time for callers with idle connections to notice that they are closed.
 CLOSE_SECONDS = 2.0
 
@@ -423,7 +425,9 @@
 
         The health check fails first, so that the balancer removes this
         router; requests that still arrive are served. Then cells and shards
-        move to other routers and the remaining requests complete.
+        move to other routers and the remaining requests complete. Those that
+        take too long are answered that they were interrupted, and all
+        connections are closed.
         """
         self.stopping = True
         bounds = self.settings.callers
@@ -439,9 +443,13 @@
         self.directory.hand_over()
         await self.drain.wait_idle(bounds.shutdown_seconds)
         await callers.server.waiting.drain(time.monotonic() + CLOSE_SECONDS)
+        await self.drain.end_requests()
+        await callers.close_connections()
         await internal.close()
         await self.operator_drain.wait_idle(operators_base.COMMAND_SECONDS)
-        self.needs.settlements.stop()
+        await self.operator_drain.end_requests()
+        await internal.close_connections()
+        await self.needs.settlements.stop(SETTLE_SECONDS)
         await self._stop_components()
 
     async def _stop_components(self) -> None:
