Keep the harness of the platform's fleets with the tests

It speaks the platform's names, which stay in the adapter and in tests (TestBoundary failed with it in the testing package). Odd targets, which use the adapter's constants, stay in the testing package.

--- a/amaranthring/testing/crash_case.py
+++ b/tests/crash_case.py
@@ -7,8 +7,8 @@
 import uuid
 
 from amaranthring.platform import headers
-from amaranthring.testing import platform_case
 from amaranthring.testing import scripted_target
+from tests import platform_case
 
 # How long a request of this kind runs until its replica ends.
 RUN_SECONDS = 0.08
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -9,8 +9,8 @@
 
 from amaranthring.forwarding import answer_memory
 from amaranthring.platform import headers
-from amaranthring.testing import platform_case
 from amaranthring.testing import scripted_target
+from tests import platform_case
 from tests import test_forwarding
 
 FREE = answer_memory.FREE_BYTES
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -6,8 +6,8 @@
 import uuid
 
 from amaranthring.platform import headers
-from amaranthring.testing import platform_case
 from amaranthring.testing import scripted_target
+from tests import platform_case
 
 # Places of a target, as it announces.
 SLOTS = 8
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -7,7 +7,7 @@
 import uuid
 
 from amaranthring.registry import hint_file
-from amaranthring.testing import crash_case
+from tests import crash_case
 
 # Crashes from which on few requests with the part may reach targets.
 CRASHES = 5
--- a/tests/test_crashing_parts_soak.py
+++ b/tests/test_crashing_parts_soak.py
@@ -9,7 +9,7 @@
 import random
 
 from amaranthring.policy import crash_evidence
-from amaranthring.testing import crash_case
+from tests import crash_case
 from tests import test_crashing_parts
 
 SEED = os.environ.get("CRASH_PARTS_SEED", "1")
--- a/tests/test_late_announcements.py
+++ b/tests/test_late_announcements.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from amaranthring.testing import crash_case
-from amaranthring.testing import platform_case
+from tests import crash_case
+from tests import platform_case
 
 ANNOUNCEMENTS = 6
 
--- a/tests/test_missing_counts_soak.py
+++ b/tests/test_missing_counts_soak.py
@@ -15,8 +15,8 @@
 import uuid
 
 from amaranthring.platform import headers
-from amaranthring.testing import platform_case
 from amaranthring.testing import scripted_target
+from tests import platform_case
 
 SEED = os.environ.get("COUNTS_SOAK_SEED", "3")
 SECONDS = float(os.environ.get("COUNTS_SOAK_SECONDS", "15"))
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -5,8 +5,8 @@
 import signal
 import time
 
-from amaranthring.testing import platform_case
-from amaranthring.testing import version_case
+from tests import platform_case
+from tests import version_case
 
 SECONDS = 7.0
 
--- a/tests/test_mixed_versions_soak.py
+++ b/tests/test_mixed_versions_soak.py
@@ -8,7 +8,7 @@
 import os
 import random
 
-from amaranthring.testing import version_case
+from tests import version_case
 
 SEED = os.environ.get("VERSIONS_SOAK_SEED", "1")
 SECONDS = float(os.environ.get("VERSIONS_SOAK_SECONDS", "12"))
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -13,8 +13,8 @@
 from amaranthring.core import overload
 from amaranthring.forwarding import connection_limit
 from amaranthring.platform import headers
-from amaranthring.testing import platform_case
 from amaranthring.testing import scripted_target
+from tests import platform_case
 
 RATE = 170.0
 CALM_SECONDS = 3.0
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -10,8 +10,8 @@
 import signal
 import time
 
-from amaranthring.testing import platform_case
-from amaranthring.testing import version_case
+from tests import platform_case
+from tests import version_case
 
 SEED = os.environ.get("REJOINED_SEED", "1")
 SECONDS = float(os.environ.get("REJOINED_SECONDS", "9"))
--- a/tests/test_repeated_crashes.py
+++ b/tests/test_repeated_crashes.py
@@ -5,7 +5,7 @@
 import time
 
 from amaranthring.registry import hint_file
-from amaranthring.testing import crash_case
+from tests import crash_case
 
 CRASHES = 3
 # Runs that may follow after this time since the third crash.
--- a/tests/test_repeated_crashes_soak.py
+++ b/tests/test_repeated_crashes_soak.py
@@ -10,7 +10,7 @@
 import time
 
 from amaranthring.policy import crash_evidence
-from amaranthring.testing import crash_case
+from tests import crash_case
 
 SEED = os.environ.get("CRASH_PLAN_SEED", "1")
 SECONDS = float(os.environ.get("CRASH_PLAN_SECONDS", "15"))
--- a/tests/test_severed_routers.py
+++ b/tests/test_severed_routers.py
@@ -8,8 +8,8 @@
 import os
 import time
 
-from amaranthring.testing import platform_case
 from amaranthring.testing import scripted_target
+from tests import platform_case
 
 # From this long after the cut began callers are served.
 SETTLED_SECONDS = 3.0
--- a/tests/test_severed_soak.py
+++ b/tests/test_severed_soak.py
@@ -9,7 +9,7 @@
 import os
 import random
 
-from amaranthring.testing import platform_case
+from tests import platform_case
 from tests import test_severed_routers
 
 SEED = os.environ.get("SEVERED_SOAK_SEED", "1")
--- a/tests/test_unanswered_soak.py
+++ b/tests/test_unanswered_soak.py
@@ -11,7 +11,7 @@
 import time
 
 from amaranthring.testing import compliance
-from amaranthring.testing import platform_case
+from tests import platform_case
 
 SEED = os.environ.get("ANSWERS_SOAK_SEED", "1")
 SECONDS = float(os.environ.get("ANSWERS_SOAK_SECONDS", "12"))
--- a/amaranthring/testing/version_case.py
+++ b/tests/version_case.py
@@ -13,8 +13,8 @@
 import uuid
 
 from amaranthring.platform import headers
-from amaranthring.testing import platform_case
 from amaranthring.testing import scripted_target
+from tests import platform_case
 from tests import test_severed_routers
 
 # A second service, to which routes may be split or moved.
