Let no signal end a daemon that starts or stops

What operators saw: a SIGHUP within the first tenth of a second of a router or keeper ended it, and one while it stopped ended it with -1 before its last log lines were out. Its VM served nothing until it was started again.

Cause: SIGHUP ends a process that has no handler. The handler came after all imports, and closing the event loop removed it again before the exit. Also, wait_for swallows a cancellation that comes in the same step as a SIGHUP, so that a stopping daemon under a series of them did not end at all.

The daemon ignores SIGHUP by its first line, until it has its handler and reads its settings, so that no change is missed; handlers outlive the loop; a stop ignores SIGHUP as well. The package imports nothing before that line. Daemons of the command line, which read settings once, ignore SIGHUP.

What is left: a SIGHUP before the first line, or while the command line loads a daemon.

--- a/amaranthring/__init__.py
+++ b/amaranthring/__init__.py
@@ -1,12 +1,12 @@
 """amaranthring: a fleet of routers for returning chats.
 
 The public API of the library. Its modules are imported on first use, so that
-a process loads only what it needs. The command line that runs the daemons is
-in :mod:`amaranthring.cli`.
+a process loads only what it needs. This one loads nothing: a daemon cannot
+handle signals before its own first line. The command line that runs the
+daemons is in :mod:`amaranthring.cli`.
 """
 
 import importlib
-import typing as t
 
 __all__ = ["errors", "fleet", "read_settings", "records"]
 
@@ -20,7 +20,7 @@
 }
 
 
-def __getattr__(name: str) -> t.Any:
+def __getattr__(name: str) -> object:
     """Return a public name, importing its module."""
     if name not in _EXPORTS:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -29,7 +29,9 @@
 
 
 def run(role: str, settings: settings_module.Settings) -> None:
-    """Run a router or keeper until SIGTERM or SIGINT.
+    """Run a router or keeper until SIGTERM or SIGINT; ignore SIGHUP.
+
+    Settings are read at the start only.
 
     Raises
     ------
@@ -38,6 +40,7 @@
     errors.ListenError
         If an address is in use.
     """
+    signals.ignore_hangup()
     settings_module.check_files(settings, role)
     process = settings.process
     logs.setup(process.name, process.log_level, process.log_format)
--- a/amaranthring/core/signals.py
+++ b/amaranthring/core/signals.py
@@ -1,19 +1,32 @@
-"""Events set by process signals, for graceful shutdown and reload."""
+"""Events set by process signals, for graceful shutdown and reload.
+
+The handlers outlive the event loop, unlike the loop's own: closing the loop
+restores the defaults, so a signal before the process exits would kill it.
+"""
 
 import asyncio
 import signal
+import typing as t
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
+def ignore_hangup() -> None:
+    """Ignore SIGHUP, whose default is to end the process."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def reload_event() -> asyncio.Event:
-    """Return an event that every SIGHUP sets.
+    """Return an event that every SIGHUP sets, until the process stops.
 
-    Without a handler SIGHUP would terminate the process.
+    Notes
+    -----
+    A daemon ignores SIGHUP from its first line on and calls this before it
+    reads its settings, so that it misses no change of them.
     """
     event = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGHUP, event.set)
+    set_event = _setter(event)
+    signal.signal(signal.SIGHUP, lambda _number, _frame: set_event())
     return event
 
 
@@ -22,19 +35,30 @@
 
     Notes
     -----
-    Both signals are ignored afterwards, so that a second one does not
-    interrupt the graceful shutdown. The event loop's own signal handlers do
-    not suffice: closing the loop restores the defaults, so a second signal
-    before the process exits would kill it.
+    These signals and SIGHUP are ignored afterwards, so that none interrupts
+    the graceful shutdown.
     """
     event = asyncio.Event()
-    loop = asyncio.get_running_loop()
+    set_event = _setter(event)
 
     def stop(_number, _frame) -> None:
         for number in STOP_SIGNALS:
             signal.signal(number, signal.SIG_IGN)
-        loop.call_soon_threadsafe(event.set)
+        ignore_hangup()
+        set_event()
 
     for number in STOP_SIGNALS:
         signal.signal(number, stop)
     return event
+
+
+def _setter(event: asyncio.Event) -> t.Callable[[], None]:
+    """Return a function that sets `event` from a signal handler."""
+    loop = asyncio.get_running_loop()
+
+    def set_event() -> None:
+        # A daemon that ends by an error has closed its loop.
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(event.set)
+
+    return set_event
--- a/amaranthring/platform/__main__.py
+++ b/amaranthring/platform/__main__.py
@@ -3,12 +3,17 @@
 import gc
 import importlib
 import os
+import signal
 import sys
 
-# Imported first, as it records when this process started.
-from amaranthring.core import clocks  # noqa: F401
-
 if __name__ == "__main__":
+    # Nothing is imported before: SIGHUP ends a process that has no handler
+    # yet. The daemon reads its settings once it has one, so that no change
+    # is missed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Records when this process started.
+    from amaranthring.core import clocks  # noqa: F401
+
     # Objects loaded at startup are not garbage, and collecting would delay
     # the start. The daemon enables collection once it has started.
     gc.disable()
--- a/amaranthring/platform/daemon.py
+++ b/amaranthring/platform/daemon.py
@@ -33,7 +33,9 @@
     """
     while True:
         try:
-            await asyncio.wait_for(hangup.wait(), POLL_SECONDS)
+            # Unlike wait_for, it ends by a cancellation at the same moment.
+            async with asyncio.timeout(POLL_SECONDS):
+                await hangup.wait()
         except TimeoutError:
             pass
         hangup.clear()
