Tell the history of releases with the sums

A keeper of an older build closes a link on which a message of an unknown kind arrives. With the history as a message of its own, keepers of the two builds lost their links again and again while a fleet is upgraded. Fields that a build does not know are ignored, so the history is now part of the first sums after the targets on each link; the receiver notes on which link it came.

--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -277,7 +277,6 @@
             self.exchange.sync_keeper(dialler)
             if records:
                 dialler.send(messages.pack_targets(records))
-            dialler.send(self.streams.history())
         return current
 
     # -- plan --------------------------------------------------------
--- a/amaranthring/registry/sharing.py
+++ b/amaranthring/registry/sharing.py
@@ -143,9 +143,9 @@
         Some of these routers that take requests of others.
     streams : list of BoundStreams
         What these routers have reported since the last sums.
-    has_told_history : bool
-        Whether the sender has told on this link which targets, releases and
-        routes it knows.
+    history : History, optional
+        What the sender knows, in the first sums after its targets on each
+        link.
     """
 
     counts: dict[str, int]
@@ -165,7 +165,7 @@
     streams: list[stream_messages.BoundStreams] = dataclasses.field(
         default_factory=list
     )
-    has_told_history: bool = False
+    history: stream_messages.History | None = None
 
 
 @wire.message("share-others", compressed=True)
@@ -328,7 +328,9 @@
         self.router_backlogs: dict[links.Link, backlogs.Backlog] = {}
         self.new_locations: list[list[str]] = []
         self.keeper_backlogs: dict[t.Any, backlogs.Backlog] = {}
-        self.synced_links: dict[t.Any, links.Link] = {}
+        self.untold_links: dict[t.Any, links.Link] = {}
+        self.sums_links: dict[str, links.Link] = {}
+        self.history_links: dict[str, links.Link] = {}
         self.stored_at: collections.OrderedDict[tuple[str, str], float] = (
             collections.OrderedDict()
         )
@@ -362,13 +364,12 @@
                 self.keeper_backlogs, dialler, allowances
             )
             tokens = message.tokens | self.tokens_of(initial)
-            is_synced = self.synced_links.get(dialler) is dialler.link
             dialler.send(
                 dataclasses.replace(
                     message,
                     known=initial,
                     tokens=tokens,
-                    has_told_history=is_synced,
+                    history=self._take_history(dialler),
                 )
             )
         self._add_peer_sums(totals)
@@ -399,13 +400,21 @@
 
         A keeper whose disk was wiped knows no locations; the routers that
         report to it would send prompts to targets that must compute them anew.
-        The caller sends it targets and history, in the same step.
+        The caller sends it all targets in the same step; the history follows
+        with the next sums.
         """
-        self.synced_links[dialler] = dialler.link
+        self.untold_links[dialler] = dialler.link
         self.keeper_backlogs[dialler] = backlogs.Backlog(
             self.priority, self._ranked_recent_locations()
         )
 
+    def _take_history(self, dialler: t.Any) -> stream_messages.History | None:
+        """Return the history, once on each link that has got the targets."""
+        link = self.untold_links.pop(dialler, None)
+        if self.streams is None or link is None or link is not dialler.link:
+            return None
+        return self.streams.history()
+
     def _own_totals(self) -> Totals:
         totals = Totals()
         for link, report in list(self.routers.items()):
@@ -492,8 +501,10 @@
 
     def _knows_all_keepers(self) -> bool:
         """Return whether all that the other keepers know was told here."""
-        told = [sums.has_told_history for _, sums in self.sums.values()]
-        return self._hears_all_keepers() and all(told)
+        return self._hears_all_keepers() and all(
+            self.history_links.get(name) is self.sums_links[name]
+            for name in self.sums
+        )
 
     def _take_locations(
         self,
@@ -577,8 +588,12 @@
         if name not in self.sums:
             logs.event(log, "sums.heard", keeper=name, routers=sums.routers)
         self.sums[name] = (self.clock(), sums)
+        self.sums_links[name] = link
         if self.streams is not None:
             self.streams.merge(sums.streams)
+            if sums.history is not None:
+                self.history_links[name] = link
+                self.streams.merge_history(name, sums.history)
         self.merge_tokens(sums.tokens)
         self._forward(sums.places, sender=link)
         unknown = [
--- a/amaranthring/registry/stream_ledger.py
+++ b/amaranthring/registry/stream_ledger.py
@@ -80,7 +80,6 @@
         self.on_history: list[t.Callable[[], None]] = []
         handlers.add(stream_messages.FindStream, self._on_find)
         handlers.add(stream_messages.StreamsBound, self._on_bound)
-        handlers.add(stream_messages.History, self._on_history)
 
     def add(self, groups: list[stream_messages.BoundStreams]) -> None:
         """Record the streams of a router's report."""
@@ -150,13 +149,14 @@
             self.releases.ages(), self.routes.ages(), self.knows_history
         )
 
-    def _on_history(
-        self, link: links.Link, message: stream_messages.History
+    def merge_history(
+        self, keeper: str, history: stream_messages.History
     ) -> None:
-        self.releases.merge(message.releases)
-        self.routes.merge(message.moved)
-        if message.is_known:
-            self.learn_history(link.peer.name)
+        """Record what another keeper knows."""
+        self.releases.merge(history.releases)
+        self.routes.merge(history.moved)
+        if history.is_known:
+            self.learn_history(keeper)
 
     def _releases(self, service: str) -> set[str]:
         serving = {
--- a/amaranthring/registry/stream_messages.py
+++ b/amaranthring/registry/stream_messages.py
@@ -86,9 +86,9 @@
     settles_in: float = 0.0
 
 
-@wire.message("stream-history", compressed=True)
+@dataclasses.dataclass
 class History:
-    """Between keepers: what the sender knows of before, on each new link.
+    """What a keeper knows of the last minutes, for the other keepers.
 
     Attributes
     ----------
--- a/tests/test_stream_ledger.py
+++ b/tests/test_stream_ledger.py
@@ -156,10 +156,8 @@
 
     def tell_history(self, is_known):
         """Let another keeper tell what it knows of before."""
-        link = mock.Mock()
-        handler = self.handlers.by_class[stream_messages.History]
-        handler(
-            link, stream_messages.History({"s": {"v0": 90.0}}, {}, is_known)
+        self.ledger.merge_history(
+            "other", stream_messages.History({"s": {"v0": 90.0}}, {}, is_known)
         )
 
     def test_route_that_was_moved_is_told(self):
@@ -225,8 +223,19 @@
         other._on_sums(link, peer.send.call_args.args[0])
         # Its sums may come before what it knew already.
         self.assertFalse(other_ledger.hears_all_keepers())
+        ledger = exchange.streams
+        ledger.will_announce(target("t1", "v0"))
+        ledger.learn_history("first-start")
         exchange.sync_keeper(peer)
         exchange.step()
         other._on_sums(link, peer.send.call_args.args[0])
         self.assertEqual(V1, other_ledger.bindings.find(key(1)).binding)
         self.assertTrue(other_ledger.hears_all_keepers())
+        self.assertTrue(other_ledger.knows_history)
+        self.assertEqual({"v0"}, other_ledger.releases.releases("s"))
+        exchange.step()
+        other._on_sums(link, peer.send.call_args.args[0])
+        self.assertTrue(other_ledger.hears_all_keepers())
+        new_link = mock.Mock(closed=False, peer=link.peer)
+        other._on_sums(new_link, peer.send.call_args.args[0])
+        self.assertFalse(other_ledger.hears_all_keepers())
