Close all connections of a server at once

What callers saw: with an event loop that is late, connections stay open until the process has gone, though the shutdown closes them.

Cause: tornado's close_all_connections closes one connection, awaits its end, and goes on to the next, so that its time grows with their number.

Change: all connections are closed in one turn of the event loop; their tasks get 0.5 s to end.

--- a/amaranthring/core/listeners.py
+++ b/amaranthring/core/listeners.py
@@ -73,12 +73,16 @@
         A request that is sent on one that is left to the exit of the process
         gets neither an answer nor a close until the process has gone.
         """
-        try:
-            await asyncio.wait_for(
-                self.server.close_all_connections(), CLOSE_SECONDS
-            )
-        except TimeoutError:
-            logs.event(log, "connections.left-open")
+        # All at once: tornado's own method awaits the end of each in turn.
+        closing = [
+            asyncio.ensure_future(connection.close())
+            for connection in list(self.server._connections)
+        ]
+        if not closing:
+            return
+        _, left = await asyncio.wait(closing, timeout=CLOSE_SECONDS)
+        if left:
+            logs.event(log, "connections.left-open", connections=len(left))
 
 
 def _drop_new_connections(sock: socket.socket) -> None:
--- a/tests/test_interrupted_requests.py
+++ b/tests/test_interrupted_requests.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import tempfile
+import time
 import unittest
 from unittest import mock
 
@@ -27,6 +28,9 @@
 HEAD = b"POST /services/booking/x HTTP/1.1\r\nHost: router\r\n"
 TOKEN = b"Authorization: Bearer %b\r\n" % fake_dependencies.TOKEN.encode()
 MODELS = b"GET /v1/models HTTP/1.1\r\nHost: router\r\n\r\n"
+# A late turn of the event loop, and how many connections are then open.
+TURN_SECONDS = 0.05
+CONNECTIONS = 20
 # Time within which whatever was open has ended when a stop has.
 AT_ONCE_SECONDS = 0.2
 
@@ -224,6 +228,40 @@
         self.assertEqual({b""}, set(got.values()))
 
 
+class TestLateLoop(TestRouterStop):
+    """The same with an event loop that is late."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.loop = asyncio.get_running_loop()
+        self.loop.call_soon(self.stall)
+
+    def stall(self):
+        """Make each turn late until the router has stopped."""
+        if self.running.done():
+            return
+        if self.stop.is_set():
+            time.sleep(TURN_SECONDS)
+        self.loop.call_soon(self.stall)
+
+    async def test_many_connections_have_ended(self):
+        """Guards against connections that are closed one after the other."""
+        addresses = (
+            self.settings.listen.callers,
+            self.settings.listen.internal,
+        )
+        opened = [
+            await self.open(address, HEAD)
+            for address in addresses
+            for _ in range(CONNECTIONS)
+        ]
+        await asyncio.sleep(0.1)
+        self.stop.set()
+        await self.running
+        got = [await self.rest(reader) for reader in opened]
+        self.assertEqual({b""}, set(got))
+
+
 class TestControl(unittest.IsolatedAsyncioTestCase):
     """Calls of a small server that change something."""
 
