Count the grace period of a router from its signal

Cause: the time reserved for the end of a stop was taken from where the stop begins. The signal's handler, which runs between two steps of the program, now notes the time, and the stop takes its deadline from it.

--- a/amaranthring/core/signals.py
+++ b/amaranthring/core/signals.py
@@ -6,11 +6,27 @@
 
 import asyncio
 import signal
+import time
 import typing as t
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
+class StopEvent(asyncio.Event):
+    """Event that a stop signal sets.
+
+    Attributes
+    ----------
+    asked_at : float
+        Monotonic seconds of the signal; infinite before. A process that
+        starts, or is late, notices it later, but has no more time to stop.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.asked_at = float("inf")
+
+
 def ignore_hangup() -> None:
     """Ignore SIGHUP, whose default is to end the process."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -30,7 +46,7 @@
     return event
 
 
-def stop_event() -> asyncio.Event:
+def stop_event() -> StopEvent:
     """Return an event that the first SIGTERM or SIGINT sets.
 
     Notes
@@ -38,10 +54,11 @@
     These signals and SIGHUP are ignored afterwards, so that none interrupts
     the graceful shutdown.
     """
-    event = asyncio.Event()
+    event = StopEvent()
     set_event = _setter(event)
 
     def stop(_number, _frame) -> None:
+        event.asked_at = time.monotonic()
         for number in STOP_SIGNALS:
             signal.signal(number, signal.SIG_IGN)
         ignore_hangup()
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -372,13 +372,20 @@
         )
         return self.front.shutdown_at
 
-    async def stop(self) -> None:
+    async def stop(self, asked_at: float | None = None) -> None:
         """Shut down gracefully within the grace period.
 
         Requests that still arrive are served; those that could exceed the
         grace period are refused.
+
+        Parameters
+        ----------
+        asked_at : float, optional
+            Monotonic seconds at which the grace period began; now by default.
         """
-        deadline = time.monotonic() + self.config.grace
+        if asked_at is None:
+            asked_at = time.monotonic()
+        deadline = asked_at + self.config.grace
         self.stopping = True
         self.front.closing = True
         await asyncio.sleep(ROTATION_SECONDS)
--- a/amaranthring/platform/daemon.py
+++ b/amaranthring/platform/daemon.py
@@ -75,7 +75,7 @@
     await stopping
     logs.event(log, f"{role}.stopping", vm=node.name)
     watching.cancel()
-    await process.stop()
+    await process.stop(stop.asked_at)
     logs.event(log, f"{role}.stopped", vm=node.name)
 
 
--- a/tests/test_ended_waits.py
+++ b/tests/test_ended_waits.py
@@ -72,6 +72,13 @@
             await stopping
         self.assertLess(shutdown_at - began, cut_at - began)
 
+    @mock.patch.object(plan_router, "ROTATION_SECONDS", 0.1)
+    async def test_grace_period_begins_with_the_signal(self):
+        """Guards against a router that is killed as it saw the signal late."""
+        began = time.monotonic()
+        await self.router.stop(began - self.grace / 2)
+        self.assertLess(time.monotonic() - began, self.grace / 2)
+
 
 class TestTakenConnections(unittest.IsolatedAsyncioTestCase):
     """Kept connections on which something arrives as they are taken."""
