--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -176,10 +176,14 @@
             turns += 1
         streams = list(self.server.streams)
         unread = sum(map(connections.has_input, streams))
-        for stream in streams:
-            if connections.is_waiting(stream):
-                # Callers that go on sending may have just sent a request.
-                refusals.refuse_arrived(stream.socket, _shutting_down())
+        self._close_waiting()
+        # What was being read is answered in the next turns.
+        for _ in range(END_TURNS):
+            if not self.server.streams:
+                break
+            await asyncio.sleep(0)
+        self._close_waiting()
+        for stream in list(self.server.streams):
             stream.close()
         logs.event(
             log,
@@ -189,6 +193,15 @@
             running=len(self.requests),
         )
 
+    def _close_waiting(self) -> None:
+        """Close connections of which nothing is unanswered that was read."""
+        for stream in filter(
+            connections.is_waiting, list(self.server.streams)
+        ):
+            # Callers that go on sending may have just sent a request.
+            refusals.refuse_arrived(stream.socket, _shutting_down())
+            stream.close()
+
     def log_open_connections(self) -> None:
         """Log what is open when a stop no longer waits for callers."""
         streams = self.server.streams
--- a/tests/test_ended_waits.py
+++ b/tests/test_ended_waits.py
@@ -171,6 +171,14 @@
         self.assertTrue(calling.cancelled())
 
 
+def is_closed(sock):
+    """Return whether the other side has closed the connection."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+
+
 class TestLastMoment(test_forwarding.RouterCase):
     """Connections that are in use until they are closed."""
 
@@ -201,6 +209,35 @@
             f"Content-Length: {12 * 1024 * 1024}\r\n\r\n"
         )
 
+    @mock.patch.object(frontend, "END_SECONDS", 0.0)
+    async def test_requests_that_are_being_read_at_the_close_are_answered(
+        self,
+    ):
+        """Guards against requests closed between their reading and answer."""
+        await self.begin()
+        sockets = [
+            test_unanswered_requests.connect(
+                "{}:{}".format(*self.router.address)
+            )
+            for _ in range(100)
+        ]
+        await asyncio.sleep(0.05)
+        ending = asyncio.ensure_future(self.router.front.end_connections())
+        sent = []
+        while sockets and not ending.done():
+            # One after the other: some are always between two steps.
+            sock = sockets.pop()
+            if not is_closed(sock):
+                sock.sendall(test_unanswered_requests.REQUEST)
+                sent.append(sock)
+            await asyncio.sleep(0)
+        await ending
+        for sock in sockets:
+            sock.close()
+        for sock in sent:
+            answer = await test_unanswered_requests.read_all(sock)
+            self.assertIn(b" 503 ", answer)
+
     @mock.patch.object(frontend, "END_SECONDS", 0.0)
     async def test_requests_unread_at_the_close_are_answered(self):
         """Guards against requests closed unread as callers go on sending."""
