Test that no prompt ends a router's reports

A request that states a part of 23 digits of tokens made the report of its router impossible to encode (TypeError); the task that reports ended, and the other routers no longer heard of this one's load. Numbers of tokens are bounded since they are read as numerals; the test fails without the bound.

--- a/tests/test_numerals.py
+++ b/tests/test_numerals.py
@@ -6,7 +6,9 @@
 
 from amaranthring import errors
 from amaranthring.core import numerals
+from amaranthring.core import wire
 from amaranthring.platform import headers
+from amaranthring.registry import sharing
 from amaranthring.targets import http_body
 
 # str.isdigit holds for the first; int() raises on it and on the second, and
@@ -53,6 +55,14 @@
                     headers.MAX_COUNT,
                 )
 
+    def test_tokens_fit_into_a_report(self):
+        """Guards against a request that ends a router's reports for good."""
+        parts = ",".join(f"{n}:{'9' * 23}" for n in range(1000))
+        incoming = self.read_request(**{headers.PROMPT_PARTS: parts})
+        tokens = 1000 * sum(part.tokens for part in incoming.parts)
+        report = sharing.Report({}, [], [], {"t0": tokens}, [])
+        self.assertTrue(wire.encode(wire.REQUEST, 1, report))
+
     def test_load(self):
         for number in ODD:
             given = tornado.httputil.HTTPHeaders(
