Refuse the id of an event that is no number int() reads

What callers saw: a connection closed without an answer for a Last-Event-Id of digits such as ², or of more than 4300 digits where the plan allows them.

Cause: str.isdigit holds for it, int() raises, as with the other headers.

Evidence: test_last_event fails; a router before closes the connection of a request with Last-Event-Id ² with no byte.

Change: such an id is refused with 400. Ids that are no numbers pass as before.

After: the test passes; the request gets 400.

--- a/amaranthring/forwarding/events.py
+++ b/amaranthring/forwarding/events.py
@@ -10,8 +10,9 @@
 
 MAX_EVENT_BYTES = 256 * 1024
 EVENT_END = b"\n\n"
-# Longer ids are no numbers of events.
-EVENT_ID = re.compile(rb"^id: ?(\d{1,64})\r?$", re.MULTILINE)
+# Longer ids are no numbers.
+MAX_ID_DIGITS = 64
+EVENT_ID = re.compile(rb"^id: ?(\d{1,%d})\r?$" % MAX_ID_DIGITS, re.MULTILINE)
 
 
 class EventSplitter:
--- a/amaranthring/platform/headers.py
+++ b/amaranthring/platform/headers.py
@@ -5,6 +5,7 @@
 from amaranthring import errors
 from amaranthring.core import notices
 from amaranthring.core import numerals
+from amaranthring.forwarding import events
 from amaranthring.forwarding import records
 
 MILLISECONDS = 1e3
@@ -122,7 +123,7 @@
         arrived=arrived,
         timeout=_timeout(headers.get(DEADLINE)),
         key=_key(headers.get(AUTHORIZATION, "")),
-        resume_after=headers.get(LAST_EVENT, ""),
+        resume_after=_last_event(headers.get(LAST_EVENT, "")),
         parts=_parts(headers.get(PROMPT_PARTS, "")),
         output_tokens=_output_tokens(headers.get(TOKENS, "")),
         resumes=headers.get(RESUMES, ""),
@@ -156,6 +157,16 @@
     return value[len(SCHEME) :].strip()
 
 
+def _last_event(value: str) -> str:
+    """Return the id of an event, which is any text or a number."""
+    is_number = value.isascii() and len(value) <= events.MAX_ID_DIGITS
+    if value.isdigit() and not is_number:
+        raise errors.BadRequestError(
+            LAST_EVENT, given=value[:32], expected="the id of an event"
+        )
+    return value
+
+
 def _parts(value: str) -> tuple[records.PromptPart, ...]:
     parts = []
     for entry in filter(None, value.split(",")):
--- a/tests/test_numerals.py
+++ b/tests/test_numerals.py
@@ -55,6 +55,14 @@
                     headers.MAX_COUNT,
                 )
 
+    def test_last_event(self):
+        for number in ODD:
+            with self.assertRaises(errors.BadRequestError):
+                self.read_request(**{headers.LAST_EVENT: number})
+        for text in ("", "7", "stream:7", "9" * 30):
+            incoming = self.read_request(**{headers.LAST_EVENT: text})
+            self.assertEqual(text, incoming.resume_after)
+
     def test_tokens_fit_into_a_report(self):
         """Guards against a request that ends a router's reports for good."""
         parts = ",".join(f"{n}:{'9' * 23}" for n in range(1000))
