Forward header values with tabs and bytes of any encoding

What callers saw: 400 "a header cannot be forwarded" for proper requests whose headers hold a tab, or text in UTF-8 such as a typographic apostrophe.

Cause: a line of the head had to be printable as str.isprintable sees it. Tabs are not, nor are the characters that some bytes of UTF-8 are decoded to.

Evidence: test_header_values_are_sent_as_they_are fails; a router answers 400 for "a<tab>b", and for it's with a typographic apostrophe.

Change: header lines may not hold control characters other than tabs, as RFC 9110 allows; the request line must be printable as before.

--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import dataclasses
+import re
 import time
 import typing as t
 
@@ -31,6 +32,8 @@
 LEAVING_HEADER = "Server-Leaving"
 
 MAX_INFORMATIONAL = 5
+# Source: RFC 9110, section 5.5. Tabs, and bytes of any encoding, are allowed.
+CONTROLS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 CONNECTION_ERRORS = (
     OSError,
     ValueError,
@@ -458,18 +461,22 @@
     errors.BadRequestError
         If a value would end its line, and so forge another header.
     """
-    lines = [f"{call.method} {call.path} HTTP/1.1"]
+    request_line = f"{call.method} {call.path} HTTP/1.1"
+    lines = [request_line]
     if "Host" not in call.headers:
         lines.append(f"Host: {address}")
     lines += [f"{name}: {value}" for name, value in call.headers.items()]
     if not call.keep_alive:
         lines.append("Connection: close")
     lines.append(f"Content-Length: {len(call.body)}")
-    for line in lines:
-        if not line.isprintable():
-            raise errors.BadRequestError(
-                "a header cannot be forwarded",
-                given=repr(line[:64]),
-                expected="printable characters",
-            )
+    controls = (line for line in lines if CONTROLS.search(line))
+    refused = next(controls, None)
+    if not request_line.isprintable():
+        refused = request_line
+    if refused is not None:
+        raise errors.BadRequestError(
+            "a header cannot be forwarded",
+            given=repr(refused[:64]),
+            expected="no control characters",
+        )
     return "\r\n".join([*lines, "", ""]).encode("latin1", "replace")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,6 +22,7 @@
 from amaranthring.platform import router
 from amaranthring.registry import messages
 from amaranthring.registry import targets
+from amaranthring.targets import upstream
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
@@ -288,6 +289,20 @@
         ):
             self.assertNotIn(name, sent)
 
+    def test_header_values_are_sent_as_they_are(self):
+        """Guards against refusing legal values, and against forged lines."""
+        for value in ("a\tb", "it\u2019s".encode().decode("latin1"), "\xa0"):
+            call = upstream.Call("GET", "/", {"X-Other": value})
+            sent = upstream.encode_head(call, "h:1")
+            self.assertIn(f"X-Other: {value}\r\n".encode("latin1"), sent)
+        for value in ("a\nb", "a\rb", "a\0b", "a\x7fb"):
+            call = upstream.Call("GET", "/", {"X-Other": value})
+            with self.assertRaises(errors.BadRequestError):
+                upstream.encode_head(call, "h:1")
+        for path in ("/a\tb", "/a\r\nb", "/\x80"):
+            with self.assertRaises(errors.BadRequestError):
+                upstream.encode_head(upstream.Call("GET", path, {}), "h:1")
+
     def test_reserved_headers_of_callers_are_removed(self):
         """Headers that only the fleet may set are removed.
 
