Let a keeper go on giving orders after a slow commit of a result

What operators saw: a leader that gives no orders to targets any more, until another keeper leads.

Cause: the result of an order is proposed by the task that sent it and, while that waits, by the reconciler too, which finds it not committed yet. Both then remove it; the second raises KeyError, which ends the reconciler's task.

Change: the second removal finds nothing to remove.

--- a/amaranthring/keepers/reconciler.py
+++ b/amaranthring/keepers/reconciler.py
@@ -360,4 +360,5 @@
         except errors.NotFoundError:
             # An earlier proposal was committed, but its answer was lost.
             pass
-        del self.uncommitted[fencing]
+        # Others may have ended it meanwhile.
+        self.uncommitted.pop(fencing, None)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -416,6 +416,26 @@
         await fake_state.wait_until(lambda: self.states() == [(1, "done")])
         self.assertEqual(len(target.orders), 1)
 
+    async def test_slow_commit_of_a_result_ends_no_leader(self):
+        """Guards against leaders that give no orders any more."""
+        target = FakeTarget()
+        leader = self.lead([target.record("e1")])
+        propose = leader.propose
+
+        async def propose_slowly(command, timeout):
+            answer = None
+            try:
+                answer = await propose(command, timeout)
+            finally:
+                await asyncio.sleep(0.1)
+            return answer
+
+        leader.propose = propose_slowly
+        await fake_state.wait_until(lambda: self.states() == [(1, "done")])
+        await asyncio.sleep(0.5)
+        self.assertFalse(leader.task.done())
+        self.assertEqual({}, leader.uncommitted)
+
     async def test_order_to_unknown_target_fails(self):
         begin = commands.BeginOrder("e1", 1, KINDS.LOAD, "m")
         self.group.apply(begin)
