--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -180,7 +180,9 @@
         if peer.dialler.link is not None:
             await _send_due(group, peer)
         try:
-            await asyncio.wait_for(peer.wake.wait(), heartbeat)
+            # wait_for would swallow a cancellation in the step of a wake-up.
+            async with asyncio.timeout(heartbeat):
+                await peer.wake.wait()
         except TimeoutError:
             pass
 
