Wait for the last requests of a stopping router before closing connections

What callers saw: a reset instead of the 503 of a request that a stopping router had begun to read.

Cause: the wait for idle connections ends when none is idle. A connection on which a request is being read is not, so its answer and close came before the rest of its body, and closing a connection with unread bytes resets it.

After: the test passes, with the other 14 of the module.

--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -442,7 +442,10 @@
         self.owners.hand_over()
         self.directory.hand_over()
         await self.drain.wait_idle(bounds.shutdown_seconds)
-        await callers.server.waiting.drain(time.monotonic() + CLOSE_SECONDS)
+        # Also for requests that have come meanwhile, which are refused.
+        await callers.server.waiting.drain(
+            time.monotonic() + CLOSE_SECONDS, lambda: self.drain.in_flight
+        )
         await self.drain.end_requests()
         await callers.close_connections()
         await internal.close()
--- a/tests/test_interrupted_requests.py
+++ b/tests/test_interrupted_requests.py
@@ -221,12 +221,30 @@
         }
         await asyncio.sleep(0.1)
         self.stop.set()
-        await asyncio.sleep(1.0)
         await self.running
         got = {name: await self.rest(r) for name, r in opened.items()}
         self.assertIn(b"HTTP/1.1 ", got.pop("running"))
         self.assertEqual({b""}, set(got.values()))
 
+    async def test_request_that_comes_last_is_answered_whole(self):
+        """Guards against a reset in the middle of the last requests."""
+        callers = self.settings.listen.callers
+        host, port = callers.rsplit(":", 1)
+        self.stop.set()
+        # The only connection; its request is read when the wait for idle
+        # ones has ended, and its body comes later.
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        body = b"x" * 50
+        await asyncio.sleep(0.2)
+        writer.write(HEAD + TOKEN + b"Content-Length: 50\r\n\r\n")
+        for _ in range(5):
+            await asyncio.sleep(0.1)
+            writer.write(body[:10])
+        answer = await reader.read()
+        self.assertIn(b"HTTP/1.1 503 ", answer)
+        await self.running
+
 
 class TestLateLoop(TestRouterStop):
     """The same with an event loop that is late."""
