Log background tasks of a router that end with an error

Nothing told that a router had stopped reporting its load, as a request with a token count of 23 digits could make it.

--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -328,7 +328,9 @@
             self.handing_over.trials.run(),
             self.streams.report_promptly(self.subscriber.home_link),
         ):
-            self.tasks.append(asyncio.ensure_future(work))
+            task = asyncio.ensure_future(work)
+            task.add_done_callback(_log_failure)
+            self.tasks.append(task)
 
     def use_seeds(self, addresses: list[str]) -> None:
         """Update the seed addresses of the keepers."""
@@ -403,3 +405,9 @@
         self.handing_over.client.stop()
         self.handover_server.stop()
         self.subscriber.stop()
+
+
+def _log_failure(task: asyncio.Task) -> None:
+    """Log the error that has ended a background task."""
+    if not task.cancelled() and task.exception() is not None:
+        log.error("task.failed fault={!r}", task.exception())
