--- a/amaranthring/forwarding/refusals.py
+++ b/amaranthring/forwarding/refusals.py
@@ -20,7 +20,7 @@
 # Requests of which more than this has to arrive are not recognized as whole.
 MAX_BYTES = 65536
 CONTENT_LENGTH = re.compile(
-    rb"\r\nContent-Length: *(\d+) *\r\n", re.IGNORECASE
+    rb"\r\nContent-Length: *(\d{1,15}) *\r\n", re.IGNORECASE
 )
 TRANSFER_ENCODING = re.compile(rb"\r\nTransfer-Encoding:", re.IGNORECASE)
 
--- a/amaranthring/plan_keeper.py
+++ b/amaranthring/plan_keeper.py
@@ -81,7 +81,7 @@
         """Set the addresses of the keepers named in the settings."""
         self.keeper.use_seeds(addresses)
 
-    async def stop(self, _asked_at: float) -> None:
+    async def stop(self, _asked_at: float | None = None) -> None:
         """Finish the control calls in progress, then stop the keeper.
 
         Dropping a call would leave its operator not knowing whether the
