Answer or close all that callers of a stopping keeper have open

What callers saw: an operator's call in progress at a keeper's SIGTERM, or a call or heartbeat written on a kept connection, ended with the connection and without an answer; whether the change was accepted, nobody knew.

Cause: what was open when the wait ended was left to the exit of the process. Calls take up to 0.9 s, the wait was 0.5 s; callers on kept connections were never told to close them; a request whose body was on its way did not count.

Evidence, tests.test_keeper_stops before, with keeper processes: 8 of 8 calls in progress at SIGTERM got no answer; 12 of 12 callers that heed "Connection: close" were not told and lost their last call; in process, 4 of 4 calls, bodies and connections were left.

The minimal HTTP server now says "Connection: close" while it closes, waits for calls from their head on, closes connections that are idle, and at the end answers calls with 503 and Retry-After (commit-unknown if the handler had begun, else shutting-down) and closes every connection. The keeper gives it three seconds, or half of the grace period if that is less, and takes part in the consensus until then. Closed connections are forgotten: tornado's server does not tell its delegate of them.

--- a/amaranthring/core/endpoints.py
+++ b/amaranthring/core/endpoints.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import http.client
+import time
 import typing as t
 
 import logbook
@@ -18,6 +19,7 @@
 from amaranthring.core import connections
 from amaranthring.core import drain as drains
 from amaranthring.core import listeners
+from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
 
 log = logbook.Logger(__name__)
@@ -25,6 +27,10 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 BODY_SECONDS = 20.0
 IDLE_SECONDS = 60.0
+# Time to send errors to the calls that a stop cuts off, on a busy processor.
+CUT_OFF_SECONDS = 0.2
+# Another process may be asked at once.
+RETRY_SECONDS = 0.0
 
 
 @dataclasses.dataclass
@@ -49,6 +55,14 @@
 Handler = t.Callable[[Request], t.Awaitable[Response]]
 
 
+class _HTTPServer(tornado.httpserver.HTTPServer):
+    """HTTP server that tells its delegate of closed connections."""
+
+    def on_close(self, server_conn):
+        super().on_close(server_conn)
+        self.request_callback.on_close(server_conn)
+
+
 class Server(tornado.httputil.HTTPServerConnectionDelegate):
     """Answers every request with the response of `handler`.
 
@@ -57,13 +71,24 @@
     handler : callable
         Returns the response to a request, or raises an
         ``AmaranthringError`` that supplies the status of the response.
+
+    Attributes
+    ----------
+    drain : drain.Drain
+        Counts the calls; tells whether this server is closing.
+    calls : set of _Call
+        Calls whose head has arrived and whose response has not been sent.
+    idle : connections.IdleConnections
+        Connections without a call.
     """
 
     def __init__(self, handler: Handler):
         self.handler = handler
         self.drain = drains.Drain()
+        self.calls: set[_Call] = set()
+        self.idle = connections.IdleConnections()
         self.listener: listeners.Listener | None = None
-        self.server = tornado.httpserver.HTTPServer(
+        self.server = _HTTPServer(
             self,
             max_body_size=MAX_BODY_BYTES,
             body_timeout=BODY_SECONDS,
@@ -77,82 +102,128 @@
 
     def start_request(self, server_conn, request_conn):
         """Return the delegate that reads one request."""
-        del server_conn
-        return _RequestReader(self.handler, request_conn, self.drain)
+        self.idle.add(server_conn)
+        return _Call(self, server_conn, request_conn)
+
+    def on_close(self, server_conn):
+        """Forget a closed connection."""
+        self.idle.discard(server_conn)
 
     async def close(self, seconds: float) -> None:
-        """Stop listening; wait up to `seconds` for requests in flight.
+        """Stop listening; leave no call unanswered and no connection open.
 
-        What has not ended by then is answered that its outcome is unknown,
-        and all connections are closed.
+        Calls are answered, and callers told to close their connections, for
+        up to `seconds`. A call that has no response by then gets an error.
         """
+        deadline = time.monotonic() + seconds
+        self.drain.leaving = True
         await self.listener.close()
-        await self.drain.wait_idle(seconds)
-        await self.drain.end_requests()
-        await self.listener.close_connections()
+        await self.idle.drain(deadline, lambda: self.drain.in_flight)
+        if self.calls or self.idle:
+            await self._cut_off()
+
+    async def _cut_off(self) -> None:
+        """Answer what is running or still arrives; close every connection."""
+        logs.event(
+            log,
+            "calls.cut-off",
+            running=self.drain.in_flight,
+            idle=len(self.idle),
+        )
+        self.drain.close()
+        for call in list(self.calls):
+            call.cut_off()
+        await asyncio.sleep(CUT_OFF_SECONDS)
+        for server_conn in [*self.idle, *(c.server_conn for c in self.calls)]:
+            server_conn.stream.close()
 
 
-class _RequestReader(tornado.httputil.HTTPMessageDelegate):
-    """Reads one request and writes its response."""
+class _Call(tornado.httputil.HTTPMessageDelegate):
+    """Reads one request and writes its response.
 
-    def __init__(self, handler: Handler, connection, drain: drains.Drain):
-        self.handler = handler
+    Attributes
+    ----------
+    handling : asyncio.Task, optional
+        Runs the handler.
+    task : asyncio.Task, optional
+        Writes the response.
+    """
+
+    def __init__(self, server: Server, server_conn, connection):
+        self.server = server
+        self.server_conn = server_conn
         self.connection = connection
-        self.drain = drain
         self.request: Request | None = None
         self.chunks: list[bytes] = []
+        self.handling: asyncio.Task | None = None
         self.task: asyncio.Task | None = None
-        self.interruption: asyncio.Task | None = None
-        self.answered = False
 
     def headers_received(self, start_line, headers):
         del headers
         path = start_line.path.partition("?")[0]
         self.request = Request(start_line.method, path)
+        self.server.idle.discard(self.server_conn)
+        self.server.calls.add(self)
+        self.server.drain.request_started(self.cut_off)
 
     def data_received(self, chunk):
         self.chunks.append(chunk)
 
     def finish(self):
+        if self.server_conn.stream.closed():
+            # Read in the same step of the event loop in which the connection
+            # was closed as idle: the caller sends the request again.
+            self._end()
+            return
         self.request.body = b"".join(self.chunks)
-        self.drain.request_started(self.interrupt)
-        self.task = asyncio.ensure_future(self._respond())
+        self.chunks.clear()
+        if self.server.drain.closing:
+            self.cut_off()
+            return
+        self.task = asyncio.ensure_future(self._respond(self._response()))
 
     def on_connection_close(self):
-        # The handler runs to its end: what it changes must not depend on
-        # whether the client still waits for the response.
-        pass
-
-    def interrupt(self) -> None:
-        """Answer the request at once, as the process is about to exit."""
-        error = errors.CommitUnknownError(
-            "this process has stopped before it had the answer",
-            expected="a resend to another one",
-        )
-        self.interruption = asyncio.ensure_future(
-            self._answer(_error_response(error))
-        )
-
-    async def _respond(self) -> None:
-        await self._answer(await self._response())
-
-    async def _answer(self, response: Response) -> None:
-        if self.answered:
-            return
-        self.answered = True
+        # Called before the request is whole only. A handler runs to its end:
+        # what it changes must not depend on whether the client still waits
+        # for the response.
+        if self.task is None:
+            self._end()
+
+    def cut_off(self) -> None:
+        """Answer with an error unless there is a response."""
+        if self.task is None:
+            self.task = asyncio.ensure_future(self._respond(_refuse()))
+        elif self.handling is not None:
+            self.handling.cancel()
+
+    def _end(self) -> None:
+        if self in self.server.calls:
+            self.server.calls.remove(self)
+            self.server.drain.request_finished(self.cut_off)
+
+    async def _respond(self, response: t.Awaitable[Response]) -> None:
         try:
-            await self._write(response)
+            await self._write(await response)
         finally:
-            finished = self.drain.request_finished
-            connections.call_when_sent(
-                self.connection, lambda: finished(self.interrupt)
-            )
+            connections.call_when_sent(self.connection, self._end)
 
     async def _response(self) -> Response:
         try:
-            return await self.handler(self.request)
+            self.handling = asyncio.ensure_future(
+                self.server.handler(self.request)
+            )
+            return await self.handling
         except errors.AmaranthringError as error:
             return _error_response(error)
+        except asyncio.CancelledError:
+            if not self.server.drain.closing:
+                raise
+            return _error_response(
+                errors.CommitUnknownError(
+                    "this process stops before the call has ended",
+                    retry_after=RETRY_SECONDS,
+                )
+            )
         except Exception:
             log.exception("call.failed path={}", self.request.path)
             return Response(500)
@@ -163,6 +234,8 @@
         headers["Content-Length"] = str(len(response.body))
         if response.retry_after is not None:
             headers["Retry-After"] = f"{response.retry_after:g}"
+        if self.server.drain.leaving:
+            headers["Connection"] = "close"
         line = status_line(response.status)
         try:
             await self.connection.write_headers(line, headers, response.body)
@@ -178,6 +251,15 @@
     )
 
 
+async def _refuse() -> Response:
+    """Return the response to a call that has not begun."""
+    return _error_response(
+        errors.ShuttingDownError(
+            "this process is being stopped", retry_after=RETRY_SECONDS
+        )
+    )
+
+
 def status_line(status: int) -> tornado.httputil.ResponseStartLine:
     """Return the status line of a response with `status`."""
     reason = http.client.responses.get(status, "Unknown")
--- a/amaranthring/plan_keeper.py
+++ b/amaranthring/plan_keeper.py
@@ -20,8 +20,12 @@
 
 log = logbook.Logger(__name__)
 
-# Time limit for control calls in progress at shutdown.
-DRAIN_SECONDS = 0.5
+# Time limit for control calls at shutdown. It covers closing the listener, a
+# call that takes `hub.ANSWER_SECONDS`, and the idle time after which a kept
+# connection is closed (2 s), on a slow processor. And the share of the grace
+# period that it may take, since the keeper stops after it.
+DRAIN_SECONDS = 3.0
+DRAIN_SHARE = 0.5
 HTTP_MODULE = "amaranthring.core.endpoints"
 
 
@@ -54,7 +58,7 @@
         self.keeper = keepers.PlanKeeper(config, keys, self.metrics)
         self.load_answers = load_answers
         self.listen_task: asyncio.Task | None = None
-        self.control_server: t.Any = None
+        self.servers: list[t.Any] = []
 
     def start(self) -> asyncio.Task:
         """Start the keeper; return the task that opens the HTTP listeners.
@@ -68,10 +72,11 @@
     async def _listen(self) -> None:
         endpoints, make_answer = await asyncio.to_thread(self._load)
         answer = make_answer(self.keeper.hub)
-        self.control_server = endpoints.serve(self.control, answer)
-        endpoints.serve(
-            self.metrics_address, endpoints.metrics_handler(self.metrics)
-        )
+        for address, handler in (
+            (self.control, answer),
+            (self.metrics_address, endpoints.metrics_handler(self.metrics)),
+        ):
+            self.servers.append(endpoints.serve(address, handler))
         logs.event(log, "keeper.listening", address=self.control)
 
     def _load(self) -> tuple[types.ModuleType, t.Callable]:
@@ -82,12 +87,13 @@
         self.keeper.use_seeds(addresses)
 
     async def stop(self, _asked_at: float | None = None) -> None:
-        """Finish the control calls in progress, then stop the keeper.
+        """Answer calls while callers close, then stop the keeper.
 
         Dropping a call would leave its operator not knowing whether the
-        change was committed.
+        change was committed. The keeper takes part in the consensus until
+        all are answered.
         """
         self.listen_task.cancel()
-        if self.control_server is not None:
-            await self.control_server.close(DRAIN_SECONDS)
+        seconds = min(DRAIN_SECONDS, DRAIN_SHARE * self.config.grace)
+        await asyncio.gather(*(each.close(seconds) for each in self.servers))
         await self.keeper.stop()
--- a/amaranthring/platform/keeper.py
+++ b/amaranthring/platform/keeper.py
@@ -22,6 +22,7 @@
         link_rate=node.link_rate,
         process_started_at=clocks.STARTED_AT,
         retry_window=node.retry_window,
+        grace=node.grace,
     )
     return plan_keeper.KeeperProcess(
         config,
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -62,6 +62,8 @@
         As in :class:`options.Options`.
     retry_window : float
         Seconds over which routers count retries.
+    grace : float
+        Seconds that a graceful stop may take.
     """
 
     address: str
@@ -73,6 +75,7 @@
     link_rate: float = 0.0
     process_started_at: float | None = None
     retry_window: float = router_census.DEFAULT_WINDOW_SECONDS
+    grace: float = 8.0
 
 
 class PlanKeeper:
