--- a/tests/test_keeper_disk_soak.py
+++ b/tests/test_keeper_disk_soak.py
@@ -5,7 +5,10 @@
 and the time of a sync after it come from the seed, unless
 ``KEEPER_SOAK_FINAL`` and ``KEEPER_SOAK_SYNC`` (seconds) name them. With
 ``KEEPER_SOAK_FOLDERS=1`` syncs of folders take as long as those of files.
-Logs stay in ``KEEPER_SOAK_KEEP``, if it names a folder.
+With ``KEEPER_SOAK_AT_ONCE=8`` that many changes are in progress from before
+the final fault, which then also finds disks slow, to its end; the final fault
+``wipe`` has to be named. Logs stay in ``KEEPER_SOAK_KEEP``, if it names a
+folder.
 """
 
 import asyncio
@@ -29,6 +32,7 @@
 FINAL = os.environ.get("KEEPER_SOAK_FINAL", "")
 SYNC = os.environ.get("KEEPER_SOAK_SYNC", "")
 FOLDERS = os.environ.get("KEEPER_SOAK_FOLDERS", "") == "1"
+AT_ONCE = int(os.environ.get("KEEPER_SOAK_AT_ONCE", "0"))
 KEEP = os.environ.get("KEEPER_SOAK_KEEP", "")
 # Disks that may be lost in one series, by the number of keepers.
 LOST_DISKS = {3: 1, 6: 2}
@@ -45,6 +49,9 @@
 # Changes while a keeper is away: its place in the log is compacted away.
 LAG_CHANGES = 80
 LAG_SECONDS = 10.0
+# Changes of one of the operators around the final fault.
+CROWD_CHANGES = 1000
+CROWD_SECONDS = 15.0
 TAIL_LINES = 12
 DELAY_SAMPLE_SECONDS = 0.02
 
@@ -291,6 +298,17 @@
             "restart": self.final_restart,
         }
         final = FINAL or self.rng.choice(list(finals))
+        finals["wipe"] = self.final_wipe
+        crowd = []
+        if AT_ONCE:
+            self.fleet.set_disks(self.fleet.names, mode)
+            crowd = [
+                asyncio.ensure_future(
+                    self.operators.change_many(CROWD_CHANGES, CROWD_SECONDS)
+                )
+                for _ in range(AT_ONCE)
+            ]
+            await asyncio.sleep(self.details.uniform(0.5, 1.5))
         self.operators.changed.clear()
         try:
             async with asyncio.timeout(RECOVER_SECONDS):
@@ -301,6 +319,8 @@
             )
         self.note(f"final: {final}, then syncs of {mode.low}, {mode.high} s")
         await finals[final](mode)
+        for change in crowd:
+            change.cancel()
         self.note("all run")
         return sync_seconds, final, final in ("power", "restart")
 
@@ -317,6 +337,16 @@
         for name in self.fleet.router_groups:
             self.fleet.start_router(name)
 
+    async def final_wipe(self, mode):
+        """As many disks as may be lost are lost while the others run on."""
+        self.fleet.set_disks(self.fleet.names, mode)
+        lost = self.details.sample(self.fleet.names, self.disks_left)
+        self.note(f"{lost} lose their disks")
+        self.fleet.kill(lost)
+        for name in lost:
+            self.fleet.lose_disk(name)
+        await self.bring_back(lost, self.details.uniform(0.1, 1.0))
+
     async def final_lag(self, mode):
         """Restart a keeper that lacks a snapshot, and all routers."""
         lagging, away = self.details.sample(self.fleet.names, 2)
