Forget callers' connections that have closed

A router kept an entry for each connection that a caller closed while it was idle, with its stream, for good; each stop went through all of them.

Cause: tornado's server does not tell its delegate of closed connections, so Frontend.on_close was never called. The server calls it now.

test_closed_connections_are_forgotten: 20 entries of 20 closed connections before, 0 now.

--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -65,6 +65,8 @@
     def on_close(self, server_conn):
         self.streams.discard(server_conn.stream)
         super().on_close(server_conn)
+        # tornado's server does not tell its delegate of closed connections.
+        self.request_callback.on_close(server_conn)
 
 
 class Frontend(tornado.httputil.HTTPServerConnectionDelegate):
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -184,6 +184,17 @@
         async with asyncio.timeout(WORK_SECONDS):
             await self.until(lambda: not self.router.front.in_flight)
 
+    async def test_closed_connections_are_forgotten(self):
+        """Guards against memory that grows with each closed connection."""
+        await self.begin()
+        address = "{}:{}".format(*self.router.address)
+        sockets = [connect(address) for _ in range(20)]
+        await self.until(lambda: len(self.router.front.idle) == 20)
+        for sock in sockets:
+            sock.close()
+        await self.until(lambda: not self.router.front.server.streams)
+        self.assertEqual(0, len(self.router.front.idle))
+
     async def test_refused_request_for_a_head_is_answered(self):
         """A refusal has a body, which the answer to a HEAD may not have."""
         await self.begin()
