Take replies that arrive in the step of their timeout

Cause: asyncio.timeout, which had replaced wait_for so that cancellations are not swallowed, cancels the wait although the reply arrives in the same step, and late loops run overdue timers first. asyncio.wait does neither.

--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -155,14 +155,15 @@
         self._pending[call_id] = future
         try:
             self._ask(call_id, message)
-            # wait_for would swallow a cancellation in the step in which the
-            # reply arrives.
-            async with asyncio.timeout(timeout):
-                return await future
-        except TimeoutError as error:
-            raise errors.LinkTimeoutError(
-                f"no reply from {self.peer.name} in {timeout} s"
-            ) from error
+            # Unlike wait_for, it does not swallow a cancellation in the step
+            # in which the reply arrives; unlike asyncio.timeout, it leaves a
+            # reply that arrives in the step of the timeout.
+            await asyncio.wait({future}, timeout=timeout)
+            if not future.done():
+                raise errors.LinkTimeoutError(
+                    f"no reply from {self.peer.name} in {timeout} s"
+                )
+            return future.result()
         finally:
             self._pending.pop(call_id, None)
 
