--- a/amaranthring/callers/settlements.py
+++ b/amaranthring/callers/settlements.py
@@ -22,7 +22,7 @@
 
 MAX_PENDING = 10_000
 RETRY_INTERVAL_SECONDS = 0.5
-# The same while the router stops.
+# Pause between two tries to settle while the router stops.
 LAST_INTERVAL_SECONDS = 0.1
 BATCH_SIZE = 50
 
--- a/amaranthring/forwarding/caller_stream.py
+++ b/amaranthring/forwarding/caller_stream.py
@@ -12,8 +12,8 @@
 
 __all__ = ["CallerStream", "wrap"]
 
-# Time for reading a request that arrived together with the end of the sending
-# side.
+# Time for reading and answering a request that arrived together with the end
+# of the sending side.
 PARSE_SECONDS = 0.05
 
 
--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -35,8 +35,9 @@
 # Time for answering the last requests before all connections are closed.
 END_SECONDS = 0.1
 END_POLL_SECONDS = 0.01
-# Turns of the event loop that this may take, however late they are: to take a
-# connection, and to read, parse, refuse and answer its request.
+# Turns of the event loop that answering a last request takes: to accept its
+# connection, and to read, parse and refuse it. They may last longer than
+# END_SECONDS.
 END_TURNS = 8
 
 
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -65,9 +65,9 @@
 CLOSE_SECONDS = 0.5
 # Part of CLOSE_SECONDS reserved for the exit of the process on half of a core.
 EXIT_SECONDS = 0.4
-# How often a late event loop delays a stop, each time as it delays a timer:
-# from closing the listener to the exit, and from the end of the last wait.
-# Both begin earlier by that.
+# Number of timers that a stop waits for, from closing the listener to the exit
+# and from the end of the last wait. A late event loop delays each of them, so
+# both parts begin earlier by that many delays.
 CLOSE_DELAYS = 7
 EXIT_DELAYS = 5
 PRUNE_INTERVAL_SECONDS = 5.0
