Let a test of ended targets break off every run

The test waited until its targets had received all requests, which they note one turn of the event loop before their script runs and keeps the connection. It then broke off the connections that it knew, sometimes without the last one, whose run went on until the router gave it up after 2 s: target.doubted with given_up=True in the log of each failed play, the run of the other target broken off as it should be. The test now waits for the connections themselves; what it checks is the same.

--- a/tests/test_ended_targets.py
+++ b/tests/test_ended_targets.py
@@ -105,7 +105,7 @@
         asked = []
         while not all(target.requests for target in self.targets):
             asked.append(asyncio.ensure_future(self.ask(HANGING, "POST")))
-            await self.until(lambda: self.ran() == len(asked))
+            await self.until(lambda: len(self.writers) == len(asked))
         for target in self.targets:
             await self.end(target)
         for writer in self.writers:
