Drain a router of the notices soak until a moment that is a function

The drain of callers' connections takes a function since a stop may end earlier while the event loop is late.

--- a/tests/test_forwarding_notices_soak.py
+++ b/tests/test_forwarding_notices_soak.py
@@ -170,7 +170,8 @@
         _, router = self.routers[number]
         self.routers[number] = self.new_router()
         router.front.closing = True
-        await router.front.drain(time.monotonic() + 3.0)
+        until = time.monotonic() + 3.0
+        await router.front.drain(lambda: until)
         router.stop()
 
     async def call_until_stopped(self, caller):
