Let whole answers reach callers that close their sending side

What callers saw: a caller that shut its sending side while a whole answer was being sent to it got the first part of the answer, then the end of the connection.

Cause: the end of the sending side interrupted the request although its answer had been given to the connection; a request with a status is ended by a close, which drops what is not sent.

Change: a request whose answer is whole is not interrupted. The stream is closed once everything is sent, as before.

--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -224,11 +224,13 @@
         """End what a caller that sends nothing more still waits for.
 
         It cannot be told from one that has closed its connection, whose work
-        must end. So its request is answered, but not with its own result.
+        must end. So its request is answered, but not with its own result,
+        unless that is already being sent.
         """
         request = self.requests.get(stream)
         if request is not None:
-            request.interrupt(_half_closed())
+            if not request.writer.is_whole:
+                request.interrupt(_half_closed())
         elif not connections.has_input(stream):
             stream.close()
 
--- a/tests/test_ended_waits.py
+++ b/tests/test_ended_waits.py
@@ -283,3 +283,22 @@
         self.assertGreater(len(received), size)
         await asyncio.sleep(0.1)
         self.assertEqual(set(), self.router.front.server.streams)
+
+    async def test_whole_answer_that_is_being_sent_is_not_cut(self):
+        """Guards against answers of targets that end in the middle."""
+        body = b"x" * (8 * 1024 * 1024)
+        await self.begin(scripted_target.respond(body))
+        sock = test_unanswered_requests.connect(
+            "{}:{}".format(*self.router.address)
+        )
+        sock.sendall(b"GET /a/x HTTP/1.1\r\nHost: h\r\nTest-Id: i1\r\n\r\n")
+        requests = self.router.front.requests
+        await self.until(
+            lambda: any(r.writer.is_whole for r in requests.values())
+        )
+        sock.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(0.1)
+        received = await test_unanswered_requests.read_all(sock)
+        self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received[:99])
+        self.assertEqual(len(body), len(received.partition(b"\r\n\r\n")[2]))
+        await self.until(lambda: not self.router.front.server.streams)
