Send no body to HEAD requests that a stopping router turns away

What callers saw: bytes after the answer to a HEAD, which has no body, from a stopping router that turned their connection away or closed it last.

Change: the body is left out for HEAD requests.

--- a/amaranthring/forwarding/refusals.py
+++ b/amaranthring/forwarding/refusals.py
@@ -19,6 +19,7 @@
 
 # Requests of which more than this has to arrive are not recognized as whole.
 MAX_BYTES = 65536
+HEAD = b"HEAD "
 CONTENT_LENGTH = re.compile(
     rb"\r\nContent-Length: *(\d{1,15}) *\r\n", re.IGNORECASE
 )
@@ -48,7 +49,7 @@
         if not _is_whole(data):
             return False
         sock.recv(MAX_BYTES)
-        sock.send(_response(error))
+        sock.send(_response(error, is_for_head=data.startswith(HEAD)))
     except BlockingIOError:
         return False
     except OSError as fault:
@@ -67,12 +68,13 @@
     return len(body) == (int(length[1]) if length else 0)
 
 
-def _response(error: errors.AmaranthringError) -> bytes:
+def _response(error: errors.AmaranthringError, is_for_head: bool) -> bytes:
     record = {"code": error.code, "detail": error.detail}
     body = json.dumps({"error": record})
-    return (
+    head = (
         f"HTTP/1.1 {error.status} Service Unavailable\r\n"
         "Content-Type: application/json\r\nConnection: close\r\n"
         f"Retry-After: {error.retry_after or 0:g}\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n{body}"
-    ).encode()
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return (head if is_for_head else head + body).encode()
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -224,6 +224,13 @@
         self.assertIn(b" 503 ", await self.send(REQUEST))
         self.assertEqual(await self.send(REQUEST[:20]), b"")
 
+    async def test_answer_to_a_head_has_no_body(self):
+        """Guards against bytes that are no part of an answer."""
+        self.front.closing = True
+        answer = await self.send(REQUEST.replace(b"GET", b"HEAD"))
+        self.assertIn(b" 503 ", answer)
+        self.assertTrue(answer.endswith(b"\r\n\r\n"), answer)
+
     async def test_other_routers_close_unread(self):
         """What is not read is sent elsewhere, also if it may run once."""
         self.assertEqual(await self.send(REQUEST), b"")
