Let smaller answers go on when a larger one no longer waits for memory

What callers saw: while the memory for answers is nearly full, an answer that fits waits until some other large answer has left, perhaps until its deadline.

Cause: answers of known length get memory in the order of their arrival. If the first one ends while it waits, as its caller has left or its time has passed, nobody looked at those behind it.

Evidence: the new test; with 600 of 1,000 bytes taken, one of 100 bytes waits behind one of 800 that is cancelled: still after 1 s before, at once now.

Change: the end of a wait wakes those behind it.

--- a/amaranthring/forwarding/answer_memory.py
+++ b/amaranthring/forwarding/answer_memory.py
@@ -130,6 +130,9 @@
             if future.done() and not future.cancelled():
                 self.counted = counted
                 self.release()
+            else:
+                # Those behind it may be smaller.
+                memory.wake_waiting()
             raise
         self.counted = counted
 
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -77,6 +77,17 @@
         await asyncio.wait_for(asyncio.gather(*waiting[1:]), 1.0)
         self.assertEqual(800, self.memory.used)
 
+    async def test_next_gets_what_one_that_ended_waited_for(self):
+        """Guards against an answer that waits though there is memory."""
+        await self.share("first").reserve(FREE + 600)
+        large = asyncio.ensure_future(self.share("large").reserve(FREE + 800))
+        small = asyncio.ensure_future(self.share("small").reserve(FREE + 100))
+        await asyncio.sleep(0.01)
+        self.assertFalse(small.done())
+        large.cancel()
+        await asyncio.wait_for(small, 1.0)
+        self.assertEqual(700, self.memory.used)
+
     async def test_answer_above_the_limit_gets_it_alone(self):
         """Guards against an answer that waits for ever."""
         await asyncio.wait_for(self.share("large").reserve(FREE + 5000), 1.0)
