Give no place to a waiting request that is just ending

What callers saw: a request waits for room at a target, perhaps to the end of its time, though a place is free.

Cause: a request whose caller has left, or whose time has passed, stays in the queue until the next step of its task. A late event loop handles more of both in one turn.

Evidence: the new test; the second of two requests still waits 0.5 s after the first was cancelled and a place became free, before; it is woken at once now.

Change: requests that are ending are passed over.

--- a/amaranthring/forwarding/room_queue.py
+++ b/amaranthring/forwarding/room_queue.py
@@ -129,13 +129,17 @@
     def wake(self, target: messages.TargetRecord, places: int) -> None:
         """Wake as many requests as there may be places at `target`."""
         queue = self.waiting.get(target.service, collections.deque())
-        able = [waiting for waiting in queue if waiting.may_use(target)]
+        able = [
+            waiting
+            for waiting in queue
+            # One that was cancelled leaves the queue in its next step.
+            if not waiting.woken.done() and waiting.may_use(target)
+        ]
         able.sort(key=lambda waiting: waiting.context.binding is None)
         for waiting in able[:places]:
             queue.remove(waiting)
-            if not waiting.woken.done():
-                waiting.target = target
-                waiting.woken.set_result(None)
+            waiting.target = target
+            waiting.woken.set_result(None)
 
     def _expected_wait(
         self, context: records.RequestContext, ahead: int
--- a/tests/test_ended_waits.py
+++ b/tests/test_ended_waits.py
@@ -99,6 +99,14 @@
 
     async def test_place_goes_to_the_next_request(self):
         """Guards against requests that wait while a place is free."""
+        await self.check(lambda first, wake: (wake(), first.cancel()))
+
+    async def test_place_is_not_given_to_a_request_that_is_ending(self):
+        """Guards against a place that is lost with a cancelled request."""
+        await self.check(lambda first, wake: (first.cancel(), wake()))
+
+    async def check(self, end_first):
+        """Check that the place of a request that ends is not lost."""
         placer = mock.Mock()
         placer.room.awaited = {}
         placer.room.allowed_requests.return_value = 10
@@ -121,8 +129,7 @@
 
         first, second = wait(), wait()
         await asyncio.sleep(0)
-        queue.wake(target, 1)
-        first.cancel()
+        end_first(first, lambda: queue.wake(target, 1))
         await asyncio.wait({second}, timeout=0.5)
         self.assertTrue(second.done())
 
