Refuse announcements with numbers that other processes cannot use

What callers saw: after one announcement of a target with an integer beyond 64 bits its keeper tells routers of no target any more, marks none as silent and writes no hints; with a port above 65535 routers answer requests with 500 and no longer look for targets that they did not reach.

Cause: errors that nobody expects, here from numbers in announcements, which were checked for their type only. No message can hold the integer, and the record stays in the keeper's table; asyncio raises OverflowError on the port, which is not among the errors of a connection.

Evidence: three keepers in one process and a record with sequence 10**30: the tasks of the hub and of the publisher, and that of the hints, ended with TypeError within 1.5 s at the keeper that took it. The new tests: three of three fail before, none now.

Change: announcements with such integers, ports or times are refused at the border, like other invalid ones.

--- a/amaranthring/platform/control.py
+++ b/amaranthring/platform/control.py
@@ -5,6 +5,7 @@
 
 from amaranthring import errors
 from amaranthring.core import endpoints
+from amaranthring.core import numerals
 from amaranthring.core import validation
 from amaranthring.keepers import plans
 from amaranthring.platform import documents
@@ -18,6 +19,12 @@
 HEARTBEAT = "/Replicas.Heartbeat/"
 DEREGISTER = "/Replicas.Deregister/"
 
+MAX_PORT = 65535
+# Greater ones do not fit into the messages between processes.
+MAX_INTEGER = 2**63 - 1
+# Greater ones are no time that anything takes.
+MAX_COLD_MILLISECONDS = 1e9
+
 EMPTY_OBJECT = b"{}"
 # States that a target reports; any other state is invalid.
 STATES = {
@@ -162,17 +169,32 @@
     born = data.get("born", 0)
     if isinstance(born, bool) or not isinstance(born, int) or born < 0:
         raise TypeError(f"born {born!r}")
-    return born
+    return _bounded(born)
+
+
+def _bounded(number: int) -> int:
+    """Return `number`, which other processes can read."""
+    if abs(number) > MAX_INTEGER:
+        raise ValueError("an integer is out of range")
+    return number
 
 
 def _address(data: dict) -> str:
     address = data["address"]
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
+    number = numerals.read(port)
+    if not host or number is None or number > MAX_PORT:
         raise ValueError(f"address {address!r}")
     return address
 
 
+def _cold_seconds(data: dict) -> float:
+    left = data.get("cold_left_ms", 0)
+    if not left <= MAX_COLD_MILLISECONDS:
+        raise ValueError("cold_left_ms is out of range")
+    return left / MILLISECONDS
+
+
 def _record(target_id: str, data: dict) -> dict[str, t.Any]:
     born = _start_time(data)
     if not target_id:
@@ -187,8 +209,8 @@
         "address": _address(data),
         "data_centre": data.get("zone", ""),
         "release": data.get("version", ""),
-        "slots": data.get("batch_slots", 1),
+        "slots": _bounded(data.get("batch_slots", 1)),
         "state": STATES[data["state"]],
-        "sequence": data["sequence"],
-        "cold_seconds": data.get("cold_left_ms", 0) / MILLISECONDS,
+        "sequence": _bounded(data["sequence"]),
+        "cold_seconds": _cold_seconds(data),
     }
--- a/tests/test_numerals.py
+++ b/tests/test_numerals.py
@@ -1,5 +1,6 @@
-"""Numbers in headers."""
+"""Numbers in headers and announcements."""
 
+import json
 import unittest
 
 import tornado.httputil
@@ -7,6 +8,7 @@
 from amaranthring import errors
 from amaranthring.core import numerals
 from amaranthring.core import wire
+from amaranthring.platform import control
 from amaranthring.platform import headers
 from amaranthring.registry import sharing
 from amaranthring.targets import http_body
@@ -90,5 +92,27 @@
             self.assertEqual(numerals.MAX_NUMBER, decoder.remaining)
 
 
+class TestAnnouncements(unittest.TestCase):
+    """Guards against a target whose record ends the tasks of all processes."""
+
+    def check_refused(self, **fields):
+        data = {"backend": "s", "address": "h:1", "state": "ready"}
+        body = json.dumps(data | {"sequence": 1} | fields).encode()
+        with self.assertRaises(errors.BadRequestError, msg=fields):
+            control.read_heartbeat(f"{control.HEARTBEAT}t1", body)
+
+    def test_ports_that_cannot_be_connected_to(self):
+        for port in ("99999", "\u00b2", "9" * 5000, "-1", ""):
+            self.check_refused(address=f"h:{port}")
+
+    def test_integers_that_no_message_holds(self):
+        for name in ("born", "sequence", "batch_slots"):
+            self.check_refused(**{name: 10**30})
+
+    def test_times_that_are_no_times(self):
+        for value in (10**400, 10**300, float("nan"), float("inf")):
+            self.check_refused(cold_left_ms=value)
+
+
 if __name__ == "__main__":
     unittest.main()
