Answer the first of several requests that a stopping router turns away

Callers that write a further request behind the first one got a reset and no answer from a stopping, overloaded router, 0.3 s and more after the first was sent. `refusals.refuse_arrived` recognized a request only if nothing followed it, so such a connection was closed unread.

The first request is refused (503, `Connection: close`) whatever follows it. What follows is not answered, as for any answer that ends its connection.

The new test sends six combinations: six had no answer before, none now.

--- a/amaranthring/forwarding/refusals.py
+++ b/amaranthring/forwarding/refusals.py
@@ -29,10 +29,11 @@
 def refuse_arrived(
     sock: socket.socket, error: errors.AmaranthringError
 ) -> bool:
-    """Answer a whole request that has arrived on a connection.
+    """Answer the first request that has arrived on a connection.
 
-    Nothing is read otherwise, so the caller learns from the close of the
-    connection that its request was not read.
+    Nothing is read if it is not whole, so the caller learns from the close of
+    the connection that it was not read. Requests behind the first are not
+    answered, as its answer ends the connection.
 
     Parameters
     ----------
@@ -46,7 +47,7 @@
     """
     try:
         data = sock.recv(MAX_BYTES, socket.MSG_PEEK)
-        if not _is_whole(data):
+        if not _starts_with_whole(data):
             return False
         sock.recv(MAX_BYTES)
         sock.send(_response(error, is_for_head=data.startswith(HEAD)))
@@ -58,14 +59,14 @@
     return True
 
 
-def _is_whole(data: bytes) -> bool:
-    """Return whether `data` is one request."""
+def _starts_with_whole(data: bytes) -> bool:
+    """Return whether `data` is one request, or more behind the first."""
     head, end, body = data.partition(b"\r\n\r\n")
     head += b"\r\n"
     if not end or TRANSFER_ENCODING.search(head):
         return False
     length = CONTENT_LENGTH.search(head)
-    return len(body) == (int(length[1]) if length else 0)
+    return len(body) >= (int(length[1]) if length else 0)
 
 
 def _response(error: errors.AmaranthringError, is_for_head: bool) -> bytes:
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -231,6 +231,16 @@
         self.assertIn(b" 503 ", answer)
         self.assertTrue(answer.endswith(b"\r\n\r\n"), answer)
 
+    async def test_stopping_router_answers_the_first_of_two_requests(self):
+        """A further request behind it must not keep one from its answer."""
+        self.front.closing = True
+        body = b"POST /a/x HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody"
+        for first in (REQUEST, body):
+            for more in (REQUEST, REQUEST[:20], body):
+                with self.subTest(first=first, more=more):
+                    answer = await self.send(first + more)
+                    self.assertEqual(answer.count(b" 503 "), 1)
+
     async def test_other_routers_close_unread(self):
         """What is not read is sent elsewhere, also if it may run once."""
         self.assertEqual(await self.send(REQUEST), b"")
