Give pre-votes a whole election timeout

Where a round trip between two of three keepers takes more than half an election timeout, the group has no leader: a candidate drops each pre-vote after 0.225 s, before the answer can come. Operators' calls are refused, and routers that start get no plan, for as long as that lasts.

The limit protects nothing that a whole timeout doesn't: a pre-vote waits for no disk, a candidate leaves its own pre-vote to others between its ballots, and only beyond a timeout would a leader lose its quorum at once.

--- a/amaranthring/keepers/election.py
+++ b/amaranthring/keepers/election.py
@@ -31,8 +31,9 @@
 # shorter than most retry waits, so that a candidate that cannot win does not
 # block the others.
 PRE_VOTE_GRANT_SHARE = 0.15
-# How long a pre-vote may take; it waits for no disk.
-PRE_VOTE_TIMEOUT_SHARE = 0.5
+# How long a pre-vote may take; it waits for no disk. With a longer round trip
+# an elected leader would lose its quorum at once.
+PRE_VOTE_TIMEOUT_SHARE = 1.0
 # Seconds. A vote is answered once the voter's disk has it; after this time it
 # is requested again.
 VOTE_TIMEOUT_SECONDS = 30.0
