Let no keeper answer for another when one release alone may have begun a stream

Callers that took a stream up saw events of two versions, or of two services, joined. A router that finds no binding goes on if one release alone can have served, and one keeper that calls its knowledge complete was enough. A keeper counts another as heard for 1.5 s after its last sums, so one that was cut off less than that ago still called its knowledge complete, while a new release, or the move of a route, was known on the other side only. No process has to end for this.

Keepers now name all keepers in their answer, and a router takes the word only if each of them has answered. The first event of a stream was sent before the question, so whatever began it is known to the keeper that told of it. Answers of several rounds are put together, so that a keeper that is linked late costs no refusal. Answers that name no keepers, of an older build, do not count, as before.

--- a/amaranthring/forwarding/stream_bindings.py
+++ b/amaranthring/forwarding/stream_bindings.py
@@ -200,8 +200,11 @@
             return
         asked_at = self.clock()
         give_up_at = asked_at + ASK_SECONDS
+        answers: dict[str, stream_messages.StreamFound] = {}
         while True:
-            answers = await self._ask_keepers(context, key)
+            # An answer counts whenever it came: the stream's first event was
+            # sent before the first question.
+            answers |= await self._ask_keepers(context, key)
             if self._bind_by_answers(context, answers):
                 return
             if not self._is_worth_asking_again(answers):
@@ -294,7 +297,7 @@
             return ""
         if self._has_moved(context.route, answers):
             return ""
-        if not any(answer.complete for answer in answers.values()):
+        if not _are_complete(answers):
             return ""
         releases = self._releases(context.service).union(
             *(answer.releases for answer in answers.values())
@@ -325,7 +328,7 @@
         self, answers: dict[str, stream_messages.StreamFound]
     ) -> bool:
         """Return whether keepers may soon know more, as after their start."""
-        if any(answer.complete for answer in answers.values()):
+        if _are_complete(answers):
             return False
         return not any(len(a.releases) > 1 for a in answers.values())
 
@@ -356,6 +359,7 @@
             services=len(context.route.shares),
             moved=self._has_moved(context.route, answers),
             answers=_summary(answers),
+            unheard=sorted(_unheard(answers)),
             releases=sorted(self._releases(context.service)),
         )
         return errors.StreamUnknownError(
@@ -382,6 +386,25 @@
         return link.peer.name, None
 
 
+def _are_complete(
+    answers: dict[str, stream_messages.StreamFound],
+) -> bool:
+    """Return whether no release can have served that no answer names.
+
+    A keeper notices a cut late, so its word for the other keepers covers only
+    what was before; they answer for themselves what they have heard since.
+    """
+    return not _unheard(answers) and any(
+        answer.complete and answer.keepers for answer in answers.values()
+    )
+
+
+def _unheard(answers: dict[str, stream_messages.StreamFound]) -> set[str]:
+    """Return the keepers that others name and that gave no answer."""
+    named = {name for answer in answers.values() for name in answer.keepers}
+    return named - answers.keys()
+
+
 def _summary(
     answers: dict[str, stream_messages.StreamFound],
 ) -> dict[str, list[t.Any]]:
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -92,6 +92,7 @@
         self.streams = stream_ledger.StreamLedger(
             handlers, self.table, FRESH_INTERVALS * announce_seconds, clock
         )
+        self.streams.keeper_names = lambda: [group.keeper.name, *group.peers]
         self.exchange = sharing.Exchange(
             handlers,
             lambda: [peer.dialler for peer in group.peers.values()],
--- a/amaranthring/registry/stream_ledger.py
+++ b/amaranthring/registry/stream_ledger.py
@@ -51,6 +51,8 @@
     hears_all_keepers : callable
         Returns whether no other keeper is silent, and each has told its
         history.
+    keeper_names : callable
+        Returns the names of all keepers, with this one.
     knows_history : bool
         Whether `releases` and `routes` reach back to before the start of
         this process, or nothing served then.
@@ -76,6 +78,7 @@
         self.routes = route_history.RouteHistory(clock)
         self.releases = release_history.ReleaseHistory(clock)
         self.hears_all_keepers: t.Callable[[], bool] = lambda: False
+        self.keeper_names: t.Callable[[], list[str]] = list
         self.knows_history = False
         self.on_history: list[t.Callable[[], None]] = []
         handlers.add(stream_messages.FindStream, self._on_find)
@@ -204,4 +207,5 @@
             complete=self._is_complete(),
             moved=self.routes.has_moved(message.route),
             settles_in=self._settles_in(),
+            keepers=self.keeper_names(),
         )
--- a/amaranthring/registry/stream_messages.py
+++ b/amaranthring/registry/stream_messages.py
@@ -74,6 +74,8 @@
     settles_in : float
         Seconds until all targets have announced themselves to this keeper,
         which has just started.
+    keepers : list of str
+        Names of all keepers, with this one; empty if they are not known.
     """
 
     known: bool
@@ -84,6 +86,7 @@
     complete: bool = False
     moved: bool = False
     settles_in: float = 0.0
+    keepers: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass
--- a/amaranthring/testing/scripted_target.py
+++ b/amaranthring/testing/scripted_target.py
@@ -365,7 +365,10 @@
     def __init__(self, releases: t.Iterable[str] = ("v1",)):
         self.peer = links.Identity("keeper", "keeper", "here", 1)
         self.answer = stream_messages.StreamFound(
-            False, releases=list(releases), complete=True
+            False,
+            releases=list(releases),
+            complete=True,
+            keepers=[self.peer.name],
         )
         self.known: dict[bytes, stream_messages.StreamFound] = {}
         self.is_silent = False
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -286,6 +286,32 @@
         self.keeper.answer.complete = False
         self.assertEqual(503, (await self.resume()).status)
 
+    async def test_keeper_does_not_answer_for_another(self):
+        """Guards against a keeper that has not noticed a cut yet."""
+        await self.begin_alike()
+        self.keeper.answer.keepers = ["keeper", "other"]
+        self.assertEqual(503, (await self.resume()).status)
+
+    async def test_keepers_may_answer_one_after_the_other(self):
+        """Guards against refusals as the answers do not come together."""
+        await self.begin_alike()
+        other = scripted_target.ScriptedKeeper()
+        other.peer = dataclasses.replace(other.peer, name="other")
+        self.router.keepers.append(other)
+        self.keeper.answer.keepers = ["keeper", "other"]
+        other.is_silent = True
+        asked = asyncio.ensure_future(self.resume())
+        await self.until(lambda: other.asked)
+        self.keeper.is_silent = True
+        other.is_silent = False
+        self.assertEqual(200, (await asked).status)
+
+    async def test_keeper_of_an_older_build_does_not_count(self):
+        """Guards against answers that do not name the other keepers."""
+        await self.begin_alike()
+        self.keeper.answer.keepers = []
+        self.assertEqual(503, (await self.resume()).status)
+
     async def test_version_that_only_this_router_knows_counts(self):
         """Guards against keepers that have lost what a router still knows."""
         await self.begin_alike()
