Let completions count against what a restarted keeper condemns

Cause: that a feature is sound, and which runs were cleared or withdrawn, is known to keepers alone. Runs that routers tell a new keeper again, and those of the hints, said nothing of completions, so the keeper took a popular path for one that had never completed. It condemned the path 0.2 s after its first router had linked, and routers that know of a completion answered only verdicts that do not condemn. Also, the age of a completion did not grow with that of a run that is told again.

Change: runs carry the age of the last completion whenever they are told again or kept; routers answer a verdict that condemns, too, if a request completed here before its last crash; the keeper then lifts it, unless as many crashes followed as condemn a sound feature. A completion after the last crash still frees nothing.

--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import math
 import time
 import typing as t
@@ -53,6 +52,22 @@
     return verdict.count >= crash_evidence.MIN_CRASHES
 
 
+def _is_cleared(verdict: crash_evidence.Verdict, age: float) -> bool:
+    """Return whether a completion counts against the verdict.
+
+    A feature that is condemned may complete later in a duplicate that was
+    sent earlier.
+
+    Parameters
+    ----------
+    age : float
+        Seconds since the completion.
+    """
+    if not verdict.condemned:
+        return bool(verdict.count)
+    return any(note.age < age for note in verdict.crashes)
+
+
 class CrashGuard:
     """Reports runs that ended with their targets, and refuses the causes.
 
@@ -350,6 +365,9 @@
         """Tell a keeper on a new link what it may not know."""
         runs = self.evidence.runs(RESENT_SECONDS, RESENT_RUNS)
         runs += self._unproven_runs()[: RESENT_RUNS - len(runs)]
+        for run in runs:
+            completed = self.completions.age(run.fingerprint)
+            run.completed = min(run.completed, completed)
         if runs:
             sharing.send_if_open(link, crash_messages.LostRuns(runs))
         known = [self._told(fingerprint) for fingerprint in list(self.told)]
@@ -365,7 +383,7 @@
         for verdict in message.verdicts:
             self._heed(verdict, now)
             age = self._completed_age(verdict.fingerprint)
-            if verdict.count and not verdict.condemned and age is not None:
+            if age is not None and _is_cleared(verdict, age):
                 sharing.send_if_open(
                     link,
                     crash_messages.SuspectsCompleted(
@@ -479,7 +497,7 @@
         """Return the runs of the last time that are not proven, as of now."""
         now = self.clock()
         return [
-            dataclasses.replace(run, age=run.age + now - reported_at)
+            run.later(now - reported_at)
             for known in self.unproven.values()
             for run, reported_at in known
             if run.age + now - reported_at <= RESENT_SECONDS
--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -117,6 +117,12 @@
     completed: float = math.inf
     proven: bool = True
 
+    def later(self, seconds: float) -> "Run":
+        """Return the run as of some `seconds` later."""
+        return dataclasses.replace(
+            self, age=self.age + seconds, completed=self.completed + seconds
+        )
+
 
 class Ignored(enum.StrEnum):
     """Why a run does not count."""
@@ -170,6 +176,18 @@
     return length > MIN_CRASHES
 
 
+def _acquits(suspect: suspects.Suspect, at: float) -> bool:
+    """Return whether a completion before the last crash shows a sound feature.
+
+    Parameters
+    ----------
+    at : float
+        Time of the completion, in seconds.
+    """
+    later = [c for c in suspect.crashes if c.at > at + SLACK_SECONDS]
+    return 0 < len(later) < MAX_SOUND_CRASHES
+
+
 @dataclasses.dataclass
 class CrashNote:
     """A crash as processes tell each other of it.
@@ -208,7 +226,8 @@
     crashes : list of CrashNote
         These crashes, if it is refused.
     withdrawn : bool
-        Whether some crashes no longer count, as their targets live.
+        Whether some crashes no longer count, as their targets live or a
+        request with the feature had completed in between.
     together : list of str
         Fingerprints of the features from which nothing tells it apart. Only
         requests that have all of them too are refused.
@@ -278,7 +297,7 @@
         Fingerprints in the verdicts that were taken last.
     withdrawn : set of str
         Fingerprints of the features of which crashes were withdrawn since
-        then.
+        then, or which are no longer condemned.
     companions : companions.Companions
         Features that were on all lost requests of another one.
     completions : completions.Completions
@@ -367,7 +386,9 @@
         """Clear features of a request that completed.
 
         One that is refused stays so if the request should have been refused:
-        it is a duplicate that was sent earlier.
+        it is a duplicate that was sent earlier. It does not if the request
+        completed before the last crash: whoever condemned the feature did not
+        know that it is sound.
 
         Parameters
         ----------
@@ -388,12 +409,25 @@
             suspect = self.get(fingerprint)
             if suspect is None:
                 continue
-            if suspect.condemned and self.together(fingerprint) <= names:
+            at = self.clock() - age
+            if suspect.condemned and _acquits(suspect, at):
+                self.acquit(fingerprint)
+            elif suspect.condemned and self.together(fingerprint) <= names:
                 continue
-            self._drop_crashes(fingerprint, suspect, self.clock() - age)
+            self._drop_crashes(fingerprint, suspect, at)
             cleared.append(fingerprint)
         return cleared
 
+    def acquit(self, fingerprint: str) -> None:
+        """Condemn a feature no longer; its crashes may have other causes."""
+        suspect = self.get(fingerprint)
+        if suspect is None or not suspect.condemned:
+            return
+        suspect.condemned = False
+        for crash in suspect.crashes:
+            self.records.explain(crash, "")
+        self.withdrawn.add(fingerprint)
+
     def _drop_crashes(
         self, fingerprint: str, suspect: suspects.Suspect, until: float
     ) -> None:
@@ -698,6 +732,7 @@
                 now - crash.at,
                 crash.router,
                 beside,
+                self.completions.age(fingerprint),
                 proven=crash.target not in self.unproven,
             )
             for crash in suspect.crashes
--- a/amaranthring/policy/suspects.py
+++ b/amaranthring/policy/suspects.py
@@ -280,7 +280,10 @@
             known.reported_at = max(known.reported_at, at)
 
     def explain(self, crash: Crash, fingerprint: str) -> None:
-        """Record that `fingerprint` was condemned for the crash."""
+        """Record that `fingerprint` is condemned for the crash.
+
+        It is empty if none is.
+        """
         known = self.entries.get((crash.target, crash.incarnation))
         if known is not None:
             known.cause = fingerprint
--- a/amaranthring/registry/crash_ledger.py
+++ b/amaranthring/registry/crash_ledger.py
@@ -127,7 +127,7 @@
             if verdict.seconds > age:
                 self.evidence.adopt(verdict.later(age))
         for run in runs:
-            self.evidence.add(dataclasses.replace(run, age=run.age + age))
+            self.evidence.add(run.later(age))
         self._follow_up()
 
     def stop(self) -> None:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -134,6 +134,35 @@
         self.assertFalse(self.evidence.clear("bad"))
         self.assertEqual({"bad"}, self.judge())
 
+    def test_completion_that_is_told_late_frees_a_sound_feature(self):
+        """Guards against ten minutes of refusals by a restarted keeper."""
+        targets = [self.crash("path", "a"), self.crash("path", "b")]
+        completed_at = self.now
+        targets += [self.crash("path") for _ in range(4)]
+        self.assertEqual({"path"}, self.judge())
+        self.assertTrue(self.evidence.get("path").condemned)
+        self.evidence.take_changes()
+        age = self.now - completed_at
+        self.assertEqual(["path"], self.evidence.complete(["path"], age))
+        self.assertEqual(set(), self.judge())
+        left = [crash.target for crash in self.evidence.get("path").crashes]
+        self.assertEqual(targets[2:], left)
+        [told] = self.evidence.take_changes()
+        self.assertEqual((0, True), (told.count, told.withdrawn))
+        # Its crashes count for others again.
+        for target in targets[2:]:
+            self.assertTrue(self.run_on(target, "bad", age=0.3, seconds=5.0))
+
+    def test_sound_feature_with_a_long_series_stays_condemned(self):
+        """Guards against a cause that an earlier completion frees."""
+        completed_at = self.now
+        for _ in range(crash_evidence.MAX_SOUND_CRASHES):
+            self.crash("bad")
+        self.assertEqual({"bad"}, self.judge())
+        self.evidence.complete(["bad"], self.now - completed_at)
+        self.assertEqual({"bad"}, self.judge())
+        self.assertTrue(self.evidence.get("bad").condemned)
+
     def test_verdict_names_crashes_and_expires(self):
         """Guards against a refusal without its reasons or its end."""
         targets = self.condemn("bad")
@@ -301,6 +330,19 @@
         self.crash("bad")
         self.assertEqual({"bad"}, self.judge())
 
+    def test_completions_are_told_again_with_runs(self):
+        """Guards against a restarted keeper that refuses a popular path."""
+        self.evidence.complete(["path"])
+        for _ in range(6):
+            self.crash("path")
+        self.assertEqual(set(), self.judge())
+        runs = self.evidence.runs(60.0, 100)
+        self.evidence = crash_evidence.CrashEvidence(lambda: self.now)
+        for run in runs:
+            self.assertTrue(self.evidence.add(run.later(1.0)))
+        self.now += 1.0
+        self.assertEqual(set(), self.judge())
+
     def test_memory_is_bounded(self):
         """Guards against a caller that fills the tables."""
         most = suspects.MAX_ENTRIES
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -330,6 +330,46 @@
         got = [answer.status for answer in await asyncio.gather(*asked)]
         self.assertEqual([200] * 5, got)
 
+    async def test_sound_part_is_told_to_keepers_that_condemn_it(self):
+        """Guards against ten minutes of refusals by a restarted keeper."""
+        await self.begin_crashing(2)
+        self.assertEqual(200, (await self.ask_with("sys")).status)
+        await asyncio.sleep(0.05)
+        link = mock.Mock()
+        told = self.verdict("part:sys", refused=600.0)
+        told.crashes[-1].age = 0.0
+        self.guard.on_verdicts(link, crash_messages.Verdicts([told]))
+        [call] = link.send.mock_calls
+        self.assertEqual(["part:sys"], call.args[0].fingerprints)
+        self.assertLess(0.04, call.args[0].age)
+        self.assertEqual(503, (await self.ask_with("sys")).status)
+        self.tell(fingerprint="part:sys", crashes=0, withdrawn=True)
+        self.assertEqual(200, (await self.ask_with("sys")).status)
+
+    async def test_completion_after_the_last_crash_frees_nothing(self):
+        """Guards against a duplicate that clears what crashes targets."""
+        await self.begin_crashing(2)
+        self.assertEqual(200, (await self.ask_with("sys")).status)
+        link = mock.Mock()
+        self.tell(link, fingerprint="part:sys", refused=600.0)
+        self.assertEqual([], link.send.mock_calls)
+
+    async def test_new_keeper_is_told_what_has_completed(self):
+        """Guards against a restarted keeper that refuses a popular path."""
+        await self.begin_crashing(3)
+        self.assertEqual(200, (await self.ask_with("sys")).status)
+        await self.ask_with("sys", CRASHING)
+        await asyncio.sleep(0.15)
+        unproven = crash_evidence.Run("part:sys", "t9", 0.1, 0.0, "router-1")
+        self.guard.unproven["t9"] = [(unproven, self.guard.clock())]
+        link = mock.Mock()
+        self.guard.add_keeper(link)
+        [call] = link.send.mock_calls
+        runs = [r for r in call.args[0].runs if r.fingerprint == "part:sys"]
+        self.assertEqual(2, len(runs))
+        for run in runs:
+            self.assertLess(run.completed, 5.0)
+
     async def test_failed_answer_clears_nothing(self):
         """Guards against a suspect that an error of its target clears."""
         await self.begin(scripted_target.respond(b"no", status=500))
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -241,6 +241,30 @@
         self.ledger.add_router(link)
         self.assertEqual([], link.sent)
 
+    async def test_sound_feature_that_was_condemned_is_free_again(self):
+        """Guards against a restarted keeper that refuses a popular path."""
+        await self.crash_series(4, "path")
+        self.assertTrue(self.routers[0].verdicts()["path"].condemned)
+        completed = crash_messages.SuspectsCompleted(["path"], 2.5)
+        self.receive(self.routers[3], completed)
+        await self.settle()
+        told = self.routers[0].verdicts()["path"]
+        self.assertEqual(
+            (0, False, True), (told.count, told.condemned, told.withdrawn)
+        )
+
+    async def test_completions_are_kept_with_the_runs(self):
+        """Guards against a loss of power after which a path is refused."""
+        completed = crash_messages.SuspectsCompleted(["path"])
+        self.receive(self.routers[3], completed)
+        await self.crash_series(4, "path")
+        self.assertEqual([], self.routers[0].sent)
+        kept = self.ledger.condemned(), self.ledger.runs()
+        self.setUp()
+        self.ledger.restore(*kept, 3.0)
+        await self.settle()
+        self.assertEqual([], self.routers[0].sent)
+
     async def test_routers_bring_back_what_a_keeper_lost(self):
         """Guards against a restarted keeper that begins from nothing."""
         note = crash_evidence.CrashNote("t1", 9.0, "router-1")
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -1,13 +1,16 @@
 """A prompt part that ends each target that answers it, before a real fleet."""
 
 import asyncio
+import collections
 import random
 import signal
 import time
 import uuid
 
+from amaranthring.policy import crash_evidence
 from amaranthring.registry import hint_file
 from tests import crash_case
+from tests import platform_case
 
 # Crashes from which on few requests with the part may reach targets.
 CRASHES = 5
@@ -248,3 +251,62 @@
         self.assertLess(100, len(self.sound))
         refused = [answer for answer in self.sound if answer.status != 200]
         self.assertEqual([], refused)
+
+
+class TestRestartedKeeper(crash_case.CrashCase):
+    """Replicas that end under the requests of one router.
+
+    Requests with the same path complete at the other routers.
+    """
+
+    routers = 3
+    replicas = 8
+    path = f"/b/{crash_case.SLOW}"
+
+    async def send_to(self, router):
+        """Send a request that no other one equals."""
+        body = uuid.uuid4().hex.encode()
+        return await self.send(self.path, body=body, router=router)
+
+    async def end_under(self, router):
+        """End a replica under a request of a router."""
+        caller = self.begin(self.send_to(router))
+        running = []
+        while not running:
+            await asyncio.sleep(0.01)
+            running = [
+                replica
+                for replica in self.all_replicas
+                for seen in replica.requests
+                if seen.headers[platform_case.ROUTER].startswith(router)
+                and not replica.crashed_at
+            ]
+        running[0].end()
+        self.assertEqual(502, (await caller).status)
+        await asyncio.sleep(crash_evidence.JUDGE_SECONDS)
+
+    async def serve(self, routers):
+        """Send requests to `routers` for a second; return the statuses."""
+        sends = []
+        for number in range(int(1.0 / SOUND_SECONDS)):
+            router = routers[number % len(routers)]
+            sends.append(self.begin(self.send_to(router)))
+            await asyncio.sleep(SOUND_SECONDS)
+        return collections.Counter([(await send).status for send in sends])
+
+    async def test_path_that_completes_elsewhere_is_served(self):
+        """Guards against refusing for ten minutes what was cleared before."""
+        *others, lonely = self.router_names
+        await self.serve(others)
+        for _ in range(4):
+            await self.end_under(lonely)
+        await self.serve(others)
+        # The router that has lost runs links to the new keeper first.
+        frozen = [self.begin(self.freeze(name, 2.0)) for name in others]
+        await self.restart("keeper", signal.SIGKILL)
+        await asyncio.gather(*frozen)
+        await asyncio.sleep(1.5)
+        for routers in (others, [lonely]):
+            statuses = await self.serve(routers)
+            self.assertIn(200, statuses)
+        self.assertEqual({200}, set(await self.serve(others)))
