Leave to keepers what a router condemned without them

Callers of one router saw 503 `suspected` for up to ten minutes after all keepers had been away for some seconds, while the other routers served.

Cause: without keepers a router judges by what it has seen itself. What it condemned so it refused even after keepers were back that know better, as they have heard of completions elsewhere: they publish nothing of a sound feature, so nothing told the router, and no request that it refuses can clear the feature.

Evidence: the keeper is killed, four replicas end under requests of one router, the keeper comes back: it logs `crash.ignored reason=cleared` for the path and no verdict; the router answers 20 of 20 requests with 503, 3 s later.

Change: a router that reaches keepers again has told them of its lost runs; once they have had the time to judge these, its own verdicts on them end. Crashes too old to be told again keep theirs.

Before and after: TestRestartedKeeper.test_router_without_keepers_serves_it_again 20 of 20 refused, some served; the unit test fails before.

--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -370,11 +370,33 @@
             run.completed = min(run.completed, completed)
         if runs:
             sharing.send_if_open(link, crash_messages.LostRuns(runs))
+            asyncio.get_running_loop().call_later(
+                suspect_trials.JUDGED_SECONDS,
+                self._leave_to_keepers,
+                {run.fingerprint for run in runs},
+            )
         known = [self._told(fingerprint) for fingerprint in list(self.told)]
         condemned = [v for v in known if v is not None and v.condemned]
         if condemned:
             sharing.send_if_open(link, crash_messages.Verdicts(condemned))
 
+    def _leave_to_keepers(self, told: set[str]) -> None:
+        """Condemn no longer what keepers have been told of and have judged.
+
+        Parameters
+        ----------
+        told : set of str
+            Fingerprints of the features.
+        """
+        if not self.open_links():
+            return
+        recent = self.evidence.condemned_within(
+            RESENT_SECONDS + suspect_trials.JUDGED_SECONDS
+        )
+        for fingerprint in told.intersection(recent):
+            self.evidence.acquit(fingerprint)
+            logs.event(log, "suspect.left-to-keepers", fingerprint=fingerprint)
+
     def on_verdicts(
         self, link: links.Link, message: crash_messages.Verdicts
     ) -> None:
--- a/amaranthring/policy/crash_evidence.py
+++ b/amaranthring/policy/crash_evidence.py
@@ -518,6 +518,16 @@
         self.companions.add(verdict.fingerprint, verdict.together)
         self.changed.add(verdict.fingerprint)
 
+    def condemned_within(self, seconds: float) -> list[str]:
+        """Return the condemned features all of whose crashes are so recent."""
+        oldest = self.clock() - seconds
+        return [
+            fingerprint
+            for fingerprint, suspect in self.suspects.entries.items()
+            if suspect.condemned
+            and all(crash.at >= oldest for crash in suspect.crashes)
+        ]
+
     def get(self, fingerprint: str) -> suspects.Suspect | None:
         """Return what is known of a feature, or None."""
         return self.suspects.get(fingerprint, self.clock())
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -7,6 +7,7 @@
 
 from amaranthring.forwarding import crash_features
 from amaranthring.forwarding import ended_targets
+from amaranthring.forwarding import suspect_trials
 from amaranthring.policy import crash_evidence
 from amaranthring.registry import crash_messages
 from amaranthring.testing import scripted_target
@@ -256,6 +257,28 @@
             self.assertEqual([n for n in by_name if n != name], beside)
         self.assertEqual(["worse"], [v.fingerprint for v in verdicts.verdicts])
 
+    async def test_keepers_judge_what_a_router_alone_has_condemned(self):
+        """Guards against a router that refuses what keepers have cleared."""
+        await self.begin_crashing(5)
+        for pause in (0.0, 0.0, crash_evidence.PAUSE_SECONDS, 0.0):
+            await self.crash()
+            await asyncio.sleep(pause)
+        links = []
+        self.guard.open_links = lambda: links
+        with mock.patch.object(suspect_trials, "JUDGED_SECONDS", 0.0):
+            self.guard.add_keeper(mock.Mock())
+            await asyncio.sleep(0.01)
+            # The link has closed again.
+            condemned = self.guard.evidence.condemned_within(60.0)
+            self.assertEqual(2, len(condemned))
+            links.append(mock.Mock())
+            self.guard.add_keeper(links[0])
+            await asyncio.sleep(0.01)
+        self.assertEqual([], self.guard.evidence.condemned_within(60.0))
+        for name in condemned:
+            suspect = self.guard.evidence.get(name)
+            self.assertEqual(4, len(suspect.crashes))
+
 
 class TestFeatures(GuardCase):
     """What requests share with others, as keepers tell it."""
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -310,3 +310,16 @@
             statuses = await self.serve(routers)
             self.assertIn(200, statuses)
         self.assertEqual({200}, set(await self.serve(others)))
+
+    async def test_router_without_keepers_serves_it_again(self):
+        """Guards against a router that refuses what keepers have cleared."""
+        *others, lonely = self.router_names
+        await self.serve(others)
+        self.processes["keeper"].kill()
+        await asyncio.sleep(1.0)
+        for _ in range(4):
+            await self.end_under(lonely)
+        self.assertEqual({503}, set(await self.serve([lonely])))
+        self.start("keeper")
+        await asyncio.sleep(CALM_SECONDS)
+        self.assertIn(200, await self.serve([lonely]))
