Tell those that wait for a disk writer that it stops

However the writer ends now, each wait gets a StorageError, and so does each later one. It is no fault of the disk, so the group reports none.

--- a/amaranthring/keepers/disk.py
+++ b/amaranthring/keepers/disk.py
@@ -240,6 +240,15 @@
     )
 
 
+def stopped_error() -> errors.StorageError:
+    """Return the error for a write that the end of the writer cut short."""
+    return errors.StorageError(
+        "data folder: the writer has stopped",
+        given="a write that may not be on disk",
+        expected="a running keeper",
+    )
+
+
 class Writer:
     """Runs disk operations in order in one thread, with one sync per batch.
 
@@ -271,6 +280,7 @@
         self.operations: list[t.Callable[[], None]] = []
         self.marker: t.Any = None
         self.waiters: list[asyncio.Future] = []
+        self.batch_waiters: list[asyncio.Future] = []
         self.wake = asyncio.Event()
         self.batches = 0
         self.batch_started_at: float | None = None
@@ -304,7 +314,7 @@
         Raises
         ------
         errors.StorageError
-            If the disk fails or has failed before.
+            If the disk fails or has failed before, or the writer stops.
         """
         if self.fault:
             raise self.fault
@@ -314,13 +324,23 @@
         await future
 
     async def run(self) -> None:
-        """Run batches until cancelled or until the disk fails."""
+        """Run batches until cancelled or until the disk fails.
+
+        However it ends, those that wait for a batch are told.
+        """
+        try:
+            await self._run_batches()
+        finally:
+            if self.fault is None:
+                self._refuse_waiters(stopped_error())
+
+    async def _run_batches(self) -> None:
         loop = asyncio.get_running_loop()
         while self.fault is None:
             await self.wake.wait()
             self.wake.clear()
             operations, self.operations = self.operations, []
-            waiters, self.waiters = self.waiters, []
+            self.batch_waiters, self.waiters = self.waiters, []
             marker, self.marker = self.marker, None
             try:
                 if operations:
@@ -331,12 +351,12 @@
                         len(operations),
                     )
             except (OSError, errors.StorageError) as error:
-                self._fail(error, waiters)
+                self._fail(error)
                 return
             self.batches += 1
             if marker is not None:
                 self.on_synced(marker)
-            for future in waiters:
+            for future in self.batch_waiters:
                 if not future.done():
                     future.set_result(None)
 
@@ -362,18 +382,23 @@
             operation()
         self.sync()
 
-    def _fail(self, error: Exception, waiters) -> None:
+    def _fail(self, error: Exception) -> None:
         # After a failed write or sync the contents of the disk are unknown:
         # nothing more may be acknowledged until it has been read again.
         if isinstance(error, OSError):
             error = storage_error("data folder", error)
+        self._refuse_waiters(error)
+        self.on_fault(error)
+
+    def _refuse_waiters(self, error: errors.StorageError) -> None:
+        """Fail all waits, now and later, with `error`."""
         self.fault = error
-        for future in waiters + self.waiters:
+        for future in self.batch_waiters + self.waiters:
             if not future.done():
                 future.set_exception(error)
+                # Marks it as retrieved, as the waiter may have ended.
                 future.exception()
-        self.waiters = []
-        self.on_fault(error)
+        self.batch_waiters, self.waiters = [], []
 
     def close(self) -> None:
         """Stop the thread."""
