Show the keepers' logs where no plan comes back after all have ended

test_acknowledged_plan_comes_back failed now and then beside load, and kept no logs: a process that takes seconds to start can't be told from an election without an end. Its message now has the lines that tell them apart, the last forty of each process; the checks are the same.

--- a/amaranthring/testing/soak_fleet.py
+++ b/amaranthring/testing/soak_fleet.py
@@ -200,3 +200,12 @@
             for name, process in self.processes.items()
             if process.popen.poll() is not None
         ]
+
+    def last_lines(self, events: tuple[str, ...], count: int) -> str:
+        """Return the last lines of each process with one of the events."""
+        parts = []
+        for name, process in self.processes.items():
+            lines = process.log.read_text(errors="replace").splitlines()
+            chosen = [x for x in lines if any(each in x for each in events)]
+            parts += [f"{name}:", *chosen[-count:]]
+        return "\n".join(parts)
--- a/tests/test_keeper_ends.py
+++ b/tests/test_keeper_ends.py
@@ -24,6 +24,19 @@
 CHANGES_BEFORE_END = 12
 SYNC_SECONDS = (0.0, 0.005, 0.05, 0.2)
 RECOVER_SECONDS = 12.0
+# What tells a slow start from an election without an end.
+LOG_EVENTS = (
+    "history.known",
+    "keeper.listening",
+    "keeper.ballot",
+    "keeper.voted",
+    "keeper.leads",
+    "keeper.follows",
+    "keeper.steps-down",
+    "keeper.fault",
+    "keeper.failed",
+)
+LOG_LINES = 40
 
 
 class TestKeepersEnd(unittest.IsolatedAsyncioTestCase):
@@ -107,4 +120,7 @@
                 if await operators.read(reader, address):
                     return
             await asyncio.sleep(0.1)
-        self.fail(f"no plan after syncs of {what}; ended: {fleet.ended()}")
+        self.fail(
+            f"no plan after syncs of {what}; ended: {fleet.ended()}; "
+            f"logs:\n{fleet.last_lines(LOG_EVENTS, LOG_LINES)}"
+        )
