Write departures of targets to the hints at once

A target that had left, and went on serving as the users' targets do, got requests again after all routers and keepers were killed, for as long as it served; so did one that drains, until its next heartbeat. The departure was acknowledged, but was in the keepers' hints only up to 2 s later: the hints named the target as ready. It was not heard from again, so it counted as silent, but routers go on using a silent target that answers.

Keepers write the hints at once when a target leaves or begins to drain, as they do for new releases, with a pause of 0.05 s after each write.

--- a/amaranthring/registry/hint_file.py
+++ b/amaranthring/registry/hint_file.py
@@ -33,6 +33,9 @@
 # Bounds what a power loss can lose. A sync occupies a disk for 5 ms, 0.2% of
 # the time at this interval.
 WRITE_SECONDS = 2.0
+# After each write, so that targets that leave one after the other do not keep
+# the disk and the processor busy.
+PAUSE_SECONDS = 0.05
 # Interval at which an unchanged file is rewritten to refresh its age.
 REWRITE_SECONDS = 10.0
 # Targets in an older file have mostly been replaced. The age is wall-clock
@@ -121,6 +124,10 @@
         self.written: t.Any = None
         self.written_at = float("-inf")
         self.faulty = False
+        self.places: list[list[str]] = []
+        self.tokens: dict[str, int] = {}
+        self.place_pairs: set[tuple[str, ...]] = set()
+        self.places_at = float("-inf")
         self.is_urgent = asyncio.Event()
         # Writes in a thread, so that a stalled disk blocks neither the event
         # loop nor the log.
@@ -172,6 +179,7 @@
             self._record_result(error)
             if error is None:
                 self.written, self.written_at = comparable, hints.written_at
+            await asyncio.sleep(PAUSE_SECONDS)
 
     async def _wait(self) -> None:
         """Wait until the next write is due."""
@@ -186,18 +194,27 @@
         """Write without waiting for the interval."""
         self.is_urgent.set()
 
+    def _find_places(self) -> None:
+        """Take over the locations, which is most of the work."""
+        now = self.exchange.clock()
+        if now - self.places_at < WRITE_SECONDS:
+            return
+        self.places_at = now
+        self.places = self.exchange.recent_locations()
+        self.tokens = self.exchange.tokens_of(self.places)
+        self.place_pairs = {tuple(pair) for pair in self.places}
+
     def _hints(self) -> Hints:
+        self._find_places()
         active = [
             record for record in self.table.records() if not record.silent
         ]
-        locations = self.exchange.recent_locations()
-        tokens = self.exchange.tokens_of(locations)
         history = self.streams.history()
         return Hints(
             self.wall(),
-            locations,
+            self.places,
             active,
-            tokens,
+            self.tokens,
             self.crashes.condemned(),
             self.crashes.runs(),
             history.moved,
@@ -205,11 +222,10 @@
             history.is_known,
         )
 
-    @staticmethod
-    def _comparable(hints: Hints) -> t.Any:
+    def _comparable(self, hints: Hints) -> t.Any:
         """Return the content whose change makes the file worth rewriting."""
         return (
-            {tuple(pair) for pair in hints.places},
+            self.place_pairs,
             {
                 (record.id, record.state, record.release)
                 for record in hints.targets
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -65,6 +65,8 @@
         Linked routers and their names.
     accepted : accepted.AcceptedLinks
         All links that this keeper accepted.
+    on_departure : list of callable
+        Called when targets have announced that they leave, or have left.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         self.crashes = crash_ledger.CrashLedger(
             handlers, lambda: self.routers, clock
         )
+        self.on_departure: list[t.Callable[[], None]] = []
         self.tasks: list[asyncio.Task] = []
         self.plan_source = plan_source.PlanSource(machine, pacer)
         self.publisher = publisher.TargetPublisher(
@@ -150,6 +153,7 @@
         if self.table.merge(record):
             merged = self.table.entries[record.id].record
             targets.log_change(merged)
+            self._note_departures([merged])
             self._broadcast([merged])
 
     def refuse(self, error: errors.AmaranthringError) -> None:
@@ -178,8 +182,14 @@
         record = self.table.mark_gone_by_name(name, born)
         if record is not None:
             logs.event(log, "target.left", target=record.id)
+            self._note_departures([record])
             self._broadcast([record])
 
+    def _note_departures(self, records: list[messages.TargetRecord]) -> None:
+        if any(r.state is not messages.State.READY for r in records):
+            for callback in self.on_departure:
+                callback()
+
     def _require_connected(self) -> None:
         # A partitioned keeper would acknowledge that a target leaves while the
         # routers continue to send to it.
@@ -213,6 +223,7 @@
             if self.table.adopt(record)
         ]
         if changed:
+            self._note_departures(changed)
             self.publisher.publish(changed)
 
     def _on_heard(self, link: links.Link, message: messages.Heard) -> None:
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -185,6 +185,7 @@
         if self.config.may_bootstrap:
             self.hub.streams.learn_history("first-start")
         self.hub.streams.on_history.append(self.hints.write_soon)
+        self.hub.on_departure.append(self.hints.write_soon)
         self.server.add_sockets(sockets)
         self.group.start()
         self.hub.start()
