Withdraw crashes of live targets after a restart of a keeper, too

A keeper withdraws crashes that routers have reported of targets that go on announcing themselves, as after a cut between a router and its targets. Those that it takes over from its hints it did not: a router's report of the same runs is known by then, so these targets were never watched, and what was condemned for them was refused for the rest of ten minutes.

Shown by the test, which fails before: four crashes are kept over a restart, all four targets announce themselves on, and the request stays condemned. Now it is free again.

Change: the targets of restored runs are watched from the time of the loss on.

--- a/amaranthring/registry/crash_ledger.py
+++ b/amaranthring/registry/crash_ledger.py
@@ -128,6 +128,8 @@
                 self.evidence.adopt(verdict.later(age))
         for run in runs:
             self.evidence.add(run.later(age))
+            # Its target may prove to live, as before the restart.
+            self._watch(run.target, self.clock() - run.age - age)
         self._follow_up()
 
     def stop(self) -> None:
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -171,6 +171,20 @@
         verdict = self.routers[0].verdicts()["bad"]
         self.assertEqual((0, False), (verdict.count, verdict.condemned))
 
+    async def test_crashes_that_outlive_a_keeper_are_withdrawn(self):
+        """Guards against a restarted keeper that blames for live targets."""
+        names = [f"bad-t{number}" for number in range(4)]
+        self.announce(1, names)
+        await self.crash_series(4)
+        kept = self.ledger.condemned(), self.ledger.runs()
+        self.setUp()
+        self.announce(2, names)
+        self.ledger.restore(*kept, 1.0)
+        self.assertTrue(self.ledger.evidence.get("bad").condemned)
+        for number in range(crash_ledger.ALIVE_ANNOUNCEMENTS + 1):
+            self.announce(2 + number, names)
+        self.assertIsNone(self.ledger.evidence.get("bad"))
+
     async def test_late_announcements_withdraw_nothing(self):
         """Guards against crashes that count no more, as messages are late."""
         verdict = await self.crash_and_announce(
