Notice routes that are moved while no router runs

What callers saw: streams of a route that is moved to another service while all routers are down were taken up with 200, and joined from events of both services.

Cause: only routers noticed moves, by comparing a new plan with the one that they held. A plan that is committed while none runs is the first one of all that start later. If the binding was lost with the processes that knew it, the one release of the service to which the route leads now was taken for the only one that can have begun the stream.

After a start the plans of the log count as new: streams whose binding is not known are refused on routes that these have moved.

--- a/amaranthring/platform/control.py
+++ b/amaranthring/platform/control.py
@@ -9,6 +9,7 @@
 from amaranthring.core import validation
 from amaranthring.keepers import plans
 from amaranthring.platform import documents
+from amaranthring.policy import route_history
 from amaranthring.registry import hub as hubs
 from amaranthring.registry import messages
 
@@ -79,6 +80,16 @@
     return handle
 
 
+def read_route_services(document: bytes) -> dict[str, frozenset[str]]:
+    """Return the services of each route in a plan, by the route's key."""
+    return {
+        route_history.route_key(route.host, route.prefix): frozenset(
+            share.service for share in route.shares
+        )
+        for route in documents.decode(document).routes
+    }
+
+
 def _announce(
     hub: hubs.Hub, services: ServiceNames, request: endpoints.Request
 ) -> endpoints.Response:
--- a/amaranthring/platform/keeper.py
+++ b/amaranthring/platform/keeper.py
@@ -35,6 +35,10 @@
 
 def load_handler_factory() -> t.Callable:
     """Import the control module; return its factory of handlers."""
-    return importlib.import_module(
-        "amaranthring.platform.control"
-    ).make_handler
+    control = importlib.import_module("amaranthring.platform.control")
+
+    def make_handler(hub: t.Any) -> t.Callable:
+        hub.streams.plan_moves.read_services = control.read_route_services
+        return control.make_handler(hub)
+
+    return make_handler
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -377,6 +377,7 @@
             return
         self.notified_version = self.machine.version
         self.plan_source.record_version()
+        self.streams.plan_moves.add(self.machine.document)
         if not self.notice_due:
             # A follower that catches up applies many plans in one pass;
             # routers get one notice for all of them.
--- a/amaranthring/registry/stream_ledger.py
+++ b/amaranthring/registry/stream_ledger.py
@@ -15,6 +15,7 @@
 from amaranthring.policy import release_history
 from amaranthring.policy import route_history
 from amaranthring.registry import messages
+from amaranthring.registry import plan_moves
 from amaranthring.registry import stream_messages
 from amaranthring.registry import targets
 
@@ -45,7 +46,10 @@
     Attributes
     ----------
     routes : route_history.RouteHistory
-        Routes that led to other services of late, as routers have told.
+        Routes that led to other services of late, as routers have told, or
+        by the plans of this keeper.
+    plan_moves : plan_moves.PlanMoves
+        Plans that were not compared yet.
     releases : release_history.ReleaseHistory
         Releases that have served of late.
     hears_all_keepers : callable
@@ -76,6 +80,7 @@
             collections.deque(maxlen=MAX_TOLD)
         )
         self.routes = route_history.RouteHistory(clock)
+        self.plan_moves = plan_moves.PlanMoves(clock)
         self.releases = release_history.ReleaseHistory(clock)
         self.hears_all_keepers: t.Callable[[], bool] = lambda: False
         self.keeper_names: t.Callable[[], list[str]] = list
@@ -97,7 +102,7 @@
         self.add_moved(message.moved)
 
     def add_moved(self, ages: dict[str, float]) -> None:
-        """Record the routes that a router tells to have been moved."""
+        """Record routes that have been moved."""
         is_new = any(not self.routes.has_moved(key) for key in ages)
         self.routes.merge(ages)
         if is_new:
@@ -189,6 +194,7 @@
         return (
             self.knows_history
             and not self._settles_in()
+            and not self.plan_moves.may_be_unknown()
             and self.hears_all_keepers()
         )
 
@@ -201,6 +207,7 @@
             return stream_messages.StreamFound(
                 True, binding.service, binding.release, found.age
             )
+        self.add_moved(self.plan_moves.take())
         return stream_messages.StreamFound(
             False,
             releases=sorted(self._releases(message.service)),
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -206,6 +206,27 @@
         self.assertEqual("other:v1", fresh.label)
 
 
+class TestRouteMovedUnseen(RejoinedCase):
+    """All processes lose power; a route is moved before routers run again."""
+
+    async def test_move_that_no_router_saw_is_noticed(self):
+        """Guards against a first plan that is taken for the only one."""
+        await self.add("v1", "other")
+        streams = await self.begin_streams()
+        await asyncio.sleep(2.5)
+        await self.kill([*self.keepers, *self.router_names])
+        await self.bring_up(self.keepers)
+        self.services = ("other",)
+        await self.configure()
+        await self.bring_up(self.router_names)
+        await asyncio.sleep(1.0)
+        await self.take_up(streams)
+        self.check_not_mixed(streams)
+        fresh = version_case.Stream()
+        await self.try_once(self.router_names[1], fresh)
+        self.assertEqual("other:v1", fresh.label)
+
+
 class TestOneVersion(RejoinedCase):
     """All processes lose power while one version serves."""
 
