Count a route that is gone as a move of the shorter one

What callers saw: a stream of a route that was removed, taken up without an id that anybody knows, goes on with 200 at the service of the route with the next shorter prefix: events of two services joined. No process has to end for this.

Cause: a route counted as moved if a plan gave it other services, or if it was new; not the one that gets the requests of a route that is gone.

Evidence: the new test of routers, 200 before, refused now.

Change: one function compares plans for routers and keepers, and counts the route with the longest of the shorter prefixes, too.

Tests of the history of routes hand it the routes in a record now; what they assert is unchanged.

--- a/amaranthring/forwarding/stream_bindings.py
+++ b/amaranthring/forwarding/stream_bindings.py
@@ -172,12 +172,7 @@
 
     def record_plan(self, plan: routing.Plan) -> None:
         """Note which routes lead to other services than before."""
-        self.routes.record(
-            {
-                _route_key(route): frozenset(s.service for s in route.shares)
-                for route in plan.routes
-            }
-        )
+        self.routes.record(route_history.PlanRoutes.of(plan.routes))
         if self.routes.untold:
             self.is_urgent.set()
 
--- a/amaranthring/platform/control.py
+++ b/amaranthring/platform/control.py
@@ -80,14 +80,9 @@
     return handle
 
 
-def read_route_services(document: bytes) -> dict[str, frozenset[str]]:
-    """Return the services of each route in a plan, by the route's key."""
-    return {
-        route_history.route_key(route.host, route.prefix): frozenset(
-            share.service for share in route.shares
-        )
-        for route in documents.decode(document).routes
-    }
+def read_routes(document: bytes) -> route_history.PlanRoutes:
+    """Return where the routes of a plan lead."""
+    return route_history.PlanRoutes.of(documents.decode(document).routes)
 
 
 def _announce(
--- a/amaranthring/platform/keeper.py
+++ b/amaranthring/platform/keeper.py
@@ -38,7 +38,7 @@
     control = importlib.import_module("amaranthring.platform.control")
 
     def make_handler(hub: t.Any) -> t.Callable:
-        hub.streams.plan_moves.read_services = control.read_route_services
+        hub.streams.plan_moves.read_routes = control.read_routes
         return control.make_handler(hub)
 
     return make_handler
--- a/amaranthring/policy/route_history.py
+++ b/amaranthring/policy/route_history.py
@@ -5,12 +5,13 @@
 """
 
 import collections.abc
+import dataclasses
 import typing as t
 
 from amaranthring.core import hashing
 from amaranthring.policy import bindings
 
-__all__ = ["RouteHistory", "route_key"]
+__all__ = ["PlanRoutes", "RouteHistory", "moved_routes", "route_key"]
 
 # Routes that were moved; the oldest are forgotten first.
 MAX_MOVED = 2000
@@ -22,6 +23,77 @@
     return hashing.digest(host.lower(), prefix)[:KEY_CHARACTERS]
 
 
+class Share(t.Protocol):
+    """A part of the requests of a route."""
+
+    service: str
+
+
+class Route(t.Protocol):
+    """A route of a plan."""
+
+    host: str
+    prefix: str
+    shares: collections.abc.Sequence[Share]
+
+
+@dataclasses.dataclass
+class PlanRoutes:
+    """Where the routes of a plan lead.
+
+    Attributes
+    ----------
+    services : dict of str to frozenset of str
+        Services of each route, by key.
+    shorter : dict of str to tuple of str
+        Keys that shorter prefixes of each route have, the longest first.
+    """
+
+    services: dict[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
+    shorter: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @classmethod
+    def of(cls, routes: collections.abc.Iterable[Route]) -> "PlanRoutes":
+        """Return where `routes` lead."""
+        found = cls()
+        for route in routes:
+            key = route_key(route.host, route.prefix)
+            found.services[key] = frozenset(s.service for s in route.shares)
+            found.shorter[key] = tuple(
+                route_key(route.host, prefix)
+                for prefix in _shorter_prefixes(route.prefix)
+            )
+        return found
+
+
+def _shorter_prefixes(prefix: str) -> t.Iterator[str]:
+    # Prefixes end with a slash.
+    end = len(prefix) - 1
+    while (end := prefix.rfind("/", 0, end)) >= 0:
+        yield prefix[: end + 1]
+
+
+def moved_routes(before: PlanRoutes, after: PlanRoutes) -> set[str]:
+    """Return the keys of routes whose requests had other services.
+
+    A new route may take requests of a shorter one, and what a route served
+    that is gone goes to the longest one of its shorter prefixes.
+    """
+    moved = {
+        key
+        for key, names in after.services.items()
+        if before.services.get(key) != names
+    }
+    for key in before.services.keys() - after.services.keys():
+        heirs = (k for k in before.shorter.get(key, ()) if k in after.services)
+        moved.update(list(heirs)[:1])
+    return moved
+
+
 class RouteHistory:
     """Routes whose services have changed, with the time of it.
 
@@ -32,8 +104,8 @@
 
     Attributes
     ----------
-    services : dict of str to frozenset of str
-        Services of each route of the last plan, by key.
+    plan : PlanRoutes
+        Where the routes of the last plan lead.
     moved_at : dict of str to float
         When the services of a route last changed, by key, in that order.
     untold : dict of str to float
@@ -42,28 +114,24 @@
 
     def __init__(self, clock: t.Callable[[], float]):
         self.clock = clock
-        self.services: dict[str, frozenset[str]] = {}
+        self.plan = PlanRoutes()
         self.moved_at: dict[str, float] = {}
         self.untold: dict[str, float] = {}
 
-    def record(self, services: dict[str, frozenset[str]]) -> None:
+    def record(self, plan: PlanRoutes) -> None:
         """Note which routes lead to other services than before.
 
         Parameters
         ----------
-        services : dict of str to frozenset of str
-            Services of each route of the plan in force, by key.
+        plan : PlanRoutes
+            Where the routes of the plan in force lead.
         """
         now = self.clock()
-        if self.services:
-            moved = {
-                key: 0.0
-                for key, names in services.items()
-                if self.services.get(key) != names
-            }
+        if self.plan.services:
+            moved = dict.fromkeys(moved_routes(self.plan, plan), 0.0)
             self.merge(moved)
             self.untold.update((key, now) for key in moved)
-        self.services = services
+        self.plan = plan
 
     def merge(self, ages: collections.abc.Mapping[str, float]) -> None:
         """Note the changes that another process knows, by their ages."""
--- a/amaranthring/registry/plan_moves.py
+++ b/amaranthring/registry/plan_moves.py
@@ -8,13 +8,14 @@
 import typing as t
 
 from amaranthring.policy import bindings
+from amaranthring.policy import route_history
 
 __all__ = ["PlanMoves"]
 
 # Plans that are kept until a stream is taken up whose binding is not known.
 MAX_PLANS = 8
 
-ReadServices = t.Callable[[bytes], dict[str, frozenset[str]]]
+ReadRoutes = t.Callable[[bytes], route_history.PlanRoutes]
 
 
 class PlanMoves:
@@ -29,15 +30,15 @@
 
     Attributes
     ----------
-    read_services : callable, optional
-        Returns the services of each route in a document, by the route's key.
+    read_routes : callable, optional
+        Returns where the routes in a document lead.
     plans : list of tuple of float and bytes
         When each document was applied, in that order.
     """
 
     def __init__(self, clock: t.Callable[[], float]):
         self.clock = clock
-        self.read_services: ReadServices | None = None
+        self.read_routes: ReadRoutes | None = None
         self.plans: list[tuple[float, bytes]] = []
 
     def add(self, document: bytes) -> None:
@@ -54,25 +55,22 @@
 
     def may_be_unknown(self) -> bool:
         """Return whether there are plans that cannot be compared yet."""
-        return self.read_services is None and len(self.plans) > 1
+        return self.read_routes is None and len(self.plans) > 1
 
     def take(self) -> dict[str, float]:
         """Return for how many seconds each route has been moved.
 
         Each move is returned once.
         """
-        if self.read_services is None or len(self.plans) < 2:
+        if self.read_routes is None or len(self.plans) < 2:
             return {}
         now = self.clock()
         ages = {}
-        before = self.read_services(self.plans[0][1])
+        before = self.read_routes(self.plans[0][1])
         for applied_at, document in self.plans[1:]:
-            services = self.read_services(document)
-            ages.update(
-                (key, now - applied_at)
-                for key, names in services.items()
-                if before.get(key) != names
-            )
-            before = services
+            routes = self.read_routes(document)
+            moved = route_history.moved_routes(before, routes)
+            ages.update((key, now - applied_at) for key in moved)
+            before = routes
         del self.plans[:-1]
         return ages
--- a/tests/test_plan_moves.py
+++ b/tests/test_plan_moves.py
@@ -15,9 +15,12 @@
 
 
 def read(data):
-    return {
-        key: frozenset([service]) for key, service in json.loads(data).items()
-    }
+    return route_history.PlanRoutes(
+        {
+            key: frozenset([service])
+            for key, service in json.loads(data).items()
+        }
+    )
 
 
 class TestPlanMoves(unittest.TestCase):
@@ -26,7 +29,7 @@
     def setUp(self):
         self.now = 100.0
         self.moves = plan_moves.PlanMoves(lambda: self.now)
-        self.moves.read_services = read
+        self.moves.read_routes = read
 
     def test_move_is_found_once(self):
         """Guards against streams that a plan leads to another service."""
@@ -41,13 +44,13 @@
 
     def test_plans_cannot_be_compared_without_a_reader(self):
         """Guards against a keeper that is sure before it can read plans."""
-        self.moves.read_services = None
+        self.moves.read_routes = None
         self.moves.add(document(r1="a"))
         self.assertFalse(self.moves.may_be_unknown())
         self.moves.add(document(r1="b"))
         self.assertEqual({}, self.moves.take())
         self.assertTrue(self.moves.may_be_unknown())
-        self.moves.read_services = read
+        self.moves.read_routes = read
         self.assertFalse(self.moves.may_be_unknown())
         self.assertEqual({"r1": 0.0}, self.moves.take())
 
@@ -86,10 +89,8 @@
             "backends": [{"name": "s"}, {"name": "t"}],
         }
         key = route_history.route_key("h.example", "/a/")
-        self.assertEqual(
-            {key: {"s", "t"}},
-            control.read_route_services(json.dumps(data).encode()),
-        )
+        routes = control.read_routes(json.dumps(data).encode())
+        self.assertEqual({key: {"s", "t"}}, routes.services)
 
 
 if __name__ == "__main__":
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -270,6 +270,23 @@
             got = await self.resume(resumes=resumes)
             self.assertEqual((True, LAST_EVENTS), (got.complete, got.body))
 
+    async def test_stream_may_be_of_a_longer_route_that_is_gone(self):
+        """Guards against a shorter prefix that gets another one's streams."""
+        await self.begin_alike()
+        streams = self.router.relay.streams
+        longer = dataclasses.replace(
+            test_forwarding.RESUMABLE,
+            name="longer",
+            prefix="/c/d/",
+            shares=(routing.Share("other", 1),),
+        )
+        plan = self.router.table.plan
+        streams.record_plan(
+            dataclasses.replace(plan, routes=(*plan.routes, longer))
+        )
+        streams.record_plan(plan)
+        self.assertEqual(503, (await self.resume()).status)
+
     async def test_router_that_hears_no_keeper_does_not_guess(self):
         """Guards against a version that a cut-off router has not heard of."""
         await self.begin_alike()
