Read large plans one by one when a keeper compares them

A keeper that is asked for a binding that it does not know compares up to eight plans before it answers. With 2,000 routes each takes 44 ms, and about 0.17 s on a quarter of a core: together longer than an election timeout (0.45 s), in which a leader would fall silent. After 0.02 s it now answers that its knowledge is not complete; routers ask again, and it goes on.

--- a/amaranthring/registry/plan_moves.py
+++ b/amaranthring/registry/plan_moves.py
@@ -14,6 +14,9 @@
 
 # Plans that are kept until a stream is taken up whose binding is not known.
 MAX_PLANS = 8
+# Time after which no further plan is read at once, as a keeper that leads must
+# not fall silent. Routers ask again while plans are left.
+READ_SECONDS = 0.02
 
 ReadRoutes = t.Callable[[bytes], route_history.PlanRoutes]
 
@@ -34,12 +37,15 @@
         Returns where the routes in a document lead.
     plans : list of tuple of float and bytes
         When each document was applied, in that order.
+    first : route_history.PlanRoutes, optional
+        Where the routes of the first of them lead, if it has been read.
     """
 
     def __init__(self, clock: t.Callable[[], float]):
         self.clock = clock
         self.read_routes: ReadRoutes | None = None
         self.plans: list[tuple[float, bytes]] = []
+        self.first: route_history.PlanRoutes | None = None
 
     def add(self, document: bytes) -> None:
         """Keep a plan that was applied."""
@@ -48,29 +54,34 @@
         oldest = now - bindings.HISTORY_SECONDS
         while len(self.plans) > 1 and self.plans[1][0] < oldest:
             del self.plans[0]
+            self.first = None
         if len(self.plans) > MAX_PLANS:
             # Only plans that some router has seen matter, and the routers
             # have told what those moved.
             del self.plans[1]
 
-    def may_be_unknown(self) -> bool:
-        """Return whether there are plans that cannot be compared yet."""
-        return self.read_routes is None and len(self.plans) > 1
+    def is_behind(self) -> bool:
+        """Return whether there are plans that have not been compared."""
+        return len(self.plans) > 1
 
     def take(self) -> dict[str, float]:
         """Return for how many seconds each route has been moved.
 
-        Each move is returned once.
+        Each move is returned once. Compares some of the plans only if reading
+        them takes long; the next call goes on.
         """
-        if self.read_routes is None or len(self.plans) < 2:
+        if self.read_routes is None or not self.is_behind():
             return {}
-        now = self.clock()
-        ages = {}
-        before = self.read_routes(self.plans[0][1])
-        for applied_at, document in self.plans[1:]:
+        began = now = self.clock()
+        ages: dict[str, float] = {}
+        if self.first is None:
+            self.first = self.read_routes(self.plans[0][1])
+        while self.is_behind() and now - began < READ_SECONDS:
+            del self.plans[0]
+            applied_at, document = self.plans[0]
             routes = self.read_routes(document)
-            moved = route_history.moved_routes(before, routes)
+            moved = route_history.moved_routes(self.first, routes)
             ages.update((key, now - applied_at) for key in moved)
-            before = routes
-        del self.plans[:-1]
+            self.first = routes
+            now = self.clock()
         return ages
--- a/amaranthring/registry/stream_ledger.py
+++ b/amaranthring/registry/stream_ledger.py
@@ -194,7 +194,7 @@
         return (
             self.knows_history
             and not self._settles_in()
-            and not self.plan_moves.may_be_unknown()
+            and not self.plan_moves.is_behind()
             and self.hears_all_keepers()
         )
 
--- a/tests/test_plan_moves.py
+++ b/tests/test_plan_moves.py
@@ -46,13 +46,28 @@
         """Guards against a keeper that is sure before it can read plans."""
         self.moves.read_routes = None
         self.moves.add(document(r1="a"))
-        self.assertFalse(self.moves.may_be_unknown())
+        self.assertFalse(self.moves.is_behind())
         self.moves.add(document(r1="b"))
         self.assertEqual({}, self.moves.take())
-        self.assertTrue(self.moves.may_be_unknown())
+        self.assertTrue(self.moves.is_behind())
         self.moves.read_routes = read
-        self.assertFalse(self.moves.may_be_unknown())
         self.assertEqual({"r1": 0.0}, self.moves.take())
+        self.assertFalse(self.moves.is_behind())
+
+    def test_large_plans_are_read_one_by_one(self):
+        """Guards against a leader that falls silent while it reads plans."""
+
+        def read_slowly(data):
+            self.now += 0.1
+            return read(data)
+
+        self.moves.read_routes = read_slowly
+        for service in ("a", "b", "c"):
+            self.moves.add(document(r1=service, r2=service))
+        self.assertEqual({"r1", "r2"}, set(self.moves.take()))
+        self.assertTrue(self.moves.is_behind())
+        self.assertEqual({"r1", "r2"}, set(self.moves.take()))
+        self.assertFalse(self.moves.is_behind())
 
     def test_moves_of_long_ago_do_not_count(self):
         """Guards against streams that are refused for an old change."""
