Take the end of a stop in a process of its own

The soak of planned work still failed beside load with stops of 4.2 and 5.0 s of a grace period of 4 s. With the moments on one clock: the routers had been asked at most 0.02 s after the signal was sent and their processes ended after 3.71 s; the thread of the test that waited for them returned 1.2 and 1.3 s after that (load of 36 on 8 cores).

A process that does nothing else now waits for the end and says when it was. A router whose process exits 0.8 s late fails (4.52 s). The limit is the grace period as before.

--- a/tests/test_unanswered_soak.py
+++ b/tests/test_unanswered_soak.py
@@ -9,6 +9,7 @@
 import random
 import select
 import signal
+import sys
 import time
 
 from amaranthring.testing import compliance
@@ -27,6 +28,14 @@
 HALF_CLOSE_SECONDS = 0.005
 # Later than this after its start a router handles signals.
 START_SECONDS = 0.5
+# Program that prints when the process named by its argument has gone.
+WATCH_END = """
+import os, select, sys, time
+pidfd = os.pidfd_open(int(sys.argv[1]))
+print(flush=True)
+select.select([pidfd], [], [])
+print(time.monotonic())
+"""
 
 
 def half_close(writer):
@@ -47,12 +56,6 @@
     return bool(poller.poll(0))
 
 
-def wait_until_gone(process):
-    """Wait for the end of `process`; return it in monotonic seconds."""
-    process.wait()
-    return time.monotonic()
-
-
 class Replica(platform_case.Replica):
     """A replica whose answers take up to a second."""
 
@@ -150,15 +153,20 @@
         await asyncio.gather(*(self.stop_router() for _ in range(ROUTERS - 1)))
 
     async def stop_in_time(self, name):
+        process = self.processes[name]
+        watcher = await asyncio.create_subprocess_exec(
+            sys.executable, "-S", "-c", WATCH_END, str(process.pid),
+            stdout=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        await watcher.stdout.readline()
         began = time.monotonic()
         grace = self.settings(name)["bounds"]["grace_s"]
         self.ends_at[self.incarnation(name)] = began + grace - END_SECONDS
-        self.processes[name].send_signal(signal.SIGTERM)
-        # In the thread, as the event loop may learn of the end late.
-        gone_at = await asyncio.to_thread(
-            wait_until_gone, self.processes[name]
-        )
-        self.stop_seconds.append(gone_at - began)
+        process.send_signal(signal.SIGTERM)
+        # This process may hear of the end late.
+        output, _ = await watcher.communicate()
+        self.stop_seconds.append(float(output) - began)
+        await asyncio.to_thread(process.wait)
         self.start(name)
         await self.wait_ready(name)
 
