Leave to a keeper what it was told of only while its link is open

A router that reaches keepers again ends its own verdicts once a keeper has had the time to judge the same runs. It asked only whether some keeper is reached then, perhaps another one, which was told nothing: a request that crashes targets could run again. Found in review, not seen in a run.

--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -373,6 +373,7 @@
             asyncio.get_running_loop().call_later(
                 suspect_trials.JUDGED_SECONDS,
                 self._leave_to_keepers,
+                link,
                 {run.fingerprint for run in runs},
             )
         known = [self._told(fingerprint) for fingerprint in list(self.told)]
@@ -380,15 +381,17 @@
         if condemned:
             sharing.send_if_open(link, crash_messages.Verdicts(condemned))
 
-    def _leave_to_keepers(self, told: set[str]) -> None:
-        """Condemn no longer what keepers have been told of and have judged.
+    def _leave_to_keepers(self, link: links.Link, told: set[str]) -> None:
+        """Condemn no longer what a keeper was told of and has judged.
 
         Parameters
         ----------
+        link : links.Link
+            To that keeper; once it has closed, the verdicts stay.
         told : set of str
             Fingerprints of the features.
         """
-        if not self.open_links():
+        if link not in self.open_links():
             return
         recent = self.evidence.condemned_within(
             RESENT_SECONDS + suspect_trials.JUDGED_SECONDS
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -272,6 +272,11 @@
             condemned = self.guard.evidence.condemned_within(60.0)
             self.assertEqual(2, len(condemned))
             links.append(mock.Mock())
+            self.guard.add_keeper(mock.Mock())
+            await asyncio.sleep(0.01)
+            # Another keeper, which was told nothing, does not count.
+            condemned = self.guard.evidence.condemned_within(60.0)
+            self.assertEqual(2, len(condemned))
             self.guard.add_keeper(links[0])
             await asyncio.sleep(0.01)
         self.assertEqual([], self.guard.evidence.condemned_within(60.0))
