--- a/amaranthring/platform/keeper.py
+++ b/amaranthring/platform/keeper.py
@@ -38,6 +38,7 @@
     control = importlib.import_module("amaranthring.platform.control")
 
     def make_handler(hub: t.Any) -> t.Callable:
+        # Imported with the calls, as decoding plans would delay the start.
         hub.streams.plan_moves.read_routes = control.read_routes
         return control.make_handler(hub)
 
--- a/amaranthring/registry/hint_file.py
+++ b/amaranthring/registry/hint_file.py
@@ -33,8 +33,8 @@
 # Bounds what a power loss can lose. A sync occupies a disk for 5 ms, 0.2% of
 # the time at this interval.
 WRITE_SECONDS = 2.0
-# After each write, so that targets that leave one after the other do not keep
-# the disk and the processor busy.
+# Pause after each write, so that targets that leave one after the other do not
+# keep the disk and the processor busy.
 PAUSE_SECONDS = 0.05
 # Interval at which an unchanged file is rewritten to refresh its age.
 REWRITE_SECONDS = 10.0
@@ -195,7 +195,10 @@
         self.is_urgent.set()
 
     def _find_places(self) -> None:
-        """Take over the locations, which is most of the work."""
+        """Collect the locations of prompts, unless that was done just now.
+
+        It is most of the work, and may happen for each target that leaves.
+        """
         now = self.exchange.clock()
         if now - self.places_at < WRITE_SECONDS:
             return
