Write the timeline of abandoned answers, log each bound that a target's silence passes

Callers lost streams around the stop of a router. The logs tell that a run was given up and that the budget refused a retry, but not which bound had passed, whether the router itself was late or waited for its caller, and what else was lacking. run.silent says so. No logic changes.

--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -64,6 +64,8 @@
         Head of the response to this request, once received.
     sent_at : float
         Monotonic seconds at which the request was sent; 0 before.
+    is_writing : bool
+        Whether events wait until the caller has taken those before.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         self.exchange = upstream.Exchange(target, CONNECT_SECONDS)
         self.head: records.ResponseHead | None = None
         self.sent_at = 0.0
+        self.is_writing = False
         self.copy_from = copy_from
         self.reuse_connection = reuse_connection
         self.before_send = before_send
@@ -272,11 +275,13 @@
             if is_first:
                 self.exchange.set_timeout(timeout())
                 is_first = False
+            self.is_writing = True
             if writer.status:
                 await writer.write(complete)
             else:
                 head = self.head
                 await writer.start_stream(head.status, head.headers, complete)
+            self.is_writing = False
         if splitter.partial:
             self.exchange.broken_off = True
             raise errors.TruncatedResponseError(
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -380,6 +380,9 @@
             ),
             answers=self.answers,
         )
+        attempt.exchange.on_timeout = functools.partial(
+            self._log_silence, context, attempt
+        )
         complete = False
         # Logged if the request is cancelled during this attempt.
         outcome = "unfinished"
@@ -444,6 +447,38 @@
             if context.handover is not None:
                 context.handover.attempts_after = context.attempts_sent
 
+    def _log_silence(
+        self,
+        context: records.RequestContext,
+        attempt: attempts.Attempt,
+        silent: float,
+        late: float,
+    ) -> None:
+        """Log that a target has been silent for as long as it may be.
+
+        Parameters
+        ----------
+        silent : float
+            Seconds since its last event, or since the request was sent.
+        late : float
+            Seconds by which this was noticed late.
+        """
+        others = self.placer.eligibility.after(
+            context, attempt.target, context.binding is not None
+        )
+        logs.event(
+            log,
+            "run.silent",
+            id=context.incoming.request_id,
+            target=attempt.target.id,
+            silent=round(silent, 3),
+            late=round(late, 3),
+            answered=attempt.head is not None,
+            writing=attempt.is_writing,
+            attempts_left=self._attempts_left(context) - 1,
+            others=len(others),
+        )
+
     async def _open(
         self, context: records.RequestContext, attempt: attempts.Attempt
     ) -> records.ResponseHead:
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -75,6 +75,10 @@
     return
 
 
+def _ignore_timeout(_silent: float, _late: float) -> None:
+    return
+
+
 class Exchange:
     """One call to one target and its response.
 
@@ -96,6 +100,9 @@
         Called right before a call is written; raises to prevent it.
     on_head : callable
         Called when the head of the response has arrived.
+    on_timeout : callable
+        Called when the timeout has passed, with the seconds since the last
+        progress and those by which the timer fired late.
     """
 
     def __init__(
@@ -112,6 +119,7 @@
         self.broken_off = False
         self.before_write: t.Callable[[], None] = _do_nothing
         self.on_head: t.Callable[[], None] = _do_nothing
+        self.on_timeout: t.Callable[[float, float], None] = _ignore_timeout
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
         self.call: Call | None = None
@@ -443,6 +451,8 @@
             self._start_timer(remaining)
             return
         self._timer = None
+        late = asyncio.get_running_loop().time() - self._check_at
+        self.on_timeout(now - self.progress_at, late)
         self.abort(
             errors.UpstreamTimeoutError(
                 "the target took too long",
