--- a/amaranthring/testing/scripted_target.py
+++ b/amaranthring/testing/scripted_target.py
@@ -273,6 +273,16 @@
     return script
 
 
+def respond_after(seconds: float, then: Script) -> Script:
+    """Return a script that answers by `then`, some seconds later."""
+
+    async def script(seen, writer):
+        await asyncio.sleep(seconds)
+        await then(seen, writer)
+
+    return script
+
+
 def raw(data: t.Callable[[Seen], bytes]) -> Script:
     """Return a script that writes raw bytes."""
 
@@ -314,7 +324,12 @@
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
 
-def stream_events(last: int, breaks_after: int | None = None) -> Script:
+def stream_events(
+    last: int,
+    breaks_after: int | None = None,
+    silent_after: int | None = None,
+    silence: float = 0.0,
+) -> Script:
     """Return a script that streams the events after the caller's last.
 
     Parameters
@@ -322,6 +337,10 @@
     breaks_after : int, optional
         Number of the event after which the connection is reset, in the
         middle of the next event.
+    silent_after : int, optional
+        Number of the event after which the target is silent for a while.
+    silence : float
+        Length of that while in seconds.
     """
 
     async def script(seen, writer):
@@ -341,6 +360,8 @@
                 return
             writer.write(b"%x\r\n%b\r\n" % (len(data), data))
             await writer.drain()
+            if number == silent_after:
+                await asyncio.sleep(silence)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -34,9 +34,13 @@
     "keyed", "h", "/e/", routing.Kind.UNSAFE, 2.0, 0.1, 0,
     (routing.Share("s", 1),),
 )  # fmt: skip
+KEYED_STREAM = routing.Route(
+    "keyed-stream", "h", "/f/", routing.Kind.STREAM, 5.0, 0.5, 0,
+    (routing.Share("s", 1),), attempts_most=3, resumable=True, pause_most=0.1,
+)  # fmt: skip
 PLAN = routing.Plan(
     1,
-    (SAFE, UNSAFE, RESUMABLE, FIXED, KEYED),
+    (SAFE, UNSAFE, RESUMABLE, FIXED, KEYED, KEYED_STREAM),
     (routing.Service("s", "/health", 10),),
     (routing.Account("alba", ("key-1", "key-2")),),
     routing.Bounds(header_bytes=2000, body_bytes=1000),
