Keep a late target's answer until another target has begun to answer

Callers lost streams in the middle, and got 504 before their deadline, though their target would have gone on. When a target was silent for the bound on a pause, or late with its head, the router closed the run first and asked afterwards: the budget (a router that was restarted has no share of it), the next target, the queue, the judgement on crashes, the trust in keys. Any of them could refuse, and the run was gone.

Now a second attempt is begun beside the first (forwarding/hedges), and only if all of these allow it; a refusal is asked about again every 0.25 s. The first run ends when the second target has sent an event, or a whole body, and at the latest 0.25 s after the second one got the request, as two targets may run one request for 0.4 s. If the second one refuses, cannot be reached, breaks off or answers with a failure, nothing has been given up. If the first one goes on, the second one is closed. A retry that was taken and not sent is given back, with a line in the log.

Attempts, their timeouts and what may follow are moved from relay to runs, the budgets to retries; what is counted of one run at its target is a record of its own, as a request may have two.

Tests of the placer take the run that begin() returns in place of the target; the one of a missing response asks Runs.open in place of Relay._open.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -411,6 +411,12 @@
     status = 504
 
 
+class SupersededError(UpstreamTimeoutError):
+    """The target was late, and another one goes on with the request."""
+
+    code = "superseded"
+
+
 class InvalidHeaderError(AmaranthringError):
     """A header of a target's response is malformed; it is ignored."""
 
--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -1,5 +1,6 @@
 """A single attempt to have a request run by one target."""
 
+import asyncio
 import re
 import time
 import typing as t
@@ -33,6 +34,8 @@
 # one that is awaited.
 MAX_FOREIGN_RESPONSES = 2
 EVENT_STREAM = "text/event-stream"
+# Outcome of an attempt whose request is cancelled meanwhile.
+UNFINISHED = "unfinished"
 # Bounds the log line of a response to another request.
 MAX_LOGGED_ID = 64
 
@@ -64,8 +67,14 @@
         Head of the response to this request, once received.
     sent_at : float
         Monotonic seconds at which the request was sent; 0 before.
-    is_writing : bool
-        Whether events wait until the caller has taken those before.
+    run : Run
+        The run as it is counted at the target.
+    opening : asyncio.Task or None
+        Reads on until the answer is under way, if a hedge began the attempt.
+    ahead : bytes
+        First bytes of the body, read before the attempt took over.
+    outcome : str
+        For the log.
     """
 
     def __init__(
@@ -89,7 +98,10 @@
         self.exchange = upstream.Exchange(target, CONNECT_SECONDS)
         self.head: records.ResponseHead | None = None
         self.sent_at = 0.0
-        self.is_writing = False
+        self.run = records.Run(target)
+        self.opening: asyncio.Task | None = None
+        self.ahead = b""
+        self.outcome = UNFINISHED
         self.copy_from = copy_from
         self.reuse_connection = reuse_connection
         self.before_send = before_send
@@ -222,6 +234,29 @@
             EVENT_STREAM
         )
 
+    async def read_ahead(self) -> None:
+        """Read what shows that the response is under way.
+
+        That is the first event of a stream, and the whole body of others.
+
+        Raises
+        ------
+        errors.UpstreamError
+            If the response ends before that.
+        """
+        if not self.is_event_stream:
+            self.ahead = await self._read_all()
+            return
+        while (
+            events.EVENT_END not in self.ahead
+            and len(self.ahead) <= events.MAX_EVENT_BYTES
+        ):
+            data = await self.exchange.read()
+            if not data:
+                return
+            self.ahead += data
+            self.memory.hold(len(self.ahead))
+
     async def read_body(self) -> bytes:
         """Return the complete body of the response.
 
@@ -230,8 +265,13 @@
         errors.UpstreamError
             If the body is incomplete.
         """
+        if self.opening is not None:
+            return self.ahead
         left = self.context.deadline - time.monotonic()
         self.exchange.set_timeout(max(left, 0.0))
+        return await self._read_all()
+
+    async def _read_all(self) -> bytes:
         if self.exchange.length is None:
             return await self.exchange.read_all(
                 MAX_BODY_BYTES, unframed=True, on_data=self.memory.grow
@@ -243,16 +283,15 @@
         self,
         splitter: events.EventSplitter,
         writer: responses.ResponseWriter,
-        timeout: t.Callable[[], float],
+        timeout: float,
         on_events: t.Callable[[], None],
     ) -> None:
         """Forward all events of the response to the caller.
 
         Parameters
         ----------
-        timeout : callable
-            Returns the maximum seconds between two events; asked before the
-            first one, and after it.
+        timeout : float
+            Seconds between two events after which the target is late.
         on_events : callable
             Called before events are passed on.
 
@@ -263,25 +302,19 @@
         errors.CallerDisconnectedError
             If the caller has closed its connection.
         """
-        self.exchange.set_timeout(timeout())
-        is_first = True
-        while data := await self.exchange.read():
+        self.exchange.set_timeout(timeout)
+        while data := self._take_ahead() or await self.exchange.read():
             self.exchange.note_progress(time.monotonic())
             complete = splitter.feed(data)
             self.memory.hold(len(splitter.partial))
             if not complete:
                 continue
             on_events()
-            if is_first:
-                self.exchange.set_timeout(timeout())
-                is_first = False
-            self.is_writing = True
             if writer.status:
                 await writer.write(complete)
             else:
                 head = self.head
                 await writer.start_stream(head.status, head.headers, complete)
-            self.is_writing = False
         if splitter.partial:
             self.exchange.broken_off = True
             raise errors.TruncatedResponseError(
@@ -290,6 +323,10 @@
                 expected="complete events",
             )
 
+    def _take_ahead(self) -> bytes:
+        data, self.ahead = self.ahead, b""
+        return data
+
     def close(self, complete: bool) -> None:
         """End the attempt, and return its connection to the pool if possible.
 
--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -176,6 +176,16 @@
             if verdict.fingerprint not in context.trials:
                 self._refuse(context, verdict, TRIAL_RETRY_SECONDS)
 
+    def may_run_twice(self, context: records.RequestContext) -> bool:
+        """Return whether a second target may run a request beside the first.
+
+        Requests that run alone may not, nor those that are refused.
+        """
+        return not any(
+            verdict.refused_seconds or _runs_alone(verdict)
+            for verdict in self._suspected(context)
+        )
+
     def _check_refused(
         self,
         context: records.RequestContext,
--- a/amaranthring/forwarding/eligibility.py
+++ b/amaranthring/forwarding/eligibility.py
@@ -53,24 +53,12 @@
         return [r for r in ready if not context.binding.fits(r)]
 
     def after(
-        self,
-        context: records.RequestContext,
-        target: messages.TargetRecord,
-        has_begun: bool = False,
+        self, context: records.RequestContext, target: messages.TargetRecord
     ) -> list[messages.TargetRecord]:
-        """Return the targets that may take a request after `target`.
-
-        Parameters
-        ----------
-        has_begun : bool
-            Whether the caller has received events of `target`.
-        """
-        binding = context.binding
-        if has_begun and binding is None:
-            binding = bindings.of_target(target)
+        """Return the targets that may take a request after `target`."""
         return [
             record
-            for record in self._allowed(context, binding)
+            for record in self.of_request(context)
             if record.id != target.id and record.id not in context.tried
         ]
 
--- a/amaranthring/forwarding/handing_over.py
+++ b/amaranthring/forwarding/handing_over.py
@@ -137,6 +137,14 @@
         self.needed_at[context.service] = time.monotonic()
         return self._choose(context)
 
+    def has_helper(self, context: records.RequestContext) -> bool:
+        """Return whether a helper may take a request now."""
+        return (
+            context.handover is None
+            and self.client.has_offers(context.service)
+            and self._choose(context) is not None
+        )
+
     def _choose(
         self, context: records.RequestContext
     ) -> handover_client.Helper | None:
--- /dev/null
+++ b/amaranthring/forwarding/hedges.py
@@ -0,0 +1,321 @@
+"""Second attempts that are begun while a target is late with its answer.
+
+The first attempt stays open until the second target answers, so that an
+answer is lost neither if nobody else may run the request nor if whoever does
+cannot. Only for a bounded time do two targets run one request.
+
+Source: J. Dean and L. Barroso, "The Tail at Scale", CACM 56(2), 2013 (hedged
+requests).
+"""
+
+import asyncio
+import time
+import typing as t
+
+import logbook
+
+from amaranthring import errors
+from amaranthring.core import logs
+from amaranthring.forwarding import attempts
+from amaranthring.forwarding import records
+from amaranthring.registry import messages
+
+__all__ = ["Hedge", "Steps"]
+
+log = logbook.Logger(__name__)
+
+# Two targets may run one request for 0.4 s; the rest is for the way to the
+# first target, and for a late event loop.
+OVERLAP_SECONDS = 0.25
+# Interval at which a hedge that was refused is asked for again.
+ASK_SECONDS = 0.25
+# With less time left, another target is not worth a retry.
+MIN_SECONDS_LEFT = 0.1
+# Refusal that stays: no further target may get the request.
+NO_ATTEMPT = "attempts"
+
+
+class Steps(t.Protocol):
+    """What a hedge needs of the forwarding of its request."""
+
+    def refusal(self, attempt: attempts.Attempt) -> str:
+        """Return why no other target may run the request now, or nothing."""
+
+    def gives_way(self) -> bool:
+        """Return whether the attempt ends for another router's."""
+
+    def lacks_retry(self) -> str:
+        """Return why no retry may be taken now, or nothing."""
+
+    def choose(
+        self, attempt: attempts.Attempt
+    ) -> messages.TargetRecord | None:
+        """Return the target to run it, or None."""
+
+    def take_retry(self) -> bool:
+        """Take a retry from the budget; return whether one was left."""
+
+    def give_retry_back(self) -> None:
+        """Give back a retry that was not sent."""
+
+    def begin(self, target: messages.TargetRecord) -> attempts.Attempt:
+        """Return a new attempt at `target`."""
+
+    async def open(self, attempt: attempts.Attempt, seconds: float) -> None:
+        """Send the request, and read until the answer is under way."""
+
+    def is_unusual(self, attempt: attempts.Attempt, seconds: float) -> bool:
+        """Return whether its target would usually have answered by now.
+
+        Parameters
+        ----------
+        seconds : float
+            Since the request was sent.
+        """
+
+    def failed(
+        self, attempt: attempts.Attempt, error: errors.UpstreamError
+    ) -> None:
+        """Record that an attempt has failed."""
+
+    def end(self, attempt: attempts.Attempt) -> None:
+        """Close an attempt without a whole answer."""
+
+
+class Hedge:
+    """The second attempt behind one attempt.
+
+    Parameters
+    ----------
+    steps : Steps
+        The forwarding of the request.
+    first : Attempt
+        The attempt whose target may be late.
+
+    Attributes
+    ----------
+    second : Attempt or None
+        The other attempt, while there is one.
+    is_asked_for : bool
+        Whether the first target is late.
+    is_settled : bool
+        Whether the second attempt takes over.
+    has_retry : bool
+        Whether a retry was taken that has not been sent.
+    refusal : str
+        Why the hedge was last refused.
+    """
+
+    def __init__(
+        self,
+        context: records.RequestContext,
+        steps: Steps,
+        first: attempts.Attempt,
+    ):
+        self.context = context
+        self.steps = steps
+        self.first = first
+        self.second: attempts.Attempt | None = None
+        self.is_asked_for = False
+        self.is_settled = False
+        self.has_retry = False
+        self.refusal = ""
+        self.task: asyncio.Task | None = None
+        self.is_due = asyncio.Event()
+        first.exchange.on_timeout = self.on_timeout
+
+    def on_timeout(self, silent: float, late: float) -> float | None:
+        """Begin the hedge if it may be; called while the target is late.
+
+        Returns
+        -------
+        float or None
+            Seconds until this is to be called again; None at the deadline.
+        """
+        left = self.context.deadline - time.monotonic()
+        if left <= 0:
+            return None
+        if self.task is not None:
+            return left
+        if not self.is_asked_for:
+            self._log_silence(silent, late)
+        self.is_asked_for = True
+        data_centre = self.first.target.data_centre
+        self.context.silent_data_centres.add(data_centre)
+        if self.steps.gives_way():
+            return None
+        target = self._permit()
+        if target is None:
+            return left if self.refusal == NO_ATTEMPT else ASK_SECONDS
+        self.task = asyncio.ensure_future(self._run(target))
+        return left
+
+    def on_progress(self, timeout: float) -> None:
+        """Go on with the first target, which has sent something.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds for which it may be silent from now on.
+        """
+        if not self.is_asked_for or self.is_settled:
+            return
+        self.is_asked_for = False
+        self.refusal = ""
+        self.context.silent_data_centres.discard(self.first.target.data_centre)
+        self._drop("the first target goes on")
+        self.first.exchange.set_timeout(timeout)
+
+    def successor(self) -> attempts.Attempt | None:
+        """Return the attempt that takes over from the first one, if any.
+
+        Its `opening` may not have ended.
+        """
+        second = self.second
+        if second is None:
+            return None
+        self.is_settled = True
+        self.second = None
+        self.has_retry = False
+        if self.task is not None:
+            self.task.cancel()
+        return second
+
+    def stop(self) -> None:
+        """End what does not take over."""
+        self._drop("the request has ended")
+        self.first.exchange.on_timeout = _give_up
+
+    def _permit(self) -> messages.TargetRecord | None:
+        """Return the target for the hedge; the retry is taken then."""
+        target = None
+        refusal = self.steps.refusal(self.first)
+        if self.context.deadline - time.monotonic() < MIN_SECONDS_LEFT:
+            refusal = "deadline"
+        if not refusal and not self.has_retry:
+            refusal = self.steps.lacks_retry()
+        if not refusal:
+            target = self.steps.choose(self.first)
+            refusal = "" if target else "no-target"
+        if target and not self.has_retry:
+            self.has_retry = self.steps.take_retry()
+        if refusal and refusal != self.refusal:
+            self._log("hedge.refused", reason=refusal)
+        self.refusal = refusal
+        return None if refusal else target
+
+    async def _run(self, target: messages.TargetRecord | None) -> None:
+        """Try targets until one takes over or none may."""
+        while target is not None:
+            error = await self._try(target)
+            if error is None:
+                return
+            is_of_target = isinstance(error, errors.UpstreamError)
+            target = self._permit() if is_of_target else None
+        self.task = None
+        self.first.exchange.set_timeout(ASK_SECONDS)
+
+    async def _try(
+        self, target: messages.TargetRecord
+    ) -> errors.AmaranthringError | None:
+        """Have `target` take over; return why it does not, or None."""
+        self._log("hedge.begun", target=target.id)
+        second = self.second = self.steps.begin(target)
+        second.exchange.on_timeout = self._on_overlap
+        self.is_due.clear()
+        opening = self.steps.open(second, OVERLAP_SECONDS)
+        second.opening = asyncio.ensure_future(opening)
+        second.opening.add_done_callback(_retrieve_error)
+        due = asyncio.ensure_future(self.is_due.wait())
+        try:
+            await asyncio.wait(
+                {second.opening, due}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            due.cancel()
+        if second.exchange.sent:
+            self.has_retry = False
+        error = second.opening.exception() if second.opening.done() else None
+        if error is None:
+            self._take_over(second)
+            return None
+        self.second = None
+        self.steps.end(second)
+        if not isinstance(error, errors.AmaranthringError):
+            raise error
+        self._log("hedge.ended", target=target.id, outcome=error.code)
+        if isinstance(error, errors.UpstreamError):
+            self.steps.failed(second, error)
+        return error
+
+    def _on_overlap(self, silent: float, _late: float) -> float | None:
+        """Decide for one target while neither answers."""
+        second = self.second
+        left = self.context.deadline - time.monotonic()
+        if second is None or left <= 0:
+            return None
+        if second.head is None and self.steps.is_unusual(second, silent):
+            # It is late itself, and the first one has answered before.
+            return None
+        self.is_due.set()
+        return left
+
+    def _take_over(self, second: attempts.Attempt) -> None:
+        self.is_settled = True
+        self._log(
+            "hedge.ended",
+            target=second.target.id,
+            outcome="takes-over",
+            answered=second.head is not None,
+        )
+        self.first.exchange.abort(
+            errors.SupersededError(
+                "another target goes on with the request",
+                given=self.first.target.id,
+                expected="an answer in time",
+            )
+        )
+
+    def _drop(self, reason: str) -> None:
+        """End the second attempt, and give back a retry that was not sent."""
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+        second = self.second
+        if second is not None:
+            self.second = None
+            second.opening.cancel()
+            if second.exchange.sent:
+                self.has_retry = False
+            self.steps.end(second)
+            self._log("hedge.ended", target=second.target.id, outcome=reason)
+        if self.has_retry:
+            self.has_retry = False
+            self.steps.give_retry_back()
+
+    def _log_silence(self, silent: float, late: float) -> None:
+        self._log(
+            "run.silent",
+            silent=round(silent, 3),
+            late=round(late, 3),
+            answered=self.first.head is not None,
+        )
+
+    def _log(self, event: str, **fields: t.Any) -> None:
+        logs.event(
+            log,
+            event,
+            id=self.context.incoming.request_id,
+            first=self.first.target.id,
+            **fields,
+        )
+
+
+def _give_up(_silent: float, _late: float) -> None:
+    return None
+
+
+def _retrieve_error(task: asyncio.Task) -> None:
+    """Keep the loop from reporting an error that nobody waits for."""
+    if not task.cancelled():
+        task.exception()
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -453,22 +453,13 @@
         return min((self.rests.left(r.id) for r in ready), default=0.0)
 
     def may_follow(
-        self,
-        context: records.RequestContext,
-        target: messages.TargetRecord,
-        has_begun: bool = False,
+        self, context: records.RequestContext, target: messages.TargetRecord
     ) -> bool:
-        """Return whether any target may take the request after `target` now.
-
-        Parameters
-        ----------
-        has_begun : bool
-            Whether the caller has received events of `target`.
-        """
+        """Return whether another target than `target` may take a request."""
         return any(
             not self.rests.left(record.id)
             and self.room.has_room(record, context.binding)
-            for record in self.eligibility.after(context, target, has_begun)
+            for record in self.eligibility.after(context, target)
         )
 
     def begin(
@@ -476,7 +467,7 @@
         target: messages.TargetRecord,
         context: records.RequestContext,
         copy: copies.Copy | None = None,
-    ) -> None:
+    ) -> records.Run:
         """Count a request that is sent to `target`.
 
         Parameters
@@ -485,48 +476,39 @@
             Cached prefix that the target copies instead of prefilling it.
         """
         parts = context.incoming.parts
-        context.prefill_tokens = self.prefixes.uncached_tokens(
-            parts, target.id
-        )
-        context.prefill_tokens -= copy.tokens if copy else 0
+        tokens = self.prefixes.uncached_tokens(parts, target.id)
+        tokens -= copy.tokens if copy else 0
         self.prefixes.record_sent(parts, target.id)
         self.unseen_requests.record_sent(_placement_key(context))
-        context.begun_at = self.clock()
-        context.is_accepted = False
         view = self.views[target.id]
-        view.prefill_tokens += context.prefill_tokens
+        view.prefill_tokens += tokens
         view.running += 1
         view.reported += 1
+        return records.Run(target, self.clock(), prefill_tokens=tokens)
 
     def prefill_done(
-        self, target: messages.TargetRecord, context: records.RequestContext
+        self, run: records.Run, context: records.RequestContext
     ) -> None:
         """Record that the target responds, so has prefilled the prompt."""
-        context.is_accepted = True
-        self.prefixes.mark_cached(context.incoming.parts, target.id)
-        self._clear_prefill(target, context)
-
-    def _clear_prefill(
-        self, target: messages.TargetRecord, context: records.RequestContext
-    ) -> None:
-        self.views[target.id].prefill_tokens -= context.prefill_tokens
-        context.prefill_tokens = 0
-
-    def end(
-        self, target: messages.TargetRecord, context: records.RequestContext
-    ) -> None:
-        """Count a request at `target` as ended."""
-        if context.is_accepted:
-            self.unseen_requests.record_duration(
-                _kind(context), self.clock() - context.begun_at
-            )
-        self._clear_prefill(target, context)
-        view = self.views[target.id]
+        run.is_accepted = True
+        self.prefixes.mark_cached(context.incoming.parts, run.target.id)
+        self._clear_prefill(run)
+
+    def _clear_prefill(self, run: records.Run) -> None:
+        self.views[run.target.id].prefill_tokens -= run.prefill_tokens
+        run.prefill_tokens = 0
+
+    def end(self, run: records.Run, context: records.RequestContext) -> None:
+        """Count a run as ended."""
+        seconds = self.clock() - run.begun_at
+        if run.is_accepted:
+            self.unseen_requests.record_duration(_kind(context), seconds)
+        self._clear_prefill(run)
+        view = self.views[run.target.id]
         view.running -= 1
         view.reported = max(0.0, view.reported - 1)
-        seconds = self.clock() - context.begun_at
         self.room.request_ended(
-            target, seconds if context.is_accepted else None
+            run.target, seconds if run.is_accepted else None
         )
 
     def update_load(
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -211,6 +211,26 @@
     left_out: dict[str, int]
 
 
+@dataclasses.dataclass
+class Run:
+    """One run of a request, as it is counted at its target.
+
+    Attributes
+    ----------
+    begun_at : float
+        Monotonic seconds.
+    is_accepted : bool
+        Whether the target runs the request and responds.
+    prefill_tokens : int
+        Tokens that the target has yet to prefill.
+    """
+
+    target: messages.TargetRecord
+    begun_at: float = 0.0
+    is_accepted: bool = False
+    prefill_tokens: int = 0
+
+
 @dataclasses.dataclass
 class Handover:
     """Terms on which another router handed a request over.
@@ -275,12 +295,6 @@
         Whether targets have crashed while they ran requests like it.
     engine : Engine or None
         Capabilities of the service's engines; None if it has none.
-    begun_at : float
-        Monotonic seconds at which the current attempt began.
-    is_accepted : bool
-        Whether the current target runs the request and responds.
-    prefill_tokens : int
-        Tokens that the current target has to prefill.
     trials : dict of str to str
         Its trials by suspected feature, see :mod:`suspect_trials`.
     trial_sends : int
@@ -309,9 +323,6 @@
     deadline: float
     engine: plans.Engine | None = None
     attempts_sent: int = 0
-    begun_at: float = 0.0
-    is_accepted: bool = False
-    prefill_tokens: int = 0
     binding: bindings.Binding | None = None
     bound_at: float = float("-inf")
     handover: Handover | None = None
--- a/amaranthring/policy/budgets.py
+++ b/amaranthring/policy/budgets.py
@@ -86,6 +86,11 @@
         self.retries.append(self.clock())
         return True
 
+    def give_back(self) -> None:
+        """Give back the retry that was taken last; it was not sent."""
+        if self.retries:
+            self.retries.pop()
+
     def left(self, fraction: float) -> float:
         """Return how many retries are left; negative if a share has shrunk.
 
--- a/amaranthring/policy/response_times.py
+++ b/amaranthring/policy/response_times.py
@@ -74,6 +74,14 @@
         """Record that no response came within `seconds`."""
         self._estimate(service, prefill_tokens).add(seconds * TIMEOUT_FACTOR)
 
+    def usual(self, service: str, prefill_tokens: int) -> float | None:
+        """Return the time above which a response is unusually late.
+
+        Returns None if it is not yet known.
+        """
+        estimate = self._estimate(service, prefill_tokens)
+        return estimate.bound if estimate.samples >= MIN_SAMPLES else None
+
     def timeout(
         self, service: str, prefill_tokens: int, objective_left: float
     ) -> float | None:
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -75,8 +75,8 @@
     return
 
 
-def _ignore_timeout(_silent: float, _late: float) -> None:
-    return
+def _end_at_timeout(_silent: float, _late: float) -> float | None:
+    return None
 
 
 class Exchange:
@@ -102,7 +102,8 @@
         Called when the head of the response has arrived.
     on_timeout : callable
         Called when the timeout has passed, with the seconds since the last
-        progress and those by which the timer fired late.
+        progress and those by which the timer fired late. Returns the seconds
+        to wait on, or None to end the exchange.
     """
 
     def __init__(
@@ -119,7 +120,9 @@
         self.broken_off = False
         self.before_write: t.Callable[[], None] = _do_nothing
         self.on_head: t.Callable[[], None] = _do_nothing
-        self.on_timeout: t.Callable[[float, float], None] = _ignore_timeout
+        self.on_timeout: t.Callable[[float, float], float | None] = (
+            _end_at_timeout
+        )
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
         self.call: Call | None = None
@@ -452,7 +455,11 @@
             return
         self._timer = None
         late = asyncio.get_running_loop().time() - self._check_at
-        self.on_timeout(now - self.progress_at, late)
+        more = self.on_timeout(now - self.progress_at, late)
+        if more is not None:
+            self._may_extend = True
+            self._start_timer(more)
+            return
         self.abort(
             errors.UpstreamTimeoutError(
                 "the target took too long",
--- a/tests/test_abandoned_answers.py
+++ b/tests/test_abandoned_answers.py
@@ -56,7 +56,9 @@
     async def test_router_has_no_share_of_the_retries_yet(self):
         """Guards against streams cut by a router that has just started."""
         await self.begin_stream(scripted_target.stream_events(6))
-        self.router.relay.share = lambda: budgets.Share(0.0, 3, "starting")
+        self.router.relay.retries.share = lambda: budgets.Share(
+            0.0, 3, "starting"
+        )
         await self.assert_whole()
         self.assertEqual([1, 0], self.requests())
 
@@ -144,10 +146,12 @@
         await self.begin_stream(
             scripted_target.stream_events(6), first=silent_stream(60.0)
         )
-        self.router.relay.share = lambda: budgets.Share(0.0, 3, "starting")
+        self.router.relay.retries.share = lambda: budgets.Share(
+            0.0, 3, "starting"
+        )
         asked = asyncio.ensure_future(self.ask("/c/x", "POST"))
         await asyncio.sleep(2.0)
-        self.router.relay.share = lambda: budgets.Share(1.0, 3)
+        self.router.relay.retries.share = lambda: budgets.Share(1.0, 3)
         got = await self.assert_whole(asked)
         self.assertLess(got.seconds, 3.0)
 
@@ -235,3 +239,93 @@
     async def test_other_target_never_answers(self):
         """Guards against the loss of an answer for one that never comes."""
         await self.assert_failure(scripted_target.never_respond())
+
+
+class TestOverlap(SilenceCase):
+    """Two targets of which either may answer first."""
+
+    def budget(self):
+        return self.router.relay.retries.budgets["s"]
+
+    async def test_first_target_goes_on_before_the_second_answers(self):
+        """Guards against a second run beside an answer that goes on."""
+        never = scripted_target.never_respond()
+        await self.begin_stream(never, first=silent_stream(1.35))
+        await self.assert_whole()
+        await self.until(lambda: self.targets[1].aborted)
+        self.assertEqual([1, 1], self.requests())
+        self.assertEqual(1, len(self.budget().retries))
+
+    async def test_first_target_breaks_off_while_the_second_is_asked(self):
+        """Guards against a second retry where one is under way."""
+        late = scripted_target.respond_after(
+            0.15, scripted_target.stream_events(6)
+        )
+
+        async def fall_silent_and_end(seen, writer):
+            silent = silent_stream(60.0)
+            try:
+                await asyncio.wait_for(silent(seen, writer), 1.28)
+            except TimeoutError:
+                scripted_target.abort_connection(writer)
+
+        await self.begin_stream(late, first=fall_silent_and_end)
+        await self.assert_whole()
+        self.assertEqual([1, 1], self.requests())
+        self.assertEqual(1, len(self.budget().retries))
+
+    async def test_second_target_that_is_unusually_late_is_dropped(self):
+        """Guards against a stream that goes to a target that hangs."""
+        never = scripted_target.never_respond()
+        await self.begin_stream(never)
+        for _ in range(10):
+            self.router.relay.deps.response_times.record("s", 0, 0.02)
+        await self.assert_whole()
+        self.assertEqual([1, 1], self.requests())
+        self.assertEqual(1, self.targets[1].aborted)
+
+    async def test_retry_that_was_not_sent_is_given_back(self):
+        """Guards against a budget that is spent on unreachable targets."""
+        await self.begin_stream(scripted_target.stream_events(6))
+        self.targets[1].stop()
+        await self.assert_whole()
+        self.assertEqual(0, len(self.budget().retries))
+
+    async def test_third_target_takes_over_from_two(self):
+        """Guards against a hedge that only the first attempt may have."""
+        await self.begin_stream(
+            silent_stream(60.0),
+            scripted_target.stream_events(6),
+            first=scripted_target.stream_events(
+                6, silent_after=2, silence=60.0
+            ),
+        )
+        self.router.placer.views["t2"].running = 9
+        await self.assert_whole()
+        self.assertEqual([1, 1, 1], self.requests())
+
+    async def test_stream_that_has_not_begun(self):
+        """Guards against failures before the first event of a stream."""
+        late = scripted_target.respond_after(
+            1.0, scripted_target.stream_events(6)
+        )
+        await self.begin_stream(
+            scripted_target.respond_not_run(), first=late, allowance=0.0
+        )
+        for _ in range(10):
+            self.router.relay.deps.response_times.record("s", 0, 0.02)
+        await self.assert_whole()
+        self.assertEqual([1, 0], self.requests())
+
+    async def test_no_target_is_at_work_after_the_caller_has_left(self):
+        """Guards against runs that go on for a caller that is gone."""
+        never = scripted_target.never_respond()
+        await self.begin_stream(never, first=silent_stream(60.0))
+        asked = asyncio.ensure_future(self.ask("/c/x", "POST"))
+        await asyncio.sleep(1.0)
+        await self.until(lambda: self.targets[1].requests)
+        asked.cancel()
+        await self.until(lambda: self.targets[0].aborted)
+        await self.until(lambda: self.targets[1].aborted)
+        running = self.router.placer.in_flight()
+        self.assertEqual({}, {k: v for k, v in running.items() if v != 3})
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -10,6 +10,7 @@
 from amaranthring import errors
 from amaranthring import routing
 from amaranthring.forwarding import records
+from amaranthring.forwarding import runs
 from amaranthring.forwarding import startup
 from amaranthring.testing import scripted_target
 
@@ -406,7 +407,7 @@
                     await self.begin(script, script, allowance=allowance)
                     await self.ask(path)
                     self.assertEqual(arrivals, self.ran())
-                    taken = self.router.relay.budgets["s"].retries
+                    taken = self.router.relay.retries.budgets["s"].retries
                     self.assertGreaterEqual(len(taken), arrivals - 1)
 
     async def test_target_that_is_not_reached_needs_no_budget(self):
@@ -519,7 +520,7 @@
         # The second target is tried after 0.3 s, which leaves 0.2 s of slack
         # on a busy machine.
         for _ in range(10):
-            self.router.relay.response_times.record("s", 0, 0.15)
+            self.router.relay.deps.response_times.record("s", 0, 0.15)
         self.router.placer.views["t1"].running = 3
         got = await self.ask("/c/x", "POST")
         self.assertTrue(got.complete)
@@ -533,15 +534,18 @@
         """
         await self.begin()
         for _ in range(10):
-            self.router.relay.response_times.record("s", 0, 0.02)
+            self.router.relay.deps.response_times.record("s", 0, 0.02)
         attempt = mock.Mock()
+        attempt.run.prefill_tokens = 0
         attempt.open.side_effect = errors.UpstreamTimeoutError("too long")
         context = records.RequestContext(
             mock.Mock(), UNSAFE, "", "s", 1, time.monotonic()
         )
+        deps = self.router.relay.deps
+        request_runs = runs.Runs(deps, context, mock.Mock(), mock.Mock())
         with self.assertRaises(errors.UpstreamTimeoutError):
-            await self.router.relay._open(context, attempt)
-        learned = self.router.relay.response_times.timeout("s", 0, 0.5)
+            await request_runs.open(attempt, float("inf"))
+        learned = self.router.relay.deps.response_times.timeout("s", 0, 0.5)
         self.assertLess(learned, 1.0)
 
     async def test_stream_that_may_run_once_waits_for_its_target(self):
@@ -549,7 +553,7 @@
             scripted_target.never_respond(), scripted_target.stream_events(3)
         )
         for _ in range(10):
-            self.router.relay.response_times.record("s", 0, 0.02)
+            self.router.relay.deps.response_times.record("s", 0, 0.02)
         self.router.placer.views["t1"].running = 3
         got = await self.ask("/d/x", "POST", Test_Patience="0.7")
         self.assertEqual(504, got.status)
--- a/tests/test_forwarding_notices.py
+++ b/tests/test_forwarding_notices.py
@@ -153,7 +153,7 @@
         for path, script in (("/a/x", slow), ("/c/x", slow_stream)):
             await self.begin(scripted_target.respond(), script)
             for _ in range(10):
-                self.router.relay.response_times.record("s", 0, 0.02)
+                self.router.relay.deps.response_times.record("s", 0, 0.02)
             self.router.placer.rests.begin("t0", 5.0, "another")
             got = await self.ask(path, "POST")
             self.assertEqual((200, True), (got.status, got.complete))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -149,7 +149,7 @@
         for first_start in (True, False):
             with self.subTest(first_start=first_start):
                 settings = node.decode(SETTINGS | {"bootstrap": first_start})
-                budget = router.make(settings).relay.budgets["b1"]
+                budget = router.make(settings).relay.retries.budgets["b1"]
                 for _ in range(100):
                     budget.count_request()
                 self.assertEqual(first_start, budget.take(0.0))
--- a/tests/test_prompt_copies.py
+++ b/tests/test_prompt_copies.py
@@ -110,10 +110,10 @@
         )
         target = self.placer.choose(context)
         copy = self.placer.copy_for(context, target)
-        self.placer.begin(target, context, copy)
+        run = self.placer.begin(target, context, copy)
         self.record(incoming.parts[0], target.id, copy)
         ends_at = self.now + self.random.expovariate(1 / 0.9)
-        self.running.append((ends_at, target, context))
+        self.running.append((ends_at, run, context))
 
     def record(self, part, name, copy) -> None:
         """Record what the engine `name` recomputes or copies."""
@@ -128,11 +128,11 @@
 
     def end_requests(self) -> None:
         """End the requests that are complete."""
-        for ends_at, target, context in list(self.running):
+        for ends_at, run, context in list(self.running):
             if ends_at <= self.now:
-                self.placer.prefill_done(target, context)
-                self.placer.end(target, context)
-                self.running.remove((ends_at, target, context))
+                self.placer.prefill_done(run, context)
+                self.placer.end(run, context)
+                self.running.remove((ends_at, run, context))
 
     def run(self, engines: int, seconds: float) -> None:
         """Replace the engines one after the other under load."""
@@ -257,10 +257,10 @@
         self.assertEqual("e0:1", self.placer.source_address(self.copy()))
 
     def test_first_event_shows_that_prefill_is_done(self):
-        self.placer.begin(self.old, context := self.context())
-        self.placer.end(self.old, context)
+        run = self.placer.begin(self.old, context := self.context())
+        self.placer.end(run, context)
         self.assertIsNone(self.copy())
-        self.placer.prefill_done(self.old, context)
+        self.placer.prefill_done(run, context)
         self.assertEqual("e0", self.copy().source)
 
     def test_draining_engine_is_a_source_until_it_is_gone(self):
--- a/tests/test_prompt_placing.py
+++ b/tests/test_prompt_placing.py
@@ -422,10 +422,10 @@
         for seconds, name in ((10.0, "long"), (0.1, "short")):
             context = self.context()
             context.route.name = name
-            self.placer.begin(self.first, context)
-            self.placer.prefill_done(self.first, context)
+            run = self.placer.begin(self.first, context)
+            self.placer.prefill_done(run, context)
             self.now += seconds
-            self.placer.end(self.first, context)
+            self.placer.end(run, context)
         durations = self.placer.unseen_requests.durations
         self.assertAlmostEqual(10.0, durations["s long"])
         self.assertAlmostEqual(0.1, durations["s short"])
@@ -437,11 +437,11 @@
         context = records.RequestContext(incoming, None, "", "s", 1, 200.0)
         context.route = mock.Mock(with_prompt=False)
         for responds in (False, True):
-            self.placer.begin(self.first, context)
+            run = self.placer.begin(self.first, context)
             self.now += 0.3
             if responds:
-                self.placer.prefill_done(self.first, context)
-            self.placer.end(self.first, context)
+                self.placer.prefill_done(run, context)
+            self.placer.end(run, context)
             self.assertEqual(responds, "s" in durations)
 
     def test_response_resets_failures(self):
