Keep an answer of 5xx until another target has answered

A failure that a target gave to a repeatable request was thrown away for a retry, as soon as the budget allowed one; if no other target was there, or it refused, broke off or never answered, the caller got a failure of the router in its place. A failure of up to 64 KiB is kept now, a retry is asked for only if another target may get it, and the caller gets the kept one if there is no other answer. The four tests of TestFailure failed before.

--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -231,6 +231,15 @@
     prefill_tokens: int = 0
 
 
+@dataclasses.dataclass
+class KeptAnswer:
+    """A failure of a target, for a caller that gets no better answer."""
+
+    status: int
+    headers: tornado.httputil.HTTPHeaders
+    body: bytes
+
+
 @dataclasses.dataclass
 class Handover:
     """Terms on which another router handed a request over.
@@ -295,6 +304,8 @@
         Whether targets have crashed while they ran requests like it.
     engine : Engine or None
         Capabilities of the service's engines; None if it has none.
+    kept_answer : KeptAnswer or None
+        Answer of a target that failed, while another one is tried.
     trials : dict of str to str
         Its trials by suspected feature, see :mod:`suspect_trials`.
     trial_sends : int
@@ -338,6 +349,7 @@
     waited_since: float | None = None
     is_trial: bool = False
     is_suspect: bool = False
+    kept_answer: KeptAnswer | None = None
     trials: dict[str, str] = dataclasses.field(default_factory=dict)
     trial_sends: int = 0
     broke_off: bool = False
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -388,6 +388,10 @@
         if writer.status:
             writer.abort()
             return
+        kept = context.kept_answer if context is not None else None
+        if kept is not None:
+            await self._send_kept(kept, writer)
+            return
         reported = error
         if context is not None and not context.may_have_run:
             reported = self._not_run_error(context, error)
@@ -402,6 +406,16 @@
         except errors.CallerDisconnectedError:
             writer.abort()
 
+    async def _send_kept(
+        self,
+        kept: records.KeptAnswer,
+        writer: responses.ResponseWriter,
+    ) -> None:
+        try:
+            await writer.send(kept.status, kept.headers, kept.body)
+        except errors.CallerDisconnectedError:
+            writer.abort()
+
     def _not_run_error(self, context, error) -> errors.AmaranthringError:
         if isinstance(error, errors.RefusedError):
             return error
--- a/amaranthring/forwarding/runs.py
+++ b/amaranthring/forwarding/runs.py
@@ -39,6 +39,8 @@
 # Shortest timeout of a request that tries the path to targets which were not
 # reached; a helper can still serve it afterwards.
 PATH_TRIAL_SECONDS = 0.3
+# A failure of a target that is larger goes to the caller at once.
+MAX_KEPT_BYTES = 64 * 1024
 # Outcomes of an attempt in the request log: nothing was sent.
 UNREACHED = "target-unreached"
 NOT_LISTENING = "target-not-listening"
@@ -299,11 +301,24 @@
     async def _relay_body(self, attempt: attempts.Attempt) -> None:
         body = await attempt.read_body()
         head = attempt.head
-        if head.status >= 500 and self.may_repeat() and self.take_retry():
+        if head.status >= 500 and self._may_better(attempt, body):
+            self.context.kept_answer = records.KeptAnswer(
+                head.status, head.headers, body
+            )
             raise _failed_error(head)
         self._check_fits(attempt)
         await self.writer.send(head.status, head.headers, body)
 
+    def _may_better(self, attempt: attempts.Attempt, body: bytes) -> bool:
+        """Return whether another target may answer in the place of one."""
+        context = self.context
+        return (
+            len(body) <= MAX_KEPT_BYTES
+            and self.may_repeat()
+            and self.deps.placer.may_follow(context, attempt.target)
+            and not self.deps.retries.lacking(context)
+        )
+
     def _check_fits(self, attempt: attempts.Attempt) -> None:
         """Check that an answer fits to what the caller has of it.
 
