--- a/amaranthring/forwarding/hedges.py
+++ b/amaranthring/forwarding/hedges.py
@@ -135,7 +135,7 @@
         left = self.context.deadline - time.monotonic()
         if left <= 0:
             return None
-        if self.task is not None:
+        if self.task is not None or left < MIN_SECONDS_LEFT:
             return left
         if not self.is_asked_for:
             self._log_silence(silent, late)
@@ -148,6 +148,7 @@
         if target is None:
             return left if self.refusal == NO_ATTEMPT else ASK_SECONDS
         self.task = asyncio.ensure_future(self._run(target))
+        self.task.add_done_callback(_log_failure)
         return left
 
     def on_progress(self, timeout: float) -> None:
@@ -255,7 +256,7 @@
         if second is None or left <= 0:
             return None
         if second.head is None and self.steps.is_unusual(second, silent):
-            # It is late itself, and the first one has answered before.
+            # It is late itself; the first one has run the request for longer.
             return None
         self.is_due.set()
         return left
@@ -315,6 +316,12 @@
     return None
 
 
+def _log_failure(task: asyncio.Task) -> None:
+    """Log the error that has ended a hedge."""
+    if not task.cancelled() and task.exception() is not None:
+        log.error("task.failed fault={!r}", task.exception())
+
+
 def _retrieve_error(task: asyncio.Task) -> None:
     """Keep the loop from reporting an error that nobody waits for."""
     if not task.cancelled():
