--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -92,6 +92,64 @@
         """Guards against an answer that waits for ever."""
         await asyncio.wait_for(self.share("large").reserve(FREE + 5000), 1.0)
 
+    async def test_nothing_is_given_up_in_vain(self):
+        """Guards against an answer let go for one that waits all the same."""
+        await self.share("whole").reserve(FREE + 800)
+        growing = self.share("growing")
+        growing.grow(FREE + 100)
+        waiting = asyncio.ensure_future(self.share("next").reserve(FREE + 500))
+        await asyncio.sleep(0.01)
+        self.assertEqual([], self.given_up)
+        self.assertFalse(waiting.done())
+        waiting.cancel()
+
+    async def test_nothing_is_given_up_for_one_that_waits_in_line(self):
+        """Guards against an answer let go for one that is not next."""
+        whole = self.share("whole")
+        await whole.reserve(FREE + 600)
+        growing = self.share("growing")
+        growing.grow(FREE + 300)
+        waiting = [
+            asyncio.ensure_future(self.share(name).reserve(FREE + size))
+            for name, size in (("large", 900), ("small", 200))
+        ]
+        await asyncio.sleep(0.01)
+        self.assertEqual([], self.given_up)
+        growing.release()
+        whole.release()
+        await asyncio.wait_for(waiting[0], 1.0)
+        waiting[1].cancel()
+
+    async def test_growing_answers_are_given_up_once_that_is_enough(self):
+        """Guards against a whole answer that waits for an endless one."""
+        first = self.share("first")
+        await first.reserve(FREE + 600)
+        self.share("endless").grow(FREE + 300)
+        waiting = asyncio.ensure_future(
+            self.share("whole").reserve(FREE + 900)
+        )
+        await asyncio.sleep(0.01)
+        self.assertEqual([], self.given_up)
+        first.release()
+        await asyncio.wait_for(waiting, 1.0)
+        self.assertEqual(["endless"], self.given_up)
+        self.assertEqual(900, self.memory.used)
+
+    async def test_waiting_answer_gets_what_growing_ones_took(self):
+        """Guards against an answer that waits for one that grows slowly."""
+        first = self.share("first")
+        await first.reserve(FREE + 950)
+        waiting = asyncio.ensure_future(
+            self.share("whole").reserve(FREE + 900)
+        )
+        await asyncio.sleep(0.01)
+        endless = self.share("endless")
+        endless.grow(FREE + 40)
+        self.assertEqual([], self.given_up)
+        first.release()
+        endless.grow(80)
+        await asyncio.wait_for(waiting, 1.0)
+
 
 class TestBrokenAnswers(test_forwarding.RouterCase):
     """Large answers that their targets break off."""
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -222,3 +222,20 @@
         statuses = [(await self.ask("/b/x", "POST")).status for _ in range(3)]
         self.assertEqual([200, 502, 200], statuses)
         self.assertEqual(3, self.ran())
+
+
+class TestUnreached(KeepAliveTestCase):
+    """Targets that take no new connection while kept ones live on."""
+
+    async def test_request_in_progress_goes_on(self):
+        """Guards against answers lost as another request found no way."""
+        slow = scripted_target.respond_after(0.6, scripted_target.respond())
+        await self.begin(slow)
+        asked = asyncio.ensure_future(self.ask("/b/x", "POST"))
+        await self.until(self.ran)
+        self.target.stop()
+        got = await self.ask("/b/x", "POST")
+        self.assertEqual(503, got.status)
+        got = await asked
+        self.assertEqual((200, b"good"), (got.status, got.body))
+        self.assertEqual(1, self.ran())
--- a/tests/test_prompt_copies.py
+++ b/tests/test_prompt_copies.py
@@ -305,6 +305,34 @@
         self.assertIsNone(self.copy(routing.Engine(64, 1000)))
         self.assertIsNone(self.copy(None))
 
+    def test_engine_that_was_left_is_not_a_source(self):
+        """Guards against a second run that waits for the first one's engine.
+
+        An engine that was silent, or failed, still holds the prefix.
+        """
+        self.now += 1.0
+        context = self.context()
+        context.tried.add("e0")
+        self.placer.record_failure(self.old, reached=True)
+        self.assertIsNone(self.placer.copy_for(context, self.new))
+
+    def test_engine_that_refused_remains_a_source(self):
+        """Guards against prefill of what a full engine can still copy."""
+        self.now += 1.0
+        context = self.context()
+        context.tried.add("e0")
+        context.refused_by.append(self.old)
+        copy = self.placer.copy_for(context, self.new)
+        self.assertEqual("e0", copy.source)
+
+    def test_source_of_a_failed_run_is_not_used_again(self):
+        """Guards against two runs that are late by the same source."""
+        self.now += 1.0
+        context = self.context()
+        context.tried.add("e2")
+        context.copies.append("e0>e2")
+        self.assertIsNone(self.placer.copy_for(context, self.new))
+
 
 class TestCopiesOnTheWire(test_forwarding.RouterCase):
     """Source of a copy in requests to targets."""
