Give an answer up for memory only if the one that waits then fits

Callers whose answer had no length got 502 while memory was short, although nobody gained by it: an answer of known length that waits for memory gave the growing ones up one after the other before it was known whether that would be enough, and also while others waited before it.

The answers of unknown length are now given up when the first in line gets their memory in the same step, which is asked whenever memory becomes free and not once when the answer arrives. What the others keep tells beforehand whether that is enough, so nothing is given up in vain.

--- a/amaranthring/forwarding/answer_memory.py
+++ b/amaranthring/forwarding/answer_memory.py
@@ -29,8 +29,9 @@
     """Limit on the bytes of all answers that are held.
 
     Answers of known length wait until they fit. Those of unknown length take
-    memory as they grow, and the largest one is given up when it runs out: it
-    is the most likely to have no end.
+    memory as they grow, and the largest one is given up when it runs out, or
+    when the next one that waits then fits: it is the most likely to have no
+    end.
 
     Attributes
     ----------
@@ -72,7 +73,7 @@
             used=self.used,
             answers=len(self.growing),
         )
-        largest.release()
+        largest.give_back()
         largest.abort(
             errors.UpstreamError(
                 "the answer has no length, and no memory is left for it",
@@ -87,12 +88,26 @@
         while self.waiting:
             future, size = self.waiting[0]
             if not future.done():
-                if self.used and self.used + size > self.most:
+                if not self._make_room(size):
                     return
                 self.used += size
                 future.set_result(None)
             self.waiting.popleft()
 
+    def _make_room(self, size: int) -> bool:
+        """Return whether `size` bytes fit, and give growing answers up for it.
+
+        None is given up if the others alone leave too little.
+        """
+        growing = sum(share.counted for share in self.growing)
+        kept = self.used - growing
+        if kept and kept + size > self.most:
+            return False
+        while self.used and self.used + size > self.most:
+            if not self.give_up_largest():
+                break
+        return True
+
 
 class AnswerShare:
     """What one answer takes.
@@ -118,9 +133,6 @@
         if not counted:
             return
         memory = self.memory
-        while memory.used + counted > memory.most:
-            if not memory.give_up_largest():
-                break
         future = asyncio.get_running_loop().create_future()
         memory.waiting.append((future, counted))
         memory.wake_waiting()
@@ -152,11 +164,16 @@
         self.counted = counted
         if memory.used > memory.most:
             memory.give_up_largest()
+            memory.wake_waiting()
 
     def release(self) -> None:
+        """Give back what the answer takes, to those that wait."""
+        self.give_back()
+        self.memory.wake_waiting()
+
+    def give_back(self) -> None:
         """Give back what the answer takes."""
         memory = self.memory
         memory.growing.discard(self)
         memory.used -= self.counted
         self.counted = 0
-        memory.wake_waiting()
