--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -508,9 +508,14 @@
             return False
         return True
 
-    async def call(self, message: t.Any, timeout: float) -> t.Any:
+    async def call(self, message: t.Any, timeout: float | None) -> t.Any:
         """Send a request to the peer and return its reply.
 
+        Parameters
+        ----------
+        message, timeout
+            As for :meth:`Link.call`.
+
         Raises
         ------
         errors.LinkClosedError
--- a/amaranthring/forwarding/handing_over.py
+++ b/amaranthring/forwarding/handing_over.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import functools
 import time
 import typing as t
 
@@ -50,6 +51,8 @@
         Links to the helpers.
     answers : AnswerMemory
         Limit on the answers that are held until they are whole.
+    retries_left : callable
+        Returns how many retries the budget of a service leaves.
 
     Attributes
     ----------
@@ -63,9 +66,11 @@
         placer: placement.Placer,
         metrics: metrics_module.Metrics,
         answers: answer_memory.AnswerMemory,
+        retries_left: t.Callable[[str], float],
     ):
         self.answers = answers
         self.client = client
+        self.retries_left = retries_left
         self.placer = placer
         self.metrics = metrics
         self.trials = path_trials.PathTrials(placer)
@@ -209,7 +214,23 @@
             resume_after = str(splitter.last_id)
         left = context.deadline - time.monotonic()
         context.sent_after.append(time.monotonic() - context.incoming.arrived)
-        return await self.client.begin(helper, context, left, resume_after)
+        return await self.client.begin(
+            helper,
+            context,
+            left,
+            resume_after,
+            functools.partial(self._may_follow, context),
+        )
+
+    def _may_follow(self, context: records.RequestContext) -> bool:
+        """Return whether another helper may get the request now."""
+        attempts_left = context.route.attempts_most - context.attempts_sent
+        return (
+            context.route.idempotent
+            and attempts_left >= 2
+            and self._choose(context) is not None
+            and self.retries_left(context.service) >= 1
+        )
 
     def _interpret(
         self,
--- a/amaranthring/handover/client.py
+++ b/amaranthring/handover/client.py
@@ -17,9 +17,11 @@
 
 log = logbook.Logger(__name__)
 
-# A helper acknowledges within a round trip. After this time the handover
-# counts as sent, with an unknown outcome.
+# A helper acknowledges within a round trip. After this time the handover is
+# given up, with an unknown outcome, as soon as another attempt may follow.
 ACCEPT_SECONDS = 0.4
+# Interval at which it is asked whether one may.
+ASK_SECONDS = 0.05
 # A helper that has refused is left alone for this time.
 HELPER_PAUSE_SECONDS = 0.3
 # Links are kept for this time after the last offer.
@@ -230,9 +232,16 @@
         context: records.RequestContext,
         seconds_left: float,
         resume_after: str,
+        may_give_up: t.Callable[[], bool],
     ) -> Answer:
         """Hand a request over; return its answer, once it is accepted.
 
+        Parameters
+        ----------
+        may_give_up : callable
+            Returns whether another attempt may follow now; asked when the
+            helper is late.
+
         Raises
         ------
         errors.AmaranthringError
@@ -245,7 +254,7 @@
             answer.number, context, seconds_left, resume_after
         )
         try:
-            accepted = await helper.dialler.call(message, ACCEPT_SECONDS)
+            accepted = await _accepted(helper, message, may_give_up)
         except errors.AmaranthringError as error:
             if error.outcome == errors.Outcome.NOT_RUN:
                 helper.paused_until = self.clock() + HELPER_PAUSE_SECONDS
@@ -288,3 +297,25 @@
                     "the link to the helper closed", given=address
                 )
             )
+
+
+async def _accepted(
+    helper: Helper,
+    message: messages.HandOver,
+    may_give_up: t.Callable[[], bool],
+) -> messages.Accepted:
+    """Return the reply of a helper, unless it is late and may be given up."""
+    calling = asyncio.ensure_future(helper.dialler.call(message, None))
+    timeout = ACCEPT_SECONDS
+    try:
+        while not calling.done():
+            await asyncio.wait({calling}, timeout=timeout)
+            if not calling.done() and may_give_up():
+                raise errors.LinkTimeoutError(
+                    "the helper does not accept the request",
+                    given=helper.address,
+                )
+            timeout = ASK_SECONDS
+        return calling.result()
+    finally:
+        calling.cancel()
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -157,6 +157,7 @@
             self.placer,
             self.metrics,
             answers,
+            self.retries_left,
         )
         self.handover_server = handover_server.HandoverServer(
             identity, keys, self.serve_for_peer, self.check_handover
@@ -290,6 +291,11 @@
         finally:
             self.front.count(-1)
 
+    def retries_left(self, service: str) -> float:
+        """Return how many retries this router may still send to a service."""
+        fraction = self.sharers.share().fraction
+        return self.relay.budgets[service].left(fraction)
+
     def may_trust_keys(self) -> bool:
         """Return whether the plan's keys are still valid under the lease."""
         lease = self.config.key_lease
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -61,12 +61,17 @@
             self.router.placer,
             metrics.Metrics(),
             answer_memory.AnswerMemory(),
+            self.retries_left,
         )
         self.client.update({"s": [self.address]})
         await self.until(
             lambda: self.client.helpers[self.address].dialler.link
         )
 
+    def retries_left(self, service):
+        relay = self.router.relay
+        return relay.budgets[service].left(relay.share().fraction)
+
     def listen(self):
         """Return a server of the helper, and its address."""
         server = handover_server.HandoverServer(
