Add a failing test of a place that comes with the end of the wait

A request that waits for room at a brittle target is refused although it has just been given a place, where the place and the end of its wait fall into one step of the event loop, as on a late loop.

--- a/tests/test_ended_waits.py
+++ b/tests/test_ended_waits.py
@@ -105,34 +105,50 @@
         """Guards against a place that is lost with a cancelled request."""
         await self.check(lambda first, wake: (first.cancel(), wake()))
 
+    async def test_place_that_comes_with_the_end_of_the_wait_is_used(self):
+        """Guards against a refusal of a request that has just got a place."""
+        self.begin()
+        waiting = self.wait(seconds=0.2)
+        await asyncio.sleep(0)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.19, lambda: self.queue.wake(self.target, 1))
+        # The place and the end of the wait are due in the same step.
+        loop.call_later(0.15, time.sleep, 0.1)
+        await asyncio.wait_for(waiting, 1.0)
+
     async def check(self, end_first):
         """Check that the place of a request that ends is not lost."""
-        placer = mock.Mock()
-        placer.room.awaited = {}
-        placer.room.allowed_requests.return_value = 10
-        placer.room.limits.duration.return_value = 0.1
-        queue = room_queue.RoomQueue(placer)
-        route = mock.Mock(spec=routing.Route, objective=5.0)
-        target = mock.Mock(spec=messages.TargetRecord, service="s")
-
-        def wait():
-            context = mock.Mock(
-                spec=records.RequestContext,
-                service="s",
-                binding=None,
-                waited_since=None,
-                route=route,
-                deadline=time.monotonic() + 20.0,
-                incoming=mock.Mock(arrived=time.monotonic()),
-            )
-            return asyncio.ensure_future(queue.wait(context))
-
-        first, second = wait(), wait()
+        self.begin()
+        first, second = self.wait(), self.wait()
         await asyncio.sleep(0)
-        end_first(first, lambda: queue.wake(target, 1))
+        end_first(first, lambda: self.queue.wake(self.target, 1))
         await asyncio.wait({second}, timeout=0.5)
         self.assertTrue(second.done())
 
+    def begin(self):
+        self.placer = mock.Mock()
+        self.placer.room.awaited = {}
+        self.placer.room.allowed_requests.return_value = 10
+        self.placer.room.limits.duration.return_value = 0.1
+        self.queue = room_queue.RoomQueue(self.placer)
+        self.target = mock.Mock(spec=messages.TargetRecord, service="s")
+
+    def wait(self, seconds=2.5):
+        """Have a request wait for a place for at most `seconds`."""
+        context = mock.Mock(
+            spec=records.RequestContext,
+            service="s",
+            binding=None,
+            waited_since=None,
+            route=mock.Mock(
+                spec=routing.Route,
+                objective=seconds / room_queue.OBJECTIVE_SHARE,
+            ),
+            deadline=time.monotonic() + 20.0,
+            incoming=mock.Mock(arrived=time.monotonic()),
+        )
+        return asyncio.ensure_future(self.queue.wait(context))
+
 
 class TestInterruptedWaits(test_forwarding.RouterCase):
     """Waits that end in the moment in which their task is cancelled."""
