Use a place that comes with the end of the wait for it

Callers of brittle targets got 503 although their request had just been given a place: where the place came in the step in which the wait ran out, the request was refused and the place passed on. The end of the wait now counts only if no place has come.

--- a/amaranthring/forwarding/room_queue.py
+++ b/amaranthring/forwarding/room_queue.py
@@ -116,7 +116,10 @@
                 await future
             has_place = True
         except TimeoutError:
-            raise self._no_room(context, expected) from None
+            # A place may have come in the step in which the time ran out.
+            has_place = waiting.target is not None
+            if not has_place:
+                raise self._no_room(context, expected) from None
         finally:
             if waiting in queue:
                 queue.remove(waiting)
