Add failing tests of streams that were reported to a silent keeper

A router repeats to its next home keeper what it reported in the last second before the change. It needs up to 1.7 s to notice that a keeper is silent, and may then have no keeper for a while, so that nobody else learns what it reported in the silence. Both tests fail on this code.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -8,6 +8,7 @@
 from amaranthring.forwarding import stream_bindings
 from amaranthring.policy import bindings
 from amaranthring.registry import stream_messages
+from amaranthring.registry import subscriber
 from amaranthring.testing import scripted_target
 from tests import test_forwarding
 
@@ -490,3 +491,24 @@
         self.assertEqual([], streams.take_report())
         streams.report_again()
         self.assertEqual([before], streams.take_report())
+
+    async def test_silent_keeper_may_not_have_passed_streams_on(self):
+        """Guards against streams lost while a silence goes unnoticed."""
+        await self.begin_mixed()
+        await self.ask("/c/x", "POST", Test_Id="first")
+        await self.check_told_again(subscriber.CUT_OFF_SECONDS)
+
+    async def test_next_keeper_may_come_late(self):
+        """Guards against streams lost while this router has no keeper."""
+        await self.begin_mixed()
+        await self.ask("/c/x", "POST", Test_Id="first")
+        await self.check_told_again(subscriber.CUT_OFF_SECONDS + 5.0)
+
+    async def check_told_again(self, seconds):
+        """Check that a stream is reported again `seconds` later."""
+        streams = self.router.relay.streams
+        [before] = streams.take_report()
+        linked_at = streams.clock() + seconds
+        streams.clock = lambda: linked_at
+        streams.report_again()
+        self.assertEqual([before], streams.take_report())
