Repeat to the next keeper what a silent one may have kept to itself

Callers whose router was lost soon after its home keeper could not take their streams up: the router counts a report as delivered when it is written, and repeated only that of the last second when it changed its home keeper. A keeper that falls silent is noticed up to 1.7 s later, and the next one may be linked later still.

What is repeated now reaches back from the last report, by the time that a silence goes unnoticed and the second in which a keeper passes on. Nothing is reported while there is no keeper, so a gap no longer shortens it.

--- a/amaranthring/forwarding/stream_bindings.py
+++ b/amaranthring/forwarding/stream_bindings.py
@@ -16,6 +16,7 @@
 from amaranthring.policy import route_history
 from amaranthring.registry import sharing
 from amaranthring.registry import stream_messages
+from amaranthring.registry import subscriber
 from amaranthring.registry import targets as tables
 
 __all__ = ["StreamBindings"]
@@ -32,9 +33,10 @@
 PROMPT_SECONDS = 0.03
 # A stream in use is recorded again after this time, before it is forgotten.
 RENEW_SECONDS = 20.0
-# What was reported to the previous home keeper within this time before it
-# changed may not have reached the other keepers.
-REPEATED_SECONDS = 1.0
+# What was reported to the previous home keeper within this time before the
+# last report may not have reached the other keepers: it may have been silent
+# for as long as that goes unnoticed, and passes on within a second.
+REPEATED_SECONDS = subscriber.CUT_OFF_SECONDS + 1.0
 # A keeper answers within a round trip. After this time all are asked anew;
 # what one answers later still counts.
 ANSWER_SECONDS = 0.3
@@ -162,7 +164,8 @@
 
     def report_again(self) -> None:
         """Report again what the home keeper before may not have passed on."""
-        oldest = self.clock() - REPEATED_SECONDS
+        newest = self.reported[-1][0] if self.reported else 0.0
+        oldest = newest - REPEATED_SECONDS
         self.unreported.extend(
             (key, binding)
             for at, key, binding in self.reported
