--- a/amaranthring/forwarding/retries.py
+++ b/amaranthring/forwarding/retries.py
@@ -48,12 +48,15 @@
         """Count a caller's request for the service."""
         self.budgets[service].count_request()
 
+    def left(self, service: str) -> float:
+        """Return how many retries the budget of a service leaves."""
+        return self.budgets[service].left(self.share().fraction)
+
     def lacking(self, context: records.RequestContext) -> str:
         """Return why no retry of the request is left, or nothing."""
-        share = self.share()
-        if self.budgets[context.service].left(share.fraction) >= 1:
+        if self.left(context.service) >= 1:
             return ""
-        return f"retries-{share.reason or 'spent'}"
+        return f"retries-{self.share().reason or 'spent'}"
 
     def take(self, context: records.RequestContext) -> bool:
         """Take a retry of the request; return whether one was left."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -61,12 +61,16 @@
             self.router.placer,
             metrics.Metrics(),
             answer_memory.AnswerMemory(),
+            self.retries_left,
         )
         self.client.update({"s": [self.address]})
         await self.until(
             lambda: self.client.helpers[self.address].dialler.link
         )
 
+    def retries_left(self, service):
+        return self.router.relay.retries.left(service)
+
     def listen(self):
         """Return a server of the helper, and its address."""
         server = handover_server.HandoverServer(
