Do not take a target for silent while its caller reads slowly

The timeout between two events went on while the router waited for its caller and did not read: a sound target lost its stream, and a second one ran it from the budget of retries.

--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -310,11 +310,14 @@
             if not complete:
                 continue
             on_events()
+            self.exchange.paused = True
             if writer.status:
                 await writer.write(complete)
             else:
                 head = self.head
                 await writer.start_stream(head.status, head.headers, complete)
+            self.exchange.paused = False
+            self.exchange.note_progress(time.monotonic())
         if splitter.partial:
             self.exchange.broken_off = True
             raise errors.TruncatedResponseError(
