Copy no prompt from a target that may have made an attempt late

A second attempt was to copy its prompt from the engine that was silent, or from the source that had made the first attempt late, and waited for it in turn. Targets that refused the request stay sources. A late target counts as tried while another one is asked for.

--- a/amaranthring/forwarding/hedges.py
+++ b/amaranthring/forwarding/hedges.py
@@ -47,10 +47,8 @@
     def lacks_retry(self) -> str:
         """Return why no retry may be taken now, or nothing."""
 
-    def choose(
-        self, attempt: attempts.Attempt
-    ) -> messages.TargetRecord | None:
-        """Return the target to run it, or None."""
+    def choose(self) -> messages.TargetRecord | None:
+        """Return a target that was not tried, or None."""
 
     def take_retry(self) -> bool:
         """Take a retry from the budget; return whether one was left."""
@@ -140,6 +138,7 @@
         if not self.is_asked_for:
             self._log_silence(silent, late)
         self.is_asked_for = True
+        self.context.tried.add(self.first.target.id)
         data_centre = self.first.target.data_centre
         self.context.silent_data_centres.add(data_centre)
         if self.steps.gives_way():
@@ -163,6 +162,7 @@
             return
         self.is_asked_for = False
         self.refusal = ""
+        self.context.tried.discard(self.first.target.id)
         self.context.silent_data_centres.discard(self.first.target.data_centre)
         self._drop("the first target goes on")
         self.first.exchange.set_timeout(timeout)
@@ -196,7 +196,7 @@
         if not refusal and not self.has_retry:
             refusal = self.steps.lacks_retry()
         if not refusal:
-            target = self.steps.choose(self.first)
+            target = self.steps.choose()
             refusal = "" if target else "no-target"
         if target and not self.has_retry:
             self.has_retry = self.steps.take_retry()
--- a/amaranthring/forwarding/placement.py
+++ b/amaranthring/forwarding/placement.py
@@ -358,9 +358,10 @@
             return []
         now = self.clock()
         holders = []
+        late = _late_sources(context)
         for entry in self.table.entries.values():
             record = entry.record
-            if record.service != context.service:
+            if record.service != context.service or record.id in late:
                 continue
             tokens = self.prefixes.copyable_tokens(
                 context.incoming.parts, record.id
@@ -685,6 +686,17 @@
                 del self.views[target_id]
 
 
+def _late_sources(context: records.RequestContext) -> set[str]:
+    """Return the targets that may have made an attempt late or fail.
+
+    They are those of the attempts, and the ones that these copied from.
+    Refusals say nothing of a copy.
+    """
+    late = context.tried - {record.id for record in context.refused_by}
+    copied = [copy.split(">") for copy in context.copies]
+    return late | {source for source, target in copied if target in late}
+
+
 def _placement_key(context: records.RequestContext) -> str:
     """Return what requests have in common that prefer the same targets."""
     parts = context.incoming.parts
--- a/amaranthring/forwarding/runs.py
+++ b/amaranthring/forwarding/runs.py
@@ -349,17 +349,9 @@
             return "no-target"
         return ""
 
-    def choose(
-        self, attempt: attempts.Attempt
-    ) -> messages.TargetRecord | None:
-        """Return the target that is to run the request beside `attempt`."""
-        context = self.context
-        tried = set(context.tried)
-        context.tried.add(attempt.target.id)
-        try:
-            return self.deps.placer.choose(context)
-        finally:
-            context.tried = tried
+    def choose(self) -> messages.TargetRecord | None:
+        """Return a target that was not tried, or None."""
+        return self.deps.placer.choose(self.context)
 
     def gives_way(self) -> bool:
         """Return whether the attempt ends for another router's.
