Add a question to the retry budget that takes nothing

Whether a retry is left could only be found out by taking it. A run that is to end only if another one may follow has to ask before. The test of the question failed before, as there was none.

--- a/amaranthring/policy/retries.py
+++ b/amaranthring/policy/retries.py
@@ -64,14 +64,20 @@
         for counts in self._counts(account):
             counts.successes += 1
 
-    def may_retry(self, account: str) -> bool:
-        """Take one retry from the budget; return whether one was left."""
+    def has_retry(self, account: str) -> bool:
+        """Return whether a retry is left, without taking it."""
         share = self.share()
         own, router = self._counts(account)
-        if own.remaining(share, ACCOUNT_RESERVE) < 1:
-            return False
-        if router.remaining(share, ROUTER_RESERVE) < 1:
+        return (
+            own.remaining(share, ACCOUNT_RESERVE) >= 1
+            and router.remaining(share, ROUTER_RESERVE) >= 1
+        )
+
+    def may_retry(self, account: str) -> bool:
+        """Take one retry from the budget; return whether one was left."""
+        if not self.has_retry(account):
             return False
+        own, router = self._counts(account)
         own.retries += 1
         router.retries += 1
         return True
