Keep a silent engine until another attempt is certain

Callers of chats got a cut stream, or a failure before their deadline, when their engine was silent for longer than first_token_seconds or between_tokens_seconds. The bounds ended the run always; attempts, idempotence, the deadline, the continuation of the text, the retry budget and admission were asked afterwards, and any of them could refuse.

When a bound passes, the run now asks all of them while it goes on: what can be told at once first, then the retry budget without taking from it, then a grant, which may wait for room. Only with the grant in hand the retry is taken and the connection closed, and the next attempt uses that grant. A token withdraws the question. Streams that are resumed at their engine and callers that reconnect are treated alike; for the latter no other attempt may follow. A grant for an engine that is found to have crashed is given back, as the request must then be admitted as a suspect.

--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -16,6 +16,7 @@
 
 from amaranthring import errors
 from amaranthring.callers import execution
+from amaranthring.callers import replacements
 from amaranthring.callers import target_loss
 from amaranthring.callers import tokens
 from amaranthring.core import records
@@ -53,6 +54,8 @@
 
     Attributes
     ----------
+    replacement : Replacement
+        Prepares another attempt while an engine is silent.
     events : sse.EventRewriter or None
         None until a request was sent to an engine.
     begun : bool
@@ -70,6 +73,7 @@
 
     sink: Sink
     started: float
+    replacement: replacements.Replacement
     events: sse.EventRewriter | None = None
     begun: bool = False
     opened: bool = False
@@ -96,7 +100,9 @@
         If the response could not be completed.
     """
     await execution.check(deps, request)
-    progress = StreamProgress(sink, time.monotonic())
+    progress = StreamProgress(
+        sink, time.monotonic(), replacements.Replacement(deps, request)
+    )
 
     async def run_attempt(attempt: execution.Attempt) -> None:
         await _stream_attempt(deps, request, attempt, progress)
@@ -121,6 +127,8 @@
     exchange = deps.notices.exchange(
         attempt.target, name, request.account, is_trial=attempt.is_trial
     )
+    progress.replacement = attempt.replacement
+    _watch_silence(request, exchange, progress)
     try:
         with target_loss.AbortOnTargetLoss(deps, exchange):
             try:
@@ -134,6 +142,7 @@
                 await _relay(exchange, progress, preset)
                 return
             finally:
+                progress.replacement.stop()
                 attempt.sent = attempt.sent or exchange.sent
     except errors.UpstreamError as error:
         await _resume_or_raise(deps, request, attempt, progress, name, error)
@@ -158,6 +167,8 @@
             except errors.UpstreamError as resume_error:
                 if resume_error.outcome is errors.Outcome.NOT_RUN:
                     break
+                if progress.replacement.granted:
+                    break
     if not attempt.target_lost:
         await cancel(deps, request, attempt.target, name)
     if progress.begun:
@@ -191,10 +202,25 @@
     exchange = deps.notices.exchange(
         target, name, request.account, continues=True
     )
+    _watch_silence(request, exchange, progress)
     with target_loss.AbortOnTargetLoss(deps, exchange):
-        await exchange.send(call, preset.first_token_seconds)
-        await _open_stream(exchange, name, progress)
-        await _relay(exchange, progress, preset)
+        try:
+            await exchange.send(call, preset.first_token_seconds)
+            await _open_stream(exchange, name, progress)
+            await _relay(exchange, progress, preset)
+        finally:
+            progress.replacement.stop()
+
+
+def _watch_silence(request, exchange, progress) -> None:
+    """Have the engine of `exchange` replaced if it is silent."""
+
+    def may_follow() -> bool:
+        if not progress.begun:
+            return True
+        return continuation_body(request.body, progress.events) is not None
+
+    progress.replacement.watch(exchange, may_follow)
 
 
 async def _open_stream(exchange, name, progress) -> None:
@@ -288,6 +314,8 @@
                 exchange.set_timeout(preset.between_tokens_seconds)
             _record_timing(progress)
             exchange.note_progress(progress.last_sent)
+            if progress.replacement.asking is not None:
+                progress.replacement.stop()
             pending = send(ready)
             if pending is not None:
                 exchange.paused = True
@@ -398,7 +426,10 @@
     except errors.TargetLeavingError as error:
         raise _stream_gone_error(reference, str(error)) from error
     token = _resume_token(deps, request, target, reference.stream)
-    progress = StreamProgress(sink, time.monotonic())
+    # No other attempt may follow: the engine may be silent to the deadline.
+    progress = StreamProgress(
+        sink, time.monotonic(), replacements.Replacement(deps, request)
+    )
     progress.events = sse.EventRewriter(reference.stream, token, number)
     last_error = None
     for _ in range(MAX_RESUMES):
--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 import typing as t
 
 from amaranthring import errors
+from amaranthring.callers import replacements
 from amaranthring.callers import settlements as settlements_module
 from amaranthring.callers import target_loss
 from amaranthring.core import drain as drains
@@ -78,6 +80,7 @@
     ]
     is_quarantined: t.Callable[[str], bool]
     report_crash: t.Callable[..., t.Awaitable[None]]
+    has_retry: t.Callable[[str], bool]
     may_retry: t.Callable[[str], bool]
     record_success: t.Callable[[str], None]
     when_lost: t.Callable[[str], asyncio.Future]
@@ -124,6 +127,8 @@
         Whether the loss of the target was reported.
     is_trial : bool
         Whether all targets rest and this one is tried all the same.
+    replacement : Replacement or None
+        Prepares the attempt that may follow.
     started : float
         Monotonic time of its start, in seconds.
     """
@@ -137,6 +142,7 @@
     silent: bool = False
     reported: bool = False
     is_trial: bool = False
+    replacement: replacements.Replacement | None = None
     started: float = dataclasses.field(default_factory=time.monotonic)
 
     @property
@@ -229,18 +235,28 @@
         The error of the last attempt, or of admission if there was none. Its
         outcome is ``not-run`` only if no attempt can have run.
     """
+    replacement = replacements.Replacement(deps, request)
+    with contextlib.closing(replacement):
+        return await _run_attempts(deps, request, run_attempt, replacement)
+
+
+async def _run_attempts(deps, request, run_attempt, replacement):
     excluded: set[str] = set()
     failed_at: list[records.Target] = []
     last_error: errors.AmaranthringError | None = None
     maybe_ran = False
     for number in range(MAX_ATTEMPTS):
         try:
-            grant, is_trial = await _admit(deps, request, excluded)
+            granted = replacement.take()
+            grant, is_trial = granted or await _admit(deps, request, excluded)
         except errors.AmaranthringError as error:
             last_error = _latest_error(last_error, error, maybe_ran)
             break
-        attempt = Attempt(number, grant, is_trial=is_trial)
+        attempt = Attempt(
+            number, grant, is_trial=is_trial, replacement=replacement
+        )
         _record_grant(deps, request, attempt)
+        _prepare_replacement(deps, request, attempt, excluded)
         try:
             result = await _run_and_release(
                 deps, request, attempt, run_attempt
@@ -262,6 +278,10 @@
         deps.metrics.count(f"way.failed.{last_error.code}")
         if attempt.target_lost and attempt.sent:
             await target_loss.report_crash(deps, request, attempt)
+        if attempt.target_lost:
+            # Granted before the request was known as a suspect, which must
+            # run isolated.
+            replacement.release()
         if not _may_retry(deps, request, attempt, last_error, maybe_ran):
             break
     deps.notices.request_failed(request, failed_at)
@@ -362,18 +382,43 @@
         )
 
 
+def _prepare_replacement(deps, request, attempt, excluded) -> None:
+    """Prepare the attempt after `attempt`, which begins now."""
+    failed = excluded | {attempt.target.name}
+
+    async def admit() -> replacements.Granted:
+        return await _admit(deps, request, failed)
+
+    def find_lacking() -> str:
+        return _find_lacking(request, attempt, maybe_ran=True)
+
+    attempt.replacement.prepare(admit, find_lacking)
+
+
+def _find_lacking(
+    request: records.Request, attempt: Attempt, maybe_ran: bool
+) -> str:
+    """Return what another attempt lacks besides a retry and a target."""
+    if not attempt.retryable:
+        return "permission"
+    if attempt.number + 1 >= MAX_ATTEMPTS:
+        return "attempts"
+    if maybe_ran and not request.idempotent:
+        return "idempotence"
+    if time.monotonic() >= request.deadline:
+        return "time"
+    return ""
+
+
 def _may_retry(deps, request, attempt, last_error, maybe_ran) -> bool:
-    if not attempt.retryable or attempt.number + 1 >= MAX_ATTEMPTS:
-        return False
     if isinstance(last_error, errors.BadRequestError):
         return False
-    if maybe_ran and not request.idempotent:
-        return False
-    if time.monotonic() >= request.deadline:
+    if _find_lacking(request, attempt, maybe_ran):
         return False
-    if _uses_budget(attempt, last_error) and not deps.may_retry(
-        request.account
-    ):
+    is_charged = not attempt.replacement.paid and _uses_budget(
+        attempt, last_error
+    )
+    if is_charged and not deps.may_retry(request.account):
         deps.metrics.count("way.retry-refused")
         return False
     deps.metrics.count("way.retried")
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -224,6 +224,7 @@
             is_quarantined=self.suspicion.is_quarantined,
             report_crash=self.suspicion.report_crash,
             watch_target=self.suspicion.watch_target,
+            has_retry=self.retry_budget.has_retry,
             may_retry=self.retry_budget.may_retry,
             record_success=self.retry_budget.record_success,
             when_lost=self.table.when_lost,
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -79,6 +79,10 @@
     return
 
 
+def _give_up() -> float:
+    return 0.0
+
+
 class Exchange:
     """One call to one target and its response.
 
@@ -100,8 +104,11 @@
         Called right before a call is written; raises to prevent it.
     on_head : callable
         Called when the head of the response has arrived.
+    on_silence : callable
+        Called when the timeout has passed; returns the seconds to wait on,
+        or 0 to abort the call.
     on_timeout : callable
-        Called when the timeout has passed, with the seconds since the last
+        Called when the call is aborted by it, with the seconds since the last
         progress and those by which the timer fired late.
     """
 
@@ -119,6 +126,7 @@
         self.broken_off = False
         self.before_write: t.Callable[[], None] = _do_nothing
         self.on_head: t.Callable[[], None] = _do_nothing
+        self.on_silence: t.Callable[[], float] = _give_up
         self.on_timeout: t.Callable[[float, float], None] = _ignore_timeout
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
@@ -447,6 +455,8 @@
             # the target would count as silent.
             self._may_extend = False
             remaining = timeouts.READ_SECONDS
+        if remaining <= 0:
+            remaining = self.on_silence()
         if remaining > 0:
             self._start_timer(remaining)
             return
--- a/amaranthring/testing/fake_dependencies.py
+++ b/amaranthring/testing/fake_dependencies.py
@@ -126,6 +126,7 @@
             settle=self.ledger.settle,
             is_quarantined=self.quarantined.__contains__,
             report_crash=self.report_crash,
+            has_retry=lambda _: self.retries_left > 0,
             may_retry=self.may_retry,
             record_success=lambda _: None,
             when_lost=self.when_lost,
