Go back to the engine that was given up if no other one goes on

Streams were cut when a silent engine had been given up and the next one did not listen, refused, failed, asked for rest or did not continue the text. The first engine was told to forget the stream before the next one was asked, so neither the router nor the caller could resume it there.

Engines keep a stream for a while after its connection has closed, and free the slot at once, so the cancellation now waits until another engine has sent its first event. If no attempt may follow a failed one, the stream is resumed at the engine that was given up last, from the next event, until the caller's deadline. Nothing that another engine sent is joined with it, and no two engines work at once. A stream that ends all the same is not cancelled if the caller has a part of it, so that its caller can resume it.

--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -48,6 +48,10 @@
     send: t.Callable[[bytes], t.Awaitable[None] | None]
 
 
+def _discard_nothing() -> None:
+    return
+
+
 @dataclasses.dataclass
 class StreamProgress:
     """Progress of a streamed response.
@@ -56,6 +60,11 @@
     ----------
     replacement : Replacement
         Prepares another attempt while an engine is silent.
+    left : list of tuple
+        Engines, with names of streams, that were given up and may still have
+        their stream; nothing was sent since.
+    discard_left : callable
+        Has these streams cancelled, as another engine goes on.
     events : sse.EventRewriter or None
         None until a request was sent to an engine.
     begun : bool
@@ -74,6 +83,10 @@
     sink: Sink
     started: float
     replacement: replacements.Replacement
+    left: list[tuple[records.Target, str]] = dataclasses.field(
+        default_factory=list
+    )
+    discard_left: t.Callable[[], None] = _discard_nothing
     events: sse.EventRewriter | None = None
     begun: bool = False
     opened: bool = False
@@ -107,10 +120,56 @@
     async def run_attempt(attempt: execution.Attempt) -> None:
         await _stream_attempt(deps, request, attempt, progress)
 
-    await execution.run(deps, request, run_attempt)
+    async def go_back() -> bool:
+        return await _go_back(deps, request, progress)
+
+    progress.discard_left = lambda: _discard_left(deps, request, progress)
+    await execution.run(deps, request, run_attempt, go_back)
     _record_metrics(deps, request, progress)
 
 
+async def _go_back(deps, request, progress) -> bool:
+    """Resume the stream of an engine that was given up.
+
+    No other engine goes on. The connection was closed, and the engine keeps
+    the stream for a while.
+    """
+    progress.replacement = replacements.Replacement(deps, request)
+    while progress.left:
+        target, name = progress.left.pop()
+        if time.monotonic() >= request.deadline:
+            break
+        if deps.is_quarantined(request.body_digest):
+            break
+        token = _resume_token(deps, request, target, name)
+        result = "interrupted"
+        try:
+            await _resume(deps, request, target, name, progress, token)
+            deps.metrics.count("way.went-back")
+            result = "whole"
+            return True
+        except errors.CallerDisconnectedError:
+            raise
+        except errors.AmaranthringError as error:
+            result = error.code
+        finally:
+            deps.record_decision(
+                request.request_id,
+                "went-back",
+                target=target.name,
+                result=result,
+            )
+    return False
+
+
+def _discard_left(deps, request, progress) -> None:
+    for target, name in progress.left:
+        task = asyncio.ensure_future(cancel(deps, request, target, name))
+        deps.cancellations.add(task)
+        task.add_done_callback(deps.cancellations.discard)
+    progress.left.clear()
+
+
 async def _stream_attempt(deps, request, attempt, progress) -> None:
     name = f"{request.request_id}.{attempt.number}"
     headers = execution.upstream_headers(request, attempt.grant, name)
@@ -170,7 +229,12 @@
                 if progress.replacement.granted:
                     break
     if not attempt.target_lost:
-        await cancel(deps, request, attempt.target, name)
+        timed_out = isinstance(error, errors.UpstreamTimeoutError)
+        if progress.opened or timed_out:
+            # Cancelled once another engine goes on.
+            progress.left.append((attempt.target, name))
+        else:
+            await cancel(deps, request, attempt.target, name)
     if progress.begun:
         attempt.retryable = (
             continuation_body(request.body, progress.events) is not None
@@ -187,10 +251,13 @@
     return not attempt.target_lost or (attempt.silent and progress.begun)
 
 
-async def _resume(deps, request, target, name, progress) -> None:
-    """Resume stream `name` at `target` from the next expected event."""
+async def _resume(deps, request, target, name, progress, token="") -> None:
+    """Resume stream `name` at `target` from the next expected event.
+
+    `token` names the stream to the caller, if the last one does not.
+    """
     events = progress.events
-    events.switch_to(name, events.shown.decode()[4:-1])
+    events.switch_to(name, token or events.shown.decode()[4:-1])
     body = json.dumps({"offset": events.expected}).encode()
     path = f"/v1/streams/{name}{RESUME_SUFFIX}"
     headers = {
@@ -311,6 +378,7 @@
         if ready:
             if first:
                 first = False
+                progress.discard_left()
                 exchange.set_timeout(preset.between_tokens_seconds)
             _record_timing(progress)
             exchange.note_progress(progress.last_sent)
--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -63,6 +63,8 @@
         Claimed attempts that run on this router.
     notices : TargetNotices
         What targets have said about themselves in their answers.
+    cancellations : set of asyncio.Task
+        Streams that are being cancelled at their engines.
     settlements : Settlements
         Settlements that the ledger has not confirmed yet.
     """
@@ -97,6 +99,7 @@
     notices: notices_module.TargetNotices = dataclasses.field(
         default_factory=notices_module.TargetNotices
     )
+    cancellations: set[asyncio.Task] = dataclasses.field(default_factory=set)
     settlements: settlements_module.Settlements = dataclasses.field(init=False)
 
     def __post_init__(self):
@@ -172,6 +175,7 @@
 
 
 RunAttempt = t.Callable[[Attempt], t.Awaitable[T]]
+GoBack = t.Callable[[], t.Awaitable[bool]]
 
 
 async def check(deps: Dependencies, request: records.Request) -> None:
@@ -220,15 +224,29 @@
         )
 
 
+async def _go_nowhere() -> bool:
+    return False
+
+
 async def run(
-    deps: Dependencies, request: records.Request, run_attempt: RunAttempt[T]
-) -> T:
+    deps: Dependencies,
+    request: records.Request,
+    run_attempt: RunAttempt[T],
+    go_back: GoBack = _go_nowhere,
+) -> T | None:
     """Run a request in as many attempts as are allowed.
 
     A request that no target can have run may be retried at another target;
     one that may have run, only if it is idempotent. A retry is charged to
     the retry budget unless the target was lost or unreachable.
 
+    Parameters
+    ----------
+    go_back : callable
+        Called when no other attempt may follow. Returns whether a target that
+        was given up has completed the request after all; then there is no
+        result.
+
     Raises
     ------
     errors.AmaranthringError
@@ -237,10 +255,12 @@
     """
     replacement = replacements.Replacement(deps, request)
     with contextlib.closing(replacement):
-        return await _run_attempts(deps, request, run_attempt, replacement)
+        return await _run_attempts(
+            deps, request, run_attempt, go_back, replacement
+        )
 
 
-async def _run_attempts(deps, request, run_attempt, replacement):
+async def _run_attempts(deps, request, run_attempt, go_back, replacement):
     excluded: set[str] = set()
     failed_at: list[records.Target] = []
     last_error: errors.AmaranthringError | None = None
@@ -284,6 +304,10 @@
             replacement.release()
         if not _may_retry(deps, request, attempt, last_error, maybe_ran):
             break
+    if await go_back():
+        deps.record_success(request.account)
+        deps.notices.request_accepted(request, failed_at)
+        return None
     deps.notices.request_failed(request, failed_at)
     rest = deps.notices.shortest_rest(failed_at)
     if rest and not maybe_ran:
--- a/tests/test_abandoned_chats.py
+++ b/tests/test_abandoned_chats.py
@@ -199,6 +199,17 @@
                     self.assertEqual(504, response.code)
                 self.assert_idle(self.router)
 
+    async def test_cut_stream_can_be_resumed(self):
+        """Guards against engines that must forget what none continues."""
+        self.router.fakes.retries_left = 0
+        self.engine.planned_fault = {"fault": "hang", "at": 3, "times": 1}
+        body = in_process_callers.chat_body()
+        cut = await self.router.chat(body, Amaranthring_Deadline="0.6")
+        self.assert_failed(cut, "upstream-timeout", "unknown")
+        events = in_process_callers.parse_events(cut.body)
+        response = await self.router.chat({}, Last_Event_ID=events[2].id)
+        self.assert_complete(response, body, first=3)
+
 
 class TestReplacement(SilenceCase):
     """Silent engines that another one replaces."""
@@ -268,6 +279,23 @@
         self.assertEqual([], self.other.runs)
         self.assertIn(records.AttemptEnd.NOT_SENT, self.router.fakes.released)
 
+    async def test_silent_engine_has_crashed(self):
+        """Guards against suspects that run with a grant of before."""
+        self.silence(3, seconds=60)
+        servers, fakes = self.local.servers, self.router.fakes
+
+        async def wait():
+            servers["e1"].stop()
+
+        self.admit_others(wait)
+        await self.assert_whole()
+        ends = records.AttemptEnd
+        self.assertEqual(
+            [ends.TARGET_LOST, ends.NOT_SENT, ends.DONE], fakes.released
+        )
+        self.assertEqual([], self.decisions("retry-unused"))
+        self.assertEqual(99, fakes.retries_left)
+
     async def test_caller_leaves_while_another_one_is_asked(self):
         """Guards against grants and waits that no request holds any more."""
         waiting = []
