Record a retry that was taken before admission refused it

After a failed attempt the retry is taken from the budget before admission is asked, as the request may then wait for room with its retry certain. If admission refused, the retry was gone without a trace. The test failed before.

--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -439,12 +439,12 @@
         return False
     if _find_lacking(request, attempt, maybe_ran):
         return False
-    is_charged = not attempt.replacement.paid and _uses_budget(
-        attempt, last_error
-    )
-    if is_charged and not deps.may_retry(request.account):
-        deps.metrics.count("way.retry-refused")
-        return False
+    replacement = attempt.replacement
+    if not replacement.paid and _uses_budget(attempt, last_error):
+        if not deps.may_retry(request.account):
+            deps.metrics.count("way.retry-refused")
+            return False
+        replacement.paid = True
     deps.metrics.count("way.retried")
     return True
 
--- a/tests/test_abandoned_chats.py
+++ b/tests/test_abandoned_chats.py
@@ -385,6 +385,21 @@
         await self.assert_taken_up()
 
 
+class TestFailedEngine(SilenceCase):
+    """Engines that fail, so that nothing is left to go on."""
+
+    async def test_refused_retry_is_recorded(self):
+        """Guards against retries that are taken and lost silently."""
+        self.refuse_others(errors.QueueFullError("full"))
+        fault = {"fault": "status", "at": 0, "times": 1}
+        self.engine.planned_fault = fault
+        response = await self.router.chat(in_process_callers.chat_body())
+        self.assertEqual(502, response.code)
+        self.assertEqual(99, self.router.fakes.retries_left)
+        self.assertEqual(1, len(self.decisions("retry-unused")))
+        self.assert_idle(self.router)
+
+
 class TestRetryBudget(unittest.TestCase):
     """The budget tells whether a retry is left."""
 
