--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -16,6 +16,7 @@
 
 from amaranthring import errors
 from amaranthring.callers import execution
+from amaranthring.callers import replacements
 from amaranthring.callers import target_loss
 from amaranthring.callers import tokens
 from amaranthring.core import records
@@ -47,12 +48,23 @@
     send: t.Callable[[bytes], t.Awaitable[None] | None]
 
 
+def _discard_nothing() -> None:
+    return
+
+
 @dataclasses.dataclass
 class StreamProgress:
     """Progress of a streamed response.
 
     Attributes
     ----------
+    replacement : Replacement
+        Prepares another attempt while an engine is silent.
+    left : list of tuple
+        Engines, with names of streams, that were given up and may still have
+        their stream; nothing was sent since.
+    discard_left : callable
+        Has these streams cancelled, as another engine goes on.
     events : sse.EventRewriter or None
         None until a request was sent to an engine.
     begun : bool
@@ -70,6 +82,11 @@
 
     sink: Sink
     started: float
+    replacement: replacements.Replacement
+    left: list[tuple[records.Target, str]] = dataclasses.field(
+        default_factory=list
+    )
+    discard_left: t.Callable[[], None] = _discard_nothing
     events: sse.EventRewriter | None = None
     begun: bool = False
     opened: bool = False
@@ -96,15 +113,63 @@
         If the response could not be completed.
     """
     await execution.check(deps, request)
-    progress = StreamProgress(sink, time.monotonic())
+    progress = StreamProgress(
+        sink, time.monotonic(), replacements.Replacement(deps, request)
+    )
 
     async def run_attempt(attempt: execution.Attempt) -> None:
         await _stream_attempt(deps, request, attempt, progress)
 
-    await execution.run(deps, request, run_attempt)
+    async def go_back() -> bool:
+        return await _go_back(deps, request, progress)
+
+    progress.discard_left = lambda: _discard_left(deps, request, progress)
+    await execution.run(deps, request, run_attempt, go_back)
     _record_metrics(deps, request, progress)
 
 
+async def _go_back(deps, request, progress) -> bool:
+    """Resume the stream of an engine that was given up.
+
+    No other engine goes on. The connection was closed, and the engine keeps
+    the stream for a while.
+    """
+    progress.replacement = replacements.Replacement(deps, request)
+    while progress.left:
+        target, name = progress.left.pop()
+        if time.monotonic() >= request.deadline:
+            break
+        if deps.is_quarantined(request.body_digest):
+            break
+        token = _resume_token(deps, request, target, name)
+        result = "interrupted"
+        try:
+            await _resume(deps, request, target, name, progress, token)
+            deps.metrics.count("way.went-back")
+            result = "whole"
+            return True
+        except errors.CallerDisconnectedError:
+            raise
+        except errors.AmaranthringError as error:
+            result = error.code
+        finally:
+            deps.record_decision(
+                request.request_id,
+                "went-back",
+                target=target.name,
+                result=result,
+            )
+    return False
+
+
+def _discard_left(deps, request, progress) -> None:
+    for target, name in progress.left:
+        task = asyncio.ensure_future(cancel(deps, request, target, name))
+        deps.cancellations.add(task)
+        task.add_done_callback(deps.cancellations.discard)
+    progress.left.clear()
+
+
 async def _stream_attempt(deps, request, attempt, progress) -> None:
     name = f"{request.request_id}.{attempt.number}"
     headers = execution.upstream_headers(request, attempt.grant, name)
@@ -121,6 +186,8 @@
     exchange = deps.notices.exchange(
         attempt.target, name, request.account, is_trial=attempt.is_trial
     )
+    progress.replacement = attempt.replacement
+    _watch_silence(request, exchange, progress)
     try:
         with target_loss.AbortOnTargetLoss(deps, exchange):
             try:
@@ -134,6 +201,7 @@
                 await _relay(exchange, progress, preset)
                 return
             finally:
+                progress.replacement.stop()
                 attempt.sent = attempt.sent or exchange.sent
     except errors.UpstreamError as error:
         await _resume_or_raise(deps, request, attempt, progress, name, error)
@@ -158,8 +226,15 @@
             except errors.UpstreamError as resume_error:
                 if resume_error.outcome is errors.Outcome.NOT_RUN:
                     break
+                if progress.replacement.granted:
+                    break
     if not attempt.target_lost:
-        await cancel(deps, request, attempt.target, name)
+        timed_out = isinstance(error, errors.UpstreamTimeoutError)
+        if progress.opened or timed_out:
+            # Cancelled once another engine goes on.
+            progress.left.append((attempt.target, name))
+        else:
+            await cancel(deps, request, attempt.target, name)
     if progress.begun:
         attempt.retryable = (
             continuation_body(request.body, progress.events) is not None
@@ -176,10 +251,13 @@
     return not attempt.target_lost or (attempt.silent and progress.begun)
 
 
-async def _resume(deps, request, target, name, progress) -> None:
-    """Resume stream `name` at `target` from the next expected event."""
+async def _resume(deps, request, target, name, progress, token="") -> None:
+    """Resume stream `name` at `target` from the next expected event.
+
+    `token` names the stream to the caller, if the last one does not.
+    """
     events = progress.events
-    events.switch_to(name, events.shown.decode()[4:-1])
+    events.switch_to(name, token or events.shown.decode()[4:-1])
     body = json.dumps({"offset": events.expected}).encode()
     path = f"/v1/streams/{name}{RESUME_SUFFIX}"
     headers = {
@@ -191,10 +269,25 @@
     exchange = deps.notices.exchange(
         target, name, request.account, continues=True
     )
+    _watch_silence(request, exchange, progress)
     with target_loss.AbortOnTargetLoss(deps, exchange):
-        await exchange.send(call, preset.first_token_seconds)
-        await _open_stream(exchange, name, progress)
-        await _relay(exchange, progress, preset)
+        try:
+            await exchange.send(call, preset.first_token_seconds)
+            await _open_stream(exchange, name, progress)
+            await _relay(exchange, progress, preset)
+        finally:
+            progress.replacement.stop()
+
+
+def _watch_silence(request, exchange, progress) -> None:
+    """Have the engine of `exchange` replaced if it is silent."""
+
+    def may_follow() -> bool:
+        if not progress.begun:
+            return True
+        return continuation_body(request.body, progress.events) is not None
+
+    progress.replacement.watch(exchange, may_follow)
 
 
 async def _open_stream(exchange, name, progress) -> None:
@@ -285,9 +378,12 @@
         if ready:
             if first:
                 first = False
+                progress.discard_left()
                 exchange.set_timeout(preset.between_tokens_seconds)
             _record_timing(progress)
             exchange.note_progress(progress.last_sent)
+            if progress.replacement.asking is not None:
+                progress.replacement.stop()
             pending = send(ready)
             if pending is not None:
                 exchange.paused = True
@@ -398,7 +494,10 @@
     except errors.TargetLeavingError as error:
         raise _stream_gone_error(reference, str(error)) from error
     token = _resume_token(deps, request, target, reference.stream)
-    progress = StreamProgress(sink, time.monotonic())
+    # No other attempt may follow: the engine may be silent to the deadline.
+    progress = StreamProgress(
+        sink, time.monotonic(), replacements.Replacement(deps, request)
+    )
     progress.events = sse.EventRewriter(reference.stream, token, number)
     last_error = None
     for _ in range(MAX_RESUMES):
--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 import typing as t
 
 from amaranthring import errors
+from amaranthring.callers import replacements
 from amaranthring.callers import settlements as settlements_module
 from amaranthring.callers import target_loss
 from amaranthring.core import drain as drains
@@ -61,6 +63,8 @@
         Claimed attempts that run on this router.
     notices : TargetNotices
         What targets have said about themselves in their answers.
+    cancellations : set of asyncio.Task
+        Streams that are being cancelled at their engines.
     settlements : Settlements
         Settlements that the ledger has not confirmed yet.
     """
@@ -78,6 +82,7 @@
     ]
     is_quarantined: t.Callable[[str], bool]
     report_crash: t.Callable[..., t.Awaitable[None]]
+    has_retry: t.Callable[[str], bool]
     may_retry: t.Callable[[str], bool]
     record_success: t.Callable[[str], None]
     when_lost: t.Callable[[str], asyncio.Future]
@@ -94,6 +99,7 @@
     notices: notices_module.TargetNotices = dataclasses.field(
         default_factory=notices_module.TargetNotices
     )
+    cancellations: set[asyncio.Task] = dataclasses.field(default_factory=set)
     settlements: settlements_module.Settlements = dataclasses.field(init=False)
 
     def __post_init__(self):
@@ -124,6 +130,8 @@
         Whether the loss of the target was reported.
     is_trial : bool
         Whether all targets rest and this one is tried all the same.
+    replacement : Replacement or None
+        Prepares the attempt that may follow.
     started : float
         Monotonic time of its start, in seconds.
     """
@@ -137,6 +145,7 @@
     silent: bool = False
     reported: bool = False
     is_trial: bool = False
+    replacement: replacements.Replacement | None = None
     started: float = dataclasses.field(default_factory=time.monotonic)
 
     @property
@@ -166,6 +175,7 @@
 
 
 RunAttempt = t.Callable[[Attempt], t.Awaitable[T]]
+GoBack = t.Callable[[], t.Awaitable[bool]]
 
 
 async def check(deps: Dependencies, request: records.Request) -> None:
@@ -214,33 +224,59 @@
         )
 
 
+async def _go_nowhere() -> bool:
+    return False
+
+
 async def run(
-    deps: Dependencies, request: records.Request, run_attempt: RunAttempt[T]
-) -> T:
+    deps: Dependencies,
+    request: records.Request,
+    run_attempt: RunAttempt[T],
+    go_back: GoBack = _go_nowhere,
+) -> T | None:
     """Run a request in as many attempts as are allowed.
 
     A request that no target can have run may be retried at another target;
     one that may have run, only if it is idempotent. A retry is charged to
     the retry budget unless the target was lost or unreachable.
 
+    Parameters
+    ----------
+    go_back : callable
+        Called when no other attempt may follow. Returns whether a target that
+        was given up has completed the request after all; then there is no
+        result.
+
     Raises
     ------
     errors.AmaranthringError
         The error of the last attempt, or of admission if there was none. Its
         outcome is ``not-run`` only if no attempt can have run.
     """
+    replacement = replacements.Replacement(deps, request)
+    with contextlib.closing(replacement):
+        return await _run_attempts(
+            deps, request, run_attempt, go_back, replacement
+        )
+
+
+async def _run_attempts(deps, request, run_attempt, go_back, replacement):
     excluded: set[str] = set()
     failed_at: list[records.Target] = []
     last_error: errors.AmaranthringError | None = None
     maybe_ran = False
     for number in range(MAX_ATTEMPTS):
         try:
-            grant, is_trial = await _admit(deps, request, excluded)
+            granted = replacement.take()
+            grant, is_trial = granted or await _admit(deps, request, excluded)
         except errors.AmaranthringError as error:
             last_error = _latest_error(last_error, error, maybe_ran)
             break
-        attempt = Attempt(number, grant, is_trial=is_trial)
+        attempt = Attempt(
+            number, grant, is_trial=is_trial, replacement=replacement
+        )
         _record_grant(deps, request, attempt)
+        _prepare_replacement(deps, request, attempt, excluded)
         try:
             result = await _run_and_release(
                 deps, request, attempt, run_attempt
@@ -262,8 +298,16 @@
         deps.metrics.count(f"way.failed.{last_error.code}")
         if attempt.target_lost and attempt.sent:
             await target_loss.report_crash(deps, request, attempt)
+        if attempt.target_lost:
+            # Granted before the request was known as a suspect, which must
+            # run isolated.
+            replacement.release()
         if not _may_retry(deps, request, attempt, last_error, maybe_ran):
             break
+    if await go_back():
+        deps.record_success(request.account)
+        deps.notices.request_accepted(request, failed_at)
+        return None
     deps.notices.request_failed(request, failed_at)
     rest = deps.notices.shortest_rest(failed_at)
     if rest and not maybe_ran:
@@ -362,20 +406,45 @@
         )
 
 
-def _may_retry(deps, request, attempt, last_error, maybe_ran) -> bool:
-    if not attempt.retryable or attempt.number + 1 >= MAX_ATTEMPTS:
-        return False
-    if isinstance(last_error, errors.BadRequestError):
-        return False
+def _prepare_replacement(deps, request, attempt, excluded) -> None:
+    """Prepare the attempt after `attempt`, which begins now."""
+    failed = excluded | {attempt.target.name}
+
+    async def admit() -> replacements.Granted:
+        return await _admit(deps, request, failed)
+
+    def find_lacking() -> str:
+        return _find_lacking(request, attempt, maybe_ran=True)
+
+    attempt.replacement.prepare(admit, find_lacking)
+
+
+def _find_lacking(
+    request: records.Request, attempt: Attempt, maybe_ran: bool
+) -> str:
+    """Return what another attempt lacks besides a retry and a target."""
+    if not attempt.retryable:
+        return "permission"
+    if attempt.number + 1 >= MAX_ATTEMPTS:
+        return "attempts"
     if maybe_ran and not request.idempotent:
-        return False
+        return "idempotence"
     if time.monotonic() >= request.deadline:
+        return "time"
+    return ""
+
+
+def _may_retry(deps, request, attempt, last_error, maybe_ran) -> bool:
+    if isinstance(last_error, errors.BadRequestError):
         return False
-    if _uses_budget(attempt, last_error) and not deps.may_retry(
-        request.account
-    ):
-        deps.metrics.count("way.retry-refused")
+    if _find_lacking(request, attempt, maybe_ran):
         return False
+    replacement = attempt.replacement
+    if not replacement.paid and _uses_budget(attempt, last_error):
+        if not deps.may_retry(request.account):
+            deps.metrics.count("way.retry-refused")
+            return False
+        replacement.paid = True
     deps.metrics.count("way.retried")
     return True
 
