Mend what a review of hedged attempts found

Shown by tests that failed on (tests/test_hedges.py), with what callers would have seen: - a second target that failed after it had taken over led to a third one beyond the route's attempts, or its 500 became 502: failures go the way of others now, and those of a second target are kept, too; - a late 500 of the first target ended a second attempt that would have served: it is kept while the second goes on; - a second target slower than usual was dropped for good, so that a request of a target that hangs was lost: the same target may get it once more when the first has been silent for another bound, and takes over; - dropped attempts made the learned times long; they are not recorded; - a target that hangs was not avoided where no retry was left: it is recorded when it is late, as before; - suspects that a target broke off got a third target; - callers whose request was served were held back for rests of second targets; - a path trial gave way after its stream had begun; - the body of a second target was under the timeout of its head, and one that took over while it connected was under the bound of the overlap; - bytes of an aborted exchange were passed on; - a second target that ended within its first event took over; - a stream was cut if the target that had taken over refused late: the first one may get it again; - failures above 64 KiB were not retried; the memory of a kept one is counted. Hedges do not overtake requests that wait for room, and go on after an error of their own. run.silent says again how many attempts and targets are left.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -417,6 +417,12 @@
     code = "superseded"
 
 
+class HedgeDroppedError(UpstreamTimeoutError):
+    """The second target was late, too; the first one keeps the request."""
+
+    code = "hedge-dropped"
+
+
 class InvalidHeaderError(AmaranthringError):
     """A header of a target's response is malformed; it is ignored."""
 
--- a/amaranthring/forwarding/attempts.py
+++ b/amaranthring/forwarding/attempts.py
@@ -73,6 +73,10 @@
         Reads on until the answer is under way, if a hedge began the attempt.
     ahead : bytes
         First bytes of the body, read before the attempt took over.
+    in_charge : bool
+        Whether its answer goes to the caller; false while it is a hedge.
+    was_late : bool
+        Whether its target was recorded as late.
     outcome : str
         For the log.
     """
@@ -101,6 +105,8 @@
         self.run = records.Run(target)
         self.opening: asyncio.Task | None = None
         self.ahead = b""
+        self.in_charge = False
+        self.was_late = False
         self.outcome = UNFINISHED
         self.copy_from = copy_from
         self.reuse_connection = reuse_connection
@@ -108,13 +114,16 @@
         self.on_notice = on_notice
         self.memory = answers.share(self.exchange.abort)
 
-    async def open(self, timeout: float) -> records.ResponseHead:
+    async def open(
+        self, timeout: t.Callable[[], float]
+    ) -> records.ResponseHead:
         """Send the request and return the head of the response.
 
         Parameters
         ----------
-        timeout : float
-            Seconds to wait for the head.
+        timeout : callable
+            Returns the seconds to wait for the head; asked when the request
+            is sent.
 
         Raises
         ------
@@ -140,7 +149,7 @@
             incoming.body,
             keep_alive=True,
         )
-        self.exchange.write_call(call, min(timeout, max(left, 0.0)))
+        self.exchange.write_call(call, min(timeout(), max(left, 0.0)))
         self.sent_at = time.monotonic()
         self.context.sent_after.append(self.sent_at - incoming.arrived)
         await self._read_head()
@@ -252,6 +261,12 @@
             and len(self.ahead) <= events.MAX_EVENT_BYTES
         ):
             data = await self.exchange.read()
+            if not data and self.ahead:
+                raise errors.TruncatedResponseError(
+                    "the stream ended within its first event",
+                    given=len(self.ahead),
+                    expected="complete events",
+                )
             if not data:
                 return
             self.ahead += data
@@ -326,6 +341,12 @@
                 expected="complete events",
             )
 
+    def keep_memory(self) -> answer_memory.AnswerShare:
+        """Return what the answer takes of the memory, to be released later."""
+        memory = self.memory
+        self.memory = memory.memory.share(self.exchange.abort)
+        return memory
+
     def _take_ahead(self) -> bytes:
         data, self.ahead = self.ahead, b""
         return data
--- a/amaranthring/forwarding/crash_guard.py
+++ b/amaranthring/forwarding/crash_guard.py
@@ -179,10 +179,13 @@
     def may_run_twice(self, context: records.RequestContext) -> bool:
         """Return whether a second target may run a request beside the first.
 
-        Requests that run alone may not, nor those that are refused.
+        Requests that run alone may not, nor those that are refused, nor
+        suspects that a target has broken off.
         """
         return not any(
-            verdict.refused_seconds or _runs_alone(verdict)
+            verdict.refused_seconds
+            or _runs_alone(verdict)
+            or context.broke_off
             for verdict in self._suspected(context)
         )
 
--- a/amaranthring/forwarding/records.py
+++ b/amaranthring/forwarding/records.py
@@ -233,11 +233,18 @@
 
 @dataclasses.dataclass
 class KeptAnswer:
-    """A failure of a target, for a caller that gets no better answer."""
+    """A failure of a target, for a caller that gets no better answer.
+
+    Attributes
+    ----------
+    release : callable
+        Gives back the memory that the answer takes.
+    """
 
     status: int
     headers: tornado.httputil.HTTPHeaders
     body: bytes
+    release: t.Callable[[], None]
 
 
 @dataclasses.dataclass
@@ -288,6 +295,8 @@
         Addresses of the helpers that have refused it.
     tried : set of str
         Ids of targets that are not tried again.
+    superseded : set of str
+        Ids of those of them that were late when another target took over.
     refused_by : list of TargetRecord
         Targets that refused it, while none has accepted it.
     asked_for_rest : set of str
@@ -340,6 +349,7 @@
     is_path_trial: bool = False
     helpers_tried: set[str] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
+    superseded: set[str] = dataclasses.field(default_factory=set)
     refused_by: list[messages.TargetRecord] = dataclasses.field(
         default_factory=list
     )
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -159,6 +159,8 @@
             if context is not None:
                 failures.request_ended(self.placer, context)
                 self.crashes.request_ended(context)
+                if context.kept_answer is not None:
+                    context.kept_answer.release()
             self.log_request(incoming, context, writer, failure)
 
     @staticmethod
@@ -309,11 +311,22 @@
         target = None
         if not self.queue.must_wait(context):
             target = self.placer.choose(context)
+            target = target or self._choose_superseded(context)
         while target is None and self._may_wait(context):
             await self.queue.wait(context)
             target = self.placer.choose(context)
         return target
 
+    def _choose_superseded(
+        self, context: records.RequestContext
+    ) -> messages.TargetRecord | None:
+        """Return a target that was late only, if whoever took over refused."""
+        if not context.superseded:
+            return None
+        context.tried -= context.superseded
+        context.superseded.clear()
+        return self.placer.choose(context)
+
     def _may_wait(self, context: records.RequestContext) -> bool:
         return context.lacks_room or self.queue.must_wait(context)
 
--- a/amaranthring/forwarding/retries.py
+++ b/amaranthring/forwarding/retries.py
@@ -92,7 +92,7 @@
     ) -> bool:
         """Take what another attempt needs after `error`, if it is there."""
         if isinstance(error, errors.TargetFailedError):
-            return self.take(context)
+            return attempts_left(context) >= 1 and self.take(context)
         if error.outcome == errors.Outcome.NOT_RUN:
             refused = isinstance(error, errors.TargetRefusedError)
             return not refused or self.take(context)
--- a/amaranthring/forwarding/room_queue.py
+++ b/amaranthring/forwarding/room_queue.py
@@ -71,7 +71,11 @@
 
     def must_wait(self, context: records.RequestContext) -> bool:
         """Return whether others wait that came before."""
-        return context.waited_since is None and bool(self._rivals(context))
+        return context.waited_since is None and self.others_wait(context)
+
+    def others_wait(self, context: records.RequestContext) -> bool:
+        """Return whether others wait for room that the request may take."""
+        return bool(self._rivals(context))
 
     def _rivals(self, context: records.RequestContext) -> int:
         """Return how many requests wait that go before a new one."""
--- a/amaranthring/forwarding/runs.py
+++ b/amaranthring/forwarding/runs.py
@@ -39,8 +39,6 @@
 # Shortest timeout of a request that tries the path to targets which were not
 # reached; a helper can still serve it afterwards.
 PATH_TRIAL_SECONDS = 0.3
-# A failure of a target that is larger goes to the caller at once.
-MAX_KEPT_BYTES = 64 * 1024
 # Outcomes of an attempt in the request log: nothing was sent.
 UNREACHED = "target-unreached"
 NOT_LISTENING = "target-not-listening"
@@ -124,7 +122,7 @@
             return None
         except errors.UpstreamError as error:
             self.failed(attempt, error)
-            successor = hedge.successor()
+            successor = hedge.take_successor()
             if successor is None:
                 raise
             self.deps.metrics.count("request.repeated")
@@ -140,20 +138,22 @@
         """Read the answer of an attempt, and pass it on to the caller."""
         deps, context = self.deps, self.context
         try:
-            timeout = self._head_timeout(attempt)
+            attempt.in_charge = True
             if attempt.opening is None:
-                await self._open(attempt, timeout)
+                await self._await_head(
+                    attempt, lambda: self._head_timeout(attempt)
+                )
             else:
-                left = context.deadline - time.monotonic()
-                attempt.exchange.set_timeout(max(0.0, min(timeout, left)))
+                self._limit_opening(attempt)
                 await attempt.opening
             failures.request_accepted(deps.placer, context)
-            timeout = self._event_timeout()
-            hedge.on_progress(timeout)
             if attempt.is_event_stream:
+                timeout = self._event_timeout()
+                hedge.on_progress(timeout)
                 await self._relay_events(attempt, hedge, timeout)
             else:
-                await self._relay_body(attempt)
+                await self._relay_body(attempt, hedge)
+            failures.request_accepted(deps.placer, context)
             deps.placer.record_success(attempt.target)
             deps.crashes.completed(context, attempt.head.status)
             failures.record_refusals(deps.placer, context)
@@ -207,26 +207,57 @@
         context.releases.append(target.release)
         return attempt
 
-    async def open(self, attempt: attempts.Attempt, seconds: float) -> None:
+    async def open(self, attempt: attempts.Attempt, overlap: float) -> None:
         """Send the request, and read until the answer is under way.
 
+        Parameters
+        ----------
+        overlap : float
+            Seconds after which the attempt is late while it is a hedge.
+
         Raises
         ------
         errors.UpstreamError
             If the answer cannot take the place of an earlier one.
         """
+
+        def timeout() -> float:
+            return (
+                self._head_timeout(attempt) if attempt.in_charge else overlap
+            )
+
         try:
-            head = await self._open(attempt, seconds)
+            await self._await_head(attempt, timeout)
             self._check_fits(attempt)
-            if head.status >= 500:
-                raise _failed_error(head)
+            if attempt.in_charge:
+                self._limit_opening(attempt)
             await attempt.read_ahead()
         except errors.AmaranthringError as error:
             self._note_outcome(attempt, error)
             raise
 
-    async def _open(
-        self, attempt: attempts.Attempt, timeout: float
+    def _limit_opening(self, attempt: attempts.Attempt) -> None:
+        """Limit the time until the answer of an attempt is under way."""
+        left = self.context.deadline - time.monotonic()
+        timeout = left
+        if attempt.head is None:
+            timeout = min(left, self._head_timeout(attempt))
+        elif attempt.is_event_stream:
+            timeout = min(left, self._event_timeout())
+        attempt.exchange.set_timeout(max(0.0, timeout))
+
+    def flaw(self, attempt: attempts.Attempt) -> errors.UpstreamError | None:
+        """Return why the answer of an opened attempt must not take over.
+
+        It is kept if it is a failure.
+        """
+        if attempt.head.status < 500:
+            return None
+        self._keep(attempt, attempt.ahead)
+        return _failed_error(attempt.head)
+
+    async def _await_head(
+        self, attempt: attempts.Attempt, timeout: t.Callable[[], float]
     ) -> records.ResponseHead:
         """Return the head of the response, and record the time it took."""
         placer = self.deps.placer
@@ -235,6 +266,9 @@
         times = self.deps.response_times
         try:
             head = await attempt.open(timeout)
+        except errors.HedgeDroppedError:
+            # It says nothing of how long targets take.
+            raise
         except errors.UpstreamTimeoutError:
             times.record_timeout(*key, time.monotonic() - started_at)
             raise
@@ -276,10 +310,28 @@
         """Record that an attempt has failed."""
         deps, context = self.deps, self.context
         context.tried.add(attempt.target.id)
+        if isinstance(error, errors.SupersededError):
+            context.superseded.add(attempt.target.id)
+        if attempt.was_late and isinstance(error, errors.SupersededError):
+            return
         failures.record(
             deps.placer, deps.connections, context, attempt.target, error
         )
 
+    def late(self, attempt: attempts.Attempt) -> None:
+        """Record that the target of an attempt is late."""
+        error = errors.UpstreamTimeoutError("the target is late")
+        self.failed(attempt, error)
+        attempt.was_late = True
+
+    def on_time(self, attempt: attempts.Attempt) -> None:
+        """Record that the target of an attempt goes on."""
+        context, target = self.context, attempt.target
+        context.tried.discard(target.id)
+        context.silent_data_centres.discard(target.data_centre)
+        self.deps.placer.record_contact(target)
+        attempt.was_late = False
+
     # -- answers -----------------------------------------------------
 
     async def _relay_events(
@@ -298,23 +350,35 @@
             await writer.start_stream(head.status, head.headers, b"")
         writer.finish()
 
-    async def _relay_body(self, attempt: attempts.Attempt) -> None:
-        body = await attempt.read_body()
+    async def _relay_body(
+        self, attempt: attempts.Attempt, hedge: hedges.Hedge
+    ) -> None:
         head = attempt.head
-        if head.status >= 500 and self._may_better(attempt, body):
-            self.context.kept_answer = records.KeptAnswer(
-                head.status, head.headers, body
-            )
-            raise _failed_error(head)
+        if head.status < 500:
+            hedge.on_progress(self.context.deadline - time.monotonic())
+        body = await attempt.read_body()
+        if head.status >= 500:
+            self._keep(attempt, body)
+            if hedge.second is not None or self._may_replace(attempt):
+                raise _failed_error(head)
         self._check_fits(attempt)
         await self.writer.send(head.status, head.headers, body)
 
-    def _may_better(self, attempt: attempts.Attempt, body: bytes) -> bool:
+    def _keep(self, attempt: attempts.Attempt, body: bytes) -> None:
+        """Keep a failure for a caller that gets no better answer."""
+        context = self.context
+        if context.kept_answer is not None:
+            context.kept_answer.release()
+        memory = attempt.keep_memory()
+        context.kept_answer = records.KeptAnswer(
+            attempt.head.status, attempt.head.headers, body, memory.release
+        )
+
+    def _may_replace(self, attempt: attempts.Attempt) -> bool:
         """Return whether another target may answer in the place of one."""
         context = self.context
         return (
-            len(body) <= MAX_KEPT_BYTES
-            and self.may_repeat()
+            self.may_repeat()
             and self.deps.placer.may_follow(context, attempt.target)
             and not self.deps.retries.lacking(context)
         )
@@ -334,26 +398,57 @@
 
     # -- what may follow ---------------------------------------------
 
-    def refusal(self, attempt: attempts.Attempt) -> str:
-        """Return why no other target may run the request now, or nothing."""
+    def refusal(self) -> str:
+        """Return why no target may run it beside the first, or nothing."""
         deps, context = self.deps, self.context
-        if not self.may_repeat():
-            return hedges.NO_ATTEMPT
         if context.account and not deps.may_trust_keys():
             return "keys"
         if not deps.crashes.may_run_twice(context):
             return "suspected"
-        if deps.queue.must_wait(context):
+        if deps.queue.others_wait(context):
             return "queue"
-        if not deps.placer.may_follow(context, attempt.target):
-            return "no-target"
         return ""
 
+    def may_use(self, target: messages.TargetRecord) -> bool:
+        """Return whether `target` takes the request."""
+        placer, context = self.deps.placer, self.context
+        usable = {
+            record.id for record in placer.eligibility.of_request(context)
+        }
+        return (
+            target.id in usable
+            and not placer.rests.left(target.id)
+            and placer.room.has_room(target, context.binding)
+        )
+
+    def patience(self, attempt: attempts.Attempt) -> float:
+        """Return after how many seconds the target of an attempt is late.
+
+        It does not depend on how many targets may still get the request.
+        """
+        route = self.context.route
+        if attempt.head is not None:
+            return max(PAUSE_FACTOR * route.pause_most, MIN_EVENT_TIMEOUT)
+        usual = self.deps.response_times.usual(
+            self.context.service, attempt.run.prefill_tokens
+        )
+        return max(usual or 0.0, route.objective)
+
     def choose(self) -> messages.TargetRecord | None:
         """Return a target that was not tried, or None."""
         return self.deps.placer.choose(self.context)
 
-    def gives_way(self) -> bool:
+    def describe(self, attempt: attempts.Attempt) -> dict[str, int]:
+        """Return what may follow an attempt, for the log."""
+        others = self.deps.placer.eligibility.after(
+            self.context, attempt.target
+        )
+        return {
+            "attempts_left": retries_module.attempts_left(self.context) - 1,
+            "others": len(others),
+        }
+
+    def gives_way(self, attempt: attempts.Attempt) -> bool:
         """Return whether the attempt ends for another router's.
 
         It tries a path that was lost, and other routers reach the targets.
@@ -361,6 +456,8 @@
         context = self.context
         return (
             context.is_path_trial
+            and attempt.head is None
+            and not self.writer.status
             and self.deps.has_helper(context)
             and not self.lacks_retry()
         )
@@ -451,8 +548,8 @@
         """Return after how many seconds without an event a target is late."""
         if not self.may_repeat():
             return self.context.deadline - time.monotonic()
-        timeout = PAUSE_FACTOR * self.context.route.pause_most
-        return max(timeout, MIN_EVENT_TIMEOUT)
+        pause = self.context.route.pause_most
+        return max(PAUSE_FACTOR * pause, MIN_EVENT_TIMEOUT)
 
 
 def _failed_error(head: records.ResponseHead) -> errors.TargetFailedError:
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -233,6 +233,8 @@
             await self.open_connection()
         except CONNECTION_ERRORS as error:
             self.close()
+            if self.abort_error:
+                raise self.abort_error from error
             refused = isinstance(error, ConnectionRefusedError)
             kind = errors.TargetUnreachableError
             if refused:
@@ -257,9 +259,12 @@
         errors.BadRequestError
             If a header cannot be sent; nothing was.
         errors.AmaranthringError
-            What `before_write` raised; nothing was sent.
+            What `before_write` raised, or why the exchange was aborted;
+            nothing was sent.
         """
         head = encode_head(call, self.target.address)
+        if self.abort_error:
+            raise self.abort_error
         self.before_write()
         self.set_timeout(seconds)
         self.sent = True
@@ -296,6 +301,8 @@
         for _ in range(MAX_INFORMATIONAL):
             try:
                 data = await self.reader.readuntil(b"\r\n\r\n")
+                if self.abort_error:
+                    raise self.abort_error
                 text = data.decode("latin1")
                 line, _, rest = text.partition("\r\n")
                 start = tornado.httputil.parse_response_start_line(line)
@@ -355,8 +362,10 @@
                 data = await self.reader.read(READ_BYTES)
             except CONNECTION_ERRORS as error:
                 raise self._connection_error(error) from error
+            if self.abort_error:
+                raise self.abort_error
             if not data:
-                if self.body.ends_by_close and not self.abort_error:
+                if self.body.ends_by_close:
                     return b""
                 raise self._connection_error(EOFError())
             data = self.body.take(data)
--- a/tests/test_abandoned_answers.py
+++ b/tests/test_abandoned_answers.py
@@ -112,7 +112,7 @@
     async def test_others_wait_for_room(self):
         """Guards against streams cut as other requests wait for targets."""
         await self.begin_stream(scripted_target.stream_events(6))
-        self.router.relay.queue.must_wait = lambda _context: bool(
+        self.router.relay.queue.others_wait = lambda _context: bool(
             self.targets[0].requests
         )
         await self.assert_whole()
