Hand what a stopping router has spent over to the next process of its name

Callers lost streams, and got failures before the time, around a roll of the routers: a process that was restarted by plan may send no retry for a window, as it does not know what the one before it has spent.

A router that stops closes its budgets for good once its requests have ended, and lets one keeper fetch a record: requests and retries of each service by age, the number of routers, and when a leader last confirmed it. There is one copy, so nobody has to agree on who took it; a process in between that did not get it cannot have spent before it has expired.

Fields were added to Renew and Renewed, which peers of earlier builds ignore; the keeper's question is sent only to a router that says it ends.

--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -40,6 +40,7 @@
 from amaranthring.registry import reporting
 from amaranthring.registry import sharers
 from amaranthring.registry import sharing
+from amaranthring.registry import spending
 from amaranthring.registry import subscriber as subscribers
 from amaranthring.targets import pool
 
@@ -71,6 +72,10 @@
 CLOSE_DELAYS = 7
 EXIT_DELAYS = 5
 PRUNE_INTERVAL_SECONDS = 5.0
+# Time for telling a keeper what was spent, which takes a few milliseconds; and
+# the part of EXIT_SECONDS that it may take when no other time is left.
+REPORT_SECONDS = 0.5
+MIN_REPORT_SECONDS = 0.1
 
 
 @dataclasses.dataclass
@@ -193,7 +198,7 @@
                 config.retry_allowance,
                 config.retry_window,
                 clocks.boottime,
-                self.sharers.usable_from(),
+                self.sharers.usable_from,
             ),
             self.sharers.share,
             self.metrics,
@@ -208,6 +213,14 @@
             self.streams,
             answers,
         )
+        self.succession = spending.Succession(
+            self.subscriber.handlers,
+            self.sharers,
+            self.relay.budgets,
+            clocks.boottime,
+        )
+        self.subscriber.takes_spending = self.succession.takes
+        self.subscriber.on_renewed.append(self.succession.accept)
         self.loop_delay = overload.LoopDelay()
         limit = connection_limit.ConnectionLimit(self.loop_delay, self.metrics)
         self.front = fronts.Frontend(
@@ -401,11 +414,33 @@
             logs.event(log, "router.cut-off", running=self.front.in_flight)
         await self.handover_server.end_requests()
         await self.front.end_connections()
+        await self._report_spending(deadline)
         self.crashes.stop()
         self.handing_over.client.stop()
         self.handover_server.stop()
         self.subscriber.stop()
 
+    async def _report_spending(self, deadline: float) -> None:
+        """Tell a keeper what was spent, for the next process.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic seconds at which the process has to be gone.
+        """
+        home = self.subscriber.home_link()
+        latest = self._latest_start(deadline, EXIT_SECONDS, EXIT_DELAYS)
+        await self.succession.report(
+            sorted(
+                self.subscriber.open_links(), key=lambda link: link != home
+            ),
+            self.subscriber.version,
+            min(
+                REPORT_SECONDS,
+                max(MIN_REPORT_SECONDS, latest - time.monotonic()),
+            ),
+        )
+
 
 def _log_failure(task: asyncio.Task) -> None:
     """Log the error that has ended a background task."""
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -21,6 +21,7 @@
 from amaranthring.registry import publisher
 from amaranthring.registry import router_census
 from amaranthring.registry import sharing
+from amaranthring.registry import spending
 from amaranthring.registry import stream_ledger
 from amaranthring.registry import targets
 
@@ -90,6 +91,7 @@
             self.routers.values, retry_window, clock
         )
         self.routers_told_at = float("-inf")
+        self.spending = spending.SpendingRecords(retry_window, clock)
         self.accepted = accepted.AcceptedLinks(time.monotonic())
         self.streams = stream_ledger.StreamLedger(
             handlers, self.table, FRESH_INTERVALS * announce_seconds, clock
@@ -415,9 +417,11 @@
             self.census.update()
             logs.event(log, "router.unlinked", router=link.peer.name)
 
-    async def _on_renew(self, link: t.Any, _message: messages.Renew):
+    async def _on_renew(self, link: t.Any, message: messages.Renew):
         confirmed = False
-        if self.group.leading:
+        if message.ends:
+            await self.spending.fetch(link)
+        elif self.group.leading:
             try:
                 await self.group.read_barrier(ANSWER_SECONDS)
                 confirmed = True
@@ -433,6 +437,7 @@
             self.census.count(),
             sorted(set(known)),
             self.census.counted_seconds(link.peer.name),
+            self.spending.give(link.peer) if message.takes else None,
         )
 
     async def _on_fetch(self, link, message: messages.FetchPlan):
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -6,6 +6,7 @@
 
 from amaranthring import errors
 from amaranthring.core import wire
+from amaranthring.policy import budgets
 
 COMPRESSION_LEVEL = 1
 # Role of a router in its link identity.
@@ -151,6 +152,48 @@
     routers: list[str] = dataclasses.field(default_factory=list)
 
 
+@wire.message("registry-spending-fetch")
+class FetchSpending:
+    """A keeper asks a router that stops for what it has spent."""
+
+
+@wire.message("registry-spending")
+class Spending:
+    """What a router process has spent when it can spend no more.
+
+    Attributes
+    ----------
+    window : float
+        Seconds over which it counted.
+    routers : int
+        As in :class:`sharers.Standing`.
+    confirmed_seconds : float
+        How long ago a leader last confirmed its share, if it had one.
+    services : dict of str to budgets.Spending
+        Of each service with requests or retries in the window.
+    """
+
+    window: float
+    routers: int
+    confirmed_seconds: float
+    services: dict[str, budgets.Spending]
+
+
+@dataclasses.dataclass
+class GivenSpending:
+    """A record that a keeper gives to the next process, and keeps no more.
+
+    Attributes
+    ----------
+    least_seconds, most_seconds : float
+        Age of the record, when it was given.
+    """
+
+    record: Spending
+    least_seconds: float
+    most_seconds: float
+
+
 @wire.message("registry-renew")
 class Renew:
     """A router asks whether its plan is still the newest.
@@ -159,9 +202,16 @@
     ----------
     version : int
         Of the plan that it holds.
+    takes : bool
+        Whether it asks for what the process before it has spent.
+    ends : bool
+        Whether it can spend no more and the keeper is to fetch what it has
+        spent; its plan is of no interest then.
     """
 
     version: int
+    takes: bool = False
+    ends: bool = False
 
 
 @wire.message("registry-renewed")
@@ -182,6 +232,9 @@
         Addresses of all keepers that it knows.
     counted_seconds : float
         For how long it has counted the sender without a break.
+    spending : GivenSpending, optional
+        What the process before the sender has spent, if it asked for that and
+        this keeper held it.
     """
 
     version: int
@@ -189,6 +242,7 @@
     routers: int
     keepers: list[str]
     counted_seconds: float = 0.0
+    spending: GivenSpending | None = None
 
 
 @wire.message("registry-plan-notice")
--- a/amaranthring/registry/sharers.py
+++ b/amaranthring/registry/sharers.py
@@ -11,6 +11,7 @@
   every other router knows of it or has given up its own share.
 """
 
+import dataclasses
 import typing as t
 
 import logbook
@@ -23,6 +24,22 @@
 log = logbook.Logger(__name__)
 
 
+@dataclasses.dataclass(frozen=True)
+class Standing:
+    """What a router leaves to the next process of its name.
+
+    Attributes
+    ----------
+    routers : int
+        Number of routers by which it divided; 0 if it had no share.
+    confirmed_at : float
+        As in :class:`Sharers`.
+    """
+
+    routers: int
+    confirmed_at: float
+
+
 class Sharers:
     """Follows what keepers tell about the number of routers.
 
@@ -50,6 +67,11 @@
     admitted : bool
         Whether all routers know of this one, or have given up their shares
         since.
+    spendable_from : float
+        Before this time the process before this one may have spent what this
+        one does not know.
+    ended : bool
+        Whether this router may spend no more, as it stops.
     """
 
     def __init__(
@@ -70,6 +92,8 @@
         self.first_confirmed_at: float | None = None
         self.started_at = clock()
         self.admitted = first_start
+        self.spendable_from = self.started_at + (0 if first_start else window)
+        self.ended = False
 
     @property
     def routers(self) -> int:
@@ -112,11 +136,44 @@
         self.counts.append((now, told.routers))
 
     def usable_from(self) -> float:
-        """Return the time before which this router may send no retry.
-
-        The process before this one may have spent the budget of the window.
+        """Return the time before which this router may send no retry."""
+        return float("inf") if self.ended else self.spendable_from
+
+    def knows_spending(self) -> bool:
+        """Return whether what this name spent in the window is known."""
+        return self.clock() >= self.spendable_from
+
+    def end(self) -> Standing:
+        """Give up the share for good; return what the next process has."""
+        share = self.share()
+        self.ended = True
+        return Standing(
+            0 if share.reason else share.routers, self.confirmed_at
+        )
+
+    def succeed(self, routers: int, confirmed_at: float) -> None:
+        """Go on as the process before, whose spending is counted.
+
+        This router is then as one that stood still in between.
+
+        Parameters
+        ----------
+        routers : int
+            As in :class:`Standing`.
+        confirmed_at : float
+            Earliest time at which a leader can have confirmed that process.
         """
-        return self.started_at + (0.0 if self.first_start else self.window)
+        self.spendable_from = min(self.spendable_from, self.clock())
+        asked_at = self.first_confirmed_at
+        if not routers or (
+            # The keepers may have forgotten this router meanwhile.
+            asked_at is not None and asked_at - confirmed_at > self.held
+        ):
+            return
+        self.admitted = True
+        self.first_confirmed_at = confirmed_at - self.settle_seconds
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        self.counts.append((self.clock(), routers))
 
     def share(self) -> budgets.Share:
         """Return this router's share of an allowance."""
@@ -127,6 +184,8 @@
 
     def _reason_without_share(self) -> str:
         """Return why this router may take no share; empty if it may."""
+        if self.ended:
+            return "ended"
         if self.first_confirmed_at is None:
             return "not-counted"
         now = self.clock()
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -67,6 +67,10 @@
         When any keeper last answered, on the same clock.
     on_linked : list of callable
         Called with each new link to a keeper.
+    takes_spending : callable
+        Returns whether to ask for what the process before has spent.
+    on_renewed : list of callable
+        Called with a keeper's address, its reply, and when it was asked.
     first_confirmed : asyncio.Event
         Set once a plan is held that a leader has confirmed.
     """
@@ -95,6 +99,10 @@
         self.confirmed_at = float("-inf")
         self.answered_at = float("-inf")
         self.on_linked: list[t.Callable[[links.Link], None]] = []
+        self.takes_spending: t.Callable[[], bool] = lambda: False
+        self.on_renewed: list[
+            t.Callable[[str, messages.Renewed, float], None]
+        ] = []
         self.first_confirmed = asyncio.Event()
         self.seeds: list[str] = []
         # Base of deltas; None before the first plan, or after one failed to
@@ -218,12 +226,15 @@
         sent_at = clocks.boottime()
         watch = asyncio.ensure_future(_close_once_silent(link))
         try:
-            reply = await link.call(messages.Renew(self.version), None)
+            request = messages.Renew(self.version, self.takes_spending())
+            reply = await link.call(request, None)
         except errors.AmaranthringError:
             return
         finally:
             watch.cancel()
         self.sharers.record(address, reply, sent_at)
+        for callback in self.on_renewed:
+            callback(address, reply, sent_at)
         self.answered_at = clocks.boottime()
         self._update_keepers(reply)
         self.fetcher.offer(link, reply.version)
--- a/amaranthring/testing/retry_timeline.py
+++ b/amaranthring/testing/retry_timeline.py
@@ -6,13 +6,16 @@
 """
 
 import dataclasses
+import functools
 import random
 import typing as t
 
+from amaranthring.core import links
 from amaranthring.policy import budgets
 from amaranthring.registry import messages
 from amaranthring.registry import router_census
 from amaranthring.registry import sharers
+from amaranthring.registry import spending
 
 STEP_SECONDS = 0.1
 RENEW_STEPS = 5
@@ -40,7 +43,7 @@
 
 
 class SimulatedKeeper:
-    """A keeper that only counts routers."""
+    """A keeper that only counts routers, and holds what they have spent."""
 
     def __init__(
         self, data_centre: str, rule: Rule, clock: t.Callable[[], float]
@@ -50,15 +53,19 @@
         self.census = router_census.RouterCensus(
             lambda: self.linked, rule.window, clock
         )
+        self.spending = spending.SpendingRecords(rule.window, clock)
 
-    def answer(self, router: str, leads: bool) -> messages.Renewed:
+    def answer(
+        self, identity: links.Identity, leads: bool, takes: bool
+    ) -> messages.Renewed:
         """Return the reply to a router's renewal."""
         return messages.Renewed(
             1,
             leads,
             self.census.count(),
             [],
-            self.census.counted_seconds(router),
+            self.census.counted_seconds(identity.name),
+            self.spending.give(identity) if takes else None,
         )
 
 
@@ -67,11 +74,13 @@
 
     def __init__(
         self,
+        identity: links.Identity,
         data_centre: str,
         rule: Rule,
         first_start: bool,
         clock: t.Callable[[], float],
     ):
+        self.identity = identity
         self.data_centre = data_centre
         self.sharers = sharers.Sharers(
             rule.window, first_start, SETTLE_SECONDS, clock
@@ -81,7 +90,10 @@
             rule.allowance,
             rule.window,
             clock,
-            self.sharers.usable_from(),
+            self.sharers.usable_from,
+        )
+        self.succession = spending.Succession(
+            links.Handlers(), self.sharers, {"service": self.budget}, clock
         )
 
     def take(self) -> bool:
@@ -109,6 +121,8 @@
         Whether the targets fail, so that each request is to be retried.
     cut : set of str
         Data centres that are partitioned off from the others.
+    delay_steps : callable
+        Returns how late a message about what was spent arrives.
     """
 
     def __init__(
@@ -124,6 +138,9 @@
         self.rate = rate / router_count
         self.failing = True
         self.cut: set[str] = set()
+        self.delay_steps: t.Callable[[], int] = lambda: 0
+        self.delayed: list[tuple[int, t.Callable[[], None]]] = []
+        self.incarnations = 0
         self.requests: list[int] = []
         self.arrivals: list[int] = []
         self.keepers: dict[str, SimulatedKeeper] = {}
@@ -154,14 +171,49 @@
     def start_router(self, name: str, first_start: bool = False) -> None:
         """Start, restart or add the router `name`."""
         data_centre = DATA_CENTRES[int(name[1:]) % len(DATA_CENTRES)]
+        self.incarnations += 1
         self.routers[name] = SimulatedRouter(
-            data_centre, self.rule, first_start, self.now
+            links.Identity(name, "router", data_centre, self.incarnations),
+            data_centre,
+            self.rule,
+            first_start,
+            self.now,
         )
 
     def stop_router(self, name: str) -> None:
         """Stop the router `name`."""
         self.routers.pop(name, None)
 
+    def end_router(self, name: str) -> None:
+        """Stop the router `name` by plan."""
+        router = self.routers.pop(name)
+        if router.succession.end():
+            return
+        reached = [
+            keeper
+            for data_centre, keeper in self.keepers.items()
+            if self.reaches(data_centre, router)
+        ]
+        if reached:
+            keeper = self.rng.choice(reached)
+            now, record = self.now(), router.succession.give()
+            self._send(
+                lambda: keeper.spending.keep(router.identity, now, record)
+            )
+
+    def _send(self, deliver: t.Callable[[], None]) -> None:
+        delay = self.delay_steps()
+        if delay:
+            self.delayed.append((self.step + delay, deliver))
+        else:
+            deliver()
+
+    def _deliver_delayed(self) -> None:
+        due = [each for each in self.delayed if each[0] <= self.step]
+        self.delayed = [each for each in self.delayed if each[0] > self.step]
+        for _, deliver in due:
+            deliver()
+
     # -- time --------------------------------------------------------
 
     def run(self, seconds: float) -> None:
@@ -169,6 +221,7 @@
         for _ in range(round(seconds / STEP_SECONDS)):
             self.step += 1
             self._elect()
+            self._deliver_delayed()
             for number, (name, router) in enumerate(self.routers.items()):
                 if (self.step + number) % RENEW_STEPS == 0:
                     self._renew(name, router)
@@ -212,8 +265,16 @@
             if name not in keeper.linked:
                 keeper.linked.add(name)
                 keeper.census.update()
-            told = keeper.answer(name, data_centre == self.leader)
-            router.sharers.record(data_centre, told, self.now())
+            now, leads = self.now(), data_centre == self.leader
+            takes = router.succession.takes()
+            told = keeper.answer(router.identity, leads, takes)
+            router.sharers.record(data_centre, told, now)
+            if told.spending:
+                self._send(
+                    functools.partial(
+                        router.succession.accept, data_centre, told, now
+                    )
+                )
 
     def _update_links(self) -> None:
         for data_centre, keeper in self.keepers.items():
