List shares that a leader admits after it was cut off

A keeper that was cut off with its routers for longer than three windows, and leads once it is back, says that it has counted them all that time. They take their shares at once, while the other routers, which counted without them, have just spent larger ones.

--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -85,6 +85,21 @@
         timeline.run(LONG_SECONDS)
         self.check(timeline)
 
+    def test_leader_that_was_cut_off_admits_nobody_at_once(self):
+        """Guards against shares of which the other side has not heard."""
+        timeline = self.timeline()
+        timeline.cut = {"b"}
+        timeline.run(65)
+        timeline.failing = False
+        timeline.run(10)
+        timeline.failing = True
+        timeline.run(4)
+        timeline.cut = {"c"}
+        timeline.run(0.8)
+        timeline.leader = "b"
+        timeline.run(LONG_SECONDS)
+        self.check(timeline)
+
 
 class PartlyCutTimeline(retry_timeline.Timeline):
     """A timeline in which routers of two data centres reach one keeper only.
