--- a/amaranthring/forwarding/stream_bindings.py
+++ b/amaranthring/forwarding/stream_bindings.py
@@ -37,8 +37,7 @@
 # last report may not have reached the other keepers: it may have been silent
 # for as long as that goes unnoticed, and passes on within a second.
 REPEATED_SECONDS = subscriber.CUT_OFF_SECONDS + 1.0
-# A keeper answers within a round trip. After this time all are asked anew;
-# what one answers later still counts.
+# A keeper answers within a round trip.
 ANSWER_SECONDS = 0.3
 # After a start, for this long keepers are asked again until one knows enough;
 # while one says that it soon will, for longer, but callers give a stream up
@@ -200,24 +199,18 @@
         asked_at = self.clock()
         give_up_at = asked_at + ASK_SECONDS
         answers: dict[str, stream_messages.StreamFound] = {}
-        questions: list[asyncio.Task] = []
-        try:
-            while True:
-                # An answer counts whenever it came: the stream's first event
-                # was sent before the first question.
-                questions += self._ask_keepers(context, key)
-                await _hear(questions, answers)
-                if self._bind_by_answers(context, answers):
-                    return
-                if not self._is_worth_asking_again(answers):
-                    break
-                give_up_at = max(give_up_at, self._settled_at(answers))
-                if self.clock() >= min(give_up_at, asked_at + MAX_ASK_SECONDS):
-                    break
-                await asyncio.sleep(ASK_PAUSE_SECONDS)
-        finally:
-            for question in questions:
-                question.cancel()
+        while True:
+            # An answer counts whenever it came: the stream's first event was
+            # sent before the first question.
+            answers |= await self._ask_keepers(context, key)
+            if self._bind_by_answers(context, answers):
+                return
+            if not self._is_worth_asking_again(answers):
+                break
+            give_up_at = max(give_up_at, self._settled_at(answers))
+            if self.clock() >= min(give_up_at, asked_at + MAX_ASK_SECONDS):
+                break
+            await asyncio.sleep(ASK_PAUSE_SECONDS)
         raise self._unknown(context, answers)
 
     def _bind_by_answers(
@@ -265,17 +258,32 @@
             age=round(age, 3),
         )
 
-    def _ask_keepers(
+    async def _ask_keepers(
         self, context: records.RequestContext, key: bytes
-    ) -> list[asyncio.Task]:
-        """Ask all keepers for the stream; return the tasks that wait."""
+    ) -> dict[str, stream_messages.StreamFound]:
+        """Return the answers of the keepers by name.
+
+        One that knows the stream's binding is enough.
+        """
         question = stream_messages.FindStream(
             key, context.service, _route_key(context.route)
         )
-        return [
+        tasks = [
             asyncio.ensure_future(_ask(link, question))
             for link in self.open_links()
         ]
+        answers = {}
+        try:
+            for task in asyncio.as_completed(tasks):
+                keeper, answer = await task
+                if answer is not None:
+                    answers[keeper] = answer
+                if answer is not None and answer.known:
+                    break
+        finally:
+            for task in tasks:
+                task.cancel()
+        return answers
 
     def _only_release(
         self,
@@ -360,42 +368,12 @@
         )
 
 
-async def _hear(
-    questions: list[asyncio.Task],
-    answers: dict[str, stream_messages.StreamFound],
-) -> None:
-    """Wait until all have answered, one knows the stream, or for long enough.
-
-    Parameters
-    ----------
-    questions : list of Task
-        In the order in which they were asked; the answered ones are removed.
-    answers : dict of str to StreamFound
-        The newest answers by the keepers' names; those that come are added.
-    """
-    loop = asyncio.get_running_loop()
-    give_up_at = loop.time() + ANSWER_SECONDS
-    while questions and not any(a.known for a in answers.values()):
-        done, _ = await asyncio.wait(
-            questions,
-            timeout=max(0.0, give_up_at - loop.time()),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if not done:
-            return
-        for question in [q for q in questions if q in done]:
-            questions.remove(question)
-            keeper, answer = question.result()
-            if answer is not None:
-                answers[keeper] = answer
-
-
 async def _ask(
     link: links.Link, question: stream_messages.FindStream
 ) -> tuple[str, stream_messages.StreamFound | None]:
     """Return a keeper's name and its answer, if it gives one."""
     try:
-        return link.peer.name, await link.call(question, MAX_ASK_SECONDS)
+        return link.peer.name, await link.call(question, ANSWER_SECONDS)
     except errors.AmaranthringError as error:
         logs.event(
             log,
