Play seeded series of chats with silent engines and broken streams

Each series runs 75 chats at three engines, one of which does not continue texts, with silences of 0.5 to 4 times the bound, broken streams, refusals of admission and waits for room, and budgets of 0, 3 and 100 retries. Every chat must be whole and every grant released.

--- a/tests/test_abandoned_chats.py
+++ b/tests/test_abandoned_chats.py
@@ -1,6 +1,11 @@
-"""Chats whose engine is late, while another one cannot take over."""
+"""Chats whose engine is late, while another one cannot take over.
+
+``ABANDONED_CHATS_SEED`` chooses the series of silences.
+"""
 
 import asyncio
+import os
+import random
 import time
 import unittest
 
@@ -403,6 +408,51 @@
         self.assert_idle(self.router)
 
 
+class TestSeries(SilenceCase):
+    """Many chats, whose engines are silent for a while or break off."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.local.add_engine("e3", continues=False)
+        self.router = self.add_router()
+        seed = os.environ.get("ABANDONED_CHATS_SEED", "1")
+        self.rng = random.Random(seed)
+        for engine in self.local.engines.values():
+            engine.fault = self.choose_fault
+
+    def choose_fault(self, body):
+        """Return the same fault each time for the same run."""
+        if "chosen" not in body:
+            kinds = ["slow"] * 4 + ["drop", "truncate", "gap"] + ["none"] * 5
+            body["chosen"] = {
+                "fault": self.rng.choice(kinds),
+                "at": self.rng.randrange(6),
+                "seconds": self.rng.uniform(0.5, 4.0) * BOUND,
+            }
+            if body["chosen"]["fault"] == "none":
+                body["chosen"] = {}
+        return body["chosen"]
+
+    async def admit_sometimes(self):
+        if self.rng.random() < 0.3:
+            raise errors.QueueFullError("full")
+        await asyncio.sleep(self.rng.uniform(0.0, 3.0) * BOUND)
+
+    async def chat(self, number):
+        await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+        body = in_process_callers.chat_body(f"chat {number}")
+        self.assert_complete(await self.router.chat(body), body)
+
+    async def test_every_chat_is_whole(self):
+        """Guards against chats that are cut, and grants that leak."""
+        self.admit_others(self.admit_sometimes)
+        for retries_left in (0, 3, 100):
+            with self.subTest(retries_left=retries_left):
+                self.router.fakes.retries_left = retries_left
+                await asyncio.gather(*map(self.chat, range(25)))
+                self.assert_idle(self.router)
+
+
 class TestRetryBudget(unittest.TestCase):
     """The budget tells whether a retry is left."""
 
