Release an unused grant before going back, try a silent engine once

Reading the change found two faults. A grant that no attempt could use any more, as the request had been quarantined meanwhile, was held while the stream was resumed at the engine before, up to the deadline. And a caller that reconnected to an engine that was silent to the deadline waited for a second try behind it. Such a try is now made only if the first one brought events. Both tests failed before.

--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -501,14 +501,20 @@
     progress.events = sse.EventRewriter(reference.stream, token, number)
     last_error = None
     for _ in range(MAX_RESUMES):
+        received = progress.events.expected
         try:
             await _resume(deps, request, target, reference.stream, progress)
+            last_error = None
             break
         except errors.NotFoundError as error:
             raise _stream_gone_error(reference, str(error)) from error
         except errors.UpstreamError as error:
             last_error = error
-    else:
+        timed_out = isinstance(last_error, errors.UpstreamTimeoutError)
+        if timed_out and progress.events.expected == received:
+            # It was silent to the deadline.
+            break
+    if last_error is not None:
         if progress.begun or isinstance(last_error, errors.TargetRestingError):
             raise last_error
         raise _stream_gone_error(reference, str(last_error)) from last_error
--- a/amaranthring/callers/execution.py
+++ b/amaranthring/callers/execution.py
@@ -304,6 +304,7 @@
             replacement.release()
         if not _may_retry(deps, request, attempt, last_error, maybe_ran):
             break
+    replacement.close()
     if await go_back():
         deps.record_success(request.account)
         deps.notices.request_accepted(request, failed_at)
--- a/tests/test_abandoned_chats.py
+++ b/tests/test_abandoned_chats.py
@@ -204,6 +204,22 @@
                     self.assertEqual(504, response.code)
                 self.assert_idle(self.router)
 
+    async def test_reconnected_caller_is_not_kept_past_its_deadline(self):
+        """Guards against second tries of engines that were silent to it."""
+        self.router.fakes.retries_left = 0
+        self.engine.planned_fault = {"fault": "hang", "at": 3, "times": 1}
+        body = in_process_callers.chat_body()
+        cut = await self.router.chat(body, Amaranthring_Deadline="0.6")
+        last = in_process_callers.parse_events(cut.body)[2].id
+        self.router.fakes.preset.first_token_seconds = 1.0
+        self.engine.slots.capacity = 0
+        started = time.monotonic()
+        response = await self.router.chat(
+            {}, Last_Event_ID=last, Amaranthring_Deadline="0.5"
+        )
+        self.assertEqual(409, response.code)
+        self.assertLess(time.monotonic() - started, 1.8)
+
     async def test_cut_stream_can_be_resumed(self):
         """Guards against engines that must forget what none continues."""
         self.router.fakes.retries_left = 0
@@ -318,6 +334,31 @@
         await in_process_callers.wait_until(lambda: self.router.fakes.released)
         self.assert_idle(self.router)
 
+    async def test_grant_is_released_before_going_back(self):
+        """Guards against grants that are held while no attempt may run."""
+        fakes = self.router.fakes
+        request = fake_network.request(
+            serves="m1", deadline=time.monotonic() + 60
+        )
+        running = []
+
+        async def run_attempt(attempt):
+            exchange = upstream.Exchange(attempt.target)
+            attempt.sent = True
+            attempt.replacement.watch(exchange, lambda: True)
+            exchange.on_silence()
+            await in_process_callers.wait_until(lambda: exchange.abort_error)
+            attempt.retryable = False
+            raise exchange.abort_error
+
+        async def go_back():
+            running.append(fakes.running["e2"])
+            return True
+
+        await execution.run(fakes.needs, request, run_attempt, go_back)
+        self.assertEqual([0], running)
+        self.assertEqual(1, len(self.decisions("retry-unused")))
+
     async def test_caller_leaves_right_after_the_grant(self):
         """Guards against grants that leak, and retries lost silently."""
         fakes = self.router.fakes
