--- a/tests/test_abandoned_chats.py
+++ b/tests/test_abandoned_chats.py
@@ -1,6 +1,11 @@
-"""Chats whose engine is late, while another one cannot take over."""
+"""Chats whose engine is late, while another one cannot take over.
+
+``ABANDONED_CHATS_SEED`` chooses the series of silences.
+"""
 
 import asyncio
+import os
+import random
 import time
 import unittest
 
@@ -199,6 +204,22 @@
                     self.assertEqual(504, response.code)
                 self.assert_idle(self.router)
 
+    async def test_reconnected_caller_is_not_kept_past_its_deadline(self):
+        """Guards against second tries of engines that were silent to it."""
+        self.router.fakes.retries_left = 0
+        self.engine.planned_fault = {"fault": "hang", "at": 3, "times": 1}
+        body = in_process_callers.chat_body()
+        cut = await self.router.chat(body, Amaranthring_Deadline="0.6")
+        last = in_process_callers.parse_events(cut.body)[2].id
+        self.router.fakes.preset.first_token_seconds = 1.0
+        self.engine.slots.capacity = 0
+        started = time.monotonic()
+        response = await self.router.chat(
+            {}, Last_Event_ID=last, Amaranthring_Deadline="0.5"
+        )
+        self.assertEqual(409, response.code)
+        self.assertLess(time.monotonic() - started, 1.8)
+
     async def test_cut_stream_can_be_resumed(self):
         """Guards against engines that must forget what none continues."""
         self.router.fakes.retries_left = 0
@@ -313,6 +334,31 @@
         await in_process_callers.wait_until(lambda: self.router.fakes.released)
         self.assert_idle(self.router)
 
+    async def test_grant_is_released_before_going_back(self):
+        """Guards against grants that are held while no attempt may run."""
+        fakes = self.router.fakes
+        request = fake_network.request(
+            serves="m1", deadline=time.monotonic() + 60
+        )
+        running = []
+
+        async def run_attempt(attempt):
+            exchange = upstream.Exchange(attempt.target)
+            attempt.sent = True
+            attempt.replacement.watch(exchange, lambda: True)
+            exchange.on_timeout(0.0, 0.0)
+            await in_process_callers.wait_until(lambda: exchange.abort_error)
+            attempt.retryable = False
+            raise exchange.abort_error
+
+        async def go_back():
+            running.append(fakes.running["e2"])
+            return True
+
+        await execution.run(fakes.needs, request, run_attempt, go_back)
+        self.assertEqual([0], running)
+        self.assertEqual(1, len(self.decisions("retry-unused")))
+
     async def test_caller_leaves_right_after_the_grant(self):
         """Guards against grants that leak, and retries lost silently."""
         fakes = self.router.fakes
@@ -403,6 +449,51 @@
         self.assert_idle(self.router)
 
 
+class TestSeries(SilenceCase):
+    """Many chats, whose engines are silent for a while or break off."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.local.add_engine("e3", continues=False)
+        self.router = self.add_router()
+        seed = os.environ.get("ABANDONED_CHATS_SEED", "1")
+        self.rng = random.Random(seed)
+        for engine in self.local.engines.values():
+            engine.fault = self.choose_fault
+
+    def choose_fault(self, body):
+        """Return the same fault each time for the same run."""
+        if "chosen" not in body:
+            kinds = ["slow"] * 4 + ["drop", "truncate", "gap"] + ["none"] * 5
+            body["chosen"] = {
+                "fault": self.rng.choice(kinds),
+                "at": self.rng.randrange(6),
+                "seconds": self.rng.uniform(0.5, 4.0) * BOUND,
+            }
+            if body["chosen"]["fault"] == "none":
+                body["chosen"] = {}
+        return body["chosen"]
+
+    async def admit_sometimes(self):
+        if self.rng.random() < 0.3:
+            raise errors.QueueFullError("full")
+        await asyncio.sleep(self.rng.uniform(0.0, 3.0) * BOUND)
+
+    async def chat(self, number):
+        await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+        body = in_process_callers.chat_body(f"chat {number}")
+        self.assert_complete(await self.router.chat(body), body)
+
+    async def test_every_chat_is_whole(self):
+        """Guards against chats that are cut, and grants that leak."""
+        self.admit_others(self.admit_sometimes)
+        for retries_left in (0, 3, 100):
+            with self.subTest(retries_left=retries_left):
+                self.router.fakes.retries_left = retries_left
+                await asyncio.gather(*map(self.chat, range(25)))
+                self.assert_idle(self.router)
+
+
 class TestRetryBudget(unittest.TestCase):
     """The budget tells whether a retry is left."""
 
