Count no reset as a notice in the soak of rests and departures

tests.test_forwarding_notices_soak failed sometimes: one request reached a target long after that target had told the router that it leaves.

Cause: the target noted that it had told so before it chose its answer, and 3 of 100 answers are resets, which tell nothing. A router that got a reset avoids the target for more than a second, so its next request may come after the 2 s in which it should have observed the notice.

A target counts a notice as told only if it answers, and the connection is still established then.

--- a/tests/test_forwarding_notices_soak.py
+++ b/tests/test_forwarding_notices_soak.py
@@ -46,21 +46,28 @@
         now = time.monotonic()
         told = self.told[seen.headers[ROUTER]]
         told.arrivals.append((now, float(seen.headers[SENT])))
+        leaves, rests, is_reset = self.leaving, now < self.resting_until, False
         more = {}
-        if self.leaving:
+        if leaves:
             more[scripted_target.LEAVING.replace("-", "_")] = "1"
-            told.leaving_at = min(told.leaving_at, now)
-        if now < self.resting_until:
-            told.ask_for_rest(now, self.rest)
+        if rests:
             more["Retry_After"] = self.rest
             answer = scripted_target.respond_not_run(**more)
         else:
             self.ran[seen.headers[scripted_target.ID]] += 1
             await asyncio.sleep(self.rng.uniform(0.0, 0.05))
-            if self.rng.random() < 0.03:
+            is_reset = self.rng.random() < 0.03
+            if is_reset:
                 answer = scripted_target.reset_connection()
             else:
                 answer = scripted_target.respond(**more)
+        # A reset tells nothing, nor does an answer to a router that has let
+        # go of the request, as this process was late.
+        is_heard = not is_reset and scripted_target.is_open(writer)
+        if is_heard and leaves:
+            told.leaving_at = min(told.leaving_at, now)
+        if is_heard and rests:
+            told.ask_for_rest(now, self.rest)
         await answer(seen, writer)
 
 
