Order the rests by events in the test that the longest one counts

tests.test_forwarding_notices.TestRest.test_longest_rest_counts failed sometimes beside other work: one request arrived 1.01 s into the rest.

Suspected from the code and the moment: the target answered after 0.1 s, and a router lets go of a safe request after 0.16 s. When their common process is late by 0.06 s, nobody hears the answer that asks for 30 s; the target's backoff ends a second later and it gets a request.

The test asks for the longest rest first and for the others once the router has heard of it, with requests that a router doesn't let go of.

--- a/tests/test_forwarding_notices.py
+++ b/tests/test_forwarding_notices.py
@@ -99,13 +99,23 @@
         seconds = iter(("30", "0.2", "0.2"))
 
         async def refuse(seen, writer):
-            await asyncio.sleep(0.1)
-            script = scripted_target.respond_not_run(Retry_After=next(seconds))
+            rest = next(seconds)
+            await self.until(lambda: len(self.targets[0].requests) == 3)
+            if rest != "30":
+                # The longest one is asked for first.
+                await self.until(lambda: self.router.placer.rests.left("t0"))
+            script = scripted_target.respond_not_run(Retry_After=rest)
             await script(seen, writer)
 
         await self.begin(refuse, scripted_target.respond())
         self.prefer(0)
-        await asyncio.gather(*(self.ask("/a/x") for _ in range(3)))
+        # Of this kind, as the router lets go of a safe request that is not
+        # answered in time and hears no notice in its answer.
+        await asyncio.gather(*(self.ask("/b/x") for _ in range(3)))
+        self.assertEqual(3, len(self.targets[0].requests))
+        # Nothing but its rest keeps requests away.
+        self.router.placer.record_success(self.targets[0].record())
+        self.prefer(0)
         asked_at = time.monotonic()
         await self.keep_asking(1.0, "/a/x")
         self.assertEqual([], self.arrivals(0, asked_at))
