--- a/amaranthring/forwarding/runs.py
+++ b/amaranthring/forwarding/runs.py
@@ -451,11 +451,12 @@
     def gives_way(self, attempt: attempts.Attempt) -> bool:
         """Return whether the attempt ends for another router's.
 
-        It tries a path that was lost, and other routers reach the targets.
+        The path to the targets is lost, and other routers reach them.
         """
         context = self.context
+        unreached = self.deps.placer.paths.is_unreached(context.service)
         return (
-            context.is_path_trial
+            (context.is_path_trial or unreached)
             and attempt.head is None
             and not self.writer.status
             and self.deps.has_helper(context)
--- a/tests/test_abandoned_handovers.py
+++ b/tests/test_abandoned_handovers.py
@@ -66,6 +66,24 @@
     )
 
 
+class TestLostPath(HelperCase):
+    """Requests whose target is late as the path to all targets is lost."""
+
+    async def test_helper_gets_the_request(self):
+        """Guards against waiting for a target that is not reached."""
+        await self.begin_trial(
+            scripted_target.never_respond(), scripted_target.respond()
+        )
+        reach = self.router.placer.paths.reach
+        reach.record_answer("s")
+        asked = asyncio.ensure_future(self.ask("/a/x"))
+        await self.until(lambda: self.tried.requests)
+        for name in ("lost0", "lost1", "tried"):
+            reach.record_failure("s", name)
+        got = await asked
+        self.assertEqual((200, b"good"), (got.status, got.body))
+
+
 class TestPathTrial(HelperCase):
     """Requests that try the path to targets that were not reached."""
 
