--- a/amaranthring/callers/replacements.py
+++ b/amaranthring/callers/replacements.py
@@ -16,6 +16,7 @@
 if t.TYPE_CHECKING:
     from amaranthring.callers import execution
 
+# Interval at which a replacement that was refused is asked for again.
 ASK_AGAIN_SECONDS = 0.5
 Granted = tuple[records.Grant, bool]
 
