Refuse long requests from a time that counts from the signal to stop

Callers lost an answer at the end of a stop whose SIGTERM came while the router was still starting: requests that may outlast the grace period were refused from 2.5 s after the stop had begun, not after the signal, so that one of 3.05 s after it was taken and cut 4.6 s later. The test failed before.

--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -408,7 +408,8 @@
         deadline = asked_at + self.config.grace
         self.stopping = True
         self.front.closing = True
-        await asyncio.sleep(ROTATION_SECONDS)
+        rotated_at = asked_at + ROTATION_SECONDS
+        await asyncio.sleep(max(0.0, rotated_at - time.monotonic()))
         await self.front.drain(lambda: self._close_at(deadline))
         await self.front.listener.close()
         await self.front.drain(
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import tempfile
+import time
 import unittest
 from unittest import mock
 
@@ -149,6 +150,15 @@
         for sock in sockets:
             self.assertIn(b"HTTP/1.1 ", read_response(sock))
 
+    @mock.patch.object(plan_router, "ROTATION_SECONDS", 0.5)
+    async def test_long_requests_are_refused_in_time_if_it_stops_late(self):
+        """Guards against requests cut at the end of a stop that began late."""
+        asked_at = time.monotonic() - 0.5
+        stopping = asyncio.ensure_future(self.router.stop(asked_at))
+        await asyncio.sleep(0.1)
+        self.assertLess(self.router.front.shutdown_at, asked_at + 2.0)
+        await stopping
+
     @mock.patch.object(plan_router, "ROTATION_SECONDS", 0.0)
     async def test_new_connection_is_not_idle(self):
         """A request that follows its connection 0.3 s later is answered.
