Log each background task of a fleet process that ends with an error

Departures that no router hears of could not be told from those that a router does not take: tasks of a keeper's hub are kept in a list, so that neither the code nor asyncio reports what ended them. Tasks are started by core/background, which logs task.failed with the name of the work; errors that nothing handles are loop.error lines in place of text on standard error. No logic changes.

--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -16,6 +16,7 @@
 from amaranthring import router_parts
 from amaranthring import settings as settings_module
 from amaranthring.callers import server
+from amaranthring.core import background
 from amaranthring.core import garbage_collection
 from amaranthring.core import links
 from amaranthring.core import listeners
@@ -83,6 +84,7 @@
 
 async def run_router(settings: settings_module.Settings) -> None:
     """Run a router until a stop signal, then shut it down gracefully."""
+    background.log_unhandled(asyncio.get_running_loop())
     stop = signals.stop_event()
     router = router_parts.Router(settings, identity_of("router", settings))
     internal = listen_internal(settings, router.internal_routes())
@@ -113,6 +115,7 @@
 
 async def run_keeper(settings: settings_module.Settings) -> None:
     """Run a keeper until a stop signal."""
+    background.log_unhandled(asyncio.get_running_loop())
     stop = signals.stop_event()
     keeper, served = keeper_parts.make(settings)
     routes = [
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -15,6 +15,7 @@
 
 from amaranthring import errors
 from amaranthring import routing
+from amaranthring.core import background
 from amaranthring.core import clocks
 from amaranthring.core import endpoints
 from amaranthring.core import links
@@ -338,17 +339,18 @@
                 listeners.bind_sockets(self.config.peers)
             )
         self.subscriber.use_seeds(self.config.keepers)
-        for work in (
-            self._prune_regularly(),
-            self.loop_delay.run(),
-            self.reporter.run(),
-            self.relay.connections.run(),
-            self.handing_over.trials.run(),
-            self.streams.report_promptly(self.subscriber.home_link),
+        for name, work in (
+            ("prune", self._prune_regularly()),
+            ("loop-delay", self.loop_delay.run()),
+            ("reports", self.reporter.run()),
+            ("connections", self.relay.connections.run()),
+            ("path-trials", self.handing_over.trials.run()),
+            (
+                "stream-reports",
+                self.streams.report_promptly(self.subscriber.home_link),
+            ),
         ):
-            task = asyncio.ensure_future(work)
-            task.add_done_callback(_log_failure)
-            self.tasks.append(task)
+            self.tasks.append(background.start(name, work))
 
     def use_seeds(self, addresses: list[str]) -> None:
         """Update the seed addresses of the keepers."""
@@ -446,9 +448,3 @@
                 max(MIN_REPORT_SECONDS, latest - time.monotonic()),
             ),
         )
-
-
-def _log_failure(task: asyncio.Task) -> None:
-    """Log the error that has ended a background task."""
-    if not task.cancelled() and task.exception() is not None:
-        log.error("task.failed fault={!r}", task.exception())
--- a/amaranthring/platform/daemon.py
+++ b/amaranthring/platform/daemon.py
@@ -8,6 +8,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import garbage_collection
 from amaranthring.core import log_writer
 from amaranthring.core import logs
@@ -53,6 +54,7 @@
 
 async def run(role: str) -> None:
     """Run a daemon until SIGTERM."""
+    background.log_unhandled(asyncio.get_running_loop())
     stop = signals.stop_event()
     hangup = signals.reload_event()
     node = nodes.read()
@@ -60,7 +62,9 @@
     module = importlib.import_module(f"amaranthring.platform.{role}")
     process = module.make(node)
     starting = process.start()
-    watching = asyncio.ensure_future(watch_settings(node, process, hangup))
+    watching = background.start(
+        "settings", watch_settings(node, process, hangup)
+    )
     logs.event(log, f"{role}.started", vm=node.name, seeds=list(node.seeds))
     stopping = asyncio.ensure_future(stop.wait())
     if starting is not None:
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -7,6 +7,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.core import pacing
@@ -126,12 +127,12 @@
 
     def start(self) -> None:
         """Start the background tasks."""
-        for coroutine in (
-            self._run(),
-            self.exchange.run(),
-            self.publisher.run(),
+        for name, coroutine in (
+            ("targets", self._run()),
+            ("exchange", self.exchange.run()),
+            ("publisher", self.publisher.run()),
         ):
-            self.tasks.append(asyncio.ensure_future(coroutine))
+            self.tasks.append(background.start(name, coroutine))
 
     def stop(self) -> None:
         """Cancel the background tasks."""
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -5,6 +5,7 @@
 import pathlib
 import time
 
+from amaranthring.core import background
 from amaranthring.core import links
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import pacing
@@ -189,11 +190,12 @@
         self.server.add_sockets(sockets)
         self.group.start()
         self.hub.start()
-        self.hints_task = asyncio.ensure_future(self.hints.run())
-        self.pressure_task = asyncio.ensure_future(
+        self.hints_task = background.start("hints", self.hints.run())
+        self.pressure_task = background.start(
+            "pressure",
             pressure.watch(
                 self.group, self.handlers, self.links, self.config.link_rate
-            )
+            ),
         )
 
     def links(self) -> list[links.Link]:
