Let errors travel whatever they show of what was given

A call whose refusal names a text with a lone surrogate got no answer at all: the refusal failed as it was encoded, in the handler of errors itself. The same error could not be sent over a link. Errors show such text with escapes. Both tests of TestErrors failed before: a timeout after 2 s, and UnicodeEncodeError.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -10,6 +10,8 @@
 import enum
 import typing as t
 
+from amaranthring.core import text
+
 _BY_CODE: dict[str, type["AmaranthringError"]] = {}
 
 
@@ -75,24 +77,28 @@
             _BY_CODE[cls.code] = cls
 
     def __str__(self):
-        text = self.detail or self.code
+        shown = self.detail or self.code
         if self.given is not None:
-            text += f" (given: {self.given!r}"
-            text += f", expected: {self.expected!r})"
-        return text
+            shown += f" (given: {self.given!r}"
+            shown += f", expected: {self.expected!r})"
+        return text.escape(shown)
 
     def to_record(self) -> dict[str, t.Any]:
         """Return a plain record for transmission to another process."""
         return {
             "code": self.code,
-            "detail": self.detail,
-            "given": None if self.given is None else str(self.given),
-            "expected": None if self.expected is None else str(self.expected),
+            "detail": text.escape(self.detail),
+            "given": _shown(self.given),
+            "expected": _shown(self.expected),
             "retry_after": self.retry_after,
             "outcome": str(self.outcome),
         }
 
 
+def _shown(value: t.Any) -> str | None:
+    return None if value is None else text.escape(str(value))
+
+
 def from_record(record: dict[str, t.Any]) -> AmaranthringError:
     """Return the error that `record` describes, as its own type.
 
