Keep the last valid settings if a file is nested too deeply

The task that reads the settings file ended with RecursionError, and the process never read its settings again. It also accepted names that the handshake with other processes cannot encode. Such files are refused like others that are invalid.

--- a/amaranthring/platform/node.py
+++ b/amaranthring/platform/node.py
@@ -6,11 +6,22 @@
 import pathlib
 
 from amaranthring import errors
+from amaranthring.core import text
 
 PATH_VARIABLE = "AMARANTHRING_BOOT"
 MILLISECONDS = 1e3
 MEGABIT_BYTES = 1e6 / 8
 
+# What reading a document that is no JSON, or has other fields, may raise.
+DECODING_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+
 # The platform provides no secret but restricts access to these ports; the key
 # only distinguishes this fleet's links from other listeners.
 FLEET_KEY = {"platform": b"amaranthring"}
@@ -98,17 +109,25 @@
         )
     try:
         data = json.loads(pathlib.Path(path).read_bytes())
+        _check_text(data)
         return decode(data)
     except OSError as error:
         raise errors.SettingsError(
             f"{path} cannot be read", given=error.strerror, expected="a file"
         ) from error
-    except (KeyError, ValueError, TypeError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise errors.SettingsError(
             f"{path} is invalid", given=repr(error), expected="valid settings"
         ) from error
 
 
+def _check_text(data: dict) -> None:
+    """Check the text that this process sends to others or logs."""
+    for name in ("node_name", "zone", "ip"):
+        if not text.is_encodable(data[name]):
+            raise ValueError(f"{name} {data[name]!r} cannot be encoded")
+
+
 def decode(data: dict) -> Node:
     """Return the settings in the decoded file."""
     listen = data["listen"]
