Refuse heartbeats with values that no message can carry

Callers saw requests at targets whose departure had been acknowledged: one heartbeat whose zone or version is a lone surrogate, valid in JSON, was merged into the table of targets, and the tasks that send the table ended as they encoded it, at all keepers that were asked in turn. Numbers out of range and deep nesting failed with 500 where 400 ends a call.

What validation accepts can be encoded now, for all text and numbers that enter a record, whatever the field: text has a form in UTF-8, integers fit into msgpack, integers that become floats are in range. A negative number of slots and an address that no head can carry are refused, too. The check comes before anything is changed.

TestHeartbeats (5), TestValidation and TestOneHeartbeat (2) failed before. The latter saw 20 of 40 requests or so at a target that had left.

--- a/amaranthring/core/validation.py
+++ b/amaranthring/core/validation.py
@@ -14,15 +14,21 @@
 import typing as t
 
 from amaranthring import errors
+from amaranthring.core import text
 
 Validator = t.Callable[[t.Any], t.Any]
 
 MAX_SHOWN_CHARACTERS = 80
+# Range of integers in msgpack.
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**64 - 1
 _ABSENT = object()
 
 
 def _invalid(value: t.Any, expected: str) -> errors.FrameError:
-    shown = f"{type(value).__name__} {str(value)[:MAX_SHOWN_CHARACTERS]}"
+    # Long integers have no decimal form.
+    form = hex(value) if isinstance(value, int) else str(value)
+    shown = f"{type(value).__name__} {form[:MAX_SHOWN_CHARACTERS]}"
     return errors.FrameError("invalid value", given=shown, expected=expected)
 
 
@@ -84,6 +90,8 @@
         return _float
     if cls is int:
         return _int
+    if cls is str:
+        return _str
 
     def validate(value):
         if isinstance(value, cls):
@@ -102,17 +110,30 @@
     if isinstance(value, float):
         return value
     if isinstance(value, int) and not isinstance(value, bool):
-        return float(value)
+        try:
+            return float(value)
+        except OverflowError as error:
+            raise _invalid(value, "a number in range") from error
     raise _invalid(value, "float")
 
 
 def _int(value: t.Any) -> int:
     # bool is a subclass of int but not a valid int in a message.
     if isinstance(value, int) and not isinstance(value, bool):
-        return value
+        if MIN_INTEGER <= value <= MAX_INTEGER:
+            return value
+        raise _invalid(value, "an integer in range")
     raise _invalid(value, "int")
 
 
+def _str(value: t.Any) -> str:
+    if not isinstance(value, str):
+        raise _invalid(value, "str")
+    if not text.is_encodable(value):
+        raise _invalid(value, "text that can be encoded")
+    return value
+
+
 def _union(hints: tuple) -> Validator:
     validators = [validator(hint) for hint in hints]
     if type(None) in hints:
--- a/amaranthring/platform/control.py
+++ b/amaranthring/platform/control.py
@@ -9,6 +9,7 @@
 from amaranthring.core import validation
 from amaranthring.keepers import plans
 from amaranthring.platform import documents
+from amaranthring.platform import node as nodes
 from amaranthring.policy import route_history
 from amaranthring.registry import hub as hubs
 from amaranthring.registry import messages
@@ -142,13 +143,7 @@
         data = json.loads(body)
         record = _record(path.removeprefix(HEARTBEAT), data)
         return validation.validator(messages.TargetRecord)(record)
-    except (
-        errors.FrameError,
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-    ) as error:
+    except (errors.FrameError, *nodes.DECODING_ERRORS) as error:
         raise errors.BadRequestError(
             "invalid heartbeat", given=repr(error), expected="a heartbeat"
         ) from error
@@ -164,7 +159,7 @@
     """
     try:
         return _start_time(json.loads(body)) if body else 0
-    except (ValueError, TypeError, AttributeError) as error:
+    except nodes.DECODING_ERRORS as error:
         raise errors.BadRequestError(
             "invalid deregistration", given=repr(error), expected="an object"
         ) from error
@@ -189,14 +184,22 @@
     address = data["address"]
     host, _, port = address.rpartition(":")
     number = numerals.read(port)
-    if not host or number is None or number > MAX_PORT:
+    is_name = host.isascii() and host.isprintable() and " " not in host
+    if not host or not is_name or number is None or number > MAX_PORT:
         raise ValueError(f"address {address!r}")
     return address
 
 
+def _slots(data: dict) -> int:
+    slots = _bounded(data.get("batch_slots", 1))
+    if slots < 0:
+        raise ValueError(f"batch_slots {slots}")
+    return slots
+
+
 def _cold_seconds(data: dict) -> float:
     left = data.get("cold_left_ms", 0)
-    if not left <= MAX_COLD_MILLISECONDS:
+    if not -MAX_COLD_MILLISECONDS <= left <= MAX_COLD_MILLISECONDS:
         raise ValueError("cold_left_ms is out of range")
     return left / MILLISECONDS
 
@@ -215,7 +218,7 @@
         "address": _address(data),
         "data_centre": data.get("zone", ""),
         "release": data.get("version", ""),
-        "slots": _bounded(data.get("batch_slots", 1)),
+        "slots": _slots(data),
         "state": STATES[data["state"]],
         "sequence": _bounded(data["sequence"]),
         "cold_seconds": _cold_seconds(data),
