Refuse plans that not every process can apply

Integers that are infinite or too long failed with 500. An account's name with the end of a line made each of its requests a 400, as no head can carry it.

All text of a plan can be encoded now and all numbers are finite and in range, or the plan is refused.

--- a/amaranthring/platform/documents.py
+++ b/amaranthring/platform/documents.py
@@ -1,14 +1,23 @@
 """Decodes the operator's configurations into routing plans."""
 
 import json
+import math
+import re
 import typing as t
 
 from amaranthring import errors
 from amaranthring import routing
+from amaranthring.core import text
+from amaranthring.platform import node as nodes
 
 MILLISECONDS = 1e3
 MEGABIT_BYTES = 1e6 / 8
 
+# Greater ones do not fit into the messages between processes.
+MAX_INTEGER = 2**63 - 1
+# Would end the line of a header.
+CONTROLS = re.compile(r"[\x00-\x1f\x7f]")
+
 # Request kinds by the platform's route types.
 KINDS = {
     "safe": routing.Kind.SAFE,
@@ -28,7 +37,7 @@
     try:
         data = json.loads(document)
         plan = _plan(data)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except nodes.DECODING_ERRORS as error:
         raise errors.InvalidPlanError(
             "the document cannot be decoded",
             given=repr(error),
@@ -43,7 +52,7 @@
     if isinstance(version, bool) or not isinstance(version, int):
         raise TypeError(f"version {version!r}")
     return routing.Plan(
-        version=version,
+        version=_integer(version),
         routes=tuple(map(_route, data["routes"])),
         # The platform calls services back ends.
         services=tuple(map(_service, data["backends"])),
@@ -68,9 +77,9 @@
         kind=KINDS[data["route_type"]],
         timeout=_number(data["timeout_ms"]) / MILLISECONDS,
         objective=_number(data.get("latency_target_ms", 0)) / MILLISECONDS,
-        priority=int(data.get("priority", 0)),
+        priority=_integer(data.get("priority", 0)),
         shares=shares,
-        attempts_most=int(data.get("max_attempts", 1)),
+        attempts_most=_integer(data.get("max_attempts", 1)),
         public=bool(data.get("public", False)),
         # Applies to requests that name their prompt, not to sessions.
         with_prompt=bool(data.get("sticky", False)),
@@ -83,16 +92,16 @@
     engine = data.get("engine")
     return routing.Service(
         name=_text(data["name"]),
-        health_path=str(data.get("health_path", "/")),
-        connections_most=int(data.get("max_conns", 0)),
+        health_path=_encodable(str(data.get("health_path", "/"))),
+        connections_most=_integer(data.get("max_conns", 0)),
         engine=_engine(engine) if engine else None,
     )
 
 
 def _engine(data: dict) -> routing.Engine:
     return routing.Engine(
-        slots=int(data.get("batch_slots", 1)),
-        kv_tokens=int(data.get("kv_capacity", 0)),
+        slots=_integer(data.get("batch_slots", 1)),
+        kv_tokens=_integer(data.get("kv_capacity", 0)),
         token_bytes=_number(data.get("kv_bytes", 0)),
         # Megabits per second.
         link_rate=_number(data.get("link_mbps", 0)) * MEGABIT_BYTES,
@@ -100,19 +109,24 @@
 
 
 def _account(data: dict) -> routing.Account:
-    priority = data.get("priority")
+    name, priority = _text(data["name"]), data.get("priority")
+    if CONTROLS.search(name):
+        # Targets get the name in a header.
+        raise ValueError(f"{name!r} has control characters")
     return routing.Account(
-        name=_text(data["name"]),
+        name=name,
         keys=tuple(map(_text, data.get("api_keys") or ())),
-        priority=None if priority is None else int(priority),
+        priority=None if priority is None else _integer(priority),
     )
 
 
 def _bounds(data: dict) -> routing.Bounds:
     defaults = routing.Bounds()
     return routing.Bounds(
-        header_bytes=int(data.get("max_header_bytes", defaults.header_bytes)),
-        body_bytes=int(data.get("max_body_bytes", defaults.body_bytes)),
+        header_bytes=_integer(
+            data.get("max_header_bytes", defaults.header_bytes)
+        ),
+        body_bytes=_integer(data.get("max_body_bytes", defaults.body_bytes)),
         header_seconds=_seconds(
             data, "header_timeout_ms", defaults.header_seconds
         ),
@@ -127,10 +141,25 @@
 def _text(value: t.Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"{value!r} is not a non-empty string")
+    return _encodable(value)
+
+
+def _encodable(value: str) -> str:
+    if not text.is_encodable(value):
+        raise ValueError(f"{value!r} cannot be encoded")
     return value
 
 
+def _integer(value: t.Any) -> int:
+    number = int(value)
+    if abs(number) > MAX_INTEGER:
+        raise ValueError("an integer is out of range")
+    return number
+
+
 def _number(value: t.Any) -> t.Any:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"{value!r} is not a number")
+    if not math.isfinite(value):
+        raise ValueError(f"{value!r} is not finite")
     return value
