Send names of accounts as UTF-8 to targets

Letters outside of Latin-1 were sent as question marks, so that requests of two accounts could run under one name; others in Latin-1, while plans are UTF-8. TestAccounts failed before.

--- a/amaranthring/platform/headers.py
+++ b/amaranthring/platform/headers.py
@@ -195,7 +195,8 @@
         headers[DEADLINE] = str(milliseconds)
     headers[EXPECTED_TARGET] = attempt.target.name
     if attempt.account:
-        headers[ACCOUNT] = attempt.account
+        # Values are sent byte for byte; a name may have any letters.
+        headers[ACCOUNT] = attempt.account.encode().decode("latin1")
     if attempt.resume_after:
         headers[LAST_EVENT] = attempt.resume_after
     if attempt.copy_from:
