Refuse operators' documents with text that cannot be encoded

Of the bodies of commands only some fields were checked; the initial configuration was read without that check. Nothing was changed by such a document, but the call failed in the place of being refused.

--- a/amaranthring/keepers/initial_config.py
+++ b/amaranthring/keepers/initial_config.py
@@ -6,7 +6,6 @@
 """
 
 import configparser
-import json
 import pathlib
 import typing as t
 
@@ -26,14 +25,22 @@
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
         is_json = text.lstrip().startswith("{")
-        raw = json.loads(text) if is_json else _parse_ini(text)
+        raw = (
+            schemas.parse_json_body(text.encode())
+            if is_json
+            else _parse_ini(text)
+        )
     except OSError as error:
         raise errors.SettingsError(
             f"{path}: cannot be read",
             given=error.strerror,
             expected="a readable file",
         ) from error
-    except (ValueError, configparser.Error) as error:
+    except (
+        ValueError,
+        configparser.Error,
+        errors.BadRequestError,
+    ) as error:
         raise errors.SettingsError(
             f"{path}: malformed", given=str(error), expected="JSON or INI"
         ) from error
--- a/amaranthring/operators/schemas.py
+++ b/amaranthring/operators/schemas.py
@@ -167,6 +167,8 @@
     """
     try:
         decoded = json.loads(body or b"{}")
+        # What cannot be encoded again can be neither proposed nor stored.
+        json.dumps(decoded, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as error:
         raise errors.BadRequestError(
             "body is not JSON", given=str(error), expected="a JSON object"
