Put a plan in force wholly or not at all

A router that failed on a plan had its table already and counted the plan as not held: it asked for it without end, in tasks whose errors nobody saw (1051 in 22 s at three routers). The table is replaced last; any failure is logged as plan.refused, and the plan before stays in force. A keeper does what routers do with a plan before it acknowledges one. Plans that an earlier build accepted no longer stop the comparison of routes.

--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -251,8 +251,11 @@
 
     def take_plan(self, document: bytes) -> None:
         """Activate the plan in `document`."""
-        self.table = routing.RouteTable(self.decode(document))
-        self.streams.record_plan(self.table.plan)
+        plan = self.decode(document)
+        table = routing.RouteTable(plan)
+        self.streams.record_plan(plan)
+        # All that may fail comes before, so that no half of a plan is used.
+        self.table = table
 
     def report(self) -> sharing.Report:
         """Return the report for the other routers."""
--- a/amaranthring/platform/control.py
+++ b/amaranthring/platform/control.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from amaranthring import errors
+from amaranthring import routing
 from amaranthring.core import endpoints
 from amaranthring.core import numerals
 from amaranthring.core import validation
@@ -120,6 +121,9 @@
     hub: hubs.Hub, request: endpoints.Request
 ) -> endpoints.Response:
     plan = documents.decode(request.body)
+    # What routers do with a plan must not fail once it is acknowledged.
+    routing.RouteTable(plan)
+    route_history.PlanRoutes.of(plan.routes)
     version = await hub.put(plan.version, request.body)
     return endpoints.Response(body=json.dumps({"version": version}).encode())
 
--- a/amaranthring/registry/plan_moves.py
+++ b/amaranthring/registry/plan_moves.py
@@ -7,11 +7,16 @@
 
 import typing as t
 
+import logbook
+
+from amaranthring import errors
 from amaranthring.policy import bindings
 from amaranthring.policy import route_history
 
 __all__ = ["PlanMoves"]
 
+log = logbook.Logger(__name__)
+
 # Plans that are kept until a stream is taken up whose binding is not known.
 MAX_PLANS = 8
 # Time after which no further plan is read at once, as a keeper that leads must
@@ -75,13 +80,24 @@
         began = now = self.clock()
         ages: dict[str, float] = {}
         if self.first is None:
-            self.first = self.read_routes(self.plans[0][1])
+            self.first = self._read(self.plans[0][1])
         while self.is_behind() and now - began < READ_SECONDS:
             del self.plans[0]
             applied_at, document = self.plans[0]
-            routes = self.read_routes(document)
+            routes = self._read(document)
             moved = route_history.moved_routes(self.first, routes)
             ages.update((key, now - applied_at) for key in moved)
             self.first = routes
             now = self.clock()
         return ages
+
+    def _read(self, document: bytes) -> route_history.PlanRoutes:
+        """Return where the routes lead; nowhere if no router reads the plan.
+
+        It may have been accepted by an earlier build.
+        """
+        try:
+            return self.read_routes(document)
+        except errors.InvalidPlanError as error:
+            log.warning("plan.unreadable fault={}", error)
+            return self.first or route_history.PlanRoutes()
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -294,6 +294,11 @@
             # Whatever the error, the next request is for a whole plan.
             self._delta_document = None
             return
+        except Exception:
+            # The plan before stays in force; this one is offered again.
+            log.exception("plan.refused version={}", plan.version)
+            self._delta_document = None
+            return
         self._delta_document = document
         logs.event(
             log, "plan.in-force", version=plan.version, before=self.version
