Begin a link anew after any failure on it

A dialler whose callback for a new link failed never dialled its peer again, and a reply that could not be encoded ended the link, or the task that maintains it. A reply that cannot be encoded becomes an error reply.

--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -21,6 +21,7 @@
 import tornado.tcpserver
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import handshake
 from amaranthring.core import wire
 
@@ -217,6 +218,9 @@
             pass
         except (errors.FrameError, msgpack.UnpackException, ValueError) as e:
             log.warning("link.bad-frame peer={} fault={}", self.peer.name, e)
+        except Exception:
+            # The peers link anew, and bring each other up to date.
+            log.exception("link.failed peer={}", self.peer.name)
         finally:
             self.close()
 
@@ -290,13 +294,14 @@
     def _reply(self, frame: wire.Frame, result: t.Any) -> None:
         if frame.kind != wire.REQUEST:
             return
-        failed = isinstance(result, errors.AmaranthringError)
-        kind = wire.ERROR if failed else wire.REPLY
-        tag = "error" if failed else "done"
-        if not failed and result is not None:
-            tag = wire.tag_of(type(result))
         try:
-            self._write(wire.encode(kind, frame.call_id, result), tag)
+            tag, data = _encode_reply(frame.call_id, result)
+        except Exception:
+            log.exception("link.reply-failed peer={}", self.peer.name)
+            error = errors.InternalError("the reply cannot be encoded")
+            tag, data = _encode_reply(frame.call_id, error)
+        try:
+            self._write(data, tag)
         except errors.LinkError:
             # Closing the link tells the peer that the outcome is unknown.
             self.close()
@@ -311,6 +316,14 @@
             future.set_result(frame.message)
 
 
+def _encode_reply(call_id: int, result: t.Any) -> tuple[str, bytes]:
+    """Return the tag and the frame of a reply, or of an error."""
+    if isinstance(result, errors.AmaranthringError):
+        return "error", wire.encode(wire.ERROR, call_id, result)
+    tag = "done" if result is None else wire.tag_of(type(result))
+    return tag, wire.encode(wire.REPLY, call_id, result)
+
+
 async def open_link(
     stream, identity, keys, side, handlers
 ) -> tuple[Link, t.Any]:
@@ -425,7 +438,7 @@
 
     def start(self) -> None:
         """Start the task that maintains the link."""
-        self.task = asyncio.ensure_future(self.run())
+        self.task = background.keep_running(f"link {self.address}", self.run)
 
     def stop(self) -> None:
         """Cancel the task and close the link."""
@@ -481,11 +494,12 @@
                 return
             connected_at = time.monotonic()
             self.link = link
-            if self.on_link:
-                self.on_link(link)
             try:
+                if self.on_link:
+                    self.on_link(link)
                 await link.serve(unpacker)
             finally:
+                link.close()
                 self.link = None
                 if self.on_close:
                     self.on_close(link)
