Let a keeper take part again after a failed task of its group

One error of any task of the group, also of a callback, put a keeper out of its group until its process was started again, with no traceback. It still gives up its roles, now logs what failed, reads its state from the disk anew as after a disk failure, and starts the task again.

--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -7,10 +7,12 @@
 """
 
 import asyncio
+import functools
 import random
 import typing as t
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import links
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import pacing
@@ -32,6 +34,10 @@
 
 MAX_PENDING_PROPOSALS = 10_000
 CANCEL_RETRY_SECONDS = 0.1
+# Starts anew with each reading of the state.
+WRITER = "writer"
+# Pause before a duty that has failed starts again.
+DUTY_PAUSE_SECONDS = 0.5
 
 
 async def cancel_tasks(tasks: list[asyncio.Task]) -> None:
@@ -143,6 +149,7 @@
         self.members_changed_at = 0.0
         self.fault: errors.StorageError | None = None
         self.recoverable = False
+        self.stopped = False
         self.pending_proposals: dict[int, tuple[int, asyncio.Future]] = {}
         self.commit_advanced = asyncio.Event()
         self.snapshot_due = asyncio.Event()
@@ -213,33 +220,41 @@
         election.reset_election_timer(self)
         self.recoverable = False
         self.fault = None
-        self._start_tasks(self.writer.run(), genesis.join(self))
+        self._start_duty(WRITER, self.writer.run)
+        self._start_duty("join", functools.partial(genesis.join, self))
         self.members_changed()
 
     def start(self) -> None:
         """Start the tasks of this group."""
-        self._start_tasks(
-            self.writer.run(),
-            applier.run(self),
-            applier.take_snapshots(self),
-            election.run(self),
-            membership.repair(self),
-            genesis.join(self),
-            genesis.rejoin(self),
-            recovery.run(self),
-        )
+        self._start_duty(WRITER, self.writer.run)
+        for name, run in (
+            ("applier", applier.run),
+            ("snapshots", applier.take_snapshots),
+            ("election", election.run),
+            ("membership", membership.repair),
+            ("join", genesis.join),
+            ("rejoin", genesis.rejoin),
+            ("recovery", recovery.run),
+        ):
+            self._start_duty(name, functools.partial(run, self))
         for peer in self.peers.values():
             self._start_peer(peer)
         self.members_changed()
 
-    def _start_tasks(self, *coroutines: t.Coroutine) -> None:
-        for coroutine in coroutines:
-            task = asyncio.ensure_future(coroutine)
-            task.add_done_callback(self._task_ended)
-            self.tasks.append(task)
+    def _start_duty(
+        self, name: str, run: t.Callable[[], t.Coroutine[t.Any, t.Any, None]]
+    ) -> None:
+        if self.stopped:
+            return
+        task = background.start(f"{self.name} {name}", run())
+        task.add_done_callback(
+            functools.partial(self._duty_ended, self._start_duty, name, run)
+        )
+        self.tasks.append(task)
 
     async def stop(self) -> None:
         """Step down, cancel all tasks and close the files."""
+        self.stopped = True
         roles.step_down(self, "stopping")
         for peer in self.peers.values():
             peer.stop()
@@ -417,19 +432,43 @@
 
     def _start_peer(self, peer: replication.Peer) -> None:
         peer.dialler.start()
-        peer.main_task = asyncio.ensure_future(
-            replication.replicate(self, peer)
+        self._replicate(peer)
+
+    def _replicate(self, peer: replication.Peer) -> None:
+        if self.stopped or self.peers.get(peer.name) is not peer:
+            return
+        peer.main_task = background.start(
+            f"{self.name} replication", replication.replicate(self, peer)
+        )
+        peer.main_task.add_done_callback(
+            functools.partial(self._duty_ended, self._replicate, peer)
         )
-        peer.main_task.add_done_callback(self._task_ended)
         peer.wake.set()
 
-    def _task_ended(self, task: asyncio.Task) -> None:
+    def _duty_ended(self, start: t.Callable[..., None], *args) -> None:
+        """Give up all roles after an error, and take part again.
+
+        A leader could otherwise keep its role although, for example, it no
+        longer applies entries. The state is read from the disk anew, as after
+        a disk failure.
+
+        Parameters
+        ----------
+        start : callable
+            Starts the duty again with `args`, of which the last is the task
+            that has ended.
+        """
+        *args, task = args
+        if task in self.tasks:
+            self.tasks.remove(task)
         if task.cancelled() or task.exception() is None:
             return
-        # A leader could otherwise keep its role although, for example, it
-        # no longer applies entries.
         error = errors.StorageError(f"task failed: {task.exception()!r}")
-        roles.fail(self, error)
+        roles.fail_disk(self, error)
+        if WRITER not in args:
+            asyncio.get_running_loop().call_later(
+                DUTY_PAUSE_SECONDS, start, *args
+            )
 
     def _require_leader(self) -> None:
         if self.leading:
--- a/amaranthring/keepers/replication.py
+++ b/amaranthring/keepers/replication.py
@@ -15,6 +15,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.core import silence
@@ -279,8 +280,8 @@
     peer.batches_in_flight += bool(entries)
     peer.in_flight_bytes += size
     peer.sent_at = group.clocks.monotonic()
-    task = asyncio.ensure_future(
-        _exchange(group, peer, message, size, peer.epoch)
+    task = background.start(
+        "append", _exchange(group, peer, message, size, peer.epoch)
     )
     peer.tasks.add(task)
     task.add_done_callback(peer.tasks.discard)
