Keep all lasting work of a process running after a failure

A keeper whose task failed once noticed no silent target any more, told no other keeper of its routers, or wrote no hints, while it went on to answer and to lead; a router reported no more, or never read its settings again. Nobody heard of it. All such tasks are kept running now, also those of the product's own interface; tasks that end by themselves log their errors.

--- a/amaranthring/callers/chats.py
+++ b/amaranthring/callers/chats.py
@@ -19,6 +19,7 @@
 from amaranthring.callers import replacements
 from amaranthring.callers import target_loss
 from amaranthring.callers import tokens
+from amaranthring.core import background
 from amaranthring.core import records
 from amaranthring.targets import sse
 from amaranthring.targets import upstream
@@ -164,7 +165,7 @@
 
 def _discard_left(deps, request, progress) -> None:
     for target, name in progress.left:
-        task = asyncio.ensure_future(cancel(deps, request, target, name))
+        task = background.start("cancel", cancel(deps, request, target, name))
         deps.cancellations.add(task)
         task.add_done_callback(deps.cancellations.discard)
     progress.left.clear()
--- a/amaranthring/callers/settlements.py
+++ b/amaranthring/callers/settlements.py
@@ -14,6 +14,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import records
@@ -71,7 +72,7 @@
         self.pending[attempt] = (request, attempt, outcome, answer)
         self.metrics.gauge("settlements.pending", len(self.pending))
         if self.task is None or self.task.done():
-            self.task = asyncio.ensure_future(self._run())
+            self.task = background.keep_running("settlements", self._run)
 
     async def _run(self) -> None:
         while self.pending:
--- a/amaranthring/forwarding/ended_targets.py
+++ b/amaranthring/forwarding/ended_targets.py
@@ -16,6 +16,7 @@
 
 import logbook
 
+from amaranthring.core import background
 from amaranthring.core import logs
 from amaranthring.forwarding import placement
 from amaranthring.registry import messages
@@ -174,7 +175,7 @@
         ):
             doubt = self.doubts[target.id] = Doubt(target)
             doubt.add(run)
-            task = asyncio.ensure_future(self._settle(doubt))
+            task = background.start("doubt", self._settle(doubt))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
--- a/amaranthring/handover/server.py
+++ b/amaranthring/handover/server.py
@@ -9,6 +9,7 @@
 import tornado.httputil
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.forwarding import records
@@ -254,7 +255,7 @@
         helped = _Helped(incoming, terms, writer)
         key = link, message.number
         self.requests[key] = helped
-        helped.task = asyncio.ensure_future(self._run(helped))
+        helped.task = background.start("handover", self._run(helped))
         helped.task.add_done_callback(lambda _: self.requests.pop(key))
         return messages.Accepted(message.number, message.release)
 
--- a/amaranthring/keepers/fleet_service.py
+++ b/amaranthring/keepers/fleet_service.py
@@ -10,6 +10,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.keepers import commands
@@ -82,7 +83,9 @@
     def _on_leader(self, _term: int) -> None:
         self.reconciler.start()
         if self.bootstrap and self.machine.book.parts.revision == 0:
-            self.bootstrap_task = asyncio.ensure_future(self._bootstrap())
+            self.bootstrap_task = background.keep_running(
+                "bootstrap", self._bootstrap
+            )
 
     def _on_follower(self) -> None:
         self.reconciler.stop()
--- a/amaranthring/keepers/reconciler.py
+++ b/amaranthring/keepers/reconciler.py
@@ -15,6 +15,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import logs
 from amaranthring.core import records
 from amaranthring.keepers import commands
@@ -143,7 +144,7 @@
         self.leader_since = self.clock()
         self.planned_since.clear()
         self.uncommitted.clear()
-        self.task = asyncio.ensure_future(self._run())
+        self.task = background.keep_running("reconciler", self._run)
 
     def stop(self) -> None:
         """Stop reconciling and cancel the orders in flight."""
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -342,18 +342,18 @@
                 listeners.bind_sockets(self.config.peers)
             )
         self.subscriber.use_seeds(self.config.keepers)
-        for name, work in (
-            ("prune", self._prune_regularly()),
-            ("loop-delay", self.loop_delay.run()),
-            ("reports", self.reporter.run()),
-            ("connections", self.relay.connections.run()),
-            ("path-trials", self.handing_over.trials.run()),
-            (
-                "stream-reports",
-                self.streams.report_promptly(self.subscriber.home_link),
-            ),
+        for name, run in (
+            ("prune", self._prune_regularly),
+            ("loop-delay", self.loop_delay.run),
+            ("reports", self.reporter.run),
+            ("connections", self.relay.connections.run),
+            ("path-trials", self.handing_over.trials.run),
+            ("stream-reports", self._report_streams_promptly),
         ):
-            self.tasks.append(background.start(name, work))
+            self.tasks.append(background.keep_running(name, run))
+
+    async def _report_streams_promptly(self) -> None:
+        await self.streams.report_promptly(self.subscriber.home_link)
 
     def use_seeds(self, addresses: list[str]) -> None:
         """Update the seed addresses of the keepers."""
--- a/amaranthring/platform/daemon.py
+++ b/amaranthring/platform/daemon.py
@@ -62,8 +62,8 @@
     module = importlib.import_module(f"amaranthring.platform.{role}")
     process = module.make(node)
     starting = process.start()
-    watching = background.start(
-        "settings", watch_settings(node, process, hangup)
+    watching = background.keep_running(
+        "settings", lambda: watch_settings(node, process, hangup)
     )
     logs.event(log, f"{role}.started", vm=node.name, seeds=list(node.seeds))
     stopping = asyncio.ensure_future(stop.wait())
--- a/amaranthring/registry/fetching.py
+++ b/amaranthring/registry/fetching.py
@@ -15,6 +15,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import hashing
 from amaranthring.core import links
 from amaranthring.registry import messages
@@ -74,7 +75,7 @@
         if version <= self.held_version():
             return
         if self._fetch_task is None or self._fetch_task.done():
-            self._fetch_task = asyncio.ensure_future(self._run())
+            self._fetch_task = background.start("plan-fetch", self._run())
 
     def stop(self) -> None:
         """Cancel all fetches."""
@@ -89,7 +90,7 @@
         while (link := self._next(asked)) is not None:
             asked[link] = self.offers[link]
             self._pending_links.add(link)
-            call = asyncio.ensure_future(self._fetch(link))
+            call = background.start("plan-fetch", self._fetch(link))
             self._call_tasks.add(call)
             call.add_done_callback(self._call_tasks.discard)
             await asyncio.wait(
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -127,12 +127,12 @@
 
     def start(self) -> None:
         """Start the background tasks."""
-        for name, coroutine in (
-            ("targets", self._run()),
-            ("exchange", self.exchange.run()),
-            ("publisher", self.publisher.run()),
+        for name, run in (
+            ("targets", self._run),
+            ("exchange", self.exchange.run),
+            ("publisher", self.publisher.run),
         ):
-            self.tasks.append(background.start(name, coroutine))
+            self.tasks.append(background.keep_running(name, run))
 
     def stop(self) -> None:
         """Cancel the background tasks."""
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -190,10 +190,10 @@
         self.server.add_sockets(sockets)
         self.group.start()
         self.hub.start()
-        self.hints_task = background.start("hints", self.hints.run())
-        self.pressure_task = background.start(
+        self.hints_task = background.keep_running("hints", self.hints.run)
+        self.pressure_task = background.keep_running(
             "pressure",
-            pressure.watch(
+            lambda: pressure.watch(
                 self.group, self.handlers, self.links, self.config.link_rate
             ),
         )
--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -15,6 +15,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import clocks
 from amaranthring.core import hashing
 from amaranthring.core import links
@@ -172,7 +173,10 @@
             )
             self.diallers[address] = dialler
             dialler.start()
-            task = asyncio.ensure_future(self._poll(address, dialler, opened))
+            task = background.keep_running(
+                f"poll {address}",
+                functools.partial(self._poll, address, dialler, opened),
+            )
             self.renewal_tasks[address] = task
 
     def _keeper_linked(self, opened: asyncio.Event, link: links.Link) -> None:
@@ -262,7 +266,9 @@
         self.noticed.add(link)
         if link in self.notice_tasks:
             return
-        task = asyncio.ensure_future(self._renew_after_notice(address, link))
+        task = background.start(
+            "renewal", self._renew_after_notice(address, link)
+        )
         self.notice_tasks[link] = task
         task.add_done_callback(lambda _: self.notice_tasks.pop(link, None))
 
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -11,6 +11,7 @@
 from amaranthring import errors
 from amaranthring import settings as settings_module
 from amaranthring.callers import execution
+from amaranthring.core import background
 from amaranthring.core import decisions
 from amaranthring.core import drain as drains
 from amaranthring.core import links
@@ -417,7 +418,9 @@
         if self.settings.statsd.host:
             sender = exporters.StatsdSender(self.metrics, self.settings.statsd)
             runs.append(sender.run)
-        self.tasks = [asyncio.ensure_future(run()) for run in runs]
+        self.tasks = [
+            background.keep_running(run.__qualname__, run) for run in runs
+        ]
 
     async def shut_down(
         self, callers: listeners.Listener, internal: listeners.Listener
--- a/amaranthring/routers/mesh.py
+++ b/amaranthring/routers/mesh.py
@@ -18,6 +18,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
@@ -276,7 +277,7 @@
             if self.identity.name < peer.name:
                 self._dial(peer)
         self._maintain_relays(self.clock())
-        self.task = asyncio.ensure_future(self._run())
+        self.task = background.keep_running("mesh", self._run)
 
     def stop(self) -> None:
         """Stop all tasks and close all links."""
--- a/amaranthring/routers/revision_file.py
+++ b/amaranthring/routers/revision_file.py
@@ -13,6 +13,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import config_parts
 from amaranthring.core import logs
 from amaranthring.core import wire
@@ -81,7 +82,7 @@
             return
         self.pending = parts.dump()
         if self.task is None or self.task.done():
-            self.task = asyncio.ensure_future(self._write())
+            self.task = background.start("revision-file", self._write())
 
     async def flush(self) -> None:
         """Wait until the scheduled write is on disk."""
--- a/amaranthring/routers/revisions.py
+++ b/amaranthring/routers/revisions.py
@@ -19,6 +19,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import config_parts
 from amaranthring.core import fleet
 from amaranthring.core import hashing
@@ -128,7 +129,7 @@
             self._compare,
             self._report_to_keepers,
         ):
-            self.tasks.append(asyncio.ensure_future(run()))
+            self.tasks.append(background.keep_running(run.__name__, run))
 
     async def stop(self) -> None:
         """Stop the tasks and flush the file."""
@@ -324,7 +325,7 @@
     def _pull(self, name: str, revision: int) -> None:
         if name in self.pulls or name == KEEPERS:
             return
-        task = asyncio.ensure_future(self._pull_from(name, revision))
+        task = background.start("pull", self._pull_from(name, revision))
         self.pulls[name] = task
         task.add_done_callback(lambda _: self.pulls.pop(name, None))
 
--- a/amaranthring/routers/suspicion.py
+++ b/amaranthring/routers/suspicion.py
@@ -16,6 +16,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import fleet
 from amaranthring.core import logs
 from amaranthring.core import metrics as counters
@@ -461,7 +462,7 @@
             self.metrics.count("suspects.not-followed")
             call.close()
             return
-        task = asyncio.ensure_future(call)
+        task = background.start("suspects", call)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/amaranthring/routers/target_sync.py
+++ b/amaranthring/routers/target_sync.py
@@ -17,6 +17,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import hashing
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import periodic
@@ -110,7 +111,7 @@
 
     def start(self) -> None:
         """Start the task that sends batches."""
-        self.task = asyncio.ensure_future(self._run())
+        self.task = background.keep_running("target-sync", self._run)
 
     def stop(self) -> None:
         """Stop all tasks."""
@@ -436,7 +437,7 @@
         """
         if data_centre in self._pulls:
             return
-        task = asyncio.ensure_future(self._pull(data_centre, name, force))
+        task = background.start("pull", self._pull(data_centre, name, force))
         self._pulls[data_centre] = task
         task.add_done_callback(lambda _: self._pulls.pop(data_centre, None))
 
--- a/amaranthring/targets/liveness.py
+++ b/amaranthring/targets/liveness.py
@@ -12,6 +12,7 @@
 
 import logbook
 
+from amaranthring.core import background
 from amaranthring.core import logs
 from amaranthring.core import timeouts
 
@@ -77,7 +78,7 @@
         self.first_pause = first_pause
         self.max_seconds = max_seconds
         self.verdict = Verdict.SILENT
-        self.task = asyncio.ensure_future(self._run())
+        self.task = background.start("liveness", self._run())
 
     async def wait(self, seconds: float) -> Verdict:
         """Return the verdict, or ``SILENT`` if there is none in time.
--- a/amaranthring/targets/table.py
+++ b/amaranthring/targets/table.py
@@ -21,6 +21,7 @@
 import logbook
 
 from amaranthring import errors
+from amaranthring.core import background
 from amaranthring.core import fleet
 from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
@@ -378,7 +379,7 @@
 
     def start(self) -> None:
         """Start the task that expires leases."""
-        self.task = asyncio.ensure_future(self._run())
+        self.task = background.keep_running("targets", self._run)
 
     def stop(self) -> None:
         """Cancel the task."""
