Ask each router whether it has taken a change of targets

A router that failed on a change of targets never learned of it while its link stayed open: nothing told the keeper. And one record that could not be encoded held back all others, also the whole table for routers that had just linked. Changes go out as requests, whose frames share one encoded body; a router that answers with an error gets the whole table 0.5 s later (targets.not-taken). Records that cannot be encoded are left out and logged as target.unsendable.

--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -168,6 +168,32 @@
         finally:
             self._pending.pop(call_id, None)
 
+    def request_encoded(self, tag: str, body: bytes) -> asyncio.Future:
+        """Send a request whose body was encoded once for many links.
+
+        Parameters
+        ----------
+        tag : str
+            Tag of the message in `body`.
+
+        Returns
+        -------
+        asyncio.Future
+            Reply; or the error of the peer's handler, or ``LinkClosedError``.
+
+        Raises
+        ------
+        errors.LinkClosedError, errors.LinkOverloadedError
+            As :meth:`send`.
+        """
+        call_id = next(self._ids)
+        frame = wire.encode_frame(wire.REQUEST, call_id, tag, body)
+        self._write(frame, tag)
+        reply = asyncio.get_running_loop().create_future()
+        self._pending[call_id] = reply
+        self.asked = True
+        return reply
+
     def ask(self, message: t.Any) -> None:
         """Send a request whose reply only shows that the peer answers.
 
--- a/amaranthring/core/wire.py
+++ b/amaranthring/core/wire.py
@@ -21,6 +21,9 @@
 # Fastest level of zlib; repeated names compress well at every level.
 COMPRESSION_LEVEL = 1
 
+# Header of a msgpack array with four items.
+ARRAY_OF_FOUR = b"\x94"
+
 ONE_WAY = 0
 REQUEST = 1
 REPLY = 2
@@ -139,12 +142,27 @@
     """Return the bytes of one frame."""
     if kind == ERROR:
         return encode_value((kind, call_id, "", body.to_record()))
-    tag = "" if body is None else _TAG_BY_CLASS[type(body)]
+    if body is None:
+        return encode_value((kind, call_id, "", None))
+    return encode_frame(kind, call_id, *encode_body(body))
+
+
+def encode_body(message: t.Any) -> tuple[str, bytes]:
+    """Return the tag and the encoded body of `message`."""
+    tag = _TAG_BY_CLASS[type(message)]
+    body = message
     if tag in _COMPACT_FIELDS:
-        body = [getattr(body, name) for name in _COMPACT_FIELDS[tag]]
+        body = [getattr(message, name) for name in _COMPACT_FIELDS[tag]]
     if tag in _COMPRESSED_TAGS:
         body = zlib.compress(encode_value(body), COMPRESSION_LEVEL)
-    return encode_value((kind, call_id, tag, body))
+    return tag, encode_value(body)
+
+
+def encode_frame(kind: int, call_id: int, tag: str, body: bytes) -> bytes:
+    """Return the bytes of a frame whose body is encoded already."""
+    parts = (kind, call_id, tag)
+    # Items follow the header of an array without separators.
+    return b"".join([ARRAY_OF_FOUR, *map(encode_value, parts), body])
 
 
 def decode_message(tag: str, body: t.Any) -> t.Any:
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -4,10 +4,14 @@
 import enum
 import zlib
 
+import logbook
+
 from amaranthring import errors
 from amaranthring.core import wire
 from amaranthring.policy import budgets
 
+log = logbook.Logger(__name__)
+
 COMPRESSION_LEVEL = 1
 # Role of a router in its link identity.
 ROUTER_ROLE = "router"
@@ -110,9 +114,27 @@
     packed: bytes
 
 
+def sendable(records: list[TargetRecord]) -> list[TargetRecord]:
+    """Return those of `records` that can be encoded; log the others.
+
+    One of them must not hold back all others.
+    """
+    found = []
+    for record in records:
+        try:
+            wire.encode_value(record)
+            found.append(record)
+        except (ValueError, OverflowError, TypeError) as error:
+            log.error("target.unsendable record={!a} fault={}", record, error)
+    return found
+
+
 def pack_targets(records: list[TargetRecord]) -> AllTargets:
-    """Return all `records` as one compressed message."""
-    body = wire.encode_value(Targets(records))
+    """Return all `records` that can be sent as one compressed message."""
+    try:
+        body = wire.encode_value(Targets(records))
+    except (ValueError, OverflowError, TypeError):
+        body = wire.encode_value(Targets(sendable(records)))
     return AllTargets(zlib.compress(body, COMPRESSION_LEVEL))
 
 
--- a/amaranthring/registry/publisher.py
+++ b/amaranthring/registry/publisher.py
@@ -2,14 +2,23 @@
 
 import asyncio
 import collections
+import functools
 import typing as t
 
+import logbook
+
 from amaranthring import errors
 from amaranthring.core import links
+from amaranthring.core import logs
 from amaranthring.core import pacing
 from amaranthring.core import wire
 from amaranthring.registry import messages
 
+log = logbook.Logger(__name__)
+
+# Pause before a router that failed on targets gets all of them again. A whole
+# table takes tens of kilobytes, and the router may fail on it each time.
+NOT_TAKEN_SECONDS = 0.5
 # From this many records on, compression makes the message smaller.
 MIN_PACKED_RECORDS = 3
 
@@ -19,7 +28,8 @@
 
     Records wait while the link is busy and are then sent together: sent one
     by one, a whole table would take many times the bytes of its compressed
-    form. Routers that have just linked are queued for the whole table.
+    form. Routers that have just linked are queued for the whole table, and so
+    are those that answer that they failed on a change.
 
     Parameters
     ----------
@@ -41,6 +51,7 @@
         self.table = table
         self.pacer = pacer
         self.pending: dict[str, messages.TargetRecord] = {}
+        self.flushes: list[asyncio.Future] = []
         self.new_routers: collections.deque[links.Link] = collections.deque()
         self.wake = asyncio.Event()
 
@@ -49,6 +60,17 @@
         self.pending.update((record.id, record) for record in records)
         self.wake.set()
 
+    async def flush(self) -> None:
+        """Wait until what was published so far is on its way to all routers.
+
+        A router whose link cannot take it gets the whole table on its next
+        link.
+        """
+        if self.pending:
+            flush = asyncio.get_running_loop().create_future()
+            self.flushes.append(flush)
+            await flush
+
     def add_router(self, router: links.Link) -> None:
         """Send `router` all targets as soon as there is room."""
         self.new_routers.append(router)
@@ -68,30 +90,63 @@
 
     def _send_changes(self) -> None:
         records, self.pending = list(self.pending.values()), {}
-        message: t.Any = messages.Targets(records)
-        if len(records) >= MIN_PACKED_RECORDS:
-            message = messages.pack_targets(records)
-        broadcast(self.routers(), message)
+        flushes, self.flushes = self.flushes, []
+        self._send(list(self.routers()), *_encode(records))
+        for flush in flushes:
+            if not flush.done():
+                flush.set_result(None)
 
     def _send_table(self) -> None:
-        message = messages.pack_targets(self.table())
-        frame = wire.encode(wire.ONE_WAY, 0, message)
+        tag, body = wire.encode_body(messages.pack_targets(self.table()))
         while self.new_routers:
-            _send(self.new_routers.popleft(), frame, type(message))
+            self._send([self.new_routers.popleft()], tag, body)
             if not self.pacer.available():
                 return
 
+    def _send(self, routers: list[links.Link], tag: str, body: bytes) -> None:
+        for link in routers:
+            try:
+                reply = link.request_encoded(tag, body)
+            except errors.LinkError:
+                # A router gets the whole table again on its next link.
+                link.close()
+                continue
+            reply.add_done_callback(functools.partial(self._on_reply, link))
+
+    def _on_reply(self, link: links.Link, reply: asyncio.Future) -> None:
+        """Send a router that failed on targets all of them again."""
+        error = None if reply.cancelled() else reply.exception()
+        if error is None or link.closed:
+            return
+        logs.event(
+            log, "targets.not-taken", router=link.peer.name, fault=str(error)
+        )
+        asyncio.get_running_loop().call_later(
+            NOT_TAKEN_SECONDS, self._send_again, link
+        )
+
+    def _send_again(self, link: links.Link) -> None:
+        if not link.closed and link not in self.new_routers:
+            self.add_router(link)
+
+
+def _encode(records: list[messages.TargetRecord]) -> tuple[str, bytes]:
+    """Return the tag and the body of a message with changed `records`."""
+    if len(records) >= MIN_PACKED_RECORDS:
+        return wire.encode_body(messages.pack_targets(records))
+    try:
+        return wire.encode_body(messages.Targets(records))
+    except (ValueError, OverflowError, TypeError):
+        sendable = messages.sendable(records)
+        return wire.encode_body(messages.Targets(sendable))
+
 
 def broadcast(routers: t.Iterable[links.Link], message: t.Any) -> None:
     """Send `message`, encoded once, to all `routers`."""
     frame = wire.encode(wire.ONE_WAY, 0, message)
     for link in list(routers):
-        _send(link, frame, type(message))
-
-
-def _send(link: links.Link, frame: bytes, kind: type) -> None:
-    try:
-        link.send_encoded(frame, wire.tag_of(kind))
-    except errors.LinkError:
-        # A router gets the whole table again on its next link.
-        link.close()
+        try:
+            link.send_encoded(frame, wire.tag_of(type(message)))
+        except errors.LinkError:
+            # A router gets the whole state again on its next link.
+            link.close()
