Acknowledge departures once a quorum of keepers has passed them on

Requests reached targets whose departure was acknowledged: a keeper did so as soon as the departure was in its own table, also while it published nothing, reached no other keeper, or had one router left.

--- a/amaranthring/platform/control.py
+++ b/amaranthring/platform/control.py
@@ -72,9 +72,9 @@
         if (request.method, request.path) == ("GET", FETCH):
             return await _fetch(hub)
         if request.method == "POST" and request.path.startswith(HEARTBEAT):
-            return _announce(hub, services, request)
+            return await _announce(hub, services, request)
         if request.method == "POST" and request.path.startswith(DEREGISTER):
-            return _leave(hub, request)
+            return await _leave(hub, request)
         raise errors.NotFoundError(
             "unknown call", given=f"{request.method} {request.path[:64]}"
         )
@@ -87,7 +87,7 @@
     return route_history.PlanRoutes.of(documents.decode(document).routes)
 
 
-def _announce(
+async def _announce(
     hub: hubs.Hub, services: ServiceNames, request: endpoints.Request
 ) -> endpoints.Response:
     try:
@@ -98,6 +98,8 @@
     is_known = record.id in hub.table.entries or services.has(record.service)
     if is_known or record.state is not messages.State.READY:
         hub.announce(record)
+        if record.state is not messages.State.READY:
+            await hub.confirm_departure(record.id)
     else:
         # Acknowledged, since no router sends to it; once a plan names the
         # service, the target's next heartbeat is accepted.
@@ -107,13 +109,17 @@
     return endpoints.Response(body=EMPTY_OBJECT)
 
 
-def _leave(hub: hubs.Hub, request: endpoints.Request) -> endpoints.Response:
+async def _leave(
+    hub: hubs.Hub, request: endpoints.Request
+) -> endpoints.Response:
     try:
         born = read_start_time(request.body)
     except errors.BadRequestError as error:
         hub.refuse(error)
         raise
-    hub.leave(request.path.removeprefix(DEREGISTER), born)
+    left = hub.leave(request.path.removeprefix(DEREGISTER), born)
+    if left is not None:
+        await hub.confirm_departure(left.id)
     return endpoints.Response(body=EMPTY_OBJECT)
 
 
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -17,6 +17,7 @@
 from amaranthring.keepers import plans
 from amaranthring.registry import accepted
 from amaranthring.registry import crash_ledger
+from amaranthring.registry import departures
 from amaranthring.registry import messages
 from amaranthring.registry import plan_source
 from amaranthring.registry import publisher
@@ -114,6 +115,9 @@
         self.publisher = publisher.TargetPublisher(
             lambda: self.routers, self.table.records, pacer
         )
+        self.departures = departures.Departures(
+            group, self.table, self.publisher
+        )
         self.notified_version = machine.version
         self.notice_due = False
         group.on_applied.append(self._on_applied)
@@ -168,9 +172,11 @@
         self.group.metrics.count("announcement.refused")
         logs.event(log, "announcement.refused", fault=str(error))
 
-    def leave(self, name: str, born: int = 0) -> None:
+    def leave(self, name: str, born: int = 0) -> messages.TargetRecord | None:
         """Mark a target as gone.
 
+        Returns its record, or None if a later incarnation is known.
+
         Parameters
         ----------
         born : int
@@ -187,9 +193,20 @@
             logs.event(log, "target.left", target=record.id)
             self._note_departures([record])
             self._broadcast([record])
+        return record
+
+    async def confirm_departure(self, target_id: str) -> None:
+        """Wait until the departure of a target is known to a quorum.
+
+        Raises
+        ------
+        errors.NotReadyError
+            As :meth:`departures.Departures.confirm`.
+        """
+        await self.departures.confirm(target_id)
 
     def _note_departures(self, records: list[messages.TargetRecord]) -> None:
-        if any(r.state is not messages.State.READY for r in records):
+        if any(map(_leaves, records)):
             for callback in self.on_departure:
                 callback()
 
@@ -213,9 +230,15 @@
         _require_keeper(link)
         self._merge(messages.unpack_targets(message))
 
-    def _on_targets(self, link: links.Link, message: messages.Targets) -> None:
+    def _on_targets(
+        self, link: links.Link, message: messages.Targets
+    ) -> t.Awaitable[None] | None:
         _require_keeper(link)
         self._merge(message.records)
+        if any(_leaves(record) for record in message.records):
+            # The reply tells the other keeper that the routers are told.
+            return self.publisher.flush()
+        return None
 
     def _merge(self, records: list[messages.TargetRecord]) -> None:
         for record in records:
@@ -253,6 +276,7 @@
             self.crashes.withdraw_living(self.table, self.announce_seconds)
             self.streams.refresh_releases()
             self.table.remove_expired(RETENTION_SECONDS)
+            self.departures.forget_removed()
             self.accepted.close_silent(time.monotonic())
 
     def _gossip_heard(self, gossiped: dict[str, int]) -> dict[str, int]:
@@ -452,6 +476,10 @@
         self.plan_source.note_held(link, message.version)
 
 
+def _leaves(record: messages.TargetRecord) -> bool:
+    return record.state is not messages.State.READY
+
+
 def _require_keeper(link: links.Link) -> None:
     if link.peer.role != dispatch.KEEPER_ROLE:
         raise errors.ForbiddenError(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -403,6 +403,9 @@
     def leave(self, name, born=0):
         self.left.append((name, born) if born else name)
 
+    async def confirm_departure(self, target_id):
+        """Confirm at once."""
+
     async def put(self, version, document):
         if version > self.held.version:
             packed = plans.compress(document)
