Confirm a plan before others are told of a keeper's reply

A failure of what a router does with the record of the process before it would have kept the reply from confirming the plan, and so all keys from being trusted. Read, not seen: the order of two steps is exchanged.

--- a/amaranthring/registry/subscriber.py
+++ b/amaranthring/registry/subscriber.py
@@ -237,13 +237,13 @@
         finally:
             watch.cancel()
         self.sharers.record(address, reply, sent_at)
-        for callback in self.on_renewed:
-            callback(address, reply, sent_at)
         self.answered_at = clocks.boottime()
         self._update_keepers(reply)
         self.fetcher.offer(link, reply.version)
         if reply.confirmed:
             self._confirm(reply.version, sent_at)
+        for callback in self.on_renewed:
+            callback(address, reply, sent_at)
 
     def _update_keepers(self, reply: messages.Renewed) -> None:
         self.add_keepers(reply.keepers)
