Do not move a known target to a service that no plan names

A heartbeat under the id of a known target was believed whatever service it named, so that one wrong heartbeat took a target away from its service. A service that is neither the target's nor the plan's is refused as for unknown targets. test_known_target_is_not_moved failed before (1 != 2).

--- a/amaranthring/platform/control.py
+++ b/amaranthring/platform/control.py
@@ -95,8 +95,13 @@
     except errors.BadRequestError as error:
         hub.refuse(error)
         raise
-    is_known = record.id in hub.table.entries or services.has(record.service)
-    if is_known or record.state is not messages.State.READY:
+    entry = hub.table.entries.get(record.id)
+    is_known = entry is not None and entry.record.service == record.service
+    if (
+        is_known
+        or services.has(record.service)
+        or record.state is not messages.State.READY
+    ):
         hub.announce(record)
         if record.state is not messages.State.READY:
             await hub.confirm_departure(record.id)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -535,6 +535,18 @@
         await self.call("POST", path, self.heartbeat())
         self.assertEqual(1, len(self.hub.announced))
 
+    async def test_known_target_is_not_moved_to_an_unknown_service(self):
+        """Guards against a target that one wrong heartbeat takes away."""
+        document = json.dumps(DOCUMENT).encode()
+        await self.call("POST", "/Configuration.Replace", document)
+        path = "/Replicas.Heartbeat/i-1"
+        await self.call("POST", path, self.heartbeat())
+        self.hub.table.adopt(self.hub.announced[0])
+        wrong = self.heartbeat(backend="b9", sequence=2)
+        await self.call("POST", path, wrong)
+        self.assertEqual(1, len(self.hub.announced))
+        self.assertEqual(1, len(self.hub.refused))
+
     async def test_unknown_calls_are_not_found(self):
         for method, path in (("GET", "/"), ("GET", "/Configuration.Replace")):
             with self.assertRaises(errors.NotFoundError):
