Send departures ahead of plans and tables, isolate a keeper's steps

A departure waited for room on the keeper's link like plans and whole tables, in the order of arrival, while requests went on to reach its target; with full links no keeper acknowledged one in time (0 of 2 needed). Departures are sent at once, like notices of plans; they are small. What is sent is removed from what is pending after it was sent, so that nothing is lost if sending fails.

In the same task of a keeper one step that failed kept all after it from being done, such as noticing silent targets. Each is isolated now and logged as step.failed.

--- a/amaranthring/core/periodic.py
+++ b/amaranthring/core/periodic.py
@@ -21,4 +21,4 @@
         step()
     except Exception:
         metrics.count(f"{name}_failed")
-        log.exception("{} failed", name)
+        log.exception("step.failed step={}", name)
--- a/amaranthring/registry/hub.py
+++ b/amaranthring/registry/hub.py
@@ -11,6 +11,7 @@
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.core import pacing
+from amaranthring.core import periodic
 from amaranthring.core import wire
 from amaranthring.keepers import dispatch
 from amaranthring.keepers import messages as keeper_messages
@@ -110,6 +111,10 @@
             handlers, lambda: self.routers, clock
         )
         self.on_departure: list[t.Callable[[], None]] = []
+        # Sequences that the other keepers were told of, by target.
+        self.gossiped: dict[str, int] = {}
+        # Links to other keepers on which these got the whole state.
+        self.synced: dict[str, links.Link] = {}
         self.tasks: list[asyncio.Task] = []
         self.plan_source = plan_source.PlanSource(machine, pacer)
         self.publisher = publisher.TargetPublisher(
@@ -206,7 +211,7 @@
         await self.departures.confirm(target_id)
 
     def _note_departures(self, records: list[messages.TargetRecord]) -> None:
-        if any(map(_leaves, records)):
+        if any(map(messages.leaves, records)):
             for callback in self.on_departure:
                 callback()
 
@@ -235,7 +240,7 @@
     ) -> t.Awaitable[None] | None:
         _require_keeper(link)
         self._merge(message.records)
-        if any(_leaves(record) for record in message.records):
+        if any(map(messages.leaves, message.records)):
             # The reply tells the other keeper that the routers are told.
             return self.publisher.flush()
         return None
@@ -260,35 +265,52 @@
                 self._broadcast([self.table.entries[target_id].record])
 
     async def _run(self) -> None:
-        gossiped: dict[str, int] = {}
-        linked: dict[str, links.Link] = {}
+        steps = (
+            self._gossip_heard,
+            self._sync_new_peers,
+            self._mark_silent,
+            self._withdraw_living,
+            self.streams.refresh_releases,
+            self._remove_expired,
+            self._close_silent_links,
+        )
         while True:
             await asyncio.sleep(GOSSIP_SECONDS)
-            gossiped = self._gossip_heard(gossiped)
-            linked = self._sync_new_peers(linked)
-            if self.group.leader():
-                timeout = SILENT_INTERVALS * self.announce_seconds
-                silent = self.table.mark_silent(timeout)
-                if silent:
-                    for record in silent:
-                        logs.event(log, "target.silent", target=record.id)
-                    self._broadcast(silent)
-            self.crashes.withdraw_living(self.table, self.announce_seconds)
-            self.streams.refresh_releases()
-            self.table.remove_expired(RETENTION_SECONDS)
-            self.departures.forget_removed()
-            self.accepted.close_silent(time.monotonic())
-
-    def _gossip_heard(self, gossiped: dict[str, int]) -> dict[str, int]:
+            for step in steps:
+                # One that fails must not keep the others from being done.
+                periodic.run_step(step, step.__name__, self.group.metrics)
+
+    def _mark_silent(self) -> None:
+        if not self.group.leader():
+            return
+        silent = self.table.mark_silent(
+            SILENT_INTERVALS * self.announce_seconds
+        )
+        for record in silent:
+            logs.event(log, "target.silent", target=record.id)
+        if silent:
+            self._broadcast(silent)
+
+    def _withdraw_living(self) -> None:
+        self.crashes.withdraw_living(self.table, self.announce_seconds)
+
+    def _remove_expired(self) -> None:
+        self.table.remove_expired(RETENTION_SECONDS)
+        self.departures.forget_removed()
+
+    def _close_silent_links(self) -> None:
+        self.accepted.close_silent(time.monotonic())
+
+    def _gossip_heard(self) -> None:
         current = {r.id: r.sequence for r in self.table.records()}
         advanced = {
-            i: s for i, s in current.items() if s > gossiped.get(i, -1)
+            i: s for i, s in current.items() if s > self.gossiped.get(i, -1)
         }
         routers = self._take_routers_to_tell()
         if advanced or routers:
             for peer in self.group.peers.values():
                 peer.dialler.send(messages.Heard(advanced, routers))
-        return current
+        self.gossiped = current
 
     def _take_routers_to_tell(self) -> list[str]:
         """Return the linked routers if the other keepers are to be told."""
@@ -298,9 +320,7 @@
         self.routers_told_at = now
         return sorted(set(self.routers.values()))
 
-    def _sync_new_peers(
-        self, linked: dict[str, links.Link]
-    ) -> dict[str, links.Link]:
+    def _sync_new_peers(self) -> None:
         # A keeper gets the whole state on each new link; what was sent on the
         # one before may be lost, also if there was always a link.
         current = {
@@ -310,13 +330,13 @@
         }
         records = self.table.records()
         for name, link in current.items():
-            if linked.get(name) is link:
+            if self.synced.get(name) is link:
                 continue
             dialler = self.group.peers[name].dialler
             self.exchange.sync_keeper(dialler)
             if records:
                 dialler.send(messages.pack_targets(records))
-        return current
+        self.synced = current
 
     # -- plan --------------------------------------------------------
 
@@ -476,10 +496,6 @@
         self.plan_source.note_held(link, message.version)
 
 
-def _leaves(record: messages.TargetRecord) -> bool:
-    return record.state is not messages.State.READY
-
-
 def _require_keeper(link: links.Link) -> None:
     if link.peer.role != dispatch.KEEPER_ROLE:
         raise errors.ForbiddenError(
--- a/amaranthring/registry/messages.py
+++ b/amaranthring/registry/messages.py
@@ -83,6 +83,11 @@
         self.name = self.name or self.id
 
 
+def leaves(record: TargetRecord) -> bool:
+    """Return whether the target of `record` is leaving or gone."""
+    return record.state is not State.READY
+
+
 def incarnation_id(name: str, born: int) -> str:
     """Return the id of one incarnation of the target `name`.
 
--- a/amaranthring/registry/publisher.py
+++ b/amaranthring/registry/publisher.py
@@ -28,8 +28,9 @@
 
     Records wait while the link is busy and are then sent together: sent one
     by one, a whole table would take many times the bytes of its compressed
-    form. Routers that have just linked are queued for the whole table, and so
-    are those that answer that they failed on a change.
+    form. Only departures are sent at once. Routers that have just linked are
+    queued for the whole table, and so are those that answer that they failed
+    on a change.
 
     Parameters
     ----------
@@ -51,22 +52,31 @@
         self.table = table
         self.pacer = pacer
         self.pending: dict[str, messages.TargetRecord] = {}
+        self.departing: asyncio.Handle | None = None
         self.flushes: list[asyncio.Future] = []
         self.new_routers: collections.deque[links.Link] = collections.deque()
         self.wake = asyncio.Event()
 
     def publish(self, records: list[messages.TargetRecord]) -> None:
-        """Send `records` to all routers as soon as there is room."""
+        """Send `records` to all routers, departures ahead of all others.
+
+        The others are sent as soon as there is room. A departure does not
+        wait for room, as its target waits for the acknowledgement and
+        requests go on to reach it.
+        """
         self.pending.update((record.id, record) for record in records)
+        if self.departing is None and any(map(messages.leaves, records)):
+            loop = asyncio.get_running_loop()
+            self.departing = loop.call_soon(self._send_departures)
         self.wake.set()
 
     async def flush(self) -> None:
-        """Wait until what was published so far is on its way to all routers.
+        """Wait until all departures so far are on their way to all routers.
 
-        A router whose link cannot take it gets the whole table on its next
+        A router whose link cannot take them gets the whole table on its next
         link.
         """
-        if self.pending:
+        if any(map(messages.leaves, self.pending.values())):
             flush = asyncio.get_running_loop().create_future()
             self.flushes.append(flush)
             await flush
@@ -82,16 +92,31 @@
             await self.wake.wait()
             await self.pacer.acquire()
             if self.pending:
-                self._send_changes()
+                self._send_pending(lambda _: True)
             elif self.new_routers:
                 self._send_table()
             else:
                 self.wake.clear()
 
-    def _send_changes(self) -> None:
-        records, self.pending = list(self.pending.values()), {}
+    def _send_departures(self) -> None:
+        self.departing = None
+        self._send_pending(messages.leaves)
+
+    def _send_pending(
+        self, is_due: t.Callable[[messages.TargetRecord], bool]
+    ) -> None:
+        records = list(filter(is_due, self.pending.values()))
+        if records:
+            self._send(list(self.routers()), *_encode(records))
+        for record in records:
+            # Kept until here, so that nothing is lost if sending fails.
+            del self.pending[record.id]
+        self._end_flushes()
+
+    def _end_flushes(self) -> None:
+        if any(map(messages.leaves, self.pending.values())):
+            return
         flushes, self.flushes = self.flushes, []
-        self._send(list(self.routers()), *_encode(records))
         for flush in flushes:
             if not flush.done():
                 flush.set_result(None)
--- a/tests/test_unheard_departures.py
+++ b/tests/test_unheard_departures.py
@@ -35,6 +35,11 @@
     )
 
 
+def fail(*_args):
+    """Fail as no code foresees."""
+    raise RuntimeError("a failure of the test")
+
+
 class TestOneHeartbeat(platform_case.PlatformCase):
     """One heartbeat that no message can carry, and departures after it."""
 
@@ -195,27 +200,29 @@
 
     async def test_keeper_that_publishes_nothing_acknowledges_nothing(self):
         """Guards against departures that are acknowledged and not sent."""
+        for hub in self.hubs():
+            hub.publisher.routers = fail
+        await self.check_refused(self.hubs()[0])
+
+    async def test_full_link_does_not_delay_a_departure(self):
+        """Guards against departures that wait behind plans and tables."""
 
         async def never():
             await asyncio.Event().wait()
 
         for hub in self.hubs():
             hub.publisher.pacer.acquire = never
-        # The task that waits for a change may have asked already.
-        self.hubs()[0].publisher.publish([record("b")])
+            # The task that waits for a change may have asked already.
+            hub.publisher.publish([record("b")])
         await asyncio.sleep(0.05)
-        await self.check_refused(self.hubs()[0])
+        answer = await self.leave(self.hubs()[0], "deregister")
+        self.assertEqual(200, answer.status)
+        await self.until(lambda: not list(self.router.table.active()))
 
     async def test_next_keeper_acknowledges(self):
         """Guards against departures that no keeper acknowledges any more."""
-
-        async def never():
-            await asyncio.Event().wait()
-
         stuck, other, _ = self.hubs()
-        stuck.publisher.pacer.acquire = never
-        stuck.publisher.publish([record("b")])
-        await asyncio.sleep(0.05)
+        stuck.publisher.routers = fail
         await self.check_refused(stuck)
         answer = await self.leave(other, "deregister")
         self.assertEqual(200, answer.status)
@@ -235,11 +242,11 @@
         adopt = router.table.adopt
         failures = []
 
-        def fail(changed):
+        def note_and_fail(changed):
             failures.append(changed)
-            raise RuntimeError("a failure of the test")
+            fail()
 
-        router.table.adopt = fail
+        router.table.adopt = note_and_fail
         linked = router.open_links()
         hubs[0].leave("a")
         await plan_keepers.wait_until(lambda: len(failures) >= len(hubs))
@@ -275,6 +282,17 @@
         hub = self.leader.hub
         await self.check_goes_on(hub, hub.exchange, "step", 3.0)
 
+    async def test_other_steps_go_on_beside_one_that_fails(self):
+        """Guards against one step that keeps all after it from being done."""
+        hub = self.leader.hub
+        hub.table.mark_silent = fail
+        hub.announce(record("a"))
+        hub.leave("a")
+        hub.departures.known["b"] = messages.State.GONE
+        await plan_keepers.wait_until(
+            lambda: "b" not in hub.departures.known, 3.0
+        )
+
     async def test_hints_are_written_after_a_failure(self):
         """Guards against a keeper that writes no hints any more."""
         hints = self.leader.hints
