Refuse names that no link or head can carry for their length

A heartbeat could bring a zone of megabytes into every message to the routers: above 4 MB the send buffer of each router's link overflows, the keeper closes the link, and the table on the next link overflows it again. Names of a record have 512 characters at most, those of a plan 4096; a call to deregister needs a name. Ids of prompt parts, which callers choose and routers tell each other, are told by a digest if they are longer than 64 characters. Log lines show the beginning of what was refused. Four tests of test_carried_values failed before.

--- a/amaranthring/platform/control.py
+++ b/amaranthring/platform/control.py
@@ -25,6 +25,12 @@
 MAX_PORT = 65535
 # Greater ones do not fit into the messages between processes.
 MAX_INTEGER = 2**63 - 1
+# Longer names would fill the links to all routers.
+MAX_TEXT_CHARACTERS = 512
+# What log lines show of it.
+MAX_SHOWN_CHARACTERS = 64
+MAX_GIVEN_CHARACTERS = 200
+
 # Greater ones are no time that anything takes.
 MAX_COLD_MILLISECONDS = 1e9
 
@@ -109,7 +115,9 @@
         # Acknowledged, since no router sends to it; once a plan names the
         # service, the target's next heartbeat is accepted.
         hub.refuse(
-            errors.NotFoundError("unknown service", given=record.service)
+            errors.NotFoundError(
+                "unknown service", given=record.service[:MAX_SHOWN_CHARACTERS]
+            )
         )
     return endpoints.Response(body=EMPTY_OBJECT)
 
@@ -118,11 +126,12 @@
     hub: hubs.Hub, request: endpoints.Request
 ) -> endpoints.Response:
     try:
+        name = read_name(request.path)
         born = read_start_time(request.body)
     except errors.BadRequestError as error:
         hub.refuse(error)
         raise
-    left = hub.leave(request.path.removeprefix(DEREGISTER), born)
+    left = hub.leave(name, born)
     if left is not None:
         await hub.confirm_departure(left.id)
     return endpoints.Response(body=EMPTY_OBJECT)
@@ -157,13 +166,34 @@
     try:
         data = json.loads(body)
         record = _record(path.removeprefix(HEARTBEAT), data)
+        _check_lengths(record)
         return validation.validator(messages.TargetRecord)(record)
     except (errors.FrameError, *nodes.DECODING_ERRORS) as error:
         raise errors.BadRequestError(
-            "invalid heartbeat", given=repr(error), expected="a heartbeat"
+            "invalid heartbeat",
+            given=repr(error)[:MAX_GIVEN_CHARACTERS],
+            expected="a heartbeat",
         ) from error
 
 
+def read_name(path: str) -> str:
+    """Return the name of the target that a call to deregister names.
+
+    Raises
+    ------
+    errors.BadRequestError
+        If it is empty or too long.
+    """
+    name = path.removeprefix(DEREGISTER)
+    if not 0 < len(name) <= MAX_TEXT_CHARACTERS:
+        raise errors.BadRequestError(
+            "invalid name of a target",
+            given=f"{len(name)} characters",
+            expected=f"1 to {MAX_TEXT_CHARACTERS}",
+        )
+    return name
+
+
 def read_start_time(body: bytes) -> int:
     """Return the start time of a target that deregisters, or 0.
 
@@ -176,7 +206,9 @@
         return _start_time(json.loads(body)) if body else 0
     except nodes.DECODING_ERRORS as error:
         raise errors.BadRequestError(
-            "invalid deregistration", given=repr(error), expected="an object"
+            "invalid deregistration",
+            given=repr(error)[:MAX_GIVEN_CHARACTERS],
+            expected="an object",
         ) from error
 
 
@@ -205,6 +237,12 @@
     return address
 
 
+def _check_lengths(record: dict[str, t.Any]) -> None:
+    for name, value in record.items():
+        if isinstance(value, str) and len(value) > MAX_TEXT_CHARACTERS:
+            raise ValueError(f"{name} has {len(value)} characters")
+
+
 def _slots(data: dict) -> int:
     slots = _bounded(data.get("batch_slots", 1))
     if slots < 0:
--- a/amaranthring/platform/documents.py
+++ b/amaranthring/platform/documents.py
@@ -15,6 +15,8 @@
 
 # Greater ones do not fit into the messages between processes.
 MAX_INTEGER = 2**63 - 1
+# Longer names fit into no head of a request.
+MAX_TEXT_CHARACTERS = 4096
 # Would end the line of a header.
 CONTROLS = re.compile(r"[\x00-\x1f\x7f]")
 
@@ -145,6 +147,8 @@
 
 
 def _encodable(value: str) -> str:
+    if len(value) > MAX_TEXT_CHARACTERS:
+        raise ValueError(f"a text has {len(value)} characters")
     if not text.is_encodable(value):
         raise ValueError(f"{value!r} cannot be encoded")
     return value
--- a/amaranthring/platform/headers.py
+++ b/amaranthring/platform/headers.py
@@ -3,6 +3,7 @@
 import tornado.httputil
 
 from amaranthring import errors
+from amaranthring.core import hashing
 from amaranthring.core import notices
 from amaranthring.core import numerals
 from amaranthring.forwarding import events
@@ -12,6 +13,8 @@
 # Exceeds any number of tokens or requests; sums of such numbers still fit
 # into the messages between routers.
 MAX_COUNT = 10**9
+# Routers tell each other the ids of parts; longer ones are told by a digest.
+MAX_PART_CHARACTERS = 64
 
 REQUEST_ID = "Amaranthring-Request-Id"
 DEADLINE = "Amaranthring-Deadline-Ms"
@@ -124,7 +127,7 @@
         timeout=_timeout(headers.get(DEADLINE)),
         key=_key(headers.get(AUTHORIZATION, "")),
         resume_after=_last_event(headers.get(LAST_EVENT, "")),
-        parts=_parts(headers.get(PROMPT_PARTS, "")),
+        parts=read_parts(headers.get(PROMPT_PARTS, "")),
         output_tokens=_output_tokens(headers.get(TOKENS, "")),
         resumes=headers.get(RESUMES, ""),
     )
@@ -167,7 +170,14 @@
     return value
 
 
-def _parts(value: str) -> tuple[records.PromptPart, ...]:
+def read_parts(value: str) -> tuple[records.PromptPart, ...]:
+    """Return the parts of a prompt; long ids are replaced by digests.
+
+    Raises
+    ------
+    errors.BadRequestError
+        If the value is malformed.
+    """
     parts = []
     for entry in filter(None, value.split(",")):
         part_id, _, given = entry.strip().partition(":")
@@ -176,6 +186,8 @@
             raise errors.BadRequestError(
                 PROMPT_PARTS, given=entry[:64], expected="ID:TOKENS"
             )
+        if len(part_id) > MAX_PART_CHARACTERS:
+            part_id = hashing.digest(part_id)
         parts.append(records.PromptPart(part_id, tokens))
     return tuple(parts)
 
--- a/tests/test_carried_values.py
+++ b/tests/test_carried_values.py
@@ -131,6 +131,21 @@
         addresses = ("a b:80", "a\r\nX-Y: z:80", "h\u4e00:80")
         self.check_refused(*({"address": address} for address in addresses))
 
+    def test_text_that_no_link_can_carry_is_refused(self):
+        """Guards against a record that closes the links of all routers."""
+        names = ("backend", "address", "zone", "version")
+        text = f"{'x' * 5_000_000}:80"
+        self.check_refused(*({name: text} for name in names))
+
+    def test_ids_that_name_no_target_are_refused(self):
+        """Guards against departures of nobody that all routers are told."""
+        body = json.dumps(HEARTBEAT).encode()
+        for target_id in ("", "i" * 5_000):
+            with self.assertRaises(errors.BadRequestError):
+                control.read_heartbeat(f"{control.HEARTBEAT}{target_id}", body)
+            with self.assertRaises(errors.BadRequestError):
+                control.read_name(f"{control.DEREGISTER}{target_id}")
+
     def test_deep_documents_are_refused(self):
         """Guards against a call that fails in the place of being refused."""
         for read in (
@@ -169,6 +184,8 @@
         texts.remove(("backends", 0, "protocol"))
         self.assertGreater(len(texts), 8)
         self.check_refused(*((path, "/x\ud800/") for path in texts))
+        long = f"/{'x' * 100_000}/"
+        self.check_refused(*((path, long) for path in texts))
 
     def test_numbers_out_of_range_are_refused(self):
         """Guards against an acknowledged plan that no router can apply."""
@@ -193,8 +210,19 @@
         self.check_refused(*((path, name) for name in names))
 
 
-class TestAccounts(unittest.TestCase):
-    """Names of accounts in heads of requests."""
+class TestHeads(unittest.TestCase):
+    """Names in heads of requests."""
+
+    def test_long_parts_of_prompts_are_told_by_short_names(self):
+        """Guards against one caller that fills the links between routers."""
+        one, other = (letter * 10_000 for letter in "ab")
+        parts = headers.read_parts(f"{one}:5,{other}:6,{one}:7,short:8")
+        self.assertEqual([5, 6, 7, 8], [part.tokens for part in parts])
+        first, second, third, fourth = (part.id for part in parts)
+        self.assertEqual(first, third)
+        self.assertNotEqual(first, second)
+        self.assertLess(len(first), 65)
+        self.assertEqual("short", fourth)
 
     def test_any_letters_reach_the_target(self):
         """Guards against requests that run for another account."""
