--- a/tests/test_carried_values.py
+++ b/tests/test_carried_values.py
@@ -1,7 +1,6 @@
 """Values that are accepted at one border are carried over all others."""
 
 import asyncio
-import copy
 import dataclasses
 import json
 import socket
@@ -26,6 +25,7 @@
 from amaranthring.platform import headers
 from amaranthring.platform import node
 from amaranthring.registry import messages
+from amaranthring.testing import odd_values
 from amaranthring.testing import plan_keepers
 from tests import platform_case
 
@@ -59,29 +59,6 @@
 }
 
 
-def leaves(value, path=()):
-    """Yield the path and the value of each scalar in a JSON value."""
-    if isinstance(value, dict):
-        items = value.items()
-    elif isinstance(value, list):
-        items = enumerate(value)
-    else:
-        yield path, value
-        return
-    for key, item in items:
-        yield from leaves(item, (*path, key))
-
-
-def replaced(value, path, item):
-    """Return a copy of a JSON value with another item at `path`."""
-    changed = copy.deepcopy(value)
-    inner = changed
-    for key in path[:-1]:
-        inner = inner[key]
-    inner[path[-1]] = item
-    return changed
-
-
 def free_address():
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
@@ -163,7 +140,9 @@
         """Check that each plan is refused by an error that travels."""
         accepted = []
         for path, value in changes:
-            changed = json.dumps(replaced(PLAN, path, value)).encode()
+            changed = json.dumps(
+                odd_values.replace(PLAN, path, value)
+            ).encode()
             try:
                 documents.decode(changed)
                 accepted.append((path, ascii(value)[:20]))
@@ -179,7 +158,9 @@
 
     def test_text_that_cannot_be_encoded_is_refused(self):
         """Guards against an acknowledged plan that no router can apply."""
-        texts = [p for p, value in leaves(PLAN) if isinstance(value, str)]
+        texts = [
+            p for p, value in odd_values.leaves(PLAN) if isinstance(value, str)
+        ]
         # The protocol's name of what targets speak is not read.
         texts.remove(("backends", 0, "protocol"))
         self.assertGreater(len(texts), 8)
@@ -191,7 +172,7 @@
         """Guards against an acknowledged plan that no router can apply."""
         numbers = [
             path
-            for path, value in leaves(PLAN)
+            for path, value in odd_values.leaves(PLAN)
             if isinstance(value, int | float) and not isinstance(value, bool)
         ]
         self.assertGreater(len(numbers), 12)
