End the writer of a keeper's files before they are opened anew

After a failed task that is not the writer's the old writer waited on, held the old state in memory, and failed once more with the next thing it was given, which made the keeper give up its roles again. Those that wait for it are told at once now. The check in TestDutiesOfAGroup is new; such a task was not seen outside of that test.

--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -34,8 +34,6 @@
 
 MAX_PENDING_PROPOSALS = 10_000
 CANCEL_RETRY_SECONDS = 0.1
-# Starts anew with each reading of the state.
-WRITER = "writer"
 # Pause before a duty that has failed starts again.
 DUTY_PAUSE_SECONDS = 0.5
 
@@ -169,6 +167,7 @@
         self.votes_being_written = 0
         election.schedule_first_campaign(self)
         self.tasks: list[asyncio.Task] = []
+        self.writer_task: asyncio.Task | None = None
         self.peers: dict[str, replication.Peer] = {}
         self.configured_peers = [
             peer for peer in peers if peer.name != keeper.name
@@ -220,13 +219,13 @@
         election.reset_election_timer(self)
         self.recoverable = False
         self.fault = None
-        self._start_duty(WRITER, self.writer.run)
+        self._start_writer()
         self._start_duty("join", functools.partial(genesis.join, self))
         self.members_changed()
 
     def start(self) -> None:
         """Start the tasks of this group."""
-        self._start_duty(WRITER, self.writer.run)
+        self._start_writer()
         for name, run in (
             ("applier", applier.run),
             ("snapshots", applier.take_snapshots),
@@ -241,14 +240,24 @@
             self._start_peer(peer)
         self.members_changed()
 
+    def _start_writer(self) -> None:
+        self.writer_task = background.start(
+            f"{self.name} writer", self.writer.run()
+        )
+        self.writer_task.add_done_callback(
+            functools.partial(self._duty_ended, None)
+        )
+        self.tasks.append(self.writer_task)
+
     def _start_duty(
         self, name: str, run: t.Callable[[], t.Coroutine[t.Any, t.Any, None]]
     ) -> None:
         if self.stopped:
             return
         task = background.start(f"{self.name} {name}", run())
+        start_again = functools.partial(self._start_duty, name, run)
         task.add_done_callback(
-            functools.partial(self._duty_ended, self._start_duty, name, run)
+            functools.partial(self._duty_ended, start_again)
         )
         self.tasks.append(task)
 
@@ -440,12 +449,15 @@
         peer.main_task = background.start(
             f"{self.name} replication", replication.replicate(self, peer)
         )
+        start_again = functools.partial(self._replicate, peer)
         peer.main_task.add_done_callback(
-            functools.partial(self._duty_ended, self._replicate, peer)
+            functools.partial(self._duty_ended, start_again)
         )
         peer.wake.set()
 
-    def _duty_ended(self, start: t.Callable[..., None], *args) -> None:
+    def _duty_ended(
+        self, start_again: t.Callable[[], None] | None, task: asyncio.Task
+    ) -> None:
         """Give up all roles after an error, and take part again.
 
         A leader could otherwise keep its role although, for example, it no
@@ -454,20 +466,22 @@
 
         Parameters
         ----------
-        start : callable
-            Starts the duty again with `args`, of which the last is the task
-            that has ended.
+        start_again : callable, optional
+            Starts the duty; None for the writer, which starts when the state
+            has been read.
         """
-        *args, task = args
         if task in self.tasks:
             self.tasks.remove(task)
         if task.cancelled() or task.exception() is None:
             return
         error = errors.StorageError(f"task failed: {task.exception()!r}")
         roles.fail_disk(self, error)
-        if WRITER not in args:
+        # Tells those that wait for it; the next one writes to files that are
+        # opened anew.
+        self.writer_task.cancel()
+        if start_again is not None:
             asyncio.get_running_loop().call_later(
-                DUTY_PAUSE_SECONDS, start, *args
+                DUTY_PAUSE_SECONDS, start_again
             )
 
     def _require_leader(self) -> None:
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -69,6 +69,13 @@
         version = await self.keepers.put(5, b"five")
         self.assertEqual(5, version)
         await plan_keepers.wait_until(lambda: keeper.machine.version == 5)
+        # The writer of the files that were open before has ended.
+        writers = [t for t in asyncio.all_tasks() if self.writes(t, keeper)]
+        self.assertEqual([keeper.group.writer_task], writers)
+
+    def writes(self, task, keeper):
+        """Return whether `task` is a writer of `keeper`."""
+        return task in keeper.group.tasks and "writer" in task.get_name()
 
     async def test_leader_that_fails_to_tell_takes_part_again(self):
         """Guards against a keeper that is out for good after one failure."""
