Encode ordinary frames in one step, show numbers in decimal

Frames with a body that is shared by many links are put together from parts; all others are encoded at once again, as before. Errors about numbers show them in decimal, unless Python refuses to write them.

--- a/amaranthring/core/validation.py
+++ b/amaranthring/core/validation.py
@@ -26,8 +26,11 @@
 
 
 def _invalid(value: t.Any, expected: str) -> errors.FrameError:
-    # Long integers have no decimal form.
-    form = hex(value) if isinstance(value, int) else str(value)
+    try:
+        form = str(value)
+    except ValueError:
+        # Python writes no decimal form of an integer of thousands of digits.
+        form = "that is very long"
     shown = f"{type(value).__name__} {form[:MAX_SHOWN_CHARACTERS]}"
     return errors.FrameError("invalid value", given=shown, expected=expected)
 
--- a/amaranthring/core/wire.py
+++ b/amaranthring/core/wire.py
@@ -142,19 +142,24 @@
     """Return the bytes of one frame."""
     if kind == ERROR:
         return encode_value((kind, call_id, "", body.to_record()))
-    if body is None:
-        return encode_value((kind, call_id, "", None))
-    return encode_frame(kind, call_id, *encode_body(body))
+    tag, fields = ("", None) if body is None else _body_of(body)
+    return encode_value((kind, call_id, tag, fields))
 
 
-def encode_body(message: t.Any) -> tuple[str, bytes]:
-    """Return the tag and the encoded body of `message`."""
+def _body_of(message: t.Any) -> tuple[str, t.Any]:
+    """Return the tag of `message` and what a frame holds of it."""
     tag = _TAG_BY_CLASS[type(message)]
     body = message
     if tag in _COMPACT_FIELDS:
         body = [getattr(message, name) for name in _COMPACT_FIELDS[tag]]
     if tag in _COMPRESSED_TAGS:
         body = zlib.compress(encode_value(body), COMPRESSION_LEVEL)
+    return tag, body
+
+
+def encode_body(message: t.Any) -> tuple[str, bytes]:
+    """Return the tag and the encoded body of `message`, for many frames."""
+    tag, body = _body_of(message)
     return tag, encode_value(body)
 
 
