Keep limits and the errors of decoding in one place, speak of tasks

The bound on integers and the errors that reading a document may raise were named twice or in a module of settings. A keeper's group has tasks, no duties, as its log lines say. No logic changes.

--- a/amaranthring/core/validation.py
+++ b/amaranthring/core/validation.py
@@ -22,6 +22,15 @@
 # Range of integers in msgpack.
 MIN_INTEGER = -(2**63)
 MAX_INTEGER = 2**64 - 1
+# What reading a document that is no JSON, or has other fields, may raise.
+DECODING_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
 _ABSENT = object()
 
 
--- a/amaranthring/keepers/consensus.py
+++ b/amaranthring/keepers/consensus.py
@@ -34,8 +34,8 @@
 
 MAX_PENDING_PROPOSALS = 10_000
 CANCEL_RETRY_SECONDS = 0.1
-# Pause before a duty that has failed starts again.
-DUTY_PAUSE_SECONDS = 0.5
+# Pause before a task that has failed starts again.
+TASK_PAUSE_SECONDS = 0.5
 
 
 async def cancel_tasks(tasks: list[asyncio.Task]) -> None:
@@ -220,7 +220,7 @@
         self.recoverable = False
         self.fault = None
         self._start_writer()
-        self._start_duty("join", functools.partial(genesis.join, self))
+        self._start_task("join", functools.partial(genesis.join, self))
         self.members_changed()
 
     def start(self) -> None:
@@ -235,7 +235,7 @@
             ("rejoin", genesis.rejoin),
             ("recovery", recovery.run),
         ):
-            self._start_duty(name, functools.partial(run, self))
+            self._start_task(name, functools.partial(run, self))
         for peer in self.peers.values():
             self._start_peer(peer)
         self.members_changed()
@@ -245,19 +245,19 @@
             f"{self.name} writer", self.writer.run()
         )
         self.writer_task.add_done_callback(
-            functools.partial(self._duty_ended, None)
+            functools.partial(self._task_ended, None)
         )
         self.tasks.append(self.writer_task)
 
-    def _start_duty(
+    def _start_task(
         self, name: str, run: t.Callable[[], t.Coroutine[t.Any, t.Any, None]]
     ) -> None:
         if self.stopped:
             return
         task = background.start(f"{self.name} {name}", run())
-        start_again = functools.partial(self._start_duty, name, run)
+        start_again = functools.partial(self._start_task, name, run)
         task.add_done_callback(
-            functools.partial(self._duty_ended, start_again)
+            functools.partial(self._task_ended, start_again)
         )
         self.tasks.append(task)
 
@@ -451,11 +451,11 @@
         )
         start_again = functools.partial(self._replicate, peer)
         peer.main_task.add_done_callback(
-            functools.partial(self._duty_ended, start_again)
+            functools.partial(self._task_ended, start_again)
         )
         peer.wake.set()
 
-    def _duty_ended(
+    def _task_ended(
         self, start_again: t.Callable[[], None] | None, task: asyncio.Task
     ) -> None:
         """Give up all roles after an error, and take part again.
@@ -467,7 +467,7 @@
         Parameters
         ----------
         start_again : callable, optional
-            Starts the duty; None for the writer, which starts when the state
+            Starts the task; None for the writer, which starts when the state
             has been read.
         """
         if task in self.tasks:
@@ -481,7 +481,7 @@
         self.writer_task.cancel()
         if start_again is not None:
             asyncio.get_running_loop().call_later(
-                DUTY_PAUSE_SECONDS, start_again
+                TASK_PAUSE_SECONDS, start_again
             )
 
     def _require_leader(self) -> None:
--- a/amaranthring/platform/control.py
+++ b/amaranthring/platform/control.py
@@ -10,7 +10,6 @@
 from amaranthring.core import validation
 from amaranthring.keepers import plans
 from amaranthring.platform import documents
-from amaranthring.platform import node as nodes
 from amaranthring.policy import route_history
 from amaranthring.registry import hub as hubs
 from amaranthring.registry import messages
@@ -23,11 +22,9 @@
 DEREGISTER = "/Replicas.Deregister/"
 
 MAX_PORT = 65535
-# Greater ones do not fit into the messages between processes.
-MAX_INTEGER = 2**63 - 1
-# Longer names would fill the links to all routers.
+# Of each text in a record; longer ones would fill the links to all routers.
 MAX_TEXT_CHARACTERS = 512
-# What log lines show of it.
+# Of what was refused, in log lines.
 MAX_SHOWN_CHARACTERS = 64
 MAX_GIVEN_CHARACTERS = 200
 
@@ -168,7 +165,7 @@
         record = _record(path.removeprefix(HEARTBEAT), data)
         _check_lengths(record)
         return validation.validator(messages.TargetRecord)(record)
-    except (errors.FrameError, *nodes.DECODING_ERRORS) as error:
+    except (errors.FrameError, *validation.DECODING_ERRORS) as error:
         raise errors.BadRequestError(
             "invalid heartbeat",
             given=repr(error)[:MAX_GIVEN_CHARACTERS],
@@ -204,7 +201,7 @@
     """
     try:
         return _start_time(json.loads(body)) if body else 0
-    except nodes.DECODING_ERRORS as error:
+    except validation.DECODING_ERRORS as error:
         raise errors.BadRequestError(
             "invalid deregistration",
             given=repr(error)[:MAX_GIVEN_CHARACTERS],
@@ -222,7 +219,7 @@
 
 def _bounded(number: int) -> int:
     """Return `number`, which other processes can read."""
-    if abs(number) > MAX_INTEGER:
+    if abs(number) > documents.MAX_INTEGER:
         raise ValueError("an integer is out of range")
     return number
 
--- a/amaranthring/platform/documents.py
+++ b/amaranthring/platform/documents.py
@@ -8,7 +8,7 @@
 from amaranthring import errors
 from amaranthring import routing
 from amaranthring.core import text
-from amaranthring.platform import node as nodes
+from amaranthring.core import validation
 
 MILLISECONDS = 1e3
 MEGABIT_BYTES = 1e6 / 8
@@ -39,7 +39,7 @@
     try:
         data = json.loads(document)
         plan = _plan(data)
-    except nodes.DECODING_ERRORS as error:
+    except validation.DECODING_ERRORS as error:
         raise errors.InvalidPlanError(
             "the document cannot be decoded",
             given=repr(error),
--- a/amaranthring/platform/node.py
+++ b/amaranthring/platform/node.py
@@ -7,21 +7,12 @@
 
 from amaranthring import errors
 from amaranthring.core import text
+from amaranthring.core import validation
 
 PATH_VARIABLE = "AMARANTHRING_BOOT"
 MILLISECONDS = 1e3
 MEGABIT_BYTES = 1e6 / 8
 
-# What reading a document that is no JSON, or has other fields, may raise.
-DECODING_ERRORS = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    ArithmeticError,
-    RecursionError,
-)
-
 # The platform provides no secret but restricts access to these ports; the key
 # only distinguishes this fleet's links from other listeners.
 FLEET_KEY = {"platform": b"amaranthring"}
@@ -115,7 +106,7 @@
         raise errors.SettingsError(
             f"{path} cannot be read", given=error.strerror, expected="a file"
         ) from error
-    except DECODING_ERRORS as error:
+    except validation.DECODING_ERRORS as error:
         raise errors.SettingsError(
             f"{path} is invalid", given=repr(error), expected="valid settings"
         ) from error
--- a/amaranthring/registry/publisher.py
+++ b/amaranthring/registry/publisher.py
@@ -52,7 +52,7 @@
         self.table = table
         self.pacer = pacer
         self.pending: dict[str, messages.TargetRecord] = {}
-        self.departing: asyncio.Handle | None = None
+        self.departure_handle: asyncio.Handle | None = None
         self.flushes: list[asyncio.Future] = []
         self.new_routers: collections.deque[links.Link] = collections.deque()
         self.wake = asyncio.Event()
@@ -65,9 +65,11 @@
         requests go on to reach it.
         """
         self.pending.update((record.id, record) for record in records)
-        if self.departing is None and any(map(messages.leaves, records)):
+        if self.departure_handle is None and any(
+            map(messages.leaves, records)
+        ):
             loop = asyncio.get_running_loop()
-            self.departing = loop.call_soon(self._send_departures)
+            self.departure_handle = loop.call_soon(self._send_departures)
         self.wake.set()
 
     async def flush(self) -> None:
@@ -99,7 +101,7 @@
                 self.wake.clear()
 
     def _send_departures(self) -> None:
-        self.departing = None
+        self.departure_handle = None
         self._send_pending(messages.leaves)
 
     def _send_pending(
