Cut keepers off both ways and each way as a target leaves

A keeper that reaches its own router and no other keeper, or gets no reply, refuses the departure within a second and tells that router all the same.

--- a/tests/test_keeper_cuts.py
+++ b/tests/test_keeper_cuts.py
@@ -13,6 +13,9 @@
 from tests import test_forwarding
 from tests import test_silent_links
 
+# A target asks another keeper if it has no answer by then.
+ASKED_AGAIN_SECONDS = 1.0
+
 
 def target(name, release):
     """Return the first announcement of a target."""
@@ -102,3 +105,31 @@
         key = route_history.route_key(route.host, route.prefix)
         self.far.streams.add_moved({key: 0.0})
         await self.check_refused()
+
+    async def check_departure_refused(self, **directions):
+        """Check that a cut-off keeper acknowledges no departure.
+
+        The routers that it still reaches are told all the same.
+        """
+        for relay in self.relays:
+            relay.block(**directions)
+            self.addCleanup(relay.heal)
+        began = time.monotonic()
+        self.near.leave("t1")
+        with self.assertRaises(errors.NotReadyError):
+            await self.near.confirm_departure("t1")
+        self.assertLess(time.monotonic() - began, ASKED_AGAIN_SECONDS)
+        table = self.routers[0].table
+        await plan_keepers.wait_until(lambda: not list(table.active()))
+
+    async def test_departure_is_refused_behind_a_cut(self):
+        """Guards against departures that the far routers do not hear of."""
+        await self.check_departure_refused()
+
+    async def test_departure_is_refused_if_nothing_goes_out(self):
+        """Guards against departures that the far routers do not hear of."""
+        await self.check_departure_refused(to_client=False)
+
+    async def test_departure_is_refused_if_nothing_comes_back(self):
+        """Guards against departures that nobody is known to have heard of."""
+        await self.check_departure_refused(to_target=False)
