--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -8,6 +8,7 @@
 modules run, else those named.
 """
 
+from collections.abc import Iterator
 import concurrent.futures
 import dataclasses
 import pathlib
@@ -23,6 +24,9 @@
 # Some modules run whole fleets; with more in parallel, their timeouts would
 # depend on the load of the machine.
 MAX_WORKERS = 4
+# Modules that judge what their processes use run after all others, one at a
+# time.
+APART = ("tests.test_misbehaving_clients",)
 
 
 @dataclasses.dataclass
@@ -142,17 +146,25 @@
     return bool(passed) and not (unlisted or stale or crashed)
 
 
+def run_all(names: list[str], folder: pathlib.Path) -> Iterator[ModuleResult]:
+    """Run modules in parallel, then those that run apart; yield results."""
+    with concurrent.futures.ThreadPoolExecutor(MAX_WORKERS) as pool:
+        started = [
+            pool.submit(run, n, folder) for n in names if n not in APART
+        ]
+        for future in concurrent.futures.as_completed(started):
+            yield future.result()
+    for name in names:
+        if name in APART:
+            yield run(name, folder)
+
+
 def main() -> int:
     """Run the modules, print the report and return the exit code."""
     names = sys.argv[1:] or modules()
     results = []
-    with (
-        tempfile.TemporaryDirectory() as folder,
-        concurrent.futures.ThreadPoolExecutor(MAX_WORKERS) as pool,
-    ):
-        started = [pool.submit(run, n, pathlib.Path(folder)) for n in names]
-        for future in concurrent.futures.as_completed(started):
-            result = future.result()
+    with tempfile.TemporaryDirectory() as folder:
+        for result in run_all(names, pathlib.Path(folder)):
             results.append(result)
             count = len(result.passed) + len(result.failed)
             print(
