Bound what a process takes in on all its listeners together

What callers saw: a crowd of 120 clients, each within the limits on a single request, took a router with 100 MB from 33 to 154 MB, a keeper likewise; 700 silent connections took 712 descriptors of 500. On the users' machines such a process is killed.

Cause: each body, head and frame was bounded, their sum was not, and only the listener for callers limited its connections, by turning new ones away.

Change: each accepted connection has a share of one account of its process: callers, readiness, metrics, keepers' calls, links, handover and the own interface. When the bytes are too many, the unfinished request of the client that has been silent for longest gives way with 503 and Retry-After, else the largest; when the connections are too many, the longest silent one closes. The bounds follow memory_mb and max_fds of the settings file (memory_bytes and descriptors_most of the own settings). Accepted sockets get a smaller receive buffer, as unread bytes take memory of the VM as well. The limit on callers' connections moves from ConnectionLimit to the account, with its test.

--- a/amaranthring/app.py
+++ b/amaranthring/app.py
@@ -9,7 +9,6 @@
 import time
 
 import logbook
-import tornado.httpserver
 import tornado.web
 
 from amaranthring import keeper_parts
@@ -18,6 +17,8 @@
 from amaranthring.callers import server
 from amaranthring.core import background
 from amaranthring.core import garbage_collection
+from amaranthring.core import http_servers
+from amaranthring.core import intake as intakes
 from amaranthring.core import links
 from amaranthring.core import listeners
 from amaranthring.core import logs
@@ -54,13 +55,14 @@
 
 
 def listen_internal(
-    settings: settings_module.Settings, routes: list
+    settings: settings_module.Settings, routes: list, intake: intakes.Intake
 ) -> listeners.Listener:
     """Serve `routes` on the internal listener, with TLS if configured."""
     listen = settings.listen
     bounds = settings.callers
-    server = tornado.httpserver.HTTPServer(
+    server = http_servers.BoundedServer(
         tornado.web.Application(routes, log_function=_no_access_log),
+        intake=intake,
         ssl_options=file_checks.load_tls_context(
             listen.internal_certificate_file,
             listen.internal_certificate_key_file,
@@ -87,7 +89,9 @@
     background.log_unhandled(asyncio.get_running_loop())
     stop = signals.stop_event()
     router = router_parts.Router(settings, identity_of("router", settings))
-    internal = listen_internal(settings, router.internal_routes())
+    internal = listen_internal(
+        settings, router.internal_routes(), router.intake
+    )
     callers = listen_callers(settings, router)
     router.start(listeners.bind_sockets(settings.listen.fleet))
     garbage_collection.freeze_startup_objects()
@@ -109,7 +113,9 @@
         listen.certificate_file, listen.certificate_key_file
     )
     sockets = listeners.bind_sockets(listen.callers)
-    served = server.listen(app, sockets, settings.callers, context)
+    served = server.listen(
+        app, sockets, settings.callers, context, router.intake
+    )
     return listeners.Listener(served, sockets)
 
 
@@ -121,7 +127,7 @@
     routes = [
         ("/metrics", exporters.MetricsHandler, {"figures": keeper.metrics})
     ]
-    internal = listen_internal(settings, routes)
+    internal = listen_internal(settings, routes, keeper.intake)
     keeper.start(listeners.bind_sockets(settings.listen.fleet))
     garbage_collection.freeze_startup_objects()
     logs.event(log, "keeper.started", folder=settings.process.data_folder)
--- a/amaranthring/callers/server.py
+++ b/amaranthring/callers/server.py
@@ -5,7 +5,6 @@
 import socket
 import typing as t
 
-import tornado.httpserver
 import tornado.httputil
 import tornado.web
 
@@ -14,6 +13,8 @@
 from amaranthring.callers import execution
 from amaranthring.callers import handlers
 from amaranthring.core import connections
+from amaranthring.core import http_servers
+from amaranthring.core import intake as intakes
 from amaranthring.settings import models as settings_models
 
 Routes = list[tuple[str, type, dict[str, t.Any]]]
@@ -85,7 +86,7 @@
     return (head + body).encode()
 
 
-class Server(tornado.httpserver.HTTPServer):
+class Server(http_servers.BoundedServer):
     """An HTTP server that limits the time for headers.
 
     tornado has one timeout for idle connections and for slow headers. As a
@@ -155,12 +156,14 @@
     sockets: list[socket.socket],
     settings: settings_models.CallersSection,
     ssl_options=None,
+    intake: intakes.Intake | None = None,
 ) -> Server:
     """Serve `app` on `sockets` within the limits of ``[callers]``."""
     # The handlers check the limits and send typed errors. tornado's limits are
     # higher, since it closes the connection without a response.
     server = Server(
         app,
+        intake=intake or intakes.Intake(),
         ssl_options=ssl_options,
         idle_connection_timeout=settings.idle_seconds,
         max_header_size=2 * settings.header_bytes_most,
--- /dev/null
+++ b/amaranthring/core/bounded_streams.py
@@ -0,0 +1,117 @@
+"""Accepted connections whose bytes the intake of the process counts."""
+
+import typing as t
+
+import tornado.iostream
+
+from amaranthring import errors
+from amaranthring.core import intake as intakes
+from amaranthring.core import refusals
+
+__all__ = [
+    "BoundedLinkStream",
+    "BoundedSSLStream",
+    "BoundedStream",
+    "accept",
+]
+
+
+class _Bounded:
+    """Counts what is read.
+
+    Attributes
+    ----------
+    share : intake.Share
+        What this connection takes.
+    lingering : refusals.Lingering
+        Ends connections whose requests are refused.
+    """
+
+    share: intakes.Share
+    lingering: refusals.Lingering
+
+    def read_from_fd(self, buf):
+        """Read, and count what was read."""
+        size = super().read_from_fd(buf)
+        if size and not self.share.take(size):
+            return None
+        return size
+
+    def close_fd(self):
+        """Close the socket, and give back what the connection took."""
+        self.share.end()
+        super().close_fd()
+
+    def refuse(
+        self, error: errors.AmaranthringError, is_for_head: bool = False
+    ) -> None:
+        """Answer the request that is being received, and close.
+
+        Parameters
+        ----------
+        is_for_head : bool
+            Whether it is a HEAD, whose answer has no body.
+        """
+        if self.closed():
+            return
+        if self.share.state is intakes.State.RECEIVING:
+            response = refusals.encode(error, is_for_head)
+            self.lingering.refuse(self.socket, response)
+        self.close()
+
+
+class BoundedStream(_Bounded, tornado.iostream.IOStream):
+    """Accepted connection."""
+
+
+class BoundedLinkStream(_Bounded, tornado.iostream.IOStream):
+    """Accepted connection of a peer that speaks no HTTP."""
+
+    def refuse(
+        self, error: errors.AmaranthringError, is_for_head: bool = False
+    ) -> None:
+        """Close: the peer learns no more until it has proved who it is."""
+        del error, is_for_head
+        self.close()
+
+
+class BoundedSSLStream(_Bounded, tornado.iostream.SSLIOStream):
+    """Accepted connection with TLS."""
+
+    def refuse(
+        self, error: errors.AmaranthringError, is_for_head: bool = False
+    ) -> None:
+        """Close: an answer would have to wait for its encryption."""
+        del error, is_for_head
+        self.close()
+
+
+def accept(
+    stream: tornado.iostream.IOStream,
+    intake: intakes.Intake,
+    make: t.Callable[..., BoundedStream] = BoundedStream,
+) -> BoundedStream | None:
+    """Return a counted stream on the socket of the new `stream`.
+
+    Returns
+    -------
+    BoundedStream or None
+        None if there is no place for it; `stream` is then left as it is.
+    """
+    streams: list[t.Any] = []
+    share = intake.admit(lambda error: streams[0].refuse(error))
+    if share is None:
+        return None
+    if isinstance(stream, tornado.iostream.SSLIOStream):
+        # Its handshake has begun to wait for the socket.
+        stream.io_loop.remove_handler(stream.fileno())
+        make = BoundedSSLStream
+    bounded = make(
+        stream.socket,
+        max_buffer_size=stream.max_buffer_size,
+        read_chunk_size=stream.read_chunk_size,
+    )
+    bounded.share = share
+    bounded.lingering = intake.lingering
+    streams.append(bounded)
+    return bounded
--- a/amaranthring/core/endpoints.py
+++ b/amaranthring/core/endpoints.py
@@ -11,13 +11,14 @@
 import typing as t
 
 import logbook
-import tornado.httpserver
 import tornado.httputil
 import tornado.iostream
 
 from amaranthring import errors
 from amaranthring.core import connections
 from amaranthring.core import drain as drains
+from amaranthring.core import http_servers
+from amaranthring.core import intake as intakes
 from amaranthring.core import listeners
 from amaranthring.core import logs
 from amaranthring.core import metrics as metrics_module
@@ -25,6 +26,8 @@
 log = logbook.Logger(__name__)
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Where no body is expected.
+NO_BODY_BYTES = 16 * 1024
 BODY_SECONDS = 20.0
 IDLE_SECONDS = 60.0
 # Time to send errors to the calls that a stop cuts off, on a busy processor.
@@ -55,7 +58,7 @@
 Handler = t.Callable[[Request], t.Awaitable[Response]]
 
 
-class _HTTPServer(tornado.httpserver.HTTPServer):
+class _HTTPServer(http_servers.BoundedServer):
     """HTTP server that tells its delegate of closed connections."""
 
     def on_close(self, server_conn):
@@ -71,6 +74,10 @@
     handler : callable
         Returns the response to a request, or raises an
         ``AmaranthringError`` that supplies the status of the response.
+    intake : intake.Intake, optional
+        Of the process.
+    body_bytes : int
+        Greatest size of a body.
 
     Attributes
     ----------
@@ -82,7 +89,12 @@
         Connections without a call.
     """
 
-    def __init__(self, handler: Handler):
+    def __init__(
+        self,
+        handler: Handler,
+        intake: intakes.Intake | None = None,
+        body_bytes: int = MAX_BODY_BYTES,
+    ):
         self.handler = handler
         self.drain = drains.Drain()
         self.calls: set[_Call] = set()
@@ -90,7 +102,8 @@
         self.listener: listeners.Listener | None = None
         self.server = _HTTPServer(
             self,
-            max_body_size=MAX_BODY_BYTES,
+            intake=intake or intakes.Intake(),
+            max_body_size=body_bytes,
             body_timeout=BODY_SECONDS,
             idle_connection_timeout=IDLE_SECONDS,
         )
@@ -266,9 +279,14 @@
     return tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason)
 
 
-def serve(address: str, handler: Handler) -> Server:
+def serve(
+    address: str,
+    handler: Handler,
+    intake: intakes.Intake | None = None,
+    body_bytes: int = MAX_BODY_BYTES,
+) -> Server:
     """Answer requests on `address` with `handler`."""
-    server = Server(handler)
+    server = Server(handler, intake, body_bytes)
     server.listen(listeners.bind_sockets(address))
     return server
 
--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -22,12 +22,16 @@
 
 from amaranthring import errors
 from amaranthring.core import background
+from amaranthring.core import bounded_streams
 from amaranthring.core import handshake
+from amaranthring.core import intake as intakes
 from amaranthring.core import wire
 
 log = logbook.Logger(__name__)
 
 HANDSHAKE_SECONDS = 2.0
+# A proof takes some hundred bytes.
+HANDSHAKE_BYTES = 64 * 1024
 SEND_BUFFER_BYTES = 4 * 1024 * 1024
 INITIAL_BACKOFF_SECONDS = 0.05
 # Bounds the delay until a link is back: after a power loss of the whole fleet
@@ -388,10 +392,21 @@
         Handlers of incoming messages.
     on_link, on_close : callable, optional
         Called with each link after its handshake and after its close.
+    intake : intake.Intake, optional
+        Of the process.
     """
 
-    def __init__(self, identity, keys, handlers, on_link=None, on_close=None):
+    def __init__(
+        self,
+        identity,
+        keys,
+        handlers,
+        on_link=None,
+        on_close=None,
+        intake=None,
+    ):
         super().__init__(max_buffer_size=wire.MAX_FRAME_BYTES * 2)
+        self.intake = intake or intakes.Intake()
         self.identity = identity
         self.keys = keys
         self.handlers = handlers
@@ -402,6 +417,15 @@
 
     async def handle_stream(self, stream, address):
         """Authenticate and serve one connection until it closes."""
+        unbounded = stream
+        stream = bounded_streams.accept(
+            stream, self.intake, bounded_streams.BoundedLinkStream
+        )
+        if stream is None:
+            log.warning("link.turned-away address={}", address)
+            unbounded.close()
+            return
+        stream.share.most = HANDSHAKE_BYTES
         stream.set_nodelay(True)
         stream.max_write_buffer_size = SEND_BUFFER_BYTES
         try:
@@ -411,6 +435,7 @@
         except errors.HandshakeError as error:
             log.warning("link.refused address={} fault={}", address, error)
             return
+        stream.share.prove()
         if self.closed:
             # The handshake completed after `close_all`; a link served now
             # would keep the process from exiting.
--- a/amaranthring/core/listeners.py
+++ b/amaranthring/core/listeners.py
@@ -18,6 +18,9 @@
 # Covers one round trip, also across regions, so that TCP handshakes complete
 # whose SYN arrived before the filter was attached.
 SETTLE_SECONDS = 0.1
+# What the kernel holds unread for each connection, with its own structures;
+# it would let one that is not read grow to some megabytes.
+RECEIVE_BUFFER_BYTES = 128 * 1024
 # Time for the tasks of closed connections to end.
 CLOSE_SECONDS = 0.5
 
@@ -110,7 +113,15 @@
     """
     host, port = address.rsplit(":", 1)
     try:
-        return tornado.netutil.bind_sockets(int(port), host.strip("[]"))
+        sockets = tornado.netutil.bind_sockets(int(port), host.strip("[]"))
+        for sock in sockets:
+            # Linux doubles the value; accepted connections inherit it.
+            sock.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_RCVBUF,
+                RECEIVE_BUFFER_BYTES // 2,
+            )
+        return sockets
     except OSError as error:
         raise errors.ListenError(
             f"cannot listen on {address}",
--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -226,6 +226,12 @@
     code = "queue-full"
 
 
+class IntakeFullError(RefusedError):
+    """The process holds as much of all requests as it may."""
+
+    code = "intake-full"
+
+
 class DeadlineError(RefusedError):
     """The deadline cannot be met, or expired while the request waited."""
 
--- a/amaranthring/forwarding/caller_stream.py
+++ b/amaranthring/forwarding/caller_stream.py
@@ -8,16 +8,16 @@
 import asyncio
 import typing as t
 
-import tornado.iostream
+from amaranthring.core import bounded_streams
 
-__all__ = ["CallerStream", "wrap"]
+__all__ = ["CallerStream"]
 
 # Time for reading and answering a request that arrived together with the end
 # of the sending side.
 PARSE_SECONDS = 0.05
 
 
-class CallerStream(tornado.iostream.IOStream):
+class CallerStream(bounded_streams.BoundedStream):
     """Stream that reports the end of the peer's sending side.
 
     Attributes
@@ -66,17 +66,3 @@
             self.write(b"").add_done_callback(lambda _: self._close_soon())
         else:
             self.close()
-
-
-def wrap(
-    stream: tornado.iostream.IOStream,
-    on_half_closed: t.Callable[[CallerStream], None],
-) -> CallerStream:
-    """Return a stream on the socket of `stream`, which is not used yet."""
-    wrapped = CallerStream(
-        stream.socket,
-        max_buffer_size=stream.max_buffer_size,
-        read_chunk_size=stream.read_chunk_size,
-    )
-    wrapped.on_half_closed = on_half_closed
-    return wrapped
--- a/amaranthring/forwarding/connection_limit.py
+++ b/amaranthring/forwarding/connection_limit.py
@@ -1,14 +1,8 @@
 """Whether a router takes new connections of callers."""
 
-import resource
-
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import overload
 
-# Share of the process's files for connections of callers: those to targets
-# and the links need the rest.
-CALLERS_SHARE = 0.6
-
 
 class ConnectionLimit:
     """Limit on new connections while this router has too much to do.
@@ -20,11 +14,6 @@
     ----------
     delay : overload.LoopDelay
         Of the event loop.
-
-    Attributes
-    ----------
-    most : float
-        Number of connections of callers at the same time.
     """
 
     def __init__(
@@ -32,19 +21,10 @@
     ):
         self.delay = delay
         self.metrics = metrics
-        files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        has_limit = files != resource.RLIM_INFINITY
-        self.most = files * CALLERS_SHARE if has_limit else float("inf")
-
-    def is_full(self, connections: int) -> bool:
-        """Return whether the next connection is closed unread.
 
-        Parameters
-        ----------
-        connections : int
-            Number of connections of callers.
-        """
-        if not self.delay.is_overloaded and connections < self.most:
+    def is_full(self) -> bool:
+        """Return whether the next connection is closed unread."""
+        if not self.delay.is_overloaded:
             return False
         self.metrics.count("connection.shed")
         return True
--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -5,12 +5,14 @@
 import typing as t
 
 import logbook
-import tornado.httpserver
 import tornado.httputil
 import tornado.iostream
 
 from amaranthring import errors
+from amaranthring.core import bounded_streams
 from amaranthring.core import connections
+from amaranthring.core import http_servers
+from amaranthring.core import intake as intakes
 from amaranthring.core import listeners
 from amaranthring.core import logs
 from amaranthring.forwarding import caller_stream
@@ -41,28 +43,37 @@
 END_TURNS = 8
 
 
-def _is_never_full(_connections: int) -> bool:
+def _is_never_full() -> bool:
     return False
 
 
-class _Server(tornado.httpserver.HTTPServer):
+class _Server(http_servers.BoundedServer):
     """Server that turns new connections away while it is asked to."""
 
-    def initialize(self, *args, is_full, turn_away, on_half_closed, **kwargs):
-        super().initialize(*args, **kwargs)
-        self.is_full = is_full
-        self.turn_away = turn_away
-        self.on_half_closed = on_half_closed
+    def initialize(self, front, *args, **kwargs):
+        super().initialize(front, *args, intake=front.intake, **kwargs)
+        self.is_full = front.is_full
+        self.turn_away = front.turn_away
+        self.on_half_closed = front.on_half_closed
         self.streams: set[tornado.iostream.IOStream] = set()
 
     def handle_stream(self, stream, address):
-        if self.is_full(len(self.streams)):
+        if self.is_full():
             self.turn_away(stream)
             return
-        stream = caller_stream.wrap(stream, self.on_half_closed)
-        self.streams.add(stream)
         super().handle_stream(stream, address)
 
+    def accept(self, stream):
+        accepted = bounded_streams.accept(
+            stream, self.intake, caller_stream.CallerStream
+        )
+        if accepted is None:
+            self.turn_away(stream)
+            return None
+        accepted.on_half_closed = self.on_half_closed
+        self.streams.add(accepted)
+        return accepted
+
     def on_close(self, server_conn):
         self.streams.discard(server_conn.stream)
         super().on_close(server_conn)
@@ -82,8 +93,9 @@
     bounds : callable
         Returns the limits of the active plan.
     is_full : callable, optional
-        Returns whether one more connection is turned away, given how many
-        there are.
+        Returns whether one more connection is turned away.
+    intake : intake.Intake, optional
+        Of the process.
 
     Attributes
     ----------
@@ -107,9 +119,11 @@
         dialect: records.Dialect,
         serve: Serve,
         bounds: t.Callable[[], plans.Bounds],
-        is_full: t.Callable[[int], bool] = _is_never_full,
+        is_full: t.Callable[[], bool] = _is_never_full,
+        intake: intakes.Intake | None = None,
     ):
         self.is_full = is_full
+        self.intake = intake or intakes.Intake()
         self.dialect = dialect
         self.serve = serve
         self.bounds = bounds
@@ -118,16 +132,13 @@
         self.closing = False
         self.shutdown_at = float("inf")
         self.idle = connections.IdleConnections()
-        self.server: tornado.httpserver.HTTPServer | None = None
+        self.server: _Server | None = None
         self.listener: listeners.Listener | None = None
 
     def listen(self, sockets: list) -> None:
         """Serve on the listening `sockets`."""
         self.server = _Server(
             self,
-            is_full=self.is_full,
-            turn_away=self.turn_away,
-            on_half_closed=self.on_half_closed,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
             idle_connection_timeout=IDLE_SECONDS,
@@ -269,13 +280,14 @@
     def __init__(self, frontend: Frontend, server_conn, connection):
         self.frontend = frontend
         self.server_conn = server_conn
+        self.stream = server_conn.stream
         self.connection = connection
         self.writer = responses.ResponseWriter(
             connection, lambda: frontend.closing
         )
         self.incoming: records.Incoming | None = None
         self.error: errors.AmaranthringError | None = None
-        self.body: list[bytes] = []
+        self.chunks: list[bytes] = []
         self.body_bytes = 0
         self.task: asyncio.Task | None = None
         self.has_begun = False
@@ -306,27 +318,27 @@
         self.body_bytes += len(chunk)
         limit = self.frontend.bounds().body_bytes
         if self.body_bytes > limit:
-            self.body.clear()
+            self.chunks.clear()
             self.error = self.error or errors.TooLargeError(
                 "body",
                 given=self.body_bytes,
                 expected=f"{limit} bytes at most",
             )
         else:
-            self.body.append(chunk)
+            self.chunks.append(chunk)
 
     def finish(self):
         """Handle the request, which is now complete."""
-        if self.server_conn.stream.closed():
+        if self.stream.closed():
             # The request was read in the same event loop iteration in which
             # the connection was closed as idle. The caller sees it closed and
             # sends the request again, so it must not run here too.
             return
-        if self.server_conn.stream.is_half_closed:
+        if self.stream.is_half_closed:
             self.error = self.error or _half_closed()
             self.writer.closing = True
         self.frontend.count(+1)
-        self.frontend.requests[self.server_conn.stream] = self
+        self.frontend.requests[self.stream] = self
         # While a response is pending, tornado reports a close only here.
         self.connection.set_close_callback(self.on_connection_close)
         self.task = asyncio.ensure_future(self._run())
@@ -366,7 +378,7 @@
             id=self.incoming.request_id if self.incoming else "",
             reason=reason,
             status=self.writer.status,
-            caller_gone=self.server_conn.stream.closed(),
+            caller_gone=self.stream.closed(),
         )
         self.writer.abort()
 
@@ -376,8 +388,8 @@
             if self.error is not None:
                 await self._send_error(self.error)
                 return
-            self.incoming.body = b"".join(self.body)
-            self.body.clear()
+            self.incoming.body = b"".join(self.chunks)
+            self.chunks.clear()
             self.frontend.check_deadline(self.incoming)
             await self.frontend.serve(self.incoming, self.writer)
         except errors.ShuttingDownError as error:
@@ -400,4 +412,4 @@
 
     def _ended(self) -> None:
         self.frontend.count(-1)
-        self.frontend.requests.pop(self.server_conn.stream, None)
+        self.frontend.requests.pop(self.stream, None)
--- a/amaranthring/forwarding/refusals.py
+++ b/amaranthring/forwarding/refusals.py
@@ -4,7 +4,6 @@
 still send them.
 """
 
-import json
 import re
 import socket
 
@@ -12,6 +11,7 @@
 
 from amaranthring import errors
 from amaranthring.core import logs
+from amaranthring.core import refusals
 
 __all__ = ["refuse_arrived"]
 
@@ -50,7 +50,7 @@
         if not _starts_with_whole(data):
             return False
         sock.recv(MAX_BYTES)
-        sock.send(_response(error, is_for_head=data.startswith(HEAD)))
+        sock.send(refusals.encode(error, is_for_head=data.startswith(HEAD)))
     except BlockingIOError:
         return False
     except OSError as fault:
@@ -67,15 +67,3 @@
         return False
     length = CONTENT_LENGTH.search(head)
     return len(body) >= (int(length[1]) if length else 0)
-
-
-def _response(error: errors.AmaranthringError, is_for_head: bool) -> bytes:
-    record = {"code": error.code, "detail": error.detail}
-    body = json.dumps({"error": record})
-    head = (
-        f"HTTP/1.1 {error.status} Service Unavailable\r\n"
-        "Content-Type: application/json\r\nConnection: close\r\n"
-        f"Retry-After: {error.retry_after or 0:g}\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    )
-    return (head if is_for_head else head + body).encode()
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -191,9 +191,7 @@
                 "this router has no plan yet",
                 retry_after=self.startup.retry_after(),
             )
-        route = table.match(incoming.host, incoming.path)
-        if route is None:
-            raise errors.NotFoundError("no route for this host and path")
+        route = _route_of(table, incoming)
         account = self._account(table, route, incoming)
         service = route_tables.draw_service(route)
         if handover is not None and route.leads_to(handover.service):
@@ -439,6 +437,15 @@
         )
 
 
+def _route_of(
+    table: route_tables.RouteTable, incoming: records.Incoming
+) -> plans.Route:
+    route = table.match(incoming.host, incoming.path)
+    if route is None:
+        raise errors.NotFoundError("no route for this host and path")
+    return route
+
+
 def _round_up(seconds: float) -> float:
     """Return `seconds` in whole milliseconds, none too few."""
     return math.ceil(seconds * 1e3) / 1e3
--- a/amaranthring/handover/server.py
+++ b/amaranthring/handover/server.py
@@ -10,6 +10,7 @@
 
 from amaranthring import errors
 from amaranthring.core import background
+from amaranthring.core import intake as intakes
 from amaranthring.core import links
 from amaranthring.core import logs
 from amaranthring.forwarding import records
@@ -165,6 +166,8 @@
     check : callable
         Called with the service and the plan's version; raises if this router
         cannot help.
+    intake : intake.Intake, optional
+        Of the process.
 
     Attributes
     ----------
@@ -178,6 +181,7 @@
         keys: links.Keys,
         serve: Serve,
         check: t.Callable[[str, int], None],
+        intake: intakes.Intake | None = None,
     ):
         self.serve = serve
         self.check = check
@@ -186,7 +190,11 @@
         handlers.add(messages.HandOver, self._on_request)
         handlers.add(messages.Cancel, self._on_cancel)
         self.server = links.LinkServer(
-            identity, keys, handlers, on_close=self._on_close
+            identity,
+            keys,
+            handlers,
+            on_close=self._on_close,
+            intake=intake,
         )
 
     def listen(self, sockets: list) -> None:
--- a/amaranthring/keepers/server.py
+++ b/amaranthring/keepers/server.py
@@ -5,6 +5,7 @@
 
 from amaranthring import errors
 from amaranthring import settings as settings_module
+from amaranthring.core import intake as intakes
 from amaranthring.core import links
 from amaranthring.core import metrics as metrics_module
 from amaranthring.keepers import consensus
@@ -66,7 +67,14 @@
         self.handlers = links.Handlers()
         self.groups: dict[str, consensus.Group] = {}
         dispatch.register(self.handlers, self.groups)
-        self.server = links.LinkServer(self.identity, self.keys, self.handlers)
+        self.intake = intakes.for_process(
+            process.memory_bytes,
+            process.descriptors_most,
+            self.metrics.count,
+        )
+        self.server = links.LinkServer(
+            self.identity, self.keys, self.handlers, intake=self.intake
+        )
         self.clocks = clocks
         self.files = files
         self.group = self.add_group(settings.fleet.group, machine)
--- a/amaranthring/plan_keeper.py
+++ b/amaranthring/plan_keeper.py
@@ -72,11 +72,14 @@
     async def _listen(self) -> None:
         endpoints, make_answer = await asyncio.to_thread(self._load)
         answer = make_answer(self.keeper.hub)
-        for address, handler in (
-            (self.control, answer),
-            (self.metrics_address, endpoints.metrics_handler(self.metrics)),
+        figures = endpoints.metrics_handler(self.metrics)
+        for address, handler, most in (
+            (self.control, answer, endpoints.MAX_BODY_BYTES),
+            (self.metrics_address, figures, endpoints.NO_BODY_BYTES),
         ):
-            self.servers.append(endpoints.serve(address, handler))
+            self.servers.append(
+                endpoints.serve(address, handler, self.keeper.intake, most)
+            )
         logs.event(log, "keeper.listening", address=self.control)
 
     def _load(self) -> tuple[types.ModuleType, t.Callable]:
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -18,6 +18,7 @@
 from amaranthring.core import background
 from amaranthring.core import clocks
 from amaranthring.core import endpoints
+from amaranthring.core import intake
 from amaranthring.core import links
 from amaranthring.core import listeners
 from amaranthring.core import logs
@@ -100,6 +101,10 @@
         Parameters of :class:`budgets.WindowBudget`.
     first_start : bool
         Whether the whole fleet starts for the first time.
+    memory : float
+        Bytes that the process may use; 0 if not known.
+    descriptors : int
+        Descriptors for connections and files; 0 if not known.
     """
 
     name: str
@@ -115,6 +120,8 @@
     retry_window: float
     first_start: bool = False
     peers: str = ""
+    memory: float = 0.0
+    descriptors: int = 0
 
 
 class PlanRouter:
@@ -158,6 +165,9 @@
             count_routers=lambda: self.sharers.routers,
         )
         answers = answer_memory.AnswerMemory()
+        self.intake = intake.for_process(
+            config.memory, config.descriptors, self.metrics.count
+        )
         self.handing_over = handing_over.HandingOver(
             handover_client.HandoverClient(identity, keys),
             self.placer,
@@ -166,7 +176,11 @@
             self.retries_left,
         )
         self.handover_server = handover_server.HandoverServer(
-            identity, keys, self.serve_for_peer, self.check_handover
+            identity,
+            keys,
+            self.serve_for_peer,
+            self.check_handover,
+            self.intake,
         )
         self.streams = stream_bindings.StreamBindings(
             self.subscriber.table, self.subscriber.open_links
@@ -226,7 +240,11 @@
         self.loop_delay = overload.LoopDelay()
         limit = connection_limit.ConnectionLimit(self.loop_delay, self.metrics)
         self.front = fronts.Frontend(
-            dialect, self.relay.serve, self.bounds, limit.is_full
+            dialect,
+            self.relay.serve,
+            self.bounds,
+            limit.is_full,
+            self.intake,
         )
         self.stopping = False
         self.started_at = time.monotonic()
@@ -333,10 +351,13 @@
     def start(self) -> None:
         """Open the listeners and connect to the keepers."""
         self.front.listen(listeners.bind_sockets(self.config.callers))
-        endpoints.serve(self.config.health, self._health)
-        endpoints.serve(
-            self.config.metrics, endpoints.metrics_handler(self.metrics)
-        )
+        for address, handler in (
+            (self.config.health, self._health),
+            (self.config.metrics, endpoints.metrics_handler(self.metrics)),
+        ):
+            endpoints.serve(
+                address, handler, self.intake, endpoints.NO_BODY_BYTES
+            )
         if self.config.peers:
             self.handover_server.listen(
                 listeners.bind_sockets(self.config.peers)
--- a/amaranthring/platform/keeper.py
+++ b/amaranthring/platform/keeper.py
@@ -23,6 +23,8 @@
         process_started_at=clocks.STARTED_AT,
         retry_window=node.retry_window,
         grace=node.grace,
+        memory=node.memory,
+        descriptors=node.descriptors,
     )
     return plan_keeper.KeeperProcess(
         config,
--- a/amaranthring/platform/node.py
+++ b/amaranthring/platform/node.py
@@ -12,6 +12,8 @@
 PATH_VARIABLE = "AMARANTHRING_BOOT"
 MILLISECONDS = 1e3
 MEGABIT_BYTES = 1e6 / 8
+MEGABYTE = 2**20
+RESERVED_DESCRIPTORS = 200
 
 # The platform provides no secret but restricts access to these ports; the key
 # only distinguishes this fleet's links from other listeners.
@@ -59,6 +61,11 @@
         the seconds over which both are counted.
     link_rate : float
         Bytes per second that the link of this VM carries; 0 if unknown.
+    memory : float
+        Bytes that this process may use; 0 if unknown.
+    descriptors : int
+        Descriptors that it may open for connections and its own files; 0 if
+        unknown.
     """
 
     name: str
@@ -79,6 +86,8 @@
     retry_allowance: float
     retry_window: float
     link_rate: float = 0.0
+    memory: float = 0.0
+    descriptors: int = 0
 
     def keeper_addresses(self) -> list[str]:
         """Return the addresses of the seeds' fleet ports."""
@@ -123,6 +132,7 @@
     """Return the settings in the decoded file."""
     listen = data["listen"]
     bounds = data["bounds"]
+    limits = data.get("limits") or {}
     revoke_seconds = bounds.get("revoke_ms", 0) / MILLISECONDS
     return Node(
         name=data["node_name"],
@@ -142,10 +152,18 @@
         retry_ratio=float(bounds.get("retry_ratio", 0.2)),
         retry_allowance=float(bounds.get("retry_allowance", 10)),
         retry_window=float(bounds.get("retry_window_s", 10)),
-        link_rate=_link_rate(data.get("limits") or {}),
+        link_rate=_link_rate(limits),
+        memory=float(limits.get("memory_mb") or 0) * MEGABYTE,
+        descriptors=_descriptors(limits),
     )
 
 
+def _descriptors(limits: dict) -> int:
+    # Some are reserved for files outside of the data folder.
+    most = int(limits.get("max_fds") or 0)
+    return most - min(most // 2, RESERVED_DESCRIPTORS)
+
+
 def _link_rate(limits: dict) -> float:
     # Megabits per second.
     return float(limits.get("link_mbps") or 0) * MEGABIT_BYTES
--- a/amaranthring/platform/router.py
+++ b/amaranthring/platform/router.py
@@ -23,6 +23,8 @@
         retry_allowance=node.retry_allowance,
         retry_window=node.retry_window,
         first_start=node.first_start,
+        memory=node.memory,
+        descriptors=node.descriptors,
     )
     return plan_router.PlanRouter(
         config,
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -6,6 +6,7 @@
 import time
 
 from amaranthring.core import background
+from amaranthring.core import intake as intakes
 from amaranthring.core import links
 from amaranthring.core import metrics as metrics_module
 from amaranthring.core import pacing
@@ -65,6 +66,10 @@
         Seconds over which routers count retries.
     grace : float
         Seconds that a graceful stop may take.
+    memory : float
+        Bytes that the process may use; 0 if not known.
+    descriptors : int
+        Descriptors for connections and files; 0 if not known.
     """
 
     address: str
@@ -77,6 +82,8 @@
     process_started_at: float | None = None
     retry_window: float = router_census.DEFAULT_WINDOW_SECONDS
     grace: float = 8.0
+    memory: float = 0.0
+    descriptors: int = 0
 
 
 class PlanKeeper:
@@ -102,6 +109,9 @@
     ):
         self.config = config
         self.metrics = metrics
+        self.intake = intakes.for_process(
+            config.memory, config.descriptors, metrics.count
+        )
         self.machine = plans.PlanStateMachine()
         self.handlers = links.Handlers()
         identity = links.Identity(
@@ -156,6 +166,7 @@
             self.handlers,
             self.hub.on_link,
             self.hub.on_unlink,
+            self.intake,
         )
 
     def options(self) -> options_module.Options:
--- a/amaranthring/router_parts.py
+++ b/amaranthring/router_parts.py
@@ -14,6 +14,7 @@
 from amaranthring.core import background
 from amaranthring.core import decisions
 from amaranthring.core import drain as drains
+from amaranthring.core import intake as intakes
 from amaranthring.core import links
 from amaranthring.core import listeners
 from amaranthring.core import logs
@@ -88,6 +89,11 @@
         section = settings.fleet
         self.keys = links.Keys(settings_module.read_keys(section.keys_file))
         self.handlers = links.Handlers()
+        self.intake = intakes.for_process(
+            settings.process.memory_bytes,
+            settings.process.descriptors_most,
+            self.metrics.count,
+        )
         self._make_mesh()
         self._make_admission()
         self.needs = self._make_dependencies()
@@ -109,6 +115,7 @@
             self.handlers,
             on_link=self.mesh.accept,
             on_close=self.mesh.remove_link,
+            intake=self.intake,
         )
         self.keepers = keeper_client.KeeperClient(
             settings.fleet.group, settings.keepers(), self.identity, self.keys
--- a/amaranthring/settings/models.py
+++ b/amaranthring/settings/models.py
@@ -38,6 +38,18 @@
         "Folder for durable state; required for a keeper. A router keeps "
         "its last revision there.",
     )
+    memory_bytes: int = documented_field(
+        192 * 1024 * 1024,
+        "Memory that this process may use; a sixth of it is for requests "
+        "that are being received or answered.",
+        ge=32 * 1024 * 1024,
+    )
+    descriptors_most: int = documented_field(
+        4096,
+        "Descriptors that this process may open; three in five are for "
+        "connections from outside. The system's own limit holds as well.",
+        ge=64,
+    )
     log_level: t.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = (
         documented_field("INFO", "Lowest level of log lines.")
     )
--- a/amaranthring/testing/local_fleet.py
+++ b/amaranthring/testing/local_fleet.py
@@ -149,6 +149,7 @@
     extra: str = "",
     initial: dict | None = None,
     through: AddressMapper | None = None,
+    process: str = "",
 ) -> None:
     """Write INI files of a fleet in three data centres to `folder`.
 
@@ -163,6 +164,8 @@
         Returns the address, such as that of a relay, at which processes of
         one data centre reach a process of another, given the first data
         centre, the second and the address of the process.
+    process : str
+        Lines added to every ``[process]`` section.
     """
     write_secrets(folder)
     if initial is None:
@@ -185,7 +188,7 @@
     internal = []
     for role, lines in (("keeper", keeper_lines), ("router", router_lines)):
         for name, data_centre, address in lines:
-            text = _process_section(folder, name, data_centre)
+            text = _process_section(folder, name, data_centre) + process
             text += f"[listen]\nfleet = {address}\n"
             text += f"internal = 127.0.0.1:{next(ports)}\n"
             if role == "router":
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,154 @@
+"""Which connections give way when a process takes in too much."""
+
+import asyncio
+import socket
+import unittest
+
+from amaranthring import errors
+from amaranthring.core import intake as intakes
+from amaranthring.core import refusals
+
+
+class IntakeCase(unittest.TestCase):
+    """An intake, and what its connections were told."""
+
+    def setUp(self):
+        self.intake = intakes.Intake(100_000, 4)
+        self.told = {}
+
+    def admit(self, name, size=0, silent=0.0):
+        """Open a connection on which `size` bytes have arrived."""
+        share = self.intake.admit(
+            lambda error: self.told.setdefault(name, error)
+        )
+        if size:
+            share.take(size)
+        share.heard_at -= silent
+        return share
+
+
+class TestBytes(IntakeCase):
+    """Which requests give way when their sum is too large."""
+
+    def test_silent_sender_gives_way_first(self):
+        """Guards against refusing who sends for one who does not."""
+        silent = self.admit("silent", 30_000, silent=1.0)
+        self.admit("sends", 60_000)
+        self.assertTrue(self.admit("next", 20_000).is_open)
+        self.assertEqual(list(self.told), ["silent"])
+        self.assertFalse(silent.is_open)
+        self.assertEqual(self.intake.used, 80_000)
+
+    def test_largest_gives_way_if_all_send(self):
+        """Guards against refusing small requests for large ones."""
+        self.admit("large", 90_000)
+        self.admit("small", 5_000)
+        self.admit("next", 8_000)
+        self.assertEqual(list(self.told), ["large"])
+
+    def test_refusal_promises_that_the_request_has_not_run(self):
+        """Guards against a refusal after which nobody may try again."""
+        share = self.admit("too large", 100_001)
+        self.assertFalse(share.is_open)
+        error = self.told["too large"]
+        self.assertEqual(error.status, 503)
+        self.assertIs(error.outcome, errors.Outcome.NOT_RUN)
+        self.assertGreater(error.retry_after, 0.0)
+
+    def test_whole_requests_stay(self):
+        """Guards against ending what is being answered."""
+        self.admit("whole", 95_000, silent=9.0).hold()
+        self.assertTrue(self.admit("small", 8_000).is_open)
+        self.assertFalse(self.admit("large", 20_000).is_open)
+        self.assertEqual(list(self.told), ["large"])
+
+    def test_ended_connections_take_nothing(self):
+        """Guards against a sum that grows for ever."""
+        share = self.admit("gone", 50_000)
+        share.end()
+        share.take(9_000)
+        share.end()
+        self.assertEqual(self.intake.used, 0)
+        self.assertEqual(self.intake.connections, 0)
+
+    def test_next_request_counts_only_what_has_arrived(self):
+        """Guards against counting requests that have ended."""
+        share = self.admit("again", 50_000)
+        share.hold()
+        share.begin(10)
+        self.assertEqual(self.intake.used, 10)
+        self.assertIs(share.state, intakes.State.RECEIVING)
+
+    def test_proved_peers_are_not_counted(self):
+        """Guards against ending links of a keeper or router."""
+        link = self.admit("link", 1_000)
+        link.most = 2_000
+        link.prove()
+        self.assertTrue(link.take(500_000))
+        self.assertEqual(self.intake.used, 0)
+
+
+class TestConnections(IntakeCase):
+    """Which connections give way when they are too many."""
+
+    def test_longest_silent_connection_gives_way(self):
+        """Guards against silent connections that shut callers out."""
+        self.admit("running", 10).hold()
+        self.admit("oldest", silent=5.0)
+        self.admit("half", 10, silent=3.0)
+        self.admit("new")
+        self.assertIsNotNone(self.admit("caller"))
+        self.assertEqual(list(self.told), ["oldest"])
+
+    def test_none_gives_way_to_more_than_can_be_served(self):
+        """Guards against ending a running request for a connection."""
+        for number in range(4):
+            self.admit(f"running-{number}", 10).hold()
+        self.assertIsNone(self.intake.admit(print))
+        self.assertEqual(self.told, {})
+
+    def test_files_are_left_for_targets(self):
+        """Guards against callers that take all files of the process."""
+        intake = intakes.for_process(300 * 2**20, 1000)
+        self.assertEqual(intake.most_connections, 600)
+
+    def test_connections_fit_into_small_memory(self):
+        """Guards against idle connections that fill the memory."""
+        intake = intakes.for_process(12 * 2**20, 100_000)
+        taken = intake.most_connections * intakes.CONNECTION_BYTES
+        self.assertLessEqual(taken, 2**20)
+
+
+class TestLingering(unittest.IsolatedAsyncioTestCase):
+    """Connections that are refused while their clients send."""
+
+    async def test_client_that_goes_on_sending_reads_the_refusal(self):
+        """Guards against a reset that destroys the refusal."""
+        lingering = refusals.Lingering()
+        error = errors.TooLargeError("body")
+        loop = asyncio.get_running_loop()
+        client, server = socket.socketpair()
+        for sock in (client, server):
+            sock.setblocking(False)
+        lingering.refuse(server, refusals.encode(error))
+        server.close()
+        for _ in range(64):
+            await loop.sock_sendall(client, b"x" * 65536)
+        answer = await loop.sock_recv(client, 65536)
+        self.assertIn(b" 413 ", answer)
+        client.close()
+        async with asyncio.timeout(1.0):
+            while lingering.open:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    async def test_their_number_is_bounded(self):
+        """Guards against descriptors that refused clients keep."""
+        lingering = refusals.Lingering()
+        pairs = [socket.socketpair() for _ in range(80)]
+        for client, server in pairs:
+            lingering.refuse(server, b"refused")
+            server.close()
+            self.addCleanup(client.close)
+        self.assertEqual(len(lingering.open), refusals.MAX_LINGERING)
+        while lingering.close_oldest():
+            pass
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -132,16 +132,19 @@
 
     routers = 1
     replicas = 1
+    memory_mb = MEMORY_MB
+    body_bytes = BODY_BYTES
+    hold_seconds = HOLD_SECONDS
 
     def settings(self, name):
         """Return settings with low limits."""
-        limits = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+        limits = {"memory_mb": self.memory_mb, "max_fds": MAX_FDS}
         return super().settings(name) | {"limits": limits}
 
     def configuration(self):
         """Return a plan with a low limit on bodies."""
         found = super().configuration()
-        found["limits"]["max_body_bytes"] = BODY_BYTES
+        found["limits"]["max_body_bytes"] = self.body_bytes
         for route in found["routes"]:
             route["timeout_ms"] = 30000
         return found
@@ -191,7 +194,7 @@
         }
         clients = crowd.Crowd((self.ip(name), port), script, count, resets)
         await clients.wait_sent(SEND_SECONDS)
-        await asyncio.sleep(HOLD_SECONDS)
+        await asyncio.sleep(self.hold_seconds)
         during = await self.ordinary()
         await self.configure()
         await clients.leave()
@@ -200,7 +203,7 @@
             watch.stop()
             memory, descriptors = watch.check()
             self.assertIsNone(self.processes[each].poll(), f"{each} ended")
-            self.assertLess(memory, MEMORY_MB, each)
+            self.assertLess(memory, self.memory_mb, each)
             self.assertLess(descriptors, MAX_FDS, each)
         self.assertEqual((during, after), (200, 200))
         return clients.outcomes
@@ -278,6 +281,22 @@
         self.assertIn(b" 200 ", line)
 
 
+class TestLargeBodies(CrowdCase):
+    """Bodies of the size and VMs of the memory that are usual."""
+
+    memory_mb = 200
+    body_bytes = 4 * 1024 * 1024
+    hold_seconds = 8.0
+
+    async def test_large_bodies_that_are_reset(self):
+        """Guards against parts of bodies that outlive their connection."""
+        await self.meet(chunked(self.body_bytes - 1), resets=True)
+
+    async def test_large_bodies_without_end(self):
+        """Guards against the sum of all unfinished bodies being unbounded."""
+        await self.meet(chunked(self.body_bytes - 1))
+
+
 class TestPieces(CrowdCase):
     """What arrives in the smallest pieces."""
 
@@ -439,7 +458,12 @@
         self.addCleanup(folder.cleanup)
         path = pathlib.Path(folder.name)
         local_fleet.write_settings(
-            path, 1, 1, f"[callers]\nbody_bytes_most = {BODY_BYTES}\n"
+            path,
+            1,
+            1,
+            f"[callers]\nbody_bytes_most = {BODY_BYTES}\n",
+            process=f"memory_bytes = {self.memory_mb * crowd.MEGABYTE}\n"
+            f"descriptors_most = {MAX_FDS}\n",
         )
         self.fleet = local_fleet.LocalFleet(path, path / "logs")
         self.addCleanup(self.fleet.stop_all)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -9,9 +9,7 @@
 import unittest
 import uuid
 
-from amaranthring.core import metrics
 from amaranthring.core import overload
-from amaranthring.forwarding import connection_limit
 from amaranthring.platform import headers
 from amaranthring.testing import scripted_target
 from tests import platform_case
@@ -55,19 +53,6 @@
         self.assertFalse(self.delay.is_overloaded)
 
 
-class TestConnectionLimit(unittest.TestCase):
-    """Which new connections are closed."""
-
-    def test_files_are_left_for_targets(self):
-        """Guards against callers that take all files of the process."""
-        limit = connection_limit.ConnectionLimit(
-            overload.LoopDelay(), metrics.Metrics()
-        )
-        limit.most = 10
-        self.assertFalse(limit.is_full(9))
-        self.assertTrue(limit.is_full(10))
-
-
 class Replica(platform_case.Replica):
     """A replica that takes some time for each request."""
 
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -211,7 +211,7 @@
     async def asyncSetUp(self):
         await self.begin()
         self.front = self.router.front
-        self.front.server.is_full = lambda connections: True
+        self.front.server.is_full = lambda: True
 
     async def send(self, data):
         sock = connect("{}:{}".format(*self.router.address))
