Divide each turn of the event loop among connections with many pieces

What callers saw: beside 120 connections with chunks of one byte no ordinary request was answered in 30 s, nor in 30 s after they had gone.

Cause: tornado bounds the chunks that it handles of one connection in a turn, at 256. With 120 connections a turn lasted for seconds.

While it waits, what the kernel may hold for it counts.

--- a/amaranthring/core/bounded_streams.py
+++ b/amaranthring/core/bounded_streams.py
@@ -7,6 +7,7 @@
 
 from amaranthring import errors
 from amaranthring.core import intake as intakes
+from amaranthring.core import listeners
 from amaranthring.core import refusals
 
 __all__ = [
@@ -16,9 +17,12 @@
     "accept",
 ]
 
+# End of the line with the length of a chunk.
+LINE_END = b"\r\n"
+
 
 class _Bounded:
-    """Counts what is read.
+    """Counts what is read, and what may be read in one turn of the loop.
 
     Attributes
     ----------
@@ -72,10 +76,20 @@
         return self.last_read
 
     def read_until(self, delimiter, max_bytes=None):
-        """Read up to a delimiter."""
-        self.last_read = super().read_until(delimiter, max_bytes)
+        """Read a line, once it is the turn of this connection."""
+        self.share.steps -= 1
+        if self.share.steps >= 0 or delimiter != LINE_END:
+            self.last_read = super().read_until(delimiter, max_bytes)
+        else:
+            self.last_read = asyncio.ensure_future(
+                self._read_in_turn(delimiter, max_bytes)
+            )
         return self.last_read
 
+    async def _read_in_turn(self, delimiter, max_bytes):
+        await self.share.wait(listeners.RECEIVE_BUFFER_BYTES)
+        return await super().read_until(delimiter, max_bytes)
+
     def refuse(
         self, error: errors.AmaranthringError, is_for_head: bool = False
     ) -> None:
--- a/amaranthring/core/intake.py
+++ b/amaranthring/core/intake.py
@@ -5,6 +5,7 @@
 its limit, could fill the memory of a small VM, or use up its descriptors.
 """
 
+import asyncio
 import dataclasses
 import enum
 import resource
@@ -16,6 +17,7 @@
 from amaranthring import errors
 from amaranthring.core import logs
 from amaranthring.core import refusals
+from amaranthring.core import turns as turns_module
 
 __all__ = ["Intake", "Share", "State", "do_nothing", "for_process"]
 
@@ -69,12 +71,18 @@
         Ends the connection with an error for its client.
     size : int
         Bytes that were taken in since the last request ended.
+    pending : int
+        Bytes that may have arrived and are not read for now.
     most : float
         Greatest size of this share before its peer has proved who it is.
     heard_at : float
         Monotonic seconds at which bytes last arrived.
+    steps : int
+        Steps of work that are left before others have their turn.
     drop : callable
         Lets go of what was received of a request.
+    turn : asyncio.Future, optional
+        Turn that is waited for.
     is_open : bool
         Whether the connection is open.
     is_proved : bool
@@ -85,9 +93,12 @@
     give_up: GiveUp
     state: State = State.IDLE
     size: int = 0
+    pending: int = 0
     most: float = float("inf")
     heard_at: float = dataclasses.field(default_factory=time.monotonic)
+    steps: int = turns_module.FIRST_STEPS
     drop: t.Callable[[], None] = do_nothing
+    turn: asyncio.Future | None = None
     is_open: bool = True
     is_proved: bool = False
 
@@ -119,6 +130,7 @@
         self.intake.used += size - self.size
         self.size = size
         self.drop = do_nothing
+        self.steps = turns_module.FIRST_STEPS
         self._move(State.RECEIVING if size else State.IDLE)
 
     def hold(self) -> None:
@@ -145,8 +157,36 @@
         self.drop = do_nothing
         self.give_up = _ignore
         self.intake.used -= self.size
+        self._read_on()
+        if self.turn is not None and not self.turn.done():
+            # What still waits for its turn keeps parts of a body.
+            self.turn.set_result(None)
         self.intake.forget(self)
 
+    async def wait(self, pending: int) -> None:
+        """Wait for the next steps, or until the connection has closed.
+
+        Parameters
+        ----------
+        pending : int
+            Bytes that may arrive meanwhile, while nothing is read.
+        """
+        if not self.is_open:
+            return
+        self.turn = self.intake.turns.ask()
+        self.pending = pending
+        self.intake.add(pending)
+        try:
+            await self.turn
+        finally:
+            self.turn = None
+            self._read_on()
+        self.steps = turns_module.STEPS
+
+    def _read_on(self) -> None:
+        self.intake.used -= self.pending
+        self.pending = 0
+
     def _add(self, size: int) -> None:
         self.size += size
         self.intake.add(size)
@@ -185,6 +225,8 @@
         Bytes that are taken.
     shares : dict
         Connections of each state, those that were silent for longest first.
+    turns : turns.Turns
+        Divides the turns of the event loop among the connections.
     lingering : refusals.Lingering
         Connections whose clients are still reading a refusal.
     """
@@ -202,6 +244,7 @@
         self.shares: dict[State, dict[Share, None]] = {
             state: {} for state in State
         }
+        self.turns = turns_module.Turns()
         self.lingering = refusals.Lingering()
 
     @property
@@ -300,8 +343,12 @@
         oldest = next(iter(receiving))
         if time.monotonic() - oldest.heard_at >= SILENT_SECONDS:
             return oldest
-        largest = max(receiving, key=lambda share: share.size)
-        return largest if largest.size > SMALL_BYTES else None
+        largest = max(receiving, key=_burden)
+        return largest if _burden(largest) > SMALL_BYTES else None
+
+
+def _burden(share: Share) -> int:
+    return share.size + share.pending
 
 
 def for_process(
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -7,6 +7,7 @@
 from amaranthring import errors
 from amaranthring.core import intake as intakes
 from amaranthring.core import refusals
+from amaranthring.core import turns
 
 
 class IntakeCase(unittest.TestCase):
@@ -119,6 +120,36 @@
         self.assertLessEqual(taken, 2**20)
 
 
+class TestTurns(unittest.IsolatedAsyncioTestCase):
+    """How turns of the event loop are divided."""
+
+    async def test_few_go_on_in_one_turn(self):
+        """Guards against turns that grow with the number of connections."""
+        shared = turns.Turns()
+        tasks = [shared.ask() for _ in range(20)]
+        gone_on, steps = [], 0
+        while not all(task.done() for task in tasks):
+            await asyncio.sleep(0)
+            gone_on.append(sum(task.done() for task in tasks) - steps)
+            steps += gone_on[-1]
+        self.assertLessEqual(max(gone_on), turns.GRANTS)
+        self.assertFalse(shared.waiting)
+
+    async def test_closed_connections_do_not_wait(self):
+        """Guards against parts of bodies that a long queue keeps."""
+        intake = intakes.Intake()
+        shares = [intake.admit(print) for _ in range(100)]
+        waits = [asyncio.ensure_future(share.wait(1000)) for share in shares]
+        await asyncio.sleep(0)
+        self.assertEqual(intake.used, 100_000)
+        for share in shares:
+            share.end()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertTrue(all(wait.done() for wait in waits))
+        self.assertEqual(intake.used, 0)
+
+
 class TestLingering(unittest.IsolatedAsyncioTestCase):
     """Connections that are refused while their clients send."""
 
