Refuse from its head what surely fails

What callers saw: bodies with an unknown key, for an unknown route, or over the limit were received to their end before the answer came, and a Content-Length of a gigabyte got 400 or a reset.

Change: if more than 64 KB of a body are to come, or have come, a request that its head or its length decides is answered at once, and the connection closes: its sending side first, while up to 16 MB are read and thrown away for up to 2 s, so that a client that goes on sending can read the answer. More than the plan's limit before the end of a head gets 431. Heads that are not whole after the plan's header_timeout_ms, which nothing used, and bodies after the time for which their caller waits, get 408. Smaller requests are answered as before, on a connection that stays open.

test_ended_waits held a stop up with a head that never ends; its plan gives heads more time than the stop has now, the check is the same.

--- a/amaranthring/core/intake.py
+++ b/amaranthring/core/intake.py
@@ -38,6 +38,7 @@
 SILENT_SECONDS = 0.5
 # A request up to this size gives way only if its sender is silent.
 SMALL_BYTES = 16 * 1024
+CHECK_SECONDS = 1.0
 # Time after which a refused caller may come back: others end meanwhile.
 RETRY_SECONDS = 0.5
 
@@ -74,9 +75,16 @@
     pending : int
         Bytes that may have arrived and are not read for now.
     most : float
-        Greatest size of this share before its peer has proved who it is.
+        Greatest size of this share before its head, or the proof of its peer,
+        is whole.
     heard_at : float
         Monotonic seconds at which bytes last arrived.
+    head_seconds : callable
+        Returns how long a head may take.
+    due : float
+        Monotonic seconds at which what is being received must be whole.
+    late : errors.AmaranthringError, optional
+        What a client that is late is told.
     steps : int
         Steps of work that are left before others have their turn.
     drop : callable
@@ -96,6 +104,9 @@
     pending: int = 0
     most: float = float("inf")
     heard_at: float = dataclasses.field(default_factory=time.monotonic)
+    head_seconds: t.Callable[[], float] = lambda: float("inf")
+    due: float = float("inf")
+    late: errors.AmaranthringError | None = None
     steps: int = turns_module.FIRST_STEPS
     drop: t.Callable[[], None] = do_nothing
     turn: asyncio.Future | None = None
@@ -115,12 +126,14 @@
             return self.is_open
         self.heard_at = time.monotonic()
         if self.state is State.IDLE:
+            self.due = self.heard_at + self.head_seconds()
+            self.late = None
             self._move(State.RECEIVING)
         elif self.state is State.RECEIVING:
             self.intake.touch(self)
         self._add(size)
         if self.is_open and self.size > self.most:
-            self.intake.give_up(self)
+            self.intake.refuse_head(self)
         return self.is_open
 
     def begin(self, size: int) -> None:
@@ -130,8 +143,16 @@
         self.intake.used += size - self.size
         self.size = size
         self.drop = do_nothing
+        self.due = float("inf")
         self.steps = turns_module.FIRST_STEPS
         self._move(State.RECEIVING if size else State.IDLE)
+        if size:
+            self.due = time.monotonic() + self.head_seconds()
+            self.late = None
+
+    def expect(self, due: float, late: errors.AmaranthringError) -> None:
+        """Give the rest of a request until `due`, or else end with `late`."""
+        self.due, self.late = due, late
 
     def hold(self) -> None:
         """Keep this connection, whose request is whole."""
@@ -253,6 +274,12 @@
         count = sum(len(shares) for shares in self.shares.values())
         return count + len(self.lingering.open)
 
+    async def run(self) -> None:
+        """End regularly what should have been whole."""
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            self.check_due()
+
     def admit(self, give_up: GiveUp) -> Share | None:
         """Return the share of a new connection.
 
@@ -312,6 +339,26 @@
             ),
         )
 
+    def refuse_head(self, share: Share) -> None:
+        """End a connection on which too much comes before a head is whole."""
+        self._end(
+            share,
+            "intake.head-too-large",
+            errors.HeadersTooLargeError(
+                "headers",
+                given=f"{share.size} bytes so far",
+                expected="the end of the headers sooner",
+            ),
+        )
+
+    def check_due(self) -> None:
+        """End connections whose request should have been whole by now."""
+        now = time.monotonic()
+        for share in [
+            share for share in self.shares[State.RECEIVING] if share.due <= now
+        ]:
+            self._end(share, "intake.late", share.late or _head_error(share))
+
     def _end(
         self, share: Share, name: str, error: errors.AmaranthringError
     ) -> None:
@@ -351,6 +398,15 @@
     return share.size + share.pending
 
 
+def _head_error(share: Share) -> errors.HeadersTimeoutError:
+    return errors.HeadersTimeoutError(
+        "the headers arrived too slowly",
+        given=f"{share.size} bytes in {share.head_seconds():g} s",
+        expected="complete headers",
+        retry_after=RETRY_SECONDS,
+    )
+
+
 def for_process(
     memory: float = 0.0,
     descriptors: int = 0,
--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -15,6 +15,7 @@
 from amaranthring.core import intake as intakes
 from amaranthring.core import listeners
 from amaranthring.core import logs
+from amaranthring.core import numerals
 from amaranthring.forwarding import caller_stream
 from amaranthring.forwarding import records
 from amaranthring.forwarding import refusals
@@ -31,6 +32,13 @@
 # plan are checked per request, with an error code of their own.
 MAX_HEADER_BYTES = 256 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# A request that is refused is read to its end if no more than this is left,
+# so that its caller can keep the connection.
+DISCARD_BYTES = 64 * 1024
+# What may be read behind a head before its end is looked for.
+READ_AHEAD_BYTES = 128 * 1024
+# Greatest time for a body, whatever its caller says that it waits.
+MAX_BODY_SECONDS = 120.0
 # Longer than the idle time of any plan, so that a connection is not closed
 # while a caller that observes the idle time of the plan sends a request.
 IDLE_SECONDS = 120.0
@@ -47,6 +55,10 @@
     return False
 
 
+def _check_nothing(_incoming: records.Incoming) -> None:
+    """Leave all checks to the time when the request is whole."""
+
+
 class _Server(http_servers.BoundedServer):
     """Server that turns new connections away while it is asked to."""
 
@@ -55,6 +67,7 @@
         self.is_full = front.is_full
         self.turn_away = front.turn_away
         self.on_half_closed = front.on_half_closed
+        self.head_seconds = lambda: front.bounds().header_seconds
         self.streams: set[tornado.iostream.IOStream] = set()
 
     def handle_stream(self, stream, address):
@@ -71,6 +84,7 @@
             self.turn_away(stream)
             return None
         accepted.on_half_closed = self.on_half_closed
+        accepted.share.head_seconds = self.head_seconds
         self.streams.add(accepted)
         return accepted
 
@@ -96,6 +110,8 @@
         Returns whether one more connection is turned away.
     intake : intake.Intake, optional
         Of the process.
+    check_head : callable, optional
+        Raises what the head of a request already decides.
 
     Attributes
     ----------
@@ -121,9 +137,11 @@
         bounds: t.Callable[[], plans.Bounds],
         is_full: t.Callable[[], bool] = _is_never_full,
         intake: intakes.Intake | None = None,
+        check_head: t.Callable[[records.Incoming], None] = _check_nothing,
     ):
         self.is_full = is_full
         self.intake = intake or intakes.Intake()
+        self.check_head = check_head
         self.dialect = dialect
         self.serve = serve
         self.bounds = bounds
@@ -267,6 +285,12 @@
     )
 
 
+def _headers_too_large(size: int, limit: int) -> errors.HeadersTooLargeError:
+    return errors.HeadersTooLargeError(
+        "headers", given=size, expected=f"{limit} bytes at most"
+    )
+
+
 def _half_closed() -> errors.HalfClosedError:
     return errors.HalfClosedError(
         "the caller has closed its sending side before its answer",
@@ -291,10 +315,13 @@
         self.body_bytes = 0
         self.task: asyncio.Task | None = None
         self.has_begun = False
+        limit = frontend.bounds().header_bytes
+        self.stream.share.most = limit + READ_AHEAD_BYTES
 
     def headers_received(self, start_line, headers):
-        """Parse the head; errors are sent after the body was received."""
+        """Parse the head; refuse what it decides if a long body follows."""
         self.frontend.idle.discard(self.server_conn)
+        self.stream.share.most = float("inf")
         self.writer.is_for_head = start_line.method == "HEAD"
         try:
             self._check_headers(headers)
@@ -302,30 +329,74 @@
                 start_line, headers, time.monotonic()
             )
             self.incoming.origin = self.connection.context.remote_ip
+            self._expect_body()
         except errors.AmaranthringError as error:
             self.error = error
+        length = numerals.read(headers.get("Content-Length", "")) or 0
+        self._check_length(length)
+        if length > DISCARD_BYTES:
+            self._refuse_if_certain()
 
     def _check_headers(self, headers) -> None:
         limit = self.frontend.bounds().header_bytes
         size = sum(len(n) + len(v) + 4 for n, v in headers.get_all())
         if size > limit:
-            raise errors.HeadersTooLargeError(
-                "headers", given=size, expected=f"{limit} bytes at most"
+            raise _headers_too_large(size, limit)
+
+    def _expect_body(self) -> None:
+        """Give the body the time for which its caller waits."""
+        seconds = min(self.incoming.timeout, MAX_BODY_SECONDS)
+        self.stream.share.expect(
+            self.incoming.arrived + seconds,
+            errors.BodyTimeoutError(
+                "the body arrived too slowly",
+                given=f"incomplete after {seconds:g} s",
+                expected="the whole body",
+                retry_after=0.0,
+            ),
+        )
+
+    def _check_length(self, length: int) -> None:
+        """Note an error if a body of `length` bytes is too large."""
+        limit = self.frontend.bounds().body_bytes
+        if length > limit and self.error is None:
+            self.error = errors.TooLargeError(
+                "body", given=length, expected=f"{limit} bytes at most"
             )
 
+    def _refuse_if_certain(self) -> None:
+        """Refuse a request with a long body, if its head decides that."""
+        if self.error is None:
+            try:
+                self.frontend.check_head(self.incoming)
+            except errors.AmaranthringError as error:
+                self.error = error
+        if self.error is not None:
+            self._refuse_unread()
+
+    def _refuse_unread(self) -> None:
+        logs.event(
+            log,
+            "request.refused-unread",
+            id=self.incoming.request_id if self.incoming else "",
+            code=self.error.code,
+            received=self.body_bytes,
+        )
+        self.chunks.clear()
+        self.stream.refuse(self.error, self.writer.is_for_head)
+
     def data_received(self, chunk):
         """Collect the body, up to its limit."""
+        was_long = self.body_bytes > DISCARD_BYTES
         self.body_bytes += len(chunk)
-        limit = self.frontend.bounds().body_bytes
-        if self.body_bytes > limit:
-            self.chunks.clear()
-            self.error = self.error or errors.TooLargeError(
-                "body",
-                given=self.body_bytes,
-                expected=f"{limit} bytes at most",
-            )
-        else:
+        self._check_length(self.body_bytes)
+        if self.error is None:
             self.chunks.append(chunk)
+        else:
+            self.chunks.clear()
+        is_long = self.body_bytes > DISCARD_BYTES
+        if is_long and (self.error is not None or not was_long):
+            self._refuse_if_certain()
 
     def finish(self):
         """Handle the request, which is now complete."""
--- a/amaranthring/forwarding/relay.py
+++ b/amaranthring/forwarding/relay.py
@@ -210,6 +210,21 @@
             handover=handover,
         )
 
+    def check_head(self, incoming: records.Incoming) -> None:
+        """Check what the head of a request decides under the active plan.
+
+        Raises
+        ------
+        errors.NotFoundError, errors.UnauthenticatedError
+            If the request cannot be forwarded, whatever its body is.
+        """
+        table = self.table()
+        if table is None:
+            return
+        route = _route_of(table, incoming)
+        if self.may_trust_keys():
+            self._account(table, route, incoming)
+
     async def _admit(self, context: records.RequestContext) -> None:
         """Bind a request that takes a stream up again, and count it.
 
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -245,6 +245,7 @@
             self.bounds,
             limit.is_full,
             self.intake,
+            self.relay.check_head,
         )
         self.stopping = False
         self.started_at = time.monotonic()
@@ -365,6 +366,7 @@
         self.subscriber.use_seeds(self.config.keepers)
         for name, run in (
             ("prune", self._prune_regularly),
+            ("intake", self.intake.run),
             ("loop-delay", self.loop_delay.run),
             ("reports", self.reporter.run),
             ("connections", self.relay.connections.run),
--- a/amaranthring/registry/keeper.py
+++ b/amaranthring/registry/keeper.py
@@ -160,6 +160,7 @@
         )
         self.pressure_task: asyncio.Task | None = None
         self.hints_task: asyncio.Task | None = None
+        self.intake_task: asyncio.Task | None = None
         self.server = links.LinkServer(
             identity,
             keys,
@@ -202,6 +203,7 @@
         self.group.start()
         self.hub.start()
         self.hints_task = background.keep_running("hints", self.hints.run)
+        self.intake_task = background.keep_running("intake", self.intake.run)
         self.pressure_task = background.keep_running(
             "pressure",
             lambda: pressure.watch(
@@ -223,7 +225,7 @@
     async def stop(self) -> None:
         """Step down and close everything."""
         self.hub.stop()
-        for task in (self.hints_task, self.pressure_task):
+        for task in (self.hints_task, self.pressure_task, self.intake_task):
             if task is not None:
                 task.cancel()
         self.hints.close()
--- a/tests/test_ended_waits.py
+++ b/tests/test_ended_waits.py
@@ -30,6 +30,9 @@
 
     async def asyncSetUp(self):
         self.router, address = test_unanswered_requests.make_router(self.grace)
+        # The head that never ends must last for the whole stop.
+        bounds = routing.Bounds(header_seconds=2 * self.grace)
+        self.router.front.bounds = lambda: bounds
         self.router.start()
         self.partial = test_unanswered_requests.connect(address)
         self.partial.sendall(test_unanswered_requests.REQUEST[:20])
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 import unittest
 
 from amaranthring import errors
@@ -88,6 +89,13 @@
         self.assertTrue(link.take(500_000))
         self.assertEqual(self.intake.used, 0)
 
+    def test_head_without_end(self):
+        """Guards against heads that are held although they must fail."""
+        share = self.admit("head")
+        share.most = 1_000
+        self.assertFalse(share.take(1_001))
+        self.assertEqual(self.told["head"].status, 431)
+
 
 class TestConnections(IntakeCase):
     """Which connections give way when they are too many."""
@@ -120,6 +128,26 @@
         self.assertLessEqual(taken, 2**20)
 
 
+class TestTimes(IntakeCase):
+    """Requests that should be whole by now."""
+
+    def test_late_head_and_late_body(self):
+        """Guards against requests that are received for ever."""
+        head = self.intake.admit(
+            lambda error: self.told.setdefault("head", error)
+        )
+        head.head_seconds = lambda: 0.0
+        head.take(10)
+        body = self.admit("body", 10)
+        late = errors.BodyTimeoutError("late")
+        body.expect(time.monotonic(), late)
+        self.admit("in time", 10)
+        self.intake.check_due()
+        self.assertEqual(set(self.told), {"head", "body"})
+        self.assertEqual(self.told["head"].status, 408)
+        self.assertIs(self.told["body"], late)
+
+
 class TestTurns(unittest.IsolatedAsyncioTestCase):
     """How turns of the event loop are divided."""
 
