Let callers who read nothing give way to answers that wait

What callers saw: 120 callers who read nothing of their answers of 1 MB took a router with 100 MB to 138 MB, and an ordinary caller got no answer of that size until their deadlines had passed.

Cause: the limit on answers that are held did not follow the memory of the VM; a large answer was copied behind its head; and who takes nothing kept its place until its deadline.

Change: the limit is a sixth of the memory at most; large answers are written by themselves; a connection whose client has taken nothing for 2 s ends while answers wait for memory.

--- a/amaranthring/core/bounded_streams.py
+++ b/amaranthring/core/bounded_streams.py
@@ -75,6 +75,25 @@
         self.last_read = super().read_bytes(num_bytes, partial)
         return self.last_read
 
+    def write(self, data):
+        """Write, and note what the client has not taken yet."""
+        future = super().write(data)
+        if self.writing():
+            self.share.owe()
+        return future
+
+    def write_to_fd(self, data):
+        """Write to the socket, and note what the client has taken."""
+        size = super().write_to_fd(data)
+        if size and self.share.owes:
+            self.share.owe()
+        return size
+
+    def _handle_write(self):
+        super()._handle_write()
+        if self.share.owes and not self.writing():
+            self.share.settle()
+
     def read_until(self, delimiter, max_bytes=None):
         """Read a line, once it is the turn of this connection."""
         self.share.steps -= 1
--- a/amaranthring/core/intake.py
+++ b/amaranthring/core/intake.py
@@ -39,6 +39,8 @@
 # A request up to this size gives way only if its sender is silent.
 SMALL_BYTES = 16 * 1024
 CHECK_SECONDS = 1.0
+# A client that took nothing for longer gives way when answers need memory.
+STALLED_SECONDS = 2.0
 # Time after which a refused caller may come back: others end meanwhile.
 RETRY_SECONDS = 0.5
 
@@ -91,6 +93,10 @@
         Lets go of what was received of a request.
     turn : asyncio.Future, optional
         Turn that is waited for.
+    owes : bool
+        Whether its client has not taken all that was written.
+    taken_at : float
+        Monotonic seconds at which the client last took something.
     is_open : bool
         Whether the connection is open.
     is_proved : bool
@@ -110,6 +116,8 @@
     steps: int = turns_module.FIRST_STEPS
     drop: t.Callable[[], None] = do_nothing
     turn: asyncio.Future | None = None
+    owes: bool = False
+    taken_at: float = 0.0
     is_open: bool = True
     is_proved: bool = False
 
@@ -182,8 +190,22 @@
         if self.turn is not None and not self.turn.done():
             # What still waits for its turn keeps parts of a body.
             self.turn.set_result(None)
+        self.intake.unsent.pop(self, None)
         self.intake.forget(self)
 
+    def owe(self) -> None:
+        """Note that the client takes what was written, but has not yet."""
+        if self.is_open:
+            self.owes = True
+            self.taken_at = time.monotonic()
+            self.intake.unsent.pop(self, None)
+            self.intake.unsent[self] = None
+
+    def settle(self) -> None:
+        """Note that the client has taken all."""
+        self.owes = False
+        self.intake.unsent.pop(self, None)
+
     async def wait(self, pending: int) -> None:
         """Wait for the next steps, or until the connection has closed.
 
@@ -246,6 +268,11 @@
         Bytes that are taken.
     shares : dict
         Connections of each state, those that were silent for longest first.
+    unsent : dict
+        Connections whose clients have not taken all that was written, those
+        that have taken nothing for longest first.
+    is_short : callable
+        Returns whether answers wait for memory that others take.
     turns : turns.Turns
         Divides the turns of the event loop among the connections.
     lingering : refusals.Lingering
@@ -265,6 +292,8 @@
         self.shares: dict[State, dict[Share, None]] = {
             state: {} for state in State
         }
+        self.unsent: dict[Share, None] = {}
+        self.is_short: t.Callable[[], bool] = lambda: False
         self.turns = turns_module.Turns()
         self.lingering = refusals.Lingering()
 
@@ -279,6 +308,8 @@
         while True:
             await asyncio.sleep(CHECK_SECONDS)
             self.check_due()
+            if self.is_short():
+                self.end_stalled()
 
     def admit(self, give_up: GiveUp) -> Share | None:
         """Return the share of a new connection.
@@ -359,6 +390,18 @@
         ]:
             self._end(share, "intake.late", share.late or _head_error(share))
 
+    def end_stalled(self) -> None:
+        """End connections whose clients take nothing of their answers."""
+        late = time.monotonic() - STALLED_SECONDS
+        for share in list(self.unsent):
+            if share.taken_at > late:
+                return
+            self._end(
+                share,
+                "intake.stalled",
+                errors.CallerDisconnectedError("the caller reads nothing"),
+            )
+
     def _end(
         self, share: Share, name: str, error: errors.AmaranthringError
     ) -> None:
--- a/amaranthring/forwarding/answer_memory.py
+++ b/amaranthring/forwarding/answer_memory.py
@@ -16,8 +16,10 @@
 
 log = logbook.Logger(__name__)
 
-# A router's VM may have 200 MB in all.
 MAX_BYTES = 32 * 1024 * 1024
+# Share of a process's memory for answers, if that is less: what is sent is
+# copied once behind its head.
+MEMORY_SHARE = 1 / 6
 # The first bytes of each answer are not counted, so that small ones never
 # wait for large ones; the limits on requests in flight bound them.
 FREE_BYTES = 64 * 1024
@@ -109,6 +111,13 @@
         return True
 
 
+def for_process(memory: float) -> AnswerMemory:
+    """Return the limit of a process that may use `memory` bytes, or 0."""
+    return AnswerMemory(
+        int(min(MAX_BYTES, memory * MEMORY_SHARE or MAX_BYTES))
+    )
+
+
 class AnswerShare:
     """What one answer takes.
 
--- a/amaranthring/forwarding/responses.py
+++ b/amaranthring/forwarding/responses.py
@@ -11,6 +11,8 @@
 from amaranthring.core import endpoints
 
 RETRY_AFTER_HEADER = "Retry-After"
+# Longer data is written by itself.
+MAX_COPIED_BYTES = 64 * 1024
 
 
 class ResponseWriter:
@@ -80,8 +82,15 @@
         if self.closing or self.stopping():
             headers["Connection"] = "close"
         line = endpoints.status_line(status)
+        # tornado would copy the data behind the head.
+        is_long = len(data) > MAX_COPIED_BYTES
         try:
-            await self.connection.write_headers(line, headers, data)
+            sent = self.connection.write_headers(
+                line, headers, b"" if is_long else data
+            )
+            if is_long:
+                sent = self.connection.write(data)
+            await sent
         except tornado.iostream.StreamClosedError as error:
             raise _disconnected_error() from error
 
--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -164,10 +164,11 @@
             config.data_centre,
             count_routers=lambda: self.sharers.routers,
         )
-        answers = answer_memory.AnswerMemory()
+        answers = answer_memory.for_process(config.memory)
         self.intake = intake.for_process(
             config.memory, config.descriptors, self.metrics.count
         )
+        self.intake.is_short = lambda: bool(answers.waiting)
         self.handing_over = handing_over.HandingOver(
             handover_client.HandoverClient(identity, keys),
             self.placer,
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -147,6 +147,15 @@
         self.assertEqual(self.told["head"].status, 408)
         self.assertIs(self.told["body"], late)
 
+    def test_who_reads_nothing_is_ended(self):
+        """Guards against answers that keep the memory of others."""
+        stalled, reads = self.admit("stalled"), self.admit("reads")
+        stalled.owe()
+        reads.owe()
+        stalled.taken_at -= 10.0
+        self.intake.end_stalled()
+        self.assertEqual(list(self.told), ["stalled"])
+
 
 class TestTurns(unittest.IsolatedAsyncioTestCase):
     """How turns of the event loop are divided."""
