--- a/amaranthring/core/bounded_streams.py
+++ b/amaranthring/core/bounded_streams.py
@@ -131,26 +131,23 @@
     """Accepted connection."""
 
 
-class BoundedLinkStream(_Bounded, tornado.iostream.IOStream):
-    """Accepted connection of a peer that speaks no HTTP."""
+class _Unanswered(_Bounded):
+    """Ends without an answer, which its client could not read."""
 
     def refuse(
         self, error: errors.AmaranthringError, is_for_head: bool = False
     ) -> None:
-        """Close: the peer learns no more until it has proved who it is."""
+        """Close the connection."""
         del error, is_for_head
         self.close()
 
 
-class BoundedSSLStream(_Bounded, tornado.iostream.SSLIOStream):
-    """Accepted connection with TLS."""
+class BoundedLinkStream(_Unanswered, tornado.iostream.IOStream):
+    """Accepted connection of a peer that speaks no HTTP."""
 
-    def refuse(
-        self, error: errors.AmaranthringError, is_for_head: bool = False
-    ) -> None:
-        """Close: an answer would have to wait for its encryption."""
-        del error, is_for_head
-        self.close()
+
+class BoundedSSLStream(_Unanswered, tornado.iostream.SSLIOStream):
+    """Accepted connection with TLS: an answer would wait for encryption."""
 
 
 def accept(
