--- a/amaranthring/core/bounded_streams.py
+++ b/amaranthring/core/bounded_streams.py
@@ -79,20 +79,20 @@
         """Write, and note what the client has not taken yet."""
         future = super().write(data)
         if self.writing():
-            self.share.owe()
+            self.share.note_unsent()
         return future
 
     def write_to_fd(self, data):
         """Write to the socket, and note what the client has taken."""
         size = super().write_to_fd(data)
-        if size and self.share.owes:
-            self.share.owe()
+        if size and self.share.has_unsent:
+            self.share.note_unsent()
         return size
 
     def _handle_write(self):
         super()._handle_write()
-        if self.share.owes and not self.writing():
-            self.share.settle()
+        if self.share.has_unsent and not self.writing():
+            self.share.note_sent()
 
     def read_until(self, delimiter, max_bytes=None):
         """Read a line, once it is the turn of this connection."""
--- a/amaranthring/core/intake.py
+++ b/amaranthring/core/intake.py
@@ -93,13 +93,13 @@
         Lets go of what was received of a request.
     turn : asyncio.Future, optional
         Turn that is waited for.
-    owes : bool
+    has_unsent : bool
         Whether its client has not taken all that was written.
     taken_at : float
         Monotonic seconds at which the client last took something.
     is_open : bool
         Whether the connection is open.
-    is_proved : bool
+    is_authenticated : bool
         Whether the peer has proved who it is, so that nothing is counted.
     """
 
@@ -116,10 +116,10 @@
     steps: int = turns_module.FIRST_STEPS
     drop: t.Callable[[], None] = do_nothing
     turn: asyncio.Future | None = None
-    owes: bool = False
+    has_unsent: bool = False
     taken_at: float = 0.0
     is_open: bool = True
-    is_proved: bool = False
+    is_authenticated: bool = False
 
     def take(self, size: int) -> bool:
         """Take `size` bytes that have arrived.
@@ -130,7 +130,7 @@
             Whether the connection is still open: it is not if it is the one
             that gave way.
         """
-        if self.is_proved or not self.is_open:
+        if self.is_authenticated or not self.is_open:
             return self.is_open
         self.heard_at = time.monotonic()
         if self.state is State.IDLE:
@@ -167,11 +167,11 @@
         if self.is_open:
             self._move(State.HELD)
 
-    def prove(self) -> None:
+    def mark_authenticated(self) -> None:
         """Keep this connection, whose peer has proved who it is."""
         if not self.is_open:
             return
-        self.is_proved = True
+        self.is_authenticated = True
         self.intake.used -= self.size
         self.size = 0
         self.hold()
@@ -193,17 +193,17 @@
         self.intake.unsent.pop(self, None)
         self.intake.forget(self)
 
-    def owe(self) -> None:
-        """Note that the client takes what was written, but has not yet."""
+    def note_unsent(self) -> None:
+        """Note that the client has not taken all that was written."""
         if self.is_open:
-            self.owes = True
+            self.has_unsent = True
             self.taken_at = time.monotonic()
             self.intake.unsent.pop(self, None)
             self.intake.unsent[self] = None
 
-    def settle(self) -> None:
+    def note_sent(self) -> None:
         """Note that the client has taken all."""
-        self.owes = False
+        self.has_unsent = False
         self.intake.unsent.pop(self, None)
 
     async def wait(self, pending: int) -> None:
@@ -352,7 +352,7 @@
         """Add `size` bytes; others give way if they do not fit."""
         self.used += size
         while size > 0 and self.used > self.most_bytes:
-            victim = self._largest_burden()
+            victim = self._next_to_end()
             if victim is None:
                 return
             self.give_up(victim)
@@ -363,7 +363,7 @@
             share,
             "intake.given-up",
             errors.IntakeFullError(
-                "no memory is left for this request",
+                "this process takes in as much as it may",
                 given=f"{share.size} bytes so far",
                 expected="the rest of the request sooner, or fewer at once",
                 retry_after=RETRY_SECONDS,
@@ -426,18 +426,18 @@
         ]
         return min(oldest, key=lambda share: share.heard_at, default=None)
 
-    def _largest_burden(self) -> Share | None:
+    def _next_to_end(self) -> Share | None:
         receiving = self.shares[State.RECEIVING]
         if not receiving:
             return None
         oldest = next(iter(receiving))
         if time.monotonic() - oldest.heard_at >= SILENT_SECONDS:
             return oldest
-        largest = max(receiving, key=_burden)
-        return largest if _burden(largest) > SMALL_BYTES else None
+        largest = max(receiving, key=_held_bytes)
+        return largest if _held_bytes(largest) > SMALL_BYTES else None
 
 
-def _burden(share: Share) -> int:
+def _held_bytes(share: Share) -> int:
     return share.size + share.pending
 
 
--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -435,7 +435,7 @@
         except errors.HandshakeError as error:
             log.warning("link.refused address={} fault={}", address, error)
             return
-        stream.share.prove()
+        stream.share.mark_authenticated()
         if self.closed:
             # The handshake completed after `close_all`; a link served now
             # would keep the process from exiting.
--- a/amaranthring/core/refusals.py
+++ b/amaranthring/core/refusals.py
@@ -24,7 +24,8 @@
 LINGER_BYTES = 16 * 1024 * 1024
 # Connections that linger at the same time; the oldest is closed for the next.
 MAX_LINGERING = 64
-DISCARD_BYTES = 64 * 1024
+# Read at once of what is thrown away.
+SCRATCH_BYTES = 64 * 1024
 
 
 def encode(
@@ -57,7 +58,7 @@
 
     def __init__(self):
         self.open: dict[socket.socket, asyncio.TimerHandle] = {}
-        self.scratch = bytearray(DISCARD_BYTES)
+        self.scratch = bytearray(SCRATCH_BYTES)
 
     def refuse(self, sock: socket.socket, response: bytes) -> None:
         """Send `response`, and close the connection once that is read.
--- a/amaranthring/core/turns.py
+++ b/amaranthring/core/turns.py
@@ -12,7 +12,7 @@
 
 # Steps that a request has before it waits, so that ordinary ones never do.
 FIRST_STEPS = 16
-# Steps that it has each time that it has waited. A step takes some 20 us.
+# Steps that it has each time that it has waited.
 STEPS = 64
 # How many connections go on with their steps in one turn.
 GRANTS = 4
--- a/amaranthring/testing/crowd.py
+++ b/amaranthring/testing/crowd.py
@@ -15,6 +15,8 @@
 __all__ = ["Crowd", "Usage", "UsageWatch", "chunk", "usage"]
 
 CONNECT_SECONDS = 10.0
+# A script that takes longer is reset in its midst.
+RESET_SECONDS = 0.5
 POLL_SECONDS = 0.05
 MEGABYTE = 2**20
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -105,7 +107,7 @@
 
     async def _send_and_reset(self, writer, sent: asyncio.Event) -> None:
         try:
-            async with asyncio.timeout(0.5):
+            async with asyncio.timeout(RESET_SECONDS):
                 await self.script(writer)
         except TimeoutError:
             pass
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -85,7 +85,7 @@
         """Guards against ending links of a keeper or router."""
         link = self.admit("link", 1_000)
         link.most = 2_000
-        link.prove()
+        link.mark_authenticated()
         self.assertTrue(link.take(500_000))
         self.assertEqual(self.intake.used, 0)
 
@@ -150,8 +150,8 @@
     def test_who_reads_nothing_is_ended(self):
         """Guards against answers that keep the memory of others."""
         stalled, reads = self.admit("stalled"), self.admit("reads")
-        stalled.owe()
-        reads.owe()
+        stalled.note_unsent()
+        reads.note_unsent()
         stalled.taken_at -= 10.0
         self.intake.end_stalled()
         self.assertEqual(list(self.told), ["stalled"])
