Tell a plan that lists no account from one without accounts

What callers saw: a key that an operator withdrew with the last account went on working, as did unknown keys and no key at all, on every route that is not public, through restarts of all processes.

Cause: the decoder of plans made `data.get("tenants") or ()` of the list, so an empty list became what an absent one becomes, and the table asked for keys only if there was an account.

Change: Plan.accounts is None without accounts and empty if none is listed; a table needs keys in the second case. The same slip one level down: values that are no lists passed for lists wherever Python can iterate them, so `"api_keys": "abc"` made three keys of one character, `{}` or `""` no routes, and null no accounts. An operator's plan with such a value is refused; one that an earlier release has acknowledged is read as it was before, by decode_acknowledged, so that routers have a plan after an upgrade. Null (and other empty values that are no list) in such a plan still means that no keys are needed. A router logs what it took of a plan (plan.taken).

--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -130,7 +130,7 @@
     Parameters
     ----------
     decode : callable
-        Decodes a plan document.
+        Decodes a plan document that a keeper has acknowledged.
     """
 
     def __init__(
@@ -276,6 +276,16 @@
         self.streams.record_plan(plan)
         # All that may fail comes before, so that no half of a plan is used.
         self.table = table
+        logs.event(
+            log,
+            "plan.taken",
+            version=plan.version,
+            routes=len(plan.routes),
+            services=len(plan.services),
+            needs_key=table.needs_key,
+            accounts=len(plan.accounts or ()),
+            keys=sum(len(a.keys) for a in plan.accounts or ()),
+        )
 
     def report(self) -> sharing.Report:
         """Return the report for the other routers."""
--- a/amaranthring/platform/control.py
+++ b/amaranthring/platform/control.py
@@ -86,8 +86,9 @@
 
 
 def read_routes(document: bytes) -> route_history.PlanRoutes:
-    """Return where the routes of a plan lead."""
-    return route_history.PlanRoutes.of(documents.decode(document).routes)
+    """Return where the routes of an acknowledged plan lead."""
+    plan = documents.decode_acknowledged(document)
+    return route_history.PlanRoutes.of(plan.routes)
 
 
 async def _announce(
--- a/amaranthring/platform/documents.py
+++ b/amaranthring/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes the operator's configurations into routing plans."""
 
+import contextlib
 import json
 import math
 import re
@@ -29,24 +30,68 @@
 
 
 def decode(document: bytes) -> routing.Plan:
-    """Return the validated plan in `document`.
+    """Return the validated plan in a document that an operator sends.
 
     Raises
     ------
     errors.InvalidPlanError
         If it cannot be decoded or is not a valid plan.
     """
-    try:
+    with _decoding():
         data = json.loads(document)
+        _check_lists(data)
         plan = _plan(data)
+    routing.check(plan)
+    return plan
+
+
+def decode_acknowledged(document: bytes) -> routing.Plan:
+    """Return the plan in a document that a keeper has acknowledged.
+
+    An earlier release may have done so, by fewer checks, and what was
+    acknowledged stays in force.
+
+    Raises
+    ------
+    errors.InvalidPlanError
+        If it cannot be decoded.
+    """
+    with _decoding():
+        return _plan(json.loads(document))
+
+
+@contextlib.contextmanager
+def _decoding() -> t.Iterator[None]:
+    try:
+        yield
     except validation.DECODING_ERRORS as error:
         raise errors.InvalidPlanError(
             "the document cannot be decoded",
             given=repr(error),
             expected="a plan",
         ) from error
-    routing.check(plan)
-    return plan
+
+
+def _check_lists(data: dict) -> None:
+    """Check that lists are lists.
+
+    Other empty values would pass for empty lists, and text for a list of its
+    characters.
+    """
+    lists = {"routes": [data["routes"]], "backends": [data["backends"]]}
+    lists["split"] = [r["split"] for r in data["routes"] if "split" in r]
+    if "tenants" in data:
+        lists["tenants"] = [data["tenants"]]
+        lists["api_keys"] = [
+            tenant["api_keys"]
+            for tenant in data["tenants"] or ()
+            if "api_keys" in tenant
+        ]
+    for name, values in lists.items():
+        for value in values:
+            if not isinstance(value, list):
+                kind = type(value).__name__
+                raise TypeError(f"{name} is of type {kind}, not a list")
 
 
 def _plan(data: dict) -> routing.Plan:
@@ -58,8 +103,7 @@
         routes=tuple(map(_route, data["routes"])),
         # The platform calls services back ends.
         services=tuple(map(_service, data["backends"])),
-        # The platform calls client accounts tenants.
-        accounts=tuple(map(_account, data.get("tenants") or ())),
+        accounts=_accounts(data),
         bounds=_bounds(data.get("limits") or {}),
     )
 
@@ -110,6 +154,16 @@
     )
 
 
+def _accounts(data: dict) -> tuple[routing.Account, ...] | None:
+    # The platform calls client accounts tenants.
+    listed = data.get("tenants")
+    if not listed and not isinstance(listed, list):
+        # Absent; or null or another empty value, which only earlier releases
+        # acknowledged, with this meaning.
+        return None
+    return tuple(map(_account, listed))
+
+
 def _account(data: dict) -> routing.Account:
     name, priority = _text(data["name"]), data.get("priority")
     if CONTROLS.search(name):
--- a/amaranthring/platform/router.py
+++ b/amaranthring/platform/router.py
@@ -30,5 +30,5 @@
         config,
         links.Keys(nodes.FLEET_KEY),
         headers.dialect(),
-        documents.decode,
+        documents.decode_acknowledged,
     )
--- a/amaranthring/routing/checks.py
+++ b/amaranthring/routing/checks.py
@@ -18,7 +18,7 @@
     _check_unique([service.name for service in plan.services], "service")
     _check_unique([(r.host, r.prefix) for r in plan.routes], "route's place")
     _check_unique(
-        [key for account in plan.accounts for key in set(account.keys)],
+        [key for account in plan.accounts or () for key in set(account.keys)],
         "key of an account",
         show=False,
     )
--- a/amaranthring/routing/plan.py
+++ b/amaranthring/routing/plan.py
@@ -182,12 +182,12 @@
     ----------
     version : int
         Set by the operator; the highest version is active.
-    accounts : tuple of Account
-        Empty if callers need no key.
+    accounts : tuple of Account, optional
+        None if callers need no key; if empty, no key is valid.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
-    accounts: tuple[Account, ...] = ()
+    accounts: tuple[Account, ...] | None = None
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
--- a/amaranthring/routing/table.py
+++ b/amaranthring/routing/table.py
@@ -24,12 +24,14 @@
     def __init__(self, plan: plans.Plan):
         self.plan = plan
         self.services = {service.name: service for service in plan.services}
-        self.needs_key = bool(plan.accounts)
+        self.needs_key = plan.accounts is not None
         self._routes = {
             (route.host.lower(), route.prefix): route for route in plan.routes
         }
         self._accounts = {
-            key: account for account in plan.accounts for key in account.keys
+            key: account
+            for account in plan.accounts or ()
+            for key in account.keys
         }
 
     @property
