Compare the places of routes in one form where they are checked and found

What callers saw: an operator added a second route at the same host and prefix, with the host in another case. It was acknowledged, and from then on all requests of the first route, unsafe ones too, ran at the second's service.

Cause: the check of a plan compared hosts as the operator spells them, the table found routes by the host in lower case, and the last of two routes took the place. What routers report of moved routes folded hosts by a third copy.

Change: Route.place, made by place_of, is what two routes must not share, what the table looks up and what keys of moved routes come from. A route with capitals in its host is reached in any spelling as before. A prefix that does not end with a slash was acknowledged although the table never finds it; it is refused. Plans of earlier releases with two routes at one place are read and served as they were, the last route counting, with a warning that names the shadowed ones.

--- a/amaranthring/plan_router.py
+++ b/amaranthring/plan_router.py
@@ -286,6 +286,13 @@
             accounts=len(plan.accounts or ()),
             keys=sum(len(a.keys) for a in plan.accounts or ()),
         )
+        shadowed = routing.shadowed_routes(plan)
+        if shadowed:
+            log.warning(
+                "plan.routes-shadowed version={} routes={}",
+                plan.version,
+                sorted(route.name for route in shadowed),
+            )
 
     def report(self) -> sharing.Report:
         """Return the report for the other routers."""
--- a/amaranthring/policy/route_history.py
+++ b/amaranthring/policy/route_history.py
@@ -10,6 +10,7 @@
 
 from amaranthring.core import hashing
 from amaranthring.policy import bindings
+from amaranthring.routing import plan as plans
 
 __all__ = ["PlanRoutes", "RouteHistory", "moved_routes", "route_key"]
 
@@ -20,7 +21,8 @@
 
 def route_key(host: str, prefix: str) -> str:
     """Return a short name of a route, alike on all processes."""
-    return hashing.digest(host.lower(), prefix)[:KEY_CHARACTERS]
+    place = plans.place_of(host, prefix)
+    return hashing.digest(*place)[:KEY_CHARACTERS]
 
 
 class Share(t.Protocol):
--- a/amaranthring/routing/__init__.py
+++ b/amaranthring/routing/__init__.py
@@ -1,6 +1,7 @@
 """Routing plans: routes, services, client accounts and request limits."""
 
 from amaranthring.routing.checks import check
+from amaranthring.routing.checks import shadowed_routes
 from amaranthring.routing.plan import Account
 from amaranthring.routing.plan import Bounds
 from amaranthring.routing.plan import Engine
@@ -22,4 +23,5 @@
     "Service",
     "Share",
     "check",
+    "shadowed_routes",
 ]
--- a/amaranthring/routing/checks.py
+++ b/amaranthring/routing/checks.py
@@ -16,7 +16,7 @@
     """
     service_names = {service.name for service in plan.services}
     _check_unique([service.name for service in plan.services], "service")
-    _check_unique([(r.host, r.prefix) for r in plan.routes], "route's place")
+    _check_unique([route.place for route in plan.routes], "route's place")
     _check_unique(
         [key for account in plan.accounts or () for key in set(account.keys)],
         "key of an account",
@@ -26,6 +26,15 @@
         _check_route(route, service_names)
 
 
+def shadowed_routes(plan: plans.Plan) -> list[plans.Route]:
+    """Return the routes whose requests a later one at their place takes.
+
+    No plan that :func:`check` accepts has any.
+    """
+    last = {route.place: route for route in plan.routes}
+    return [route for route in plan.routes if last[route.place] is not route]
+
+
 def _check_unique(values: list, what: str, show: bool = True) -> None:
     counts = collections.Counter(values)
     for value, count in counts.items():
@@ -59,9 +68,9 @@
             given=route.timeout,
             expected="above 0 s",
         )
-    if not route.prefix.startswith("/"):
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
         raise errors.InvalidPlanError(
             f"prefix of route {route.name}",
             given=route.prefix,
-            expected="a path that begins with /",
+            expected="a path that begins and ends with /",
         )
--- a/amaranthring/routing/plan.py
+++ b/amaranthring/routing/plan.py
@@ -7,6 +7,35 @@
 
 import dataclasses
 import enum
+import typing as t
+
+
+class Place(t.NamedTuple):
+    """What the requests of a route have in common.
+
+    Attributes
+    ----------
+    host : str
+        As :func:`fold_host` returns it.
+    prefix : str
+        Of the path.
+    """
+
+    host: str
+    prefix: str
+
+    def __str__(self) -> str:
+        return f"{self.host}{self.prefix}"
+
+
+def fold_host(host: str) -> str:
+    """Return the form of `host` that all its spellings have in common."""
+    return host.lower()
+
+
+def place_of(host: str, prefix: str) -> Place:
+    """Return the place at `host`, in any spelling, and `prefix`."""
+    return Place(fold_host(host), prefix)
 
 
 class Kind(enum.StrEnum):
@@ -37,6 +66,8 @@
 
     Attributes
     ----------
+    host : str
+        As the operator spells it.
     prefix : str
         Begins and ends with a slash; the longest match wins.
     kind : Kind
@@ -77,6 +108,11 @@
     resumable: bool = False
     pause_most: float = 0.0
 
+    @property
+    def place(self) -> Place:
+        """Return what no two routes of a plan may share."""
+        return place_of(self.host, self.prefix)
+
     def leads_to(self, service: str) -> bool:
         """Return whether requests of the route may go to `service`."""
         return any(share.service == service for share in self.shares)
--- a/amaranthring/routing/table.py
+++ b/amaranthring/routing/table.py
@@ -25,9 +25,9 @@
         self.plan = plan
         self.services = {service.name: service for service in plan.services}
         self.needs_key = plan.accounts is not None
-        self._routes = {
-            (route.host.lower(), route.prefix): route for route in plan.routes
-        }
+        # Of several routes at one place, which an earlier release may have
+        # acknowledged, the last one counts, as it did there.
+        self._routes = {route.place: route for route in plan.routes}
         self._accounts = {
             key: account
             for account in plan.accounts or ()
@@ -49,7 +49,7 @@
         path : str
             Path without the query.
         """
-        host = host.lower()
+        host = plans.fold_host(host)
         route = self._longest_match(host, path)
         if route is None and ":" in host:
             route = self._longest_match(host.rpartition(":")[0], path)
@@ -59,7 +59,7 @@
         # Prefixes end with a slash, so only such substrings can match.
         end = len(path)
         while (end := path.rfind("/", 0, end)) >= 0:
-            route = self._routes.get((host, path[: end + 1]))
+            route = self._routes.get(plans.Place(host, path[: end + 1]))
             if route is not None:
                 return route
         return None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -205,6 +205,7 @@
             changed_document(version=True),
             changed_document(routes=None),
             changed_document(routes=[route, route | {"name": "r3"}]),
+            changed_document(routes=[route, route | {"hostname": "H"}]),
             changed_document(tenants=tenants),
             changed_route(backend="nobody"),
             changed_route(timeout_ms=0),
@@ -439,6 +440,22 @@
         self.assertEqual(400, caught.exception.status)
         self.assertEqual(-1, self.hub.held.version)
 
+    async def test_two_routes_at_one_place_are_not_acknowledged(self):
+        """Guards against a plan whose later route takes the first one's."""
+        first, second = DOCUMENT["routes"]
+        place = {"hostname": "H", "path_prefix": first["path_prefix"]}
+        document = changed_document(routes=[first, second | place])
+        with self.assertRaises(errors.InvalidPlanError) as caught:
+            await self.call("POST", "/Configuration.Replace", document)
+        self.assertEqual(400, caught.exception.status)
+        self.assertEqual(-1, self.hub.held.version)
+        # An earlier release may have acknowledged it.
+        stored = documents.decode_acknowledged(document)
+        self.assertEqual(1, len(control.read_routes(document).services))
+        self.assertIs(
+            stored.routes[1], routing.RouteTable(stored).match("h", "/a/x")
+        )
+
     async def test_heartbeat(self):
         body = {
             "backend": "b1",
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -50,6 +50,25 @@
         self.assertIsNone(self.route_name("h", "/a"))
         self.assertEqual("short", self.route_name("h", "/a/bc"))
 
+    def test_host_with_capitals_is_found_in_any_case(self):
+        """Guards against a route that only one spelling reaches."""
+        spelled = routing.RouteTable(
+            plan(
+                route("r1", "Ficu.Example"), route("r2", "fICU.eXAMPLE", "/b/")
+            )
+        )
+        for host in ("ficu.example", "FICU.EXAMPLE", "Ficu.Example:80"):
+            self.assertEqual("r1", spelled.match(host, "/a/x").name)
+            self.assertEqual("r2", spelled.match(host, "/b/x").name)
+
+    def test_last_route_at_a_place_counts_in_stored_plans(self):
+        """Guards against routes that move as a router is upgraded."""
+        stored = plan(route("first", "H"), route("last", "h"))
+        shadowed = routing.shadowed_routes(stored)
+        self.assertEqual(["first"], [r.name for r in shadowed])
+        matched = routing.RouteTable(stored).match("h", "/a/x")
+        self.assertEqual("last", matched.name)
+
     def test_host_matches_in_any_case_and_with_a_port(self):
         self.assertEqual("short", self.route_name("H:8080", "/a/x"))
         self.assertIsNone(self.route_name("nobody", "/a/x"))
@@ -80,6 +99,20 @@
     def test_valid_plan_passes(self):
         routing.check(plan(route(), route("r2", prefix="/b/")))
 
+    def test_places_are_compared_as_requests_find_them(self):
+        """Guards against a route that takes the requests of another one."""
+        for host in ("H", "example", "EXAMPLE.org", "\u212a"):
+            for other in (host.lower(), host.upper(), host.title()):
+                self.check_invalid(
+                    plan(route(host=host), route("r2", host=other)), "place"
+                )
+        routing.check(plan(route(host="H"), route("r2", "h", "/b/")))
+        routing.check(plan(route(host="h"), route("r2", "h:80")))
+
+    def test_prefix_that_no_request_can_find_is_rejected(self):
+        """Guards against a route that is acknowledged and never found."""
+        self.check_invalid(plan(route(prefix="/a")), "prefix")
+
     def test_invalid_fields(self):
         self.check_invalid(
             plan(route(shares=(("x", 1),))), "service of route r"
