Count only frames of the handshake as the handshake of a link

What callers would see: a link between two processes is refused and dialled again because its first message is long: a request with a body of 100 KB that is handed over, a plan, counts.

Cause: until a peer had proved who it is, all that had been read of its connection counted as handshake, 64 KB at most. A peer may send on once it has sent its proof, and tornado reads 64 KB and more at a time, so the beginning of the next message was counted, too.

Evidence: test_long_message_behind_the_proof fails on the code before (the message does not arrive in 5 s) and holds now; test_proof_without_end holds in both.

Change: the bound is on a frame of the handshake that has not ended, where frames are read. What else has arrived still counts in the intake of the process until the proof is checked.

--- a/amaranthring/core/handshake.py
+++ b/amaranthring/core/handshake.py
@@ -16,6 +16,9 @@
 
 NONCE_BYTES = 16
 READ_BYTES = 64 * 1024
+# Greatest length of a frame of the handshake, which takes some hundred bytes.
+# The peer may send on once it has sent its proof, and that is read ahead.
+MAX_FRAME_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass
@@ -77,6 +80,7 @@
 
 
 async def _next_frame(stream, unpacker, message_class: type) -> t.Any:
+    received = 0
     while True:
         for parts in unpacker:
             frame = wire.decode(parts)
@@ -87,7 +91,15 @@
                     expected=message_class.__name__,
                 )
             return frame.message
-        unpacker.feed(await stream.read_bytes(READ_BYTES, partial=True))
+        if received >= MAX_FRAME_BYTES:
+            raise errors.HandshakeError(
+                "too long a frame",
+                given=f"{received} bytes without its end",
+                expected=f"less than {MAX_FRAME_BYTES}",
+            )
+        data = await stream.read_bytes(READ_BYTES, partial=True)
+        received += len(data)
+        unpacker.feed(data)
 
 
 async def authenticate(
--- a/amaranthring/core/links.py
+++ b/amaranthring/core/links.py
@@ -30,8 +30,6 @@
 log = logbook.Logger(__name__)
 
 HANDSHAKE_SECONDS = 2.0
-# A proof takes some hundred bytes.
-HANDSHAKE_BYTES = 64 * 1024
 SEND_BUFFER_BYTES = 4 * 1024 * 1024
 INITIAL_BACKOFF_SECONDS = 0.05
 # Bounds the delay until a link is back: after a power loss of the whole fleet
@@ -425,7 +423,6 @@
             log.warning("link.turned-away address={}", address)
             unbounded.close()
             return
-        stream.share.most = HANDSHAKE_BYTES
         stream.set_nodelay(True)
         stream.max_write_buffer_size = SEND_BUFFER_BYTES
         try:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,11 +1,13 @@
 """Links between processes: calls, errors, handshakes, invalid frames."""
 
 import asyncio
+import contextlib
 import unittest
 
 import tornado.testing
 
 from amaranthring import errors
+from amaranthring.core import handshake
 from amaranthring.core import links
 from amaranthring.core import silence
 from amaranthring.core import wire
@@ -13,6 +15,9 @@
 
 # Silence after which the links of these tests are replaced.
 SILENCE_SECONDS = 0.2
+# More than one read of a stream takes.
+LONG_BYTES = 200_000
+LONG_SECONDS = 5.0
 KEYS = links.Keys({"a": b"k" * 32})
 
 
@@ -138,6 +143,49 @@
         self.assertEqual(caught.exception.outcome, errors.Outcome.UNKNOWN)
 
 
+class TestHandshake(LinkCase):
+    """What a peer sends before and right after its proof."""
+
+    async def connect(self):
+        """Connect to the server; return the reader and the writer."""
+        reader, writer = await asyncio.open_connection(
+            *self.address.split(":")
+        )
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def test_long_message_behind_the_proof(self):
+        """Guards against a link that its first long message ends."""
+        received = asyncio.get_running_loop().create_future()
+        self.handlers.add(Echo, lambda _, echo: received.set_result(echo))
+        reader, writer = await self.connect()
+        nonce = b"n" * handshake.NONCE_BYTES
+        hello = handshake.Hello(wire.VERSION, nonce)
+        writer.write(wire.encode(wire.ONE_WAY, 0, hello))
+        unpacker = wire.unpacker()
+        unpacker.feed(await reader.read(4096))
+        theirs = wire.decode(next(unpacker)).message
+        key_id, key = KEYS.signing
+        mac = handshake._mac(key, "client", identity("c"), nonce, theirs.nonce)
+        proof = handshake.Proof(identity("c"), key_id, mac)
+        writer.write(
+            wire.encode(wire.ONE_WAY, 0, proof)
+            + wire.encode(wire.ONE_WAY, 0, Echo("x" * LONG_BYTES))
+        )
+        echo = await asyncio.wait_for(received, LONG_SECONDS)
+        self.assertEqual(LONG_BYTES, len(echo.text))
+
+    async def test_proof_without_end(self):
+        """Guards against a bound on handshakes that bounds nothing."""
+        reader, writer = await self.connect()
+        hello = handshake.Hello(wire.VERSION, b"x" * 2 * LONG_BYTES)
+        writer.write(wire.encode(wire.ONE_WAY, 0, hello)[:LONG_BYTES])
+        async with asyncio.timeout(links.HANDSHAKE_SECONDS / 2):
+            with contextlib.suppress(ConnectionError):
+                while await reader.read(4096):
+                    continue
+
+
 class TestSilence(LinkCase):
     """Links that are watched, through a relay."""
 
