Tell the length of a head from the memory of its connection

Cause: one sum of a connection answered two questions, how much memory it holds and whether its head is too long. It holds bytes of a body that tornado reads ahead, up to 256 KB while a request is being answered, and 512 bytes for each parsed header line.

Change: the sum bounds memory only. A head is too long if its end is not within its bound among the bytes as they were sent, which the stream looks for as bytes arrive and as a request begins; header lines count what they are. test_head_without_end asks the stream now, as the share no longer judges heads; a second test asks it of a head that ends too late.

Calls to keepers had no such bound.

--- a/amaranthring/core/bounded_streams.py
+++ b/amaranthring/core/bounded_streams.py
@@ -1,6 +1,7 @@
 """Accepted connections whose bytes the intake of the process counts."""
 
 import asyncio
+import re
 import typing as t
 
 import tornado.iostream
@@ -19,6 +20,8 @@
 
 # End of the line with the length of a chunk.
 LINE_END = b"\r\n"
+# End of a head, as tornado finds it.
+HEAD_END = re.compile(rb"\r?\n\r?\n")
 
 
 class _Bounded:
@@ -49,11 +52,35 @@
             return None
         return size
 
+    def _read_to_buffer(self):
+        size = super()._read_to_buffer()
+        if size:
+            self.check_head()
+        return size
+
+    def check_head(self) -> None:
+        """Refuse the request whose head has not ended within its bound.
+
+        Only what precedes the end of the head counts: tornado reads ahead,
+        so that much of a body may have arrived before its head is parsed.
+        """
+        most = self.share.head_most
+        received = self._read_buffer_size
+        if received <= most:
+            return
+        if HEAD_END.search(self._read_buffer, 0, int(most)) is None:
+            # Closing completes a read that the buffer satisfies.
+            self._forget_buffer()
+            self.share.intake.refuse_head(self.share, received)
+
     def close_fd(self):
         """Close the socket, and give back what the connection took."""
         self.share.end()
         super().close_fd()
         # Whoever still refers to the closed stream must not keep its bytes.
+        self._forget_buffer()
+
+    def _forget_buffer(self) -> None:
         self._read_buffer = bytearray()
         self._read_buffer_size = 0
 
--- a/amaranthring/core/http_servers.py
+++ b/amaranthring/core/http_servers.py
@@ -50,6 +50,8 @@
         share = server_conn.stream.share
         share.begin(server_conn.stream._read_buffer_size)
         delegate = super().start_request(server_conn, request_conn)
+        # What was read ahead of this request is not looked at again by itself.
+        server_conn.stream.check_head()
         return _Counted(delegate, share)
 
     def on_close(self, server_conn):
--- a/amaranthring/core/intake.py
+++ b/amaranthring/core/intake.py
@@ -76,9 +76,9 @@
         Bytes that were taken in since the last request ended.
     pending : int
         Bytes that may have arrived and are not read for now.
-    most : float
-        Greatest size of this share before its head, or the proof of its peer,
-        is whole.
+    head_most : float
+        Greatest length in bytes of the head that is being received; without
+        a bound while none is.
     heard_at : float
         Monotonic seconds at which bytes last arrived.
     head_seconds : callable
@@ -108,7 +108,7 @@
     state: State = State.IDLE
     size: int = 0
     pending: int = 0
-    most: float = float("inf")
+    head_most: float = float("inf")
     heard_at: float = dataclasses.field(default_factory=time.monotonic)
     head_seconds: t.Callable[[], float] = lambda: float("inf")
     due: float = float("inf")
@@ -140,8 +140,6 @@
         elif self.state is State.RECEIVING:
             self.intake.touch(self)
         self._add(size)
-        if self.is_open and self.size > self.most:
-            self.intake.refuse_head(self)
         return self.is_open
 
     def begin(self, size: int) -> None:
@@ -370,15 +368,21 @@
             ),
         )
 
-    def refuse_head(self, share: Share) -> None:
-        """End a connection on which too much comes before a head is whole."""
+    def refuse_head(self, share: Share, received: int) -> None:
+        """End a connection whose head is too long.
+
+        Parameters
+        ----------
+        received : int
+            Bytes that have arrived without the end of the head.
+        """
         self._end(
             share,
             "intake.head-too-large",
             errors.HeadersTooLargeError(
                 "headers",
-                given=f"{share.size} bytes so far",
-                expected="the end of the headers sooner",
+                given=f"{received} bytes without their end",
+                expected=f"{share.head_most:g} bytes at most",
             ),
         )
 
--- a/amaranthring/forwarding/frontend.py
+++ b/amaranthring/forwarding/frontend.py
@@ -35,8 +35,8 @@
 # A request that is refused is read to its end if no more than this is left,
 # so that its caller can keep the connection.
 DISCARD_BYTES = 64 * 1024
-# What may be read behind a head before its end is looked for.
-READ_AHEAD_BYTES = 128 * 1024
+# Greatest length of a request line, which no limit of the plan covers.
+MAX_REQUEST_LINE_BYTES = 128 * 1024
 # Greatest time for a body, whatever its caller says that it waits.
 MAX_BODY_SECONDS = 120.0
 # Longer than the idle time of any plan, so that a connection is not closed
@@ -316,12 +316,12 @@
         self.task: asyncio.Task | None = None
         self.has_begun = False
         limit = frontend.bounds().header_bytes
-        self.stream.share.most = limit + READ_AHEAD_BYTES
+        self.stream.share.head_most = limit + MAX_REQUEST_LINE_BYTES
 
     def headers_received(self, start_line, headers):
         """Parse the head; refuse what it decides if a long body follows."""
         self.frontend.idle.discard(self.server_conn)
-        self.stream.share.most = float("inf")
+        self.stream.share.head_most = float("inf")
         self.writer.is_for_head = start_line.method == "HEAD"
         try:
             self._check_headers(headers)
--- a/amaranthring/testing/scripted_target.py
+++ b/amaranthring/testing/scripted_target.py
@@ -534,10 +534,11 @@
     sent_headers |= {k.replace("_", "-"): v for k, v in headers.items()}
     lines += [f"{name}: {value}" for name, value in sent_headers.items()]
     writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-    return await _read_response(reader, method, started_at)
+    return await receive_response(reader, method, started_at)
 
 
-async def _read_response(reader, method: str, started_at: float) -> Response:
+async def receive_response(reader, method: str, started_at: float) -> Response:
+    """Receive the response to a request that was sent at `started_at`."""
     no_headers = tornado.httputil.HTTPHeaders()
     try:
         data = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -5,7 +5,10 @@
 import time
 import unittest
 
+from tornado import iostream
+
 from amaranthring import errors
+from amaranthring.core import bounded_streams
 from amaranthring.core import intake as intakes
 from amaranthring.core import refusals
 from amaranthring.core import turns
@@ -84,17 +87,59 @@
     def test_proved_peers_are_not_counted(self):
         """Guards against ending links of a keeper or router."""
         link = self.admit("link", 1_000)
-        link.most = 2_000
         link.mark_authenticated()
         self.assertTrue(link.take(500_000))
         self.assertEqual(self.intake.used, 0)
 
-    def test_head_without_end(self):
+
+class TestHeads(unittest.IsolatedAsyncioTestCase):
+    """What counts as the head of a request."""
+
+    def connect(self, head_most):
+        """Open a connection; return the client's socket and the stream."""
+        client, server = socket.socketpair()
+        client.setblocking(False)
+        self.addCleanup(client.close)
+        stream = bounded_streams.accept(
+            iostream.IOStream(server), intakes.Intake()
+        )
+        self.addCleanup(stream.close)
+        stream.share.head_most = head_most
+        return client, stream
+
+    async def read_head(self, stream):
+        return await asyncio.wait_for(stream.read_until(b"\r\n\r\n"), 5.0)
+
+    async def test_head_without_end(self):
         """Guards against heads that are held although they must fail."""
-        share = self.admit("head")
-        share.most = 1_000
-        self.assertFalse(share.take(1_001))
-        self.assertEqual(self.told["head"].status, 431)
+        client, stream = self.connect(1_000)
+        client.send(b"x" * 1_001)
+        with self.assertRaises(iostream.StreamClosedError):
+            await self.read_head(stream)
+        self.assertIn(b" 431 ", client.recv(4096))
+
+    async def test_head_that_ends_too_late(self):
+        """Guards against heads that are parsed although they must fail."""
+        client, stream = self.connect(1_000)
+        client.send(b"x" * 1_001 + b"\r\n\r\n")
+        with self.assertRaises(iostream.StreamClosedError):
+            await self.read_head(stream)
+        self.assertIn(b" 431 ", client.recv(4096))
+
+    async def test_bytes_behind_a_head_are_not_of_it(self):
+        """Guards against refusing a head for the body that follows it."""
+        client, stream = self.connect(1_000)
+        head = b"x" * 990 + b"\r\n\r\n"
+        client.send(head + b"y" * 60_000)
+        self.assertEqual(head, await self.read_head(stream))
+        self.assertTrue(stream.share.is_open)
+        self.assertGreater(stream.share.size, 1_000)
+
+    async def test_memory_of_a_parsed_head_is_not_its_length(self):
+        """Guards against refusing a head for the number of its lines."""
+        _client, stream = self.connect(1_000)
+        self.assertTrue(stream.share.take(5_000))
+        self.assertEqual(5_000, stream.share.intake.used)
 
 
 class TestConnections(IntakeCase):
