Fail answers whose status HTTP does not have, at once

What callers saw: an answer whose status was 600 or 999 reached them, signed; one whose status was 000 or 099 with a length kept them waiting for all their time, and they got 504. 101, for which no call asks, did the same.

Cause: whatever was below 200 counted as informational, so that the body was awaited as the next head, and everything else as final.

Change: the reader of all answers, upstream.Exchange, takes 100 to 199 for informational, 200 to 599 for final, and ends the attempt on any other status and on 101, with a type of its own. So safe requests go elsewhere, others get 502, the own interface calls the outcome of a booking unknown.

--- a/amaranthring/errors.py
+++ b/amaranthring/errors.py
@@ -398,6 +398,13 @@
     outcome = Outcome.RAN
 
 
+class InvalidStatusError(UpstreamError):
+    """A target answered with a status that HTTP does not have.
+
+    Callers see the code of the parent class, as for other target failures.
+    """
+
+
 class TruncatedResponseError(UpstreamError):
     """The target's response lacks its end marker or has a gap."""
 
--- a/amaranthring/handover/client.py
+++ b/amaranthring/handover/client.py
@@ -14,6 +14,7 @@
 from amaranthring.core import logs
 from amaranthring.forwarding import records
 from amaranthring.handover import messages
+from amaranthring.targets import upstream
 
 log = logbook.Logger(__name__)
 
@@ -68,6 +69,9 @@
         message = await self._next()
         if not isinstance(message, messages.Head):
             raise errors.TruncatedResponseError("the answer has no head")
+        if message.status not in upstream.FINAL_STATUSES:
+            # A helper of an earlier release passes any status on.
+            raise upstream.invalid_status(message.status)
         return message
 
     async def read(self) -> bytes:
--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -32,6 +32,11 @@
 LEAVING_HEADER = "Server-Leaving"
 
 MAX_INFORMATIONAL = 5
+# Source: RFC 9110, section 15.
+INFORMATIONAL_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
+# Answers an upgrade, for which no call asks.
+SWITCHING_PROTOCOLS = 101
 # Source: RFC 9110, section 5.5. Tabs, and bytes of any encoding, are allowed.
 CONTROLS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 CONNECTION_ERRORS = (
@@ -296,7 +301,8 @@
         Raises
         ------
         errors.UpstreamError
-            If the connection broke or the head is malformed.
+            If the connection broke, or the head is malformed or has a status
+            that no request of this process can get.
         """
         for _ in range(MAX_INFORMATIONAL):
             try:
@@ -312,8 +318,16 @@
                 tornado.httputil.HTTPInputError,
             ) as error:
                 raise self._connection_error(error) from error
-            if start.code >= 200:
+            if start.code in FINAL_STATUSES:
                 break
+            if (
+                start.code not in INFORMATIONAL_STATUSES
+                or start.code == SWITCHING_PROTOCOLS
+            ):
+                # No other head need follow, and to wait for one would take
+                # all the time that the caller has.
+                self.close()
+                raise invalid_status(start.code)
         else:
             raise self._connection_error()
         self.status, self.headers = start.code, headers
@@ -479,6 +493,15 @@
         )
 
 
+def invalid_status(status: int) -> errors.InvalidStatusError:
+    """Return the error of a response with a status that no call can get."""
+    return errors.InvalidStatusError(
+        "the target answered with an invalid status",
+        given=f"{status:03}",
+        expected=f"{FINAL_STATUSES.start} to {FINAL_STATUSES.stop - 1}",
+    )
+
+
 def encode_head(call: Call, address: str) -> bytes:
     """Return the head of the request.
 
--- a/amaranthring/testing/engine.py
+++ b/amaranthring/testing/engine.py
@@ -42,7 +42,7 @@
     "foreign-answer",  # sends the answer of another request
     "slow",  # waits `seconds` before token `at`
     "hang",  # sends nothing from token `at` on
-    "status",  # answers 500
+    "status",  # answers 500, or the status that is named
     "refuse",  # answers 503 and states that it did not run
     "rest",  # as "refuse", and asks for `seconds` of rest
     "comments",  # sends comments and no token from token `at` on
@@ -477,7 +477,7 @@
         if body.get("model") not in engine.models:
             raise tornado.web.HTTPError(404)
         if fault.get("fault") == "status":
-            raise tornado.web.HTTPError(500)
+            raise tornado.web.HTTPError(fault.get("status", 500))
         if fault.get("fault") in ("refuse", "rest"):
             self.set_header("Amaranthring-Outcome", "not-run")
             self.set_status(503)
