Do not take an answer for whole while its call is still being sent

What callers would see: a part of an answer as the whole one. A target that answers a long upload early, without a length, and ends its sending side before it resets the connection (as the kernel does for a process that ends when it has read all that came so far) passed for one that had answered.

Cause: an answer without a length ends with its connection, and the end of what a target sends was taken for that although the upload was unread.

Evidence: test_answer_before_a_reset_is_not_whole fails on the code before; with test_answer_is_whole_once_the_call_is_taken it holds now.

Change: the end of such an answer counts once all of the call has been taken by the kernel; a reset before that makes it a truncated answer. A target that answers early and reads on later is served as before.

--- a/amaranthring/targets/upstream.py
+++ b/amaranthring/targets/upstream.py
@@ -379,14 +379,34 @@
             if self.abort_error:
                 raise self.abort_error
             if not data:
-                if self.body.ends_by_close:
-                    return b""
-                raise self._connection_error(EOFError())
+                if not self.body.ends_by_close:
+                    raise self._connection_error(EOFError())
+                await self._finish_sending()
+                return b""
             data = self.body.take(data)
             if data:
                 return data
         return b""
 
+    async def _finish_sending(self) -> None:
+        """Wait until the target has taken the whole call.
+
+        A target that ends while a call is being sent closes its connection
+        in order and resets it only as more arrives.
+
+        Raises
+        ------
+        errors.UpstreamError
+            If the connection is reset before, so that the answer, which ends
+            with the connection, cannot be told from a part of it.
+        """
+        try:
+            # Nothing more may be left to send.
+            self.writer.transport.set_write_buffer_limits(0)
+            await self.writer.drain()
+        except CONNECTION_ERRORS as error:
+            raise self._connection_error(error) from error
+
     async def read_all(
         self,
         max_bytes: int,
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import enum
+import unittest
 
+from amaranthring import errors
+from amaranthring.targets import upstream
 from amaranthring.testing import scripted_target
 from tests import test_forwarding
 from tests import test_handover
@@ -111,3 +114,61 @@
         )
         got = await self.ask("/a/x")
         self.assertEqual((200, b"all"), (got.status, got.body))
+
+
+class Target:
+    """Address of a server."""
+
+    name = "t"
+
+    def __init__(self, address):
+        self.address = address
+
+
+class TestEarlyAnswers(unittest.IsolatedAsyncioTestCase):
+    """Answers without a length that come while a call is being sent."""
+
+    body = bytes(16 * 1024 * 1024)
+
+    async def ask(self, go_on):
+        """Return the answer of a server that goes on in a way."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
+            writer.write_eof()
+            await asyncio.sleep(0.1)
+            await go_on(reader, writer)
+            served.set()
+
+        served = asyncio.Event()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        exchange = upstream.Exchange(Target(f"{host}:{port}"))
+        self.addCleanup(exchange.close)
+        call = upstream.Call("POST", "/", {}, self.body)
+        await exchange.open(call, 5.0)
+        try:
+            return await exchange.read_all(1000, unframed=True)
+        finally:
+            await served.wait()
+
+    async def test_answer_before_a_reset_is_not_whole(self):
+        """Guards against a part that looks whole as its sender goes."""
+
+        async def reset(_reader, writer):
+            scripted_target.abort_connection(writer)
+
+        with self.assertRaises(errors.TruncatedResponseError):
+            await self.ask(reset)
+
+    async def test_answer_is_whole_once_the_call_is_taken(self):
+        """Guards against refusing an answer that came early."""
+
+        async def read_on(reader, writer):
+            await reader.readexactly(len(self.body))
+            writer.close()
+
+        self.assertEqual(b"part", await self.ask(read_on))
