Compare keys and tokens in the form in which requests carry them

What callers would see: 401 for a key that is in force, and that an operator had acknowledged: one with letters beyond ASCII, as tornado decodes headers as Latin-1 and JSON has the letters themselves; one with blanks around it, as a header's value has none.

Cause: keys of a plan and tokens of the own interface were compared as written where they were set, and as decoded and stripped where they were used.

Evidence: on the code before, test_key_is_read_as_the_plan_has_it gets 'clÃ©' for 'clé', test_token_is_read_as_it_was_set raises UnauthenticatedError, and test_tokens_that_no_header_can_carry_are_refused gets 200. All hold now.

Change: core/text.read_header returns the text of a header, from UTF-8 where it is that, for both interfaces; what it can never return is refused where keys and tokens are set.

--- a/amaranthring/callers/codec.py
+++ b/amaranthring/callers/codec.py
@@ -17,6 +17,7 @@
 from amaranthring.core import fleet
 from amaranthring.core import hashing
 from amaranthring.core import records
+from amaranthring.core import text as texts
 
 REQUEST_ID_HEADER = "Amaranthring-Request-Id"
 OUTCOME_HEADER = "Amaranthring-Outcome"
@@ -125,7 +126,7 @@
             given=scheme or "no Authorization header",
             expected="Authorization: Bearer TOKEN",
         )
-    account = accounts.find(config, token.strip())
+    account = accounts.find(config, texts.read_header(token))
     cls = headers.get(CLASS_HEADER) or account.default_class
     known = {*config.preset.classes, account.default_class, *CLASSES}
     if cls not in known:
--- a/amaranthring/core/text.py
+++ b/amaranthring/core/text.py
@@ -1,6 +1,13 @@
 """Text from outside that every process can encode."""
 
-__all__ = ["escape", "is_encodable"]
+import re
+
+__all__ = ["can_be_header", "escape", "is_encodable", "read_header"]
+
+# Blanks around the value of a header are not of it, and control characters
+# would end its line. Source: RFC 9110, section 5.5.
+BLANKS = " \t"
+CONTROLS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 def is_encodable(text: str) -> bool:
@@ -18,6 +25,26 @@
     return True
 
 
+def can_be_header(text: str) -> bool:
+    """Return whether :func:`read_header` can return `text`."""
+    return text == text.strip(BLANKS) and not CONTROLS.search(text)
+
+
+def read_header(value: str) -> str:
+    """Return the text of a header whose bytes tornado decodes as Latin-1.
+
+    Text from JSON, with which it is compared, has its letters; UTF-8 is what
+    clients send them in. Bytes that are not UTF-8 stay as they are.
+    """
+    value = value.strip(BLANKS)
+    if value.isascii():
+        return value
+    try:
+        return value.encode("latin1").decode()
+    except UnicodeError:
+        return value
+
+
 def escape(text: str) -> str:
     """Return `text` with escapes for what cannot be encoded."""
     return text.encode(errors="backslashreplace").decode()
--- a/amaranthring/operators/schemas.py
+++ b/amaranthring/operators/schemas.py
@@ -13,6 +13,7 @@
 from amaranthring import errors
 from amaranthring.core import fleet
 from amaranthring.core import hashing
+from amaranthring.core import text as texts
 from amaranthring.keepers import commands
 from amaranthring.settings import models
 
@@ -218,12 +219,16 @@
         raw = dict(raw)
         tokens = raw.pop("tokens")
         if not isinstance(tokens, list) or not all(
-            isinstance(token, str) and len(token) >= 16 for token in tokens
+            isinstance(token, str)
+            and len(token) >= 16
+            and texts.can_be_header(token)
+            for token in tokens
         ):
             raise errors.BadRequestError(
                 "tokens",
                 given="other",
-                expected="a list of strings of 16 characters or more",
+                expected="a list of strings of 16 characters or more, without"
+                " blanks around them and control characters",
             )
         raw["token_hashes"] = [hashing.token_hash(token) for token in tokens]
     model = validate(AccountModel, raw)
--- a/amaranthring/platform/headers.py
+++ b/amaranthring/platform/headers.py
@@ -6,6 +6,7 @@
 from amaranthring.core import hashing
 from amaranthring.core import notices
 from amaranthring.core import numerals
+from amaranthring.core import text
 from amaranthring.forwarding import events
 from amaranthring.forwarding import records
 
@@ -157,7 +158,7 @@
 def _key(value: str) -> str:
     if value[: len(SCHEME)].lower() != SCHEME.lower():
         return ""
-    return value[len(SCHEME) :].strip()
+    return text.read_header(value[len(SCHEME) :])
 
 
 def _last_event(value: str) -> str:
--- a/amaranthring/routing/checks.py
+++ b/amaranthring/routing/checks.py
@@ -3,6 +3,7 @@
 import collections
 
 from amaranthring import errors
+from amaranthring.core import text
 from amaranthring.routing import plan as plans
 
 
@@ -22,6 +23,8 @@
         "key of an account",
         show=False,
     )
+    for account in plan.accounts or ():
+        _check_keys(account)
     for route in plan.routes:
         _check_route(route, service_names)
 
@@ -44,6 +47,15 @@
             raise errors.InvalidPlanError(what, given=given, expected="once")
 
 
+def _check_keys(account: plans.Account) -> None:
+    if not all(map(text.can_be_header, account.keys)):
+        raise errors.InvalidPlanError(
+            f"key of account {account.name}",
+            given="one that no header can carry",
+            expected="no blanks around it, and no control characters",
+        )
+
+
 def _check_route(route: plans.Route, service_names: set[str]) -> None:
     for share in route.shares:
         if share.service not in service_names:
--- a/tests/test_handlers.py
+++ b/tests/test_handlers.py
@@ -4,6 +4,8 @@
 import json
 import unittest
 
+from amaranthring.callers import codec
+from amaranthring.core import hashing
 from amaranthring.testing import fake_dependencies
 from amaranthring.testing import in_process_callers
 
@@ -11,6 +13,22 @@
 AUTHORIZED = f"Authorization: Bearer {fake_dependencies.TOKEN}\r\n"
 
 
+class TestTokens(unittest.TestCase):
+    """Tokens by which callers are known."""
+
+    def test_token_is_read_as_it_was_set(self):
+        """Guards against a token that is in force and lets nobody in."""
+        config = fake_dependencies.Fakes().config
+        for token in ("jeton-d'\u00e9t\u00e9-1234", "a token with blanks"):
+            digest = hashing.token_hash(token)
+            config.accounts["acme"].token_hashes.append(digest)
+            sent = token.encode().decode("latin1")
+            caller = codec.decode_caller(
+                {"Authorization": f"Bearer {sent} "}, config, codec.Accounts()
+            )
+            self.assertEqual("acme", caller.account.name)
+
+
 class TestInvalidInput(unittest.IsolatedAsyncioTestCase):
     """One router with small limits before an engine and a replica."""
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -201,6 +201,18 @@
             self.assertNotIn(hashing.token_hash(token), str(shown))
             self.assertEqual(len(shown["tokens"]), len(body))
 
+    def test_tokens_that_no_header_can_carry_are_refused(self):
+        """Guards against a token that is accepted and lets nobody in."""
+        for token in (" a-token-of-the-account", "a-token-of-the-account\r\n"):
+            response, _ = self.send(
+                "PUT",
+                "/r1/operators/accounts/shop",
+                {"tokens": [token]},
+                id="command-1",
+                match="1",
+            )
+            self.assertEqual(response.code, 400)
+
     def test_drain_and_undrain(self):
         path = "/r1/operators/targets/e1/drain"
         self.send("POST", path, {"reason": "disk"}, id="command-1", match="1")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -207,6 +207,10 @@
             changed_document(routes=[route, route | {"name": "r3"}]),
             changed_document(routes=[route, route | {"hostname": "H"}]),
             changed_document(tenants=tenants),
+            *(
+                changed_document(tenants=[{"name": "a", "api_keys": [key]}])
+                for key in (" k", "k\t", "k\n", "k\x00k")
+            ),
             changed_route(backend="nobody"),
             changed_route(timeout_ms=0),
             changed_route(timeout_ms="600"),
@@ -249,6 +253,14 @@
         self.assertEqual("/a/x", incoming.path)
         self.assertEqual("/a/x?q=1", incoming.uri)
 
+    def test_key_is_read_as_the_plan_has_it(self):
+        """Guards against a key that is in force and matches no request."""
+        for key in ("k1", "cl\u00e9", "\u043a\u043b\u044e\u0447", "a b"):
+            sent = key.encode().decode("latin1")
+            for value in (f"Bearer {sent}", f"bearer  {sent} "):
+                self.assertEqual(key, request(Authorization=value).key)
+        self.assertEqual("\xff", request(Authorization="Bearer \xff").key)
+
     def test_malformed_heads_are_rejected(self):
         for bad in (
             {"Amaranthring_Deadline_Ms": "-5"},
