Refuse a token that another account of the own interface has

What callers would see: requests of one account that count as another's: its limits, its claims of bookings. Callers are known by their token alone, and of two accounts with one token the last in the table counted; nothing refused the second. Plans refuse a key of two accounts; the own interface did not.

Evidence: test_token_of_another_account_is_refused and the case of test_errors_name_the_file fail on the code before and hold now.

Change: an operator's change of an account, and the initial configuration, are refused with 400 if another account has one of the tokens. The check is made against the revision that the change is based on, which keepers require to be in force, so that two operators cannot pass it at once; a change that was made before and is sent again is acknowledged as before. Keepers' state is as it was: what an earlier release has stored is served as it was.

--- a/amaranthring/operators/base.py
+++ b/amaranthring/operators/base.py
@@ -17,6 +17,7 @@
 from amaranthring.core import drain as drains
 from amaranthring.core import fleet
 from amaranthring.core import hashing
+from amaranthring.core import text
 from amaranthring.keepers import commands
 from amaranthring.operators import schemas
 
@@ -98,7 +99,7 @@
         self.operator = ""
         if scheme.lower() == "bearer" and token:
             self.operator = self._operator_with_token(
-                hashing.token_hash(token.strip())
+                hashing.token_hash(text.read_header(token))
             )
         if not self.operator:
             raise errors.UnauthenticatedError(
--- a/amaranthring/operators/handlers.py
+++ b/amaranthring/operators/handlers.py
@@ -162,9 +162,12 @@
     async def put(self, name: str) -> None:
         """Create or replace the account."""
         account = schemas.parse_account(name, self.json_body())
-        await self.propose(
-            commands.PutAccount(account, **self.command_fields())
-        )
+        fields = self.command_fields()
+        config = await self.fetch_config()
+        # Keepers refuse a change of another revision, or have made it before.
+        if config.revision == fields["if_match"]:
+            schemas.check_tokens(account, config.accounts.values())
+        await self.propose(commands.PutAccount(account, **fields))
 
     async def delete(self, name: str) -> None:
         """Remove the account."""
--- a/amaranthring/operators/schemas.py
+++ b/amaranthring/operators/schemas.py
@@ -235,16 +235,41 @@
     return fleet.Account(validate_name(account_name), **model.model_dump())
 
 
+def check_tokens(
+    account: fleet.Account, others: t.Iterable[fleet.Account]
+) -> None:
+    """Check that no other account has a token of `account`.
+
+    Callers are known by their token alone.
+
+    Raises
+    ------
+    errors.BadRequestError
+        If one has.
+    """
+    own = set(account.token_hashes)
+    for other in others:
+        if other.name != account.name and own & set(other.token_hashes):
+            raise errors.BadRequestError(
+                f"tokens of {account.name}",
+                given=f"one that {other.name} has",
+                expected="tokens that no other account has",
+            )
+
+
 def parse_bootstrap(raw: t.Any) -> commands.Bootstrap:
     """Return the initial configuration that `raw` describes."""
     model = validate(BootstrapModel, raw)
+    accounts = [
+        fleet.Account(n, **account.model_dump())
+        for n, account in model.accounts.items()
+    ]
+    for account in accounts:
+        check_tokens(account, accounts)
     return commands.Bootstrap(
         model.in_force,
         [_preset(n, preset) for n, preset in model.presets.items()],
-        [
-            fleet.Account(n, **account.model_dump())
-            for n, account in model.accounts.items()
-        ],
+        accounts,
     )
 
 
--- a/tests/test_initial_config.py
+++ b/tests/test_initial_config.py
@@ -56,6 +56,8 @@
             '{"presets": {}}': "in_force",
             '{"presets": {"ordinary": {"load_bound": 0}}}': "load_bound",
             "[preset.ordinary]\nretry = 1": "retry",
+            INI % ("ab" * 32)
+            + f"[account.other]\ntoken_hashes = {'ab' * 32}": "tokens of",
         }
         for text, expected in cases.items():
             with self.assertRaises(errors.SettingsError) as caught:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -213,6 +213,25 @@
             )
             self.assertEqual(response.code, 400)
 
+    def test_token_of_another_account_is_refused(self):
+        """Guards against callers that count as another account."""
+        body = {"tokens": ["a-token-of-the-account"]}
+        for name, command, match, status in (
+            ("shop", "command-1", "1", 200),
+            ("other", "command-2", "2", 400),
+            ("shop", "command-3", "2", 200),
+            # Again, as the answer may have been lost.
+            ("shop", "command-1", "1", 200),
+        ):
+            response, _ = self.send(
+                "PUT",
+                f"/r1/operators/accounts/{name}",
+                body,
+                id=command,
+                match=match,
+            )
+            self.assertEqual(response.code, status)
+
     def test_drain_and_undrain(self):
         path = "/r1/operators/targets/e1/drain"
         self.send("POST", path, {"reason": "disk"}, id="command-1", match="1")
