Play long requests in a seeded series beside stops and changes of plans

Clients send bodies of 0 bytes to 4 MB behind 0 to 700 header lines, whole or in pieces, one or two at a time, and keep their connections until the process is gone; routers and the keeper are stopped, killed and frozen, and plans change meanwhile. No final refusal may come.

--- a/tests/test_long_requests.py
+++ b/tests/test_long_requests.py
@@ -1,8 +1,14 @@
-"""Proper requests with long bodies or many header lines."""
+"""Proper requests with long bodies or many header lines.
+
+``LONG_SEED`` chooses the series, ``LONG_SECONDS`` its length, and
+``LONG_CLIENTS`` the number of its clients.
+"""
 
 import asyncio
 import collections
 import json
+import os
+import random
 import unittest
 
 from amaranthring.core import endpoints
@@ -16,6 +22,15 @@
 SHORT = 600
 REQUESTS = 40
 ANSWER_SECONDS = 10.0
+SEED = os.environ.get("LONG_SEED", "1")
+SECONDS = float(os.environ.get("LONG_SECONDS", "8"))
+CLIENTS = int(os.environ.get("LONG_CLIENTS", "12"))
+SIZES = (0, 1, SHORT, 20_000, 65_536, LONG, 1_000_000, 4_000_000)
+LINES = (0, 0, 20, 200, 700)
+PIECES = (0, 0, 0, 1_400, 65_536)
+# Final answers, which no request of the series has earned.
+DENIALS = {400, 401, 403, 404, 405, 411, 413, 414, 417, 421, 431}
+MIN_SERVED = 30
 
 
 def request(number, size, lines=0):
@@ -141,6 +156,86 @@
             self.assertEqual(431, await self.read_status(reader))
 
 
+class TestSeries(platform_case.FaultCase):
+    """Long requests while processes are stopped and plans change."""
+
+    routers = 3
+
+    def configuration(self):
+        found = super().configuration()
+        found["limits"]["max_body_bytes"] = MAX_BODY_BYTES
+        return found
+
+    def make_replica(self, name):
+        return Replica(name)
+
+    async def change_plan(self):
+        """Put the next version of the plan in force."""
+        await self.configure()
+
+    async def send_until_stopped(self, number):
+        """Send requests on open connections until their process is gone."""
+        while not self.stopped:
+            name = self.rng.choice(self.router_names)
+            try:
+                connection = await asyncio.wait_for(
+                    asyncio.open_connection(self.ip(name), self.port), 1.0
+                )
+                while not self.stopped:
+                    if not await self.send_some(number, *connection):
+                        break
+            except (OSError, EOFError, TimeoutError):
+                await asyncio.sleep(0.05)
+                continue
+            connection[1].close()
+
+    async def send_some(self, number, reader, writer):
+        """Send one or two requests; return whether another may follow."""
+        count = self.rng.choice((1, 1, 2))
+        piece = self.rng.choice(PIECES)
+        for _ in range(count):
+            data = request(
+                number, self.rng.choice(SIZES), self.rng.choice(LINES)
+            )
+            step = piece or len(data)
+            for start in range(0, len(data), step):
+                writer.write(data[start : start + step])
+                await asyncio.wait_for(writer.drain(), ANSWER_SECONDS)
+        for _ in range(count):
+            response = await asyncio.wait_for(
+                scripted_target.receive_response(reader, "POST", 0.0),
+                ANSWER_SECONDS,
+            )
+            self.statuses[response.status] += 1
+            is_last = response.headers.get("Connection") == "close"
+            if is_last or not response.complete or not response.status:
+                return False
+        await asyncio.sleep(self.rng.choice((0, 0, 0.01)))
+        return True
+
+    async def test_none_is_denied(self):
+        """Guards against final refusals of what a later try would serve."""
+        asyncio.get_running_loop().set_debug(False)
+        self.rng = random.Random(SEED)
+        clients = [
+            asyncio.ensure_future(self.send_until_stopped(number))
+            for number in range(CLIENTS)
+        ]
+        faults = (
+            self.restart_router,
+            self.freeze_router,
+            self.restart_keeper,
+            self.freeze_keeper,
+            self.change_plan,
+        )
+        await self.inject(faults, SECONDS)
+        self.stopped = True
+        await asyncio.gather(*clients)
+        denied = DENIALS & self.statuses.keys()
+        self.assertEqual(set(), denied, dict(self.statuses))
+        self.assertGreater(self.statuses[200], MIN_SERVED)
+
+
 class TestKeepers(unittest.IsolatedAsyncioTestCase):
     """Calls of targets and operators."""
 
