--- a/tests/test_long_requests.py
+++ b/tests/test_long_requests.py
@@ -101,7 +101,7 @@
         await super().asyncSetUp()
         # A router is ready before it has heard of a replica.
         async with asyncio.timeout(ANSWER_SECONDS):
-            while (await self.send_once("router-0", "/a/x"))[1] != 200:
+            while (await self.send_once("router-0", "/a/x"))[1] != 200:  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
 
     async def connect(self):
--- a/tests/test_withdrawn_keys.py
+++ b/tests/test_withdrawn_keys.py
@@ -91,6 +91,10 @@
     async def asyncSetUp(self):
         self.accounts = platform_case.configuration(1)["tenants"]
         await super().asyncSetUp()
+        # Routers are ready before they have heard of a replica.
+        async with asyncio.timeout(APPLY_SECONDS):
+            while 503 in await self.statuses():
+                await asyncio.sleep(0.05)
 
     def configuration(self):
         return document(version=self.version, tenants=self.accounts)
