--- a/tests/test_withdrawn_keys.py
+++ b/tests/test_withdrawn_keys.py
@@ -93,7 +93,7 @@
         await super().asyncSetUp()
         # Routers are ready before they have heard of a replica.
         async with asyncio.timeout(APPLY_SECONDS):
-            while 503 in await self.statuses():
+            while 503 in await self.statuses():  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
 
     def configuration(self):
