--- a/amaranthring/core/bounded_streams.py
+++ b/amaranthring/core/bounded_streams.py
@@ -69,7 +69,7 @@
         if received <= most:
             return
         if HEAD_END.search(self._read_buffer, 0, int(most)) is None:
-            # Closing completes a read that the buffer satisfies.
+            # As it closes, tornado completes a read that the buffer satisfies.
             self._forget_buffer()
             self.share.intake.refuse_head(self.share, received)
 
--- a/amaranthring/core/http_servers.py
+++ b/amaranthring/core/http_servers.py
@@ -50,7 +50,7 @@
         share = server_conn.stream.share
         share.begin(server_conn.stream._read_buffer_size)
         delegate = super().start_request(server_conn, request_conn)
-        # What was read ahead of this request is not looked at again by itself.
+        # Too much may have been read ahead already, and nothing more arrive.
         server_conn.stream.check_head()
         return _Counted(delegate, share)
 
--- a/amaranthring/core/text.py
+++ b/amaranthring/core/text.py
@@ -33,8 +33,8 @@
 def read_header(value: str) -> str:
     """Return the text of a header whose bytes tornado decodes as Latin-1.
 
-    Text from JSON, with which it is compared, has its letters; UTF-8 is what
-    clients send them in. Bytes that are not UTF-8 stay as they are.
+    Clients send letters beyond ASCII as UTF-8. Bytes that are not UTF-8 stay
+    as they were decoded.
     """
     value = value.strip(BLANKS)
     if value.isascii():
--- a/amaranthring/operators/handlers.py
+++ b/amaranthring/operators/handlers.py
@@ -164,7 +164,8 @@
         account = schemas.parse_account(name, self.json_body())
         fields = self.command_fields()
         config = await self.fetch_config()
-        # Keepers refuse a change of another revision, or have made it before.
+        # Keepers accept no change of another revision; they only acknowledge
+        # again one that they have made.
         if config.revision == fields["if_match"]:
             schemas.check_tokens(account, config.accounts.values())
         await self.propose(commands.PutAccount(account, **fields))
--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -19,13 +19,11 @@
 
 def answer(status, length=True):
     """Return a script that answers with `status`, and goes on listening."""
-
-    def encode(seen):
-        more = {"Content_Length": "5"} if length else {}
-        return scripted_target.response_head(seen, f"{status:03}", **more)
+    more = {"Content_Length": "5"} if length else {}
 
     async def script(seen, writer):
-        writer.write(encode(seen) + b"whole")
+        head = scripted_target.response_head(seen, f"{status:03}", **more)
+        writer.write(head + b"whole")
         await asyncio.sleep(2 * SECONDS)
 
     return script
